--- /dev/null
+++ b/src/base/json.hpp
@@ -0,0 +1,48 @@
+// Reading and checking of JSON, behind a narrow face so that RapidJSON is
+// included in few files. A Schema lists every defect of a document, each with
+// the JSON pointer of its place.
+#pragma once
+#include "base/common.hpp"
+
+namespace dunlinwing::base {
+
+struct DocDefect {
+  std::string at, what;
+};
+
+// A read-only view of a parsed document or of a part of it.
+class Json {
+ public:
+  static std::variant<Json, DocDefect> parse(std::string_view text);
+  Json();
+  bool has(const char* k) const;
+  Json at(const char* k) const;  // null view when absent
+  std::vector<std::pair<std::string, Json>> members() const;
+  std::vector<Json> items() const;
+  std::string str(const std::string& def = {}) const;
+  int64_t num(int64_t def = 0) const;
+  double real(double def = 0) const;
+  bool flag(bool def = false) const;
+  std::vector<std::string> strs() const;
+  std::string text() const;
+
+ private:
+  friend class Schema;
+  struct Impl;
+  std::shared_ptr<const Impl> p_;
+};
+
+class Schema {
+ public:
+  explicit Schema(std::string_view text);
+  std::vector<DocDefect> check(const Json& j) const;
+
+  struct Impl;
+
+ private:
+  std::shared_ptr<const Impl> p_;
+};
+
+std::string quote(std::string_view s);  // a JSON string, quotes included
+
+}  // namespace dunlinwing::base
--- /dev/null
+++ b/src/base/ports.cpp
@@ -0,0 +1,36 @@
+// Small helpers on the plain data that crosses the ports.
+#include "base/ports.hpp"
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+#include <cctype>
+
+namespace dunlinwing::base {
+
+bool same_word(std::string_view a, std::string_view b) {
+  if (a.size() != b.size()) return false;
+  for (size_t i = 0; i < a.size(); ++i)
+    if (std::tolower(static_cast<unsigned char>(a[i])) != std::tolower(static_cast<unsigned char>(b[i])))
+      return false;
+  return true;
+}
+
+std::string header(const std::vector<std::pair<std::string, std::string>>& hs, std::string_view name) {
+  for (auto& [k, v] : hs)
+    if (same_word(k, name)) return v;
+  return {};
+}
+
+std::string sha256_base64(std::string_view body) {
+  unsigned char d[EVP_MAX_MD_SIZE];
+  unsigned int n = 0;
+  EVP_Digest(body.data(), body.size(), d, &n, EVP_sha256(), nullptr);
+  std::string out(4 * ((n + 2) / 3), '\0');
+  EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()), d, static_cast<int>(n));
+  return out;
+}
+
+std::string token(Chance& c) { return fmt::format("{:016x}{:016x}", c.draw(), c.draw()); }
+
+}  // namespace dunlinwing::base
--- /dev/null
+++ b/src/base/ports.hpp
@@ -0,0 +1,98 @@
+// The ports through which the product meets time, chance, tasks, the network
+// and disks. The real ones are in wire and disk; the simulated ones are in
+// sim, and run the very same callers on invented time.
+#pragma once
+#include "base/common.hpp"
+#include "wire.pb.h"  // generated from proto/wire.proto
+
+namespace dunlinwing::base {
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Tick now() = 0;
+  virtual int64_t wall_ms() = 0;
+  virtual void nap(Span s) = 0;
+};
+
+class Chance {
+ public:
+  virtual ~Chance() = default;
+  virtual uint64_t draw() = 0;
+  uint64_t below(uint64_t n) { return n ? draw() % n : 0; }
+};
+
+// A place where one fiber waits until another wakes it or its time is up.
+class Spot {
+ public:
+  virtual ~Spot() = default;
+  virtual bool park(Span s) = 0;  // true when woken, false when time ran out
+  virtual void wake() = 0;        // from any thread, any number of times
+};
+
+class Tasks {
+ public:
+  virtual ~Tasks() = default;
+  virtual void spawn(std::function<void()> f) = 0;
+  virtual std::shared_ptr<Spot> spot() = 0;
+};
+
+enum class NetDefect { unreachable, timed_out, garbled };
+
+class Net {
+ public:
+  virtual ~Net() = default;
+  virtual std::variant<pb::Reply, NetDefect> ask(const std::string& addr, const pb::Ask& a, Span limit) = 0;
+};
+
+enum class DiskDefect { failed };
+
+struct Loaded {
+  pb::Image image;
+  bool doubt = false;  // something synced earlier can no longer be read
+};
+
+class Disk {
+ public:
+  virtual ~Disk() = default;
+  virtual Loaded load() = 0;
+  // Returns once all records are synced. `whole` is called when a fresh image is due.
+  virtual std::optional<DiskDefect> save(const std::vector<pb::Record>& rs,
+                                         const std::function<pb::Image()>& whole) = 0;
+};
+
+struct Request {
+  std::string id, method, target, body;
+  std::vector<std::pair<std::string, std::string>> headers;
+};
+
+struct Receipt {
+  int status = 0;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+};
+
+// How a shot at a worker failed: nothing was sent; the worker itself said it
+// did not run it; or nobody can tell.
+enum class ShotDefect { unsent, not_run, unknown };
+
+class Origin {
+ public:
+  virtual ~Origin() = default;
+  virtual std::variant<Receipt, ShotDefect> shoot(const std::string& addr, const Request& q, Span limit) = 0;
+};
+
+struct Ports {
+  Clock& clock;
+  Chance& chance;
+  Tasks& tasks;
+  Net& net;
+  Origin& origin;
+};
+
+std::string header(const std::vector<std::pair<std::string, std::string>>& hs, std::string_view name);
+bool same_word(std::string_view a, std::string_view b);  // ASCII case folded
+std::string sha256_base64(std::string_view body);
+std::string token(Chance& c);
+
+}  // namespace dunlinwing::base
--- /dev/null
+++ b/src/cache/cache.cpp
@@ -0,0 +1,165 @@
+// The table is one map under one lock, which is never held while waiting.
+#include "cache/cache.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <list>
+#include <mutex>
+
+namespace dunlinwing::cache {
+
+struct Cache::Fill {
+  std::mutex m;
+  bool done = false;
+  ItemPtr item;
+  std::vector<std::shared_ptr<base::Spot>> waits;
+};
+
+struct Cache::Impl {
+  struct Cell {
+    ItemPtr item;
+    size_t bytes;
+    std::list<std::string>::iterator use;
+  };
+  mutable std::mutex m;
+  std::map<std::string, Cell> by;
+  std::list<std::string> uses;
+  std::map<std::string, std::shared_ptr<Fill>> fills;
+  size_t bytes = 0;
+
+  void erase(std::map<std::string, Cell>::iterator i) {
+    bytes -= i->second.bytes;
+    uses.erase(i->second.use);
+    by.erase(i);
+  }
+};
+
+Cache::Cache() : p_(std::make_unique<Impl>()) {}
+Cache::~Cache() = default;
+
+ItemPtr Cache::find(const std::string& k) {
+  std::lock_guard l(p_->m);
+  auto f = p_->by.find(k);
+  if (f == p_->by.end()) return {};
+  p_->uses.splice(p_->uses.begin(), p_->uses, f->second.use);
+  return f->second.item;
+}
+
+void Cache::put(const std::string& k, ItemPtr i, size_t most) {
+  size_t n = i->receipt.body.size() + k.size() + 512;
+  std::lock_guard l(p_->m);
+  if (auto f = p_->by.find(k); f != p_->by.end()) p_->erase(f);
+  if (n > most) return;
+  while (p_->bytes + n > most && !p_->uses.empty()) p_->erase(p_->by.find(p_->uses.back()));
+  p_->uses.push_front(k);
+  p_->by[k] = {std::move(i), n, p_->uses.begin()};
+  p_->bytes += n;
+}
+
+void Cache::drop(const std::string& k) {
+  std::lock_guard l(p_->m);
+  if (auto f = p_->by.find(k); f != p_->by.end()) p_->erase(f);
+}
+
+size_t Cache::bytes() const {
+  std::lock_guard l(p_->m);
+  return p_->bytes;
+}
+
+std::shared_ptr<Cache::Fill> Cache::join(const std::string& k, bool& lead) {
+  std::lock_guard l(p_->m);
+  auto& f = p_->fills[k];
+  lead = !f;
+  if (lead) f = std::make_shared<Fill>();
+  return f;
+}
+
+void Cache::finish(const std::string& k, const std::shared_ptr<Fill>& f, ItemPtr i) {
+  {
+    std::lock_guard l(p_->m);
+    if (auto x = p_->fills.find(k); x != p_->fills.end() && x->second == f) p_->fills.erase(x);
+  }
+  std::lock_guard l(f->m);
+  f->done = true;
+  f->item = std::move(i);
+  for (auto& w : f->waits) w->wake();
+  f->waits.clear();
+}
+
+std::optional<ItemPtr> Cache::wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Spot> s, Span limit) {
+  {
+    std::lock_guard l(f->m);
+    if (f->done) return f->item;
+    f->waits.push_back(s);
+  }
+  s->park(limit);
+  std::lock_guard l(f->m);
+  if (f->done) return f->item;
+  return {};
+}
+
+namespace {
+std::optional<int64_t> number(std::string_view s) {
+  int64_t v = 0;
+  auto [p, e] = std::from_chars(s.data(), s.data() + s.size(), v);
+  if (e != std::errc() || p != s.data() + s.size() || v < 0) return {};
+  return v;
+}
+
+std::map<std::string, std::string> directives(const std::string& h) {
+  std::map<std::string, std::string> out;
+  size_t i = 0;
+  while (i < h.size()) {
+    auto e = std::min(h.find(',', i), h.size());
+    auto d = h.substr(i, e - i);
+    i = e + 1;
+    d.erase(0, d.find_first_not_of(" \t"));
+    d.erase(d.find_last_not_of(" \t") + 1);
+    auto q = d.find('=');
+    auto n = d.substr(0, q);
+    std::transform(n.begin(), n.end(), n.begin(), [](unsigned char c) { return std::tolower(c); });
+    auto v = q == d.npos ? "" : d.substr(q + 1);
+    if (v.size() >= 2 && v.front() == '"' && v.back() == '"') v = v.substr(1, v.size() - 2);
+    if (!n.empty()) out[n] = v;
+  }
+  return out;
+}
+
+std::string joined(const std::vector<std::pair<std::string, std::string>>& hs, std::string_view name) {
+  std::string out;
+  for (auto& [k, v] : hs)
+    if (base::same_word(k, name)) out += (out.empty() ? "" : ",") + v;
+  return out;
+}
+}  // namespace
+
+bool may_ask_cache(const base::Request& q) {
+  if (q.method != "GET" && q.method != "HEAD") return false;
+  for (auto* h : {"Authorization", "Range", "If-None-Match", "If-Modified-Since", "If-Match", "If-Unmodified-Since",
+                  "If-Range", "Cookie"})
+    if (!base::header(q.headers, h).empty()) return false;
+  auto cc = directives(joined(q.headers, "Cache-Control"));
+  return !cc.count("no-store") && !cc.count("no-cache");
+}
+
+std::optional<Span> lifetime(const base::Request& q, const base::Receipt& r) {
+  if (r.status != 200 || q.method != "GET") return {};
+  if (!base::header(r.headers, "Vary").empty() || !base::header(r.headers, "Set-Cookie").empty()) return {};
+  auto cc = directives(joined(r.headers, "Cache-Control"));
+  for (auto* d : {"no-store", "private", "no-cache"})
+    if (cc.count(d)) return {};
+  for (auto* d : {"s-maxage", "max-age"})
+    if (auto f = cc.find(d); f != cc.end()) {
+      auto n = number(f->second);
+      if (!n || *n == 0) return {};
+      return Span(std::min<int64_t>(*n, 31536000) * 1000);
+    }
+  return {};
+}
+
+Span age_header(const base::Receipt& r) {
+  auto n = number(base::header(r.headers, "Age"));
+  return Span(n ? std::min<int64_t>(*n, 31536000) * 1000 : 0);
+}
+
+}  // namespace dunlinwing::cache
--- /dev/null
+++ b/src/cache/cache.hpp
@@ -0,0 +1,44 @@
+// Cached receipts, bounded by bytes, oldest use first out; and the fills under
+// way, so that requests for one object wait for one fetch.
+#pragma once
+#include "base/ports.hpp"
+
+namespace dunlinwing::cache {
+
+struct Item {
+  base::Receipt receipt;
+  std::string service, version;
+  Tick born{0};  // before the fetch began, less the Age it came with
+  Span life{0};
+  uint64_t purge = 0;  // the purge number known when the fetch began
+};
+using ItemPtr = std::shared_ptr<const Item>;
+
+class Cache {
+ public:
+  Cache();
+  ~Cache();
+  ItemPtr find(const std::string& key);
+  void put(const std::string& key, ItemPtr i, size_t most_bytes);
+  void drop(const std::string& key);
+  size_t bytes() const;
+
+  // One fill a key: the first caller leads, the others wait for its item, which
+  // is null when what came back may not be shared.
+  struct Fill;
+  std::shared_ptr<Fill> join(const std::string& key, bool& lead);
+  void finish(const std::string& key, const std::shared_ptr<Fill>& f, ItemPtr i);
+  std::optional<ItemPtr> wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Spot> s, Span limit);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+// How long a shared cache may keep a receipt by RFC 9111, nothing when it may
+// not; and the Age it came with.
+std::optional<Span> lifetime(const base::Request& q, const base::Receipt& r);
+Span age_header(const base::Receipt& r);
+bool may_ask_cache(const base::Request& q);
+
+}  // namespace dunlinwing::cache
--- /dev/null
+++ b/src/disk/store.hpp
@@ -0,0 +1,34 @@
+// A holder's disk: two slots holding whole images, written in turn, and a
+// short log of records between them. Every record and image carries its
+// checksum; what cannot be believed is said, never guessed.
+#pragma once
+#include "base/ports.hpp"
+
+namespace dunlinwing::disk {
+
+struct OpenDefect {
+  std::string what;
+};
+
+// The bytes of the format, apart from any file, so that tests can tear them.
+std::string frame(const std::string& payload);
+enum class Tail { clean, torn, corrupt };
+// Cuts `bytes` into payloads. Torn: the last write did not complete, which is
+// no loss, for it was never synced. Corrupt: something before the end is bad.
+std::pair<std::vector<std::string>, Tail> unframe(std::string_view bytes);
+
+class Store final : public base::Disk {
+ public:
+  static std::variant<std::unique_ptr<Store>, OpenDefect> open(const std::string& dir, size_t log_bytes);
+  ~Store() override;
+  base::Loaded load() override;
+  std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
+                                       const std::function<pb::Image()>& whole) override;
+
+ private:
+  Store();
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::disk
--- /dev/null
+++ b/src/gate/control.cpp
@@ -0,0 +1,368 @@
+// Reads and writes of the named resources. A read waits for a pull that began
+// after it came in, so it shows whatever was acknowledged before. Writes are
+// compare-and-set on the register of the resource.
+#include "gate/control.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "base/log.hpp"
+#include "rollout/checks.hpp"
+
+namespace dunlinwing::gate {
+namespace {
+constexpr base::Log lg("gate");
+constexpr Span kLongestWatch{30000};
+
+const base::Schema& beat_schema() {
+  static const base::Schema s(R"({
+  "type":"object","required":["service","version","instance","zone","address","number","period_ms"],
+  "properties":{
+    "service":{"type":"string","minLength":1,"maxLength":64},"version":{"type":"string","minLength":1,"maxLength":64},
+    "instance":{"type":"string","minLength":1,"maxLength":64},"zone":{"type":"string","maxLength":64},
+    "address":{"type":"string","minLength":3,"maxLength":64},"capacity":{"type":"integer","minimum":1,"maximum":100000},
+    "leaving":{"type":"boolean"},"number":{"type":"integer","minimum":1},
+    "period_ms":{"type":"integer","minimum":100,"maximum":60000}}})");
+  return s;
+}
+const base::Schema& purge_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["service","kind"],"properties":{
+    "service":{"type":"string","minLength":1,"maxLength":64},
+    "kind":{"type":"string","enum":["path","prefix","service"]},
+    "path":{"type":"string","pattern":"^/","maxLength":2048}}})");
+  return s;
+}
+const base::Schema& move_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["version"],"properties":{
+    "version":{"type":"string","minLength":1,"maxLength":64},
+    "lift_quarantine":{"type":"boolean"}}})");
+  return s;
+}
+const base::Schema& reason_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["reason"],"properties":{
+    "reason":{"type":"string","minLength":1,"maxLength":512}}})");
+  return s;
+}
+
+std::variant<base::Json, base::Receipt> checked(const std::string& body, const base::Schema& s) {
+  auto p = base::Json::parse(body);
+  if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
+  auto& j = std::get<base::Json>(p);
+  auto ds = s.check(j);
+  if (!ds.empty()) return defects(ds);
+  return j;
+}
+
+base::Receipt of(registry::Defect d) {
+  return d == registry::Defect::no_majority
+             ? defect(503, "no majority of the holders answers; nothing was recorded")
+             : defect(503, "the fate of this write is unknown: it may or may not be recorded. Read before trying again.");
+}
+}  // namespace
+
+struct Control::Impl {
+  base::Ports& ps;
+  relay::Node& n;
+  Purger purger;
+
+  Impl(base::Ports& p, relay::Node& node) : ps(p), n(node), purger(p, node.book()) {}
+
+  std::optional<registry::Held> chosen(const std::string& key) {
+    auto f = n.mirror().chosen().find(key);
+    if (f == n.mirror().chosen().end() || f->second.version == 0) return {};
+    return f->second;
+  }
+
+  std::string course(const pb::Rollout& r, const std::string& kind, const std::string& name) {
+    for (auto& c : r.courses())
+      if (c.kind() == kind && c.release() == name) return message_json(c);
+    return "null";
+  }
+
+  base::Receipt release(const std::string& kind, const std::string& name, bool with_text) {
+    auto h = chosen(rollout::release_key(kind, name));
+    if (!h) return defect(404, "no such release");
+    pb::Act act;
+    auto a = chosen(rollout::act_key(kind, name));
+    if (a) act.ParseFromString(a->data);
+    auto roll = rollout::read_rollout(n.mirror().chosen());
+    std::string b = fmt::format(R"({{"kind":{},"name":{},"course":{},"acts":{})", base::quote(kind),
+                                base::quote(name), course(roll, kind, name), message_json(act));
+    if (with_text) b += ",\"document\":" + h->data;
+    return json(200, b + "}", h->version);
+  }
+
+  base::Receipt releases(const std::string& kind) {
+    std::string b;
+    for (auto& [k, h] : n.mirror().chosen()) {
+      if (!k.starts_with("release/") || !h.version) continue;
+      auto at = k.find('/', 8);
+      auto kd = k.substr(8, at - 8), nm = k.substr(at + 1);
+      if (!kind.empty() && kd != kind) continue;
+      auto r = release(kd, nm, false);
+      r.body.pop_back();
+      b += (b.empty() ? "" : ",") + r.body;
+    }
+    return json(200, "{\"releases\":[" + b + "]}");
+  }
+
+  base::Receipt nodes() {
+    Tick now = ps.clock.now();
+    std::map<std::string, bool> in;
+    for (auto& m : n.mirror().news().members(now)) in[m.name] = true;
+    std::string b;
+    for (auto& m : n.mirror().news().all(now)) {
+      if (m.fact.zone().empty()) continue;
+      b += fmt::format(R"({}{{"name":{},"member":{},"age_ms":{},"facts":{}}})", b.empty() ? "" : ",",
+                       base::quote(m.name), in.count(m.name) > 0, m.age.count(), message_json(m.fact));
+    }
+    return json(200, "{\"nodes\":[" + b + "]}");
+  }
+
+  base::Receipt workers() {
+    std::string b;
+    for (auto& [i, w] : n.mirror().news().workers(ps.clock.now())) {
+      b += fmt::format(R"({}{{"instance":{},"gone":{},"age_ms":{},"beat":{}}})", b.empty() ? "" : ",",
+                       base::quote(i), w.gone, w.age.count(), message_json(w.beat));
+    }
+    return json(200, "{\"workers\":[" + b + "]}");
+  }
+
+  base::Receipt put_release(Call& c) {
+    auto &kind = c.path[2], &name = c.path[3];
+    if (!rollout::is_kind(kind)) return defect(404, "no such kind of release");
+    if (!rollout::good_name(name)) return defect(422, "a release is named by letters, digits, '-', '_' and '.'");
+    auto g = rollout::read_release(kind, name, c.q.body);
+    if (auto* d = std::get_if<std::vector<base::DocDefect>>(&g)) return defects(*d);
+    auto key = rollout::release_key(kind, name);
+    auto pre = base::header(c.q.headers, "If-Match");
+    if (!pre.empty()) {
+      auto r = n.book().read(key);
+      if (auto* d = std::get_if<registry::Defect>(&r)) return of(*d);
+      if (auto s = precondition(c.q, std::get<registry::Held>(r).version)) return *s;
+    }
+    auto w = n.book().write(key, 0, c.q.body);
+    if (auto* d = std::get_if<registry::Defect>(&w)) return of(*d);
+    auto where = fmt::format("/v1/releases/{}/{}", kind, name);
+    if (auto* s = std::get_if<registry::Stale>(&w)) {
+      if (s->now.data == c.q.body && base::header(c.q.headers, "If-None-Match").empty())
+        return json(200, fmt::format(R"({{"recorded":true,"was_known":true,"at":"{}"}})", where), s->now.version);
+      return json(412, R"({"defect":"a release of this name exists and is immutable"})", s->now.version);
+    }
+    lg.info("Release {} {} was recorded.", kind, name);
+    auto r = json(202, fmt::format(R"({{"recorded":true,"was_known":false,"at":"{}"}})", where), 1);
+    r.headers.emplace_back("Location", where);
+    return r;
+  }
+
+  // waivers/CHECK, withdrawal, express: what operators say of a release.
+  base::Receipt put_act(Call& c) {
+    auto &kind = c.path[2], &name = c.path[3], &what = c.path[4];
+    std::string check = c.path.size() > 5 ? c.path[5] : "";
+    bool waiver = what == "waivers" && std::any_of(std::begin(rollout::kChecks), std::end(rollout::kChecks),
+                                                   [&](auto* k) { return check == k; });
+    if (!waiver && (c.path.size() != 5 || (what != "withdrawal" && what != "express")))
+      return defect(404, "no such resource");
+    auto b = checked(c.q.body, reason_schema());
+    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    auto why = std::get<base::Json>(b).at("reason").str();
+    auto rel = n.book().read(rollout::release_key(kind, name));
+    if (auto* d = std::get_if<registry::Defect>(&rel)) return of(*d);
+    if (std::get<registry::Held>(rel).version == 0) return defect(404, "no such release");
+    return change<pb::Act>(c, rollout::act_key(kind, name), [&](pb::Act& a) -> std::optional<base::Receipt> {
+      if (waiver)
+        (*a.mutable_waived())[check] = why;
+      else
+        (what == "express" ? *a.mutable_express() : *a.mutable_withdrawn()) = why;
+      return {};
+    });
+  }
+
+  base::Receipt put_service(Call& c) {
+    auto& name = c.path[2];
+    auto b = checked(c.q.body, move_schema());
+    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    auto& j = std::get<base::Json>(b);
+    auto to = j.at("version").str();
+    auto t = n.traffic().table();
+    const traffic::Service* s = nullptr;
+    if (t->layout)
+      if (auto f = t->layout->services.find(name); f != t->layout->services.end()) s = &f->second;
+    if (!s) return defect(404, "the layout in force here has no such service");
+    if (std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
+      return defects({{"/version", "the layout in force does not allow this version"}});
+    return change<pb::ServiceState>(
+        c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Receipt> {
+          if (st.current().empty()) st.set_current(s->versions.front());
+          if (st.quarantined().count(to)) {
+            if (!j.at("lift_quarantine").flag())
+              return defect(409, "the version is in quarantine: " + st.quarantined().at(to));
+            st.mutable_quarantined()->erase(to);
+          }
+          if (st.current() == to) {
+            st.clear_trial();
+          } else if (st.trial() != to) {
+            st.set_trial(to);
+            st.set_good(0);
+            st.set_bad(0);
+            st.set_from_good(0);
+            st.set_from_bad(0);
+            st.set_held_ms(0);
+            st.set_why("on trial");
+          }
+          return {};
+        });
+  }
+
+  // Read, change, compare-and-set; races are run again unless the caller named a version.
+  template <class M, class F>
+  base::Receipt change(Call& c, const std::string& key, F f) {
+    bool named = !base::header(c.q.headers, "If-Match").empty() || !base::header(c.q.headers, "If-None-Match").empty();
+    auto g = n.book().read(key);
+    if (auto* d = std::get_if<registry::Defect>(&g)) return of(*d);
+    auto now = std::get<registry::Held>(g);
+    for (int i = 0; i < 8; ++i) {
+      if (auto s = precondition(c.q, now.version)) return *s;
+      M m;
+      m.ParseFromString(now.data);
+      if (auto r = f(m)) return *r;
+      auto data = m.SerializeAsString();
+      if (data == now.data && now.version) return json(200, message_json(m), now.version);
+      auto w = n.book().write(key, now.version, data);
+      if (auto* h = std::get_if<registry::Held>(&w)) return json(200, message_json(m), h->version);
+      if (auto* d = std::get_if<registry::Defect>(&w)) return of(*d);
+      now = std::get<registry::Stale>(w).now;
+      if (named) break;
+    }
+    return json(412, fmt::format(R"({{"defect":"another write came first","version":{}}})", now.version), now.version);
+  }
+
+  base::Receipt put_purge(Call& c) {
+    auto b = checked(c.q.body, purge_schema());
+    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    auto& j = std::get<base::Json>(b);
+    pb::Purge p;
+    p.set_name(c.path[2]);
+    p.set_kind(j.at("kind").str());
+    p.set_path(j.at("path").str());
+    if (p.kind() != "service" && p.path().empty()) return defects({{"/path", "is missing"}});
+    auto r = purger.put(j.at("service").str(), p);
+    if (auto* d = std::get_if<PurgeDefect>(&r))
+      return of(*d == PurgeDefect::no_majority ? registry::Defect::no_majority : registry::Defect::fate_unknown);
+    auto& done = std::get<PurgeDone>(r);
+    return json(200, fmt::format(R"({{"purge":{},"number":{},"was_known":{}}})", base::quote(p.name()), done.number,
+                                 done.known));
+  }
+
+  base::Receipt purges() {
+    std::string b;
+    for (auto& [k, h] : n.mirror().chosen()) {
+      if (!k.starts_with("purge/")) continue;
+      pb::PurgeSet s;
+      s.ParseFromString(h.data);
+      b += fmt::format("{}{}:{}", b.empty() ? "" : ",", base::quote(k.substr(6)), message_json(s));
+    }
+    return json(200, "{\"purges\":{" + b + "}}");
+  }
+
+  base::Receipt beat(Call& c) {
+    auto b = checked(c.q.body, beat_schema());
+    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    auto& j = std::get<base::Json>(b);
+    pb::Beat x;
+    x.set_service(j.at("service").str());
+    x.set_version(j.at("version").str());
+    x.set_instance(j.at("instance").str());
+    x.set_zone(j.at("zone").str());
+    x.set_address(j.at("address").str());
+    x.set_capacity(static_cast<uint32_t>(j.at("capacity").num(1)));
+    x.set_leaving(j.at("leaving").flag());
+    x.set_number(static_cast<uint64_t>(j.at("number").num()));
+    x.set_period_ms(static_cast<uint32_t>(j.at("period_ms").num()));
+    if (!n.beat(x)) return defect(503, "this node cannot pass the beat on; try another");
+    return json(200, "{\"known\":true}");
+  }
+
+  base::Receipt assignments() {
+    auto h = chosen(rollout::kRolloutKey);
+    auto roll = rollout::read_rollout(n.mirror().chosen());
+    return json(200, message_json(roll), h ? h->version : 0);
+  }
+
+  base::Receipt read(Call& c) {
+    auto& p = c.path;
+    auto is = [&](size_t k, const char* name) { return p.size() == k && p[1] == name; };
+    if (p.size() >= 2 && p.size() <= 4 && p[1] == "releases") {
+      if (p.size() > 2 && !rollout::is_kind(p[2])) return defect(404, "no such kind of release");
+      return p.size() == 4 ? release(p[2], p[3], true) : releases(p.size() == 3 ? p[2] : "");
+    }
+    if (is(2, "assignments")) return assignments();
+    if (is(3, "assignments")) {
+      auto roll = rollout::read_rollout(n.mirror().chosen());
+      auto f = roll.nodes().find(p[2]);
+      if (f == roll.nodes().end()) return defect(404, "no such node");
+      return json(200, message_json(f->second), f->second.generation());
+    }
+    if (is(2, "nodes")) return nodes();
+    if (is(2, "workers")) return workers();
+    if (is(2, "purges")) return purges();
+    if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
+    if (is(3, "services")) {
+      auto h = chosen(rollout::service_key(p[2]));
+      if (!h) return defect(404, "no move of this service was ever asked for");
+      pb::ServiceState s;
+      s.ParseFromString(h->data);
+      return json(200, message_json(s), h->version);
+    }
+    return defect(404, "no such resource");
+  }
+
+  // A watch is a read that waits until the answer's version is past `after`.
+  base::Receipt watch(Call& c) {
+    auto num = [&](const char* k) {
+      int64_t v = -1;
+      if (auto f = c.query.find(k); f != c.query.end())
+        std::from_chars(f->second.data(), f->second.data() + f->second.size(), v);
+      return v;
+    };
+    auto after = num("after");
+    Span most = std::clamp(Span(num("wait_ms")), Span(0), kLongestWatch);
+    Tick end = ps.clock.now() + most;
+    for (;;) {
+      if (!n.mirror().settle(n.config().bound)) return defect(503, "no majority of the holders answers");
+      auto r = read(c);
+      if (after < 0 || r.status != 200) return r;
+      auto tag = base::header(r.headers, "ETag");
+      int64_t v = 0;
+      if (tag.size() > 2) std::from_chars(tag.data() + 1, tag.data() + tag.size() - 1, v);
+      if (v > after) return r;
+      if (ps.clock.now() >= end) return json(304, "", static_cast<uint64_t>(v));
+    }
+  }
+};
+
+Control::Control(base::Ports& ps, relay::Node& n) : p_(new Impl(ps, n)) {}
+Control::~Control() = default;
+
+base::Receipt Control::answer(base::Request& q) {
+  auto& p = *p_;
+  auto c = take_apart(q);
+  if (c.path.size() == 1 && c.path[0] == "readyz")
+    return p.n.ready() ? json(200, "{\"ready\":true}") : json(503, "{\"ready\":false}");
+  if (c.path.size() < 2 || c.path[0] != "v1") return defect(404, "no such resource");
+  if (q.method == "GET" || q.method == "HEAD") return p.watch(c);
+  if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "beats") return p.beat(c);
+  if (q.method != "PUT") return defect(405, "resources are read by GET and stated by PUT");
+  if (c.path.size() == 4 && c.path[1] == "releases") return p.put_release(c);
+  if (c.path.size() >= 5 && c.path.size() <= 6 && c.path[1] == "releases") return p.put_act(c);
+  if (c.path.size() == 3 && c.path[1] == "services") return p.put_service(c);
+  if (c.path.size() == 3 && c.path[1] == "purges") return p.put_purge(c);
+  return defect(404, "no such resource");
+}
+
+}  // namespace dunlinwing::gate
--- /dev/null
+++ b/src/gate/control.hpp
@@ -0,0 +1,37 @@
+// The face for operators, workers and the platform: named resources in JSON
+// over HTTP, at any relay.
+#pragma once
+#include "gate/purger.hpp"
+#include "relay/node.hpp"
+
+namespace dunlinwing::gate {
+
+class Control {
+ public:
+  Control(base::Ports& ps, relay::Node& n);
+  ~Control();
+  base::Receipt answer(base::Request& q);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+// What a request asks of a resource, taken apart once.
+struct Call {
+  base::Request& q;
+  std::vector<std::string> path;              // without the leading v1
+  std::map<std::string, std::string> query;
+};
+Call take_apart(base::Request& q);
+
+base::Receipt json(int status, std::string body, std::optional<uint64_t> version = {});
+base::Receipt defect(int status, const std::string& why);
+base::Receipt defects(const std::vector<base::DocDefect>& ds);
+std::string message_json(const google::protobuf::Message& m);
+
+// If-Match and If-None-Match against the version in force; nothing when the
+// write may go on.
+std::optional<base::Receipt> precondition(const base::Request& q, uint64_t version);
+
+}  // namespace dunlinwing::gate
--- /dev/null
+++ b/src/gate/purger.cpp
@@ -0,0 +1,103 @@
+// One write a service is under way at a time; what comes meanwhile goes into
+// the next. Folding makes a purge wider, never narrower, so nothing purged can
+// come back.
+#include "gate/purger.hpp"
+
+#include <algorithm>
+
+namespace dunlinwing::gate {
+namespace {
+constexpr int kMostPurges = 128;
+
+bool covers(const pb::Purge& a, const pb::Purge& b) {
+  if (a.number() < b.number()) return false;
+  if (a.kind() == "service") return true;
+  if (a.kind() == "prefix" && b.kind() != "service") return b.path().starts_with(a.path());
+  return a.kind() == b.kind() && a.path() == b.path();
+}
+}  // namespace
+
+PurgeDone add_purge(pb::PurgeSet& s, const pb::Purge& p) {
+  for (auto& x : s.purges())
+    if (!p.name().empty() && x.name() == p.name()) return {x.number(), true};
+  s.set_number(s.number() + 1);
+  pb::Purge n = p;
+  n.set_number(s.number());
+  auto* v = s.mutable_purges();
+  v->erase(std::remove_if(v->begin(), v->end(), [&](auto& x) { return covers(n, x); }), v->end());
+  *v->Add() = n;
+  if (v->size() > kMostPurges) {
+    pb::Purge fold;
+    fold.set_kind("service");
+    fold.set_number(v->Get(v->size() / 2).number());
+    v->erase(std::remove_if(v->begin(), v->end(), [&](auto& x) { return x.number() <= fold.number(); }), v->end());
+    *v->Add() = fold;
+  }
+  return {s.number(), false};
+}
+
+struct Purger::Impl {
+  struct Job {
+    pb::Purge p;
+    std::shared_ptr<base::Spot> spot;
+    std::optional<std::variant<PurgeDone, PurgeDefect>> res;
+  };
+  struct Line {
+    bool writing = false;
+    std::vector<std::shared_ptr<Job>> jobs;
+  };
+  base::Ports& ps;
+  registry::Book& book;
+  std::map<std::string, Line> by;
+
+  void write(const std::string& service, const std::vector<std::shared_ptr<Job>>& js) {
+    auto all = [&](PurgeDefect d) {
+      for (auto& j : js) j->res = d;
+    };
+    auto key = "purge/" + service;
+    auto g = book.read(key);
+    auto* h = std::get_if<registry::Held>(&g);
+    if (!h) return all(PurgeDefect::no_majority);
+    registry::Held now = *h;
+    for (;;) {
+      pb::PurgeSet s;
+      s.ParseFromString(now.data);
+      std::vector<PurgeDone> done;
+      for (auto& j : js) done.push_back(add_purge(s, j->p));
+      auto r = book.write(key, now.version, s.SerializeAsString());
+      if (std::holds_alternative<registry::Held>(r)) {
+        for (size_t i = 0; i < js.size(); ++i) js[i]->res = done[i];
+        return;
+      }
+      if (auto* d = std::get_if<registry::Defect>(&r))
+        return all(*d == registry::Defect::no_majority ? PurgeDefect::no_majority : PurgeDefect::fate_unknown);
+      now = std::get<registry::Stale>(r).now;
+    }
+  }
+};
+
+Purger::Purger(base::Ports& ps, registry::Book& b) : p_(new Impl{ps, b, {}}) {}
+Purger::~Purger() = default;
+
+std::variant<PurgeDone, PurgeDefect> Purger::put(const std::string& service, const pb::Purge& p) {
+  auto j = std::make_shared<Impl::Job>();
+  j->p = p;
+  j->spot = p_->ps.tasks.spot();
+  auto& l = p_->by[service];
+  l.jobs.push_back(j);
+  if (!l.writing) {
+    l.writing = true;
+    p_->ps.tasks.spawn([me = p_, &l, service] {
+      while (!l.jobs.empty()) {
+        auto js = std::exchange(l.jobs, {});
+        me->write(service, js);
+        for (auto& x : js) x->spot->wake();
+      }
+      l.writing = false;
+    });
+  }
+  while (!j->res) j->spot->park(Span(1000));
+  return *j->res;
+}
+
+}  // namespace dunlinwing::gate
--- /dev/null
+++ b/src/gate/purger.hpp
@@ -0,0 +1,28 @@
+// Purges: those that come together are written together, and a service's list
+// stays bounded because old purges are folded into wider ones.
+#pragma once
+#include "registry/book.hpp"
+
+namespace dunlinwing::gate {
+
+enum class PurgeDefect { no_majority, fate_unknown };
+struct PurgeDone {
+  uint64_t number = 0;
+  bool known = false;  // a purge of this name was there already
+};
+
+// Adds to the set; pure.
+PurgeDone add_purge(pb::PurgeSet& s, const pb::Purge& p);
+
+class Purger {
+ public:
+  Purger(base::Ports& ps, registry::Book& b);
+  ~Purger();
+  std::variant<PurgeDone, PurgeDefect> put(const std::string& service, const pb::Purge& p);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::gate
--- /dev/null
+++ b/src/members/duty.cpp
@@ -0,0 +1,135 @@
+// The permit's span is twice the bound; its holder renews at a quarter of it
+// and counts it from before the write, three quarters long. Others count the
+// whole span from when they saw the last renewal, so no clocks are compared.
+#include "members/duty.hpp"
+
+#include "base/log.hpp"
+
+namespace dunlinwing::members {
+namespace {
+constexpr base::Log lg("duty");
+}
+
+std::string duty_key(const std::string& n) { return "duty/" + n; }
+
+struct Duty::Impl {
+  base::Ports& ps;
+  registry::Book& book;
+  Mirror& mirror;
+  std::string name, me, zone;
+  Span span;
+  bool leaving = false;
+  Tick end{0}, seen{0};
+  uint64_t term = 0, version = 0, seen_version = 0;
+  pb::Permit mine;
+
+  pb::Permit known() const {
+    pb::Permit p;
+    auto f = mirror.chosen().find(duty_key(name));
+    if (f != mirror.chosen().end()) p.ParseFromString(f->second.data);
+    return p;
+  }
+
+  // A member that could take over, in another zone when there is one.
+  std::string understudy() const {
+    std::string other;
+    for (auto& m : mirror.news().members(ps.clock.now())) {
+      if (!m.fact.holder() || m.name == me) continue;
+      if (m.fact.zone() != zone) return m.name;
+      if (other.empty()) other = m.name;
+    }
+    return other;
+  }
+
+  bool put(pb::Permit p, uint64_t expect) {
+    Tick from = ps.clock.now();
+    auto r = book.write(duty_key(name), expect, p.SerializeAsString());
+    if (auto* h = std::get_if<registry::Held>(&r)) {
+      version = h->version;
+      mine = p;
+      term = p.term();
+      end = from + span * 3 / 4;
+      return true;
+    }
+    // Whatever the fate of a renewal, the old permit stands only until its own end.
+    return false;
+  }
+
+  void renew() {
+    pb::Permit p = mine;
+    p.set_renewals(p.renewals() + 1);
+    p.set_understudy(understudy());
+    if (put(p, version)) return;
+    auto g = book.read(duty_key(name));
+    if (auto* h = std::get_if<registry::Held>(&g)) {
+      pb::Permit now;
+      now.ParseFromString(h->data);
+      if (now.holder() == me && now.term() == term) {
+        version = h->version;
+        mine = now;
+        return;
+      }
+      end = Tick(0);
+      lg.warn("{}: the duty {} passed to {}.", me, name, now.holder().empty() ? "nobody" : now.holder());
+    }
+  }
+
+  void stand() {
+    auto f = mirror.chosen().find(duty_key(name));
+    Tick now = ps.clock.now();
+    uint64_t v = f == mirror.chosen().end() ? 0 : f->second.version;
+    pb::Permit p = known();
+    if (v != seen_version || seen == Tick(0)) {
+      seen_version = v;
+      seen = now;
+      if (!p.holder().empty()) return;
+    }
+    Span wait = span;
+    if (p.holder().empty()) wait = Span(0);
+    if (p.holder().empty() && !p.understudy().empty() && p.understudy() != me) wait = span;
+    if (!p.holder().empty() && p.understudy() != me) wait = span * 3 / 2;
+    if (now - seen < wait) return;
+    pb::Permit n;
+    n.set_holder(me);
+    n.set_term(p.term() + 1);
+    n.set_span_ms(static_cast<uint64_t>(span.count()));
+    n.set_understudy(understudy());
+    if (put(n, v)) lg.info("{}: took the duty {} under term {}.", me, name, n.term());
+  }
+};
+
+Duty::Duty(base::Ports& ps, registry::Book& b, Mirror& m, std::string name, std::string me, std::string zone,
+           Span bound)
+    : p_(new Impl{ps, b, m, std::move(name), std::move(me), std::move(zone), bound * 2}) {}
+Duty::~Duty() = default;
+
+void Duty::start() {
+  p_->ps.tasks.spawn([p = p_] {
+    while (!p->leaving) {
+      if (p->ps.clock.now() < p->end)
+        p->renew();
+      else if (p->mirror.fresh())
+        p->stand();
+      p->ps.clock.nap(p->span / 8 + Span(p->ps.chance.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
+    }
+  });
+}
+
+bool Duty::held() const { return !p_->leaving && p_->ps.clock.now() < p_->end; }
+uint64_t Duty::term() const { return p_->term; }
+pb::Permit Duty::known() const { return p_->known(); }
+Span Duty::span() const { return p_->span; }
+
+void Duty::hand_over() {
+  bool had = held();
+  p_->leaving = true;
+  if (!had) return;
+  p_->end = Tick(0);
+  pb::Permit p = p_->mine;
+  p.set_holder("");
+  p_->put(p, p_->version);
+  p_->end = Tick(0);
+  lg.info("{}: handed the duty {} over to {}.", p_->me, p_->name, p.understudy());
+}
+
+}  // namespace dunlinwing::members
--- /dev/null
+++ b/src/members/duty.hpp
@@ -0,0 +1,28 @@
+// A duty that one node does at a time: its permit is a register that a
+// majority of the holders wrote, renewed in good time. Its holder stops before
+// the permit ends; its understudy takes it up once it has lapsed, others later.
+#pragma once
+#include "members/mirror.hpp"
+
+namespace dunlinwing::members {
+
+class Duty {
+ public:
+  Duty(base::Ports& ps, registry::Book& book, Mirror& m, std::string name, std::string me, std::string zone,
+       Span bound);
+  ~Duty();
+  void start();        // begins to stand for the duty
+  bool held() const;   // to be asked right before each act
+  uint64_t term() const;
+  pb::Permit known() const;  // who holds it, as far as the last pull tells
+  void hand_over();    // gives it up in favour of the understudy
+  Span span() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+std::string duty_key(const std::string& name);
+
+}  // namespace dunlinwing::members
--- /dev/null
+++ b/src/members/mirror.cpp
@@ -0,0 +1,204 @@
+// One pull asks every holder at once and goes on when all have answered or an
+// eighth of the bound has passed. It is good when a majority of voting holders
+// answered and every register whose latest ballot is not at a majority has
+// been finished by a read. Whatever was acknowledged before such a pull began
+// is then in `chosen`.
+#include "members/mirror.hpp"
+
+#include "base/log.hpp"
+#include "registry/vote.hpp"
+
+namespace dunlinwing::members {
+namespace {
+constexpr base::Log lg("members");
+}
+
+struct Mirror::Impl {
+  struct Side {
+    uint64_t boot = 0, seen = 0;
+    std::map<std::string, pb::Slot> slots;
+  };
+  base::Ports& ps;
+  MirrorConfig c;
+  registry::Book& book;
+  registry::Acceptor* mine;
+  std::function<void(pb::News&)> own;
+  std::function<void()> seen;
+  NewsTable news;
+  std::vector<Side> sides;
+  Chosen chosen;
+  std::map<std::string, pb::Ballot> at;  // the ballot at which `chosen` was settled
+  std::set<std::string> open;
+  uint64_t incarnation = 0, count = 0, good = 0;
+  std::atomic<int64_t> permit{0};
+  Tick last_start{0};
+  std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
+  bool told = false;
+
+  Impl(base::Ports& p, MirrorConfig cc, registry::Book& b, registry::Acceptor* m,
+       std::function<void(pb::News&)> o, std::function<void()> s)
+      : ps(p), c(std::move(cc)), book(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()),
+        sides(b.holders().size()) {}
+
+  void take(size_t i, const pb::PullReply& r, Tick now) {
+    auto& s = sides[i];
+    // The holder was restarted: what it had accepted it still has, or it is blank and mute.
+    s.boot = r.boot();
+    s.seen = r.seen();
+    for (auto& x : r.slots()) {
+      s.slots[x.name()] = x;
+      open.insert(x.name());
+    }
+    for (auto& n : r.news())
+      if (n.source() != c.me) news.merge(n, now);
+  }
+
+  // The latest ballot known for a register, and at how many holders it stands.
+  std::pair<const pb::Slot*, size_t> latest(const std::string& name) const {
+    const pb::Slot* best = nullptr;
+    size_t n = 0;
+    for (auto& s : sides) {
+      auto f = s.slots.find(name);
+      if (f == s.slots.end()) continue;
+      if (!best || registry::lower(best->accepted(), f->second.accepted())) {
+        best = &f->second;
+        n = 1;
+      } else if (registry::equal(best->accepted(), f->second.accepted())) {
+        ++n;
+      }
+    }
+    return {best, n};
+  }
+
+  bool settle_open() {
+    for (auto i = open.begin(); i != open.end();) {
+      auto [s, n] = latest(*i);
+      registry::Held h;
+      if (n >= book.majority()) {
+        h = {s->value().version(), s->value().data()};
+      } else {
+        auto name = *i;
+        auto g = book.read(name);
+        auto* x = std::get_if<registry::Held>(&g);
+        if (!x) return false;
+        h = *x;
+        i = open.find(name);
+      }
+      auto& c0 = chosen[*i];
+      if (h.version > c0.version) c0 = h;
+      i = open.erase(i);
+    }
+    return true;
+  }
+
+  bool once() {
+    Tick start = ps.clock.now();
+    pb::Ask base;
+    auto* p = base.mutable_pull();
+    p->set_node(c.me);
+    *p->mutable_have() = news.marks();
+    if (incarnation) {
+      pb::News n;
+      n.set_source(c.me);
+      n.mutable_mark()->set_incarnation(incarnation);
+      n.mutable_mark()->set_count(++count);
+      own(n);
+      news.merge(n, start);
+      *p->mutable_own() = n;
+    }
+    auto make = [&](size_t i) {
+      pb::Ask a = base;
+      a.mutable_pull()->set_boot(sides[i].boot);
+      a.mutable_pull()->set_seen(sides[i].seen);
+      return a;
+    };
+    registry::Local local;
+    if (mine) local = [this](const pb::Ask& a) { return answer(a); };
+    auto rs = registry::ask_all(ps, book.holders(), make, c.pull(), [](auto&) { return false; }, c.me, local);
+    size_t n = 0;
+    Tick now = ps.clock.now();
+    for (size_t i = 0; i < rs.size(); ++i) {
+      if (!rs[i] || !rs[i]->has_pull()) continue;
+      if (!rs[i]->pull().mute()) ++n;
+      take(i, rs[i]->pull(), now);
+    }
+    if (n < book.majority()) return false;
+    if (!incarnation) {
+      auto m = news.mark(c.me);
+      for (auto& r : rs)
+        if (r && r->has_pull())
+          for (auto& x : r->pull().news())
+            if (x.source() == c.me && (!m || newer(x.mark(), *m))) m = x.mark();
+      incarnation = m ? m->incarnation() + 1 : 1;
+      return false;  // the next pull announces this node
+    }
+    if (!settle_open()) return false;
+    news.forget(now);
+    // A pull that itself took longer than the permit has proved nothing.
+    permit = (start + c.permit()).count();
+    last_start = start;
+    ++good;
+    seen();
+    std::erase_if(waits, [&](auto& w) { return w.first <= start ? (w.second->wake(), true) : false; });
+    return true;
+  }
+
+  pb::Reply answer(const pb::Ask& a) {
+    pb::Reply out;
+    auto& q = a.pull();
+    auto* r = out.mutable_pull();
+    Tick now = ps.clock.now();
+    if (q.has_own()) news.merge(q.own(), now);
+    if (mine)
+      mine->changes(q.boot(), q.seen(), *r);
+    else
+      r->set_mute(true);
+    for (auto& n : news.since(q.have(), now)) *r->add_news() = n;
+    if (!q.has_own())  // a node that begins again asks under which incarnation it was known
+      if (auto m = news.mark(q.node())) {
+        auto* n = r->add_news();
+        n->set_source(q.node());
+        *n->mutable_mark() = *m;
+        n->set_age_ms(static_cast<uint64_t>(c.session().count()) * 2);
+      }
+    return out;
+  }
+};
+
+Mirror::Mirror(base::Ports& ps, MirrorConfig c, registry::Book& b, registry::Acceptor* m,
+               std::function<void(pb::News&)> own, std::function<void()> seen)
+    : p_(std::make_shared<Impl>(ps, std::move(c), b, m, std::move(own), std::move(seen))) {}
+Mirror::~Mirror() = default;
+
+void Mirror::start() {
+  p_->ps.tasks.spawn([p = p_] {
+    for (;;) {
+      Tick from = p->ps.clock.now();
+      bool ok = p->once();
+      bool was = std::exchange(p->told, p->ps.clock.now().count() < p->permit.load());
+      if (was && !p->told) lg.warn("{}: the freshness permit has lapsed.", p->c.me);
+      if (!was && p->told) lg.info("{}: the freshness permit stands.", p->c.me);
+      Span spent = p->ps.clock.now() - from;
+      Span rest = p->c.pull() - spent;
+      if (!ok) rest = std::min(rest, p->c.pull() / 2);
+      p->ps.clock.nap(std::max(rest, Span(p->c.pull() / 25)));
+    }
+  });
+}
+
+bool Mirror::once() { return p_->once(); }
+bool Mirror::fresh() const { return p_->ps.clock.now().count() < p_->permit.load(); }
+Tick Mirror::permit_end() const { return Tick(p_->permit.load()); }
+const Chosen& Mirror::chosen() const { return p_->chosen; }
+NewsTable& Mirror::news() { return p_->news; }
+pb::Reply Mirror::answer(const pb::Ask& a) { return p_->answer(a); }
+uint64_t Mirror::incarnation() const { return p_->incarnation; }
+
+bool Mirror::settle(Span limit) {
+  auto s = p_->ps.tasks.spot();
+  auto now = p_->ps.clock.now();
+  p_->waits.emplace_back(now, s);
+  return s->park(limit);
+}
+
+}  // namespace dunlinwing::members
--- /dev/null
+++ b/src/members/mirror.hpp
@@ -0,0 +1,47 @@
+// A node's view of the fleet's state: it pulls from the holders what it lacks,
+// settles which register values are chosen, and holds the freshness permit.
+// The permit runs from the start of the last good pull; without it the node
+// must act on nothing it has here.
+#pragma once
+#include <atomic>
+#include <set>
+
+#include "members/news.hpp"
+#include "registry/acceptor.hpp"
+#include "registry/book.hpp"
+
+namespace dunlinwing::members {
+
+using Chosen = std::map<std::string, registry::Held>;
+
+struct MirrorConfig {
+  std::string me;
+  Span bound{2000};  // the 2-second bound; every other span here is a ratio of it
+  Span pull() const { return bound / 8; }
+  Span permit() const { return bound * 3 / 4; }
+  Span session() const { return bound * 3 / 2; }
+};
+
+class Mirror {
+ public:
+  // `own` fills in what this node says of itself; `seen` runs after each good pull.
+  Mirror(base::Ports& ps, MirrorConfig c, registry::Book& book, registry::Acceptor* mine,
+         std::function<void(pb::News&)> own, std::function<void()> seen);
+  ~Mirror();
+  void start();
+  bool once();                            // one pull; true when good
+  bool fresh() const;                     // from any thread
+  Tick permit_end() const;                // from any thread
+  const Chosen& chosen() const;
+  NewsTable& news();
+  pb::Reply answer(const pb::Ask& pull);  // a holder's side of a pull
+  uint64_t incarnation() const;
+  // Parks until a pull that began after this call was good, or time is up.
+  bool settle(Span limit);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::members
--- /dev/null
+++ b/src/members/news.cpp
@@ -0,0 +1,92 @@
+// Versions are pairs of incarnation and count, so that a source that was
+// restarted, and counts from one again, is never taken for its older self.
+#include "members/news.hpp"
+
+#include <tuple>
+
+namespace dunlinwing::members {
+
+bool newer(const pb::Mark& a, const pb::Mark& b) {
+  return std::make_tuple(a.incarnation(), a.count()) > std::make_tuple(b.incarnation(), b.count());
+}
+
+bool NewsTable::merge(const pb::News& n, Tick now) {
+  auto& e = by_[n.source()];
+  Tick heard = now - Span(static_cast<int64_t>(n.age_ms()));
+  if (e.news.source().empty() || newer(n.mark(), e.news.mark())) {
+    e.news = n;
+    e.heard = heard;
+    return true;
+  }
+  return false;
+}
+
+std::vector<pb::News> NewsTable::since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const {
+  std::vector<pb::News> out;
+  for (auto& [k, e] : by_) {
+    auto f = have.find(k);
+    if (f != have.end() && !newer(e.news.mark(), f->second)) continue;
+    out.push_back(e.news);
+    out.back().set_age_ms(static_cast<uint64_t>((now - e.heard).count()));
+  }
+  return out;
+}
+
+google::protobuf::Map<std::string, pb::Mark> NewsTable::marks() const {
+  google::protobuf::Map<std::string, pb::Mark> m;
+  for (auto& [k, e] : by_) m[k] = e.news.mark();
+  return m;
+}
+
+std::optional<pb::Mark> NewsTable::mark(const std::string& s) const {
+  auto f = by_.find(s);
+  if (f == by_.end()) return {};
+  return f->second.news.mark();
+}
+
+std::vector<Member> NewsTable::all(Tick now) const {
+  std::vector<Member> out;
+  for (auto& [k, e] : by_) out.push_back({k, e.news.node(), now - e.heard});
+  return out;
+}
+
+std::vector<Member> NewsTable::members(Tick now) const {
+  std::vector<Member> out;
+  for (auto& m : all(now))
+    if (m.age < session_ && !m.fact.leaving()) out.push_back(m);
+  return out;
+}
+
+std::map<std::string, pb::News> NewsTable::latest(Tick now) const {
+  std::map<std::string, pb::News> out;
+  for (auto& [k, e] : by_)
+    if (now - e.heard < session_) out[k] = e.news;
+  return out;
+}
+
+std::map<std::string, WorkerFact> NewsTable::workers(Tick now) const {
+  std::map<std::string, WorkerFact> out;
+  for (auto& [k, e] : by_)
+    for (auto& b : e.news.beats()) {
+      Span age = now - e.heard + Span(static_cast<int64_t>(b.age_ms()));
+      auto& w = out[b.instance()];
+      bool later = w.beat.instance().empty() || b.number() > w.beat.number();
+      if (later || (b.number() == w.beat.number() && age < w.age)) {
+        bool left = w.beat.leaving();
+        w.beat = b;
+        w.age = age;
+        if (left) w.beat.set_leaving(true);
+      } else if (b.leaving()) {
+        w.beat.set_leaving(true);
+      }
+    }
+  for (auto& [k, w] : out) w.gone = w.beat.leaving() || w.age > Span(w.beat.period_ms() * kMissedBeats);
+  return out;
+}
+
+void NewsTable::forget(Tick now) {
+  for (auto i = by_.begin(); i != by_.end();)
+    i = now - i->second.heard > session_ * 20 ? by_.erase(i) : std::next(i);
+}
+
+}  // namespace dunlinwing::members
--- /dev/null
+++ b/src/members/news.hpp
@@ -0,0 +1,49 @@
+// What nodes know of each other: for each source the latest news, with its
+// version and its age. Holders keep it for those who pull; pullers merge what
+// they get. A node is a member while its news is young.
+#pragma once
+#include "base/common.hpp"
+#include "wire.pb.h"
+
+namespace dunlinwing::members {
+
+struct Member {
+  std::string name;
+  pb::NodeFact fact;
+  Span age{0};
+};
+
+struct WorkerFact {
+  pb::Beat beat;
+  Span age{0};
+  bool gone = false;  // leaving, or its beats are missing
+};
+
+class NewsTable {
+ public:
+  explicit NewsTable(Span session) : session_(session) {}
+  bool merge(const pb::News& n, Tick now);  // false when what is known is as new
+  std::vector<pb::News> since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const;
+  google::protobuf::Map<std::string, pb::Mark> marks() const;
+  std::optional<pb::Mark> mark(const std::string& source) const;
+  std::vector<Member> members(Tick now) const;
+  std::vector<Member> all(Tick now) const;
+  std::map<std::string, WorkerFact> workers(Tick now) const;
+  std::map<std::string, pb::News> latest(Tick now) const;  // sessions that stand
+  void forget(Tick now);
+
+ private:
+  struct Entry {
+    pb::News news;
+    Tick heard{0};  // when the source said it, on our clock
+  };
+  Span session_;
+  std::map<std::string, Entry> by_;
+};
+
+bool newer(const pb::Mark& a, const pb::Mark& b);
+
+// How many periods a worker may miss before it is taken for gone.
+inline constexpr int kMissedBeats = 3;
+
+}  // namespace dunlinwing::members
--- /dev/null
+++ b/src/registry/acceptor.cpp
@@ -0,0 +1,201 @@
+// Records of votes that arrive together are synced together. What a pull may
+// see is what has been synced.
+//
+// A disk goes from blank to born to formed, and only a formed one votes. Blank
+// turns to born when every holder answers and none has a register: an empty
+// fleet. Born turns to formed when every holder is born, or one is formed. A
+// blank disk among formed ones has been lost: it waits one round's limit, so
+// that no round still counts a vote that its old disk gave, and then takes the
+// highest promise and value from a majority of the others.
+#include "registry/acceptor.hpp"
+
+#include "base/log.hpp"
+#include "registry/vote.hpp"
+
+namespace dunlinwing::registry {
+namespace {
+constexpr base::Log lg("registry");
+}
+
+struct Acceptor::Impl : std::enable_shared_from_this<Acceptor::Impl> {
+  base::Ports& ps;
+  base::Disk& disk;
+  std::string me;
+  std::vector<Holder> all, others;
+  Span round;
+  pb::Stage stage = pb::BLANK;
+  bool bad = false, writing = false;
+  std::map<std::string, pb::Slot> slots, synced;
+  std::map<std::string, uint64_t> feed;
+  uint64_t boot = 0, count = 0;
+  std::vector<pb::Record> batch;
+  uint64_t put = 0, done = 0;
+  std::vector<std::shared_ptr<base::Spot>> waits;
+
+  Impl(base::Ports& p, base::Disk& d, std::string m, std::vector<Holder> a, Span r)
+      : ps(p), disk(d), me(std::move(m)), all(std::move(a)), round(r) {
+    for (auto& h : all)
+      if (h.name != me) others.push_back(h);
+  }
+
+  pb::Image whole() const {
+    pb::Image im;
+    im.set_stage(stage);
+    for (auto& [k, s] : slots) *im.add_slots() = s;
+    return im;
+  }
+
+  void publish(const pb::Record& r) {
+    if (!r.has_slot()) return;
+    auto& s = synced[r.slot().name()];
+    if (!equal(s.accepted(), r.slot().accepted())) feed[r.slot().name()] = ++count;
+    s = r.slot();
+  }
+
+  // True once the record and all before it are synced.
+  bool sync(const pb::Record& r) {
+    batch.push_back(r);
+    uint64_t mine = ++put;
+    if (!writing) {
+      writing = true;
+      while (!batch.empty() && !bad) {
+        auto b = std::exchange(batch, {});
+        uint64_t upto = put;
+        if (disk.save(b, [this] { return whole(); })) bad = true;
+        if (!bad) {
+          for (auto& x : b) publish(x);
+          done = upto;
+        }
+        for (auto& w : std::exchange(waits, {})) w->wake();
+      }
+      writing = false;
+    }
+    while (done < mine && !bad) {
+      auto s = ps.tasks.spot();
+      waits.push_back(s);
+      s->park(round);
+    }
+    return done >= mine;
+  }
+
+  pb::Reply vote(const Step& st) {
+    pb::Reply out;
+    auto* v = out.mutable_vote();
+    if (st.dirty) {
+      slots[st.slot.name()] = st.slot;
+      pb::Record r;
+      *r.mutable_slot() = st.slot;
+      if (!sync(r)) {
+        v->set_mute(true);
+        return out;
+      }
+    }
+    v->set_yes(st.yes);
+    *v->mutable_slot() = st.slot;
+    return out;
+  }
+
+  void set_stage(pb::Stage s) {
+    stage = s;
+    pb::Record r;
+    r.set_stage(s);
+    if (sync(r)) lg.info("{}: this disk is now {}.", me, pb::Stage_Name(s));
+  }
+
+  void refill() {
+    if (stage == pb::BLANK) ps.clock.nap(round);
+    while (stage != pb::FORMED && !bad) {
+      pb::Ask a;
+      a.mutable_dump()->set_node(me);
+      auto rs = ask_all(ps, others, [&](size_t) { return a; }, round, [](auto&) { return false; });
+      size_t heard = 0, born = 0, formed = 0, full = 0;
+      std::map<std::string, pb::Slot> got;
+      for (auto& r : rs) {
+        if (!r || !r->has_image()) continue;
+        auto& im = r->image();
+        ++heard;
+        born += im.stage() != pb::BLANK;
+        formed += im.stage() == pb::FORMED;
+        full += im.slots_size() > 0;
+        if (im.stage() != pb::FORMED) continue;
+        for (auto& s : im.slots()) got[s.name()] = higher(got[s.name()], s);
+      }
+      bool every = heard == others.size();
+      if (stage == pb::BLANK && formed >= others.size() / 2 + 1) {
+        for (auto& [k, s] : got) {
+          s.set_name(k);
+          slots[k] = s;
+          pb::Record r;
+          *r.mutable_slot() = s;
+          if (!sync(r)) return;
+        }
+        lg.info("{}: refilled with {} registers from {} holders.", me, got.size(), formed);
+        set_stage(pb::FORMED);
+      } else if (stage == pb::BLANK && every && !full && !formed) {
+        set_stage(pb::BORN);
+      } else if (stage == pb::BORN && (formed > 0 || (every && born == others.size()))) {
+        set_stage(pb::FORMED);
+      } else {
+        ps.clock.nap(round / 4);
+      }
+    }
+  }
+};
+
+Acceptor::Acceptor(base::Ports& ps, base::Disk& d, std::string me, std::vector<Holder> all, Span round)
+    : p_(std::make_shared<Impl>(ps, d, std::move(me), std::move(all), round)) {}
+Acceptor::~Acceptor() = default;
+
+void Acceptor::start() {
+  auto l = p_->disk.load();
+  p_->boot = p_->ps.chance.draw() | 1;
+  p_->stage = l.image.stage();
+  for (auto& s : l.image.slots()) {
+    p_->slots[s.name()] = p_->synced[s.name()] = s;
+    p_->feed[s.name()] = ++p_->count;
+  }
+  lg.info("{}: the disk is {} and holds {} registers.", p_->me, pb::Stage_Name(p_->stage), p_->slots.size());
+  if (p_->stage != pb::FORMED) p_->ps.tasks.spawn([p = p_] { p->refill(); });
+}
+
+bool Acceptor::mute() const { return p_->bad || p_->stage != pb::FORMED; }
+bool Acceptor::failed() const { return p_->bad; }
+pb::Stage Acceptor::stage() const { return p_->stage; }
+
+pb::Reply Acceptor::answer(const pb::Ask& a) {
+  auto& p = *p_;
+  pb::Reply out;
+  if (a.has_dump()) {
+    if (p.bad) {
+      out.set_defect("the disk failed");
+      return out;
+    }
+    auto* im = out.mutable_image();
+    im->set_stage(p.stage);
+    for (auto& [k, s] : p.synced) *im->add_slots() = s;
+    return out;
+  }
+  if (mute()) {
+    out.mutable_vote()->set_mute(true);
+    return out;
+  }
+  if (a.has_prepare()) return p.vote(prepare(p.slots[a.prepare().name()], a.prepare()));
+  if (a.has_accept()) return p.vote(accept(p.slots[a.accept().name()], a.accept()));
+  auto* v = out.mutable_vote();
+  v->set_yes(true);
+  if (auto f = p.synced.find(a.peek().name()); f != p.synced.end()) *v->mutable_slot() = f->second;
+  return out;
+}
+
+void Acceptor::changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const {
+  auto& p = *p_;
+  out.set_boot(p.boot);
+  out.set_seen(p.count);
+  out.set_mute(mute());
+  if (mute()) return;
+  if (boot != p.boot) seen = 0;
+  for (auto& [k, n] : p.feed)
+    if (n > seen) *out.add_slots() = p.synced.at(k);
+}
+
+}  // namespace dunlinwing::registry
--- /dev/null
+++ b/src/registry/acceptor.hpp
@@ -0,0 +1,26 @@
+// A holder's half of the registers: it votes, syncs each vote before giving
+// it, keeps a feed of changes for those who pull, and, when its disk is blank,
+// stays mute until the others have refilled it.
+#pragma once
+#include "base/ports.hpp"
+#include "registry/ask.hpp"
+
+namespace dunlinwing::registry {
+
+class Acceptor {
+ public:
+  Acceptor(base::Ports& ps, base::Disk& d, std::string me, std::vector<Holder> all, Span round);
+  ~Acceptor();
+  void start();                          // loads the disk and begins to refill when it must
+  pb::Reply answer(const pb::Ask& a);    // prepare, accept, peek, dump; parks until synced
+  void changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const;
+  bool mute() const;
+  pb::Stage stage() const;
+  bool failed() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::registry
--- /dev/null
+++ b/src/registry/book.hpp
@@ -0,0 +1,35 @@
+// The asking half of the registers: read and compare-and-set by name, over a
+// majority of the holders. Any node can do it; none leads.
+#pragma once
+#include "base/ports.hpp"
+#include "registry/ask.hpp"
+
+namespace dunlinwing::registry {
+
+struct Held {
+  uint64_t version = 0;  // 0: nothing was ever written
+  std::string data;
+};
+struct Stale {
+  Held now;
+};
+enum class Defect { no_majority, fate_unknown };
+
+using Got = std::variant<Held, Defect>;
+using Put = std::variant<Held, Stale, Defect>;
+
+class Book {
+ public:
+  Book(base::Ports& ps, std::string me, std::vector<Holder> hs, Span round, Local local);
+  ~Book();
+  Got read(const std::string& name);
+  Put write(const std::string& name, uint64_t expect, const std::string& data);
+  size_t majority() const;
+  const std::vector<Holder>& holders() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::registry
--- /dev/null
+++ b/src/registry/vote.hpp
@@ -0,0 +1,21 @@
+// How one holder votes on one register: a pure step from a slot and an ask to
+// a slot and a vote. No time, no disk: the acceptor adds those.
+#pragma once
+#include "base/common.hpp"
+#include "wire.pb.h"
+
+namespace dunlinwing::registry {
+
+struct Step {
+  pb::Slot slot;
+  bool yes = false;
+  bool dirty = false;  // the slot changed and must be synced before the vote
+};
+
+bool lower(const pb::Ballot& a, const pb::Ballot& b);
+bool equal(const pb::Ballot& a, const pb::Ballot& b);
+Step prepare(const pb::Slot& s, const pb::Prepare& p);
+Step accept(const pb::Slot& s, const pb::Accept& a);
+pb::Slot higher(const pb::Slot& a, const pb::Slot& b);  // the later promise, the later accepted value
+
+}  // namespace dunlinwing::registry
--- /dev/null
+++ b/src/relay/config.cpp
@@ -0,0 +1,81 @@
+// Schema and cross-checks of the settings.
+#include "relay/config.hpp"
+
+#include <fmt/format.h>
+
+#include "base/log.hpp"
+#include "rollout/release.hpp"
+#include "wire/peer.hpp"
+
+namespace dunlinwing::relay {
+
+std::string_view config_schema() {
+  return R"({
+  "type":"object","additionalProperties":false,
+  "required":["name","zone","listen","holders","seeds"],
+  "properties":{
+    "name":{"type":"string","minLength":1,"maxLength":64},
+    "zone":{"type":"string","minLength":1,"maxLength":64},
+    "listen":{"type":"object","additionalProperties":false,"required":["callers","control","peers"],"properties":{
+      "callers":{"type":"string"},"control":{"type":"string"},"peers":{"type":"string"}}},
+    "holders":{"type":"object","minProperties":1,"maxProperties":9,"additionalProperties":{"type":"string"}},
+    "seeds":{"type":"array","minItems":1,"maxItems":3,"items":{"type":"string"}},
+    "data":{"type":"string","minLength":1},
+    "shield":{"type":"boolean"},
+    "threads":{"type":"integer","minimum":2,"maximum":64},
+    "log_level":{"type":"string","enum":["debug","info","warn","error"]},
+    "log_bytes":{"type":"integer","minimum":4096,"maximum":268435456},
+    "bound_ms":{"type":"integer","minimum":500,"maximum":10000},
+    "hold_scale":{"type":"number","minimum":1,"maximum":1000000},
+    "quiet_hours":{"type":"object","additionalProperties":false,"required":["from","to"],"properties":{
+      "from":{"type":"string","pattern":"^[0-2][0-9]:[0-5][0-9]$"},
+      "to":{"type":"string","pattern":"^[0-2][0-9]:[0-5][0-9]$"}}}}})";
+}
+
+ConfigGot read_config(std::string_view text) {
+  static const base::Schema schema(config_schema());
+  auto p = base::Json::parse(text);
+  if (auto* d = std::get_if<base::DocDefect>(&p)) return std::vector<base::DocDefect>{*d};
+  auto& j = std::get<base::Json>(p);
+  auto ds = schema.check(j);
+  Config c;
+  auto& n = c.node;
+  auto addr = [&](const std::string& at, const std::string& s) {
+    if (!s.empty() && !wire::split_address(s)) ds.push_back({at, "is not IP:port"});
+    return s;
+  };
+  n.name = j.at("name").str();
+  n.zone = j.at("zone").str();
+  auto l = j.at("listen");
+  c.callers = addr("/listen/callers", l.at("callers").str());
+  c.control = addr("/listen/control", l.at("control").str());
+  n.peer_address = addr("/listen/peers", l.at("peers").str());
+  n.http_address = c.control;
+  for (auto& [k, v] : j.at("holders").members()) n.holders.push_back({k, addr("/holders/" + k, v.str())});
+  int i = 0;
+  for (auto& s : j.at("seeds").strs()) c.seeds.push_back(addr(fmt::format("/seeds/{}", i++), s));
+  c.data = j.at("data").str();
+  n.shield = j.at("shield").flag();
+  c.threads = static_cast<int>(j.at("threads").num(c.threads));
+  c.log_level = j.at("log_level").str(c.log_level);
+  c.log_bytes = static_cast<size_t>(j.at("log_bytes").num(static_cast<int64_t>(c.log_bytes)));
+  n.bound = Span(j.at("bound_ms").num(2000));
+  n.scale = j.at("hold_scale").real(1);
+  auto minute = [&](const char* k) {
+    auto s = j.at("quiet_hours").at(k).str();
+    if (s.size() != 5) return 0;
+    int h = std::stoi(s.substr(0, 2));
+    if (h > 24) ds.push_back({std::string("/quiet_hours/") + k, "is no time of the day"});
+    return h * 60 + std::stoi(s.substr(3));
+  };
+  if (j.has("quiet_hours")) n.quiet = {minute("from"), minute("to")};
+  bool named = false;
+  for (auto& h : n.holders) named |= h.name == n.name;
+  if (!c.data.empty() && !named) ds.push_back({"/data", "a data folder is for holders, and /holders does not name this node"});
+  if (c.data.empty() && named) ds.push_back({"/holders/" + n.name, "a holder needs /data"});
+  if (n.holders.size() % 2 == 0 && !n.holders.empty()) ds.push_back({"/holders", "an odd number is needed"});
+  if (!ds.empty()) return ds;
+  return c;
+}
+
+}  // namespace dunlinwing::relay
--- /dev/null
+++ b/src/relay/main.cpp
@@ -0,0 +1,156 @@
+// The relay program: one for all machines. Flags, settings, ports, and an
+// orderly end on SIGTERM within the five seconds the platform leaves.
+#include <gflags/gflags.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "base/log.hpp"
+#include "disk/slow.hpp"
+#include "disk/store.hpp"
+#include "gate/control.hpp"
+#include "relay/config.hpp"
+#include "wire/http.hpp"
+#include "wire/peer.hpp"
+
+DEFINE_string(config, "", "the settings file (JSON)");
+DEFINE_bool(check, false, "check the settings and stop");
+DEFINE_string(name, "", "overrides /name of the settings");
+DEFINE_string(zone, "", "overrides /zone of the settings");
+DEFINE_string(log_level, "", "overrides /log_level of the settings");
+
+using namespace std::chrono_literals;
+namespace dw = dunlinwing;
+
+namespace {
+constexpr dw::base::Log lg("relay");
+constexpr int kBadSettings = 2, kCannotStart = 3;
+
+std::optional<dw::relay::Config> settings() {
+  if (FLAGS_config.empty()) {
+    std::cerr << "relay: --config names no file\n";
+    return {};
+  }
+  std::ifstream f(FLAGS_config);
+  std::stringstream b;
+  b << f.rdbuf();
+  if (!f) {
+    std::cerr << "relay: cannot read " << FLAGS_config << "\n";
+    return {};
+  }
+  auto g = dw::relay::read_config(b.str());
+  if (auto* ds = std::get_if<std::vector<dw::base::DocDefect>>(&g)) {
+    for (auto& d : *ds) std::cerr << "relay: " << FLAGS_config << ": " << (d.at.empty() ? "/" : d.at) << " " << d.what << "\n";
+    return {};
+  }
+  auto c = std::get<dw::relay::Config>(g);
+  if (!FLAGS_name.empty()) c.node.name = FLAGS_name;
+  if (!FLAGS_zone.empty()) c.node.zone = FLAGS_zone;
+  if (!FLAGS_log_level.empty()) c.log_level = FLAGS_log_level;
+  dw::base::Level l;
+  if (!dw::base::parse_level(c.log_level, l)) {
+    std::cerr << "relay: --log_level is none of debug, info, warn, error\n";
+    return {};
+  }
+  dw::base::set_level(l);
+  return c;
+}
+
+struct App {
+  dw::relay::Config c;
+  dw::wire::Pool pool;
+  dw::wire::RealClock clock;
+  dw::wire::RealChance chance;
+  dw::wire::PeerNet net;
+  dw::wire::HttpOrigin origin{16u << 20};
+  dw::base::Ports ports{clock, chance, pool, net, origin};
+  std::unique_ptr<dw::disk::Aside> disk;
+  std::unique_ptr<dw::relay::Node> node;
+  std::unique_ptr<dw::gate::Control> control;
+  std::unique_ptr<dw::wire::HttpServer> callers, operators;
+  int next = 0;
+
+  explicit App(dw::relay::Config cc) : c(std::move(cc)), pool(c.threads) {}
+
+  // Carried requests are traffic: they run on a traffic thread, not on control's.
+  dw::pb::Reply answer(const dw::pb::Ask& a) {
+    if (!a.has_carry()) return node->answer(a);
+    auto spot = pool.spot();
+    auto out = std::make_shared<dw::pb::Reply>();
+    auto done = std::make_shared<std::atomic<bool>>(false);
+    next = next + 1 < pool.size() ? next + 1 : 1;
+    pool.spawn_on(next, [this, a, out, done, spot] {
+      *out->mutable_carry() = node->carry(a.carry());
+      *done = true;
+      spot->wake();
+    });
+    while (!*done) spot->park(1000ms);
+    return *out;
+  }
+
+  std::optional<std::string> listen() {
+    if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); })) return e;
+    dw::wire::HttpLimits lim;
+    lim.body_bytes = 8u << 20;
+    callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", lim, [this](auto& q) { return node->serve(q); });
+    operators = std::make_unique<dw::wire::HttpServer>(pool, "control", lim, [this](auto& q) { return control->answer(q); });
+    if (auto e = operators->listen(c.control, 0, 1)) return e;
+    return callers->listen(c.callers, 1, pool.size());
+  }
+
+  void finish() {
+    auto end = clock.now() + c.node.bound * 2;
+    lg.info("{}: asked to stop; draining.", c.node.name);
+    node->leave();
+    callers->close();
+    while ((node->traffic().running() > 0 || callers->running() > 0) && clock.now() < end) clock.nap(10ms);
+    lg.info("{}: stopped.", c.node.name);
+    dw::wire::Pool::stop(0);
+  }
+};
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("a node of the dunlinwing delivery network\n  relay --config FILE [--check]");
+  gflags::SetVersionString(dw::kSoftware);
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (argc > 1) {
+    std::cerr << "relay: what is \"" << argv[1] << "\"? See relay --help\n";
+    return kBadSettings;
+  }
+  auto c = settings();
+  if (!c) return kBadSettings;
+  if (FLAGS_check) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  App app(*c);
+  if (c->node.scale > 1)
+    lg.warn("{}: HOLDS ARE DIVIDED BY {}. This is for trying things out, never for real machines.", c->node.name,
+            c->node.scale);
+  if (!c->data.empty()) {
+    auto s = dw::disk::Store::open(c->data, c->log_bytes);
+    if (auto* d = std::get_if<dw::disk::OpenDefect>(&s)) {
+      lg.error("{}: {}.", c->node.name, d->what);
+      return kCannotStart;
+    }
+    app.disk = std::make_unique<dw::disk::Aside>(std::move(std::get<0>(s)), app.pool);
+  }
+  app.node = std::make_unique<dw::relay::Node>(app.ports, c->node, app.disk.get());
+  app.control = std::make_unique<dw::gate::Control>(app.ports, *app.node);
+  if (auto e = app.listen()) {
+    lg.error("{}: {}.", c->node.name, *e);
+    return kCannotStart;
+  }
+  boost::asio::signal_set sigs(app.pool.io(0), SIGTERM, SIGINT);
+  sigs.async_wait([&](auto ec, int) {
+    if (!ec) app.pool.spawn([&] { app.finish(); });
+  });
+  lg.info("{}: relay {} in zone {}; callers {}, control {}, peers {}.", c->node.name, dw::kSoftware, c->node.zone,
+          c->callers, c->control, c->node.peer_address);
+  app.pool.run([&] { app.node->start(); });
+}
--- /dev/null
+++ b/src/relay/node.cpp
@@ -0,0 +1,242 @@
+// After each good pull the tables of the data plane are built anew from what
+// is chosen and swapped whole. A layout is loaded whole or not at all; the
+// generation shown never falls.
+#include "relay/node.hpp"
+
+#include <atomic>
+
+#include "base/log.hpp"
+
+namespace dunlinwing::relay {
+namespace {
+constexpr base::Log lg("relay");
+}
+
+struct Node::Impl {
+  base::Ports& ps;
+  NodeConfig c;
+  bool holder;
+  std::unique_ptr<registry::Acceptor> acceptor;
+  registry::Book book;
+  members::Mirror mirror;
+  members::Duty duty;
+  rollout::Conductor conductor;
+  traffic::Traffic traffic;
+  std::atomic<bool> leaving{false};
+  std::map<std::string, std::pair<pb::Beat, Tick>> beats;
+  std::map<std::string, std::shared_ptr<const traffic::Layout>> layouts;
+  std::map<std::string, std::string> running;
+  std::string load_defect;
+  rollout::System system;
+  std::atomic<uint64_t> generation{0};
+
+  Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
+      : ps(p), c(std::move(cc)), holder(disk != nullptr),
+        acceptor(disk ? std::make_unique<registry::Acceptor>(ps, *disk, c.name, c.holders, c.bound / 4) : nullptr),
+        book(ps, c.name, c.holders, c.bound / 4,
+             acceptor ? registry::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : registry::Local()),
+        mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
+        duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
+        conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale, c.quiet}),
+        traffic(ps, c.name, c.zone, [this] { return mirror.fresh(); }) {}
+
+  void own(pb::News& n) {
+    Tick now = ps.clock.now();
+    auto* f = n.mutable_node();
+    f->set_zone(c.zone);
+    f->set_peer_address(c.peer_address);
+    f->set_http_address(c.http_address);
+    f->set_holder(holder);
+    f->set_shield(c.shield);
+    f->set_ready(ready());
+    f->set_generation(generation);
+    f->set_load_defect(load_defect);
+    f->set_software(kSoftware);
+    f->set_wall_ms(ps.clock.wall_ms());
+    f->set_leaving(leaving);
+    for (auto& [k, r] : running) (*f->mutable_running())[k] = r;
+    for (auto i = beats.begin(); i != beats.end();) {
+      auto& [b, at] = i->second;
+      // Long kept past its end, so that no late echo brings the worker back.
+      if (now - at > Span(b.period_ms()) * 20 + c.bound * 10) {
+        i = beats.erase(i);
+        continue;
+      }
+      auto* x = n.add_beats();
+      *x = b;
+      x->set_age_ms(static_cast<uint64_t>((now - at).count()));
+      ++i;
+    }
+    traffic.say(n);
+  }
+
+  std::shared_ptr<const traffic::Layout> layout(const std::string& name, std::string& why) {
+    if (auto f = layouts.find(name); f != layouts.end()) return f->second;
+    auto r = mirror.chosen().find(rollout::release_key("layout", name));
+    if (r == mirror.chosen().end()) {
+      why = "the release is not known here";
+      return {};
+    }
+    auto g = rollout::read_release("layout", name, r->second.data);
+    if (auto* d = std::get_if<std::vector<base::DocDefect>>(&g)) {
+      why = d->empty() ? "unreadable" : d->front().at + " " + d->front().what;
+      return {};
+    }
+    auto l = traffic::read_layout(name, std::get<rollout::Release>(g).content);
+    auto* x = std::get_if<std::shared_ptr<const traffic::Layout>>(&l);
+    if (!x) {
+      why = "unreadable";
+      return {};
+    }
+    return layouts[name] = *x;
+  }
+
+  void load(const pb::NodeAssign& a, traffic::Table& t) {
+    auto old = traffic.table();
+    t.layout = old->layout;
+    t.generation = old->generation;
+    t.system = old->system;
+    if (a.generation() < generation) return;
+    std::string why;
+    auto want = [&](const char* kind) {
+      auto f = a.releases().find(kind);
+      return f == a.releases().end() ? std::string() : f->second;
+    };
+    std::string lay = want("layout"), sys = want("system");
+    auto l = lay.empty() ? nullptr : layout(lay, why);
+    rollout::System s;
+    bool ok = lay.empty() || l;
+    if (!ok) load_defect = "layout/" + lay + ": " + why;
+    if (ok && !sys.empty()) {
+      auto r = mirror.chosen().find(rollout::release_key("system", sys));
+      std::vector<base::DocDefect> ds;
+      ok = r != mirror.chosen().end();
+      if (ok) {
+        auto g = rollout::read_release("system", sys, r->second.data);
+        if (auto* x = std::get_if<rollout::Release>(&g))
+          s = rollout::read_system(x->content);
+        else
+          ok = false;
+      }
+      if (!ok) load_defect = "system/" + sys + ": not known or unreadable here";
+    }
+    if (!ok) return;  // what runs goes on running
+    load_defect.clear();
+    if (a.generation() > generation)
+      lg.info("{}: generation {} puts layout {} in force here.", c.name, a.generation(), lay.empty() ? "(none)" : lay);
+    t.layout = l;
+    t.system = s;
+    t.generation = a.generation();
+    generation = a.generation();
+    running.clear();
+    for (auto& [k, r] : a.releases())
+      if (k != "software") running[k] = r;
+    base::Level lev;
+    if (!sys.empty() && base::parse_level(s.log_level, lev)) base::set_level(lev);
+  }
+
+  void seen() {
+    Tick now = ps.clock.now();
+    auto t = std::make_shared<traffic::Table>();
+    auto roll = rollout::read_rollout(mirror.chosen());
+    if (auto f = roll.nodes().find(c.name); f != roll.nodes().end())
+      load(f->second, *t);
+    else
+      load(pb::NodeAssign(), *t);
+    for (auto& k : {std::string("layout")})
+      for (auto& [n, a] : roll.nodes())
+        if (auto f = a.releases().find(k); f != a.releases().end()) {
+          std::string why;
+          if (auto l = layout(f->second, why)) t->layouts[f->second] = l;
+        }
+    if (t->layout) t->layouts[t->layout->name] = t->layout;
+    layouts = t->layouts;
+    std::vector<std::string> alive;
+    for (auto& [i, w] : mirror.news().workers(now)) {
+      if (w.gone) continue;
+      auto& b = w.beat;
+      alive.push_back(i);
+      t->workers[b.service()].push_back(
+          {i, b.service(), b.version(), b.zone(), b.address(), static_cast<int>(b.capacity())});
+    }
+    for (auto& [k, h] : mirror.chosen()) {
+      if (k.starts_with("service/")) t->states[k.substr(8)].ParseFromString(h.data);
+      if (k.starts_with("purge/")) t->purges[k.substr(6)].ParseFromString(h.data);
+    }
+    for (auto& m : mirror.news().members(now))
+      if (m.fact.shield() && m.fact.ready()) t->shields.push_back({m.name, m.fact.peer_address()});
+    t->nodes = std::max<int>(roll.nodes_size(), 1);
+    traffic.shots().workers_known(alive);
+    traffic.swap(t);
+  }
+
+  bool ready() const { return !leaving && mirror.fresh() && traffic.table()->layout != nullptr; }
+};
+
+Node::Node(base::Ports& ps, NodeConfig c, base::Disk* disk) : p_(new Impl(ps, std::move(c), disk)) {}
+Node::~Node() = default;
+
+void Node::start() {
+  if (p_->acceptor) p_->acceptor->start();
+  p_->mirror.start();
+  if (p_->holder) {
+    p_->duty.start();
+    p_->conductor.start();
+  }
+}
+
+pb::Reply Node::answer(const pb::Ask& a) {
+  pb::Reply out;
+  switch (a.body_case()) {
+    case pb::Ask::kPull: return p_->mirror.answer(a);
+    case pb::Ask::kProbe:
+      out.mutable_probe()->set_ready(ready());
+      out.mutable_probe()->set_generation(p_->generation);
+      return out;
+    case pb::Ask::kPrepare:
+    case pb::Ask::kAccept:
+    case pb::Ask::kPeek:
+    case pb::Ask::kDump:
+      if (p_->acceptor) return p_->acceptor->answer(a);
+      out.set_defect("this node holds no state");
+      return out;
+    default: out.set_defect("not understood"); return out;
+  }
+}
+
+base::Receipt Node::serve(base::Request& q) { return p_->traffic.serve(q); }
+pb::CarryReply Node::carry(const pb::Carry& c) { return p_->traffic.carry(c); }
+
+bool Node::beat(const pb::Beat& b) {
+  if (!p_->mirror.fresh() || p_->leaving) return false;
+  auto& x = p_->beats[b.instance()];
+  if (b.number() >= x.first.number()) {
+    bool left = x.first.leaving();
+    x = {b, p_->ps.clock.now()};
+    if (left) x.first.set_leaving(true);
+  }
+  return p_->mirror.settle(p_->c.bound / 2);
+}
+
+bool Node::ready() const { return p_->ready(); }
+
+void Node::leave() {
+  p_->leaving = true;
+  p_->traffic.drain();
+  p_->duty.hand_over();
+  p_->mirror.settle(p_->c.bound / 2);  // tells the others that this node leaves
+}
+
+const NodeConfig& Node::config() const { return p_->c; }
+members::Mirror& Node::mirror() { return p_->mirror; }
+registry::Book& Node::book() { return p_->book; }
+members::Duty& Node::duty() { return p_->duty; }
+registry::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
+traffic::Traffic& Node::traffic() { return p_->traffic; }
+uint64_t Node::generation() const { return p_->generation; }
+std::string Node::release() const {
+  auto l = p_->traffic.table()->layout;
+  return l ? l->name : std::string();
+}
+
+}  // namespace dunlinwing::relay
--- /dev/null
+++ b/src/relay/node.hpp
@@ -0,0 +1,48 @@
+// One relay, put together from its parts over the ports it is given: the real
+// program and the simulation both run this. All control runs on one thread;
+// serve() and carry() may be called from any.
+#pragma once
+#include "members/duty.hpp"
+#include "rollout/conductor.hpp"
+#include "traffic/serve.hpp"
+
+namespace dunlinwing::relay {
+
+struct NodeConfig {
+  std::string name, zone, peer_address, http_address;
+  std::vector<registry::Holder> holders;
+  bool shield = false;
+  Span bound{2000};
+  double scale = 1;
+  rollout::Quiet quiet;
+};
+
+class Node {
+ public:
+  // `disk` is null on a machine that holds no state.
+  Node(base::Ports& ps, NodeConfig c, base::Disk* disk);
+  ~Node();
+  void start();
+  pb::Reply answer(const pb::Ask& a);   // what other nodes ask; not for carries
+  base::Receipt serve(base::Request& q);
+  pb::CarryReply carry(const pb::Carry& c);
+  // Takes a worker's beat; true once a majority of holders has heard of it.
+  bool beat(const pb::Beat& b);
+  bool ready() const;
+  void leave();  // unready, duties handed over, the session ended
+
+  const NodeConfig& config() const;
+  members::Mirror& mirror();
+  registry::Book& book();
+  members::Duty& duty();
+  registry::Acceptor* acceptor();
+  traffic::Traffic& traffic();
+  uint64_t generation() const;
+  std::string release() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::relay
--- /dev/null
+++ b/src/rollout/checks.cpp
@@ -0,0 +1,93 @@
+// The source leaves open what its checks measure. Ours compare the nodes on a
+// release with those not on it over the same time, so that a bad hour for all
+// does not stop a release, and a release that is only bad is stopped.
+#include "rollout/checks.hpp"
+
+#include <fmt/format.h>
+
+namespace dunlinwing::rollout {
+namespace {
+bool on(const pb::Rollout& s, const std::string& node, const pb::Course& c) {
+  auto n = s.nodes().find(node);
+  if (n == s.nodes().end()) return false;
+  auto f = n->second.releases().find(c.kind());
+  return f != n->second.releases().end() && f->second == c.release();
+}
+
+constexpr double kSlack = 0.005;       // a defect rate this close to the rest is no failure
+constexpr uint64_t kLeastDefects = 5;  // one bad answer proves nothing
+constexpr uint64_t kLeastProbes = 10;
+}  // namespace
+
+bool runs(const NodeSight& n, const pb::Course& c) {
+  auto f = n.running.find(c.kind());
+  return f != n.running.end() && f->second == c.release();
+}
+
+bool runs_all(const pb::Course& c, const Sight& v, const pb::Rollout& s) {
+  bool any = false;
+  for (auto& n : v.nodes) {
+    if (!on(s, n.name, c)) continue;
+    if (!n.present || !runs(n, c)) return false;
+    any = true;
+  }
+  return any;
+}
+
+void gather(pb::Course& c, const Sight& v, const pb::Rollout& s) {
+  auto* e = c.mutable_evidence();
+  for (auto& n : v.nodes) {
+    if (!n.present) continue;
+    if (on(s, n.name, c)) {
+      if (!runs(n, c)) continue;
+      e->set_on_requests(e->on_requests() + n.requests);
+      e->set_on_defects(e->on_defects() + n.defects);
+      e->set_probes_ok(e->probes_ok() + n.probes_ok);
+      e->set_probes_bad(e->probes_bad() + n.probes_bad);
+    } else {
+      e->set_off_requests(e->off_requests() + n.requests);
+      e->set_off_defects(e->off_defects() + n.defects);
+    }
+  }
+}
+
+std::optional<std::string> failed(const pb::Course& c, const Sight& v, const pb::Rollout& s, const Rules& r,
+                                  const pb::Act& act) {
+  auto waived = [&](const char* k) { return act.waived().count(k) > 0; };
+  int on_all = 0, on_lost = 0, off_all = 0, off_lost = 0;
+  std::string refused;
+  for (auto& n : v.nodes) {
+    bool o = on(s, n.name, c);
+    (o ? on_all : off_all)++;
+    if (!n.present) (o ? on_lost : off_lost)++;
+    if (o && n.present && n.load_defect.starts_with(c.kind() + "/" + c.release() + ":")) refused = n.name + ": " + n.load_defect;
+  }
+  if (!waived("beats")) {
+    if (c.phase() == pb::ONE && on_lost > 0) return "check beats: the phase-one machine is lost";
+    // One machine may be lost unnoticed; a third of those on it, when the rest stands better, may not.
+    if (on_lost >= 2 && on_lost * 3 > on_all && on_lost * off_all > 2 * off_lost * on_all)
+      return fmt::format("check beats: {} of {} nodes on it are lost", on_lost, on_all);
+  }
+  if (!waived("load") && !refused.empty()) return "check load: " + refused;
+  auto& e = c.evidence();
+  if (!waived("defects") && e.on_defects() >= kLeastDefects) {
+    double a = static_cast<double>(e.on_defects()) / static_cast<double>(std::max<uint64_t>(e.on_requests(), 1));
+    double b = static_cast<double>(e.off_defects()) / static_cast<double>(std::max<uint64_t>(e.off_requests(), 1));
+    if (a > b * static_cast<double>(r.system.defect_ratio_percent) / 100 + kSlack)
+      return fmt::format("check defects: {} of {} requests on it, {} of {} elsewhere", e.on_defects(),
+                         e.on_requests(), e.off_defects(), e.off_requests());
+  }
+  auto probes = e.probes_ok() + e.probes_bad();
+  if (!waived("probes") && probes >= kLeastProbes && e.probes_bad() * 4 > probes)
+    return fmt::format("check probes: {} of {} failed", e.probes_bad(), probes);
+  return {};
+}
+
+std::optional<std::string> wanting(const pb::Course& c, const Rules& r, const pb::Act& act) {
+  if (act.waived().count("evidence")) return {};
+  auto want = static_cast<uint64_t>(r.system.evidence_requests);
+  if (c.evidence().on_requests() >= want) return {};
+  return fmt::format("too little evidence: {} of {} requests seen in this phase", c.evidence().on_requests(), want);
+}
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/conductor.cpp
@@ -0,0 +1,297 @@
+// The loop runs on every node that stands for the duty; the understudy keeps
+// watching too, so that its counters are warm when the permit comes to it.
+// Writes are compare-and-set on the version last read and carry the term, so a
+// holder that was frozen past its permit can change nothing.
+#include "rollout/conductor.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace dunlinwing::rollout {
+namespace {
+constexpr base::Log lg("rollout");
+
+struct Count {
+  uint64_t incarnation = 0, requests = 0, defects = 0;
+};
+}  // namespace
+
+pb::Rollout read_rollout(const members::Chosen& c) {
+  pb::Rollout r;
+  if (auto f = c.find(kRolloutKey); f != c.end()) r.ParseFromString(f->second.data);
+  return r;
+}
+
+std::optional<int64_t> median_wall(const std::vector<members::Member>& ms) {
+  std::vector<int64_t> w;
+  for (auto& m : ms)
+    if (m.fact.holder() && m.fact.wall_ms()) w.push_back(m.fact.wall_ms() + m.age.count());
+  if (w.empty()) return {};
+  std::sort(w.begin(), w.end());
+  return w[(w.size() - 1) / 2];
+}
+
+struct Conductor::Impl {
+  base::Ports& ps;
+  registry::Book& book;
+  members::Mirror& mirror;
+  members::Duty& duty;
+  ConductorConfig c;
+  Rules rules;
+  pb::Rollout state;
+  uint64_t version = 0, term = 0;
+  bool loaded = false;
+  Tick last{0}, saved{0};
+  std::map<std::string, Count> counts;
+  std::map<std::string, std::pair<uint64_t, uint64_t>> probes;
+  std::map<std::string, Release> releases;
+  std::map<std::string, std::map<std::string, std::pair<uint64_t, Counts>>> bad;  // source -> service/version
+  struct Moment {
+    Tick at;
+    std::string service, version;
+    Counts n;
+  };
+  std::vector<Moment> recent;
+  std::map<std::string, std::pair<uint64_t, pb::ServiceState>> services;
+  std::map<std::string, Tick> service_saved;
+
+  Impl(base::Ports& p, registry::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig cc)
+      : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)) {
+    rules.scale = c.scale;
+    rules.bound = c.bound;
+  }
+
+  Sight look(Tick now, Span dt) {
+    Sight v;
+    v.dt = dt;
+    auto wall = median_wall(mirror.news().members(now));
+    v.quiet = wall && c.quiet.open(*wall);
+    auto news = mirror.news().latest(now);
+    auto permit = duty.known();
+    std::map<std::string, NodeSight> by;
+    for (auto& [n, a] : state.nodes()) {
+      by[n].name = n;
+      by[n].zone = a.zone();
+    }
+    for (auto& [n, x] : news) {
+      if (x.node().zone().empty()) continue;
+      auto& s = by[n];
+      s.name = n;
+      s.zone = x.node().zone();
+      s.present = !x.node().leaving();
+      s.keeper = x.node().holder() || n == permit.holder() || n == permit.understudy();
+      for (auto& [k, rel] : x.node().running()) s.running[k] = rel;
+      s.load_defect = x.node().load_defect();
+      uint64_t rq = 0, df = 0;
+      for (auto& t : x.tallies()) {
+        rq += t.requests();
+        df += t.defects();
+      }
+      auto& k = counts[n];
+      if (k.incarnation == x.mark().incarnation()) {
+        s.requests = rq - std::min(rq, k.requests);
+        s.defects = df - std::min(df, k.defects);
+      }
+      k = {x.mark().incarnation(), rq, df};
+      if (auto p = probes.find(n); p != probes.end()) {
+        std::tie(s.probes_ok, s.probes_bad) = p->second;
+        probes.erase(p);
+      }
+    }
+    for (auto& [n, s] : by) v.nodes.push_back(s);
+    for (auto& [k, h] : mirror.chosen()) {
+      if (k.starts_with("release/")) {
+        if (auto f = releases.find(k); f != releases.end()) continue;
+        auto a = k.find('/', 8);
+        auto g = read_release(k.substr(8, a - 8), k.substr(a + 1), h.data);
+        if (auto* r = std::get_if<Release>(&g)) releases[k] = *r;
+      } else if (k.starts_with("act/")) {
+        v.acts["release/" + k.substr(4)].ParseFromString(h.data);
+      }
+    }
+    v.releases = releases;
+    return v;
+  }
+
+  bool save(const pb::Rollout& next) {
+    if (!duty.held()) return false;
+    auto r = book.write(kRolloutKey, version, next.SerializeAsString());
+    if (auto* h = std::get_if<registry::Held>(&r)) {
+      version = h->version;
+      state = next;
+      saved = ps.clock.now();
+      return true;
+    }
+    loaded = false;  // read it anew before the next step
+    return false;
+  }
+
+  bool reload() {
+    auto g = book.read(kRolloutKey);
+    auto* h = std::get_if<registry::Held>(&g);
+    if (!h) return false;
+    version = h->version;
+    state.Clear();
+    state.ParseFromString(h->data);
+    loaded = true;
+    return true;
+  }
+
+  // Runs one event; what the reducer says is told only once it is recorded.
+  bool feed(const Event& e) {
+    auto o = step(state, e, rules);
+    bool write = false, urgent = false;
+    for (auto& x : o.effects)
+      if (auto* s = as<Save>(x)) {
+        write = true;
+        urgent |= s->urgent;
+      }
+    Span flush = std::min<Span>(c.bound * 5, Span(static_cast<int64_t>(45000 / c.scale)));
+    if (write && !urgent && ps.clock.now() - saved < flush) {
+      state = o.state;
+      return true;
+    }
+    if (write && !save(o.state)) return false;
+    for (auto& x : o.effects)
+      if (auto* t = as<Tell>(x)) lg.info("{}", t->text);
+    return true;
+  }
+
+  void probe() {
+    for (auto& co : state.courses()) {
+      if (co.phase() == pb::WAITING || finished(co.phase())) continue;
+      for (auto& m : mirror.news().members(ps.clock.now())) {
+        auto n = state.nodes().find(m.name);
+        if (n == state.nodes().end()) continue;
+        auto rel = n->second.releases().find(co.kind());
+        if (rel == n->second.releases().end() || rel->second != co.release()) continue;
+        pb::Ask a;
+        a.mutable_probe();
+        ps.tasks.spawn([this, me = weak, a, m] {
+          auto hold = me.lock();
+          if (!hold) return;
+          auto r = ps.net.ask(m.fact.peer_address(), a, c.bound / 2);
+          auto* x = std::get_if<pb::Reply>(&r);
+          bool ok = x && x->has_probe() && x->probe().ready();
+          (ok ? probes[m.name].first : probes[m.name].second)++;
+        });
+      }
+    }
+  }
+
+  void moves(Tick now, Span dt) {
+    std::map<std::string, MoveSight> vs;
+    for (auto& [src, x] : mirror.news().latest(now))
+      for (auto& b : x.bad()) {
+        auto& k = bad[src][b.service() + "/" + b.version()];
+        Counts d{b.good(), b.bad()};
+        if (k.first == x.mark().incarnation()) {
+          d.good -= std::min(d.good, k.second.good);
+          d.bad -= std::min(d.bad, k.second.bad);
+        }
+        k = {x.mark().incarnation(), {b.good(), b.bad()}};
+        if (!d.good && !d.bad) continue;
+        auto& t = vs[b.service()].delta[b.version()];
+        t.good += d.good;
+        t.bad += d.bad;
+        recent.push_back({now, b.service(), b.version(), d});
+      }
+    std::erase_if(recent, [&](auto& m) { return now - m.at > c.bound * 5; });
+    if (!duty.held()) return;
+    for (auto& m : recent) {
+      auto& t = vs[m.service].recent[m.version];
+      t.good += m.n.good;
+      t.bad += m.n.bad;
+    }
+    for (auto& [i, w] : mirror.news().workers(now))
+      if (!w.gone) vs[w.beat.service()].workers[w.beat.version()]++;
+    for (auto& [k, h] : mirror.chosen()) {
+      if (!k.starts_with("service/")) continue;
+      auto name = k.substr(8);
+      auto& mine = services[name];
+      if (mine.first != h.version) {
+        mine.first = h.version;
+        mine.second.Clear();
+        mine.second.ParseFromString(h.data);
+      }
+      auto& v = vs[name];
+      v.dt = dt;
+      auto o = step(name, mine.second, v, rules);
+      bool write = false, urgent = false;
+      for (auto& x : o.effects)
+        if (auto* s = as<Save>(x)) {
+          write = true;
+          urgent |= s->urgent;
+        }
+      if (write && !urgent && now - service_saved[name] < c.bound) {
+        mine.second = o.state;
+        continue;
+      }
+      if (write) {
+        if (!duty.held()) return;
+        auto r = book.write(k, mine.first, o.state.SerializeAsString());
+        auto* held = std::get_if<registry::Held>(&r);
+        if (!held) continue;  // the next pull tells what stands
+        mine = {held->version, o.state};
+        service_saved[name] = now;
+      }
+      for (auto& x : o.effects)
+        if (auto* t = as<Tell>(x)) lg.info("{}", t->text);
+    }
+  }
+
+  void tick() {
+    Tick now = ps.clock.now();
+    if (!mirror.fresh()) {
+      last = Tick(0);
+      return;
+    }
+    bool held = duty.held();
+    Span dt = held && last != Tick(0) ? std::min<Span>(now - last, c.bound) : Span(0);
+    last = held ? now : Tick(0);
+    if (!held) {
+      state = read_rollout(mirror.chosen());
+      loaded = false;
+      look(now, Span(0));
+      return moves(now, Span(0));
+    }
+    if (!loaded && !reload()) return;
+    if (state.term() > duty.term()) return;
+    if (state.term() < duty.term() && !feed(TookDuty{duty.term()})) return;
+    for (auto& [k, a] : state.in_force())
+      if (k == "system")
+        if (auto f = releases.find(release_key(k, a)); f != releases.end())
+          rules.system = read_system(f->second.content);
+    auto v = look(now, dt);
+    for (auto& [k, r] : v.releases) {
+      bool known = std::any_of(state.courses().begin(), state.courses().end(),
+                               [&](auto& x) { return x.kind() == r.kind && x.release() == r.name; });
+      if (!known && !feed(Recorded{r})) return;
+    }
+    if (!feed(v)) return;
+    probe();
+    moves(now, dt);
+  }
+
+  std::weak_ptr<Impl> weak;
+};
+
+Conductor::Conductor(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig c)
+    : p_(std::make_shared<Impl>(ps, b, m, d, std::move(c))) {
+  p_->weak = p_;
+}
+Conductor::~Conductor() = default;
+
+void Conductor::tick() { p_->tick(); }
+
+void Conductor::start() {
+  p_->ps.tasks.spawn([p = p_] {
+    for (;;) {
+      p->tick();
+      p->ps.clock.nap(p->c.bound / 8);
+    }
+  });
+}
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/conductor.hpp
@@ -0,0 +1,32 @@
+// Does the rollout duty while this node holds its permit: looks at the fleet,
+// feeds the reducers, and writes what they decide to the registers.
+#pragma once
+#include "members/duty.hpp"
+#include "rollout/moves.hpp"
+
+namespace dunlinwing::rollout {
+
+struct ConductorConfig {
+  std::string me;
+  Span bound{2000};
+  double scale = 1;
+  Quiet quiet;
+};
+
+class Conductor {
+ public:
+  Conductor(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig c);
+  ~Conductor();
+  void start();
+  void tick();  // one look and what follows from it
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+inline constexpr const char* kRolloutKey = "rollout";
+pb::Rollout read_rollout(const members::Chosen& c);
+std::optional<int64_t> median_wall(const std::vector<members::Member>& ms);
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/release.cpp
@@ -0,0 +1,89 @@
+// The envelope of a release and the minimum holds of the source's table.
+#include "rollout/release.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "rollout/system.hpp"
+#include "traffic/layout.hpp"
+
+namespace dunlinwing::rollout {
+namespace {
+using namespace std::chrono_literals;
+constexpr const char* kSchema = R"({
+  "type":"object","additionalProperties":false,"required":["content"],
+  "properties":{
+    "content":{"type":"object"},
+    "express":{"type":"string","minLength":1,"maxLength":512},
+    "supersedes":{"type":"string","minLength":1,"maxLength":64},
+    "holds":{"type":"object","additionalProperties":false,"properties":{
+      "one_min":{"type":"integer","minimum":1,"maximum":100000},
+      "two_min":{"type":"integer","minimum":1,"maximum":100000}}}}})";
+constexpr const char* kSoftware = R"({
+  "type":"object","additionalProperties":false,"required":["version","sha256","bytes"],
+  "properties":{
+    "version":{"type":"string","minLength":1,"maxLength":64},
+    "sha256":{"type":"string","pattern":"^[0-9a-f]{64}$"},
+    "bytes":{"type":"integer","minimum":1,"maximum":268435456}}})";
+}  // namespace
+
+bool is_kind(std::string_view k) {
+  return std::any_of(std::begin(kKinds), std::end(kKinds), [&](auto x) { return k == x; });
+}
+
+Holds minimum(std::string_view k) {
+  if (k == "layout") return {15min, 20min};
+  if (k == "system") return {30min, 2h};
+  return {24h, 24h};
+}
+
+bool Quiet::open(int64_t wall_ms) const {
+  if (from_min == to_min) return true;
+  int64_t day = 86400000, ms = ((wall_ms % day) + day) % day;
+  int m = static_cast<int>(ms / 60000);
+  return from_min < to_min ? m >= from_min && m < to_min : m >= from_min || m < to_min;
+}
+
+bool good_name(std::string_view n) {
+  return !n.empty() && n.size() <= 64 && n[0] != '.' &&
+         n.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == n.npos;
+}
+
+std::string release_key(std::string_view k, std::string_view n) { return fmt::format("release/{}/{}", k, n); }
+std::string act_key(std::string_view k, std::string_view n) { return fmt::format("act/{}/{}", k, n); }
+
+ReleaseGot read_release(const std::string& kind, const std::string& name, std::string_view text) {
+  static const base::Schema env(kSchema), soft(kSoftware);
+  auto p = base::Json::parse(text);
+  if (auto* d = std::get_if<base::DocDefect>(&p)) return std::vector<base::DocDefect>{*d};
+  auto& j = std::get<base::Json>(p);
+  auto ds = env.check(j);
+  auto c = j.at("content");
+  auto under = [&](std::vector<base::DocDefect> more) {
+    for (auto& d : more) ds.push_back({"/content" + d.at, d.what});
+  };
+  if (kind == "layout") {
+    auto l = traffic::read_layout(name, c);
+    if (auto* d = std::get_if<std::vector<base::DocDefect>>(&l)) under(*d);
+  } else if (kind == "system") {
+    under(check_system(c));
+  } else {
+    under(soft.check(c));
+  }
+  Release r{kind, name, std::string(text), minimum(kind), j.at("express").str(), j.at("supersedes").str(), c};
+  auto longer = [&](const char* k, Span& h) {
+    if (!j.at("holds").has(k)) return;
+    Span want = std::chrono::minutes(j.at("holds").at(k).num());
+    if (want < h)
+      ds.push_back({std::string("/holds/") + k, fmt::format("is shorter than the minimum of {} min",
+                                                           std::chrono::duration_cast<std::chrono::minutes>(h).count())});
+    h = std::max(h, want);
+  };
+  longer("one_min", r.holds.one);
+  longer("two_min", r.holds.two);
+  if (!ds.empty()) return ds;
+  return r;
+}
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/release.hpp
@@ -0,0 +1,36 @@
+// A release: a named, immutable resource of one kind. Its document says how
+// long its holds are and what it carries.
+#pragma once
+#include "base/json.hpp"
+
+namespace dunlinwing::rollout {
+
+inline constexpr const char* kKinds[] = {"layout", "system", "software"};
+bool is_kind(std::string_view k);
+
+struct Holds {
+  Span one{0}, two{0};
+};
+Holds minimum(std::string_view kind);
+
+struct Quiet {
+  int from_min = 0, to_min = 24 * 60;  // UTC minutes of the day; equal: never closed
+  bool open(int64_t wall_ms) const;
+};
+
+struct Release {
+  std::string kind, name, text;
+  Holds holds;  // never below the minimum of the kind
+  std::string express, supersedes;
+  base::Json content;
+};
+
+using ReleaseGot = std::variant<Release, std::vector<base::DocDefect>>;
+// Checks the envelope and, by kind, the content.
+ReleaseGot read_release(const std::string& kind, const std::string& name, std::string_view text);
+
+std::string release_key(std::string_view kind, std::string_view name);  // the register's name
+std::string act_key(std::string_view kind, std::string_view name);
+bool good_name(std::string_view n);
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/system.cpp
@@ -0,0 +1,38 @@
+// Schema and reading of system options. All of them take effect at once.
+#include "rollout/system.hpp"
+
+namespace dunlinwing::rollout {
+
+std::string_view system_schema() {
+  return R"({
+  "type":"object","additionalProperties":false,"properties":{
+    "log_level":{"type":"string","enum":["debug","info","warn","error"]},
+    "repeat_allowance":{"type":"integer","minimum":0,"maximum":1000},
+    "trial_share_percent":{"type":"integer","minimum":1,"maximum":10},
+    "bad_answers":{"type":"integer","minimum":1,"maximum":50},
+    "promote_requests":{"type":"integer","minimum":20,"maximum":1000000},
+    "promote_seconds":{"type":"integer","minimum":10,"maximum":86400},
+    "defect_ratio_percent":{"type":"integer","minimum":110,"maximum":1000},
+    "evidence_requests":{"type":"integer","minimum":10,"maximum":1000000}}})";
+}
+
+std::vector<base::DocDefect> check_system(const base::Json& j) {
+  static const base::Schema s(system_schema());
+  return s.check(j);
+}
+
+System read_system(const base::Json& j) {
+  System s;
+  s.log_level = j.at("log_level").str(s.log_level);
+  auto n = [&](const char* k, int64_t& v) { v = j.at(k).num(v); };
+  n("repeat_allowance", s.repeat_allowance);
+  n("trial_share_percent", s.trial_share_percent);
+  n("bad_answers", s.bad_answers);
+  n("promote_requests", s.promote_requests);
+  n("promote_seconds", s.promote_seconds);
+  n("defect_ratio_percent", s.defect_ratio_percent);
+  n("evidence_requests", s.evidence_requests);
+  return s;
+}
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/system.hpp
@@ -0,0 +1,23 @@
+// The project's own defaults and options, as a release of kind "system" may
+// set them. What a document leaves out keeps its default.
+#pragma once
+#include "base/json.hpp"
+
+namespace dunlinwing::rollout {
+
+struct System {
+  std::string log_level = "info";
+  int64_t repeat_allowance = 20;     // repeats beyond a fifth, over the fleet, in ten seconds
+  int64_t trial_share_percent = 10;  // of a service's requests, for a version on trial
+  int64_t bad_answers = 50;          // that quarantine a version on trial
+  int64_t promote_requests = 200;    // evidence needed before a version is promoted
+  int64_t promote_seconds = 60;
+  int64_t defect_ratio_percent = 200;  // a release's defect rate against the rest before it is stopped
+  int64_t evidence_requests = 100;     // too little below this
+};
+
+std::vector<base::DocDefect> check_system(const base::Json& j);
+System read_system(const base::Json& j);
+std::string_view system_schema();
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/traffic/place.hpp
@@ -0,0 +1,43 @@
+// Choosing a worker: two choices by load, own zone first. A worker that keeps
+// failing is set aside for a while and tried again by single requests; never
+// are all workers of a service set aside at once.
+#pragma once
+#include <mutex>
+
+#include "base/ports.hpp"
+#include "traffic/table.hpp"
+
+namespace dunlinwing::traffic {
+
+class Places {
+ public:
+  Places(base::Clock& c, base::Chance& r);
+  ~Places();
+  // Null when no worker of these versions is left that is not in `tried`.
+  std::optional<Worker> choose(const std::vector<Worker>& ws, const std::vector<std::string>& versions,
+                               const std::string& zone, const std::vector<std::string>& tried);
+  void began(const Worker& w);
+  void ended(const Worker& w, bool good, std::optional<int> load);
+  void forget(const std::vector<std::string>& alive);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+// Grants a version on trial its share of a service's requests, by count and
+// never by chance: the n-th trial request needs n times the full share before.
+class Trials {
+ public:
+  bool grant(const std::string& service, const std::string& version, int percent);
+
+ private:
+  struct Share {
+    std::string version;
+    uint64_t all = 0, trial = 0;
+  };
+  std::mutex m_;
+  std::map<std::string, Share> by_;
+};
+
+}  // namespace dunlinwing::traffic
--- /dev/null
+++ b/src/traffic/serve.hpp
@@ -0,0 +1,35 @@
+// The way of a request through a relay, as one function read from top to
+// bottom; and the shield's side of a carried one.
+#pragma once
+#include <atomic>
+
+#include "cache/cache.hpp"
+#include "traffic/shots.hpp"
+
+namespace dunlinwing::traffic {
+
+struct ServeCounts {
+  std::atomic<uint64_t> requests{0}, defects{0}, turned_away{0}, unknown{0}, hits{0}, fills{0}, carried{0};
+};
+
+class Traffic {
+ public:
+  Traffic(base::Ports& ps, std::string me, std::string zone, std::function<bool()> fresh);
+  ~Traffic();
+  base::Receipt serve(base::Request& q);
+  pb::CarryReply carry(const pb::Carry& c);
+  void swap(TablePtr t);
+  TablePtr table() const;
+  void drain();  // from now on every new request is turned away
+  int running();
+  void say(pb::News& n) const;  // what this node tells of its traffic
+  const ServeCounts& counts() const;
+  Shots& shots();
+  size_t cache_bytes() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::traffic
--- /dev/null
+++ b/src/traffic/shots.cpp
@@ -0,0 +1,207 @@
+// A shot ends in one of four ways: a whole answer by the worker that was
+// meant; nothing was sent; the worker said it did not run it; or nobody can
+// tell. Only safe methods are sent again after the last, and within budget.
+// A caller is promised "not run" only when no byte of any shot left.
+#include "traffic/shots.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <mutex>
+
+namespace dunlinwing::traffic {
+namespace {
+constexpr int kMostShots = 4;
+enum class Look { good, answered_badly, not_run, broken };
+
+bool safe(const base::Request& q) { return q.method == "GET" || q.method == "HEAD" || q.method == "OPTIONS"; }
+}  // namespace
+
+void strip(std::vector<std::pair<std::string, std::string>>& hs) {
+  static const char* const hop[] = {"Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
+                                    "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",
+                                    "Expect",     "Content-Length",    "Proxy-Authorization"};
+  std::vector<std::string> named;
+  for (auto& [k, v] : hs) {
+    if (!base::same_word(k, "Connection")) continue;
+    size_t i = 0;
+    while (i <= v.size()) {
+      auto e = std::min(v.find(',', i), v.size());
+      auto d = v.substr(i, e - i);
+      i = e + 1;
+      d.erase(0, d.find_first_not_of(" \t"));
+      d.erase(d.find_last_not_of(" \t") + 1);
+      if (!d.empty()) named.push_back(d);
+    }
+  }
+  std::erase_if(hs, [&](auto& h) {
+    for (auto* n : hop)
+      if (base::same_word(h.first, n)) return true;
+    for (auto& n : named)
+      if (base::same_word(h.first, n)) return true;
+    return h.first.size() > 11 && base::same_word(std::string_view(h.first).substr(0, 11), "Dunlinwing-");
+  });
+}
+
+struct Shots::Impl {
+  base::Ports& ps;
+  std::string zone;
+  std::function<bool()> fresh;
+  std::function<TablePtr()> table;
+  Places places;
+  Trials trials;
+  Repeats repeats;
+  Pace pace;
+  Waitlists waits;
+  mutable std::mutex m;
+  std::map<std::pair<std::string, std::string>, VersionCount> counts;
+  std::atomic<uint64_t> again{0};
+
+  Impl(base::Ports& p, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
+      : ps(p), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.chance),
+        repeats(p.clock), pace(p.clock), waits(p) {}
+
+  // Whether what came back is the named worker's own whole answer to this request.
+  Look look(const base::Receipt& r, const Worker& w, const base::Request& q) const {
+    auto is = [&](const char* h, const std::string& v) { return base::header(r.headers, h) == v; };
+    if (r.status == 421) return Look::not_run;
+    if (!is("Dunlinwing-Service", w.service) || !is("Dunlinwing-Version", w.version) ||
+        !is("Dunlinwing-Instance", w.instance) || !is("Dunlinwing-Request", q.id))
+      return Look::broken;
+    if (r.status == 503 && is("Dunlinwing-Outcome", "not-run")) return Look::not_run;
+    auto d = base::header(r.headers, "Content-Digest");
+    if (auto i = d.find("sha-256=:"); i != d.npos && q.method != "HEAD") {
+      auto e = d.find(':', i + 9);
+      if (e == d.npos || d.substr(i + 9, e - i - 9) != base::sha256_base64(r.body)) return Look::broken;
+    }
+    return r.status >= 500 ? Look::answered_badly : Look::good;
+  }
+
+  void count(const Worker& w, bool good) {
+    std::lock_guard l(m);
+    auto& c = counts[{w.service, w.version}];
+    (good ? c.good : c.bad)++;
+  }
+
+  std::optional<Worker> pick(const Work& w, const std::vector<std::string>& tried) {
+    auto t = table();  // the latest: a worker that left since is not chosen
+    auto f = t->workers.find(w.service->name);
+    if (f == t->workers.end()) return {};
+    auto st = t->states.find(w.service->name);
+    auto v = versions(*w.service, st == t->states.end() ? nullptr : &st->second);
+    if (!v.trial.empty() &&
+        trials.grant(w.service->name, v.trial, static_cast<int>(t->system.trial_share_percent)))
+      if (auto x = places.choose(f->second, {v.trial}, zone, tried)) return x;
+    return places.choose(f->second, v.open, zone, tried);
+  }
+};
+
+Shots::Shots(base::Ports& ps, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table)
+    : p_(new Impl(ps, std::move(zone), std::move(fresh), std::move(table))) {}
+Shots::~Shots() = default;
+
+bool Shots::repeat_allowed(const Work& w) {
+  auto t = p_->table();
+  if (!p_->repeats.grant(w.service->name, t->system.repeat_allowance, t->nodes)) return false;
+  ++p_->again;
+  return true;
+}
+
+Fetched Shots::run(const Work& w) {
+  auto& p = *p_;
+  auto& s = *w.service;
+  auto& clock = p.ps.clock;
+  switch (p.waits.enter(s.name, s.inflight, s.waitlist, w.deadline)) {
+    case Entry::full: return {Fate::not_run, {}, {}, "the waitlist is full"};
+    case Entry::too_late: return {Fate::not_run, {}, {}, "its deadline cannot be met"};
+    case Entry::in: break;
+  }
+  Tick began = clock.now();
+  struct Out {
+    Impl& p;
+    const std::string& s;
+    Tick from;
+    ~Out() { p.waits.leave(s, p.ps.clock.now() - from); }
+  } out{p, s.name, began};
+
+  std::vector<std::string> tried;
+  Fetched last{Fate::not_run, {}, {}, "no worker of an allowed version is known"};
+  bool left = false;  // some byte of some shot may have reached a worker
+  bool must_pay = w.again;
+  for (int i = 0; i < kMostShots; ++i) {
+    if (must_pay && !repeat_allowed(w)) break;
+    if (s.rate > 0) {
+      double share = static_cast<double>(s.rate) / std::max(w.table->nodes, 1);
+      auto wait = p.pace.reserve(s.name, share, w.deadline - clock.now());
+      if (!wait) {
+        if (!left) last = {Fate::not_run, {}, {}, "the origin's rate is used up"};
+        break;
+      }
+      if (*wait > Span(0)) clock.nap(*wait);
+    }
+    auto to = p.pick(w, tried);
+    if (!to) break;
+    tried.push_back(to->instance);
+    base::Request q = w.q;
+    strip(q.headers);
+    q.headers.emplace_back("Via", "1.1 dunlinwing");
+    q.headers.emplace_back("Dunlinwing-Request", q.id);
+    q.headers.emplace_back("Dunlinwing-Service", to->service);
+    q.headers.emplace_back("Dunlinwing-Version", to->version);
+    q.headers.emplace_back("Dunlinwing-Instance", to->instance);
+    Span limit = w.deadline - clock.now();
+    if (limit <= Span(0)) {
+      if (!left) last.why = "its deadline has passed";
+      break;
+    }
+    if (!p.fresh()) {
+      if (!left) last = {Fate::not_run, {}, {}, "this node's news is too old"};
+      break;
+    }
+    if (!must_pay) p.repeats.sent(s.name);
+    p.places.began(*to);
+    auto r = p.ps.origin.shoot(to->address, q, limit);
+    auto* a = std::get_if<base::Receipt>(&r);
+    Look l = a ? p.look(*a, *to, q) : Look::broken;
+    auto* d = std::get_if<base::ShotDefect>(&r);
+    bool unsent = d && *d == base::ShotDefect::unsent;
+    if (d && *d == base::ShotDefect::not_run) l = Look::not_run;
+    std::optional<int> load;
+    if (a && l != Look::broken) {
+      auto h = base::header(a->headers, "Dunlinwing-Load");
+      int n = 0;
+      if (std::from_chars(h.data(), h.data() + h.size(), n).ec == std::errc()) load = n;
+    }
+    p.places.ended(*to, l == Look::good || l == Look::not_run, load);
+    if (!unsent && l != Look::not_run) p.count(*to, l == Look::good);
+    left |= !unsent;
+    if (l == Look::good || (l == Look::answered_badly && (!safe(q) || i + 1 == kMostShots)))
+      return {Fate::answered, std::move(*a), to->version, {}};
+    if (unsent) {
+      last = {left ? Fate::unknown : Fate::not_run, {}, {}, "no worker could be reached"};
+      continue;  // nothing was sent, so this was no send and the next is no repeat
+    }
+    if (l == Look::answered_badly) {
+      last = {Fate::answered, std::move(*a), to->version, {}};
+    } else if (l == Look::not_run) {
+      last = {Fate::unknown, {}, {}, "a worker said that it did not run it, and no other took it"};
+    } else {
+      last = {Fate::unknown, {}, {}, a ? "the answer was not the worker's own whole answer" : "no whole answer came"};
+      if (!safe(q)) return last;
+    }
+    if (!s.safe_repeats && l != Look::not_run) break;
+    must_pay = true;
+  }
+  return last;
+}
+
+std::map<std::pair<std::string, std::string>, VersionCount> Shots::counts() const {
+  std::lock_guard l(p_->m);
+  return p_->counts;
+}
+std::pair<int, int> Shots::load(const std::string& s) { return p_->waits.load(s); }
+int Shots::running() { return p_->waits.running(); }
+uint64_t Shots::repeats() const { return p_->again; }
+void Shots::workers_known(const std::vector<std::string>& a) { p_->places.forget(a); }
+
+}  // namespace dunlinwing::traffic
--- /dev/null
+++ b/src/traffic/shots.hpp
@@ -0,0 +1,54 @@
+// Getting one request run by a worker: waitlist, pace, place, shot, and the
+// checks on what comes back. Says truthfully whether the request ran.
+#pragma once
+#include <atomic>
+
+#include "base/ports.hpp"
+#include "traffic/budget.hpp"
+#include "traffic/place.hpp"
+#include "traffic/waitlist.hpp"
+
+namespace dunlinwing::traffic {
+
+struct Work {
+  TablePtr table;
+  std::shared_ptr<const Layout> layout;
+  const Service* service = nullptr;
+  base::Request q;
+  Tick deadline{0};
+  bool again = false;  // a repeat of something already sent: needs the budget
+};
+
+enum class Fate { answered, not_run, unknown };
+
+struct Fetched {
+  Fate fate = Fate::not_run;
+  base::Receipt receipt;
+  std::string version, why;
+};
+
+struct VersionCount {
+  uint64_t good = 0, bad = 0;
+};
+
+class Shots {
+ public:
+  Shots(base::Ports& ps, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
+  ~Shots();
+  Fetched run(const Work& w);
+  bool repeat_allowed(const Work& w);
+  std::map<std::pair<std::string, std::string>, VersionCount> counts() const;
+  std::pair<int, int> load(const std::string& service);
+  int running();
+  uint64_t repeats() const;
+  void workers_known(const std::vector<std::string>& instances);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+// Headers that belong to one connection only, or to us, taken out.
+void strip(std::vector<std::pair<std::string, std::string>>& hs);
+
+}  // namespace dunlinwing::traffic
--- /dev/null
+++ b/src/traffic/table.hpp
@@ -0,0 +1,44 @@
+// What the data plane needs to know, as one immutable snapshot that is swapped
+// whole after each good pull.
+#pragma once
+#include "members/news.hpp"
+#include "rollout/system.hpp"
+#include "traffic/layout.hpp"
+#include "wire.pb.h"
+
+namespace dunlinwing::traffic {
+
+struct Worker {
+  std::string instance, service, version, zone, address;
+  int capacity = 1;
+};
+
+struct Shield {
+  std::string name, address;
+};
+
+struct Table {
+  uint64_t generation = 0;
+  std::shared_ptr<const Layout> layout;                          // this node's own; null: none yet
+  std::map<std::string, std::shared_ptr<const Layout>> layouts;  // by release name, for carried requests
+  std::map<std::string, std::vector<Worker>> workers;            // by service
+  std::map<std::string, pb::ServiceState> states;
+  std::map<std::string, pb::PurgeSet> purges;
+  std::vector<Shield> shields;
+  int nodes = 1;  // among which fleet-wide allowances are shared
+  rollout::System system;
+};
+
+using TablePtr = std::shared_ptr<const Table>;
+
+// Versions of a service that a request may go to; `trial` only within its share.
+struct Versions {
+  std::vector<std::string> open;
+  std::string trial;
+};
+Versions versions(const Service& s, const pb::ServiceState* st);
+
+uint64_t purge_number(const Table& t, const std::string& service);
+bool purged(const Table& t, const std::string& service, std::string_view target, uint64_t since);
+
+}  // namespace dunlinwing::traffic
--- /dev/null
+++ b/test/caller.cpp
@@ -0,0 +1,156 @@
+// Stand-in callers of one deployment: a seeded mix of its requests at a steady
+// rate, each to a relay that said within the last second that it is ready.
+// Journals every request before it goes and every answer.
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <random>
+
+#include "base/log.hpp"
+#include "journal.hpp"
+#include "wire/http.hpp"
+
+DEFINE_string(relays, "", "callers@control addresses, with commas");
+DEFINE_string(deployment, "lobby", "lobby or practice");
+DEFINE_int32(rate, 100, "requests a second");
+DEFINE_int32(seconds, 10, "how long");
+DEFINE_uint64(seed, 1, "of the mix");
+DEFINE_string(journal, "", "file for what was asked and answered");
+DEFINE_string(prefix, "c", "of each request's name");
+
+using namespace std::chrono_literals;
+using namespace dunlinwing;
+
+namespace {
+struct Relay {
+  std::string callers, control;
+  std::atomic<bool> ready{false};
+};
+
+struct App {
+  wire::Pool pool{3};
+  wire::RealClock clock;
+  wire::HttpOrigin http{4 << 20};
+  test::Journal journal{FLAGS_journal};
+  std::vector<std::unique_ptr<Relay>> relays;
+  std::mt19937_64 rng{FLAGS_seed};
+  std::atomic<int> open{0};
+  std::atomic<uint64_t> ok{0}, away{0}, unknown{0}, other{0}, lost{0};
+
+  base::Request make(uint64_t n) {
+    base::Request q;
+    auto some = [&](uint64_t k) { return std::min(rng() % k, rng() % k); };
+    auto dice = rng() % 100;
+    bool lobby = FLAGS_deployment == "lobby";
+    q.method = "GET";
+    if (dice < 45)
+      q.target = fmt::format(fmt::runtime(lobby ? "/liveries/{}" : "/notices/{}"), some(200));
+    else if (dice < 65)
+      q.target = fmt::format(fmt::runtime(lobby ? "/track/{}" : "/returns/{}"), some(400));
+    else if (dice < 90)
+      q.target = fmt::format(fmt::runtime(lobby ? "/lobbies/{}" : "/balances/{}"), rng() % 5000);
+    else {
+      q.method = "POST";
+      q.target = lobby ? "/fees" : "/filings";
+      q.body = fmt::format(R"({{"n":{},"amount":{}}})", n, rng() % 1000);
+      q.headers.emplace_back("Content-Type", "application/json");
+      q.headers.emplace_back("Idempotency-Key", fmt::format("k{}", rng()));
+    }
+    q.headers.emplace_back("Caller-Id", fmt::format("{}-{}", FLAGS_prefix, n));
+    return q;
+  }
+
+  void one(const base::Request& q, Relay& r) {
+    auto id = base::header(q.headers, "Caller-Id");
+    auto from = clock.now().count();
+    journal.line(fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":{},"in":"{}","at":{},"relay":"{}"}})", id,
+                             q.method, test::qt(q.target), base::sha256_base64(q.body), from, r.callers));
+    auto x = http.shoot(r.callers, q, 10000ms);
+    auto to = clock.now().count();
+    if (auto* a = std::get_if<base::Receipt>(&x)) {
+      auto out = base::header(a->headers, "Dunlinwing-Outcome");
+      int64_t produced = -1;
+      if (a->status == 200) {
+        auto p = base::Json::parse(a->body);
+        if (auto* j = std::get_if<base::Json>(&p)) produced = j->at("produced").num(-1);
+      }
+      journal.line(fmt::format(
+          R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","retry_after":"{}","from":{},"at":{},"relay":"{}"}})",
+          id, a->status, out, base::sha256_base64(a->body), produced, base::header(a->headers, "Dunlinwing-Generation"),
+          base::header(a->headers, "Retry-After"), from, to, r.callers));
+      (a->status < 400 ? ok : out == "not-run" ? away : out == "unknown" ? unknown : other)++;
+    } else {
+      journal.line(fmt::format(R"({{"t":"lost","id":"{}","sent":{},"from":{},"at":{},"relay":"{}"}})", id,
+                               std::get<base::ShotDefect>(x) != base::ShotDefect::unsent, from, to, r.callers));
+      ++lost;
+    }
+    --open;
+  }
+
+  void watch(Relay& r) {
+    for (;;) {
+      base::Request q;
+      q.method = "GET";
+      q.target = "/readyz";
+      auto x = http.shoot(r.control, q, 900ms);
+      auto* a = std::get_if<base::Receipt>(&x);
+      r.ready = a && a->status == 200;
+      clock.nap(1000ms);
+    }
+  }
+
+  void run() {
+    for (auto& r : relays) pool.spawn([this, p = r.get()] { watch(*p); });
+    clock.nap(300ms);
+    auto from = std::chrono::steady_clock::now();
+    uint64_t all = static_cast<uint64_t>(FLAGS_rate) * static_cast<uint64_t>(FLAGS_seconds), turn = 0;
+    for (uint64_t n = 0; n < all; ++n) {
+      auto due = from + std::chrono::microseconds(n * 1000000 / static_cast<uint64_t>(FLAGS_rate));
+      auto wait = std::chrono::duration_cast<Span>(due - std::chrono::steady_clock::now());
+      if (wait > 0ms) clock.nap(wait);
+      Relay* r = nullptr;
+      for (size_t k = 0; k < relays.size() && !r; ++k) {
+        auto& c = relays[(turn + k) % relays.size()];
+        if (c->ready) r = c.get();
+      }
+      turn += 1 + rng() % relays.size();
+      auto q = make(n);
+      if (!r) r = relays[turn % relays.size()].get();
+      ++open;
+      pool.spawn_on(1 + static_cast<int>(n % 2), [this, q, r] { one(q, *r); });
+    }
+    while (open > 0) clock.nap(20ms);
+    std::cout << fmt::format("asked {} ok {} not_run {} unknown {} other {} lost {}\n", all, ok.load(), away.load(),
+                             unknown.load(), other.load(), lost.load())
+              << std::flush;
+    wire::Pool::stop(0);
+  }
+};
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  App a;
+  for (size_t i = 0; i < FLAGS_relays.size();) {
+    auto e = std::min(FLAGS_relays.find(',', i), FLAGS_relays.size());
+    auto s = FLAGS_relays.substr(i, e - i);
+    auto at = s.find('@');
+    if (at == s.npos) {
+      std::cerr << "caller: a relay is given as callers@control\n";
+      return 2;
+    }
+    auto r = std::make_unique<Relay>();
+    r->callers = s.substr(0, at);
+    r->control = s.substr(at + 1);
+    a.relays.push_back(std::move(r));
+    i = e + 1;
+  }
+  if (a.relays.empty()) {
+    std::cerr << "caller: --relays names none\n";
+    return 2;
+  }
+  a.pool.run([&] { a.run(); });
+}
--- /dev/null
+++ b/test/fleet.cpp
@@ -0,0 +1,266 @@
+// Processes are started by fork and exec from here, the stand-in of the
+// platform; only processes started here are ever signalled, by their id.
+#include "fleet.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "base/log.hpp"
+
+namespace dunlinwing::test {
+namespace fs = std::filesystem;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr base::Log lg("fleet");
+std::string at(int port) { return fmt::format("127.0.0.1:{}", port); }
+}  // namespace
+
+std::string layout_document(const std::string& d, const std::string& more) {
+  auto vs = "[\"1\"" + (more.empty() ? "" : ",\"" + more + "\"") + "]";
+  bool lobby = d == "lobby";
+  return fmt::format(R"({{"content":{{"services":{{
+"{0}":{{"versions":{4},"deadline_ms":3000,"waitlist":256,"inflight":64,"cache":{{"lifetime_s":5}}}},
+"{1}":{{"versions":{4},"deadline_ms":3000,"waitlist":256,"inflight":64}}}},
+"routes":[{{"prefix":"{2}","service":"{0}","methods":["GET","HEAD"]}},{{"prefix":"{3}","service":"{0}","methods":["GET","HEAD"]}},
+{{"prefix":"{5}","service":"{1}","methods":["GET"]}},{{"prefix":"{6}","service":"{1}","methods":["POST"]}}],
+"limits":{{"body_bytes":65536}}}}}})",
+                     lobby ? "content" : "documents", lobby ? "matchmaking" : "application",
+                     lobby ? "/liveries/" : "/notices/", lobby ? "/track/" : "/returns/", vs,
+                     lobby ? "/lobbies/" : "/balances/", lobby ? "/fees" : "/filings");
+}
+
+Fleet::Fleet(wire::Pool& pool, FleetConfig c)
+    : pool_(pool), c_(std::move(c)), links_(pool), events_((fs::create_directories(c_.dir), c_.dir + "/events.journal")) {}
+
+Machine& Fleet::at(const std::string& n) {
+  for (auto& m : ms_)
+    if (m.name == n) return m;
+  throw std::runtime_error("no machine " + n);
+}
+
+void Fleet::lay_out() {
+  auto add = [&](std::string name, std::string kind, int zone, bool holder) {
+    Machine m;
+    m.name = std::move(name);
+    m.kind = std::move(kind);
+    m.zone = std::string(1, static_cast<char>('a' + zone));
+    m.holder = holder;
+    m.index = static_cast<int>(ms_.size());
+    m.callers = test::at(c_.port + m.index);
+    m.control = test::at(c_.port + 100 + m.index);
+    m.peers = test::at(c_.port + 200 + m.index);
+    ms_.push_back(m);
+  };
+  for (int i = 0; i < 12; ++i) add(fmt::format("e{}", i + 1), "edge", i / 4, i % 4 == 0);
+  add("s1", "store", 0, true);
+  add("s2", "store", 1, true);
+  for (auto& m : ms_) {
+    std::string holders, seeds;
+    for (auto& h : ms_) {
+      if (!h.holder) continue;
+      auto via = test::at(c_.port + 400 + m.index * 16 + h.index);
+      if (m.name != h.name) links_.open(m.name, h.name, via, h.peers);
+      holders += fmt::format("{}\"{}\":\"{}\"", holders.empty() ? "" : ",", h.name, m.name == h.name ? h.peers : via);
+      if (std::count(seeds.begin(), seeds.end(), ',') < 2) seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ",", h.control);
+    }
+    auto dir = c_.dir + "/" + m.name;
+    fs::create_directories(dir);
+    std::ofstream f(dir + "/relay.json");
+    f << fmt::format(R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},
+"holders":{{{}}},"seeds":[{}],"shield":{},"bound_ms":{},"hold_scale":{}{}}})",
+                     m.name, m.zone, m.callers, m.control, m.peers, holders, seeds, m.kind == "store", c_.bound_ms,
+                     c_.scale, m.holder ? fmt::format(",\"data\":\"{}/data\"", dir) : "")
+      << "\n";
+    m.args = {"--config", dir + "/relay.json"};
+  }
+}
+
+pid_t Fleet::spawn(const std::string& program, const std::vector<std::string>& args, const std::string& log) {
+  auto path = c_.bin + "/" + program;
+  std::vector<char*> av{const_cast<char*>(path.c_str())};
+  for (auto& a : args) av.push_back(const_cast<char*>(a.c_str()));
+  av.push_back(nullptr);
+  int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  pid_t p = fork();
+  if (p == 0) {
+    dup2(fd, 1);
+    dup2(fd, 2);
+    execv(av[0], av.data());
+    _exit(127);
+  }
+  ::close(fd);
+  return p;
+}
+
+void Fleet::start(const std::string& n) {
+  auto& m = at(n);
+  if (m.pid > 0) return;
+  m.frozen = false;
+  m.pid = spawn(m.kind == "worker" ? "worker" : "relay", m.args, c_.dir + "/" + n + ".log");
+}
+
+void Fleet::start_relays() {
+  for (auto& m : ms_)
+    if (m.kind != "worker") start(m.name);
+}
+
+std::string Fleet::relay_list(bool pairs) const {
+  std::string s;
+  for (auto& m : ms_) {
+    if (m.kind == "worker" || (pairs && m.kind != "edge")) continue;
+    s += (s.empty() ? "" : ",") + (pairs ? m.callers + "@" + m.control : m.control);
+  }
+  return s;
+}
+
+std::string Fleet::add_worker(const std::string& service, const std::string& version, const std::string& zone,
+                              const std::vector<std::string>& more) {
+  Machine m;
+  m.index = workers_++;
+  m.name = fmt::format("w{}", m.index + 1);
+  m.zone = zone;
+  m.kind = "worker";
+  m.args = {"--service",  service, "--version", version, "--zone", zone, "--address", test::at(c_.port + 300 + m.index % 90),
+            "--relays",   relay_list(false), "--journal", c_.dir + "/" + m.name + ".journal"};
+  for (auto& a : more) m.args.push_back(a);
+  ms_.push_back(m);
+  start(m.name);
+  return m.name;
+}
+
+void Fleet::start_workers() {
+  bool lobby = c_.deployment == "lobby";
+  auto zone = [](int i) { return std::string(1, static_cast<char>('a' + i % 3)); };
+  for (int i = 0; i < 4; ++i)
+    add_worker(lobby ? "content" : "documents", "1", zone(i), {"--max_age", "4", "--pad", "2000"});
+  for (int i = 0; i < (lobby ? 6 : 7); ++i) add_worker(lobby ? "matchmaking" : "application", "1", zone(i), {});
+}
+
+bool Fleet::gone(const std::string& n) {
+  auto& m = at(n);
+  if (m.pid > 0 && waitpid(m.pid, nullptr, WNOHANG) == m.pid) m.pid = -1;
+  return m.pid <= 0;
+}
+
+void Fleet::warn(const std::string& n) {
+  auto& m = at(n);
+  if (m.pid <= 0) return;
+  ::kill(m.pid, SIGTERM);
+  event(fmt::format(R"("t":"warned","machine":"{}")", n));
+  auto end = clock.now() + 6s;
+  while (!gone(n) && clock.now() < end) clock.nap(20ms);
+  if (!gone(n)) {
+    event(fmt::format(R"("t":"overstayed","machine":"{}")", n));
+    kill(n);
+  }
+}
+
+void Fleet::kill(const std::string& n) {
+  auto& m = at(n);
+  if (m.pid <= 0) return;
+  ::kill(m.pid, SIGKILL);
+  waitpid(m.pid, nullptr, 0);
+  m.pid = -1;
+  event(fmt::format(R"("t":"killed","machine":"{}")", n));
+}
+
+void Fleet::freeze(const std::string& n) {
+  auto& m = at(n);
+  if (m.pid <= 0) return;
+  ::kill(m.pid, SIGSTOP);
+  m.frozen = true;
+  event(fmt::format(R"("t":"frozen","machine":"{}")", n));
+}
+
+void Fleet::thaw(const std::string& n) {
+  auto& m = at(n);
+  if (m.pid <= 0) return;
+  ::kill(m.pid, SIGCONT);
+  m.frozen = false;
+  event(fmt::format(R"("t":"thawed","machine":"{}")", n));
+}
+
+void Fleet::wipe(const std::string& n) {
+  fs::remove_all(c_.dir + "/" + n + "/data");
+  event(fmt::format(R"("t":"wiped","machine":"{}")", n));
+}
+
+void Fleet::stop_all() {
+  for (auto& m : ms_)
+    if (m.pid > 0) {
+      ::kill(m.pid, SIGCONT);
+      ::kill(m.pid, SIGTERM);
+    }
+  auto end = clock.now() + 6s;
+  for (auto& m : ms_)
+    while (!gone(m.name) && clock.now() < end) clock.nap(20ms);
+  for (auto& m : ms_)
+    if (m.pid > 0) kill(m.name);
+}
+
+pid_t Fleet::start_caller(const std::string& name, int rate, int seconds, uint64_t seed) {
+  return spawn("caller",
+               {"--relays", relay_list(true), "--deployment", c_.deployment, "--rate", std::to_string(rate), "--seconds",
+                std::to_string(seconds), "--seed", std::to_string(seed), "--prefix", name, "--journal",
+                c_.dir + "/" + name + ".journal"},
+               c_.dir + "/" + name + ".log");
+}
+
+bool Fleet::caller_done(pid_t p) { return waitpid(p, nullptr, WNOHANG) == p; }
+
+base::Receipt Fleet::http(const std::string& node, const std::string& method, const std::string& target,
+                          const std::string& body, std::vector<std::pair<std::string, std::string>> hs) {
+  base::Request q{"", method, target, body, std::move(hs)};
+  auto r = http_.shoot(at(node).control, q, 5s);
+  if (auto* a = std::get_if<base::Receipt>(&r)) return *a;
+  return {0, {}, {}};
+}
+
+base::Receipt Fleet::any(const std::string& method, const std::string& target, const std::string& body) {
+  base::Receipt last;
+  for (auto& m : ms_) {
+    if (m.kind == "worker" || m.pid <= 0 || m.frozen) continue;
+    last = http(m.name, method, target, body);
+    if (last.status && last.status != 503) return last;
+  }
+  return last;
+}
+
+bool Fleet::until(Span most, const std::function<bool()>& what) {
+  auto end = clock.now() + most;
+  while (clock.now() < end) {
+    if (what()) return true;
+    clock.nap(50ms);
+  }
+  return what();
+}
+
+bool Fleet::all_ready(Span most) {
+  return until(most, [&] {
+    for (auto& m : ms_)
+      if (m.kind != "worker" && m.pid > 0 && !m.frozen && http(m.name, "GET", "/readyz").status != 200) return false;
+    return true;
+  });
+}
+
+bool Fleet::layout_everywhere(const std::string& name, Span most) {
+  return until(most, [&] {
+    auto r = any("GET", "/v1/releases/layout/" + name);
+    auto p = base::Json::parse(r.body);
+    auto* j = std::get_if<base::Json>(&p);
+    return j && j->at("course").at("phase").str() == "DONE";
+  });
+}
+
+void Fleet::event(const std::string& f) {
+  events_.line(fmt::format("{{{},\"at\":{}}}", f, clock.now().count()));
+  lg.info("{}", f);
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/fleet.hpp
@@ -0,0 +1,78 @@
+// A whole fleet on one machine: three zones, a dozen edge relays of which
+// three hold state, two store relays, and a deployment's workers. Plays the
+// platform: starts, warns, kills after six seconds, freezes, wipes disks.
+#pragma once
+#include <sys/types.h>
+
+#include "journal.hpp"
+#include "links.hpp"
+#include "wire/http.hpp"
+
+namespace dunlinwing::test {
+
+struct FleetConfig {
+  std::string dir, bin, deployment = "lobby";
+  int port = 21000;
+  double scale = 1;
+  int bound_ms = 2000;
+  bool worker_faults = false;
+};
+
+struct Machine {
+  std::string name, zone, kind;  // edge, store or worker
+  bool holder = false;
+  int index = 0;
+  pid_t pid = -1;
+  bool frozen = false;
+  std::vector<std::string> args;
+  std::string callers, control, peers;
+};
+
+class Fleet {
+ public:
+  Fleet(wire::Pool& pool, FleetConfig c);
+  void lay_out();  // writes settings, opens links; starts nothing
+  void start(const std::string& name);
+  void start_relays();
+  void start_workers();
+  std::string add_worker(const std::string& service, const std::string& version, const std::string& zone,
+                         const std::vector<std::string>& more);
+  void warn(const std::string& name);  // SIGTERM, SIGKILL six seconds later
+  void kill(const std::string& name);
+  void freeze(const std::string& name);
+  void thaw(const std::string& name);
+  void wipe(const std::string& name);
+  void stop_all();
+  bool gone(const std::string& name);  // reaps
+  pid_t start_caller(const std::string& name, int rate, int seconds, uint64_t seed);
+  bool caller_done(pid_t p);
+
+  base::Receipt http(const std::string& node, const std::string& method, const std::string& target,
+                     const std::string& body = {}, std::vector<std::pair<std::string, std::string>> hs = {});
+  base::Receipt any(const std::string& method, const std::string& target, const std::string& body = {});
+  bool until(Span most, const std::function<bool()>& what);  // polls a condition
+  bool all_ready(Span most);
+  bool layout_everywhere(const std::string& name, Span most);
+  void event(const std::string& json_fields);
+
+  Links& links() { return links_; }
+  std::vector<Machine>& machines() { return ms_; }
+  Machine& at(const std::string& name);
+  std::string relay_list(bool pairs) const;
+  const FleetConfig& config() const { return c_; }
+  wire::RealClock clock;
+
+ private:
+  pid_t spawn(const std::string& program, const std::vector<std::string>& args, const std::string& log);
+  wire::Pool& pool_;
+  FleetConfig c_;
+  Links links_;
+  std::vector<Machine> ms_;
+  wire::HttpOrigin http_{32u << 20};
+  Journal events_;
+  int workers_ = 0;
+};
+
+std::string layout_document(const std::string& deployment, const std::string& extra_versions = {});
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/links.hpp
@@ -0,0 +1,25 @@
+// A loopback forwarder: every pair of relay and holder talks through a port of
+// its own here, so that a link can be cut and mended.
+#pragma once
+#include <set>
+
+#include "wire/loop.hpp"
+
+namespace dunlinwing::test {
+
+class Links {
+ public:
+  explicit Links(wire::Pool& pool) : pool_(pool) {}
+  void open(const std::string& from, const std::string& to, const std::string& listen, const std::string& target);
+  void cut(const std::string& from, const std::string& to);
+  void mend(const std::string& from, const std::string& to);
+  void cut_off(const std::string& node);  // both ways, with all others
+  void mend_all();
+
+ private:
+  struct Link;
+  wire::Pool& pool_;
+  std::map<std::pair<std::string, std::string>, std::shared_ptr<Link>> by_;
+};
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/worker.cpp
@@ -0,0 +1,141 @@
+// A stand-in worker: beats to any relay, answers requests meant for it,
+// journals each before it answers, and misbehaves as its flags say.
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "base/log.hpp"
+#include "journal.hpp"
+#include "wire/http.hpp"
+
+DEFINE_string(service, "", "the service it runs");
+DEFINE_string(version, "1", "its version");
+DEFINE_string(zone, "a", "its zone");
+DEFINE_string(address, "", "IP:port to serve on");
+DEFINE_string(relays, "", "control addresses of relays, with commas");
+DEFINE_string(journal, "", "file for what it ran");
+DEFINE_int32(period_ms, 1000, "between beats");
+DEFINE_int32(capacity, 32, "requests at once");
+DEFINE_int32(max_age, 0, "cache lifetime of its GET answers in seconds");
+DEFINE_int32(pad, 64, "bytes of filling in each answer");
+DEFINE_int32(work_ms, 2, "time each request takes");
+DEFINE_string(fault, "none", "none, error, wrong_bytes, lose_answer, slow, wrong_name");
+DEFINE_int32(fault_percent, 100, "of its requests that meet the fault");
+
+using namespace std::chrono_literals;
+using namespace dunlinwing;
+
+namespace {
+constexpr base::Log lg("worker");
+
+struct App {
+  wire::Pool pool{2};
+  wire::RealClock clock;
+  wire::RealChance chance;
+  wire::HttpOrigin post{1 << 20};
+  test::Journal journal{FLAGS_journal};
+  std::string instance = base::token(chance).substr(0, 12);
+  std::vector<std::string> relays;
+  std::atomic<int> load{0};
+  std::atomic<bool> leaving{false};
+  uint64_t number = 0;
+
+  base::Receipt answer(base::Request& q) {
+    auto h = [&](const char* n) { return base::header(q.headers, n); };
+    if (h("Dunlinwing-Service") != FLAGS_service || h("Dunlinwing-Version") != FLAGS_version ||
+        h("Dunlinwing-Instance") != instance)
+      return {421, {}, "not the worker you meant\n"};
+    auto id = h("Caller-Id");
+    ++load;
+    bool hit = static_cast<int>(chance.below(100)) < FLAGS_fault_percent;
+    auto fault = hit ? FLAGS_fault : std::string("none");
+    clock.nap(Span(fault == "slow" ? FLAGS_work_ms * 500 : FLAGS_work_ms));
+    auto at = clock.now().count();
+    auto body = fmt::format(R"({{"service":"{}","version":"{}","instance":"{}","target":{},"echo":{},"produced":{},"pad":"{}"}})",
+                            FLAGS_service, FLAGS_version, instance, test::qt(q.target), test::qt(id), at,
+                            std::string(static_cast<size_t>(FLAGS_pad), 'x'));
+    auto sum = base::sha256_base64(body);
+    bool bad = fault == "error" || fault == "wrong_bytes" || fault == "wrong_name" || fault == "lose_answer";
+    journal.line(fmt::format(
+        R"({{"t":"run","id":{},"rid":"{}","method":"{}","target":{},"in":"{}","out":"{}","service":"{}","version":"{}","instance":"{}","at":{},"bad":{}}})",
+        test::qt(id), h("Dunlinwing-Request"), q.method, test::qt(q.target), base::sha256_base64(q.body), sum,
+        FLAGS_service, FLAGS_version, instance, at, bad));
+    if (fault == "lose_answer") clock.nap(3600s);  // the work is done and the answer never comes
+    base::Receipt r{fault == "error" ? 500 : 200, {}, body};
+    if (fault == "wrong_bytes") r.body[r.body.size() / 2] ^= 1;
+    auto put = [&](const char* k, std::string v) { r.headers.emplace_back(k, std::move(v)); };
+    put("Content-Type", "application/json");
+    put("Content-Digest", "sha-256=:" + sum + ":");
+    put("Dunlinwing-Service", FLAGS_service);
+    put("Dunlinwing-Version", FLAGS_version);
+    put("Dunlinwing-Instance", fault == "wrong_name" ? "somebody" : instance);
+    put("Dunlinwing-Request", h("Dunlinwing-Request"));
+    put("Dunlinwing-Load", std::to_string(load.load()));
+    if (FLAGS_max_age > 0 && q.method == "GET") put("Cache-Control", fmt::format("max-age={}", FLAGS_max_age));
+    --load;
+    return r;
+  }
+
+  bool beat() {
+    base::Request q;
+    q.method = "POST";
+    q.target = "/v1/beats";
+    q.body = fmt::format(
+        R"({{"service":"{}","version":"{}","instance":"{}","zone":"{}","address":"{}","capacity":{},"leaving":{},"number":{},"period_ms":{}}})",
+        FLAGS_service, FLAGS_version, instance, FLAGS_zone, FLAGS_address, FLAGS_capacity, leaving.load(), ++number,
+        FLAGS_period_ms);
+    for (int i = 0; i < 4; ++i) {
+      auto r = post.shoot(relays[chance.below(relays.size())], q, 1500ms);
+      auto* a = std::get_if<base::Receipt>(&r);
+      if (a && a->status == 200) return true;
+    }
+    return false;
+  }
+
+  void beats() {
+    for (;;) {
+      beat();
+      clock.nap(Span(FLAGS_period_ms));
+    }
+  }
+
+  void leave() {
+    leaving = true;
+    for (int i = 0; i < 5; ++i)
+      if (beat()) {
+        journal.line(fmt::format(R"({{"t":"leaving","instance":"{}","at":{}}})", instance, clock.now().count()));
+        break;
+      }
+    clock.nap(3000ms);
+    wire::Pool::stop(0);
+  }
+};
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  App a;
+  for (size_t i = 0; i < FLAGS_relays.size();) {
+    auto e = std::min(FLAGS_relays.find(',', i), FLAGS_relays.size());
+    a.relays.push_back(FLAGS_relays.substr(i, e - i));
+    i = e + 1;
+  }
+  if (a.relays.empty() || FLAGS_service.empty()) {
+    std::cerr << "worker: --service and --relays are needed\n";
+    return 2;
+  }
+  wire::HttpServer srv(a.pool, "worker", {}, [&](auto& q) { return a.answer(q); });
+  if (auto e = srv.listen(FLAGS_address, 1, 2)) {
+    std::cerr << "worker: " << *e << "\n";
+    return 3;
+  }
+  boost::asio::signal_set sigs(a.pool.io(0), SIGTERM, SIGINT);
+  sigs.async_wait([&](auto ec, int) {
+    if (!ec) a.pool.spawn([&] { a.leave(); });
+  });
+  a.pool.run([&] { a.beats(); });
+}
