--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -1,6 +1,6 @@
 // RapidJSON behind the Json and Schema faces. Its validator stops at the first
-// defect, so a schema is taken apart into levels, each checked on its own: that
-// way a document hears of every level that is wrong.
+// defect, so a schema is taken apart into levels, each checked on its own, and what
+// is missing or unknown is told by hand: a document hears of all that is wrong.
 #include "base/json.hpp"
 
 #define RAPIDJSON_HAS_STDSTRING 1
@@ -150,6 +150,7 @@
       t["additionalProperties"].SetObject();
     } else {
       n.closed = !s["additionalProperties"].GetBool();
+      t.RemoveMember("additionalProperties");
     }
   }
   if (s.HasMember("items")) {
@@ -158,6 +159,7 @@
   }
   if (s.HasMember("required"))
     for (auto& r : s["required"].GetArray()) n.required.push_back(r.GetString());
+  t.RemoveMember("required");
   n.doc = std::make_unique<rj::SchemaDocument>(t);
 }
 
@@ -165,16 +167,14 @@
   rj::SchemaValidator val(*n.doc);
   if (!v.Accept(val)) {
     std::string k = val.GetInvalidSchemaKeyword() ? val.GetInvalidSchemaKeyword() : "schema";
-    if (k == "required") {
-      for (auto& r : n.required)
-        if (!v.HasMember(r)) out.push_back({at + "/" + r, "is missing"});
-    } else if (k != "additionalProperties") {
-      rj::StringBuffer b;
-      rj::Writer<rj::StringBuffer> w(b);
-      if (n.text->HasMember(k)) (*n.text)[k].Accept(w);
-      out.push_back({at, fmt::format("breaks {} {}", k, b.GetString())});
-    }
+    rj::StringBuffer b;
+    rj::Writer<rj::StringBuffer> w(b);
+    if (n.text->HasMember(k)) (*n.text)[k].Accept(w);
+    out.push_back({at, fmt::format("breaks {} {}", k, b.GetString())});
   }
+  if (v.IsObject())
+    for (auto& r : n.required)
+      if (!v.HasMember(r)) out.push_back({at + "/" + r, "is missing"});
   if (v.IsObject())
     for (auto& m : v.GetObject()) {
       std::string k = m.name.GetString(), here = at + "/" + k;
--- /dev/null
+++ b/src/disk/files.hpp
@@ -0,0 +1,25 @@
+// The few files of a data folder. Every call that writes returns only once what
+// it wrote is synced.
+#pragma once
+#include "base/common.hpp"
+
+namespace dunlinwing::disk {
+
+struct OpenDefect {
+  std::string what;
+};
+
+class Files {
+ public:
+  virtual ~Files() = default;
+  virtual std::optional<std::string> read(const std::string& name) = 0;  // nothing: there is no such file
+  virtual bool replace(const std::string& name, const std::string& bytes) = 0;
+  virtual bool append(const std::string& name, const std::string& bytes) = 0;
+  virtual bool sync_folder() = 0;
+  virtual std::string place() const = 0;
+};
+
+// Locks the folder, so that no second relay uses it.
+std::variant<std::unique_ptr<Files>, OpenDefect> open_folder(const std::string& dir);
+
+}  // namespace dunlinwing::disk
--- a/src/disk/store.cpp
+++ b/src/disk/store.cpp
@@ -4,14 +4,7 @@
 // synced, then the folder is synced; only then is the old pair out of use.
 #include "disk/store.hpp"
 
-#include <fcntl.h>
-#include <sys/file.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <boost/crc.hpp>
-#include <cerrno>
-#include <cstring>
 
 #include "base/log.hpp"
 
@@ -36,27 +29,6 @@
   return v;
 }
 
-std::optional<std::string> slurp(const std::string& path) {
-  int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
-  if (fd < 0) return {};
-  std::string out;
-  char b[1 << 16];
-  ssize_t n;
-  while ((n = ::read(fd, b, sizeof b)) > 0) out.append(b, static_cast<size_t>(n));
-  ::close(fd);
-  if (n < 0) return {};
-  return out;
-}
-
-bool put_all(int fd, std::string_view s) {
-  while (!s.empty()) {
-    auto n = ::write(fd, s.data(), s.size());
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return false;
-    s.remove_prefix(static_cast<size_t>(n));
-  }
-  return true;
-}
 }  // namespace
 
 std::string frame(const std::string& p) {
@@ -91,32 +63,20 @@
 }
 
 struct Store::Impl {
-  std::string dir;
+  std::unique_ptr<Files> files;
   size_t log_bytes = 0, log_now = 0;
-  int dirfd = -1, log = -1, cur = 0;
+  int cur = 0;
   uint64_t serial = 0;
   bool broken = false;
 
-  std::string path(const char* n, int k) const { return fmt::format("{}/{}.{}", dir, n, k); }
-
-  bool write_new(const std::string& to, const std::string& bytes) {
-    int fd = ::open(to.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640);
-    if (fd < 0) return false;
-    bool ok = put_all(fd, bytes) && ::fsync(fd) == 0;
-    ::close(fd);
-    return ok;
-  }
+  static std::string part(const char* n, int k) { return fmt::format("{}.{}", n, k); }
 
   bool swap(const pb::Image& im) {
     int k = 1 - cur;
     auto n = std::to_string(serial + 1);
-    if (!write_new(path("log", k), frame(n))) return false;
-    if (!write_new(path("slot", k), frame(n) + frame(im.SerializeAsString()))) return false;
-    if (::fsync(dirfd) != 0) return false;
-    int fd = ::open(path("log", k).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-    if (fd < 0) return false;
-    if (log >= 0) ::close(log);
-    log = fd;
+    if (!files->replace(part("log", k), frame(n))) return false;
+    if (!files->replace(part("slot", k), frame(n) + frame(im.SerializeAsString()))) return false;
+    if (!files->sync_folder()) return false;
     cur = k;
     ++serial;
     log_now = 0;
@@ -124,24 +84,11 @@
   }
 };
 
-Store::Store() : p_(std::make_unique<Impl>()) {}
-Store::~Store() {
-  if (p_->log >= 0) ::close(p_->log);
-  if (p_->dirfd >= 0) ::close(p_->dirfd);
-}
-
-std::variant<std::unique_ptr<Store>, OpenDefect> Store::open(const std::string& dir, size_t log_bytes) {
-  std::unique_ptr<Store> s(new Store);
-  if (::mkdir(dir.c_str(), 0750) != 0 && errno != EEXIST)
-    return OpenDefect{fmt::format("cannot make the data folder {}: {}", dir, std::strerror(errno))};
-  s->p_->dir = dir;
-  s->p_->log_bytes = log_bytes;
-  s->p_->dirfd = ::open(dir.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (s->p_->dirfd < 0) return OpenDefect{fmt::format("cannot open the data folder {}: {}", dir, std::strerror(errno))};
-  if (::flock(s->p_->dirfd, LOCK_EX | LOCK_NB) != 0)
-    return OpenDefect{fmt::format("the data folder {} is in use by another relay", dir)};
-  return s;
+Store::Store(std::unique_ptr<Files> f, size_t log_bytes) : p_(std::make_unique<Impl>()) {
+  p_->files = std::move(f);
+  p_->log_bytes = log_bytes;
 }
+Store::~Store() = default;
 
 namespace {
 struct Half {
@@ -151,8 +98,8 @@
 };
 
 // One slot with its log, when the slot can be believed.
-std::optional<Half> half(const std::string& slot, const std::string& log, bool& damaged) {
-  auto b = slurp(slot);
+std::optional<Half> half(Files& fs, int k, bool& damaged) {
+  auto b = fs.read(fmt::format("slot.{}", k));
   if (!b || b->empty()) return {};
   auto [ps, t] = unframe(*b);
   Half h;
@@ -161,7 +108,7 @@
     return {};
   }
   h.serial = std::strtoull(ps[0].c_str(), nullptr, 10);
-  auto l = slurp(log);
+  auto l = fs.read(fmt::format("log.{}", k));
   if (!l) {
     h.doubt = true;
     return h;
@@ -185,7 +132,7 @@
       h.image.set_stage(r.stage());
   }
   h.image.clear_slots();
-  for (auto& [k, s] : m) *h.image.add_slots() = s;
+  for (auto& [n, s] : m) *h.image.add_slots() = s;
   return h;
 }
 }  // namespace
@@ -195,7 +142,7 @@
   bool damaged = false;
   std::optional<Half> best;
   for (int k = 0; k < 2; ++k) {
-    auto h = half(p.path("slot", k), p.path("log", k), damaged);
+    auto h = half(*p.files, k, damaged);
     if (h && (!best || h->serial > best->serial)) {
       best = h;
       p.cur = k;
@@ -207,26 +154,21 @@
     out.doubt = best->doubt;
     p.serial = best->serial;
     // A slot that was being written when the machine died is damaged without
-    // loss, for the other is still whole and its log goes on. The reverse, an
-    // older slot whose log was already given up, cannot be told apart by the
-    // slot alone, so the other slot's log decides: a synced head there means
-    // that slot had been put to use.
+    // loss, for the other is whole and its log went on. Had the damaged one
+    // been in use, its log would hold records, or the other's a later serial.
     if (damaged) {
-      auto other = slurp(p.path("log", 1 - p.cur));
-      if (other) {
-        auto [rs, t] = unframe(*other);
-        if (rs.size() > 1) out.doubt = true;
-      }
+      auto other = p.files->read(Impl::part("log", 1 - p.cur));
+      if (other && unframe(*other).first.size() > 1) out.doubt = true;
     }
   } else if (damaged) {
     out.doubt = true;
   }
   if (out.doubt) {
-    lg.error("What was synced to {} can no longer be read whole. It casts no vote until refilled.", p.dir);
+    lg.error("What was synced to {} can no longer be read whole. It casts no vote until refilled.", p.files->place());
     out.image = pb::Image();
   }
   if (!p.swap(out.image)) {
-    lg.error("The first image could not be written to {}: {}.", p.dir, std::strerror(errno));
+    lg.error("The first image could not be written to {}.", p.files->place());
     p.broken = true;
   }
   return out;
@@ -242,13 +184,13 @@
   if (p.log_now + b.size() > p.log_bytes) {
     ok = p.swap(whole());
   } else {
-    ok = put_all(p.log, b) && ::fdatasync(p.log) == 0;
+    ok = p.files->append(Impl::part("log", p.cur), b);
     p.log_now += b.size();
   }
   if (ok) return {};
   // After a failed sync nobody knows what is on the disk: it takes no more part.
   p.broken = true;
-  lg.error("A write to {} failed: {}. This holder votes no more until restarted.", p.dir, std::strerror(errno));
+  lg.error("A write to {} failed. This holder votes no more until restarted.", p.files->place());
   return base::DiskDefect::failed;
 }
 
--- a/src/disk/store.hpp
+++ b/src/disk/store.hpp
@@ -3,13 +3,10 @@
 // checksum; what cannot be believed is said, never guessed.
 #pragma once
 #include "base/ports.hpp"
+#include "disk/files.hpp"
 
 namespace dunlinwing::disk {
 
-struct OpenDefect {
-  std::string what;
-};
-
 // The bytes of the format, apart from any file, so that tests can tear them.
 std::string frame(const std::string& payload);
 enum class Tail { clean, torn, corrupt };
@@ -19,14 +16,13 @@
 
 class Store final : public base::Disk {
  public:
-  static std::variant<std::unique_ptr<Store>, OpenDefect> open(const std::string& dir, size_t log_bytes);
+  Store(std::unique_ptr<Files> f, size_t log_bytes);
   ~Store() override;
   base::Loaded load() override;
   std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
                                        const std::function<pb::Image()>& whole) override;
 
  private:
-  Store();
   struct Impl;
   std::unique_ptr<Impl> p_;
 };
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -133,12 +133,13 @@
     lg.warn("{}: HOLDS ARE DIVIDED BY {}. This is for trying things out, never for real machines.", c->node.name,
             c->node.scale);
   if (!c->data.empty()) {
-    auto s = dw::disk::Store::open(c->data, c->log_bytes);
-    if (auto* d = std::get_if<dw::disk::OpenDefect>(&s)) {
+    auto f = dw::disk::open_folder(c->data);
+    if (auto* d = std::get_if<dw::disk::OpenDefect>(&f)) {
       lg.error("{}: {}.", c->node.name, d->what);
       return kCannotStart;
     }
-    app.disk = std::make_unique<dw::disk::Aside>(std::move(std::get<0>(s)), app.pool);
+    auto s = std::make_unique<dw::disk::Store>(std::move(std::get<0>(f)), c->log_bytes);
+    app.disk = std::make_unique<dw::disk::Aside>(std::move(s), app.pool);
   }
   app.node = std::make_unique<dw::relay::Node>(app.ports, c->node, app.disk.get());
   app.control = std::make_unique<dw::gate::Control>(app.ports, *app.node);
--- /dev/null
+++ b/src/sim/fleet.cpp
@@ -0,0 +1,324 @@
+// Hosts keep their platters over restarts; everything else of a process is
+// made anew. A killed process is buried once its last fiber has unwound.
+#include "sim/fleet.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace dunlinwing::sim {
+
+struct Fleet::Grave {
+  Host h;
+};
+
+// Requests reach a simulated worker by its address, whoever stands there now.
+class SimOrigin final : public base::Origin {
+ public:
+  SimOrigin(Fleet& f, LifePtr l) : f_(f), l_(std::move(l)) {}
+  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
+                                                      Span limit) override {
+    auto& w = f_.w_;
+    auto nap = [&](Span s) {
+      Wait x;
+      w.park(l_, s, x);
+    };
+    auto find = [&]() -> Worker* {
+      for (auto& x : f_.workers_)
+        if (x->alive && x->address == addr) return x.get();
+      return nullptr;
+    };
+    nap(Span(1));
+    auto* x = find();
+    if (!x) return base::ShotDefect::unsent;
+    auto h = [&](const char* n) { return base::header(q.headers, n); };
+    if (h("Dunlinwing-Instance") != x->instance || h("Dunlinwing-Service") != x->service ||
+        h("Dunlinwing-Version") != x->version) {
+      ++w.met["wrong_address"];
+      return base::Receipt{421, {}, ""};
+    }
+    if (static_cast<int>(w.below(100)) < x->refuse_percent) {
+      ++w.met["worker_refused"];
+      return base::Receipt{503, head(*x, h("Dunlinwing-Request"), {{"Dunlinwing-Outcome", "not-run"}}), ""};
+    }
+    Span took = x->least + Span(w.below(static_cast<uint64_t>((x->most - x->least).count()) + 1));
+    auto at = w.now().count();
+    bool bad = static_cast<int>(w.below(100)) < x->bad_percent, wrong = static_cast<int>(w.below(100)) < x->wrong_percent;
+    auto body = fmt::format(R"({{"target":"{}","echo":"{}","produced":{}}})", q.target, h("Caller-Id"), at);
+    auto sum = base::sha256_base64(body);
+    w.journal.push_back(fmt::format(
+        R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"{}","out":"{}","service":"{}","version":"{}","instance":"{}","at":{},"bad":{}}})",
+        h("Caller-Id"), q.method, q.target, base::sha256_base64(q.body), sum, x->service, x->version, x->instance, at,
+        bad || wrong));
+    auto name = x->instance;
+    nap(std::min(took, limit));
+    if (took > limit) {
+      ++w.met["slow_worker"];
+      return base::ShotDefect::unknown;
+    }
+    x = find();
+    if (!x || x->instance != name) {
+      ++w.met["worker_died_in_request"];
+      return base::ShotDefect::unknown;
+    }
+    if (static_cast<int>(w.below(100)) < x->lose_percent) {
+      ++w.met["lost_answer"];
+      nap(limit - took);
+      return base::ShotDefect::unknown;
+    }
+    base::Receipt r{bad ? 500 : 200, head(*x, h("Dunlinwing-Request"), {{"Content-Digest", "sha-256=:" + sum + ":"}}), body};
+    if (wrong) r.body[r.body.size() / 2] ^= 1;
+    if (bad) ++w.met["bad_answer"];
+    if (wrong) ++w.met["wrong_bytes"];
+    if (x->max_age && q.method == "GET") r.headers.emplace_back("Cache-Control", fmt::format("max-age={}", x->max_age));
+    return r;
+  }
+
+ private:
+  static std::vector<std::pair<std::string, std::string>> head(const Worker& x, const std::string& rid,
+                                                               std::vector<std::pair<std::string, std::string>> more) {
+    more.emplace_back("Dunlinwing-Service", x.service);
+    more.emplace_back("Dunlinwing-Version", x.version);
+    more.emplace_back("Dunlinwing-Instance", x.instance);
+    more.emplace_back("Dunlinwing-Request", rid);
+    return more;
+  }
+  Fleet& f_;
+  LifePtr l_;
+};
+
+Fleet::Fleet(World& w, FleetShape s) : w_(w), s_(s), out_(std::make_shared<Life>()) {
+  out_->host = "outside";
+  for (int i = 0; i < s.holders + s.edges; ++i) {
+    auto h = std::make_unique<Host>();
+    h->holder = i < s.holders;
+    h->shield = h->holder && i >= s.holders - 2;
+    h->name = fmt::format("{}{}", h->holder ? "h" : "e", h->holder ? i + 1 : i - s.holders + 1);
+    h->zone = std::string(1, static_cast<char>('a' + i % 3));
+    h->address = "peer:" + h->name;
+    h->wall = s.wall0;
+    hosts_.push_back(std::move(h));
+  }
+}
+
+Fleet::~Fleet() = default;
+
+Host& Fleet::at(const std::string& n) {
+  for (auto& h : hosts_)
+    if (h->name == n) return *h;
+  throw std::logic_error("no host " + n);
+}
+
+void Fleet::start(const std::string& n) {
+  auto& h = at(n);
+  if (h.up()) return;
+  h.life = std::make_shared<Life>();
+  h.life->host = n;
+  h.clock = std::make_unique<Clock>(w_, h.life, &h.wall);
+  h.chance = std::make_unique<Chance>(w_);
+  h.tasks = std::make_unique<Tasks>(w_, h.life);
+  h.net = std::make_unique<Net>(w_, h.life, dir_);
+  h.origin = std::make_unique<SimOrigin>(*this, h.life);
+  h.ports.reset(new base::Ports{*h.clock, *h.chance, *h.tasks, *h.net, *h.origin});
+  if (h.holder) h.disk = std::make_unique<Disk>(w_, h.life, h.platter);
+  relay::NodeConfig c;
+  c.name = n;
+  c.zone = h.zone;
+  c.peer_address = h.address;
+  c.http_address = "http:" + n;
+  c.shield = h.shield;
+  c.bound = s_.bound;
+  c.scale = s_.scale;
+  for (auto& x : hosts_)
+    if (x->holder) c.holders.push_back({x->name, x->address});
+  h.node = std::make_unique<relay::Node>(*h.ports, c, h.disk.get());
+  h.control = std::make_unique<gate::Control>(*h.ports, *h.node);
+  auto* node = h.node.get();
+  dir_[h.address] = {n, h.life, [node](const pb::Ask& a) {
+                       if (!a.has_carry()) return node->answer(a);
+                       pb::Reply r;
+                       *r.mutable_carry() = node->carry(a.carry());
+                       return r;
+                     }};
+  w_.spawn(h.life, [node] { node->start(); });
+}
+
+void Fleet::start_all() {
+  for (auto& h : hosts_) start(h->name);
+}
+
+void Fleet::kill(const std::string& n) {
+  auto& h = at(n);
+  if (!h.up()) return;
+  ++w_.met["kill"];
+  w_.kill(h.life);
+  auto g = std::make_unique<Grave>();
+  g->h.life = h.life;
+  g->h.clock = std::move(h.clock);
+  g->h.chance = std::move(h.chance);
+  g->h.tasks = std::move(h.tasks);
+  g->h.net = std::move(h.net);
+  g->h.origin = std::move(h.origin);
+  g->h.ports = std::move(h.ports);
+  g->h.disk = std::move(h.disk);
+  g->h.node = std::move(h.node);
+  g->h.control = std::move(h.control);
+  graves_.push_back(std::move(g));
+}
+
+void Fleet::wipe(const std::string& n) {
+  ++w_.met["lost_disk"];
+  // What a dying process still writes must not land on the new disk.
+  w_.after(Span(1), [this, n] { at(n).platter.files.clear(); });
+}
+
+void Fleet::cut_off(const std::string& n) {
+  for (auto& h : hosts_)
+    if (h->name != n) {
+      w_.cut(n, h->name);
+      w_.cut(h->name, n);
+    }
+}
+
+Host* Fleet::some(bool only_ready) {
+  std::vector<Host*> v;
+  for (auto& h : hosts_)
+    if (h->up() && !w_.frozen(h->name) && (!only_ready || h->node->ready())) v.push_back(h.get());
+  return v.empty() ? nullptr : v[w_.below(v.size())];
+}
+
+Worker& Fleet::add_worker(const std::string& service, const std::string& version, int64_t max_age) {
+  auto x = std::make_unique<Worker>();
+  x->service = service;
+  x->version = version;
+  x->zone = std::string(1, static_cast<char>('a' + workers_.size() % 3));
+  x->instance = fmt::format("i{}", workers_.size() + 1);
+  x->address = fmt::format("10.0.0.{}:80", workers_.size() + 1);
+  x->max_age = max_age;
+  auto* p = x.get();
+  workers_.push_back(std::move(x));
+  outside([this, p] {
+    while (p->alive) {
+      beat(*p);
+      nap(Span(1000));
+    }
+  });
+  return *p;
+}
+
+void Fleet::beat(Worker& x) {
+  auto body = fmt::format(
+      R"({{"service":"{}","version":"{}","instance":"{}","zone":"{}","address":"{}","capacity":16,"leaving":{},"number":{},"period_ms":1000}})",
+      x.service, x.version, x.instance, x.zone, x.address, x.leaving, ++x.beats);
+  bool leaving = x.leaving;
+  for (int i = 0; i < 3 && x.alive; ++i) {
+    auto t = tell("POST", "/v1/beats", body);
+    if (t.status != 200) continue;
+    if (leaving)
+      w_.journal.push_back(fmt::format(R"({{"t":"leaving","instance":"{}","at":{}}})", x.instance, w_.now().count()));
+    return;
+  }
+}
+
+void Fleet::outside(std::function<void()> f) { w_.spawn(out_, std::move(f)); }
+
+void Fleet::nap(Span s) {
+  Wait x;
+  w_.park(out_, s, x);
+}
+
+bool Fleet::until(Span most, const std::function<bool()>& f) {
+  auto end = w_.now() + most;
+  while (!f()) {
+    if (w_.now() >= end) return false;
+    nap(Span(50));
+  }
+  return true;
+}
+
+namespace {
+struct Visit {
+  bool done = false, lost = false;
+  base::Receipt r;
+  Wait wait;
+};
+}  // namespace
+
+// One HTTP exchange with a host: lost when its process dies or never answers.
+static std::shared_ptr<Visit> visit(World& w, const LifePtr& out, Host& h, base::Request q, bool control, Span most) {
+  auto v = std::make_shared<Visit>();
+  auto qp = std::make_shared<base::Request>(std::move(q));
+  auto* node = h.node.get();
+  auto* ctl = h.control.get();
+  auto go = std::make_shared<std::function<void()>>();
+  *go = [&w, v, qp, node, ctl, control, life = h.life, go] {
+    if (life->dead) return;
+    if (w.frozen(life->host)) return w.after(Span(50), *go);
+    w.spawn(life, [&w, v, qp, node, ctl, control] {
+      v->r = control ? ctl->answer(*qp) : node->serve(*qp);
+      v->done = true;
+      w.wake(v->wait);
+    });
+  };
+  w.after(Span(1), *go);
+  auto end = w.now() + most;
+  while (!v->done && w.now() < end && !h.life->dead) w.park(out, std::min<Span>(end - w.now(), Span(200)), v->wait);
+  v->lost = !v->done;
+  return v;
+}
+
+Told Fleet::tell(const std::string& method, const std::string& target, const std::string& body,
+                 std::vector<std::pair<std::string, std::string>> hs) {
+  auto* h = some(false);
+  if (!h) return {0, {}, {}, true};
+  auto v = visit(w_, out_, *h, {"", method, target, body, std::move(hs)}, true, Span(5000));
+  if (v->lost) return {0, {}, {}, true};
+  return {v->r.status, v->r.body, base::header(v->r.headers, "ETag"), false};
+}
+
+void Fleet::call(const std::string& method, const std::string& target, const std::string& body) {
+  auto* h = some(true);
+  if (!h) h = some(false);
+  if (!h) return;
+  base::Request q{"", method, target, body, {}};
+  auto id = fmt::format("c{}", ++named_);
+  q.headers.emplace_back("Caller-Id", id);
+  auto from = w_.now().count();
+  w_.journal.push_back(fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":"{}","in":"{}","at":{}}})", id,
+                                   method, target, base::sha256_base64(body), from));
+  ++calls;
+  auto v = visit(w_, out_, *h, std::move(q), false, Span(10000));
+  if (v->lost) {
+    w_.journal.push_back(fmt::format(R"({{"t":"lost","id":"{}"}})", id));
+    return;
+  }
+  auto& r = v->r;
+  good += r.status < 400;
+  int64_t produced = -1;
+  if (auto i = r.body.find("\"produced\":"); r.status == 200 && i != r.body.npos)
+    produced = std::strtoll(r.body.c_str() + i + 11, nullptr, 10);
+  w_.journal.push_back(fmt::format(
+      R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","from":{},"at":{},"relay":"{}"}})",
+      id, r.status, base::header(r.headers, "Dunlinwing-Outcome"), base::sha256_base64(r.body), produced,
+      base::header(r.headers, "Dunlinwing-Generation"), from, w_.now().count(), h->name));
+}
+
+void Fleet::callers(int per_second, Tick until, std::function<void()> one) {
+  outside([this, per_second, until, one] {
+    while (w_.now() < until) {
+      outside(one);
+      nap(Span(1000 / per_second));
+    }
+  });
+}
+
+void Fleet::event(const std::string& f) {
+  w_.journal.push_back(fmt::format("{{{},\"at\":{}}}", f, w_.now().count()));
+}
+
+void Fleet::end() {
+  w_.kill(out_);
+  for (auto& h : hosts_) kill(h->name);
+}
+
+}  // namespace dunlinwing::sim
--- /dev/null
+++ b/src/sim/fleet.hpp
@@ -0,0 +1,94 @@
+// A simulated deployment: relays of the product, workers, callers and
+// operators, and the faults that can befall them. Journals come out in the
+// form of the stand-ins', so that one checker reads both.
+#pragma once
+#include "gate/control.hpp"
+#include "sim/ports.hpp"
+
+namespace dunlinwing::sim {
+
+struct FleetShape {
+  int holders = 5, edges = 4;
+  double scale = 600;
+  Span bound{2000};
+  int64_t wall0 = 1700000000000;
+};
+
+struct Host {
+  std::string name, zone, address;
+  bool holder = false, shield = false;
+  Platter platter;
+  int64_t wall = 0;
+  LifePtr life;
+  std::unique_ptr<Clock> clock;
+  std::unique_ptr<Chance> chance;
+  std::unique_ptr<Tasks> tasks;
+  std::unique_ptr<Net> net;
+  std::unique_ptr<base::Origin> origin;
+  std::unique_ptr<base::Ports> ports;
+  std::unique_ptr<Disk> disk;
+  std::unique_ptr<relay::Node> node;
+  std::unique_ptr<gate::Control> control;
+  bool up() const { return life && !life->dead; }
+};
+
+struct Worker {
+  std::string service, version, zone, instance, address;
+  bool alive = true, leaving = false;
+  int bad_percent = 0, lose_percent = 0, wrong_percent = 0, refuse_percent = 0;
+  Span least{1}, most{8};
+  int64_t max_age = 0;
+  uint64_t beats = 0;
+};
+
+struct Told {  // an operator's call and its answer
+  int status = 0;
+  std::string body, etag;
+  bool lost = false;
+};
+
+class Fleet {
+ public:
+  Fleet(World& w, FleetShape s);
+  ~Fleet();
+  void start(const std::string& host);
+  void start_all();
+  void kill(const std::string& host);
+  void wipe(const std::string& host);
+  void cut_off(const std::string& host);  // both ways, from all
+  Host& at(const std::string& name);
+  std::vector<std::unique_ptr<Host>>& hosts() { return hosts_; }
+  Host* some(bool only_ready);
+
+  Worker& add_worker(const std::string& service, const std::string& version, int64_t max_age);
+  std::vector<std::unique_ptr<Worker>>& workers() { return workers_; }
+
+  // Fibers of the outside world.
+  void call(const std::string& method, const std::string& target, const std::string& body = {});
+  void callers(int per_second, Tick until, std::function<void()> one);
+  Told tell(const std::string& method, const std::string& target, const std::string& body,
+            std::vector<std::pair<std::string, std::string>> hs = {});
+  void outside(std::function<void()> f);
+  void nap(Span s);
+  bool until(Span most, const std::function<bool()>& f);
+  void event(const std::string& fields);
+
+  World& world() { return w_; }
+  void end();  // kills all, so that every fiber unwinds
+  uint64_t calls = 0, good = 0;
+
+ private:
+  friend class SimOrigin;
+  void beat(Worker& w);
+  World& w_;
+  FleetShape s_;
+  Directory dir_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::vector<std::unique_ptr<Worker>> workers_;
+  struct Grave;
+  std::vector<std::unique_ptr<Grave>> graves_;
+  LifePtr out_;
+  uint64_t named_ = 0;
+};
+
+}  // namespace dunlinwing::sim
--- /dev/null
+++ b/src/sim/ports.cpp
@@ -0,0 +1,122 @@
+// Messages take their time, get lost, come twice and overtake each other; both
+// directions of a link can be cut apart from each other.
+#include "sim/ports.hpp"
+
+namespace dunlinwing::sim {
+
+void Clock::nap(Span s) {
+  Wait w;
+  w_.park(l_, s, w);
+}
+
+namespace {
+class SimSpot final : public base::Spot {
+ public:
+  SimSpot(World& w, LifePtr l) : w_(w), l_(std::move(l)) {}
+  bool park(Span s) override { return w_.park(l_, s, wait_); }
+  void wake() override { w_.wake(wait_); }
+
+ private:
+  World& w_;
+  LifePtr l_;
+  Wait wait_;
+};
+}  // namespace
+
+std::shared_ptr<base::Spot> Tasks::spot() { return std::make_shared<SimSpot>(w_, l_); }
+
+std::variant<pb::Reply, base::NetDefect> Net::ask(const std::string& addr, const pb::Ask& a, Span limit) {
+  struct Talk {
+    std::optional<pb::Reply> reply;
+    bool refused = false;
+    Wait wait;
+  };
+  auto t = std::make_shared<Talk>();
+  auto back = [this, t, from = l_->host](const std::string& to, std::optional<pb::Reply> r) {
+    if (w_.cut_off(to, from)) return void(++w_.met["cut"]);
+    if (w_.chance(w_.weather.loss_permille)) return void(++w_.met["loss"]);
+    Span d = w_.weather.least + Span(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
+    w_.after(d, [this, t, r = std::move(r)] {
+      if (t->reply || t->refused) return;
+      if (r)
+        t->reply = r;
+      else
+        t->refused = true;
+      w_.wake(t->wait);
+    });
+  };
+  auto f = d_.find(addr);
+  auto host = f == d_.end() ? std::string() : f->second.host;
+  auto send = [&] {
+    if (w_.cut_off(l_->host, host)) return void(++w_.met["cut"]);
+    if (w_.chance(w_.weather.loss_permille)) return void(++w_.met["loss"]);
+    Span d = w_.weather.least + Span(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
+    // What a frozen host is sent waits in its sockets until the thaw.
+    auto arrive = std::make_shared<std::function<void()>>();
+    *arrive = [this, addr, a, host, back, arrive] {
+      auto p = d_.find(addr);
+      if (p == d_.end() || !p->second.life || p->second.life->dead) return back(host, {});
+      if (w_.frozen(host)) return w_.after(Span(50), *arrive);
+      w_.spawn(p->second.life, [answer = p->second.answer, a, back, host] { back(host, answer(a)); });
+    };
+    w_.after(d, *arrive);
+  };
+  send();
+  if (w_.chance(w_.weather.twice_permille)) {
+    ++w_.met["twice"];
+    send();
+  }
+  Tick end = w_.now() + limit;
+  while (!t->reply && !t->refused && w_.now() < end) w_.park(l_, end - w_.now(), t->wait);
+  if (t->reply) return *t->reply;
+  return t->refused ? base::NetDefect::unreachable : base::NetDefect::timed_out;
+}
+
+std::optional<std::string> MemFiles::read(const std::string& n) {
+  auto f = p_.files.find(n);
+  if (f == p_.files.end()) return {};
+  return f->second;
+}
+
+bool MemFiles::replace(const std::string& n, const std::string& b) {
+  if (p_.failing) return false;
+  auto k = std::min(room, b.size());
+  if (k == 0 && !b.empty()) return false;
+  p_.files[n] = b.substr(0, k);
+  if (room != std::string::npos) room -= k;
+  return k == b.size();
+}
+
+bool MemFiles::append(const std::string& n, const std::string& b) {
+  if (p_.failing) return false;
+  auto k = std::min(room, b.size());
+  p_.files[n] += b.substr(0, k);
+  if (room != std::string::npos) room -= k;
+  return k == b.size();
+}
+
+Disk::Disk(World& w, LifePtr l, Platter& p) : w_(w), l_(std::move(l)), p_(p) {
+  auto f = std::make_unique<MemFiles>(p);
+  f_ = f.get();
+  s_ = std::make_unique<disk::Store>(std::move(f), 16384);
+}
+
+std::optional<base::DiskDefect> Disk::save(const std::vector<pb::Record>& rs,
+                                           const std::function<pb::Image()>& whole) {
+  Span d = p_.least + Span(w_.below(static_cast<uint64_t>((p_.most - p_.least).count()) + 1));
+  if (d > Span(100)) ++w_.met["slow_disk"];
+  try {
+    Wait w;
+    w_.park(l_, d, w);
+  } catch (const Dead&) {
+    auto dice = w_.below(3);
+    if (dice == 0) f_->room = 0;
+    if (dice == 1) f_->room = w_.below(64);
+    ++w_.met[dice == 1 ? "torn_write" : "crash_in_write"];
+    s_->save(rs, whole);
+    throw;
+  }
+  return s_->save(rs, whole);
+}
+
+}  // namespace dunlinwing::sim
--- /dev/null
+++ b/src/sim/world.cpp
@@ -0,0 +1,109 @@
+// The event list is the idle hook of the fiber scheduler: when no fiber is
+// ready, the next event happens. A frozen host's fibers are not woken before
+// its thaw; a dead one's are woken once, to unwind.
+#include "sim/world.hpp"
+
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/fiber.hpp>
+
+#include "wire/loop.hpp"
+
+namespace dunlinwing::sim {
+namespace bf = boost::fibers;
+
+World::World(uint64_t seed) : rng_(seed) {}
+World::~World() = default;
+
+void World::at(Tick t, std::function<void()> f) {
+  events_.emplace(std::make_pair(std::max(t, now_), order_++), Event{std::move(f)});
+}
+
+void World::step() {
+  auto i = events_.begin();
+  now_ = i->first.first;
+  auto f = std::move(i->second.f);
+  events_.erase(i);
+  ++steps_;
+  f();
+  if (check_) check_();
+}
+
+void World::run(Tick until, std::function<void()> check, std::function<void()> first) {
+  check_ = std::move(check);
+  auto* me = bf::context::active();
+  bool done = false;
+  at(until, [&] {
+    done = true;
+    bf::context::active()->schedule(me);
+  });
+  wire::run_fibers([this] { step(); }, [] {}, [&] {
+    if (first) first();
+    while (!done) me->suspend();
+  });
+  check_ = nullptr;
+}
+
+void World::spawn(const LifePtr& l, std::function<void()> f) {
+  ++l->fibers;
+  bf::fiber(bf::launch::post, [l, f = std::move(f)] {
+    try {
+      if (!l->dead) f();
+    } catch (const Dead&) {
+    }
+    --l->fibers;
+  }).detach();
+}
+
+bool World::park(const LifePtr& l, Span s, Wait& w) {
+  if (l->dead) throw Dead{};
+  w.life = l;
+  if (!w.woken) {
+    w.fiber = bf::context::active();
+    w.due = false;
+    auto turn = w.turn = ++turns_;
+    l->waits.insert(&w);
+    at(now_ + std::max(s, Span(0)), [this, l, &w, turn] {
+      if (l->waits.count(&w) && w.turn == turn) resume(&w);
+    });
+    while (!w.due) bf::context::active()->suspend();
+    l->waits.erase(&w);
+    w.fiber = nullptr;
+  }
+  if (l->dead) throw Dead{};
+  return std::exchange(w.woken, false);
+}
+
+void World::resume(Wait* w) {
+  if (w->due || !w->fiber) return;
+  if (auto f = frozen_.find(w->life->host); f != frozen_.end() && f->second > now_ && !w->life->dead) {
+    at(f->second, [this, l = w->life, w, turn = w->turn] {
+      if (l->waits.count(w) && w->turn == turn) resume(w);
+    });
+    return;
+  }
+  w->due = true;
+  bf::context::active()->schedule(static_cast<bf::context*>(w->fiber));
+}
+
+void World::wake(Wait& w) {
+  w.woken = true;
+  if (w.fiber) resume(&w);
+}
+
+void World::kill(const LifePtr& l) {
+  l->dead = true;
+  frozen_.erase(l->host);
+  for (auto* w : std::set<Wait*>(l->waits)) resume(w);
+}
+
+void World::freeze(const std::string& h, Tick until) {
+  frozen_[h] = until;
+  ++met["freeze"];
+}
+
+bool World::frozen(const std::string& h) const {
+  auto f = frozen_.find(h);
+  return f != frozen_.end() && f->second > now_;
+}
+
+}  // namespace dunlinwing::sim
--- /dev/null
+++ b/src/sim/world.hpp
@@ -0,0 +1,80 @@
+// A whole fleet in one thread on invented time. Every host runs the product's
+// own Node and Control; only the ports are simulated. All that happens is an
+// event in one list, drawn from one seed, so that a run can be had again to
+// the letter. A rule check runs after each event.
+#pragma once
+#include <random>
+#include <set>
+
+#include "base/ports.hpp"
+
+namespace dunlinwing::sim {
+
+struct Dead {};  // thrown in the fibers of a process that was killed
+
+// One run of one process: what its fibers wait on dies with it.
+struct Life {
+  std::string host;
+  bool dead = false;
+  int fibers = 0;
+  std::set<struct Wait*> waits;
+};
+using LifePtr = std::shared_ptr<Life>;
+
+struct Weather {  // what the network does to messages
+  int loss_permille = 0, twice_permille = 0;
+  Span least{1}, most{3};
+};
+
+class World {
+ public:
+  explicit World(uint64_t seed);
+  ~World();
+  Tick now() const { return now_; }
+  uint64_t draw() { return rng_(); }
+  uint64_t below(uint64_t n) { return n ? rng_() % n : 0; }
+  bool chance(int permille) { return below(1000) < static_cast<uint64_t>(permille); }
+
+  void at(Tick t, std::function<void()> f);
+  void after(Span s, std::function<void()> f) { at(now_ + s, std::move(f)); }
+  // Runs events and the fibers they wake until the time has come.
+  void run(Tick until, std::function<void()> check, std::function<void()> first);
+  uint64_t steps() const { return steps_; }
+
+  void spawn(const LifePtr& l, std::function<void()> f);
+  bool park(const LifePtr& l, Span s, struct Wait& w);  // true when woken
+  void wake(struct Wait& w);
+  void kill(const LifePtr& l);
+  void freeze(const std::string& host, Tick until);
+  bool frozen(const std::string& host) const;
+
+  void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
+  void mend() { cuts_.clear(); }
+  bool cut_off(const std::string& from, const std::string& to) const { return cuts_.count({from, to}) > 0; }
+  Weather weather;
+  std::map<std::string, uint64_t> met;  // faults that a run in truth met
+  std::vector<std::string> journal;     // lines as the stand-ins write them
+
+ private:
+  void step();
+  void resume(struct Wait* w);
+  struct Event {
+    std::function<void()> f;
+  };
+  std::multimap<std::pair<Tick, uint64_t>, Event> events_;
+  std::mt19937_64 rng_;
+  Tick now_{1000000};
+  uint64_t steps_ = 0, order_ = 0, turns_ = 0;
+  std::map<std::string, Tick> frozen_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::function<void()> check_;
+};
+
+struct Wait {
+  LifePtr life;
+  void* fiber = nullptr;
+  bool woken = false, due = false;
+  uint64_t turn = 0;  // tells a late timer from this one's
+};
+
+}  // namespace dunlinwing::sim
--- a/src/traffic/budget.cpp
+++ b/src/traffic/budget.cpp
@@ -1,34 +1,28 @@
-// A repeat counts from when it is granted, a request from when it is sent.
+// Each request sent earns a fifth of a repeat, and no more is ever saved up than
+// this relay's part of the allowance: so no stretch of time, ten seconds or
+// other, can hold more repeats than the allowance and a fifth of its requests.
 #include "traffic/budget.hpp"
 
 #include <algorithm>
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr Span kWindow{10000};
-constexpr size_t kShare = 5;  // repeats may be one in this many requests
+constexpr double kEarned = 0.2;
+constexpr double kMargin = 0.75;  // of the allowance: what arrives is less even than what leaves
 }  // namespace
 
-void Repeats::trim(Window& w) {
-  Tick from = clock_.now() - kWindow;
-  while (!w.sent.empty() && w.sent.front() <= from) w.sent.pop_front();
-  while (!w.again.empty() && w.again.front() <= from) w.again.pop_front();
-}
-
 void Repeats::sent(const std::string& s) {
   std::lock_guard l(m_);
-  auto& w = by_[s];
-  trim(w);
-  w.sent.push_back(clock_.now());
+  earned_[s] += kEarned;
 }
 
 bool Repeats::grant(const std::string& s, int64_t allowance, int nodes) {
   std::lock_guard l(m_);
-  auto& w = by_[s];
-  trim(w);
-  auto extra = static_cast<size_t>(allowance / std::max(nodes, 1));
-  if (w.again.size() + 1 > w.sent.size() / kShare + extra) return false;
-  w.again.push_back(clock_.now());
+  auto& e = earned_[s];
+  double most = std::max(1.0, kMargin * static_cast<double>(allowance) / std::max(nodes, 1));
+  e = std::min(e, most);
+  if (e < 1) return false;
+  e -= 1;
   return true;
 }
 
--- a/src/traffic/budget.hpp
+++ b/src/traffic/budget.hpp
@@ -1,7 +1,6 @@
 // Bounds that hold over the whole fleet because each relay keeps its own part:
 // repeats as a share of requests in any ten seconds, and an origin's rate.
 #pragma once
-#include <deque>
 #include <mutex>
 
 #include "base/ports.hpp"
@@ -10,20 +9,14 @@
 
 class Repeats {
  public:
-  explicit Repeats(base::Clock& c) : clock_(c) {}
   void sent(const std::string& service);
   // True, and counted, when one more repeat stays within a fifth of the
-  // requests of the window plus this relay's part of the allowance.
+  // requests plus this relay's part of the allowance, over any time at all.
   bool grant(const std::string& service, int64_t allowance, int nodes);
 
  private:
-  struct Window {
-    std::deque<Tick> sent, again;
-  };
-  void trim(Window& w);
-  base::Clock& clock_;
   std::mutex m_;
-  std::map<std::string, Window> by_;
+  std::map<std::string, double> earned_;  // repeats earned and not yet spent
 };
 
 // Spaces sends evenly at this relay's share of a stated rate.
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -136,6 +136,7 @@
       direct.again = !(x && x->has_carry() && x->carry().not_run());
     }
     auto f = shots.run(direct);
+    if (f.fate == Fate::not_run && direct.again) f.fate = Fate::unknown;  // the shield may have had it run
     if (f.fate != Fate::answered) return {of(std::move(f)), nullptr};
     auto life = cache::lifetime(get, f.receipt);
     i->born -= cache::age_header(f.receipt);
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -59,7 +59,7 @@
 
   Impl(base::Ports& p, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
       : ps(p), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.chance),
-        repeats(p.clock), pace(p.clock), waits(p) {}
+        pace(p.clock), waits(p) {}
 
   // Whether what came back is the named worker's own whole answer to this request.
   Look look(const base::Receipt& r, const Worker& w, const base::Request& q) const {
@@ -158,13 +158,13 @@
       if (!left) last = {Fate::not_run, {}, {}, "this node's news is too old"};
       break;
     }
-    if (!must_pay) p.repeats.sent(s.name);
     p.places.began(*to);
     auto r = p.ps.origin.shoot(to->address, q, limit);
     auto* a = std::get_if<base::Receipt>(&r);
     Look l = a ? p.look(*a, *to, q) : Look::broken;
     auto* d = std::get_if<base::ShotDefect>(&r);
     bool unsent = d && *d == base::ShotDefect::unsent;
+    if (!must_pay && !unsent) p.repeats.sent(s.name);
     if (d && *d == base::ShotDefect::not_run) l = Look::not_run;
     std::optional<int> load;
     if (a && l != Look::broken) {
--- /dev/null
+++ b/test/checker.cpp
@@ -0,0 +1,305 @@
+// Times are all of one machine's boot clock, so they compare. Where a journal
+// shows something later than it happened, the rule is checked in the sense
+// that can only miss a breach by that margin, never invent one.
+#include "checker.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+
+namespace dunlinwing::test {
+namespace {
+constexpr int64_t kBound = 2000;
+
+struct Ask {
+  std::string method, target, in;
+  int64_t at = 0;
+};
+struct Got {
+  std::string id, outcome, out, relay;
+  int64_t status = 0, produced = -1, gen = -1, from = 0, at = 0;
+};
+struct Ran {
+  std::string id, method, target, in, out, service, version, instance;
+  int64_t at = 0;
+  bool bad = false;
+};
+
+struct Book {
+  std::map<std::string, Ask> asks;
+  std::vector<Got> gots;
+  std::vector<Ran> runs;
+  std::map<std::string, int64_t> leaving, gone;  // instance -> when known
+  std::vector<base::Json> events;
+  uint64_t lost = 0;
+};
+
+int64_t number(const std::string& s) { return s.empty() ? -1 : std::strtoll(s.c_str(), nullptr, 10); }
+
+Book sort_out(const Journals& js) {
+  Book b;
+  for (auto& j : js.lines) {
+    auto t = j.at("t").str();
+    auto s = [&](const char* k) { return j.at(k).str(); };
+    if (t == "ask") {
+      b.asks[s("id")] = {s("method"), s("target"), s("in"), j.at("at").num()};
+    } else if (t == "got") {
+      b.gots.push_back({s("id"), s("outcome"), s("out"), s("relay"), j.at("status").num(), j.at("produced").num(-1),
+                        number(s("gen")), j.at("from").num(), j.at("at").num()});
+    } else if (t == "run") {
+      b.runs.push_back({s("id"), s("method"), s("target"), s("in"), s("out"), s("service"), s("version"),
+                        s("instance"), j.at("at").num(), j.at("bad").flag()});
+    } else if (t == "leaving") {
+      b.leaving[s("instance")] = j.at("at").num();
+    } else if (t == "lost") {
+      ++b.lost;
+    } else {
+      b.events.push_back(j);
+    }
+  }
+  auto by_time = [](auto& x, auto& y) { return x.at < y.at; };
+  std::stable_sort(b.runs.begin(), b.runs.end(), by_time);
+  std::stable_sort(b.gots.begin(), b.gots.end(), by_time);
+  return b;
+}
+
+bool safe(const std::string& m) { return m == "GET" || m == "HEAD"; }
+
+struct Checks {
+  const Book& b;
+  CheckReport out;
+  std::map<std::string, std::vector<const Ran*>> by_id;
+  void breach(int r, std::string w) { out.breaches.push_back({r, std::move(w)}); }
+
+  void once() {
+    for (auto& [id, rs] : by_id)
+      if (rs.size() > 1 && !safe(rs.front()->method)) breach(1, id + " ran " + std::to_string(rs.size()) + " times");
+  }
+
+  void not_run() {
+    for (auto& g : b.gots)
+      if (g.outcome == "not-run" && by_id.count(g.id)) breach(2, g.id + " was promised not run, and ran");
+  }
+
+  void whole() {
+    std::map<std::string, std::set<std::string>> made;  // target -> answers made
+    for (auto& r : b.runs) made[r.target].insert(r.out);
+    for (auto& g : b.gots) {
+      if (g.status >= 300) continue;
+      auto a = b.asks.find(g.id);
+      if (a == b.asks.end()) continue;
+      bool mine = false;
+      if (auto f = by_id.find(g.id); f != by_id.end())
+        for (auto* r : f->second) mine |= r->out == g.out;
+      // A cached answer was made for another request of the same target.
+      bool shared = safe(a->second.method) && g.produced >= 0 && made[a->second.target].count(g.out);
+      if (!mine && !shared) breach(3, g.id + " got a success that no worker made for it");
+    }
+  }
+
+  void true_to_caller() {
+    for (auto& r : b.runs) {
+      auto a = b.asks.find(r.id);
+      if (a == b.asks.end())
+        breach(4, "a run of " + r.id + " that no caller asked for");
+      else if (a->second.method != r.method || a->second.target != r.target || a->second.in != r.in)
+        breach(4, r.id + " was altered on the way");
+    }
+  }
+
+  void allowed() {
+    std::set<std::string> ok, routes;
+    bool any = false;
+    for (auto& e : b.events)
+      if (e.at("t").str() == "allowed") {
+        any = true;
+        ok.insert(e.at("service").str() + "/" + e.at("version").str() + "/" + e.at("prefix").str());
+      }
+    if (!any) return;
+    for (auto& r : b.runs) {
+      bool hit = false;
+      for (auto& k : ok) {
+        auto p = r.service + "/" + r.version + "/";
+        if (k.starts_with(p) && r.target.starts_with(k.substr(p.size()))) hit = true;
+      }
+      if (!hit) breach(5, fmt::format("{} went to {} {}, which no layout allowed", r.target, r.service, r.version));
+    }
+  }
+
+  void generations() {
+    std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> acked;  // relay -> (when, generation)
+    for (auto& e : b.events)
+      if (e.at("t").str() == "assigned") acked[e.at("relay").str()].push_back({e.at("at").num(), e.at("generation").num()});
+    std::map<std::string, int64_t> shown, ended;
+    std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> tops;
+    for (auto& g : b.gots) {
+      if (g.gen < 0) continue;
+      for (auto& [at, n] : acked[g.relay])
+        if (g.from > at + kBound && g.gen < n)
+          breach(6, fmt::format("{} ran {} under generation {} at {}, {} was acknowledged at {}", g.relay, g.id, g.gen, g.from, n, at));
+      // What was shown by an answer that ended before this request began.
+      auto& t = tops[g.relay];
+      auto f = std::upper_bound(t.begin(), t.end(), std::make_pair(g.from - 1, INT64_MAX));
+      if (f != t.begin() && std::prev(f)->second > g.gen) breach(6, fmt::format("{} slipped back to generation {}", g.relay, g.gen));
+      auto top = std::max(t.empty() ? -1 : t.back().second, g.gen);
+      t.push_back({g.at, top});
+    }
+  }
+
+  void left() {
+    for (auto& r : b.runs)
+      if (auto f = b.leaving.find(r.instance); f != b.leaving.end() && r.at > f->second + kBound)
+        breach(7, fmt::format("{} got {} {} ms after it said it leaves", r.instance, r.id, r.at - f->second));
+  }
+
+  void purges() {
+    std::vector<std::tuple<int64_t, std::string, bool>> ps;
+    for (auto& e : b.events)
+      if (e.at("t").str() == "purged") ps.push_back({e.at("at").num(), e.at("path").str(), e.at("prefix").flag()});
+    int64_t life = 0;
+    for (auto& e : b.events)
+      if (e.at("t").str() == "lifetime") life = std::max(life, e.at("ms").num());
+    for (auto& g : b.gots) {
+      if (g.status != 200 || g.produced < 0) continue;
+      auto a = b.asks.find(g.id);
+      if (a == b.asks.end() || !safe(a->second.method)) continue;
+      auto& t = a->second.target;
+      for (auto& [at, path, prefix] : ps)
+        if ((prefix ? t.starts_with(path) : t == path) && g.produced < at && g.from > at + kBound)
+          breach(8, fmt::format("{} was served {} ms after the purge of {}", t, g.from - at, path));
+      if (life && g.from - g.produced > life + kBound)
+        breach(8, fmt::format("{} was served {} ms old with a lifetime of {}", t, g.from - g.produced, life));
+    }
+  }
+
+  void repeats() {
+    int64_t allowance = 20;
+    for (auto& e : b.events)
+      if (e.at("t").str() == "allowance") allowance = e.at("n").num();
+    std::map<std::string, std::vector<std::pair<int64_t, bool>>> sends;
+    std::set<std::string> seen;
+    for (auto& r : b.runs) {
+      bool again = !seen.insert(r.id).second;
+      sends[r.service].push_back({r.at, again});
+      out.figures["repeats"] += again;
+    }
+    for (auto& [s, v] : sends) {
+      size_t from = 0;
+      int64_t first = 0, again = 0;
+      for (auto& [at, a] : v) {
+        (a ? again : first)++;
+        while (v[from].first <= at - 10000) {
+          (v[from].second ? again : first)--;
+          ++from;
+        }
+        if (again > first / 5 + allowance) {
+          breach(9, fmt::format("{} repeats for {} requests of {} in ten seconds", again, first, s));
+          break;
+        }
+      }
+    }
+  }
+
+  void versions() {
+    for (auto& e : b.events) {
+      if (e.at("t").str() != "bad_version") continue;
+      auto s = e.at("service").str(), v = e.at("version").str();
+      auto since = e.at("at").num();
+      int64_t all = 0, mine = 0, bad = 0, fifty = 0;
+      for (auto& r : b.runs) {
+        if (r.service != s || r.at < since) continue;
+        ++all;
+        if (r.version != v) continue;
+        ++mine;
+        if (fifty && r.at > fifty + 5000) breach(10, fmt::format("{} {} still got requests {} ms after 50 bad answers", s, v, r.at - fifty));
+        if (r.bad && ++bad == 50) fifty = r.at;
+      }
+      // The share is bounded on what relays had sent; the journal shows what had arrived.
+      if (mine > all / 10 + 1) breach(10, fmt::format("{} of {} requests of {} went to version {}", mine, all, s, v));
+      out.figures["bad_version_requests"] += static_cast<uint64_t>(mine);
+      out.figures["bad_version_of"] += static_cast<uint64_t>(all);
+    }
+  }
+
+  void rates() {
+    for (auto& e : b.events) {
+      if (e.at("t").str() != "rate") continue;
+      auto s = e.at("service").str();
+      auto rate = e.at("n").num();
+      std::vector<int64_t> at;
+      for (auto& r : b.runs)
+        if (r.service == s) at.push_back(r.at);
+      size_t from = 0;
+      int64_t top = 0;
+      for (size_t i = 0; i < at.size(); ++i) {
+        while (at[from] <= at[i] - 5000) ++from;
+        top = std::max<int64_t>(top, static_cast<int64_t>(i - from + 1));
+      }
+      out.figures["rate_top_in_5s"] = static_cast<uint64_t>(top);
+      if (top * 10 > rate * 5 * 11) breach(11, fmt::format("{} was sent {} requests in 5 s at a stated rate of {}", s, top, rate));
+    }
+  }
+
+  void kept() {
+    for (auto& e : b.events) {
+      auto t = e.at("t").str();
+      if (t == "layout_lost") breach(12, "the acknowledged " + e.at("release").str() + " could not be read back");
+      if (t != "returned") continue;
+      auto at = e.at("at").num();
+      uint64_t good = 0, all = 0;
+      for (auto& g : b.gots)
+        if (g.from > at + 15000 && g.from < at + 20000) {
+          ++all;
+          good += g.status < 400;
+        }
+      if (all >= 20 && good * 2 < all) breach(12, fmt::format("{} of {} failed 15 s after machines returned", all - good, all));
+    }
+  }
+};
+}  // namespace
+
+void Journals::add(const std::string& l) {
+  auto p = base::Json::parse(l);
+  if (auto* j = std::get_if<base::Json>(&p)) lines.push_back(*j);
+}
+
+bool Journals::read(const std::string& path) {
+  std::ifstream f(path);
+  if (!f) return false;
+  for (std::string l; std::getline(f, l);) add(l);
+  return true;
+}
+
+CheckReport check(const Journals& js) {
+  auto b = sort_out(js);
+  Checks c{b, {}, {}};
+  for (auto& r : b.runs) c.by_id[r.id].push_back(&r);
+  c.once();
+  c.not_run();
+  c.whole();
+  c.true_to_caller();
+  c.allowed();
+  c.generations();
+  c.left();
+  c.purges();
+  c.repeats();
+  c.versions();
+  c.rates();
+  c.kept();
+  auto& f = c.out.figures;
+  f["asked"] = b.asks.size();
+  f["answered"] = b.gots.size();
+  f["lost"] = b.lost;
+  f["ran"] = b.runs.size();
+  for (auto& g : b.gots) {
+    if (g.status < 400)
+      ++f["ok"];
+    else
+      ++f[g.outcome.empty() ? "other_defects" : g.outcome == "not-run" ? "not_run" : "unknown"];
+  }
+  return c.out;
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/checker_unit.cpp
@@ -0,0 +1,94 @@
+// The checker is shown a clean journal, and then one doctored for each rule:
+// each rule must be able to fail, and to fail alone.
+#include "checker.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+std::string ask(const std::string& id, const std::string& m, const std::string& t) {
+  return fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":"{}","in":"i","at":100}})", id, m, t);
+}
+std::string ran(const std::string& id, const std::string& m, const std::string& t, int at, const std::string& more = "",
+                const std::string& version = "1") {
+  return fmt::format(
+      R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"i","out":"o","service":"s","version":"{}","instance":"w","at":{}{}}})",
+      id, m, t, version, at, more);
+}
+std::string got(const std::string& id, int status, const std::string& outcome, int from, int produced = 100,
+                const std::string& gen = "1", const std::string& out = "o") {
+  return fmt::format(
+      R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","from":{},"at":{},"relay":"r"}})", id,
+      status, outcome, out, produced, gen, from, from + 5);
+}
+const char* const kAllowed = R"({"t":"allowed","service":"s","version":"1","prefix":"/","at":0})";
+
+std::vector<int> rules(const std::vector<std::string>& ls) {
+  Journals j;
+  for (auto& l : ls) j.add(l);
+  std::set<int> out;
+  for (auto& b : check(j).breaches) out.insert(b.rule);
+  return {out.begin(), out.end()};
+}
+std::vector<std::string> clean() {
+  return {kAllowed, ask("a", "POST", "/p"), ran("a", "POST", "/p", 101), got("a", 200, "", 100),
+          ask("b", "GET", "/c"), ran("b", "GET", "/c", 102), got("b", 200, "", 100), got("c", 503, "not-run", 100)};
+}
+Case doctored(int rule, const std::string& what, std::vector<std::string> more) {
+  return {fmt::format("checker: rule {} fails on {}", rule, what), [rule, more] {
+            auto ls = clean();
+            ls.insert(ls.end(), more.begin(), more.end());
+            auto r = rules(ls);
+            expect(r.size() == 1 && r[0] == rule, fmt::format("it reported {} rules", r.size()));
+          }};
+}
+}  // namespace
+
+std::vector<Case> checker_cases() {
+  std::vector<std::string> many, rate, bad, returned, again;
+  for (int i = 0; i < 40; ++i) again.push_back(ran("b", "GET", "/c", 200 + i));
+  rate.push_back(R"({"t":"rate","service":"s","n":10,"at":0})");
+  bad.push_back(R"({"t":"bad_version","service":"s","version":"2","at":0})");
+  bad.push_back(R"({"t":"allowed","service":"s","version":"2","prefix":"/","at":0})");
+  auto late = bad;
+  returned.push_back(R"({"t":"returned","at":1000})");
+  for (int i = 0; i < 60; ++i) {
+    auto id = fmt::format("m{}", i);
+    rate.push_back(ask(id, "GET", "/c"));
+    rate.push_back(ran(id, "GET", "/c", 200 + i));
+    bad.push_back(ask(id, "GET", "/c"));
+    bad.push_back(ran(id, "GET", "/c", 200 + i, "", i < 20 ? "2" : "1"));
+    returned.push_back(got(id, 503, "not-run", 16500));
+  }
+  for (int i = 0; i < 2000; ++i) {
+    auto id = fmt::format("l{}", i);
+    late.push_back(ask(id, "GET", "/c"));
+    // 50 bad answers by 5000, one more request 5.1 s after them.
+    bool two = i % 20 == 0 && i / 20 < 50;
+    late.push_back(ran(id, "GET", "/c", i == 1999 ? 10200 : i * 5, two ? R"(,"bad":true)" : "", two || i == 1999 ? "2" : "1"));
+  }
+  return {
+      {"checker: a clean journal is clean", [] { expect(rules(clean()).empty(), "it reported something"); }},
+      doctored(1, "a filing that ran twice", {ran("a", "POST", "/p", 110)}),
+      doctored(2, "a promise that was not true", {ask("c", "POST", "/p"), ran("c", "POST", "/p", 101)}),
+      doctored(3, "an answer that no worker made", {ask("d", "GET", "/c"), got("d", 200, "", 100, 100, "1", "forged")}),
+      doctored(3, "somebody else's answer", {ask("d", "POST", "/p"), got("d", 200, "", 100)}),
+      doctored(4, "a request no caller sent", {ran("ghost", "POST", "/p", 120)}),
+      doctored(4, "an altered request", {ask("d", "POST", "/other"), ran("d", "POST", "/p", 120)}),
+      doctored(5, "a version never allowed", {ask("d", "GET", "/c"), ran("d", "GET", "/c", 120, "", "9")}),
+      doctored(6, "an old layout past the bound",
+               {R"({"t":"assigned","relay":"r","generation":2,"at":100})", got("c", 503, "not-run", 2200)}),
+      doctored(6, "slipping back", {got("c", 503, "not-run", 120, 100, "7"), got("c", 503, "not-run", 200, 100, "6")}),
+      doctored(7, "a leaving worker that still got requests",
+               {R"({"t":"leaving","instance":"w","at":10})", ask("d", "GET", "/c"), ran("d", "GET", "/c", 2011)}),
+      doctored(8, "purged content", {R"({"t":"purged","path":"/c","at":150})", got("b", 200, "", 2151)}),
+      doctored(8, "content past its lifetime", {R"({"t":"lifetime","ms":1000,"at":0})", got("b", 200, "", 3101)}),
+      doctored(9, "too many repeats", again),
+      doctored(10, "too great a share for a bad version", bad),
+      doctored(10, "a bad version used too long", late),
+      doctored(11, "an origin pushed past its rate", rate),
+      doctored(12, "a layout that was lost", {R"({"t":"layout_lost","release":"x","at":5})"}),
+      doctored(12, "failing 15 s after machines returned", returned),
+  };
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/config_unit.cpp
@@ -0,0 +1,69 @@
+// Settings, layouts and releases: every defect is named by its place.
+#include "relay/config.hpp"
+#include "rollout/release.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+std::string places(const std::vector<base::DocDefect>& ds) {
+  std::string s;
+  for (auto& d : ds) s += d.at + ";";
+  return s;
+}
+std::string bad_config(const std::string& t) {
+  auto r = relay::read_config(t);
+  auto* d = std::get_if<std::vector<base::DocDefect>>(&r);
+  return d ? places(*d) : "valid";
+}
+std::string bad_release(const std::string& kind, const std::string& t) {
+  auto r = rollout::read_release(kind, "x", t);
+  auto* d = std::get_if<std::vector<base::DocDefect>>(&r);
+  return d ? places(*d) : "valid";
+}
+}  // namespace
+
+std::vector<Case> config_cases() {
+  const std::string good = R"({"name":"n","zone":"a","listen":{"callers":"127.0.0.1:1","control":"127.0.0.1:2",
+    "peers":"127.0.0.1:3"},"holders":{"h":"127.0.0.1:4"},"seeds":["127.0.0.1:2"]})";
+  return {
+      {"config: a good one is taken", [good] { same(bad_config(good), std::string("valid"), "places"); }},
+      {"config: every defect is named by its place",
+       [] {
+         same(bad_config(R"({"name":"","zone":7,"listen":{"callers":"x","control":"127.0.0.1:2","peer":1},
+              "holders":{"h":"127.0.0.1:4","i":"127.0.0.1:5"},"seeds":["127.0.0.1:2"],"bound_ms":1})"),
+              std::string("/name;/zone;/listen/peers;/listen/peer;/bound_ms;/listen/callers;/holders;"), "places");
+       }},
+      {"config: a key that stands twice is a defect",
+       [] { same(bad_config(R"({"name":"a","name":"b"})"), std::string("/name;"), "places"); }},
+      {"config: a data folder and the list of holders must agree",
+       [good] {
+         auto t = good;
+         t.insert(1, R"("data":"/d",)");
+         same(bad_config(t), std::string("/data;"), "places");
+       }},
+      {"layout: references are checked across the document",
+       [] {
+         same(bad_release("layout", R"({"content":{"services":{"a":{"versions":["1"]},"b":{"versions":["1","1"]}},
+              "routes":[{"prefix":"/x","service":"a"},{"prefix":"/x","service":"a"},{"prefix":"y","service":"c"}]}})"),
+              std::string("/content/services/b/versions;/content/routes/2/prefix;/content/routes/1/prefix;"
+                          "/content/routes/2/service;/content/services/b;"),
+              "places");
+       }},
+      {"release: a hold may be lengthened, never shortened",
+       [] {
+         auto doc = [](int one) {
+           return fmt::format(R"({{"holds":{{"one_min":{}}},"content":{{"services":{{"a":{{"versions":["1"]}}}},
+             "routes":[{{"prefix":"/","service":"a"}}]}}}})",
+                              one);
+         };
+         same(bad_release("layout", doc(14)), std::string("/holds/one_min;"), "places");
+         same(bad_release("layout", doc(16)), std::string("valid"), "places");
+         auto m = rollout::minimum("software");
+         expect(m.one == std::chrono::hours(24) && m.two == std::chrono::hours(24), "software holds 24 and 24 hours");
+         m = rollout::minimum("system");
+         expect(m.one == std::chrono::minutes(30) && m.two == std::chrono::hours(2), "system holds 30 min and 2 h");
+       }},
+  };
+}
+
+}  // namespace dunlinwing::test
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -126,7 +126,7 @@
   m.name = fmt::format("w{}", m.index + 1);
   m.zone = zone;
   m.kind = "worker";
-  m.args = {"--service",  service, "--version", version, "--zone", zone, "--address", test::at(c_.port + 300 + m.index % 90),
+  m.args = {"--service",  service, "--runs", version, "--zone", zone, "--address", test::at(c_.port + 300 + m.index % 90),
             "--relays",   relay_list(false), "--journal", c_.dir + "/" + m.name + ".journal"};
   for (auto& a : more) m.args.push_back(a);
   ms_.push_back(m);
--- /dev/null
+++ b/test/rollout_unit.cpp
@@ -0,0 +1,316 @@
+// The rollout reducer on invented fleets: its order, its holds, its checks.
+#include "rollout/reducer.hpp"
+#include "rollout/moves.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+using namespace rollout;
+
+// A fleet that does as it is told, and the events fed to the reducer.
+struct Bench {
+  pb::Rollout s;
+  Rules r;
+  Sight v;
+  std::string log;
+  std::vector<std::pair<Span, std::string>> assigned;  // when a node first got release "new"
+  Span clock{0};
+  std::set<std::string> on;
+
+  explicit Bench(int zones = 3, int per = 4) {
+    for (int z = 0; z < zones; ++z)
+      for (int i = 0; i < per; ++i) {
+        NodeSight n;
+        n.zone = std::string(1, static_cast<char>('a' + z));
+        n.name = n.zone + std::to_string(i);
+        n.present = true;
+        n.keeper = i == 0;
+        v.nodes.push_back(n);
+      }
+    record("base");
+    tick(Span(0));
+  }
+  void record(const std::string& name, const std::string& more = "") {
+    auto g = read_release("layout", name, R"({"content":{"services":{"a":{"versions":["1"]}},
+      "routes":[{"prefix":"/","service":"a"}]})" + more + "}");
+    auto& rel = std::get<Release>(g);
+    v.releases[release_key("layout", name)] = rel;
+    feed(Recorded{rel});
+  }
+  void feed(const Event& e) {
+    auto o = step(s, e, r);
+    expect(o.state.generation() >= s.generation(), "the generation fell");
+    for (auto& [n, a] : o.state.nodes()) {
+      auto f = s.nodes().find(n);
+      if (f != s.nodes().end()) {
+        expect(a.generation() >= f->second.generation(), "a node's generation fell");
+        bool changed = a.releases().at("layout") != f->second.releases().at("layout");
+        expect(!changed || a.generation() > f->second.generation(), "an assignment changed without a higher generation");
+      }
+      if (a.releases().count("layout") && a.releases().at("layout") == "new" && on.insert(n).second)
+        assigned.emplace_back(clock, n);
+    }
+    s = o.state;
+    for (auto& x : o.effects)
+      if (auto* t = as<Tell>(x)) log += t->text + "\n";
+  }
+  void tick(Span dt) {
+    clock += dt;
+    v.dt = dt;
+    for (auto& n : v.nodes) {
+      auto f = s.nodes().find(n.name);
+      if (f != s.nodes().end() && n.present && n.load_defect.empty())
+        n.running = {f->second.releases().begin(), f->second.releases().end()};
+    }
+    feed(v);
+  }
+  void pass(Span t, Span by = Span(1000)) {
+    for (Span d{0}; d < t; d += by) tick(by);
+  }
+  const pb::Course& course(const std::string& name) {
+    for (auto& c : s.courses())
+      if (c.release() == name) return c;
+    throw Failed("no course " + name);
+  }
+  void traffic(uint64_t rq, uint64_t on_df = 0, uint64_t off_df = 0) {
+    for (auto& n : v.nodes) {
+      bool o = s.nodes().count(n.name) && s.nodes().at(n.name).releases().at("layout") == "new";
+      n.requests = rq;
+      n.defects = o ? on_df : off_df;
+    }
+  }
+  NodeSight& node(const std::string& n) {
+    for (auto& x : v.nodes)
+      if (x.name == n) return x;
+    throw Failed("no node " + n);
+  }
+};
+
+using std::chrono::minutes;
+
+void ordinary() {
+  Bench b;
+  b.traffic(10);
+  b.record("new");
+  b.pass(minutes(200));
+  expect(b.course("new").phase() == pb::DONE, "it did not finish: " + b.course("new").why());
+  same(b.assigned.size(), size_t(12), "nodes that got it");
+  auto home = b.node(b.assigned[0].second).zone;
+  expect(!b.node(b.assigned[0].second).keeper, "the phase-one machine keeps state");
+  expect(b.assigned[1].first - b.assigned[0].first >= minutes(15), "phase one was shorter than 15 minutes");
+  auto zone = b.node(b.assigned[1].second).zone;
+  expect(zone != home, "phase two took the zone of the phase-one machine");
+  Span last{0};
+  for (size_t i = 1; i <= 4; ++i) {
+    same(b.node(b.assigned[i].second).zone, zone, "the zone of phase two");
+    last = b.assigned[i].first;
+  }
+  expect(b.assigned[5].first - last >= minutes(20), "phase two was shorter than 20 minutes");
+  std::set<std::string> rest;
+  for (size_t i = 5; i < 12; ++i) rest.insert(b.node(b.assigned[i].second).zone);
+  same(b.node(b.assigned.back().second).zone, home, "the last zone");
+  same(rest.size(), size_t(2), "zones of phase three");
+}
+
+void keepers_one_by_one() {
+  Bench b(3, 4);
+  for (auto& n : b.v.nodes) n.keeper = n.name.back() < '2';
+  b.traffic(10);
+  b.record("new");
+  b.pass(minutes(200));
+  std::map<Span, int> at;
+  for (auto& [t, n] : b.assigned)
+    if (b.node(n).keeper) same(++at[t], 1, "keepers changed together");
+  expect(b.course("new").phase() == pb::DONE, "it did not finish");
+}
+
+// In each phase a release that answers badly stops and goes no further.
+void bad_in(pb::Phase p) {
+  Bench b;
+  b.traffic(10);
+  b.record("new");
+  for (int i = 0; i < 20000 && b.course("new").phase() != p; ++i) b.tick(Span(1000));
+  expect(b.course("new").phase() == p, "the phase was not reached");
+  auto had = b.assigned.size();
+  auto gen = b.s.generation();
+  b.traffic(10, 3, 0);
+  b.pass(minutes(5));
+  expect(b.course("new").phase() == pb::STOPPED, "a bad release went on");
+  expect(b.course("new").why().find("check defects") == 0, b.course("new").why());
+  expect(b.s.generation() > gen, "no higher generation took it back");
+  expect(b.assigned.size() <= had + 4, "it spread while it was bad");
+  for (auto& [n, a] : b.s.nodes()) same(a.releases().at("layout"), std::string("base"), n + " after the stop");
+  b.traffic(10);
+  b.pass(minutes(100));
+  expect(b.course("new").phase() == pb::STOPPED, "a stopped release came back");
+}
+
+void too_little_evidence() {
+  Bench b;
+  b.traffic(0);
+  b.record("new");
+  b.pass(minutes(300));
+  expect(b.course("new").phase() == pb::ONE, "it went on without evidence");
+  expect(b.course("new").why().find("too little evidence") == 0, b.course("new").why());
+  (*b.v.acts["release/layout/new"].mutable_waived())["evidence"] = "a quiet night";
+  b.pass(minutes(200));
+  expect(b.course("new").phase() == pb::DONE, "a waived check still held it");
+}
+
+void lost_machine() {
+  Bench b;
+  b.traffic(10);
+  b.record("new");
+  b.pass(minutes(5));
+  b.node(b.assigned[0].second).present = false;
+  b.tick(Span(1000));
+  expect(b.course("new").phase() == pb::STOPPED, "the loss of the phase-one machine went unnoticed");
+}
+
+void refused_load() {
+  Bench b;
+  b.traffic(10);
+  b.record("new");
+  b.tick(Span(1000));
+  b.node(b.assigned[0].second).load_defect = "layout/new: unreadable";
+  b.tick(Span(1000));
+  expect(b.course("new").phase() == pb::STOPPED, "a release that does not load went on");
+}
+
+void quiet_hours() {
+  Bench b;
+  b.traffic(10);
+  b.v.quiet = false;
+  b.record("new");
+  b.pass(minutes(60));
+  expect(b.course("new").phase() == pb::WAITING, "it started in the busy hours");
+  b.v.quiet = true;
+  b.tick(Span(1000));
+  b.v.quiet = false;
+  b.pass(minutes(60));
+  expect(b.course("new").phase() == pb::ONE, "phase two started in the busy hours");
+  same(b.assigned.size(), size_t(1), "nodes that got it");
+}
+
+void bad_hour_for_all() {
+  Bench b;
+  b.traffic(10, 3, 3);
+  b.record("new");
+  b.pass(minutes(200));
+  expect(b.course("new").phase() == pb::DONE, "a bad hour for all stopped a release: " + b.course("new").why());
+}
+
+void one_after_the_other() {
+  Bench b;
+  b.traffic(10);
+  b.record("new");
+  b.record("next");
+  b.pass(minutes(10));
+  expect(b.course("next").phase() == pb::WAITING, "two of a kind at once");
+  b.record("urgent", R"(,"supersedes":"new")");
+  b.tick(Span(1000));
+  b.tick(Span(1000));
+  expect(b.course("new").phase() == pb::WITHDRAWN, "it was not superseded");
+  expect(b.course("urgent").phase() == pb::ONE, "the superseding one did not start");
+  b.v.acts["release/layout/next"].set_withdrawn("no need");
+  b.tick(Span(1000));
+  expect(b.course("next").phase() == pb::WITHDRAWN, "a waiting release was not withdrawn");
+}
+
+void express() {
+  Bench b;
+  b.traffic(10);
+  b.record("new", R"(,"express":"an origin is on fire")");
+  b.tick(Span(1000));
+  same(b.assigned.size(), size_t(12), "nodes that got it at once");
+}
+
+// Whatever happens, phases come in order, no hold is cut short, and what
+// failed never spreads; the duty may pass on at any moment.
+void any_history() {
+  Bench b(*rc::gen::inRange(2, 5), *rc::gen::inRange(1, 5));
+  b.record("new");
+  Span held{0};
+  auto was = pb::WAITING;
+  uint64_t term = 0;
+  auto moves = *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 100));
+  for (int m : moves) {
+    b.traffic(static_cast<uint64_t>(m % 7), m > 95 ? 3 : 0, 0);
+    if (m % 11 == 0) {
+      auto& n = b.v.nodes[static_cast<size_t>(m) % b.v.nodes.size()];
+      n.present = !n.present;
+    }
+    if (m % 13 == 0) b.feed(TookDuty{++term});
+    b.v.quiet = m % 5 != 0;
+    b.tick(minutes(m % 4));
+    auto now = b.course("new").phase();
+    if (finished(was)) RC_ASSERT(now == was);
+    if (was == pb::ONE && now == pb::TWO) RC_ASSERT(held >= minutes(15) - minutes(4));
+    if (was == pb::TWO && now == pb::THREE) RC_ASSERT(held >= minutes(20) - minutes(4));
+    RC_ASSERT(!(was == pb::WAITING && (now == pb::TWO || now == pb::THREE)));
+    RC_ASSERT(!(was == pb::ONE && now == pb::THREE));
+    held = Span(static_cast<int64_t>(b.course("new").held_ms()));
+    if (now == pb::ONE) RC_ASSERT(b.assigned.size() == 1u);
+    was = now;
+  }
+}
+
+void quarantine() {
+  Rules r;
+  pb::ServiceState s;
+  s.set_current("1");
+  s.set_trial("2");
+  MoveSight v;
+  v.dt = Span(500);
+  for (int i = 0; i < 9; ++i) {
+    v.delta = {{"1", {500, 0}}, {"2", {20, 5}}};
+    s = step("app", s, v, r).state;
+  }
+  expect(s.quarantined().empty(), "quarantined after 45 bad answers");
+  s = step("app", s, v, r).state;
+  expect(s.quarantined().count("2") && s.trial().empty(), "50 bad answers did not quarantine it");
+}
+
+void promotion() {
+  Rules r;
+  pb::ServiceState s;
+  s.set_current("1");
+  s.set_trial("2");
+  MoveSight v;
+  v.dt = Span(1000);
+  v.delta = {{"1", {90, 1}}, {"2", {10, 0}}};
+  for (int i = 0; i < 59; ++i) s = step("app", s, v, r).state;
+  same(s.current(), std::string("1"), "the version before a minute of trial");
+  s = step("app", s, v, r).state;
+  same(s.current(), std::string("2"), "the version after it");
+  expect(s.kept_size() == 1 && s.kept(0) == "1", "the old version is kept");
+  v.delta.clear();
+  v.recent = {{"2", {10, 60}}};
+  v.workers = {{"1", 2}};
+  s = step("app", s, v, r).state;
+  same(s.current(), std::string("1"), "the version after the new one turned bad");
+  expect(s.quarantined().count("2") == 1, "the bad one is in quarantine");
+}
+}  // namespace
+
+std::vector<Case> rollout_cases() {
+  return {
+      {"rollout: one machine, one zone without it, then the rest zone by zone", ordinary},
+      {"rollout: those that keep state or a duty change one by one", keepers_one_by_one},
+      {"rollout: a bad release stops in phase one", [] { bad_in(pb::ONE); }},
+      {"rollout: a bad release stops in phase two", [] { bad_in(pb::TWO); }},
+      {"rollout: a bad release stops in phase three", [] { bad_in(pb::THREE); }},
+      {"rollout: too little evidence holds until waived", too_little_evidence},
+      {"rollout: the phase-one machine lost is a failed check", lost_machine},
+      {"rollout: a release that does not load is stopped", refused_load},
+      {"rollout: quiet hours gate the start of each phase", quiet_hours},
+      {"rollout: a bad hour for all stops nothing", bad_hour_for_all},
+      {"rollout: a second of a kind waits, supersedes or is withdrawn", one_after_the_other},
+      {"rollout: express goes to all at once", express},
+      property("rollout: order and holds under any history", any_history),
+      {"moves: fifty bad answers on trial are the end", quarantine},
+      {"moves: promotion on evidence, and back when it turns bad", promotion},
+  };
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/sim_cases.hpp
@@ -0,0 +1,32 @@
+// The cases: each sets a simulated fleet up, brings one kind of failure about,
+// and says what must be seen besides that no rule is broken.
+#pragma once
+#include "checker.hpp"
+#include "expect.hpp"
+#include "sim/fleet.hpp"
+
+namespace dunlinwing::test {
+
+struct SimFigures {
+  std::map<std::string, uint64_t> n;
+};
+
+struct Scene {
+  sim::World& w;
+  sim::Fleet& f;
+  std::function<void()> story;      // a fiber of the outside world
+  Span length{60000};
+  bool story_done = false;
+  std::string why;                  // set when something was not seen
+  std::map<std::string, uint64_t> figures;
+  std::vector<std::string> must_meet;  // faults that the run has to have met
+  void want(bool ok, const std::string& what) {
+    if (!ok && why.empty()) why = what;
+  }
+};
+
+using SimCase = std::function<void(Scene&)>;
+const std::map<std::string, SimCase>& sim_cases();
+void run_sim(const SimCase& c, uint64_t seed, SimFigures& sum, const std::string& journal);
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/sim_run.cpp
@@ -0,0 +1,72 @@
+// Runs one case under one seed: the story and the callers are fibers; after
+// each event the rules that can be checked on the spot are; at the end the
+// journal is.
+#include <fstream>
+
+#include "sim_cases.hpp"
+
+namespace dunlinwing::test {
+namespace {
+
+// What must hold after every single event, whatever has happened.
+struct Watch {
+  sim::Fleet& f;
+  std::map<std::string, std::pair<void*, uint64_t>> shown;
+  std::string broken;
+
+  void look() {
+    if (!broken.empty()) return;
+    int holders = 0;
+    for (auto& h : f.hosts()) {
+      if (!h->up()) continue;
+      auto* n = h->node.get();
+      auto& [who, gen] = shown[h->name];
+      if (who != n) {
+        who = n;
+        gen = 0;
+      }
+      if (n->generation() < gen) broken = h->name + " fell back to a lower generation";
+      gen = n->generation();
+      holders += n->duty().held();
+    }
+    if (holders > 1) broken = "two nodes hold the rollout duty";
+  }
+};
+}  // namespace
+
+void run_sim(const SimCase& c, uint64_t seed, SimFigures& sum, const std::string& journal) {
+  sim::World w(seed);
+  sim::Fleet f(w, {});
+  Scene s{w, f, {}};
+  Watch watch{f, {}, {}};
+  c(s);
+  w.run(w.now() + s.length, [&] { watch.look(); }, [&] {
+    f.start_all();
+    f.outside([&] {
+      s.story();
+      s.story_done = true;
+    });
+  });
+  bool done = s.story_done;
+  f.end();
+  w.run(w.now() + Span(20000), nullptr, nullptr);
+  Journals js;
+  for (auto& l : w.journal) js.add(l);
+  if (!journal.empty()) {
+    std::ofstream o(journal);
+    for (auto& l : w.journal) o << l << "\n";
+  }
+  auto r = check(js);
+  for (auto& [k, v] : r.figures) sum.n[k] += v;
+  for (auto& [k, v] : w.met) sum.n["met_" + k] += v;
+  for (auto& [k, v] : s.figures) sum.n[k] = std::max(sum.n[k], v);
+  sum.n["steps"] += w.steps();
+  expect(watch.broken.empty(), watch.broken);
+  if (!r.breaches.empty())
+    throw Failed(fmt::format("rule {} ({} breaches): {}", r.breaches[0].rule, r.breaches.size(), r.breaches[0].what));
+  expect(s.why.empty(), s.why);
+  expect(done, "the story did not come to its end");
+  for (auto& m : s.must_meet) expect(w.met[m] > 0, "the fault " + m + " was never met");
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/sim_test.cpp
@@ -0,0 +1,43 @@
+// Seeded runs of a whole simulated fleet under faults. A run that breaks a rule
+// prints its seed; `sim_test --seed N --case NAME` replays it to the letter.
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include "base/log.hpp"
+#include "sim_cases.hpp"
+
+DEFINE_string(case_name, "", "only the cases whose name contains this");
+DEFINE_uint64(seed, 0, "only this seed; 0: the first --seeds of them");
+DEFINE_int32(seeds, 3, "how many seeds each case runs");
+DEFINE_string(log_level, "error", "of the product's parts");
+DEFINE_string(journal, "", "file for the journal of the last run");
+DEFINE_bool(figures, false, "print what each case met");
+
+using namespace dunlinwing;
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  base::Level l;
+  if (base::parse_level(FLAGS_log_level, l)) base::set_level(l);
+  std::vector<test::Case> cs;
+  for (auto& [name, f] : test::sim_cases())
+    cs.push_back({name, [name = name, f = f] {
+                    test::SimFigures sum;
+                    uint64_t from = FLAGS_seed ? FLAGS_seed : 1;
+                    uint64_t to = FLAGS_seed ? FLAGS_seed : static_cast<uint64_t>(FLAGS_seeds);
+                    for (uint64_t s = from; s <= to; ++s) {
+                      try {
+                        test::run_sim(f, s, sum, FLAGS_journal);
+                      } catch (const std::exception& e) {
+                        throw test::Failed(fmt::format("seed {}: {}", s, e.what()));
+                      }
+                    }
+                    if (!FLAGS_figures) return;
+                    std::cout << name << ": seeds " << to - from + 1;
+                    for (auto& [k, v] : sum.n) std::cout << " " << k << " " << v;
+                    std::cout << "\n";
+                  }});
+  int rc = test::run_all(cs, FLAGS_case_name);
+  std::cout.flush();
+  ::_exit(rc);  // the fiber scheduler of this thread has no more to do
+}
--- /dev/null
+++ b/test/traffic_unit.cpp
@@ -0,0 +1,136 @@
+// Budgets, trials, purges, cache lifetimes and headers.
+#include "cache/cache.hpp"
+#include "gate/purger.hpp"
+#include "traffic/budget.hpp"
+#include "traffic/place.hpp"
+#include "traffic/shots.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+struct Hand final : base::Clock {
+  Tick t{1000000};
+  Tick now() override { return t; }
+  int64_t wall_ms() override { return 0; }
+  void nap(Span) override {}
+};
+
+std::optional<int64_t> life(std::vector<std::pair<std::string, std::string>> hs) {
+  base::Request q{"", "GET", "/x", "", {}};
+  auto l = cache::lifetime(q, {200, std::move(hs), "b"});
+  if (!l) return {};
+  return l->count();
+}
+}  // namespace
+
+std::vector<Case> traffic_cases() {
+  return {
+      property("budget: repeats stay within a fifth and the allowance in any ten seconds",
+               [] {
+                 Hand c;
+                 traffic::Repeats r;
+                 std::vector<std::pair<Tick, bool>> all;
+                 for (int m : *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 1000))) {
+                   c.t += Span(m % 200);
+                   if (m % 3) {
+                     r.sent("s");
+                     all.push_back({c.t, false});
+                   } else if (r.grant("s", 28, 14)) {
+                     all.push_back({c.t, true});
+                   }
+                   size_t again = 0, sent = 0;
+                   for (auto& [t, a] : all)
+                     if (t > c.t - Span(10000)) (a ? again : sent)++;
+                   RC_ASSERT(again <= sent / 5 + 2);
+                 }
+               }),
+      property("budget: a pace never lets a second hold more than its share and one",
+               [] {
+                 Hand c;
+                 traffic::Pace p(c);
+                 double share = *rc::gen::inRange(1, 50);
+                 std::vector<int64_t> at;
+                 for (int m : *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 100))) {
+                   c.t += Span(m);
+                   if (auto w = p.reserve("s", share, Span(500))) at.push_back((c.t + *w).count());
+                 }
+                 std::sort(at.begin(), at.end());
+                 for (size_t i = 0, j = 0; i < at.size(); ++i) {
+                   while (at[j] <= at[i] - 1000) ++j;
+                   RC_ASSERT(static_cast<double>(i - j + 1) <= share + 2);
+                 }
+               }),
+      property("trial: by count, never over its share, also at the first request",
+               [] {
+                 traffic::Trials t;
+                 auto pct = *rc::gen::inRange(1, 11);
+                 int got = 0;
+                 for (int i = 1; i <= 500; ++i) {
+                   got += t.grant("s", "2", pct);
+                   RC_ASSERT(got * 100 <= i * pct);
+                 }
+                 RC_ASSERT(got >= 500 * pct / 100 - 1);
+               }),
+      property("purge: folding keeps the list short and forgets no purge",
+               [] {
+                 pb::PurgeSet s;
+                 std::vector<std::pair<std::string, uint64_t>> done;
+                 auto n = *rc::gen::inRange(1, 400);
+                 for (int i = 0; i < n; ++i) {
+                   pb::Purge p;
+                   p.set_name("p" + std::to_string(i));
+                   p.set_kind("path");
+                   p.set_path("/c/" + std::to_string(i % 300));
+                   done.emplace_back(p.path(), gate::add_purge(s, p).number);
+                 }
+                 RC_ASSERT(s.purges_size() <= 128);
+                 traffic::Table t;
+                 t.purges["s"] = s;
+                 for (auto& [path, num] : done) RC_ASSERT(traffic::purged(t, "s", path, num - 1));
+               }),
+      {"purge: the same name twice is one purge",
+       [] {
+         pb::PurgeSet s;
+         pb::Purge p;
+         p.set_name("a");
+         p.set_kind("service");
+         gate::add_purge(s, p);
+         expect(gate::add_purge(s, p).known && s.number() == 1, "it was taken twice");
+       }},
+      {"cache: lifetimes by RFC 9111",
+       [] {
+         same(life({{"Cache-Control", "max-age=5"}}).value_or(-1), int64_t(5000), "max-age");
+         same(life({{"Cache-Control", "max-age=5, S-MaxAge=\"2\""}}).value_or(-1), int64_t(2000), "s-maxage");
+         same(life({{"Cache-Control", "max-age=5"}, {"Cache-Control", "private"}}).value_or(-1), int64_t(-1), "private");
+         same(life({{"Cache-Control", "max-age=5"}, {"Vary", "Accept"}}).value_or(-1), int64_t(-1), "vary");
+         same(life({{"Cache-Control", "max-age=x"}}).value_or(-1), int64_t(-1), "no number");
+         same(life({}).value_or(-1), int64_t(-1), "nothing said");
+       }},
+      {"headers: those of one connection, and ours, do not pass",
+       [] {
+         std::vector<std::pair<std::string, std::string>> h{{"connection", "close, X-Mine"}, {"X-Mine", "1"},
+                                                            {"TE", "trailers"},              {"dunlinwing-instance", "x"},
+                                                            {"Idempotency-Key", "k"},        {"Accept", "a"}};
+         traffic::strip(h);
+         expect(h.size() == 2 && h[0].first == "Idempotency-Key" && h[1].first == "Accept", "what is left");
+       }},
+      {"versions: a move holds only while the layout allows it, quarantine always",
+       [] {
+         traffic::Service s;
+         s.versions = {"1", "2"};
+         pb::ServiceState st;
+         st.set_current("2");
+         st.add_kept("1");
+         auto v = traffic::versions(s, &st);
+         expect(v.open.size() == 2 && v.open[0] == "2", "promoted and kept");
+         (*st.mutable_quarantined())["2"] = "bad";
+         v = traffic::versions(s, &st);
+         expect(v.open.size() == 1 && v.open[0] == "1", "quarantined");
+         s.versions = {"3"};
+         v = traffic::versions(s, &st);
+         expect(v.open.size() == 1 && v.open[0] == "3", "no longer allowed");
+       }},
+  };
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/unit.hpp
@@ -0,0 +1,21 @@
+// The unit cases, a function for each part, and the bridge to RapidCheck.
+#pragma once
+#include <rapidcheck.h>
+
+#include "expect.hpp"
+
+namespace dunlinwing::test {
+
+std::vector<Case> disk_cases();
+std::vector<Case> registry_cases();
+std::vector<Case> rollout_cases();
+std::vector<Case> traffic_cases();
+std::vector<Case> checker_cases();
+std::vector<Case> config_cases();
+
+template <class F>
+Case property(const std::string& name, F f) {
+  return {name, [name, f] { expect(rc::check(name, f), "the property does not hold; RapidCheck's report is above"); }};
+}
+
+}  // namespace dunlinwing::test
--- a/test/worker.cpp
+++ b/test/worker.cpp
@@ -12,7 +12,7 @@
 #include "wire/http.hpp"
 
 DEFINE_string(service, "", "the service it runs");
-DEFINE_string(version, "1", "its version");
+DEFINE_string(runs, "1", "its version");
 DEFINE_string(zone, "a", "its zone");
 DEFINE_string(address, "", "IP:port to serve on");
 DEFINE_string(relays, "", "control addresses of relays, with commas");
@@ -45,7 +45,7 @@
 
   base::Receipt answer(base::Request& q) {
     auto h = [&](const char* n) { return base::header(q.headers, n); };
-    if (h("Dunlinwing-Service") != FLAGS_service || h("Dunlinwing-Version") != FLAGS_version ||
+    if (h("Dunlinwing-Service") != FLAGS_service || h("Dunlinwing-Version") != FLAGS_runs ||
         h("Dunlinwing-Instance") != instance)
       return {421, {}, "not the worker you meant\n"};
     auto id = h("Caller-Id");
@@ -55,14 +55,14 @@
     clock.nap(Span(fault == "slow" ? FLAGS_work_ms * 500 : FLAGS_work_ms));
     auto at = clock.now().count();
     auto body = fmt::format(R"({{"service":"{}","version":"{}","instance":"{}","target":{},"echo":{},"produced":{},"pad":"{}"}})",
-                            FLAGS_service, FLAGS_version, instance, test::qt(q.target), test::qt(id), at,
+                            FLAGS_service, FLAGS_runs, instance, test::qt(q.target), test::qt(id), at,
                             std::string(static_cast<size_t>(FLAGS_pad), 'x'));
     auto sum = base::sha256_base64(body);
     bool bad = fault == "error" || fault == "wrong_bytes" || fault == "wrong_name" || fault == "lose_answer";
     journal.line(fmt::format(
         R"({{"t":"run","id":{},"rid":"{}","method":"{}","target":{},"in":"{}","out":"{}","service":"{}","version":"{}","instance":"{}","at":{},"bad":{}}})",
         test::qt(id), h("Dunlinwing-Request"), q.method, test::qt(q.target), base::sha256_base64(q.body), sum,
-        FLAGS_service, FLAGS_version, instance, at, bad));
+        FLAGS_service, FLAGS_runs, instance, at, bad));
     if (fault == "lose_answer") clock.nap(3600s);  // the work is done and the answer never comes
     base::Receipt r{fault == "error" ? 500 : 200, {}, body};
     if (fault == "wrong_bytes") r.body[r.body.size() / 2] ^= 1;
@@ -70,7 +70,7 @@
     put("Content-Type", "application/json");
     put("Content-Digest", "sha-256=:" + sum + ":");
     put("Dunlinwing-Service", FLAGS_service);
-    put("Dunlinwing-Version", FLAGS_version);
+    put("Dunlinwing-Version", FLAGS_runs);
     put("Dunlinwing-Instance", fault == "wrong_name" ? "somebody" : instance);
     put("Dunlinwing-Request", h("Dunlinwing-Request"));
     put("Dunlinwing-Load", std::to_string(load.load()));
@@ -85,7 +85,7 @@
     q.target = "/v1/beats";
     q.body = fmt::format(
         R"({{"service":"{}","version":"{}","instance":"{}","zone":"{}","address":"{}","capacity":{},"leaving":{},"number":{},"period_ms":{}}})",
-        FLAGS_service, FLAGS_version, instance, FLAGS_zone, FLAGS_address, FLAGS_capacity, leaving.load(), ++number,
+        FLAGS_service, FLAGS_runs, instance, FLAGS_zone, FLAGS_address, FLAGS_capacity, leaving.load(), ++number,
         FLAGS_period_ms);
     for (int i = 0; i < 4; ++i) {
       auto r = post.shoot(relays[chance.below(relays.size())], q, 1500ms);
