Tell a dead shield from a silent one, and let carried requests earn repeats

Cause: while a shield was down each fill counted as a repeat although nothing had left for it, and carried requests earned no repeats, so the budget ran dry and fills ended as 'unknown' with a misleading reason. Ruled out: lost beats (the reason given pointed there; the tables held all workers). A refused connection proves that no byte left.

--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -37,7 +37,8 @@
   virtual std::shared_ptr<Spot> spot() = 0;
 };
 
-enum class NetDefect { unreachable, timed_out, garbled };
+// Only `unreachable` says that nothing was sent.
+enum class NetDefect { unreachable, broken, timed_out, garbled };
 
 class Net {
  public:
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -12,6 +12,7 @@
 namespace dunlinwing::traffic {
 namespace {
 constexpr int kComeBackSeconds = 1;
+constexpr Span kShieldRest{500};
 
 base::Receipt turned_away(int status, const std::string& why, const char* outcome) {
   base::Receipt r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, {}};
@@ -52,6 +53,7 @@
   std::atomic<bool> draining{false};
   mutable std::mutex m;
   std::map<std::string, std::pair<uint64_t, uint64_t>> tallies;
+  std::map<std::string, Tick> resting;  // shields, until when
 
   Impl(base::Ports& p, std::string a, std::string z, std::function<bool()> f)
       : ps(p), me(std::move(a)), zone(z), fresh(f), shots(p, z, f, [this] { return now_table(); }) {}
@@ -76,11 +78,20 @@
     return now - i->born < most && !banned && !purged(*t, w.service->name, w.q.target, i->purge) && fresh();
   }
 
-  std::string shield_for(const Table& t, const std::string& key) const {
+  // A shield that just failed is left alone for a quarter of the two seconds
+  // that it takes the fleet to notice.
+  void shield_failed(const std::string& address) {
+    std::lock_guard l(m);
+    resting[address] = ps.clock.now() + kShieldRest;
+  }
+
+  std::string shield_for(const Table& t, const std::string& key) {
     const Shield* best = nullptr;
     size_t top = 0;
+    std::lock_guard l(m);
     for (auto& s : t.shields) {
       if (s.name == me) return {};  // a shield fetches for itself
+      if (auto f = resting.find(s.address); f != resting.end() && f->second > ps.clock.now()) continue;
       auto h = std::hash<std::string>()(s.name + "\n" + key);
       if (!best || h > top) {
         best = &s;
@@ -119,6 +130,10 @@
       ++n.carried;
       auto r = ps.net.ask(to, a, (w.deadline - ps.clock.now()) / 2);
       auto* x = std::get_if<pb::Reply>(&r);
+      auto* nd = std::get_if<base::NetDefect>(&r);
+      bool reached = !nd || *nd != base::NetDefect::unreachable;
+      if (reached) shots.sent(w.service->name);
+      if (nd) shield_failed(to);
       if (x && x->has_carry() && !x->carry().not_run() && !x->carry().unknown()) {
         auto& cr = x->carry();
         i->receipt.status = static_cast<int>(cr.status());
@@ -133,7 +148,7 @@
           return {out, cr.cacheable() ? cache::ItemPtr(i) : nullptr};
       }
       // What the shield did with it is not known, so a direct shot may be a repeat.
-      direct.again = !(x && x->has_carry() && x->carry().not_run());
+      direct.again = reached && !(x && x->has_carry() && x->carry().not_run());
     }
     auto f = shots.run(direct);
     if (f.fate == Fate::not_run && direct.again) f.fate = Fate::unknown;  // the shield may have had it run
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -107,6 +107,8 @@
   return true;
 }
 
+void Shots::sent(const std::string& s) { p_->repeats.sent(s); }
+
 Fetched Shots::run(const Work& w) {
   auto& p = *p_;
   auto& s = *w.service;
@@ -129,7 +131,10 @@
   bool left = false;  // some byte of some shot may have reached a worker
   bool must_pay = w.again;
   for (int i = 0; i < kMostShots; ++i) {
-    if (must_pay && !repeat_allowed(w)) break;
+    if (must_pay && !repeat_allowed(w)) {
+      if (i == 0) last = {Fate::not_run, {}, {}, "the repeat budget is used up"};
+      break;
+    }
     if (s.rate > 0) {
       double share = static_cast<double>(s.rate) / std::max(w.table->nodes, 1);
       auto wait = p.pace.reserve(s.name, share, w.deadline - clock.now());
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -37,6 +37,7 @@
   ~Shots();
   Fetched run(const Work& w);
   bool repeat_allowed(const Work& w);
+  void sent(const std::string& service);  // a first send that earns repeats
   std::map<std::pair<std::string, std::string>, VersionCount> counts() const;
   std::pair<int, int> load(const std::string& service);
   int running();
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -91,12 +91,12 @@
     l->s.socket().set_option(tcp::no_delay(true), ec);
   }
   l->s.expires_at(end);
-  if (auto ec = write_frame(l->s, a); ec) return base::NetDefect::unreachable;
+  if (auto ec = write_frame(l->s, a); ec) return base::NetDefect::broken;
   pb::Reply r;
   if (auto ec = read_frame(l->s, r); ec)
     return ec == beast::error::timeout ? base::NetDefect::timed_out
            : ec == boost::system::errc::bad_message ? base::NetDefect::garbled
-                                                    : base::NetDefect::unreachable;
+                                                    : base::NetDefect::broken;
   l->s.expires_never();
   auto& back = idle[addr];
   if (back.size() < kMostIdle) back.push_back(std::move(l));
