Twenty-two more simulated failures; proposers that meet no longer give up

Cause, found by purge_storm: a proposer that lost four ballots to others said 'no majority', though a majority had answered. Nine relays purging together met that way. Found by races: proposers went on duelling for a race already over. Ruled out: lost messages (calm network) and slow disks. Also: protobuf maps serialise in no fixed order, so an unchanged state was written again and woke every watch (found by 'watch'); messages are now compared, not bytes. A fleet of real processes joins the tests as well.

--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -4,6 +4,7 @@
 #include "gate/control.hpp"
 
 #include <fmt/format.h>
+#include <google/protobuf/util/message_differencer.h>
 
 #include <algorithm>
 #include <charconv>
@@ -228,11 +229,12 @@
     auto now = std::get<registry::Held>(g);
     for (int i = 0; i < 8; ++i) {
       if (auto s = precondition(c.q, now.version)) return *s;
-      M m;
-      m.ParseFromString(now.data);
+      M m, old;
+      old.ParseFromString(now.data);
+      m = old;
       if (auto r = f(m)) return *r;
       auto data = m.SerializeAsString();
-      if (data == now.data && now.version) return json(200, message_json(m), now.version);
+      if (now.version && google::protobuf::util::MessageDifferencer::Equals(m, old)) return json(200, message_json(m), now.version);
       auto w = n.book().write(key, now.version, data);
       if (auto* h = std::get_if<registry::Held>(&w)) return json(200, message_json(m), h->version);
       if (auto* d = std::get_if<registry::Defect>(&w)) return of(*d);
--- a/src/registry/book.cpp
+++ b/src/registry/book.cpp
@@ -12,7 +12,9 @@
 namespace dunlinwing::registry {
 namespace {
 constexpr int kPastTags = 8;
-constexpr int kTries = 12;
+constexpr int kRounds = 5;        // of a round's limit: how long an operation tries
+constexpr int kSilentTries = 3;   // without hearing a majority before it says so
+constexpr int kMostDoublings = 6;
 }  // namespace
 
 struct Book::Impl {
@@ -35,6 +37,10 @@
     return static_cast<size_t>(
         std::count_if(rs.begin(), rs.end(), [](auto& r) { return r && r->has_vote() && r->vote().yes(); }));
   }
+  static size_t voters(const Replies& rs) {
+    return static_cast<size_t>(
+        std::count_if(rs.begin(), rs.end(), [](auto& r) { return r && r->has_vote() && !r->vote().mute(); }));
+  }
   // Voting is over when a majority said yes, or so many said no that none can.
   bool settled(const Replies& rs) const {
     size_t no = 0;
@@ -42,17 +48,36 @@
     return yeses(rs) >= majority() || no > hs.size() - majority();
   }
 
+  // Proposers that met each other wait a random while, longer each time.
   void back_off(int i) {
-    auto most = static_cast<uint64_t>(round.count()) / 16 * static_cast<uint64_t>(1 << std::min(i, 3));
+    auto most = static_cast<uint64_t>(round.count()) / 32 * static_cast<uint64_t>(1 << std::min(i, kMostDoublings));
     ps.clock.nap(Span(1 + ps.chance.below(most + 1)));
   }
 
+  // The slot that a majority has accepted at one ballot, none higher being seen.
+  const pb::Slot* agreed(const Replies& rs) const {
+    const pb::Slot* best = nullptr;
+    auto yes = [](auto& r) { return r && r->has_vote() && r->vote().yes(); };
+    for (auto& r : rs)
+      if (yes(r) && (!best || lower(best->accepted(), r->vote().slot().accepted()))) best = &r->vote().slot();
+    size_t n = 0;
+    for (auto& r : rs) n += best && yes(r) && equal(best->accepted(), r->vote().slot().accepted());
+    return n >= majority() ? best : nullptr;
+  }
+
+  std::optional<pb::Value> peek(const std::string& name) {
+    pb::Ask a;
+    a.mutable_peek()->set_name(name);
+    auto rs = ask(a, [&](auto& r) { return agreed(r) != nullptr; });
+    if (auto* s = agreed(rs)) return s->value();
+    return {};
+  }
+
   // One round. `make` turns the value in force into the next, or into itself.
-  // Nothing: no majority promised. False: it was promised, but the accept may
-  // or may not hold.
+  // Promised but not chosen: the accept may or may not hold.
   struct Out {
     pb::Value value;
-    bool promised = false, chosen = false;
+    bool heard = false, promised = false, chosen = false;
   };
   Out turn(const std::string& name, const std::function<pb::Value(const pb::Value&)>& make) {
     Out o;
@@ -70,6 +95,7 @@
         note(r->vote());
         if (r->vote().yes() && lower(best.accepted(), r->vote().slot().accepted())) best = r->vote().slot();
       }
+    o.heard = voters(rs) >= majority();
     // A promise older than a round's limit may come from a disk since lost.
     if (yeses(rs) < majority() || ps.clock.now() - from > round) return o;
     o.promised = true;
@@ -94,25 +120,12 @@
 
 Got Book::read(const std::string& name) {
   auto& p = *p_;
-  pb::Ask a;
-  a.mutable_peek()->set_name(name);
-  auto agreed = [&](const Replies& rs) -> const pb::Slot* {
-    const pb::Slot* best = nullptr;
-    for (auto& r : rs)
-      if (r && r->has_vote() && r->vote().yes() &&
-          (!best || lower(best->accepted(), r->vote().slot().accepted())))
-        best = &r->vote().slot();
-    size_t n = 0;
-    for (auto& r : rs)
-      n += best && r && r->has_vote() && r->vote().yes() && equal(best->accepted(), r->vote().slot().accepted());
-    return n >= p.majority() ? best : nullptr;
-  };
-  auto rs = p.ask(a, [&](auto& r) { return agreed(r) != nullptr; });
-  if (auto* s = agreed(rs)) return Held{s->value().version(), s->value().data()};
-  for (int i = 0; i < kTries; ++i) {
+  Tick end = p.ps.clock.now() + p.round * kRounds;
+  for (int i = 0, silent = 0; i == 0 || p.ps.clock.now() < end; ++i) {
+    if (auto v = p.peek(name)) return Held{v->version(), v->data()};
     auto o = p.turn(name, [](const pb::Value& v) { return v; });
     if (o.chosen) return Held{o.value.version(), o.value.data()};
-    if (!o.promised && i >= 3) return Defect::no_majority;
+    if (!o.heard && ++silent >= kSilentTries) break;
     p.back_off(i);
   }
   return Defect::no_majority;
@@ -121,11 +134,26 @@
 Put Book::write(const std::string& name, uint64_t expect, const std::string& data) {
   auto& p = *p_;
   auto tag = base::token(p.ps.chance);
+  auto is_mine = [&](const pb::Value& v) {
+    return v.tag() == tag || std::find(v.past().begin(), v.past().end(), tag) != v.past().end();
+  };
   bool sent = false;
-  for (int i = 0; i < kTries; ++i) {
+  auto stale = [&](const pb::Value& v) -> Put {
+    // Past this many later writes the tags no longer tell whether ours was among them.
+    if (sent && v.version() > expect + kPastTags) return Defect::fate_unknown;
+    return Stale{{v.version(), v.data()}};
+  };
+  Tick end = p.ps.clock.now() + p.round * kRounds;
+  for (int i = 0, silent = 0; i == 0 || p.ps.clock.now() < end; ++i) {
+    // After a round that broke off, a look first: the race may be over.
+    if (i > 0)
+      if (auto v = p.peek(name)) {
+        if (is_mine(*v)) return Held{expect + 1, data};
+        if (v->version() != expect) return stale(*v);
+      }
     bool mine = false, first = false;
     auto o = p.turn(name, [&](const pb::Value& v) {
-      mine = v.tag() == tag || std::find(v.past().begin(), v.past().end(), tag) != v.past().end();
+      mine = is_mine(v);
       if (mine || v.version() != expect) return v;
       first = true;
       pb::Value n;
@@ -139,10 +167,9 @@
     sent |= first;
     if (o.chosen) {
       if (mine || first) return Held{expect + 1, data};
-      if (!sent || o.value.version() <= expect + kPastTags) return Stale{{o.value.version(), o.value.data()}};
-      return Defect::fate_unknown;
+      return stale(o.value);
     }
-    if (!o.promised && i >= 3) break;
+    if (!o.heard && ++silent >= kSilentTries) break;
     p.back_off(i);
   }
   return sent ? Defect::fate_unknown : Defect::no_majority;
--- a/src/rollout/moves.cpp
+++ b/src/rollout/moves.cpp
@@ -4,6 +4,7 @@
 #include "rollout/moves.hpp"
 
 #include <fmt/format.h>
+#include <google/protobuf/util/message_differencer.h>
 
 #include <algorithm>
 
@@ -78,7 +79,7 @@
       break;
     }
   }
-  if (o.effects.empty() && n.SerializeAsString() != s.SerializeAsString()) o.effects.push_back(Save{false});
+  if (o.effects.empty() && !google::protobuf::util::MessageDifferencer::Equals(n, s)) o.effects.push_back(Save{false});
   return o;
 }
 
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -4,6 +4,7 @@
 #include "rollout/reducer.hpp"
 
 #include <fmt/format.h>
+#include <google/protobuf/util/message_differencer.h>
 
 #include <algorithm>
 #include <set>
@@ -312,7 +313,7 @@
   w.forget();
   if (w.changed)
     w.out.push_back(Save{true});
-  else if (w.s.SerializeAsString() != s.SerializeAsString())
+  else if (!google::protobuf::util::MessageDifferencer::Equals(w.s, s))
     w.out.push_back(Save{false});
   return {std::move(w.s), std::move(w.out)};
 }
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -276,10 +276,10 @@
   return {v->r.status, v->r.body, base::header(v->r.headers, "ETag"), false};
 }
 
-void Fleet::call(const std::string& method, const std::string& target, const std::string& body) {
+int Fleet::call(const std::string& method, const std::string& target, const std::string& body) {
   auto* h = some(true);
   if (!h) h = some(false);
-  if (!h) return;
+  if (!h) return 0;
   base::Request q{"", method, target, body, {}};
   auto id = fmt::format("c{}", ++named_);
   q.headers.emplace_back("Caller-Id", id);
@@ -290,7 +290,7 @@
   auto v = visit(w_, out_, *h, std::move(q), false, Span(10000));
   if (v->lost) {
     w_.journal.push_back(fmt::format(R"({{"t":"lost","id":"{}"}})", id));
-    return;
+    return 0;
   }
   auto& r = v->r;
   good += r.status < 400;
@@ -301,6 +301,7 @@
       R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","from":{},"at":{},"relay":"{}","why":{}}})",
       id, r.status, base::header(r.headers, "Dunlinwing-Outcome"), base::sha256_base64(r.body), produced,
       base::header(r.headers, "Dunlinwing-Generation"), from, w_.now().count(), h->name, r.status < 400 ? "\"\"" : base::quote(r.body)));
+  return r.status;
 }
 
 void Fleet::callers(int per_second, Tick until, std::function<void()> one) {
--- /dev/null
+++ b/test/fleet_test.cpp
@@ -0,0 +1,167 @@
+// A whole fleet of real processes, briefly, and the HTTP edges that only real
+// sockets can show. Waits on conditions, never on time alone.
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <filesystem>
+
+#include "checker.hpp"
+#include "expect.hpp"
+#include "fleet.hpp"
+#include "wire/peer.hpp"
+
+DEFINE_string(bin, ".", "where the programs are");
+DEFINE_string(dir, "fleet_test_run", "where everything goes");
+DEFINE_int32(port, 24000, "the first of 700 loopback ports");
+
+using namespace dunlinwing;
+using namespace std::chrono_literals;
+
+namespace {
+// Sends bytes as they are and reads until the relay closes or goes quiet.
+std::string raw(wire::Pool& pool, const std::string& addr, const std::string& bytes) {
+  namespace asio = boost::asio;
+  asio::ip::tcp::socket s(pool.io(0));
+  auto a = wire::split_address(addr);
+  auto [e] = wire::await<>([&](auto h) { s.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(a->ip), a->port), std::move(h)); });
+  if (e) return "cannot connect";
+  wire::await<size_t>([&](auto h) { asio::async_write(s, asio::buffer(bytes), std::move(h)); });
+  std::string out;
+  wire::RealClock clock;
+  auto shut = std::make_shared<bool>(false);
+  pool.spawn([&pool, shut, &s] {
+    wire::RealClock c;
+    for (int i = 0; i < 60 && !*shut; ++i) c.nap(20ms);
+    if (*shut) return;
+    wire::Ec ec;
+    s.cancel(ec);
+  });
+  for (;;) {
+    char b[4096];
+    auto [e2, n] = wire::await<size_t>([&](auto h) { s.async_read_some(asio::buffer(b), std::move(h)); });
+    if (e2) break;
+    out.append(b, n);
+    if (out.find("\r\n\r\n") != out.npos && bytes.find("close") != bytes.npos && out.size() > 4096) break;
+  }
+  *shut = true;
+  clock.nap(50ms);
+  return out;
+}
+
+int count(const std::string& s, const std::string& what) {
+  int n = 0;
+  for (auto i = s.find(what); i != s.npos; i = s.find(what, i + 1)) ++n;
+  return n;
+}
+
+void framing(wire::Pool& pool, test::Fleet& f) {
+  auto at = f.at("e2").callers;
+  auto starts = [&](const std::string& what, const std::string& bytes, const std::string& want) {
+    auto r = raw(pool, at, bytes);
+    test::expect(r.starts_with("HTTP/1.1 " + want), what + " gave " + r.substr(0, 60));
+    return r;
+  };
+  starts("a plain request", "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "200");
+  starts("two lengths", "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", "400");
+  starts("a length and chunks",
+         "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400");
+  starts("no host", "GET /lobbies/1 HTTP/1.1\r\n\r\n", "400");
+  starts("two hosts", "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", "400");
+  starts("nonsense", "\x01\x02 nonsense\r\n\r\n", "400");
+  starts("too long a head", "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", "431");
+  starts("too long a body for the layout",
+         "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\nConnection: close\r\n\r\n" + std::string(70000, 'x'), "413");
+  starts("no route", "GET /nowhere HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "404");
+  starts("no such method there", "DELETE /fees HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "405");
+  starts("expect",
+         "POST /fees HTTP/1.1\r\nHost: x\r\nCaller-Id: t-expect\r\nExpect: 100-continue\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}",
+         "100");
+  auto ch = starts("chunks", "POST /fees HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "200");
+  auto head = starts("head", "HEAD /liveries/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "200");
+  test::expect(head.substr(head.find("\r\n\r\n")).size() == 4, "an answer to HEAD has a body");
+  test::expect(head.find("Content-Length: 0\r\n") == head.npos, "an answer to HEAD hides the length");
+  auto two = raw(pool, at,
+                 "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\n\r\nGET /lobbies/2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  test::same(count(two, "HTTP/1.1 200"), 2, "answers to two pipelined requests");
+  test::expect(two.find("/lobbies/1") < two.find("/lobbies/2"), "pipelined answers out of order");
+}
+
+void faces(test::Fleet& f) {
+  auto r = f.http("e3", "PUT", "/v1/releases/layout/bad", R"({"content":{"services":{},"routes":[{"prefix":"x"}]}})");
+  test::same(r.status, 422, "an invalid layout");
+  for (auto* at : {"/content/services", "/content/routes/0/prefix", "/content/routes/0/service"})
+    test::expect(r.body.find(std::string("{\"at\":\"") + at + "\"") != r.body.npos, std::string("not named: ") + at + " in " + r.body);
+  test::same(f.http("e3", "GET", "/v1/releases/layout/bad").status, 404, "what was not recorded");
+  auto again = f.http("e7", "PUT", "/v1/releases/layout/first", test::layout_document("lobby"));
+  test::same(again.status, 200, "the same release again");
+  test::same(f.http("e7", "PUT", "/v1/releases/layout/first", test::layout_document("lobby", "7")).status, 412, "another under its name");
+  test::same(f.http("s1", "PUT", "/v1/purges/one", R"({"service":"content","kind":"path","path":"/liveries/1"})").status, 200, "a purge");
+  auto once = f.http("s2", "PUT", "/v1/purges/one", R"({"service":"content","kind":"path","path":"/liveries/1"})");
+  test::expect(once.body.find("\"was_known\":true") != once.body.npos, "a purge of the same name was taken twice");
+  test::same(f.http("e1", "GET", "/v1/nonsense").status, 404, "an unknown resource");
+  test::same(f.http("e1", "DELETE", "/v1/nodes").status, 405, "a method that resources do not take");
+}
+
+void whole(wire::Pool& pool) {
+  test::FleetConfig c{std::filesystem::absolute(FLAGS_dir).string(), FLAGS_bin, "lobby", FLAGS_port, 1500};
+  test::Fleet f(pool, c);
+  f.lay_out();
+  std::string why;
+  try {
+    f.start_relays();
+    f.start_workers();
+    test::expect(f.until(30s, [&] { return f.any("GET", "/v1/nodes").status == 200; }), "control did not answer");
+    test::same(f.any("PUT", "/v1/releases/layout/first", test::layout_document("lobby")).status, 202, "the first layout");
+    test::expect(f.all_ready(30s), "not all relays became ready");
+    test::expect(f.until(15s, [&] { return count(f.any("GET", "/v1/workers").body, "\"gone\":false") == 10; }),
+                 "not all workers are known");
+    framing(pool, f);
+    faces(f);
+    auto p = f.start_caller("c1", 200, 20, 7);
+    test::same(f.any("PUT", "/v1/releases/layout/second", test::layout_document("lobby", "2")).status, 202, "the second layout");
+    f.kill("e5");  // a holder, without warning
+    f.wipe("e5");
+    f.start("e5");
+    f.warn("e2");
+    f.start("e2");
+    test::expect(f.layout_everywhere("second", 90s), "the second layout does not run everywhere: " +
+                                                         f.any("GET", "/v1/releases/layout/second").body);
+    test::expect(f.until(60s, [&] { return f.caller_done(p); }), "the callers did not end");
+    test::expect(f.all_ready(30s), "not all relays are ready at the end");
+    for (auto& m : f.machines())
+      if (m.kind != "worker")
+        test::expect(f.http(m.name, "GET", "/v1/releases/layout/second").body.find(
+                         "\"document\":" + test::layout_document("lobby", "2")) != std::string::npos,
+                     m.name + " does not read the acknowledged layout back byte for byte");
+  } catch (const std::exception& e) {
+    why = e.what();
+  }
+  f.stop_all();
+  test::expect(why.empty(), why);
+  test::Journals js;
+  for (auto& e : std::filesystem::directory_iterator(c.dir))
+    if (e.path().extension() == ".journal") js.read(e.path().string());
+  auto r = test::check(js);
+  for (auto& b : r.breaches)
+    if (b.rule != 4 || b.what.find("a run of  ") == b.what.npos)  // the raw requests carry no name
+      if (b.rule != 4 || b.what.find("t-expect") == b.what.npos)
+        throw test::Failed(fmt::format("rule {}: {}", b.rule, b.what));
+  test::expect(r.figures["ok"] * 100 > r.figures["asked"] * 97,
+               fmt::format("only {} of {} requests went well", r.figures["ok"], r.figures["asked"]));
+}
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::filesystem::remove_all(FLAGS_dir);
+  wire::Pool pool(1);
+  pool.run([&] {
+    int rc = test::run_all({{"fleet: a day in small", [&] { whole(pool); }}}, "");
+    wire::Pool::stop(rc);
+  });
+}
--- /dev/null
+++ b/test/rollout_stories.cpp
@@ -0,0 +1,265 @@
+// Rollout, registers and duties under failure, on a simulated fleet.
+#include "rollout/conductor.hpp"
+#include "story.hpp"
+
+namespace dunlinwing::test {
+namespace {
+
+sim::Host* duty_holder(Scene& s) {
+  for (auto& h : s.f.hosts())
+    if (h->up() && h->node->duty().held()) return h.get();
+  return nullptr;
+}
+
+// The duty's primary is killed in each phase. Hold time once recorded stays,
+// and the release still runs its course, each node being moved once.
+void duty_dies(Scene& s) {
+  s.length = Span(200000);
+  s.must_meet = {"kill"};
+  s.story = [&s] {
+    if (!begin(s, 80)) return;
+    put(s, "second", sim_layout("\"1\"", 3));
+    for (std::string ph : {"ONE", "TWO", "THREE"}) {
+      if (!reach(s, "second", ph, Span(60000))) return s.want(false, "phase " + ph + " was not reached");
+      s.f.nap(Span(s.w.below(1500)));
+      auto* h = duty_holder(s);
+      if (!h) continue;
+      pb::Rollout before;
+      rollout_seen(s, before);
+      auto name = h->name;
+      s.f.kill(name);
+      bool taken = s.f.until(Span(15000), [&] { return duty_holder(s) != nullptr; });
+      s.want(taken, "nobody took the duty up");
+      pb::Rollout after;
+      rollout_seen(s, after);
+      for (auto& c : before.courses())
+        for (auto& d : after.courses())
+          if (c.release() == d.release() && c.phase() == d.phase() && c.zone() == d.zone())
+            s.want(d.held_ms() >= c.held_ms(), "hold time was lost");
+      s.f.start(name);
+    }
+    s.want(reach(s, "second", "DONE", Span(100000)), "the release did not finish: " + release_state(s, "second").text());
+  };
+}
+
+// A release whose worker version turns bad once it has reached a phase.
+void bad_release_in(Scene& s, const std::string& ph) {
+  s.length = Span(120000);
+  s.must_meet = {"bad_answer"};
+  s.story = [&s, ph] {
+    if (!begin(s, 80)) return;
+    std::vector<sim::Worker*> two;
+    for (int i = 0; i < 2; ++i) two.push_back(&s.f.add_worker("app", "2", 0));
+    for (int i = 0; i < 2; ++i) two.push_back(&s.f.add_worker("content", "2", 3));
+    allow(s, "2");
+    put(s, "second", sim_layout("\"2\"", 3));
+    if (!reach(s, "second", ph, Span(80000))) return s.want(false, "phase " + ph + " was not reached");
+    for (auto* x : two) x->bad_percent = 60;
+    s.want(reach(s, "second", "STOPPED", Span(20000)), "a bad release was not stopped in phase " + ph);
+    s.f.nap(Span(2000));
+    uint64_t top = 0;
+    for (auto& h : s.f.hosts()) {
+      s.want(h->node->release() == "first", h->name + " did not go back");
+      top = std::max(top, h->node->generation());
+    }
+    pb::Rollout r;
+    rollout_seen(s, r);
+    s.want(top == r.generation(), "the way back was not under the highest generation");
+  };
+}
+
+// Without traffic there is no evidence, and no release goes on.
+void too_little(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    if (!begin(s, 1)) return;
+    put(s, "second", sim_layout("\"1\"", 3));
+    s.f.nap(Span(25000));
+    s.want(phase(s, "second") == "ONE", "it went on without evidence");
+    auto why = release_state(s, "second").at("course").at("why").str();
+    s.want(why.find("too little evidence") == 0, "it does not say why it holds: " + why);
+    auto t = s.f.tell("PUT", "/v1/releases/layout/second/waivers/evidence", R"({"reason":"a quiet night"})");
+    s.want(t.status == 200, "the waiver was not taken");
+    s.want(reach(s, "second", "TWO", Span(10000)), "a waived check still held it");
+  };
+}
+
+// Compare-and-set by everybody at once while machines fail: for each version
+// one winner, and no read ever older than what was acknowledged before it.
+void races(Scene& s) {
+  s.length = Span(60000);
+  s.must_meet = {"kill", "loss", "freeze"};
+  struct State {
+    std::map<uint64_t, std::string> won;
+    uint64_t acked = 0, writes = 0, reads = 0, stale = 0, unsure = 0;
+  };
+  auto st = std::make_shared<State>();
+  s.story = [&s, st] {
+    if (!begin(s, 5)) return;
+    s.w.weather = {20, 20, Span(1), Span(25)};
+    auto end = s.w.now() + Span(30000);
+    for (auto& h : s.f.hosts())
+      for (int k = 0; k < 2; ++k)
+        s.f.outside([&s, st, end, host = h.get(), k] {
+          for (int i = 0; s.w.now() < end; ++i) {
+            s.f.nap(Span(s.w.below(1000)));
+            if (!host->up()) continue;
+            // The work runs in the host's own life and dies with it.
+            s.w.spawn(host->life, [&s, st, host, k, i] {
+              auto& book = host->node->book();
+              auto floor = st->acked;
+              auto g = book.read("race");
+              auto* h = std::get_if<registry::Held>(&g);
+              if (!h) return;
+              ++st->reads;
+              s.want(h->version >= floor, fmt::format("a read gave version {} after {} was acknowledged", h->version, floor));
+              if (auto f = st->won.find(h->version); f != st->won.end())
+                s.want(f->second == h->data, "a read gave another value than was acknowledged");
+              auto mine = fmt::format("{}/{}/{}", host->name, k, i);
+              auto w = book.write("race", h->version, mine);
+              if (auto* d = std::get_if<registry::Held>(&w)) {
+                ++st->writes;
+                auto [f, fresh] = st->won.emplace(d->version, mine);
+                s.want(fresh || f->second == mine, fmt::format("two writers won version {}", d->version));
+                st->acked = std::max(st->acked, d->version);
+              } else if (std::holds_alternative<registry::Stale>(w)) {
+                ++st->stale;
+              } else {
+                ++st->unsure;
+              }
+            });
+          }
+        });
+    while (s.w.now() < end) {
+      s.f.nap(Span(500 + s.w.below(1500)));
+      auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
+      if (s.w.chance(400)) {
+        int down = 0;
+        for (auto& x : s.f.hosts()) down += x->holder && !x->up();
+        if (h->up() && !(h->holder && down >= 2)) s.f.kill(h->name);
+      } else if (s.w.chance(500)) {
+        s.w.freeze(h->name, s.w.now() + Span(s.w.below(3000)));
+      }
+      for (auto& x : s.f.hosts())
+        if (!x->up() && s.w.chance(500)) s.f.start(x->name);
+    }
+    s.f.start_all();
+    s.f.nap(Span(6000));
+    s.figures = {{"race_writes", st->writes}, {"race_reads", st->reads}, {"race_stale", st->stale}, {"race_unsure", st->unsure}};
+    s.want(st->writes > 20 && st->stale > 0,
+           fmt::format("there was no race: {} writes, {} stale, {} unsure, {} reads", st->writes, st->stale, st->unsure, st->reads));
+  };
+}
+
+// Operators race each other and send nonsense; one wins, the rest are told.
+void operators_race(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    if (!begin(s)) return;
+    auto won = std::make_shared<int>(0), lost = std::make_shared<int>(0), odd = std::make_shared<int>(0);
+    for (int i = 0; i < 6; ++i)
+      s.f.outside([&s, i, won, lost, odd] {
+        auto t = s.f.tell("PUT", "/v1/releases/layout/contested", sim_layout("\"1\"", 1 + i));
+        (t.status == 202 ? *won : t.status == 412 ? *lost : *odd)++;
+      });
+    s.f.nap(Span(6000));
+    s.want(*won == 1, fmt::format("{} operators won, {} lost, {} other", *won, *lost, *odd));
+    for (auto* bad : {"{", "[]", R"({"content":{}})", R"({"content":{"services":{"x":{"versions":[]}},"routes":[]}})"}) {
+      auto t = s.f.tell("PUT", "/v1/releases/layout/bad", bad);
+      s.want(t.status == 422 && t.body.find("\"defects\":[{\"at\":") != t.body.npos, "an invalid layout gave " + t.body);
+    }
+    s.want(s.f.tell("GET", "/v1/releases/layout/bad", "").status == 404, "an invalid layout was recorded");
+    auto a = s.f.tell("PUT", "/v1/services/app", R"({"version":"1"})");
+    s.want(a.status == 200 && a.etag == "\"1\"", "the first statement of a service gave " + a.body);
+    auto b = s.f.tell("PUT", "/v1/services/app", R"({"version":"1"})", {{"If-Match", "\"7\""}});
+    s.want(b.status == 412 && b.etag == "\"1\"", "a stale If-Match was not told the version in force");
+    s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"9"})").status == 422, "a version that no layout allows was taken");
+  };
+}
+
+// A watch returns when what it watches has changed, and not before.
+void watch(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    if (!begin(s)) return;
+    auto t = s.f.tell("GET", "/v1/assignments", "");
+    auto v = t.etag.substr(1, t.etag.size() - 2);
+    auto none = s.f.tell("GET", "/v1/services/none?after=0&wait_ms=100", "");
+    s.want(none.status == 404, "a watch of nothing did not say 404");
+    auto from = s.w.now();
+    auto same = s.f.tell("GET", "/v1/assignments?wait_ms=1500&after=" + v, "");
+    s.want(same.status == 304 && s.w.now() - from >= Span(1500), fmt::format("a watch of what does not change gave {}", same.status));
+    s.f.outside([&s] {
+      s.f.nap(Span(1000));
+      put(s, "second", sim_layout("\"1\"", 3));
+    });
+    from = s.w.now();
+    auto next = s.f.tell("GET", "/v1/assignments?wait_ms=4500&after=" + v, "");
+    s.want(next.status == 200 && s.w.now() - from >= Span(1000), "a watch missed a change");
+  };
+}
+
+// A split that leaves the duty's holder on the small side: it stops before its
+// permit ends, and the other side goes on.
+void split_duty(Scene& s) {
+  s.length = Span(90000);
+  s.must_meet = {"cut"};
+  s.story = [&s] {
+    if (!begin(s, 40)) return;
+    put(s, "second", sim_layout("\"1\"", 3));
+    for (int i = 0; i < 3; ++i) {
+      auto* h = duty_holder(s);
+      if (!h) return s.want(false, "nobody holds the duty");
+      s.f.cut_off(h->name);
+      bool passed = s.f.until(Span(15000), [&] {
+        auto* n = duty_holder(s);
+        return n && n != h;
+      });
+      s.want(passed, "the duty did not pass on");
+      s.w.mend();
+      s.f.nap(Span(2000 + s.w.below(3000)));
+    }
+  };
+}
+
+// Each machine in turn is stopped with a warning and started again.
+void rolling_restart(Scene& s) {
+  s.length = Span(120000);
+  s.story = [&s] {
+    if (!begin(s, 40)) return;
+    auto calls = s.f.calls, good = s.f.good;
+    for (auto& h : s.f.hosts()) {
+      bool gone = false;
+      auto name = h->name;
+      s.w.spawn(h->life, [&gone, n = h->node.get()] {
+        n->leave();
+        gone = true;
+      });
+      s.want(s.f.until(Span(5000), [&] { return gone && h->node->traffic().running() == 0; }), name + " did not leave within five seconds");
+      s.f.kill(name);
+      s.f.nap(Span(200));
+      s.f.start(name);
+      s.want(serves(s, Span(10000)), name + " did not come back");
+    }
+    calls = s.f.calls - calls;
+    good = s.f.good - good;
+    s.figures = {{"restart_calls", calls}, {"restart_not_good", calls - good}};
+    s.want(good * 100 >= calls * 99, fmt::format("only {} of {} calls went well", good, calls));
+  };
+}
+}  // namespace
+
+NamedCases rollout_stories() {
+  return {{"duty_dies", duty_dies},
+          {"bad_release_one", [](Scene& s) { bad_release_in(s, "ONE"); }},
+          {"bad_release_two", [](Scene& s) { bad_release_in(s, "TWO"); }},
+          {"bad_release_three", [](Scene& s) { bad_release_in(s, "THREE"); }},
+          {"too_little", too_little},
+          {"races", races},
+          {"operators_race", operators_race},
+          {"watch", watch},
+          {"split_duty", split_duty},
+          {"rolling_restart", rolling_restart}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -3,6 +3,7 @@
 // journal is.
 #include <fstream>
 
+#include "rollout/conductor.hpp"
 #include "sim_cases.hpp"
 
 namespace dunlinwing::test {
@@ -12,8 +13,29 @@
 struct Watch {
   sim::Fleet& f;
   std::map<std::string, std::pair<void*, uint64_t>> shown;
+  std::map<std::string, uint64_t> told;  // generations already journalled as acknowledged
+  uint64_t rollout_version = 0;
   std::string broken;
 
+  // The first sight of a written assignment, at whichever node, counts as its
+  // acknowledgement: it can only be later than that.
+  void assignments(sim::Host& h) {
+    auto& c = h.node->mirror().chosen();
+    auto f = c.find(rollout::kRolloutKey);
+    if (f == c.end() || f->second.version <= rollout_version) return;
+    rollout_version = f->second.version;
+    pb::Rollout r;
+    r.ParseFromString(f->second.data);
+    for (auto& [n, a] : r.nodes())
+      if (a.generation() > told[n]) {
+        told[n] = a.generation();
+        f_event(n, a.generation());
+      }
+  }
+  void f_event(const std::string& n, uint64_t g) {
+    f.event(fmt::format(R"("t":"assigned","relay":"{}","generation":{})", n, g));
+  }
+
   void look() {
     if (!broken.empty()) return;
     int holders = 0;
@@ -27,6 +49,7 @@
       }
       if (n->generation() < gen) broken = h->name + " fell back to a lower generation";
       gen = n->generation();
+      assignments(*h);
       holders += n->duty().held();
     }
     if (holders > 1) broken = "two nodes hold the rollout duty";
@@ -38,7 +61,7 @@
   sim::World w(seed);
   sim::Fleet f(w, {});
   Scene s{w, f, {}};
-  Watch watch{f, {}, {}};
+  Watch watch{f, {}, {}, 0, {}};
   c(s);
   w.run(w.now() + s.length, [&] { watch.look(); }, [&] {
     f.start_all();
--- /dev/null
+++ b/test/story.cpp
@@ -0,0 +1,133 @@
+// Common parts of the stories.
+#include "story.hpp"
+
+#include "rollout/conductor.hpp"
+
+namespace dunlinwing::test {
+
+std::string sim_layout(const std::string& versions, int lifetime, int rate, const std::string& more) {
+  return fmt::format(R"({{"content":{{"services":{{
+"content":{{"versions":[{0}],"deadline_ms":2000,"cache":{{"lifetime_s":{1}}}}},
+"app":{{"versions":[{0}],"deadline_ms":2000,"rate":{2}}}}},
+"routes":[{{"prefix":"/c/","service":"content","methods":["GET","HEAD"]}},{{"prefix":"/a/","service":"app","methods":["GET"]}},
+{{"prefix":"/pay","service":"app","methods":["POST"]}}]}}{3}}})",
+                     versions, lifetime, rate, more);
+}
+
+void mix(Scene& s) {
+  auto& w = s.w;
+  auto d = w.below(100);
+  if (d < 50)
+    s.f.call("GET", fmt::format("/c/{}", w.below(20)));
+  else if (d < 80)
+    s.f.call("GET", fmt::format("/a/{}", w.below(1000)));
+  else
+    s.f.call("POST", "/pay", fmt::format("{{\"n\":{}}}", w.draw()));
+}
+
+base::Json release_state(Scene& s, const std::string& name) {
+  auto t = s.f.tell("GET", "/v1/releases/layout/" + name, "");
+  if (t.status != 200) return {};
+  auto p = base::Json::parse(t.body);
+  auto* j = std::get_if<base::Json>(&p);
+  return j ? *j : base::Json();
+}
+
+std::string phase(Scene& s, const std::string& name) {
+  return release_state(s, name).at("course").at("phase").str("?");
+}
+
+bool reach(Scene& s, const std::string& name, const std::string& ph, Span most) {
+  return s.f.until(most, [&] { return phase(s, name) == ph; });
+}
+
+void allow(Scene& s, const std::string& v) {
+  s.f.event(fmt::format(R"("t":"allowed","service":"content","version":"{}","prefix":"/c/")", v));
+  for (auto* p : {"/a/", "/pay"})
+    s.f.event(fmt::format(R"("t":"allowed","service":"app","version":"{}","prefix":"{}")", v, p));
+}
+
+bool purge(Scene& s, const std::string& name, const std::string& kind, const std::string& path) {
+  auto t = s.f.tell("PUT", "/v1/purges/" + name,
+                    fmt::format(R"({{"service":"content","kind":"{}"{}}})", kind,
+                                path.empty() ? "" : ",\"path\":\"" + path + "\""));
+  s.figures[fmt::format("purge_{}{}", t.status, t.lost ? "_lost" : "")]++;
+  if (t.status == 200)
+    s.f.event(fmt::format(R"("t":"purged","path":"{}","prefix":{})", path.empty() ? "/c/" : path, kind != "path"));
+  return t.status == 200;
+}
+
+const pb::Rollout* rollout_seen(Scene& s, pb::Rollout& out) {
+  uint64_t top = 0;
+  for (auto& h : s.f.hosts()) {
+    if (!h->up()) continue;
+    auto& c = h->node->mirror().chosen();
+    auto f = c.find(rollout::kRolloutKey);
+    if (f == c.end() || f->second.version <= top) continue;
+    top = f->second.version;
+    out.ParseFromString(f->second.data);
+  }
+  return top ? &out : nullptr;
+}
+
+// Starts the workers, records the first layout, waits until it serves, and
+// lets callers call for the rest of the run.
+bool begin(Scene& s, int rate, const std::string& doc) {
+  for (int i = 0; i < 3; ++i) s.f.add_worker("content", "1", 3);
+  for (int i = 0; i < 3; ++i) s.f.add_worker("app", "1", 0);
+  bool ok = s.f.until(Span(15000), [&] {
+    auto t = s.f.tell("PUT", "/v1/releases/layout/first", doc);
+    return t.status == 202 || t.status == 200;
+  });
+  s.want(ok, "the first layout was not taken");
+  ok = ok && s.f.until(Span(10000), [&] {
+    for (auto& h : s.f.hosts())
+      if (h->up() && !h->node->ready()) return false;
+    return true;
+  });
+  s.want(ok, "not all relays became ready");
+  ok = ok && s.f.until(Span(5000), [&] {
+    for (auto& h : s.f.hosts()) {
+      auto t = h->node->traffic().table();
+      for (auto* n : {"content", "app"})
+        if (auto f = t->workers.find(n); f == t->workers.end() || f->second.size() < 3) return false;
+    }
+    return true;
+  });
+  s.want(ok, "not all relays came to know all workers");
+  s.f.event(R"("t":"lifetime","ms":3000)");
+  allow(s, "1");
+  s.f.callers(rate, s.w.now() + Span(600000), [&s] { mix(s); });
+  return ok;
+}
+
+bool serves(Scene& s, Span most) {
+  return s.f.until(most, [&] {
+    int ready = 0, up = 0;
+    for (auto& h : s.f.hosts()) {
+      up += h->up();
+      ready += h->up() && h->node->ready();
+    }
+    return up > 0 && ready == up;
+  });
+}
+
+void put(Scene& s, const std::string& name, const std::string& doc) {
+  bool ok = s.f.until(Span(20000), [&] {
+    auto st = s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status;
+    return st == 202 || st == 200;
+  });
+  s.want(ok, "layout " + name + " was not taken");
+}
+
+const std::map<std::string, SimCase>& sim_cases() {
+  static const auto all = [] {
+    auto m = machine_cases();
+    m.merge(rollout_stories());
+    m.merge(traffic_stories());
+    return m;
+  }();
+  return all;
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/story.hpp
@@ -0,0 +1,27 @@
+// What stories have in common: the first layout, the callers' mix, and looks
+// at the fleet from outside.
+#pragma once
+#include "sim_cases.hpp"
+
+namespace dunlinwing::test {
+
+std::string sim_layout(const std::string& versions = "\"1\"", int lifetime = 4, int rate = 0, const std::string& more = "");
+void mix(Scene& s);
+// Starts workers, records the first layout, waits until all serve it, and lets
+// callers call for the rest of the run.
+bool begin(Scene& s, int rate = 20, const std::string& doc = sim_layout());
+bool serves(Scene& s, Span most);  // every relay that is up is ready
+void put(Scene& s, const std::string& name, const std::string& doc);
+void allow(Scene& s, const std::string& version);
+base::Json release_state(Scene& s, const std::string& name);
+std::string phase(Scene& s, const std::string& name);
+bool reach(Scene& s, const std::string& name, const std::string& ph, Span most);
+bool purge(Scene& s, const std::string& name, const std::string& kind, const std::string& path);
+const pb::Rollout* rollout_seen(Scene& s, pb::Rollout& out);
+
+using NamedCases = std::map<std::string, SimCase>;
+NamedCases machine_cases();   // kills, disks, freezes, splits, clocks
+NamedCases rollout_stories();
+NamedCases traffic_stories();
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/traffic_stories.cpp
@@ -0,0 +1,296 @@
+// Workers, versions, purges, crowds and slow machines, on a simulated fleet.
+#include "story.hpp"
+
+namespace dunlinwing::test {
+namespace {
+
+// Workers crash, lose answers after doing the work, hand out wrong bytes and
+// refuse, all at once.
+void bad_workers(Scene& s) {
+  s.length = Span(80000);
+  s.must_meet = {"lost_answer", "wrong_bytes", "bad_answer", "worker_refused", "worker_died_in_request"};
+  s.story = [&s] {
+    if (!begin(s, 60)) return;
+    for (auto& x : s.f.workers()) {
+      x->lose_percent = 4;
+      x->wrong_percent = 4;
+      x->bad_percent = 4;
+      x->refuse_percent = 4;
+      x->most = Span(400);
+    }
+    for (int i = 0; i < 12; ++i) {
+      s.f.nap(Span(1500));
+      auto& old = *s.f.workers()[s.w.below(s.f.workers().size())];
+      if (!old.alive) continue;
+      auto service = old.service;
+      auto age = old.max_age;
+      s.f.add_worker(service, "1", age);
+      old.alive = false;
+    }
+  };
+}
+
+// Workers are replaced one by one; each says that it leaves before it goes.
+void replaced(Scene& s) {
+  s.length = Span(80000);
+  s.story = [&s] {
+    if (!begin(s, 60)) return;
+    auto calls = s.f.calls, good = s.f.good;
+    for (size_t i = 0; i < 6; ++i) {
+      auto& old = *s.f.workers()[i];
+      s.f.add_worker(old.service, "1", old.max_age);
+      s.f.nap(Span(1500));
+      s.f.workers()[i]->leaving = true;
+      s.f.nap(Span(4500));
+      s.f.workers()[i]->alive = false;
+    }
+    calls = s.f.calls - calls;
+    good = s.f.good - good;
+    s.want(good * 1000 >= calls * 999, fmt::format("only {} of {} calls went well", good, calls));
+  };
+}
+
+// A worker's address passes to a worker of the other service.
+void address_reuse(Scene& s) {
+  s.length = Span(70000);
+  s.must_meet = {"wrong_address"};
+  s.story = [&s] {
+    if (!begin(s, 60)) return;
+    for (int i = 0; i < 4; ++i) {
+      auto& old = *s.f.workers()[static_cast<size_t>(i)];
+      old.alive = false;
+      auto& n = s.f.add_worker(old.service == "app" ? "content" : "app", "1", old.service == "app" ? 3 : 0);
+      n.address = s.f.workers()[static_cast<size_t>(i)]->address;
+      s.f.nap(Span(6000));
+      s.f.add_worker(s.f.workers()[static_cast<size_t>(i)]->service, "1", s.f.workers()[static_cast<size_t>(i)]->max_age);
+    }
+  };
+}
+
+void slow_workers(Scene& s) {
+  s.length = Span(70000);
+  s.must_meet = {"slow_worker"};
+  s.story = [&s] {
+    if (!begin(s, 60)) return;
+    for (int round = 0; round < 4; ++round) {
+      for (auto& x : s.f.workers()) {
+        bool slow = s.w.chance(500);
+        x->least = Span(slow ? 500 : 1);
+        x->most = Span(slow ? 4000 : 8);
+      }
+      s.f.nap(Span(6000));
+    }
+    for (auto& x : s.f.workers()) {
+      x->least = Span(1);
+      x->most = Span(8);
+    }
+    s.f.nap(Span(6000));
+    auto calls = s.f.calls, good = s.f.good;
+    s.f.nap(Span(8000));
+    s.want((s.f.good - good) * 100 >= (s.f.calls - calls) * 98, "no recovery after the workers were quick again");
+  };
+}
+
+void move_to(Scene& s, int bad) {
+  s.length = Span(110000);
+  s.story = [&s, bad] {
+    if (!begin(s, 150, sim_layout("\"1\",\"2\"", 4))) return;
+    allow(s, "2");
+    for (int i = 0; i < 2; ++i) s.f.add_worker("app", "2", 0).bad_percent = bad;
+    s.f.nap(Span(2500));
+    bool took = s.f.until(Span(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
+    s.want(took, "the move was not taken");
+    if (bad) s.f.event(R"("t":"bad_version","service":"app","version":"2")");
+    auto state = [&] {
+      auto p = base::Json::parse(s.f.tell("GET", "/v1/services/app", "").body);
+      auto* j = std::get_if<base::Json>(&p);
+      return j ? *j : base::Json();
+    };
+    bool end = s.f.until(Span(60000), [&] {
+      auto j = state();
+      return bad ? !j.at("quarantined").at("2").str().empty() : j.at("current").str() == "2";
+    });
+    s.want(end, "the move did not come to its end: " + state().text());
+    if (bad) s.f.nap(Span(10000));
+    if (bad) s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 409, "a quarantined version came back unasked");
+  };
+}
+
+void purge_storm(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    if (!begin(s, 40)) return;
+    auto done = std::make_shared<int>(0);
+    for (int i = 0; i < 400; ++i) {
+      s.f.outside([&s, i, done] { *done += purge(s, fmt::format("storm{}", i), i % 3 ? "path" : "prefix", fmt::format("/c/{}", i % 20)); });
+      if (i % 40 == 0) s.f.nap(Span(300));
+    }
+    s.f.nap(Span(10000));
+    s.want(*done > 390, fmt::format("only {} of 400 purges were taken, {} had 503, {} were lost", *done, s.figures["purge_503"], s.figures["purge_0_lost"]));
+    pb::PurgeSet set;
+    for (auto& h : s.f.hosts())
+      if (auto f = h->node->mirror().chosen().find("purge/content"); f != h->node->mirror().chosen().end())
+        set.ParseFromString(f->second.data);
+    s.want(set.purges_size() > 0 && set.purges_size() <= 128, "the purges are not bounded");
+    s.figures["purges_taken"] = static_cast<uint64_t>(*done);
+    s.figures["purges_kept"] = static_cast<uint64_t>(set.purges_size());
+  };
+}
+
+// Everybody wants one service at once: the other goes on, and afterwards all is
+// as before without an operator.
+void crowd(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    auto doc = sim_layout();
+    auto tight = std::string(R"("rate":0,"inflight":4,"waitlist":8)");
+    doc.replace(doc.find("\"rate\":0"), 8, tight);
+    if (!begin(s, 30, doc)) return;
+    for (auto& x : s.f.workers())
+      if (x->service == "app") x->least = Span(150), x->most = Span(250);
+    auto end = s.w.now() + Span(10000);
+    auto calls = std::make_shared<uint64_t>(0), away = std::make_shared<uint64_t>(0);
+    s.f.callers(500, end, [&s, calls, away] {
+      ++*calls;
+      *away += s.f.call("GET", fmt::format("/a/{}", s.w.below(100000))) == 503;
+    });
+    auto n = std::make_shared<std::pair<uint64_t, uint64_t>>();
+    while (s.w.now() < end) {
+      s.f.nap(Span(50));
+      s.f.outside([&s, n] {
+        ++n->first;
+        n->second += s.f.call("GET", fmt::format("/c/{}", s.w.below(1000))) == 200;
+      });
+    }
+    s.f.nap(Span(3000));
+    s.want(n->first > 50 && n->second * 100 >= n->first * 97,
+           fmt::format("the other service starved: {} of {}", n->second, n->first));
+    auto c0 = s.f.calls, g0 = s.f.good;
+    s.f.nap(Span(5000));
+    s.want((s.f.good - g0) * 100 >= (s.f.calls - c0) * 98, "no recovery after the crowd");
+    s.figures = {{"crowd_calls", *calls}, {"crowd_turned_away", *away}};
+    s.want(*away > 100, "there was no crowd");
+  };
+}
+
+void slow_origin(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    if (!begin(s, 100, sim_layout("\"1\"", 4, 30))) return;
+    s.f.event(R"("t":"rate","service":"app","n":30)");
+    s.f.nap(Span(35000));
+  };
+}
+
+void slow_disks(Scene& s) {
+  s.length = Span(70000);
+  s.must_meet = {"slow_disk"};
+  s.story = [&s] {
+    if (!begin(s)) return;
+    for (int i = 0; i < 2; ++i) {
+      auto& p = s.f.at(fmt::format("h{}", 1 + i * 2)).platter;
+      p.least = Span(300);
+      p.most = Span(2500);
+    }
+    Span worst{0};
+    for (int i = 0; i < 8; ++i) {
+      auto from = s.w.now();
+      put(s, fmt::format("r{}", i), sim_layout("\"1\"", 3 + i));
+      worst = std::max<Span>(worst, s.w.now() - from);
+      s.f.nap(Span(2000));
+    }
+    s.want(worst < Span(1500), fmt::format("a write took {} ms beside two slow disks", worst.count()));
+    s.figures = {{"worst_write_ms", static_cast<uint64_t>(worst.count())}};
+    s.want(serves(s, Span(5000)), "slow disks made relays unready");
+  };
+}
+
+// Wall clocks jump by days, both ways; nothing but quiet hours may notice.
+void clock_jumps(Scene& s) {
+  s.length = Span(110000);
+  s.story = [&s] {
+    if (!begin(s, 60)) return;
+    put(s, "second", sim_layout("\"1\"", 3));
+    for (int i = 0; i < 30; ++i) {
+      auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
+      h->wall += static_cast<int64_t>(s.w.below(4 * 86400000ull)) - 2 * 86400000ll;
+      ++s.w.met["clock_jump"];
+      s.f.nap(Span(1000));
+    }
+    s.want(reach(s, "second", "DONE", Span(60000)), "clock jumps held a release up");
+    s.want(s.f.good * 100 > s.f.calls * 99, "clock jumps hurt traffic");
+  };
+  s.must_meet = {"clock_jump"};
+}
+
+// Everything at once, and then the acknowledged configuration is read back from
+// each relay, byte for byte.
+void end_of_day(Scene& s) {
+  s.length = Span(160000);
+  s.must_meet = {"kill", "freeze", "loss", "cut", "lost_disk"};
+  s.story = [&s] {
+    if (!begin(s, 40)) return;
+    s.w.weather = {10, 10, Span(1), Span(20)};
+    std::map<std::string, std::string> acked;
+    for (int i = 0; i < 30; ++i) {
+      auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
+      int down = 0;
+      for (auto& x : s.f.hosts()) down += x->holder && (!x->up() || x->node->acceptor()->mute());
+      switch (s.w.below(6)) {
+        case 0:
+          if (h->up() && !(h->holder && down >= 2)) s.f.kill(h->name);
+          break;
+        case 1: s.w.freeze(h->name, s.w.now() + Span(s.w.below(5000))); break;
+        case 2: s.f.cut_off(h->name); break;
+        case 3:
+          if (h->up() && h->holder && down == 0) {
+            s.f.kill(h->name);
+            s.f.wipe(h->name);
+          }
+          break;
+        case 4: purge(s, fmt::format("d{}", i), "prefix", "/c/"); break;
+        default: {
+          auto name = fmt::format("day{}", i);
+          auto doc = sim_layout("\"1\"", 1 + static_cast<int>(s.w.below(9)));
+          if (s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status == 202) acked[name] = doc;
+        }
+      }
+      s.f.nap(Span(s.w.below(2500)));
+      if (s.w.chance(400)) s.w.mend();
+      for (auto& x : s.f.hosts())
+        if (!x->up() && s.w.chance(400)) s.f.start(x->name);
+    }
+    s.w.mend();
+    s.w.weather = {};
+    s.f.start_all();
+    s.f.event(R"("t":"returned")");
+    s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after the machines returned");
+    s.f.nap(Span(2000));
+    for (auto& h : s.f.hosts())
+      for (auto& [n, doc] : acked) {
+        auto& c = h->node->mirror().chosen();
+        auto f = c.find("release/layout/" + n);
+        s.want(f != c.end() && f->second.data == doc, fmt::format("{} does not know the acknowledged {}", h->name, n));
+      }
+    s.figures = {{"layouts_read_back", acked.size()}};
+    s.f.nap(Span(20000));
+  };
+}
+}  // namespace
+
+NamedCases traffic_stories() {
+  return {{"bad_workers", bad_workers},
+          {"replaced", replaced},
+          {"address_reuse", address_reuse},
+          {"slow_workers", slow_workers},
+          {"bad_version", [](Scene& s) { move_to(s, 50); }},
+          {"good_version", [](Scene& s) { move_to(s, 0); }},
+          {"purge_storm", purge_storm},
+          {"crowd", crowd},
+          {"slow_origin", slow_origin},
+          {"slow_disks", slow_disks},
+          {"clock_jumps", clock_jumps},
+          {"end_of_day", end_of_day}};
+}
+
+}  // namespace dunlinwing::test
