Fold the older half of a service's purges, whatever their order

Cause: the fold took its number from the middle of a list that is not in the order of numbers, so it could fold nothing and the list grew past its bound. Ruled out: a purge forgotten (the other half of the property held).

--- a/src/gate/purger.cpp
+++ b/src/gate/purger.cpp
@@ -29,7 +29,10 @@
   if (v->size() > kMostPurges) {
     pb::Purge fold;
     fold.set_kind("service");
-    fold.set_number(v->Get(v->size() / 2).number());
+    std::vector<uint64_t> ns;
+    for (auto& x : *v) ns.push_back(x.number());
+    std::nth_element(ns.begin(), ns.begin() + kMostPurges / 2, ns.end());
+    fold.set_number(ns[kMostPurges / 2]);  // the older half
     v->erase(std::remove_if(v->begin(), v->end(), [&](auto& x) { return x.number() <= fold.number(); }), v->end());
     *v->Add() = fold;
   }
