--- /dev/null
+++ b/src/console/commands.cpp
@@ -0,0 +1,242 @@
+// Each command states a resource or shows some; tables are for people, --json
+// gives programs the relay's own answer.
+#include "console/commands.hpp"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace dunlinwing::console {
+namespace {
+int show(Session& s, const Reply& r, const std::function<void(const base::Json&)>& table) {
+  if (r.status != 200 && r.status != 202) return refused(r);
+  if (s.json)
+    std::cout << r.text;
+  else
+    table(r.body);
+  return kFine;
+}
+
+int done(Session& s, const Reply& r, const std::string& words) {
+  return show(s, r, [&](auto&) { std::cout << words << "\n"; });
+}
+
+std::optional<std::string> slurp(const std::string& path) {
+  std::ifstream f(path);
+  std::stringstream b;
+  b << f.rdbuf();
+  if (!f) {
+    std::cerr << "console: cannot read " << path << "\n";
+    return {};
+  }
+  return b.str();
+}
+
+std::string body_of(const std::string& reason) { return fmt::format("{{\"reason\":{}}}", base::quote(reason)); }
+
+int with_reason(Session& s, const std::string& path, const std::string& words) {
+  if (s.reason.empty()) {
+    std::cerr << "console: --reason is needed\n";
+    return kUsage;
+  }
+  return done(s, s.link.put(path, body_of(s.reason)), words);
+}
+
+std::string release(Session& s) { return fmt::format("/v1/releases/{}/{}", s.args[0], s.args[1]); }
+
+void course_line(const base::Json& r) {
+  auto c = r.at("course");
+  std::cout << row({{r.at("kind").str(), 9},
+                    {r.at("name").str(), 20},
+                    {c.at("phase").str("not taken up"), 12},
+                    {c.at("zone").str(), 6},
+                    {c.at("why").str(), 0}});
+}
+
+int apply(Session& s) {
+  auto doc = slurp(s.args[2]);
+  if (!doc) return kUsage;
+  auto r = s.link.put(release(s), *doc);
+  return done(s, r, r.status == 202 ? "recorded; rollout will take it up" : "was recorded before, unchanged");
+}
+
+int list(Session& s) {
+  auto r = s.link.get(s.args.empty() ? "/v1/releases" : "/v1/releases/" + s.args[0]);
+  return show(s, r, [](auto& j) {
+    std::cout << row({{"KIND", 9}, {"NAME", 20}, {"PHASE", 12}, {"ZONE", 6}, {"WHY", 0}});
+    for (auto& x : j.at("releases").items()) course_line(x);
+  });
+}
+
+int status(Session& s) {
+  auto r = s.link.get(release(s));
+  auto rc = show(s, r, [](auto& j) {
+    auto c = j.at("course");
+    auto e = c.at("evidence");
+    std::cout << "release   " << j.at("kind").str() << " " << j.at("name").str() << "\n"
+              << "phase     " << c.at("phase").str("not taken up yet") << " " << c.at("zone").str() << "\n"
+              << "why       " << c.at("why").str() << "\n"
+              << "machine   " << c.at("machine").str() << "\n"
+              << "held      " << c.at("held_ms").str("0") << " ms\n"
+              << "on it     " << e.at("on_requests").str("0") << " requests, " << e.at("on_defects").str("0") << " defects\n"
+              << "elsewhere " << e.at("off_requests").str("0") << " requests, " << e.at("off_defects").str("0") << " defects\n"
+              << "probes    " << e.at("probes_ok").str("0") << " good, " << e.at("probes_bad").str("0") << " bad\n";
+    for (auto& [k, v] : j.at("acts").at("waived").members()) std::cout << "waived    " << k << ": " << v.str() << "\n";
+  });
+  if (rc != kFine) return rc;
+  auto ph = r.body.at("course").at("phase").str();
+  return ph == "STOPPED" || ph == "WITHDRAWN" ? kNotSo : kFine;
+}
+
+// Follows a release until it ends, a line for each change of phase or reason.
+int watch(Session& s) {
+  std::string last;
+  Tick end = s.clock.now() + Span((s.wait_s ? s.wait_s : 86400) * 1000LL);
+  while (s.clock.now() < end) {
+    auto r = s.link.get(release(s));
+    if (r.status != 200) return refused(r);
+    auto c = r.body.at("course");
+    auto ph = c.at("phase").str("not taken up yet");
+    auto now = ph + " " + c.at("zone").str() + ": " + c.at("why").str();
+    if (auto i = now.find(" s of the phase"); i != now.npos) now = ph + " " + c.at("zone").str() + ": holding";
+    if (now != last) std::cout << now << "\n" << std::flush;
+    last = now;
+    if (ph == "DONE") return kFine;
+    if (ph == "STOPPED" || ph == "WITHDRAWN") return kNotSo;
+    s.clock.nap(Span(500));
+  }
+  std::cerr << "console: still under way when the time was up\n";
+  return kNotSo;
+}
+
+int diff(Session& s) {
+  auto a = s.link.get(release(s)), b = s.link.get(fmt::format("/v1/releases/{}/{}", s.args[0], s.args[2]));
+  if (a.status != 200) return refused(a);
+  if (b.status != 200) return refused(b);
+  int n = 0;
+  std::function<void(const base::Json&, const base::Json&, const std::string&)> walk = [&](auto& x, auto& y, auto at) {
+    auto mx = x.members(), my = y.members();
+    if (mx.empty() && my.empty()) {
+      if (x.text() != y.text()) std::cout << at << ": " << x.text() << " -> " << y.text() << "\n", ++n;
+      return;
+    }
+    std::map<std::string, std::pair<base::Json, base::Json>> all;
+    for (auto& [k, v] : mx) all[k].first = v;
+    for (auto& [k, v] : my) all[k].second = v;
+    for (auto& [k, p] : all) walk(p.first, p.second, at + "/" + k);
+  };
+  walk(a.body.at("document"), b.body.at("document"), std::string());
+  return n ? kNotSo : kFine;
+}
+
+int nodes(Session& s) {
+  return show(s, s.link.get("/v1/nodes"), [](auto& j) {
+    std::cout << row({{"NAME", 10}, {"ZONE", 6}, {"MEMBER", 7}, {"READY", 6}, {"HOLDER", 7}, {"GEN", 6}, {"LAYOUT", 20}, {"SOFTWARE", 0}});
+    for (auto& x : j.at("nodes").items()) {
+      auto f = x.at("facts");
+      auto yes = [](bool b) { return std::string(b ? "yes" : "no"); };
+      std::cout << row({{x.at("name").str(), 10}, {f.at("zone").str(), 6}, {yes(x.at("member").flag()), 7},
+                        {yes(f.at("ready").flag()), 6}, {yes(f.at("holder").flag()), 7}, {f.at("generation").str(), 6},
+                        {f.at("running").at("layout").str(), 20}, {f.at("software").str(), 0}});
+    }
+  });
+}
+
+int workers(Session& s) {
+  return show(s, s.link.get("/v1/workers"), [](auto& j) {
+    std::cout << row({{"INSTANCE", 16}, {"SERVICE", 14}, {"VERSION", 10}, {"ZONE", 6}, {"ADDRESS", 22}, {"STATE", 0}});
+    for (auto& x : j.at("workers").items()) {
+      auto b = x.at("beat");
+      std::cout << row({{x.at("instance").str(), 16}, {b.at("service").str(), 14}, {b.at("version").str(), 10},
+                        {b.at("zone").str(), 6}, {b.at("address").str(), 22},
+                        {b.at("leaving").flag() ? "leaving" : x.at("gone").flag() ? "gone" : "beating", 0}});
+    }
+  });
+}
+
+int duties(Session& s) {
+  return show(s, s.link.get("/v1/duties"), [](auto& j) {
+    for (auto& [k, d] : j.members())
+      std::cout << k << ": " << d.at("holder").str() << ", understudy " << d.at("understudy").str() << ", term "
+                << d.at("term").str() << "\n";
+  });
+}
+
+int get(Session& s) {
+  auto r = s.link.get(s.args[0].starts_with("/") ? s.args[0] : "/v1/" + s.args[0]);
+  if (r.status != 200) return refused(r);
+  std::cout << r.text;
+  return kFine;
+}
+
+int move(Session& s) {
+  auto body = fmt::format("{{\"version\":{}}}", base::quote(s.args[1]));
+  return done(s, s.link.put("/v1/services/" + s.args[0], body), "stated; watch it with: console get services/" + s.args[0]);
+}
+
+int purge(Session& s) {
+  auto& kind = s.args[2];
+  auto path = s.args.size() > 3 ? fmt::format(",\"path\":{}", base::quote(s.args[3])) : "";
+  auto body = fmt::format("{{\"service\":{},\"kind\":{}{}}}", base::quote(s.args[1]), base::quote(kind), path);
+  return done(s, s.link.put("/v1/purges/" + s.args[0], body), "purged; no relay serves it two seconds from now");
+}
+
+int drain(Session& s, bool on) {
+  if (on && s.reason.empty()) {
+    std::cerr << "console: --reason is needed\n";
+    return kUsage;
+  }
+  auto body = fmt::format("{{\"drained\":{},\"reason\":{}}}", on, base::quote(s.reason));
+  return done(s, s.link.put(fmt::format("/v1/drains/{}/{}", s.args[0], s.args[1]), body), on ? "draining" : "no longer drained");
+}
+}  // namespace
+
+std::string row(const std::vector<std::pair<std::string, int>>& cells) {
+  std::string out;
+  for (auto& [t, w] : cells) out += w ? fmt::format("{:<{}} ", t, w) : t;
+  while (!out.empty() && out.back() == ' ') out.pop_back();
+  return out + "\n";
+}
+
+int refused(const Reply& r) {
+  if (r.status == 0) {
+    std::cerr << "console: no seed could be reached\n";
+    return kNoAnswer;
+  }
+  std::cerr << "console: " << r.from << " answers " << r.status << ": " << r.body.at("defect").str(r.text) << "\n";
+  for (auto& d : r.body.at("defects").items())
+    std::cerr << "  " << d.at("at").str() << " " << d.at("what").str() << "\n";
+  if (r.status == 404) return kNotFound;
+  if (r.status == 503) return r.text.find("fate") != std::string::npos ? kFateUnknown : kNoAnswer;
+  return kRejected;
+}
+
+const std::map<std::string, Command>& commands() {
+  static const std::map<std::string, Command> all{
+      {"apply", {"apply KIND NAME FILE", "records a release", 3, 3, apply}},
+      {"list", {"list [KIND]", "all releases and where they stand", 0, 1, list}},
+      {"status", {"status KIND NAME", "where a release stands, and why it holds", 2, 2, status}},
+      {"watch", {"watch KIND NAME", "follows a release to its end", 2, 2, watch}},
+      {"diff", {"diff KIND NAME NAME", "what differs between two releases", 3, 3, diff}},
+      {"get", {"get RESOURCE", "any resource, as JSON", 1, 1, get}},
+      {"waive", {"waive KIND NAME CHECK --reason R", "waives one check for one release", 3, 3,
+                 [](Session& s) { return with_reason(s, release(s) + "/waivers/" + s.args[2], "waived"); }}},
+      {"withdraw", {"withdraw KIND NAME --reason R", "takes a release back", 2, 2,
+                    [](Session& s) { return with_reason(s, release(s) + "/withdrawal", "withdrawn"); }}},
+      {"express", {"express KIND NAME --reason R", "sends a release to all at once", 2, 2,
+                   [](Session& s) { return with_reason(s, release(s) + "/express", "sent by express"); }}},
+      {"move", {"move SERVICE VERSION", "moves a service to a worker version", 2, 2, move}},
+      {"purge", {"purge NAME SERVICE path|prefix|service [PATH]", "purges cached content", 3, 4, purge}},
+      {"drain", {"drain node|zone NAME --reason R", "takes a relay or a zone out of traffic", 2, 2,
+                 [](Session& s) { return drain(s, true); }}},
+      {"undrain", {"undrain node|zone NAME", "lets it back in", 2, 2, [](Session& s) { return drain(s, false); }}},
+      {"nodes", {"nodes", "all relays", 0, 0, nodes}},
+      {"workers", {"workers", "all workers", 0, 0, workers}},
+      {"duties", {"duties", "who does which duty", 0, 0, duties}},
+      {"doctor", {"doctor", "says in plain words what is wrong, and where", 0, 0, doctor}}};
+  return all;
+}
+
+}  // namespace dunlinwing::console
--- /dev/null
+++ b/src/console/link.cpp
@@ -0,0 +1,47 @@
+// A PUT is idempotent by name, so one that broke off is simply stated again to
+// the next seed.
+#include "console/link.hpp"
+
+#include <fmt/format.h>
+
+#include <iostream>
+
+namespace dunlinwing::console {
+namespace {
+Reply of(const base::Receipt& r, const std::string& from) {
+  Reply x{r.status, {}, r.body, base::header(r.headers, "ETag"), from};
+  auto p = base::Json::parse(r.body);
+  if (auto* j = std::get_if<base::Json>(&p)) x.body = *j;
+  return x;
+}
+}  // namespace
+
+Reply Link::any(const base::Request& q, Span limit) {
+  Reply last;
+  for (auto& s : r_.seeds) {
+    auto r = http_.shoot(s, q, limit);
+    if (auto* a = std::get_if<base::Receipt>(&r)) {
+      last = of(*a, s);
+      if (a->status != 503 || last.text.find("fate") != std::string::npos) return last;
+    }
+    if (!r_.quiet)
+      std::cerr << "console: " << s << (std::holds_alternative<base::Receipt>(r) ? " cannot settle this" : " does not answer")
+                << "; trying the next seed\n";
+  }
+  return last;
+}
+
+Reply Link::get(const std::string& path, Span limit) { return any({"", "GET", path, "", {}}, limit); }
+
+Reply Link::put(const std::string& path, const std::string& body,
+                std::vector<std::pair<std::string, std::string>> hs) {
+  return any({"", "PUT", path, body, std::move(hs)}, Span(8000));
+}
+
+Reply Link::at(const std::string& seed, const std::string& path, Span limit) {
+  auto r = http_.shoot(seed, {"", "GET", path, "", {}}, limit);
+  if (auto* a = std::get_if<base::Receipt>(&r)) return of(*a, seed);
+  return {};
+}
+
+}  // namespace dunlinwing::console
--- /dev/null
+++ b/src/console/link.hpp
@@ -0,0 +1,34 @@
+// One call to the fleet: tries one seed after the other and says which failed.
+#pragma once
+#include "base/json.hpp"
+#include "base/ports.hpp"
+
+namespace dunlinwing::console {
+
+struct Reach {
+  std::vector<std::string> seeds;
+  bool quiet = false;
+};
+
+struct Reply {
+  int status = 0;  // 0: no seed could be reached
+  base::Json body;
+  std::string text, etag, from;
+};
+
+class Link {
+ public:
+  Link(base::Origin& http, Reach r) : http_(http), r_(std::move(r)) {}
+  Reply get(const std::string& path, Span limit = Span(8000));
+  Reply put(const std::string& path, const std::string& body,
+            std::vector<std::pair<std::string, std::string>> hs = {});
+  Reply at(const std::string& seed, const std::string& path, Span limit);
+  const std::vector<std::string>& seeds() const { return r_.seeds; }
+
+ private:
+  Reply any(const base::Request& q, Span limit);
+  base::Origin& http_;
+  Reach r_;
+};
+
+}  // namespace dunlinwing::console
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -50,6 +50,13 @@
   return s;
 }
 
+const base::Schema& drain_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["drained"],"properties":{
+    "drained":{"type":"boolean"},"reason":{"type":"string","maxLength":512}}})");
+  return s;
+}
+
 std::variant<base::Json, base::Receipt> checked(const std::string& body, const base::Schema& s) {
   auto p = base::Json::parse(body);
   if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
@@ -261,6 +268,29 @@
                                  done.known));
   }
 
+  base::Receipt put_drain(Call& c) {
+    if (c.path[2] != "node" && c.path[2] != "zone") return defect(404, "a node or a zone is drained");
+    auto b = checked(c.q.body, drain_schema());
+    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    auto& j = std::get<base::Json>(b);
+    return change<pb::Drain>(c, relay::drain_key(c.path[2], c.path[3]), [&](pb::Drain& d) -> std::optional<base::Receipt> {
+      d.set_drained(j.at("drained").flag());
+      d.set_reason(j.at("reason").str());
+      return {};
+    });
+  }
+
+  base::Receipt drains() {
+    std::string b;
+    for (auto& [k, h] : n.mirror().chosen()) {
+      if (!k.starts_with("drain/")) continue;
+      pb::Drain d;
+      d.ParseFromString(h.data);
+      b += fmt::format("{}{}:{}", b.empty() ? "" : ",", base::quote(k.substr(6)), message_json(d));
+    }
+    return json(200, "{\"drains\":{" + b + "}}");
+  }
+
   base::Receipt purges() {
     std::string b;
     for (auto& [k, h] : n.mirror().chosen()) {
@@ -313,6 +343,7 @@
     if (is(2, "nodes")) return nodes();
     if (is(2, "workers")) return workers();
     if (is(2, "purges")) return purges();
+    if (is(2, "drains")) return drains();
     if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
     if (is(3, "services")) {
       auto h = chosen(rollout::service_key(p[2]));
@@ -364,6 +395,7 @@
   if (c.path.size() >= 5 && c.path.size() <= 6 && c.path[1] == "releases") return p.put_act(c);
   if (c.path.size() == 3 && c.path[1] == "services") return p.put_service(c);
   if (c.path.size() == 3 && c.path[1] == "purges") return p.put_purge(c);
+  if (c.path.size() == 4 && c.path[1] == "drains") return p.put_drain(c);
   return defect(404, "no such resource");
 }
 
--- a/src/members/duty.cpp
+++ b/src/members/duty.cpp
@@ -18,7 +18,7 @@
   Mirror& mirror;
   std::string name, me, zone;
   Span span;
-  bool leaving = false;
+  bool leaving = false, resting = false;
   Tick end{0}, seen{0};
   uint64_t term = 0, version = 0, seen_version = 0;
   pb::Permit mine;
@@ -34,7 +34,7 @@
   std::string understudy() const {
     std::string other;
     for (auto& m : mirror.news().members(ps.clock.now())) {
-      if (!m.fact.holder() || m.name == me) continue;
+      if (!m.fact.holder() || m.fact.drained() || m.name == me) continue;
       if (m.fact.zone() != zone) return m.name;
       if (other.empty()) other = m.name;
     }
@@ -74,6 +74,14 @@
     }
   }
 
+  void give_up() {
+    pb::Permit p = mine;
+    p.set_holder("");
+    put(p, version);
+    end = Tick(0);
+    lg.info("{}: handed the duty {} over to {}.", me, name, p.understudy());
+  }
+
   void stand() {
     auto f = mirror.chosen().find(duty_key(name));
     Tick now = ps.clock.now();
@@ -106,9 +114,12 @@
 void Duty::start() {
   p_->ps.tasks.spawn([p = p_] {
     while (!p->leaving) {
-      if (p->ps.clock.now() < p->end)
+      bool had = p->ps.clock.now() < p->end;
+      if (had && p->resting)
+        p->give_up();
+      else if (had)
         p->renew();
-      else if (p->mirror.fresh())
+      else if (p->mirror.fresh() && !p->resting)
         p->stand();
       p->ps.clock.nap(p->span / 8 + Span(p->ps.chance.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
     }
@@ -120,16 +131,12 @@
 pb::Permit Duty::known() const { return p_->known(); }
 Span Duty::span() const { return p_->span; }
 
+void Duty::rest(bool on) { p_->resting = on; }
+
 void Duty::hand_over() {
   bool had = held();
   p_->leaving = true;
-  if (!had) return;
-  p_->end = Tick(0);
-  pb::Permit p = p_->mine;
-  p.set_holder("");
-  p_->put(p, p_->version);
-  p_->end = Tick(0);
-  lg.info("{}: handed the duty {} over to {}.", p_->me, p_->name, p.understudy());
+  if (had) p_->give_up();
 }
 
 }  // namespace dunlinwing::members
--- a/src/members/duty.hpp
+++ b/src/members/duty.hpp
@@ -15,6 +15,7 @@
   bool held() const;   // to be asked right before each act
   uint64_t term() const;
   pb::Permit known() const;  // who holds it, as far as the last pull tells
+  void rest(bool on);  // a drained node stands for no duty and gives up what it holds
   void hand_over();    // gives it up in favour of the understudy
   Span span() const;
 
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -102,9 +102,13 @@
   }
 
   void finish() {
-    auto end = clock.now() + c.node.bound * 2;
+    // The platform asks each second whether this node is ready, so callers go on
+    // coming for as long; they are served until it has heard the no.
+    auto end = clock.now() + c.node.bound * 2, heard = clock.now() + c.node.bound * 5 / 8;
     lg.info("{}: asked to stop; draining.", c.node.name);
     node->leave();
+    if (clock.now() < heard) clock.nap(heard - clock.now());
+    node->traffic().drain();
     callers->close();
     while ((node->traffic().running() > 0 || callers->running() > 0) && clock.now() < end) clock.nap(10ms);
     lg.info("{}: stopped.", c.node.name);
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -22,7 +22,7 @@
   members::Duty duty;
   rollout::Conductor conductor;
   traffic::Traffic traffic;
-  std::atomic<bool> leaving{false};
+  std::atomic<bool> leaving{false}, drained{false};
   std::map<std::string, std::pair<pb::Beat, Tick>> beats;
   std::map<std::string, std::shared_ptr<const traffic::Layout>> layouts;
   std::map<std::string, std::string> running;
@@ -54,6 +54,7 @@
     f->set_software(kSoftware);
     f->set_wall_ms(ps.clock.wall_ms());
     f->set_leaving(leaving);
+    f->set_drained(drained);
     for (auto& [k, r] : running) (*f->mutable_running())[k] = r;
     for (auto i = beats.begin(); i != beats.end();) {
       auto& [b, at] = i->second;
@@ -135,8 +136,20 @@
     if (!sys.empty() && base::parse_level(s.log_level, lev)) base::set_level(lev);
   }
 
+  bool stated_drained() const {
+    for (auto& k : {drain_key("node", c.name), drain_key("zone", c.zone)}) {
+      auto f = mirror.chosen().find(k);
+      pb::Drain d;
+      if (f != mirror.chosen().end() && d.ParseFromString(f->second.data) && d.drained()) return true;
+    }
+    return false;
+  }
+
   void seen() {
     Tick now = ps.clock.now();
+    bool was = drained.exchange(stated_drained());
+    if (was != drained) lg.info("{}: {}.", c.name, drained ? "drained; callers are sent elsewhere" : "no longer drained");
+    duty.rest(drained);
     auto t = std::make_shared<traffic::Table>();
     auto roll = rollout::read_rollout(mirror.chosen());
     if (auto f = roll.nodes().find(c.name); f != roll.nodes().end())
@@ -170,7 +183,7 @@
     traffic.swap(t);
   }
 
-  bool ready() const { return !leaving && mirror.fresh() && traffic.table()->layout != nullptr; }
+  bool ready() const { return !leaving && !drained && mirror.fresh() && traffic.table()->layout != nullptr; }
 };
 
 Node::Node(base::Ports& ps, NodeConfig c, base::Disk* disk) : p_(new Impl(ps, std::move(c), disk)) {}
@@ -185,6 +198,8 @@
   }
 }
 
+std::string drain_key(const std::string& what, const std::string& name) { return "drain/" + what + "/" + name; }
+
 pb::Reply Node::answer(const pb::Ask& a) {
   pb::Reply out;
   switch (a.body_case()) {
@@ -222,7 +237,6 @@
 
 void Node::leave() {
   p_->leaving = true;
-  p_->traffic.drain();
   p_->duty.hand_over();
   p_->mirror.settle(p_->c.bound / 2);  // tells the others that this node leaves
 }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -29,7 +29,7 @@
   // Takes a worker's beat; true once a majority of holders has heard of it.
   bool beat(const pb::Beat& b);
   bool ready() const;
-  void leave();  // unready, duties handed over, the session ended
+  void leave();  // unready, duties handed over, the session ended; requests are still served
 
   const NodeConfig& config() const;
   members::Mirror& mirror();
@@ -45,4 +45,6 @@
   std::unique_ptr<Impl> p_;
 };
 
+std::string drain_key(const std::string& what, const std::string& name);  // what: node or zone
+
 }  // namespace dunlinwing::relay
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -80,6 +80,7 @@
       s.name = n;
       s.zone = x.node().zone();
       s.present = !x.node().leaving();
+      s.drained = x.node().drained();
       s.keeper = x.node().holder() || n == permit.holder() || n == permit.understudy();
       for (auto& [k, rel] : x.node().running()) s.running[k] = rel;
       s.load_defect = x.node().load_defect();
@@ -165,7 +166,7 @@
         auto n = state.nodes().find(m.name);
         if (n == state.nodes().end()) continue;
         auto rel = n->second.releases().find(co.kind());
-        if (rel == n->second.releases().end() || rel->second != co.release()) continue;
+        if (rel == n->second.releases().end() || rel->second != co.release() || m.fact.drained()) continue;
         pb::Ask a;
         a.mutable_probe();
         ps.tasks.spawn([this, me = weak, a, m] {
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -144,7 +144,7 @@
     std::vector<const NodeSight*> fit;
     for (bool keepers : {false, true}) {
       for (auto& n : v.nodes)
-        if (n.present && n.keeper == keepers && s.nodes().count(n.name)) fit.push_back(&n);
+        if (n.present && !n.drained && n.keeper == keepers && s.nodes().count(n.name)) fit.push_back(&n);
       if (!fit.empty()) break;
     }
     if (fit.empty()) return c.set_why("no node is present");
--- a/src/rollout/reducer.hpp
+++ b/src/rollout/reducer.hpp
@@ -12,6 +12,7 @@
 struct NodeSight {
   std::string name, zone;
   bool present = false;  // its session stands
+  bool drained = false;  // takes no callers, so it gives no evidence
   bool keeper = false;   // a holder, or one of a duty's pair
   std::map<std::string, std::string> running;
   std::string load_defect;
