--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -10,6 +10,8 @@
 #include <charconv>
 
 #include "base/log.hpp"
+#include "gate/report.hpp"
+#include "gate/schemas.hpp"
 #include "rollout/checks.hpp"
 
 namespace dunlinwing::gate {
@@ -17,46 +19,6 @@
 constexpr base::Log lg("gate");
 constexpr Span kLongestWatch{30000};
 
-const base::Schema& beat_schema() {
-  static const base::Schema s(R"({
-  "type":"object","required":["service","version","instance","zone","address","number","period_ms"],
-  "properties":{
-    "service":{"type":"string","minLength":1,"maxLength":64},"version":{"type":"string","minLength":1,"maxLength":64},
-    "instance":{"type":"string","minLength":1,"maxLength":64},"zone":{"type":"string","maxLength":64},
-    "address":{"type":"string","minLength":3,"maxLength":64},"capacity":{"type":"integer","minimum":1,"maximum":100000},
-    "leaving":{"type":"boolean"},"number":{"type":"integer","minimum":1},
-    "period_ms":{"type":"integer","minimum":100,"maximum":60000}}})");
-  return s;
-}
-const base::Schema& purge_schema() {
-  static const base::Schema s(R"({
-  "type":"object","additionalProperties":false,"required":["service","kind"],"properties":{
-    "service":{"type":"string","minLength":1,"maxLength":64},
-    "kind":{"type":"string","enum":["path","prefix","service"]},
-    "path":{"type":"string","pattern":"^/","maxLength":2048}}})");
-  return s;
-}
-const base::Schema& move_schema() {
-  static const base::Schema s(R"({
-  "type":"object","additionalProperties":false,"required":["version"],"properties":{
-    "version":{"type":"string","minLength":1,"maxLength":64},
-    "lift_quarantine":{"type":"boolean"}}})");
-  return s;
-}
-const base::Schema& reason_schema() {
-  static const base::Schema s(R"({
-  "type":"object","additionalProperties":false,"required":["reason"],"properties":{
-    "reason":{"type":"string","minLength":1,"maxLength":512}}})");
-  return s;
-}
-
-const base::Schema& drain_schema() {
-  static const base::Schema s(R"({
-  "type":"object","additionalProperties":false,"required":["drained"],"properties":{
-    "drained":{"type":"boolean"},"reason":{"type":"string","maxLength":512}}})");
-  return s;
-}
-
 std::variant<base::Json, base::Receipt> checked(const std::string& body, const base::Schema& s) {
   auto p = base::Json::parse(body);
   if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
@@ -387,6 +349,10 @@
   auto c = take_apart(q);
   if (c.path.size() == 1 && c.path[0] == "readyz")
     return p.n.ready() ? json(200, "{\"ready\":true}") : json(503, "{\"ready\":false}");
+  bool get = q.method == "GET";
+  if (get && c.path.size() == 1 && c.path[0] == "status") return json(200, status(p.n, p.ps.clock.now()));
+  if (get && c.path.size() == 1 && c.path[0] == "metrics")
+    return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics(p.n, p.ps.clock.now())};
   if (c.path.size() < 2 || c.path[0] != "v1") return defect(404, "no such resource");
   if (q.method == "GET" || q.method == "HEAD") return p.watch(c);
   if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "beats") return p.beat(c);
--- /dev/null
+++ b/src/gate/report.hpp
@@ -0,0 +1,11 @@
+// What a relay tells of itself: metrics in Prometheus text form, and a status
+// page in JSON. Labels are bounded: services and versions of layouts in force.
+#pragma once
+#include "relay/node.hpp"
+
+namespace dunlinwing::gate {
+
+std::string metrics(relay::Node& n, Tick now);
+std::string status(relay::Node& n, Tick now);
+
+}  // namespace dunlinwing::gate
--- /dev/null
+++ b/src/gate/schemas.cpp
@@ -0,0 +1,46 @@
+// What each body must look like.
+#include "gate/schemas.hpp"
+
+namespace dunlinwing::gate {
+
+const base::Schema& beat_schema() {
+  static const base::Schema s(R"({
+  "type":"object","required":["service","version","instance","zone","address","number","period_ms"],
+  "properties":{
+    "service":{"type":"string","minLength":1,"maxLength":64},"version":{"type":"string","minLength":1,"maxLength":64},
+    "instance":{"type":"string","minLength":1,"maxLength":64},"zone":{"type":"string","maxLength":64},
+    "address":{"type":"string","minLength":3,"maxLength":64},"capacity":{"type":"integer","minimum":1,"maximum":100000},
+    "leaving":{"type":"boolean"},"number":{"type":"integer","minimum":1},
+    "period_ms":{"type":"integer","minimum":100,"maximum":60000}}})");
+  return s;
+}
+const base::Schema& purge_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["service","kind"],"properties":{
+    "service":{"type":"string","minLength":1,"maxLength":64},
+    "kind":{"type":"string","enum":["path","prefix","service"]},
+    "path":{"type":"string","pattern":"^/","maxLength":2048}}})");
+  return s;
+}
+const base::Schema& move_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["version"],"properties":{
+    "version":{"type":"string","minLength":1,"maxLength":64},
+    "lift_quarantine":{"type":"boolean"}}})");
+  return s;
+}
+const base::Schema& reason_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["reason"],"properties":{
+    "reason":{"type":"string","minLength":1,"maxLength":512}}})");
+  return s;
+}
+
+const base::Schema& drain_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["drained"],"properties":{
+    "drained":{"type":"boolean"},"reason":{"type":"string","maxLength":512}}})");
+  return s;
+}
+
+}  // namespace dunlinwing::gate
--- /dev/null
+++ b/src/gate/schemas.hpp
@@ -0,0 +1,13 @@
+// The schemas of the bodies that operators and workers send.
+#pragma once
+#include "base/json.hpp"
+
+namespace dunlinwing::gate {
+
+const base::Schema& beat_schema();
+const base::Schema& purge_schema();
+const base::Schema& move_schema();
+const base::Schema& reason_schema();
+const base::Schema& drain_schema();
+
+}  // namespace dunlinwing::gate
--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -2,7 +2,10 @@
 // call, brings its failure about, and waits on conditions.
 #include "scenarios.hpp"
 
+#include <signal.h>
+
 #include <iostream>
+#include <random>
 
 namespace dunlinwing::test {
 using namespace std::chrono_literals;
@@ -52,10 +55,160 @@
            say(r.f.layout_everywhere("second", Span(r.seconds * 1000 + 30000)), "second layout runs everywhere");
   });
 }
+
+void allow(Run& r, const std::string& v) {
+  bool lobby = r.f.config().deployment == "lobby";
+  auto a = [&](const char* s, const char* p) {
+    r.f.event(fmt::format(R"("t":"allowed","service":"{}","version":"{}","prefix":"{}")", s, v, p));
+  };
+  for (auto* p : {"/liveries/", "/track/"})
+    if (lobby) a("content", p);
+  for (auto* p : {"/notices/", "/returns/"})
+    if (!lobby) a("documents", p);
+  for (auto* p : {"/lobbies/", "/fees"})
+    if (lobby) a("matchmaking", p);
+  for (auto* p : {"/balances/", "/filings"})
+    if (!lobby) a("application", p);
+}
+
+bool purge(Run& r, const std::string& name, const std::string& kind, const std::string& path) {
+  auto svc = r.f.config().deployment == "lobby" ? "content" : "documents";
+  auto a = r.f.any("PUT", "/v1/purges/" + name, fmt::format(R"({{"service":"{}","kind":"{}","path":"{}"}})", svc, kind, path));
+  if (a.status == 200) r.f.event(fmt::format(R"("t":"purged","path":"{}","prefix":{})", path, kind == "prefix"));
+  return a.status == 200;
+}
+
+// Every relay in turn is stopped with a warning and started again.
+bool rolling(Run& r) {
+  if (!begin(r)) return false;
+  allow(r, "1");
+  return calls(r, [&] {
+    bool ok = true;
+    for (int i = 0; i < 14; ++i) {
+      auto n = r.f.machines()[static_cast<size_t>(i)].name;
+      r.f.warn(n);
+      r.f.start(n);
+      ok &= r.f.until(10s, [&] { return r.f.http(n, "GET", "/readyz").status == 200; });
+    }
+    return say(ok, "every relay was restarted and became ready");
+  });
+}
+
+bool ready_again(Run& r, const char* what) {
+  r.f.event(R"("t":"returned")");
+  return say(r.f.all_ready(15s), what);
+}
+
+// Kills, freezes, lost disks, cut links, worker changes, purges and layouts, one
+// after the other and overlapping, drawn from the seed; then the acknowledged
+// layouts are read back from every relay.
+bool day(Run& r) {
+  if (!begin(r)) return false;
+  allow(r, "1");
+  r.f.event(R"("t":"lifetime","ms":4000)");
+  std::mt19937_64 rng(r.seed);
+  std::map<std::string, std::string> acked{{"first", layout_document(r.f.config().deployment)}};
+  std::map<std::string, int> met;
+  bool lobby = r.f.config().deployment == "lobby";
+  auto relay = [&] { return r.f.machines()[rng() % 14].name; };
+  auto end = r.f.clock.now() + Span((r.seconds - 25) * 1000);
+  bool ok = calls(r, [&] {
+    for (int i = 0; r.f.clock.now() < end; ++i) {
+      auto n = relay();
+      auto& m = r.f.at(n);
+      int down = 0;
+      for (auto& x : r.f.machines()) down += x.holder && (x.pid <= 0 || x.frozen);
+      bool may = !(m.holder && down >= 2);
+      auto d = rng() % 9;
+      if (d == 0 && may) ++met["kill"], r.f.kill(n);
+      if (d == 1 && may) ++met["freeze"], r.f.freeze(n);
+      if (d == 2 && m.holder && down == 0) ++met["lost_disk"], r.f.kill(n), r.f.wipe(n);
+      if (d == 3) ++met["cut"], r.f.links().cut_off(n);
+      if (d == 4) met["purge"] += purge(r, fmt::format("p{}", i), rng() % 2 ? "prefix" : "path", fmt::format("{}{}", lobby ? "/liveries/" : "/notices/", rng() % 5));
+      if (d == 5) {
+        auto doc = layout_document(r.f.config().deployment, fmt::format("x{}", i));
+        if (put_layout(r, fmt::format("day{}", i), doc)) acked[fmt::format("day{}", i)] = doc, ++met["layout"];
+      }
+      if (d == 6) ++met["warn"], r.f.warn(n), r.f.start(n);
+      if (d == 7) {  // a worker crashes and another of its service is started
+        auto& w = r.f.machines()[14 + rng() % (r.f.machines().size() - 14)];
+        auto args = w.args;
+        auto name = w.name;
+        r.f.kill(name);
+        ++met["worker_kill"];
+        r.f.start(name);
+      }
+      if (d == 8) {  // a worker is replaced: the new one first, then the old is warned
+        ++met["worker_replaced"];
+        r.f.add_worker(lobby ? "matchmaking" : "application", "1", "b", {});
+        auto old = r.f.machines()[18 + rng() % 4].name;
+        if (r.f.at(old).pid > 0) ::kill(r.f.at(old).pid, SIGTERM);
+      }
+      r.f.clock.nap(Span(300 + rng() % 1500));
+      for (auto& x : r.f.machines()) r.f.gone(x.name);
+      if (rng() % 3 == 0) r.f.links().mend_all();
+      for (auto& x : r.f.machines()) {
+        if (x.frozen && rng() % 2) r.f.thaw(x.name);
+        if (x.kind != "worker" && x.pid <= 0 && rng() % 2) r.f.start(x.name);
+      }
+    }
+    r.f.links().mend_all();
+    for (auto& x : r.f.machines()) {
+      if (x.frozen) r.f.thaw(x.name);
+      if (x.kind != "worker" && x.pid <= 0) r.f.start(x.name);
+    }
+    return ready_again(r, "all relays are ready within 15 s of the machines' return");
+  });
+  for (auto& m : r.f.machines())
+    for (auto& [n, doc] : acked)
+      if (m.kind != "worker" && r.f.http(m.name, "GET", "/v1/releases/layout/" + n).body.find("\"document\":" + doc) == std::string::npos) {
+        r.f.event(fmt::format(R"("t":"layout_lost","release":"{}")", n));
+        ok = say(false, "a relay does not read an acknowledged layout back");
+      }
+  for (auto& [k, v] : met) std::cout << "met " << k << " " << v << "\n";
+  return ok;
+}
+
+// A move to a version that answers badly, and one to a version that is well.
+bool versions(Run& r) {
+  if (!begin(r)) return false;
+  auto svc = r.f.config().deployment == "lobby" ? "matchmaking" : "application";
+  if (!put_layout(r, "two", [&] {
+        auto d = layout_document(r.f.config().deployment, "2");
+        d.insert(1, R"("express":"the test needs both versions",)");
+        return d;
+      }()))
+    return false;
+  allow(r, "1");
+  allow(r, "2");
+  for (auto* z : {"a", "b"}) r.f.add_worker(svc, "2", z, {"--fault", "error", "--fault_percent", "50"});
+  return calls(r, [&] {
+    r.f.clock.nap(3s);
+    r.f.event(fmt::format(R"("t":"bad_version","service":"{}","version":"2")", svc));
+    bool put = r.f.until(10s, [&] { return r.f.any("PUT", fmt::format("/v1/services/{}", svc), R"({"version":"2"})").status == 200; });
+    return say(put, "the move was stated") &&
+           say(r.f.until(Span(r.seconds * 1000), [&] { return r.f.any("GET", fmt::format("/v1/services/{}", svc)).body.find("\"2\":\"") != std::string::npos; }),
+               "the bad version is in quarantine");
+  });
+}
+
+// All relays die together and come back.
+bool power(Run& r) {
+  if (!begin(r)) return false;
+  allow(r, "1");
+  return calls(r, [&] {
+    r.f.clock.nap(8s);
+    for (int i = 0; i < 14; ++i) r.f.kill(r.f.machines()[static_cast<size_t>(i)].name);
+    r.f.clock.nap(2s);
+    r.f.start_relays();
+    return ready_again(r, "all relays are ready within 15 s of the machines' return");
+  });
+}
 }  // namespace
 
 const std::map<std::string, std::function<bool(Run&)>>& scenarios() {
-  static const std::map<std::string, std::function<bool(Run&)>> all{{"up", up}, {"rollout", rollout}};
+  static const std::map<std::string, std::function<bool(Run&)>> all{
+      {"up", up}, {"rollout", rollout}, {"rolling", rolling}, {"day", day}, {"versions", versions}, {"power", power}};
   return all;
 }
 
