Split an origin's rate by demand; look at kept connections before use

Cause 1: an even split of a stated rate starves the relay where the demand is. Shares are now registers that the duty's holder keeps: they fall at once and rise only a bound later, so that no mix of old and new news sums past the rate (property over late relays). Cause 2: a GET went out on a connection that the other end had closed. Ruled out: too short a grace after SIGTERM.

--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -106,6 +106,7 @@
     // coming for as long; they are served until it has heard the no.
     auto end = clock.now() + c.node.bound * 2, heard = clock.now() + c.node.bound * 5 / 8;
     lg.info("{}: asked to stop; draining.", c.node.name);
+    callers->wind_down();
     node->leave();
     if (clock.now() < heard) clock.nap(heard - clock.now());
     node->traffic().drain();
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -174,6 +174,11 @@
     }
     for (auto& [k, h] : mirror.chosen()) {
       if (k.starts_with("service/")) t->states[k.substr(8)].ParseFromString(h.data);
+      if (k.starts_with("share/")) {
+        pb::Shares sh;
+        sh.ParseFromString(h.data);
+        if (auto f = sh.milli().find(c.name); f != sh.milli().end()) t->shares[k.substr(6)] = f->second / 1000.0;
+      }
       if (k.starts_with("purge/")) t->purges[k.substr(6)].ParseFromString(h.data);
     }
     for (auto& m : mirror.news().members(now))
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "base/log.hpp"
+#include "rollout/pacer.hpp"
 
 namespace dunlinwing::rollout {
 namespace {
@@ -55,9 +56,10 @@
   std::vector<Moment> recent;
   std::map<std::string, std::pair<uint64_t, pb::ServiceState>> services;
   std::map<std::string, Tick> service_saved;
+  Pacer pacer;
 
   Impl(base::Ports& p, registry::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig cc)
-      : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)) {
+      : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
   }
@@ -273,6 +275,7 @@
     if (!feed(v)) return;
     probe();
     moves(now, dt);
+    pacer.tick(now, state, releases);
   }
 
   std::weak_ptr<Impl> weak;
--- /dev/null
+++ b/src/rollout/pacer.cpp
@@ -0,0 +1,113 @@
+// Looks at what each relay was asked of late and writes a service's shares when
+// they should fall or may rise. After taking the duty up it does not know when
+// shares last fell, and so waits a bound before it lets any rise.
+#include "rollout/pacer.hpp"
+
+#include "base/log.hpp"
+#include "traffic/layout.hpp"
+
+namespace dunlinwing::rollout {
+namespace {
+constexpr base::Log lg("shares");
+constexpr double kFresh = 0.3;  // the weight of the latest look at demand
+}  // namespace
+
+struct Pacer::Impl {
+  struct Seen {
+    uint64_t incarnation = 0, asked = 0;
+    double rate = 0;
+  };
+  base::Ports& ps;
+  registry::Book& book;
+  members::Mirror& mirror;
+  members::Duty& duty;
+  Span bound;
+  uint64_t term = 0;
+  Tick last{0};
+  std::map<std::string, std::map<std::string, Seen>> seen;  // service -> node
+  std::map<std::string, Tick> fell;
+  std::map<std::string, int64_t> rates;
+  std::string rates_of;
+
+  // The least rate that any layout assigned now states; a rate holds for all.
+  void read_rates(const pb::Rollout& r, const std::map<std::string, Release>& releases) {
+    std::map<std::string, bool> names;
+    for (auto& [n, a] : r.nodes())
+      if (auto f = a.releases().find("layout"); f != a.releases().end()) names[f->second] = true;
+    std::string key;
+    for (auto& [n, x] : names) key += n + "\n";
+    if (key == rates_of) return;
+    rates.clear();
+    for (auto& [n, x] : names) {
+      auto rel = releases.find(release_key("layout", n));
+      if (rel == releases.end()) return;
+      auto l = traffic::read_layout(n, rel->second.content);
+      auto* y = std::get_if<std::shared_ptr<const traffic::Layout>>(&l);
+      if (!y) continue;
+      for (auto& [k, s] : (*y)->services) {
+        if (!s.rate) continue;
+        auto [f, fresh] = rates.emplace(k, s.rate);
+        f->second = std::min(f->second, s.rate);
+      }
+    }
+    rates_of = key;
+  }
+
+  void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases) {
+    if (term != duty.term()) {
+      term = duty.term();
+      fell.clear();
+      last = now;
+    }
+    if (now - last < bound / 2) return;
+    double dt = static_cast<double>((now - last).count()) / 1000;
+    last = now;
+    read_rates(r, releases);
+    auto news = mirror.news().latest(now);
+    for (auto& [svc, rate] : rates) {
+      ShareSight v;
+      v.rate = rate;
+      v.bound = bound;
+      for (auto& [n, x] : news) {
+        if (x.node().zone().empty() || x.node().leaving()) continue;
+        auto& s = seen[svc][n];
+        for (auto& d : x.demands()) {
+          if (d.service() != svc) continue;
+          if (s.incarnation == x.mark().incarnation())
+            s.rate += kFresh * (static_cast<double>(d.asked() - std::min(d.asked(), s.asked)) / dt - s.rate);
+          s.asked = d.asked();
+          s.incarnation = x.mark().incarnation();
+        }
+        v.demand[n] = s.rate;
+      }
+      auto& f = fell[svc];
+      if (f == Tick(0)) f = now;
+      v.since_fall = now - f;
+      write(svc, v);
+    }
+  }
+
+  void write(const std::string& svc, const ShareSight& v) {
+    auto c = mirror.chosen().find(share_key(svc));
+    pb::Shares have;
+    uint64_t version = 0;
+    if (c != mirror.chosen().end()) {
+      have.ParseFromString(c->second.data);
+      version = c->second.version;
+    }
+    auto o = step(have, v);
+    if (!o.fell && !o.rose) return;
+    if (!duty.held()) return;
+    // Whatever becomes of the write, what it lowers may have been lowered now.
+    auto w = book.write(share_key(svc), version, o.shares.SerializeAsString());
+    if (o.fell || !std::holds_alternative<registry::Held>(w)) fell[svc] = ps.clock.now();
+    lg.debug("Shares of {} were {} for {} nodes.", svc, o.fell ? "lowered" : "raised", o.shares.milli_size());
+  }
+};
+
+Pacer::Pacer(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, Span bound)
+    : p_(new Impl{ps, b, m, d, bound}) {}
+Pacer::~Pacer() = default;
+void Pacer::tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/pacer.hpp
@@ -0,0 +1,20 @@
+// Keeps the shares of stated rates, for the holder of the rollout duty.
+#pragma once
+#include "members/duty.hpp"
+#include "rollout/release.hpp"
+#include "rollout/shares.hpp"
+
+namespace dunlinwing::rollout {
+
+class Pacer {
+ public:
+  Pacer(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, Span bound);
+  ~Pacer();
+  void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::rollout
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -276,8 +276,8 @@
   return {v->r.status, v->r.body, base::header(v->r.headers, "ETag"), false};
 }
 
-int Fleet::call(const std::string& method, const std::string& target, const std::string& body) {
-  auto* h = some(true);
+int Fleet::call(const std::string& method, const std::string& target, const std::string& body, Host* to) {
+  auto* h = to ? to : some(true);
   if (!h) h = some(false);
   if (!h) return 0;
   base::Request q{"", method, target, body, {}};
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -64,7 +64,7 @@
   std::vector<std::unique_ptr<Worker>>& workers() { return workers_; }
 
   // Fibers of the outside world.
-  int call(const std::string& method, const std::string& target, const std::string& body = {});
+  int call(const std::string& method, const std::string& target, const std::string& body = {}, Host* to = nullptr);
   void callers(int per_second, Tick until, std::function<void()> one);
   Told tell(const std::string& method, const std::string& target, const std::string& body,
             std::vector<std::pair<std::string, std::string>> hs = {});
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -303,6 +303,11 @@
     x->set_good(c.good);
     x->set_bad(c.bad);
   }
+  for (auto& [k, a] : p_->shots.asked()) {
+    auto* x = n.add_demands();
+    x->set_service(k);
+    x->set_asked(a);
+  }
 }
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -12,6 +12,8 @@
 namespace dunlinwing::traffic {
 namespace {
 constexpr int kMostShots = 4;
+constexpr int kWorkPart = 4;  // of its deadline a first shot must still have this part
+
 enum class Look { good, answered_badly, not_run, broken };
 
 bool safe(const base::Request& q) { return q.method == "GET" || q.method == "HEAD" || q.method == "OPTIONS"; }
@@ -55,6 +57,7 @@
   Waitlists waits;
   mutable std::mutex m;
   std::map<std::pair<std::string, std::string>, VersionCount> counts;
+  std::map<std::string, uint64_t> asked;
   std::atomic<uint64_t> again{0};
 
   Impl(base::Ports& p, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
@@ -109,9 +112,18 @@
 
 void Shots::sent(const std::string& s) { p_->repeats.sent(s); }
 
+std::map<std::string, uint64_t> Shots::asked() const {
+  std::lock_guard l(p_->m);
+  return p_->asked;
+}
+
 Fetched Shots::run(const Work& w) {
   auto& p = *p_;
   auto& s = *w.service;
+  if (s.rate > 0) {
+    std::lock_guard l(p.m);
+    ++p.asked[s.name];
+  }
   auto& clock = p.ps.clock;
   switch (p.waits.enter(s.name, s.inflight, s.waitlist, w.deadline)) {
     case Entry::full: return {Fate::not_run, {}, {}, "the waitlist is full"};
@@ -136,8 +148,10 @@
       break;
     }
     if (s.rate > 0) {
-      double share = static_cast<double>(s.rate) / std::max(w.table->nodes, 1);
-      auto wait = p.pace.reserve(s.name, share, w.deadline - clock.now());
+      auto t = p.table();
+      auto f = t->shares.find(s.name);
+      double share = f == t->shares.end() ? 0 : f->second;
+      auto wait = p.pace.reserve(s.name, share, w.deadline - clock.now() - s.deadline / kWorkPart);
       if (!wait) {
         if (!left) last = {Fate::not_run, {}, {}, "the origin's rate is used up"};
         break;
@@ -155,7 +169,7 @@
     q.headers.emplace_back("Dunlinwing-Version", to->version);
     q.headers.emplace_back("Dunlinwing-Instance", to->instance);
     Span limit = w.deadline - clock.now();
-    if (limit <= Span(0)) {
+    if (limit <= (left ? Span(0) : s.deadline / (2 * kWorkPart))) {
       if (!left) last.why = "its deadline has passed";
       break;
     }
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -39,6 +39,7 @@
   bool repeat_allowed(const Work& w);
   void sent(const std::string& service);  // a first send that earns repeats
   std::map<std::pair<std::string, std::string>, VersionCount> counts() const;
+  std::map<std::string, uint64_t> asked() const;  // of services with a stated rate
   std::pair<int, int> load(const std::string& service);
   int running();
   uint64_t repeats() const;
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -24,6 +24,7 @@
   std::map<std::string, std::vector<Worker>> workers;            // by service
   std::map<std::string, pb::ServiceState> states;
   std::map<std::string, pb::PurgeSet> purges;
+  std::map<std::string, double> shares;                          // this node's part of each stated rate
   std::vector<Shield> shields;
   int nodes = 1;  // among which fleet-wide allowances are shared
   rollout::System system;
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -57,7 +57,7 @@
   std::string name;
   HttpLimits lim;
   HttpHandler h;
-  std::atomic<bool> closing{false};
+  std::atomic<bool> closing{false}, last{false};
   std::atomic<int> running{0};
   std::shared_ptr<tcp::acceptor> acc;
 
@@ -71,6 +71,8 @@
 HttpServer::~HttpServer() = default;
 int HttpServer::running() const { return p_->running; }
 
+void HttpServer::wind_down() { p_->last = true; }
+
 void HttpServer::close() {
   p_->closing = true;
   p_->pool.spawn_on(0, [p = p_] {
@@ -129,7 +131,7 @@
     --running;
     http::response<http::string_body> r{static_cast<http::status>(a.status), m.version()};
     for (auto& [k, v] : a.headers) r.insert(k, v);
-    bool keep = m.keep_alive() && !closing;
+    bool keep = m.keep_alive() && !closing && !last;
     r.keep_alive(keep);
     bool bare = a.status == 204 || a.status == 304 || a.status / 100 == 1;
     if (m.method() == http::verb::head) {
@@ -192,9 +194,10 @@
   auto end = std::chrono::steady_clock::now() + limit;
   bool safe = q.method == "GET" || q.method == "HEAD";
   std::unique_ptr<beast::tcp_stream> s;
-  if (auto& v = spare[addr]; safe && !v.empty()) {
+  for (auto& v = spare[addr]; safe && !s && !v.empty();) {
     s = std::move(v.back());
     v.pop_back();
+    if (!still_idle(s->socket().native_handle())) s.reset();
   }
   if (!s) {
     auto at = split_address(addr);
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -20,6 +20,7 @@
   ~HttpServer();
   // Connections are spread over threads [from, to).
   std::optional<std::string> listen(const std::string& addr, int from, int to);
+  void wind_down();      // from now on each answer is its connection's last
   void close();          // takes no new connections; live ones end after their present answer
   int running() const;   // requests now in a handler
 
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -4,9 +4,12 @@
 #include "wire/loop.hpp"
 
 #include <sys/random.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -77,6 +80,11 @@
   first();
 }
 
+bool still_idle(int fd) {
+  char c;
+  return ::recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 struct Pool::Impl {
   std::vector<std::unique_ptr<asio::io_context>> io;
   std::vector<std::thread> ts;
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -31,6 +31,9 @@
   return std::move(*out);
 }
 
+// Whether a kept connection is still whole: open, and nothing came unasked.
+bool still_idle(int fd);
+
 // A pool of threads. Thread 0 carries control, the others carry traffic.
 class Pool final : public base::Tasks {
  public:
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -75,9 +75,10 @@
 std::variant<pb::Reply, base::NetDefect> PeerNet::ask(const std::string& addr, const pb::Ask& a, Span limit) {
   auto& spare = idle[addr];
   std::unique_ptr<Line> l;
-  if (!spare.empty()) {
+  while (!l && !spare.empty()) {
     l = std::move(spare.back());
     spare.pop_back();
+    if (!still_idle(l->s.socket().native_handle())) l.reset();
   }
   auto end = std::chrono::steady_clock::now() + limit;
   if (!l) {
--- a/test/rollout_unit.cpp
+++ b/test/rollout_unit.cpp
@@ -1,6 +1,7 @@
 // The rollout reducer on invented fleets: its order, its holds, its checks.
 #include "rollout/reducer.hpp"
 #include "rollout/moves.hpp"
+#include "rollout/shares.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
@@ -291,6 +292,43 @@
   same(s.current(), std::string("1"), "the version after the new one turned bad");
   expect(s.quarantined().count("2") == 1, "the bad one is in quarantine");
 }
+// Relays take what is written up to a bound late, each in its own time: at no
+// moment may what they use together exceed the rate.
+void shares_never_exceed() {
+  int64_t rate = *rc::gen::inRange(2, 200);
+  pb::Shares s;
+  std::vector<std::pair<Span, pb::Shares>> written;
+  Span now{0}, fell{0};
+  for (int m : *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 1000))) {
+    now += Span(200 + m % 900);
+    ShareSight v;
+    v.rate = rate;
+    v.since_fall = now - fell;
+    for (int i = 0; i < 6; ++i)
+      if ((m + i) % 7) v.demand[std::string(1, static_cast<char>('a' + i))] = (m * (i + 3)) % 50;
+    auto o = step(s, v);
+    if (o.fell) fell = now;
+    if (o.fell || o.rose) written.emplace_back(now, o.shares);
+    s = o.shares;
+    uint64_t sum = 0;
+    for (auto& [n, x] : v.demand) {
+      // Each relay uses some version no older than the bound, at worst for the sum.
+      uint32_t worst = 0;
+      for (size_t k = 0; k < written.size(); ++k) {
+        bool last_before = k + 1 == written.size() || written[k + 1].first > now - Span(2000);
+        if (!last_before) continue;
+        auto f = written[k].second.milli().find(n);
+        if (f != written[k].second.milli().end()) worst = std::max(worst, f->second);
+      }
+      sum += worst;
+    }
+    RC_ASSERT(sum <= static_cast<uint64_t>(rate) * 1000);
+    auto n = static_cast<double>(s.milli_size());
+    double all = 0;
+    for (auto& [k, x] : s.milli()) all += x / 1000.0;
+    RC_ASSERT(all * 5 + n <= static_cast<double>(rate) * 5.5 + 1);
+  }
+}
 }  // namespace
 
 std::vector<Case> rollout_cases() {
@@ -308,6 +346,7 @@
       {"rollout: a second of a kind waits, supersedes or is withdrawn", one_after_the_other},
       {"rollout: express goes to all at once", express},
       property("rollout: order and holds under any history", any_history),
+      property("shares: relays together never exceed the rate, however late they hear", shares_never_exceed),
       {"moves: fifty bad answers on trial are the end", quarantine},
       {"moves: promotion on evidence, and back when it turns bad", promotion},
   };
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -18,6 +18,7 @@
       x->refuse_percent = 4;
       x->most = Span(400);
     }
+    s.f.add_worker("app", "9", 0);  // of a version that no layout ever allowed
     for (int i = 0; i < 12; ++i) {
       s.f.nap(Span(1500));
       auto& old = *s.f.workers()[s.w.below(s.f.workers().size())];
@@ -173,12 +174,34 @@
   };
 }
 
+// Callers crowd one relay, then another; the origin's rate holds over all, and
+// the share follows the demand.
 void slow_origin(Scene& s) {
-  s.length = Span(60000);
+  s.length = Span(80000);
+  s.must_meet = {"kill"};
   s.story = [&s] {
-    if (!begin(s, 100, sim_layout("\"1\"", 4, 30))) return;
+    if (!begin(s, 20, sim_layout("\"1\"", 4, 30))) return;
     s.f.event(R"("t":"rate","service":"app","n":30)");
-    s.f.nap(Span(35000));
+    auto at = std::make_shared<std::string>("e1");
+    auto n = std::make_shared<std::pair<uint64_t, uint64_t>>();
+    s.f.callers(60, s.w.now() + Span(60000), [&s, at, n] {
+      auto& h = s.f.at(*at);
+      if (!h.up() || !h.node->ready()) return;
+      ++n->first;
+      n->second += s.f.call("GET", fmt::format("/a/{}", s.w.below(10000)), "", &h) == 200;
+    });
+    s.f.nap(Span(15000));
+    n->first = n->second = 0;
+    s.f.nap(Span(10000));
+    // The crowd alone asks 60 a second of 30; an even split would give it 3.
+    s.want(n->second > 120, fmt::format("only {} of {} got through where the demand is", n->second, n->first));
+    s.figures["through_in_10s"] = n->second;
+    *at = "e3";
+    s.f.kill("e1");
+    s.f.nap(Span(15000));
+    n->first = n->second = 0;
+    s.f.nap(Span(10000));
+    s.want(n->second > 120, fmt::format("the share did not follow: {} of {}", n->second, n->first));
   };
 }
 
