Software releases: upload, staging, proof, and the way back

Cause: node software had a release kind but no way to a machine. Holders now keep artifacts by digest (pieces synced at a majority, repaired from each other); relays fetch, check, stage, and end with a status that their supervisor knows; a program that does not prove itself is refused and its release stopped. Also: the checker took a worker's last word that it leaves instead of its first, found by switching the mechanism off and seeing nothing.

--- a/src/base/common.hpp
+++ b/src/base/common.hpp
@@ -30,6 +30,6 @@
   return std::get_if<T>(&v);
 }
 
-inline constexpr const char* kSoftware = "0.1.0";
+extern const char* const kSoftware;  // this program's version
 
 }  // namespace dunlinwing
--- a/src/console/commands.cpp
+++ b/src/console/commands.cpp
@@ -111,6 +111,34 @@
   return kNotSo;
 }
 
+// Goes on where an earlier upload broke off: the fleet says how much it holds.
+int upload(Session& s) {
+  auto rel = s.link.get("/v1/releases/software/" + s.args[0]);
+  if (rel.status != 200) return refused(rel);
+  auto data = slurp(s.args[1]);
+  if (!data) return kUsage;
+  auto path = "/v1/artifacts/" + rel.body.at("document").at("content").at("sha256").str();
+  auto at = s.link.get(path);
+  if (at.status != 200) return refused(at);
+  constexpr uint64_t kPiece = 1 << 20;
+  while (!at.body.at("whole").flag()) {
+    auto held = static_cast<uint64_t>(at.body.at("held").num());
+    if (held >= data->size()) {
+      std::cerr << "console: the file is not the one that the release names\n";
+      return kRejected;
+    }
+    auto r = s.link.put(fmt::format("{}?offset={}", path, held), data->substr(held, kPiece));
+    if (r.status == 409) {
+      std::cerr << "console: the file is not the one that the release names, or another upload is under way\n";
+      return kRejected;
+    }
+    if (r.status != 200) return refused(r);
+    at = r;
+  }
+  std::cout << "the artifact is held whole by a majority\n";
+  return kFine;
+}
+
 int diff(Session& s) {
   auto a = s.link.get(release(s)), b = s.link.get(fmt::format("/v1/releases/{}/{}", s.args[0], s.args[2]));
   if (a.status != 200) return refused(a);
@@ -219,6 +247,7 @@
       {"list", {"list [KIND]", "all releases and where they stand", 0, 1, list}},
       {"status", {"status KIND NAME", "where a release stands, and why it holds", 2, 2, status}},
       {"watch", {"watch KIND NAME", "follows a release to its end", 2, 2, watch}},
+      {"upload", {"upload NAME FILE", "the program of a recorded software release", 2, 2, upload}},
       {"diff", {"diff KIND NAME NAME", "what differs between two releases", 3, 3, diff}},
       {"get", {"get RESOURCE", "any resource, as JSON", 1, 1, get}},
       {"waive", {"waive KIND NAME CHECK --reason R", "waives one check for one release", 3, 3,
--- a/src/disk/slow.cpp
+++ b/src/disk/hand.cpp
@@ -1,6 +1,5 @@
-// One thread, one job at a time. The image is made on the caller's thread
-// before the job is handed over, since tables belong to the caller.
-#include "disk/slow.hpp"
+// One thread, one job at a time, in the order in which they came.
+#include "disk/hand.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -10,16 +9,13 @@
 namespace dunlinwing::disk {
 namespace {
 struct Job {
-  std::vector<pb::Record> rs;
-  pb::Image image;
+  std::function<void()> f;
   std::shared_ptr<base::Spot> spot;
-  std::optional<base::DiskDefect> res;
   bool done = false;
 };
 }  // namespace
 
-struct Aside::Impl {
-  std::unique_ptr<base::Disk> d;
+struct Hand::Impl {
   base::Tasks& tasks;
   std::mutex m;
   std::condition_variable cv;
@@ -27,7 +23,7 @@
   bool stop = false;
   std::thread t;
 
-  Impl(std::unique_ptr<base::Disk> x, base::Tasks& ts) : d(std::move(x)), tasks(ts) {}
+  explicit Impl(base::Tasks& ts) : tasks(ts) {}
   void work() {
     std::unique_lock l(m);
     for (;;) {
@@ -36,20 +32,19 @@
       auto j = jobs.front();
       jobs.pop_front();
       l.unlock();
-      auto r = d->save(j->rs, [&] { return j->image; });
+      j->f();
       l.lock();
-      j->res = r;
       j->done = true;
       j->spot->wake();
     }
   }
 };
 
-Aside::Aside(std::unique_ptr<base::Disk> d, base::Tasks& t) : p_(std::make_unique<Impl>(std::move(d), t)) {
+Hand::Hand(base::Tasks& t) : p_(std::make_unique<Impl>(t)) {
   p_->t = std::thread([this] { p_->work(); });
 }
 
-Aside::~Aside() {
+Hand::~Hand() {
   {
     std::lock_guard l(p_->m);
     p_->stop = true;
@@ -58,13 +53,9 @@
   p_->t.join();
 }
 
-base::Loaded Aside::load() { return p_->d->load(); }
-
-std::optional<base::DiskDefect> Aside::save(const std::vector<pb::Record>& rs,
-                                            const std::function<pb::Image()>& whole) {
+void Hand::run(std::function<void()> f) {
   auto j = std::make_shared<Job>();
-  j->rs = rs;
-  j->image = whole();
+  j->f = std::move(f);
   j->spot = p_->tasks.spot();
   {
     std::lock_guard l(p_->m);
@@ -74,7 +65,7 @@
   for (;;) {
     j->spot->park(Span(3600000));
     std::lock_guard l(p_->m);
-    if (j->done) return j->res;
+    if (j->done) return;
   }
 }
 
--- a/src/disk/slow.hpp
+++ b/src/disk/slow.hpp
@@ -1,21 +1,24 @@
-// Puts a blocking disk behind a thread of its own, so that no pool thread ever
-// waits for a sync: the calling fiber parks until the disk is done.
+// A disk behind a hand of its own.
 #pragma once
-#include "base/ports.hpp"
+#include "disk/hand.hpp"
 
 namespace dunlinwing::disk {
 
 class Aside final : public base::Disk {
  public:
-  Aside(std::unique_ptr<base::Disk> d, base::Tasks& t);
-  ~Aside() override;
-  base::Loaded load() override;  // blocks; called before the pool runs
+  Aside(std::unique_ptr<base::Disk> d, base::Tasks& t) : d_(std::move(d)), hand_(t) {}
+  base::Loaded load() override { return d_->load(); }  // blocks; called before the pool runs
+  // The image is made on the caller's thread, since tables belong to the caller.
   std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
-                                       const std::function<pb::Image()>& whole) override;
+                                       const std::function<pb::Image()>& whole) override {
+    std::optional<base::DiskDefect> r;
+    hand_.run([&, image = whole()] { r = d_->save(rs, [&] { return image; }); });
+    return r;
+  }
 
  private:
-  struct Impl;
-  std::unique_ptr<Impl> p_;
+  std::unique_ptr<base::Disk> d_;
+  Hand hand_;
 };
 
 }  // namespace dunlinwing::disk
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -242,6 +242,25 @@
     });
   }
 
+  // PUT /v1/artifacts/SHA256?offset=N: pieces in order, each of a mebibyte at most.
+  base::Receipt artifact(Call& c, bool put) {
+    auto* a = n.artifacts();
+    if (!a) return defect(503, "this node takes no artifacts");
+    uint64_t at = 0;
+    if (auto f = c.query.find("offset"); f != c.query.end())
+      if (std::from_chars(f->second.data(), f->second.data() + f->second.size(), at).ec != std::errc())
+        return defect(422, "offset is no number");
+    if (put && (c.q.body.empty() || c.q.body.size() > software::kPiece)) return defect(413, "a piece has 1 to 1048576 bytes");
+    auto r = put ? a->put(c.path[2], at, c.q.body) : a->look(c.path[2]);
+    if (auto* d = std::get_if<software::PieceDefect>(&r)) {
+      if (*d == software::PieceDefect::unknown_artifact) return defect(404, "no recorded software release names this digest");
+      if (*d == software::PieceDefect::gap) return defect(409, "the piece does not follow what is held; GET says how much that is");
+      return defect(503, "no majority of the holders answers; state the piece again");
+    }
+    auto& p = std::get<pb::Piece>(r);
+    return json(200, fmt::format(R"({{"held":{},"whole":{}}})", p.held(), p.whole()));
+  }
+
   base::Receipt drains() {
     std::string b;
     for (auto& [k, h] : n.mirror().chosen()) {
@@ -306,6 +325,7 @@
     if (is(2, "workers")) return workers();
     if (is(2, "purges")) return purges();
     if (is(2, "drains")) return drains();
+    if (is(3, "artifacts")) return artifact(c, false);
     if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
     if (is(3, "services")) {
       auto h = chosen(rollout::service_key(p[2]));
@@ -361,6 +381,7 @@
   if (c.path.size() >= 5 && c.path.size() <= 6 && c.path[1] == "releases") return p.put_act(c);
   if (c.path.size() == 3 && c.path[1] == "services") return p.put_service(c);
   if (c.path.size() == 3 && c.path[1] == "purges") return p.put_purge(c);
+  if (c.path.size() == 3 && c.path[1] == "artifacts") return p.artifact(c, true);
   if (c.path.size() == 4 && c.path[1] == "drains") return p.put_drain(c);
   return defect(404, "no such resource");
 }
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -21,6 +21,7 @@
     "holders":{"type":"object","minProperties":1,"maxProperties":9,"additionalProperties":{"type":"string"}},
     "seeds":{"type":"array","minItems":1,"maxItems":3,"items":{"type":"string"}},
     "data":{"type":"string","minLength":1},
+    "releases":{"type":"string","minLength":1},
     "shield":{"type":"boolean"},
     "threads":{"type":"integer","minimum":2,"maximum":64},
     "log_level":{"type":"string","enum":["debug","info","warn","error"]},
@@ -55,6 +56,7 @@
   int i = 0;
   for (auto& s : j.at("seeds").strs()) c.seeds.push_back(addr(fmt::format("/seeds/{}", i++), s));
   c.data = j.at("data").str();
+  c.releases = j.at("releases").str();
   n.shield = j.at("shield").flag();
   c.threads = static_cast<int>(j.at("threads").num(c.threads));
   c.log_level = j.at("log_level").str(c.log_level);
--- a/src/relay/config.hpp
+++ b/src/relay/config.hpp
@@ -8,7 +8,7 @@
 
 struct Config {
   NodeConfig node;
-  std::string callers, control, data, log_level = "info";
+  std::string callers, control, data, releases, log_level = "info";
   std::vector<std::string> seeds;
   int threads = 2;
   size_t log_bytes = 4 << 20;
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -13,6 +13,7 @@
 #include "disk/store.hpp"
 #include "gate/control.hpp"
 #include "relay/config.hpp"
+#include "software/stager.hpp"
 #include "wire/http.hpp"
 #include "wire/peer.hpp"
 
@@ -69,9 +70,14 @@
   dw::base::Ports ports{clock, chance, pool, net, origin};
   std::unique_ptr<dw::disk::Aside> disk;
   std::unique_ptr<dw::relay::Node> node;
+  std::unique_ptr<dw::disk::Shelf> shelf;
+  std::unique_ptr<dw::disk::Hand> hand;
+  std::unique_ptr<dw::software::Artifacts> artifacts;
+  std::unique_ptr<dw::software::Stager> stager;
   std::unique_ptr<dw::gate::Control> control;
   std::unique_ptr<dw::wire::HttpServer> callers, operators;
   int next = 0;
+  bool ending = false;
 
   explicit App(dw::relay::Config cc) : c(std::move(cc)), pool(c.threads) {}
 
@@ -101,7 +107,30 @@
     return callers->listen(c.callers, 1, pool.size());
   }
 
-  void finish() {
+  void software(const std::string& program) {
+    hand = std::make_unique<dw::disk::Hand>(pool);
+    if (!c.data.empty()) shelf = std::make_unique<dw::disk::Shelf>(c.data);
+    artifacts = std::make_unique<dw::software::Artifacts>(ports, node->book(), node->mirror(), c.node.name, shelf.get(),
+                                                          hand.get(), c.node.bound);
+    node->artifacts(artifacts.get());
+    dw::software::StagerPorts sp;
+    sp.wanted = [this] { return node->wanted_software(); };
+    sp.defect = [this](auto& why) { node->software_defect(why); };
+    sp.sound = [this] { return node->mirror().fresh() && (node->ready() || !node->traffic().table()->layout); };
+    sp.crowded = [this] {
+      // At most a third of the nodes may be out at once; a duty's pair goes one by one.
+      size_t in = node->mirror().news().members(clock.now()).size();
+      auto t = node->traffic().table();
+      return in * 3 < static_cast<size_t>(t->nodes) * 2;
+    };
+    sp.end = [this](int status) { finish(status); };
+    stager = std::make_unique<dw::software::Stager>(ports, *artifacts, *hand, sp, c.releases, program, c.node.bound);
+  }
+
+  void finish(int status) {
+    if (std::exchange(ending, true)) {
+      for (;;) clock.nap(1000ms);
+    }
     // The platform asks each second whether this node is ready, so callers go on
     // coming for as long; they are served until it has heard the no.
     auto end = clock.now() + c.node.bound * 2, heard = clock.now() + c.node.bound * 5 / 8;
@@ -113,7 +142,7 @@
     callers->close();
     while ((node->traffic().running() > 0 || callers->running() > 0) && clock.now() < end) clock.nap(10ms);
     lg.info("{}: stopped.", c.node.name);
-    dw::wire::Pool::stop(0);
+    dw::wire::Pool::stop(status);
   }
 };
 }  // namespace
@@ -147,6 +176,8 @@
     app.disk = std::make_unique<dw::disk::Aside>(std::move(s), app.pool);
   }
   app.node = std::make_unique<dw::relay::Node>(app.ports, c->node, app.disk.get());
+  std::string program = argv[0];
+  app.software(program.substr(program.rfind('/') + 1));
   app.control = std::make_unique<dw::gate::Control>(app.ports, *app.node);
   if (auto e = app.listen()) {
     lg.error("{}: {}.", c->node.name, *e);
@@ -154,9 +185,13 @@
   }
   boost::asio::signal_set sigs(app.pool.io(0), SIGTERM, SIGINT);
   sigs.async_wait([&](auto ec, int) {
-    if (!ec) app.pool.spawn([&] { app.finish(); });
+    if (!ec) app.pool.spawn([&] { app.finish(0); });
   });
   lg.info("{}: relay {} in zone {}; callers {}, control {}, peers {}.", c->node.name, dw::kSoftware, c->node.zone,
           c->callers, c->control, c->node.peer_address);
-  app.pool.run([&] { app.node->start(); });
+  app.pool.run([&] {
+    app.node->start();
+    app.artifacts->start();
+    app.stager->start();
+  });
 }
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -26,7 +26,9 @@
   std::map<std::string, std::pair<pb::Beat, Tick>> beats;
   std::map<std::string, std::shared_ptr<const traffic::Layout>> layouts;
   std::map<std::string, std::string> running;
-  std::string load_defect;
+  std::string load_defect, soft_defect;
+  std::optional<software::Want> want_soft;
+  software::Artifacts* artifacts = nullptr;
   rollout::System system;
   std::atomic<uint64_t> generation{0};
 
@@ -50,7 +52,7 @@
     f->set_shield(c.shield);
     f->set_ready(ready());
     f->set_generation(generation);
-    f->set_load_defect(load_defect);
+    f->set_load_defect(load_defect.empty() ? soft_defect : load_defect);
     f->set_software(kSoftware);
     f->set_wall_ms(ps.clock.wall_ms());
     f->set_leaving(leaving);
@@ -132,10 +134,25 @@
     running.clear();
     for (auto& [k, r] : a.releases())
       if (k != "software") running[k] = r;
+    look_at_software(want("software"));
     base::Level lev;
     if (!sys.empty() && base::parse_level(s.log_level, lev)) base::set_level(lev);
   }
 
+  // Software runs here when its version is this program's.
+  void look_at_software(const std::string& name) {
+    auto old = want_soft ? want_soft->name : std::string();
+    want_soft.reset();
+    if (name.empty()) return soft_defect.clear();
+    for (auto& [sha, w] : software::recorded(mirror.chosen()))
+      if (w.name == name) want_soft = w;
+    if (want_soft && want_soft->version == kSoftware) {
+      running["software"] = name;
+      want_soft.reset();
+    }
+    if (!want_soft || want_soft->name != old) soft_defect.clear();
+  }
+
   bool stated_drained() const {
     for (auto& k : {drain_key("node", c.name), drain_key("zone", c.zone)}) {
       auto f = mirror.chosen().find(k);
@@ -213,6 +230,11 @@
       out.mutable_probe()->set_ready(ready());
       out.mutable_probe()->set_generation(p_->generation);
       return out;
+    case pb::Ask::kChunk:
+    case pb::Ask::kFetch:
+      if (p_->artifacts) return p_->artifacts->answer(a);
+      out.set_defect("this node keeps no artifacts");
+      return out;
     case pb::Ask::kPrepare:
     case pb::Ask::kAccept:
     case pb::Ask::kPeek:
@@ -253,6 +275,13 @@
 registry::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
 traffic::Traffic& Node::traffic() { return p_->traffic; }
 uint64_t Node::generation() const { return p_->generation; }
+std::optional<software::Want> Node::wanted_software() const { return p_->want_soft; }
+void Node::software_defect(const std::string& why) {
+  if (p_->soft_defect != why) lg.warn("{}: {}.", p_->c.name, why);
+  p_->soft_defect = why;
+}
+void Node::artifacts(software::Artifacts* a) { p_->artifacts = a; }
+software::Artifacts* Node::artifacts() { return p_->artifacts; }
 std::string Node::release() const {
   auto l = p_->traffic.table()->layout;
   return l ? l->name : std::string();
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -4,6 +4,7 @@
 #pragma once
 #include "members/duty.hpp"
 #include "rollout/conductor.hpp"
+#include "software/artifacts.hpp"
 #include "traffic/serve.hpp"
 
 namespace dunlinwing::relay {
@@ -39,6 +40,10 @@
   traffic::Traffic& traffic();
   uint64_t generation() const;
   std::string release() const;
+  std::optional<software::Want> wanted_software() const;  // assigned, and not what runs
+  void software_defect(const std::string& why);
+  void artifacts(software::Artifacts* a);
+  software::Artifacts* artifacts();
 
  private:
   struct Impl;
--- a/src/rollout/checks.cpp
+++ b/src/rollout/checks.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace dunlinwing::rollout {
 namespace {
 bool on(const pb::Rollout& s, const std::string& node, const pb::Course& c) {
@@ -36,6 +38,8 @@
 
 void gather(pb::Course& c, const Sight& v, const pb::Rollout& s) {
   auto* e = c.mutable_evidence();
+  bool away = std::any_of(v.nodes.begin(), v.nodes.end(), [&](auto& n) { return !n.present && on(s, n.name, c); });
+  c.set_lost_ms(away ? c.lost_ms() + static_cast<uint64_t>(v.dt.count()) : 0);
   for (auto& n : v.nodes) {
     if (!n.present) continue;
     if (on(s, n.name, c)) {
@@ -63,7 +67,8 @@
     if (o && n.present && n.load_defect.starts_with(c.kind() + "/" + c.release() + ":")) refused = n.name + ": " + n.load_defect;
   }
   if (!waived("beats")) {
-    if (c.phase() == pb::ONE && on_lost > 0) return "check beats: the phase-one machine is lost";
+    if (c.phase() == pb::ONE && on_lost > 0 && Span(static_cast<int64_t>(c.lost_ms())) >= r.absence(c.kind()))
+      return "check beats: the phase-one machine is lost";
     // One machine may be lost unnoticed; a third of those on it, when the rest stands better, may not.
     if (on_lost >= 2 && on_lost * 3 > on_all && on_lost * off_all > 2 * off_lost * on_all)
       return fmt::format("check beats: {} of {} nodes on it are lost", on_lost, on_all);
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -169,6 +169,19 @@
       else if (here && !runs(*f->second, c))
         settled = false;
     }
+    // Software takes machines out while they restart: a third of a zone at a time.
+    if (c.kind() == "software" && !plain.empty()) {
+      size_t zone = 0, out = 0;
+      for (auto& [n, a] : s.nodes()) {
+        if (a.zone() != c.zone()) continue;
+        ++zone;
+        auto f = seen.find(n);
+        out += assigned(n, c.kind()) == c.release() && (f == seen.end() || !f->second->present || !runs(*f->second, c));
+      }
+      size_t may = std::max<size_t>(1, zone / 3);
+      if (out >= may) return false;
+      plain.resize(std::min(plain.size(), may - out));
+    }
     if (!plain.empty()) {
       put(c, plain);
       c.set_settle_ms(0);
--- a/src/rollout/reducer.hpp
+++ b/src/rollout/reducer.hpp
@@ -49,6 +49,8 @@
   System system;
   Span hold(const Release& r, pb::Phase p) const;
   Span settle() const { return bound; }
+  // Software restarts its machine, which may be away for a while.
+  Span absence(const std::string& kind) const { return kind == "software" ? bound * 20 : Span(0); }
 };
 
 struct Outcome {
--- /dev/null
+++ b/src/software/artifacts.hpp
@@ -0,0 +1,39 @@
+// Artifacts of software releases: any relay takes their pieces and passes them
+// to all holders; holders that missed some fetch them from the others.
+#pragma once
+#include "disk/hand.hpp"
+#include "disk/shelf.hpp"
+#include "members/mirror.hpp"
+
+namespace dunlinwing::software {
+
+struct Want {  // a software release as a relay needs it
+  std::string name, version, sha256;
+  uint64_t bytes = 0;
+};
+// The recorded software releases, by digest.
+std::map<std::string, Want> recorded(const members::Chosen& c);
+
+enum class PieceDefect { unknown_artifact, gap, no_majority };
+
+class Artifacts {
+ public:
+  // `shelf` is null on a machine that holds no state.
+  Artifacts(base::Ports& ps, registry::Book& b, members::Mirror& m, std::string me, disk::Shelf* shelf, disk::Hand* hand,
+            Span bound);
+  ~Artifacts();
+  void start();                        // begins to repair
+  pb::Reply answer(const pb::Ask& a);  // chunk and fetch, on a holder
+  std::variant<pb::Piece, PieceDefect> put(const std::string& sha, uint64_t offset, const std::string& data);
+  std::variant<pb::Piece, PieceDefect> look(const std::string& sha);  // what a majority holds
+  // Fetches the whole to a file from whichever holders have it.
+  bool fetch(const Want& w, const std::string& path, disk::Hand& hand);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+inline constexpr uint32_t kPiece = 1 << 20;
+
+}  // namespace dunlinwing::software
--- a/test/checker.cpp
+++ b/test/checker.cpp
@@ -52,7 +52,7 @@
       b.runs.push_back({s("id"), s("method"), s("target"), s("in"), s("out"), s("service"), s("version"),
                         s("instance"), j.at("at").num(), j.at("bad").flag()});
     } else if (t == "leaving") {
-      b.leaving[s("instance")] = j.at("at").num();
+      b.leaving.emplace(s("instance"), j.at("at").num());  // the first word counts
     } else if (t == "lost") {
       ++b.lost;
     } else {
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -70,19 +70,21 @@
       if (std::count(seeds.begin(), seeds.end(), ',') < 2) seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ",", h.control);
     }
     auto dir = c_.dir + "/" + m.name;
-    fs::create_directories(dir);
+    fs::create_directories(dir + "/releases");
+    fs::copy_file(c_.bin + "/relay", dir + "/releases/relay-0.1.0", fs::copy_options::overwrite_existing);
+    m.program = dir + "/releases/relay-0.1.0";
     std::ofstream f(dir + "/relay.json");
     f << fmt::format(R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},
 "holders":{{{}}},"seeds":[{}],"shield":{},"bound_ms":{},"hold_scale":{}{}}})",
-                     m.name, m.zone, m.callers, m.control, m.peers, holders, seeds, m.kind == "store", c_.bound_ms,
-                     c_.scale, m.holder ? fmt::format(",\"data\":\"{}/data\"", dir) : "")
+                     m.name, m.zone, m.callers, m.control, m.peers, holders, seeds, m.kind == "store", c_.bound_ms, c_.scale,
+                     fmt::format(",\"releases\":\"{}/releases\"", dir) + (m.holder ? fmt::format(",\"data\":\"{}/data\"", dir) : ""))
       << "\n";
     m.args = {"--config", dir + "/relay.json"};
   }
 }
 
 pid_t Fleet::spawn(const std::string& program, const std::vector<std::string>& args, const std::string& log) {
-  auto path = c_.bin + "/" + program;
+  auto path = program[0] == '/' ? program : c_.bin + "/" + program;
   std::vector<char*> av{const_cast<char*>(path.c_str())};
   for (auto& a : args) av.push_back(const_cast<char*>(a.c_str()));
   av.push_back(nullptr);
@@ -102,7 +104,7 @@
   auto& m = at(n);
   if (m.pid > 0) return;
   m.frozen = false;
-  m.pid = spawn(m.kind == "worker" ? "worker" : "relay", m.args, c_.dir + "/" + n + ".log");
+  m.pid = spawn(m.kind == "worker" ? "worker" : m.program, m.args, c_.dir + "/" + n + ".log");
 }
 
 void Fleet::start_relays() {
@@ -144,10 +146,37 @@
 
 bool Fleet::gone(const std::string& n) {
   auto& m = at(n);
-  if (m.pid > 0 && waitpid(m.pid, nullptr, WNOHANG) == m.pid) m.pid = -1;
+  int st = 0;
+  if (m.pid > 0 && waitpid(m.pid, &st, WNOHANG) == m.pid) {
+    m.pid = -1;
+    if (m.kind == "worker") return true;
+    auto dir = c_.dir + "/" + n + "/releases/";
+    auto named = [&](const char* f) {
+      std::ifstream i(dir + f);
+      std::string s;
+      i >> s;
+      return s;
+    };
+    bool next = WIFEXITED(st) && WEXITSTATUS(st) == 75;
+    auto p = named(next ? "next" : "current");
+    if (!p.empty()) m.program = dir + p;
+    if (WIFEXITED(st) && WEXITSTATUS(st) >= 75)
+      event(fmt::format(R"("t":"handed_on","machine":"{}","status":{},"program":"{}")", n, WEXITSTATUS(st), p));
+  }
   return m.pid <= 0;
 }
 
+void Fleet::supervise() {
+  supervised = true;
+  pool_.spawn([this] {
+    while (supervised) {
+      for (size_t i = 0; i < 14; ++i)
+        if (ms_[i].pid > 0 && gone(ms_[i].name)) start(ms_[i].name);
+      clock.nap(50ms);
+    }
+  });
+}
+
 void Fleet::warn(const std::string& n) {
   auto& m = at(n);
   if (m.pid <= 0) return;
@@ -192,6 +221,7 @@
 }
 
 void Fleet::stop_all() {
+  supervised = false;
   for (auto& m : ms_)
     if (m.pid > 0) {
       ::kill(m.pid, SIGCONT);
--- a/test/fleet.hpp
+++ b/test/fleet.hpp
@@ -24,6 +24,7 @@
   int index = 0;
   pid_t pid = -1;
   bool frozen = false;
+  std::string program;  // what the supervisor starts; empty: the built relay
   std::vector<std::string> args;
   std::string callers, control, peers;
 };
@@ -44,6 +45,10 @@
   void wipe(const std::string& name);
   void stop_all();
   bool gone(const std::string& name);  // reaps
+  // Plays each machine's supervisor: starts again what ended, the staged program
+  // after status 75, the last good one after anything else.
+  void supervise();
+  bool supervised = false;
   pid_t start_caller(const std::string& name, int rate, int seconds, uint64_t seed);
   bool caller_done(pid_t p);
 
--- a/test/fleet_main.cpp
+++ b/test/fleet_main.cpp
@@ -40,7 +40,7 @@
   if (!FLAGS_keep) std::filesystem::remove_all(FLAGS_dir);
   auto dir = std::filesystem::absolute(FLAGS_dir).string();
   wire::Pool pool(1);
-  test::FleetConfig c{dir, FLAGS_bin, FLAGS_deployment, FLAGS_port, FLAGS_scale};
+  test::FleetConfig c{dir, std::filesystem::absolute(FLAGS_bin).string(), FLAGS_deployment, FLAGS_port, FLAGS_scale};
   test::Fleet fleet(pool, c);
   fleet.lay_out();
   int rate = FLAGS_rate ? FLAGS_rate : FLAGS_deployment == "lobby" ? 370 : 900;
--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -4,9 +4,12 @@
 
 #include <signal.h>
 
+#include <fstream>
 #include <iostream>
 #include <random>
 
+#include "disk/shelf.hpp"
+
 namespace dunlinwing::test {
 using namespace std::chrono_literals;
 
@@ -192,6 +195,50 @@
   });
 }
 
+std::string hex_digest(const std::string& path) { return disk::sha256_hex_of(path).value_or(""); }
+
+bool record_software(Run& r, const std::string& name, const std::string& version, const std::string& file) {
+  std::ifstream f(file, std::ios::binary);
+  std::string data((std::istreambuf_iterator<char>(f)), {});
+  auto sha = hex_digest(file);
+  auto a = r.f.any("PUT", "/v1/releases/software/" + name,
+                   fmt::format(R"({{"content":{{"version":"{}","sha256":"{}","bytes":{}}}}})", version, sha, data.size()));
+  if (a.status != 202) return say(false, a.body.c_str());
+  r.f.clock.nap(1s);
+  for (size_t at = 0; at < data.size(); at += 1 << 20) {
+    auto p = r.f.any("PUT", fmt::format("/v1/artifacts/{}?offset={}", sha, at), data.substr(at, 1 << 20));
+    if (p.status != 200) return say(false, p.body.c_str());
+  }
+  return say(r.f.any("GET", "/v1/artifacts/" + sha).body.find("\"whole\":true") != std::string::npos, "a majority holds the artifact whole");
+}
+
+bool software_is(Run& r, const std::string& name, const std::string& ph, Span most) {
+  return r.f.until(most, [&] { return r.f.any("GET", "/v1/releases/software/" + name).body.find("\"phase\":\"" + ph + "\"") != std::string::npos; });
+}
+
+int running(Run& r, const std::string& version) {
+  auto b = r.f.any("GET", "/v1/nodes").body;
+  int n = 0;
+  for (auto i = b.find("\"software\":\"" + version); i != b.npos; i = b.find("\"software\":\"" + version, i + 1)) ++n;
+  return n;
+}
+
+// A program that does not come up is stopped on its first machine, which goes
+// back to the last good one; a good one then runs everywhere.
+bool software(Run& r) {
+  if (!begin(r)) return false;
+  r.f.supervise();
+  allow(r, "1");
+  return calls(r, [&] {
+    return record_software(r, "broken", "0.1.9", r.f.config().bin + "/checker") &&
+           say(software_is(r, "broken", "STOPPED", 90s), "the broken program was stopped") &&
+           say(r.f.all_ready(30s) && running(r, "0.1.0") == 14, "all machines run the last good program") &&
+           record_software(r, "better", "0.2.0", r.f.config().bin + "/relay_next") &&
+           say(software_is(r, "better", "DONE", Span(r.seconds * 1000)), "the better program ran its course") &&
+           say(r.f.until(30s, [&] { return running(r, "0.2.0") == 14; }), "all machines run it");
+  });
+}
+
 // All relays die together and come back.
 bool power(Run& r) {
   if (!begin(r)) return false;
@@ -208,7 +255,7 @@
 
 const std::map<std::string, std::function<bool(Run&)>>& scenarios() {
   static const std::map<std::string, std::function<bool(Run&)>> all{
-      {"up", up}, {"rollout", rollout}, {"rolling", rolling}, {"day", day}, {"versions", versions}, {"power", power}};
+      {"up", up}, {"rollout", rollout}, {"rolling", rolling}, {"day", day}, {"versions", versions}, {"power", power}, {"software", software}};
   return all;
 }
 
