Pull from one holder first, so that news comes once and not from everybody

Cause: every pull asked all holders at the same moment with the same vector, so each piece of news came back five times. Ruled out: the vector itself (a fifth of the bytes) and register changes (a few a second).

--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -1,5 +1,6 @@
-// One pull asks every holder at once and goes on when all have answered or an
-// eighth of the bound has passed. It is good when a majority of voting holders
+// One pull asks one holder first and, with what that one knew, all others at
+// once, so that each piece of news comes once and not from everybody. It goes on
+// when all have answered or an eighth of the bound has passed. It is good when a majority of voting holders
 // answered and every register whose latest ballot is not at a majority has
 // been finished by a read. Whatever was acknowledged before such a pull began
 // is then in `chosen`.
@@ -30,6 +31,7 @@
   std::map<std::string, pb::Ballot> at;  // the ballot at which `chosen` was settled
   std::set<std::string> open;
   uint64_t incarnation = 0, count = 0, good = 0;
+  size_t first = 0;  // the holder asked first
   std::atomic<int64_t> permit{0};
   Tick last_start{0};
   std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
@@ -38,7 +40,9 @@
   Impl(base::Ports& p, MirrorConfig cc, registry::Book& b, registry::Acceptor* m,
        std::function<void(pb::News&)> o, std::function<void()> s)
       : ps(p), c(std::move(cc)), book(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()),
-        sides(b.holders().size()) {}
+        sides(b.holders().size()) {
+    first = static_cast<size_t>(ps.chance.below(sides.size()));
+  }
 
   void take(size_t i, const pb::PullReply& r, Tick now) {
     auto& s = sides[i];
@@ -96,7 +100,6 @@
     pb::Ask base;
     auto* p = base.mutable_pull();
     p->set_node(c.me);
-    *p->mutable_have() = news.marks();
     if (incarnation) {
       pb::News n;
       n.set_source(c.me);
@@ -106,29 +109,45 @@
       news.merge(n, start);
       *p->mutable_own() = n;
     }
-    auto make = [&](size_t i) {
-      pb::Ask a = base;
-      a.mutable_pull()->set_boot(sides[i].boot);
-      a.mutable_pull()->set_seen(sides[i].seen);
-      return a;
-    };
+    auto& hs = book.holders();
     registry::Local local;
     if (mine) local = [this](const pb::Ask& a) { return answer(a); };
-    auto rs = registry::ask_all(ps, book.holders(), make, c.pull(), [](auto&) { return false; }, c.me, local);
     size_t n = 0;
+    std::vector<pb::PullReply> heard;
+    // Asks those named and takes what they say; false when none answered.
+    auto ask = [&](const std::vector<size_t>& who, Span limit) {
+      std::vector<registry::Holder> to;
+      for (auto i : who) to.push_back(hs[i]);
+      *base.mutable_pull()->mutable_have() = news.marks();
+      auto make = [&](size_t k) {
+        pb::Ask a = base;
+        a.mutable_pull()->set_boot(sides[who[k]].boot);
+        a.mutable_pull()->set_seen(sides[who[k]].seen);
+        return a;
+      };
+      auto rs = registry::ask_all(ps, to, make, limit, [](auto&) { return false; }, c.me, local);
+      bool any = false;
+      for (size_t k = 0; k < rs.size(); ++k) {
+        if (!rs[k] || !rs[k]->has_pull()) continue;
+        any = true;
+        n += !rs[k]->pull().mute();
+        take(who[k], rs[k]->pull(), ps.clock.now());
+        heard.push_back(rs[k]->pull());
+      }
+      return any;
+    };
+    if (!ask({first}, c.pull() / 4)) first = (first + 1) % hs.size();
+    std::vector<size_t> rest;
+    for (size_t i = 0; i < hs.size(); ++i)
+      if (i != first || heard.empty()) rest.push_back(i);
+    ask(rest, c.pull());
     Tick now = ps.clock.now();
-    for (size_t i = 0; i < rs.size(); ++i) {
-      if (!rs[i] || !rs[i]->has_pull()) continue;
-      if (!rs[i]->pull().mute()) ++n;
-      take(i, rs[i]->pull(), now);
-    }
     if (n < book.majority()) return false;
     if (!incarnation) {
       auto m = news.mark(c.me);
-      for (auto& r : rs)
-        if (r && r->has_pull())
-          for (auto& x : r->pull().news())
-            if (x.source() == c.me && (!m || newer(x.mark(), *m))) m = x.mark();
+      for (auto& r : heard)
+        for (auto& x : r.news())
+          if (x.source() == c.me && (!m || newer(x.mark(), *m))) m = x.mark();
       incarnation = m ? m->incarnation() + 1 : 1;
       return false;  // the next pull announces this node
     }
