Test the glue between fibers and sockets by itself

Cause: deadlines, wakes across threads and closed connections were only tested through whole fleets.

--- /dev/null
+++ b/test/wire_test.cpp
@@ -0,0 +1,137 @@
+// The glue between fibers and sockets: deadlines, waking across threads,
+// cancellation of what never answers, and kept connections that were closed.
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+
+#include "expect.hpp"
+#include "wire/http.hpp"
+#include "wire/peer.hpp"
+
+using namespace dunlinwing;
+using namespace std::chrono_literals;
+
+namespace {
+wire::Pool pool(3);
+wire::RealClock clk;
+
+// Takes connections and never says anything.
+struct Mute {
+  boost::asio::ip::tcp::acceptor acc{pool.io(0), {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  std::string addr() { return fmt::format("127.0.0.1:{}", acc.local_endpoint().port()); }
+};
+
+void spots() {
+  auto s = pool.spot();
+  auto from = clk.now();
+  test::expect(!s->park(30ms), "a spot nobody woke was woken");
+  test::expect(clk.now() - from >= 30ms, "a deadline came early");
+  s->wake();
+  test::expect(s->park(60s), "a wake before the park was lost");
+  pool.spawn_on(2, [s] { s->wake(); });
+  test::expect(s->park(60s), "a wake from another thread was lost");
+  for (int i = 0; i < 200; ++i) {
+    pool.spawn_on(1 + i % 2, [s] { s->wake(); });
+    test::expect(s->park(60s), "one of many wakes was lost");
+  }
+}
+
+void fairness() {
+  // A fiber that is always ready must not keep sockets and timers waiting.
+  auto stop = std::make_shared<bool>(false);
+  auto turns = std::make_shared<uint64_t>(0);
+  pool.spawn([stop, turns] {
+    auto s = pool.spot();
+    while (!*stop) {
+      ++*turns;
+      s->wake();
+      s->park(60s);
+    }
+  });
+  clk.nap(20ms);
+  *stop = true;
+  test::expect(*turns > 10, "the busy fiber did not run");
+}
+
+void silent() {
+  Mute m;
+  wire::HttpOrigin http(1 << 20);
+  wire::PeerNet net;
+  auto from = clk.now();
+  auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 100ms);
+  test::expect(std::get<base::ShotDefect>(r) == base::ShotDefect::unknown, "bytes left, yet it was not unknown");
+  auto p = net.ask(m.addr(), pb::Ask(), 100ms);
+  test::expect(std::get<base::NetDefect>(p) == base::NetDefect::timed_out, "a silent peer did not time out");
+  test::expect(clk.now() - from < 20s, "the limits did not bind");
+  auto gone = m.addr();
+  m.acc.close();
+  r = http.shoot(gone, {"", "POST", "/", "x", {}}, 1s);
+  test::expect(std::get<base::ShotDefect>(r) == base::ShotDefect::unsent, "a refused connection sent something");
+  p = net.ask(gone, pb::Ask(), 1s);
+  test::expect(std::get<base::NetDefect>(p) == base::NetDefect::unreachable, "a refused connection was not unreachable");
+}
+
+// A server that closes each connection after its answer, saying that it keeps it.
+void closed_behind() {
+  Mute m;
+  auto served = std::make_shared<int>(0);
+  pool.spawn([&m, served] {
+    for (;;) {
+      boost::asio::ip::tcp::socket s(pool.io(0));
+      auto [e] = wire::await<>([&](auto h) { m.acc.async_accept(s, std::move(h)); });
+      if (e) return;
+      char b[1024];
+      auto [e2, n] = wire::await<size_t>([&](auto h) { s.async_read_some(boost::asio::buffer(b), std::move(h)); });
+      if (e2) continue;
+      ++*served;
+      std::string a = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+      wire::await<size_t>([&](auto h) { s.async_write_some(boost::asio::buffer(a), std::move(h)); });
+    }
+  });
+  wire::HttpOrigin http(1 << 20);
+  for (int i = 0; i < 20; ++i) {
+    auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 5s);
+    test::expect(std::holds_alternative<base::Receipt>(r), fmt::format("request {} met a closed connection", i));
+    clk.nap(2ms);  // the close is on its way
+  }
+  test::same(*served, 20, "requests served");
+  m.acc.close();
+  clk.nap(1ms);
+}
+
+// Bodies without a length, cut short, or too long are no whole answers.
+void not_whole() {
+  for (std::string a : {"HTTP/1.1 200 OK\r\n\r\nuntil I close", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort",
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "nonsense\r\n\r\n"}) {
+    Mute m;
+    pool.spawn([&m, a] {
+      boost::asio::ip::tcp::socket s(pool.io(0));
+      auto [e] = wire::await<>([&](auto h) { m.acc.async_accept(s, std::move(h)); });
+      if (e) return;
+      char b[1024];
+      wire::await<size_t>([&](auto h) { s.async_read_some(boost::asio::buffer(b), std::move(h)); });
+      wire::await<size_t>([&](auto h) { s.async_write_some(boost::asio::buffer(a), std::move(h)); });
+    });
+    wire::HttpOrigin http(1 << 20);
+    auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 5s);
+    test::expect(std::holds_alternative<base::ShotDefect>(r), "taken for a whole answer: " + a.substr(0, 60));
+    m.acc.close();
+    clk.nap(1ms);
+  }
+}
+}  // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  pool.run([] {
+    int rc = test::run_all({{"wire: spots wake across threads and keep their deadlines", spots},
+                            {"wire: a busy fiber does not starve timers", fairness},
+                            {"wire: what never answers is given up in time, truthfully", silent},
+                            {"wire: a connection closed behind our back is not used", closed_behind},
+                            {"wire: only whole answers are answers", not_whole}},
+                           "");
+    wire::Pool::stop(rc);
+  });
+}
