--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -33,7 +33,8 @@
   uint64_t incarnation = 0, count = 0, good = 0;
   size_t first = 0;  // the holder asked first
   std::atomic<int64_t> permit{0};
-  Tick last_start{0};
+  Tick last_start{0}, said{0};
+  std::string said_key;
   std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
   bool told = false;
 
@@ -95,6 +96,19 @@
     return true;
   }
 
+  // What must be passed on at once; the rest (counters, clocks, ages) may wait.
+  static std::string gist(const pb::News& n) {
+    pb::News g;
+    *g.mutable_node() = n.node();
+    g.mutable_node()->clear_wall_ms();
+    g.mutable_node()->clear_running();
+    std::string s = g.SerializeAsString();
+    for (auto& [k, v] : std::map<std::string, std::string>(n.node().running().begin(), n.node().running().end()))
+      s += k + "=" + v + ";";
+    for (auto& b : n.beats()) s += fmt::format("{}/{}{};", b.instance(), b.leaving() ? 0 : b.number(), b.leaving());
+    return s;
+  }
+
   bool once() {
     Tick start = ps.clock.now();
     pb::Ask base;
@@ -104,10 +118,16 @@
       pb::News n;
       n.set_source(c.me);
       n.mutable_mark()->set_incarnation(incarnation);
-      n.mutable_mark()->set_count(++count);
       own(n);
-      news.merge(n, start);
-      *p->mutable_own() = n;
+      auto key = gist(n);
+      bool due = start - said >= c.bound / 4;
+      if (due || key != said_key) {
+        said = start;
+        said_key = key;
+        n.mutable_mark()->set_count(++count);
+        news.merge(n, start);
+        *p->mutable_own() = n;
+      }
     }
     auto& hs = book.holders();
     registry::Local local;
