The set of holders is a register, changed by one machine at a time

Cause: a machine that held state could lose its disk but not be replaced by another, since the set stood in the settings alone. Ruled out: swapping one for another in a single step (majorities of the two sets need not meet).

--- a/src/disk/store.cpp
+++ b/src/disk/store.cpp
@@ -128,6 +128,8 @@
     }
     if (r.has_slot())
       m[r.slot().name()] = r.slot();
+    else if (r.has_set())
+      *h.image.mutable_set() = r.set();
     else
       h.image.set_stage(r.stage());
   }
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -10,6 +10,7 @@
 #include <charconv>
 
 #include "base/log.hpp"
+#include "gate/holders.hpp"
 #include "gate/report.hpp"
 #include "gate/schemas.hpp"
 #include "rollout/checks.hpp"
@@ -325,6 +326,7 @@
     if (is(2, "workers")) return workers();
     if (is(2, "purges")) return purges();
     if (is(2, "drains")) return drains();
+    if (is(2, "holders")) return holders(n);
     if (is(3, "artifacts")) return artifact(c, false);
     if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
     if (is(3, "services")) {
@@ -382,6 +384,7 @@
   if (c.path.size() == 3 && c.path[1] == "services") return p.put_service(c);
   if (c.path.size() == 3 && c.path[1] == "purges") return p.put_purge(c);
   if (c.path.size() == 3 && c.path[1] == "artifacts") return p.artifact(c, true);
+  if (c.path.size() == 3 && c.path[1] == "holders") return put_holder(p.n, c);
   if (c.path.size() == 4 && c.path[1] == "drains") return p.put_drain(c);
   return defect(404, "no such resource");
 }
--- /dev/null
+++ b/src/gate/holders.cpp
@@ -0,0 +1,55 @@
+// A new holder must be up, with an empty disk, before it is added: it is refilled
+// from the others before it votes. An old one is removed only after that.
+#include "gate/holders.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "gate/schemas.hpp"
+#include "wire/peer.hpp"
+
+namespace dunlinwing::gate {
+namespace {
+base::Receipt of(registry::SetDefect d) {
+  switch (d) {
+    case registry::SetDefect::not_one_step: return defect(409, "the set can change by one machine at a time");
+    case registry::SetDefect::too_few: return defect(409, "fewer than three holders could not bear a loss");
+    case registry::SetDefect::no_majority: return defect(503, "no majority of the holders answers; nothing was changed");
+    case registry::SetDefect::raced: return defect(412, "another change of the set came first; read before trying again");
+    default: return defect(503, "the fate of this write is unknown: read before trying again");
+  }
+}
+}  // namespace
+
+base::Receipt holders(relay::Node& n) {
+  auto& set = n.book().set();
+  auto f = n.mirror().chosen().find(registry::kHoldersKey);
+  return json(200, message_json(set.message()), f == n.mirror().chosen().end() ? 0 : f->second.version);
+}
+
+base::Receipt put_holder(relay::Node& n, Call& c) {
+  auto p = base::Json::parse(c.q.body);
+  if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
+  auto& j = std::get<base::Json>(p);
+  auto ds = holder_schema().check(j);
+  bool on = j.at("holder").flag();
+  auto address = j.at("address").str();
+  if (on && address.empty()) ds.push_back({"/address", "is missing"});
+  if (!ds.empty()) return defects(ds);
+  if (!n.mirror().settle(n.config().bound)) return of(registry::SetDefect::no_majority);
+  auto to = n.book().set().all();
+  auto same = [&](auto& h) { return h.name == c.path[2]; };
+  if (on == std::any_of(to.begin(), to.end(), same)) return json(200, message_json(n.book().set().message()));
+  if (on)
+    to.push_back({c.path[2], address});
+  else
+    std::erase_if(to, same);
+  std::vector<std::string> names;
+  for (auto& [k, h] : n.mirror().chosen()) names.push_back(k);
+  auto r = n.book().change(to, names);
+  if (auto* d = std::get_if<registry::SetDefect>(&r)) return of(*d);
+  return json(200, message_json(std::get<pb::HolderSet>(r)));
+}
+
+}  // namespace dunlinwing::gate
--- /dev/null
+++ b/src/gate/holders.hpp
@@ -0,0 +1,10 @@
+// The set of holders as a resource: one machine is added or removed at a time.
+#pragma once
+#include "gate/control.hpp"
+
+namespace dunlinwing::gate {
+
+base::Receipt put_holder(relay::Node& n, Call& c);
+base::Receipt holders(relay::Node& n);
+
+}  // namespace dunlinwing::gate
--- a/src/gate/schemas.cpp
+++ b/src/gate/schemas.cpp
@@ -43,4 +43,11 @@
   return s;
 }
 
+const base::Schema& holder_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["holder"],"properties":{
+    "holder":{"type":"boolean"},"address":{"type":"string","minLength":3,"maxLength":64}}})");
+  return s;
+}
+
 }  // namespace dunlinwing::gate
--- a/src/gate/schemas.hpp
+++ b/src/gate/schemas.hpp
@@ -9,5 +9,6 @@
 const base::Schema& move_schema();
 const base::Schema& reason_schema();
 const base::Schema& drain_schema();
+const base::Schema& holder_schema();
 
 }  // namespace dunlinwing::gate
--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -26,7 +26,7 @@
   std::function<void(pb::News&)> own;
   std::function<void()> seen;
   NewsTable news;
-  std::vector<Side> sides;
+  std::map<std::string, Side> sides;  // by holder
   Chosen chosen;
   std::map<std::string, pb::Ballot> at;  // the ballot at which `chosen` was settled
   std::set<std::string> open;
@@ -40,13 +40,12 @@
 
   Impl(base::Ports& p, MirrorConfig cc, registry::Book& b, registry::Acceptor* m,
        std::function<void(pb::News&)> o, std::function<void()> s)
-      : ps(p), c(std::move(cc)), book(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()),
-        sides(b.holders().size()) {
-    first = static_cast<size_t>(ps.chance.below(sides.size()));
+      : ps(p), c(std::move(cc)), book(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()) {
+    first = static_cast<size_t>(ps.chance.below(b.holders().size()));
   }
 
-  void take(size_t i, const pb::PullReply& r, Tick now) {
-    auto& s = sides[i];
+  void take(const std::string& who, const pb::PullReply& r, Tick now) {
+    auto& s = sides[who];
     // The holder was restarted: what it had accepted it still has, or it is blank and mute.
     s.boot = r.boot();
     s.seen = r.seen();
@@ -62,9 +61,11 @@
   std::pair<const pb::Slot*, size_t> latest(const std::string& name) const {
     const pb::Slot* best = nullptr;
     size_t n = 0;
-    for (auto& s : sides) {
-      auto f = s.slots.find(name);
-      if (f == s.slots.end()) continue;
+    for (auto& h : book.holders()) {
+      auto s = sides.find(h.name);
+      if (s == sides.end()) continue;
+      auto f = s->second.slots.find(name);
+      if (f == s->second.slots.end()) continue;
       if (!best || registry::lower(best->accepted(), f->second.accepted())) {
         best = &f->second;
         n = 1;
@@ -109,6 +110,15 @@
     return s;
   }
 
+  // The set of holders has changed: what is chosen is settled anew under it.
+  bool reseat() {
+    if (mine) mine->adopt(book.set().message());
+    for (auto& [k, s] : sides)
+      for (auto& [n, x] : s.slots) open.insert(n);
+    lg.info("{}: the holders are now those of epoch {}.", c.me, book.set().epoch());
+    return false;
+  }
+
   bool once() {
     Tick start = ps.clock.now();
     pb::Ask base;
@@ -129,7 +139,9 @@
         *p->mutable_own() = n;
       }
     }
-    auto& hs = book.holders();
+    auto hs = book.holders();
+    auto epoch = book.set().epoch();
+    first %= hs.size();
     registry::Local local;
     if (mine) local = [this](const pb::Ask& a) { return answer(a); };
     size_t n = 0;
@@ -141,8 +153,8 @@
       *base.mutable_pull()->mutable_have() = news.marks();
       auto make = [&](size_t k) {
         pb::Ask a = base;
-        a.mutable_pull()->set_boot(sides[who[k]].boot);
-        a.mutable_pull()->set_seen(sides[who[k]].seen);
+        a.mutable_pull()->set_boot(sides[hs[who[k]].name].boot);
+        a.mutable_pull()->set_seen(sides[hs[who[k]].name].seen);
         return a;
       };
       auto rs = registry::ask_all(ps, to, make, limit, [](auto&) { return false; }, c.me, local);
@@ -151,7 +163,8 @@
         if (!rs[k] || !rs[k]->has_pull()) continue;
         any = true;
         n += !rs[k]->pull().mute();
-        take(who[k], rs[k]->pull(), ps.clock.now());
+        take(hs[who[k]].name, rs[k]->pull(), ps.clock.now());
+        book.set().adopt(rs[k]->pull().set());
         heard.push_back(rs[k]->pull());
       }
       return any;
@@ -162,6 +175,7 @@
       if (i != first || heard.empty()) rest.push_back(i);
     ask(rest, c.pull());
     Tick now = ps.clock.now();
+    if (book.set().epoch() != epoch) return reseat();
     if (n < book.majority()) return false;
     if (!incarnation) {
       auto m = news.mark(c.me);
@@ -172,6 +186,13 @@
       return false;  // the next pull announces this node
     }
     if (!settle_open()) return false;
+    if (auto f = chosen.find(registry::kHoldersKey); f != chosen.end()) {
+      pb::HolderSet set;
+      if (set.ParseFromString(f->second.data) && set.epoch() > epoch) {
+        book.set().adopt(set);
+        return reseat();
+      }
+    }
     news.forget(now);
     // A pull that itself took longer than the permit has proved nothing.
     permit = (start + c.permit()).count();
--- a/src/registry/acceptor.cpp
+++ b/src/registry/acceptor.cpp
@@ -6,7 +6,8 @@
 // fleet. Born turns to formed when every holder is born, or one is formed. A
 // blank disk among formed ones has been lost: it waits one round's limit, so
 // that no round still counts a vote that its old disk gave, and then takes the
-// highest promise and value from a majority of the others.
+// highest promise and value from a majority of the others. So does a machine that
+// has just been made a holder.
 #include "registry/acceptor.hpp"
 
 #include "base/log.hpp"
@@ -21,7 +22,8 @@
   base::Ports& ps;
   base::Disk& disk;
   std::string me;
-  std::vector<Holder> all, others;
+  Holders& set;
+  uint64_t epoch = 0;  // of the set that is synced here
   Span round;
   pb::Stage stage = pb::BLANK;
   bool bad = false, writing = false;
@@ -32,15 +34,20 @@
   uint64_t put = 0, done = 0;
   std::vector<std::shared_ptr<base::Spot>> waits;
 
-  Impl(base::Ports& p, base::Disk& d, std::string m, std::vector<Holder> a, Span r)
-      : ps(p), disk(d), me(std::move(m)), all(std::move(a)), round(r) {
-    for (auto& h : all)
-      if (h.name != me) others.push_back(h);
+  Impl(base::Ports& p, base::Disk& d, std::string m, Holders& s, Span r)
+      : ps(p), disk(d), me(std::move(m)), set(s), round(r) {}
+
+  std::vector<Holder> others() const {
+    std::vector<Holder> out;
+    for (auto& h : set.all())
+      if (h.name != me) out.push_back(h);
+    return out;
   }
 
   pb::Image whole() const {
     pb::Image im;
     im.set_stage(stage);
+    if (epoch) *im.mutable_set() = set.message();
     for (auto& [k, s] : slots) *im.add_slots() = s;
     return im;
   }
@@ -95,6 +102,15 @@
     return out;
   }
 
+  bool adopt(const pb::HolderSet& s) {
+    if (s.epoch() <= epoch) return true;
+    set.adopt(s);
+    epoch = s.epoch();
+    pb::Record r;
+    *r.mutable_set() = s;
+    return sync(r);
+  }
+
   void set_stage(pb::Stage s) {
     stage = s;
     pb::Record r;
@@ -105,14 +121,17 @@
   void refill() {
     if (stage == pb::BLANK) ps.clock.nap(round);
     while (stage != pb::FORMED && !bad) {
+      auto others = this->others();
       pb::Ask a;
       a.mutable_dump()->set_node(me);
       auto rs = ask_all(ps, others, [&](size_t) { return a; }, round, [](auto&) { return false; });
       size_t heard = 0, born = 0, formed = 0, full = 0;
+      bool newer = false;
       std::map<std::string, pb::Slot> got;
       for (auto& r : rs) {
         if (!r || !r->has_image()) continue;
         auto& im = r->image();
+        newer |= set.adopt(im.set());
         ++heard;
         born += im.stage() != pb::BLANK;
         formed += im.stage() == pb::FORMED;
@@ -121,7 +140,10 @@
         for (auto& s : im.slots()) got[s.name()] = higher(got[s.name()], s);
       }
       bool every = heard == others.size();
-      if (stage == pb::BLANK && formed >= others.size() / 2 + 1) {
+      if (newer || !set.has(me)) {  // asked of another set than the one in force, or not a holder yet
+        ps.clock.nap(round / 4);
+      } else if (stage == pb::BLANK && formed >= others.size() / 2 + 1) {
+        if (!adopt(set.message())) return;
         for (auto& [k, s] : got) {
           s.set_name(k);
           slots[k] = s;
@@ -142,14 +164,16 @@
   }
 };
 
-Acceptor::Acceptor(base::Ports& ps, base::Disk& d, std::string me, std::vector<Holder> all, Span round)
-    : p_(std::make_shared<Impl>(ps, d, std::move(me), std::move(all), round)) {}
+Acceptor::Acceptor(base::Ports& ps, base::Disk& d, std::string me, Holders& set, Span round)
+    : p_(std::make_shared<Impl>(ps, d, std::move(me), set, round)) {}
 Acceptor::~Acceptor() = default;
 
 void Acceptor::start() {
   auto l = p_->disk.load();
   p_->boot = p_->ps.chance.draw() | 1;
   p_->stage = l.image.stage();
+  p_->set.adopt(l.image.set());
+  p_->epoch = l.image.set().epoch();
   for (auto& s : l.image.slots()) {
     p_->slots[s.name()] = p_->synced[s.name()] = s;
     p_->feed[s.name()] = ++p_->count;
@@ -159,6 +183,7 @@
 }
 
 bool Acceptor::mute() const { return p_->bad || p_->stage != pb::FORMED; }
+bool Acceptor::adopt(const pb::HolderSet& s) { return p_->adopt(s); }
 bool Acceptor::failed() const { return p_->bad; }
 pb::Stage Acceptor::stage() const { return p_->stage; }
 
@@ -172,9 +197,20 @@
     }
     auto* im = out.mutable_image();
     im->set_stage(p.stage);
+    *im->mutable_set() = p.set.message();
     for (auto& [k, s] : p.synced) *im->add_slots() = s;
     return out;
   }
+  if (a.has_adopt()) {
+    bool ok = !p.bad && p.adopt(a.adopt().set());
+    out.mutable_vote()->set_yes(ok);
+    return out;
+  }
+  if (a.epoch() < p.epoch) {
+    *out.mutable_vote()->mutable_newer() = p.set.message();
+    out.mutable_vote()->set_mute(true);
+    return out;
+  }
   if (mute()) {
     out.mutable_vote()->set_mute(true);
     return out;
@@ -192,6 +228,7 @@
   out.set_boot(p.boot);
   out.set_seen(p.count);
   out.set_mute(mute());
+  if (p.epoch) *out.mutable_set() = p.set.message();
   if (mute()) return;
   if (boot != p.boot) seen = 0;
   for (auto& [k, n] : p.feed)
--- a/src/registry/acceptor.hpp
+++ b/src/registry/acceptor.hpp
@@ -3,18 +3,20 @@
 // stays mute until the others have refilled it.
 #pragma once
 #include "base/ports.hpp"
-#include "registry/ask.hpp"
+#include "registry/holders.hpp"
 
 namespace dunlinwing::registry {
 
 class Acceptor {
  public:
-  Acceptor(base::Ports& ps, base::Disk& d, std::string me, std::vector<Holder> all, Span round);
+  Acceptor(base::Ports& ps, base::Disk& d, std::string me, Holders& set, Span round);
   ~Acceptor();
   void start();                          // loads the disk and begins to refill when it must
   pb::Reply answer(const pb::Ask& a);    // prepare, accept, peek, dump; parks until synced
   void changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const;
   bool mute() const;
+  // Makes a newer set of holders last here; lower epochs are turned away from then on.
+  bool adopt(const pb::HolderSet& s);
   pb::Stage stage() const;
   bool failed() const;
 
--- a/src/registry/book.cpp
+++ b/src/registry/book.cpp
@@ -20,15 +20,23 @@
 struct Book::Impl {
   base::Ports& ps;
   std::string me;
-  std::vector<Holder> hs;
+  Holders& set;
   Span round;
   Local local;
   uint64_t top = 0;
 
-  size_t majority() const { return hs.size() / 2 + 1; }
+  size_t majority() const { return set.majority(); }
 
-  Replies ask(const pb::Ask& a, const Enough& e) {
-    return ask_all(ps, hs, [&](size_t) { return a; }, round, e, me, local);
+  // The set must not change under a round's feet: replies of one set are counted
+  // by that set's majority, and a newer set that somebody names voids the round.
+  Replies ask(pb::Ask a, const Enough& e) {
+    auto epoch = set.epoch();
+    a.set_epoch(epoch);
+    auto rs = ask_all(ps, set.all(), [&](size_t) { return a; }, round, e, me, local);
+    for (auto& r : rs)
+      if (r && r->has_vote()) set.adopt(r->vote().newer());
+    if (set.epoch() != epoch) rs.assign(set.all().size(), std::nullopt);
+    return rs;
   }
 
   void note(const pb::Vote& v) { top = std::max(top, v.slot().promised().round()); }
@@ -45,7 +53,7 @@
   bool settled(const Replies& rs) const {
     size_t no = 0;
     for (auto& r : rs) no += r && !(r->has_vote() && r->vote().yes());
-    return yeses(rs) >= majority() || no > hs.size() - majority();
+    return yeses(rs) >= majority() || no > rs.size() - majority();
   }
 
   // Proposers that met each other wait a random while, longer each time.
@@ -96,6 +104,7 @@
         if (r->vote().yes() && lower(best.accepted(), r->vote().slot().accepted())) best = r->vote().slot();
       }
     o.heard = voters(rs) >= majority();
+    auto epoch = set.epoch();
     // A promise older than a round's limit may come from a disk since lost.
     if (yeses(rs) < majority() || ps.clock.now() - from > round) return o;
     o.promised = true;
@@ -107,16 +116,17 @@
     auto as = ask(c, [&](auto& r) { return settled(r); });
     for (auto& r : as)
       if (r && r->has_vote()) note(r->vote());
-    o.chosen = yeses(as) >= majority();
+    o.chosen = set.epoch() == epoch && yeses(as) >= majority();
     return o;
   }
 };
 
-Book::Book(base::Ports& ps, std::string me, std::vector<Holder> hs, Span round, Local local)
-    : p_(new Impl{ps, std::move(me), std::move(hs), round, std::move(local)}) {}
+Book::Book(base::Ports& ps, std::string me, Holders& set, Span round, Local local)
+    : p_(new Impl{ps, std::move(me), set, round, std::move(local)}) {}
 Book::~Book() = default;
 size_t Book::majority() const { return p_->majority(); }
-const std::vector<Holder>& Book::holders() const { return p_->hs; }
+const std::vector<Holder>& Book::holders() const { return p_->set.all(); }
+Holders& Book::set() { return p_->set; }
 
 Got Book::read(const std::string& name) {
   auto& p = *p_;
@@ -175,4 +185,48 @@
   return sent ? Defect::fate_unknown : Defect::no_majority;
 }
 
+std::variant<pb::HolderSet, SetDefect> Book::change(const std::vector<Holder>& to,
+                                                    const std::vector<std::string>& names) {
+  auto& p = *p_;
+  auto from = p.set.message();
+  auto in = [](const std::vector<Holder>& v, const std::string& n) {
+    return std::any_of(v.begin(), v.end(), [&](auto& h) { return h.name == n; });
+  };
+  size_t more = 0, fewer = 0;
+  for (auto& h : to) more += !in(p.set.all(), h.name);
+  for (auto& h : p.set.all()) fewer += !in(to, h.name);
+  if (more + fewer != 1) return SetDefect::not_one_step;
+  if (to.size() < 3) return SetDefect::too_few;
+  pb::Ask a;
+  *a.mutable_adopt()->mutable_set() = from;
+  auto rs = ask_all(p.ps, p.set.all(), [&](size_t) { return a; }, p.round, [](auto&) { return false; }, p.me, p.local);
+  if (Impl::yeses(rs) < p.majority()) return SetDefect::no_majority;
+  for (auto& n : names) {
+    bool done = false;
+    for (int i = 0; i < 2 * kRounds && !done; ++i) {
+      done = p.turn(n, [](const pb::Value& v) { return v; }).chosen;
+      if (!done) p.back_off(i);
+    }
+    if (!done) return SetDefect::no_majority;
+  }
+  auto g = read(kHoldersKey);
+  auto* h = std::get_if<Held>(&g);
+  if (!h) return SetDefect::no_majority;
+  if (p.set.epoch() != from.epoch()) return SetDefect::raced;
+  pb::HolderSet next;
+  next.set_epoch(from.epoch() + 1);
+  for (auto& x : to) {
+    auto* e = next.add_holders();
+    e->set_name(x.name);
+    e->set_address(x.address);
+  }
+  pb::HolderSet seen;
+  seen.ParseFromString(h->data);
+  if (seen.epoch() > from.epoch()) return SetDefect::raced;
+  auto w = write(kHoldersKey, h->version, next.SerializeAsString());
+  if (std::holds_alternative<Stale>(w)) return SetDefect::raced;
+  if (auto* d = std::get_if<Defect>(&w)) return *d == Defect::no_majority ? SetDefect::no_majority : SetDefect::fate_unknown;
+  return next;
+}
+
 }  // namespace dunlinwing::registry
--- a/src/registry/book.hpp
+++ b/src/registry/book.hpp
@@ -2,7 +2,7 @@
 // majority of the holders. Any node can do it; none leads.
 #pragma once
 #include "base/ports.hpp"
-#include "registry/ask.hpp"
+#include "registry/holders.hpp"
 
 namespace dunlinwing::registry {
 
@@ -20,12 +20,17 @@
 
 class Book {
  public:
-  Book(base::Ports& ps, std::string me, std::vector<Holder> hs, Span round, Local local);
+  Book(base::Ports& ps, std::string me, Holders& set, Span round, Local local);
   ~Book();
   Got read(const std::string& name);
   Put write(const std::string& name, uint64_t expect, const std::string& data);
+  // Goes to a set that differs by one machine: the present set is made last at a
+  // majority of itself, every register named is finished under it, and only then
+  // is the next set written.
+  std::variant<pb::HolderSet, SetDefect> change(const std::vector<Holder>& to, const std::vector<std::string>& names);
   size_t majority() const;
   const std::vector<Holder>& holders() const;
+  Holders& set();
 
  private:
   struct Impl;
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -73,7 +73,6 @@
   if (j.has("quiet_hours")) n.quiet = {minute("from"), minute("to")};
   bool named = false;
   for (auto& h : n.holders) named |= h.name == n.name;
-  if (!c.data.empty() && !named) ds.push_back({"/data", "a data folder is for holders, and /holders does not name this node"});
   if (c.data.empty() && named) ds.push_back({"/holders/" + n.name, "a holder needs /data"});
   if (n.holders.size() % 2 == 0 && !n.holders.empty()) ds.push_back({"/holders", "an odd number is needed"});
   if (!ds.empty()) return ds;
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -16,6 +16,7 @@
   base::Ports& ps;
   NodeConfig c;
   bool holder;
+  registry::Holders set;
   std::unique_ptr<registry::Acceptor> acceptor;
   registry::Book book;
   members::Mirror mirror;
@@ -33,9 +34,9 @@
   std::atomic<uint64_t> generation{0};
 
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
-      : ps(p), c(std::move(cc)), holder(disk != nullptr),
-        acceptor(disk ? std::make_unique<registry::Acceptor>(ps, *disk, c.name, c.holders, c.bound / 4) : nullptr),
-        book(ps, c.name, c.holders, c.bound / 4,
+      : ps(p), c(std::move(cc)), holder(disk != nullptr), set(c.holders),
+        acceptor(disk ? std::make_unique<registry::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
+        book(ps, c.name, set, c.bound / 4,
              acceptor ? registry::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : registry::Local()),
         mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
         duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
@@ -48,7 +49,7 @@
     f->set_zone(c.zone);
     f->set_peer_address(c.peer_address);
     f->set_http_address(c.http_address);
-    f->set_holder(holder);
+    f->set_holder(holder && set.has(c.name));
     f->set_shield(c.shield);
     f->set_ready(ready());
     f->set_generation(generation);
@@ -239,6 +240,7 @@
     case pb::Ask::kAccept:
     case pb::Ask::kPeek:
     case pb::Ask::kDump:
+    case pb::Ask::kAdopt:
       if (p_->acceptor) return p_->acceptor->answer(a);
       out.set_defect("this node holds no state");
       return out;
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -8,7 +8,7 @@
 namespace dunlinwing::sim {
 
 struct FleetShape {
-  int holders = 5, edges = 4;
+  int holders = 5, edges = 4, spares = 0;  // spares have a disk, and no settings name them as holders
   double scale = 600;
   Span bound{2000};
   int64_t wall0 = 1700000000000;
@@ -16,7 +16,7 @@
 
 struct Host {
   std::string name, zone, address;
-  bool holder = false, shield = false;
+  bool holder = false, shield = false, spare = false;
   Platter platter;
   int64_t wall = 0;
   LifePtr life;
