--- a/src/base/ports.cpp
+++ b/src/base/ports.cpp
@@ -22,6 +22,19 @@
   return {};
 }
 
+std::vector<std::string> words(std::string_view s, char sep) {
+  std::vector<std::string> out;
+  for (size_t i = 0; i <= s.size();) {
+    auto e = std::min(s.find(sep, i), s.size());
+    auto w = s.substr(i, e - i);
+    i = e + 1;
+    auto a = w.find_first_not_of(" \t");
+    if (a == w.npos) continue;
+    out.emplace_back(w.substr(a, w.find_last_not_of(" \t") - a + 1));
+  }
+  return out;
+}
+
 std::string sha256_base64(std::string_view body) {
   unsigned char d[EVP_MAX_MD_SIZE];
   unsigned int n = 0;
--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -93,6 +93,7 @@
 
 std::string header(const std::vector<std::pair<std::string, std::string>>& hs, std::string_view name);
 bool same_word(std::string_view a, std::string_view b);  // ASCII case folded
+std::vector<std::string> words(std::string_view s, char sep);  // trimmed, none empty
 std::string sha256_base64(std::string_view body);
 std::string token(Chance& c);
 
--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -108,13 +108,7 @@
 
 std::map<std::string, std::string> directives(const std::string& h) {
   std::map<std::string, std::string> out;
-  size_t i = 0;
-  while (i < h.size()) {
-    auto e = std::min(h.find(',', i), h.size());
-    auto d = h.substr(i, e - i);
-    i = e + 1;
-    d.erase(0, d.find_first_not_of(" \t"));
-    d.erase(d.find_last_not_of(" \t") + 1);
+  for (auto& d : base::words(h, ',')) {
     auto q = d.find('=');
     auto n = d.substr(0, q);
     std::transform(n.begin(), n.end(), n.begin(), [](unsigned char c) { return std::tolower(c); });
--- a/src/console/main.cpp
+++ b/src/console/main.cpp
@@ -41,12 +41,9 @@
   console::Reach r;
   auto seeds = FLAGS_seeds;
   if (auto* e = std::getenv("DUNLINWING_SEEDS"); seeds.empty() && e) seeds = e;
-  for (size_t i = 0; i < seeds.size();) {
-    auto e = std::min(seeds.find(',', i), seeds.size());
-    r.seeds.push_back(seeds.substr(i, e - i));
-    if (!wire::split_address(r.seeds.back())) return bad("\"" + r.seeds.back() + "\" is not IP:port");
-    i = e + 1;
-  }
+  r.seeds = base::words(seeds, ',');
+  for (auto& x : r.seeds)
+    if (!wire::split_address(x)) return bad("\"" + x + "\" is not IP:port");
   if (r.seeds.empty()) return bad("--seeds names no relay");
   std::signal(SIGPIPE, SIG_IGN);
   wire::Pool pool(1);
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -49,6 +49,7 @@
   bool frozen(const std::string& host) const;
 
   void cut(const std::string& from, const std::string& to) { cuts_.insert({from, to}); }
+  void join(const std::string& a, const std::string& b) { cuts_.erase({a, b}), cuts_.erase({b, a}); }
   void mend() { cuts_.clear(); }
   bool cut_off(const std::string& from, const std::string& to) const { return cuts_.count({from, to}) > 0; }
   Weather weather;
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -24,18 +24,9 @@
                                     "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",
                                     "Expect",     "Content-Length",    "Proxy-Authorization"};
   std::vector<std::string> named;
-  for (auto& [k, v] : hs) {
-    if (!base::same_word(k, "Connection")) continue;
-    size_t i = 0;
-    while (i <= v.size()) {
-      auto e = std::min(v.find(',', i), v.size());
-      auto d = v.substr(i, e - i);
-      i = e + 1;
-      d.erase(0, d.find_first_not_of(" \t"));
-      d.erase(d.find_last_not_of(" \t") + 1);
-      if (!d.empty()) named.push_back(d);
-    }
-  }
+  for (auto& [k, v] : hs)
+    if (base::same_word(k, "Connection"))
+      for (auto& w : base::words(v, ',')) named.push_back(w);
   std::erase_if(hs, [&](auto& h) {
     for (auto* n : hop)
       if (base::same_word(h.first, n)) return true;
--- a/test/caller.cpp
+++ b/test/caller.cpp
@@ -134,9 +134,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   std::signal(SIGPIPE, SIG_IGN);
   App a;
-  for (size_t i = 0; i < FLAGS_relays.size();) {
-    auto e = std::min(FLAGS_relays.find(',', i), FLAGS_relays.size());
-    auto s = FLAGS_relays.substr(i, e - i);
+  for (auto& s : base::words(FLAGS_relays, ',')) {
     auto at = s.find('@');
     if (at == s.npos) {
       std::cerr << "caller: a relay is given as callers@control\n";
@@ -146,7 +144,6 @@
     r->callers = s.substr(0, at);
     r->control = s.substr(at + 1);
     a.relays.push_back(std::move(r));
-    i = e + 1;
   }
   if (a.relays.empty()) {
     std::cerr << "caller: --relays names none\n";
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -77,7 +77,7 @@
     f << fmt::format(R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},
 "holders":{{{}}},"seeds":[{}],"shield":{},"bound_ms":{},"hold_scale":{}{}}})",
                      m.name, m.zone, m.callers, m.control, m.peers, holders, seeds, m.kind == "store", c_.bound_ms, c_.scale,
-                     fmt::format(",\"releases\":\"{}/releases\"", dir) + (m.holder ? fmt::format(",\"data\":\"{}/data\"", dir) : ""))
+                     fmt::format(",\"releases\":\"{}/releases\"", dir) + (m.holder || m.name == "e2" ? fmt::format(",\"data\":\"{}/data\"", dir) : ""))
       << "\n";
     m.args = {"--config", dir + "/relay.json"};
   }
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -194,12 +194,64 @@
     s.figures = {{"layouts_acked", acked->size()}};
   };
 }
+
+// A relay that missed every change of the set writes with the holders it still
+// knows, two of which are long removed and come back just then.
+void stale_set(Scene& s) {
+  s.length = Span(90000);
+  s.must_meet = {"kill", "cut"};
+  s.story = [&s] {
+    if (!begin(s)) return;
+    s.f.cut_off("e4");
+    for (int k = 1; k <= 2; ++k) {
+      auto in = fmt::format("x{}", k), out = fmt::format("h{}", k);
+      auto state = [&](const std::string& n, const std::string& body) {
+        bool ok = s.f.until(Span(20000), [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
+        s.want(ok, "the set of holders could not be changed for " + n);
+      };
+      s.f.kill(out);
+      state(in, fmt::format(R"({{"holder":true,"address":"peer:{}"}})", in));
+      s.want(s.f.until(Span(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
+      state(out, R"({"holder":false})");
+    }
+    s.f.nap(Span(3000));
+    auto wins = std::make_shared<std::vector<std::string>>();
+    auto ends = std::make_shared<int>(0);
+    auto write = [&](const std::string& host) {
+      auto* h = &s.f.at(host);
+      s.w.spawn(h->life, [h, wins, ends] {
+        auto r = h->node->book().write("contested", 0, h->name);
+        if (std::holds_alternative<registry::Held>(r)) wins->push_back(h->name);
+        ++*ends;
+      });
+    };
+    // e4 hears h1, h2 and h3 only, a majority of the set it knows; e1 hears all but h3.
+    s.w.mend();
+    s.f.cut_off("e4");
+    s.f.start("h1");
+    s.f.start("h2");
+    for (auto* h : {"h1", "h2"})
+      for (auto& x : s.f.hosts())
+        if (x->name != h) s.w.cut(h, x->name), s.w.cut(x->name, h);
+    s.f.nap(Span(300));
+    s.w.cut("e1", "h3");
+    s.w.cut("h3", "e1");
+    for (auto* h : {"h1", "h2", "h3"}) s.w.join("e4", h);
+    write("e4");
+    write("e1");
+    s.want(s.f.until(Span(10000), [&] { return *ends == 2; }), "a write did not come back");
+    s.want(wins->size() <= 1, "two writers won the same version, one with a set long gone");
+    s.w.mend();
+    s.f.nap(Span(5000));
+  };
+}
 }  // namespace
 
 NamedCases machine_cases() {
   return {{"calm", calm},       {"kills", kills},   {"all_at_once", all_at_once}, {"lost_disks", lost_disks},
           {"freezes", freezes}, {"splits", splits}, {"bad_network", bad_network},
-          {"replaced_holders", SimCase(replaced_holders, 2)}};
+          {"replaced_holders", SimCase(replaced_holders, 2)},
+          {"stale_set", SimCase(stale_set, 2)}};
 }
 
 }  // namespace dunlinwing::test
--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -239,6 +239,32 @@
   });
 }
 
+// A machine that holds state is replaced by e2; then e12 starts with settings that
+// name no living holder, and finds them through its seeds.
+bool reseed(Run& r) {
+  if (!begin(r)) return false;
+  allow(r, "1");
+  return calls(r, [&] {
+    r.f.kill("s2");
+    bool in = r.f.until(20s, [&] {
+      return r.f.any("PUT", "/v1/holders/e2", fmt::format(R"({{"holder":true,"address":"{}"}})", r.f.at("e2").peers)).status == 200;
+    });
+    bool votes = r.f.until(20s, [&] { return r.f.http("e2", "GET", "/status").body.find("\"votes\":true") != std::string::npos; });
+    bool out = r.f.until(20s, [&] { return r.f.any("PUT", "/v1/holders/s2", R"({"holder":false})").status == 200; });
+    r.f.warn("e12");
+    auto path = r.f.config().dir + "/e12/relay.json";
+    std::ifstream i(path);
+    std::string t((std::istreambuf_iterator<char>(i)), {});
+    auto from = t.find("\"holders\":{"), to = t.find('}', from);
+    t.replace(from, to - from + 1, R"("holders":{"s2":"127.0.0.1:1"})");
+    std::ofstream(path) << t;
+    r.f.start("e12");
+    return say(in && votes, "e2 was made a holder and votes") && say(out, "s2 was taken out of the set") &&
+           say(r.f.until(30s, [&] { return r.f.http("e12", "GET", "/readyz").status == 200; }),
+               "e12 found the holders through its seeds");
+  });
+}
+
 // All relays die together and come back.
 bool power(Run& r) {
   if (!begin(r)) return false;
@@ -255,7 +281,7 @@
 
 const std::map<std::string, std::function<bool(Run&)>>& scenarios() {
   static const std::map<std::string, std::function<bool(Run&)>> all{
-      {"up", up}, {"rollout", rollout}, {"rolling", rolling}, {"day", day}, {"versions", versions}, {"power", power}, {"software", software}};
+      {"up", up}, {"rollout", rollout}, {"rolling", rolling}, {"day", day}, {"versions", versions}, {"power", power}, {"software", software}, {"reseed", reseed}};
   return all;
 }
 
--- a/test/worker.cpp
+++ b/test/worker.cpp
@@ -119,11 +119,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   std::signal(SIGPIPE, SIG_IGN);
   App a;
-  for (size_t i = 0; i < FLAGS_relays.size();) {
-    auto e = std::min(FLAGS_relays.find(',', i), FLAGS_relays.size());
-    a.relays.push_back(FLAGS_relays.substr(i, e - i));
-    i = e + 1;
-  }
+  a.relays = base::words(FLAGS_relays, ',');
   if (a.relays.empty() || FLAGS_service.empty()) {
     std::cerr << "worker: --service and --relays are needed\n";
     return 2;
