Hold the references against the schemas; test an older reader

Cause: nothing kept docs/settings.md and the layout reference true to the schemas, and the rule of the wire format had no test.

--- a/test/config_unit.cpp
+++ b/test/config_unit.cpp
@@ -1,6 +1,12 @@
 // Settings, layouts and releases: every defect is named by its place.
+#include <fstream>
+#include <sstream>
+
 #include "relay/config.hpp"
 #include "rollout/release.hpp"
+#include "rollout/system.hpp"
+#include "wire.pb.h"
+#include "traffic/layout.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
@@ -22,11 +28,54 @@
 }
 }  // namespace
 
+namespace {
+// Every key that a schema knows stands in its page, as `key`.
+void documented(std::string_view schema, const std::string& page) {
+  std::ifstream f(std::string(DUNLINWING_DOCS) + "/" + page);
+  std::stringstream b;
+  b << f.rdbuf();
+  expect(!b.str().empty(), page + " cannot be read");
+  auto p = base::Json::parse(schema);
+  int n = 0;
+  std::function<void(const base::Json&)> walk = [&](const base::Json& j) {
+    for (auto& [k, v] : j.at("properties").members()) {
+      ++n;
+      bool there = b.str().find("`" + k + "`") != std::string::npos || b.str().find("`" + k + ".") != std::string::npos ||
+                   b.str().find("." + k + "`") != std::string::npos ||
+                   b.str().find("\"" + k + "\"") != std::string::npos;
+      expect(there, page + " does not tell of " + k);
+      walk(v);
+    }
+    if (j.has("items")) walk(j.at("items"));
+    if (!j.at("additionalProperties").members().empty()) walk(j.at("additionalProperties"));
+  };
+  walk(std::get<base::Json>(p));
+  expect(n >= 8, "the schema was not walked");
+}
+
+// What a later version adds is ignored; an ask that is not known is told so.
+void older_peer() {
+  pb::Ask a;
+  a.mutable_pull()->set_node("n");
+  auto bytes = a.SerializeAsString();
+  bytes += std::string("\xfa\x07\x03new", 6);  // field 127, three bytes
+  pb::Ask b;
+  expect(b.ParseFromString(bytes) && b.has_pull() && b.pull().node() == "n", "an added field broke an older reader");
+  pb::Ask c;
+  expect(c.ParseFromString(std::string("\xfa\x07\x03new", 6)) && c.body_case() == pb::Ask::BODY_NOT_SET,
+         "an unknown ask was taken for a known one");
+}
+}  // namespace
+
 std::vector<Case> config_cases() {
   const std::string good = R"({"name":"n","zone":"a","listen":{"callers":"127.0.0.1:1","control":"127.0.0.1:2",
     "peers":"127.0.0.1:3"},"holders":{"h":"127.0.0.1:4"},"seeds":["127.0.0.1:2"]})";
   return {
       {"config: a good one is taken", [good] { same(bad_config(good), std::string("valid"), "places"); }},
+      {"config: the page of the settings holds every key", [] { documented(relay::config_schema(), "settings.md"); }},
+      {"layout: its page holds every key", [] { documented(traffic::layout_schema(), "layout.md"); }},
+      {"system: its page holds every key", [] { documented(rollout::system_schema(), "layout.md"); }},
+      {"wire: an older reader passes over what is new", older_peer},
       {"config: every defect is named by its place",
        [] {
          same(bad_config(R"({"name":"","zone":7,"listen":{"callers":"x","control":"127.0.0.1:2","peer":1},
