--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -56,11 +56,6 @@
   p_->bytes += n;
 }
 
-void Cache::drop(const std::string& k) {
-  std::lock_guard l(p_->m);
-  if (auto f = p_->by.find(k); f != p_->by.end()) p_->erase(f);
-}
-
 size_t Cache::bytes() const {
   std::lock_guard l(p_->m);
   return p_->bytes;
--- a/src/cache/cache.hpp
+++ b/src/cache/cache.hpp
@@ -20,7 +20,6 @@
   ~Cache();
   ItemPtr find(const std::string& key);
   void put(const std::string& key, ItemPtr i, size_t most_bytes);
-  void drop(const std::string& key);
   size_t bytes() const;
 
   // One fill a key: the first caller leads, the others wait for its item, which
--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -30,10 +30,10 @@
   Chosen chosen;
   std::map<std::string, pb::Ballot> at;  // the ballot at which `chosen` was settled
   std::set<std::string> open;
-  uint64_t incarnation = 0, count = 0, good = 0;
+  uint64_t incarnation = 0, count = 0;
   size_t first = 0;  // the holder asked first
   std::atomic<int64_t> permit{0};
-  Tick last_start{0}, said{0};
+  Tick said{0};
   std::string said_key;
   std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
   bool told = false;
@@ -196,8 +196,6 @@
     news.forget(now);
     // A pull that itself took longer than the permit has proved nothing.
     permit = (start + c.permit()).count();
-    last_start = start;
-    ++good;
     seen();
     std::erase_if(waits, [&](auto& w) { return w.first <= start ? (w.second->wake(), true) : false; });
     return true;
--- a/src/registry/acceptor.cpp
+++ b/src/registry/acceptor.cpp
@@ -184,8 +184,6 @@
 
 bool Acceptor::mute() const { return p_->bad || p_->stage != pb::FORMED; }
 bool Acceptor::adopt(const pb::HolderSet& s) { return p_->adopt(s); }
-bool Acceptor::failed() const { return p_->bad; }
-pb::Stage Acceptor::stage() const { return p_->stage; }
 
 pb::Reply Acceptor::answer(const pb::Ask& a) {
   auto& p = *p_;
--- a/src/registry/acceptor.hpp
+++ b/src/registry/acceptor.hpp
@@ -17,8 +17,6 @@
   bool mute() const;
   // Makes a newer set of holders last here; lower epochs are turned away from then on.
   bool adopt(const pb::HolderSet& s);
-  pb::Stage stage() const;
-  bool failed() const;
 
  private:
   struct Impl;
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -111,9 +111,11 @@
     rollout::System s;
     bool ok = lay.empty() || l;
     if (!ok) load_defect = "layout/" + lay + ": " + why;
-    if (ok && !sys.empty()) {
+    auto now_sys = running.find("system");
+    if (ok && now_sys != running.end() && now_sys->second == sys) {
+      s = old->system;  // releases do not change, so it need not be read again
+    } else if (ok && !sys.empty()) {
       auto r = mirror.chosen().find(rollout::release_key("system", sys));
-      std::vector<base::DocDefect> ds;
       ok = r != mirror.chosen().end();
       if (ok) {
         auto g = rollout::read_release("system", sys, r->second.data);
@@ -174,12 +176,11 @@
       load(f->second, *t);
     else
       load(pb::NodeAssign(), *t);
-    for (auto& k : {std::string("layout")})
-      for (auto& [n, a] : roll.nodes())
-        if (auto f = a.releases().find(k); f != a.releases().end()) {
-          std::string why;
-          if (auto l = layout(f->second, why)) t->layouts[f->second] = l;
-        }
+    for (auto& [n, a] : roll.nodes())
+      if (auto f = a.releases().find("layout"); f != a.releases().end()) {
+        std::string why;
+        if (auto l = layout(f->second, why)) t->layouts[f->second] = l;
+      }
     if (t->layout) t->layouts[t->layout->name] = t->layout;
     layouts = t->layouts;
     std::vector<std::string> alive;
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -16,6 +16,22 @@
 struct Count {
   uint64_t incarnation = 0, requests = 0, defects = 0;
 };
+
+// Whether the effects ask for a write, and whether it may not wait.
+std::pair<bool, bool> saving(const std::vector<Effect>& es) {
+  bool write = false, urgent = false;
+  for (auto& x : es)
+    if (auto* s = as<Save>(x)) {
+      write = true;
+      urgent |= s->urgent;
+    }
+  return {write, urgent};
+}
+
+void tell(const std::vector<Effect>& es) {
+  for (auto& x : es)
+    if (auto* t = as<Tell>(x)) lg.info("{}", t->text);
+}
 }  // namespace
 
 pb::Rollout read_rollout(const members::Chosen& c) {
@@ -144,20 +160,14 @@
   // Runs one event; what the reducer says is told only once it is recorded.
   bool feed(const Event& e) {
     auto o = step(state, e, rules);
-    bool write = false, urgent = false;
-    for (auto& x : o.effects)
-      if (auto* s = as<Save>(x)) {
-        write = true;
-        urgent |= s->urgent;
-      }
+    auto [write, urgent] = saving(o.effects);
     Span flush = std::min<Span>(c.bound * 5, Span(static_cast<int64_t>(45000 / c.scale)));
     if (write && !urgent && ps.clock.now() - saved < flush) {
       state = o.state;
       return true;
     }
     if (write && !save(o.state)) return false;
-    for (auto& x : o.effects)
-      if (auto* t = as<Tell>(x)) lg.info("{}", t->text);
+    tell(o.effects);
     return true;
   }
 
@@ -221,12 +231,7 @@
       auto& v = vs[name];
       v.dt = dt;
       auto o = step(name, mine.second, v, rules);
-      bool write = false, urgent = false;
-      for (auto& x : o.effects)
-        if (auto* s = as<Save>(x)) {
-          write = true;
-          urgent |= s->urgent;
-        }
+      auto [write, urgent] = saving(o.effects);
       if (write && !urgent && now - service_saved[name] < c.bound) {
         mine.second = o.state;
         continue;
@@ -239,8 +244,7 @@
         mine = {held->version, o.state};
         service_saved[name] = now;
       }
-      for (auto& x : o.effects)
-        if (auto* t = as<Tell>(x)) lg.info("{}", t->text);
+      tell(o.effects);
     }
   }
 
@@ -262,10 +266,9 @@
     if (!loaded && !reload()) return;
     if (state.term() > duty.term()) return;
     if (state.term() < duty.term() && !feed(TookDuty{duty.term()})) return;
-    for (auto& [k, a] : state.in_force())
-      if (k == "system")
-        if (auto f = releases.find(release_key(k, a)); f != releases.end())
-          rules.system = read_system(f->second.content);
+    if (auto a = state.in_force().find("system"); a != state.in_force().end())
+      if (auto f = releases.find(release_key("system", a->second)); f != releases.end())
+        rules.system = read_system(f->second.content);
     auto v = look(now, dt);
     for (auto& [k, r] : v.releases) {
       bool known = std::any_of(state.courses().begin(), state.courses().end(),
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -30,14 +30,18 @@
   return std::move(f.receipt);
 }
 
+// What was fetched by GET, as the answer to HEAD.
+void shape_head(base::Receipt& r, const base::Request& q) {
+  if (q.method != "HEAD") return;
+  r.headers.emplace_back("Content-Length", std::to_string(r.body.size()));
+  r.body.clear();
+}
+
 base::Receipt of(const cache::Item& i, const base::Request& q, Tick now) {
   auto r = i.receipt;
   std::erase_if(r.headers, [](auto& h) { return base::same_word(h.first, "Age"); });
   r.headers.emplace_back("Age", std::to_string(std::max<int64_t>(0, (now - i.born).count()) / 1000));
-  if (q.method == "HEAD") {
-    r.headers.emplace_back("Content-Length", std::to_string(r.body.size()));
-    r.body.clear();
-  }
+  shape_head(r, q);
   return r;
 }
 }  // namespace
@@ -159,8 +163,7 @@
     i->receipt = of(std::move(f));
     if (!life) return {i->receipt, nullptr};
     i->life = *life;
-    auto out = i->receipt;
-    return {out, i};
+    return {i->receipt, i};
   }
 
   base::Receipt cached(const Work& w) {
@@ -193,10 +196,7 @@
     close.i = got.second;
     if (got.second) cache.put(key, got.second, static_cast<size_t>(w.layout->cache_bytes));
     if (got.second) return of(*got.second, w.q, ps.clock.now());
-    if (w.q.method == "HEAD") {
-      got.first.headers.emplace_back("Content-Length", std::to_string(got.first.body.size()));
-      got.first.body.clear();
-    }
+    shape_head(got.first, w.q);
     return got.first;
   }
 };
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -50,8 +50,6 @@
 }
 }  // namespace
 
-std::string reason(int s) { return std::string(http::obsolete_reason(static_cast<http::status>(s))); }
-
 struct HttpServer::Impl {
   Pool& pool;
   std::string name;
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -39,6 +39,4 @@
   size_t most_;
 };
 
-std::string reason(int status);
-
 }  // namespace dunlinwing::wire
