Budgets outlive restarts: repeats start empty, paced turns are taken anew

Two budgets that a relay keeps for the whole fleet forgot what came before. Cause: each process began with its saved-up part in full, and max(1, part) gave each of 64 relays one of an allowance of 20. Cause: turns reserved under an old share were kept through the nap after the share fell; turns that came due during a freeze were all taken at the thaw; a new process sent at once. Now a turn stands only while its share does and when it is not missed by 100 ms, and a new process waits a whole interval. Ruled out: a saved-up part given once ten seconds after the start (the property over any stretch of time fails: what was earned before is still there).

--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -205,6 +205,7 @@
     for (auto& m : mirror.news().members(now))
       if (m.fact.shield() && m.fact.ready()) t->shields.push_back({m.name, m.fact.peer_address()});
     t->nodes = std::max<int>(roll.nodes_size(), 1);
+    for (auto& [n, a] : roll.nodes()) t->rank += n < c.name;
     traffic.shots().workers_known(alive);
     traffic.swap(t);
   }
--- a/src/traffic/budget.cpp
+++ b/src/traffic/budget.cpp
@@ -1,6 +1,9 @@
 // Each request sent earns a fifth of a repeat, and no more is ever saved up than
 // this relay's part of the allowance: so no stretch of time, ten seconds or
 // other, can hold more repeats than the allowance and a fifth of its requests.
+// A process that has just started knows nothing of what its forerunner spent, so
+// it starts with nothing saved up, and its first paced send comes a whole
+// interval after its start.
 #include "traffic/budget.hpp"
 
 #include <algorithm>
@@ -8,33 +11,45 @@
 namespace dunlinwing::traffic {
 namespace {
 constexpr double kEarned = 0.2;
-constexpr double kMargin = 0.75;  // of the allowance: what arrives is less even than what leaves
+constexpr double kMargin = 0.75;    // of the allowance: what arrives is less even than what leaves
+constexpr double kLateMs = 100;     // a turn missed by more is taken anew
 }  // namespace
 
+int repeat_part(int64_t allowance, int nodes, int rank) {
+  auto all = static_cast<int64_t>(kMargin * static_cast<double>(allowance));
+  int64_t n = std::max(nodes, 1);
+  return static_cast<int>(all / n + (rank < all % n));
+}
+
 void Repeats::sent(const std::string& s) {
   std::lock_guard l(m_);
-  if (auto f = earned_.find(s); f != earned_.end()) f->second += kEarned;
+  earned_[s] += kEarned;
 }
 
-bool Repeats::grant(const std::string& s, int64_t allowance, int nodes) {
+bool Repeats::grant(const std::string& s, int part) {
   std::lock_guard l(m_);
-  double most = std::max(1.0, kMargin * static_cast<double>(allowance) / std::max(nodes, 1));
-  auto& e = earned_.emplace(s, most).first->second;  // what nobody used yet is there in full
-  e = std::min(e, most);
+  auto& e = earned_[s];
+  e = std::min(e, static_cast<double>(part));
   if (e < 1) return false;
   e -= 1;
   return true;
 }
 
-std::optional<Span> Pace::reserve(const std::string& s, double share, Span most) {
+std::variant<Turn, Span> Pace::reserve(const std::string& s, double share, Span most) {
   std::lock_guard l(m_);
   auto now = static_cast<double>(clock_.now().count());
-  auto& n = next_ms_[s];
+  if (share <= 0) return most;
+  double gap = 1000.0 / share;
+  auto& n = next_ms_.emplace(s, began_ + gap).first->second;
   double at = std::max(n, now);
   double wait = at - now;
-  if (share <= 0 || wait > static_cast<double>(most.count())) return {};
-  n = at + 1000.0 / share;
-  return Span(static_cast<int64_t>(wait + 0.999));
+  if (wait > static_cast<double>(most.count())) return Span(static_cast<int64_t>(wait));
+  n = at + gap;
+  return Turn{Span(static_cast<int64_t>(wait + 0.999)), at, share};
+}
+
+bool Pace::stands(const Turn& t, double share) const {
+  return share >= t.share * 0.999 && static_cast<double>(clock_.now().count()) <= t.due_ms + kLateMs;
 }
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/budget.hpp
+++ b/src/traffic/budget.hpp
@@ -7,27 +7,41 @@
 
 namespace dunlinwing::traffic {
 
+// Which part of the fleet's allowance of repeats this relay may save up: whole
+// repeats only, so that with more relays than allowance some save up none.
+int repeat_part(int64_t allowance, int nodes, int rank);
+
 class Repeats {
  public:
   void sent(const std::string& service);
   // True, and counted, when one more repeat stays within a fifth of the
-  // requests plus this relay's part of the allowance, over any time at all.
-  bool grant(const std::string& service, int64_t allowance, int nodes);
+  // requests plus `part`, over any time at all.
+  bool grant(const std::string& service, int part);
 
  private:
   std::mutex m_;
-  std::map<std::string, double> earned_;  // repeats earned and not yet spent
+  std::map<std::string, double> earned_;  // and not yet spent
+};
+
+// A place in the row of sends at an origin's stated rate.
+struct Turn {
+  Span wait{0};
+  double due_ms = 0, share = 0;
 };
 
 // Spaces sends evenly at this relay's share of a stated rate.
 class Pace {
  public:
-  explicit Pace(base::Clock& c) : clock_(c) {}
-  // How long to wait for the next place, or nothing when it is beyond `most`.
-  std::optional<Span> reserve(const std::string& service, double share, Span most);
+  explicit Pace(base::Clock& c) : clock_(c), began_(static_cast<double>(c.now().count())) {}
+  // The next turn, or how long it would be until one when that is beyond `most`.
+  std::variant<Turn, Span> reserve(const std::string& service, double share, Span most);
+  // Whether a turn that was waited for still stands: its time is now, and the
+  // share it was reckoned with has not fallen since.
+  bool stands(const Turn& t, double share) const;
 
  private:
   base::Clock& clock_;
+  double began_;
   std::mutex m_;
   std::map<std::string, double> next_ms_;
 };
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -78,6 +78,24 @@
     (good ? c.good : c.bad)++;
   }
 
+  double share(const std::string& service) {
+    auto t = table();
+    auto f = t->shares.find(service);
+    return f == t->shares.end() ? 0 : f->second;
+  }
+
+  // Waits for this request's turn at a paced origin; false when none comes in time.
+  bool await_turn(const Work& w) {
+    auto& s = *w.service;
+    for (;;) {
+      auto r = pace.reserve(s.name, share(s.name), w.deadline - ps.clock.now() - s.deadline / kWorkPart);
+      auto* t = std::get_if<Turn>(&r);
+      if (!t) return false;
+      if (t->wait > Span(0)) ps.clock.nap(t->wait);
+      if (pace.stands(*t, share(s.name))) return true;
+    }
+  }
+
   std::optional<Worker> pick(const Work& w, const std::vector<std::string>& tried) {
     auto t = table();  // the latest: a worker that left since is not chosen
     auto f = t->workers.find(w.service->name);
@@ -97,7 +115,7 @@
 
 bool Shots::repeat_allowed(const Work& w) {
   auto t = p_->table();
-  if (!p_->repeats.grant(w.service->name, t->system.repeat_allowance, t->nodes)) return false;
+  if (!p_->repeats.grant(w.service->name, repeat_part(t->system.repeat_allowance, t->nodes, t->rank))) return false;
   ++p_->again;
   return true;
 }
@@ -139,16 +157,9 @@
       if (i == 0) last = {Fate::not_run, {}, {}, "the repeat budget is used up"};
       break;
     }
-    if (s.rate > 0) {
-      auto t = p.table();
-      auto f = t->shares.find(s.name);
-      double share = f == t->shares.end() ? 0 : f->second;
-      auto wait = p.pace.reserve(s.name, share, w.deadline - clock.now() - s.deadline / kWorkPart);
-      if (!wait) {
-        if (!left) last = {Fate::not_run, {}, {}, "the origin's rate is used up"};
-        break;
-      }
-      if (*wait > Span(0)) clock.nap(*wait);
+    if (s.rate > 0 && !p.await_turn(w)) {
+      if (!left) last = {Fate::not_run, {}, {}, "the origin's rate is used up"};
+      break;
     }
     if (overtaken(*p.table(), w.relay, w.generation)) return {Fate::overtaken, {}, {}, "a newer layout is in force", left};
     auto to = p.pick(w, tried);
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -27,7 +27,7 @@
   std::map<std::string, pb::PurgeSet> purges;
   std::map<std::string, double> shares;                          // this node's part of each stated rate
   std::vector<Shield> shields;
-  int nodes = 1;  // among which fleet-wide allowances are shared
+  int nodes = 1, rank = 0;  // among how many fleet-wide allowances are shared; this node's place among them
   rollout::System system;
 };
 
--- a/test/sim_test.cpp
+++ b/test/sim_test.cpp
@@ -12,6 +12,7 @@
 DEFINE_string(log_level, "error", "of the product's parts");
 DEFINE_string(journal, "", "file for the journal of the last run");
 DEFINE_string(shape, "small", "small, lobby or practice");
+DEFINE_int32(edges, 0, "relays without a disk, when not the shape's own");
 DEFINE_bool(figures, false, "print what each case met");
 
 using namespace dunlinwing;
@@ -21,6 +22,7 @@
   base::Level l;
   if (base::parse_level(FLAGS_log_level, l)) base::set_level(l);
   auto shape = FLAGS_shape == "lobby" ? sim::lobby_shape() : FLAGS_shape == "practice" ? sim::practice_shape() : sim::FleetShape();
+  if (FLAGS_edges) shape.edges = FLAGS_edges;
   std::vector<test::Case> cs;
   bool whole = test::sim_cases().count(FLAGS_case_name) > 0;
   for (auto& [name, f] : test::sim_cases())
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -196,6 +196,27 @@
   };
 }
 
+// Workers lose half their answers while relays are restarted again and again.
+void repeat_storm(Scene& s) {
+  s.length = Span(40000);
+  s.must_meet = {"bad_answer", "kill"};
+  s.story = [&s] {
+    auto doc = sim_layout("\"1\"", 1);
+    doc.replace(doc.find("\"deadline_ms\":2000"), 18, R"("deadline_ms":700)");
+    doc.replace(doc.rfind("\"deadline_ms\":2000"), 18, R"("deadline_ms":700)");
+    if (!begin(s, 60, doc)) return;
+    for (auto& x : s.f.workers()) x->bad_percent = 100;
+    s.f.nap(Span(6000));
+    if (s.f.hosts().size() > 20) return;
+    for (int round = 0; round < 4; ++round) {
+      for (auto& h : s.f.hosts()) s.f.kill(h->name);
+      s.f.start_all();
+      s.f.nap(Span(2200));
+    }
+    s.f.nap(Span(6000));
+  };
+}
+
 // Callers crowd one relay, then another; the origin's rate holds over all, and
 // the share follows the demand.
 void slow_origin(Scene& s) {
@@ -227,6 +248,49 @@
   };
 }
 
+// What could make the sends at a paced origin bunch: relays that freeze and thaw with
+// many naps due, all relays restarted at once, cuts, the duty changing hands, and a
+// layout that lowers the rate to a third.
+void pace_faults(Scene& s) {
+  s.length = Span(90000);
+  s.must_meet = {"kill", "freeze", "cut"};
+  s.story = [&s] {
+    auto doc = [](int rate, const char* more) {
+      auto d = sim_layout("\"1\"", 4, rate, more);
+      d.replace(d.rfind("\"deadline_ms\":2000"), 18, R"("deadline_ms":6000)");
+      return d;
+    };
+    if (!begin(s, 20, doc(30, ""))) return;
+    s.f.event(R"("t":"rate","service":"app","n":30)");
+    s.f.callers(60, s.w.now() + Span(75000), [&s] { s.f.call("GET", fmt::format("/a/{}", s.w.below(10000))); });
+    s.f.nap(Span(8000));
+    for (int i = 0; i < 8; ++i) {
+      for (auto& h : s.f.hosts())
+        if (s.w.chance(500)) s.w.freeze(h->name, s.w.now() + Span(300 + s.w.below(1000)));
+      s.f.nap(Span(1000 + s.w.below(1500)));
+    }
+    for (int i = 0; i < 4; ++i) {
+      for (auto& h : s.f.hosts()) s.f.kill(h->name);
+      s.f.start_all();
+      s.f.nap(Span(1800));
+    }
+    s.f.nap(Span(6000));
+    for (int i = 0; i < 3; ++i) {
+      for (auto& h : s.f.hosts())
+        if (h->up() && h->node->duty().held()) s.f.cut_off(h->name);
+      s.f.nap(Span(6000));
+      s.w.mend();
+      s.f.nap(Span(1500));
+    }
+    put(s, "slower", doc(10, R"(,"express":"the origin is in trouble")"));
+    pb::Rollout r;
+    s.want(s.f.until(Span(8000), [&] { return rollout_seen(s, r) && r.in_force().at("layout") == "slower"; }), "the lower rate did not come in force");
+    s.f.nap(Span(2000));
+    s.f.event(R"("t":"rate","service":"app","n":10)");
+    s.f.nap(Span(12000));
+  };
+}
+
 void slow_disks(Scene& s) {
   s.length = Span(70000);
   s.must_meet = {"slow_disk"};
@@ -331,9 +395,11 @@
           {"slow_workers", slow_workers},
           {"bad_version", [](Scene& s) { move_to(s, 50); }},
           {"good_version", [](Scene& s) { move_to(s, 0); }},
+          {"repeat_storm", repeat_storm},
           {"purge_storm", purge_storm},
           {"crowd", crowd},
           {"slow_origin", slow_origin},
+          {"pace_faults", pace_faults},
           {"slow_disks", slow_disks},
           {"clock_jumps", clock_jumps},
           {"end_of_day", end_of_day}};
