Another purge under a known name is told so and not acknowledged

Now 409, also when the name belongs to another service's purge. The same document again is done already, as before. Stands: names of purges long folded away are forgotten, and then the purge is done anew.

--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -223,10 +223,19 @@
     p.set_kind(j.at("kind").str());
     p.set_path(j.at("path").str());
     if (p.kind() != "service" && p.path().empty()) return defects({{"/path", "is missing"}});
-    auto r = purger.put(j.at("service").str(), p);
+    auto service = j.at("service").str();
+    auto clash = [&](const std::string& of) { return defect(409, "a purge of this name exists for service " + of + " and is another; take a new name"); };
+    for (auto& [k, h] : n.mirror().chosen()) {
+      pb::PurgeSet s;
+      if (!k.starts_with("purge/") || k.substr(6) == service || !s.ParseFromString(h.data)) continue;
+      for (auto& x : s.purges())
+        if (x.name() == p.name()) return clash(k.substr(6));
+    }
+    auto r = purger.put(service, p);
     if (auto* d = std::get_if<PurgeDefect>(&r))
       return of(*d == PurgeDefect::no_majority ? registry::Defect::no_majority : registry::Defect::fate_unknown);
     auto& done = std::get<PurgeDone>(r);
+    if (done.clash) return clash(service);
     return json(200, fmt::format(R"({{"purge":{},"number":{},"was_known":{}}})", base::quote(p.name()), done.number,
                                  done.known));
   }
--- a/src/gate/purger.hpp
+++ b/src/gate/purger.hpp
@@ -9,6 +9,7 @@
 struct PurgeDone {
   uint64_t number = 0;
   bool known = false;  // a purge of this name was there already
+  bool clash = false;  // and it was another purge
 };
 
 // Adds to the set; pure.
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -200,6 +200,12 @@
     s.want(a.status == 200 && a.etag == "\"1\"", "the first statement of a service gave " + a.body);
     auto b = s.f.tell("PUT", "/v1/services/app", R"({"version":"1"})", {{"If-Match", "\"7\""}});
     s.want(b.status == 412 && b.etag == "\"1\"", "a stale If-Match was not told the version in force");
+    s.want(purge(s, "once", "path", "/c/1") && purge(s, "once", "path", "/c/1"), "a purge stated twice was not taken as one");
+    s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"content","kind":"path","path":"/c/2"})").status == 409,
+           "another purge under a known name was acknowledged");
+    s.f.nap(Span(500));
+    s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"app","kind":"path","path":"/c/1"})").status == 409,
+           "another service's purge under a known name was acknowledged");
     s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"9"})").status == 422, "a version that no layout allows was taken");
   };
 }
--- a/test/traffic_unit.cpp
+++ b/test/traffic_unit.cpp
@@ -125,6 +125,10 @@
          p.set_kind("service");
          gate::add_purge(s, p);
          expect(gate::add_purge(s, p).known && s.number() == 1, "it was taken twice");
+         expect(!gate::add_purge(s, p).clash, "the same document clashed");
+         p.set_kind("prefix");
+         p.set_path("/c/");
+         expect(gate::add_purge(s, p).clash && s.number() == 1, "another document under a known name was taken as done");
        }},
       {"cache: lifetimes by RFC 9111",
        [] {
