Fifty bad answers end a trial at every relay, whoever holds the duty

Cause, two: the reducer asked that a version on trial also answer clearly worse than the one in place, which the rule does not; and only the duty's holder counted, so its death around the fiftieth bad answer cost the four seconds until it is followed. Changed: the condition is the rule's alone. Trials are numbered; each relay tells at its next pull what its own trial requests met, adds up what all tell over their restarts, gives the trial up at the limit or when any relay says it has, and says so; the holder makes it last. A promoted version is now judged over ten seconds and over a minute; one that turns bad more slowly than fifty a minute is left to operators. Weighed: a quicker take-over of the duty (a shorter permit, more writes, and still a gap); pushing each bad answer to all (a message each, and a lost one unnoticed). Stands: bad answers of a relay killed before its next pull are not counted.

--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -179,6 +179,7 @@
             st.clear_trial();
           } else if (st.trial() != to) {
             st.set_trial(to);
+            st.set_trial_number(st.trial_number() + 1);
             st.set_good(0);
             st.set_bad(0);
             st.set_from_good(0);
--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -106,6 +106,7 @@
     std::string s = g.SerializeAsString();
     for (auto& [k, v] : std::map<std::string, std::string>(n.node().running().begin(), n.node().running().end()))
       s += k + "=" + v + ";";
+    for (auto& t : n.trials()) s += fmt::format("{}:{}:{}{};", t.service(), t.number(), t.bad(), t.stopped());
     for (auto& b : n.beats()) s += fmt::format("{}/{}{};", b.instance(), b.leaving() ? 0 : b.number(), b.leaving());
     return s;
   }
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 
 #include "base/log.hpp"
+#include "traffic/jury.hpp"
 
 namespace dunlinwing::relay {
 namespace {
@@ -30,7 +31,7 @@
   std::string load_defect, soft_defect;
   std::optional<software::Want> want_soft;
   software::Artifacts* artifacts = nullptr;
-  rollout::System system;
+  traffic::Jury jury;
   std::atomic<uint64_t> generation{0};
 
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
@@ -202,6 +203,8 @@
       }
       if (k.starts_with("purge/")) t->purges[k.substr(6)].ParseFromString(h.data);
     }
+    jury.hear(t->states, mirror.news().latest(now), static_cast<uint64_t>(t->system.bad_answers));
+    t->given_up = jury.all_stopped();
     for (auto& m : mirror.news().members(now))
       if (m.fact.shield() && m.fact.ready()) t->shields.push_back({m.name, m.fact.peer_address()});
     t->nodes = std::max<int>(roll.nodes_size(), 1);
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -210,12 +210,15 @@
         t.bad += d.bad;
         recent.push_back({now, b.service(), b.version(), d});
       }
-    std::erase_if(recent, [&](auto& m) { return now - m.at > c.bound * 5; });
+    std::erase_if(recent, [&](auto& m) { return now - m.at > c.bound * 30; });
     if (!duty.held()) return;
     for (auto& m : recent) {
-      auto& t = vs[m.service].recent[m.version];
-      t.good += m.n.good;
-      t.bad += m.n.bad;
+      auto add = [&](Counts& t) {
+        t.good += m.n.good;
+        t.bad += m.n.bad;
+      };
+      add(vs[m.service].minute[m.version]);
+      if (now - m.at <= c.bound * 5) add(vs[m.service].recent[m.version]);
     }
     for (auto& [i, w] : mirror.news().workers(now))
       if (!w.gone) vs[w.beat.service()].workers[w.beat.version()]++;
@@ -230,6 +233,9 @@
       }
       auto& v = vs[name];
       v.dt = dt;
+      for (auto& [src, x] : mirror.news().latest(now))
+        for (auto& t : x.trials())
+          v.given_up |= t.service() == name && t.number() == mine.second.trial_number() && t.stopped() && !mine.second.trial().empty();
       auto o = step(name, mine.second, v, rules);
       auto [write, urgent] = saving(o.effects);
       if (write && !urgent && now - service_saved[name] < c.bound) {
--- a/src/rollout/moves.cpp
+++ b/src/rollout/moves.cpp
@@ -1,6 +1,6 @@
-// Fifty bad answers of a version on trial, at a clearly worse rate than the
-// version in place, put it into quarantine for good. A promoted version that
-// turns bad while its forerunner still has workers gives way to it.
+// Fifty bad answers of a version on trial put it into quarantine for good, however
+// the version in place fares. A promoted version that turns bad (fifty in ten
+// seconds, or in a minute) while its forerunner still has workers gives way to it.
 #include "rollout/moves.hpp"
 
 #include <fmt/format.h>
@@ -41,7 +41,7 @@
     n.set_from_bad(n.from_bad() + f.bad);
     n.set_held_ms(n.held_ms() + static_cast<uint64_t>(v.dt.count()));
     double a = rate(n.good(), n.bad()), b = rate(n.from_good(), n.from_bad());
-    if (n.bad() >= limit && worse(a, b)) {
+    if (n.bad() >= limit || v.given_up) {
       auto ver = n.trial();
       n.clear_trial();
       banish(ver, fmt::format("{} bad answers of {} on trial, against {} of {}", n.bad(), n.good() + n.bad(),
@@ -64,20 +64,24 @@
       }
     }
   }
-  auto c = get(v.recent, n.current());
-  if (c.bad >= limit && !n.kept().empty()) {
+  for (auto* span : {&v.recent, &v.minute}) {
+    auto c = get(*span, n.current());
+    if (c.bad < limit || n.kept().empty()) continue;
+    bool out = false;
     for (int i = n.kept_size() - 1; i >= 0; --i) {
       auto k = n.kept(i);
       auto w = v.workers.find(k);
-      auto kc = get(v.recent, k);
+      auto kc = get(*span, k);
       if (n.quarantined().count(k) || w == v.workers.end() || !w->second) continue;
       if (!worse(rate(c.good, c.bad), rate(kc.good, kc.bad))) continue;
       auto bad = n.current();
       n.set_current(k);
       n.mutable_kept()->DeleteSubrange(i, 1);
-      banish(bad, fmt::format("{} bad answers in ten seconds after promotion", c.bad));
+      banish(bad, fmt::format("{} bad answers of {} after promotion", c.bad, c.good + c.bad));
+      out = true;
       break;
     }
+    if (out) break;
   }
   if (o.effects.empty() && !google::protobuf::util::MessageDifferencer::Equals(n, s)) o.effects.push_back(Save{false});
   return o;
--- a/src/rollout/moves.hpp
+++ b/src/rollout/moves.hpp
@@ -13,7 +13,9 @@
   Span dt{0};
   std::map<std::string, Counts> delta;   // by version, since the last sight
   std::map<std::string, Counts> recent;  // by version, over the last ten seconds
+  std::map<std::string, Counts> minute;  // by version, over the last minute
   std::map<std::string, int> workers;    // by version, beating
+  bool given_up = false;                 // some relay has given the trial up by itself
 };
 
 struct MoveOutcome {
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -330,6 +330,21 @@
     x->set_good(c.good);
     x->set_bad(c.bad);
   }
+  auto t = p_->now_table();
+  for (auto& [k, c] : p_->shots.trials()) {
+    auto* x = n.add_trials();
+    x->set_service(k);
+    x->set_number(c.first);
+    x->set_bad(c.second);
+  }
+  for (auto& s : t->given_up) {
+    auto f = t->states.find(s);
+    if (f == t->states.end()) continue;
+    auto* x = n.add_trials();
+    x->set_service(s);
+    x->set_number(f->second.trial_number());
+    x->set_stopped(true);
+  }
   for (auto& [k, a] : p_->shots.asked()) {
     auto* x = n.add_demands();
     x->set_service(k);
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -49,6 +49,7 @@
   mutable std::mutex m;
   std::map<std::pair<std::string, std::string>, VersionCount> counts;
   std::map<std::string, uint64_t> asked;
+  std::map<std::string, std::pair<uint64_t, uint64_t>> on_trial;  // number, bad answers
   std::atomic<uint64_t> again{0};
 
   Impl(base::Ports& p, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
@@ -73,9 +74,15 @@
   }
 
   void count(const Worker& w, bool good) {
+    auto t = table();
+    auto st = t->states.find(w.service);
     std::lock_guard l(m);
     auto& c = counts[{w.service, w.version}];
     (good ? c.good : c.bad)++;
+    if (st == t->states.end() || st->second.trial() != w.version) return;
+    auto& x = on_trial[w.service];
+    if (x.first != st->second.trial_number()) x = {st->second.trial_number(), 0};
+    x.second += !good;
   }
 
   double share(const std::string& service) {
@@ -102,7 +109,7 @@
     if (f == t->workers.end()) return {};
     auto st = t->states.find(w.service->name);
     auto v = versions(*w.service, st == t->states.end() ? nullptr : &st->second);
-    if (!v.trial.empty() &&
+    if (!v.trial.empty() && !t->given_up.count(w.service->name) &&
         trials.grant(w.service->name, v.trial, static_cast<int>(t->system.trial_share_percent)))
       if (auto x = places.choose(f->second, {v.trial}, zone, tried)) return x;
     return places.choose(f->second, v.open, zone, tried);
@@ -224,6 +231,10 @@
   std::lock_guard l(p_->m);
   return p_->counts;
 }
+std::map<std::string, std::pair<uint64_t, uint64_t>> Shots::trials() const {
+  std::lock_guard l(p_->m);
+  return p_->on_trial;
+}
 std::pair<int, int> Shots::load(const std::string& s) { return p_->waits.load(s); }
 int Shots::running() { return p_->waits.running(); }
 uint64_t Shots::repeats() const { return p_->again; }
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -44,6 +44,8 @@
   bool repeat_allowed(const Work& w);
   void sent(const std::string& service);  // a first send that earns repeats
   std::map<std::pair<std::string, std::string>, VersionCount> counts() const;
+  // Bad answers of each version on trial: by service, the trial's number and the count.
+  std::map<std::string, std::pair<uint64_t, uint64_t>> trials() const;
   std::map<std::string, uint64_t> asked() const;  // of services with a stated rate
   std::pair<int, int> load(const std::string& service);
   int running();
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -1,6 +1,8 @@
 // What the data plane needs to know, as one immutable snapshot that is swapped
 // whole after each good pull.
 #pragma once
+#include <set>
+
 #include "members/news.hpp"
 #include "rollout/system.hpp"
 #include "traffic/layout.hpp"
@@ -24,6 +26,7 @@
   std::map<std::string, std::shared_ptr<const Layout>> layouts;  // by release name, for carried requests
   std::map<std::string, std::vector<Worker>> workers;            // by service
   std::map<std::string, pb::ServiceState> states;
+  std::set<std::string> given_up;                                // services whose trial this node has given up
   std::map<std::string, pb::PurgeSet> purges;
   std::map<std::string, double> shares;                          // this node's part of each stated rate
   std::vector<Shield> shields;
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -114,15 +114,45 @@
   };
 }
 
-void move_to(Scene& s, int bad) {
+// Around the fiftieth bad answer the duty's holder and its understudy are killed,
+// frozen or cut off, and relays restart; the verdict may not wait for them.
+void trouble_in_trial(Scene& s) {
+  s.f.outside([&s] {
+    auto how = s.w.below(4);
+    if (!s.f.until(Span(40000), [&] { return s.w.met["bad_answer"] >= 30 + s.w.below(20); })) return;
+    std::vector<std::string> pair;
+    for (auto& h : s.f.hosts())
+      if (h->up() && h->node->duty().held()) pair = {h->name, h->node->duty().known().understudy()};
+    for (auto& n : pair) {
+      if (n.empty()) continue;
+      if (how == 0) s.f.kill(n);
+      if (how == 1) s.w.freeze(n, s.w.now() + Span(20000));
+      if (how == 2) s.f.cut_off(n);
+    }
+    if (how == 3)
+      for (auto& h : s.f.hosts())
+        if (!h->holder) {
+          s.f.kill(h->name);
+          s.f.start(h->name);
+        }
+    s.f.nap(Span(15000));
+    s.w.mend();
+    s.f.start_all();
+  });
+}
+
+void move_to(Scene& s, int bad, bool trouble = false, int old_bad = 0) {
   s.length = Span(110000);
-  s.story = [&s, bad] {
+  s.story = [&s, bad, trouble, old_bad] {
     if (!begin(s, 150, sim_layout("\"1\",\"2\"", 4))) return;
     allow(s, "2");
     for (int i = 0; i < 2; ++i) s.f.add_worker("app", "2", 0).bad_percent = bad;
     s.f.nap(Span(2500));
     bool took = s.f.until(Span(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
     s.want(took, "the move was not taken");
+    for (auto& x : s.f.workers())
+      if (x->service == "app" && x->version == "1") x->bad_percent = old_bad;
+    if (trouble) trouble_in_trial(s);
     if (bad) s.f.event(R"("t":"bad_version","service":"app","version":"2")");
     auto state = [&] {
       auto p = base::Json::parse(s.f.tell("GET", "/v1/services/app", "").body);
@@ -394,6 +424,8 @@
           {"foreign_address", foreign_address},
           {"slow_workers", slow_workers},
           {"bad_version", [](Scene& s) { move_to(s, 50); }},
+          {"bad_version_trouble", [](Scene& s) { move_to(s, 50, true); }},
+          {"bad_both", [](Scene& s) { move_to(s, 50, false, 50); }},
           {"good_version", [](Scene& s) { move_to(s, 0); }},
           {"repeat_storm", repeat_storm},
           {"purge_storm", purge_storm},
