A worker version is put in place by a move alone, never by a layout

Cause: without a move, or when the layout left the version in place out, the first version named was served in full. A layout that named a bad version first, or alone, gave it a zone's traffic in phase two and everybody's by express, with no trial. Changed: the duty's holder records each service's version in place once its layout is in force; a layout that leaves it out is turned away at recording (409), and a request under one that slipped through finds no worker, which the release's checks see. Ruled out: trials per release (two paths to the same end, one of them unwatched).

--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -104,12 +104,35 @@
     return json(200, "{\"workers\":[" + b + "]}");
   }
 
+  // A worker version goes into service by a move, on trial; never by a layout that
+  // leaves out the one in place.
+  std::optional<base::Receipt> leaves_out(const rollout::Release& r) {
+    auto t = n.traffic().table();
+    auto g = traffic::read_layout(r.name, r.content);
+    auto* l = std::get_if<std::shared_ptr<const traffic::Layout>>(&g);
+    if (!l) return {};
+    for (auto& [name, s] : (*l)->services) {
+      if (!t->layout || !t->layout->services.count(name)) continue;
+      auto h = n.book().read(rollout::service_key(name));
+      if (auto* d = std::get_if<registry::Defect>(&h)) return of(*d);
+      pb::ServiceState st;
+      st.ParseFromString(std::get<registry::Held>(h).data);
+      auto in = [&](const std::string& v) { return std::find(s.versions.begin(), s.versions.end(), v) != s.versions.end(); };
+      if (st.current().empty() || in(st.current()) || std::any_of(st.kept().begin(), st.kept().end(), in)) continue;
+      return json(409, fmt::format(R"({{"defects":[{{"at":"/content/services/{}/versions","what":"leaves out {}, the version in place; move the service first"}}]}})",
+                                   name, st.current()));
+    }
+    return {};
+  }
+
   base::Receipt put_release(Call& c) {
     auto &kind = c.path[2], &name = c.path[3];
     if (!rollout::is_kind(kind)) return defect(404, "no such kind of release");
     if (!rollout::good_name(name)) return defect(422, "a release is named by letters, digits, '-', '_' and '.'");
     auto g = rollout::read_release(kind, name, c.q.body);
     if (auto* d = std::get_if<std::vector<base::DocDefect>>(&g)) return defects(*d);
+    if (kind == "layout")
+      if (auto d = leaves_out(std::get<rollout::Release>(g))) return *d;
     auto key = rollout::release_key(kind, name);
     auto pre = base::header(c.q.headers, "If-Match");
     if (!pre.empty()) {
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log.hpp"
 #include "rollout/pacer.hpp"
+#include "traffic/layout.hpp"
 
 namespace dunlinwing::rollout {
 namespace {
@@ -60,6 +61,7 @@
   uint64_t version = 0, term = 0;
   bool loaded = false;
   Tick last{0}, saved{0};
+  std::string settled;  // the layout whose versions are known to be in place
   std::map<std::string, Count> counts;
   std::map<std::string, std::pair<uint64_t, uint64_t>> probes;
   std::map<std::string, Release> releases;
@@ -193,6 +195,38 @@
     }
   }
 
+  // A service's first version is in place once its layout is in force; from then on
+  // only a move changes it. What no layout names any more has none in place.
+  void settle_versions() {
+    auto f = state.in_force().find("layout");
+    if (f == state.in_force().end() || settled == f->second) return;
+    auto rel = releases.find(release_key("layout", f->second));
+    if (rel == releases.end()) return;
+    auto g = traffic::read_layout(f->second, rel->second.content);
+    auto* l = std::get_if<std::shared_ptr<const traffic::Layout>>(&g);
+    if (!l) return;
+    for (auto& [name, s] : (*l)->services) {
+      auto key = service_key(name);
+      auto h = mirror.chosen().find(key);
+      pb::ServiceState st;
+      if (h != mirror.chosen().end()) st.ParseFromString(h->second.data);
+      if (!st.current().empty()) continue;
+      st.set_current(s.versions.front());
+      if (!duty.held() || !std::holds_alternative<registry::Held>(
+                              book.write(key, h == mirror.chosen().end() ? 0 : h->second.version, st.SerializeAsString())))
+        return;  // the next tick looks again
+    }
+    for (auto& [k, h] : members::Chosen(mirror.chosen())) {
+      pb::ServiceState st;
+      if (!k.starts_with("service/") || (*l)->services.count(k.substr(8)) || !st.ParseFromString(h.data) || st.current().empty()) continue;
+      st.clear_current();
+      st.clear_trial();
+      st.clear_kept();
+      if (!duty.held() || !std::holds_alternative<registry::Held>(book.write(k, h.version, st.SerializeAsString()))) return;
+    }
+    settled = f->second;
+  }
+
   void moves(Tick now, Span dt) {
     std::map<std::string, MoveSight> vs;
     for (auto& [src, x] : mirror.news().latest(now))
@@ -266,6 +300,7 @@
     if (!held) {
       state = read_rollout(mirror.chosen());
       loaded = false;
+      settled.clear();
       look(now, Span(0));
       return moves(now, Span(0));
     }
@@ -283,6 +318,7 @@
     }
     if (!feed(v)) return;
     probe();
+    settle_versions();
     moves(now, dt);
     pacer.tick(now, state, releases);
   }
--- a/src/traffic/table.cpp
+++ b/src/traffic/table.cpp
@@ -11,9 +11,9 @@
     return std::find(s.versions.begin(), s.versions.end(), x) != s.versions.end() &&
            !(st && st->quarantined().count(x));
   };
-  // What a move promoted holds only while the layout still allows it.
+  // Once a version is in place, a layout that leaves it out takes the service nowhere else.
   std::string cur = st && allowed(st->current()) ? st->current() : std::string();
-  if (cur.empty())
+  if (!st || st->current().empty())
     for (auto& x : s.versions)
       if (allowed(x) && !(st && st->trial() == x)) {
         cur = x;
