Quiet hours are the fleet's, an option of the system release

Cause: each relay had its own in its settings, so two holders of the duty could disagree, and a change of hours was no release.

--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -27,10 +27,7 @@
     "log_level":{"type":"string","enum":["debug","info","warn","error"]},
     "log_bytes":{"type":"integer","minimum":4096,"maximum":268435456},
     "bound_ms":{"type":"integer","minimum":500,"maximum":10000},
-    "hold_scale":{"type":"number","minimum":1,"maximum":1000000},
-    "quiet_hours":{"type":"object","additionalProperties":false,"required":["from","to"],"properties":{
-      "from":{"type":"string","pattern":"^[0-2][0-9]:[0-5][0-9]$"},
-      "to":{"type":"string","pattern":"^[0-2][0-9]:[0-5][0-9]$"}}}}})";
+    "hold_scale":{"type":"number","minimum":1,"maximum":1000000}}})";
 }
 
 ConfigGot read_config(std::string_view text) {
@@ -63,14 +60,6 @@
   c.log_bytes = static_cast<size_t>(j.at("log_bytes").num(static_cast<int64_t>(c.log_bytes)));
   n.bound = Span(j.at("bound_ms").num(2000));
   n.scale = j.at("hold_scale").real(1);
-  auto minute = [&](const char* k) {
-    auto s = j.at("quiet_hours").at(k).str();
-    if (s.size() != 5) return 0;
-    int h = std::stoi(s.substr(0, 2));
-    if (h > 24) ds.push_back({std::string("/quiet_hours/") + k, "is no time of the day"});
-    return h * 60 + std::stoi(s.substr(3));
-  };
-  if (j.has("quiet_hours")) n.quiet = {minute("from"), minute("to")};
   bool named = false;
   for (auto& h : n.holders) named |= h.name == n.name;
   if (c.data.empty() && named) ds.push_back({"/holders/" + n.name, "a holder needs /data"});
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -41,7 +41,7 @@
              acceptor ? registry::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : registry::Local()),
         mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
         duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
-        conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale, c.quiet}),
+        conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale}),
         traffic(ps, c.name, c.zone, [this] { return mirror.fresh(); }) {}
 
   void own(pb::News& n) {
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -15,7 +15,6 @@
   bool shield = false;
   Span bound{2000};
   double scale = 1;
-  rollout::Quiet quiet;
 };
 
 class Node {
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -86,7 +86,7 @@
     Sight v;
     v.dt = dt;
     auto wall = median_wall(mirror.news().members(now));
-    v.quiet = wall && c.quiet.open(*wall);
+    v.quiet = wall && rules.system.quiet.open(*wall);
     auto news = mirror.news().latest(now);
     auto permit = duty.known();
     std::map<std::string, NodeSight> by;
--- a/src/rollout/conductor.hpp
+++ b/src/rollout/conductor.hpp
@@ -10,7 +10,6 @@
   std::string me;
   Span bound{2000};
   double scale = 1;
-  Quiet quiet;
 };
 
 class Conductor {
--- a/src/rollout/release.cpp
+++ b/src/rollout/release.cpp
@@ -38,13 +38,6 @@
   return {24h, 24h};
 }
 
-bool Quiet::open(int64_t wall_ms) const {
-  if (from_min == to_min) return true;
-  int64_t day = 86400000, ms = ((wall_ms % day) + day) % day;
-  int m = static_cast<int>(ms / 60000);
-  return from_min < to_min ? m >= from_min && m < to_min : m >= from_min || m < to_min;
-}
-
 bool good_name(std::string_view n) {
   return !n.empty() && n.size() <= 64 && n[0] != '.' &&
          n.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == n.npos;
--- a/src/rollout/release.hpp
+++ b/src/rollout/release.hpp
@@ -13,11 +13,6 @@
 };
 Holds minimum(std::string_view kind);
 
-struct Quiet {
-  int from_min = 0, to_min = 24 * 60;  // UTC minutes of the day; equal: never closed
-  bool open(int64_t wall_ms) const;
-};
-
 struct Release {
   std::string kind, name, text;
   Holds holds;  // never below the minimum of the kind
--- a/src/rollout/system.cpp
+++ b/src/rollout/system.cpp
@@ -13,12 +13,33 @@
     "promote_requests":{"type":"integer","minimum":20,"maximum":1000000},
     "promote_seconds":{"type":"integer","minimum":10,"maximum":86400},
     "defect_ratio_percent":{"type":"integer","minimum":110,"maximum":1000},
-    "evidence_requests":{"type":"integer","minimum":10,"maximum":1000000}}})";
+    "evidence_requests":{"type":"integer","minimum":10,"maximum":1000000},
+    "quiet_hours":{"type":"object","additionalProperties":false,"required":["from","to"],"properties":{
+      "from":{"type":"string","pattern":"^[0-2][0-9]:[0-5][0-9]$"},
+      "to":{"type":"string","pattern":"^[0-2][0-9]:[0-5][0-9]$"}}}}})";
 }
 
+namespace {
+int minute(const base::Json& j, const char* k) {
+  auto s = j.at("quiet_hours").at(k).str();
+  return s.size() == 5 ? std::stoi(s.substr(0, 2)) * 60 + std::stoi(s.substr(3)) : 0;
+}
+}  // namespace
+
 std::vector<base::DocDefect> check_system(const base::Json& j) {
   static const base::Schema s(system_schema());
-  return s.check(j);
+  auto ds = s.check(j);
+  if (!ds.empty()) return ds;
+  for (auto* k : {"from", "to"})
+    if (j.has("quiet_hours") && minute(j, k) > 24 * 60) ds.push_back({std::string("/quiet_hours/") + k, "is no time of the day"});
+  return ds;
+}
+
+bool Quiet::open(int64_t wall_ms) const {
+  if (from_min == to_min) return true;
+  int64_t day = 86400000, ms = ((wall_ms % day) + day) % day;
+  int m = static_cast<int>(ms / 60000);
+  return from_min < to_min ? m >= from_min && m < to_min : m >= from_min || m < to_min;
 }
 
 System read_system(const base::Json& j) {
@@ -32,6 +53,7 @@
   n("promote_seconds", s.promote_seconds);
   n("defect_ratio_percent", s.defect_ratio_percent);
   n("evidence_requests", s.evidence_requests);
+  if (j.has("quiet_hours")) s.quiet = {minute(j, "from"), minute(j, "to")};
   return s;
 }
 
--- a/src/rollout/system.hpp
+++ b/src/rollout/system.hpp
@@ -5,6 +5,11 @@
 
 namespace dunlinwing::rollout {
 
+struct Quiet {
+  int from_min = 0, to_min = 24 * 60;  // UTC minutes of the day; equal: never closed
+  bool open(int64_t wall_ms) const;
+};
+
 struct System {
   std::string log_level = "info";
   int64_t repeat_allowance = 20;     // repeats beyond a fifth, over the fleet, in ten seconds
@@ -14,6 +19,7 @@
   int64_t promote_seconds = 60;
   int64_t defect_ratio_percent = 200;  // a release's defect rate against the rest before it is stopped
   int64_t evidence_requests = 100;     // too little below this
+  Quiet quiet;                         // when phases may start; absent: always
 };
 
 std::vector<base::DocDefect> check_system(const base::Json& j);
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -93,6 +93,42 @@
   };
 }
 
+// Quiet hours are the fleet's, not a machine's: whoever holds the duty waits for them.
+void quiet_hours(Scene& s) {
+  s.length = Span(90000);
+  s.must_meet = {"kill"};
+  s.story = [&s] {
+    if (!begin(s, 60)) return;
+    auto from = s.f.hosts()[0]->wall + s.w.now().count();
+    auto hour = [&](int64_t plus_min) {
+      auto m = (from / 60000 + plus_min) % 1440;
+      return fmt::format("{:02}:{:02}", m / 60, m % 60);
+    };
+    auto sys = fmt::format(R"({{"express":"hours for all","content":{{"quiet_hours":{{"from":"{}","to":"{}"}}}}}})", hour(60), hour(120));
+    s.want(s.f.until(Span(8000), [&] { return s.f.tell("PUT", "/v1/releases/system/hours", sys).status == 202; }), "quiet hours were not taken");
+    s.f.nap(Span(3000));
+    put(s, "second", sim_layout("\"1\"", 3));
+    for (int i = 0; i < 2; ++i) {
+      s.f.nap(Span(3000));
+      s.want(phase(s, "second") == "WAITING", "a phase started in the busy hours");
+      auto* h = duty_holder(s);
+      if (!h) continue;
+      auto name = h->name;
+      s.f.kill(name);
+      s.want(s.f.until(Span(15000), [&] { return duty_holder(s) != nullptr; }), "nobody took the duty up");
+      s.f.start(name);
+    }
+    s.f.nap(Span(2000));
+    s.want(phase(s, "second") == "WAITING", "another holder of the duty did not wait");
+    for (auto& h : s.f.hosts()) h->wall += 70 * 60000;
+    s.want(reach(s, "second", "ONE", Span(6000)), "no phase started in the quiet hours");
+    for (auto& h : s.f.hosts()) h->wall -= 70 * 60000;
+    s.f.nap(Span(9000));
+    s.want(phase(s, "second") == "ONE", "a phase started after the quiet hours");
+    s.want(s.f.tell("PUT", "/v1/releases/system/odd", R"({"content":{"quiet_hours":{"from":"27:00","to":"01:00"}}})").status == 422, "27:00 was taken");
+  };
+}
+
 // Requests wait for seconds, for a place or for the origin's pace, while one layout
 // after the other comes in force everywhere; a relay is cut off now and then.
 void old_layout(Scene& s) {
@@ -313,6 +349,7 @@
           {"bad_release_two", [](Scene& s) { bad_release_in(s, "TWO"); }},
           {"bad_release_three", [](Scene& s) { bad_release_in(s, "THREE"); }},
           {"version_by_layout", version_by_layout},
+          {"quiet_hours", quiet_hours},
           {"old_layout", old_layout},
           {"too_little", too_little},
           {"races", races},
