Verdicts hear the workers: probes go a request's way, beats that stay away count

Cause: the probe asked a relay whether it was ready and "beats" were the relays' own sessions, so a release that cut its nodes off from workers, or turned workers' beats away, passed every phase unless callers happened to ask. Changed: a probe tries route, version, place and a connection to a worker of each service that has any, and sends no byte (a made-up request would be one that no client sent); a few nodes not on the release are probed too, and a release fails only when it fares worse. Relays tell which beats they took; the duty's holder knows what was usual for each node before its release, and stops one through whose nodes less than a quarter comes while elsewhere it does. A phase needs ten probes as evidence. Ruled out: comparing a node's beats with other nodes' (workers may keep to some). Before: no such check; the cases could not stop (evidence was of requests alone).

--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -80,6 +80,7 @@
 class Origin {
  public:
   virtual ~Origin() = default;
+  virtual bool reach(const std::string& addr, Span limit) = 0;  // whether a connection can be made; no byte is sent
   virtual std::variant<Receipt, ShotDefect> shoot(const std::string& addr, const Request& q, Span limit) = 0;
 };
 
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -33,6 +33,9 @@
   software::Artifacts* artifacts = nullptr;
   traffic::Jury jury;
   std::atomic<uint64_t> generation{0};
+  uint64_t beats_taken = 0, beats_missed = 0;
+  std::vector<std::string> unreached;  // at the last look, not more often than each half bound
+  Tick reached_at{0};
 
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
       : ps(p), c(std::move(cc)), holder(disk != nullptr), set(c.holders),
@@ -72,6 +75,8 @@
       x->set_age_ms(static_cast<uint64_t>((now - at).count()));
       ++i;
     }
+    n.set_beats_taken(beats_taken);
+    n.set_beats_missed(beats_missed);
     traffic.say(n);
   }
 
@@ -238,6 +243,11 @@
   switch (a.body_case()) {
     case pb::Ask::kPull: return p_->mirror.answer(a);
     case pb::Ask::kProbe:
+      if (p_->ps.clock.now() - p_->reached_at >= p_->c.bound / 2) {
+        p_->reached_at = p_->ps.clock.now();
+        p_->unreached = p_->traffic.unreached(p_->c.bound / 4);
+      }
+      for (auto& s : p_->unreached) out.mutable_probe()->add_unreached(s);
       out.mutable_probe()->set_ready(ready());
       out.mutable_probe()->set_generation(p_->generation);
       return out;
@@ -262,14 +272,16 @@
 pb::CarryReply Node::carry(const pb::Carry& c) { return p_->traffic.carry(c); }
 
 bool Node::beat(const pb::Beat& b) {
-  if (!p_->mirror.fresh() || p_->leaving) return false;
+  if (!p_->mirror.fresh() || p_->leaving) return ++p_->beats_missed, false;
   auto& x = p_->beats[b.instance()];
   if (b.number() >= x.first.number()) {
     bool left = x.first.leaving();
     x = {b, p_->ps.clock.now()};
     if (left) x.first.set_leaving(true);
   }
-  return p_->mirror.settle(p_->c.bound / 2);
+  bool known = p_->mirror.settle(p_->c.bound / 2);
+  ++(known ? p_->beats_taken : p_->beats_missed);
+  return known;
 }
 
 bool Node::ready() const { return p_->ready(); }
--- a/src/rollout/checks.cpp
+++ b/src/rollout/checks.cpp
@@ -19,6 +19,7 @@
 constexpr double kSlack = 0.005;       // a defect rate this close to the rest is no failure
 constexpr uint64_t kLeastDefects = 5;  // one bad answer proves nothing
 constexpr uint64_t kLeastProbes = 10;
+constexpr uint64_t kLeastBeats = 8;
 }  // namespace
 
 bool runs(const NodeSight& n, const pb::Course& c) {
@@ -48,9 +49,15 @@
       e->set_on_defects(e->on_defects() + n.defects);
       e->set_probes_ok(e->probes_ok() + n.probes_ok);
       e->set_probes_bad(e->probes_bad() + n.probes_bad);
+      e->set_beats(e->beats() + n.beats);
+      e->set_beats_usual(e->beats_usual() + n.beats_usual);
     } else {
       e->set_off_requests(e->off_requests() + n.requests);
       e->set_off_defects(e->off_defects() + n.defects);
+      e->set_off_probes_ok(e->off_probes_ok() + n.probes_ok);
+      e->set_off_probes_bad(e->off_probes_bad() + n.probes_bad);
+      e->set_off_beats(e->off_beats() + n.beats);
+      e->set_off_beats_usual(e->off_beats_usual() + n.beats_usual);
     }
   }
 }
@@ -83,14 +90,25 @@
                          e.on_requests(), e.off_defects(), e.off_requests());
   }
   auto probes = e.probes_ok() + e.probes_bad();
-  if (!waived("probes") && probes >= kLeastProbes && e.probes_bad() * 4 > probes)
-    return fmt::format("check probes: {} of {} failed", e.probes_bad(), probes);
+  // More than a quarter failed, and more than twice the part that failed elsewhere.
+  auto others = e.off_probes_ok() + e.off_probes_bad();
+  if (!waived("probes") && probes >= kLeastProbes && e.probes_bad() * 4 > probes &&
+      e.probes_bad() * others > 2 * e.off_probes_bad() * probes)
+    return fmt::format("check probes: {} of {} failed, {} of {} elsewhere", e.probes_bad(), probes, e.off_probes_bad(), others);
+  // Workers' beats that used to come through these nodes stay away, and elsewhere they do not.
+  auto usual = e.beats_usual() / 1000, off_usual = e.off_beats_usual() / 1000;
+  if (!waived("worker-beats") && usual >= kLeastBeats && e.beats() * 4 < usual && e.off_beats() * 2 > off_usual)
+    return fmt::format("check worker-beats: {} came through nodes on it where {} were usual, {} of {} elsewhere", e.beats(), usual,
+                       e.off_beats(), off_usual);
   return {};
 }
 
 std::optional<std::string> wanting(const pb::Course& c, const Rules& r, const pb::Act& act) {
   if (act.waived().count("evidence")) return {};
   auto want = static_cast<uint64_t>(r.system.evidence_requests);
+  auto probes = c.evidence().probes_ok() + c.evidence().probes_bad();
+  if (c.evidence().on_requests() >= want && probes < kLeastProbes && !act.waived().count("probes"))
+    return fmt::format("too little evidence: {} of {} probes seen in this phase", probes, kLeastProbes);
   if (c.evidence().on_requests() >= want) return {};
   return fmt::format("too little evidence: {} of {} requests seen in this phase", c.evidence().on_requests(), want);
 }
--- a/src/rollout/checks.hpp
+++ b/src/rollout/checks.hpp
@@ -6,7 +6,7 @@
 namespace dunlinwing::rollout {
 
 // The names by which operators waive them.
-inline constexpr const char* kChecks[] = {"beats", "load", "defects", "probes", "evidence"};
+inline constexpr const char* kChecks[] = {"beats", "worker-beats", "load", "defects", "probes", "evidence"};
 
 bool runs(const NodeSight& n, const pb::Course& c);
 bool runs_all(const pb::Course& c, const Sight& v, const pb::Rollout& s);
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -15,8 +15,11 @@
 constexpr base::Log lg("rollout");
 
 struct Count {
-  uint64_t incarnation = 0, requests = 0, defects = 0;
+  uint64_t incarnation = 0, requests = 0, defects = 0, beats = 0;
+  double usual = 0;  // beats a second while it was on no release under way
 };
+constexpr double kLatest = 0.05;  // weight of the latest look at what is usual
+constexpr size_t kOthers = 3;     // nodes not on a release that are probed beside those on it
 
 // Whether the effects ask for a write, and whether it may not wait.
 std::pair<bool, bool> saving(const std::vector<Effect>& es) {
@@ -60,7 +63,8 @@
   pb::Rollout state;
   uint64_t version = 0, term = 0;
   bool loaded = false;
-  Tick last{0}, saved{0};
+  size_t turn = 0;
+  Tick last{0}, saved{0}, looked{0};
   std::string settled;  // the layout whose versions are known to be in place
   std::map<std::string, Count> counts;
   std::map<std::string, std::pair<uint64_t, uint64_t>> probes;
@@ -82,6 +86,18 @@
     rules.bound = c.bound;
   }
 
+  // Whether the node runs a release that is still in its phases.
+  bool on_trial(const std::string& node) const {
+    auto n = state.nodes().find(node);
+    if (n == state.nodes().end()) return false;
+    for (auto& co : state.courses()) {
+      if (co.phase() == pb::WAITING || finished(co.phase())) continue;
+      auto f = n->second.releases().find(co.kind());
+      if (f != n->second.releases().end() && f->second == co.release()) return true;
+    }
+    return false;
+  }
+
   Sight look(Tick now, Span dt) {
     Sight v;
     v.dt = dt;
@@ -113,13 +129,20 @@
       if (k.incarnation == x.mark().incarnation()) {
         s.requests = rq - std::min(rq, k.requests);
         s.defects = df - std::min(df, k.defects);
+        s.beats = x.beats_taken() - std::min(x.beats_taken(), k.beats);
       }
-      k = {x.mark().incarnation(), rq, df};
+      double sec = looked == Tick(0) ? 0 : static_cast<double>(std::min<Span>(now - looked, c.bound).count()) / 1000;
+      if (on_trial(n))
+        s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
+      else if (sec > 0 && k.incarnation == x.mark().incarnation())
+        k.usual += kLatest * (static_cast<double>(s.beats) / sec - k.usual), s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
+      k = {x.mark().incarnation(), rq, df, x.beats_taken(), k.usual};
       if (auto p = probes.find(n); p != probes.end()) {
         std::tie(s.probes_ok, s.probes_bad) = p->second;
         probes.erase(p);
       }
     }
+    looked = now;
     for (auto& [n, s] : by) v.nodes.push_back(s);
     for (auto& [k, h] : mirror.chosen()) {
       if (k.starts_with("release/")) {
@@ -173,25 +196,24 @@
     return true;
   }
 
+  // Asks the nodes on a release under way, and a few others to compare with.
   void probe() {
-    for (auto& co : state.courses()) {
-      if (co.phase() == pb::WAITING || finished(co.phase())) continue;
-      for (auto& m : mirror.news().members(ps.clock.now())) {
-        auto n = state.nodes().find(m.name);
-        if (n == state.nodes().end()) continue;
-        auto rel = n->second.releases().find(co.kind());
-        if (rel == n->second.releases().end() || rel->second != co.release() || m.fact.drained()) continue;
-        pb::Ask a;
-        a.mutable_probe();
-        ps.tasks.spawn([this, me = weak, a, m] {
-          auto hold = me.lock();
-          if (!hold) return;
-          auto r = ps.net.ask(m.fact.peer_address(), a, c.bound / 2);
-          auto* x = std::get_if<pb::Reply>(&r);
-          bool ok = x && x->has_probe() && x->probe().ready();
-          (ok ? probes[m.name].first : probes[m.name].second)++;
-        });
-      }
+    std::vector<members::Member> on, off;
+    for (auto& m : mirror.news().members(ps.clock.now()))
+      if (!m.fact.drained() && state.nodes().count(m.name)) (on_trial(m.name) ? on : off).push_back(m);
+    if (on.empty()) return;
+    for (size_t i = 0; i < std::min(kOthers, off.size()); ++i) on.push_back(off[turn++ % off.size()]);
+    for (auto& m : on) {
+      pb::Ask a;
+      a.mutable_probe();
+      ps.tasks.spawn([this, me = weak, a, m] {
+        auto hold = me.lock();
+        if (!hold) return;
+        auto r = ps.net.ask(m.fact.peer_address(), a, c.bound / 2);
+        auto* x = std::get_if<pb::Reply>(&r);
+        bool ok = x && x->has_probe() && x->probe().ready() && x->probe().unreached().empty();
+        (ok ? probes[m.name].first : probes[m.name].second)++;
+      });
     }
   }
 
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -16,6 +16,14 @@
 class SimOrigin final : public base::Origin {
  public:
   SimOrigin(Fleet& f, LifePtr l) : f_(f), l_(std::move(l)) {}
+  bool reach(const std::string& addr, Span) override {
+    Wait x;
+    f_.w_.park(l_, Span(1), x);
+    if (f_.breaks(l_->host, "reach")) return ++f_.w_.met["unreachable"], false;
+    for (auto& w : f_.workers_)
+      if (w->alive && w->address == addr) return true;
+    return false;
+  }
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
                                                       Span limit) override {
     auto& w = f_.w_;
@@ -217,6 +225,10 @@
     }
 }
 
+bool Fleet::breaks(const std::string& n, const std::string& what) {
+  return s_.breaks == what && at(n).up() && at(n).node->release() == s_.broken;
+}
+
 Host* Fleet::some(bool only_ready) {
   std::vector<Host*> v;
   for (auto& h : hosts_)
@@ -308,6 +320,7 @@
                  std::vector<std::pair<std::string, std::string>> hs) {
   auto* h = some(false);
   if (!h) return {0, {}, {}, true};
+  if (target == "/v1/beats" && breaks(h->name, "beats")) return ++w_.met["beat_unheard"], Told{0, {}, {}, true};
   auto v = visit(w_, out_, *h, {"", method, target, body, std::move(hs)}, true, Span(5000));
   if (v->lost) return {0, {}, {}, true};
   return {v->r.status, v->r.body, base::header(v->r.headers, "ETag"), false};
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -12,6 +12,8 @@
   double scale = 600;
   Span bound{2000};
   int64_t wall0 = 1700000000000;
+  // What a release of this name breaks on the nodes that run it: nothing, beats or reach.
+  std::string broken, breaks;
   int first = 3, second = 3;  // workers of the cached and of the other service
   Span near{1}, far{3};       // a message's way
 };
@@ -80,6 +82,8 @@
   bool until(Span most, const std::function<bool()>& f);
   void event(const std::string& fields);
 
+  bool breaks(const std::string& host, const std::string& what);  // whether its release does that
+  FleetShape& faults() { return s_; }
   World& world() { return w_; }
   const FleetShape& shape() const { return s_; }
   Weather calm() const { return {0, 0, s_.near, s_.far}; }  // the network of a good day
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -307,6 +307,19 @@
   return out;
 }
 
+std::vector<std::string> Traffic::unreached(Span limit) {
+  std::vector<std::string> out;
+  auto t = p_->now_table();
+  if (!t->layout) return out;
+  for (auto& [name, s] : t->layout->services) {
+    auto f = t->workers.find(name);
+    if (f == t->workers.end() || f->second.empty()) continue;
+    Work w{t, t->layout, &s, {}, p_->ps.clock.now() + limit, p_->me, t->generation};
+    if (!p_->shots.reaches(w, limit)) out.push_back(name);
+  }
+  return out;
+}
+
 void Traffic::swap(TablePtr t) { std::atomic_store(&p_->table, std::move(t)); }
 TablePtr Traffic::table() const { return p_->now_table(); }
 void Traffic::drain() { p_->draining = true; }
--- a/src/traffic/serve.hpp
+++ b/src/traffic/serve.hpp
@@ -18,6 +18,9 @@
   ~Traffic();
   base::Receipt serve(base::Request& q);
   pb::CarryReply carry(const pb::Carry& c);
+  // The services that have workers and none that a request from here could reach:
+  // route, version, place and connection are tried, and no byte is sent.
+  std::vector<std::string> unreached(Span limit);
   void swap(TablePtr t);
   TablePtr table() const;
   void drain();  // from now on every new request is turned away
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -103,13 +103,13 @@
     }
   }
 
-  std::optional<Worker> pick(const Work& w, const std::vector<std::string>& tried) {
+  std::optional<Worker> pick(const Work& w, const std::vector<std::string>& tried, bool probe = false) {
     auto t = table();  // the latest: a worker that left since is not chosen
     auto f = t->workers.find(w.service->name);
     if (f == t->workers.end()) return {};
     auto st = t->states.find(w.service->name);
     auto v = versions(*w.service, st == t->states.end() ? nullptr : &st->second);
-    if (!v.trial.empty() && !t->given_up.count(w.service->name) &&
+    if (!probe && !v.trial.empty() && !t->given_up.count(w.service->name) &&
         trials.grant(w.service->name, v.trial, static_cast<int>(t->system.trial_share_percent)))
       if (auto x = places.choose(f->second, {v.trial}, zone, tried)) return x;
     return places.choose(f->second, v.open, zone, tried);
@@ -127,6 +127,17 @@
   return true;
 }
 
+bool Shots::reaches(const Work& w, Span limit) {
+  std::vector<std::string> tried;
+  for (int i = 0; i < 2; ++i) {
+    auto to = p_->pick(w, tried, true);
+    if (!to) return false;
+    if (p_->ps.origin.reach(to->address, limit)) return true;
+    tried.push_back(to->instance);
+  }
+  return false;
+}
+
 void Shots::sent(const std::string& s) { p_->repeats.sent(s); }
 
 std::map<std::string, uint64_t> Shots::asked() const {
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -41,6 +41,7 @@
   Shots(base::Ports& ps, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
   ~Shots();
   Fetched run(const Work& w);
+  bool reaches(const Work& w, Span limit);  // whether some worker would take a connection
   bool repeat_allowed(const Work& w);
   void sent(const std::string& service);  // a first send that earns repeats
   std::map<std::pair<std::string, std::string>, VersionCount> counts() const;
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -186,6 +186,15 @@
 constexpr size_t kMostSpare = 16;
 }  // namespace
 
+bool HttpOrigin::reach(const std::string& addr, Span limit) {
+  auto at = split_address(addr);
+  if (!at) return false;
+  beast::tcp_stream s(Pool::here());
+  s.expires_after(limit);
+  auto [ec] = await<>([&](auto h) { s.async_connect(tcp::endpoint(asio::ip::make_address(at->ip), at->port), std::move(h)); });
+  return !ec;
+}
+
 std::variant<base::Receipt, base::ShotDefect> HttpOrigin::shoot(const std::string& addr, const base::Request& q,
                                                                 Span limit) {
   using base::ShotDefect;
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -32,6 +32,7 @@
 class HttpOrigin final : public base::Origin {
  public:
   explicit HttpOrigin(size_t body_bytes) : most_(body_bytes) {}
+  bool reach(const std::string& addr, Span limit) override;
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
                                                       Span limit) override;
 
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -156,6 +156,24 @@
   };
 }
 
+// A release that breaks only what callers do not see: the workers' beats through its
+// nodes, or their way to a service that nobody asks just then.
+void blind_release_in(Scene& s, const std::string& ph, const std::string& what) {
+  s.length = Span(150000);
+  s.must_meet = {what == "beats" ? "beat_unheard" : "unreachable"};
+  s.story = [&s, ph, what] {
+    if (!begin(s, 80)) return;
+    s.f.nap(Span(20000));  // so that it is known which beats are usual
+    put(s, "second", sim_layout("\"1\"", 3));
+    if (!reach(s, "second", ph, Span(80000))) return s.want(false, "phase " + ph + " was not reached");
+    s.f.faults().broken = "second";
+    s.f.faults().breaks = what;
+    s.want(reach(s, "second", "STOPPED", Span(30000)), "it was not stopped in phase " + ph + ": " + release_state(s, "second").text());
+    auto why = release_state(s, "second").at("course").at("why").str();
+    s.want(why.find(what == "beats" ? "check worker-beats" : "check probes") == 0, "it was stopped for another reason: " + why);
+  };
+}
+
 // Without traffic there is no evidence, and no release goes on.
 void too_little(Scene& s) {
   s.length = Span(60000);
@@ -351,6 +369,12 @@
           {"version_by_layout", version_by_layout},
           {"quiet_hours", quiet_hours},
           {"old_layout", old_layout},
+          {"blind_beats_one", [](Scene& s) { blind_release_in(s, "ONE", "beats"); }},
+          {"blind_beats_two", [](Scene& s) { blind_release_in(s, "TWO", "beats"); }},
+          {"blind_beats_three", [](Scene& s) { blind_release_in(s, "THREE", "beats"); }},
+          {"blind_reach_one", [](Scene& s) { blind_release_in(s, "ONE", "reach"); }},
+          {"blind_reach_two", [](Scene& s) { blind_release_in(s, "TWO", "reach"); }},
+          {"blind_reach_three", [](Scene& s) { blind_release_in(s, "THREE", "reach"); }},
           {"too_little", too_little},
           {"races", races},
           {"operators_race", operators_race},
--- a/test/rollout_unit.cpp
+++ b/test/rollout_unit.cpp
@@ -77,6 +77,7 @@
     for (auto& n : v.nodes) {
       bool o = s.nodes().count(n.name) && s.nodes().at(n.name).releases().at("layout") == "new";
       n.requests = rq;
+      n.probes_ok = rq > 0;
       n.defects = o ? on_df : off_df;
     }
   }
@@ -89,6 +90,29 @@
 
 using std::chrono::minutes;
 
+// Probes and workers' beats stop a release only when they fare better elsewhere.
+void blind_checks() {
+  for (bool beats : {true, false})
+    for (bool all : {true, false}) {
+      Bench b;
+      b.traffic(10);
+      for (auto& n : b.v.nodes) n.beats = 4, n.beats_usual = 4000;
+      b.record("new");
+      b.tick(Span(1000));
+      for (int i = 0; i < 30; ++i) {
+        for (auto& n : b.v.nodes) {
+          bool on = all || b.s.nodes().at(n.name).releases().at("layout") == "new";
+          if (beats) n.beats = on ? 0 : 4;
+          if (!beats) n.probes_ok = !on, n.probes_bad = on;
+        }
+        b.tick(Span(1000));
+      }
+      auto ph = b.course("new").phase();
+      expect((ph == pb::STOPPED) == !all, fmt::format("beats {}, all {}: it is {}", beats, all, pb::Phase_Name(ph)));
+      if (!all) expect(b.course("new").why().find(beats ? "check worker-beats" : "check probes") == 0, b.course("new").why());
+    }
+}
+
 void ordinary() {
   Bench b;
   b.traffic(10);
@@ -341,6 +365,7 @@
       {"rollout: too little evidence holds until waived", too_little_evidence},
       {"rollout: the phase-one machine lost is a failed check", lost_machine},
       {"rollout: a release that does not load is stopped", refused_load},
+      {"rollout: probes and workers' beats, against the others", blind_checks},
       {"rollout: quiet hours gate the start of each phase", quiet_hours},
       {"rollout: a bad hour for all stops nothing", bad_hour_for_all},
       {"rollout: a second of a kind waits, supersedes or is withdrawn", one_after_the_other},
