A receipt carried from a shield is judged again before it is passed on

Cause: a relay that froze while it waited for a shield's answer passed the kept content on at its thaw, having compared it only with the purges that it knew before it slept. Changed: what the shield says was kept goes through the same look as a receipt of the relay's own cache (permit, purges, lifetime, quarantine, assignment). Ruled out: the shield (it answered before the purge), the join of another's fetch (it looks again).

--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -167,7 +167,8 @@
         i->purge = std::min(i->purge, cr.fill_purge());
         i->version = cr.why();
         auto out = i->receipt;
-        if (!purged(*now_table(), i->service, get.target, i->purge))
+        // It may have been kept there, and this node may have slept since it asked.
+        if (cr.cacheable() ? usable(i, w, ps.clock.now()) : fresh() && !purged(*now_table(), i->service, get.target, i->purge))
           return {Way{out}, cr.cacheable() ? cache::ItemPtr(i) : nullptr};
       }
       // What the shield did with it is not known, so a direct shot may be a repeat.
