--- a/test/checker.cpp
+++ b/test/checker.cpp
@@ -44,13 +44,20 @@
 
 Book sort_out(const Journals& js) {
   Book b;
+  std::map<std::string, std::string> names;  // of machines, by the address on which they take callers
+  for (auto& j : js.lines)
+    if (j.at("t").str() == "machine") names[j.at("callers").str()] = j.at("machine").str();
   for (auto& j : js.lines) {
     auto t = j.at("t").str();
     auto s = [&](const char* k) { return j.at(k).str(); };
+    auto relay = [&] {
+      auto f = names.find(s("relay"));
+      return f == names.end() ? s("relay") : f->second;
+    };
     if (t == "ask") {
       b.asks[s("id")] = {s("method"), s("target"), s("in"), j.at("at").num()};
     } else if (t == "got") {
-      b.gots.push_back({s("id"), s("outcome"), s("out"), s("relay"), s("retry_after"), j.at("status").num(), j.at("produced").num(-1),
+      b.gots.push_back({s("id"), s("outcome"), s("out"), relay(), s("retry_after"), j.at("status").num(), j.at("produced").num(-1),
                         number(s("gen")), j.at("from").num(), j.at("at").num()});
     } else if (t == "run") {
       b.runs.push_back({s("id"), s("method"), s("target"), s("in"), s("out"), s("service"), s("version"),
@@ -60,7 +67,7 @@
     } else if (t == "lost") {
       Got g;
       g.id = s("id");
-      g.relay = s("relay");
+      g.relay = relay();
       g.from = j.at("from").num();
       g.at = j.at("at").num();
       b.lost.push_back(g);
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -80,6 +80,7 @@
                      fmt::format(",\"releases\":\"{}/releases\"", dir) + (m.holder || m.name == "e2" ? fmt::format(",\"data\":\"{}/data\"", dir) : ""))
       << "\n";
     m.args = {"--config", dir + "/relay.json"};
+    event(fmt::format(R"("t":"machine","machine":"{}","callers":"{}")", m.name, m.callers));
   }
 }
 
@@ -222,6 +223,7 @@
 
 void Fleet::stop_all() {
   supervised = false;
+  stopping_ = true;
   for (auto& m : ms_)
     if (m.pid > 0) {
       ::kill(m.pid, SIGCONT);
@@ -234,6 +236,29 @@
     if (m.pid > 0) kill(m.name);
 }
 
+void Fleet::watch_assignments() {
+  pool_.spawn([this] {
+    std::map<std::string, int64_t> told;
+    for (int64_t seen = 0; !stopping_;) {
+      auto r = any("GET", fmt::format("/v1/assignments?after={}&wait_ms=1000", seen));
+      auto p = base::Json::parse(r.body);
+      auto* j = std::get_if<base::Json>(&p);
+      if (r.status != 200 || !j) {
+        clock.nap(100ms);
+        continue;
+      }
+      auto tag = base::header(r.headers, "ETag");
+      seen = tag.size() > 2 ? std::strtoll(tag.c_str() + 1, nullptr, 10) : seen;
+      for (auto& [n, a] : j->at("nodes").members()) {
+        auto g = std::strtoll(a.at("generation").str("0").c_str(), nullptr, 10);
+        if (g <= told[n]) continue;
+        told[n] = g;
+        event(fmt::format(R"("t":"assigned","relay":"{}","generation":{})", n, g));
+      }
+    }
+  });
+}
+
 pid_t Fleet::start_caller(const std::string& name, int rate, int seconds, uint64_t seed) {
   return spawn("caller",
                {"--relays", relay_list(true), "--deployment", c_.deployment, "--rate", std::to_string(rate), "--seconds",
--- a/test/fleet.hpp
+++ b/test/fleet.hpp
@@ -49,6 +49,7 @@
   // after status 75, the last good one after anything else.
   void supervise();
   bool supervised = false;
+  void watch_assignments();  // journals each node's assignment once a majority tells of it
   pid_t start_caller(const std::string& name, int rate, int seconds, uint64_t seed);
   bool caller_done(pid_t p);
 
@@ -76,6 +77,7 @@
   wire::HttpOrigin http_{32u << 20};
   Journal events_;
   int workers_ = 0;
+  bool stopping_ = false;
 };
 
 std::string layout_document(const std::string& deployment, const std::string& extra_versions = {});
--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -13,8 +13,7 @@
 namespace dunlinwing::test {
 using namespace std::chrono_literals;
 
-namespace {
-bool say(bool ok, const char* what) {
+bool say(bool ok, const std::string& what) {
   std::cout << (ok ? "seen: " : "NOT SEEN: ") << what << "\n" << std::flush;
   return ok;
 }
@@ -31,6 +30,7 @@
 
 bool begin(Run& r) {
   r.f.start_relays();
+  r.f.watch_assignments();
   r.f.start_workers();
   bool put = r.f.until(20s, [&] { return r.f.any("GET", "/v1/nodes").status == 200; });
   return say(put, "control answers") && say(put_layout(r, "first", layout_document(r.f.config().deployment)), "first layout recorded") &&
@@ -44,6 +44,7 @@
   return ok;
 }
 
+namespace {
 bool up(Run& r) {
   if (!begin(r)) return false;
   while (!r.stopped()) r.f.clock.nap(100ms);
@@ -59,6 +60,8 @@
   });
 }
 
+}  // namespace
+
 void allow(Run& r, const std::string& v) {
   bool lobby = r.f.config().deployment == "lobby";
   auto a = [&](const char* s, const char* p) {
@@ -82,6 +85,7 @@
   return a.status == 200;
 }
 
+namespace {
 // Every relay in turn is stopped with a warning and started again.
 bool rolling(Run& r) {
   if (!begin(r)) return false;
@@ -98,11 +102,14 @@
   });
 }
 
+}  // namespace
+
 bool ready_again(Run& r, const char* what) {
   r.f.event(R"("t":"returned")");
   return say(r.f.all_ready(15s), what);
 }
 
+namespace {
 // Kills, freezes, lost disks, cut links, worker changes, purges and layouts, one
 // after the other and overlapping, drawn from the seed; then the acknowledged
 // layouts are read back from every relay.
@@ -204,11 +211,11 @@
   auto sha = hex_digest(file);
   auto a = r.f.any("PUT", "/v1/releases/software/" + name,
                    fmt::format(R"({{"content":{{"version":"{}","sha256":"{}","bytes":{}}}}})", version, sha, data.size()));
-  if (a.status != 202) return say(false, a.body.c_str());
+  if (a.status != 202) return say(false, a.body);
   r.f.clock.nap(1s);
   for (size_t at = 0; at < data.size(); at += 1 << 20) {
     auto p = r.f.any("PUT", fmt::format("/v1/artifacts/{}?offset={}", sha, at), data.substr(at, 1 << 20));
-    if (p.status != 200) return say(false, p.body.c_str());
+    if (p.status != 200) return say(false, p.body);
   }
   return say(r.f.any("GET", "/v1/artifacts/" + sha).body.find("\"whole\":true") != std::string::npos, "a majority holds the artifact whole");
 }
@@ -280,9 +287,13 @@
 }
 }  // namespace
 
-const std::map<std::string, std::function<bool(Run&)>>& scenarios() {
-  static const std::map<std::string, std::function<bool(Run&)>> all{
+const Scenarios& scenarios() {
+  static const Scenarios all = [] {
+    Scenarios m{
       {"up", up}, {"rollout", rollout}, {"rolling", rolling}, {"day", day}, {"versions", versions}, {"power", power}, {"software", software}, {"reseed", reseed}};
+    m.merge(load_scenarios());
+    return m;
+  }();
   return all;
 }
 
--- a/test/scenarios.hpp
+++ b/test/scenarios.hpp
@@ -11,6 +11,16 @@
   std::function<bool()> stopped;
 };
 
-const std::map<std::string, std::function<bool(Run&)>>& scenarios();
+using Scenarios = std::map<std::string, std::function<bool(Run&)>>;
+const Scenarios& scenarios();
+Scenarios load_scenarios();  // crowds, slow origins, storms, addresses that pass on, operators that race
+
+bool say(bool ok, const std::string& what);
+bool begin(Run& r);
+bool calls(Run& r, const std::function<bool()>& meanwhile);
+bool put_layout(Run& r, const std::string& name, const std::string& doc);
+void allow(Run& r, const std::string& version);
+bool purge(Run& r, const std::string& name, const std::string& kind, const std::string& path);
+bool ready_again(Run& r, const char* what);
 
 }  // namespace dunlinwing::test
