--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -279,7 +279,8 @@
 
 base::Receipt Fleet::any(const std::string& method, const std::string& target, const std::string& body) {
   base::Receipt last;
-  for (auto& m : ms_) {
+  for (size_t i = 0; i < ms_.size(); ++i) {
+    auto& m = ms_[i];
     if (m.kind == "worker" || m.pid <= 0 || m.frozen) continue;
     last = http(m.name, method, target, body);
     if (last.status && last.status != 503) return last;
@@ -298,8 +299,8 @@
 
 bool Fleet::all_ready(Span most) {
   return until(most, [&] {
-    for (auto& m : ms_)
-      if (m.kind != "worker" && m.pid > 0 && !m.frozen && http(m.name, "GET", "/readyz").status != 200) return false;
+    for (size_t i = 0; i < ms_.size(); ++i)
+      if (auto& m = ms_[i]; m.kind != "worker" && m.pid > 0 && !m.frozen && http(m.name, "GET", "/readyz").status != 200) return false;
     return true;
   });
 }
--- a/test/fleet.hpp
+++ b/test/fleet.hpp
@@ -4,6 +4,8 @@
 #pragma once
 #include <sys/types.h>
 
+#include <deque>
+
 #include "journal.hpp"
 #include "links.hpp"
 #include "wire/http.hpp"
@@ -62,7 +64,7 @@
   void event(const std::string& json_fields);
 
   Links& links() { return links_; }
-  std::vector<Machine>& machines() { return ms_; }
+  std::deque<Machine>& machines() { return ms_; }
   Machine& at(const std::string& name);
   std::string relay_list(bool pairs) const;
   const FleetConfig& config() const { return c_; }
@@ -73,7 +75,7 @@
   wire::Pool& pool_;
   FleetConfig c_;
   Links links_;
-  std::vector<Machine> ms_;
+  std::deque<Machine> ms_;  // fibers hold on to one while others are added
   wire::HttpOrigin http_{32u << 20};
   Journal events_;
   int workers_ = 0;
