A worker whose address passed on is left alone at its first 421

Cause: "not run" counted as a good end of a shot, so a worker at whose address somebody else stands was chosen again for three missed beats; the repeats were spent on it, and what came after them was of unknown outcome. Ruled out: the repeat allowance (raising it moves the end, not the waste).

--- a/src/traffic/place.cpp
+++ b/src/traffic/place.cpp
@@ -86,6 +86,14 @@
   ++s.rounds;
 }
 
+void Places::elsewhere(const Worker& w) {
+  std::lock_guard l(p_->m);
+  auto& s = p_->by[w.instance];
+  s.fails = kFailsAside;
+  s.rounds = kMostDoublings;
+  s.aside = p_->clock.now() + kAside * (1 << kMostDoublings);
+}
+
 void Places::forget(const std::vector<std::string>& alive) {
   std::lock_guard l(p_->m);
   std::erase_if(p_->by, [&](auto& x) {
--- a/src/traffic/place.hpp
+++ b/src/traffic/place.hpp
@@ -18,6 +18,8 @@
                                const std::string& zone, const std::vector<std::string>& tried);
   void began(const Worker& w);
   void ended(const Worker& w, bool good, std::optional<int> load);
+  // Somebody else stands at its address: it is left alone until it is known again.
+  void elsewhere(const Worker& w);
   void forget(const std::vector<std::string>& alive);
 
  private:
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -218,6 +218,7 @@
       if (std::from_chars(h.data(), h.data() + h.size(), n).ec == std::errc()) load = n;
     }
     p.places.ended(*to, l == Look::good || l == Look::not_run, load);
+    if (a && a->status == 421) p.places.elsewhere(*to);
     if (!unsent && l != Look::not_run) p.count(*to, l == Look::good);
     left |= !unsent;
     if (l == Look::good || (l == Look::answered_badly && (!safe(q) || i + 1 == kMostShots)))
