--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -165,7 +165,7 @@
         i->born -= Span(static_cast<int64_t>(cr.age_ms()));
         i->life = Span(static_cast<int64_t>(cr.life_ms()));
         i->purge = std::min(i->purge, cr.fill_purge());
-        i->version = cr.why();
+        i->version = cr.version();
         auto out = i->receipt;
         // It may have been kept there, and this node may have slept since it asked.
         if (cr.cacheable() ? usable(i, w, ps.clock.now()) : fresh() && !purged(*now_table(), i->service, get.target, i->purge))
@@ -305,7 +305,7 @@
     out.set_age_ms(static_cast<uint64_t>(std::max<int64_t>(0, (p.ps.clock.now() - i->born).count())));
     out.set_life_ms(static_cast<uint64_t>(i->life.count()));
     out.set_fill_purge(i->purge);
-    out.set_why(i->version);
+    out.set_version(i->version);
   } else {
     out.set_fill_purge(purge_number(*t, c.service()));
   }
--- a/test/checker.cpp
+++ b/test/checker.cpp
@@ -334,6 +334,12 @@
   auto& f = c.out.figures;
   f["asked"] = b.asks.size();
   f["answered"] = b.gots.size();
+  int64_t last = 0;  // gots are in the order of their ends
+  for (auto& g : b.gots) {
+    if (g.status >= 400) continue;
+    if (last) f["longest_gap_ms"] = std::max(f["longest_gap_ms"], static_cast<uint64_t>(g.at - last));
+    last = g.at;
+  }
   f["lost"] = b.lost.size();
   std::set<std::string> ended;
   for (auto& g : b.gots) ended.insert(g.id);
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -23,9 +23,7 @@
     put(s, "second", sim_layout("\"1\"", 3));
     for (int i = 0; i < 12; ++i) {
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
-      int down = 0;
-      for (auto& x : s.f.hosts()) down += x->holder && !x->up();
-      if (h->up() && !(h->holder && down >= 2)) s.f.kill(h->name);
+      if (may_fall(s, *h)) s.f.kill(h->name);
       s.f.nap(Span(300 + s.w.below(2500)));
       for (auto& x : s.f.hosts())
         if (!x->up() && s.w.chance(600)) s.f.start(x->name);
--- a/test/mixed_stories.cpp
+++ b/test/mixed_stories.cpp
@@ -17,16 +17,10 @@
     auto* w = ws[s.w.below(ws.size())].get();
     return w->alive && !w->leaving && !w->foreign ? w : nullptr;
   }
-  // At most one of five disks is out for good, and two away.
-  bool may_fall(sim::Host& h) {
-    int down = 0;
-    for (auto& x : s.f.hosts()) down += x->holder && (!x->up() || x->node->acceptor()->mute());
-    return h.up() && (!h.holder || down < 2);
-  }
   void met(const char* what) { ++s.w.met[what]; }
 
   void kill() {
-    if (auto& h = host(); may_fall(h)) s.f.kill(h.name);
+    if (auto& h = host(); may_fall(s, h)) s.f.kill(h.name);
   }
   void kill_many() {
     met("kill_many");
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -240,9 +240,7 @@
       s.f.nap(Span(500 + s.w.below(1500)));
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       if (s.w.chance(400)) {
-        int down = 0;
-        for (auto& x : s.f.hosts()) down += x->holder && !x->up();
-        if (h->up() && !(h->holder && down >= 2)) s.f.kill(h->name);
+        if (may_fall(s, *h)) s.f.kill(h->name);
       } else if (s.w.chance(500)) {
         s.w.freeze(h->name, s.w.now() + Span(s.w.below(3000)));
       }
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -105,6 +105,12 @@
   return ok;
 }
 
+bool may_fall(Scene& s, sim::Host& h) {
+  int down = 0;
+  for (auto& x : s.f.hosts()) down += x->holder && (!x->up() || x->node->acceptor()->mute());
+  return h.up() && (!h.holder || down < 2);
+}
+
 bool serves(Scene& s, Span most) {
   return s.f.until(most, [&] {
     int ready = 0, up = 0;
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -10,6 +10,8 @@
 // Starts workers, records the first layout, waits until all serve it, and lets
 // callers call for the rest of the run.
 bool begin(Scene& s, int rate = 20, const std::string& doc = sim_layout());
+// Whether the host may be killed with a majority of disks left that vote.
+bool may_fall(Scene& s, sim::Host& h);
 bool serves(Scene& s, Span most);  // every relay that is up is ready
 void put(Scene& s, const std::string& name, const std::string& doc);
 void allow(Scene& s, const std::string& version);
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -228,7 +228,7 @@
       for (auto& x : s.f.hosts()) down += x->holder && (!x->up() || x->node->acceptor()->mute());
       switch (s.w.below(6)) {
         case 0:
-          if (h->up() && !(h->holder && down >= 2)) s.f.kill(h->name);
+          if (may_fall(s, *h)) s.f.kill(h->name);
           break;
         case 1: s.w.freeze(h->name, s.w.now() + Span(s.w.below(5000))); break;
         case 2: s.f.cut_off(h->name); break;
