--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -97,6 +97,7 @@
     more.emplace_back("Dunlinwing-Version", x.version);
     more.emplace_back("Dunlinwing-Instance", x.instance);
     more.emplace_back("Dunlinwing-Request", rid);
+    more.emplace_back("Dunlinwing-Load", std::to_string(x.load));
     return more;
   }
   Fleet& f_;
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -48,6 +48,7 @@
   std::function<void(const std::string& by)> left;  // told who took its word that it leaves; it says nothing more then
   Span least{1}, most{8};
   int64_t max_age = 0, period_ms = 1000;
+  int load = 0;  // as it says in its answers; the work that others give it
   uint64_t beats = 0;
 };
 
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -114,6 +114,40 @@
   };
 }
 
+// One worker is busy with work that no relay gave it, and says so in its answers.
+void told_load(Scene& s) {
+  s.length = Span(50000);
+  s.story = [&s] {
+    if (!begin(s, 120)) return;
+    sim::Worker* busy = nullptr;
+    int n = 0;
+    for (auto& x : s.f.workers())
+      if (x->service == "app") ++n, busy = x.get();
+    auto runs = [&] {
+      std::pair<int, int> c;
+      for (auto& l : s.w.journal)
+        if (l.find("\"t\":\"run\"") != l.npos && l.find("\"service\":\"app\"") != l.npos) ++c.first, c.second += l.find("\"" + busy->instance + "\"") != l.npos;
+      return c;
+    };
+    auto part = [&](const char* when) {
+      auto a = runs();
+      s.f.nap(Span(10000));
+      auto b = runs();
+      s.figures[when] = static_cast<uint64_t>((b.second - a.second) * 100 / std::max(1, b.first - a.first));
+      return s.figures[when];
+    };
+    auto even = part("percent_before");
+    busy->load = 40;
+    s.f.nap(Span(1000));
+    auto less = part("percent_under_load");
+    busy->load = 0;
+    s.f.nap(Span(2000));
+    auto again = part("percent_after");
+    s.want(less * 2 < even, fmt::format("{} percent before, {} under load", even, less));
+    s.want(again * 2 > even, fmt::format("{} percent before, {} when the load was gone", even, again));
+  };
+}
+
 void purge_storm(Scene& s) {
   s.length = Span(60000);
   s.story = [&s] {
@@ -274,6 +308,7 @@
           {"address_reuse", address_reuse},
           {"foreign_address", foreign_address},
           {"slow_workers", slow_workers},
+          {"told_load", told_load},
           {"purge_storm", purge_storm},
           {"crowd", crowd},
           {"slow_disks", slow_disks},
