console: the holders, added and removed one machine at a time

Cause: the set of holders was changed by curl, and nothing kept an operator from taking one out before the new one voted.

--- a/src/console/commands.cpp
+++ b/src/console/commands.cpp
@@ -263,6 +263,7 @@
       {"undrain", {"undrain node|zone NAME", "lets it back in", 2, 2, [](Session& s) { return drain(s, false); }}},
       {"nodes", {"nodes", "all relays", 0, 0, nodes}},
       {"workers", {"workers", "all workers", 0, 0, workers}},
+      {"holders", {"holders [list] | add NAME IP:PORT | remove NAME", "who holds the state; changes the set by one machine", 0, 3, holders}},
       {"duties", {"duties", "who does which duty", 0, 0, duties}},
       {"doctor", {"doctor", "says in plain words what is wrong, and where", 0, 0, doctor}}};
   return all;
--- a/src/console/commands.hpp
+++ b/src/console/commands.hpp
@@ -24,6 +24,7 @@
 
 const std::map<std::string, Command>& commands();
 int doctor(Session& s);
+int holders(Session& s);
 int refused(const Reply& r);  // says why, and gives the exit status
 std::string row(const std::vector<std::pair<std::string, int>>& cells);
 
