--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -46,6 +46,14 @@
   return {of(c, std::move(f)), o, l};
 }
 
+// What was turned away after a byte of an earlier way had left may have run.
+void doubt(base::Receipt& r) {
+  r.status = 502;
+  std::erase_if(r.headers, [](auto& h) { return h.first == "Retry-After"; });
+  for (auto& [k, v] : r.headers)
+    if (k == "Dunlinwing-Outcome") v = "unknown";
+}
+
 // What was fetched by GET, as the answer to HEAD.
 void shape_head(base::Receipt& r, const base::Request& q) {
   if (q.method != "HEAD") return;
@@ -255,7 +263,7 @@
     answer = std::move(w.receipt);
     if (w.overtaken) continue;  // a newer layout came in force while it waited
     if (again && base::header(answer.headers, "Dunlinwing-Outcome") == "not-run")
-      answer = turned_away(p.ps.chance, 502, "it may have run under the layout before", "unknown");
+      doubt(answer);
     break;
   }
   auto outcome = base::header(answer.headers, "Dunlinwing-Outcome");
--- a/test/caller.cpp
+++ b/test/caller.cpp
@@ -77,9 +77,9 @@
         if (auto* j = std::get_if<base::Json>(&p)) produced = j->at("produced").num(-1);
       }
       journal.line(fmt::format(
-          R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","retry_after":"{}","from":{},"at":{},"relay":"{}"}})",
+          R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","retry_after":"{}","from":{},"at":{},"relay":"{}","why":{}}})",
           id, a->status, out, base::sha256_base64(a->body), produced, base::header(a->headers, "Dunlinwing-Generation"),
-          base::header(a->headers, "Retry-After"), from, to, r.callers));
+          base::header(a->headers, "Retry-After"), from, to, r.callers, a->status < 400 ? "\"\"" : test::qt(a->body)));
       (a->status < 400 ? ok : out == "not-run" ? away : out == "unknown" ? unknown : other)++;
     } else {
       journal.line(fmt::format(R"({{"t":"lost","id":"{}","sent":{},"from":{},"at":{},"relay":"{}"}})", id,
