--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -17,8 +17,9 @@
 struct Count {
   uint64_t incarnation = 0, requests = 0, defects = 0, beats = 0;
   double usual = 0;  // beats a second while it was on no release under way
+  uint64_t looks = 0;
 };
-constexpr double kLatest = 0.05;  // weight of the latest look at what is usual
+constexpr double kLatest = 0.002;  // least weight of the latest look at what is usual: some two minutes count
 constexpr size_t kOthers = 3;     // nodes not on a release that are probed beside those on it
 
 // Whether the effects ask for a write, and whether it may not wait.
@@ -135,8 +136,9 @@
       if (on_trial(n))
         s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
       else if (sec > 0 && k.incarnation == x.mark().incarnation())
-        k.usual += kLatest * (static_cast<double>(s.beats) / sec - k.usual), s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
-      k = {x.mark().incarnation(), rq, df, x.beats_taken(), k.usual};
+        k.usual += std::max(kLatest, 1.0 / static_cast<double>(++k.looks)) * (static_cast<double>(s.beats) / sec - k.usual),
+            s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
+      k = {x.mark().incarnation(), rq, df, x.beats_taken(), k.usual, k.looks};
       if (auto p = probes.find(n); p != probes.end()) {
         std::tie(s.probes_ok, s.probes_bad) = p->second;
         probes.erase(p);
--- a/test/checker_main.cpp
+++ b/test/checker_main.cpp
@@ -20,6 +20,6 @@
     if (++n[b.rule] <= 5) std::cout << "RULE " << b.rule << ": " << b.what << "\n";
   for (auto& [k, v] : n) std::cout << "rule " << k << " breached " << v << " times\n";
   if (js.lines.empty()) std::cout << "no journal was found\n";
-  std::cout << (r.breaches.empty() ? "clean\n" : "NOT CLEAN\n");
+  std::cout << (r.breaches.empty() && !js.lines.empty() ? "clean\n" : "NOT CLEAN\n");
   return r.breaches.empty() && !js.lines.empty() ? 0 : 1;
 }
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -162,16 +162,18 @@
 // A release that breaks only what callers do not see: the workers' beats through its
 // nodes, or their way to a service that nobody asks just then.
 void blind_release_in(Scene& s, const std::string& ph, const std::string& what) {
-  s.length = Span(150000);
+  s.length = Span(420000);
   s.must_meet = {what == "beats" ? "beat_unheard" : "unreachable"};
   s.story = [&s, ph, what] {
     if (!begin(s, 80)) return;
     s.f.nap(Span(20000));  // so that it is known which beats are usual
-    put(s, "second", sim_layout("\"1\"", 3));
-    if (!reach(s, "second", ph, Span(80000))) return s.want(false, "phase " + ph + " was not reached");
+    put(s, "second", sim_layout("\"1\"", 3, 0, R"(,"holds":{"one_min":900,"two_min":1600})"));
+    if (!reach(s, "second", ph, Span(280000))) return s.want(false, "phase " + ph + " was not reached");
     s.f.faults().broken = "second";
     s.f.faults().breaks = what;
-    s.want(reach(s, "second", "STOPPED", Span(30000)), "it was not stopped in phase " + ph + ": " + release_state(s, "second").text());
+    std::string now = ph;
+    s.f.until(Span(100000), [&] { return (now = phase(s, "second")) != ph; });
+    s.want(now == "STOPPED", "it was not stopped in phase " + ph + ": " + release_state(s, "second").text());
     auto why = release_state(s, "second").at("course").at("why").str();
     s.want(why.find(what == "beats" ? "check worker-beats" : "check probes") == 0, "it was stopped for another reason: " + why);
   };
