Beats are called usual only after a minute of watching

Cause: the longer mean starts from its first looks, and right after a start beats come in a burst, so two a second passed for usual where the truth was two thirds, and good releases were stopped. Changed: 240 looks of one watcher before its mean counts as evidence.

--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -20,6 +20,7 @@
   uint64_t looks = 0;
 };
 constexpr double kLatest = 0.002;  // least weight of the latest look at what is usual: some two minutes count
+constexpr uint64_t kLearnt = 240;  // looks, a minute of them, before a mean is taken for usual
 constexpr size_t kOthers = 3;     // nodes not on a release that are probed beside those on it
 
 // Whether the effects ask for a write, and whether it may not wait.
@@ -134,10 +135,10 @@
       }
       double sec = looked == Tick(0) ? 0 : static_cast<double>(std::min<Span>(now - looked, c.bound).count()) / 1000;
       if (on_trial(n))
-        s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
+        s.beats_usual = k.looks < kLearnt ? 0 : static_cast<uint64_t>(k.usual * sec * 1000);
       else if (sec > 0 && k.incarnation == x.mark().incarnation())
         k.usual += std::max(kLatest, 1.0 / static_cast<double>(++k.looks)) * (static_cast<double>(s.beats) / sec - k.usual),
-            s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
+            s.beats_usual = k.looks < kLearnt ? 0 : static_cast<uint64_t>(k.usual * sec * 1000);
       k = {x.mark().incarnation(), rq, df, x.beats_taken(), k.usual, k.looks};
       if (auto p = probes.find(n); p != probes.end()) {
         std::tie(s.probes_ok, s.probes_bad) = p->second;
