Reread: one place for what stood twice, one copy of the news a tick

Found by reading the whole change: the duty's holder copied all news once more for each service at each tick; what is usual of beats was reckoned in two branches; the look at a promoted version carried a flag out of its loop; drains and purges were listed by the same loop; wanting() asked for the same count twice. In the stories, reading acknowledged layouts back stood three times and finding the duty's holder four times.

--- a/src/gate/views.cpp
+++ b/src/gate/views.cpp
@@ -32,26 +32,22 @@
   return json(200, "{\"workers\":[" + b + "],\"departed\":[" + left + "]}");
 }
 
-base::Receipt drains(relay::Node& n) {
+namespace {
+// The registers whose names begin so, each a message of one kind, by the rest of the name.
+template <class M>
+base::Receipt listed(relay::Node& n, const std::string& prefix, const char* what) {
   std::string b;
   for (auto& [k, h] : n.mirror().chosen()) {
-    if (!k.starts_with("drain/")) continue;
-    pb::Drain d;
-    d.ParseFromString(h.data);
-    b += fmt::format("{}{}:{}", b.empty() ? "" : ",", base::quote(k.substr(6)), message_json(d));
+    if (!k.starts_with(prefix)) continue;
+    M m;
+    m.ParseFromString(h.data);
+    b += fmt::format("{}{}:{}", b.empty() ? "" : ",", base::quote(k.substr(prefix.size())), message_json(m));
   }
-  return json(200, "{\"drains\":{" + b + "}}");
+  return json(200, fmt::format("{{\"{}\":{{{}}}}}", what, b));
 }
+}  // namespace
 
-base::Receipt purges(relay::Node& n) {
-  std::string b;
-  for (auto& [k, h] : n.mirror().chosen()) {
-    if (!k.starts_with("purge/")) continue;
-    pb::PurgeSet s;
-    s.ParseFromString(h.data);
-    b += fmt::format("{}{}:{}", b.empty() ? "" : ",", base::quote(k.substr(6)), message_json(s));
-  }
-  return json(200, "{\"purges\":{" + b + "}}");
-}
+base::Receipt drains(relay::Node& n) { return listed<pb::Drain>(n, "drain/", "drains"); }
+base::Receipt purges(relay::Node& n) { return listed<pb::PurgeSet>(n, "purge/", "purges"); }
 
 }  // namespace dunlinwing::gate
--- a/src/rollout/checks.cpp
+++ b/src/rollout/checks.cpp
@@ -106,11 +106,12 @@
 std::optional<std::string> wanting(const pb::Course& c, const Rules& r, const pb::Act& act) {
   if (act.waived().count("evidence")) return {};
   auto want = static_cast<uint64_t>(r.system.evidence_requests);
-  auto probes = c.evidence().probes_ok() + c.evidence().probes_bad();
-  if (c.evidence().on_requests() >= want && probes < kLeastProbes && !act.waived().count("probes"))
+  auto& e = c.evidence();
+  if (e.on_requests() < want)
+    return fmt::format("too little evidence: {} of {} requests seen in this phase", e.on_requests(), want);
+  if (auto probes = e.probes_ok() + e.probes_bad(); probes < kLeastProbes && !act.waived().count("probes"))
     return fmt::format("too little evidence: {} of {} probes seen in this phase", probes, kLeastProbes);
-  if (c.evidence().on_requests() >= want) return {};
-  return fmt::format("too little evidence: {} of {} requests seen in this phase", c.evidence().on_requests(), want);
+  return {};
 }
 
 }  // namespace dunlinwing::rollout
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -134,11 +134,10 @@
         s.beats = x.beats_taken() - std::min(x.beats_taken(), k.beats);
       }
       double sec = looked == Tick(0) ? 0 : static_cast<double>(std::min<Span>(now - looked, c.bound).count()) / 1000;
-      if (on_trial(n))
-        s.beats_usual = k.looks < kLearnt ? 0 : static_cast<uint64_t>(k.usual * sec * 1000);
-      else if (sec > 0 && k.incarnation == x.mark().incarnation())
-        k.usual += std::max(kLatest, 1.0 / static_cast<double>(++k.looks)) * (static_cast<double>(s.beats) / sec - k.usual),
-            s.beats_usual = k.looks < kLearnt ? 0 : static_cast<uint64_t>(k.usual * sec * 1000);
+      bool tried = on_trial(n), learns = !tried && sec > 0 && k.incarnation == x.mark().incarnation();
+      if (learns)
+        k.usual += std::max(kLatest, 1.0 / static_cast<double>(++k.looks)) * (static_cast<double>(s.beats) / sec - k.usual);
+      if ((tried || learns) && k.looks >= kLearnt) s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
       k = {x.mark().incarnation(), rq, df, x.beats_taken(), k.usual, k.looks};
       if (auto p = probes.find(n); p != probes.end()) {
         std::tie(s.probes_ok, s.probes_bad) = p->second;
@@ -254,7 +253,8 @@
 
   void moves(Tick now, Span dt) {
     std::map<std::string, MoveSight> vs;
-    for (auto& [src, x] : mirror.news().latest(now))
+    auto news = mirror.news().latest(now);
+    for (auto& [src, x] : news)
       for (auto& b : x.bad()) {
         auto& k = bad[src][b.service() + "/" + b.version()];
         Counts d{b.good(), b.bad()};
@@ -292,7 +292,7 @@
       }
       auto& v = vs[name];
       v.dt = dt;
-      for (auto& [src, x] : mirror.news().latest(now))
+      for (auto& [src, x] : news)
         for (auto& t : x.trials())
           v.given_up |= t.service() == name && t.number() == mine.second.trial_number() && t.stopped() && !mine.second.trial().empty();
       auto o = step(name, mine.second, v, rules);
--- a/src/rollout/moves.cpp
+++ b/src/rollout/moves.cpp
@@ -64,25 +64,25 @@
       }
     }
   }
-  for (auto* span : {&v.recent, &v.minute}) {
-    auto c = get(*span, n.current());
-    if (c.bad < limit || n.kept().empty()) continue;
-    bool out = false;
+  // Whether the version in place gave way to one it followed, over this span.
+  auto gave_way = [&](const std::map<std::string, Counts>& span) {
+    auto c = get(span, n.current());
+    if (c.bad < limit) return false;
     for (int i = n.kept_size() - 1; i >= 0; --i) {
       auto k = n.kept(i);
       auto w = v.workers.find(k);
-      auto kc = get(*span, k);
+      auto kc = get(span, k);
       if (n.quarantined().count(k) || w == v.workers.end() || !w->second) continue;
       if (!worse(rate(c.good, c.bad), rate(kc.good, kc.bad))) continue;
       auto bad = n.current();
       n.set_current(k);
       n.mutable_kept()->DeleteSubrange(i, 1);
       banish(bad, fmt::format("{} bad answers of {} after promotion", c.bad, c.good + c.bad));
-      out = true;
-      break;
+      return true;
     }
-    if (out) break;
-  }
+    return false;
+  };
+  if (!gave_way(v.recent)) gave_way(v.minute);
   if (o.effects.empty() && !google::protobuf::util::MessageDifferencer::Equals(n, s)) o.effects.push_back(Save{false});
   return o;
 }
--- a/test/fault_stories.cpp
+++ b/test/fault_stories.cpp
@@ -131,8 +131,7 @@
     put(s, "second", sim_layout("\"1\"", 3));
     std::string last;
     for (int i = 0; i < 10; ++i) {
-      for (auto& h : s.f.hosts()) {
-        if (!h->up() || !h->node->duty().held()) continue;
+      if (auto* h = duty_holder(s)) {
         if (!last.empty()) s.f.at(last).platter.least = Span(1), s.f.at(last).platter.most = Span(4);
         last = h->name;
         h->platter.least = Span(400);
--- a/test/limit_stories.cpp
+++ b/test/limit_stories.cpp
@@ -12,8 +12,7 @@
     auto how = s.w.below(4);
     if (!s.f.until(Span(40000), [&] { return s.w.met["bad_answer"] >= 30 + s.w.below(20); })) return;
     std::vector<std::string> pair;
-    for (auto& h : s.f.hosts())
-      if (h->up() && h->node->duty().held()) pair = {h->name, h->node->duty().known().understudy()};
+    if (auto* h = duty_holder(s)) pair = {h->name, h->node->duty().known().understudy()};
     for (auto& n : pair) {
       if (n.empty()) continue;
       if (how == 0) s.f.kill(n);
@@ -160,8 +159,7 @@
     }
     s.f.nap(Span(6000));
     for (int i = 0; i < 3; ++i) {
-      for (auto& h : s.f.hosts())
-        if (h->up() && h->node->duty().held()) s.f.cut_off(h->name);
+      if (auto* h = duty_holder(s)) s.f.cut_off(h->name);
       s.f.nap(Span(6000));
       s.w.mend();
       s.f.nap(Span(1500));
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -180,12 +180,7 @@
     s.f.start("h4");
     s.f.nap(Span(6000));
     for (auto& h : s.f.hosts())
-      for (auto& [k, doc] : *acked) {
-        if (!h->up()) continue;
-        auto& c = h->node->mirror().chosen();
-        auto f = c.find("release/layout/" + k);
-        s.want(f != c.end() && f->second.data == doc, fmt::format("{} does not know the acknowledged {}", h->name, k));
-      }
+      if (h->up()) knows(s, *h, *acked);
     auto p = base::Json::parse(s.f.tell("GET", "/v1/holders", "").body);
     auto* j = std::get_if<base::Json>(&p);
     s.want(j && j->at("epoch").str() == "4" && j->at("holders").items().size() == 5, "the set is not what was stated");
--- a/test/mixed_stories.cpp
+++ b/test/mixed_stories.cpp
@@ -162,12 +162,7 @@
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after the machines returned");
     s.f.nap(Span(2000));
-    for (auto& h : s.f.hosts())
-      for (auto& [n, doc] : layouts) {
-        auto& c = h->node->mirror().chosen();
-        auto f = c.find("release/layout/" + n);
-        s.want(f != c.end() && f->second.data == doc, fmt::format("{} does not know the acknowledged {}", h->name, n));
-      }
+    for (auto& h : s.f.hosts()) knows(s, *h, layouts);
     s.f.nap(Span(20000));
   }
 };
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -5,12 +5,6 @@
 namespace dunlinwing::test {
 namespace {
 
-sim::Host* duty_holder(Scene& s) {
-  for (auto& h : s.f.hosts())
-    if (h->up() && h->node->duty().held()) return h.get();
-  return nullptr;
-}
-
 // The duty's primary is killed in each phase. Hold time once recorded stays,
 // and the release still runs its course, each node being moved once.
 void duty_dies(Scene& s) {
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -111,6 +111,20 @@
   return h.up() && (!h.holder || down < 2);
 }
 
+sim::Host* duty_holder(Scene& s) {
+  for (auto& h : s.f.hosts())
+    if (h->up() && h->node->duty().held()) return h.get();
+  return nullptr;
+}
+
+void knows(Scene& s, sim::Host& h, const std::map<std::string, std::string>& acked) {
+  for (auto& [n, doc] : acked) {
+    auto& c = h.node->mirror().chosen();
+    auto f = c.find("release/layout/" + n);
+    s.want(f != c.end() && f->second.data == doc, fmt::format("{} does not know the acknowledged {}", h.name, n));
+  }
+}
+
 bool serves(Scene& s, Span most) {
   return s.f.until(most, [&] {
     int ready = 0, up = 0;
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -290,12 +290,7 @@
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after the machines returned");
     s.f.nap(Span(2000));
-    for (auto& h : s.f.hosts())
-      for (auto& [n, doc] : acked) {
-        auto& c = h->node->mirror().chosen();
-        auto f = c.find("release/layout/" + n);
-        s.want(f != c.end() && f->second.data == doc, fmt::format("{} does not know the acknowledged {}", h->name, n));
-      }
+    for (auto& h : s.f.hosts()) knows(s, *h, acked);
     s.figures = {{"layouts_read_back", acked.size()}};
     s.f.nap(Span(20000));
   };
