--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -77,11 +77,23 @@
 // did not run it; or nobody can tell.
 enum class ShotDefect { unsent, not_run, unknown };
 
+// What a shot is bound by. `mine` tells an answer to this request from one that
+// belongs to an earlier request on the same connection; null: every answer is.
+struct ShotRules {
+  template <class R, class P>
+  ShotRules(std::chrono::duration<R, P> l) : limit(l) {}  // a bare limit is a rule
+  Span limit;                      // in which the whole answer must be here
+  Span connect{0};                 // in which a new connection must stand; 0: the limit
+  int most = 0;                    // connections held to this address at once; 0: no bound
+  bool safe = false;               // may ride a connection that the worker may be about to close
+  std::function<bool(const Receipt&)> mine;
+};
+
 class Origin {
  public:
   virtual ~Origin() = default;
   virtual bool reach(const std::string& addr, Span limit) = 0;  // whether a connection can be made; no byte is sent
-  virtual std::variant<Receipt, ShotDefect> shoot(const std::string& addr, const Request& q, Span limit) = 0;
+  virtual std::variant<Receipt, ShotDefect> shoot(const std::string& addr, const Request& q, const ShotRules& r) = 0;
 };
 
 struct Ports {
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -25,7 +25,8 @@
     return false;
   }
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
-                                                      Span limit) override {
+                                                      const base::ShotRules& rules) override {
+    Span limit = rules.limit;
     auto& w = f_.w_;
     auto nap = [&](Span s) {
       Wait x;
--- a/src/wire/http.cpp
+++ b/src/wire/http.cpp
@@ -196,9 +196,9 @@
 }
 
 std::variant<base::Receipt, base::ShotDefect> HttpOrigin::shoot(const std::string& addr, const base::Request& q,
-                                                                Span limit) {
+                                                                const base::ShotRules& rules) {
   using base::ShotDefect;
-  auto end = std::chrono::steady_clock::now() + limit;
+  auto end = std::chrono::steady_clock::now() + rules.limit;
   bool safe = q.method == "GET" || q.method == "HEAD";
   std::unique_ptr<beast::tcp_stream> s;
   for (auto& v = spare[addr]; safe && !s && !v.empty();) {
--- a/src/wire/http.hpp
+++ b/src/wire/http.hpp
@@ -34,7 +34,7 @@
   explicit HttpOrigin(size_t body_bytes) : most_(body_bytes) {}
   bool reach(const std::string& addr, Span limit) override;
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
-                                                      Span limit) override;
+                                                      const base::ShotRules& r) override;
 
  private:
   size_t most_;
