--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -56,6 +56,14 @@
   p_->bytes += n;
 }
 
+void Cache::sweep(Tick now) {
+  std::lock_guard l(p_->m);
+  for (auto i = p_->by.begin(); i != p_->by.end();) {
+    auto at = i++;
+    if (now - at->second.item->born > at->second.item->life) p_->erase(at);
+  }
+}
+
 size_t Cache::bytes() const {
   std::lock_guard l(p_->m);
   return p_->bytes;
@@ -122,11 +130,13 @@
 }
 }  // namespace
 
-bool may_ask_cache(const base::Request& q) {
+bool may_ask_cache(const base::Request& q, bool cuts) {
   if (q.method != "GET" && q.method != "HEAD") return false;
-  for (auto* h : {"Authorization", "Range", "If-None-Match", "If-Modified-Since", "If-Match", "If-Unmodified-Since",
-                  "If-Range", "Cookie"})
+  for (auto* h : {"Authorization", "If-Modified-Since", "If-Match", "If-Unmodified-Since", "If-Range", "Cookie"})
     if (!base::header(q.headers, h).empty()) return false;
+  if (!cuts)
+    for (auto* h : {"Range", "If-None-Match"})
+      if (!base::header(q.headers, h).empty()) return false;
   auto cc = directives(joined(q.headers, "Cache-Control"));
   return !cc.count("no-store") && !cc.count("no-cache");
 }
@@ -146,6 +156,28 @@
   return {};
 }
 
+std::optional<Span> stated(const base::Receipt& r, Span life) {
+  if (r.status != 200 || !base::header(r.headers, "Set-Cookie").empty()) return {};
+  auto cc = directives(joined(r.headers, "Cache-Control"));
+  for (auto* d : {"no-store", "private", "no-cache"})
+    if (cc.count(d)) return {};
+  return life;
+}
+
+std::optional<Cut> cut(std::string_view s, size_t bytes) {
+  constexpr std::string_view unit = "bytes=";
+  if (s.substr(0, unit.size()) != unit) return {};
+  s.remove_prefix(unit.size());
+  auto dash = s.find('-');
+  if (dash == s.npos || s.find(',') != s.npos) return {};
+  auto from = number(s.substr(0, dash));
+  auto to = dash + 1 == s.size() ? std::optional<int64_t>(INT64_MAX) : number(s.substr(dash + 1));
+  if (!from || !to || *to < *from) return {};
+  auto at = static_cast<size_t>(*from);
+  if (at >= bytes) return Cut{at, 0};
+  return Cut{at, static_cast<size_t>(std::min<int64_t>(*to, static_cast<int64_t>(bytes) - 1)) - at + 1};
+}
+
 Span age_header(const base::Receipt& r) {
   auto n = number(base::header(r.headers, "Age"));
   return Span(n ? std::min<int64_t>(*n, 31536000) * 1000 : 0);
--- a/src/cache/cache.hpp
+++ b/src/cache/cache.hpp
@@ -8,6 +8,7 @@
 struct Item {
   base::Receipt receipt;
   std::string service, version;
+  std::vector<std::string> tags;
   Tick born{0};  // before the fetch began, less the Age it came with
   Span life{0};
   uint64_t purge = 0;  // the purge number known when the fetch began
@@ -21,6 +22,7 @@
   ItemPtr find(const std::string& key);
   void put(const std::string& key, ItemPtr i, size_t most_bytes);
   size_t bytes() const;
+  void sweep(Tick now);
 
   // One fill a key: the first caller leads, the others wait for its item, which
   // is null when what came back may not be shared.
@@ -38,6 +40,14 @@
 // not; and the Age it came with.
 std::optional<Span> lifetime(const base::Request& q, const base::Receipt& r);
 Span age_header(const base::Receipt& r);
-bool may_ask_cache(const base::Request& q);
+// `cuts`: single ranges and If-None-Match are answered from whole receipts.
+bool may_ask_cache(const base::Request& q, bool cuts);
+// The operators' own lifetime, unless the worker forbids it.
+std::optional<Span> stated(const base::Receipt& r, Span life);
+struct Cut {
+  size_t from = 0, size = 0;  // size 0: beyond the end
+};
+// One range that names its first byte; nothing when it is another kind, which may be ignored.
+std::optional<Cut> cut(std::string_view range, size_t bytes);
 
 }  // namespace dunlinwing::cache
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -11,6 +11,7 @@
 
 #include "base/log.hpp"
 #include "gate/holders.hpp"
+#include "gate/orders.hpp"
 #include "gate/report.hpp"
 #include "gate/schemas.hpp"
 #include "gate/views.hpp"
@@ -222,13 +223,15 @@
     if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
     auto& j = std::get<base::Json>(b);
     pb::Purge p;
-    p.set_name(c.path[2]);
+    if (c.path.size() > 2) p.set_name(c.path[2]);
     p.set_kind(j.at("kind").str());
-    p.set_path(j.at("path").str());
-    if (p.kind() != "service" && p.path().empty()) return defects({{"/path", "is missing"}});
-    auto service = j.at("service").str();
+    p.set_path(j.at(p.kind() == "tag" ? "tag" : "path").str());
+    p.set_host(j.at("host").str());
+    if (p.kind() != "service" && p.path().empty()) return defects({{p.kind() == "tag" ? "/tag" : "/path", "is missing"}});
+    auto service = j.at("service").str(traffic::kAllServices);
+    if (service == traffic::kAllServices && p.kind() == "service") return defects({{"/service", "is missing"}});
     auto clash = [&](const std::string& of) { return defect(409, "a purge of this name exists for service " + of + " and is another; take a new name"); };
-    for (auto& [k, h] : n.mirror().chosen()) {
+    for (auto& [k, h] : p.name().empty() ? members::Chosen() : n.mirror().chosen()) {
       pb::PurgeSet s;
       if (!k.starts_with("purge/") || k.substr(6) == service || !s.ParseFromString(h.data)) continue;
       for (auto& x : s.purges())
@@ -288,6 +291,7 @@
     x.set_leaving(j.at("leaving").flag());
     x.set_number(static_cast<uint64_t>(j.at("number").num()));
     x.set_period_ms(static_cast<uint32_t>(j.at("period_ms").num()));
+    x.set_cold_ms(static_cast<uint32_t>(j.at("cold_ms").num()));
     if (!n.beat(x)) return defect(503, "this node cannot pass the beat on; try another");
     return json(200, "{\"known\":true}");
   }
@@ -317,6 +321,7 @@
     if (is(2, "purges")) return purges(n);
     if (is(2, "drains")) return drains(n);
     if (is(2, "holders")) return holders(n);
+    if (is(3, "layouts") && p[2] == "current") return order(n);
     if (is(3, "artifacts")) return artifact(c, false);
     if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
     if (is(3, "services")) {
@@ -368,10 +373,14 @@
   if (c.path.size() < 2 || c.path[0] != "v1") return defect(404, "no such resource");
   if (q.method == "GET" || q.method == "HEAD") return p.watch(c);
   if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "beats") return p.beat(c);
+  if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "purges") return p.put_purge(c);
+  if (q.method == "DELETE" && c.path.size() == 3 && c.path[1] == "workers")
+    return p.n.gone(c.path[2]) ? json(200, "{\"known\":true}") : defect(503, "this node cannot record it; try another");
   if (q.method != "PUT") return defect(405, "resources are read by GET and stated by PUT");
   if (c.path.size() == 4 && c.path[1] == "releases") return p.put_release(c);
   if (c.path.size() >= 5 && c.path.size() <= 6 && c.path[1] == "releases") return p.put_act(c);
   if (c.path.size() == 3 && c.path[1] == "services") return p.put_service(c);
+  if (c.path.size() == 3 && c.path[1] == "layouts") return put_order(p.ps, p.n, c);
   if (c.path.size() == 3 && c.path[1] == "purges") return p.put_purge(c);
   if (c.path.size() == 3 && c.path[1] == "artifacts") return p.artifact(c, true);
   if (c.path.size() == 3 && c.path[1] == "holders") return put_holder(p.n, c);
--- /dev/null
+++ b/src/gate/orders.hpp
@@ -0,0 +1,12 @@
+// The numbered layout as a resource: stated whole under a number, the highest holds.
+#pragma once
+#include "gate/control.hpp"
+
+namespace dunlinwing::gate {
+
+// PUT /v1/layouts/NUMBER {"content":{layout},"stated":"what the operator sent"}
+base::Receipt put_order(base::Ports& ps, relay::Node& n, Call& c);
+// GET /v1/layouts/current
+base::Receipt order(relay::Node& n);
+
+}  // namespace dunlinwing::gate
--- a/src/gate/purger.cpp
+++ b/src/gate/purger.cpp
@@ -10,9 +10,9 @@
 constexpr int kMostPurges = 128;
 
 bool covers(const pb::Purge& a, const pb::Purge& b) {
-  if (a.number() < b.number()) return false;
+  if (a.number() < b.number() || (!a.host().empty() && a.host() != b.host())) return false;
   if (a.kind() == "service") return true;
-  if (a.kind() == "prefix" && b.kind() != "service") return b.path().starts_with(a.path());
+  if (a.kind() == "prefix" && (b.kind() == "prefix" || b.kind() == "path")) return b.path().starts_with(a.path());
   return a.kind() == b.kind() && a.path() == b.path();
 }
 }  // namespace
--- a/src/gate/report.cpp
+++ b/src/gate/report.cpp
@@ -49,9 +49,14 @@
   for (auto& [s, x] : t->layout->services)
     p.out += fmt::format("dunlinwing_waiting{{service=\"{}\"}} {}\n", s, n.traffic().shots().load(s).second);
   p.head("shots_total", "counter", "Shots by version and how they ended.");
+  std::map<std::pair<std::string, std::string>, traffic::VersionCount> sums;  // over the routes
   for (auto& [k, v] : n.traffic().shots().counts()) {
-    auto f = t->layout->services.find(k.first);
-    if (f == t->layout->services.end()) continue;
+    auto& x = sums[{k.service, k.version}];
+    x.good += v.good;
+    x.bad += v.bad;
+  }
+  for (auto& [k, v] : sums) {
+    if (!t->layout->services.count(k.first)) continue;
     for (auto& [what, m] : {std::make_pair("good", v.good), std::make_pair("bad", v.bad)})
       p.out += fmt::format("dunlinwing_shots_total{{service=\"{}\",version=\"{}\",end=\"{}\"}} {}\n", k.first, k.second, what, m);
   }
--- a/src/gate/schemas.cpp
+++ b/src/gate/schemas.cpp
@@ -10,15 +10,17 @@
     "service":{"type":"string","minLength":1,"maxLength":64},"version":{"type":"string","minLength":1,"maxLength":64},
     "instance":{"type":"string","minLength":1,"maxLength":64},"zone":{"type":"string","maxLength":64},
     "address":{"type":"string","minLength":3,"maxLength":64},"capacity":{"type":"integer","minimum":1,"maximum":100000},
-    "leaving":{"type":"boolean"},"number":{"type":"integer","minimum":1},
+    "leaving":{"type":"boolean"},"cold_ms":{"type":"integer","minimum":0,"maximum":3600000},"number":{"type":"integer","minimum":1},
     "period_ms":{"type":"integer","minimum":100,"maximum":60000}}})");
   return s;
 }
 const base::Schema& purge_schema() {
   static const base::Schema s(R"({
-  "type":"object","additionalProperties":false,"required":["service","kind"],"properties":{
+  "type":"object","additionalProperties":false,"required":["kind"],"properties":{
     "service":{"type":"string","minLength":1,"maxLength":64},
-    "kind":{"type":"string","enum":["path","prefix","service"]},
+    "kind":{"type":"string","enum":["path","prefix","service","tag"]},
+    "tag":{"type":"string","minLength":1,"maxLength":1024},
+    "host":{"type":"string","maxLength":256},
     "path":{"type":"string","pattern":"^/","maxLength":2048}}})");
   return s;
 }
--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -37,7 +37,8 @@
   Tick said{0};
   std::string said_key;
   std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
-  bool told = false;
+  bool told = false, asked = false;  // asked: somebody waits for the next pull
+  std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
 
   Impl(base::Ports& p, MirrorConfig cc, registry::Book& b, registry::Acceptor* m,
        std::function<void(pb::News&)> o, std::function<void()> s)
@@ -238,6 +239,7 @@
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
       Tick from = p->ps.clock.now();
+      p->asked = false;
       bool ok = p->once();
       bool was = std::exchange(p->told, p->ps.clock.now().count() < p->permit.load());
       if (was && !p->told) lg.warn("{}: the freshness permit has lapsed.", p->c.me);
@@ -245,7 +247,13 @@
       Span spent = p->ps.clock.now() - from;
       Span rest = p->c.pull() - spent;
       if (!ok) rest = std::min(rest, p->c.pull() / 2);
-      p->ps.clock.nap(std::max(rest, Span(p->c.pull() / 25)));
+      Span least = p->c.pull() / 10;  // between pulls, whoever is in a hurry
+      p->ps.clock.nap(least);
+      if (rest > least && !p->asked) {
+        p->rest = p->ps.tasks.spot();
+        p->rest->park(rest - least);
+        p->rest.reset();
+      }
     }
   });
 }
@@ -262,7 +270,13 @@
   auto s = p_->ps.tasks.spot();
   auto now = p_->ps.clock.now();
   p_->waits.emplace_back(now, s);
+  hurry();
   return s->park(limit);
 }
 
+void Mirror::hurry() {
+  p_->asked = true;
+  if (p_->rest) p_->rest->wake();
+}
+
 }  // namespace dunlinwing::members
--- a/src/members/mirror.hpp
+++ b/src/members/mirror.hpp
@@ -38,6 +38,7 @@
   uint64_t incarnation() const;
   // Parks until a pull that began after this call was good, or time is up.
   bool settle(Span limit);
+  void hurry();  // the next pull begins at once, or as soon as the one under way has ended
 
  private:
   struct Impl;
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -17,13 +17,27 @@
     "name":{"type":"string","minLength":1,"maxLength":64},
     "zone":{"type":"string","minLength":1,"maxLength":64},
     "listen":{"type":"object","additionalProperties":false,"required":["callers","control","peers"],"properties":{
-      "callers":{"type":"string"},"control":{"type":"string"},"peers":{"type":"string"}}},
+      "callers":{"type":"string"},"control":{"type":"string"},"peers":{"type":"string"},"readiness":{"type":"string"}}},
     "holders":{"type":"object","minProperties":1,"maxProperties":9,"additionalProperties":{"type":"string"}},
     "seeds":{"type":"array","minItems":1,"maxItems":3,"items":{"type":"string"}},
     "data":{"type":"string","minLength":1},
     "releases":{"type":"string","minLength":1},
     "shield":{"type":"boolean"},
-    "threads":{"type":"integer","minimum":2,"maximum":64},
+    "face":{"type":"string","enum":["own","platform"]},
+    "beat_s":{"type":"number","minimum":0.001,"maximum":3600},
+    "bounds":{"type":"object","additionalProperties":false,"properties":{
+      "layout_s":{"type":"number","minimum":0.5,"maximum":10},
+      "leave_s":{"type":"number","minimum":0.5,"maximum":3600},
+      "purge_s":{"type":"number","minimum":0.5,"maximum":3600},
+      "grace_s":{"type":"number","minimum":0.5,"maximum":3600},
+      "repeat_share":{"type":"number","minimum":0,"maximum":10},
+      "repeat_allowance":{"type":"number","minimum":0,"maximum":1000000},
+      "trial_share":{"type":"number","minimum":0,"maximum":1},
+      "bad_answers":{"type":"number","minimum":0,"maximum":1000000}}},
+    "cache_bytes":{"type":"integer","minimum":0},
+    "memory_mb":{"type":"number","minimum":16},
+    "system":{"type":"object"},
+    "threads":{"type":"integer","minimum":1,"maximum":64},
     "log_level":{"type":"string","enum":["debug","info","warn","error"]},
     "log_bytes":{"type":"integer","minimum":4096,"maximum":268435456},
     "bound_ms":{"type":"integer","minimum":500,"maximum":10000},
@@ -59,6 +73,31 @@
   c.log_level = j.at("log_level").str(c.log_level);
   c.log_bytes = static_cast<size_t>(j.at("log_bytes").num(static_cast<int64_t>(c.log_bytes)));
   n.bound = Span(j.at("bound_ms").num(2000));
+  c.readiness = addr("/listen/readiness", l.at("readiness").str());
+  c.face = j.at("face").str("own");
+  auto span = [](const base::Json& v) { return Span(static_cast<int64_t>(v.real() * 1000)); };
+  c.beat = span(j.at("beat_s"));
+  if (auto b = j.at("bounds"); j.has("bounds")) {
+    // One bound serves all that must be heeded everywhere: the shortest of them.
+    auto shortest = Span::max();
+    for (auto* k : {"layout_s", "leave_s", "purge_s"})
+      if (b.has(k)) shortest = std::min(shortest, span(b.at(k)));
+    if (shortest != Span::max()) n.bound = shortest;
+    c.grace = span(b.at("grace_s"));
+    auto& s = n.system;
+    s.repeat_share = b.at("repeat_share").real(s.repeat_share);
+    s.repeat_allowance = static_cast<int64_t>(b.at("repeat_allowance").real(static_cast<double>(s.repeat_allowance)));
+    s.trial_share_percent = static_cast<int64_t>(b.at("trial_share").real(static_cast<double>(s.trial_share_percent) / 100) * 100);
+    s.bad_answers = static_cast<int64_t>(b.at("bad_answers").real(static_cast<double>(s.bad_answers)));
+  }
+  // Of a machine's memory a quarter may be kept receipts and a quarter bodies under way.
+  c.memory_mb = j.at("memory_mb").real(0);
+  if (c.memory_mb > 0) n.cache_bytes = static_cast<size_t>(c.memory_mb * (1 << 20) / 4);
+  if (j.has("cache_bytes")) n.cache_bytes = static_cast<size_t>(j.at("cache_bytes").num());
+  if (j.has("system")) {
+    for (auto& d : rollout::check_system(j.at("system"))) ds.push_back({"/system" + d.at, d.what});
+    n.system = rollout::read_system(j.at("system"), n.system);
+  }
   n.scale = j.at("hold_scale").real(1);
   bool named = false;
   for (auto& h : n.holders) named |= h.name == n.name;
--- a/src/relay/config.hpp
+++ b/src/relay/config.hpp
@@ -8,9 +8,13 @@
 
 struct Config {
   NodeConfig node;
-  std::string callers, control, data, releases, log_level = "info";
+  std::string callers, control, readiness, data, releases, log_level = "info";
+  std::string face = "own";  // whose words callers, workers and operators are spoken to in
   std::vector<std::string> seeds;
   int threads = 2;
+  Span beat{0};         // how often workers beat, when their calls do not say it
+  Span grace{0};        // from the word to stop until the process must have ended; 0: from the bound
+  double memory_mb = 0;  // of the machine, for this process; 0: not stated
   size_t log_bytes = 4 << 20;
 };
 
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -12,6 +12,8 @@
 #include "disk/slow.hpp"
 #include "disk/store.hpp"
 #include "gate/control.hpp"
+#include "platform/face.hpp"
+#include "platform/gate.hpp"
 #include "relay/config.hpp"
 #include "software/stager.hpp"
 #include "wire/http.hpp"
@@ -75,7 +77,7 @@
   std::unique_ptr<dw::software::Artifacts> artifacts;
   std::unique_ptr<dw::software::Stager> stager;
   std::unique_ptr<dw::gate::Control> control;
-  std::unique_ptr<dw::wire::HttpServer> callers, operators;
+  std::unique_ptr<dw::wire::HttpServer> callers, operators, readiness;
   int next = 0;
   bool ending = false;
 
@@ -84,6 +86,11 @@
   // Carried requests are traffic: they run on a traffic thread, not on control's.
   dw::pb::Reply answer(const dw::pb::Ask& a) {
     if (!a.has_carry()) return node->answer(a);
+    if (pool.size() == 1) {
+      dw::pb::Reply r;
+      *r.mutable_carry() = node->carry(a.carry());
+      return r;
+    }
     auto spot = pool.spot();
     auto out = std::make_shared<dw::pb::Reply>();
     auto done = std::make_shared<std::atomic<bool>>(false);
@@ -102,9 +109,16 @@
     dw::wire::HttpLimits lim;
     lim.body_bytes = 8u << 20;
     callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", lim, [this](auto& q) { return node->serve(q); });
-    operators = std::make_unique<dw::wire::HttpServer>(pool, "control", lim, [this](auto& q) { return control->answer(q); });
+    dw::wire::HttpHandler product = [this](auto& q) { return control->answer(q); };
+    dw::wire::HttpHandler told = product;
+    if (c.face == "platform") told = [this, product](auto& q) { return dw::platform::answer(q, c.beat, product); };
+    operators = std::make_unique<dw::wire::HttpServer>(pool, "control", lim, told);
     if (auto e = operators->listen(c.control, 0, 1)) return e;
-    return callers->listen(c.callers, 1, pool.size());
+    if (!c.readiness.empty()) {
+      readiness = std::make_unique<dw::wire::HttpServer>(pool, "readiness", lim, told);
+      if (auto e = readiness->listen(c.readiness, 0, 1)) return e;
+    }
+    return callers->listen(c.callers, pool.size() > 1 ? 1 : 0, pool.size());
   }
 
   // Without fresh news for a while this node may know only holders long replaced:
@@ -165,7 +179,8 @@
     }
     // The platform asks each second whether this node is ready, so callers go on
     // coming for as long; they are served until it has heard the no.
-    auto end = clock.now() + c.node.bound * 2, heard = clock.now() + c.node.bound * 5 / 8;
+    auto grace = c.grace > 0ms ? c.grace * 4 / 5 : c.node.bound * 2;
+    auto end = clock.now() + grace, heard = clock.now() + (c.grace > 0ms ? c.grace * 9 / 20 : c.node.bound * 5 / 8);
     lg.info("{}: asked to stop; draining.", c.node.name);
     callers->wind_down();
     node->leave();
@@ -207,6 +222,7 @@
     auto s = std::make_unique<dw::disk::Store>(std::move(std::get<0>(f)), c->log_bytes);
     app.disk = std::make_unique<dw::disk::Aside>(std::move(s), app.pool);
   }
+  if (c->face == "platform") c->node.face = dw::platform::face();
   app.node = std::make_unique<dw::relay::Node>(app.ports, c->node, app.disk.get());
   std::string program = argv[0];
   app.software(program.substr(program.rfind('/') + 1));
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -8,6 +8,7 @@
 #include "base/log.hpp"
 #include "members/departed.hpp"
 #include "traffic/jury.hpp"
+#include "traffic/order.hpp"
 
 namespace dunlinwing::relay {
 namespace {
@@ -33,20 +34,29 @@
   std::optional<software::Want> want_soft;
   software::Artifacts* artifacts = nullptr;
   traffic::Jury jury;
+  traffic::Orders orders;
+  Tick swept{0};
   std::atomic<uint64_t> generation{0};
   uint64_t beats_taken = 0, beats_missed = 0;
   std::vector<std::string> unreached;  // at the last look, not more often than each half bound
   Tick reached_at{0};
 
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
-      : ps(p), c(std::move(cc)), holder(disk != nullptr), set(c.holders),
+      : ps(p), c(with_face(std::move(cc))), holder(disk != nullptr), set(c.holders),
         acceptor(disk ? std::make_unique<registry::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
         book(ps, c.name, set, c.bound / 4,
              acceptor ? registry::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : registry::Local()),
         mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
         duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
         conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale}),
-        traffic(ps, c.name, c.zone, [this] { return mirror.fresh(); }) {}
+        traffic(ps, *c.face, c.name, c.zone, [this] { return mirror.fresh(); }) {
+    traffic.bound_cache(c.cache_bytes);
+  }
+
+  static NodeConfig with_face(NodeConfig c) {
+    if (!c.face) c.face = traffic::own_face();
+    return c;
+  }
 
   void own(pb::News& n) {
     Tick now = ps.clock.now();
@@ -115,7 +125,7 @@
     };
     std::string lay = want("layout"), sys = want("system");
     auto l = lay.empty() ? nullptr : layout(lay, why);
-    rollout::System s;
+    rollout::System s = c.system;
     bool ok = lay.empty() || l;
     if (!ok) load_defect = "layout/" + lay + ": " + why;
     auto now_sys = running.find("system");
@@ -127,7 +137,7 @@
       if (ok) {
         auto g = rollout::read_release("system", sys, r->second.data);
         if (auto* x = std::get_if<rollout::Release>(&g))
-          s = rollout::read_system(x->content);
+          s = rollout::read_system(x->content, c.system);
         else
           ok = false;
       }
@@ -190,15 +200,31 @@
         if (auto l = layout(f->second, why)) t->layouts[f->second] = l;
       }
     }
-    if (t->layout) t->layouts[t->layout->name] = t->layout;
     layouts = t->layouts;
+    if (auto& o = orders.look(mirror.chosen()); o.number) {
+      if (o.number > traffic.table()->order) lg.info("{}: layout {} is in force here.", c.name, o.number);
+      t->order = t->generation = o.number;
+      t->layout = o.layout;
+      load_defect = o.layout ? "" : traffic::order_name(o.number) + ": unreadable";
+    }
+    if (t->layout) t->layouts[t->layout->name] = t->layout;
     std::vector<std::string> alive;
-    for (auto& [i, w] : mirror.news().workers(now)) {
-      if (w.gone) continue;
+    auto workers = mirror.news().workers(now);
+    std::map<std::string, Span> youngest;  // beat from each address: its earlier owners have ended
+    for (auto& [i, w] : workers) {
+      auto [f, first] = youngest.emplace(w.beat.address(), w.age);
+      if (!first) f->second = std::min(f->second, w.age);
+    }
+    for (auto& [i, w] : workers) {
       auto& b = w.beat;
+      if (w.gone || w.age > youngest[b.address()]) continue;
       alive.push_back(i);
-      t->workers[b.service()].push_back(
-          {i, b.service(), b.version(), b.zone(), b.address(), static_cast<int>(b.capacity())});
+      t->workers[b.service()].push_back({i, b.service(), b.version(), b.zone(), b.address(), static_cast<int>(b.capacity()),
+                                         now - w.age + Span(b.cold_ms())});
+    }
+    if (now - swept >= c.bound / 2) {
+      swept = now;
+      traffic.sweep();
     }
     for (auto& [k, h] : mirror.chosen()) {
       if (k.starts_with("service/")) t->states[k.substr(8)].ParseFromString(h.data);
@@ -275,16 +301,25 @@
 bool Node::beat(const pb::Beat& b) {
   if (!p_->mirror.fresh() || p_->leaving) return ++p_->beats_missed, false;
   auto& x = p_->beats[b.instance()];
+  // What the fleet has heard of this worker before need not be waited for again.
+  bool same = x.first.number() && x.first.address() == b.address() && x.first.service() == b.service() &&
+              x.first.version() == b.version() && x.first.leaving() == b.leaving();
   if (b.number() >= x.first.number()) {
     bool left = x.first.leaving();
     x = {b, p_->ps.clock.now()};
     if (left) x.first.set_leaving(true);
   }
-  bool known = (!b.leaving() || members::depart(p_->book, b.instance())) && p_->mirror.settle(p_->c.bound / 2);
+  bool known = (!b.leaving() || members::depart(p_->book, b.instance())) && (same || p_->mirror.settle(p_->c.bound / 2));
   ++(known ? p_->beats_taken : p_->beats_missed);
   return known;
 }
 
+bool Node::gone(const std::string& instance) {
+  if (!members::depart(p_->book, instance)) return false;
+  p_->mirror.hurry();
+  return true;
+}
+
 bool Node::ready() const { return p_->ready(); }
 
 void Node::leave() {
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -15,6 +15,9 @@
   bool shield = false;
   Span bound{2000};
   double scale = 1;
+  rollout::System system;       // in force while no system release is
+  size_t cache_bytes = SIZE_MAX;  // of this machine
+  std::shared_ptr<const traffic::Face> face;  // null: the product's own
 };
 
 class Node {
@@ -28,6 +31,8 @@
   pb::CarryReply carry(const pb::Carry& c);
   // Takes a worker's beat; true once a majority of holders has heard of it.
   bool beat(const pb::Beat& b);
+  // Records that a worker has ended; true once that lasts.
+  bool gone(const std::string& instance);
   bool ready() const;
   void leave();  // unready, duties handed over, the session ended; requests are still served
 
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -46,8 +46,8 @@
       if (!y) continue;
       for (auto& [k, s] : (*y)->services) {
         if (!s.rate) continue;
-        auto [f, fresh] = rates.emplace(k, s.rate);
-        f->second = std::min(f->second, s.rate);
+        auto [f, fresh] = rates.emplace(k, static_cast<int64_t>(s.rate));
+        f->second = std::min(f->second, static_cast<int64_t>(s.rate));
       }
     }
     rates_of = key;
--- a/src/rollout/system.cpp
+++ b/src/rollout/system.cpp
@@ -42,8 +42,8 @@
   return from_min < to_min ? m >= from_min && m < to_min : m >= from_min || m < to_min;
 }
 
-System read_system(const base::Json& j) {
-  System s;
+System read_system(const base::Json& j, const System& base) {
+  System s = base;
   s.log_level = j.at("log_level").str(s.log_level);
   auto n = [&](const char* k, int64_t& v) { v = j.at(k).num(v); };
   n("repeat_allowance", s.repeat_allowance);
--- a/src/rollout/system.hpp
+++ b/src/rollout/system.hpp
@@ -12,7 +12,8 @@
 
 struct System {
   std::string log_level = "info";
-  int64_t repeat_allowance = 20;     // repeats beyond a fifth, over the fleet, in ten seconds
+  double repeat_share = 0.2;         // repeats that a request earns
+  int64_t repeat_allowance = 20;     // repeats beyond those, over the fleet, in ten seconds
   int64_t trial_share_percent = 10;  // of a service's requests, for a version on trial
   int64_t bad_answers = 50;          // that quarantine a version on trial
   int64_t promote_requests = 200;    // evidence needed before a version is promoted
@@ -23,7 +24,7 @@
 };
 
 std::vector<base::DocDefect> check_system(const base::Json& j);
-System read_system(const base::Json& j);
+System read_system(const base::Json& j, const System& base = {});  // what the document leaves out is as in `base`
 std::string_view system_schema();
 
 }  // namespace dunlinwing::rollout
--- a/src/traffic/budget.cpp
+++ b/src/traffic/budget.cpp
@@ -10,7 +10,6 @@
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr double kEarned = 0.2;
 constexpr double kMargin = 0.75;    // of the allowance: what arrives is less even than what leaves
 constexpr double kLateMs = 100;     // a turn missed by more is taken anew
 }  // namespace
@@ -21,9 +20,9 @@
   return static_cast<int>(all / n + (rank < all % n));
 }
 
-void Repeats::sent(const std::string& s) {
+void Repeats::sent(const std::string& s, double earns) {
   std::lock_guard l(m_);
-  earned_[s] += kEarned;
+  earned_[s] += earns;
 }
 
 bool Repeats::grant(const std::string& s, int part) {
--- a/src/traffic/budget.hpp
+++ b/src/traffic/budget.hpp
@@ -13,7 +13,7 @@
 
 class Repeats {
  public:
-  void sent(const std::string& service);
+  void sent(const std::string& service, double earns = 0.2);  // of a repeat
   // True, and counted, when one more repeat stays within a fifth of the
   // requests plus `part`, over any time at all.
   bool grant(const std::string& service, int part);
--- a/src/traffic/layout.cpp
+++ b/src/traffic/layout.cpp
@@ -5,9 +5,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <range/v3/algorithm/any_of.hpp>
 #include <range/v3/algorithm/sort.hpp>
 
+#include "base/ports.hpp"
+
 namespace dunlinwing::traffic {
 
 std::string_view layout_schema() {
@@ -15,33 +18,51 @@
   "type":"object","additionalProperties":false,"required":["services","routes"],
   "properties":{
     "services":{"type":"object","minProperties":1,"maxProperties":256,"additionalProperties":{
-      "type":"object","additionalProperties":false,"required":["versions"],
+      "type":"object","additionalProperties":false,
       "properties":{
         "versions":{"type":"array","minItems":1,"maxItems":8,"uniqueItems":true,
                     "items":{"type":"string","minLength":1,"maxLength":64}},
         "deadline_ms":{"type":"integer","minimum":10,"maximum":60000},
         "waitlist":{"type":"integer","minimum":0,"maximum":100000},
         "inflight":{"type":"integer","minimum":1,"maximum":100000},
-        "rate":{"type":"integer","minimum":0,"maximum":1000000},
+        "rate":{"type":"number","minimum":0,"maximum":1000000},
+        "connections":{"type":"integer","minimum":0,"maximum":1000000},
+        "probe":{"type":"string","pattern":"^/","maxLength":1024},
         "safe_repeats":{"type":"boolean"},
         "cache":{"type":"object","additionalProperties":false,"required":["lifetime_s"],
                  "properties":{"lifetime_s":{"type":"integer","minimum":1,"maximum":31536000}}}}}},
-    "routes":{"type":"array","minItems":1,"maxItems":1024,"items":{
-      "type":"object","additionalProperties":false,"required":["prefix","service"],
+    "routes":{"type":"array","minItems":1,"maxItems":4096,"items":{
+      "type":"object","additionalProperties":false,"required":["prefix"],
       "properties":{
+        "name":{"type":"string","maxLength":256},
+        "host":{"type":"string","maxLength":256},
         "prefix":{"type":"string","pattern":"^/","maxLength":1024},
         "service":{"type":"string"},
+        "split":{"type":"array","minItems":1,"maxItems":64,"items":{
+          "type":"object","additionalProperties":false,"required":["service","weight"],"properties":{
+            "service":{"type":"string"},"weight":{"type":"number","minimum":0}}}},
+        "kind":{"type":"string","enum":["safe","unsafe","cacheable"]},
+        "timeout_ms":{"type":"number","minimum":0.001,"maximum":3600000},
+        "aim_ms":{"type":"number","minimum":0,"maximum":3600000},
+        "priority":{"type":"integer","minimum":0,"maximum":1000},
+        "shots":{"type":"integer","minimum":1,"maximum":1000},
+        "keep_ms":{"type":"number","minimum":0,"maximum":31536000000},
         "methods":{"type":"array","minItems":1,"uniqueItems":true,
                    "items":{"type":"string","enum":["GET","HEAD","POST","PUT","PATCH","DELETE","OPTIONS"]}}}}},
     "limits":{"type":"object","additionalProperties":false,"properties":{
-      "body_bytes":{"type":"integer","minimum":0,"maximum":8388608},
+      "body_bytes":{"type":"integer","minimum":0,"maximum":1073741824},
+      "head_bytes":{"type":"integer","minimum":256,"maximum":1048576},
+      "head_ms":{"type":"integer","minimum":1,"maximum":3600000},
+      "idle_ms":{"type":"integer","minimum":1,"maximum":3600000},
       "cache_bytes":{"type":"integer","minimum":0,"maximum":4294967296}}}}})";
 }
 
-const Route* Layout::match(std::string_view method, std::string_view target, bool& other) const {
+const Route* Layout::match(std::string_view method, std::string_view host, std::string_view target, bool& other) const {
   auto path = target.substr(0, target.find('?'));
+  host = host.substr(0, host.rfind(':'));
   other = false;
   for (auto& r : routes) {
+    if (!r.host.empty() && !base::same_word(r.host, host)) continue;
     if (path.substr(0, r.prefix.size()) != r.prefix) continue;
     if (r.methods.empty() || ranges::any_of(r.methods, [&](auto& m) { return m == method; })) {
       other = false;
@@ -56,20 +77,24 @@
   static const base::Schema schema(layout_schema());
   auto defects = schema.check(j);
   auto names_ok = [](const std::string& s) {
-    return !s.empty() && s.size() <= 64 && s.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == s.npos;
+    return !s.empty() && s.size() <= 64 &&
+           s.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == s.npos;
   };
+  auto ms_of = [](const base::Json& v) { return Span(static_cast<int64_t>(std::ceil(v.real()))); };
   auto l = std::make_shared<Layout>();
   l->name = name;
   l->text = j.text();
   for (auto& [k, v] : j.at("services").members()) {
-    if (!names_ok(k)) defects.push_back({"/services/" + k, "a service is named by a-z, 0-9 and -"});
+    if (!names_ok(k)) defects.push_back({"/services/" + k, "a service is named by letters, digits, -, _ and ."});
     Service s;
     s.name = k;
     s.versions = v.at("versions").strs();
     s.deadline = Span(v.at("deadline_ms").num(s.deadline.count()));
     s.waitlist = static_cast<int>(v.at("waitlist").num(s.waitlist));
     s.inflight = static_cast<int>(v.at("inflight").num(s.inflight));
-    s.rate = v.at("rate").num(0);
+    s.rate = v.at("rate").real(0);
+    s.connections = static_cast<int>(v.at("connections").num(0));
+    s.probe = v.at("probe").str();
     s.safe_repeats = v.at("safe_repeats").flag(true);
     s.lifetime_s = v.at("cache").at("lifetime_s").num(0);
     l->services[k] = s;
@@ -77,24 +102,43 @@
   int i = 0;
   std::map<std::string, int> once;
   for (auto& r : j.at("routes").items()) {
-    Route x{r.at("prefix").str(), r.at("service").str(), r.at("methods").strs()};
-    if (!l->services.count(x.service))
-      defects.push_back({fmt::format("/routes/{}/service", i), "names no service of this layout"});
+    Route x;
+    x.name = r.at("name").str();
+    x.host = r.at("host").str();
+    x.prefix = r.at("prefix").str();
+    x.methods = r.at("methods").strs();
+    auto kind = r.at("kind").str();
+    x.kind = kind == "safe" ? Kind::safe : kind == "unsafe" ? Kind::unsafe : kind == "cacheable" ? Kind::cacheable : Kind::by_method;
+    x.timeout = ms_of(r.at("timeout_ms"));
+    x.aim = ms_of(r.at("aim_ms"));
+    x.priority = static_cast<int>(r.at("priority").num(0));
+    x.shots = static_cast<int>(r.at("shots").num(x.shots));
+    x.keep = ms_of(r.at("keep_ms"));
+    auto here = [&](const char* k) { return fmt::format("/routes/{}/{}", i, k); };
+    if (r.has("service") == r.has("split")) defects.push_back({here("service"), "a route names either a service or a split"});
+    if (r.has("service")) x.split = {{r.at("service").str(), 1.0}};
+    for (auto& w : r.at("split").items()) x.split.emplace_back(w.at("service").str(), w.at("weight").real());
+    for (auto& [svc, w] : x.split)
+      if (!l->services.count(svc)) defects.push_back({here("service"), "names no service of this layout"});
     auto ms = x.methods.empty() ? std::vector<std::string>{"*"} : x.methods;
     for (auto& m : ms)
-      if (once[x.prefix + " " + m]++)
-        defects.push_back({fmt::format("/routes/{}/prefix", i), "an earlier route has this prefix and method"});
+      if (once[x.host + " " + x.prefix + " " + m]++) defects.push_back({here("prefix"), "an earlier route has this prefix and method"});
     l->routes.push_back(x);
     ++i;
   }
   for (auto& [k, s] : l->services)
-    if (!ranges::any_of(l->routes, [&](auto& r) { return r.service == k; }))
+    if (!s.versions.empty() && !ranges::any_of(l->routes, [&](auto& r) {
+          return ranges::any_of(r.split, [&](auto& x) { return x.first == k; });
+        }))
       defects.push_back({"/services/" + k, "no route leads to it"});
   if (!defects.empty()) return defects;
   std::stable_sort(l->routes.begin(), l->routes.end(),
                    [](auto& a, auto& b) { return a.prefix.size() > b.prefix.size(); });
   l->body_bytes = j.at("limits").at("body_bytes").num(l->body_bytes);
   l->cache_bytes = j.at("limits").at("cache_bytes").num(l->cache_bytes);
+  l->head_bytes = j.at("limits").at("head_bytes").num(l->head_bytes);
+  l->head_time = Span(j.at("limits").at("head_ms").num(l->head_time.count()));
+  l->idle_time = Span(j.at("limits").at("idle_ms").num(l->idle_time.count()));
   return std::shared_ptr<const Layout>(l);
 }
 
--- a/src/traffic/serve.hpp
+++ b/src/traffic/serve.hpp
@@ -14,7 +14,7 @@
 
 class Traffic {
  public:
-  Traffic(base::Ports& ps, std::string me, std::string zone, std::function<bool()> fresh);
+  Traffic(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh);
   ~Traffic();
   base::Receipt serve(base::Request& q);
   pb::CarryReply carry(const pb::Carry& c);
@@ -29,6 +29,8 @@
   const ServeCounts& counts() const;
   Shots& shots();
   size_t cache_bytes() const;
+  void bound_cache(size_t bytes);  // the machine's own bound, beside the layout's
+  void sweep();                    // drops kept receipts that are past their life
 
  private:
   struct Impl;
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -1,43 +1,41 @@
 // A shot ends in one of four ways: a whole answer by the worker that was
 // meant; nothing was sent; the worker said it did not run it; or nobody can
-// tell. Only safe methods are sent again after the last, and within budget.
+// tell. Only safe requests are sent again after the last, and within budget.
 // A caller is promised "not run" only when no byte of any shot left.
 #include "traffic/shots.hpp"
 
 #include <fmt/format.h>
 
-#include <charconv>
 #include <mutex>
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr int kMostShots = 4;
-constexpr int kWorkPart = 4;  // of its deadline a first shot must still have this part
+constexpr int kMostTries = 8;   // workers looked for, sent to or not
+constexpr int kWorkPart = 4;    // of its deadline a first shot must still have half this part
+constexpr int kConnectPart = 4; // of the time left, for a connection to stand
+constexpr int kSlow = 4;        // times the usual, and an answer counts as slow
+constexpr Span kSlowLeast{40};
+constexpr double kCapPart = 0.85;  // of the connections a worker takes, over all relays
+// How far past its aim an answer may be expected to be while it is still worth its place, by rank.
+constexpr double kPatience[] = {3.0, 2.0, 1.3};
 
-enum class Look { good, answered_badly, not_run, broken };
+Fetched turned_away(std::string why, Span back = Span(0)) {
+  Fetched f{Fate::not_run, {}, {}, std::move(why)};
+  f.back = back;
+  return f;
+}
 
-bool safe(const base::Request& q) { return q.method == "GET" || q.method == "HEAD" || q.method == "OPTIONS"; }
+bool plainly_safe(const std::string& m) { return m == "GET" || m == "HEAD" || m == "OPTIONS"; }
 }  // namespace
 
-void strip(std::vector<std::pair<std::string, std::string>>& hs) {
-  static const char* const hop[] = {"Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
-                                    "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",
-                                    "Expect",     "Content-Length",    "Proxy-Authorization"};
-  std::vector<std::string> named;
-  for (auto& [k, v] : hs)
-    if (base::same_word(k, "Connection"))
-      for (auto& w : base::words(v, ',')) named.push_back(w);
-  std::erase_if(hs, [&](auto& h) {
-    for (auto* n : hop)
-      if (base::same_word(h.first, n)) return true;
-    for (auto& n : named)
-      if (base::same_word(h.first, n)) return true;
-    return h.first.size() > 11 && base::same_word(std::string_view(h.first).substr(0, 11), "Dunlinwing-");
-  });
+bool Work::safe() const {
+  if (route->kind == Kind::by_method) return plainly_safe(q.method) && service->safe_repeats;
+  return route->kind != Kind::unsafe;
 }
 
 struct Shots::Impl {
   base::Ports& ps;
+  const Face& face;
   std::string zone;
   std::function<bool()> fresh;
   std::function<TablePtr()> table;
@@ -47,44 +45,42 @@
   Pace pace;
   Waitlists waits;
   mutable std::mutex m;
-  std::map<std::pair<std::string, std::string>, VersionCount> counts;
+  std::map<CountKey, VersionCount> counts;
   std::map<std::string, uint64_t> asked;
   std::map<std::string, std::pair<uint64_t, uint64_t>> on_trial;  // number, bad answers
   std::atomic<uint64_t> again{0};
 
-  Impl(base::Ports& p, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
-      : ps(p), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.chance),
+  Impl(base::Ports& p, const Face& fa, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
+      : ps(p), face(fa), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.chance),
         pace(p.clock), waits(p) {}
 
-  // Whether what came back is the named worker's own whole answer to this request.
-  Look look(const base::Receipt& r, const Worker& w, const base::Request& q) const {
-    auto is = [&](const char* h, const std::string& v) { return base::header(r.headers, h) == v; };
-    bool this_one = is("Dunlinwing-Request", q.id) && !base::header(r.headers, "Dunlinwing-Instance").empty();
-    if (r.status == 421) return this_one && is("Dunlinwing-Outcome", "not-run") ? Look::not_run : Look::broken;
-    if (!is("Dunlinwing-Service", w.service) || !is("Dunlinwing-Version", w.version) ||
-        !is("Dunlinwing-Instance", w.instance) || !is("Dunlinwing-Request", q.id))
-      return Look::broken;
-    if (r.status == 503 && is("Dunlinwing-Outcome", "not-run")) return Look::not_run;
-    auto d = base::header(r.headers, "Content-Digest");
-    if (auto i = d.find("sha-256=:"); i != d.npos && q.method != "HEAD") {
-      auto e = d.find(':', i + 9);
-      if (e == d.npos || d.substr(i + 9, e - i - 9) != base::sha256_base64(r.body)) return Look::broken;
-    }
-    return r.status >= 500 ? Look::answered_badly : Look::good;
-  }
-
-  void count(const Worker& w, bool good) {
+  void count(const Work& w, const Worker& to, bool good, Span took) {
     auto t = table();
-    auto st = t->states.find(w.service);
+    auto st = t->states.find(to.service);
+    auto usual = places.usual(to.service);
+    bool slow = good && usual > Span(0) && took > std::max(usual * kSlow, kSlowLeast);
     std::lock_guard l(m);
-    auto& c = counts[{w.service, w.version}];
+    auto& c = counts[{to.service, to.version, w.route->name}];
     (good ? c.good : c.bad)++;
-    if (st == t->states.end() || st->second.trial() != w.version) return;
-    auto& x = on_trial[w.service];
+    c.slow += slow;
+    c.took_ms += static_cast<uint64_t>(took.count());
+    if (st == t->states.end() || st->second.trial() != to.version) return;
+    auto& x = on_trial[to.service];
     if (x.first != st->second.trial_number()) x = {st->second.trial_number(), 0};
     x.second += !good;
   }
 
+  // How long until it makes sense to come back, when the wait at the best place found is not worth it.
+  std::optional<Span> too_full(const Work& w, const Choice& c) const {
+    if (w.route->aim <= Span(0)) return {};
+    Span one = c.expected - c.wait;
+    auto rank = static_cast<size_t>(std::min<int>(w.route->priority, std::size(kPatience) - 1));
+    Span most = std::max(Span(static_cast<int64_t>(static_cast<double>(w.route->aim.count()) * kPatience[rank])) - one, one);
+    Span left = w.deadline - ps.clock.now();
+    if (c.wait <= most && c.wait + one < left) return {};
+    return std::max(c.wait - most, Span(0)) + one / 2;
+  }
+
   double share(const std::string& service) {
     auto t = table();
     auto f = t->shares.find(service);
@@ -103,7 +99,7 @@
     }
   }
 
-  std::optional<Worker> pick(const Work& w, const std::vector<std::string>& tried, bool probe = false) {
+  std::optional<Choice> pick(const Work& w, const std::vector<std::string>& tried, bool probe = false) {
     auto t = table();  // the latest: a worker that left since is not chosen
     auto f = t->workers.find(w.service->name);
     if (f == t->workers.end()) return {};
@@ -116,8 +112,9 @@
   }
 };
 
-Shots::Shots(base::Ports& ps, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table)
-    : p_(new Impl(ps, std::move(zone), std::move(fresh), std::move(table))) {}
+Shots::Shots(base::Ports& ps, const Face& face, std::string zone, std::function<bool()> fresh,
+             std::function<TablePtr()> table)
+    : p_(new Impl(ps, face, std::move(zone), std::move(fresh), std::move(table))) {}
 Shots::~Shots() = default;
 
 bool Shots::repeat_allowed(const Work& w) {
@@ -132,13 +129,13 @@
   for (int i = 0; i < 2; ++i) {
     auto to = p_->pick(w, tried, true);
     if (!to) return false;
-    if (p_->ps.origin.reach(to->address, limit)) return true;
-    tried.push_back(to->instance);
+    if (p_->ps.origin.reach(to->worker.address, limit)) return true;
+    tried.push_back(to->worker.instance);
   }
   return false;
 }
 
-void Shots::sent(const std::string& s) { p_->repeats.sent(s); }
+void Shots::sent(const std::string& s) { p_->repeats.sent(s, p_->table()->system.repeat_share); }
 
 std::map<std::string, uint64_t> Shots::asked() const {
   std::lock_guard l(p_->m);
@@ -154,94 +151,103 @@
   }
   auto& clock = p.ps.clock;
   switch (p.waits.enter(s.name, s.inflight, s.waitlist, w.start_by())) {
-    case Entry::full: return {Fate::not_run, {}, {}, "the waitlist is full", false, p.waits.drained_in(s.name)};
-    case Entry::too_late: return {Fate::not_run, {}, {}, "its deadline cannot be met", false, p.waits.drained_in(s.name)};
+    case Entry::full: return turned_away("the waitlist is full", p.waits.drained_in(s.name));
+    case Entry::too_late: return turned_away("its deadline cannot be met", p.waits.drained_in(s.name));
     case Entry::in: break;
   }
-  Tick began = clock.now();
   struct Out {
     Impl& p;
     const std::string& s;
     Tick from;
     ~Out() { p.waits.leave(s, p.ps.clock.now() - from); }
-  } out{p, s.name, began};
+  } out{p, s.name, clock.now()};
 
   std::vector<std::string> tried;
-  Fetched last{Fate::not_run, {}, {}, "no worker of an allowed version is known"};
-  bool left = false;  // some byte of some shot may have reached a worker
+  Fetched last = turned_away("no worker of an allowed version is known");
+  bool left = false, doubt = false;  // as in Fetched
+  auto fail = [&](std::string why) {
+    last = turned_away(std::move(why), p.places.usual(s.name));
+    if (doubt) last.fate = Fate::unknown;
+  };
   bool must_pay = w.again;
-  for (int i = 0; i < kMostShots; ++i) {
+  int shots = 0;
+  for (int i = 0; i < kMostTries && shots < w.route->shots; ++i) {
     if (must_pay && !repeat_allowed(w)) {
-      if (i == 0) last = {Fate::not_run, {}, {}, "the repeat budget is used up"};
+      if (i == 0) last = turned_away("the repeat budget is used up");
       break;
     }
     if (s.rate > 0) {
       if (auto late = p.await_turn(w)) {
-        if (!left) last = {Fate::not_run, {}, {}, "the origin's rate is used up", false, *late};
+        if (!left) last = turned_away("the origin's rate is used up", *late);
         break;
       }
     }
-    if (overtaken(*p.table(), w.relay, w.generation)) return {Fate::overtaken, {}, {}, "a newer layout is in force", left};
-    auto to = p.pick(w, tried);
-    if (!to) break;
-    tried.push_back(to->instance);
+    if (overtaken(*p.table(), w.relay, w.generation)) {
+      last = {Fate::overtaken, {}, {}, "a newer layout is in force"};
+      break;
+    }
+    auto c = p.pick(w, tried);
+    if (!c) break;
+    if (!left && i == 0)
+      if (auto late = p.too_full(w, *c)) return turned_away("its aim is out of reach here", *late);
+    auto& to = c->worker;
+    tried.push_back(to.instance);
     base::Request q = w.q;
-    strip(q.headers);
-    q.headers.emplace_back("Via", "1.1 dunlinwing");
-    q.headers.emplace_back("Dunlinwing-Request", q.id);
-    q.headers.emplace_back("Dunlinwing-Service", to->service);
-    q.headers.emplace_back("Dunlinwing-Version", to->version);
-    q.headers.emplace_back("Dunlinwing-Instance", to->instance);
-    q.headers.emplace_back("Dunlinwing-Relay", w.relay);
-    q.headers.emplace_back("Dunlinwing-Generation", std::to_string(w.generation));
     Span limit = w.deadline - clock.now();
-    if (limit <= (left ? Span(0) : s.deadline / (2 * kWorkPart))) {
+    p.face.dress(q, {to, w.relay, w.generation, limit});
+    if (limit <= (left ? Span(0) : w.span() / (2 * kWorkPart))) {
       if (!left) last.why = "its deadline has passed";
       break;
     }
     if (!p.fresh()) {
-      if (!left) last = {Fate::not_run, {}, {}, "this node's news is too old"};
+      if (!left) last = turned_away("this node's news is too old");
       break;
     }
-    p.places.began(*to);
-    auto r = p.ps.origin.shoot(to->address, q, limit);
+    base::ShotRules rules(limit);
+    rules.connect = limit / kConnectPart;
+    rules.safe = w.safe();
+    rules.mine = [&](const base::Receipt& r) { return p.face.mine(r, q.id); };
+    if (s.connections > 0)
+      rules.most = std::max(1, static_cast<int>(kCapPart * s.connections / std::max(p.table()->nodes, 1)));
+    p.places.began(to);
+    Tick from = clock.now();
+    auto r = p.ps.origin.shoot(to.address, q, rules);
+    Span took = clock.now() - from;
     auto* a = std::get_if<base::Receipt>(&r);
-    Look l = a ? p.look(*a, *to, q) : Look::broken;
+    Look l = a ? p.face.look(*a, to, q) : Look::broken;
     auto* d = std::get_if<base::ShotDefect>(&r);
     bool unsent = d && *d == base::ShotDefect::unsent;
-    if (!must_pay && !unsent) p.repeats.sent(s.name);
     if (d && *d == base::ShotDefect::not_run) l = Look::not_run;
-    std::optional<int> load;
-    if (a && l != Look::broken) {
-      auto h = base::header(a->headers, "Dunlinwing-Load");
-      int n = 0;
-      if (std::from_chars(h.data(), h.data() + h.size(), n).ec == std::errc()) load = n;
-    }
-    p.places.ended(*to, l == Look::good || l == Look::not_run, load);
-    if (a && a->status == 421) p.places.elsewhere(*to);
-    if (!unsent && l != Look::not_run) p.count(*to, l == Look::good);
+    bool declined = l == Look::not_run || l == Look::elsewhere;
+    if (!must_pay && !unsent) sent(s.name);
+    p.places.ended(to, {l == Look::good || declined, unsent,
+                        a && l != Look::broken ? p.face.load(*a) : std::nullopt, l == Look::good ? took : Span(0)});
+    if (l == Look::elsewhere) p.places.elsewhere(to);
+    if (!unsent && !declined) p.count(w, to, l == Look::good, took);
     left |= !unsent;
-    if (l == Look::good || (l == Look::answered_badly && (!safe(q) || i + 1 == kMostShots)))
-      return {Fate::answered, std::move(*a), to->version, {}};
+    doubt |= !unsent && !declined;
+    shots += !unsent;
+    if (l == Look::good || (l == Look::answered_badly && (!w.safe() || shots >= w.route->shots)))
+      return {Fate::answered, std::move(*a), to.version, {}};
     if (unsent) {
-      last = {left ? Fate::unknown : Fate::not_run, {}, {}, "no worker could be reached"};
+      fail("no worker could be reached");
       continue;  // nothing was sent, so this was no send and the next is no repeat
     }
-    if (l == Look::answered_badly) {
-      last = {Fate::answered, std::move(*a), to->version, {}};
-    } else if (l == Look::not_run) {
-      last = {Fate::unknown, {}, {}, "a worker said that it did not run it, and no other took it"};
-    } else {
-      last = {Fate::unknown, {}, {}, a ? "the answer was not the worker's own whole answer" : "no whole answer came"};
-      if (!safe(q)) return last;
-    }
-    if (!s.safe_repeats && l != Look::not_run) break;
+    if (l == Look::answered_badly)
+      last = {Fate::answered, std::move(*a), to.version, {}};
+    else if (declined)
+      fail("a worker said that it did not run it, and no other took it");
+    else
+      fail(a ? "the answer was not the worker's own whole answer" : "no whole answer came");
+    if (!w.safe() && !declined) break;
     must_pay = true;
   }
+  last.left = left;
+  last.doubt = doubt;
   return last;
 }
 
-std::map<std::pair<std::string, std::string>, VersionCount> Shots::counts() const {
+std::map<CountKey, VersionCount> Shots::counts() const {
   std::lock_guard l(p_->m);
   return p_->counts;
 }
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -14,12 +14,16 @@
   TablePtr table;
   std::shared_ptr<const Layout> layout;
   const Service* service = nullptr;
+  const Route* route = nullptr;
   base::Request q;
-  Tick deadline{0};
-  Tick start_by() const { return deadline - service->deadline / 2; }  // no first shot after it: told early, not late
+  std::string host;  // part of a receipt's name when the route is bound to a host
+  Tick arrived{0}, deadline{0};
   std::string relay;        // where it entered, and the assignment there
   uint64_t generation = 0;
   bool again = false;  // a repeat of something already sent: needs the budget
+  Span span() const { return deadline - arrived; }
+  Tick start_by() const { return deadline - span() / 2; }  // no first shot after it: told early, not late
+  bool safe() const;  // may run more than once
 };
 
 // `overtaken`: a newer layout came in force before this shot could be made; the
@@ -30,23 +34,30 @@
   Fate fate = Fate::not_run;
   base::Receipt receipt;
   std::string version, why;
-  bool left = false;  // some byte of some shot may have reached a worker
+  bool left = false;   // some byte of some shot may have reached a worker
+  bool doubt = false;  // and not every worker that got one said that it did not run it
   Span back{0};       // when it makes sense to come back, when turned away
 };
 
 struct VersionCount {
   uint64_t good = 0, bad = 0;
+  uint64_t slow = 0, took_ms = 0;  // good answers far beyond the usual time; over all answers
+};
+
+struct CountKey {
+  std::string service, version, route;
+  auto operator<=>(const CountKey&) const = default;
 };
 
 class Shots {
  public:
-  Shots(base::Ports& ps, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
+  Shots(base::Ports& ps, const Face& face, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
   ~Shots();
   Fetched run(const Work& w);
   bool reaches(const Work& w, Span limit);  // whether some worker would take a connection
   bool repeat_allowed(const Work& w);
   void sent(const std::string& service);  // a first send that earns repeats
-  std::map<std::pair<std::string, std::string>, VersionCount> counts() const;
+  std::map<CountKey, VersionCount> counts() const;
   // Bad answers of each version on trial: by service, the trial's number and the count.
   std::map<std::string, std::pair<uint64_t, uint64_t>> trials() const;
   std::map<std::string, uint64_t> asked() const;  // of services with a stated rate
@@ -60,7 +71,4 @@
   std::unique_ptr<Impl> p_;
 };
 
-// Headers that belong to one connection only, or to us, taken out.
-void strip(std::vector<std::pair<std::string, std::string>>& hs);
-
 }  // namespace dunlinwing::traffic
--- a/src/traffic/table.cpp
+++ b/src/traffic/table.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "base/ports.hpp"
+
 namespace dunlinwing::traffic {
 
 Versions versions(const Service& s, const pb::ServiceState* st) {
@@ -28,26 +30,46 @@
 }
 
 bool overtaken(const Table& t, const std::string& relay, uint64_t generation) {
+  if (t.order) return t.order > generation;
   auto f = t.assigned.find(relay);
   return f != t.assigned.end() && f->second > generation;
 }
 
-uint64_t purge_number(const Table& t, const std::string& service) {
-  auto f = t.purges.find(service);
-  return f == t.purges.end() ? 0 : f->second.number();
+namespace {
+const pb::PurgeSet* find(const Table& t, const std::string& key) {
+  auto f = t.purges.find(key);
+  return f == t.purges.end() ? nullptr : &f->second;
 }
 
-bool purged(const Table& t, const std::string& service, std::string_view target, uint64_t since) {
-  auto f = t.purges.find(service);
-  if (f == t.purges.end()) return false;
-  auto path = target.substr(0, target.find('?'));
-  for (auto& p : f->second.purges()) {
+bool hit(const pb::PurgeSet& s, const Named& n, uint64_t since) {
+  if (s.number() <= since) return false;
+  auto path = n.target.substr(0, n.target.find('?'));
+  for (auto& p : s.purges()) {
     if (p.number() <= since) continue;
     if (p.kind() == "service") return true;
+    if (!p.host().empty() && !base::same_word(p.host(), n.host)) continue;
     if (p.kind() == "prefix" && path.substr(0, p.path().size()) == p.path()) return true;
-    if (p.kind() == "path" && (path == p.path() || target == p.path())) return true;
+    if (p.kind() == "path" && (path == p.path() || n.target == p.path())) return true;
+    if (p.kind() == "tag" && n.tags && std::find(n.tags->begin(), n.tags->end(), p.path()) != n.tags->end()) return true;
   }
   return false;
 }
+}  // namespace
+
+uint64_t purge_number(const Table& t, const std::string& service) {
+  auto* s = find(t, service);
+  auto* all = find(t, kAllServices);
+  return (s ? s->number() : 0) | (all ? all->number() << 32 : 0);  // two counts that only rise
+}
+
+uint64_t purge_least(uint64_t a, uint64_t b) {
+  return std::min(a & 0xffffffff, b & 0xffffffff) | (std::min(a >> 32, b >> 32) << 32);
+}
+
+bool purged(const Table& t, const Named& n, uint64_t since) {
+  auto* s = find(t, std::string(n.service));
+  auto* all = find(t, kAllServices);
+  return (s && hit(*s, n, since & 0xffffffff)) || (all && hit(*all, n, since >> 32));
+}
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -13,6 +13,7 @@
 struct Worker {
   std::string instance, service, version, zone, address;
   int capacity = 1;
+  Tick cold_until{0};  // it has just started and is slow until then
 };
 
 struct Shield {
@@ -21,6 +22,7 @@
 
 struct Table {
   uint64_t generation = 0;                                       // that runs here
+  uint64_t order = 0;                                            // the numbered layout in force; 0: layouts come as releases
   std::map<std::string, uint64_t> assigned;                      // by node: the latest generation written for it
   std::shared_ptr<const Layout> layout;                          // this node's own; null: none yet
   std::map<std::string, std::shared_ptr<const Layout>> layouts;  // by release name, for carried requests
@@ -47,7 +49,14 @@
 // by a newer assignment of that relay.
 bool overtaken(const Table& t, const std::string& relay, uint64_t generation);
 
+inline constexpr const char* kAllServices = "*";  // purges that name no service
 uint64_t purge_number(const Table& t, const std::string& service);
-bool purged(const Table& t, const std::string& service, std::string_view target, uint64_t since);
+uint64_t purge_least(uint64_t a, uint64_t b);  // what both know
+// What of a receipt a purge may name.
+struct Named {
+  std::string_view service, host, target;
+  const std::vector<std::string>* tags = nullptr;
+};
+bool purged(const Table& t, const Named& n, uint64_t since);
 
 }  // namespace dunlinwing::traffic
