--- /dev/null
+++ b/src/wire/http_server.hpp
@@ -0,0 +1,41 @@
+// An HTTP/1.1 server that hands whole requests to a function, one fiber a
+// connection. Its limits may be changed while it runs.
+#pragma once
+#include "wire/loop.hpp"
+
+namespace dunlinwing::wire {
+
+struct HttpLimits {
+  size_t head_bytes = 16 << 10;
+  size_t body_bytes = 1 << 20;
+  size_t bodies = 256u << 20;  // of all requests' bodies that this process holds at once
+  size_t most = 0;             // open connections; 0: no bound
+  Span idle{60000};            // until a request begins
+  Span read{10000};            // from a head's first byte to its last
+  Span body{30000};            // from a head's end to its body's
+  Span write{10000};           // without an answer's bytes moving
+  bool tell_idle = false;      // name the idle time in Keep-Alive
+};
+
+using HttpHandler = std::function<base::Receipt(base::Request&)>;
+
+class HttpServer {
+ public:
+  HttpServer(Pool& pool, std::string name, HttpLimits l, HttpHandler h);
+  ~HttpServer();
+  // Connections are spread over threads [from, to).
+  std::optional<std::string> listen(const std::string& addr, int from, int to);
+  void limits(HttpLimits l);  // from any thread; binds from each connection's next step
+  void wind_down();           // from now on each answer is its connection's last
+  void close_idle();          // ends connections on which no byte of a request was read
+  void close();               // takes no new connections; live ones end after their present answer
+  int running() const;        // requests now in a handler
+  int open() const;           // connections
+
+  struct Impl;
+
+ private:
+  std::shared_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::wire
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -1,8 +1,11 @@
 // The scheduler is a plain ready-list. Only the dispatcher fiber ever runs
-// handlers, so a handler can never try to wake the fiber that runs it. Fibers
-// sleep and meet across threads through the io_context alone.
+// handlers and alarms, so neither can try to wake the fiber that runs it.
+// Fibers meet across threads through the io_context alone; on one thread a wake
+// is a mere push. The reactor is asked when no fiber is ready, and once in a
+// number of rounds when some always is: each asking is a system call.
 #include "wire/loop.hpp"
 
+#include <sys/mman.h>
 #include <sys/random.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -12,10 +15,10 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <new>
 #include <random>
 #include <thread>
 
@@ -51,28 +54,116 @@
 
 thread_local asio::io_context* tls_io = nullptr;
 
+constexpr int kRoundsUnasked = 32;
+
 class RealSpot final : public base::Spot, public std::enable_shared_from_this<RealSpot> {
  public:
-  explicit RealSpot(asio::io_context& io) : io_(io), t_(io) {}
+  explicit RealSpot(asio::io_context& io) : io_(io) {}
   bool park(Span s) override {
-    if (!woken_) {
-      t_.expires_after(std::max(s, Span(0)));
-      await<>([&](auto h) { t_.async_wait(std::move(h)); });
+    if (woken_) {
+      boost::this_fiber::yield();  // one that is always woken must not keep the others out
+    } else if (s > Span(0)) {
+      auto* me = parked_ = bf::context::active();
+      Alarm a;
+      a.set(std::chrono::steady_clock::now() + s, [this] { go(); });
+      while (parked_) me->suspend();
     }
     return std::exchange(woken_, false);
   }
   void wake() override {
-    asio::post(io_, [me = shared_from_this()] {
-      me->woken_ = true;
-      me->t_.cancel();
-    });
+    if (tls_io == &io_) return here();
+    asio::post(io_, [me = shared_from_this()] { me->here(); });
   }
 
  private:
+  void here() {
+    woken_ = true;
+    go();
+  }
+  void go() {
+    if (auto* p = std::exchange(parked_, nullptr)) bf::context::active()->schedule(p);
+  }
   asio::io_context& io_;
-  asio::steady_timer t_;
   bool woken_ = false;
+  bf::context* parked_ = nullptr;
+};
+}  // namespace
+
+struct Alarms {
+  std::multimap<Alarm::At, Alarm*> all;
+  static Alarms& mine() {
+    thread_local Alarms a;
+    return a;
+  }
+  bool ring(Alarm::At now) {
+    bool any = false;
+    for (; !all.empty() && all.begin()->first <= now; any = true) {
+      auto* a = all.begin()->second;
+      auto f = std::move(a->f_);
+      a->clear();
+      f();
+    }
+    return any;
+  }
+};
+
+void Alarm::set(At at, std::function<void()> f) {
+  clear();
+  f_ = std::move(f);
+  it_ = Alarms::mine().all.emplace(at, this);
+  on_ = true;
+}
+
+void Alarm::clear() {
+  if (std::exchange(on_, false)) Alarms::mine().all.erase(it_);
+}
+
+namespace {
+// Fibers' stacks: mapped with a page below that faults, and used again, so a
+// new connection maps nothing.
+class Stacks {
+ public:
+  typedef boost::context::stack_traits traits_type;
+  boost::context::stack_context allocate() {
+    auto& v = spare();
+    void* at;
+    if (!v.empty()) {
+      at = v.back();
+      v.pop_back();
+    } else {
+      at = ::mmap(nullptr, kSize + kGuard, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
+      if (at == MAP_FAILED) throw std::bad_alloc();
+      ::mprotect(at, kGuard, PROT_NONE);
+    }
+    boost::context::stack_context c;
+    c.size = kSize;
+    c.sp = static_cast<char*>(at) + kGuard + kSize;
+    return c;
+  }
+  void deallocate(boost::context::stack_context& c) noexcept {
+    void* at = static_cast<char*>(c.sp) - kSize - kGuard;
+    auto& v = spare();
+    if (v.size() < kMostSpare)
+      v.push_back(at);
+    else
+      ::munmap(at, kSize + kGuard);
+  }
+
+ private:
+  static constexpr size_t kSize = 128 << 10, kGuard = 4096, kMostSpare = 256;
+  static std::vector<void*>& spare() {
+    thread_local auto* v = [] {
+      auto* s = new std::vector<void*>;
+      s->reserve(kMostSpare);
+      return s;
+    }();
+    return *v;
+  }
 };
+
+void launch(std::function<void()> f) {
+  bf::fiber(bf::launch::post, std::allocator_arg, Stacks(), std::move(f)).detach();
+}
 }  // namespace
 
 void run_fibers(std::function<void()> idle, std::function<void()> poll, std::function<void()> first) {
@@ -104,8 +195,25 @@
 void body(asio::io_context& io, const std::function<void()>& first) {
   tls_io = &io;
   auto guard = asio::make_work_guard(io);
-  run_fibers([&] { io.run_one(); }, [&] { io.poll(); }, [&] {
-    if (first) bf::fiber(bf::launch::post, first).detach();
+  auto& alarms = Alarms::mine();
+  int rounds = 0;
+  auto idle = [&] {
+    rounds = 0;
+    if (alarms.all.empty()) {
+      io.run_one();
+      return;
+    }
+    if (alarms.ring(std::chrono::steady_clock::now())) return;
+    if (!io.run_one_until(alarms.all.begin()->first)) alarms.ring(std::chrono::steady_clock::now());
+  };
+  auto poll = [&] {
+    if (++rounds < kRoundsUnasked) return;
+    rounds = 0;
+    io.poll();
+    alarms.ring(std::chrono::steady_clock::now());
+  };
+  run_fibers(idle, poll, [&] {
+    if (first) launch(first);
     for (;;) bf::context::active()->suspend();
   });
 }
@@ -114,17 +222,20 @@
 void Pool::run(std::function<void()> first) {
   for (int i = 1; i < size(); ++i) p_->ts.emplace_back([this, i] { body(io(i), {}); });
   body(io(0), first);
+  stop(0);  // never reached: its main fiber is parked
 }
 
 void Pool::stop(int code) { ::_exit(code); }
 
 void Pool::spawn_on(int i, std::function<void()> f) {
-  asio::post(io(i), [f = std::move(f)]() mutable { bf::fiber(bf::launch::post, std::move(f)).detach(); });
+  if (tls_io == &io(i)) return launch(std::move(f));
+  asio::post(io(i), [f = std::move(f)]() mutable { launch(std::move(f)); });
 }
 
-void Pool::spawn(std::function<void()> f) { bf::fiber(bf::launch::post, std::move(f)).detach(); }
+void Pool::spawn(std::function<void()> f) { launch(std::move(f)); }
 
-std::shared_ptr<base::Spot> Pool::spot() { return std::make_shared<RealSpot>(*tls_io); }
+std::shared_ptr<base::Spot> make_spot() { return std::make_shared<RealSpot>(*tls_io); }
+std::shared_ptr<base::Spot> Pool::spot() { return make_spot(); }
 
 Tick RealClock::now() {
   timespec t{};
@@ -139,8 +250,14 @@
 }
 
 void RealClock::nap(Span s) {
-  asio::steady_timer t(Pool::here(), s);
-  await<>([&](auto h) { t.async_wait(std::move(h)); });
+  auto* me = bf::context::active();
+  bool up = false;
+  Alarm a;
+  a.set(std::chrono::steady_clock::now() + s, [&] {
+    up = true;
+    bf::context::active()->schedule(me);
+  });
+  while (!up) me->suspend();
 }
 
 uint64_t RealChance::draw() {
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -1,7 +1,8 @@
 // The glue between Boost.Fiber and Asio: each pool thread has one io_context
 // and one fiber scheduler. When no fiber is ready the thread sleeps in the
-// io_context; a handler that completes makes its fiber ready again. `await`
-// turns any asynchronous operation into a call that parks the fiber.
+// io_context until the earliest alarm; a handler that completes makes its fiber
+// ready again. `await` turns any asynchronous operation into a call that parks
+// the fiber.
 #pragma once
 #include <boost/asio/io_context.hpp>
 #include <boost/fiber/context.hpp>
@@ -31,9 +32,30 @@
   return std::move(*out);
 }
 
+// Runs something once, on this thread and between fibers, at a given time. It
+// costs no system call: the loop looks for the earliest before it sleeps.
+class Alarm {
+ public:
+  using At = std::chrono::steady_clock::time_point;
+  Alarm() = default;
+  Alarm(const Alarm&) = delete;
+  Alarm& operator=(const Alarm&) = delete;
+  ~Alarm() { clear(); }
+  void set(At at, std::function<void()> f);  // `f` must not park
+  void clear();
+
+ private:
+  friend struct Alarms;
+  bool on_ = false;
+  std::multimap<At, Alarm*>::iterator it_;
+  std::function<void()> f_;
+};
+
 // Whether a kept connection is still whole: open, and nothing came unasked.
 bool still_idle(int fd);
 
+std::shared_ptr<base::Spot> make_spot();  // of the calling thread
+
 // A pool of threads. Thread 0 carries control, the others carry traffic.
 class Pool final : public base::Tasks {
  public:
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -1,62 +1,77 @@
 // Frames, the pool of idle connections, and the server's loop. A connection
-// whose ask did not end well is closed, so no reply can meet another's ask.
+// whose ask did not end well is closed, so no reply can meet another's ask. A
+// silent one is dropped: by the server after a while, by us well before.
 #include "wire/peer.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <charconv>
 
 #include "base/log.hpp"
+#include "wire/line.hpp"
 
 namespace dunlinwing::wire {
 namespace asio = boost::asio;
-namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 
 namespace {
 constexpr base::Log lg("peer");
 constexpr uint32_t kMostFrame = 32u << 20;
 constexpr size_t kMostIdle = 8;
+constexpr std::chrono::seconds kServerIdle(30);  // without a byte from the peer
+constexpr std::chrono::seconds kKept(20);        // well before the other side drops it
+constexpr std::chrono::seconds kPruneEvery(5);
+constexpr std::chrono::seconds kReplyMoves(5);
+constexpr size_t kFrameRoom = 64 << 10;
 
-struct Line {
-  beast::tcp_stream s;
-  explicit Line(asio::io_context& io) : s(io) {}
+using At = std::chrono::steady_clock::time_point;
+struct Spare {
+  std::shared_ptr<Line> l;
+  At since;
 };
+thread_local std::map<std::string, std::vector<Spare>> idle;
 
-thread_local std::map<std::string, std::vector<std::unique_ptr<Line>>> idle;
+At now() { return std::chrono::steady_clock::now(); }
 
-Ec write_frame(beast::tcp_stream& s, const google::protobuf::MessageLite& m) {
+Ec write_frame(Line& l, const google::protobuf::MessageLite& m) {
   std::string b(4, '\0');
   m.AppendToString(&b);
   auto n = static_cast<uint32_t>(b.size() - 4);
   for (int i = 0; i < 4; ++i) b[i] = static_cast<char>(n >> (24 - 8 * i));
-  auto [ec, k] = await<size_t>([&](auto h) { asio::async_write(s, asio::buffer(b), std::move(h)); });
-  return ec;
+  return l.send(b);
 }
 
 template <class M>
-Ec read_frame(beast::tcp_stream& s, M& m) {
-  unsigned char l[4];
-  auto [ec, k] = await<size_t>([&](auto h) { asio::async_read(s, asio::buffer(l), std::move(h)); });
-  if (ec) return ec;
-  uint32_t n = uint32_t(l[0]) << 24 | uint32_t(l[1]) << 16 | uint32_t(l[2]) << 8 | l[3];
-  if (n > kMostFrame) return make_error_code(boost::system::errc::message_size);
-  std::string b(n, '\0');
-  auto [e2, k2] = await<size_t>([&](auto h) { asio::async_read(s, asio::buffer(b), std::move(h)); });
-  if (e2) return e2;
-  return m.ParseFromString(b) ? Ec() : make_error_code(boost::system::errc::bad_message);
+Ec read_frame(Line& l, M& m, const std::function<void()>& moved = {}) {
+  for (size_t need = 4;;) {
+    auto g = l.got();
+    if (g.size() >= 4) {
+      auto b = reinterpret_cast<const unsigned char*>(g.data());
+      uint32_t n = uint32_t(b[0]) << 24 | uint32_t(b[1]) << 16 | uint32_t(b[2]) << 8 | b[3];
+      if (n > kMostFrame) return make_error_code(boost::system::errc::message_size);
+      need = 4 + size_t(n);
+    }
+    if (g.size() >= need) {
+      bool ok = m.ParseFromArray(g.data() + 4, static_cast<int>(need - 4));
+      l.use(need);
+      return ok ? Ec() : make_error_code(boost::system::errc::bad_message);
+    }
+    if (auto ec = l.fill(std::clamp(need - g.size(), Line::kRoom, kFrameRoom))) return ec;
+    if (moved) moved();
+  }
 }
 
-void talk(beast::tcp_stream s, const PeerHandler& h) {
+void talk(const std::shared_ptr<Line>& l, const PeerHandler& h) {
+  Alarm silent;
+  auto in = [&](std::chrono::seconds s) { silent.set(now() + s, [&] { l->stop(); }); };
   for (;;) {
     pb::Ask a;
-    s.expires_never();
-    if (read_frame(s, a)) return;
+    in(kServerIdle);
+    if (read_frame(*l, a, [&] { in(kServerIdle); })) return;
+    silent.clear();
     auto r = h(a);
-    s.expires_after(std::chrono::seconds(5));
-    if (write_frame(s, r)) return;
+    in(kReplyMoves);
+    if (write_frame(*l, r)) return;
   }
 }
 }  // namespace
@@ -72,35 +87,59 @@
   return a;
 }
 
-std::variant<pb::Reply, base::NetDefect> PeerNet::ask(const std::string& addr, const pb::Ask& a, Span limit) {
-  auto& spare = idle[addr];
-  std::unique_ptr<Line> l;
-  while (!l && !spare.empty()) {
-    l = std::move(spare.back());
-    spare.pop_back();
-    if (!still_idle(l->s.socket().native_handle())) l.reset();
+namespace {
+void prune(At t) {
+  thread_local At last{};
+  if (t - last < kPruneEvery) return;
+  last = t;
+  for (auto it = idle.begin(); it != idle.end();) {
+    std::erase_if(it->second, [&](Spare& s) {
+      bool bad = t - s.since >= kKept || !s.l->quiet();
+      if (bad) s.l->close();
+      return bad;
+    });
+    it = it->second.empty() ? idle.erase(it) : std::next(it);
   }
-  auto end = std::chrono::steady_clock::now() + limit;
-  if (!l) {
-    auto at = split_address(addr);
-    if (!at) return base::NetDefect::unreachable;
-    l = std::make_unique<Line>(Pool::here());
-    l->s.expires_at(end);
-    auto [ec] = await<>(
-        [&](auto h) { l->s.async_connect(tcp::endpoint(asio::ip::make_address(at->ip), at->port), std::move(h)); });
-    if (ec) return base::NetDefect::unreachable;
-    l->s.socket().set_option(tcp::no_delay(true), ec);
+}
+}  // namespace
+
+std::variant<pb::Reply, base::NetDefect> PeerNet::ask(const std::string& addr, const pb::Ask& a, Span limit) {
+  auto t = now();
+  prune(t);
+  auto end = t + limit;
+  std::shared_ptr<Line> l;
+  if (auto f = idle.find(addr); f != idle.end()) {
+    for (auto& v = f->second; !l && !v.empty();) {
+      if (t - v.back().since < kKept && v.back().l->still()) l = std::move(v.back().l);
+      else v.back().l->close();
+      v.pop_back();
+    }
+    if (f->second.empty()) idle.erase(f);
   }
-  l->s.expires_at(end);
-  if (auto ec = write_frame(l->s, a); ec) return base::NetDefect::broken;
+  if (!l) l = Line::to(addr, end).first;
+  if (!l) return base::NetDefect::unreachable;
+  Alarm late;
+  late.set(end, [&l] { l->stop(); });
   pb::Reply r;
-  if (auto ec = read_frame(l->s, r); ec)
-    return ec == beast::error::timeout ? base::NetDefect::timed_out
+  auto ec = write_frame(*l, a);
+  bool sent = !ec;
+  if (sent) ec = read_frame(*l, r);
+  late.clear();
+  if (ec || !l->got().empty()) {
+    bool timed = l->stopped();
+    l->close();
+    if (!ec) return base::NetDefect::garbled;
+    return sent && timed ? base::NetDefect::timed_out
            : ec == boost::system::errc::bad_message ? base::NetDefect::garbled
                                                     : base::NetDefect::broken;
-  l->s.expires_never();
-  auto& back = idle[addr];
-  if (back.size() < kMostIdle) back.push_back(std::move(l));
+  }
+  l->arm();
+  auto& v = idle[addr];
+  v.push_back({std::move(l), now()});
+  if (v.size() > kMostIdle) {
+    v.front().l->close();
+    v.erase(v.begin());
+  }
   return r;
 }
 
@@ -124,9 +163,11 @@
         RealClock().nap(Span(50));
         continue;
       }
-      s.set_option(tcp::no_delay(true), ec);
-      auto st = std::make_shared<beast::tcp_stream>(std::move(s));
-      pool.spawn([st, h] { talk(std::move(*st), h); });
+      settle(s);
+      pool.spawn([l = std::make_shared<Line>(std::move(s)), h] {
+        talk(l, h);
+        l->close();
+      });
     }
   });
   return {};
--- /dev/null
+++ b/test/wire_origin.cpp
@@ -0,0 +1,184 @@
+// Shots at a stand-in worker that cuts, babbles, is late, full or leaving.
+#include "wire_cases.hpp"
+
+namespace dunlinwing::test {
+namespace {
+using base::ShotDefect;
+using Shot = std::variant<base::Receipt, ShotDefect>;
+
+std::string ok(const std::string& body, const std::string& more = "") {
+  return fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}", more, body.size(), body);
+}
+base::Request get(const std::string& m = "GET") { return {"", m, "/", "", {}}; }
+base::ShotRules rules(bool safe = true) {
+  base::ShotRules r(10s);
+  r.safe = safe;
+  return r;
+}
+bool unknown(const Shot& s) {
+  auto* d = std::get_if<ShotDefect>(&s);
+  return d && *d == ShotDefect::unknown;
+}
+std::string body(const Shot& s) {
+  auto* a = std::get_if<base::Receipt>(&s);
+  return a ? a->body : "a defect";
+}
+
+void stale() {
+  auto mine = [](const std::string& b) { return [b](const base::Receipt& r) { return r.body == b; }; };
+  StandIn w([](int, int n, auto&) {
+    return n == 0 ? ok("0") : n == 1 ? ok("old") + ok("older") + ok("1") : n == 2 ? ok("a") + ok("b") + ok("c") + ok("2") : ok("not");
+  });
+  wire::HttpOrigin o(1 << 20);
+  auto r = rules();
+  r.mine = mine("0");
+  same(body(o.shoot(w.addr(), get(), r)), "0", "the first");
+  r.mine = mine("1");
+  same(body(o.shoot(w.addr(), get(), r)), "1", "after two late answers");
+  same(w.conns, 1, "connections");
+  r.mine = mine("2");
+  expect(unknown(o.shoot(w.addr(), get(), r)), "three answers were skipped");
+  r.mine = mine("3");
+  expect(unknown(o.shoot(w.addr(), get(), r)), "a fresh connection's first answer was skipped");
+  same(w.conns, 2, "connections");
+  same(o.held(w.addr()), 0, "connections held after bad ends");
+}
+
+void leftovers() {
+  StandIn w([](int, int n, auto&) { return n % 2 ? ok("x") : ok("good") + ok("nobody asked"); });
+  wire::HttpOrigin o(1 << 20);
+  same(body(o.shoot(w.addr(), get(), rules())), "good", "a whole answer with more behind it");
+  same(body(o.shoot(w.addr(), get(), rules())), "x", "the next");
+  same(w.conns, 2, "connections");
+  StandIn late([](int, int, auto&) { return ok("good"); });
+  same(body(o.shoot(late.addr(), get(), rules())), "good", "an answer");
+}
+
+void strange() {
+  for (std::string a : {std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n"), ok(std::string(2000, 'x')),
+                        std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcut"), std::string("reset"),
+                        std::string("cut"), std::string("garbage garbage\r\n\r\n"),
+                        std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+                        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")}) {
+    StandIn w([a](int, int, auto&) { return a; });
+    wire::HttpOrigin o(1000);
+    expect(unknown(o.shoot(w.addr(), get(), rules())), "taken for a whole answer: " + a.substr(0, 60));
+    same(o.held(w.addr()), 0, "connections held");
+  }
+  StandIn w([](int, int n, auto&) {
+    if (n == 0) return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok("zip", "Content-Encoding: gzip\r\n");
+    if (n == 1) return std::string("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
+    if (n == 2) return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    if (n == 3) return std::string("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n");
+    return ok("last", "Connection: close\r\n");
+  });
+  wire::HttpOrigin o(1000);
+  auto a = std::get<base::Receipt>(o.shoot(w.addr(), get(), rules()));
+  same(a.body, "zip", "an answer after an interim one");
+  same(base::header(a.headers, "Content-Encoding"), "gzip", "its encoding");
+  same(body(o.shoot(w.addr(), get("HEAD"), rules())), "", "an answer to HEAD");
+  same(body(o.shoot(w.addr(), get(), rules())), "abc", "a chunked answer");
+  same(body(o.shoot(w.addr(), get(), rules())), "", "a 304");
+  same(body(o.shoot(w.addr(), get(), rules())), "last", "the last answer");
+  same(w.conns, 1, "connections");
+  same(o.held(w.addr()), 0, "connections held after Connection: close");
+}
+
+void written() {
+  std::string head;
+  StandIn w([&](int, int, auto& h) {
+    head = h;
+    return ok("");
+  });
+  wire::HttpOrigin o(1000);
+  o.shoot(w.addr(), {"", "POST", "/p?q=1", "", {{"Host", "given"}, {"X-A", "b"}, {"content-length", "7"}}}, rules());
+  same(head, "POST /p?q=1 HTTP/1.1\r\nHost: given\r\nX-A: b\r\nContent-Length: 0\r\n\r\n", "what was written");
+  o.shoot(w.addr(), get("PURGE"), rules());
+  same(head, "PURGE / HTTP/1.1\r\nHost: " + w.addr() + "\r\n\r\n", "what was written");
+}
+
+void ages() {
+  StandIn w([](int, int n, auto&) { return ok("", n == 0 ? "Keep-Alive: timeout=0\r\n" : "Keep-Alive: max=9, timeout=1\r\n"); });
+  wire::HttpOrigin o(1000);
+  wire::RealClock c;
+  o.shoot(w.addr(), get(), rules());
+  o.shoot(w.addr(), get(), rules(false));
+  same(w.conns, 2, "connections after one that was not to be kept");
+  o.shoot(w.addr(), get(), rules(false));
+  same(w.conns, 2, "connections while it is fresh");
+  c.nap(340ms);
+  o.shoot(w.addr(), get(), rules(false));
+  same(w.conns, 3, "connections once it is not fresh for what may run only once");
+  o.shoot(w.addr(), get(), rules(true));
+  same(w.conns, 3, "connections for what may run twice");
+  c.nap(710ms);
+  o.shoot(w.addr(), get(), rules(true));
+  same(w.conns, 4, "connections once they are old");
+  until([&] { return w.open == 1; }, "old connections are closed");
+}
+
+void noticed() {
+  StandIn w([](int, int, auto&) { return ok("") + "cut"; });
+  wire::HttpOrigin o(1000);
+  o.shoot(w.addr(), get(), rules());
+  until([&] { return o.idle() == 0 && o.held(w.addr()) == 0; }, "the end of an idle connection is noticed");
+}
+
+void capped() {
+  auto spot = pool().spot();
+  int inside = 0;
+  StandIn w([&](int, int n, auto&) {
+    if (n == 0) {
+      ++inside;
+      spot->park(10s);
+    }
+    return ok(std::to_string(n));
+  });
+  wire::HttpOrigin o(1000);
+  auto r = rules();
+  r.most = 1;
+  std::string first, second;
+  pool().spawn([&] { first = body(o.shoot(w.addr(), get(), r)); });
+  until([&] { return inside == 1; }, "the first is there");
+  auto quick = r;
+  quick.connect = 20ms;
+  auto s = o.shoot(w.addr(), get(), quick);
+  expect(std::get_if<ShotDefect>(&s) && std::get<ShotDefect>(s) == ShotDefect::unsent, "more connections than allowed");
+  pool().spawn([&] { second = body(o.shoot(w.addr(), get(), r)); });
+  spot->wake();
+  until([&] { return !second.empty(); }, "the second follows");
+  same(first + second, "01", "answers");
+  same(w.conns, 1, "connections");
+  same(o.held(w.addr()), 1, "connections held");
+  auto done = std::make_shared<std::atomic<int>>(0);
+  for (int i : {1, 2})
+    pool().spawn_on(i, [&o, r, a = w.addr(), done] {
+      if (std::holds_alternative<base::Receipt>(o.shoot(a, get(), r))) ++*done;
+    });
+  until([&] { return *done == 2; }, "other threads have their turn");
+  expect(o.held(w.addr()) <= 1, "more connections than allowed");
+}
+
+void bounded() {
+  wire::HttpOrigin o(1000, 2);
+  StandIn a([](int, int, auto&) { return ok(""); }), b([](int, int, auto&) { return ok(""); }),
+      c([](int, int, auto&) { return ok(""); });
+  for (auto* w : {&a, &b, &c}) o.shoot(w->addr(), get(), rules());
+  same(o.idle(), 2, "idle connections");
+  same(o.held(a.addr()), 0, "connections to the one longest idle");
+  until([&] { return a.open == 0; }, "it is closed");
+}
+}  // namespace
+
+std::vector<Case> origin_cases() {
+  return {{"origin: late answers are skipped, on used connections only", stale},
+          {"origin: bytes behind an answer cost the connection", leftovers},
+          {"origin: what is not one whole answer is unknown", strange},
+          {"origin: a request is written as given", written},
+          {"origin: kept connections age", ages},
+          {"origin: an idle connection's end is noticed", noticed},
+          {"origin: an address is held no more often than allowed", capped},
+          {"origin: idle connections are bounded in all", bounded}};
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/wire_server.cpp
@@ -0,0 +1,217 @@
+// The server met by raw connections: framing, bounds, budgets and its end.
+#include <thread>
+
+#include "wire_cases.hpp"
+
+namespace dunlinwing::test {
+namespace {
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+wire::HttpHandler echo() {
+  return [](base::Request& q) -> base::Receipt {
+    if (q.target == "/none") return {204, {}, "left out"};
+    if (q.target == "/same") return {304, {{"ETag", "\"1\""}}, "left out"};
+    if (q.target == "/odd") return {200, {{"Connection", "close"}, {"Content-Length", "99"}}, "odd"};
+    return {200, {{"X", "y"}}, q.method + " " + q.target + " " + q.body};
+  };
+}
+
+// A server on an address of its own, on threads [from, to) of the pool.
+struct Served {
+  wire::HttpServer s;
+  std::string addr;
+  explicit Served(wire::HttpLimits l, wire::HttpHandler h = echo(), int from = 0, int to = 1)
+      : s(pool(), "test", l, std::move(h)) {
+    for (int port = 24100 + static_cast<int>(::getpid() % 500) * 16;; ++port) {
+      addr = fmt::format("127.0.0.1:{}", port);
+      if (!s.listen(addr, from, to)) break;
+    }
+  }
+  ~Served() {
+    s.close();
+    s.close_idle();
+    until([this] { return s.open() == 0; }, "all connections end");
+  }
+};
+
+void answers() {
+  for (int to : {1, 3}) {
+    Served v({}, echo(), 0, to);
+    Raw r(v.addr);
+    same(r.ask(kGet, "GET /a "), "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 7\r\n\r\nGET /a ", "an answer");
+    same(r.ask("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
+         "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 8\r\n\r\n", "an answer to HEAD");
+    same(r.ask("GET /none HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 204 No Content\r\n\r\n", "a 204");
+    same(r.ask("GET /same HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
+         "HTTP/1.1 304 Not Modified\r\nETag: \"1\"\r\n\r\n", "a 304");
+    same(r.ask("GET /odd HTTP/1.1\r\nHost: h\r\n\r\n", "odd"), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd",
+         "framing by the handler");
+    auto c = r.ask("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n3;x=y\r\n wo\r\n0\r\n\r\n",
+                   "hello wo");
+    expect(c.find("Content-Length: 16\r\n") != c.npos, "a chunked request: " + c);
+    same(r.ask("POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", "\r\n\r\n"),
+         "HTTP/1.1 100 Continue\r\n\r\n", "the go-ahead");
+    r.ask("ok", "POST /e ok");
+    r.send(kGet + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n" + "POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nz");
+    r.read("GET /a ");
+    r.read("GET /b ");
+    r.read("POST /d z");
+    std::string big(300000, 'b');
+    r.ask("POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + big, "POST /big " + big);
+    auto o = r.ask("GET /a HTTP/1.0\r\n\r\n");
+    expect(r.ended && o.find("Connection: close") != o.npos, "HTTP/1.0 was kept open: " + o);
+    Raw k(v.addr);
+    o = k.ask("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", "GET /a ");
+    expect(o.find("Connection: keep-alive") != o.npos, "HTTP/1.0 asked to be kept: " + o);
+  }
+}
+
+void framing() {
+  Served v({});
+  for (std::string q : {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+                        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
+                        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "GET x HTTP/1.1\r\nHost: h\r\n\r\n",
+                        "nonsense\r\n\r\n", "GET / HTTP/1.1\r\nHo st: h\r\n\r\n"}) {
+    Raw r(v.addr);
+    auto a = r.ask(q + kGet);
+    expect(a.starts_with("HTTP/1.1 400") && r.ended && a.find("HTTP/1.1 ", 1) == a.npos, q + " was answered " + a);
+  }
+}
+
+void bounds() {
+  wire::HttpLimits l;
+  l.head_bytes = 500;
+  l.body_bytes = 1000;
+  Served v(l);
+  auto status = [&](const std::string& q) {
+    Raw r(v.addr);
+    auto a = r.ask(q);
+    expect(r.ended && a.find("Connection: close") != a.npos, "its connection was to end: " + a);
+    return a.substr(9, 3);
+  };
+  same(status("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n"), "431", "a long head");
+  same(status("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x')), "431", "a long head without an end");
+  same(status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x')), "413", "a long body");
+  same(status("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x')), "413",
+       "a long body in chunks");
+  Raw r(v.addr);
+  r.ask("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x'), "xxx");
+  l.head_bytes = 2000;
+  v.s.limits(l);
+  Raw after(v.addr);
+  after.ask("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n", "GET / ");
+}
+
+void slow() {
+  wire::HttpLimits l;
+  l.idle = 200ms;
+  l.read = l.body = l.write = 200ms;
+  Served v(l);
+  Raw idle(v.addr), head(v.addr), body(v.addr), kept(v.addr);
+  kept.ask(kGet, "GET /a ");
+  head.send("GET / HT");
+  body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx");
+  expect(head.read().starts_with("HTTP/1.1 408"), "a head that stopped was not told so");
+  expect(body.read().starts_with("HTTP/1.1 408"),
+         "a body that stopped was not told so");
+  same(idle.read(), "", "an idle connection's last words");
+  same(kept.read(), "", "a kept connection's last words");
+}
+
+void budget() {
+  wire::HttpLimits l;
+  l.bodies = 1500;
+  Served v(l);
+  Raw a(v.addr);
+  a.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+  std::string q = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 501\r\n\r\n" + std::string(501, 'x'), s;
+  until([&] {
+    Raw b(v.addr);
+    b.send(q);
+    s = b.read("\r\n\r\n");
+    return s.starts_with("HTTP/1.1 503");
+  }, "a body beyond the budget is turned away");
+  expect(s.find("Connection: close") != s.npos, "its connection was to end: " + s);
+  Raw c(v.addr);
+  s = c.ask("POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1f5\r\n" + std::string(501, 'x'), "\r\n\r\n");
+  expect(s.starts_with("HTTP/1.1 503"), "a chunked body beyond the budget: " + s);
+  a.ask(std::string(1000, 'y'), "yyy");
+  Raw d(v.addr);
+  expect(d.ask(q, "POST /2 x").starts_with("HTTP/1.1 200"), "the budget was not given back");
+}
+
+void ends() {
+  Served v({});
+  Raw a(v.addr), b(v.addr), fresh(v.addr), half(v.addr);
+  a.ask(kGet, "GET /a ");
+  b.ask(kGet, "GET /a ");
+  half.send("GET /a HTTP/1.1\r\n");
+  until([&] { return v.s.open() == 4; }, "four connections");
+  wire::RealClock().nap(5ms);  // for the half head to be read
+  v.s.wind_down();
+  auto last = a.ask(kGet);
+  expect(a.ended && last.find("Connection: close") != last.npos, "not the last answer: " + last);
+  v.s.close_idle();
+  same(b.read(), "", "what an idle connection was told");
+  same(fresh.read(), "", "what a fresh connection was told");
+  auto h = half.ask("Host: h\r\n\r\n");
+  expect(h.starts_with("HTTP/1.1 200"), "a begun request was cut off");
+}
+
+void crowded() {
+  wire::HttpLimits l;
+  l.most = 2;
+  Served v(l);
+  Raw a(v.addr);
+  a.ask(kGet, "GET /a ");
+  Raw b(v.addr);
+  b.ask(kGet, "GET /a ");
+  wire::RealClock().nap(2ms);
+  b.ask(kGet, "GET /a ");
+  Raw c(v.addr);
+  c.ask(kGet, "GET /a ");
+  same(a.read(), "", "the longest idle one");
+  b.ask(kGet, "GET /a ");
+  expect(v.s.open() <= 2, "more connections than allowed");
+}
+
+void unread() {
+  wire::HttpLimits l;
+  l.write = 200ms;
+  Served v(l, [](base::Request&) -> base::Receipt { return {200, {}, std::string(64 << 20, 'x')}; });
+  Raw a(v.addr);
+  a.send(kGet);
+  until([&] { return v.s.running() == 1; }, "it runs");
+  until([&] { return v.s.open() == 0 && v.s.running() == 0; }, "an answer nobody reads is given up");
+}
+
+void lone_thread() {
+  auto* one = new wire::Pool(1);
+  auto* srv = new wire::HttpServer(*one, "one", {}, echo());
+  std::atomic<bool> up{false};
+  std::string addr = fmt::format("127.0.0.1:{}", 33000 + ::getpid() % 20000);
+  std::thread([&] {
+    one->run([&] {
+      expect(!srv->listen(addr, 0, 1), "cannot listen");
+      up = true;
+    });
+  }).detach();
+  until([&] { return up.load(); }, "the lone thread runs");
+  Raw r(addr);
+  for (int i = 0; i < 50; ++i) r.ask(kGet, "GET /a ");
+}
+}  // namespace
+
+std::vector<Case> server_cases() {
+  return {{"server: answers are framed as they must be, whatever the thread", answers},
+          {"server: what could be read in two ways is turned away", framing},
+          {"server: heads and bodies are bounded, and the bounds may change", bounds},
+          {"server: what is slow is told so, what is idle just ends", slow},
+          {"server: all bodies together are bounded", budget},
+          {"server: winding down ends idle connections and finishes begun ones", ends},
+          {"server: beyond its bound the longest idle connection goes", crowded},
+          {"server: an answer nobody reads is given up", unread},
+          {"server: one thread is enough", lone_thread}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/wire_test.cpp
+++ b/test/wire_test.cpp
@@ -6,15 +6,19 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 
-#include "expect.hpp"
-#include "wire/http.hpp"
 #include "wire/peer.hpp"
+#include "wire_cases.hpp"
 
 using namespace dunlinwing;
 using namespace std::chrono_literals;
 
+dunlinwing::wire::Pool& dunlinwing::test::pool() {
+  static wire::Pool p(3);
+  return p;
+}
+
 namespace {
-wire::Pool pool(3);
+wire::Pool& pool = test::pool();
 wire::RealClock clk;
 
 // Takes connections and never says anything.
@@ -123,15 +127,16 @@
 }
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  std::string only = argc > 1 ? argv[1] : "";
   std::signal(SIGPIPE, SIG_IGN);
-  pool.run([] {
-    int rc = test::run_all({{"wire: spots wake across threads and keep their deadlines", spots},
-                            {"wire: a busy fiber does not starve timers", fairness},
-                            {"wire: what never answers is given up in time, truthfully", silent},
-                            {"wire: a connection closed behind our back is not used", closed_behind},
-                            {"wire: only whole answers are answers", not_whole}},
-                           "");
-    wire::Pool::stop(rc);
+  pool.run([only] {
+    std::vector<test::Case> all = {{"wire: spots wake across threads and keep their deadlines", spots},
+                                   {"wire: a busy fiber does not starve timers", fairness},
+                                   {"wire: what never answers is given up in time, truthfully", silent},
+                                   {"wire: a connection closed behind our back is not used", closed_behind},
+                                   {"wire: only whole answers are answers", not_whole}};
+    for (auto& more : {test::server_cases(), test::origin_cases()}) all.insert(all.end(), more.begin(), more.end());
+    wire::Pool::stop(test::run_all(all, only));
   });
 }
