--- a/src/wire/http_origin.cpp
+++ b/src/wire/http_origin.cpp
@@ -55,15 +55,25 @@
   return {};
 }
 
+template <class M>
+void take_head(const M& m, Answer& a) {
+  a.r.status = static_cast<int>(m.result_int());
+  a.keep = m.keep_alive();
+  a.r.headers.reserve(std::distance(m.begin(), m.end()));
+  for (auto& f : m) a.r.headers.emplace_back(std::string(f.name_string()), std::string(f.value()));
+  if (auto f = m.find(http::field::keep_alive); f != m.end()) a.stated = stated(std::string_view(f->value()));
+}
+
 // The next whole answer on the line; none when it was cut, garbled or of no known length.
 std::optional<Answer> read_answer(Line& l, bool head, size_t most) {
   for (int interim = 0; interim <= kMostInterim; ++interim) {
     Parser par;
+    Answer a;
     par.header_limit(kMostHead);
     par.body_limit(most);
     if (head) par.skip(true);
     for (bool headed = false; !par.is_done();) {
-      if (l.got().empty() && l.fill(headed ? kBodyRoom : Line::kRoom)) return {};
+      if (l.got().empty() && l.fill(headed ? kBodyRoom : kAnswerRoom)) return {};
       while (!par.is_done() && !l.got().empty()) {
         par.eager(headed);
         Ec ec;
@@ -74,22 +84,16 @@
           headed = true;
           // A body that runs until the connection closes cannot be told from one cut short.
           if (!par.is_done() && par.need_eof()) return {};
+          take_head(par.get(), a);  // before any trailer
         }
         if (ec && l.got().size() == before) {
-          if (l.fill(headed ? kBodyRoom : Line::kRoom)) return {};
+          if (l.fill(headed ? kBodyRoom : kAnswerRoom)) return {};
         }
       }
     }
-    auto& m = par.get();
-    int status = static_cast<int>(m.result_int());
-    if (status == 101) return {};
-    if (status / 100 == 1) continue;
-    Answer a;
-    a.r.status = status;
-    a.keep = m.keep_alive();
-    for (auto& f : m) a.r.headers.emplace_back(std::string(f.name_string()), std::string(f.value()));
-    if (auto f = m.find(http::field::keep_alive); f != m.end()) a.stated = stated(std::string_view(f->value()));
-    a.r.body = std::move(m.body());
+    if (a.r.status == 101) return {};
+    if (a.r.status / 100 == 1) continue;
+    a.r.body = std::move(par.get().body());
     return a;
   }
   return {};
@@ -121,8 +125,7 @@
   Alarm late;
   late.set(end, [&l] { l.stop(); });
   auto head = head_of(q, addr);
-  std::string_view parts[] = {head, q.body};
-  if (l.send(parts)) return ShotDefect::unknown;  // some bytes may have left
+  if (l.send(head, q.body)) return l.sent() ? ShotDefect::unknown : ShotDefect::unsent;
   bool bare = q.method == "HEAD";
   for (int i = 0; i <= kMostSkipped; ++i) {
     auto a = read_answer(l, bare, most_);
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -60,6 +60,14 @@
   return {};
 }
 
+template <class M>
+void take_head(const M& m, base::Request& q) {
+  q.method = std::string(m.method_string());
+  q.target = std::string(m.target());
+  q.headers.reserve(std::distance(m.begin(), m.end()) + 8);
+  for (auto& f : m) q.headers.emplace_back(std::string(f.name_string()), std::string(f.value()));
+}
+
 bool ours(std::string_view k) {
   for (auto* n : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"})
     if (base::same_word(k, n)) return true;
@@ -144,7 +152,7 @@
   });
 }
 
-// The one idle for longest; a connection's place in the list is by its last answer.
+// Ends the one that is idle for longest.
 bool HttpServer::Impl::evict(Lane& lane) {
   Talk* old = nullptr;
   for (auto* t : lane.all)
@@ -170,7 +178,8 @@
                  : t->step == Step::write  ? l->write
                  : t->step == Step::linger ? kLinger
                                            : Span::max();
-    if (t0 - t->since < bound || t->l->stopped()) continue;
+    bool reads = t->step != Step::write;
+    if (t0 - t->since < bound || t->l->stopped() || (reads && !t->l->waits())) continue;  // what came counts
     t->slow = t->step == Step::head || t->step == Step::body;
     t->l->stop();
   }
@@ -239,8 +248,7 @@
   out += "\r\n";
   t.step = Step::write;
   t.since = now();
-  std::string_view parts[] = {out, head || bare || same ? std::string_view() : std::string_view(a.body)};
-  return !t.l->send(parts, [&t] { t.since = now(); });
+  return !t.l->send(out, head || bare || same ? std::string_view() : a.body, [&t] { t.since = now(); });
 }
 
 // One request and its answer; false when the connection is to end.
@@ -253,6 +261,7 @@
   auto at = lim.load();
   par.header_limit(static_cast<uint32_t>(std::min<size_t>(at->head_bytes, UINT32_MAX)));
   par.body_limit(at->body_bytes);
+  base::Request q;
   Held held;
   bool headed = false;
   for (;;) {
@@ -278,7 +287,8 @@
         auto len = par.content_length();
         if (len && *len > at->body_bytes) return refuse(t, 413, "body limit exceeded");
         if (len && !held.grow_to(*len, at->bodies)) return refuse(t, 503, "too many bodies at once");
-        if (!par.is_done() && l.got().empty() && par.get().version() >= 11 &&
+        take_head(par.get(), q);  // before any trailer
+        if (!par.is_done() && par.get().version() >= 11 &&
             base::same_word(std::string_view(par.get()[http::field::expect]), "100-continue") &&
             l.send("HTTP/1.1 100 Continue\r\n\r\n"))
           return false;
@@ -296,13 +306,6 @@
     }
   }
   auto m = par.release();
-  base::Request q;
-  q.method = std::string(m.method_string());
-  q.target = std::string(m.target());
-  size_t n = 0;
-  for (auto f = m.begin(); f != m.end(); ++f) ++n;
-  q.headers.reserve(n + 8);
-  for (auto& f : m) q.headers.emplace_back(std::string(f.name_string()), std::string(f.value()));
   q.body = std::move(m.body());
   t.step = Step::work;
   ++running;
--- a/src/wire/kept.cpp
+++ b/src/wire/kept.cpp
@@ -120,7 +120,7 @@
 
 void Kept::back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Span> stated) {
   auto t = now();
-  l->arm();
+  l->arm(kAnswerRoom);
   l->when_woken([k = weak_from_this(), addr, raw = l.get()] {
     if (auto me = k.lock()) me->lost(addr, raw);
   });
--- a/src/wire/kept.hpp
+++ b/src/wire/kept.hpp
@@ -8,6 +8,8 @@
 
 namespace dunlinwing::wire {
 
+constexpr size_t kAnswerRoom = 8 << 10;  // most answers fit in one read
+
 class Kept : public std::enable_shared_from_this<Kept> {
  public:
   using At = std::chrono::steady_clock::time_point;
--- a/src/wire/line.cpp
+++ b/src/wire/line.cpp
@@ -5,7 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <boost/asio/write.hpp>
+#include <array>
 #include <cerrno>
 
 #include "wire/peer.hpp"
@@ -17,8 +17,7 @@
 namespace {
 // A peer behind a cut that acknowledges nothing is given up after this.
 constexpr int kUserTimeoutMs = 5000;
-constexpr size_t kMostParts = 8;
-constexpr size_t kSpareBuffer = 4 * Line::kRoom;  // a larger buffer is given back once it is empty
+constexpr size_t kSpareBuffer = 16 << 10;  // a larger buffer is given back once it is empty
 }  // namespace
 
 std::pair<std::shared_ptr<Line>, Ec> Line::to(const std::string& addr, std::chrono::steady_clock::time_point end) {
@@ -49,7 +48,7 @@
   if (reading_) return;
   if (from_ == to_) {
     from_ = to_ = 0;
-    if (buf_.size() > kSpareBuffer && room <= kRoom) std::string().swap(buf_);
+    if (buf_.size() > std::max(kSpareBuffer, 2 * room)) std::string().swap(buf_);
   }
   if (buf_.size() < to_ + room) {
     buf_.erase(0, from_);
@@ -84,40 +83,25 @@
   return ec_;
 }
 
-Ec Line::send(std::span<const std::string_view> parts, const std::function<void()>& moved) {
+Ec Line::send(std::string_view a, std::string_view b, const std::function<void()>& moved) {
+  sent_ = 0;
   if (stop_) return asio::error::operation_aborted;
-  iovec v[kMostParts];
-  size_t n = 0, left = 0;
-  for (auto& p : parts.first(std::min(parts.size(), kMostParts))) {
-    if (p.empty()) continue;
-    v[n++] = {const_cast<char*>(p.data()), p.size()};
-    left += p.size();
+  iovec v[2] = {{const_cast<char*>(a.data()), a.size()}, {const_cast<char*>(b.data()), b.size()}};
+  msghdr m{};
+  m.msg_iov = v;
+  m.msg_iovlen = b.empty() ? 1 : 2;
+  ssize_t k;
+  while ((k = ::sendmsg(s_.native_handle(), &m, MSG_NOSIGNAL | MSG_DONTWAIT)) < 0 && errno == EINTR) {
   }
-  for (iovec* at = v; left;) {
-    msghdr m{};
-    m.msg_iov = at;
-    m.msg_iovlen = n;
-    ssize_t k = ::sendmsg(s_.native_handle(), &m, MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (k < 0 && errno == EINTR) continue;
-    if (k < 0 && errno != EAGAIN && errno != EWOULDBLOCK) return Ec(errno, boost::system::system_category());
-    if (k < 0) {
-      auto [ec] = await<>([&](auto h) { s_.async_wait(Socket::wait_write, std::move(h)); });
-      if (ec) return ec;
-      if (stop_) return asio::error::operation_aborted;
-      continue;
-    }
-    left -= k;
-    if (left && moved) moved();
-    for (size_t d = k; d;) {
-      if (d < at->iov_len) {
-        at->iov_base = static_cast<char*>(at->iov_base) + d;
-        at->iov_len -= d;
-        break;
-      }
-      d -= at->iov_len;
-      ++at;
-      --n;
-    }
+  if (k < 0 && errno != EAGAIN && errno != EWOULDBLOCK) return Ec(errno, boost::system::system_category());
+  sent_ = std::max<ssize_t>(k, 0);
+  while (sent_ < a.size() + b.size()) {
+    if (stop_) return asio::error::operation_aborted;
+    std::array<asio::const_buffer, 2> left{asio::buffer(a) + sent_, asio::buffer(b) + (sent_ - std::min(sent_, a.size()))};
+    auto [ec, n] = await<size_t>([&](auto h) { s_.async_write_some(left, std::move(h)); });
+    if (ec) return ec;
+    sent_ += n;
+    if (moved) moved();
   }
   return {};
 }
--- a/src/wire/line.hpp
+++ b/src/wire/line.hpp
@@ -4,7 +4,6 @@
 // its end without being asked.
 #pragma once
 #include <boost/asio/ip/tcp.hpp>
-#include <span>
 
 #include "wire/loop.hpp"
 
@@ -24,10 +23,12 @@
   std::string_view got() const { return {buf_.data() + from_, to_ - from_}; }
   void use(size_t n) { from_ += n; }
   Ec fill(size_t room = kRoom);                // parks until more bytes are here, at most `room`
-  Ec send(std::span<const std::string_view> parts, const std::function<void()>& moved = {});
-  Ec send(std::string_view b) { return send(std::span(&b, 1)); }
+  // Sends both parts as one; `moved` is called as bytes go, if they do not go at once.
+  Ec send(std::string_view a, std::string_view b = {}, const std::function<void()>& moved = {});
+  size_t sent() const { return sent_; }        // bytes of the last `send` that left
 
   void arm(size_t room = kRoom);               // leaves a read pending
+  bool waits() const { return reading_; }      // for bytes, or their end
   bool quiet() const;                          // armed, and nothing came: no byte, no end
   bool still() const;                          // the same, asked of the system now
   void when_woken(std::function<void()> f) { woken_ = std::move(f); }  // runs when a pending read ends unawaited
@@ -39,12 +40,12 @@
   void close_send();
   Socket& socket() { return s_; }
 
-  static constexpr size_t kRoom = 4096;
+  static constexpr size_t kRoom = 2048;
 
  private:
   Socket s_;
   std::string buf_;
-  size_t from_ = 0, to_ = 0;
+  size_t from_ = 0, to_ = 0, sent_ = 0;
   bool reading_ = false, stop_ = false;
   Ec ec_;
   boost::fibers::context* waiter_ = nullptr;
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -1,4 +1,7 @@
 // The server met by raw connections: framing, bounds, budgets and its end.
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <thread>
 
 #include "wire_cases.hpp"
@@ -185,6 +188,36 @@
   until([&] { return v.s.open() == 0 && v.s.running() == 0; }, "an answer nobody reads is given up");
 }
 
+void trailers() {
+  Served v({}, [](base::Request& q) -> base::Receipt { return {200, {}, base::header(q.headers, "X") + "!" + q.body}; });
+  Raw r(v.addr);
+  auto a = r.ask("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: late\r\n\r\n", "!a");
+  expect(a.ends_with("\r\n\r\n!a"), "a trailer became a header: " + a);
+}
+
+// No descriptor is left when a connection comes; it is taken once there is one.
+void no_descriptors() {
+  Served v({});
+  rlimit was{};
+  ::getrlimit(RLIMIT_NOFILE, &was);
+  rlimit few{256, was.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &few);
+  std::vector<int> taken;
+  for (int fd; (fd = ::dup(1)) >= 0;) taken.push_back(fd);
+  if (!taken.empty()) {
+    ::close(taken.back());
+    taken.pop_back();
+  }
+  {
+    Raw r(v.addr);
+    r.send(kGet);
+    wire::RealClock().nap(5ms);
+    for (int fd : taken) ::close(fd);
+    ::setrlimit(RLIMIT_NOFILE, &was);
+    expect(r.read("GET /a ").starts_with("HTTP/1.1 200"), "the connection was lost");
+  }
+}
+
 void lone_thread() {
   auto* one = new wire::Pool(1);
   auto* srv = new wire::HttpServer(*one, "one", {}, echo());
@@ -211,6 +244,8 @@
           {"server: winding down ends idle connections and finishes begun ones", ends},
           {"server: beyond its bound the longest idle connection goes", crowded},
           {"server: an answer nobody reads is given up", unread},
+          {"server: what trails a chunked body is no header", trailers},
+          {"server: running out of descriptors passes", no_descriptors},
           {"server: one thread is enough", lone_thread}};
 }
 
