--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -159,6 +159,70 @@
   expect(o.held(w.addr()) <= 1, "more connections than allowed");
 }
 
+// A full queue of new connections says nothing, and the bound for connecting holds.
+void no_room() {
+  namespace asio = boost::asio;
+  asio::ip::tcp::acceptor a(pool().io(0));
+  a.open(asio::ip::tcp::v4());
+  a.bind({asio::ip::make_address("127.0.0.1"), 0});
+  a.listen(0);
+  auto addr = fmt::format("127.0.0.1:{}", a.local_endpoint().port());
+  auto soon = [] { return std::chrono::steady_clock::now() + 50ms; };
+  std::vector<std::shared_ptr<wire::Line>> full;
+  while (auto l = wire::Line::to(addr, soon()).first) {
+    full.push_back(l);
+    expect(full.size() < 20, "the queue has no end");
+  }
+  wire::HttpOrigin o(1000);
+  auto r = rules();
+  r.connect = 50ms;
+  auto s = o.shoot(addr, get(), r);
+  auto* d = std::get_if<ShotDefect>(&s);
+  expect(d && *d == ShotDefect::unsent, "without a connection nothing is sent");
+  same(o.held(addr), 0, "connections held");
+  expect(!o.reach(addr, 50ms), "it was reached");
+}
+
+// Whatever a worker does, an answer taken for this request's is this request's.
+void never_mixed() {
+  StandIn w([](int, int n, const std::string& head) {
+    auto at = head.find("Id: ") + 4;
+    auto id = head.substr(at, head.find('\r', at) - at);
+    auto own = ok(id, "Id: " + id + "\r\n");
+    switch (n * 7919 % 23) {
+      case 0: return own + own;
+      case 1: return own + ok("late", "Id: late\r\n") + "cut";
+      case 2: return ok("late", "Id: late\r\n") + own;
+      case 3: return own.substr(0, own.size() - 1) + "cut";
+      case 4: return std::string("reset");
+      case 5: return own + "cut";
+      case 6: return std::string("HTTP/1.1 2");
+      case 7: return own + "rubbish";
+      case 8: return ok(id, "Connection: close\r\nId: " + id + "\r\n") + "cut";
+      default: return own;
+    }
+  });
+  wire::HttpOrigin o(1000);
+  std::atomic<int> left{6}, good{0}, wrong{0};
+  for (int f = 0; f < 6; ++f)
+    pool().spawn_on(f % 3, [&, f, a = w.addr()] {
+      for (int i = 0; i < 150; ++i) {
+        auto id = fmt::format("{}-{}", f, i);
+        base::ShotRules r(50ms);
+        r.safe = i % 2;
+        r.most = 4;
+        r.mine = [&id](const base::Receipt& x) { return base::header(x.headers, "Id") == id; };
+        auto s = o.shoot(a, {"", i % 2 ? "GET" : "POST", "/", "", {{"Id", id}}}, r);
+        if (auto* x = std::get_if<base::Receipt>(&s)) ++(x->body == id ? good : wrong);
+        if (o.held(a) > 4) ++wrong;
+      }
+      --left;
+    });
+  until([&] { return left == 0; }, "all shots end");
+  same(wrong.load(), 0, "mixed answers");
+  expect(good > 450, fmt::format("only {} of 900 went well", good.load()));
+}
+
 void bounded() {
   wire::HttpOrigin o(1000, 2);
   StandIn a([](int, int, auto&) { return ok(""); }), b([](int, int, auto&) { return ok(""); }),
@@ -178,6 +242,8 @@
           {"origin: kept connections age", ages},
           {"origin: an idle connection's end is noticed", noticed},
           {"origin: an address is held no more often than allowed", capped},
+          {"origin: connecting is bounded", no_room},
+          {"origin: nothing is mixed, whatever a worker does", never_mixed},
           {"origin: idle connections are bounded in all", bounded}};
 }
 
