--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -11,10 +11,12 @@
 
 #include "base/log.hpp"
 #include "gate/holders.hpp"
+#include "gate/moves.hpp"
 #include "gate/report.hpp"
 #include "gate/schemas.hpp"
 #include "gate/views.hpp"
 #include "rollout/checks.hpp"
+#include "rollout/versions.hpp"
 
 namespace dunlinwing::gate {
 namespace {
@@ -30,11 +32,6 @@
   return j;
 }
 
-base::Receipt of(registry::Defect d) {
-  return d == registry::Defect::no_majority
-             ? defect(503, "no majority of the holders answers; nothing was recorded")
-             : defect(503, "the fate of this write is unknown: it may or may not be recorded. Read before trying again.");
-}
 }  // namespace
 
 struct Control::Impl {
@@ -97,7 +94,7 @@
       pb::ServiceState st;
       st.ParseFromString(std::get<registry::Held>(h).data);
       auto in = [&](const std::string& v) { return std::find(s.versions.begin(), s.versions.end(), v) != s.versions.end(); };
-      if (st.current().empty() || in(st.current()) || std::any_of(st.kept().begin(), st.kept().end(), in)) continue;
+      if (st.current().empty() || s.versions.empty() || in(st.current()) || std::any_of(st.kept().begin(), st.kept().end(), in)) continue;
       return json(409, fmt::format(R"({{"defects":[{{"at":"/content/services/{}/versions","what":"leaves out {}, the version in place; move the service first"}}]}})",
                                    name, st.current()));
     }
@@ -167,27 +164,22 @@
     if (t->layout)
       if (auto f = t->layout->services.find(name); f != t->layout->services.end()) s = &f->second;
     if (!s) return defect(404, "the layout in force here has no such service");
-    if (std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
+    if (!s->versions.empty() && std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
       return defects({{"/version", "the layout in force does not allow this version"}});
     return change<pb::ServiceState>(
         c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Receipt> {
-          if (st.current().empty()) st.set_current(s->versions.front());
+          if (st.switching()) return defect(409, "the service is being switched to version " + st.trial());
+          if (st.current().empty())
+            st.set_current(s->versions.empty() ? rollout::commonest(n.mirror().news().workers(ps.clock.now()), name, to) : s->versions.front());
           if (st.quarantined().count(to)) {
             if (!j.at("lift_quarantine").flag())
               return defect(409, "the version is in quarantine: " + st.quarantined().at(to));
             st.mutable_quarantined()->erase(to);
           }
           if (st.current() == to) {
-            st.clear_trial();
+            rollout::drop_trial(st);
           } else if (st.trial() != to) {
-            st.set_trial(to);
-            st.set_trial_number(st.trial_number() + 1);
-            st.set_good(0);
-            st.set_bad(0);
-            st.set_from_good(0);
-            st.set_from_bad(0);
-            st.set_held_ms(0);
-            st.set_why("on trial");
+            rollout::open_trial(st, to, Span(0), s->deadline);
           }
           return {};
         });
@@ -288,6 +280,7 @@
     x.set_leaving(j.at("leaving").flag());
     x.set_number(static_cast<uint64_t>(j.at("number").num()));
     x.set_period_ms(static_cast<uint32_t>(j.at("period_ms").num()));
+    x.set_cold_ms(static_cast<uint32_t>(j.at("cold_ms").num()));
     if (!n.beat(x)) return defect(503, "this node cannot pass the beat on; try another");
     return json(200, "{\"known\":true}");
   }
@@ -319,6 +312,7 @@
     if (is(2, "holders")) return holders(n);
     if (is(3, "artifacts")) return artifact(c, false);
     if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
+    if (is(3, "moves")) return move(n, c);
     if (is(3, "services")) {
       auto h = chosen(rollout::service_key(p[2]));
       if (!h) return defect(404, "no move of this service was ever asked for");
@@ -372,6 +366,7 @@
   if (c.path.size() == 4 && c.path[1] == "releases") return p.put_release(c);
   if (c.path.size() >= 5 && c.path.size() <= 6 && c.path[1] == "releases") return p.put_act(c);
   if (c.path.size() == 3 && c.path[1] == "services") return p.put_service(c);
+  if (c.path.size() == 3 && c.path[1] == "moves") return put_move(p.ps, p.n, c);
   if (c.path.size() == 3 && c.path[1] == "purges") return p.put_purge(c);
   if (c.path.size() == 3 && c.path[1] == "artifacts") return p.artifact(c, true);
   if (c.path.size() == 3 && c.path[1] == "holders") return put_holder(p.n, c);
--- a/src/gate/schemas.cpp
+++ b/src/gate/schemas.cpp
@@ -11,7 +11,8 @@
     "instance":{"type":"string","minLength":1,"maxLength":64},"zone":{"type":"string","maxLength":64},
     "address":{"type":"string","minLength":3,"maxLength":64},"capacity":{"type":"integer","minimum":1,"maximum":100000},
     "leaving":{"type":"boolean"},"number":{"type":"integer","minimum":1},
-    "period_ms":{"type":"integer","minimum":100,"maximum":60000}}})");
+    "period_ms":{"type":"integer","minimum":100,"maximum":60000},
+    "cold_ms":{"type":"integer","minimum":0,"maximum":600000}}})");
   return s;
 }
 const base::Schema& purge_schema() {
@@ -29,6 +30,14 @@
     "lift_quarantine":{"type":"boolean"}}})");
   return s;
 }
+const base::Schema& term_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["version","within_ms"],"properties":{
+    "version":{"type":"string","minLength":1,"maxLength":64},
+    "within_ms":{"type":"integer","minimum":1000,"maximum":86400000},
+    "lift_quarantine":{"type":"boolean"}}})");
+  return s;
+}
 const base::Schema& reason_schema() {
   static const base::Schema s(R"({
   "type":"object","additionalProperties":false,"required":["reason"],"properties":{
--- a/src/gate/schemas.hpp
+++ b/src/gate/schemas.hpp
@@ -7,6 +7,7 @@
 const base::Schema& beat_schema();
 const base::Schema& purge_schema();
 const base::Schema& move_schema();
+const base::Schema& term_schema();
 const base::Schema& reason_schema();
 const base::Schema& drain_schema();
 const base::Schema& holder_schema();
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -211,6 +211,7 @@
     }
     jury.hear(t->states, mirror.news().latest(now), static_cast<uint64_t>(t->system.bad_answers));
     t->given_up = jury.all_stopped();
+    traffic::settle(*t);
     for (auto& m : mirror.news().members(now))
       if (m.fact.shield() && m.fact.ready()) t->shields.push_back({m.name, m.fact.peer_address()});
     t->nodes = std::max<int>(roll.nodes_size(), 1);
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -8,7 +8,8 @@
 
 #include "base/log.hpp"
 #include "rollout/pacer.hpp"
-#include "traffic/layout.hpp"
+#include "rollout/versions.hpp"
+#include "rollout/watch.hpp"
 
 namespace dunlinwing::rollout {
 namespace {
@@ -67,7 +68,6 @@
   bool loaded = false;
   size_t turn = 0;
   Tick last{0}, saved{0}, looked{0};
-  std::string settled;  // the layout whose versions are known to be in place
   std::map<std::string, Count> counts;
   std::map<std::string, std::pair<uint64_t, uint64_t>> probes;
   std::map<std::string, Release> releases;
@@ -80,10 +80,13 @@
   std::vector<Moment> recent;
   std::map<std::string, std::pair<uint64_t, pb::ServiceState>> services;
   std::map<std::string, Tick> service_saved;
+  std::shared_ptr<const traffic::Layout> layout;
   Pacer pacer;
+  Settler settler;
+  Watch watch;
 
   Impl(base::Ports& p, registry::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig cc)
-      : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound) {
+      : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
   }
@@ -219,36 +222,15 @@
     }
   }
 
-  // A service's first version is in place once its layout is in force; from then on
-  // only a move changes it. What no layout names any more has none in place.
-  void settle_versions() {
+  std::shared_ptr<const traffic::Layout> layout_in_force() {
     auto f = state.in_force().find("layout");
-    if (f == state.in_force().end() || settled == f->second) return;
+    if (f == state.in_force().end()) return {};
+    if (layout && layout->name == f->second) return layout;
     auto rel = releases.find(release_key("layout", f->second));
-    if (rel == releases.end()) return;
+    if (rel == releases.end()) return {};
     auto g = traffic::read_layout(f->second, rel->second.content);
     auto* l = std::get_if<std::shared_ptr<const traffic::Layout>>(&g);
-    if (!l) return;
-    for (auto& [name, s] : (*l)->services) {
-      auto key = service_key(name);
-      auto h = mirror.chosen().find(key);
-      pb::ServiceState st;
-      if (h != mirror.chosen().end()) st.ParseFromString(h->second.data);
-      if (!st.current().empty()) continue;
-      st.set_current(s.versions.front());
-      if (!duty.held() || !std::holds_alternative<registry::Held>(
-                              book.write(key, h == mirror.chosen().end() ? 0 : h->second.version, st.SerializeAsString())))
-        return;  // the next tick looks again
-    }
-    for (auto& [k, h] : members::Chosen(mirror.chosen())) {
-      pb::ServiceState st;
-      if (!k.starts_with("service/") || (*l)->services.count(k.substr(8)) || !st.ParseFromString(h.data) || st.current().empty()) continue;
-      st.clear_current();
-      st.clear_trial();
-      st.clear_kept();
-      if (!duty.held() || !std::holds_alternative<registry::Held>(book.write(k, h.version, st.SerializeAsString()))) return;
-    }
-    settled = f->second;
+    return layout = l ? *l : nullptr;
   }
 
   void moves(Tick now, Span dt) {
@@ -256,7 +238,7 @@
     auto news = mirror.news().latest(now);
     for (auto& [src, x] : news)
       for (auto& b : x.bad()) {
-        auto& k = bad[src][b.service() + "/" + b.version()];
+        auto& k = bad[src][b.service() + "/" + b.version() + "/" + b.route()];
         Counts d{b.good(), b.bad()};
         if (k.first == x.mark().incarnation()) {
           d.good -= std::min(d.good, k.second.good);
@@ -270,6 +252,7 @@
         recent.push_back({now, b.service(), b.version(), d});
       }
     std::erase_if(recent, [&](auto& m) { return now - m.at > c.bound * 30; });
+    watch.look(now, mirror.chosen(), news, mirror.news().workers(now));
     if (!duty.held()) return;
     for (auto& m : recent) {
       auto add = [&](Counts& t) {
@@ -295,9 +278,10 @@
       for (auto& [src, x] : news)
         for (auto& t : x.trials())
           v.given_up |= t.service() == name && t.number() == mine.second.trial_number() && t.stopped() && !mine.second.trial().empty();
+      watch.tell(now, name, mine.second, v);
       auto o = step(name, mine.second, v, rules);
       auto [write, urgent] = saving(o.effects);
-      if (write && !urgent && now - service_saved[name] < c.bound) {
+      if (write && !urgent && now - service_saved[name] < (o.state.within_ms() ? c.bound / 2 : c.bound)) {
         mine.second = o.state;
         continue;
       }
@@ -325,7 +309,7 @@
     if (!held) {
       state = read_rollout(mirror.chosen());
       loaded = false;
-      settled.clear();
+      settler.idle();
       look(now, Span(0));
       return moves(now, Span(0));
     }
@@ -343,7 +327,7 @@
     }
     if (!feed(v)) return;
     probe();
-    settle_versions();
+    settler.tick(layout_in_force());
     moves(now, dt);
     pacer.tick(now, state, releases);
   }
--- a/src/rollout/moves.cpp
+++ b/src/rollout/moves.cpp
@@ -19,6 +19,7 @@
 std::string service_key(const std::string& s) { return "service/" + s; }
 
 MoveOutcome step(const std::string& name, const pb::ServiceState& s, const MoveSight& v, const Rules& r) {
+  if (!s.trial().empty() && s.within_ms()) return step_term(name, s, v, r);
   MoveOutcome o{s, {}};
   auto& n = o.state;
   auto get = [](const std::map<std::string, Counts>& m, const std::string& k) {
--- /dev/null
+++ b/src/rollout/versions.cpp
@@ -0,0 +1,117 @@
+// A version whose workers are all gone for long gives way to another that beats, without
+// a trial: nothing serves otherwise, and nobody has asked for a move. It takes ten
+// seconds beyond the missing of beats, so that a crash of all is not taken for that.
+#include "rollout/versions.hpp"
+
+#include <algorithm>
+#include <optional>
+
+#include "base/log.hpp"
+#include "rollout/moves.hpp"
+
+namespace dunlinwing::rollout {
+namespace {
+constexpr base::Log lg("rollout");
+constexpr int kGoneBounds = 5;
+}  // namespace
+
+std::string commonest(const Workers& ws, const std::string& service, const std::string& except) {
+  std::map<std::string, int> n;
+  for (auto& [i, w] : ws)
+    if (!w.gone && w.beat.service() == service) ++n[w.beat.version()];
+  std::string best;
+  for (auto& [v, k] : n)
+    if (v != except && (best.empty() || k > n[best])) best = v;
+  return best.empty() && n.count(except) ? except : best;
+}
+
+struct Settler::Impl {
+  base::Ports& ps;
+  registry::Book& book;
+  members::Mirror& mirror;
+  members::Duty& duty;
+  Span bound;
+  std::string settled;                  // the layout of which all is known to be in place
+  std::shared_ptr<const traffic::Layout> now;
+  std::map<std::string, Tick> gone;     // since when no worker of the version in place beats
+
+  pb::ServiceState state(const std::string& name, uint64_t& version) {
+    pb::ServiceState st;
+    auto h = mirror.chosen().find(service_key(name));
+    version = h == mirror.chosen().end() ? 0 : h->second.version;
+    if (version) st.ParseFromString(h->second.data);
+    return st;
+  }
+  bool write(const std::string& name, uint64_t version, const pb::ServiceState& st) {
+    return duty.held() && std::holds_alternative<registry::Held>(book.write(service_key(name), version, st.SerializeAsString()));
+  }
+
+  void settle() {
+    auto ws = mirror.news().workers(ps.clock.now());
+    bool all = true;
+    for (auto& [name, s] : now->services) {
+      uint64_t version = 0;
+      auto st = state(name, version);
+      if (!st.current().empty()) continue;
+      auto v = s.versions.empty() ? commonest(ws, name, st.trial()) : s.versions.front();
+      if (v.empty() || v == st.trial()) {
+        all = false;  // none beats yet
+        continue;
+      }
+      st.set_current(v);
+      if (!write(name, version, st)) return;  // the next tick looks again
+      if (s.versions.empty()) lg.info("Service {}: version {} is in place, as its workers say.", name, v);
+    }
+    for (auto& [k, h] : members::Chosen(mirror.chosen())) {
+      pb::ServiceState st;
+      if (!k.starts_with("service/") || now->services.count(k.substr(8)) || !st.ParseFromString(h.data) || st.current().empty()) continue;
+      st.clear_current();
+      st.clear_kept();
+      drop_trial(st);
+      if (!write(k.substr(8), h.version, st)) return;
+    }
+    if (all) settled = now->name;
+  }
+
+  void replace() {
+    auto ws = mirror.news().workers(ps.clock.now());
+    for (auto& [name, s] : now->services) {
+      if (!s.versions.empty()) continue;
+      uint64_t version = 0;
+      auto st = state(name, version);
+      std::map<std::string, int> n;
+      for (auto& [i, w] : ws)
+        if (!w.gone && w.beat.service() == name && !st.quarantined().count(w.beat.version())) ++n[w.beat.version()];
+      if (st.current().empty() || !st.trial().empty() || n.empty() || n.count(st.current())) {
+        gone.erase(name);
+        continue;
+      }
+      auto [f, fresh] = gone.emplace(name, ps.clock.now());
+      if (fresh) lg.warn("Service {}: no worker of version {} beats any more, and others do.", name, st.current());
+      if (ps.clock.now() - f->second < bound * kGoneBounds) continue;
+      auto to = std::max_element(n.begin(), n.end(), [](auto& a, auto& b) { return a.second < b.second; })->first;
+      lg.warn("Service {}: version {} takes the place of {}, which is gone.", name, to, st.current());
+      st.set_current(to);
+      if (write(name, version, st)) gone.erase(name);
+    }
+  }
+};
+
+Settler::Settler(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, Span bound)
+    : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
+Settler::~Settler() = default;
+
+void Settler::idle() {
+  p_->settled.clear();
+  p_->gone.clear();
+}
+
+void Settler::tick(std::shared_ptr<const traffic::Layout> layout) {
+  auto& p = *p_;
+  if (!layout) return;
+  p.now = std::move(layout);
+  if (p.settled != p.now->name) p.settle();
+  p.replace();
+}
+
+}  // namespace dunlinwing::rollout
--- /dev/null
+++ b/src/rollout/watch.hpp
@@ -0,0 +1,29 @@
+// What a holder, with the duty or without, sees of moves with a term, so that it can go
+// on with them whenever the duty comes to it: since when it knows of each, since when
+// its workers are warm, and what came back.
+#pragma once
+#include "members/mirror.hpp"
+#include "rollout/moves.hpp"
+
+namespace dunlinwing::rollout {
+
+class Watch {
+ public:
+  explicit Watch(Span bound) : bound_(bound) {}
+  void look(Tick now, const members::Chosen& chosen, const std::map<std::string, pb::News>& news,
+            const std::map<std::string, members::WorkerFact>& workers);
+  void tell(Tick now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const;
+
+ private:
+  struct Case {
+    uint64_t number = 0;
+    Tick asked{0}, warm{0}, switching{0};
+    std::map<std::string, int> warm_workers;
+  };
+  Span bound_;
+  Tick last_{0};
+  std::map<std::string, Case> cases_;
+  traffic::Docket docket_;
+};
+
+}  // namespace dunlinwing::rollout
--- a/src/traffic/jury.cpp
+++ b/src/traffic/jury.cpp
@@ -8,6 +8,7 @@
 
 void Jury::hear(const std::map<std::string, pb::ServiceState>& states, const std::map<std::string, pb::News>& news,
                 uint64_t limit) {
+  docket_.hear(states, news);
   for (auto& [name, s] : states) {
     auto& c = cases_[name];
     if (s.trial().empty()) {
@@ -28,6 +29,7 @@
       }
     uint64_t sum = 0;
     for (auto& [k, b] : c.bad) sum += b;
+    told |= s.within_ms() && plainly_worse(docket_.at(name));
     if (told || std::max(sum, s.bad()) >= limit) stopped_.insert(name);
   }
 }
--- a/src/traffic/jury.hpp
+++ b/src/traffic/jury.hpp
@@ -1,12 +1,11 @@
 // What a relay itself makes of a version on trial: it adds up the bad answers that
 // all relays tell of, over their restarts, and gives the trial up when they are too
-// many or when any relay says that it has. It needs no holder of a duty for that;
+// many or when any relay says that it has; one with a term also when it is plainly worse. It needs no holder of a duty for that;
 // the duty only makes the verdict last.
 #pragma once
 #include <set>
 
-#include "base/common.hpp"
-#include "wire.pb.h"
+#include "traffic/docket.hpp"
 
 namespace dunlinwing::traffic {
 
@@ -24,6 +23,7 @@
     std::map<std::pair<std::string, uint64_t>, uint64_t> bad;  // by source and incarnation
   };
   std::map<std::string, Case> cases_;
+  Docket docket_;
   std::set<std::string> stopped_;
 };
 
--- a/src/traffic/place.cpp
+++ b/src/traffic/place.cpp
@@ -101,14 +101,4 @@
   });
 }
 
-bool Trials::grant(const std::string& service, const std::string& version, int percent) {
-  std::lock_guard l(m_);
-  auto& s = by_[service];
-  if (s.version != version) s = {version, 0, 0};
-  ++s.all;
-  if ((s.trial + 1) * 100 > s.all * static_cast<uint64_t>(percent)) return false;
-  ++s.trial;
-  return true;
-}
-
 }  // namespace dunlinwing::traffic
--- a/src/traffic/place.hpp
+++ b/src/traffic/place.hpp
@@ -27,19 +27,4 @@
   std::unique_ptr<Impl> p_;
 };
 
-// Grants a version on trial its share of a service's requests, by count and
-// never by chance: the n-th trial request needs n times the full share before.
-class Trials {
- public:
-  bool grant(const std::string& service, const std::string& version, int percent);
-
- private:
-  struct Share {
-    std::string version;
-    uint64_t all = 0, trial = 0;
-  };
-  std::mutex m_;
-  std::map<std::string, Share> by_;
-};
-
 }  // namespace dunlinwing::traffic
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -109,9 +109,9 @@
     if (f == t->workers.end()) return {};
     auto st = t->states.find(w.service->name);
     auto v = versions(*w.service, st == t->states.end() ? nullptr : &st->second);
-    if (!probe && !v.trial.empty() && !t->given_up.count(w.service->name) &&
-        trials.grant(w.service->name, v.trial, static_cast<int>(t->system.trial_share_percent)))
-      if (auto x = places.choose(f->second, {v.trial}, zone, tried)) return x;
+    if (!probe)
+      if (auto ws = trials.grant(*t, w.service->name, v.trial, ""); !ws.empty())
+        if (auto x = places.choose(ws, {v.trial}, zone, tried)) return x;
     return places.choose(f->second, v.open, zone, tried);
   }
 };
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -6,6 +6,7 @@
 #include "base/ports.hpp"
 #include "traffic/budget.hpp"
 #include "traffic/place.hpp"
+#include "traffic/trial.hpp"
 #include "traffic/waitlist.hpp"
 
 namespace dunlinwing::traffic {
--- a/src/traffic/table.cpp
+++ b/src/traffic/table.cpp
@@ -5,15 +5,33 @@
 
 namespace dunlinwing::traffic {
 
+void settle(Table& t) {
+  for (auto& s : t.given_up)
+    if (auto f = t.states.find(s); f != t.states.end()) f->second.set_switching(false);
+  for (auto& [name, ws] : t.workers) {
+    auto& st = t.states[name];
+    if (!st.current().empty()) continue;
+    std::set<std::string> all;
+    for (auto& w : ws) all.insert(w.version);
+    st.clear_kept();
+    for (auto& v : all) st.add_kept(v);
+  }
+}
+
 Versions versions(const Service& s, const pb::ServiceState* st) {
   Versions v;
   auto allowed = [&](const std::string& x) {
-    return std::find(s.versions.begin(), s.versions.end(), x) != s.versions.end() &&
+    return !x.empty() && (s.versions.empty() || std::find(s.versions.begin(), s.versions.end(), x) != s.versions.end()) &&
            !(st && st->quarantined().count(x));
   };
+  if (st && st->switching() && allowed(st->trial())) {
+    v.open.push_back(st->trial());
+    return v;
+  }
   // Once a version is in place, a layout that leaves it out takes the service nowhere else.
-  std::string cur = st && allowed(st->current()) ? st->current() : std::string();
-  if (!st || st->current().empty())
+  bool placed = st && !st->current().empty();
+  std::string cur = placed && allowed(st->current()) ? st->current() : std::string();
+  if (!placed)
     for (auto& x : s.versions)
       if (allowed(x) && !(st && st->trial() == x)) {
         cur = x;
@@ -21,9 +39,11 @@
       }
   if (!cur.empty()) v.open.push_back(cur);
   if (!st) return v;
-  for (auto& k : st->kept())
-    if (allowed(k) && k != cur) v.open.push_back(k);
-  if (!st->trial().empty() && allowed(st->trial())) v.trial = st->trial();
+  bool tried = !st->trial().empty() && allowed(st->trial());
+  if (placed ? !st->within_ms() || st->trial().empty() : s.versions.empty())
+    for (auto& k : st->kept())
+      if (allowed(k) && k != cur && k != st->trial()) v.open.push_back(k);
+  if (tried) v.trial = st->trial();
   return v;
 }
 
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -36,7 +36,13 @@
 
 using TablePtr = std::shared_ptr<const Table>;
 
+// Prepares the states of a new table: where no version is in place yet, all that beat
+// are kept open for layouts that name none; what is given up is not being switched.
+void settle(Table& t);
+
 // Versions of a service that a request may go to; `trial` only within its share.
+// A service whose layout names no versions may go to any, once a move or the first
+// workers have put it in place. In a switch the trial's version alone is open.
 struct Versions {
   std::vector<std::string> open;
   std::string trial;
--- /dev/null
+++ b/src/traffic/trial.cpp
@@ -0,0 +1,56 @@
+// A share is earned request by request and spent whole, so a relay that restarts begins
+// with nothing but its part of what may be spent ahead.
+#include "traffic/trial.hpp"
+
+#include <algorithm>
+
+#include "traffic/budget.hpp"
+
+namespace dunlinwing::traffic {
+namespace {
+constexpr size_t kAsked = 2;
+constexpr int64_t kOne = 100;
+}  // namespace
+
+std::vector<Worker> trial_workers(const std::vector<Worker>& ws, const std::string& version, bool term) {
+  std::vector<Worker> v;
+  for (auto& w : ws)
+    if (w.version == version) v.push_back(w);
+  if (!term) return v;
+  std::sort(v.begin(), v.end(), [](auto& a, auto& b) { return a.instance < b.instance; });
+  if (v.size() > kAsked) v.resize(kAsked);
+  return v;
+}
+
+std::vector<Worker> Trials::grant(const Table& t, const std::string& service, const std::string& version,
+                                  const std::string& route) {
+  auto st = t.states.find(service);
+  auto ws = t.workers.find(service);
+  if (version.empty() || st == t.states.end() || ws == t.workers.end() || t.given_up.count(service)) return {};
+  bool term = st->second.within_ms() > 0;
+  auto v = trial_workers(ws->second, version, term);
+  if (v.empty()) return {};
+  auto percent = static_cast<int>(t.system.trial_share_percent);
+  if (term) percent = std::min(percent, static_cast<int>(st->second.percent()));
+  if (!grant(service, st->second.trial_number(), version, term ? route : std::string(), percent,
+             term ? repeat_part(kAhead, t.nodes, t.rank) : 0))
+    return {};
+  return v;
+}
+
+bool Trials::grant(const std::string& service, uint64_t number, const std::string& version, const std::string& route,
+                   int percent, int ahead) {
+  std::lock_guard l(m_);
+  auto& s = by_[service];
+  if (s.number != number || s.version != version) s = {number, version, ahead * kOne, {}};
+  s.earned += percent;
+  auto& mine = s.by[route];
+  if (s.earned < kOne) return false;
+  bool least = std::all_of(s.by.begin(), s.by.end(), [&](auto& x) { return mine <= x.second; });
+  if (!least && s.earned < 2 * kOne) return false;  // left for a route that had fewer
+  s.earned -= kOne;
+  ++mine;
+  return true;
+}
+
+}  // namespace dunlinwing::traffic
