--- a/src/gate/report.cpp
+++ b/src/gate/report.cpp
@@ -50,10 +50,10 @@
     p.out += fmt::format("dunlinwing_waiting{{service=\"{}\"}} {}\n", s, n.traffic().shots().load(s).second);
   p.head("shots_total", "counter", "Shots by version and how they ended.");
   for (auto& [k, v] : n.traffic().shots().counts()) {
-    auto f = t->layout->services.find(k.first);
+    auto f = t->layout->services.find(std::get<0>(k));
     if (f == t->layout->services.end()) continue;
     for (auto& [what, m] : {std::make_pair("good", v.good), std::make_pair("bad", v.bad)})
-      p.out += fmt::format("dunlinwing_shots_total{{service=\"{}\",version=\"{}\",end=\"{}\"}} {}\n", k.first, k.second, what, m);
+      p.out += fmt::format("dunlinwing_shots_total{{service=\"{}\",version=\"{}\",route=\"{}\",end=\"{}\"}} {}\n", std::get<0>(k), std::get<1>(k), std::get<2>(k), what, m);
   }
   return p.out;
 }
--- a/src/traffic/layout.cpp
+++ b/src/traffic/layout.cpp
@@ -17,7 +17,7 @@
     "services":{"type":"object","minProperties":1,"maxProperties":256,"additionalProperties":{
       "type":"object","additionalProperties":false,"required":["versions"],
       "properties":{
-        "versions":{"type":"array","minItems":1,"maxItems":8,"uniqueItems":true,
+        "versions":{"type":"array","minItems":0,"maxItems":8,"uniqueItems":true,
                     "items":{"type":"string","minLength":1,"maxLength":64}},
         "deadline_ms":{"type":"integer","minimum":10,"maximum":60000},
         "waitlist":{"type":"integer","minimum":0,"maximum":100000},
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -351,10 +351,13 @@
   }
   for (auto& [k, c] : p_->shots.counts()) {
     auto* x = n.add_bad();
-    x->set_service(k.first);
-    x->set_version(k.second);
+    x->set_service(std::get<0>(k));
+    x->set_version(std::get<1>(k));
+    x->set_route(std::get<2>(k));
     x->set_good(c.good);
     x->set_bad(c.bad);
+    x->set_slow(c.slow);
+    x->set_took_ms(c.took_ms);
   }
   auto t = p_->now_table();
   for (auto& [k, c] : p_->shots.trials()) {
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -47,7 +47,8 @@
   Pace pace;
   Waitlists waits;
   mutable std::mutex m;
-  std::map<std::pair<std::string, std::string>, VersionCount> counts;
+  std::map<CountKey, VersionCount> counts;
+  std::map<std::string, double> usual;
   std::map<std::string, uint64_t> asked;
   std::map<std::string, std::pair<uint64_t, uint64_t>> on_trial;  // number, bad answers
   std::atomic<uint64_t> again{0};
@@ -73,12 +74,23 @@
     return r.status >= 500 ? Look::answered_badly : Look::good;
   }
 
-  void count(const Worker& w, bool good) {
+  static std::string route(const Work& w) {
+    bool other = false;
+    auto* r = w.layout ? w.layout->match(w.q.method, w.q.target, other) : nullptr;
+    return r ? r->prefix : std::string();
+  }
+
+  void count(const Work& work, const Worker& w, bool good, Span took) {
     auto t = table();
     auto st = t->states.find(w.service);
     std::lock_guard l(m);
-    auto& c = counts[{w.service, w.version}];
+    auto& c = counts[{w.service, w.version, route(work)}];
     (good ? c.good : c.bad)++;
+    auto& u = usual[w.service];
+    auto ms = static_cast<double>(took.count());
+    c.slow += good && u > 0 && ms > std::max(u * 4, 20.0);
+    c.took_ms += static_cast<uint64_t>(took.count());
+    if (good) u = u > 0 ? u + (std::min(ms, u * 4) - u) / 32 : ms;
     if (st == t->states.end() || st->second.trial() != w.version) return;
     auto& x = on_trial[w.service];
     if (x.first != st->second.trial_number()) x = {st->second.trial_number(), 0};
@@ -110,7 +122,7 @@
     auto st = t->states.find(w.service->name);
     auto v = versions(*w.service, st == t->states.end() ? nullptr : &st->second);
     if (!probe)
-      if (auto ws = trials.grant(*t, w.service->name, v.trial, ""); !ws.empty())
+      if (auto ws = trials.grant(*t, w.service->name, v.trial, route(w)); !ws.empty())
         if (auto x = places.choose(ws, {v.trial}, zone, tried)) return x;
     return places.choose(f->second, v.open, zone, tried);
   }
@@ -204,6 +216,7 @@
       break;
     }
     p.places.began(*to);
+    Tick from = clock.now();
     auto r = p.ps.origin.shoot(to->address, q, limit);
     auto* a = std::get_if<base::Receipt>(&r);
     Look l = a ? p.look(*a, *to, q) : Look::broken;
@@ -219,7 +232,7 @@
     }
     p.places.ended(*to, l == Look::good || l == Look::not_run, load);
     if (a && a->status == 421) p.places.elsewhere(*to);
-    if (!unsent && l != Look::not_run) p.count(*to, l == Look::good);
+    if (!unsent && l != Look::not_run) p.count(w, *to, l == Look::good, clock.now() - from);
     left |= !unsent;
     if (l == Look::good || (l == Look::answered_badly && (!safe(q) || i + 1 == kMostShots)))
       return {Fate::answered, std::move(*a), to->version, {}};
@@ -241,7 +254,7 @@
   return last;
 }
 
-std::map<std::pair<std::string, std::string>, VersionCount> Shots::counts() const {
+std::map<CountKey, VersionCount> Shots::counts() const {
   std::lock_guard l(p_->m);
   return p_->counts;
 }
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -36,8 +36,9 @@
 };
 
 struct VersionCount {
-  uint64_t good = 0, bad = 0;
+  uint64_t good = 0, bad = 0, slow = 0, took_ms = 0;
 };
+using CountKey = std::tuple<std::string, std::string, std::string>;  // service, version, route
 
 class Shots {
  public:
@@ -47,7 +48,7 @@
   bool reaches(const Work& w, Span limit);  // whether some worker would take a connection
   bool repeat_allowed(const Work& w);
   void sent(const std::string& service);  // a first send that earns repeats
-  std::map<std::pair<std::string, std::string>, VersionCount> counts() const;
+  std::map<CountKey, VersionCount> counts() const;
   // Bad answers of each version on trial: by service, the trial's number and the count.
   std::map<std::string, std::pair<uint64_t, uint64_t>> trials() const;
   std::map<std::string, uint64_t> asked() const;  // of services with a stated rate
