--- a/src/rollout/term.cpp
+++ b/src/rollout/term.cpp
@@ -77,6 +77,8 @@
                              from.bad, from.slow, from.all());
   if (v.given_up || n.bad() >= static_cast<uint64_t>(r.system.bad_answers) || traffic::plainly_worse(v.seen)) {
     back(figures);
+  } else if (auto why = traffic::worse(v.seen); !why.empty()) {
+    back(why);
   } else if (s.switching()) {
     if (!of(v.workers, to)) {
       back("its workers went away in the switch");
@@ -90,7 +92,7 @@
     back("no verdict in time: " + (s.why().empty() ? std::string("nothing was seen") : s.why()));
   } else {
     auto few = [&] { return of(v.warm, to) * 4 < std::max(1, of(v.workers, s.current())) * 3; };
-    auto why = !v.all_warm ? std::string("its workers are not warm yet") : traffic::objection(v.seen);
+    why = !v.all_warm ? std::string("its workers are not warm yet") : traffic::objection(v.seen);
     if (why.empty() && few())
       why = fmt::format("{} warm workers for {} of the version in place", of(v.warm, to), of(v.workers, s.current()));
     if (v.all_warm && s.percent() < kWarmPercent) {
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -50,6 +50,10 @@
   int64_t max_age = 0, period_ms = 1000;
   int load = 0;  // as it says in its answers; the work that others give it
   uint64_t beats = 0;
+  // A version that is bad in its own way: how many times slower this request is, 0 when it fails.
+  std::function<int(const std::string& target)> spoils;
+  Tick warm_at{0};   // until then it is twice as slow, and says so
+  int running = 0;
 };
 
 struct Told {  // an operator's call and its answer
--- a/src/traffic/docket.cpp
+++ b/src/traffic/docket.cpp
@@ -15,6 +15,7 @@
 constexpr uint64_t kEnough = 30;    // answers on a route that are evidence
 constexpr uint64_t kClean = 15;     // enough on a route where none was poor
 constexpr uint64_t kTraffic = 3;    // answers by the old version that make a route one with traffic
+constexpr uint64_t kSure = 60;      // answers by which a difference beyond the noise stays one
 constexpr double kNoise = 0.08;
 constexpr double kSlower = 2.2, kSlowerMs = 3;
 
@@ -25,6 +26,13 @@
   auto f = r.find(k);
   return f == r.end() ? Tally{} : f->second;
 }
+std::string differs(const std::string& route, const Tally& t, const Tally& o) {
+  if (t.rate() > o.rate() + kNoise)
+    return fmt::format("{} poor answers of {} on route '{}', against {} of {}", t.poor(), t.all(), route, o.poor(), o.all());
+  if (o.all() && t.mean() > kSlower * o.mean() + kSlowerMs)
+    return fmt::format("{:.1f} ms on route '{}', against {:.1f}", t.mean(), route, o.mean());
+  return {};
+}
 Tally minus(const Tally& a, const Tally& b) {
   return {a.good - std::min(a.good, b.good), a.bad - std::min(a.bad, b.bad), a.slow - std::min(a.slow, b.slow),
           a.took_ms - std::min(a.took_ms, b.took_ms)};
@@ -88,8 +96,14 @@
   return std::any_of(s.trial.begin(), s.trial.end(), [&](auto& x) { return plain(x.second, of(s.old, x.first)); });
 }
 
+std::string worse(const Seen& s) {
+  for (auto& [k, t] : s.warm_trial)
+    if (t.all() >= kSure)
+      if (auto d = differs(k, t, of(s.warm_old, k).all() ? of(s.warm_old, k) : of(s.old, k)); !d.empty()) return d;
+  return {};
+}
+
 std::string objection(const Seen& s) {
-  // Once the switch has begun the old version answers no more, so that both stand in `trial` too.
   ByRoute routes = s.old;
   for (auto& [k, t] : s.trial) routes[k];
   if (!sum(s.warm_trial).all()) return "no answers since its workers are warm";
@@ -99,10 +113,7 @@
     if (!traffic) continue;
     if (t.all() < kClean || (t.all() < kEnough && t.poor()))
       return fmt::format("only {} answers on route '{}', {} of them poor", t.all(), k, t.poor());
-    if (t.rate() > w.rate() + kNoise)
-      return fmt::format("{} poor answers of {} on route '{}', against {} of {}", t.poor(), t.all(), k, w.poor(), w.all());
-    if (w.all() && t.mean() > kSlower * w.mean() + kSlowerMs)
-      return fmt::format("{:.1f} ms on route '{}', against {:.1f}", t.mean(), k, w.mean());
+    if (auto d = differs(k, t, w.all() ? w : o); !d.empty()) return d;
   }
   return {};
 }
--- a/src/traffic/docket.hpp
+++ b/src/traffic/docket.hpp
@@ -44,6 +44,8 @@
 
 // Whether the trial is so plainly worse, as a whole or on some route, that nothing more need be seen.
 bool plainly_worse(const Seen& s);
+// What on some route is worse, with evidence enough to end the trial. Empty: nothing.
+std::string worse(const Seen& s);
 // What speaks against promotion yet, or for good: too little evidence on a route, more
 // failures or slower answers than of the version in place. Empty: nothing does.
 std::string objection(const Seen& s);
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -150,6 +150,7 @@
     m.merge(rollout_stories());
     m.merge(traffic_stories());
     m.merge(limit_stories());
+    m.merge(move_stories());
     m.merge(fault_stories());
     m.merge(mixed_stories());
     return m;
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -29,6 +29,7 @@
 NamedCases rollout_stories();
 NamedCases traffic_stories();
 NamedCases limit_stories();
+NamedCases move_stories();
 NamedCases fault_stories();
 NamedCases mixed_stories();
 
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -9,6 +9,7 @@
 std::vector<Case> disk_cases();
 std::vector<Case> registry_cases();
 std::vector<Case> rollout_cases();
+std::vector<Case> move_cases();
 std::vector<Case> traffic_cases();
 std::vector<Case> checker_cases();
 std::vector<Case> config_cases();
