--- a/src/gate/schemas.cpp
+++ b/src/gate/schemas.cpp
@@ -31,6 +31,14 @@
     "lift_quarantine":{"type":"boolean"}}})");
   return s;
 }
+const base::Schema& term_schema() {
+  static const base::Schema s(R"({
+  "type":"object","additionalProperties":false,"required":["version","within_ms"],"properties":{
+    "version":{"type":"string","minLength":1,"maxLength":64},
+    "within_ms":{"type":"integer","minimum":1000,"maximum":86400000},
+    "lift_quarantine":{"type":"boolean"}}})");
+  return s;
+}
 const base::Schema& reason_schema() {
   static const base::Schema s(R"({
   "type":"object","additionalProperties":false,"required":["reason"],"properties":{
--- a/src/traffic/layout.hpp
+++ b/src/traffic/layout.hpp
@@ -30,6 +30,7 @@
   Span aim{0};      // in which an answer is worth most; 0: the time-out
   int priority = 0;  // 0 goes first
   int shots = 4;     // workers to which one request may be sent, at most
+  const std::string& label() const { return name.empty() ? prefix : name; }
   Span keep{0};      // how long receipts are kept without the worker's word; 0: as it says
 };
 
--- a/src/traffic/place.cpp
+++ b/src/traffic/place.cpp
@@ -76,7 +76,7 @@
   Tick now = p_->clock.now();
   std::vector<const Worker*> fit, near, aside;
   for (auto& w : ws) {
-    if (!vs.empty() && std::find(vs.begin(), vs.end(), w.version) == vs.end()) continue;
+    if (std::find(vs.begin(), vs.end(), w.version) == vs.end()) continue;
     if (std::find(tried.begin(), tried.end(), w.instance) != tried.end()) continue;
     auto& s = p_->by[w.instance];
     if (s.aside > now || ((s.fails >= kFailsAside || s.unsent >= kUnsentAside) && s.trying)) {
@@ -163,14 +163,4 @@
   return Span(static_cast<int64_t>(p_->usual(service)));
 }
 
-bool Trials::grant(const std::string& service, const std::string& version, int percent) {
-  std::lock_guard l(m_);
-  auto& s = by_[service];
-  if (s.version != version) s = {version, 0, 0};
-  ++s.all;
-  if ((s.trial + 1) * 100 > s.all * static_cast<uint64_t>(percent)) return false;
-  ++s.trial;
-  return true;
-}
-
 }  // namespace dunlinwing::traffic
