--- a/src/disk/store.cpp
+++ b/src/disk/store.cpp
@@ -132,6 +132,7 @@
       *h.image.mutable_set() = r.set();
     else
       h.image.set_stage(r.stage());
+    if (r.has_first()) *h.image.mutable_first() = r.first();
   }
   h.image.clear_slots();
   for (auto& [n, s] : m) *h.image.add_slots() = s;
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -13,6 +13,7 @@
 #include "gate/holders.hpp"
 #include "gate/report.hpp"
 #include "gate/schemas.hpp"
+#include "gate/self.hpp"
 #include "gate/views.hpp"
 #include "rollout/checks.hpp"
 
@@ -366,6 +367,7 @@
   if (get && c.path.size() == 1 && c.path[0] == "metrics")
     return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics(p.n, p.ps.clock.now())};
   if (c.path.size() < 2 || c.path[0] != "v1") return defect(404, "no such resource");
+  if (get && c.path.size() == 2 && c.path[1] == "self") return self(p.n);  // waits for no pull
   if (q.method == "GET" || q.method == "HEAD") return p.watch(c);
   if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "beats") return p.beat(c);
   if (q.method != "PUT") return defect(405, "resources are read by GET and stated by PUT");
--- a/src/gate/holders.cpp
+++ b/src/gate/holders.cpp
@@ -45,9 +45,7 @@
     to.push_back({c.path[2], address});
   else
     std::erase_if(to, same);
-  std::vector<std::string> names;
-  for (auto& [k, h] : n.mirror().chosen()) names.push_back(k);
-  auto r = n.book().change(to, names);
+  auto r = n.book().change(to, [&] { return n.mirror().names(n.config().bound); });
   if (auto* d = std::get_if<registry::SetDefect>(&r)) return of(*d);
   return json(200, message_json(std::get<pb::HolderSet>(r)));
 }
--- /dev/null
+++ b/src/members/keepers.hpp
@@ -0,0 +1,46 @@
+// Keeps the set of holders at what the stated tolerance needs: 2f+1 disks, spread
+// over zones. The step is pure and names one change at most; the part runs it under
+// the rollout duty's permit.
+#pragma once
+#include "members/duty.hpp"
+
+namespace dunlinwing::members {
+
+struct Keeper {  // a node as a holder, or as one that could become one
+  std::string name, zone, address;
+  bool disk = false;
+  bool present = false;  // its session stands, and it is not about to go
+  bool votes = false;
+  Span absent{0};        // for how long its session has not stood
+};
+
+struct KeepSight {
+  std::vector<registry::Holder> set;
+  std::vector<Keeper> nodes;
+  int tolerate = 1;
+  Span bound{2000};
+};
+
+struct KeepStep {
+  bool add = false;
+  registry::Holder who;
+  std::string why;
+};
+
+// So many bounds without a session, and a holder counts as gone for good.
+inline constexpr int kGoneBounds = 10;
+
+std::optional<KeepStep> keep(const KeepSight& s);
+
+class Keepers {
+ public:
+  Keepers(base::Ports& ps, registry::Book& b, Mirror& m, Duty& d, int tolerate, Span bound);
+  ~Keepers();
+  void start();
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::members
--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -18,6 +18,7 @@
 struct Mirror::Impl {
   struct Side {
     uint64_t boot = 0, seen = 0;
+    Tick voted{0};  // when it last answered and was not mute
     std::map<std::string, pb::Slot> slots;
   };
   base::Ports& ps;
@@ -50,6 +51,7 @@
     // The holder was restarted: what it had accepted it still has, or it is blank and mute.
     s.boot = r.boot();
     s.seen = r.seen();
+    if (!r.mute()) s.voted = now;
     for (auto& x : r.slots()) {
       s.slots[x.name()] = x;
       open.insert(x.name());
@@ -143,6 +145,7 @@
     }
     auto hs = book.holders();
     auto epoch = book.set().epoch();
+    if (hs.empty()) return false;  // nobody has named the holders yet
     first %= hs.size();
     registry::Local local;
     if (mine) local = [this](const pb::Ask& a) { return answer(a); };
@@ -265,4 +268,16 @@
   return s->park(limit);
 }
 
+std::optional<std::vector<std::string>> Mirror::names(Span limit) {
+  if (!settle(limit)) return {};
+  std::vector<std::string> out;
+  for (auto& [k, h] : p_->chosen) out.push_back(k);
+  return out;
+}
+
+bool Mirror::votes(const std::string& holder) const {
+  auto f = p_->sides.find(holder);
+  return f != p_->sides.end() && f->second.voted != Tick(0) && p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
+}
+
 }  // namespace dunlinwing::members
--- a/src/members/mirror.hpp
+++ b/src/members/mirror.hpp
@@ -38,6 +38,9 @@
   uint64_t incarnation() const;
   // Parks until a pull that began after this call was good, or time is up.
   bool settle(Span limit);
+  // The names of all registers, from a pull that began after this call.
+  std::optional<std::vector<std::string>> names(Span limit);
+  bool votes(const std::string& holder) const;  // it answered a pull in the last half of the bound, and not as mute
 
  private:
   struct Impl;
--- /dev/null
+++ b/src/members/seek.cpp
@@ -0,0 +1,171 @@
+// All are asked at once, each by a fiber of its own. A relay with a disk, which
+// remembers the set over a power cut, also tells seeds that know an older one or
+// none, so that those who ask them later find it there.
+#include "members/seek.hpp"
+
+#include <algorithm>
+
+#include "base/json.hpp"
+#include "base/log.hpp"
+
+namespace dunlinwing::members {
+namespace {
+constexpr base::Log lg("members");
+constexpr int kSilent = 2;  // bounds without fresh news after which others are asked
+constexpr int kTell = 2;    // bounds between two looks at what the seeds know
+}  // namespace
+
+std::optional<Self> read_self(std::string_view body) {
+  auto p = base::Json::parse(body);
+  auto* j = std::get_if<base::Json>(&p);
+  if (!j) return {};
+  Self s{j->at("name").str(), j->at("zone").str(), j->at("peer_address").str(), j->at("disk").flag(), {}};
+  if (s.name.empty() || s.peer_address.empty()) return {};
+  s.set.set_epoch(static_cast<uint64_t>(std::max<int64_t>(0, j->at("epoch").num())));
+  for (auto& h : j->at("holders").items()) {
+    auto* e = s.set.add_holders();
+    e->set_name(h.at("name").str());
+    e->set_address(h.at("address").str());
+  }
+  return s;
+}
+
+std::optional<pb::HolderSet> first_set(const std::vector<Self>& seeds) {
+  std::map<std::string, std::string> by;
+  for (auto& s : seeds) {
+    if (!s.disk) continue;
+    auto [f, fresh] = by.emplace(s.name, s.peer_address);
+    if (!fresh && f->second != s.peer_address) return {};
+  }
+  if (by.empty()) return {};
+  pb::HolderSet set;
+  set.set_epoch(1);
+  for (auto& [n, a] : by) {
+    auto* e = set.add_holders();
+    e->set_name(n);
+    e->set_address(a);
+  }
+  return set;
+}
+
+struct Seek::Impl {
+  base::Ports& ps;
+  SeekConfig c;
+  registry::Book& book;
+  Mirror& mirror;
+  registry::Acceptor* mine;
+  std::vector<std::string> origin;     // the seeds of the first start, when this was it
+  std::map<std::string, Self> told;    // by those seeds
+  Tick good{0}, looked{0};
+  std::string said;
+
+  Impl(base::Ports& p, SeekConfig cc, registry::Book& b, Mirror& m, registry::Acceptor* a)
+      : ps(p), c(std::move(cc)), book(b), mirror(m), mine(a) {}
+
+  // By address, from all that answer in time.
+  std::map<std::string, Self> ask(const std::vector<std::string>& at, Span limit) {
+    struct Table {
+      std::map<std::string, Self> got;
+      size_t left;
+      std::shared_ptr<base::Spot> spot;
+    };
+    auto t = std::make_shared<Table>(Table{{}, at.size(), ps.tasks.spot()});
+    Tick end = ps.clock.now() + limit;
+    for (auto& a : at)
+      ps.tasks.spawn([t, a, limit, this, hold = weak.lock()] {
+        auto r = ps.origin.shoot(a, {"", "GET", "/v1/self", "", {}}, limit);
+        auto* x = std::get_if<base::Receipt>(&r);
+        if (x && x->status == 200)
+          if (auto s = read_self(x->body)) t->got[a] = *s;
+        --t->left;
+        t->spot->wake();
+      });
+    while (t->left && ps.clock.now() < end) t->spot->park(end - ps.clock.now());
+    return t->got;
+  }
+
+  void say(const std::string& what) {
+    if (what != std::exchange(said, what)) lg.warn("{}: {}", c.me, what);
+  }
+
+  bool adopt(const pb::HolderSet& s, const std::string& who) {
+    if (!book.set().adopt(s)) return false;
+    lg.info("{}: {} the holders of epoch {}, {} of them.", c.me, who, s.epoch(), s.holders_size());
+    if (mine) mine->adopt(s);
+    return true;
+  }
+
+  void look() {
+    auto at = c.seeds;
+    for (auto& a : origin) at.push_back(a);
+    for (auto& m : mirror.news().all(ps.clock.now())) at.push_back(m.fact.http_address());
+    std::sort(at.begin(), at.end());
+    at.erase(std::unique(at.begin(), at.end()), at.end());
+    std::erase(at, std::string());
+    auto got = ask(at, c.bound / 4);
+    const std::pair<const std::string, Self>* best = nullptr;
+    for (auto& x : got)
+      if (!best || x.second.set.epoch() > best->second.set.epoch()) best = &x;
+    if (best && adopt(best->second.set, best->first + " named")) return;
+    if (!book.holders().empty() || origin.empty()) return;
+    for (auto& a : origin)
+      if (got.count(a)) told[a] = got[a];
+    if (told.size() < origin.size()) return say("not all seeds have answered yet, so the first set of holders is not known.");
+    std::vector<Self> all;
+    for (auto& [a, s] : told) all.push_back(s);
+    auto set = first_set(all);
+    if (!set) return say("no seed has a disk, or two go by one name: there is no first set of holders.");
+    adopt(*set, "first start: the seeds with a disk are");
+  }
+
+  void tell() {
+    auto set = book.set().message();
+    for (auto& [a, s] : ask(c.seeds, c.bound / 4)) {
+      if (s.name == c.me || s.set.epoch() >= set.epoch()) continue;
+      pb::Ask q;
+      *q.mutable_adopt()->mutable_set() = set;
+      ps.net.ask(s.peer_address, q, c.bound / 4);
+    }
+  }
+
+  void run() {
+    auto first = mine ? mine->first() : std::nullopt;
+    if (first) origin.assign(first->seeds().begin(), first->seeds().end());
+    if (!mine && c.first) origin = c.seeds;
+    std::sort(origin.begin(), origin.end());
+    origin.erase(std::unique(origin.begin(), origin.end()), origin.end());
+    good = ps.clock.now();
+    for (;;) {
+      Tick now = ps.clock.now();
+      if (mirror.fresh()) good = now;
+      if (book.holders().empty()) {
+        look();
+        ps.clock.nap(c.bound / 16);
+        continue;
+      }
+      if (now - good >= c.bound * kSilent) {
+        look();
+      } else if (mine && book.set().epoch() && now - looked >= c.bound * kTell) {
+        looked = now;
+        tell();
+      }
+      ps.clock.nap(c.bound);
+    }
+  }
+
+  std::weak_ptr<Impl> weak;
+};
+
+Seek::Seek(base::Ports& ps, SeekConfig c, registry::Book& b, Mirror& m, registry::Acceptor* mine)
+    : p_(std::make_shared<Impl>(ps, std::move(c), b, m, mine)) {
+  p_->weak = p_;
+}
+Seek::~Seek() = default;
+
+void Seek::start() {
+  p_->ps.tasks.spawn([p = p_] { p->run(); });
+}
+
+void Seek::seeds(std::vector<std::string> addresses) { p_->c.seeds = std::move(addresses); }
+
+}  // namespace dunlinwing::members
--- /dev/null
+++ b/src/members/seek.hpp
@@ -0,0 +1,41 @@
+// How a relay comes to know the set of holders. One that knows none, or has heard
+// nothing fresh for long, asks its seeds and the relays it once heard of. At the
+// first start of the fleet, when all seeds have answered and none knows a set, the
+// first set is those seeds that have a disk; every relay finds the same one.
+#pragma once
+#include "members/mirror.hpp"
+
+namespace dunlinwing::members {
+
+struct SeekConfig {
+  std::string me;
+  Span bound{2000};
+  bool first = false;  // the fleet's first start, and no settings name the holders
+  std::vector<std::string> seeds;
+};
+
+// What a relay tells of itself.
+struct Self {
+  std::string name, zone, peer_address;
+  bool disk = false;
+  pb::HolderSet set;
+};
+std::optional<Self> read_self(std::string_view body);
+
+// The first set, from what each seed has told of itself; nothing when none of them
+// has a disk, or two that differ go by one name.
+std::optional<pb::HolderSet> first_set(const std::vector<Self>& seeds);
+
+class Seek {
+ public:
+  Seek(base::Ports& ps, SeekConfig c, registry::Book& b, Mirror& m, registry::Acceptor* mine);
+  ~Seek();
+  void start();
+  void seeds(std::vector<std::string> addresses);  // in place of those of now
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::members
--- a/src/registry/acceptor.cpp
+++ b/src/registry/acceptor.cpp
@@ -1,9 +1,11 @@
 // Records of votes that arrive together are synced together. What a pull may
 // see is what has been synced.
 //
-// A disk goes from blank to born to formed, and only a formed one votes. Blank
-// turns to born when every holder answers and none has a register: an empty
-// fleet. Born turns to formed when every holder is born, or one is formed. A
+// A disk goes from blank to born to formed, and only a formed one votes. At the
+// first start of a fleet blank turns to born when every holder answers and none has
+// a register. At any other start it does so only when, besides, so many others are
+// born that those that may ever have voted are no majority: then nothing was ever
+// acknowledged. Born turns to formed when every holder is born, or one is formed. A
 // blank disk among formed ones has been lost: it waits one round's limit, so
 // that no round still counts a vote that its old disk gave, and then takes the
 // highest promise and value from a majority of the others. So does a machine that
@@ -26,6 +28,7 @@
   uint64_t epoch = 0;  // of the set that is synced here
   Span round;
   pb::Stage stage = pb::BLANK;
+  std::optional<pb::First> first;
   bool bad = false, writing = false;
   std::map<std::string, pb::Slot> slots, synced;
   std::map<std::string, uint64_t> feed;
@@ -48,6 +51,7 @@
     pb::Image im;
     im.set_stage(stage);
     if (epoch) *im.mutable_set() = set.message();
+    if (first && stage == pb::BLANK) *im.mutable_first() = *first;
     for (auto& [k, s] : slots) *im.add_slots() = s;
     return im;
   }
@@ -111,6 +115,24 @@
     return sync(r);
   }
 
+  // All slots of the others in one sync.
+  bool take(std::map<std::string, pb::Slot>& got) {
+    pb::Record last;
+    for (auto& [k, s] : got) {
+      s.set_name(k);
+      slots[k] = s;
+      pb::Record r;
+      *r.mutable_slot() = s;
+      if (last.has_slot()) {
+        batch.push_back(std::exchange(last, r));
+        ++put;
+      } else {
+        last = r;
+      }
+    }
+    return got.empty() || sync(last);
+  }
+
   void set_stage(pb::Stage s) {
     stage = s;
     pb::Record r;
@@ -118,9 +140,22 @@
     if (sync(r)) lg.info("{}: this disk is now {}.", me, pb::Stage_Name(s));
   }
 
-  void refill() {
+  // Whether a majority may ever have voted, seen from a blank disk that hears every other holder.
+  bool may_have_voted(size_t born) const { return set.all().size() - born >= set.majority(); }
+
+  void refill(bool told) {
+    if (told && !first->seeds().empty()) {  // before anything else, so that a restart remembers it
+      pb::Record r;
+      *r.mutable_first() = *first;
+      if (!sync(r)) return;
+    }
     if (stage == pb::BLANK) ps.clock.nap(round);
+    bool doubted = false;
     while (stage != pb::FORMED && !bad) {
+      if (!set.has(me)) {  // no holder yet, or the set is not known
+        ps.clock.nap(round / 4);
+        continue;
+      }
       auto others = this->others();
       pb::Ask a;
       a.mutable_dump()->set_node(me);
@@ -144,20 +179,17 @@
         ps.clock.nap(round / 4);
       } else if (stage == pb::BLANK && formed >= others.size() / 2 + 1) {
         if (!adopt(set.message())) return;
-        for (auto& [k, s] : got) {
-          s.set_name(k);
-          slots[k] = s;
-          pb::Record r;
-          *r.mutable_slot() = s;
-          if (!sync(r)) return;
-        }
+        if (!take(got)) return;
         lg.info("{}: refilled with {} registers from {} holders.", me, got.size(), formed);
         set_stage(pb::FORMED);
-      } else if (stage == pb::BLANK && every && !full && !formed) {
+      } else if (stage == pb::BLANK && every && !full && !formed && set.epoch() <= 1 && (first || !may_have_voted(born))) {
+        if (!adopt(set.message())) return;  // a born disk knows its set
         set_stage(pb::BORN);
       } else if (stage == pb::BORN && (formed > 0 || (every && born == others.size()))) {
         set_stage(pb::FORMED);
       } else {
+        if (stage == pb::BLANK && every && !formed && !std::exchange(doubted, true))
+          lg.warn("{}: this disk is blank, and the others cannot tell whether anything was ever recorded; it stays mute.", me);
         ps.clock.nap(round / 4);
       }
     }
@@ -168,7 +200,7 @@
     : p_(std::make_shared<Impl>(ps, d, std::move(me), set, round)) {}
 Acceptor::~Acceptor() = default;
 
-void Acceptor::start() {
+void Acceptor::start(const std::optional<pb::First>& first) {
   auto l = p_->disk.load();
   p_->boot = p_->ps.chance.draw() | 1;
   p_->stage = l.image.stage();
@@ -179,9 +211,14 @@
     p_->feed[s.name()] = ++p_->count;
   }
   lg.info("{}: the disk is {} and holds {} registers.", p_->me, pb::Stage_Name(p_->stage), p_->slots.size());
-  if (p_->stage != pb::FORMED) p_->ps.tasks.spawn([p = p_] { p->refill(); });
+  if (p_->stage == pb::BLANK && l.image.has_first()) p_->first = l.image.first();
+  bool told = first && !p_->first && p_->stage == pb::BLANK && p_->slots.empty() && !p_->epoch;
+  if (told) p_->first = first;
+  if (p_->stage != pb::FORMED) p_->ps.tasks.spawn([p = p_, told] { p->refill(told); });
 }
 
+std::optional<pb::First> Acceptor::first() const { return p_->first; }
+
 bool Acceptor::mute() const { return p_->bad || p_->stage != pb::FORMED; }
 bool Acceptor::adopt(const pb::HolderSet& s) { return p_->adopt(s); }
 
--- a/src/registry/acceptor.hpp
+++ b/src/registry/acceptor.hpp
@@ -11,7 +11,10 @@
  public:
   Acceptor(base::Ports& ps, base::Disk& d, std::string me, Holders& set, Span round);
   ~Acceptor();
-  void start();                          // loads the disk and begins to refill when it must
+  // Loads the disk and begins to refill when it must. `first`: this is the first start of the
+  // whole fleet; without it only formed disks fill a blank one, or others that never voted.
+  void start(const std::optional<pb::First>& first);
+  std::optional<pb::First> first() const;  // as told, or as the blank disk remembers
   pb::Reply answer(const pb::Ask& a);    // prepare, accept, peek, dump; parks until synced
   void changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const;
   bool mute() const;
--- a/src/registry/book.cpp
+++ b/src/registry/book.cpp
@@ -186,7 +186,7 @@
 }
 
 std::variant<pb::HolderSet, SetDefect> Book::change(const std::vector<Holder>& to,
-                                                    const std::vector<std::string>& names) {
+                                                    const std::function<std::optional<std::vector<std::string>>()>& names) {
   auto& p = *p_;
   auto from = p.set.message();
   auto in = [](const std::vector<Holder>& v, const std::string& n) {
@@ -196,12 +196,15 @@
   for (auto& h : to) more += !in(p.set.all(), h.name);
   for (auto& h : p.set.all()) fewer += !in(to, h.name);
   if (more + fewer != 1) return SetDefect::not_one_step;
-  if (to.size() < 3) return SetDefect::too_few;
+  if (fewer && to.size() < 3) return SetDefect::too_few;
   pb::Ask a;
   *a.mutable_adopt()->mutable_set() = from;
   auto rs = ask_all(p.ps, p.set.all(), [&](size_t) { return a; }, p.round, [](auto&) { return false; }, p.me, p.local);
   if (Impl::yeses(rs) < p.majority()) return SetDefect::no_majority;
-  for (auto& n : names) {
+  // Asked for only now: what was won before under the set before this one is among them.
+  auto ns = names();
+  if (!ns) return SetDefect::no_majority;
+  for (auto& n : *ns) {
     bool done = false;
     for (int i = 0; i < 2 * kRounds && !done; ++i) {
       done = p.turn(n, [](const pb::Value& v) { return v; }).chosen;
--- a/src/registry/book.hpp
+++ b/src/registry/book.hpp
@@ -25,9 +25,10 @@
   Got read(const std::string& name);
   Put write(const std::string& name, uint64_t expect, const std::string& data);
   // Goes to a set that differs by one machine: the present set is made last at a
-  // majority of itself, every register named is finished under it, and only then
+  // majority of itself, every register that `names` then tells of is finished under it, and only then
   // is the next set written.
-  std::variant<pb::HolderSet, SetDefect> change(const std::vector<Holder>& to, const std::vector<std::string>& names);
+  std::variant<pb::HolderSet, SetDefect> change(const std::vector<Holder>& to,
+                                                const std::function<std::optional<std::vector<std::string>>()>& names);
   size_t majority() const;
   const std::vector<Holder>& holders() const;
   Holders& set();
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -12,14 +12,16 @@
 std::string_view config_schema() {
   return R"({
   "type":"object","additionalProperties":false,
-  "required":["name","zone","listen","holders","seeds"],
+  "required":["name","zone","listen","seeds"],
   "properties":{
     "name":{"type":"string","minLength":1,"maxLength":64},
     "zone":{"type":"string","minLength":1,"maxLength":64},
     "listen":{"type":"object","additionalProperties":false,"required":["callers","control","peers"],"properties":{
       "callers":{"type":"string"},"control":{"type":"string"},"peers":{"type":"string"}}},
     "holders":{"type":"object","minProperties":1,"maxProperties":9,"additionalProperties":{"type":"string"}},
-    "seeds":{"type":"array","minItems":1,"maxItems":3,"items":{"type":"string"}},
+    "seeds":{"type":"array","minItems":1,"maxItems":9,"items":{"type":"string"}},
+    "first_start":{"type":"boolean"},
+    "tolerate":{"type":"integer","minimum":0,"maximum":4},
     "data":{"type":"string","minLength":1},
     "releases":{"type":"string","minLength":1},
     "shield":{"type":"boolean"},
@@ -51,7 +53,10 @@
   n.http_address = c.control;
   for (auto& [k, v] : j.at("holders").members()) n.holders.push_back({k, addr("/holders/" + k, v.str())});
   int i = 0;
-  for (auto& s : j.at("seeds").strs()) c.seeds.push_back(addr(fmt::format("/seeds/{}", i++), s));
+  for (auto& s : j.at("seeds").strs()) n.seeds.push_back(addr(fmt::format("/seeds/{}", i++), s));
+  // A set that the settings name is the operators' to change, unless they say what to tolerate.
+  n.first_start = j.at("first_start").flag(!n.holders.empty());
+  n.tolerate = static_cast<int>(j.at("tolerate").num(n.holders.empty() ? 1 : 0));
   c.data = j.at("data").str();
   c.releases = j.at("releases").str();
   n.shield = j.at("shield").flag();
--- a/src/relay/config.hpp
+++ b/src/relay/config.hpp
@@ -9,7 +9,6 @@
 struct Config {
   NodeConfig node;
   std::string callers, control, data, releases, log_level = "info";
-  std::vector<std::string> seeds;
   int threads = 2;
   size_t log_bytes = 4 << 20;
 };
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -107,38 +107,6 @@
     return callers->listen(c.callers, 1, pool.size());
   }
 
-  // Without fresh news for a while this node may know only holders long replaced:
-  // its seeds, and relays it once heard of, may know the present ones.
-  void seek_holders() {
-    dw::Tick good = clock.now();
-    for (;;) {
-      clock.nap(c.node.bound);
-      if (node->mirror().fresh()) good = clock.now();
-      if (clock.now() - good < c.node.bound * 2) continue;
-      auto ask = c.seeds;
-      for (auto& m : node->mirror().news().all(clock.now())) ask.push_back(m.fact.http_address());
-      for (auto& a : ask) {
-        auto r = origin.shoot(a, {"", "GET", "/v1/holders", "", {}}, c.node.bound);
-        auto* x = std::get_if<dw::base::Receipt>(&r);
-        if (!x || x->status != 200) continue;
-        auto p = dw::base::Json::parse(x->body);
-        auto* j = std::get_if<dw::base::Json>(&p);
-        if (!j) continue;
-        dw::pb::HolderSet set;
-        set.set_epoch(std::strtoull(j->at("epoch").str("0").c_str(), nullptr, 10));
-        for (auto& h : j->at("holders").items()) {
-          auto* e = set.add_holders();
-          e->set_name(h.at("name").str());
-          e->set_address(h.at("address").str());
-        }
-        if (!node->book().set().adopt(set)) continue;
-        lg.info("{}: {} named the holders of epoch {}.", c.node.name, a, set.epoch());
-        if (node->acceptor()) node->acceptor()->adopt(set);
-        break;
-      }
-    }
-  }
-
   void software(const std::string& program) {
     hand = std::make_unique<dw::disk::Hand>(pool);
     if (!c.data.empty()) shelf = std::make_unique<dw::disk::Shelf>(c.data);
@@ -224,7 +192,6 @@
   app.pool.run([&] {
     app.node->start();
     app.artifacts->start();
-    app.pool.spawn([&] { app.seek_holders(); });
     app.stager->start();
   });
 }
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -7,6 +7,8 @@
 
 #include "base/log.hpp"
 #include "members/departed.hpp"
+#include "members/keepers.hpp"
+#include "members/seek.hpp"
 #include "traffic/jury.hpp"
 
 namespace dunlinwing::relay {
@@ -23,6 +25,8 @@
   registry::Book book;
   members::Mirror mirror;
   members::Duty duty;
+  members::Seek seek;
+  members::Keepers keepers;
   rollout::Conductor conductor;
   traffic::Traffic traffic;
   std::atomic<bool> leaving{false}, drained{false};
@@ -45,6 +49,8 @@
              acceptor ? registry::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : registry::Local()),
         mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
         duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
+        seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, book, mirror, acceptor.get()),
+        keepers(ps, book, mirror, duty, c.tolerate, c.bound),
         conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale}),
         traffic(ps, c.name, c.zone, [this] { return mirror.fresh(); }) {}
 
@@ -55,6 +61,7 @@
     f->set_peer_address(c.peer_address);
     f->set_http_address(c.http_address);
     f->set_holder(holder && set.has(c.name));
+    f->set_disk(holder);
     f->set_shield(c.shield);
     f->set_ready(ready());
     f->set_generation(generation);
@@ -229,11 +236,16 @@
 Node::~Node() = default;
 
 void Node::start() {
-  if (p_->acceptor) p_->acceptor->start();
+  std::optional<pb::First> first;
+  if (p_->c.first_start) first.emplace();
+  if (first && p_->c.holders.empty()) first->mutable_seeds()->Assign(p_->c.seeds.begin(), p_->c.seeds.end());
+  if (p_->acceptor) p_->acceptor->start(first);
   p_->mirror.start();
+  p_->seek.start();
   if (p_->holder) {
     p_->duty.start();
     p_->conductor.start();
+    p_->keepers.start();
   }
 }
 
@@ -263,6 +275,11 @@
     case pb::Ask::kDump:
     case pb::Ask::kAdopt:
       if (p_->acceptor) return p_->acceptor->answer(a);
+      if (a.has_adopt()) {
+        p_->set.adopt(a.adopt().set());
+        out.mutable_vote()->set_yes(true);
+        return out;
+      }
       out.set_defect("this node holds no state");
       return out;
     default: out.set_defect("not understood"); return out;
@@ -298,6 +315,7 @@
 registry::Book& Node::book() { return p_->book; }
 members::Duty& Node::duty() { return p_->duty; }
 registry::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
+void Node::seeds(std::vector<std::string> addresses) { p_->seek.seeds(std::move(addresses)); }
 traffic::Traffic& Node::traffic() { return p_->traffic; }
 uint64_t Node::generation() const { return p_->generation; }
 std::optional<software::Want> Node::wanted_software() const { return p_->want_soft; }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -11,7 +11,10 @@
 
 struct NodeConfig {
   std::string name, zone, peer_address, http_address;
-  std::vector<registry::Holder> holders;
+  std::vector<registry::Holder> holders;  // none: the first set forms out of the seeds
+  std::vector<std::string> seeds;         // control addresses
+  bool first_start = true;                // of the whole fleet
+  int tolerate = 0;                       // holders that may be lost at once; 0: only operators change the set
   bool shield = false;
   Span bound{2000};
   double scale = 1;
@@ -36,6 +39,7 @@
   registry::Book& book();
   members::Duty& duty();
   registry::Acceptor* acceptor();
+  void seeds(std::vector<std::string> addresses);
   traffic::Traffic& traffic();
   uint64_t generation() const;
   std::string release() const;
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -28,6 +28,7 @@
                                                       const base::ShotRules& rules) override {
     Span limit = rules.limit;
     auto& w = f_.w_;
+    if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
     auto nap = [&](Span s) {
       Wait x;
       w.park(l_, s, x);
@@ -92,6 +93,8 @@
   }
 
  private:
+  // A relay's control address.
+  std::variant<base::Receipt, base::ShotDefect> relay(const std::string& name, const base::Request& q, Span limit);
   static std::vector<std::pair<std::string, std::string>> head(const Worker& x, const std::string& rid,
                                                                std::vector<std::pair<std::string, std::string>> more) {
     more.emplace_back("Dunlinwing-Service", x.service);
@@ -175,8 +178,12 @@
   c.shield = h.shield;
   c.bound = s_.bound;
   c.scale = s_.scale;
+  c.first_start = s_.seeded ? !h.begun && !old_ : true;
+  c.tolerate = s_.tolerate;
+  if (s_.seeded) c.seeds = {"http:h1", "http:h2", "http:h3"};
+  h.begun = true;
   for (auto& x : hosts_)
-    if (x->holder) c.holders.push_back({x->name, x->address});
+    if (x->holder && !s_.seeded) c.holders.push_back({x->name, x->address});
   h.node = std::make_unique<relay::Node>(*h.ports, c, h.disk.get());
   h.control = std::make_unique<gate::Control>(*h.ports, *h.node);
   auto* node = h.node.get();
@@ -191,6 +198,7 @@
 
 void Fleet::start_all() {
   for (auto& h : hosts_) start(h->name);
+  old_ = true;
 }
 
 void Fleet::kill(const std::string& n) {
@@ -320,6 +328,21 @@
   return v;
 }
 
+std::variant<base::Receipt, base::ShotDefect> SimOrigin::relay(const std::string& name, const base::Request& q, Span limit) {
+  auto& w = f_.w_;
+  auto nap = [&](Span s) {
+    Wait x;
+    w.park(l_, s, x);
+  };
+  auto lost = [&] { return w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.chance(w.weather.loss_permille); };
+  if (lost()) return nap(limit), base::ShotDefect::unknown;
+  auto& h = f_.at(name);
+  if (!h.up()) return nap(Span(1)), base::ShotDefect::unsent;
+  auto v = visit(w, l_, h, q, true, limit);
+  if (v->lost) return base::ShotDefect::unknown;
+  return v->r;
+}
+
 Told Fleet::tell(const std::string& method, const std::string& target, const std::string& body,
                  std::vector<std::pair<std::string, std::string>> hs) {
   auto* h = some(false);
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -9,6 +9,8 @@
 
 struct FleetShape {
   int holders = 5, edges = 4, spares = 0;  // spares have a disk, and no settings name them as holders
+  bool seeded = false;  // the first set of holders forms out of the seeds, the hosts h1 to h3
+  int tolerate = 0;
   double scale = 600;
   Span bound{2000};
   int64_t wall0 = 1700000000000;
@@ -25,6 +27,7 @@
 struct Host {
   std::string name, zone, address;
   bool holder = false, shield = false, spare = false;
+  bool begun = false;  // started before
   Platter platter;
   int64_t wall = 0;
   LifePtr life;
@@ -105,6 +108,7 @@
   std::vector<std::unique_ptr<Grave>> graves_;
   LifePtr out_;
   uint64_t named_ = 0;
+  bool old_ = false;  // all were started once
 };
 
 }  // namespace dunlinwing::sim
--- a/test/sim_cases.hpp
+++ b/test/sim_cases.hpp
@@ -31,9 +31,10 @@
 struct SimCase {
   std::function<void(Scene&)> set_up;
   int spares = 0;
+  std::function<void(sim::FleetShape&)> shape;  // what this case needs otherwise than it is
   SimCase() = default;
   template <class F>
-  SimCase(F f, int sp = 0) : set_up(f), spares(sp) {}
+  SimCase(F f, int sp = 0, std::function<void(sim::FleetShape&)> sh = {}) : set_up(f), spares(sp), shape(std::move(sh)) {}
 };
 const std::map<std::string, SimCase>& sim_cases();
 void run_sim(const SimCase& c, const sim::FleetShape& shape, uint64_t seed, SimFigures& sum, const std::string& journal);
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -14,6 +14,8 @@
   sim::Fleet& f;
   std::map<std::string, std::pair<void*, uint64_t>> shown;
   std::map<std::string, uint64_t> told;  // generations already journalled as acknowledged
+  std::map<std::string, uint64_t> seat;      // host -> epoch of the set it was last seen with
+  std::map<uint64_t, std::string> sets;      // epoch -> the set
   std::string broken;
   std::map<std::pair<uint64_t, std::string>, std::set<std::string>> votes;  // ballot -> disks that have it
 
@@ -49,6 +51,13 @@
       }
       if (n->generation() < gen) broken = h->name + " fell back to a lower generation";
       gen = n->generation();
+      auto& set = n->book().set();
+      if (set.epoch() && set.epoch() != seat[h->name]) {
+        seat[h->name] = set.epoch();
+        auto text = set.message().SerializeAsString();
+        auto [at, fresh] = sets.emplace(set.epoch(), text);
+        if (!fresh && at->second != text) broken = fmt::format("two sets of holders under epoch {}, one of them at {}", set.epoch(), h->name);
+      }
       holders += n->duty().held();
     }
     if (holders > 1) broken = "two nodes hold the rollout duty";
@@ -60,9 +69,10 @@
   sim::World w(seed);
   auto shape = sh;
   shape.spares = c.spares;
+  if (c.shape) c.shape(shape);
   sim::Fleet f(w, shape);
   Scene s{w, f, {}};
-  Watch watch{f, {}, {}, {}, {}};
+  Watch watch{f, {}, {}, {}, {}, {}, {}};
   w.synced = [&](auto& host, auto& r) { watch.synced(host, r); };
   c.set_up(s);
   w.run(w.now() + s.length, [&] { watch.look(); }, [&] {
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -152,6 +152,7 @@
     m.merge(limit_stories());
     m.merge(fault_stories());
     m.merge(mixed_stories());
+    m.merge(holder_stories());
     return m;
   }();
   return all;
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -31,5 +31,6 @@
 NamedCases limit_stories();
 NamedCases fault_stories();
 NamedCases mixed_stories();
+NamedCases holder_stories();  // the set forms, grows and heals by itself
 
 }  // namespace dunlinwing::test
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -12,6 +12,7 @@
 std::vector<Case> traffic_cases();
 std::vector<Case> checker_cases();
 std::vector<Case> config_cases();
+std::vector<Case> keepers_cases();
 
 template <class F>
 Case property(const std::string& name, F f) {
