--- a/src/members/mirror.hpp
+++ b/src/members/mirror.hpp
@@ -39,6 +39,9 @@
   // Parks until a pull that began after this call was good, or time is up.
   bool settle(Span limit);
   void hurry();  // the next pull begins at once, or as soon as the one under way has ended
+  // The names of all registers, from a pull that began after this call.
+  std::optional<std::vector<std::string>> names(Span limit);
+  bool votes(const std::string& holder) const;  // it answered a pull in the last half of the bound, and not as mute
 
  private:
   struct Impl;
--- a/src/relay/config.hpp
+++ b/src/relay/config.hpp
@@ -10,7 +10,6 @@
   NodeConfig node;
   std::string callers, control, readiness, data, releases, log_level = "info";
   std::string face = "own";  // whose words callers, workers and operators are spoken to in
-  std::vector<std::string> seeds;
   int threads = 2;
   Span beat{0};         // how often workers beat, when their calls do not say it
   Span grace{0};        // from the word to stop until the process must have ended; 0: from the bound
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -153,6 +153,7 @@
     m.merge(move_stories());
     m.merge(fault_stories());
     m.merge(mixed_stories());
+    m.merge(holder_stories());
     return m;
   }();
   return all;
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -32,5 +32,6 @@
 NamedCases move_stories();
 NamedCases fault_stories();
 NamedCases mixed_stories();
+NamedCases holder_stories();  // the set forms, grows and heals by itself
 
 }  // namespace dunlinwing::test
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -13,6 +13,7 @@
 std::vector<Case> traffic_cases();
 std::vector<Case> checker_cases();
 std::vector<Case> config_cases();
+std::vector<Case> keepers_cases();
 
 template <class F>
 Case property(const std::string& name, F f) {
