--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -48,7 +48,8 @@
 
   void take(const std::string& who, const pb::PullReply& r, Tick now) {
     auto& s = sides[who];
-    // The holder was restarted: what it had accepted it still has, or it is blank and mute.
+    // The holder was restarted: it tells anew what it has accepted, which after a loss may be less.
+    if (s.boot != r.boot()) s.slots.clear();
     s.boot = r.boot();
     s.seen = r.seen();
     if (!r.mute()) s.voted = now;
--- a/src/registry/acceptor.cpp
+++ b/src/registry/acceptor.cpp
@@ -261,7 +261,7 @@
 void Acceptor::changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const {
   auto& p = *p_;
   out.set_boot(p.boot);
-  out.set_seen(p.count);
+  out.set_seen(mute() ? 0 : p.count);  // of what is not told yet nothing was seen
   out.set_mute(mute());
   if (p.epoch) *out.mutable_set() = p.set.message();
   if (mute()) return;
--- a/src/registry/book.cpp
+++ b/src/registry/book.cpp
@@ -15,6 +15,7 @@
 constexpr int kRounds = 5;        // of a round's limit: how long an operation tries
 constexpr int kSilentTries = 3;   // without hearing a majority before it says so
 constexpr int kMostDoublings = 6;
+constexpr size_t kAtOnce = 16;    // registers finished side by side; holders sync their votes together
 }  // namespace
 
 struct Book::Impl {
@@ -119,6 +120,33 @@
     o.chosen = set.epoch() == epoch && yeses(as) >= majority();
     return o;
   }
+
+  // Writes the value in force of each register anew, so that a majority of the present set has it.
+  bool finish(const std::vector<std::string>& names) {
+    struct Table {
+      std::vector<std::string> names;
+      size_t next = 0, left = 0;
+      bool ok = true;
+      std::shared_ptr<base::Spot> spot;
+    };
+    auto t = std::make_shared<Table>(Table{names, 0, std::min(kAtOnce, names.size()), true, ps.tasks.spot()});
+    for (size_t k = t->left; k > 0; --k)
+      ps.tasks.spawn([this, t] {
+        while (t->ok && t->next < t->names.size()) {
+          auto& n = t->names[t->next++];
+          bool done = false;
+          for (int i = 0; i < 2 * kRounds && !done && t->ok; ++i) {
+            done = turn(n, [](const pb::Value& v) { return v; }).chosen;
+            if (!done) back_off(i);
+          }
+          t->ok &= done;
+        }
+        --t->left;
+        t->spot->wake();
+      });
+    while (t->left) t->spot->park(round);
+    return t->ok;
+  }
 };
 
 Book::Book(base::Ports& ps, std::string me, Holders& set, Span round, Local local)
@@ -204,14 +232,7 @@
   // Asked for only now: what was won before under the set before this one is among them.
   auto ns = names();
   if (!ns) return SetDefect::no_majority;
-  for (auto& n : *ns) {
-    bool done = false;
-    for (int i = 0; i < 2 * kRounds && !done; ++i) {
-      done = p.turn(n, [](const pb::Value& v) { return v; }).chosen;
-      if (!done) p.back_off(i);
-    }
-    if (!done) return SetDefect::no_majority;
-  }
+  if (!p.finish(*ns)) return SetDefect::no_majority;
   auto g = read(kHoldersKey);
   auto* h = std::get_if<Held>(&g);
   if (!h) return SetDefect::no_majority;
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -12,7 +12,7 @@
 #include "disk/slow.hpp"
 #include "disk/store.hpp"
 #include "gate/control.hpp"
-#include "relay/config.hpp"
+#include "relay/reread.hpp"
 #include "software/stager.hpp"
 #include "wire/http.hpp"
 #include "wire/peer.hpp"
@@ -187,11 +187,22 @@
   sigs.async_wait([&](auto ec, int) {
     if (!ec) app.pool.spawn([&] { app.finish(0); });
   });
+  dw::relay::Reread reread(FLAGS_config, [&](auto seeds) { app.node->seeds(std::move(seeds)); });
+  boost::asio::signal_set hups(app.pool.io(0), SIGHUP);
+  std::function<void(boost::system::error_code, int)> on_hup = [&](auto ec, int) {
+    if (ec) return;
+    app.pool.spawn([&] { reread.look(true); });
+    hups.async_wait(on_hup);
+  };
+  hups.async_wait(on_hup);
   lg.info("{}: relay {} in zone {}; callers {}, control {}, peers {}.", c->node.name, dw::kSoftware, c->node.zone,
           c->callers, c->control, c->node.peer_address);
   app.pool.run([&] {
     app.node->start();
     app.artifacts->start();
     app.stager->start();
+    app.pool.spawn([&] {
+      for (;; app.clock.nap(c->node.bound)) reread.look(false);
+    });
   });
 }
--- /dev/null
+++ b/src/relay/reread.hpp
@@ -0,0 +1,23 @@
+// The settings file while the relay runs: read again when its time or size has
+// changed, or when somebody says so. New seeds are taken over; whatever else has
+// changed is named in the log and waits for the next start.
+#pragma once
+#include "relay/config.hpp"
+
+namespace dunlinwing::relay {
+
+// The keys whose values differ between two valid settings, in the order of their names.
+std::vector<std::string> changed_keys(std::string_view before, std::string_view after);
+
+class Reread {
+ public:
+  Reread(std::string path, std::function<void(std::vector<std::string>)> seeds);
+  ~Reread();
+  void look(bool asked);  // `asked`: read it even when it looks the same
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> p_;
+};
+
+}  // namespace dunlinwing::relay
--- a/test/config_unit.cpp
+++ b/test/config_unit.cpp
@@ -2,7 +2,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "relay/config.hpp"
+#include "relay/reread.hpp"
 #include "rollout/release.hpp"
 #include "rollout/system.hpp"
 #include "wire.pb.h"
@@ -92,6 +92,28 @@
          t.insert(1, R"("data":"/d",)");
          same(bad_config(t), std::string("valid"), "places");
        }},
+      {"config: without holders the set forms out of the seeds, and two more keys say how",
+       [good] {
+         auto t = good;
+         t.replace(t.find(R"("holders":{"h":"127.0.0.1:4"},)"), 31, "");
+         auto a = std::get<relay::Config>(relay::read_config(t)).node, b = std::get<relay::Config>(relay::read_config(good)).node;
+         expect(a.holders.empty() && !a.first_start && a.tolerate == 1, "the defaults without holders");
+         expect(b.first_start && b.tolerate == 0, "the defaults with holders");
+         t.insert(1, R"("first_start":true,"tolerate":2,)");
+         a = std::get<relay::Config>(relay::read_config(t)).node;
+         expect(a.first_start && a.tolerate == 2, "what is stated");
+       }},
+      {"config: what changed is named by its key",
+       [good] {
+         auto t = good;
+         t.replace(t.find("\"seeds\""), 7, "\"threads\":3,\"seeds\"");
+         auto u = t;
+         u.replace(u.find("127.0.0.1:2\"]"), 11, "127.0.0.1:9");
+         std::string s;
+         for (auto& k : relay::changed_keys(good, u)) s += k + ";";
+         same(s, std::string("seeds;threads;"), "keys");
+         expect(relay::changed_keys(t, t).empty(), "a key changed by itself");
+       }},
       {"layout: references are checked across the document",
        [] {
          same(bad_release("layout", R"({"content":{"services":{"a":{"versions":["1"]},"b":{"versions":["1","1"]}},
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -104,6 +104,15 @@
   s.must_meet = {"kill", "lost_disk"};
   s.story = [&s] {
     if (!begin(s)) return;
+    // As much as a fleet that has run for long holds.
+    auto pads = std::make_shared<int>(0);
+    auto* any = &s.f.at("h3");
+    for (int k = 0; k < 8; ++k)
+      s.w.spawn(any->life, [any, pads, k] {
+        for (int i = k; i < 400; i += 8)
+          *pads += std::holds_alternative<registry::Held>(any->node->book().write(fmt::format("pad/{}", i), 0, std::string(400, 'x')));
+      });
+    s.want(s.f.until(Span(20000), [&] { return *pads == 400; }), "the registers were not written");
     auto w = writer(s, 600);
     s.f.nap(Span(3000));
     auto out = fmt::format("h{}", 1 + s.w.below(3));
@@ -115,7 +124,14 @@
         if (h->up() && (!holders_at(*h).count("x1") || holders_at(*h).count(out))) return false;
       return settled(s, 3);
     };
-    s.want(s.f.until(Span(45000), healed), "the spare did not take the place of " + out);
+    uint64_t unready = 0;
+    s.want(s.f.until(Span(45000),
+                     [&] {
+                       for (auto& h : s.f.hosts()) unready += h->up() && !h->node->ready();
+                       return healed();
+                     }),
+           "the spare did not take the place of " + out);
+    s.figures["unready_looks"] = unready;
     s.figures["healed_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
     s.figures["longest_ack_gap_ms"] = static_cast<uint64_t>(w.gap->count());
     s.f.nap(Span(2000));
