--- a/test/config_unit.cpp
+++ b/test/config_unit.cpp
@@ -95,7 +95,7 @@
       {"config: without holders the set forms out of the seeds, and two more keys say how",
        [good] {
          auto t = good;
-         t.replace(t.find(R"("holders":{"h":"127.0.0.1:4"},)"), 31, "");
+         t.replace(t.find(R"("holders":{"h":"127.0.0.1:4"},)"), 30, "");
          auto a = std::get<relay::Config>(relay::read_config(t)).node, b = std::get<relay::Config>(relay::read_config(good)).node;
          expect(a.holders.empty() && !a.first_start && a.tolerate == 1, "the defaults without holders");
          expect(b.first_start && b.tolerate == 0, "the defaults with holders");
