--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -330,14 +330,10 @@
 
 std::variant<base::Receipt, base::ShotDefect> SimOrigin::relay(const std::string& name, const base::Request& q, Span limit) {
   auto& w = f_.w_;
-  auto nap = [&](Span s) {
-    Wait x;
-    w.park(l_, s, x);
-  };
-  auto lost = [&] { return w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.chance(w.weather.loss_permille); };
-  if (lost()) return nap(limit), base::ShotDefect::unknown;
   auto& h = f_.at(name);
-  if (!h.up()) return nap(Span(1)), base::ShotDefect::unsent;
+  bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.chance(w.weather.loss_permille);
+  Wait x;
+  if (lost || !h.up()) return w.park(l_, lost ? limit : Span(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
   auto v = visit(w, l_, h, q, true, limit);
   if (v->lost) return base::ShotDefect::unknown;
   return v->r;
