--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -49,7 +49,8 @@
 
   void take(const std::string& who, const pb::PullReply& r, Tick now) {
     auto& s = sides[who];
-    // The holder was restarted: what it had accepted it still has, or it is blank and mute.
+    // The holder was restarted: it tells anew what it has accepted, which after a loss may be less.
+    if (s.boot != r.boot()) s.slots.clear();
     s.boot = r.boot();
     s.seen = r.seen();
     if (!r.mute()) s.voted = now;
@@ -277,11 +278,6 @@
   return s->park(limit);
 }
 
-void Mirror::hurry() {
-  p_->asked = true;
-  if (p_->rest) p_->rest->wake();
-}
-
 std::optional<std::vector<std::string>> Mirror::names(Span limit) {
   if (!settle(limit)) return {};
   std::vector<std::string> out;
@@ -294,4 +290,9 @@
   return f != p_->sides.end() && f->second.voted != Tick(0) && p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
 }
 
+void Mirror::hurry() {
+  p_->asked = true;
+  if (p_->rest) p_->rest->wake();
+}
+
 }  // namespace dunlinwing::members
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -14,7 +14,7 @@
 #include "gate/control.hpp"
 #include "platform/face.hpp"
 #include "platform/gate.hpp"
-#include "relay/config.hpp"
+#include "relay/reread.hpp"
 #include "software/stager.hpp"
 #include "wire/http.hpp"
 #include "wire/peer.hpp"
@@ -108,6 +108,7 @@
     if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); })) return e;
     dw::wire::HttpLimits lim;
     lim.body_bytes = 8u << 20;
+    lim.bodies = c.memory_mb > 0 ? static_cast<size_t>(c.memory_mb * (1 << 20) / 4) : lim.bodies;
     callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", lim, [this](auto& q) { return node->serve(q); });
     dw::wire::HttpHandler product = [this](auto& q) { return control->answer(q); };
     dw::wire::HttpHandler told = product;
@@ -121,6 +122,23 @@
     return callers->listen(c.callers, pool.size() > 1 ? 1 : 0, pool.size());
   }
 
+  // The limits of callers' connections are the layout's.
+  void follow_limits() {
+    std::shared_ptr<const dw::traffic::Layout> seen;
+    for (;; clock.nap(c.node.bound / 8)) {
+      auto l = node->traffic().table()->layout;
+      if (!l || l == seen) continue;
+      seen = l;
+      dw::wire::HttpLimits lim;
+      lim.head_bytes = static_cast<size_t>(l->head_bytes);
+      lim.body_bytes = static_cast<size_t>(l->body_bytes);
+      if (c.memory_mb > 0) lim.bodies = static_cast<size_t>(c.memory_mb * (1 << 20) / 4);
+      lim.read = l->head_time;
+      lim.idle = l->idle_time;
+      callers->limits(lim);
+    }
+  }
+
   void software(const std::string& program) {
     hand = std::make_unique<dw::disk::Hand>(pool);
     if (!c.data.empty()) shelf = std::make_unique<dw::disk::Shelf>(c.data);
@@ -155,6 +173,7 @@
     if (clock.now() < heard) clock.nap(heard - clock.now());
     node->traffic().drain();
     callers->close();
+    callers->close_idle();
     while ((node->traffic().running() > 0 || callers->running() > 0) && clock.now() < end) clock.nap(10ms);
     lg.info("{}: stopped.", c.node.name);
     dw::wire::Pool::stop(status);
@@ -203,11 +222,23 @@
   sigs.async_wait([&](auto ec, int) {
     if (!ec) app.pool.spawn([&] { app.finish(0); });
   });
+  dw::relay::Reread reread(FLAGS_config, [&](auto seeds) { app.node->seeds(std::move(seeds)); });
+  boost::asio::signal_set hups(app.pool.io(0), SIGHUP);
+  std::function<void(boost::system::error_code, int)> on_hup = [&](auto ec, int) {
+    if (ec) return;
+    app.pool.spawn([&] { reread.look(true); });
+    hups.async_wait(on_hup);
+  };
+  hups.async_wait(on_hup);
   lg.info("{}: relay {} in zone {}; callers {}, control {}, peers {}.", c->node.name, dw::kSoftware, c->node.zone,
           c->callers, c->control, c->node.peer_address);
   app.pool.run([&] {
     app.node->start();
     app.artifacts->start();
+    app.pool.spawn([&] { app.follow_limits(); });
     app.stager->start();
+    app.pool.spawn([&] {
+      for (;; app.clock.nap(c->node.bound)) reread.look(false);
+    });
   });
 }
