--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -14,7 +14,7 @@
 constexpr int kWorkPart = 4;    // of its deadline a first shot must still have half this part
 constexpr int kConnectPart = 4; // of the time left, for a connection to stand
 constexpr int kSlow = 4;        // times the usual, and an answer counts as slow
-constexpr Span kSlowLeast{40};
+constexpr Span kSlowLeast{20};
 constexpr double kCapPart = 0.85;  // of the connections a worker takes, over all relays
 // How far past its aim an answer may be expected to be while it is still worth its place, by rank.
 constexpr double kPatience[] = {3.0, 2.0, 1.3};
