--- a/src/console/commands.cpp
+++ b/src/console/commands.cpp
@@ -201,6 +201,10 @@
 
 int move(Session& s) {
   auto body = fmt::format("{{\"version\":{}}}", base::quote(s.args[1]));
+  if (s.args.size() > 2) {
+    body.insert(body.size() - 1, fmt::format(",\"within_ms\":{}", std::strtoll(s.args[2].c_str(), nullptr, 10) * 1000));
+    return done(s, s.link.put("/v1/moves/" + s.args[0], body), "asked for; see how it goes with: console get moves/" + s.args[0]);
+  }
   return done(s, s.link.put("/v1/services/" + s.args[0], body), "stated; watch it with: console get services/" + s.args[0]);
 }
 
@@ -256,7 +260,7 @@
                     [](Session& s) { return with_reason(s, release(s) + "/withdrawal", "withdrawn"); }}},
       {"express", {"express KIND NAME --reason R", "sends a release to all at once", 2, 2,
                    [](Session& s) { return with_reason(s, release(s) + "/express", "sent by express"); }}},
-      {"move", {"move SERVICE VERSION", "moves a service to a worker version", 2, 2, move}},
+      {"move", {"move SERVICE VERSION [SECONDS]", "moves a service to a worker version; within so many seconds, or back", 2, 3, move}},
       {"purge", {"purge NAME SERVICE path|prefix|service [PATH]", "purges cached content", 3, 4, purge}},
       {"drain", {"drain node|zone NAME --reason R", "takes a relay or a zone out of traffic", 2, 2,
                  [](Session& s) { return drain(s, true); }}},
--- a/src/console/doctor.cpp
+++ b/src/console/doctor.cpp
@@ -1,4 +1,5 @@
 // Looks at everything an operator would look at, and says what is wrong.
+#include <algorithm>
 #include <fmt/format.h>
 
 #include <iostream>
@@ -68,7 +69,9 @@
     auto r = s.link.get("/v1/releases/layout/" + l);
     for (auto& [svc, d] : r.body.at("document").at("content").at("services").members()) {
       int n = 0;
-      for (auto& v : d.at("versions").strs()) n += by[svc][v];
+      auto named = d.at("versions").strs();
+      for (auto& [v, k] : by[svc])
+        if (named.empty() || std::find(named.begin(), named.end(), v) != named.end()) n += k;
       if (!n) f.add(fmt::format("service {} of layout {} has no worker of an allowed version", svc, l));
       auto st = s.link.get("/v1/services/" + svc);
       for (auto& [v, why] : st.body.at("quarantined").members())
--- a/src/rollout/term.cpp
+++ b/src/rollout/term.cpp
@@ -94,8 +94,10 @@
     why = !v.all_warm ? std::string("its workers are not warm yet") : traffic::objection(v.seen);
     if (why.empty() && few())
       why = fmt::format("{} warm workers for {} of the version in place", of(v.warm, to), of(v.workers, s.current()));
-    if (v.all_warm && s.percent() < traffic::kTermPercent) {
-      n.set_percent(traffic::kTermPercent);
+    // What is not needed for the verdict is left for the switch, should it have to go back.
+    uint32_t share = v.all_warm && !traffic::ample(v.seen) ? traffic::kTermPercent : traffic::kColdPercent;
+    if (v.all_warm && s.percent() != share) {
+      n.set_percent(share);
       save(true);
     }
     n.set_why(why.empty() ? "nothing speaks against it so far" : why);
--- a/src/traffic/docket.cpp
+++ b/src/traffic/docket.cpp
@@ -14,6 +14,7 @@
 constexpr double kPlainTimes = 2;   // so many times it
 constexpr uint64_t kEnough = 30;    // answers on a route that are evidence
 constexpr uint64_t kClean = 12;     // enough on a route where none was poor
+constexpr uint64_t kAmple = 40;
 constexpr uint64_t kTraffic = 3;    // answers by the old version that make a route one with traffic
 constexpr uint64_t kSure = 60;      // answers by which a difference beyond the noise stays one
 constexpr double kNoise = 0.08;
@@ -79,6 +80,7 @@
       bool mine = b.version() == st.trial();
       if (!mine && b.version() != st.current()) continue;
       (mine ? x.trial : x.old)[b.route()] += d;
+      if (mine && st.switching()) x.switched[b.route()] += d;
       if (f->second.warm) (mine ? x.warm_trial : x.warm_old)[b.route()] += d;
     }
   }
@@ -92,8 +94,13 @@
 }
 
 bool plainly_worse(const Seen& s) {
-  if (plain(sum(s.trial), sum(s.old))) return true;
-  return std::any_of(s.trial.begin(), s.trial.end(), [&](auto& x) { return plain(x.second, of(s.old, x.first)); });
+  // What was good before, cold or with little to do, must not hide what comes now.
+  for (auto* t : {&s.trial, &s.warm_trial, &s.switched}) {
+    if (plain(sum(*t), sum(s.old))) return true;
+    for (auto& [k, x] : *t)
+      if (plain(x, of(s.old, k))) return true;
+  }
+  return false;
 }
 
 std::string worse(const Seen& s) {
@@ -103,6 +110,12 @@
   return {};
 }
 
+bool ample(const Seen& s) {
+  for (auto& [k, o] : s.old)
+    if (o.all() >= kTraffic && of(s.warm_trial, k).all() < kAmple) return false;
+  return objection(s).empty();
+}
+
 std::string objection(const Seen& s) {
   ByRoute routes = s.old;
   for (auto& [k, t] : s.trial) routes[k];
--- a/src/traffic/docket.hpp
+++ b/src/traffic/docket.hpp
@@ -21,6 +21,7 @@
 struct Seen {
   ByRoute trial, old;            // since the trial began
   ByRoute warm_trial, warm_old;  // since its workers were warm
+  ByRoute switched;              // by the version on trial since its switch, when it has all the load
 };
 
 class Docket {
@@ -46,6 +47,8 @@
 bool plainly_worse(const Seen& s);
 // What on some route is worse, with evidence enough to end the trial. Empty: nothing.
 std::string worse(const Seen& s);
+// Whether there is more evidence than a verdict needs.
+bool ample(const Seen& s);
 // What speaks against promotion yet, or for good: too little evidence on a route, more
 // failures or slower answers than of the version in place. Empty: nothing does.
 std::string objection(const Seen& s);
--- a/test/checker_unit.cpp
+++ b/test/checker_unit.cpp
@@ -103,6 +103,11 @@
     for (int i = 0; i < n; ++i) v.push_back(ran("b", "GET", "/c", 200 + i));
     return v;
   };
+  auto within = [&](int slack) {
+    auto v = bad;
+    v[0] = fmt::format(R"({{"t":"bad_version","service":"s","version":"2","until":5000,"slack":{},"at":0}})", slack);
+    return v;
+  };
   return {
       doctored(6, "a shot under an old layout after a wait",
                {R"({"t":"assigned","relay":"r","generation":2,"at":100})", ask("d", "GET", "/c"),
@@ -119,6 +124,8 @@
       kept(9, "as many repeats as are allowed", repeats(20)),
       doctored(9, "one repeat more", repeats(21)),
       kept(10, "a tenth and what is under way", plus({two, trial}, plus(row(98, 1, 300), row(15, 1, 500, "", "2")))),
+      doctored(10, "a bad version beyond the slack of its term", within(13)),
+      kept(10, "a bad version just within the slack of its term", within(14)),
       doctored(10, "one request more than a tenth", plus({two, trial}, plus(row(98, 1, 300), row(17, 1, 500, "", "2")))),
       kept(11, "a tenth more than the rate", plus({R"({"t":"rate","service":"s","n":10,"at":300})"}, row(55, 1, 300))),
       doctored(11, "one more than that", plus({R"({"t":"rate","service":"s","n":10,"at":300})"}, row(56, 1, 300))),
--- a/test/move_stories.cpp
+++ b/test/move_stories.cpp
@@ -127,6 +127,32 @@
            "the order come late once more began anew: " + again.body);
   };
 }
+// Where the layout names no versions, one that nobody asked for gets nothing while the
+// one in place has workers; it takes its place when they have been gone for long.
+void version_gone(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    if (!begin(s, 60, sim_layout(""))) return;
+    auto current = [&s] {
+      auto j = base::Json::parse(s.f.tell("GET", "/v1/services/app", "").body);
+      auto* x = std::get_if<base::Json>(&j);
+      return x ? x->at("current").str() : std::string();
+    };
+    s.want(s.f.until(Span(8000), [&] { return current() == "1"; }), "no version came into place");
+    for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0);
+    s.f.nap(Span(6000));
+    for (auto& x : s.f.workers())
+      if (x->service == "app" && x->version == "1") x->alive = false;
+    s.f.nap(Span(9000));
+    s.want(current() == "1", "a version that nobody asked for took over at once");
+    allow(s, "2");  // nothing went to it until here, or the checker speaks
+    s.want(s.f.until(Span(8000), [&] { return current() == "2"; }), "nothing took the place of a version that is gone");
+    s.f.nap(Span(1000));
+    auto good = s.f.good;
+    s.f.nap(Span(2000));
+    s.want(s.f.good > good + 80, "the service does not serve");
+  };
+}
 }  // namespace
 
 NamedCases move_stories() {
@@ -135,6 +161,7 @@
     m["move_" + std::string(how)] = [how](Scene& s) { move_within(s, {how, ""}); };
     m["move_" + std::string(how) + "_duty"] = [how](Scene& s) { move_within(s, {how, "duty"}); };
   }
+  m["version_gone"] = version_gone;
   m["move_good"] = [](Scene& s) { move_within(s, {"", ""}); };
   m["move_good_duty"] = [](Scene& s) { move_within(s, {"", "duty"}); };
   m["move_good_freeze"] = [](Scene& s) { move_within(s, {"", "freeze"}); };
