--- a/test/move_stories.cpp
+++ b/test/move_stories.cpp
@@ -79,7 +79,7 @@
     for (auto& x : s.f.workers())
       if (x->service == "app") x->least = Span(5), x->most = Span(15);
     auto start = [&] {
-      for (int i = 0; i < 4; ++i) {
+      for (int i = 0; i < std::max(4, s.f.shape().second); ++i) {
         auto& x = s.f.add_worker("app", "2", 0);
         x.least = Span(5);
         x.most = p.how == "under_load" ? Span(40) : Span(15);
