--- a/test/move_stories.cpp
+++ b/test/move_stories.cpp
@@ -1,25 +1,41 @@
 // Moves with a term, as an operator sees them: new workers start cold beside the old
 // ones, the order comes, and what it ends in is acted on at once.
+#include <deque>
+
 #include "story.hpp"
 
 namespace dunlinwing::test {
 namespace {
 
 struct Plan {
-  std::string how;       // of the bad version: errors, slow, one_route, late, under_load; empty: a good one
+  std::string how;       // of the bad version: errors, slow, one_route, late, under_load, whole_load; empty: a good one
   std::string trouble;   // duty, freeze or restarts, in its midst
 };
 
 void spoil(Scene& s, sim::Worker& x, const std::string& how, int percent) {
   auto* w = &s.w;
-  auto* me = &x;
+  auto* f = &s.f;
   auto bad = [w, percent] { return static_cast<int>(w->below(100)) < percent; };
   if (how == "errors") x.spoils = [=](auto&) { return bad() ? 0 : 1; };
   if (how == "slow") x.spoils = [=](auto&) { return bad() ? 8 : 1; };
   if (how == "one_route") x.spoils = [=](auto& t) { return t.starts_with("/pay") && bad() ? 0 : 1; };
   auto from = w->now() + Span(3000);
   if (how == "late") x.spoils = [=](auto&) { return w->now() > from && bad() ? 0 : 1; };
-  if (how == "under_load") x.spoils = [=](auto&) { return me->running >= 1 && bad() ? 0 : 1; };
+  auto busy = [f] {
+    int n = 0;
+    for (auto& x : f->workers()) n += x->version == "2" ? x->running : 0;
+    return n >= 3;
+  };
+  if (how == "whole_load") {  // not in a trial, only when nearly all comes to it
+    static std::deque<Tick> got;
+    got.clear();
+    x.spoils = [=](auto&) {
+      got.push_back(w->now());
+      while (got.front() < w->now() - Span(500)) got.pop_front();
+      return got.size() > 45 && bad() ? 0 : 1;
+    };
+  }
+  if (how == "under_load") x.spoils = [=](auto&) { return busy() && bad() ? 0 : 1; };
 }
 
 // In the midst of the move, at a time drawn anew each seed.
@@ -63,7 +79,7 @@
     for (auto& x : s.f.workers())
       if (x->service == "app") x->least = Span(5), x->most = Span(15);
     auto start = [&] {
-      for (int i = 0; i < 4; ++i) {
+      for (int i = 0; i < std::max(4, s.f.shape().second); ++i) {
         auto& x = s.f.add_worker("app", "2", 0);
         x.least = Span(5);
         x.most = p.how == "under_load" ? Span(40) : Span(15);
@@ -111,14 +127,41 @@
            "the order come late once more began anew: " + again.body);
   };
 }
+// Where the layout names no versions, one that nobody asked for gets nothing while the
+// one in place has workers; it takes its place when they have been gone for long.
+void version_gone(Scene& s) {
+  s.length = Span(60000);
+  s.story = [&s] {
+    if (!begin(s, 60, sim_layout(""))) return;
+    auto current = [&s] {
+      auto j = base::Json::parse(s.f.tell("GET", "/v1/services/app", "").body);
+      auto* x = std::get_if<base::Json>(&j);
+      return x ? x->at("current").str() : std::string();
+    };
+    s.want(s.f.until(Span(8000), [&] { return current() == "1"; }), "no version came into place");
+    for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0);
+    s.f.nap(Span(6000));
+    for (auto& x : s.f.workers())
+      if (x->service == "app" && x->version == "1") x->alive = false;
+    s.f.nap(Span(9000));
+    s.want(current() == "1", "a version that nobody asked for took over at once");
+    allow(s, "2");  // nothing went to it until here, or the checker speaks
+    s.want(s.f.until(Span(8000), [&] { return current() == "2"; }), "nothing took the place of a version that is gone");
+    s.f.nap(Span(1000));
+    auto good = s.f.good;
+    s.f.nap(Span(2000));
+    s.want(s.f.good > good + 80, "the service does not serve");
+  };
+}
 }  // namespace
 
 NamedCases move_stories() {
   NamedCases m;
-  for (auto* how : {"errors", "slow", "one_route", "late", "under_load"}) {
+  for (auto* how : {"errors", "slow", "one_route", "late", "under_load", "whole_load"}) {
     m["move_" + std::string(how)] = [how](Scene& s) { move_within(s, {how, ""}); };
     m["move_" + std::string(how) + "_duty"] = [how](Scene& s) { move_within(s, {how, "duty"}); };
   }
+  m["version_gone"] = version_gone;
   m["move_good"] = [](Scene& s) { move_within(s, {"", ""}); };
   m["move_good_duty"] = [](Scene& s) { move_within(s, {"", "duty"}); };
   m["move_good_freeze"] = [](Scene& s) { move_within(s, {"", "freeze"}); };
