--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -10,12 +10,14 @@
 namespace {
 constexpr base::Log lg("shares");
 constexpr double kFresh = 0.3;  // the weight of the latest look at demand
+constexpr int kAwayBounds = 15;  // a node away for less is expected back, and its share is kept for it
 }  // namespace
 
 struct Pacer::Impl {
   struct Seen {
     uint64_t incarnation = 0, asked = 0;
     double rate = 0;
+    Tick heard{0};
   };
   base::Ports& ps;
   registry::Book& book;
@@ -86,8 +88,19 @@
           s.asked = d.asked();
           s.incarnation = x.mark().incarnation();
         }
+        s.heard = now;
         v.demand[n] = s.rate;
       }
+      // A node that is restarted asks for as much as before once it is back; were its
+      // share given away meanwhile, it would have to wait for others' to fall.
+      auto have = mirror.chosen().find(share_key(svc));
+      pb::Shares sh;
+      if (have != mirror.chosen().end()) sh.ParseFromString(have->second.data);
+      for (auto& [n, m] : sh.milli()) {
+        auto& s = seen[svc][n];
+        if (s.heard == Tick(0)) s.heard = now;
+        if (!v.demand.count(n) && now - s.heard < bound * kAwayBounds) v.demand[n] = s.rate;
+      }
       auto& f = fell[svc];
       if (f == Tick(0)) f = now;
       v.since_fall = now - f;
