--- a/test/measure.cpp
+++ b/test/measure/delays.cpp
@@ -1,19 +1,13 @@
-// Figures from the simulation: what control costs as the fleet grows, how long
-// news takes, and how long there is no service when machines are lost.
-#include <gflags/gflags.h>
-#include <unistd.h>
+// Whole deployments under callers, seen from outside in steps of 20 to 50 ms.
+#include "delays.hpp"
 
 #include <algorithm>
+#include <iostream>
 
-#include "base/log.hpp"
 #include "rollout/conductor.hpp"
 #include "story.hpp"
 
-DEFINE_int32(seeds, 5, "how many seeds each figure is drawn from");
-DEFINE_bool(grow, true, "cost of control by fleet size");
-DEFINE_bool(delays, true, "delays and gaps");
-
-using namespace dunlinwing;
+namespace dunlinwing::measure {
 using namespace dunlinwing::test;
 
 namespace {
@@ -39,10 +33,12 @@
   w.run(w.now() + Span(20000), nullptr, nullptr);
 }
 
-void grow() {
+}  // namespace
+
+void grow(int seeds) {
   for (int edges : {9, 27, 59}) {
     Figure msgs, bytes;
-    for (int k = 1; k <= FLAGS_seeds; ++k) {
+    for (int k = 1; k <= seeds; ++k) {
       sim::FleetShape shape;
       shape.edges = edges;
       play(static_cast<uint64_t>(k), shape, Span(30000), [&](Scene& s) {
@@ -59,6 +55,7 @@
   }
 }
 
+namespace {
 // Milliseconds until the condition holds on every host that is up.
 double till_all(Scene& s, const std::function<bool(sim::Host&)>& ok) {
   auto from = s.w.now();
@@ -88,9 +85,11 @@
   return std::max(worst, static_cast<double>((s.w.now() - last).count()));
 }
 
-void delays() {
+}  // namespace
+
+void delays(int seeds) {
   Figure purge_seen, assigned, holder, zone, all, quarantine, bad;
-  for (int k = 1; k <= FLAGS_seeds * 4; ++k) {
+  for (int k = 1; k <= seeds * 4; ++k) {
     auto seed = static_cast<uint64_t>(k);
     play(seed, {}, Span(70000), [&](Scene& s) {
       if (!begin(s, 100)) return;
@@ -145,13 +144,5 @@
             << "50 bad answers, till the last relay heeds the quarantine, ms: " << quarantine.text() << "\n"
             << "bad answers of the quarantined version in all: " << bad.text() << "\n";
 }
-}  // namespace
 
-int main(int argc, char** argv) {
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  base::set_level(base::Level::error);
-  if (FLAGS_grow) grow();
-  if (FLAGS_delays) delays();
-  std::cout.flush();
-  ::_exit(0);
-}
+}  // namespace dunlinwing::measure
--- /dev/null
+++ b/test/measure/delays.hpp
@@ -0,0 +1,10 @@
+// Figures of whole simulated deployments with callers: what control costs by size, how
+// long news takes, and how long there is no service when machines are lost.
+#pragma once
+
+namespace dunlinwing::measure {
+
+void grow(int seeds);
+void delays(int seeds);
+
+}  // namespace dunlinwing::measure
--- /dev/null
+++ b/test/measure/hollow.hpp
@@ -0,0 +1,74 @@
+// Hollow relays: the product's own control (news, registers, permits, duties,
+// rollout) without callers, many in one process on invented time. What goes between
+// two of them is encoded and decoded as on a wire, and counted at both ends.
+#pragma once
+#include "gate/control.hpp"
+#include "sim/ports.hpp"
+
+namespace dunlinwing::measure {
+
+struct Shape {
+  int nodes = 14, holders = 5, zones = 3, regions = 3;
+  Span near{1}, far{3};  // a message's way
+  Span bound{2000};
+};
+
+struct Toll {  // at one node's own link, both ways
+  uint64_t messages = 0, bytes = 0;
+};
+
+struct Split {  // what the bytes of pulls are, from one pull in sixteen
+  uint64_t marks = 0, own = 0, news = 0, slots = 0;
+};
+
+struct Proc;  // one run of one node's process
+struct Hollow;
+
+struct Node {
+  std::string name, zone, address;
+  int region = 0;
+  bool holder = false;
+  sim::Platter platter;
+  int64_t wall = 0;
+  Toll toll;
+  uint64_t answer_ns = 0;  // processor time spent on others' pulls
+  std::shared_ptr<Proc> proc;
+  bool up() const;
+  relay::Node& relay() const;
+  gate::Control& control() const;
+  const sim::LifePtr& life() const;
+  base::Ports& ports() const;
+};
+
+struct Hollow {
+  Hollow(sim::World& w, Shape s);
+  ~Hollow();
+  void start(Node& n);
+  void start_all();
+  void kill(Node& n);
+  void end();
+  void outside(std::function<void()> f);
+  void nap(Span s);
+  bool until(Span most, const std::function<bool()>& f);
+  bool on(Node& n, Span most, std::function<void()> f);  // runs it in the node's process; false when it did not end
+  Node& some();                                          // one that is up
+  bool fresh();                                          // every node that is up has a permit
+  bool serving(const std::string& layout);               // and runs this layout
+  void beats(int workers, Span period);                  // each worker stays with its relay
+  bool cut(const Node& a, const Node& b) const { return apart >= 0 && (a.region == apart) != (b.region == apart); }
+
+  sim::World& w;
+  Shape s;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::map<std::string, Node*> by;  // by address
+  sim::LifePtr out;
+  std::vector<std::shared_ptr<Proc>> graves;
+  int apart = -1;  // a region that hears no other
+  uint64_t asks = 0, answers = 0, beats_taken = 0, beats_missed = 0;
+  Split split;
+};
+
+uint64_t cpu_ns();     // of this thread
+uint64_t resident();   // bytes of this process
+
+}  // namespace dunlinwing::measure
--- /dev/null
+++ b/test/measure/sockets.cpp
@@ -0,0 +1,158 @@
+// The connections to a holder are shared by the nodes of the process, as the product
+// keeps them by thread and address. Disks are memory without a wait. Processor time is
+// the whole process's, the system's part in it.
+#include "sockets.hpp"
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+
+#include <future>
+#include <thread>
+
+#include "steady.hpp"
+#include "wire/peer.hpp"
+
+namespace dunlinwing::measure {
+namespace {
+constexpr int kPort = 23000;
+
+double used_ms(bool system) {
+  rusage u{};
+  getrusage(RUSAGE_SELF, &u);
+  auto& t = system ? u.ru_stime : u.ru_utime;
+  return static_cast<double>(t.tv_sec) * 1000 + static_cast<double>(t.tv_usec) / 1000;
+}
+
+class CountedNet final : public base::Net {
+ public:
+  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Span limit) override {
+    toll.messages += 2;
+    toll.bytes += a.ByteSizeLong() + 8;
+    auto r = net_.ask(addr, a, limit);
+    if (auto* x = std::get_if<pb::Reply>(&r)) toll.bytes += x->ByteSizeLong();
+    return r;
+  }
+  Toll toll;
+
+ private:
+  wire::PeerNet net_;
+};
+
+class NoOrigin final : public base::Origin {
+ public:
+  bool reach(const std::string&, Span) override { return true; }
+  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, Span) override {
+    return base::ShotDefect::unsent;
+  }
+};
+
+struct Real {
+  sim::Platter platter;
+  CountedNet net;
+  NoOrigin origin;
+  std::unique_ptr<base::Ports> ports;
+  std::unique_ptr<disk::Store> disk;
+  std::unique_ptr<relay::Node> node;
+  std::unique_ptr<gate::Control> control;
+};
+
+struct Run {
+  wire::Pool pool{1};
+  wire::RealClock clock;
+  wire::RealChance chance;
+  std::vector<std::unique_ptr<Real>> all;
+  std::promise<Figures> told;
+
+  bool until(Span most, const std::function<bool()>& f) {
+    auto end = clock.now() + most;
+    for (; !f(); clock.nap(Span(20)))
+      if (clock.now() >= end) return false;
+    return true;
+  }
+  bool each(const std::function<bool(Real&)>& f) {
+    for (auto& r : all)
+      if (!f(*r)) return false;
+    return true;
+  }
+
+  std::string up(const Shape& s) {
+    std::vector<registry::Holder> hs;
+    auto addr = [](int i) { return fmt::format("127.0.0.1:{}", kPort + i); };
+    for (int i = 0; i < s.holders; ++i) hs.push_back({fmt::format("h{}", i + 1), addr(i)});
+    for (int i = 0; i < s.nodes; ++i) {
+      auto r = std::make_unique<Real>();
+      r->ports = std::make_unique<base::Ports>(base::Ports{clock, chance, pool, r->net, r->origin});
+      if (i < s.holders) r->disk = std::make_unique<disk::Store>(std::make_unique<sim::MemFiles>(r->platter), 16384);
+      relay::NodeConfig c;
+      c.name = fmt::format("{}{}", i < s.holders ? "h" : "e", i + 1);
+      c.zone = fmt::format("z{}", i % s.zones);
+      c.peer_address = c.http_address = addr(i);
+      c.holders = hs;
+      c.bound = s.bound;
+      c.scale = 600;
+      r->node = std::make_unique<relay::Node>(*r->ports, c, r->disk.get());
+      r->control = std::make_unique<gate::Control>(*r->ports, *r->node);
+      auto* node = r->node.get();
+      if (i < s.holders)
+        if (auto e = wire::serve_peers(pool, c.peer_address, [node](const pb::Ask& a) { return node->answer(a); })) return *e;
+      all.push_back(std::move(r));
+    }
+    for (auto& r : all) {
+      clock.nap(Span(250 / s.nodes));
+      pool.spawn([n = r->node.get()] { n->start(); });
+    }
+    if (!until(Span(30000), [&] { return each([](Real& r) { return r.node->mirror().fresh(); }); })) return "not every node got a permit";
+    if (!until(Span(20000), [&] {
+          base::Request q{"", "PUT", "/v1/releases/layout/first", layout_doc(0), {}};
+          auto st = all.back()->control->answer(q).status;
+          return st == 200 || st == 202;
+        }))
+      return "the first layout was not taken";
+    if (!until(Span(30000), [&] { return each([](Real& r) { return r.node->release() == "first"; }); })) return "not every node runs the first layout";
+    return {};
+  }
+
+  Figures measure(const Shape& s, int seconds) {
+    Figures o;
+    auto why = up(s);
+    o["ended"] = why.empty();
+    if (!why.empty()) return o;
+    clock.nap(Span(3000));
+    auto toll = [&] {
+      Toll t;
+      for (size_t i = static_cast<size_t>(s.holders); i < all.size(); ++i) {
+        t.bytes += all[i]->net.toll.bytes;
+        t.messages += all[i]->net.toll.messages;
+      }
+      return t;
+    };
+    auto t0 = toll();
+    auto u0 = used_ms(false), s0 = used_ms(true);
+    auto from = clock.now();
+    int looks = 0, stale = 0;
+    for (; clock.now() - from < Span(seconds * 1000); clock.nap(Span(250)), ++looks)
+      stale += !each([](Real& r) { return r.node->mirror().fresh(); });
+    double sec = static_cast<double>((clock.now() - from).count()) / 1000, n = s.nodes;
+    auto t1 = toll();
+    o["relay_bytes"] = static_cast<double>(t1.bytes - t0.bytes) / sec / (n - s.holders);
+    o["relay_messages"] = static_cast<double>(t1.messages - t0.messages) / sec / (n - s.holders);
+    o["user_ms_s"] = (used_ms(false) - u0) / sec / n;
+    o["system_ms_s"] = (used_ms(true) - s0) / sec / n;
+    o["node_cpu_ms_s"] = o["user_ms_s"] + o["system_ms_s"];
+    o["looks"] = looks;
+    o["looks_without_all_permits"] = stale;
+    return o;
+  }
+};
+}  // namespace
+
+Figures sockets(Shape s, int seconds) {
+  auto* r = new Run;  // its thread never ends; the process does
+  auto f = r->told.get_future();
+  std::thread([r, s, seconds] {
+    r->pool.run([r, s, seconds] { r->told.set_value(r->measure(s, seconds)); });
+  }).detach();
+  return f.get();
+}
+
+}  // namespace dunlinwing::measure
--- /dev/null
+++ b/test/measure/sockets.hpp
@@ -0,0 +1,10 @@
+// Hollow relays over real sockets of the loopback, all in one process and one thread.
+#pragma once
+#include "hollow.hpp"
+#include "rows.hpp"
+
+namespace dunlinwing::measure {
+
+Figures sockets(Shape s, int seconds);
+
+}  // namespace dunlinwing::measure
--- /dev/null
+++ b/test/measure/steady.cpp
@@ -0,0 +1,176 @@
+// One fleet, one load, one window. Figures per node count both ways of its own link;
+// a message is so counted at both of its ends.
+#include "steady.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace dunlinwing::measure {
+namespace {
+constexpr Span kUp{120000};
+constexpr int kTicks = 8;
+
+void registers(Hollow& f, int n) {
+  int left = n, done = 0;
+  for (int k = 0; k < std::min(n, 16); ++k)
+    f.w.spawn(f.nodes[0]->life(), [&f, &left, &done] {
+      while (left > 0) {
+        auto key = fmt::format("idle/{:06}", left--);
+        f.nodes[0]->relay().book().write(key, 0, std::string(200, 'x'));
+        ++done;
+      }
+    });
+  f.until(Span(300000), [&] { return done >= n; });
+}
+
+// A watch of the duty's pair: what a holder does each eighth of the bound when the
+// permit is another's. It parks nowhere.
+double watch_ms(Hollow& f) {
+  auto& n = *f.nodes[0];
+  double ms = 0;
+  f.on(n, Span(5000), [&] {
+    members::Duty none(n.ports(), n.relay().book(), n.relay().mirror(), "measured", n.name, n.zone, f.s.bound);
+    rollout::Conductor c(n.ports(), n.relay().book(), n.relay().mirror(), none, {n.name, f.s.bound, 600});
+    c.tick();  // reads the releases once
+    auto from = cpu_ns();
+    for (int i = 0; i < kTicks; ++i) c.tick();
+    ms = static_cast<double>(cpu_ns() - from) / 1e6 / kTicks;
+  });
+  return ms;
+}
+
+// What a console gets for a look at all nodes, and what the answer costs the node.
+void console(Hollow& f, Figures& o) {
+  for (auto* what : {"nodes", "assignments"}) {
+    size_t bytes = 0;
+    f.on(*f.nodes.back(), Span(5000), [&] {
+      base::Request q{"", "GET", fmt::format("/v1/{}", what), "", {}};
+      bytes = f.nodes.back()->control().answer(q).body.size();
+    });
+    o[fmt::format("console_{}_bytes", what)] = static_cast<double>(bytes);
+  }
+}
+
+struct Mark {
+  Toll toll;
+  uint64_t answer_ns = 0;
+};
+
+std::vector<Mark> marks(Hollow& f) {
+  std::vector<Mark> v;
+  for (auto& n : f.nodes) v.push_back({n->toll, n->answer_ns});
+  return v;
+}
+
+void costs(Hollow& f, const std::vector<Mark>& was, const Split& split, uint64_t cpu, double sec, Figures& o) {
+  Spread bytes;
+  double rb = 0, rm = 0, hb = 0, hm = 0, ans = 0, most = 0, duty = 0;
+  int rn = 0, hn = 0;
+  for (size_t i = 0; i < f.nodes.size(); ++i) {
+    auto& n = *f.nodes[i];
+    double b = static_cast<double>(n.toll.bytes - was[i].toll.bytes) / sec;
+    double m = static_cast<double>(n.toll.messages - was[i].toll.messages) / sec;
+    ans += static_cast<double>(n.answer_ns - was[i].answer_ns) / 1e6 / sec;
+    (n.holder ? hb : rb) += b;
+    (n.holder ? hm : rm) += m;
+    ++(n.holder ? hn : rn);
+    if (n.holder) most = std::max(most, b);
+    if (!n.holder) bytes.add(b);
+    if (n.up() && n.relay().duty().held()) duty = b;
+  }
+  double all = static_cast<double>(cpu) / 1e6 / sec;
+  o["relay_bytes"] = rn ? rb / rn : 0;
+  o["relay_bytes_p50"] = bytes.at(0.5);
+  o["relay_bytes_p99"] = bytes.at(0.99);
+  o["relay_bytes_worst"] = bytes.most();
+  o["relay_messages"] = rn ? rm / rn : 0;
+  o["holder_bytes"] = hb / hn;
+  o["holder_bytes_worst"] = most;
+  o["holder_messages"] = hm / hn;
+  o["duty_bytes"] = duty;
+  o["cpu_ms_s"] = all;                                                 // the whole fleet
+  o["relay_cpu_ms_s"] = (all - ans) / static_cast<double>(f.nodes.size());  // a node's own pulls and tables
+  o["holder_cpu_ms_s"] = o["relay_cpu_ms_s"] + ans / hn;
+  auto per = [&](uint64_t a, uint64_t b) { return static_cast<double>(a - b) * 16 / sec / static_cast<double>(f.nodes.size()); };
+  o["pull_marks_bytes"] = per(f.split.marks, split.marks);
+  o["pull_own_bytes"] = per(f.split.own, split.own);
+  o["pull_news_bytes"] = per(f.split.news, split.news);
+  o["pull_slots_bytes"] = per(f.split.slots, split.slots);
+}
+}  // namespace
+
+std::string play(uint64_t seed, Shape s, Span length, const std::function<void(Hollow&)>& story) {
+  sim::World w(seed);
+  Hollow f(w, s);
+  std::string why = "the run's time was over";
+  w.run(w.now() + length + kUp, nullptr, [&] {
+    f.start_all();
+    f.outside([&] {
+      auto not_up = [&](const char* x) {
+        why = x;
+        f.end();
+      };
+      if (!f.until(kUp / 2, [&] { return f.fresh(); })) return not_up("not every node got a permit");
+      if (!put_layout(f, "first", 0)) return not_up("the first layout was not taken");
+      if (!f.until(kUp / 2, [&] { return f.serving("first"); })) return not_up("not every node runs the first layout");
+      story(f);
+      why.clear();
+      f.end();  // so that what is left of the run's time costs nothing
+    });
+  });
+  f.end();
+  w.run(w.now() + Span(20000), nullptr, nullptr);
+  return why;
+}
+
+Figures steady(uint64_t seed, Shape s, const Load& l) {
+  Figures o;
+  auto empty = resident();
+  auto began = cpu_ns();
+  Tick up{0};
+  auto why = play(seed, s, Span(l.window_s * 1000 + 400000), [&](Hollow& f) {
+    up = f.w.now();
+    o["start_cpu_ms"] = static_cast<double>(cpu_ns() - began) / 1e6;
+    if (l.registers) registers(f, l.registers);
+    if (l.workers) f.beats(l.workers, Span(l.period_ms));
+    f.nap(Span(2500) + Span(l.workers ? 2 * l.period_ms : 0));
+    Stream st(f);
+    auto end = f.w.now() + Span(l.window_s * 1000);
+    auto was = marks(f);
+    auto split = f.split;
+    auto taken = f.beats_taken, missed = f.beats_missed;
+    auto cpu = cpu_ns();
+    st.changes(l.changes, end);
+    st.purges(l.purges, end);
+    Spread layouts;
+    for (int i = 1; i <= l.layouts; ++i) {
+      auto from = f.w.now();
+      auto name = fmt::format("next{}", i);
+      if (put_layout(f, name, i) && f.until(Span(60000), [&] { return f.serving(name); }))
+        layouts.add(static_cast<double>((f.w.now() - from).count()));
+    }
+    uint64_t looks = 0, stale = 0;
+    for (; f.w.now() < end; f.nap(Span(250)), ++looks) stale += !f.fresh();
+    costs(f, was, split, cpu_ns() - cpu, static_cast<double>((f.w.now() - end).count() + l.window_s * 1000) / 1000, o);
+    o["beats_taken"] = static_cast<double>(f.beats_taken - taken);
+    o["beats_missed"] = static_cast<double>(f.beats_missed - missed);
+    o["looks_without_all_permits"] = static_cast<double>(stale);
+    o["memory_bytes"] = static_cast<double>(resident() - empty) / static_cast<double>(f.nodes.size());
+    if (l.layouts) {
+      o["layout_everywhere"] = static_cast<double>(layouts.count());
+      o["layout_p50_ms"] = layouts.at(0.5);
+      o["layout_most_ms"] = layouts.most();
+    }
+    if (l.changes > 0 || l.purges > 0) {
+      o["all_everywhere"] = st.rest(Span(30000));
+      st.figures(o);
+    }
+    o["watch_ms"] = watch_ms(f);
+    console(f, o);
+  });
+  o["ended"] = why.empty();
+  return o;
+}
+
+}  // namespace dunlinwing::measure
--- /dev/null
+++ b/test/measure/stream.cpp
@@ -0,0 +1,177 @@
+// A look each 10 ms compares every node that is up and not cut off with what was
+// acknowledged; times count from the asking.
+#include <fmt/format.h>
+
+#include "steady.hpp"
+#include "traffic/layout.hpp"
+
+namespace dunlinwing::measure {
+namespace {
+constexpr int kKeys = 64, kServices = 8;
+constexpr size_t kChangeBytes = 200;
+}  // namespace
+
+std::string layout_doc(int k) {
+  return fmt::format(R"({{"content":{{"services":{{
+"content":{{"versions":["1"],"deadline_ms":{},"cache":{{"lifetime_s":4}}}},
+"app":{{"versions":["1"],"deadline_ms":2000}}}},
+"routes":[{{"prefix":"/c/","service":"content","methods":["GET","HEAD"]}},{{"prefix":"/a/","service":"app","methods":["GET"]}}]}},
+"express":"measured"}})",
+                     2000 + k);
+}
+
+bool put_layout(Hollow& f, const std::string& name, int k) {
+  bool ok = false;
+  for (int i = 0; i < 20 && !ok; ++i) {
+    auto& n = f.some();
+    auto st = std::make_shared<int>(0);
+    f.on(n, Span(5000), [&n, name, k, st] {
+      base::Request q{"", "PUT", "/v1/releases/layout/" + name, layout_doc(k), {}};
+      *st = n.control().answer(q).status;
+    });
+    ok = *st == 200 || *st == 202;
+  }
+  return ok;
+}
+
+struct Stream::Impl {
+  struct Want {
+    std::string key;
+    uint64_t least;
+    Tick from;
+    bool purge;
+  };
+  struct Seen {
+    uint64_t version = 0, number = 0;
+  };
+  Hollow& f;
+  std::vector<Want> wants;
+  std::map<std::string, std::vector<Seen>> seen;
+  std::map<std::string, uint64_t> version;
+  std::map<std::string, bool> busy;
+  std::vector<std::unique_ptr<gate::Purger>> purgers;
+  Spread change, purge, change_told, purge_told;
+  uint64_t asked_changes = 0, asked_purges = 0, failed = 0, named = 0, under_way = 0, folded = 0;
+  bool looking = false;
+
+  // What the slowest node knows of a key.
+  uint64_t least(const std::string& key, bool purges) {
+    auto& v = seen[key];
+    v.resize(f.nodes.size());
+    uint64_t out = UINT64_MAX;
+    for (size_t i = 0; i < v.size(); ++i) {
+      if (!f.nodes[i]->up()) continue;
+      auto& c = f.nodes[i]->relay().mirror().chosen();
+      auto h = c.find(key);
+      if (h == c.end()) return 0;
+      if (h->second.version != v[i].version) {
+        v[i].version = v[i].number = h->second.version;
+        pb::PurgeSet s;
+        if (purges && s.ParseFromString(h->second.data)) v[i].number = s.number();
+        if (i == 0)
+          for (auto& x : s.purges()) folded += x.kind() == "service";
+      }
+      out = std::min(out, v[i].number);
+    }
+    return out;
+  }
+
+  void look() {
+    if (std::exchange(looking, true)) return;
+    f.outside([this] {
+      for (;; f.nap(Span(10))) {
+        std::map<std::string, uint64_t> at;
+        for (auto& x : wants)
+          if (!at.count(x.key)) at[x.key] = least(x.key, x.purge);
+        std::erase_if(wants, [&](auto& x) {
+          if (at[x.key] < x.least) return false;
+          (x.purge ? purge : change).add(static_cast<double>((f.w.now() - x.from).count()));
+          return true;
+        });
+      }
+    });
+  }
+
+  void change_one() {
+    auto key = fmt::format("measured/{}", named++ % kKeys);
+    if (busy[key]) return void(++failed);
+    busy[key] = true;
+    auto from = f.w.now();
+    auto* n = &f.some();
+    ++under_way;
+    f.w.spawn(n->life(), [this, key, from, n] {
+      auto r = n->relay().book().write(key, version[key], std::string(kChangeBytes, 'x'));
+      --under_way;
+      busy[key] = false;
+      auto* h = std::get_if<registry::Held>(&r);
+      if (!h) return void(++failed);
+      version[key] = h->version;
+      change_told.add(static_cast<double>((f.w.now() - from).count()));
+      wants.push_back({key, h->version, from, false});
+    });
+  }
+
+  void purge_one() {
+    auto i = f.w.below(f.nodes.size());
+    auto* n = f.nodes[i].get();
+    if (!n->up()) return;
+    if (purgers.empty()) purgers.resize(f.nodes.size());
+    if (!purgers[i]) purgers[i] = std::make_unique<gate::Purger>(n->ports(), n->relay().book());
+    auto service = fmt::format("s{}", f.w.below(kServices));
+    pb::Purge p;
+    p.set_kind("path");
+    p.set_name(fmt::format("p{}", ++named));
+    p.set_path(fmt::format("/c/{:012}", f.w.draw() % 1000000000000));
+    auto from = f.w.now();
+    ++under_way;
+    f.w.spawn(n->life(), [this, i, service, p, from] {
+      auto r = purgers[i]->put(service, p);
+      --under_way;
+      auto* d = std::get_if<gate::PurgeDone>(&r);
+      if (!d) return void(++failed);
+      purge_told.add(static_cast<double>((f.w.now() - from).count()));
+      wants.push_back({"purge/" + service, d->number, from, true});
+    });
+  }
+
+  void flow(double a_second, Tick until, uint64_t& count, std::function<void()> one) {
+    if (a_second <= 0) return;
+    look();
+    f.outside([this, a_second, until, &count, one] {
+      double due = 0;
+      for (; f.w.now() < until; f.nap(Span(5)))
+        for (due += a_second * 0.005; due >= 1; due -= 1, ++count) one();
+    });
+  }
+};
+
+Stream::Stream(Hollow& f) : p_(std::make_shared<Impl>(f)) {}
+Stream::~Stream() = default;
+void Stream::changes(double n, Tick until) {
+  p_->flow(n, until, p_->asked_changes, [p = p_] { p->change_one(); });
+}
+void Stream::purges(double n, Tick until) {
+  p_->flow(n, until, p_->asked_purges, [p = p_] { p->purge_one(); });
+}
+bool Stream::rest(Span most) {
+  return p_->f.until(most, [p = p_] { return p->wants.empty() && !p->under_way; });
+}
+
+void Stream::figures(Figures& o) const {
+  auto tell = [&](const char* n, const Spread& all, const Spread& told, uint64_t asked) {
+    if (!asked) return;
+    o[fmt::format("{}_asked", n)] = static_cast<double>(asked);
+    o[fmt::format("{}_everywhere", n)] = static_cast<double>(all.count());
+    o[fmt::format("{}_told_p50_ms", n)] = told.at(0.5);
+    o[fmt::format("{}_told_p99_ms", n)] = told.at(0.99);
+    o[fmt::format("{}_p50_ms", n)] = all.at(0.5);
+    o[fmt::format("{}_p99_ms", n)] = all.at(0.99);
+    o[fmt::format("{}_most_ms", n)] = all.most();
+  };
+  tell("change", p_->change, p_->change_told, p_->asked_changes);
+  tell("purge", p_->purge, p_->purge_told, p_->asked_purges);
+  if (p_->asked_purges) o["purge_folds_seen"] = static_cast<double>(p_->folded);
+  if (p_->asked_changes + p_->asked_purges) o["stream_failed"] = static_cast<double>(p_->failed);
+}
+
+}  // namespace dunlinwing::measure
--- /dev/null
+++ b/test/measure/tables.hpp
@@ -0,0 +1,9 @@
+// The page's tables in markdown, by name.
+#pragma once
+#include "rows.hpp"
+
+namespace dunlinwing::measure {
+
+std::map<std::string, std::string> tables(const std::vector<Row>& rows);
+
+}  // namespace dunlinwing::measure
