--- a/test/measure/faults.cpp
+++ b/test/measure/faults.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 struct Meter {
+  explicit Meter(Hollow& x) : f(x) {}
   Hollow& f;
   std::vector<uint64_t> was;
   Spread each;  // bytes of one node in one second
@@ -18,7 +19,7 @@
 };
 
 std::shared_ptr<Meter> meter(Hollow& f) {
-  auto m = std::make_shared<Meter>(Meter{f, {}, {}, 0, true});
+  auto m = std::make_shared<Meter>(f);
   for (auto& n : f.nodes) m->was.push_back(n->toll.bytes);
   f.outside([m] {
     while (m->on) {
@@ -52,11 +53,7 @@
   return n;
 }
 
-bool whole(Hollow& f) {
-  for (auto& n : f.nodes)
-    if (!n->up()) return false;
-  return f.fresh() && f.serving("first");
-}
+bool whole(Hollow& f) { return f.all_up() && f.fresh() && f.serving("first"); }
 
 // No survivor takes one of the dead for a member.
 bool known_gone(Hollow& f, const std::vector<Node*>& dead) {
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -201,9 +201,15 @@
     if (auto& n = *nodes[w.below(nodes.size())]; n.up()) return n;
 }
 
+bool Hollow::all_up() {
+  for (auto& n : nodes)
+    if (!n->up()) return false;
+  return true;
+}
+
 bool Hollow::fresh() {
   for (auto& n : nodes)
-    if (!n->up() || !n->relay().mirror().fresh()) return false;
+    if (n->up() && !n->relay().mirror().fresh()) return false;
   return true;
 }
 
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -52,6 +52,7 @@
   bool until(Span most, const std::function<bool()>& f);
   bool on(Node& n, Span most, std::function<void()> f);  // runs it in the node's process; false when it did not end
   Node& some();                                          // one that is up
+  bool all_up();
   bool fresh();                                          // every node that is up has a permit
   bool serving(const std::string& layout);               // and runs this layout
   void beats(int workers, Span period);                  // each worker stays with its relay
--- a/test/measure/rows.cpp
+++ b/test/measure/rows.cpp
@@ -49,7 +49,8 @@
 };
 
 Spread::Spread() : p_(new Impl) {}
-Spread::~Spread() { delete p_; }
+Spread::Spread(Spread&&) noexcept = default;
+Spread::~Spread() = default;
 
 void Spread::add(double x) {
   p_->h(std::clamp(x, kLeast, kMost * 0.999));
--- a/test/measure/rows.hpp
+++ b/test/measure/rows.hpp
@@ -2,6 +2,7 @@
 // from that file alone.
 #pragma once
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
 class Spread {
  public:
   Spread();
+  Spread(Spread&&) noexcept;
   ~Spread();
   void add(double x);
   double at(double part) const;  // 0.5: the median
@@ -35,7 +37,7 @@
 
  private:
   struct Impl;
-  Impl* p_;
+  std::unique_ptr<Impl> p_;
   double most_ = 0;
   size_t n_ = 0;
 };
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -111,7 +111,7 @@
         why = x;
         f.end();
       };
-      if (!f.until(kUp / 2, [&] { return f.fresh(); })) return not_up("not every node got a permit");
+      if (!f.until(kUp / 2, [&] { return f.all_up() && f.fresh(); })) return not_up("not every node got a permit");
       if (!put_layout(f, "first", 0)) return not_up("the first layout was not taken");
       if (!f.until(kUp / 2, [&] { return f.serving("first"); })) return not_up("not every node runs the first layout");
       story(f);
