--- /dev/null
+++ b/test/measure/project.cpp
@@ -0,0 +1,191 @@
+// The laws: what a relay pays grows by a straight line with the fleet; what a holder pays
+// is the number of those who pull times such a line. Loads were measured at 64 nodes: a
+// relay's part of them does not depend on the size, a holder's does, by who pulls.
+#include "project.hpp"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <functional>
+
+#include "pick.hpp"
+
+namespace dunlinwing::measure {
+namespace {
+using Rows = std::vector<Row>;
+constexpr double kNodes = 17000, kWorkers = 6800, kPurges = 160, kChanges = 12000.0 / 86400, kRegisters = 12000, kAt = 64;
+
+struct Law {
+  const char *figure, *what, *unit;
+  double scale;
+  bool times_n;
+};
+const Law kLaws[] = {{"relay_bytes", "relay: bytes", "KB/s", 1e-3, false},
+                     {"relay_messages", "relay: messages", "/s", 1, false},
+                     {"relay_cpu_ms_s", "relay: processor", "ms/s", 1, false},
+                     {"memory_bytes", "relay: memory", "MB", 1e-6, false},
+                     {"holder_bytes", "holder: bytes", "KB/s", 1e-3, true},
+                     {"holder_messages", "holder: messages", "/s", 1, false},
+                     {"holder_cpu_ms_s", "holder: processor", "ms/s", 1, true},
+                     {"duty_bytes", "duty's holder: bytes", "KB/s", 1e-3, true},
+                     {"watch_ms", "duty's pair: one watch", "ms", 1, false},
+                     {"console_nodes_bytes", "console: a look at nodes", "KB", 1e-3, false},
+                     {"console_assignments_bytes", "console: a look at assignments", "KB", 1e-3, false}};
+
+const Law& law(const std::string& figure) {
+  for (auto& l : kLaws)
+    if (l.figure == figure) return l;
+  return kLaws[0];
+}
+
+struct Term {
+  const char *run, *what;
+  std::function<double(const Row&)> x;
+  double fitted_to;  // what lies beyond is for the check
+};
+const Term kTerms[] = {{"workers", "worker (a beat each 2 s)", [](auto& r) { return r.workers; }, 64},
+                       {"beats", "beat/s (64 workers)", [](auto& r) { return r.workers * 1000.0 / r.period_ms; }, 1e9},
+                       {"registers", "register at rest", [](auto& r) { return r.registers; }, 1e9},
+                       {"changes", "change/s", [](auto& r) { return r.changes; }, 8},
+                       {"purges", "purge/s", [](auto& r) { return r.purges; }, 40}};
+
+Line by_size(const Rows& rows, const Law& l) {
+  std::vector<Point> ps;
+  for (auto& r : pick(rows, "sizes", l.figure)) ps.push_back({double(r.nodes), r.value / (l.times_n ? r.nodes : 1), r.seed});
+  return fit(ps);
+}
+
+Line by_term(const Rows& rows, const Term& t, const std::string& figure) {
+  std::vector<Point> ps;
+  for (auto& r : pick(rows, t.run, figure))
+    if (t.x(r) <= t.fitted_to) ps.push_back({t.x(r), r.value, r.seed});
+  return fit(ps);
+}
+
+double size_law(const Line& f, const Law& l, double n) { return f.at(n) * (l.times_n ? n : 1); }
+
+std::string range(const Line& f, double k) {
+  return fmt::format("{} ({}, {})", num(f.slope * k), num(f.least * k), num(f.most * k));
+}
+
+// What a load of the users' size adds to a figure; purges were run at that rate.
+struct Added {
+  double value = 0;
+  std::string text;
+};
+Added added(const Rows& rows, const Law& l) {
+  Added a;
+  std::string f = l.figure;
+  if (f == "watch_ms" || f.starts_with("console")) return a;
+  double who = f.starts_with("holder") || f.starts_with("duty") ? kNodes / kAt : 1;
+  auto part = [&](const char* what, double slope, double n) {
+    if (std::abs(slope * n * who) < 1e-9) return;
+    a.value += slope * n * who;
+    a.text += fmt::format(" + {} {} × {}", what, num(slope * l.scale), num(n));
+    if (who > 1) a.text += fmt::format(" × {}/{}", kNodes, kAt);
+  };
+  part("workers", by_term(rows, kTerms[0], f).slope, kWorkers);
+  if (f == "memory_bytes" || f == "relay_cpu_ms_s") part("registers", by_term(rows, kTerms[2], f).slope, kRegisters);
+  part("changes", by_term(rows, kTerms[3], f).slope, kChanges);
+  std::vector<double> none, full;
+  for (auto& r : pick(rows, "purges", f)) {
+    if (r.purges == 0) none.push_back(r.value);
+    if (r.purges == kPurges) full.push_back(r.value);
+  }
+  part("purges", (median(full) - median(none)) / kPurges, kPurges);
+  return a;
+}
+
+struct Role {
+  const char *role, *what, *figure;
+  double limit;  // in the law's unit; 0: none is stated
+  double times;
+  const char *limit_text, *mechanism;
+};
+constexpr const char* kScope = "news by scope, pulls through the tree (1, 2)";
+const Role kRoles[] = {
+    {"relay", "messages", "relay_messages", 0, 1, "", "a tree: one parent, not five holders (2)"},
+    {"relay", "bytes", "relay_bytes", 7, 1, "7 KB/s", "scope, tree, deltas, numbered purges (1 to 5)"},
+    {"relay", "processor", "relay_cpu_ms_s", 29, 1, "29 ms/s", "tables built from deltas of the scope (1, 3)"},
+    {"relay", "state: memory", "memory_bytes", 64, 1, "64 MB", "scope; registers read by name and not all mirrored (1, 3)"},
+    {"shield", "bytes (control as a relay's)", "relay_bytes", 7, 1, "7 KB/s", "as a relay's"},
+    {"shield", "processor (control as a relay's)", "relay_cpu_ms_s", 29, 1, "29 ms/s", "as a relay's"},
+    {"shield", "state: memory", "memory_bytes", 64, 1, "64 MB", "as a relay's"},
+    {"holder", "messages", "holder_messages", 0, 1, "", kScope},
+    {"holder", "bytes", "holder_bytes", 1250000, 1, "1250000 KB/s: a 10 Gbit/s link, assumed", "holders per region, pulls through the tree (2, 4)"},
+    {"holder", "processor", "holder_cpu_ms_s", 1000, 1, "1000 ms/s: control is one thread", "holders per region, pulls through the tree (2, 4)"},
+    {"holder", "state: memory", "memory_bytes", 0, 1, "", "machines set aside"},
+    {"duty's pair", "bytes", "duty_bytes", 1250000, 1, "as a holder's", "sums by zone instead of each node's counters (1)"},
+    {"duty's pair", "processor of the watch", "watch_ms", 1000, 4, "1000 ms/s: control is one thread", "sums by zone; a duty per region (1, 4)"},
+    {"console", "bytes of one look at all nodes", "console_nodes_bytes", 0, 1, "", "asked by zone, or the sums"},
+    {"console", "bytes of one look at assignments", "console_assignments_bytes", 0, 1, "", "asked by zone; assignments by zone and exception (3)"},
+};
+}  // namespace
+
+std::string slopes(const Rows& rows) {
+  Markdown m({"figure", "unit", "for each", "base", "slope (least, most by seed)", "points, seeds", "runs"});
+  for (auto& l : kLaws) {
+    auto f = by_size(rows, l);
+    m.row({l.what, l.unit, l.times_n ? "node that pulls, by node" : "node", num(f.base * l.scale), range(f, l.scale),
+           fmt::format("{}, {}", f.points, f.seeds), "`sizes`"});
+  }
+  for (auto& t : kTerms)
+    for (auto* f : {"relay_bytes", "relay_messages", "relay_cpu_ms_s", "memory_bytes", "holder_bytes", "holder_cpu_ms_s"}) {
+      auto& l = law(f);
+      auto x = by_term(rows, t, f);
+      if (!x.points) continue;
+      m.row({l.what, l.unit, t.what, num(x.base * l.scale), range(x, l.scale), fmt::format("{}, {}", x.points, x.seeds),
+             fmt::format("`{}`", t.run)});
+    }
+  return m.text();
+}
+
+std::string roles(const Rows& rows) {
+  Markdown m({"role", "figure", "slope × size", "at the users' size (by the seeds' slopes)", "allowed", "verdict", "mechanism that would carry it"});
+  for (auto& r : kRoles) {
+    auto& l = law(r.figure);
+    auto f = by_size(rows, l);
+    auto a = added(rows, l);
+    double k = l.scale * r.times;
+    auto at = [&](double slope) {
+      Line g = f;
+      g.slope = slope;
+      return (size_law(g, l, kNodes) + a.value) * k;
+    };
+    auto how = fmt::format("{}{} + {} × {}{}", l.times_n ? "17000 × (" : "", num(f.base * l.scale), num(f.slope * l.scale), kNodes, l.times_n ? ")" : "") + a.text;
+    if (r.times != 1) how = fmt::format("{} a second × ({})", r.times, how);
+    bool known = f.points > 0;
+    std::string verdict = !known ? "not measured" : r.limit == 0 ? "no limit stated" : at(f.slope) > r.limit ? "**not met**" : "met";
+    m.row({r.role, r.what, how, known ? fmt::format("{} {} ({}, {})", num(at(f.slope)), r.times != 1 ? "ms/s" : l.unit, num(at(f.least)), num(at(f.most))) : "", r.limit_text, verdict,
+           r.mechanism});
+  }
+  return m.text();
+}
+
+std::string check(const Rows& rows) {
+  Markdown m({"figure", "fitted on", "run at", "foretold", "measured", "error"});
+  auto row = [&](const std::string& what, const std::string& on, const std::string& at, double told, double seen, const Law& l) {
+    if (seen != 0)
+      m.row({fmt::format("{}, {}", what, l.unit), on, at, num(told * l.scale), num(seen * l.scale), fmt::format("{:+.0f}%", (told - seen) / seen * 100)});
+  };
+  auto ns = sizes_of(rows, "sizes");
+  for (auto& l : kLaws)
+    for (int n : sizes_of(rows, "double")) {
+      std::vector<double> seen;
+      for (auto& r : pick(rows, "double", l.figure))
+        if (r.nodes == n) seen.push_back(r.value);
+      if (!ns.empty()) row(l.what, fmt::format("{} to {} nodes", ns.front(), ns.back()), fmt::format("{} nodes", n), size_law(by_size(rows, l), l, n), median(seen), l);
+    }
+  for (auto& t : kTerms)
+    for (auto* f : {"relay_bytes", "relay_cpu_ms_s"}) {
+      std::vector<double> seen;
+      for (auto& r : pick(rows, t.run, f))
+        if (t.x(r) == 2 * t.fitted_to) seen.push_back(r.value);
+      auto& l = law(f);
+      row(fmt::format("{} under {}", l.what, t.run), fmt::format("up to {:g} a {}", t.fitted_to, t.what), fmt::format("{:g}", 2 * t.fitted_to),
+          by_term(rows, t, f).at(2 * t.fitted_to), median(seen), l);
+    }
+  return m.text();
+}
+
+}  // namespace dunlinwing::measure
