--- a/test/measure/project.hpp
+++ b/test/measure/project.hpp
@@ -7,5 +7,6 @@
 std::string slopes(const std::vector<Row>& rows);
 std::string roles(const std::vector<Row>& rows);
 std::string check(const std::vector<Row>& rows);  // the fit against a run at twice its largest size
+std::string figures(const std::vector<Row>& rows);
 
 }  // namespace dunlinwing::measure
--- a/test/measure/tables.cpp
+++ b/test/measure/tables.cpp
@@ -128,7 +128,7 @@
 std::map<std::string, std::string> tables(const Rows& r) {
   return {{"sizes", sizes(r)}, {"split", split(r)}, {"sockets", sockets(r)}, {"delays", delays(r)}, {"terms", terms(r)},
           {"failures", failures(r)}, {"slopes", slopes(r)}, {"roles", roles(r)}, {"check", check(r)},
-          {"ways", ways(r)}};
+          {"ways", ways(r)}, {"figures", figures(r)}};
 }
 
 }  // namespace dunlinwing::measure
