--- a/test/measure/project.cpp
+++ b/test/measure/project.cpp
@@ -1,6 +1,7 @@
 // The laws: what a relay pays grows by a straight line with the fleet; what a holder pays
-// is the number of those who pull times such a line. Loads were measured at 64 nodes: a
-// relay's part of them does not depend on the size, a holder's does, by who pulls.
+// is the number of those who pull times such a line. Loads were measured at 64 nodes: what
+// is pulled costs a relay the same at any size and a holder by who pulls; what is written
+// costs a holder the same and a relay its part.
 #include "project.hpp"
 
 #include <fmt/format.h>
@@ -13,7 +14,8 @@
 namespace dunlinwing::measure {
 namespace {
 using Rows = std::vector<Row>;
-constexpr double kNodes = 17000, kWorkers = 6800, kPurges = 160, kChanges = 12000.0 / 86400, kRegisters = 12000, kAt = 64;
+constexpr double kNodes = 17000, kWorkers = 6800, kPurges = 160, kChanges = 12000.0 / 86400, kRegisters = 12000;
+constexpr double kAt = 64, kHolders = 5;  // of the runs under loads
 
 struct Law {
   const char *figure, *what, *unit;
@@ -73,26 +75,51 @@
   double value = 0;
   std::string text;
 };
+
+// Of one change or purge a second: what each node that pulls pays for it, and what the
+// writing costs, which all nodes share.
+struct Cost {
+  double pulled = 0, written = 0;
+};
+
+double slope_of(const Rows& rows, const Term& t, const std::string& figure) {
+  if (std::string(t.run) != "purges") return by_term(rows, t, figure).slope;
+  std::vector<double> none, full;
+  for (auto& r : pick(rows, t.run, figure)) {
+    if (r.purges == 0) none.push_back(r.value);
+    if (r.purges == kPurges) full.push_back(r.value);
+  }
+  return (median(full) - median(none)) / kPurges;
+}
+
+Cost cost(const Rows& rows, const Term& t, const std::string& f, bool holder) {
+  double all = slope_of(rows, t, f);
+  if (f.ends_with("messages")) return {0, all};
+  if (!f.ends_with("bytes") || f.starts_with("memory")) return {all, 0};
+  double pulled = slope_of(rows, t, "pull_slots_bytes") * (holder ? kAt / kHolders : 1);
+  return {pulled, all - pulled};
+}
+
 Added added(const Rows& rows, const Law& l) {
   Added a;
   std::string f = l.figure;
   if (f == "watch_ms" || f.starts_with("console")) return a;
-  double who = f.starts_with("holder") || f.starts_with("duty") ? kNodes / kAt : 1;
-  auto part = [&](const char* what, double slope, double n) {
-    if (std::abs(slope * n * who) < 1e-9) return;
-    a.value += slope * n * who;
-    a.text += fmt::format(" + {} {} × {}", what, num(slope * l.scale), num(n));
-    if (who > 1) a.text += fmt::format(" × {}/{}", kNodes, kAt);
+  bool holder = f.starts_with("holder") || f.starts_with("duty");
+  auto part = [&](const char* what, double slope, double n, double times, const char* text) {
+    if (std::abs(slope * n * times) * l.scale < 1e-3) return;
+    a.value += slope * n * times;
+    a.text += fmt::format(" + {} {} × {}{}", what, num(slope * l.scale), num(n), text);
   };
-  part("workers", by_term(rows, kTerms[0], f).slope, kWorkers);
-  if (f == "memory_bytes" || f == "relay_cpu_ms_s") part("registers", by_term(rows, kTerms[2], f).slope, kRegisters);
-  part("changes", by_term(rows, kTerms[3], f).slope, kChanges);
-  std::vector<double> none, full;
-  for (auto& r : pick(rows, "purges", f)) {
-    if (r.purges == 0) none.push_back(r.value);
-    if (r.purges == kPurges) full.push_back(r.value);
+  const char* grown = holder ? " × 17000/64" : "";
+  const char* shared = holder ? "" : " × 64/17000";
+  double up = holder ? kNodes / kAt : 1, down = holder ? 1 : kAt / kNodes;
+  if (!f.ends_with("messages")) part("workers", by_term(rows, kTerms[0], f).slope, kWorkers, up, grown);
+  if (f == "memory_bytes" || f == "relay_cpu_ms_s") part("registers", by_term(rows, kTerms[2], f).slope, kRegisters, 1, "");
+  for (auto [t, n] : {std::pair{&kTerms[3], kChanges}, std::pair{&kTerms[4], kPurges}}) {
+    auto c = cost(rows, *t, f, holder);
+    part(t->run, c.pulled, n, up, grown);
+    part(fmt::format("{} written", t->run).c_str(), c.written, n, down, shared);
   }
-  part("purges", (median(full) - median(none)) / kPurges, kPurges);
   return a;
 }
 
@@ -114,7 +141,7 @@
     {"holder", "messages", "holder_messages", 0, 1, "", kScope},
     {"holder", "bytes", "holder_bytes", 1250000, 1, "1250000 KB/s: a 10 Gbit/s link, assumed", "holders per region, pulls through the tree (2, 4)"},
     {"holder", "processor", "holder_cpu_ms_s", 1000, 1, "1000 ms/s: control is one thread", "holders per region, pulls through the tree (2, 4)"},
-    {"holder", "state: memory", "memory_bytes", 0, 1, "", "machines set aside"},
+    {"holder", "state: memory (a mean of all nodes; its own is not told apart)", "memory_bytes", 0, 1, "", "machines set aside"},
     {"duty's pair", "bytes", "duty_bytes", 1250000, 1, "as a holder's", "sums by zone instead of each node's counters (1)"},
     {"duty's pair", "processor of the watch", "watch_ms", 1000, 4, "1000 ms/s: control is one thread", "sums by zone; a duty per region (1, 4)"},
     {"console", "bytes of one look at all nodes", "console_nodes_bytes", 0, 1, "", "asked by zone, or the sums"},
