--- a/test/measure/plot.cpp
+++ b/test/measure/plot.cpp
@@ -11,11 +11,12 @@
 struct Panel {
   const char *title, *figure, *unit;
   double scale, limit;
+  bool times_n;
 };
-constexpr Panel kPanels[] = {{"relay: bytes", "relay_bytes", "KB/s", 1e-3, 7},
-                             {"relay: processor time", "relay_cpu_ms_s", "ms/s", 1, 29},
-                             {"relay: memory", "memory_bytes", "MB", 1e-6, 64},
-                             {"holder: bytes", "holder_bytes", "KB/s", 1e-3, 0}};
+constexpr Panel kPanels[] = {{"relay: bytes", "relay_bytes", "KB/s", 1e-3, 7, false},
+                             {"relay: processor time", "relay_cpu_ms_s", "ms/s", 1, 29, false},
+                             {"relay: memory", "memory_bytes", "MB", 1e-6, 64, false},
+                             {"holder: bytes", "holder_bytes", "KB/s", 1e-3, 0, true}};
 }  // namespace
 
 bool draw(const std::vector<Row>& rows, const std::string& file) {
@@ -26,13 +27,17 @@
       file);
   for (auto& p : kPanels) {
     std::string d;
+    std::vector<Point> ps;
     for (auto& r : rows)
-      if ((r.run == "sizes" || r.run == "double") && r.figure == p.figure && r.value > 0)
+      if ((r.run == "sizes" || r.run == "double") && r.figure == p.figure && r.value > 0) {
         d += fmt::format("{} {:g}\n", r.nodes, r.value * p.scale);
+        if (r.run == "sizes") ps.push_back({double(r.nodes), r.value * p.scale / (p.times_n ? r.nodes : 1), r.seed});
+      }
     if (d.empty()) continue;
-    s += fmt::format("$d << EOD\n{}EOD\nset title '{}'\nset ylabel '{}'\nset xrange [10:20000]\n", d, p.title, p.unit);
-    s += fmt::format("f(x)=a+b*x\na=1\nb=0.01\nset fit quiet logfile '/dev/null'\nfit f(x) $d using 1:2 via a,b\n");
-    s += fmt::format("plot $d using 1:2 with points pt 7 ps 0.5 title 'runs', f(x) with lines dt 2 title 'straight line'");
+    s += fmt::format("$d << EOD\n{}EOD\nset title '{}'\nset ylabel '{}'\nset xrange [5:20000]\n", d, p.title, p.unit);
+    auto l = fit(ps);
+    s += fmt::format("f(x)={}({:g}+{:g}*x)\n", p.times_n ? "x*" : "", l.base, l.slope);
+    s += fmt::format("plot $d using 1:2 with points pt 7 ps 0.5 title 'runs', f(x) with lines dt 2 title 'fitted law'");
     if (p.limit > 0) s += fmt::format(", {} with lines lw 2 title 'allowed at 17000'", p.limit);
     s += "\n";
   }
