--- a/test/measure/project.cpp
+++ b/test/measure/project.cpp
@@ -114,7 +114,7 @@
   const char* shared = holder ? "" : " × 64/17000";
   double up = holder ? kNodes / kAt : 1, down = holder ? 1 : kAt / kNodes;
   if (!f.ends_with("messages")) part("workers", by_term(rows, kTerms[0], f).slope, kWorkers, up, grown);
-  if (f == "memory_bytes" || f == "relay_cpu_ms_s") part("registers", by_term(rows, kTerms[2], f).slope, kRegisters, 1, "");
+  if (f == "memory_bytes" || f.ends_with("cpu_ms_s")) part("registers", by_term(rows, kTerms[2], f).slope, kRegisters, up, grown);
   for (auto [t, n] : {std::pair{&kTerms[3], kChanges}, std::pair{&kTerms[4], kPurges}}) {
     auto c = cost(rows, *t, f, holder);
     part(t->run, c.pulled, n, up, grown);
@@ -135,6 +135,8 @@
     {"relay", "bytes", "relay_bytes", 7, 1, "7 KB/s", "scope, tree, deltas, numbered purges (1 to 5)"},
     {"relay", "processor", "relay_cpu_ms_s", 29, 1, "29 ms/s", "tables built from deltas of the scope (1, 3)"},
     {"relay", "state: memory", "memory_bytes", 64, 1, "64 MB", "scope; registers read by name and not all mirrored (1, 3)"},
+    {"shield", "messages (control as a relay's)", "relay_messages", 0, 1, "", "as a relay's"},
+    {"shield", "what it carries for others", "", 0, 1, "", "not control; see the users' figures"},
     {"shield", "bytes (control as a relay's)", "relay_bytes", 7, 1, "7 KB/s", "as a relay's"},
     {"shield", "processor (control as a relay's)", "relay_cpu_ms_s", 29, 1, "29 ms/s", "as a relay's"},
     {"shield", "state: memory", "memory_bytes", 64, 1, "64 MB", "as a relay's"},
@@ -142,8 +144,11 @@
     {"holder", "bytes", "holder_bytes", 1250000, 1, "1250000 KB/s: a 10 Gbit/s link, assumed", "holders per region, pulls through the tree (2, 4)"},
     {"holder", "processor", "holder_cpu_ms_s", 1000, 1, "1000 ms/s: control is one thread", "holders per region, pulls through the tree (2, 4)"},
     {"holder", "state: memory (a mean of all nodes; its own is not told apart)", "memory_bytes", 0, 1, "", "machines set aside"},
+    {"duty's pair", "messages beyond a holder's", "", 0, 1, "", "its writes; not told apart"},
+    {"duty's pair", "state: memory", "", 0, 1, "", "counters by node; not told apart"},
     {"duty's pair", "bytes", "duty_bytes", 1250000, 1, "as a holder's", "sums by zone instead of each node's counters (1)"},
     {"duty's pair", "processor of the watch", "watch_ms", 1000, 4, "1000 ms/s: control is one thread", "sums by zone; a duty per region (1, 4)"},
+    {"console", "messages, processor; it keeps no state", "", 0, 1, "", "one exchange a look"},
     {"console", "bytes of one look at all nodes", "console_nodes_bytes", 0, 1, "", "asked by zone, or the sums"},
     {"console", "bytes of one look at assignments", "console_assignments_bytes", 0, 1, "", "asked by zone; assignments by zone and exception (3)"},
 };
@@ -170,6 +175,10 @@
 std::string roles(const Rows& rows) {
   Markdown m({"role", "figure", "slope × size", "at the users' size (by the seeds' slopes)", "allowed", "verdict", "mechanism that would carry it"});
   for (auto& r : kRoles) {
+    if (!*r.figure) {
+      m.row({r.role, r.what, "", "", "", "not measured", r.mechanism});
+      continue;
+    }
     auto& l = law(r.figure);
     auto f = by_size(rows, l);
     auto a = added(rows, l);
