--- a/test/measure/faults.cpp
+++ b/test/measure/faults.cpp
@@ -110,6 +110,7 @@
   f.apart = -1;
   o["whole_again_ms"] = ms_until(f, Span(60000), [&] { return whole(f); });
   o["all_everywhere"] = st.rest(Span(30000));
+  st.figures(o);
   o["all_everywhere_ms"] = o["whole_again_ms"] < 0 ? -1 : static_cast<double>((f.w.now() - end).count());
   f.nap(Span(5000));
   put(o, "after", *m, static_cast<double>((f.w.now() - end).count()) / 1000);
--- a/test/measure/tables.cpp
+++ b/test/measure/tables.cpp
@@ -94,7 +94,7 @@
 }
 
 std::string failures(const Rows& r) {
-  Markdown m({"failure", "nodes", "hit", "known after ms", "whole again ms", "all everywhere ms", "worst node KB/s before", "while", "after",
+  Markdown m({"failure", "nodes", "hit", "known after ms", "whole again ms", "all everywhere ms", "slowest purge ms", "writes that failed", "worst node KB/s before", "while", "after",
               "least permits / looks without all"});
   for (auto* run : {"zone", "apart", "hour", "restart", "storm"})
     for (int n : sizes_of(r, run)) {
@@ -102,7 +102,7 @@
       std::string hit = at("lost_nodes") + at("apart_nodes") + at("restarted");
       std::string least = at("permits_least");
       if (auto l = at("looks"); !l.empty()) least = fmt::format("{} of {}", at("looks_without_all_permits"), l);
-      m.row({run, fmt::format("{}", n), hit, at("known_gone_ms"), at("whole_again_ms"), at("all_everywhere_ms"),
+      m.row({run, fmt::format("{}", n), hit, at("known_gone_ms"), at("whole_again_ms"), at("all_everywhere_ms"), at("purge_most_ms"), at("stream_failed"),
              at("before_node_bytes_worst", 1e-3), at("while_node_bytes_worst", 1e-3), at("after_node_bytes_worst", 1e-3), least});
     }
   return m.text();
