--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -18,6 +18,7 @@
 struct Mirror::Impl {
   struct Side {
     uint64_t boot = 0, seen = 0;
+    Tick voted{0};  // when it last answered and was not mute
     std::map<std::string, pb::Slot> slots;
   };
   base::Ports& ps;
@@ -37,7 +38,8 @@
   Tick said{0};
   std::string said_key;
   std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
-  bool told = false;
+  bool told = false, asked = false;  // asked: somebody waits for the next pull
+  std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
 
   Impl(base::Ports& p, MirrorConfig cc, registry::Book& b, registry::Acceptor* m,
        std::function<void(pb::News&)> o, std::function<void()> s)
@@ -47,9 +49,11 @@
 
   void take(const std::string& who, const pb::PullReply& r, Tick now) {
     auto& s = sides[who];
-    // The holder was restarted: what it had accepted it still has, or it is blank and mute.
+    // The holder was restarted: it tells anew what it has accepted, which after a loss may be less.
+    if (s.boot != r.boot()) s.slots.clear();
     s.boot = r.boot();
     s.seen = r.seen();
+    if (!r.mute()) s.voted = now;
     for (auto& x : r.slots()) {
       s.slots[x.name()] = x;
       open.insert(x.name());
@@ -143,6 +147,7 @@
     }
     auto hs = book.holders();
     auto epoch = book.set().epoch();
+    if (hs.empty()) return false;  // nobody has named the holders yet
     first %= hs.size();
     registry::Local local;
     if (mine) local = [this](const pb::Ask& a) { return answer(a); };
@@ -238,6 +243,7 @@
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
       Tick from = p->ps.clock.now();
+      p->asked = false;
       bool ok = p->once();
       bool was = std::exchange(p->told, p->ps.clock.now().count() < p->permit.load());
       if (was && !p->told) lg.warn("{}: the freshness permit has lapsed.", p->c.me);
@@ -245,7 +251,13 @@
       Span spent = p->ps.clock.now() - from;
       Span rest = p->c.pull() - spent;
       if (!ok) rest = std::min(rest, p->c.pull() / 2);
-      p->ps.clock.nap(std::max(rest, Span(p->c.pull() / 25)));
+      Span least = p->c.pull() / 10;  // between pulls, whoever is in a hurry
+      p->ps.clock.nap(least);
+      if (rest > least && !p->asked) {
+        p->rest = p->ps.tasks.spot();
+        p->rest->park(rest - least);
+        p->rest.reset();
+      }
     }
   });
 }
@@ -262,7 +274,25 @@
   auto s = p_->ps.tasks.spot();
   auto now = p_->ps.clock.now();
   p_->waits.emplace_back(now, s);
+  hurry();
   return s->park(limit);
 }
 
+std::optional<std::vector<std::string>> Mirror::names(Span limit) {
+  if (!settle(limit)) return {};
+  std::vector<std::string> out;
+  for (auto& [k, h] : p_->chosen) out.push_back(k);
+  return out;
+}
+
+bool Mirror::votes(const std::string& holder) const {
+  auto f = p_->sides.find(holder);
+  return f != p_->sides.end() && f->second.voted != Tick(0) && p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
+}
+
+void Mirror::hurry() {
+  p_->asked = true;
+  if (p_->rest) p_->rest->wake();
+}
+
 }  // namespace dunlinwing::members
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -12,7 +12,9 @@
 #include "disk/slow.hpp"
 #include "disk/store.hpp"
 #include "gate/control.hpp"
-#include "relay/config.hpp"
+#include "platform/face.hpp"
+#include "platform/gate.hpp"
+#include "relay/reread.hpp"
 #include "software/stager.hpp"
 #include "wire/http.hpp"
 #include "wire/peer.hpp"
@@ -75,7 +77,7 @@
   std::unique_ptr<dw::software::Artifacts> artifacts;
   std::unique_ptr<dw::software::Stager> stager;
   std::unique_ptr<dw::gate::Control> control;
-  std::unique_ptr<dw::wire::HttpServer> callers, operators;
+  std::unique_ptr<dw::wire::HttpServer> callers, operators, readiness;
   int next = 0;
   bool ending = false;
 
@@ -84,6 +86,11 @@
   // Carried requests are traffic: they run on a traffic thread, not on control's.
   dw::pb::Reply answer(const dw::pb::Ask& a) {
     if (!a.has_carry()) return node->answer(a);
+    if (pool.size() == 1) {
+      dw::pb::Reply r;
+      *r.mutable_carry() = node->carry(a.carry());
+      return r;
+    }
     auto spot = pool.spot();
     auto out = std::make_shared<dw::pb::Reply>();
     auto done = std::make_shared<std::atomic<bool>>(false);
@@ -101,41 +108,34 @@
     if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); })) return e;
     dw::wire::HttpLimits lim;
     lim.body_bytes = 8u << 20;
+    lim.bodies = c.memory_mb > 0 ? static_cast<size_t>(c.memory_mb * (1 << 20) / 4) : lim.bodies;
     callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", lim, [this](auto& q) { return node->serve(q); });
-    operators = std::make_unique<dw::wire::HttpServer>(pool, "control", lim, [this](auto& q) { return control->answer(q); });
+    dw::wire::HttpHandler product = [this](auto& q) { return control->answer(q); };
+    dw::wire::HttpHandler told = product;
+    if (c.face == "platform") told = [this, product](auto& q) { return dw::platform::answer(q, c.beat, product); };
+    operators = std::make_unique<dw::wire::HttpServer>(pool, "control", lim, told);
     if (auto e = operators->listen(c.control, 0, 1)) return e;
-    return callers->listen(c.callers, 1, pool.size());
+    if (!c.readiness.empty()) {
+      readiness = std::make_unique<dw::wire::HttpServer>(pool, "readiness", lim, told);
+      if (auto e = readiness->listen(c.readiness, 0, 1)) return e;
+    }
+    return callers->listen(c.callers, pool.size() > 1 ? 1 : 0, pool.size());
   }
 
-  // Without fresh news for a while this node may know only holders long replaced:
-  // its seeds, and relays it once heard of, may know the present ones.
-  void seek_holders() {
-    dw::Tick good = clock.now();
-    for (;;) {
-      clock.nap(c.node.bound);
-      if (node->mirror().fresh()) good = clock.now();
-      if (clock.now() - good < c.node.bound * 2) continue;
-      auto ask = c.seeds;
-      for (auto& m : node->mirror().news().all(clock.now())) ask.push_back(m.fact.http_address());
-      for (auto& a : ask) {
-        auto r = origin.shoot(a, {"", "GET", "/v1/holders", "", {}}, c.node.bound);
-        auto* x = std::get_if<dw::base::Receipt>(&r);
-        if (!x || x->status != 200) continue;
-        auto p = dw::base::Json::parse(x->body);
-        auto* j = std::get_if<dw::base::Json>(&p);
-        if (!j) continue;
-        dw::pb::HolderSet set;
-        set.set_epoch(std::strtoull(j->at("epoch").str("0").c_str(), nullptr, 10));
-        for (auto& h : j->at("holders").items()) {
-          auto* e = set.add_holders();
-          e->set_name(h.at("name").str());
-          e->set_address(h.at("address").str());
-        }
-        if (!node->book().set().adopt(set)) continue;
-        lg.info("{}: {} named the holders of epoch {}.", c.node.name, a, set.epoch());
-        if (node->acceptor()) node->acceptor()->adopt(set);
-        break;
-      }
+  // The limits of callers' connections are the layout's.
+  void follow_limits() {
+    std::shared_ptr<const dw::traffic::Layout> seen;
+    for (;; clock.nap(c.node.bound / 8)) {
+      auto l = node->traffic().table()->layout;
+      if (!l || l == seen) continue;
+      seen = l;
+      dw::wire::HttpLimits lim;
+      lim.head_bytes = static_cast<size_t>(l->head_bytes);
+      lim.body_bytes = static_cast<size_t>(l->body_bytes);
+      if (c.memory_mb > 0) lim.bodies = static_cast<size_t>(c.memory_mb * (1 << 20) / 4);
+      lim.read = l->head_time;
+      lim.idle = l->idle_time;
+      callers->limits(lim);
     }
   }
 
@@ -165,13 +165,15 @@
     }
     // The platform asks each second whether this node is ready, so callers go on
     // coming for as long; they are served until it has heard the no.
-    auto end = clock.now() + c.node.bound * 2, heard = clock.now() + c.node.bound * 5 / 8;
+    auto grace = c.grace > 0ms ? c.grace * 4 / 5 : c.node.bound * 2;
+    auto end = clock.now() + grace, heard = clock.now() + (c.grace > 0ms ? c.grace * 9 / 20 : c.node.bound * 5 / 8);
     lg.info("{}: asked to stop; draining.", c.node.name);
     callers->wind_down();
     node->leave();
     if (clock.now() < heard) clock.nap(heard - clock.now());
     node->traffic().drain();
     callers->close();
+    callers->close_idle();
     while ((node->traffic().running() > 0 || callers->running() > 0) && clock.now() < end) clock.nap(10ms);
     lg.info("{}: stopped.", c.node.name);
     dw::wire::Pool::stop(status);
@@ -207,6 +209,7 @@
     auto s = std::make_unique<dw::disk::Store>(std::move(std::get<0>(f)), c->log_bytes);
     app.disk = std::make_unique<dw::disk::Aside>(std::move(s), app.pool);
   }
+  if (c->face == "platform") c->node.face = dw::platform::face();
   app.node = std::make_unique<dw::relay::Node>(app.ports, c->node, app.disk.get());
   std::string program = argv[0];
   app.software(program.substr(program.rfind('/') + 1));
@@ -219,12 +222,23 @@
   sigs.async_wait([&](auto ec, int) {
     if (!ec) app.pool.spawn([&] { app.finish(0); });
   });
+  dw::relay::Reread reread(FLAGS_config, [&](auto seeds) { app.node->seeds(std::move(seeds)); });
+  boost::asio::signal_set hups(app.pool.io(0), SIGHUP);
+  std::function<void(boost::system::error_code, int)> on_hup = [&](auto ec, int) {
+    if (ec) return;
+    app.pool.spawn([&] { reread.look(true); });
+    hups.async_wait(on_hup);
+  };
+  hups.async_wait(on_hup);
   lg.info("{}: relay {} in zone {}; callers {}, control {}, peers {}.", c->node.name, dw::kSoftware, c->node.zone,
           c->callers, c->control, c->node.peer_address);
   app.pool.run([&] {
     app.node->start();
     app.artifacts->start();
-    app.pool.spawn([&] { app.seek_holders(); });
+    app.pool.spawn([&] { app.follow_limits(); });
     app.stager->start();
+    app.pool.spawn([&] {
+      for (;; app.clock.nap(c->node.bound)) reread.look(false);
+    });
   });
 }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -11,10 +11,16 @@
 
 struct NodeConfig {
   std::string name, zone, peer_address, http_address;
-  std::vector<registry::Holder> holders;
+  std::vector<registry::Holder> holders;  // none: the first set forms out of the seeds
+  std::vector<std::string> seeds;         // control addresses
+  bool first_start = true;                // of the whole fleet
+  int tolerate = 0;                       // holders that may be lost at once; 0: only operators change the set
   bool shield = false;
   Span bound{2000};
   double scale = 1;
+  rollout::System system;       // in force while no system release is
+  size_t cache_bytes = SIZE_MAX;  // of this machine
+  std::shared_ptr<const traffic::Face> face;  // null: the product's own
 };
 
 class Node {
@@ -28,6 +34,8 @@
   pb::CarryReply carry(const pb::Carry& c);
   // Takes a worker's beat; true once a majority of holders has heard of it.
   bool beat(const pb::Beat& b);
+  // Records that a worker has ended; true once that lasts.
+  bool gone(const std::string& instance);
   bool ready() const;
   void leave();  // unready, duties handed over, the session ended; requests are still served
 
@@ -36,6 +44,7 @@
   registry::Book& book();
   members::Duty& duty();
   registry::Acceptor* acceptor();
+  void seeds(std::vector<std::string> addresses);
   traffic::Traffic& traffic();
   uint64_t generation() const;
   std::string release() const;
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -4,7 +4,7 @@
 #include "rollout/pacer.hpp"
 
 #include "base/log.hpp"
-#include "traffic/layout.hpp"
+#include "traffic/order.hpp"
 
 namespace dunlinwing::rollout {
 namespace {
@@ -28,9 +28,17 @@
   std::map<std::string, Tick> fell;
   std::map<std::string, int64_t> rates;
   std::string rates_of;
+  traffic::Orders orders;
 
   // The least rate that any layout assigned now states; a rate holds for all.
   void read_rates(const pb::Rollout& r, const std::map<std::string, Release>& releases) {
+    if (auto& o = orders.look(mirror.chosen()); o.number) {
+      rates.clear();
+      if (o.layout)
+        for (auto& [k, s] : o.layout->services)
+          if (s.rate > 0) rates[k] = std::max<int64_t>(1, static_cast<int64_t>(s.rate));
+      return;
+    }
     std::map<std::string, bool> names;
     for (auto& [n, a] : r.nodes())
       if (auto f = a.releases().find("layout"); f != a.releases().end()) names[f->second] = true;
@@ -46,8 +54,8 @@
       if (!y) continue;
       for (auto& [k, s] : (*y)->services) {
         if (!s.rate) continue;
-        auto [f, fresh] = rates.emplace(k, s.rate);
-        f->second = std::min(f->second, s.rate);
+        auto [f, fresh] = rates.emplace(k, static_cast<int64_t>(s.rate));
+        f->second = std::min(f->second, static_cast<int64_t>(s.rate));
       }
     }
     rates_of = key;
--- /dev/null
+++ b/src/traffic/trial.hpp
@@ -0,0 +1,45 @@
+// Which requests a version on trial gets, and which of its workers get them. The share
+// is kept by exact count at each relay, so that it holds over the fleet.
+#pragma once
+#include <mutex>
+
+#include "traffic/table.hpp"
+
+namespace dunlinwing::traffic {
+
+// Of the tenth that the rule leaves to a move with a term, and of the fifty beyond it,
+// which may be spent ahead; while its workers are cold and answers say little, less.
+inline constexpr int kTermPercent = 8, kColdPercent = 3;
+inline constexpr int64_t kAhead = 20;
+
+// Of a move with a term only two workers of the new version are asked, the first two by
+// name, so that they have something to do. All relays choose alike, from the same news.
+std::vector<Worker> trial_workers(const std::vector<Worker>& ws, const std::string& version, bool term);
+
+class Trials {
+ public:
+  // The workers among which a granted request is placed; none when it is not granted.
+  std::vector<Worker> grant(const Table& t, const std::string& service, const std::string& version,
+                            const std::string& route);
+
+  // The bare share: the n-th trial request needs n times the full share before, but for
+  // `ahead`, which is given once. Below its share no more than `spend` is used, and the
+  // rest saved. Routes that had few trial requests come first; others take what they leave.
+  struct Part {
+    int earn = 0, spend = 0, ahead = 0;
+  };
+  bool grant(const std::string& service, uint64_t number, const std::string& version, const std::string& route, Part p);
+
+ private:
+  struct Share {
+    uint64_t number = 0;
+    std::string version;
+    int64_t earned = 0, sparing = 0;  // hundredths of a request, not yet spent
+    bool ahead = false;
+    std::map<std::string, uint64_t> by;
+  };
+  std::mutex m_;
+  std::map<std::string, Share> by_;
+};
+
+}  // namespace dunlinwing::traffic
