--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -90,7 +90,7 @@
 class NoOrigin final : public base::Origin {
  public:
   bool reach(const std::string&, Span) override { return true; }
-  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, Span) override {
+  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
     return base::ShotDefect::unsent;
   }
 };
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -41,7 +41,7 @@
 class NoOrigin final : public base::Origin {
  public:
   bool reach(const std::string&, Span) override { return true; }
-  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, Span) override {
+  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
     return base::ShotDefect::unsent;
   }
 };
