--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -11,10 +11,14 @@
 
 #include "base/log.hpp"
 #include "gate/holders.hpp"
+#include "gate/orders.hpp"
+#include "gate/moves.hpp"
 #include "gate/report.hpp"
 #include "gate/schemas.hpp"
+#include "gate/self.hpp"
 #include "gate/views.hpp"
 #include "rollout/checks.hpp"
+#include "rollout/versions.hpp"
 
 namespace dunlinwing::gate {
 namespace {
@@ -30,11 +34,6 @@
   return j;
 }
 
-base::Receipt of(registry::Defect d) {
-  return d == registry::Defect::no_majority
-             ? defect(503, "no majority of the holders answers; nothing was recorded")
-             : defect(503, "the fate of this write is unknown: it may or may not be recorded. Read before trying again.");
-}
 }  // namespace
 
 struct Control::Impl {
@@ -97,7 +96,7 @@
       pb::ServiceState st;
       st.ParseFromString(std::get<registry::Held>(h).data);
       auto in = [&](const std::string& v) { return std::find(s.versions.begin(), s.versions.end(), v) != s.versions.end(); };
-      if (st.current().empty() || in(st.current()) || std::any_of(st.kept().begin(), st.kept().end(), in)) continue;
+      if (st.current().empty() || s.versions.empty() || in(st.current()) || std::any_of(st.kept().begin(), st.kept().end(), in)) continue;
       return json(409, fmt::format(R"({{"defects":[{{"at":"/content/services/{}/versions","what":"leaves out {}, the version in place; move the service first"}}]}})",
                                    name, st.current()));
     }
@@ -167,27 +166,22 @@
     if (t->layout)
       if (auto f = t->layout->services.find(name); f != t->layout->services.end()) s = &f->second;
     if (!s) return defect(404, "the layout in force here has no such service");
-    if (std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
+    if (!s->versions.empty() && std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
       return defects({{"/version", "the layout in force does not allow this version"}});
     return change<pb::ServiceState>(
         c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Receipt> {
-          if (st.current().empty()) st.set_current(s->versions.front());
+          if (st.switching()) return defect(409, "the service is being switched to version " + st.trial());
+          if (st.current().empty())
+            st.set_current(s->versions.empty() ? rollout::commonest(n.mirror().news().workers(ps.clock.now()), name, to) : s->versions.front());
           if (st.quarantined().count(to)) {
             if (!j.at("lift_quarantine").flag())
               return defect(409, "the version is in quarantine: " + st.quarantined().at(to));
             st.mutable_quarantined()->erase(to);
           }
           if (st.current() == to) {
-            st.clear_trial();
+            rollout::drop_trial(st);
           } else if (st.trial() != to) {
-            st.set_trial(to);
-            st.set_trial_number(st.trial_number() + 1);
-            st.set_good(0);
-            st.set_bad(0);
-            st.set_from_good(0);
-            st.set_from_bad(0);
-            st.set_held_ms(0);
-            st.set_why("on trial");
+            rollout::open_trial(st, to, Span(0), s->deadline);
           }
           return {};
         });
@@ -222,13 +216,15 @@
     if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
     auto& j = std::get<base::Json>(b);
     pb::Purge p;
-    p.set_name(c.path[2]);
+    if (c.path.size() > 2) p.set_name(c.path[2]);
     p.set_kind(j.at("kind").str());
-    p.set_path(j.at("path").str());
-    if (p.kind() != "service" && p.path().empty()) return defects({{"/path", "is missing"}});
-    auto service = j.at("service").str();
+    p.set_path(j.at(p.kind() == "tag" ? "tag" : "path").str());
+    p.set_host(j.at("host").str());
+    if (p.kind() != "service" && p.path().empty()) return defects({{p.kind() == "tag" ? "/tag" : "/path", "is missing"}});
+    auto service = j.at("service").str(traffic::kAllServices);
+    if (service == traffic::kAllServices && p.kind() == "service") return defects({{"/service", "is missing"}});
     auto clash = [&](const std::string& of) { return defect(409, "a purge of this name exists for service " + of + " and is another; take a new name"); };
-    for (auto& [k, h] : n.mirror().chosen()) {
+    for (auto& [k, h] : p.name().empty() ? members::Chosen() : n.mirror().chosen()) {
       pb::PurgeSet s;
       if (!k.starts_with("purge/") || k.substr(6) == service || !s.ParseFromString(h.data)) continue;
       for (auto& x : s.purges())
@@ -288,6 +284,7 @@
     x.set_leaving(j.at("leaving").flag());
     x.set_number(static_cast<uint64_t>(j.at("number").num()));
     x.set_period_ms(static_cast<uint32_t>(j.at("period_ms").num()));
+    x.set_cold_ms(static_cast<uint32_t>(j.at("cold_ms").num()));
     if (!n.beat(x)) return defect(503, "this node cannot pass the beat on; try another");
     return json(200, "{\"known\":true}");
   }
@@ -317,8 +314,10 @@
     if (is(2, "purges")) return purges(n);
     if (is(2, "drains")) return drains(n);
     if (is(2, "holders")) return holders(n);
+    if (is(3, "layouts") && p[2] == "current") return order(n);
     if (is(3, "artifacts")) return artifact(c, false);
     if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
+    if (is(3, "moves")) return move(n, c);
     if (is(3, "services")) {
       auto h = chosen(rollout::service_key(p[2]));
       if (!h) return defect(404, "no move of this service was ever asked for");
@@ -366,12 +365,18 @@
   if (get && c.path.size() == 1 && c.path[0] == "metrics")
     return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics(p.n, p.ps.clock.now())};
   if (c.path.size() < 2 || c.path[0] != "v1") return defect(404, "no such resource");
+  if (get && c.path.size() == 2 && c.path[1] == "self") return self(p.n);  // waits for no pull
   if (q.method == "GET" || q.method == "HEAD") return p.watch(c);
   if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "beats") return p.beat(c);
+  if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "purges") return p.put_purge(c);
+  if (q.method == "DELETE" && c.path.size() == 3 && c.path[1] == "workers")
+    return p.n.gone(c.path[2]) ? json(200, "{\"known\":true}") : defect(503, "this node cannot record it; try another");
   if (q.method != "PUT") return defect(405, "resources are read by GET and stated by PUT");
   if (c.path.size() == 4 && c.path[1] == "releases") return p.put_release(c);
   if (c.path.size() >= 5 && c.path.size() <= 6 && c.path[1] == "releases") return p.put_act(c);
   if (c.path.size() == 3 && c.path[1] == "services") return p.put_service(c);
+  if (c.path.size() == 3 && c.path[1] == "layouts") return put_order(p.ps, p.n, c);
+  if (c.path.size() == 3 && c.path[1] == "moves") return put_move(p.ps, p.n, c);
   if (c.path.size() == 3 && c.path[1] == "purges") return p.put_purge(c);
   if (c.path.size() == 3 && c.path[1] == "artifacts") return p.artifact(c, true);
   if (c.path.size() == 3 && c.path[1] == "holders") return put_holder(p.n, c);
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -25,8 +25,10 @@
     return false;
   }
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
-                                                      Span limit) override {
+                                                      const base::ShotRules& rules) override {
+    Span limit = rules.limit;
     auto& w = f_.w_;
+    if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
     auto nap = [&](Span s) {
       Wait x;
       w.park(l_, s, x);
@@ -59,15 +61,20 @@
     }
     Span took = x->least + Span(w.below(static_cast<uint64_t>((x->most - x->least).count()) + 1));
     auto at = w.now().count();
-    bool bad = static_cast<int>(w.below(100)) < x->bad_percent, wrong = static_cast<int>(w.below(100)) < x->wrong_percent;
+    if (w.now() < x->warm_at) took *= 2;
+    int times = x->spoils ? x->spoils(q.target) : 1;
+    if (times > 1) took *= times;
+    bool bad = static_cast<int>(w.below(100)) < x->bad_percent || !times, wrong = static_cast<int>(w.below(100)) < x->wrong_percent;
     auto body = fmt::format(R"({{"target":"{}","echo":"{}","produced":{}}})", q.target, h("Caller-Id"), at);
     auto sum = base::sha256_base64(body);
     w.journal.push_back(fmt::format(
         R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"{}","out":"{}","service":"{}","version":"{}","instance":"{}","relay":"{}","gen":"{}","at":{},"bad":{}}})",
         h("Caller-Id"), q.method, q.target, base::sha256_base64(q.body), sum, x->service, x->version, x->instance,
-        h("Dunlinwing-Relay"), h("Dunlinwing-Generation"), at, bad || wrong));
+        h("Dunlinwing-Relay"), h("Dunlinwing-Generation"), at, bad || wrong || times > 1));
     auto name = x->instance;
+    ++x->running;
     nap(std::min(took, limit));
+    --x->running;
     if (took > limit) {
       ++w.met["slow_worker"];
       return base::ShotDefect::unknown;
@@ -91,6 +98,8 @@
   }
 
  private:
+  // A relay's control address.
+  std::variant<base::Receipt, base::ShotDefect> relay(const std::string& name, const base::Request& q, Span limit);
   static std::vector<std::pair<std::string, std::string>> head(const Worker& x, const std::string& rid,
                                                                std::vector<std::pair<std::string, std::string>> more) {
     more.emplace_back("Dunlinwing-Service", x.service);
@@ -174,8 +183,12 @@
   c.shield = h.shield;
   c.bound = s_.bound;
   c.scale = s_.scale;
+  c.first_start = s_.seeded ? !h.begun && !old_ : true;
+  c.tolerate = s_.tolerate;
+  if (s_.seeded) c.seeds = {"http:h1", "http:h2", "http:h3"};
+  h.begun = true;
   for (auto& x : hosts_)
-    if (x->holder) c.holders.push_back({x->name, x->address});
+    if (x->holder && !s_.seeded) c.holders.push_back({x->name, x->address});
   h.node = std::make_unique<relay::Node>(*h.ports, c, h.disk.get());
   h.control = std::make_unique<gate::Control>(*h.ports, *h.node);
   auto* node = h.node.get();
@@ -190,6 +203,7 @@
 
 void Fleet::start_all() {
   for (auto& h : hosts_) start(h->name);
+  old_ = true;
 }
 
 void Fleet::kill(const std::string& n) {
@@ -259,8 +273,9 @@
 
 void Fleet::beat(Worker& x) {
   auto body = fmt::format(
-      R"({{"service":"{}","version":"{}","instance":"{}","zone":"{}","address":"{}","capacity":16,"leaving":{},"number":{},"period_ms":{}}})",
-      x.service, x.version, x.instance, x.zone, x.address, x.leaving, ++x.beats, x.period_ms);
+      R"({{"service":"{}","version":"{}","instance":"{}","zone":"{}","address":"{}","capacity":16,"leaving":{},"number":{},"period_ms":{},"cold_ms":{}}})",
+      x.service, x.version, x.instance, x.zone, x.address, x.leaving, ++x.beats, x.period_ms,
+      std::max<int64_t>(0, (x.warm_at - w_.now()).count()));
   bool leaving = x.leaving;
   for (int i = 0; i < 3 && x.alive; ++i) {
     auto t = tell("POST", "/v1/beats", body);
@@ -319,6 +334,17 @@
   return v;
 }
 
+std::variant<base::Receipt, base::ShotDefect> SimOrigin::relay(const std::string& name, const base::Request& q, Span limit) {
+  auto& w = f_.w_;
+  auto& h = f_.at(name);
+  bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.chance(w.weather.loss_permille);
+  Wait x;
+  if (lost || !h.up()) return w.park(l_, lost ? limit : Span(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
+  auto v = visit(w, l_, h, q, true, limit);
+  if (v->lost) return base::ShotDefect::unknown;
+  return v->r;
+}
+
 Told Fleet::tell(const std::string& method, const std::string& target, const std::string& body,
                  std::vector<std::pair<std::string, std::string>> hs) {
   auto* h = some(false);
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -9,6 +9,8 @@
 
 struct FleetShape {
   int holders = 5, edges = 4, spares = 0;  // spares have a disk, and no settings name them as holders
+  bool seeded = false;  // the first set of holders forms out of the seeds, the hosts h1 to h3
+  int tolerate = 0;
   double scale = 600;
   Span bound{2000};
   int64_t wall0 = 1700000000000;
@@ -25,6 +27,7 @@
 struct Host {
   std::string name, zone, address;
   bool holder = false, shield = false, spare = false;
+  bool begun = false;  // started before
   Platter platter;
   int64_t wall = 0;
   LifePtr life;
@@ -50,6 +53,10 @@
   int64_t max_age = 0, period_ms = 1000;
   int load = 0;  // as it says in its answers; the work that others give it
   uint64_t beats = 0;
+  // A version that is bad in its own way: how many times slower this request is, 0 when it fails.
+  std::function<int(const std::string& target)> spoils;
+  Tick warm_at{0};   // until then it is twice as slow, and says so
+  int running = 0;
 };
 
 struct Told {  // an operator's call and its answer
@@ -105,6 +112,7 @@
   std::vector<std::unique_ptr<Grave>> graves_;
   LifePtr out_;
   uint64_t named_ = 0;
+  bool old_ = false;  // all were started once
 };
 
 }  // namespace dunlinwing::sim
--- a/src/traffic/place.hpp
+++ b/src/traffic/place.hpp
@@ -1,45 +1,46 @@
-// Choosing a worker: two choices by load, own zone first. A worker that keeps
-// failing is set aside for a while and tried again by single requests; never
-// are all workers of a service set aside at once.
+// Choosing a worker by the time it is expected to take: what it usually takes, its
+// load as last told and as this relay knows it, own zone first while that has room.
+// A worker that keeps failing is set aside for a while and tried again by single
+// requests; never are all workers of a service set aside at once.
 #pragma once
 #include <mutex>
 
 #include "base/ports.hpp"
+#include "traffic/face.hpp"
 #include "traffic/table.hpp"
 
 namespace dunlinwing::traffic {
 
+struct Choice {
+  Worker worker;
+  Span expected{0};  // until its answer
+  Span wait{0};      // the part of it spent behind others there
+};
+
+struct Ended {
+  bool good = false, unsent = false;
+  std::optional<Load> load;
+  Span took{0};
+};
+
 class Places {
  public:
   Places(base::Clock& c, base::Chance& r);
   ~Places();
   // Null when no worker of these versions is left that is not in `tried`.
-  std::optional<Worker> choose(const std::vector<Worker>& ws, const std::vector<std::string>& versions,
+  std::optional<Choice> choose(const std::vector<Worker>& ws, const std::vector<std::string>& versions,
                                const std::string& zone, const std::vector<std::string>& tried);
   void began(const Worker& w);
-  void ended(const Worker& w, bool good, std::optional<int> load);
+  void ended(const Worker& w, const Ended& e);
   // Somebody else stands at its address: it is left alone until it is known again.
   void elsewhere(const Worker& w);
   void forget(const std::vector<std::string>& alive);
+  // What an answer of this service usually takes; 0 while nothing is known.
+  Span usual(const std::string& service) const;
 
  private:
   struct Impl;
   std::unique_ptr<Impl> p_;
 };
 
-// Grants a version on trial its share of a service's requests, by count and
-// never by chance: the n-th trial request needs n times the full share before.
-class Trials {
- public:
-  bool grant(const std::string& service, const std::string& version, int percent);
-
- private:
-  struct Share {
-    std::string version;
-    uint64_t all = 0, trial = 0;
-  };
-  std::mutex m_;
-  std::map<std::string, Share> by_;
-};
-
 }  // namespace dunlinwing::traffic
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -13,6 +13,7 @@
 struct Worker {
   std::string instance, service, version, zone, address;
   int capacity = 1;
+  Tick cold_until{0};  // it has just started and is slow until then
 };
 
 struct Shield {
@@ -21,6 +22,7 @@
 
 struct Table {
   uint64_t generation = 0;                                       // that runs here
+  uint64_t order = 0;                                            // the numbered layout in force; 0: layouts come as releases
   std::map<std::string, uint64_t> assigned;                      // by node: the latest generation written for it
   std::shared_ptr<const Layout> layout;                          // this node's own; null: none yet
   std::map<std::string, std::shared_ptr<const Layout>> layouts;  // by release name, for carried requests
@@ -36,7 +38,13 @@
 
 using TablePtr = std::shared_ptr<const Table>;
 
+// Prepares the states of a new table: where no version is in place yet, all that beat
+// are kept open for layouts that name none; what is given up is not being switched.
+void settle(Table& t);
+
 // Versions of a service that a request may go to; `trial` only within its share.
+// A service whose layout names no versions may go to any, once a move or the first
+// workers have put it in place. In a switch the trial's version alone is open.
 struct Versions {
   std::vector<std::string> open;
   std::string trial;
@@ -47,7 +55,14 @@
 // by a newer assignment of that relay.
 bool overtaken(const Table& t, const std::string& relay, uint64_t generation);
 
+inline constexpr const char* kAllServices = "*";  // purges that name no service
 uint64_t purge_number(const Table& t, const std::string& service);
-bool purged(const Table& t, const std::string& service, std::string_view target, uint64_t since);
+uint64_t purge_least(uint64_t a, uint64_t b);  // what both know
+// What of a receipt a purge may name.
+struct Named {
+  std::string_view service, host, target;
+  const std::vector<std::string>* tags = nullptr;
+};
+bool purged(const Table& t, const Named& n, uint64_t since);
 
 }  // namespace dunlinwing::traffic
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -29,7 +29,9 @@
 NamedCases rollout_stories();
 NamedCases traffic_stories();
 NamedCases limit_stories();
+NamedCases move_stories();
 NamedCases fault_stories();
 NamedCases mixed_stories();
+NamedCases holder_stories();  // the set forms, grows and heals by itself
 
 }  // namespace dunlinwing::test
