--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -8,6 +8,9 @@
 #include "wire/peer.hpp"
 
 namespace dunlinwing::relay {
+namespace {
+constexpr int kOtherFiles = 200;
+}
 
 std::string_view config_schema() {
   return R"({
@@ -16,7 +19,7 @@
   "properties":{
     "name":{"type":"string","minLength":1,"maxLength":64},
     "zone":{"type":"string","minLength":1,"maxLength":64},
-    "listen":{"type":"object","additionalProperties":false,"required":["callers","control","peers"],"properties":{
+    "listen":{"type":"object","additionalProperties":false,"required":["peers"],"properties":{
       "callers":{"type":"string"},"control":{"type":"string"},"peers":{"type":"string"},"readiness":{"type":"string"}}},
     "holders":{"type":"object","minProperties":1,"maxProperties":9,"additionalProperties":{"type":"string"}},
     "seeds":{"type":"array","minItems":1,"maxItems":9,"items":{"type":"string"}},
@@ -38,6 +41,7 @@
       "bad_answers":{"type":"number","minimum":0,"maximum":1000000}}},
     "cache_bytes":{"type":"integer","minimum":0},
     "memory_mb":{"type":"number","minimum":16},
+    "descriptors":{"type":"integer","minimum":232},
     "system":{"type":"object"},
     "threads":{"type":"integer","minimum":1,"maximum":64},
     "log_level":{"type":"string","enum":["debug","info","warn","error"]},
@@ -64,7 +68,7 @@
   c.callers = addr("/listen/callers", l.at("callers").str());
   c.control = addr("/listen/control", l.at("control").str());
   n.peer_address = addr("/listen/peers", l.at("peers").str());
-  n.http_address = c.control;
+  n.http_address = c.control;  // empty on a machine that takes no calls
   for (auto& [k, v] : j.at("holders").members()) n.holders.push_back({k, addr("/holders/" + k, v.str())});
   int i = 0;
   for (auto& s : j.at("seeds").strs()) n.seeds.push_back(addr(fmt::format("/seeds/{}", i++), s));
@@ -96,6 +100,12 @@
     s.bad_answers = static_cast<int64_t>(b.at("bad_answers").real(static_cast<double>(s.bad_answers)));
   }
   // Of a machine's memory a quarter may be kept receipts and a quarter bodies under way.
+  // Of the descriptors some are for files that the system opens beside ours.
+  c.sockets = static_cast<int>(std::max<int64_t>(0, j.at("descriptors").num(0) - kOtherFiles));
+  n.sockets = c.sockets;
+  if (!n.shield)
+    for (auto* k : {"callers", "control"})
+      if (!l.has(k)) ds.push_back({std::string("/listen/") + k, "is missing"});
   c.memory_mb = j.at("memory_mb").real(0);
   if (c.memory_mb > 0) n.cache_bytes = static_cast<size_t>(c.memory_mb * (1 << 20) / 4);
   if (j.has("cache_bytes")) n.cache_bytes = static_cast<size_t>(j.at("cache_bytes").num());
--- a/src/relay/config.hpp
+++ b/src/relay/config.hpp
@@ -13,6 +13,7 @@
   int threads = 2;
   Span beat{0};         // how often workers beat, when their calls do not say it
   Span grace{0};        // from the word to stop until the process must have ended; 0: from the bound
+  int sockets = 0;       // that this process may have open at once; 0: not stated
   double memory_mb = 0;  // of the machine, for this process; 0: not stated
   size_t log_bytes = 4 << 20;
 };
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -68,7 +68,7 @@
   dw::wire::RealClock clock;
   dw::wire::RealChance chance;
   dw::wire::PeerNet net;
-  dw::wire::HttpOrigin origin{16u << 20};
+  dw::wire::HttpOrigin origin;
   dw::base::Ports ports{clock, chance, pool, net, origin};
   std::unique_ptr<dw::disk::Aside> disk;
   std::unique_ptr<dw::relay::Node> node;
@@ -81,7 +81,7 @@
   int next = 0;
   bool ending = false;
 
-  explicit App(dw::relay::Config cc) : c(std::move(cc)), pool(c.threads) {}
+  explicit App(dw::relay::Config cc) : c(std::move(cc)), pool(c.threads), origin(16u << 20, c.sockets > 0 ? static_cast<size_t>(std::max(4, c.sockets / 5)) : 512) {}
 
   // Carried requests are traffic: they run on a traffic thread, not on control's.
   dw::pb::Reply answer(const dw::pb::Ask& a) {
@@ -105,11 +105,16 @@
   }
 
   std::optional<std::string> listen() {
-    if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); })) return e;
+    if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); }, c.sockets > 0 ? static_cast<size_t>(c.sockets) / 3 : 4096)) return e;
+    if (c.callers.empty()) return {};
     dw::wire::HttpLimits lim;
     lim.body_bytes = 8u << 20;
     lim.bodies = c.memory_mb > 0 ? static_cast<size_t>(c.memory_mb * (1 << 20) / 4) : lim.bodies;
-    callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", lim, [this](auto& q) { return node->serve(q); });
+    // Of the sockets two fifths are for callers, a third for peers, a fifth for workers.
+    if (c.sockets > 0) lim.most = static_cast<size_t>(std::max(4, c.sockets / 10));
+    auto calls = lim;
+    if (c.sockets > 0) calls.most = static_cast<size_t>(c.sockets * 2 / 5);
+    callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", calls, [this](auto& q) { return node->serve(q); });
     dw::wire::HttpHandler product = [this](auto& q) { return control->answer(q); };
     dw::wire::HttpHandler told = product;
     if (c.face == "platform") told = [this, product](auto& q) { return dw::platform::answer(q, c.beat, product); };
@@ -127,12 +132,13 @@
     std::shared_ptr<const dw::traffic::Layout> seen;
     for (;; clock.nap(c.node.bound / 8)) {
       auto l = node->traffic().table()->layout;
-      if (!l || l == seen) continue;
+      if (!l || l == seen || !callers) continue;
       seen = l;
       dw::wire::HttpLimits lim;
       lim.head_bytes = static_cast<size_t>(l->head_bytes);
       lim.body_bytes = static_cast<size_t>(l->body_bytes);
       if (c.memory_mb > 0) lim.bodies = static_cast<size_t>(c.memory_mb * (1 << 20) / 4);
+      if (c.sockets > 0) lim.most = static_cast<size_t>(c.sockets * 2 / 5);
       lim.read = l->head_time;
       lim.idle = l->idle_time;
       callers->limits(lim);
@@ -168,13 +174,13 @@
     auto grace = c.grace > 0ms ? c.grace * 4 / 5 : c.node.bound * 2;
     auto end = clock.now() + grace, heard = clock.now() + (c.grace > 0ms ? c.grace * 9 / 20 : c.node.bound * 5 / 8);
     lg.info("{}: asked to stop; draining.", c.node.name);
-    callers->wind_down();
+    if (callers) callers->wind_down();
     node->leave();
     if (clock.now() < heard) clock.nap(heard - clock.now());
     node->traffic().drain();
-    callers->close();
-    callers->close_idle();
-    while ((node->traffic().running() > 0 || callers->running() > 0) && clock.now() < end) clock.nap(10ms);
+    if (callers) callers->close();
+    if (callers) callers->close_idle();
+    while ((node->traffic().running() > 0 || (callers && callers->running() > 0)) && clock.now() < end) clock.nap(10ms);
     lg.info("{}: stopped.", c.node.name);
     dw::wire::Pool::stop(status);
   }
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -57,6 +57,7 @@
         conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return mirror.fresh(); }) {
     traffic.bound_cache(c.cache_bytes);
+    traffic.shots().bound_places(c.sockets > 0 ? c.sockets / 8 : 0);
   }
 
   static NodeConfig with_face(NodeConfig c) {
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -19,6 +19,7 @@
   Span bound{2000};
   double scale = 1;
   rollout::System system;       // in force while no system release is
+  int sockets = 0;              // that the process may have open; 0: not stated
   size_t cache_bytes = SIZE_MAX;  // of this machine
   std::shared_ptr<const traffic::Face> face;  // null: the product's own
 };
--- a/src/traffic/place.cpp
+++ b/src/traffic/place.cpp
@@ -27,6 +27,7 @@
   int running = 0, fails = 0, unsent = 0, rounds = 0;
   double told = 0, pace = 0;  // load as told; milliseconds an answer takes there, 0 while unknown
   int slots = 0;
+  uint64_t lot = 0;  // this relay's and this worker's; 0: not drawn yet
   Tick told_at{0}, progress{0}, aside{0};
   bool trying = false;
 };
@@ -38,6 +39,13 @@
   mutable std::mutex m;
   std::map<std::string, State> by;
   std::map<std::string, double> pace;  // by service
+  std::string relay;
+
+  uint64_t lot(const Worker& w) {
+    auto& s = by[w.instance];
+    if (!s.lot) s.lot = std::hash<std::string>()(relay + "\n" + w.instance) | 1;
+    return s.lot;
+  }
 
   double usual(const std::string& service) const {
     auto f = pace.find(service);
@@ -67,11 +75,11 @@
   }
 };
 
-Places::Places(base::Clock& c, base::Chance& r) : p_(new Impl{c, r, {}, {}, {}}) {}
+Places::Places(base::Clock& c, base::Chance& r) : p_(new Impl{c, r, {}, {}, {}, {}}) {}
 Places::~Places() = default;
 
 std::optional<Choice> Places::choose(const std::vector<Worker>& ws, const std::vector<std::string>& vs,
-                                     const std::string& zone, const std::vector<std::string>& tried) {
+                                     const std::string& zone, const std::vector<std::string>& tried, size_t few) {
   std::lock_guard l(p_->m);
   Tick now = p_->clock.now();
   std::vector<const Worker*> fit, near, aside;
@@ -84,10 +92,16 @@
       continue;
     }
     fit.push_back(&w);
-    if (w.zone == zone) near.push_back(&w);
   }
   if (fit.empty()) fit = aside;
   if (fit.empty()) return {};
+  if (fit.size() > few) {
+    std::nth_element(fit.begin(), fit.begin() + static_cast<std::ptrdiff_t>(few), fit.end(),
+                     [&](auto* a, auto* b) { return p_->lot(*a) < p_->lot(*b); });
+    fit.resize(few);
+  }
+  for (auto* w : fit)
+    if (w->zone == zone) near.push_back(w);
   // The best of a few drawn by lot: the very best for all would be everybody's choice at once.
   auto pick = [&](std::vector<const Worker*> v) {
     const Worker* best = nullptr;
@@ -109,6 +123,8 @@
   return Choice{*w, Span(static_cast<int64_t>(p_->expected(*w, now))), Span(static_cast<int64_t>(p_->wait(*w, now)))};
 }
 
+void Places::name(const std::string& relay) { p_->relay = relay; }
+
 void Places::began(const Worker& w) {
   std::lock_guard l(p_->m);
   auto& s = p_->by[w.instance];
--- a/src/traffic/place.hpp
+++ b/src/traffic/place.hpp
@@ -27,9 +27,11 @@
  public:
   Places(base::Clock& c, base::Chance& r);
   ~Places();
-  // Null when no worker of these versions is left that is not in `tried`.
+  // Null when no worker of these versions is left that is not in `tried`. Of more than
+  // `few` that fit, this relay uses its own few, the same as long as they fit.
   std::optional<Choice> choose(const std::vector<Worker>& ws, const std::vector<std::string>& versions,
-                               const std::string& zone, const std::vector<std::string>& tried);
+                               const std::string& zone, const std::vector<std::string>& tried, size_t few = SIZE_MAX);
+  void name(const std::string& relay);  // by which this relay's few are drawn
   void began(const Worker& w);
   void ended(const Worker& w, const Ended& e);
   // Somebody else stands at its address: it is left alone until it is known again.
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -11,7 +11,9 @@
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr Span kShieldRest{500};
+constexpr Span kShieldRest{2000};
+constexpr int kShieldPart = 8;         // times the usual answer of a worker, for a shield's
+constexpr Span kShieldLeast{300};
 
 // What is to be said to a caller, or that the request is to be matched anew.
 struct Way {
@@ -72,7 +74,7 @@
   std::map<std::string, Tick> resting;  // shields, until when
 
   Impl(base::Ports& p, const Face& fa, std::string a, std::string z, std::function<bool()> f)
-      : ps(p), face(fa), me(std::move(a)), zone(z), fresh(f), shots(p, fa, z, f, [this] { return now_table(); }) {}
+      : ps(p), face(fa), me(std::move(a)), zone(z), fresh(f), shots(p, fa, me, z, f, [this] { return now_table(); }) {}
 
   // Turned away, with when to come back, spread so that a crowd does not return at once.
   Way away(int status, const std::string& why, Span back = Span(0)) const {
@@ -192,7 +194,9 @@
         h->set_value(v);
       }
       ++n.carried;
-      auto r = ps.net.ask(to, a, (w.deadline - ps.clock.now()) / 2);
+      auto usual = shots.usual(w.service->name);
+      Span half = (w.deadline - ps.clock.now()) / 2;
+      auto r = ps.net.ask(to, a, usual > Span(0) ? std::min(half, std::max(usual * kShieldPart, kShieldLeast)) : half);
       auto* x = std::get_if<pb::Reply>(&r);
       auto* nd = std::get_if<base::NetDefect>(&r);
       bool reached = !nd || *nd != base::NetDefect::unreachable;
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -15,6 +15,8 @@
 constexpr int kConnectPart = 4; // of the time left, for a connection to stand
 constexpr int kSlow = 4;        // times the usual, and an answer counts as slow
 constexpr Span kSlowLeast{20};
+constexpr size_t kLeastPlaces = 6;
+constexpr size_t kRelaysOfAll = 12;  // relays that use one worker, about
 constexpr double kCapPart = 0.85;  // of the connections a worker takes, over all relays
 // How far past its aim an answer may be expected to be while it is still worth its place, by rank.
 constexpr double kPatience[] = {3.0, 2.0, 1.3};
@@ -49,6 +51,7 @@
   std::map<std::string, uint64_t> asked;
   std::map<std::string, std::pair<uint64_t, uint64_t>> on_trial;  // number, bad answers
   std::atomic<uint64_t> again{0};
+  int most_places = 0;
 
   Impl(base::Ports& p, const Face& fa, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
       : ps(p), face(fa), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.chance),
@@ -99,6 +102,13 @@
     }
   }
 
+  // Of many workers each relay of a large fleet uses a few, so that its connections
+  // are used often enough to be kept, and each worker is used by a few relays.
+  size_t few(const Table& t, size_t workers) const {
+    size_t n = std::max<size_t>(kLeastPlaces, (workers * kRelaysOfAll + static_cast<size_t>(t.nodes) - 1) / static_cast<size_t>(std::max(t.nodes, 1)));
+    return most_places > 0 ? std::min(n, std::max(kLeastPlaces, static_cast<size_t>(most_places))) : n;
+  }
+
   std::optional<Choice> pick(const Work& w, const std::vector<std::string>& tried, bool probe = false) {
     auto t = table();  // the latest: a worker that left since is not chosen
     auto f = t->workers.find(w.service->name);
@@ -108,13 +118,15 @@
     if (!probe)
       if (auto ws = trials.grant(*t, w.service->name, v.trial, w.route->label()); !ws.empty())
         if (auto x = places.choose(ws, {v.trial}, zone, tried)) return x;
-    return places.choose(f->second, v.open, zone, tried);
+    return places.choose(f->second, v.open, zone, tried, few(*t, f->second.size()));
   }
 };
 
-Shots::Shots(base::Ports& ps, const Face& face, std::string zone, std::function<bool()> fresh,
+Shots::Shots(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh,
              std::function<TablePtr()> table)
-    : p_(new Impl(ps, face, std::move(zone), std::move(fresh), std::move(table))) {}
+    : p_(new Impl(ps, face, std::move(zone), std::move(fresh), std::move(table))) {
+  p_->places.name(me);
+}
 Shots::~Shots() = default;
 
 bool Shots::repeat_allowed(const Work& w) {
@@ -258,6 +270,8 @@
 std::pair<int, int> Shots::load(const std::string& s) { return p_->waits.load(s); }
 int Shots::running() { return p_->waits.running(); }
 uint64_t Shots::repeats() const { return p_->again; }
+Span Shots::usual(const std::string& s) const { return p_->places.usual(s); }
+void Shots::bound_places(int m) { p_->most_places = m; }
 void Shots::workers_known(const std::vector<std::string>& a) { p_->places.forget(a); }
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -52,7 +52,7 @@
 
 class Shots {
  public:
-  Shots(base::Ports& ps, const Face& face, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
+  Shots(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
   ~Shots();
   Fetched run(const Work& w);
   bool reaches(const Work& w, Span limit);  // whether some worker would take a connection
@@ -64,7 +64,9 @@
   std::map<std::string, uint64_t> asked() const;  // of services with a stated rate
   std::pair<int, int> load(const std::string& service);
   int running();
+  Span usual(const std::string& service) const;  // what an answer takes here; 0: not known
   uint64_t repeats() const;
+  void bound_places(int most);  // workers of one service that this relay uses, at most; 0: no bound
   void workers_known(const std::vector<std::string>& instances);
 
  private:
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <charconv>
+#include <list>
 
 #include "base/log.hpp"
 #include "wire/line.hpp"
@@ -61,13 +62,38 @@
   }
 }
 
-void talk(const std::shared_ptr<Line>& l, const PeerHandler& h) {
+// Peers' connections that wait for an ask, the one that waits longest first.
+struct Server {
+  PeerHandler h;
+  size_t most, open = 0;
+  std::list<std::shared_ptr<Line>> waiting;
+
+  void make_room() {
+    if (open <= most || waiting.empty()) return;
+    waiting.front()->stop();
+    waiting.pop_front();
+  }
+};
+
+void talk(const std::shared_ptr<Line>& l, Server& s) {
+  auto& h = s.h;
   Alarm silent;
   auto in = [&](std::chrono::seconds s) { silent.set(now() + s, [&] { l->stop(); }); };
   for (;;) {
     pb::Ask a;
     in(kServerIdle);
-    if (read_frame(*l, a, [&] { in(kServerIdle); })) return;
+    auto here = s.waiting.insert(s.waiting.end(), l);
+    bool waits = true;
+    auto began = [&] {
+      if (std::exchange(waits, false) && !l->stopped()) s.waiting.erase(here);
+    };
+    if (!l->got().empty()) began();
+    auto ec = read_frame(*l, a, [&] {
+      began();
+      in(kServerIdle);
+    });
+    began();
+    if (ec) return;
     silent.clear();
     auto r = h(a);
     in(kReplyMoves);
@@ -116,6 +142,7 @@
     }
     if (f->second.empty()) idle.erase(f);
   }
+  bool reused = l != nullptr;
   if (!l) l = Line::to(addr, end).first;
   if (!l) return base::NetDefect::unreachable;
   Alarm late;
@@ -128,6 +155,8 @@
   if (ec || !l->got().empty()) {
     bool timed = l->stopped();
     l->close();
+    // A kept connection may have been ended for room just now. Asks may come twice, but for requests carried.
+    if (ec && reused && !timed && l->got().empty() && !a.has_carry()) return ask(addr, a, std::chrono::duration_cast<Span>(end - now()));
     if (!ec) return base::NetDefect::garbled;
     return sent && timed ? base::NetDefect::timed_out
            : ec == boost::system::errc::bad_message ? base::NetDefect::garbled
@@ -143,7 +172,7 @@
   return r;
 }
 
-std::optional<std::string> serve_peers(Pool& pool, const std::string& addr, PeerHandler h) {
+std::optional<std::string> serve_peers(Pool& pool, const std::string& addr, PeerHandler h, size_t most) {
   auto at = split_address(addr);
   if (!at) return "the peer address is not IP:port";
   Ec ec;
@@ -154,7 +183,7 @@
   if (!ec) acc->bind(ep, ec);
   if (!ec) acc->listen(1024, ec);
   if (ec) return fmt::format("cannot listen on {}: {}", addr, ec.message());
-  pool.spawn_on(0, [&pool, acc, h] {
+  pool.spawn_on(0, [&pool, acc, s0 = std::make_shared<Server>(Server{std::move(h), most})] {
     for (;;) {
       tcp::socket s(pool.io(0));
       auto [ec] = await<>([&](auto k) { acc->async_accept(s, std::move(k)); });
@@ -164,9 +193,12 @@
         continue;
       }
       settle(s);
-      pool.spawn([l = std::make_shared<Line>(std::move(s)), h] {
-        talk(l, h);
+      ++s0->open;
+      s0->make_room();
+      pool.spawn([l = std::make_shared<Line>(std::move(s)), s0] {
+        talk(l, *s0);
         l->close();
+        --s0->open;
       });
     }
   });
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -14,8 +14,8 @@
 using PeerHandler = std::function<pb::Reply(const pb::Ask&)>;
 
 // Takes peers' connections on thread 0. Returns a line of text when the
-// address cannot be had.
-std::optional<std::string> serve_peers(Pool& pool, const std::string& addr, PeerHandler h);
+// address cannot be had. Beyond `most` connections those that are idle longest end.
+std::optional<std::string> serve_peers(Pool& pool, const std::string& addr, PeerHandler h, size_t most = 4096);
 
 struct Address {
   std::string ip;
