--- /dev/null
+++ b/src/sim/origin.hpp
@@ -0,0 +1,21 @@
+// Requests reach a simulated worker by its address, whoever stands there now, and a
+// relay's control face by its name.
+#pragma once
+#include "sim/fleet.hpp"
+
+namespace dunlinwing::sim {
+
+class SimOrigin final : public base::Origin {
+ public:
+  SimOrigin(Fleet& f, LifePtr l) : f_(f), l_(std::move(l)) {}
+  bool reach(const std::string& addr, Span) override;
+  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
+                                                      const base::ShotRules& rules) override;
+
+ private:
+  std::variant<base::Receipt, base::ShotDefect> relay(const std::string& name, const base::Request& q, Span limit);
+  Fleet& f_;
+  LifePtr l_;
+};
+
+}  // namespace dunlinwing::sim
--- a/src/traffic/serve.hpp
+++ b/src/traffic/serve.hpp
@@ -1,17 +1,10 @@
 // The way of a request through a relay, as one function read from top to
 // bottom; and the shield's side of a carried one.
 #pragma once
-#include <atomic>
-
-#include "cache/cache.hpp"
-#include "traffic/shots.hpp"
+#include "traffic/fills.hpp"
 
 namespace dunlinwing::traffic {
 
-struct ServeCounts {
-  std::atomic<uint64_t> requests{0}, defects{0}, turned_away{0}, unknown{0}, hits{0}, fills{0}, carried{0};
-};
-
 class Traffic {
  public:
   Traffic(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh);
