--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -6,6 +6,8 @@
 // is then in `chosen`.
 #include "members/mirror.hpp"
 
+#include <algorithm>
+
 #include "base/log.hpp"
 #include "members/departed.hpp"
 #include "registry/vote.hpp"
@@ -13,6 +15,7 @@
 namespace dunlinwing::members {
 namespace {
 constexpr base::Log lg("members");
+constexpr size_t kLargeFleet = 32;
 }
 
 struct Mirror::Impl {
@@ -38,6 +41,7 @@
   Tick said{0};
   std::string said_key;
   std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
+  std::map<std::string, int> silent;  // asks in a row that a holder did not answer
   bool told = false, asked = false;  // asked: somebody waits for the next pull
   std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
 
@@ -167,7 +171,9 @@
       auto rs = registry::ask_all(ps, to, make, limit, [](auto&) { return false; }, c.me, local);
       bool any = false;
       for (size_t k = 0; k < rs.size(); ++k) {
-        if (!rs[k] || !rs[k]->has_pull()) continue;
+        auto& quiet = silent[hs[who[k]].name];
+        quiet = rs[k] && rs[k]->has_pull() ? 0 : quiet + 1;
+        if (quiet) continue;
         any = true;
         n += !rs[k]->pull().mute();
         take(hs[who[k]].name, rs[k]->pull(), ps.clock.now());
@@ -177,10 +183,18 @@
       return any;
     };
     if (!ask({first}, c.pull() / 4)) first = (first + 1) % hs.size();
-    std::vector<size_t> rest;
-    for (size_t i = 0; i < hs.size(); ++i)
-      if (i != first || heard.empty()) rest.push_back(i);
+    std::vector<size_t> rest, later;
+    for (size_t k = 0; k < hs.size(); ++k)
+      if (auto i = (first + k) % hs.size(); k || heard.empty()) rest.push_back(i);
+    // In a large fleet a relay asks no more holders than it needs, as long as those answer.
+    size_t need = book.majority() - std::min(book.majority(), heard.size());
+    if (!mine && news.size() >= kLargeFleet && rest.size() > need) {
+      std::stable_partition(rest.begin(), rest.end(), [&](size_t i) { return silent[hs[i].name] == 0; });
+      later.assign(rest.begin() + static_cast<std::ptrdiff_t>(need), rest.end());
+      rest.resize(need);
+    }
     ask(rest, c.pull());
+    if (!later.empty() && n < book.majority()) ask(later, c.pull());
     Tick now = ps.clock.now();
     if (book.set().epoch() != epoch) return reseat();
     if (n < book.majority()) return false;
--- a/src/members/news.hpp
+++ b/src/members/news.hpp
@@ -33,6 +33,7 @@
   std::map<std::string, WorkerFact> workers(Tick now) const;
   std::map<std::string, pb::News> latest(Tick now) const;  // sessions that stand
   void departed(std::set<std::string> instances) { departed_ = std::move(instances); }
+  size_t size() const { return by_.size(); }
   void forget(Tick now);
 
  private:
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -81,7 +81,7 @@
   int next = 0;
   bool ending = false;
 
-  explicit App(dw::relay::Config cc) : c(std::move(cc)), pool(c.threads), origin(16u << 20, c.sockets > 0 ? static_cast<size_t>(std::max(4, c.sockets / 5)) : 512) {}
+  explicit App(dw::relay::Config cc) : c(std::move(cc)), pool(c.threads), origin(16u << 20, c.sockets > 0 ? static_cast<size_t>(std::max(4, c.sockets / 10)) : 512) {}
 
   // Carried requests are traffic: they run on a traffic thread, not on control's.
   dw::pb::Reply answer(const dw::pb::Ask& a) {
@@ -105,15 +105,16 @@
   }
 
   std::optional<std::string> listen() {
-    if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); }, c.sockets > 0 ? static_cast<size_t>(c.sockets) / 3 : 4096)) return e;
+    if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); }, c.sockets > 0 ? static_cast<size_t>(c.sockets) / 5 : 4096)) return e;
     if (c.callers.empty()) return {};
     dw::wire::HttpLimits lim;
     lim.body_bytes = 8u << 20;
     lim.bodies = c.memory_mb > 0 ? static_cast<size_t>(c.memory_mb * (1 << 20) / 4) : lim.bodies;
-    // Of the sockets two fifths are for callers, a third for peers, a fifth for workers.
-    if (c.sockets > 0) lim.most = static_cast<size_t>(std::max(4, c.sockets / 10));
+    // Of the sockets a third is for callers, a fifth for peers who ask, a tenth for idle
+    // workers; the rest is for shots and asks under way.
+    if (c.sockets > 0) lim.most = static_cast<size_t>(std::max(3, c.sockets / 16));
     auto calls = lim;
-    if (c.sockets > 0) calls.most = static_cast<size_t>(c.sockets * 2 / 5);
+    if (c.sockets > 0) calls.most = static_cast<size_t>(c.sockets / 3);
     callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", calls, [this](auto& q) { return node->serve(q); });
     dw::wire::HttpHandler product = [this](auto& q) { return control->answer(q); };
     dw::wire::HttpHandler told = product;
@@ -138,7 +139,7 @@
       lim.head_bytes = static_cast<size_t>(l->head_bytes);
       lim.body_bytes = static_cast<size_t>(l->body_bytes);
       if (c.memory_mb > 0) lim.bodies = static_cast<size_t>(c.memory_mb * (1 << 20) / 4);
-      if (c.sockets > 0) lim.most = static_cast<size_t>(c.sockets * 2 / 5);
+      if (c.sockets > 0) lim.most = static_cast<size_t>(c.sockets / 3);
       lim.read = l->head_time;
       lim.idle = l->idle_time;
       callers->limits(lim);
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -78,6 +78,7 @@
       ShareSight v;
       v.rate = rate;
       v.bound = bound;
+      bool shields = false;
       for (auto& [n, x] : news) {
         if (x.node().zone().empty() || x.node().leaving()) continue;
         auto& s = seen[svc][n];
@@ -90,7 +91,14 @@
         }
         s.heard = now;
         v.demand[n] = s.rate;
+        shields |= x.node().shield() && x.node().ready();
       }
+      // Shields fetch for all: while nobody has asked yet, they are thought to be asked most.
+      double all = 0;
+      for (auto& [n, d] : v.demand) all += d;
+      if (shields && all < 1)
+        for (auto& [n, d] : v.demand)
+          if (news.at(n).node().shield()) d = 1;
       // A node that is restarted asks for as much as before once it is back; were its
       // share given away meanwhile, it would have to wait for others' to fall.
       auto have = mirror.chosen().find(share_key(svc));
@@ -99,7 +107,8 @@
       for (auto& [n, m] : sh.milli()) {
         auto& s = seen[svc][n];
         if (s.heard == Tick(0)) s.heard = now;
-        if (!v.demand.count(n) && now - s.heard < bound * kAwayBounds) v.demand[n] = s.rate;
+        bool away = !news.count(n) || news.at(n).node().leaving();
+        if (away && now - s.heard < bound * kAwayBounds) v.demand[n] = s.rate;
       }
       auto& f = fell[svc];
       if (f == Tick(0)) f = now;
--- a/src/traffic/fills.cpp
+++ b/src/traffic/fills.cpp
@@ -6,7 +6,8 @@
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr Span kShieldRest{500};
+constexpr Span kShieldRest{2000};
+constexpr int kFewNodes = 24;  // fewer fetch for themselves: a hop costs more than the origin is spared
 
 // What was fetched by GET, as the answer to HEAD.
 void shape_head(base::Receipt& r, const base::Request& q) {
@@ -63,6 +64,7 @@
   } else {
     w = f.fate == Fate::unknown ? unknown(f.why) : away(503, f.why, f.back);
   }
+  w.back = f.back;
   w.overtaken = f.fate == Fate::overtaken;
   w.left = f.left;
   w.doubt = f.doubt;
@@ -90,8 +92,7 @@
   return w.route->keep > Span(0) ? w.route->keep : Span(w.service->lifetime_s * 1000);
 }
 
-// A shield that just failed is left alone for a quarter of the two seconds
-// that it takes the fleet to notice.
+// A shield that just failed is left alone for about as long as the fleet takes to notice.
 void Fills::shield_failed(const std::string& address) {
   std::lock_guard l(m_);
   resting_[address] = ps_.clock.now() + kShieldRest;
@@ -100,6 +101,7 @@
 std::string Fills::shield_for(const Table& t, const std::string& key) {
   const Shield* best = nullptr;
   size_t top = 0;
+  if (t.nodes < kFewNodes) return {};
   std::lock_guard l(m_);
   for (auto& s : t.shields) {
     if (s.name == me_) return {};  // a shield fetches for itself
@@ -164,6 +166,9 @@
       if (cr.cacheable() ? usable(i, w, ps_.clock.now()) : fresh_() && !purged(*table_(), named(w, *i), i->purge))
         return {Way{i->receipt}, cr.cacheable() ? cache::ItemPtr(i) : nullptr};
     }
+    // The shield speaks for the origin: what it turns away is not tried around it.
+    if (x && x->has_carry() && x->carry().turned_away())
+      return {ways_.away(503, x->carry().why(), Span(static_cast<int64_t>(x->carry().back_ms()))), nullptr};
     // What the shield did with it is not known, so a direct shot may be a repeat.
     direct.again = reached && !(x && x->has_carry() && x->carry().not_run());
   }
--- a/src/traffic/fills.hpp
+++ b/src/traffic/fills.hpp
@@ -19,6 +19,7 @@
   base::Receipt receipt;
   Outcome outcome = Outcome::none;
   bool overtaken = false, left = false, doubt = false;
+  Span back{0};  // when turned away
 };
 
 struct Ways {
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -134,6 +134,8 @@
   auto i = p.fills.kept(w);
   out.set_status(static_cast<uint32_t>(r.status));
   out.set_not_run(way.outcome == Outcome::not_run && !way.left);
+  out.set_turned_away(out.not_run() && !way.overtaken);
+  out.set_back_ms(static_cast<uint64_t>(way.back.count()));
   out.set_unknown(way.outcome == Outcome::unknown || way.left);
   for (auto& [k, v] : r.headers) {
     auto* h = out.add_headers();
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -94,7 +94,10 @@
   std::optional<Span> await_turn(const Work& w) {
     auto& s = *w.service;
     for (;;) {
-      auto r = pace.reserve(s.name, share(s.name), w.start_by() - ps.clock.now());
+      // A turn that comes too late for the aim is not worth waiting for.
+      Span most = w.start_by() - ps.clock.now();
+      if (w.route->aim > Span(0)) most = std::min(most, w.route->aim * 3 / 4);
+      auto r = pace.reserve(s.name, share(s.name), most);
       auto* t = std::get_if<Turn>(&r);
       if (!t) return std::get<Span>(r);
       if (t->wait > Span(0)) ps.clock.nap(t->wait);
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -23,6 +23,7 @@
 constexpr std::chrono::seconds kKept(20);        // well before the other side drops it
 constexpr std::chrono::seconds kPruneEvery(5);
 constexpr std::chrono::seconds kReplyMoves(5);
+constexpr Span kDoor(50);  // how soon it is looked again whether there is room
 constexpr size_t kFrameRoom = 64 << 10;
 
 using At = std::chrono::steady_clock::time_point;
@@ -62,28 +63,36 @@
   }
 }
 
-// Peers' connections that wait for an ask, the one that waits longest first.
+// Peers' connections that wait for a further ask, the one that waits longest first.
+// When they are many none is kept after its reply, and when they are too many no
+// more are taken until one has ended: who waits outside is not turned away.
 struct Server {
   PeerHandler h;
   size_t most, open = 0;
   std::list<std::shared_ptr<Line>> waiting;
+  std::shared_ptr<base::Spot> door;
 
+  bool crowded() const { return open * 2 > most; }
   void make_room() {
-    if (open <= most || waiting.empty()) return;
+    if (open < most || waiting.empty()) return;
     waiting.front()->stop();
     waiting.pop_front();
   }
+  void left() {
+    --open;
+    if (door) door->wake();
+  }
 };
 
 void talk(const std::shared_ptr<Line>& l, Server& s) {
   auto& h = s.h;
   Alarm silent;
   auto in = [&](std::chrono::seconds s) { silent.set(now() + s, [&] { l->stop(); }); };
-  for (;;) {
+  for (bool again = false;; again = true) {
     pb::Ask a;
     in(kServerIdle);
-    auto here = s.waiting.insert(s.waiting.end(), l);
-    bool waits = true;
+    auto here = again ? s.waiting.insert(s.waiting.end(), l) : s.waiting.end();
+    bool waits = again;
     auto began = [&] {
       if (std::exchange(waits, false) && !l->stopped()) s.waiting.erase(here);
     };
@@ -97,7 +106,7 @@
     silent.clear();
     auto r = h(a);
     in(kReplyMoves);
-    if (write_frame(*l, r)) return;
+    if (write_frame(*l, r) || s.crowded()) return;
   }
 }
 }  // namespace
@@ -184,7 +193,10 @@
   if (!ec) acc->listen(1024, ec);
   if (ec) return fmt::format("cannot listen on {}: {}", addr, ec.message());
   pool.spawn_on(0, [&pool, acc, s0 = std::make_shared<Server>(Server{std::move(h), most})] {
+    s0->door = pool.spot();
     for (;;) {
+      s0->make_room();
+      while (s0->open >= s0->most) s0->door->park(kDoor);
       tcp::socket s(pool.io(0));
       auto [ec] = await<>([&](auto k) { acc->async_accept(s, std::move(k)); });
       if (ec) {
@@ -194,11 +206,10 @@
       }
       settle(s);
       ++s0->open;
-      s0->make_room();
       pool.spawn([l = std::make_shared<Line>(std::move(s)), s0] {
         talk(l, *s0);
         l->close();
-        --s0->open;
+        s0->left();
       });
     }
   });
