--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -20,6 +20,7 @@
     Wait x;
     f_.w_.park(l_, Span(1), x);
     if (f_.breaks(l_->host, "reach")) return ++f_.w_.met["unreachable"], false;
+    if (f_.s_.stands) return f_.s_.stands(addr);
     for (auto& w : f_.workers_)
       if (w->alive && w->address == addr) return true;
     return false;
@@ -29,6 +30,7 @@
     Span limit = rules.limit;
     auto& w = f_.w_;
     if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
+    if (f_.s_.shoot) return f_.s_.shoot(l_, addr, q, rules);
     auto nap = [&](Span s) {
       Wait x;
       w.park(l_, s, x);
@@ -186,6 +188,7 @@
   c.first_start = s_.seeded ? !h.begun && !old_ : true;
   c.tolerate = s_.tolerate;
   if (s_.seeded) c.seeds = {"http:h1", "http:h2", "http:h3"};
+  if (s_.settings) s_.settings(c);
   h.begun = true;
   for (auto& x : hosts_)
     if (x->holder && !s_.seeded) c.holders.push_back({x->name, x->address});
@@ -305,24 +308,26 @@
 
 namespace {
 struct Visit {
-  bool done = false, lost = false;
+  bool done = false, lost = false, read = false;
   base::Receipt r;
   Wait wait;
 };
 }  // namespace
 
 // One HTTP exchange with a host: lost when its process dies or never answers.
-static std::shared_ptr<Visit> visit(World& w, const LifePtr& out, Host& h, base::Request q, bool control, Span most) {
+static std::shared_ptr<Visit> visit(World& w, const FleetShape& s, const LifePtr& out, Host& h, base::Request q, bool control, Span most) {
   auto v = std::make_shared<Visit>();
   auto qp = std::make_shared<base::Request>(std::move(q));
   auto* node = h.node.get();
   auto* ctl = h.control.get();
   auto go = std::make_shared<std::function<void()>>();
-  *go = [&w, v, qp, node, ctl, control, life = h.life, go] {
+  *go = [&w, &s, v, qp, node, ctl, control, life = h.life, go] {
     if (life->dead) return;
     if (w.frozen(life->host)) return w.after(Span(50), *go);
-    w.spawn(life, [&w, v, qp, node, ctl, control] {
-      v->r = control ? ctl->answer(*qp) : node->serve(*qp);
+    w.spawn(life, [&w, &s, v, qp, node, ctl, control] {
+      v->read = true;
+      FleetShape::Handler product = [ctl](base::Request& x) { return ctl->answer(x); };
+      v->r = !control ? node->serve(*qp) : s.before ? s.before(*qp, product) : product(*qp);
       v->done = true;
       w.wake(v->wait);
     });
@@ -340,7 +345,7 @@
   bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.chance(w.weather.loss_permille);
   Wait x;
   if (lost || !h.up()) return w.park(l_, lost ? limit : Span(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
-  auto v = visit(w, l_, h, q, true, limit);
+  auto v = visit(w, f_.s_, l_, h, q, true, limit);
   if (v->lost) return base::ShotDefect::unknown;
   return v->r;
 }
@@ -350,11 +355,17 @@
   auto* h = some(false);
   if (!h) return {0, {}, {}, true};
   if (target == "/v1/beats" && breaks(h->name, "beats")) return ++w_.met["beat_unheard"], Told{0, {}, {}, true};
-  auto v = visit(w_, out_, *h, {"", method, target, body, std::move(hs)}, true, Span(5000));
+  auto v = visit(w_, s_, out_, *h, {"", method, target, body, std::move(hs)}, true, Span(5000));
   if (v->lost) return {0, {}, {}, true};
   return {v->r.status, v->r.body, base::header(v->r.headers, "ETag"), false, h->name};
 }
 
+Exchange Fleet::exchange(Host& to, base::Request q, bool control, Span most) {
+  if (!to.up()) return nap(Span(1)), Exchange{};
+  auto v = visit(w_, s_, out_, to, std::move(q), control, most);
+  return {!v->lost, v->read, v->r};
+}
+
 int Fleet::call(const std::string& method, const std::string& target, const std::string& body, Host* to) {
   auto* h = to ? to : some(true);
   if (!h) h = some(false);
@@ -366,7 +377,7 @@
   w_.journal.push_back(fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":"{}","in":"{}","at":{},"relay":"{}"}})", id,
                                    method, target, base::sha256_base64(body), from, h->name));
   ++calls;
-  auto v = visit(w_, out_, *h, std::move(q), false, Span(10000));
+  auto v = visit(w_, s_, out_, *h, std::move(q), false, Span(10000));
   if (v->lost) {
     w_.journal.push_back(fmt::format(R"({{"t":"lost","id":"{}","from":{},"at":{},"relay":"{}"}})", id, from, w_.now().count(), h->name));
     return 0;
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -18,6 +18,14 @@
   std::string broken, breaks;
   int first = 3, second = 3;  // workers of the cached and of the other service
   Span near{1}, far{3};       // a message's way
+  // A deployment that speaks other words: they go into each relay's settings, stand
+  // before its control face, and take the place of the workers below.
+  using Handler = std::function<base::Receipt(base::Request&)>;
+  std::function<void(relay::NodeConfig&)> settings;
+  std::function<base::Receipt(base::Request&, const Handler& product)> before;
+  std::function<std::variant<base::Receipt, base::ShotDefect>(const LifePtr&, const std::string& address, const base::Request&,
+                                                              const base::ShotRules&)> shoot;
+  std::function<bool(const std::string& address)> stands;
 };
 
 // The brief's two deployments: fourteen machines, five of them with a disk.
@@ -66,6 +74,11 @@
   std::string by;  // the host that answered
 };
 
+struct Exchange {  // with one host
+  bool whole = false, read = false;  // the answer came; the process began on the request
+  base::Receipt receipt;
+};
+
 class Fleet {
  public:
   Fleet(World& w, FleetShape s);
@@ -87,6 +100,7 @@
   void callers(int per_second, Tick until, std::function<void()> one);
   Told tell(const std::string& method, const std::string& target, const std::string& body,
             std::vector<std::pair<std::string, std::string>> hs = {});
+  Exchange exchange(Host& to, base::Request q, bool control, Span most);
   void outside(std::function<void()> f);
   void nap(Span s);
   bool until(Span most, const std::function<bool()>& f);
