--- /dev/null
+++ b/test/platform/day.cpp
@@ -0,0 +1,194 @@
+// The relays are the product's own, dressed by platform/; only machines, links and
+// people are invented.
+#include "platform/day.hpp"
+
+#include <fmt/format.h>
+
+#include "platform/face.hpp"
+#include "platform/gate.hpp"
+#include "platform/rules.hpp"
+
+namespace dunlinwing::test {
+namespace {
+constexpr Span kBeat{1500};
+
+sim::FleetShape shape(bool small, Yard& yard) {
+  sim::FleetShape s;
+  s.holders = 3;
+  s.edges = small ? 4 : 9;
+  s.seeded = true;
+  s.tolerate = 1;
+  s.scale = 1;
+  s.far = Span(2);
+  std::shared_ptr<const traffic::Face> face = platform::face();
+  s.settings = [face](relay::NodeConfig& c) {
+    c.face = face;
+    c.shield = false;
+    c.cache_bytes = 65 << 20;
+    c.system.repeat_allowance = 64;
+  };
+  s.before = [](base::Request& q, const sim::FleetShape::Handler& product) { return platform::answer(q, kBeat, product); };
+  s.shoot = [&yard](auto& l, auto& a, auto& q, auto& r) { return yard.shoot(l, a, q, r); };
+  s.stands = [&yard](auto& a) { return yard.stands(a); };
+  return s;
+}
+}  // namespace
+
+Day::Day(uint64_t seed, bool small) : w(seed), yard(f, d), f(w, shape(small, yard)), clients(f, d), op(f, d) {}
+
+void Day::want(bool ok, const std::string& what) {
+  if (!ok) unmet.push_back(what);
+}
+
+bool Day::begin(int per_second, double rate) {
+  page = first_page(rate);
+  if (rate > 0) yard.rates["huvo"] = rate;
+  for (int i = 0; i < 7; ++i) yard.add("wuno");
+  for (int i = 0; i < 4; ++i) yard.add("huvo");
+  for (int i = 0; i < 40; ++i) d.tags[fmt::format("/obj/{:x}", i)] = fmt::format("t{}", i % 5);
+  f.outside([this] { watch(); });
+  clients.knock();
+  f.nap(Span(500));
+  bool ok = op.put(page);
+  want(ok, "the first configuration was not taken");
+  ok = ok && f.until(Span(15000), [&] {
+    for (auto& h : f.hosts()) {
+      if (!h->up() || !h->node->ready()) return false;
+      auto t = h->node->traffic().table();
+      for (auto* n : {"wuno", "huvo"})
+        if (auto x = t->workers.find(n); x == t->workers.end() || x->second.size() < 4) return false;
+    }
+    return clients.all_in();
+  });
+  want(ok, "not all became ready and knew all workers within 15 s");
+  over = w.now() + Span(600000);
+  clients.come(page, per_second, over);
+  f.nap(Span(3000));
+  return ok;
+}
+
+bool Day::change(uint64_t dice) {
+  auto old = page;
+  page = next_page(page, page.revision + 1 + dice % 3, dice);
+  // What is dropped is wanted no longer before it goes, what is added not before it is there.
+  Page both = page;
+  std::erase_if(both.lines, [&](auto& l) { return !old.match(l.host, l.prefix); });
+  clients.page(both);
+  bool ok = op.put(page);
+  if (ok) clients.page(page);
+  for (auto* p : {&old, &page})
+    for (size_t i = 4; i < p->lines.size(); ++i) clients.probe(p->lines[i].host, p->lines[i].prefix + "probe");
+  clients.probe("c.example", "/never/there");
+  return ok;
+}
+
+sim::Host& Day::any(bool core) {
+  std::vector<sim::Host*> v;
+  for (auto& h : f.hosts())
+    if (h->up() && h->holder == core && !w.frozen(h->name)) v.push_back(h.get());
+  return *v.at(below(v.size()));
+}
+
+void Day::kill_for(const std::string& host, Span down) {
+  d.unplanned = true;
+  harm(host);
+  f.kill(host);
+  f.outside([this, host, down] {
+    f.nap(down);
+    harm(host);
+    f.start(host);
+  });
+}
+
+void Day::term(const std::string& host) {
+  auto& h = f.at(host);
+  if (!h.up()) return;
+  d.terms.emplace_back(w.now(), host);
+  harm(host);
+  if (h.holder) unsettle();
+  auto* n = h.node.get();
+  auto life = h.life;
+  Tick from = w.now();
+  w.spawn(life, [n] { n->leave(); });
+  f.nap(Span(2700));
+  if (life->dead) return;
+  n->traffic().drain();
+  while (!life->dead && n->traffic().running() > 0 && w.now() < from + Span(4800)) f.nap(Span(10));
+  f.nap(Span(50));
+  if (!life->dead) f.kill(host);
+  f.nap(Span(300));
+  harm(host);
+  f.start(host);
+}
+
+void Day::watch() {
+  for (;;) {
+    std::string core;
+    int up = 0, all = 0;
+    std::vector<sim::Host*> held;
+    for (auto& h : f.hosts()) {
+      bool well = h->up() && !w.frozen(h->name);
+      auto& life = lives_[h->name];
+      if (!well || life != h->life.get()) harm(h->name);
+      life = h->life.get();
+      if (!h->holder) continue;
+      ++all;
+      up += well;
+      if (well) held.push_back(h.get());
+      core += fmt::format("{}{}{}", h->name, well, h->life ? fmt::ptr(h->life.get()) : nullptr);
+    }
+    auto joined = [&](auto& a, auto& b) { return a.name == b.name || (!w.cut_off(a.name, b.name) && !w.cut_off(b.name, a.name)); };
+    std::vector<sim::Host*> main;  // of the core, those that reach over half of it
+    for (auto* a : held) {
+      int n = 0;
+      for (auto* b : held) {
+        n += joined(*a, *b);
+        core += joined(*a, *b) ? "+" : "-";
+      }
+      if (n * 2 > all) main.push_back(a);
+    }
+    if (core != core_was_ || main.size() * 2 <= static_cast<size_t>(all)) unsettle();
+    core_was_ = core;
+    for (auto& h : f.hosts())
+      for (auto* c : main)
+        if (!joined(*h, *c)) harm(h->name);
+    f.nap(Span(20));
+  }
+}
+
+void play(const std::string& kind, uint64_t seed, bool small, std::map<std::string, uint64_t>& figures) {
+  Day day(seed, small);
+  auto story = kinds().at(kind);
+  std::map<std::string, uint64_t> got;
+  Tick end = day.w.now() + Span(90000);
+  day.w.run(day.w.now() + Span(2000), nullptr, [&] {
+    day.f.start_all();
+    day.f.outside([&] {
+      if (day.begin()) story(day);
+      day.f.nap(Span(1500));
+      got = {{"wanted", day.clients.wanted}, {"served", day.clients.served}};
+      day.op.read_back(Span(3000));
+      day.done = true;
+    });
+  });
+  while (!day.done && day.w.now() < end) day.w.run(day.w.now() + Span(2000), nullptr, nullptr);
+  day.f.end();
+  day.w.run(day.w.now() + Span(20000), nullptr, nullptr);
+  for (auto& [k, v] : got) figures[k] += v;
+  for (auto& [k, v] : day.w.met) figures["met_" + k] += v;
+  figures["arrivals"] += day.d.arrivals.size();
+  figures["steps"] += day.w.steps();
+  auto broken = judge(day.d);
+  std::string all;
+  std::map<std::string, int> of;
+  for (auto& b : broken)
+    if (of[b.rule]++ < 2) all += fmt::format("\n     {}: {}", b.rule, b.what);
+  for (auto& [r, n] : of) all += fmt::format("\n     {} {}", n, r);
+  for (auto& u : day.unmet) all += "\n     unmet: " + u;
+  if (!day.done) all += "\n     the day did not come to its end";
+  double part = got["wanted"] ? static_cast<double>(got["served"]) / static_cast<double>(got["wanted"]) : 0;
+  if (part < day.floor) all += fmt::format("\n     {:.3f} of {} requests served, {} wanted", part, got["wanted"], day.floor);
+  expect(all.empty(), fmt::format("seed {}{}: {}", seed, small ? " small" : "", all));
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/platform/day.hpp
@@ -0,0 +1,47 @@
+// One day of the stand-in platform: a fleet that speaks its words, workers, clients,
+// an operator, one kind of trouble, and the read-back at its end.
+#pragma once
+#include <functional>
+
+#include "expect.hpp"
+#include "platform/people.hpp"
+
+namespace dunlinwing::test {
+
+struct Day {
+  Day(uint64_t seed, bool small);
+  sim::World w;
+  Diary d;
+  Yard yard;
+  sim::Fleet f;
+  Clients clients;
+  Operator op;
+  Page page;                      // the newest that the operator means
+  bool done = false;
+  double floor = 0.9;             // of requests that have to be served
+  Tick over{0};                   // when clients stop
+  std::vector<std::string> unmet;  // duties, and what a kind itself wants to see
+
+  bool begin(int per_second = 60, double rate = 0);  // up to the first traffic
+  void want(bool ok, const std::string& what);
+  bool change(uint64_t dice);     // the operator's next configuration
+  uint64_t below(uint64_t n) { return w.below(n); }
+  sim::Host& any(bool core);      // one that is up
+  void kill_for(const std::string& host, Span down);
+  void unsettle() { d.shaken.push_back(w.now()); }
+  void harm(const std::string& host) { d.harmed[host].push_back(w.now()); }
+  void term(const std::string& host);  // SIGTERM, its end, and its next start
+
+ private:
+  void watch();                   // writes down what befalls machines and paths
+  std::map<std::string, const void*> lives_;
+  std::string core_was_;
+};
+
+using Kind = std::function<void(Day&)>;  // runs in the midst of the day; traffic stops once it is over
+const std::map<std::string, Kind>& kinds();
+
+// Throws Failed when a rule is broken or a duty is unmet.
+void play(const std::string& kind, uint64_t seed, bool small, std::map<std::string, uint64_t>& figures);
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/platform/kinds.cpp
@@ -0,0 +1,253 @@
+// The kinds of trouble that a day may have, under the names that the users' platform
+// gives them. What each wants to see beside the rules stands in it.
+#include <fmt/format.h>
+
+#include "platform/day.hpp"
+
+namespace dunlinwing::test {
+std::map<std::string, Kind> machine_kinds();
+
+namespace {
+
+void config_change(Day& y) {
+  for (int i = 0; i < 7; ++i) {
+    y.want(y.change(y.w.draw() % 1000000), "a configuration was not taken");
+    y.f.nap(Span(300 + y.below(2000)));
+  }
+}
+
+// Two operators at once, under one number; and an older change comes again.
+void config_race(Day& y) {
+  for (int i = 0; i < 3; ++i) {
+    auto n = y.page.revision + 2;
+    auto a = next_page(y.page, n, 3 + 5 * y.below(80)), b = next_page(y.page, n, 4 + 5 * y.below(9));
+    auto old = y.page;
+    int left = 3;
+    for (auto* p : {&a, &b, &old})
+      y.f.outside([&y, p = *p, &left] {
+        y.want(y.op.put(p), "a configuration in a race was not taken");
+        --left;
+      });
+    y.f.until(Span(25000), [&] { return left == 0; });
+    y.op.read_back(Span(100));
+    y.page = y.d.read_back.back().text == b.text() ? b : a;
+    y.f.nap(Span(500));
+  }
+}
+
+void bad_config(Day& y) {
+  auto all = invalid_texts(y.page, y.page.revision + 50);
+  for (auto& [what, text] : all) {
+    Page p;
+    p.revision = y.page.revision + 50;
+    int st = y.op.put_text(what, p, text, false);
+    y.want(st / 100 == 4, fmt::format("{} got {}", what, st));
+    y.clients.probe("bad.example", "/bad/x");
+    y.f.nap(Span(150));
+  }
+  y.op.read_back(Span(100));
+  y.f.nap(Span(2500));
+  y.clients.probe("bad.example", "/bad/x");
+  y.want(y.change(0), "a valid configuration was not taken after invalid ones");
+}
+
+std::string object(Day& y) { return fmt::format("/obj/{:x}", y.below(40)); }
+
+void purge(Day& y) {
+  for (int i = 0; i < 12; ++i) {
+    auto o = object(y);
+    y.yard.change(o);
+    bool tag = y.below(3) == 0;
+    if (tag)  // all that go by it
+      for (auto& [k, t] : y.d.tags)
+        if (t == y.d.tags[o] && k != o) y.yard.change(k);
+    y.want(y.op.purge("a.example", tag ? "" : o, tag ? y.d.tags[o] : ""), "a purge was not taken");
+    y.f.nap(Span(600 + y.below(500)));
+  }
+}
+
+void purge_storm(Day& y) {
+  auto end = y.w.now() + Span(6000);
+  while (y.w.now() < end) {
+    y.f.outside([&y] {
+      auto o = object(y);
+      y.yard.change(o);
+      y.want(y.op.purge("a.example", o, ""), "a purge was not taken");
+    });
+    y.f.nap(Span(60));
+  }
+  y.f.nap(Span(3000));
+}
+
+void release(Day& y) {
+  for (auto* service : {"wuno", "huvo"})
+    for (auto* s : y.yard.of(service)) {
+      if (y.below(2)) continue;
+      y.yard.add(service, "v1", Span(2000));
+      y.f.nap(Span(1000));
+      y.f.outside([&y, s] { y.yard.drain(*s); });
+    }
+  y.f.nap(Span(3500));
+}
+
+// Their addresses go to workers of the other service.
+void replace_with_reuse(Day& y) {
+  bool drained = y.below(2);
+  auto v = y.yard.of("wuno");
+  for (int i = 0; i < 2; ++i) {
+    auto* s = v[i];
+    y.f.outside([&y, s, drained] {
+      drained ? y.yard.drain(*s) : y.yard.crash(*s);
+      y.f.nap(Span(2000 + y.below(500)));
+      y.yard.add("huvo", "v1", Span(1000), s->address);
+    });
+  }
+  y.f.nap(Span(9000));
+}
+
+void scale_in(Day& y) {
+  auto v = y.yard.of("wuno");
+  for (size_t i = 0; i < 3; ++i) y.f.outside([&y, s = v[i]] { y.yard.drain(*s); });
+  y.f.nap(Span(4000));
+}
+
+void srv_crash(Day& y) {
+  auto v = y.yard.of("wuno"), u = y.yard.of("huvo");
+  bool dark = y.below(2);
+  for (auto* s : {v[0], u[0]}) y.yard.crash(*s, dark);
+  y.f.nap(Span(5000));
+  for (auto* s : {v[0], u[0]}) {
+    if (dark) s->dark = false;
+    else y.yard.add(s->service, "v1", Span(2000));
+  }
+  y.f.nap(Span(3000));
+  y.floor = 0.85;
+}
+
+void srv_slow(Day& y) {
+  for (auto* n : {"wuno", "huvo"}) {
+    auto v = y.yard.of(n);
+    for (size_t i = 0; i < v.size(); ++i)
+      if (i == 0 || y.below(3) == 0) v[i]->slower = 4;
+  }
+  y.f.nap(Span(5000));
+  for (auto* n : {"wuno", "huvo"})
+    for (auto* s : y.yard.of(n)) s->slower = 1;
+  y.f.nap(Span(2000));
+}
+
+// Every worker of one service is slow, and clients do not wait as told.
+void crowd(Day& y) {
+  y.clients.impatient = true;
+  for (auto* s : y.yard.of("wuno")) s->slower = 30;
+  y.f.nap(Span(8000));
+  for (auto* s : y.yard.of("wuno")) s->slower = 1;
+  y.f.nap(Span(3000));
+  y.floor = 0.3;
+}
+
+void misbehave(Day& y, int Server::*how, int permille) {
+  y.d.origin_trouble.push_back(y.w.now());
+  for (auto* n : {"wuno", "huvo"}) {
+    auto v = y.yard.of(n);
+    for (size_t i = 0; i < v.size(); i += 2) v[i]->*how = permille;
+  }
+  y.f.nap(Span(9000));
+}
+
+// The origin of the objects takes only so much.
+void ceiling(Day& y) {
+  auto p = y.page;
+  p.revision += 1;
+  p.backends[0].rate = 20;
+  p.lines[0].keep_s = 0.5;
+  y.yard.rates["huvo"] = 20;
+  y.want(y.op.put(p), "a configuration was not taken");
+  y.page = p;
+  y.f.nap(Span(10000));
+  y.floor = 0.4;
+}
+
+void rollout(Day& y, bool bad) {
+  std::string service = y.below(2) ? "wuno" : "huvo";
+  auto old = y.yard.of(service);
+  std::vector<Server*> fresh;
+  for (size_t i = 0; i < old.size(); ++i) fresh.push_back(&y.yard.add(service, "v2", Span(2000)));
+  auto how = y.below(4);
+  auto from = y.w.now() + Span(5000);
+  for (auto* s : fresh) {
+    auto& w = y.w;
+    auto hit = [&w] { return w.below(2) == 0; };
+    if (!bad) continue;
+    if (how == 0) s->bad = [hit](auto&) { return hit() ? 0 : 1; };
+    if (how == 1) s->bad = [hit](auto&) { return hit() ? 8 : 1; };
+    if (how == 2) s->bad = [hit, &w, from](auto&) { return w.now() > from && hit() ? 0 : 1; };
+    if (how == 3) s->bad = [hit](auto& t) { return t.starts_with("/post/") || t.starts_with("/obj/") ? hit() ? 0 : 1 : 1; };
+  }
+  y.f.nap(Span(1700));
+  Span within(12000);
+  y.want(y.op.move(service, "v2", within, bad), "a rollout was not taken");
+  auto& m = y.d.moves.back();
+  while (y.w.now() < m.term) {
+    auto st = y.op.state(service);
+    if (st == "completed" || st == "rolled_back") {
+      m.state = st;
+      m.ended = y.w.now();
+      break;
+    }
+    y.f.nap(Span(250));
+  }
+  y.want(m.state == (bad ? "rolled_back" : "completed"), fmt::format("{} v2 of {} ended {}, how {}", bad ? "bad" : "good", service, m.state, how));
+  if (m.state == "completed")
+    for (auto* s : old) s->alive = false;
+  if (m.state == "rolled_back") {
+    y.f.nap(Span(2000));
+    for (auto* s : fresh) y.f.outside([&y, s] { y.yard.drain(*s); });
+  }
+  y.f.nap(Span(4000));
+}
+// An operator's work, something that befalls machines and workers that misbehave, at once.
+void mix(Day& y) {
+  static const char* const orders[] = {"config_change", "purge", "release", "rollout_good", "rollout_bad"};
+  static const char* const machines[] = {"node_kill", "herd_kill", "roll_term", "srv_crash"};
+  static const char* const workers[] = {"answer_lost", "garble_cut", "garble_extra", "srv_slow"};
+  int left = 3;
+  for (auto* n : {orders[y.below(5)], machines[y.below(4)], workers[y.below(4)]})
+    y.f.outside([&y, n, &left] {
+      kinds().at(n)(y);
+      --left;
+    });
+  y.want(y.f.until(Span(50000), [&] { return left == 0; }), "the mixed troubles did not end");
+  y.floor = 0.5;
+}
+}  // namespace
+
+const std::map<std::string, Kind>& kinds() {
+  static const auto all = [] {
+    std::map<std::string, Kind> m{
+        {"config_change", config_change},
+        {"config_race", config_race},
+        {"bad_config", bad_config},
+        {"purge", purge},
+        {"purge_storm", purge_storm},
+        {"release", release},
+        {"replace_with_reuse", replace_with_reuse},
+        {"scale_in", scale_in},
+        {"srv_crash", srv_crash},
+        {"srv_slow", srv_slow},
+        {"crowd", crowd},
+        {"ceiling", ceiling},
+        {"answer_lost", [](Day& y) { misbehave(y, &Server::lose, 30); }},
+        {"garble_cut", [](Day& y) { misbehave(y, &Server::cut, 20); }},
+        {"garble_spoilt", [](Day& y) { misbehave(y, &Server::spoil, 20); }},
+        {"garble_extra", [](Day& y) { misbehave(y, &Server::extra, 30); }},
+        {"mix", mix},
+        {"rollout_good", [](Day& y) { rollout(y, false); }},
+        {"rollout_bad", [](Day& y) { rollout(y, true); }}};
+    m.merge(machine_kinds());
+    return m;
+  }();
+  return all;
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/platform/main.cpp
@@ -0,0 +1,44 @@
+// Days of the stand-in platform: `platform_test --case_name KIND --seeds N`; `--seed N`
+// plays one again to the letter. Odd seeds have twelve relays, even ones seven.
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include "base/log.hpp"
+#include "platform/day.hpp"
+
+DEFINE_string(case_name, "", "only the kind of this name, or all whose name contains this");
+DEFINE_uint64(seed, 0, "only this seed; 0: the first --seeds of them");
+DEFINE_int32(seeds, 2, "how many seeds each kind runs");
+DEFINE_string(log_level, "error", "of the product's parts");
+DEFINE_bool(figures, false, "print what each kind met");
+
+using namespace dunlinwing;
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  base::Level l;
+  if (base::parse_level(FLAGS_log_level, l)) base::set_level(l);
+  std::vector<test::Case> cs;
+  bool whole = test::kinds().count(FLAGS_case_name) > 0;
+  for (auto& [name, kind] : test::kinds())
+    if (!whole || name == FLAGS_case_name)
+      cs.push_back({name, [name = name] {
+                      std::map<std::string, uint64_t> sum;
+                      uint64_t from = FLAGS_seed ? FLAGS_seed : 1, to = FLAGS_seed ? FLAGS_seed : static_cast<uint64_t>(FLAGS_seeds);
+                      std::string bad;
+                      for (auto s = from; s <= to; ++s) try {
+                          test::play(name, s, s % 2 == 0, sum);
+                        } catch (const std::exception& e) {
+                          bad += std::string(bad.empty() ? "" : "\n") + e.what();
+                        }
+                      if (FLAGS_figures) {
+                        std::cout << name << ":";
+                        for (auto& [k, v] : sum) std::cout << " " << k << " " << v;
+                        std::cout << "\n";
+                      }
+                      test::expect(bad.empty(), bad);
+                    }});
+  int rc = test::run_all(cs, FLAGS_case_name);
+  std::cout.flush();
+  ::_exit(rc);  // the fiber scheduler of this thread has no more to do
+}
--- /dev/null
+++ b/test/platform/operator.cpp
@@ -0,0 +1,94 @@
+// An order is sent again unchanged, to any node, until its answer is clear.
+#include <fmt/format.h>
+
+#include "platform/people.hpp"
+
+namespace dunlinwing::test {
+namespace {
+constexpr Span kAck{4000};
+}
+
+std::pair<int, std::string> Operator::call(const std::string& method, const std::string& target, const std::string& body, Span most,
+                                           const std::string& what) {
+  auto& w = f_.world();
+  Tick from = w.now(), end = from + most;
+  Span pause{100};
+  int fours = 0;
+  bool told = false;
+  for (;;) {
+    auto& hosts = f_.hosts();
+    auto& h = *hosts[w.below(hosts.size())];
+    base::Request q;
+    q.method = method;
+    q.target = target;
+    q.body = body;
+    if (!body.empty()) q.headers = {{"Content-Type", "application/json"}};
+    auto x = f_.exchange(h, q, true, Span(1000));
+    int st = x.whole ? x.receipt.status : 0;
+    if (st / 100 == 2) return last_by = h.name, std::pair(st, x.receipt.body);
+    if (st == 400 || st == 409 || st == 412 || st == 413 || st == 422) return {st, x.receipt.body};
+    if (st / 100 == 4 && st != 408 && st != 429 && ++fours == 3) return {st, x.receipt.body};
+    if (w.now() - from > kAck && !told && !what.empty()) told = true, d_.late.push_back({what, from, w.now()});
+    if (w.now() > end) return {0, {}};
+    f_.nap(pause);
+    pause = std::min<Span>(pause * 3 / 2, Span(1000));
+  }
+}
+
+int Operator::put_text(const std::string& what, const Page& p, const std::string& text, bool valid) {
+  d_.stated.push_back({p, text, what, {}, valid, f_.world().now(), {}, 0});
+  auto place = d_.stated.size() - 1;
+  auto [st, body] = call("PUT", "/configuration", text, Span(20000), valid ? what : "");
+  auto& s = d_.stated[place];
+  s.by = last_by;
+  if (st / 100 == 2)
+    s.taken = f_.world().now();
+  else
+    s.refused = st;
+  return st;
+}
+
+bool Operator::put(const Page& p) { return put_text(fmt::format("configuration {}", p.revision), p, p.text(), true) == 200; }
+
+bool Operator::purge(const std::string& host, const std::string& path, const std::string& tag) {
+  d_.purges.push_back({host, path, tag, f_.world().now(), {}});
+  auto place = d_.purges.size() - 1;
+  auto body = tag.empty() ? fmt::format(R"({{"hostname":"{}","path":"{}"}})", host, path) : fmt::format(R"({{"tag":"{}"}})", tag);
+  auto [st, text] = call("POST", "/purge", body, kAck, "purge of " + (tag.empty() ? path : tag));
+  if (st / 100 == 2) d_.purges[place].taken = f_.world().now();
+  return st / 100 == 2;
+}
+
+bool Operator::move(const std::string& service, const std::string& version, Span within, bool bad) {
+  auto now = f_.world().now();
+  d_.moves.push_back({service, version, {}, bad, now, now + within, {}, {}});
+  auto place = d_.moves.size() - 1;
+  auto body = fmt::format(R"({{"backend":"{}","target-revision":"{}","rollout-within-s":{}}})", service, version, within.count() / 1000);
+  auto [st, text] = call("POST", "/rollouts", body, kAck, "rollout of " + service);
+  if (st / 100 == 2) d_.moves[place].taken = f_.world().now();
+  return st / 100 == 2;
+}
+
+std::string Operator::state(const std::string& service, std::string* version) {
+  auto [st, body] = call("GET", "/rollouts/" + service, "", Span(2000), "");
+  auto g = base::Json::parse(body);
+  auto* j = std::get_if<base::Json>(&g);
+  if (st != 200 || !j) return {};
+  if (version) *version = j->at("target-revision").str();
+  return j->at("state").str();
+}
+
+void Operator::read_back(Span over) {
+  auto end = f_.world().now() + over;
+  do {
+    auto asked = f_.world().now();
+    auto [st, body] = call("GET", "/configuration", "", Span(8000), "");
+    if (st != 200) continue;
+    auto g = base::Json::parse(body);
+    auto* j = std::get_if<base::Json>(&g);
+    d_.read_back.push_back({j ? static_cast<uint64_t>(j->at("revision").num()) : 0, body, asked});
+    f_.nap(Span(300));
+  } while (f_.world().now() < end);
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/platform/yard.hpp
@@ -0,0 +1,49 @@
+// Stand-in workers: they run what they are sent, or say that they did not, keep
+// objects that change, beat, drain, crash, and misbehave as they are told to.
+#pragma once
+#include "platform/diary.hpp"
+#include "sim/fleet.hpp"
+
+namespace dunlinwing::test {
+
+struct Server {
+  std::string id, service, version, zone, address;
+  int slots = 8, queue = 8, running = 0, waiting = 0;
+  bool alive = true, dark = false, draining = false, tells_load = true, resets_when_full = false;
+  Span work{8};
+  int slower = 1;
+  Tick warm_at{0};
+  uint64_t calls = 0;
+  int lose = 0, cut = 0, spoil = 0, extra = 0;       // in a thousand
+  std::function<int(const std::string& target)> bad;  // times slower, 0: it fails; for bad versions
+  std::optional<base::Receipt> late;                  // an answer too many, not yet sent
+};
+
+class Yard {
+ public:
+  Yard(sim::Fleet& f, Diary& d) : f_(f), d_(d) {}
+  using Shot = std::variant<base::Receipt, base::ShotDefect>;
+  Shot shoot(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::ShotRules& r);
+  bool stands(const std::string& address);
+  Server& add(const std::string& service, const std::string& version = "v1", Span cold = Span(0), const std::string& address = {});
+  void drain(Server& s);   // says so, serves on, says that it has ended, and ends
+  void crash(Server& s, bool dark = false);
+  std::vector<Server*> of(const std::string& service, const std::string& version = {});
+  void change(const std::string& target);  // an object is replaced
+  std::map<std::string, double> rates;     // requests a second that a service takes
+
+ private:
+  void beats(Server& s);
+  bool beat(Server& s, const char* method);
+  Server* at(const std::string& address);
+  base::Receipt answer(Server& s, const base::Request& q, bool fails);
+  sim::Fleet& f_;
+  Diary& d_;
+  std::vector<std::unique_ptr<Server>> all_;
+  std::map<std::string, std::vector<Tick>> came_;
+  uint64_t named_ = 0;
+};
+
+bool is_object(const std::string& target);
+
+}  // namespace dunlinwing::test
