--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -14,6 +14,8 @@
 std::vector<Case> checker_cases();
 std::vector<Case> config_cases();
 std::vector<Case> keepers_cases();
+std::vector<Case> platform_words_cases();
+std::vector<Case> platform_rules_cases();
 
 template <class F>
 Case property(const std::string& name, F f) {
