--- a/test/platform/page.cpp
+++ b/test/platform/page.cpp
@@ -99,6 +99,9 @@
           {"no_slash", with([](Page& q) { q.lines[1].prefix = "get/"; })},
           {"no_revision", replaced(good, fmt::format(R"("revision":{},)", revision), "")},
           {"wrong_kind", replaced(good, R"("timeout-s":1.5)", R"("timeout-s":"x")")},
+          {"wrong_aim", replaced(good, R"("target-latency-s":0.2)", R"("target-latency-s":[])")},
+          {"wrong_life", replaced(good, R"("cache-ttl-s":6)", R"("cache-ttl-s":"6")")},
+          {"wrong_limit", replaced(good, R"("idle-timeout-s":15)", R"("idle-timeout-s":null)")},
           {"not_json", "revision=7"},
           {"empty", ""}};
 }
