--- a/test/platform/machine_kinds.cpp
+++ b/test/platform/machine_kinds.cpp
@@ -120,9 +120,28 @@
   y.f.nap(Span(5000));
 }
 
+// All are killed, and the order comes while they start.
+void order_at_start(Day& y) {
+  y.d.unplanned = true;
+  for (int i = 0; i < 4; ++i) y.yard.add("huvo", "v2");
+  y.f.nap(Span(2000));
+  for (auto& h : y.f.hosts()) y.f.kill(h->name);
+  y.f.nap(Span(300));
+  y.f.start_all();
+  y.f.nap(Span(y.below(400)));
+  y.want(y.op.move("huvo", "v2", Span(12000), false), "a rollout was not taken by relays that just started");
+  y.f.nap(Span(2000));
+  std::string version;
+  auto st = y.op.state("huvo", &version);
+  y.want(!st.empty() && version == "v2", fmt::format("the rollout reads {} {}", version, st));
+  y.floor = 0.5;
+}
+
 // Right after one more change was acknowledged.
 void closing(Day& y, int how) {
+  for (int i = 0; i < 4; ++i) y.yard.add("huvo", "v2");
   y.f.nap(Span(2000));
+  y.want(y.op.move("huvo", "v2", Span(12000), false), "a rollout was not taken");
   auto old = y.page;
   y.page = next_page(old, old.revision + 2, 5 * y.below(100));
   y.want(y.op.put(y.page), "the last configuration was not taken");
@@ -139,6 +158,9 @@
   y.f.nap(Span(15000));
   auto wanted = y.clients.wanted, served = y.clients.served;
   y.f.nap(Span(4000));
+  std::string version;
+  auto st = y.op.state("huvo", &version);
+  y.want(!st.empty() && version == "v2", fmt::format("LOST: the rollout reads {} {} after the closing fault", version, st));
   y.want((y.clients.served - served) * 4 >= (y.clients.wanted - wanted), "less than a quarter is served 15 s after all were back");
   y.floor = 0.3;
 }
@@ -154,6 +176,7 @@
           {"node_cut", {node_cut}},
           {"node_freeze", {node_freeze}},
           {"clock_step", {clock_step}},
+          {"order_at_start", {order_at_start}},
           {"roll_term", {roll_term}},
           {"seed_change", {seed_change}},
           {"kill_all", {[](Day& y) { closing(y, 0); }}},
