--- a/src/sim/origin.cpp
+++ b/src/sim/origin.cpp
@@ -20,6 +20,7 @@
   Wait x;
   f_.w_.park(l_, Span(1), x);
   if (f_.breaks(l_->host, "reach")) return ++f_.w_.met["unreachable"], false;
+  if (f_.s_.stands) return f_.s_.stands(addr);
   for (auto& w : f_.workers_)
     if (w->alive && w->address == addr) return true;
   return false;
@@ -30,6 +31,7 @@
   Span limit = rules.limit;
   auto& w = f_.w_;
   if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
+  if (f_.s_.shoot) return f_.s_.shoot(l_, addr, q, rules);
   auto nap = [&](Span s) {
     Wait x;
     w.park(l_, s, x);
