--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -1,6 +1,7 @@
 // Looks at what each relay was asked of late and writes a service's shares when
 // they should fall or may rise. After taking the duty up it does not know when
-// shares last fell, and so waits a bound before it lets any rise.
+// shares last fell, and so waits a bound before it lets any rise; nor what is asked
+// where, and so lowers none for want of demand until it has looked a few times.
 #include "rollout/pacer.hpp"
 
 #include "base/log.hpp"
@@ -10,13 +11,16 @@
 namespace {
 constexpr base::Log lg("shares");
 constexpr double kFresh = 0.3;  // the weight of the latest look at demand
+constexpr int kLooks = 3;        // before demand is known well enough
 constexpr int kAwayBounds = 15;  // a node away for less is expected back, and its share is kept for it
+constexpr int kAwayScarce = 5;   // the same, while more is asked elsewhere than the rate allows
 }  // namespace
 
 struct Pacer::Impl {
   struct Seen {
     uint64_t incarnation = 0, asked = 0;
     double rate = 0;
+    bool known = false;  // the rate
     Tick heard{0};
   };
   base::Ports& ps;
@@ -26,6 +30,7 @@
   Span bound;
   uint64_t term = 0;
   Tick last{0};
+  int looks = 0;  // since the duty was taken up
   std::map<std::string, std::map<std::string, Seen>> seen;  // service -> node
   std::map<std::string, Tick> fell;
   std::map<std::string, int64_t> rates;
@@ -67,11 +72,14 @@
     if (term != duty.term()) {
       term = duty.term();
       fell.clear();
+      seen.clear();  // counts of long ago
+      looks = 0;
       last = now;
     }
     if (now - last < bound / 2) return;
     double dt = static_cast<double>((now - last).count()) / 1000;
     last = now;
+    looks = std::min(looks + 1, kLooks);
     read_rates(r, releases);
     auto news = mirror.news().latest(now);
     for (auto& [svc, rate] : rates) {
@@ -83,8 +91,11 @@
         auto& s = seen[svc][n];
         for (auto& d : x.demands()) {
           if (d.service() != svc) continue;
-          if (s.incarnation == x.mark().incarnation())
-            s.rate += kFresh * (static_cast<double>(d.asked() - std::min(d.asked(), s.asked)) / dt - s.rate);
+          if (s.incarnation == x.mark().incarnation()) {
+            double of_late = static_cast<double>(d.asked() - std::min(d.asked(), s.asked)) / dt;
+            s.rate += (s.known ? kFresh : 1) * (of_late - s.rate);
+            s.known = true;
+          }
           s.asked = d.asked();
           s.incarnation = x.mark().incarnation();
         }
@@ -96,13 +107,23 @@
       auto have = mirror.chosen().find(share_key(svc));
       pb::Shares sh;
       if (have != mirror.chosen().end()) sh.ParseFromString(have->second.data);
+      double asked = 0;
+      for (auto& [n, d] : v.demand) asked += d;
+      auto kept = bound * (asked > static_cast<double>(rate) ? kAwayScarce : kAwayBounds);
+      double told = 0, held = 0;  // of those whose demand is known: it, and their shares
+      for (auto& [n, m] : sh.milli())
+        if (auto& s = seen[svc][n]; s.known) told += s.rate, held += m;
       for (auto& [n, m] : sh.milli()) {
         auto& s = seen[svc][n];
         if (s.heard == Tick(0)) s.heard = now;
-        if (!v.demand.count(n) && now - s.heard < bound * kAwayBounds) v.demand[n] = s.rate;
+        bool away = now - s.heard < kept;
+        if (!v.demand.count(n) && !away) continue;
+        // Whose demand is not known asks as its share says.
+        v.demand[n] = s.known ? s.rate : m * (held > 0 ? told / held : 0.001);
       }
       auto& f = fell[svc];
       if (f == Tick(0)) f = now;
+      if (looks < kLooks && sh.milli_size() && sh.rate() <= static_cast<uint32_t>(rate)) continue;
       v.since_fall = now - f;
       write(svc, v);
     }
--- a/test/limit_stories.cpp
+++ b/test/limit_stories.cpp
@@ -127,6 +127,7 @@
     s.f.nap(Span(15000));
     n->first = n->second = 0;
     s.f.nap(Span(10000));
+    s.figures["followed_in_10s"] = n->second;
     s.want(n->second > 120, fmt::format("the share did not follow: {} of {}", n->second, n->first));
   };
 }
@@ -218,6 +219,42 @@
   };
 }
 
+// Most of what is asked comes to one relay, and the duty changes hands while all relays
+// stand. Who takes it up has looked at no demand yet, and may not lower a share for that.
+void share_and_duty(Scene& s) {
+  struct Seen {
+    int asked = 0, refused = 0;
+  };
+  s.length = Span(75000);
+  s.must_meet = {"kill"};
+  s.story = [&s] {
+    if (!begin(s, 20, sim_layout("\"1\"", 4, 150))) return;
+    s.f.event(R"("t":"rate","service":"app","n":150)");
+    auto x = std::make_shared<Seen>();
+    s.f.callers(70, s.w.now() + Span(60000), [&s, x] {
+      auto& h = s.f.at("e1");
+      if (!h.node->ready()) return;
+      ++x->asked;
+      x->refused += s.f.call("GET", fmt::format("/a/{}", s.w.below(10000)), "", &h) != 200;
+    });
+    s.f.nap(Span(20000));
+    *x = {};
+    for (int i = 0; i < 3; ++i) {
+      auto* h = duty_holder(s);
+      if (!h) continue;
+      auto name = h->name;
+      s.f.kill(name);
+      s.f.nap(Span(2000 + s.w.below(3000)));
+      s.f.start(name);
+      s.f.nap(Span(8000));
+    }
+    s.figures["asked"] = static_cast<uint64_t>(x->asked);
+    s.figures["refused"] = static_cast<uint64_t>(x->refused);
+    s.want(x->asked > 1500, fmt::format("only {} were asked", x->asked));
+    s.want(x->refused * 50 < x->asked, fmt::format("{} of {} requests where the demand is were turned away", x->refused, x->asked));
+  };
+}
+
 }  // namespace
 
 NamedCases limit_stories() {
@@ -233,6 +270,7 @@
           {"repeat_storm", repeat_storm},
           {"slow_origin", slow_origin},
           {"share_waits", share_waits},
+          {"share_and_duty", share_and_duty},
           {"pace_faults", pace_faults}};
 }
 
