--- a/src/registry/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -10,14 +10,14 @@
 // that no round still counts a vote that its old disk gave, and then takes the
 // highest promise and value from a majority of the others. So does a machine that
 // has just been made a holder.
-#include "registry/acceptor.hpp"
+#include "consensus/acceptor.hpp"
 
 #include "base/log.hpp"
-#include "registry/vote.hpp"
+#include "consensus/vote.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 namespace {
-constexpr base::Log lg("registry");
+constexpr base::Log lg("consensus");
 }
 
 struct Acceptor::Impl : std::enable_shared_from_this<Acceptor::Impl> {
@@ -270,4 +270,4 @@
     if (n > seen) *out.add_slots() = p.synced.at(k);
 }
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -3,9 +3,9 @@
 // stays mute until the others have refilled it.
 #pragma once
 #include "base/ports.hpp"
-#include "registry/holders.hpp"
+#include "consensus/holders.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 class Acceptor {
  public:
@@ -26,4 +26,4 @@
   std::shared_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/ask.cpp
+++ b/src/consensus/ask.cpp
@@ -1,8 +1,8 @@
 // The shared table of replies outlives the caller, so that a late reply finds
 // a place to go and is then forgotten.
-#include "registry/ask.hpp"
+#include "consensus/ask.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 Replies ask_all(base::Ports& ps, const std::vector<Holder>& ts, const std::function<pb::Ask(size_t)>& make,
                 Span limit, const Enough& enough, const std::string& me, const Local& local) {
@@ -35,4 +35,4 @@
   return t->rs;
 }
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/ask.hpp
+++ b/src/consensus/ask.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "base/ports.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 struct Holder {
   std::string name, address;
@@ -17,4 +17,4 @@
 Replies ask_all(base::Ports& ps, const std::vector<Holder>& ts, const std::function<pb::Ask(size_t)>& make,
                 Span limit, const Enough& enough, const std::string& me = {}, const Local& local = {});
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/book.cpp
+++ b/src/consensus/book.cpp
@@ -2,14 +2,14 @@
 // value, accept either that value again or the next one. A value carries the
 // tag of its writer and those of the writes before it, so that a writer whose
 // round broke off can find out whether another finished it.
-#include "registry/book.hpp"
+#include "consensus/book.hpp"
 
 #include <algorithm>
 
 #include "base/log.hpp"
-#include "registry/vote.hpp"
+#include "consensus/vote.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 namespace {
 constexpr int kPastTags = 8;
 constexpr int kRounds = 5;        // of a round's limit: how long an operation tries
@@ -253,4 +253,4 @@
   return next;
 }
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/book.hpp
+++ b/src/consensus/book.hpp
@@ -2,9 +2,9 @@
 // majority of the holders. Any node can do it; none leads.
 #pragma once
 #include "base/ports.hpp"
-#include "registry/holders.hpp"
+#include "consensus/holders.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 struct Held {
   uint64_t version = 0;  // 0: nothing was ever written
@@ -38,4 +38,4 @@
   std::unique_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/holders.cpp
+++ b/src/consensus/holders.cpp
@@ -1,9 +1,9 @@
 // Adopting never goes back to a lower epoch.
-#include "registry/holders.hpp"
+#include "consensus/holders.hpp"
 
 #include <algorithm>
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 Holders::Holders(std::vector<Holder> first) : all_(std::move(first)) {}
 
@@ -30,4 +30,4 @@
   return s;
 }
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/holders.hpp
+++ b/src/consensus/holders.hpp
@@ -1,9 +1,9 @@
 // The set of holders, with its epoch, as one node knows it. Sets of neighbouring
 // epochs differ by one machine, so their majorities always meet.
 #pragma once
-#include "registry/ask.hpp"
+#include "consensus/ask.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 class Holders {
  public:
@@ -24,4 +24,4 @@
 
 enum class SetDefect { not_one_step, too_few, no_majority, fate_unknown, raced };
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/vote.cpp
+++ b/src/consensus/vote.cpp
@@ -1,8 +1,8 @@
 // Single-value Paxos per register. A promise needs a strictly higher ballot; an
 // accept needs one not below the promise.
-#include "registry/vote.hpp"
+#include "consensus/vote.hpp"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 bool lower(const pb::Ballot& a, const pb::Ballot& b) {
   return a.round() != b.round() ? a.round() < b.round() : a.node() < b.node();
@@ -35,4 +35,4 @@
   return r;
 }
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/registry/vote.hpp
+++ b/src/consensus/vote.hpp
@@ -4,7 +4,7 @@
 #include "base/common.hpp"
 #include "wire.pb.h"
 
-namespace dunlinwing::registry {
+namespace dunlinwing::consensus {
 
 struct Step {
   pb::Slot slot;
@@ -18,4 +18,4 @@
 Step accept(const pb::Slot& s, const pb::Accept& a);
 pb::Slot higher(const pb::Slot& a, const pb::Slot& b);  // the later promise, the later accepted value
 
-}  // namespace dunlinwing::registry
+}  // namespace dunlinwing::consensus
--- a/src/gate/orders.cpp
+++ b/src/gate/orders.cpp
@@ -31,22 +31,22 @@
   o.set_stated(j.at("stated").str());
   auto r = n.book().read(traffic::kOrderKey);
   for (int i = 0; i < kTries; ++i) {
-    auto* d = std::get_if<registry::Defect>(&r);
+    auto* d = std::get_if<consensus::Defect>(&r);
     if (d) return defect(503, "no majority of the holders answers; the layout may or may not be recorded");
-    auto& held = std::get<registry::Held>(r);
+    auto& held = std::get<consensus::Held>(r);
     pb::Order now;
     now.ParseFromString(held.data);
     if (now.number() >= number) return json(200, fmt::format(R"({{"number":{},"changed":false}})", now.number()), held.version);
     auto w = n.book().write(traffic::kOrderKey, held.version, o.SerializeAsString());
-    if (auto* h = std::get_if<registry::Held>(&w)) {
+    if (auto* h = std::get_if<consensus::Held>(&w)) {
       lg.info("Layout {} was recorded.", number);
       n.mirror().hurry();
       return json(200, fmt::format(R"({{"number":{},"changed":true}})", number), h->version);
     }
-    if (auto* st = std::get_if<registry::Stale>(&w))
+    if (auto* st = std::get_if<consensus::Stale>(&w))
       r = st->now;
     else
-      r = std::get<registry::Defect>(w);
+      r = std::get<consensus::Defect>(w);
   }
   return defect(503, "too many write at once; try again");
 }
--- a/src/gate/purger.cpp
+++ b/src/gate/purger.cpp
@@ -50,7 +50,7 @@
     std::vector<std::shared_ptr<Job>> jobs;
   };
   base::Ports& ps;
-  registry::Book& book;
+  consensus::Book& book;
   std::map<std::string, Line> by;
 
   void write(const std::string& service, const std::vector<std::shared_ptr<Job>>& js) {
@@ -59,27 +59,27 @@
     };
     auto key = "purge/" + service;
     auto g = book.read(key);
-    auto* h = std::get_if<registry::Held>(&g);
+    auto* h = std::get_if<consensus::Held>(&g);
     if (!h) return all(PurgeDefect::no_majority);
-    registry::Held now = *h;
+    consensus::Held now = *h;
     for (;;) {
       pb::PurgeSet s;
       s.ParseFromString(now.data);
       std::vector<PurgeDone> done;
       for (auto& j : js) done.push_back(add_purge(s, j->p));
       auto r = book.write(key, now.version, s.SerializeAsString());
-      if (std::holds_alternative<registry::Held>(r)) {
+      if (std::holds_alternative<consensus::Held>(r)) {
         for (size_t i = 0; i < js.size(); ++i) js[i]->res = done[i];
         return;
       }
-      if (auto* d = std::get_if<registry::Defect>(&r))
-        return all(*d == registry::Defect::no_majority ? PurgeDefect::no_majority : PurgeDefect::fate_unknown);
-      now = std::get<registry::Stale>(r).now;
+      if (auto* d = std::get_if<consensus::Defect>(&r))
+        return all(*d == consensus::Defect::no_majority ? PurgeDefect::no_majority : PurgeDefect::fate_unknown);
+      now = std::get<consensus::Stale>(r).now;
     }
   }
 };
 
-Purger::Purger(base::Ports& ps, registry::Book& b) : p_(new Impl{ps, b, {}}) {}
+Purger::Purger(base::Ports& ps, consensus::Book& b) : p_(new Impl{ps, b, {}}) {}
 Purger::~Purger() = default;
 
 std::variant<PurgeDone, PurgeDefect> Purger::put(const std::string& service, const pb::Purge& p) {
--- a/src/members/departed.cpp
+++ b/src/members/departed.cpp
@@ -10,9 +10,9 @@
 constexpr int kTries = 16;
 }  // namespace
 
-bool depart(registry::Book& book, const std::string& instance) {
+bool depart(consensus::Book& book, const std::string& instance) {
   auto g = book.read(kDepartedKey);
-  auto* h = std::get_if<registry::Held>(&g);
+  auto* h = std::get_if<consensus::Held>(&g);
   if (!h) return false;
   auto now = *h;
   for (int i = 0; i < kTries; ++i) {
@@ -23,8 +23,8 @@
     *v.Add() = instance;
     if (v.size() > kMostKept) v.DeleteSubrange(0, v.size() - kMostKept);
     auto w = book.write(kDepartedKey, now.version, d.SerializeAsString());
-    if (std::holds_alternative<registry::Held>(w)) return true;
-    auto* s = std::get_if<registry::Stale>(&w);
+    if (std::holds_alternative<consensus::Held>(w)) return true;
+    auto* s = std::get_if<consensus::Stale>(&w);
     if (!s) return false;
     now = s->now;
   }
--- a/src/members/departed.hpp
+++ b/src/members/departed.hpp
@@ -3,14 +3,14 @@
 #pragma once
 #include <set>
 
-#include "registry/book.hpp"
+#include "consensus/book.hpp"
 
 namespace dunlinwing::members {
 
 inline constexpr const char* kDepartedKey = "departed";
 
 // True once the word is recorded.
-bool depart(registry::Book& book, const std::string& instance);
+bool depart(consensus::Book& book, const std::string& instance);
 std::set<std::string> read_departed(const std::string& data);
 
 }  // namespace dunlinwing::members
--- a/src/members/keepers.cpp
+++ b/src/members/keepers.cpp
@@ -21,7 +21,7 @@
   std::map<std::string, const Keeper*> by;
   for (auto& n : s.nodes) by[n.name] = &n;
   std::map<std::string, size_t> zones;
-  const registry::Holder* gone = nullptr;
+  const consensus::Holder* gone = nullptr;
   for (auto& h : s.set) {
     auto f = by.find(h.name);
     if (f == by.end()) return {};
@@ -50,14 +50,14 @@
 
 struct Keepers::Impl {
   base::Ports& ps;
-  registry::Book& book;
+  consensus::Book& book;
   Mirror& mirror;
   Duty& duty;
   int tolerate;
   Span bound;
   std::map<std::string, Tick> met;  // when each holder's session last stood, as far as known here
 
-  Impl(base::Ports& p, registry::Book& b, Mirror& m, Duty& d, int t, Span bd)
+  Impl(base::Ports& p, consensus::Book& b, Mirror& m, Duty& d, int t, Span bd)
       : ps(p), book(b), mirror(m), duty(d), tolerate(t), bound(bd) {}
 
   KeepSight sight() {
@@ -104,7 +104,7 @@
   }
 };
 
-Keepers::Keepers(base::Ports& ps, registry::Book& b, Mirror& m, Duty& d, int tolerate, Span bound)
+Keepers::Keepers(base::Ports& ps, consensus::Book& b, Mirror& m, Duty& d, int tolerate, Span bound)
     : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
 Keepers::~Keepers() = default;
 
--- a/src/members/keepers.hpp
+++ b/src/members/keepers.hpp
@@ -15,7 +15,7 @@
 };
 
 struct KeepSight {
-  std::vector<registry::Holder> set;
+  std::vector<consensus::Holder> set;
   std::vector<Keeper> nodes;
   int tolerate = 1;
   Span bound{2000};
@@ -23,7 +23,7 @@
 
 struct KeepStep {
   bool add = false;
-  registry::Holder who;
+  consensus::Holder who;
   std::string why;
 };
 
@@ -34,7 +34,7 @@
 
 class Keepers {
  public:
-  Keepers(base::Ports& ps, registry::Book& b, Mirror& m, Duty& d, int tolerate, Span bound);
+  Keepers(base::Ports& ps, consensus::Book& b, Mirror& m, Duty& d, int tolerate, Span bound);
   ~Keepers();
   void start();
 
--- a/src/members/mirror.cpp
+++ b/src/members/mirror.cpp
@@ -10,7 +10,7 @@
 
 #include "base/log.hpp"
 #include "members/departed.hpp"
-#include "registry/vote.hpp"
+#include "consensus/vote.hpp"
 
 namespace dunlinwing::members {
 namespace {
@@ -26,8 +26,8 @@
   };
   base::Ports& ps;
   MirrorConfig c;
-  registry::Book& book;
-  registry::Acceptor* mine;
+  consensus::Book& book;
+  consensus::Acceptor* mine;
   std::function<void(pb::News&)> own;
   std::function<void()> seen;
   NewsTable news;
@@ -45,7 +45,7 @@
   bool told = false, asked = false;  // asked: somebody waits for the next pull
   std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
 
-  Impl(base::Ports& p, MirrorConfig cc, registry::Book& b, registry::Acceptor* m,
+  Impl(base::Ports& p, MirrorConfig cc, consensus::Book& b, consensus::Acceptor* m,
        std::function<void(pb::News&)> o, std::function<void()> s)
       : ps(p), c(std::move(cc)), book(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()) {
     first = static_cast<size_t>(ps.chance.below(b.holders().size()));
@@ -75,10 +75,10 @@
       if (s == sides.end()) continue;
       auto f = s->second.slots.find(name);
       if (f == s->second.slots.end()) continue;
-      if (!best || registry::lower(best->accepted(), f->second.accepted())) {
+      if (!best || consensus::lower(best->accepted(), f->second.accepted())) {
         best = &f->second;
         n = 1;
-      } else if (registry::equal(best->accepted(), f->second.accepted())) {
+      } else if (consensus::equal(best->accepted(), f->second.accepted())) {
         ++n;
       }
     }
@@ -88,13 +88,13 @@
   bool settle_open() {
     for (auto i = open.begin(); i != open.end();) {
       auto [s, n] = latest(*i);
-      registry::Held h;
+      consensus::Held h;
       if (n >= book.majority()) {
         h = {s->value().version(), s->value().data()};
       } else {
         auto name = *i;
         auto g = book.read(name);
-        auto* x = std::get_if<registry::Held>(&g);
+        auto* x = std::get_if<consensus::Held>(&g);
         if (!x) return false;
         h = *x;
         i = open.find(name);
@@ -153,13 +153,13 @@
     auto epoch = book.set().epoch();
     if (hs.empty()) return false;  // nobody has named the holders yet
     first %= hs.size();
-    registry::Local local;
+    consensus::Local local;
     if (mine) local = [this](const pb::Ask& a) { return answer(a); };
     size_t n = 0;
     std::vector<pb::PullReply> heard;
     // Asks those named and takes what they say; false when none answered.
     auto ask = [&](const std::vector<size_t>& who, Span limit) {
-      std::vector<registry::Holder> to;
+      std::vector<consensus::Holder> to;
       for (auto i : who) to.push_back(hs[i]);
       *base.mutable_pull()->mutable_have() = news.marks();
       auto make = [&](size_t k) {
@@ -168,7 +168,7 @@
         a.mutable_pull()->set_seen(sides[hs[who[k]].name].seen);
         return a;
       };
-      auto rs = registry::ask_all(ps, to, make, limit, [](auto&) { return false; }, c.me, local);
+      auto rs = consensus::ask_all(ps, to, make, limit, [](auto&) { return false; }, c.me, local);
       bool any = false;
       for (size_t k = 0; k < rs.size(); ++k) {
         auto& quiet = silent[hs[who[k]].name];
@@ -207,7 +207,7 @@
       return false;  // the next pull announces this node
     }
     if (!settle_open()) return false;
-    if (auto f = chosen.find(registry::kHoldersKey); f != chosen.end()) {
+    if (auto f = chosen.find(consensus::kHoldersKey); f != chosen.end()) {
       pb::HolderSet set;
       if (set.ParseFromString(f->second.data) && set.epoch() > epoch) {
         book.set().adopt(set);
@@ -248,7 +248,7 @@
   }
 };
 
-Mirror::Mirror(base::Ports& ps, MirrorConfig c, registry::Book& b, registry::Acceptor* m,
+Mirror::Mirror(base::Ports& ps, MirrorConfig c, consensus::Book& b, consensus::Acceptor* m,
                std::function<void(pb::News&)> own, std::function<void()> seen)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, std::move(own), std::move(seen))) {}
 Mirror::~Mirror() = default;
--- a/src/members/mirror.hpp
+++ b/src/members/mirror.hpp
@@ -7,12 +7,12 @@
 #include <set>
 
 #include "members/news.hpp"
-#include "registry/acceptor.hpp"
-#include "registry/book.hpp"
+#include "consensus/acceptor.hpp"
+#include "consensus/book.hpp"
 
 namespace dunlinwing::members {
 
-using Chosen = std::map<std::string, registry::Held>;
+using Chosen = std::map<std::string, consensus::Held>;
 
 struct MirrorConfig {
   std::string me;
@@ -25,7 +25,7 @@
 class Mirror {
  public:
   // `own` fills in what this node says of itself; `seen` runs after each good pull.
-  Mirror(base::Ports& ps, MirrorConfig c, registry::Book& book, registry::Acceptor* mine,
+  Mirror(base::Ports& ps, MirrorConfig c, consensus::Book& book, consensus::Acceptor* mine,
          std::function<void(pb::News&)> own, std::function<void()> seen);
   ~Mirror();
   void start();
--- a/src/members/seek.cpp
+++ b/src/members/seek.cpp
@@ -51,15 +51,15 @@
 struct Seek::Impl {
   base::Ports& ps;
   SeekConfig c;
-  registry::Book& book;
+  consensus::Book& book;
   Mirror& mirror;
-  registry::Acceptor* mine;
+  consensus::Acceptor* mine;
   std::vector<std::string> origin;     // the seeds of the first start, when this was it
   std::map<std::string, Self> told;    // by those seeds
   Tick good{0}, looked{0};
   std::string said;
 
-  Impl(base::Ports& p, SeekConfig cc, registry::Book& b, Mirror& m, registry::Acceptor* a)
+  Impl(base::Ports& p, SeekConfig cc, consensus::Book& b, Mirror& m, consensus::Acceptor* a)
       : ps(p), c(std::move(cc)), book(b), mirror(m), mine(a) {}
 
   // By address, from all that answer in time.
@@ -156,7 +156,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Seek::Seek(base::Ports& ps, SeekConfig c, registry::Book& b, Mirror& m, registry::Acceptor* mine)
+Seek::Seek(base::Ports& ps, SeekConfig c, consensus::Book& b, Mirror& m, consensus::Acceptor* mine)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, mine)) {
   p_->weak = p_;
 }
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -21,9 +21,9 @@
   base::Ports& ps;
   NodeConfig c;
   bool holder;
-  registry::Holders set;
-  std::unique_ptr<registry::Acceptor> acceptor;
-  registry::Book book;
+  consensus::Holders set;
+  std::unique_ptr<consensus::Acceptor> acceptor;
+  consensus::Book book;
   members::Mirror mirror;
   members::Duty duty;
   members::Seek seek;
@@ -47,9 +47,9 @@
 
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
       : ps(p), c(with_face(std::move(cc))), holder(disk != nullptr), set(c.holders),
-        acceptor(disk ? std::make_unique<registry::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
+        acceptor(disk ? std::make_unique<consensus::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
         book(ps, c.name, set, c.bound / 4,
-             acceptor ? registry::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : registry::Local()),
+             acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : consensus::Local()),
         mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
         duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
         seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, book, mirror, acceptor.get()),
@@ -349,9 +349,9 @@
 
 const NodeConfig& Node::config() const { return p_->c; }
 members::Mirror& Node::mirror() { return p_->mirror; }
-registry::Book& Node::book() { return p_->book; }
+consensus::Book& Node::book() { return p_->book; }
 members::Duty& Node::duty() { return p_->duty; }
-registry::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
+consensus::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
 void Node::seeds(std::vector<std::string> addresses) { p_->seek.seeds(std::move(addresses)); }
 traffic::Traffic& Node::traffic() { return p_->traffic; }
 uint64_t Node::generation() const { return p_->generation; }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -11,7 +11,7 @@
 
 struct NodeConfig {
   std::string name, zone, peer_address, http_address;
-  std::vector<registry::Holder> holders;  // none: the first set forms out of the seeds
+  std::vector<consensus::Holder> holders;  // none: the first set forms out of the seeds
   std::vector<std::string> seeds;         // control addresses
   bool first_start = true;                // of the whole fleet
   int tolerate = 0;                       // holders that may be lost at once; 0: only operators change the set
@@ -42,9 +42,9 @@
 
   const NodeConfig& config() const;
   members::Mirror& mirror();
-  registry::Book& book();
+  consensus::Book& book();
   members::Duty& duty();
-  registry::Acceptor* acceptor();
+  consensus::Acceptor* acceptor();
   void seeds(std::vector<std::string> addresses);
   traffic::Traffic& traffic();
   uint64_t generation() const;
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -59,7 +59,7 @@
 
 struct Conductor::Impl {
   base::Ports& ps;
-  registry::Book& book;
+  consensus::Book& book;
   members::Mirror& mirror;
   members::Duty& duty;
   ConductorConfig c;
@@ -87,7 +87,7 @@
   Settler settler;
   Watch watch;
 
-  Impl(base::Ports& p, registry::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig cc)
+  Impl(base::Ports& p, consensus::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig cc)
       : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
@@ -168,7 +168,7 @@
   bool save(const pb::Rollout& next) {
     if (!duty.held()) return false;
     auto r = book.write(kRolloutKey, version, next.SerializeAsString());
-    if (auto* h = std::get_if<registry::Held>(&r)) {
+    if (auto* h = std::get_if<consensus::Held>(&r)) {
       version = h->version;
       state = next;
       saved = ps.clock.now();
@@ -180,7 +180,7 @@
 
   bool reload() {
     auto g = book.read(kRolloutKey);
-    auto* h = std::get_if<registry::Held>(&g);
+    auto* h = std::get_if<consensus::Held>(&g);
     if (!h) return false;
     version = h->version;
     state.Clear();
@@ -291,7 +291,7 @@
       if (write) {
         if (!duty.held()) return;
         auto r = book.write(k, mine.first, o.state.SerializeAsString());
-        auto* held = std::get_if<registry::Held>(&r);
+        auto* held = std::get_if<consensus::Held>(&r);
         if (!held) continue;  // the next pull tells what stands
         mine = {held->version, o.state};
         service_saved[name] = now;
@@ -338,7 +338,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Conductor::Conductor(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig c)
+Conductor::Conductor(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig c)
     : p_(std::make_shared<Impl>(ps, b, m, d, std::move(c))) {
   p_->weak = p_;
 }
--- a/src/rollout/pacer.hpp
+++ b/src/rollout/pacer.hpp
@@ -8,7 +8,7 @@
 
 class Pacer {
  public:
-  Pacer(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, Span bound);
+  Pacer(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, Span bound);
   ~Pacer();
   void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
 
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -27,7 +27,7 @@
 
 struct Settler::Impl {
   base::Ports& ps;
-  registry::Book& book;
+  consensus::Book& book;
   members::Mirror& mirror;
   members::Duty& duty;
   Span bound;
@@ -43,7 +43,7 @@
     return st;
   }
   bool write(const std::string& name, uint64_t version, const pb::ServiceState& st) {
-    return duty.held() && std::holds_alternative<registry::Held>(book.write(service_key(name), version, st.SerializeAsString()));
+    return duty.held() && std::holds_alternative<consensus::Held>(book.write(service_key(name), version, st.SerializeAsString()));
   }
 
   void settle() {
@@ -97,7 +97,7 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, registry::Book& b, members::Mirror& m, members::Duty& d, Span bound)
+Settler::Settler(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
 Settler::~Settler() = default;
 
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -31,7 +31,7 @@
 
 struct Artifacts::Impl {
   base::Ports& ps;
-  registry::Book& book;
+  consensus::Book& book;
   members::Mirror& mirror;
   std::string me;
   disk::Shelf* shelf;
@@ -71,14 +71,14 @@
     return out;
   }
 
-  registry::Replies ask_holders(const pb::Ask& a, Span limit) {
-    registry::Local local;
+  consensus::Replies ask_holders(const pb::Ask& a, Span limit) {
+    consensus::Local local;
     if (shelf) local = [this](const pb::Ask& x) { return answer(x); };
-    return registry::ask_all(ps, book.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
+    return consensus::ask_all(ps, book.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
   }
 
   // How much a majority of holders has.
-  std::variant<pb::Piece, PieceDefect> settled(const registry::Replies& rs, uint64_t need) {
+  std::variant<pb::Piece, PieceDefect> settled(const consensus::Replies& rs, uint64_t need) {
     std::vector<uint64_t> held;
     size_t whole = 0;
     std::string why;
@@ -132,7 +132,7 @@
   }
 };
 
-Artifacts::Artifacts(base::Ports& ps, registry::Book& b, members::Mirror& m, std::string me, disk::Shelf* s, disk::Hand* h,
+Artifacts::Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, disk::Shelf* s, disk::Hand* h,
                      Span bound)
     : p_(new Impl{ps, b, m, std::move(me), s, h, bound}) {}
 Artifacts::~Artifacts() = default;
--- a/src/software/artifacts.hpp
+++ b/src/software/artifacts.hpp
@@ -19,7 +19,7 @@
 class Artifacts {
  public:
   // `shelf` is null on a machine that holds no state.
-  Artifacts(base::Ports& ps, registry::Book& b, members::Mirror& m, std::string me, disk::Shelf* shelf, disk::Hand* hand,
+  Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, disk::Shelf* shelf, disk::Hand* hand,
             Span bound);
   ~Artifacts();
   void start();                        // begins to repair
--- a/test/registry_unit.cpp
+++ b/test/consensus_unit.cpp
@@ -1,6 +1,6 @@
 // Votes on one register: whatever order messages come in, two different values
 // are never both chosen.
-#include "registry/vote.hpp"
+#include "consensus/vote.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
@@ -50,11 +50,11 @@
                      pb::Prepare q;
                      q.set_name("r");
                      *q.mutable_ballot() = p.b;
-                     auto st = registry::prepare(slot, q);
+                     auto st = consensus::prepare(slot, q);
                      if (st.yes) {
                        slot = st.slot;
                        ++p.yes;
-                       if (registry::lower(p.best.accepted(), slot.accepted())) p.best = slot;
+                       if (consensus::lower(p.best.accepted(), slot.accepted())) p.best = slot;
                      }
                      if (p.yes >= 3) {
                        p.accepting = true;
@@ -71,7 +71,7 @@
                      q.set_name("r");
                      *q.mutable_ballot() = p.b;
                      *q.mutable_value() = p.v;
-                     auto st = registry::accept(slot, q);
+                     auto st = consensus::accept(slot, q);
                      if (st.yes) {
                        slot = st.slot;
                        if (++p.acks >= 3) chosen[p.v.version()].insert(p.v.data());
@@ -85,12 +85,12 @@
          pb::Slot s;
          pb::Prepare p;
          *p.mutable_ballot() = ballot(3, "a");
-         auto one = registry::prepare(s, p);
+         auto one = consensus::prepare(s, p);
          expect(one.yes && one.dirty, "the first promise");
-         expect(!registry::prepare(one.slot, p).yes, "the same ballot twice");
+         expect(!consensus::prepare(one.slot, p).yes, "the same ballot twice");
          pb::Accept low;
          *low.mutable_ballot() = ballot(2, "z");
-         expect(!registry::accept(one.slot, low).yes, "an accept below the promise");
+         expect(!consensus::accept(one.slot, low).yes, "an accept below the promise");
        }},
   };
 }
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -110,7 +110,7 @@
     for (int k = 0; k < 8; ++k)
       s.w.spawn(any->life, [any, pads, k] {
         for (int i = k; i < 400; i += 8)
-          *pads += std::holds_alternative<registry::Held>(any->node->book().write(fmt::format("pad/{}", i), 0, std::string(400, 'x')));
+          *pads += std::holds_alternative<consensus::Held>(any->node->book().write(fmt::format("pad/{}", i), 0, std::string(400, 'x')));
       });
     s.want(s.f.until(Span(20000), [&] { return *pads == 400; }), "the registers were not written");
     auto w = writer(s, 600);
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -214,7 +214,7 @@
       auto* h = &s.f.at(host);
       s.w.spawn(h->life, [h, wins, ends] {
         auto r = h->node->book().write("contested", 0, h->name);
-        if (std::holds_alternative<registry::Held>(r)) wins->push_back(h->name);
+        if (std::holds_alternative<consensus::Held>(r)) wins->push_back(h->name);
         ++*ends;
       });
     };
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -103,7 +103,7 @@
       auto r = n->relay().book().write(key, version[key], std::string(kChangeBytes, 'x'));
       --under_way;
       busy[key] = false;
-      auto* h = std::get_if<registry::Held>(&r);
+      auto* h = std::get_if<consensus::Held>(&r);
       if (!h) return void(++failed);
       version[key] = h->version;
       change_told.add(static_cast<double>((f.w.now() - from).count()));
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -214,7 +214,7 @@
               auto& book = host->node->book();
               auto floor = st->acked;
               auto g = book.read("race");
-              auto* h = std::get_if<registry::Held>(&g);
+              auto* h = std::get_if<consensus::Held>(&g);
               if (!h) return;
               ++st->reads;
               s.want(h->version >= floor, fmt::format("a read gave version {} after {} was acknowledged", h->version, floor));
@@ -222,12 +222,12 @@
                 s.want(f->second == h->data, "a read gave another value than was acknowledged");
               auto mine = fmt::format("{}/{}/{}", host->name, k, i);
               auto w = book.write("race", h->version, mine);
-              if (auto* d = std::get_if<registry::Held>(&w)) {
+              if (auto* d = std::get_if<consensus::Held>(&w)) {
                 ++st->writes;
                 auto [f, fresh] = st->won.emplace(d->version, mine);
                 s.want(fresh || f->second == mine, fmt::format("two writers won version {}", d->version));
                 st->acked = std::max(st->acked, d->version);
-              } else if (std::holds_alternative<registry::Stale>(w)) {
+              } else if (std::holds_alternative<consensus::Stale>(w)) {
                 ++st->stale;
               } else {
                 ++st->unsure;
