--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -9,8 +9,8 @@
 #include <sstream>
 
 #include "base/log.hpp"
-#include "disk/slow.hpp"
-#include "disk/store.hpp"
+#include "storage/async_disk.hpp"
+#include "storage/snapshot_store.hpp"
 #include "gate/control.hpp"
 #include "platform/face.hpp"
 #include "platform/gate.hpp"
@@ -70,10 +70,10 @@
   dw::wire::PeerNet net;
   dw::wire::HttpOrigin origin;
   dw::base::Ports ports{clock, chance, pool, net, origin};
-  std::unique_ptr<dw::disk::Aside> disk;
+  std::unique_ptr<dw::storage::AsyncDisk> disk;
   std::unique_ptr<dw::relay::Node> node;
-  std::unique_ptr<dw::disk::Shelf> shelf;
-  std::unique_ptr<dw::disk::Hand> hand;
+  std::unique_ptr<dw::storage::ArtifactFiles> shelf;
+  std::unique_ptr<dw::storage::DiskExecutor> hand;
   std::unique_ptr<dw::software::Artifacts> artifacts;
   std::unique_ptr<dw::software::Stager> stager;
   std::unique_ptr<dw::gate::Control> control;
@@ -147,8 +147,8 @@
   }
 
   void software(const std::string& program) {
-    hand = std::make_unique<dw::disk::Hand>(pool);
-    if (!c.data.empty()) shelf = std::make_unique<dw::disk::Shelf>(c.data);
+    hand = std::make_unique<dw::storage::DiskExecutor>(pool);
+    if (!c.data.empty()) shelf = std::make_unique<dw::storage::ArtifactFiles>(c.data);
     artifacts = std::make_unique<dw::software::Artifacts>(ports, node->book(), node->mirror(), c.node.name, shelf.get(),
                                                           hand.get(), c.node.bound);
     node->artifacts(artifacts.get());
@@ -208,13 +208,13 @@
     lg.warn("{}: HOLDS ARE DIVIDED BY {}. This is for trying things out, never for real machines.", c->node.name,
             c->node.scale);
   if (!c->data.empty()) {
-    auto f = dw::disk::open_folder(c->data);
-    if (auto* d = std::get_if<dw::disk::OpenDefect>(&f)) {
+    auto f = dw::storage::open_folder(c->data);
+    if (auto* d = std::get_if<dw::storage::OpenDefect>(&f)) {
       lg.error("{}: {}.", c->node.name, d->what);
       return kCannotStart;
     }
-    auto s = std::make_unique<dw::disk::Store>(std::move(std::get<0>(f)), c->log_bytes);
-    app.disk = std::make_unique<dw::disk::Aside>(std::move(s), app.pool);
+    auto s = std::make_unique<dw::storage::SnapshotStore>(std::move(std::get<0>(f)), c->log_bytes);
+    app.disk = std::make_unique<dw::storage::AsyncDisk>(std::move(s), app.pool);
   }
   if (c->face == "platform") c->node.face = dw::platform::face();
   app.node = std::make_unique<dw::relay::Node>(app.ports, c->node, app.disk.get());
--- a/src/sim/ports.cpp
+++ b/src/sim/ports.cpp
@@ -105,7 +105,7 @@
 Disk::Disk(World& w, LifePtr l, Platter& p) : w_(w), l_(std::move(l)), p_(p) {
   auto f = std::make_unique<MemFiles>(p);
   f_ = f.get();
-  s_ = std::make_unique<disk::Store>(std::move(f), 16384);
+  s_ = std::make_unique<storage::SnapshotStore>(std::move(f), 16384);
 }
 
 std::optional<base::DiskDefect> Disk::save(const std::vector<pb::Record>& rs,
--- a/src/sim/ports.hpp
+++ b/src/sim/ports.hpp
@@ -1,7 +1,7 @@
 // The simulated ports of one process, and the disk that outlives it.
 #pragma once
 #include "base/ports.hpp"
-#include "disk/store.hpp"
+#include "storage/snapshot_store.hpp"
 #include "sim/world.hpp"
 
 namespace dunlinwing::sim {
@@ -66,7 +66,7 @@
   bool failing = false;
 };
 
-class MemFiles final : public disk::Files {
+class MemFiles final : public storage::Files {
  public:
   explicit MemFiles(Platter& p) : p_(p) {}
   std::optional<std::string> read(const std::string& n) override;
@@ -92,7 +92,7 @@
   LifePtr l_;
   Platter& p_;
   MemFiles* f_;
-  std::unique_ptr<disk::Store> s_;
+  std::unique_ptr<storage::SnapshotStore> s_;
 };
 
 }  // namespace dunlinwing::sim
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -34,8 +34,8 @@
   consensus::Book& book;
   members::Mirror& mirror;
   std::string me;
-  disk::Shelf* shelf;
-  disk::Hand* hand;
+  storage::ArtifactFiles* shelf;
+  storage::DiskExecutor* hand;
   Span bound;
 
   pb::Reply answer(const pb::Ask& a) {
@@ -45,7 +45,7 @@
       r->set_why("this node holds no state");
       return out;
     }
-    disk::Kept k;
+    storage::Kept k;
     if (a.has_chunk()) {
       auto& c = a.chunk();
       bool ok = false;
@@ -116,13 +116,13 @@
 
   void repair() {
     for (auto& [sha, w] : recorded(mirror.chosen())) {
-      disk::Kept k;
+      storage::Kept k;
       hand->run([&, s = sha] { k = shelf->look(s); });
       bool begun = !k.whole;
       while (!k.whole) {
         auto p = piece(sha, k.bytes);
         if (!p) break;
-        std::optional<disk::Kept> n;
+        std::optional<storage::Kept> n;
         hand->run([&, s = sha, total = w.bytes] { n = shelf->put(s, k.bytes, p->data(), total); });
         if (!n) break;
         k = *n;
@@ -132,7 +132,7 @@
   }
 };
 
-Artifacts::Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, disk::Shelf* s, disk::Hand* h,
+Artifacts::Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
                      Span bound)
     : p_(new Impl{ps, b, m, std::move(me), s, h, bound}) {}
 Artifacts::~Artifacts() = default;
@@ -169,7 +169,7 @@
   return p_->settled(p_->ask_holders(a, p_->bound), 0);
 }
 
-bool Artifacts::fetch(const Want& w, const std::string& path, disk::Hand& hand) {
+bool Artifacts::fetch(const Want& w, const std::string& path, storage::DiskExecutor& hand) {
   uint64_t at = 0;
   hand.run([&] { ::unlink(path.c_str()); });
   while (at < w.bytes) {
--- a/src/software/artifacts.hpp
+++ b/src/software/artifacts.hpp
@@ -1,8 +1,8 @@
 // Artifacts of software releases: any relay takes their pieces and passes them
 // to all holders; holders that missed some fetch them from the others.
 #pragma once
-#include "disk/hand.hpp"
-#include "disk/shelf.hpp"
+#include "storage/disk_executor.hpp"
+#include "storage/artifact_files.hpp"
 #include "members/mirror.hpp"
 
 namespace dunlinwing::software {
@@ -19,7 +19,7 @@
 class Artifacts {
  public:
   // `shelf` is null on a machine that holds no state.
-  Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, disk::Shelf* shelf, disk::Hand* hand,
+  Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, storage::ArtifactFiles* shelf, storage::DiskExecutor* hand,
             Span bound);
   ~Artifacts();
   void start();                        // begins to repair
@@ -27,7 +27,7 @@
   std::variant<pb::Piece, PieceDefect> put(const std::string& sha, uint64_t offset, const std::string& data);
   std::variant<pb::Piece, PieceDefect> look(const std::string& sha);  // what a majority holds
   // Fetches the whole to a file from whichever holders have it.
-  bool fetch(const Want& w, const std::string& path, disk::Hand& hand);
+  bool fetch(const Want& w, const std::string& path, storage::DiskExecutor& hand);
 
  private:
   struct Impl;
--- a/src/software/stager.cpp
+++ b/src/software/stager.cpp
@@ -17,7 +17,7 @@
 struct Stager::Impl {
   base::Ports& ps;
   Artifacts& artifacts;
-  disk::Hand& hand;
+  storage::DiskExecutor& hand;
   StagerPorts sp;
   std::string dir, program;
   Span bound;
@@ -25,20 +25,20 @@
   std::string file(const char* n) const { return dir + "/" + n; }
   std::string text(const char* n) {
     std::string out;
-    hand.run([&] { out = disk::read_small(file(n)).value_or(""); });
+    hand.run([&] { out = storage::read_small(file(n)).value_or(""); });
     while (!out.empty() && out.back() == '\n') out.pop_back();
     return out;
   }
   bool put(const char* n, const std::string& s) {
     bool ok = false;
-    hand.run([&] { ok = disk::write_synced(file(n), s + "\n"); });
+    hand.run([&] { ok = storage::write_synced(file(n), s + "\n"); });
     return ok;
   }
   void refuse(const std::string& sha) { put("refused", text("refused") + "\n" + sha); }
   void drop_next() {
     hand.run([&] {
       ::unlink(file("next").c_str());
-      disk::sync_dir(dir);
+      storage::sync_dir(dir);
     });
   }
 
@@ -84,10 +84,10 @@
     if (!artifacts.fetch(w, part, hand)) return;  // not all there yet; it will be tried again
     bool right = false, put_up = false;
     hand.run([&] {
-      right = disk::sha256_hex_of(part) == w.sha256;
+      right = storage::sha256_hex_of(part) == w.sha256;
       if (!right) return;
       put_up = ::chmod(part.c_str(), 0750) == 0 && ::rename(part.c_str(), file(name.c_str()).c_str()) == 0 &&
-               disk::sync_dir(dir);
+               storage::sync_dir(dir);
     });
     if (!right) return sp.defect("software/" + w.name + ": what came has another digest");
     if (!put_up) return sp.defect("software/" + w.name + ": it cannot be staged in the release folder");
@@ -98,7 +98,7 @@
   }
 };
 
-Stager::Stager(base::Ports& ps, Artifacts& a, disk::Hand& h, StagerPorts sp, std::string dir, std::string program, Span bound)
+Stager::Stager(base::Ports& ps, Artifacts& a, storage::DiskExecutor& h, StagerPorts sp, std::string dir, std::string program, Span bound)
     : p_(new Impl{ps, a, h, std::move(sp), std::move(dir), std::move(program), bound}) {}
 Stager::~Stager() = default;
 
--- a/src/disk/shelf.cpp
+++ b/src/storage/artifact_files.cpp
@@ -1,5 +1,5 @@
 // A part is a file with ".part" to its name; it loses that when it is whole.
-#include "disk/shelf.hpp"
+#include "storage/artifact_files.hpp"
 
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -9,7 +9,7 @@
 
 #include <cstdio>
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 namespace {
 struct Fd {
   int n;
@@ -66,14 +66,14 @@
   return ::rename(t.c_str(), p.c_str()) == 0 && sync_dir(p.substr(0, p.rfind('/')));
 }
 
-std::string Shelf::path(const std::string& sha) const { return dir_ + "/artifact." + sha; }
+std::string ArtifactFiles::path(const std::string& sha) const { return dir_ + "/artifact." + sha; }
 
-Kept Shelf::look(const std::string& sha) const {
+Kept ArtifactFiles::look(const std::string& sha) const {
   if (auto n = size_of(path(sha))) return {*n, true};
   return {size_of(path(sha) + ".part").value_or(0), false};
 }
 
-std::optional<Kept> Shelf::put(const std::string& sha, uint64_t offset, const std::string& data, uint64_t total) {
+std::optional<Kept> ArtifactFiles::put(const std::string& sha, uint64_t offset, const std::string& data, uint64_t total) {
   auto k = look(sha);
   if (k.whole || offset + data.size() <= k.bytes) return k;
   if (offset > k.bytes || offset + data.size() > total) return {};
@@ -99,7 +99,7 @@
   return Kept{k.bytes, true};
 }
 
-std::string Shelf::read(const std::string& sha, uint64_t offset, uint32_t bytes) const {
+std::string ArtifactFiles::read(const std::string& sha, uint64_t offset, uint32_t bytes) const {
   auto k = look(sha);
   Fd f{::open((k.whole ? path(sha) : path(sha) + ".part").c_str(), O_RDONLY | O_CLOEXEC)};
   if (f.n < 0 || offset >= k.bytes) return {};
@@ -109,4 +109,4 @@
   return out;
 }
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/shelf.hpp
+++ b/src/storage/artifact_files.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "base/common.hpp"
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 
 struct Kept {
   uint64_t bytes = 0;
@@ -11,9 +11,9 @@
 };
 
 // Blocking; every write is synced before it returns.
-class Shelf {
+class ArtifactFiles {
  public:
-  explicit Shelf(std::string dir) : dir_(std::move(dir)) {}
+  explicit ArtifactFiles(std::string dir) : dir_(std::move(dir)) {}
   Kept look(const std::string& sha) const;
   // Null when the piece does not follow what is there, or cannot be written.
   std::optional<Kept> put(const std::string& sha, uint64_t offset, const std::string& data, uint64_t total);
@@ -29,4 +29,4 @@
 bool write_synced(const std::string& path, const std::string& bytes);  // by a new file and a rename
 bool sync_dir(const std::string& dir);
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/slow.hpp
+++ b/src/storage/async_disk.hpp
@@ -1,12 +1,12 @@
 // A disk behind a hand of its own.
 #pragma once
-#include "disk/hand.hpp"
+#include "storage/disk_executor.hpp"
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 
-class Aside final : public base::Disk {
+class AsyncDisk final : public base::Disk {
  public:
-  Aside(std::unique_ptr<base::Disk> d, base::Tasks& t) : d_(std::move(d)), hand_(t) {}
+  AsyncDisk(std::unique_ptr<base::Disk> d, base::Tasks& t) : d_(std::move(d)), hand_(t) {}
   base::Loaded load() override { return d_->load(); }  // blocks; called before the pool runs
   // The image is made on the caller's thread, since tables belong to the caller.
   std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
@@ -18,7 +18,7 @@
 
  private:
   std::unique_ptr<base::Disk> d_;
-  Hand hand_;
+  DiskExecutor hand_;
 };
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/hand.cpp
+++ b/src/storage/disk_executor.cpp
@@ -1,12 +1,12 @@
 // One thread, one job at a time, in the order in which they came.
-#include "disk/hand.hpp"
+#include "storage/disk_executor.hpp"
 
 #include <condition_variable>
 #include <deque>
 #include <mutex>
 #include <thread>
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 namespace {
 struct Job {
   std::function<void()> f;
@@ -15,7 +15,7 @@
 };
 }  // namespace
 
-struct Hand::Impl {
+struct DiskExecutor::Impl {
   base::Tasks& tasks;
   std::mutex m;
   std::condition_variable cv;
@@ -40,11 +40,11 @@
   }
 };
 
-Hand::Hand(base::Tasks& t) : p_(std::make_unique<Impl>(t)) {
+DiskExecutor::DiskExecutor(base::Tasks& t) : p_(std::make_unique<Impl>(t)) {
   p_->t = std::thread([this] { p_->work(); });
 }
 
-Hand::~Hand() {
+DiskExecutor::~DiskExecutor() {
   {
     std::lock_guard l(p_->m);
     p_->stop = true;
@@ -53,7 +53,7 @@
   p_->t.join();
 }
 
-void Hand::run(std::function<void()> f) {
+void DiskExecutor::run(std::function<void()> f) {
   auto j = std::make_shared<Job>();
   j->f = std::move(f);
   j->spot = p_->tasks.spot();
@@ -69,4 +69,4 @@
   }
 }
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/hand.hpp
+++ b/src/storage/disk_executor.hpp
@@ -3,12 +3,12 @@
 #pragma once
 #include "base/ports.hpp"
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 
-class Hand {
+class DiskExecutor {
  public:
-  explicit Hand(base::Tasks& t);
-  ~Hand();
+  explicit DiskExecutor(base::Tasks& t);
+  ~DiskExecutor();
   void run(std::function<void()> job);
 
  private:
@@ -16,4 +16,4 @@
   std::unique_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/files.cpp
+++ b/src/storage/files.cpp
@@ -1,5 +1,5 @@
 // Plain POSIX files. The folder itself is synced when a name may be new.
-#include "disk/files.hpp"
+#include "storage/files.hpp"
 
 #include <fcntl.h>
 #include <fmt/format.h>
@@ -10,7 +10,7 @@
 #include <cerrno>
 #include <cstring>
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 namespace {
 bool put_all(int fd, std::string_view s) {
   while (!s.empty()) {
@@ -85,4 +85,4 @@
   return std::unique_ptr<Files>(new Folder(dir, fd));
 }
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/files.hpp
+++ b/src/storage/files.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "base/common.hpp"
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 
 struct OpenDefect {
   std::string what;
@@ -22,4 +22,4 @@
 // Locks the folder, so that no second relay uses it.
 std::variant<std::unique_ptr<Files>, OpenDefect> open_folder(const std::string& dir);
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -2,13 +2,13 @@
 // number; log k holds the records since then and names the same serial. A new
 // image goes into the other slot and is synced, its log is made empty and
 // synced, then the folder is synced; only then is the old pair out of use.
-#include "disk/store.hpp"
+#include "storage/snapshot_store.hpp"
 
 #include <boost/crc.hpp>
 
 #include "base/log.hpp"
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 namespace {
 constexpr base::Log lg("disk");
 constexpr uint32_t kMark = 0x64774c31;
@@ -197,4 +197,4 @@
   return base::DiskDefect::failed;
 }
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/src/disk/store.hpp
+++ b/src/storage/snapshot_store.hpp
@@ -3,9 +3,9 @@
 // checksum; what cannot be believed is said, never guessed.
 #pragma once
 #include "base/ports.hpp"
-#include "disk/files.hpp"
+#include "storage/files.hpp"
 
-namespace dunlinwing::disk {
+namespace dunlinwing::storage {
 
 // The bytes of the format, apart from any file, so that tests can tear them.
 std::string frame(const std::string& payload);
@@ -27,4 +27,4 @@
   std::unique_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::disk
+}  // namespace dunlinwing::storage
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -51,7 +51,7 @@
   CountedNet net;
   NoOrigin origin;
   std::unique_ptr<base::Ports> ports;
-  std::unique_ptr<disk::Store> disk;
+  std::unique_ptr<storage::SnapshotStore> disk;
   std::unique_ptr<relay::Node> node;
   std::unique_ptr<gate::Control> control;
 };
@@ -82,7 +82,7 @@
     for (int i = 0; i < s.nodes; ++i) {
       auto r = std::make_unique<Real>();
       r->ports = std::make_unique<base::Ports>(base::Ports{clock, chance, pool, r->net, r->origin});
-      if (i < s.holders) r->disk = std::make_unique<disk::Store>(std::make_unique<sim::MemFiles>(r->platter), 16384);
+      if (i < s.holders) r->disk = std::make_unique<storage::SnapshotStore>(std::make_unique<sim::MemFiles>(r->platter), 16384);
       relay::NodeConfig c;
       c.name = fmt::format("{}{}", i < s.holders ? "h" : "e", i + 1);
       c.zone = fmt::format("z{}", i % s.zones);
--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -8,7 +8,7 @@
 #include <iostream>
 #include <random>
 
-#include "disk/shelf.hpp"
+#include "storage/artifact_files.hpp"
 
 namespace dunlinwing::test {
 using namespace std::chrono_literals;
@@ -203,7 +203,7 @@
   });
 }
 
-std::string hex_digest(const std::string& path) { return disk::sha256_hex_of(path).value_or(""); }
+std::string hex_digest(const std::string& path) { return storage::sha256_hex_of(path).value_or(""); }
 
 bool record_software(Run& r, const std::string& name, const std::string& version, const std::string& file) {
   std::ifstream f(file, std::ios::binary);
--- a/test/disk_unit.cpp
+++ b/test/storage_unit.cpp
@@ -1,5 +1,5 @@
 // The disk format under torn and rotten bytes, and the store over restarts.
-#include "disk/store.hpp"
+#include "storage/snapshot_store.hpp"
 #include "sim/ports.hpp"
 #include "unit.hpp"
 
@@ -16,7 +16,7 @@
 
 // Writes a run of records, as a holder would, and returns what it then knows.
 std::map<std::string, uint64_t> fill(sim::Platter& p, int n, size_t log_bytes) {
-  disk::Store s(std::make_unique<sim::MemFiles>(p), log_bytes);
+  storage::SnapshotStore s(std::make_unique<sim::MemFiles>(p), log_bytes);
   auto im = s.load().image;
   std::map<std::string, pb::Slot> all;
   for (auto& x : im.slots()) all[x.name()] = x;
@@ -46,7 +46,7 @@
   return out;
 }
 
-base::Loaded load(sim::Platter& p) { return disk::Store(std::make_unique<sim::MemFiles>(p), 2000).load(); }
+base::Loaded load(sim::Platter& p) { return storage::SnapshotStore(std::make_unique<sim::MemFiles>(p), 2000).load(); }
 }  // namespace
 
 std::vector<Case> disk_cases() {
@@ -68,7 +68,7 @@
                  fill(p, n - 1, 1 << 20);
                  auto before = versions(load(p));
                  auto kept = p.files;
-                 disk::Store s(std::make_unique<sim::MemFiles>(p), 1 << 20);
+                 storage::SnapshotStore s(std::make_unique<sim::MemFiles>(p), 1 << 20);
                  s.load();
                  auto base = p.files;
                  s.save({record("last", 999, "x")}, [] { return pb::Image(); });
@@ -87,7 +87,7 @@
                  auto want = fill(p, *rc::gen::inRange(5, 40), 1 << 20);
                  // The log in use is the longer one; rot anywhere before its last record.
                  auto& b = p.files["log.0"].size() > p.files["log.1"].size() ? p.files["log.0"] : p.files["log.1"];
-                 auto parts = disk::unframe(b).first;
+                 auto parts = storage::unframe(b).first;
                  size_t last = 16 + parts.back().size();
                  auto at = *rc::gen::inRange<size_t>(0, b.size() - last);
                  b[at] = static_cast<char>(b[at] ^ (1 << *rc::gen::inRange(0, 8)));
@@ -108,7 +108,7 @@
       {"disk: a failing disk says so, and stays failed",
        [] {
          sim::Platter p;
-         disk::Store s(std::make_unique<sim::MemFiles>(p), 1000);
+         storage::SnapshotStore s(std::make_unique<sim::MemFiles>(p), 1000);
          s.load();
          p.failing = true;
          expect(s.save({record("a", 1, "")}, [] { return pb::Image(); }).has_value(), "a failed write was hidden");
--- a/test/traffic_unit.cpp
+++ b/test/traffic_unit.cpp
@@ -10,7 +10,7 @@
 
 namespace dunlinwing::test {
 namespace {
-struct Hand final : base::Clock {
+struct DiskExecutor final : base::Clock {
   Tick t{1000000};
   Tick now() override { return t; }
   int64_t wall_ms() override { return 0; }
@@ -29,7 +29,7 @@
   return {
       property("budget: repeats stay within a fifth and the allowance in any ten seconds",
                [] {
-                 Hand c;
+                 DiskExecutor c;
                  traffic::Repeats r;
                  std::vector<std::pair<Tick, bool>> all;
                  for (int m : *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 1000))) {
@@ -64,7 +64,7 @@
        }},
       {"budget: a turn does not stand once it is missed or the share has fallen",
        [] {
-         Hand c;
+         DiskExecutor c;
          traffic::Pace p(c);
          auto turn = [&](double share) { return std::get<traffic::Turn>(p.reserve("s", share, Span(60000))); };
          auto a = turn(10);
@@ -76,7 +76,7 @@
        }},
       property("budget: a pace never lets a second hold more than its share and one",
                [] {
-                 Hand c;
+                 DiskExecutor c;
                  traffic::Pace p(c);
                  double share = *rc::gen::inRange(1, 50);
                  std::vector<int64_t> at;
