--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -224,7 +224,7 @@
     auto service = j.at("service").str(traffic::kAllServices);
     if (service == traffic::kAllServices && p.kind() == "service") return defects({{"/service", "is missing"}});
     auto clash = [&](const std::string& of) { return defect(409, "a purge of this name exists for service " + of + " and is another; take a new name"); };
-    for (auto& [k, h] : p.name().empty() ? members::Chosen() : n.mirror().chosen()) {
+    for (auto& [k, h] : p.name().empty() ? membership::Chosen() : n.mirror().chosen()) {
       pb::PurgeSet s;
       if (!k.starts_with("purge/") || k.substr(6) == service || !s.ParseFromString(h.data)) continue;
       for (auto& x : s.purges())
--- a/src/members/departed.cpp
+++ b/src/membership/departed.cpp
@@ -1,10 +1,10 @@
 // An instance's name is new with each start, so the oldest words can go: their last
 // beats are long past.
-#include "members/departed.hpp"
+#include "membership/departed.hpp"
 
 #include <algorithm>
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 namespace {
 constexpr int kMostKept = 512;
 constexpr int kTries = 16;
@@ -37,4 +37,4 @@
   return {d.instances().begin(), d.instances().end()};
 }
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/departed.hpp
+++ b/src/membership/departed.hpp
@@ -5,7 +5,7 @@
 
 #include "consensus/book.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 
 inline constexpr const char* kDepartedKey = "departed";
 
@@ -13,4 +13,4 @@
 bool depart(consensus::Book& book, const std::string& instance);
 std::set<std::string> read_departed(const std::string& data);
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/duty.cpp
+++ b/src/membership/duty.cpp
@@ -1,11 +1,11 @@
 // The permit's span is twice the bound; its holder renews at a quarter of it
 // and counts it from before the write, three quarters long. Others count the
 // whole span from when they saw the last renewal, so no clocks are compared.
-#include "members/duty.hpp"
+#include "membership/duty.hpp"
 
 #include "base/log.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 namespace {
 constexpr base::Log lg("duty");
 }
@@ -139,4 +139,4 @@
   if (had) p_->give_up();
 }
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/duty.hpp
+++ b/src/membership/duty.hpp
@@ -2,9 +2,9 @@
 // majority of the holders wrote, renewed in good time. Its holder stops before
 // the permit ends; its understudy takes it up once it has lapsed, others later.
 #pragma once
-#include "members/mirror.hpp"
+#include "membership/mirror.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 
 class Duty {
  public:
@@ -26,4 +26,4 @@
 
 std::string duty_key(const std::string& name);
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/mirror.cpp
+++ b/src/membership/mirror.cpp
@@ -4,17 +4,17 @@
 // answered and every register whose latest ballot is not at a majority has
 // been finished by a read. Whatever was acknowledged before such a pull began
 // is then in `chosen`.
-#include "members/mirror.hpp"
+#include "membership/mirror.hpp"
 
 #include <algorithm>
 
 #include "base/log.hpp"
-#include "members/departed.hpp"
+#include "membership/departed.hpp"
 #include "consensus/vote.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 namespace {
-constexpr base::Log lg("members");
+constexpr base::Log lg("membership");
 constexpr size_t kLargeFleet = 32;
 }
 
@@ -309,4 +309,4 @@
   if (p_->rest) p_->rest->wake();
 }
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/mirror.hpp
+++ b/src/membership/mirror.hpp
@@ -6,11 +6,11 @@
 #include <atomic>
 #include <set>
 
-#include "members/news.hpp"
+#include "membership/news.hpp"
 #include "consensus/acceptor.hpp"
 #include "consensus/book.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 
 using Chosen = std::map<std::string, consensus::Held>;
 
@@ -48,4 +48,4 @@
   std::shared_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/news.cpp
+++ b/src/membership/news.cpp
@@ -1,10 +1,10 @@
 // Versions are pairs of incarnation and count, so that a source that was
 // restarted, and counts from one again, is never taken for its older self.
-#include "members/news.hpp"
+#include "membership/news.hpp"
 
 #include <tuple>
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 
 bool newer(const pb::Mark& a, const pb::Mark& b) {
   return std::make_tuple(a.incarnation(), a.count()) > std::make_tuple(b.incarnation(), b.count());
@@ -91,4 +91,4 @@
     i = now - i->second.heard > session_ * 20 ? by_.erase(i) : std::next(i);
 }
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/news.hpp
+++ b/src/membership/news.hpp
@@ -7,7 +7,7 @@
 #include "base/common.hpp"
 #include "wire.pb.h"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 
 struct Member {
   std::string name;
@@ -51,4 +51,4 @@
 // How many periods a worker may miss before it is taken for gone.
 inline constexpr int kMissedBeats = 3;
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/keepers.cpp
+++ b/src/membership/replica_repair.cpp
@@ -1,7 +1,7 @@
 // A step is taken only when every holder that is not gone for good votes, so that
 // the machine added last is filled and nothing else is under way. A machine is added
 // before one is removed.
-#include "members/keepers.hpp"
+#include "membership/replica_repair.hpp"
 
 #include <fmt/format.h>
 
@@ -9,16 +9,16 @@
 
 #include "base/log.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 namespace {
-constexpr base::Log lg("members");
+constexpr base::Log lg("membership");
 constexpr size_t kMost = 9, kFewest = 3;
 }  // namespace
 
-std::optional<KeepStep> keep(const KeepSight& s) {
+std::optional<RepairStep> plan_repair(const ClusterView& s) {
   if (s.tolerate < 1 || s.set.empty()) return {};
   size_t want = 2 * static_cast<size_t>(s.tolerate) + 1, live = 0;
-  std::map<std::string, const Keeper*> by;
+  std::map<std::string, const RepairCandidate*> by;
   for (auto& n : s.nodes) by[n.name] = &n;
   std::map<std::string, size_t> zones;
   const consensus::Holder* gone = nullptr;
@@ -36,19 +36,19 @@
   }
   if (live < s.set.size() / 2 + 1) return {};
   if (gone && s.set.size() > std::max(want, kFewest))
-    return KeepStep{false, *gone, fmt::format("it is gone, and {} others vote", live)};
+    return RepairStep{false, *gone, fmt::format("it is gone, and {} others vote", live)};
   if (live >= want || s.set.size() >= kMost) return {};
-  const Keeper* best = nullptr;
+  const RepairCandidate* best = nullptr;
   for (auto& [n, k] : by) {
     bool in = std::any_of(s.set.begin(), s.set.end(), [&](auto& h) { return h.name == k->name || h.address == k->address; });
     if (in || !k->disk || !k->present || k->address.empty()) continue;
     if (!best || zones[k->zone] < zones[best->zone]) best = k;
   }
   if (!best) return {};
-  return KeepStep{true, {best->name, best->address}, fmt::format("{} of the {} wanted vote", live, want)};
+  return RepairStep{true, {best->name, best->address}, fmt::format("{} of the {} wanted vote", live, want)};
 }
 
-struct Keepers::Impl {
+struct ReplicaRepair::Impl {
   base::Ports& ps;
   consensus::Book& book;
   Mirror& mirror;
@@ -60,15 +60,15 @@
   Impl(base::Ports& p, consensus::Book& b, Mirror& m, Duty& d, int t, Span bd)
       : ps(p), book(b), mirror(m), duty(d), tolerate(t), bound(bd) {}
 
-  KeepSight sight() {
-    KeepSight s{book.holders(), {}, tolerate, bound};
+  ClusterView sight() {
+    ClusterView s{book.holders(), {}, tolerate, bound};
     Tick now = ps.clock.now();
     std::set<std::string> in;
     for (auto& m : mirror.news().members(now)) {
       in.insert(m.name);
       met[m.name] = now;
     }
-    std::map<std::string, Keeper> by;
+    std::map<std::string, RepairCandidate> by;
     for (auto& h : s.set) by[h.name] = {h.name, "", h.address, true, false, false, Span(0)};
     for (auto& m : mirror.news().all(now)) {
       if (m.fact.zone().empty()) continue;
@@ -87,7 +87,7 @@
     if (!mirror.fresh()) return met.clear();  // what was not seen is not absence
     auto s = sight();
     if (!duty.held()) return;
-    auto st = keep(s);
+    auto st = plan_repair(s);
     if (!st) return;
     auto to = s.set;
     if (st->add)
@@ -104,11 +104,11 @@
   }
 };
 
-Keepers::Keepers(base::Ports& ps, consensus::Book& b, Mirror& m, Duty& d, int tolerate, Span bound)
+ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::Book& b, Mirror& m, Duty& d, int tolerate, Span bound)
     : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
-Keepers::~Keepers() = default;
+ReplicaRepair::~ReplicaRepair() = default;
 
-void Keepers::start() {
+void ReplicaRepair::start() {
   if (p_->tolerate < 1) return;
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
@@ -118,4 +118,4 @@
   });
 }
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/keepers.hpp
+++ b/src/membership/replica_repair.hpp
@@ -2,11 +2,11 @@
 // over zones. The step is pure and names one change at most; the part runs it under
 // the rollout duty's permit.
 #pragma once
-#include "members/duty.hpp"
+#include "membership/duty.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 
-struct Keeper {  // a node as a holder, or as one that could become one
+struct RepairCandidate {  // a node as a holder, or as one that could become one
   std::string name, zone, address;
   bool disk = false;
   bool present = false;  // its session stands, and it is not about to go
@@ -14,14 +14,14 @@
   Span absent{0};        // for how long its session has not stood
 };
 
-struct KeepSight {
+struct ClusterView {
   std::vector<consensus::Holder> set;
-  std::vector<Keeper> nodes;
+  std::vector<RepairCandidate> nodes;
   int tolerate = 1;
   Span bound{2000};
 };
 
-struct KeepStep {
+struct RepairStep {
   bool add = false;
   consensus::Holder who;
   std::string why;
@@ -30,12 +30,12 @@
 // So many bounds without a session, and a holder counts as gone for good.
 inline constexpr int kGoneBounds = 10;
 
-std::optional<KeepStep> keep(const KeepSight& s);
+std::optional<RepairStep> plan_repair(const ClusterView& s);
 
-class Keepers {
+class ReplicaRepair {
  public:
-  Keepers(base::Ports& ps, consensus::Book& b, Mirror& m, Duty& d, int tolerate, Span bound);
-  ~Keepers();
+  ReplicaRepair(base::Ports& ps, consensus::Book& b, Mirror& m, Duty& d, int tolerate, Span bound);
+  ~ReplicaRepair();
   void start();
 
  private:
@@ -43,4 +43,4 @@
   std::shared_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/seek.cpp
+++ b/src/membership/seek.cpp
@@ -1,16 +1,16 @@
 // All are asked at once, each by a fiber of its own. A relay with a disk, which
 // remembers the set over a power cut, also tells seeds that know an older one or
 // none, so that those who ask them later find it there.
-#include "members/seek.hpp"
+#include "membership/seek.hpp"
 
 #include <algorithm>
 
 #include "base/json.hpp"
 #include "base/log.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 namespace {
-constexpr base::Log lg("members");
+constexpr base::Log lg("membership");
 constexpr int kSilent = 2;  // bounds without fresh news after which others are asked
 constexpr int kTell = 2;    // bounds between two looks at what the seeds know
 }  // namespace
@@ -168,4 +168,4 @@
 
 void Seek::seeds(std::vector<std::string> addresses) { p_->c.seeds = std::move(addresses); }
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/members/seek.hpp
+++ b/src/membership/seek.hpp
@@ -3,9 +3,9 @@
 // first start of the fleet, when all seeds have answered and none knows a set, the
 // first set is those seeds that have a disk; every relay finds the same one.
 #pragma once
-#include "members/mirror.hpp"
+#include "membership/mirror.hpp"
 
-namespace dunlinwing::members {
+namespace dunlinwing::membership {
 
 struct SeekConfig {
   std::string me;
@@ -38,4 +38,4 @@
   std::shared_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::members
+}  // namespace dunlinwing::membership
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -6,9 +6,9 @@
 #include <atomic>
 
 #include "base/log.hpp"
-#include "members/departed.hpp"
-#include "members/keepers.hpp"
-#include "members/seek.hpp"
+#include "membership/departed.hpp"
+#include "membership/replica_repair.hpp"
+#include "membership/seek.hpp"
 #include "traffic/jury.hpp"
 #include "traffic/order.hpp"
 
@@ -24,10 +24,10 @@
   consensus::Holders set;
   std::unique_ptr<consensus::Acceptor> acceptor;
   consensus::Book book;
-  members::Mirror mirror;
-  members::Duty duty;
-  members::Seek seek;
-  members::Keepers keepers;
+  membership::Mirror mirror;
+  membership::Duty duty;
+  membership::Seek seek;
+  membership::ReplicaRepair replica_repair;
   rollout::Conductor conductor;
   traffic::Traffic traffic;
   std::atomic<bool> leaving{false}, drained{false};
@@ -53,7 +53,7 @@
         mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
         duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
         seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, book, mirror, acceptor.get()),
-        keepers(ps, book, mirror, duty, c.tolerate, c.bound),
+        replica_repair(ps, book, mirror, duty, c.tolerate, c.bound),
         conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return mirror.fresh(); }) {
     traffic.bound_cache(c.cache_bytes);
@@ -273,7 +273,7 @@
   if (p_->holder) {
     p_->duty.start();
     p_->conductor.start();
-    p_->keepers.start();
+    p_->replica_repair.start();
   }
 }
 
@@ -328,13 +328,13 @@
     x = {b, p_->ps.clock.now()};
     if (left) x.first.set_leaving(true);
   }
-  bool known = (!b.leaving() || members::depart(p_->book, b.instance())) && (same || p_->mirror.settle(p_->c.bound / 2));
+  bool known = (!b.leaving() || membership::depart(p_->book, b.instance())) && (same || p_->mirror.settle(p_->c.bound / 2));
   ++(known ? p_->beats_taken : p_->beats_missed);
   return known;
 }
 
 bool Node::gone(const std::string& instance) {
-  if (!members::depart(p_->book, instance)) return false;
+  if (!membership::depart(p_->book, instance)) return false;
   p_->mirror.hurry();
   return true;
 }
@@ -348,9 +348,9 @@
 }
 
 const NodeConfig& Node::config() const { return p_->c; }
-members::Mirror& Node::mirror() { return p_->mirror; }
+membership::Mirror& Node::mirror() { return p_->mirror; }
 consensus::Book& Node::book() { return p_->book; }
-members::Duty& Node::duty() { return p_->duty; }
+membership::Duty& Node::duty() { return p_->duty; }
 consensus::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
 void Node::seeds(std::vector<std::string> addresses) { p_->seek.seeds(std::move(addresses)); }
 traffic::Traffic& Node::traffic() { return p_->traffic; }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -2,7 +2,7 @@
 // program and the simulation both run this. All control runs on one thread;
 // serve() and carry() may be called from any.
 #pragma once
-#include "members/duty.hpp"
+#include "membership/duty.hpp"
 #include "rollout/conductor.hpp"
 #include "software/artifacts.hpp"
 #include "traffic/serve.hpp"
@@ -41,9 +41,9 @@
   void leave();  // unready, duties handed over, the session ended; requests are still served
 
   const NodeConfig& config() const;
-  members::Mirror& mirror();
+  membership::Mirror& mirror();
   consensus::Book& book();
-  members::Duty& duty();
+  membership::Duty& duty();
   consensus::Acceptor* acceptor();
   void seeds(std::vector<std::string> addresses);
   traffic::Traffic& traffic();
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -42,13 +42,13 @@
 }
 }  // namespace
 
-pb::Rollout read_rollout(const members::Chosen& c) {
+pb::Rollout read_rollout(const membership::Chosen& c) {
   pb::Rollout r;
   if (auto f = c.find(kRolloutKey); f != c.end()) r.ParseFromString(f->second.data);
   return r;
 }
 
-std::optional<int64_t> median_wall(const std::vector<members::Member>& ms) {
+std::optional<int64_t> median_wall(const std::vector<membership::Member>& ms) {
   std::vector<int64_t> w;
   for (auto& m : ms)
     if (m.fact.holder() && m.fact.wall_ms()) w.push_back(m.fact.wall_ms() + m.age.count());
@@ -60,8 +60,8 @@
 struct Conductor::Impl {
   base::Ports& ps;
   consensus::Book& book;
-  members::Mirror& mirror;
-  members::Duty& duty;
+  membership::Mirror& mirror;
+  membership::Duty& duty;
   ConductorConfig c;
   Rules rules;
   pb::Rollout state;
@@ -87,7 +87,7 @@
   Settler settler;
   Watch watch;
 
-  Impl(base::Ports& p, consensus::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig cc)
+  Impl(base::Ports& p, consensus::Book& b, membership::Mirror& m, membership::Duty& d, ConductorConfig cc)
       : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
@@ -205,7 +205,7 @@
 
   // Asks the nodes on a release under way, and a few others to compare with.
   void probe() {
-    std::vector<members::Member> on, off;
+    std::vector<membership::Member> on, off;
     for (auto& m : mirror.news().members(ps.clock.now()))
       if (!m.fact.drained() && state.nodes().count(m.name)) (on_trial(m.name) ? on : off).push_back(m);
     if (on.empty()) return;
@@ -338,7 +338,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Conductor::Conductor(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig c)
+Conductor::Conductor(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, ConductorConfig c)
     : p_(std::make_shared<Impl>(ps, b, m, d, std::move(c))) {
   p_->weak = p_;
 }
--- a/src/rollout/conductor.hpp
+++ b/src/rollout/conductor.hpp
@@ -1,7 +1,7 @@
 // Does the rollout duty while this node holds its permit: looks at the fleet,
 // feeds the reducers, and writes what they decide to the registers.
 #pragma once
-#include "members/duty.hpp"
+#include "membership/duty.hpp"
 #include "rollout/moves.hpp"
 
 namespace dunlinwing::rollout {
@@ -14,7 +14,7 @@
 
 class Conductor {
  public:
-  Conductor(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, ConductorConfig c);
+  Conductor(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, ConductorConfig c);
   ~Conductor();
   void start();
   void tick();  // one look and what follows from it
@@ -25,7 +25,7 @@
 };
 
 inline constexpr const char* kRolloutKey = "rollout";
-pb::Rollout read_rollout(const members::Chosen& c);
-std::optional<int64_t> median_wall(const std::vector<members::Member>& ms);
+pb::Rollout read_rollout(const membership::Chosen& c);
+std::optional<int64_t> median_wall(const std::vector<membership::Member>& ms);
 
 }  // namespace dunlinwing::rollout
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -25,8 +25,8 @@
   };
   base::Ports& ps;
   consensus::Book& book;
-  members::Mirror& mirror;
-  members::Duty& duty;
+  membership::Mirror& mirror;
+  membership::Duty& duty;
   Span bound;
   uint64_t term = 0;
   Tick last{0};
@@ -155,7 +155,7 @@
   }
 };
 
-Pacer::Pacer(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, Span bound)
+Pacer::Pacer(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound}) {}
 Pacer::~Pacer() = default;
 void Pacer::tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
--- a/src/rollout/pacer.hpp
+++ b/src/rollout/pacer.hpp
@@ -1,6 +1,6 @@
 // Keeps the shares of stated rates, for the holder of the rollout duty.
 #pragma once
-#include "members/duty.hpp"
+#include "membership/duty.hpp"
 #include "rollout/release.hpp"
 #include "rollout/shares.hpp"
 
@@ -8,7 +8,7 @@
 
 class Pacer {
  public:
-  Pacer(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, Span bound);
+  Pacer(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, Span bound);
   ~Pacer();
   void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
 
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -142,9 +142,9 @@
 
   void begin(pb::Course& c) {
     std::vector<const NodeSight*> fit;
-    for (bool keepers : {false, true}) {
+    for (bool replica_repair : {false, true}) {
       for (auto& n : v.nodes)
-        if (n.present && !n.drained && n.keeper == keepers && s.nodes().count(n.name)) fit.push_back(&n);
+        if (n.present && !n.drained && n.keeper == replica_repair && s.nodes().count(n.name)) fit.push_back(&n);
       if (!fit.empty()) break;
     }
     if (fit.empty()) return c.set_why("no node is present");
@@ -158,14 +158,14 @@
   // Puts the zone's nodes on the release: all that keep no state or duty at
   // once, those that do one at a time. True when none is left.
   bool spread(pb::Course& c) {
-    std::vector<std::string> plain, keepers;
+    std::vector<std::string> plain, replica_repair;
     bool settled = true;
     for (auto& [n, a] : s.nodes()) {
       if (a.zone() != c.zone()) continue;
       auto f = seen.find(n);
       bool here = f != seen.end() && f->second->present;
       if (assigned(n, c.kind()) != c.release())
-        (here && f->second->keeper ? keepers : plain).push_back(n);
+        (here && f->second->keeper ? replica_repair : plain).push_back(n);
       else if (here && !runs(*f->second, c))
         settled = false;
     }
@@ -187,9 +187,9 @@
       c.set_settle_ms(0);
       return false;
     }
-    if (keepers.empty()) return settled;
+    if (replica_repair.empty()) return settled;
     if (settled && Span(static_cast<int64_t>(c.settle_ms())) >= r.settle()) {
-      put(c, {keepers.front()});
+      put(c, {replica_repair.front()});
       c.set_settle_ms(0);
     }
     return false;
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -28,8 +28,8 @@
 struct Settler::Impl {
   base::Ports& ps;
   consensus::Book& book;
-  members::Mirror& mirror;
-  members::Duty& duty;
+  membership::Mirror& mirror;
+  membership::Duty& duty;
   Span bound;
   std::string settled;                  // the layout of which all is known to be in place
   std::shared_ptr<const traffic::Layout> now;
@@ -62,7 +62,7 @@
       if (!write(name, version, st)) return;  // the next tick looks again
       if (s.versions.empty()) lg.info("Service {}: version {} is in place, as its workers say.", name, v);
     }
-    for (auto& [k, h] : members::Chosen(mirror.chosen())) {
+    for (auto& [k, h] : membership::Chosen(mirror.chosen())) {
       pb::ServiceState st;
       if (!k.starts_with("service/") || now->services.count(k.substr(8)) || !st.ParseFromString(h.data) || st.current().empty()) continue;
       st.clear_current();
@@ -97,7 +97,7 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, Span bound)
+Settler::Settler(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
 Settler::~Settler() = default;
 
--- a/src/rollout/versions.hpp
+++ b/src/rollout/versions.hpp
@@ -1,18 +1,18 @@
 // Which worker version of a service is in place when no move has said so: the layout's
 // first, or, where it names none, what most of the service's workers report.
 #pragma once
-#include "members/duty.hpp"
+#include "membership/duty.hpp"
 #include "traffic/layout.hpp"
 
 namespace dunlinwing::rollout {
 
-using Workers = std::map<std::string, members::WorkerFact>;
+using Workers = std::map<std::string, membership::WorkerFact>;
 // The version that most workers of the service beat with, others than `except` first; empty: none beats.
 std::string commonest(const Workers& ws, const std::string& service, const std::string& except = {});
 
 class Settler {
  public:
-  Settler(base::Ports& ps, consensus::Book& b, members::Mirror& m, members::Duty& d, Span bound);
+  Settler(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, Span bound);
   ~Settler();
   // While the duty is held: records what is in place, and what takes the place of a version that is gone.
   void tick(std::shared_ptr<const traffic::Layout> in_force);
--- a/src/rollout/watch.cpp
+++ b/src/rollout/watch.cpp
@@ -9,8 +9,8 @@
 
 namespace dunlinwing::rollout {
 
-void Watch::look(Tick now, const members::Chosen& chosen, const std::map<std::string, pb::News>& news,
-                 const std::map<std::string, members::WorkerFact>& workers) {
+void Watch::look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::News>& news,
+                 const std::map<std::string, membership::WorkerFact>& workers) {
   std::map<std::string, pb::ServiceState> states;
   std::map<std::string, std::vector<traffic::Worker>> by;
   std::map<std::string, std::map<std::string, int>> warm_by;
--- a/src/rollout/watch.hpp
+++ b/src/rollout/watch.hpp
@@ -2,7 +2,7 @@
 // on with them whenever the duty comes to it: since when it knows of each, since when
 // its workers are warm, and what came back.
 #pragma once
-#include "members/mirror.hpp"
+#include "membership/mirror.hpp"
 #include "rollout/moves.hpp"
 
 namespace dunlinwing::rollout {
@@ -10,8 +10,8 @@
 class Watch {
  public:
   explicit Watch(Span bound) : bound_(bound) {}
-  void look(Tick now, const members::Chosen& chosen, const std::map<std::string, pb::News>& news,
-            const std::map<std::string, members::WorkerFact>& workers);
+  void look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::News>& news,
+            const std::map<std::string, membership::WorkerFact>& workers);
   void tell(Tick now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const;
 
  private:
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -15,7 +15,7 @@
 constexpr base::Log lg("software");
 }
 
-std::map<std::string, Want> recorded(const members::Chosen& c) {
+std::map<std::string, Want> recorded(const membership::Chosen& c) {
   std::map<std::string, Want> out;
   for (auto i = c.lower_bound("release/software/"); i != c.end() && i->first.starts_with("release/software/"); ++i) {
     auto name = i->first.substr(17);
@@ -32,7 +32,7 @@
 struct Artifacts::Impl {
   base::Ports& ps;
   consensus::Book& book;
-  members::Mirror& mirror;
+  membership::Mirror& mirror;
   std::string me;
   storage::ArtifactFiles* shelf;
   storage::DiskExecutor* hand;
@@ -132,7 +132,7 @@
   }
 };
 
-Artifacts::Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
+Artifacts::Artifacts(base::Ports& ps, consensus::Book& b, membership::Mirror& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
                      Span bound)
     : p_(new Impl{ps, b, m, std::move(me), s, h, bound}) {}
 Artifacts::~Artifacts() = default;
--- a/src/software/artifacts.hpp
+++ b/src/software/artifacts.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "storage/disk_executor.hpp"
 #include "storage/artifact_files.hpp"
-#include "members/mirror.hpp"
+#include "membership/mirror.hpp"
 
 namespace dunlinwing::software {
 
@@ -12,14 +12,14 @@
   uint64_t bytes = 0;
 };
 // The recorded software releases, by digest.
-std::map<std::string, Want> recorded(const members::Chosen& c);
+std::map<std::string, Want> recorded(const membership::Chosen& c);
 
 enum class PieceDefect { unknown_artifact, gap, no_majority };
 
 class Artifacts {
  public:
   // `shelf` is null on a machine that holds no state.
-  Artifacts(base::Ports& ps, consensus::Book& b, members::Mirror& m, std::string me, storage::ArtifactFiles* shelf, storage::DiskExecutor* hand,
+  Artifacts(base::Ports& ps, consensus::Book& b, membership::Mirror& m, std::string me, storage::ArtifactFiles* shelf, storage::DiskExecutor* hand,
             Span bound);
   ~Artifacts();
   void start();                        // begins to repair
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -62,7 +62,7 @@
   return {out, Tail::clean};
 }
 
-struct Store::Impl {
+struct SnapshotStore::Impl {
   std::unique_ptr<Files> files;
   size_t log_bytes = 0, log_now = 0;
   int cur = 0;
@@ -84,11 +84,11 @@
   }
 };
 
-Store::Store(std::unique_ptr<Files> f, size_t log_bytes) : p_(std::make_unique<Impl>()) {
+SnapshotStore::SnapshotStore(std::unique_ptr<Files> f, size_t log_bytes) : p_(std::make_unique<Impl>()) {
   p_->files = std::move(f);
   p_->log_bytes = log_bytes;
 }
-Store::~Store() = default;
+SnapshotStore::~SnapshotStore() = default;
 
 namespace {
 struct Half {
@@ -140,7 +140,7 @@
 }
 }  // namespace
 
-base::Loaded Store::load() {
+base::Loaded SnapshotStore::load() {
   auto& p = *p_;
   bool damaged = false;
   std::optional<Half> best;
@@ -177,7 +177,7 @@
   return out;
 }
 
-std::optional<base::DiskDefect> Store::save(const std::vector<pb::Record>& rs,
+std::optional<base::DiskDefect> SnapshotStore::save(const std::vector<pb::Record>& rs,
                                             const std::function<pb::Image()>& whole) {
   auto& p = *p_;
   if (p.broken) return base::DiskDefect::failed;
--- a/src/storage/snapshot_store.hpp
+++ b/src/storage/snapshot_store.hpp
@@ -14,10 +14,10 @@
 // no loss, for it was never synced. Corrupt: something before the end is bad.
 std::pair<std::vector<std::string>, Tail> unframe(std::string_view bytes);
 
-class Store final : public base::Disk {
+class SnapshotStore final : public base::Disk {
  public:
-  Store(std::unique_ptr<Files> f, size_t log_bytes);
-  ~Store() override;
+  SnapshotStore(std::unique_ptr<Files> f, size_t log_bytes);
+  ~SnapshotStore() override;
   base::Loaded load() override;
   std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
                                        const std::function<pb::Image()>& whole) override;
--- a/src/traffic/order.cpp
+++ b/src/traffic/order.cpp
@@ -11,7 +11,7 @@
 
 std::string order_name(uint64_t n) { return "order-" + std::to_string(n); }
 
-const Standing& Orders::look(const members::Chosen& c) {
+const Standing& Orders::look(const membership::Chosen& c) {
   auto f = c.find(kOrderKey);
   if (f == c.end() || f->second.version == version_) return now_;
   version_ = f->second.version;
--- a/src/traffic/order.hpp
+++ b/src/traffic/order.hpp
@@ -2,7 +2,7 @@
 // document. It is in force on every node as soon as the node has heard of it, and
 // while there is one no layout comes by a release.
 #pragma once
-#include "members/mirror.hpp"
+#include "membership/mirror.hpp"
 #include "traffic/layout.hpp"
 
 namespace dunlinwing::traffic {
@@ -17,7 +17,7 @@
 // Reads the register when its version has changed.
 class Orders {
  public:
-  const Standing& look(const members::Chosen& c);
+  const Standing& look(const membership::Chosen& c);
 
  private:
   uint64_t version_ = 0;
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include <set>
 
-#include "members/news.hpp"
+#include "membership/news.hpp"
 #include "rollout/system.hpp"
 #include "traffic/layout.hpp"
 #include "wire.pb.h"
--- a/src/wire/http_origin.cpp
+++ b/src/wire/http_origin.cpp
@@ -136,7 +136,7 @@
       continue;
     }
     late.clear();
-    if (a->keep && l.got().empty() && a->stated.value_or(Span(1)) > Span(0)) loan->keep(a->stated);
+    if (a->keep && l.got().empty() && a->stated.value_or(Span(1)) > Span(0)) loan->plan_repair(a->stated);
     return std::move(a->r);
   }
   return ShotDefect::unknown;
--- a/src/wire/kept.cpp
+++ b/src/wire/kept.cpp
@@ -109,7 +109,7 @@
   if (k_) k_->gone(addr_);
 }
 
-void Kept::Loan::keep(std::optional<Span> stated) {
+void Kept::Loan::plan_repair(std::optional<Span> stated) {
   std::exchange(k_, nullptr)->back(addr_, std::move(line), stated);
 }
 
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -30,7 +30,7 @@
   auto& n = *f.nodes[0];
   double ms = 0;
   f.on(n, Span(5000), [&] {
-    members::Duty none(n.ports(), n.relay().book(), n.relay().mirror(), "measured", n.name, n.zone, f.s.bound);
+    membership::Duty none(n.ports(), n.relay().book(), n.relay().mirror(), "measured", n.name, n.zone, f.s.bound);
     rollout::Conductor c(n.ports(), n.relay().book(), n.relay().mirror(), none, {n.name, f.s.bound, 600});
     c.tick();  // reads the releases once
     auto from = cpu_ns();
--- a/test/keepers_unit.cpp
+++ b/test/replica_repair_unit.cpp
@@ -1,27 +1,27 @@
 // The step that keeps the set of holders, and the first set.
-#include "members/keepers.hpp"
-#include "members/seek.hpp"
+#include "membership/replica_repair.hpp"
+#include "membership/seek.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
 namespace {
-using members::Keeper;
-using members::KeepSight;
+using membership::RepairCandidate;
+using membership::ClusterView;
 
-Keeper node(const std::string& name, const std::string& zone, bool votes) {
+RepairCandidate node(const std::string& name, const std::string& zone, bool votes) {
   return {name, zone, "at:" + name, true, true, votes, Span(0)};
 }
-KeepSight three(int tolerate) {
-  KeepSight s{{}, {node("a", "1", true), node("b", "2", true), node("c", "2", true)}, tolerate, Span(2000)};
+ClusterView three(int tolerate) {
+  ClusterView s{{}, {node("a", "1", true), node("b", "2", true), node("c", "2", true)}, tolerate, Span(2000)};
   for (auto& n : s.nodes) s.set.push_back({n.name, n.address});
   return s;
 }
-void goes(Keeper& k) {
+void goes(RepairCandidate& k) {
   k.present = k.votes = false;
-  k.absent = Span(2000) * members::kGoneBounds;
+  k.absent = Span(2000) * membership::kGoneBounds;
 }
-std::string step(const KeepSight& s) {
-  auto st = members::keep(s);
+std::string step(const ClusterView& s) {
+  auto st = membership::plan_repair(s);
   return st ? (st->add ? "+" : "-") + st->who.name : "none";
 }
 
@@ -30,25 +30,25 @@
 void any_course() {
   int tolerate = *rc::gen::inRange(1, 4);
   int n = *rc::gen::inRange(3, 12), first = *rc::gen::inRange(1, 4);
-  KeepSight s{{}, {}, tolerate, Span(2000)};
+  ClusterView s{{}, {}, tolerate, Span(2000)};
   for (int i = 0; i < n; ++i) {
     s.nodes.push_back(node("n" + std::to_string(i), std::to_string(i % 3), i < first));
     if (i < first) s.set.push_back({s.nodes.back().name, s.nodes.back().address});
   }
-  auto at = [&](const std::string& name) -> Keeper& {
+  auto at = [&](const std::string& name) -> RepairCandidate& {
     return *std::find_if(s.nodes.begin(), s.nodes.end(), [&](auto& k) { return k.name == name; });
   };
   auto in = [&](const std::string& name) {
     return std::any_of(s.set.begin(), s.set.end(), [&](auto& h) { return h.name == name; });
   };
   auto take = [&] {
-    auto st = members::keep(s);
+    auto st = membership::plan_repair(s);
     if (!st) return false;
     size_t votes = 0, undecided = 0;
     for (auto& h : s.set) {
       auto& k = at(h.name);
       votes += k.votes;
-      undecided += !k.votes && (k.present || k.absent < s.bound * members::kGoneBounds);
+      undecided += !k.votes && (k.present || k.absent < s.bound * membership::kGoneBounds);
     }
     RC_ASSERT(undecided == 0u);
     RC_ASSERT(votes >= s.set.size() / 2 + 1);
@@ -84,8 +84,8 @@
 
 std::vector<Case> keepers_cases() {
   return {
-      property("keepers: whatever comes and goes, a majority stays and the set comes to what is wanted", any_course),
-      {"keepers: the zone with fewest holders gives the next",
+      property("replica_repair: whatever comes and goes, a majority stays and the set comes to what is wanted", any_course),
+      {"replica_repair: the zone with fewest holders gives the next",
        [] {
          auto s = three(2);
          s.nodes.push_back(node("d", "2", false));
@@ -98,7 +98,7 @@
          s.tolerate = 0;
          same(step(s), std::string("none"), "operators keep it");
        }},
-      {"keepers: one that is gone is replaced, the new one first",
+      {"replica_repair: one that is gone is replaced, the new one first",
        [] {
          auto s = three(1);
          s.nodes.push_back(node("d", "3", false));
@@ -112,7 +112,7 @@
          s.nodes[3].votes = true;
          same(step(s), std::string("-b"), "the new one votes");
        }},
-      {"keepers: without a majority that votes nothing is tried",
+      {"replica_repair: without a majority that votes nothing is tried",
        [] {
          auto s = three(1);
          s.nodes.push_back(node("d", "3", false));
@@ -122,18 +122,18 @@
        }},
       {"seek: the first set is the seeds with a disk, in one order",
        [] {
-         members::Self a{"a", "1", "p:a", true, {}}, b{"b", "2", "p:b", false, {}}, c{"c", "3", "p:c", true, {}};
-         auto x = members::first_set({c, b, a}), y = members::first_set({a, c, b, a});
+         membership::Self a{"a", "1", "p:a", true, {}}, b{"b", "2", "p:b", false, {}}, c{"c", "3", "p:c", true, {}};
+         auto x = membership::first_set({c, b, a}), y = membership::first_set({a, c, b, a});
          expect(x && y && x->SerializeAsString() == y->SerializeAsString() && x->holders_size() == 2 && x->epoch() == 1, "not one set");
-         expect(!members::first_set({b}), "a set without a disk");
-         members::Self d{"a", "1", "p:d", true, {}};
-         expect(!members::first_set({a, d}), "two that go by one name");
+         expect(!membership::first_set({b}), "a set without a disk");
+         membership::Self d{"a", "1", "p:d", true, {}};
+         expect(!membership::first_set({a, d}), "two that go by one name");
        }},
       {"seek: what a relay tells of itself is read back",
        [] {
-         auto s = members::read_self(R"({"name":"a","zone":"z","peer_address":"p","disk":true,"epoch":3,"holders":[{"name":"h","address":"q"}]})");
+         auto s = membership::read_self(R"({"name":"a","zone":"z","peer_address":"p","disk":true,"epoch":3,"holders":[{"name":"h","address":"q"}]})");
          expect(s && s->name == "a" && s->disk && s->set.epoch() == 3 && s->set.holders(0).address() == "q", "read wrongly");
-         expect(!members::read_self("{}") && !members::read_self("x"), "taken without a name");
+         expect(!membership::read_self("{}") && !membership::read_self("x"), "taken without a name");
        }},
   };
 }
--- a/test/rollout_unit.cpp
+++ b/test/rollout_unit.cpp
@@ -145,7 +145,7 @@
   b.pass(minutes(200));
   std::map<Span, int> at;
   for (auto& [t, n] : b.assigned)
-    if (b.node(n).keeper) same(++at[t], 1, "keepers changed together");
+    if (b.node(n).keeper) same(++at[t], 1, "replica_repair changed together");
   expect(b.course("new").phase() == pb::DONE, "it did not finish");
 }
 
