--- a/src/consensus/book.cpp
+++ b/src/consensus/register_client.cpp
@@ -2,7 +2,7 @@
 // value, accept either that value again or the next one. A value carries the
 // tag of its writer and those of the writes before it, so that a writer whose
 // round broke off can find out whether another finished it.
-#include "consensus/book.hpp"
+#include "consensus/register_client.hpp"
 
 #include <algorithm>
 
@@ -18,7 +18,7 @@
 constexpr size_t kAtOnce = 16;    // registers finished side by side; holders sync their votes together
 }  // namespace
 
-struct Book::Impl {
+struct RegisterClient::Impl {
   base::Ports& ps;
   std::string me;
   Holders& set;
@@ -149,44 +149,44 @@
   }
 };
 
-Book::Book(base::Ports& ps, std::string me, Holders& set, Span round, Local local)
+RegisterClient::RegisterClient(base::Ports& ps, std::string me, Holders& set, Span round, Local local)
     : p_(new Impl{ps, std::move(me), set, round, std::move(local)}) {}
-Book::~Book() = default;
-size_t Book::majority() const { return p_->majority(); }
-const std::vector<Holder>& Book::holders() const { return p_->set.all(); }
-Holders& Book::set() { return p_->set; }
+RegisterClient::~RegisterClient() = default;
+size_t RegisterClient::majority() const { return p_->majority(); }
+const std::vector<Holder>& RegisterClient::holders() const { return p_->set.all(); }
+Holders& RegisterClient::set() { return p_->set; }
 
-Got Book::read(const std::string& name) {
+ReadResult RegisterClient::read(const std::string& name) {
   auto& p = *p_;
   Tick end = p.ps.clock.now() + p.round * kRounds;
   for (int i = 0, silent = 0; i == 0 || p.ps.clock.now() < end; ++i) {
-    if (auto v = p.peek(name)) return Held{v->version(), v->data()};
+    if (auto v = p.peek(name)) return VersionedValue{v->version(), v->data()};
     auto o = p.turn(name, [](const pb::Value& v) { return v; });
-    if (o.chosen) return Held{o.value.version(), o.value.data()};
+    if (o.chosen) return VersionedValue{o.value.version(), o.value.data()};
     if (!o.heard && ++silent >= kSilentTries) break;
     p.back_off(i);
   }
   return Defect::no_majority;
 }
 
-Put Book::write(const std::string& name, uint64_t expect, const std::string& data) {
+WriteResult RegisterClient::write(const std::string& name, uint64_t expect, const std::string& data) {
   auto& p = *p_;
   auto tag = base::token(p.ps.chance);
   auto is_mine = [&](const pb::Value& v) {
     return v.tag() == tag || std::find(v.past().begin(), v.past().end(), tag) != v.past().end();
   };
   bool sent = false;
-  auto stale = [&](const pb::Value& v) -> Put {
+  auto stale = [&](const pb::Value& v) -> WriteResult {
     // Past this many later writes the tags no longer tell whether ours was among them.
     if (sent && v.version() > expect + kPastTags) return Defect::fate_unknown;
-    return Stale{{v.version(), v.data()}};
+    return VersionConflict{{v.version(), v.data()}};
   };
   Tick end = p.ps.clock.now() + p.round * kRounds;
   for (int i = 0, silent = 0; i == 0 || p.ps.clock.now() < end; ++i) {
     // After a round that broke off, a look first: the race may be over.
     if (i > 0)
       if (auto v = p.peek(name)) {
-        if (is_mine(*v)) return Held{expect + 1, data};
+        if (is_mine(*v)) return VersionedValue{expect + 1, data};
         if (v->version() != expect) return stale(*v);
       }
     bool mine = false, first = false;
@@ -204,7 +204,7 @@
     });
     sent |= first;
     if (o.chosen) {
-      if (mine || first) return Held{expect + 1, data};
+      if (mine || first) return VersionedValue{expect + 1, data};
       return stale(o.value);
     }
     if (!o.heard && ++silent >= kSilentTries) break;
@@ -213,7 +213,7 @@
   return sent ? Defect::fate_unknown : Defect::no_majority;
 }
 
-std::variant<pb::HolderSet, SetDefect> Book::change(const std::vector<Holder>& to,
+std::variant<pb::HolderSet, SetDefect> RegisterClient::change(const std::vector<Holder>& to,
                                                     const std::function<std::optional<std::vector<std::string>>()>& names) {
   auto& p = *p_;
   auto from = p.set.message();
@@ -234,7 +234,7 @@
   if (!ns) return SetDefect::no_majority;
   if (!p.finish(*ns)) return SetDefect::no_majority;
   auto g = read(kHoldersKey);
-  auto* h = std::get_if<Held>(&g);
+  auto* h = std::get_if<VersionedValue>(&g);
   if (!h) return SetDefect::no_majority;
   if (p.set.epoch() != from.epoch()) return SetDefect::raced;
   pb::HolderSet next;
@@ -248,7 +248,7 @@
   seen.ParseFromString(h->data);
   if (seen.epoch() > from.epoch()) return SetDefect::raced;
   auto w = write(kHoldersKey, h->version, next.SerializeAsString());
-  if (std::holds_alternative<Stale>(w)) return SetDefect::raced;
+  if (std::holds_alternative<VersionConflict>(w)) return SetDefect::raced;
   if (auto* d = std::get_if<Defect>(&w)) return *d == Defect::no_majority ? SetDefect::no_majority : SetDefect::fate_unknown;
   return next;
 }
--- a/src/consensus/book.hpp
+++ b/src/consensus/register_client.hpp
@@ -6,24 +6,24 @@
 
 namespace dunlinwing::consensus {
 
-struct Held {
+struct VersionedValue {
   uint64_t version = 0;  // 0: nothing was ever written
   std::string data;
 };
-struct Stale {
-  Held now;
+struct VersionConflict {
+  VersionedValue now;
 };
 enum class Defect { no_majority, fate_unknown };
 
-using Got = std::variant<Held, Defect>;
-using Put = std::variant<Held, Stale, Defect>;
+using ReadResult = std::variant<VersionedValue, Defect>;
+using WriteResult = std::variant<VersionedValue, VersionConflict, Defect>;
 
-class Book {
+class RegisterClient {
  public:
-  Book(base::Ports& ps, std::string me, Holders& set, Span round, Local local);
-  ~Book();
-  Got read(const std::string& name);
-  Put write(const std::string& name, uint64_t expect, const std::string& data);
+  RegisterClient(base::Ports& ps, std::string me, Holders& set, Span round, Local local);
+  ~RegisterClient();
+  ReadResult read(const std::string& name);
+  WriteResult write(const std::string& name, uint64_t expect, const std::string& data);
   // Goes to a set that differs by one machine: the present set is made last at a
   // majority of itself, every register that `names` then tells of is finished under it, and only then
   // is the next set written.
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -41,9 +41,9 @@
   relay::Node& n;
   Purger purger;
 
-  Impl(base::Ports& p, relay::Node& node) : ps(p), n(node), purger(p, node.book()) {}
+  Impl(base::Ports& p, relay::Node& node) : ps(p), n(node), purger(p, node.registers()) {}
 
-  std::optional<consensus::Held> chosen(const std::string& key) {
+  std::optional<consensus::VersionedValue> chosen(const std::string& key) {
     auto f = n.mirror().chosen().find(key);
     if (f == n.mirror().chosen().end() || f->second.version == 0) return {};
     return f->second;
@@ -91,10 +91,10 @@
     if (!l) return {};
     for (auto& [name, s] : (*l)->services) {
       if (!t->layout || !t->layout->services.count(name)) continue;
-      auto h = n.book().read(rollout::service_key(name));
-      if (auto* d = std::get_if<consensus::Defect>(&h)) return of(*d);
+      auto h = n.registers().read(rollout::service_key(name));
+      if (auto* d = std::get_if<consensus::RegisterError>(&h)) return of(*d);
       pb::ServiceState st;
-      st.ParseFromString(std::get<consensus::Held>(h).data);
+      st.ParseFromString(std::get<consensus::VersionedValue>(h).data);
       auto in = [&](const std::string& v) { return std::find(s.versions.begin(), s.versions.end(), v) != s.versions.end(); };
       if (st.current().empty() || s.versions.empty() || in(st.current()) || std::any_of(st.kept().begin(), st.kept().end(), in)) continue;
       return json(409, fmt::format(R"({{"defects":[{{"at":"/content/services/{}/versions","what":"leaves out {}, the version in place; move the service first"}}]}})",
@@ -114,14 +114,14 @@
       if (auto d = leaves_out(std::get<rollout::Release>(g))) return *d;
     auto pre = base::header(c.q.headers, "If-Match");
     if (!pre.empty()) {
-      auto r = n.book().read(key);
-      if (auto* d = std::get_if<consensus::Defect>(&r)) return of(*d);
-      if (auto s = precondition(c.q, std::get<consensus::Held>(r).version)) return *s;
+      auto r = n.registers().read(key);
+      if (auto* d = std::get_if<consensus::RegisterError>(&r)) return of(*d);
+      if (auto s = precondition(c.q, std::get<consensus::VersionedValue>(r).version)) return *s;
     }
-    auto w = n.book().write(key, 0, c.q.body);
-    if (auto* d = std::get_if<consensus::Defect>(&w)) return of(*d);
+    auto w = n.registers().write(key, 0, c.q.body);
+    if (auto* d = std::get_if<consensus::RegisterError>(&w)) return of(*d);
     auto where = fmt::format("/v1/releases/{}/{}", kind, name);
-    if (auto* s = std::get_if<consensus::Stale>(&w)) {
+    if (auto* s = std::get_if<consensus::VersionConflict>(&w)) {
       if (s->now.data == c.q.body && base::header(c.q.headers, "If-None-Match").empty())
         return json(200, fmt::format(R"({{"recorded":true,"was_known":true,"at":"{}"}})", where), s->now.version);
       return json(412, R"({"defect":"a release of this name exists and is immutable"})", s->now.version);
@@ -143,9 +143,9 @@
     auto b = checked(c.q.body, reason_schema());
     if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
     auto why = std::get<base::Json>(b).at("reason").str();
-    auto rel = n.book().read(rollout::release_key(kind, name));
-    if (auto* d = std::get_if<consensus::Defect>(&rel)) return of(*d);
-    if (std::get<consensus::Held>(rel).version == 0) return defect(404, "no such release");
+    auto rel = n.registers().read(rollout::release_key(kind, name));
+    if (auto* d = std::get_if<consensus::RegisterError>(&rel)) return of(*d);
+    if (std::get<consensus::VersionedValue>(rel).version == 0) return defect(404, "no such release");
     return change<pb::Act>(c, rollout::act_key(kind, name), [&](pb::Act& a) -> std::optional<base::Receipt> {
       if (waiver)
         (*a.mutable_waived())[check] = why;
@@ -191,9 +191,9 @@
   template <class M, class F>
   base::Receipt change(Call& c, const std::string& key, F f) {
     bool named = !base::header(c.q.headers, "If-Match").empty() || !base::header(c.q.headers, "If-None-Match").empty();
-    auto g = n.book().read(key);
-    if (auto* d = std::get_if<consensus::Defect>(&g)) return of(*d);
-    auto now = std::get<consensus::Held>(g);
+    auto g = n.registers().read(key);
+    if (auto* d = std::get_if<consensus::RegisterError>(&g)) return of(*d);
+    auto now = std::get<consensus::VersionedValue>(g);
     for (int i = 0; i < 8; ++i) {
       if (auto s = precondition(c.q, now.version)) return *s;
       M m, old;
@@ -202,10 +202,10 @@
       if (auto r = f(m)) return *r;
       auto data = m.SerializeAsString();
       if (now.version && google::protobuf::util::MessageDifferencer::Equals(m, old)) return json(200, message_json(m), now.version);
-      auto w = n.book().write(key, now.version, data);
-      if (auto* h = std::get_if<consensus::Held>(&w)) return json(200, message_json(m), h->version);
-      if (auto* d = std::get_if<consensus::Defect>(&w)) return of(*d);
-      now = std::get<consensus::Stale>(w).now;
+      auto w = n.registers().write(key, now.version, data);
+      if (auto* h = std::get_if<consensus::VersionedValue>(&w)) return json(200, message_json(m), h->version);
+      if (auto* d = std::get_if<consensus::RegisterError>(&w)) return of(*d);
+      now = std::get<consensus::VersionConflict>(w).now;
       if (named) break;
     }
     return json(412, fmt::format(R"({{"defect":"another write came first","version":{}}})", now.version), now.version);
@@ -232,7 +232,7 @@
     }
     auto r = purger.put(service, p);
     if (auto* d = std::get_if<PurgeDefect>(&r))
-      return of(*d == PurgeDefect::no_majority ? consensus::Defect::no_majority : consensus::Defect::fate_unknown);
+      return of(*d == PurgeDefect::no_majority ? consensus::RegisterError::no_majority : consensus::RegisterError::fate_unknown);
     auto& done = std::get<PurgeDone>(r);
     if (done.clash) return clash(service);
     return json(200, fmt::format(R"({{"purge":{},"number":{},"was_known":{}}})", base::quote(p.name()), done.number,
--- a/src/gate/holders.cpp
+++ b/src/gate/holders.cpp
@@ -23,7 +23,7 @@
 }  // namespace
 
 base::Receipt holders(relay::Node& n) {
-  auto& set = n.book().set();
+  auto& set = n.registers().set();
   auto f = n.mirror().chosen().find(consensus::kHoldersKey);
   return json(200, message_json(set.message()), f == n.mirror().chosen().end() ? 0 : f->second.version);
 }
@@ -38,14 +38,14 @@
   if (on && address.empty()) ds.push_back({"/address", "is missing"});
   if (!ds.empty()) return defects(ds);
   if (!n.mirror().settle(n.config().bound)) return of(consensus::SetDefect::no_majority);
-  auto to = n.book().set().all();
+  auto to = n.registers().set().all();
   auto same = [&](auto& h) { return h.name == c.path[2]; };
-  if (on == std::any_of(to.begin(), to.end(), same)) return json(200, message_json(n.book().set().message()));
+  if (on == std::any_of(to.begin(), to.end(), same)) return json(200, message_json(n.registers().set().message()));
   if (on)
     to.push_back({c.path[2], address});
   else
     std::erase_if(to, same);
-  auto r = n.book().change(to, [&] { return n.mirror().names(n.config().bound); });
+  auto r = n.registers().change(to, [&] { return n.mirror().names(n.config().bound); });
   if (auto* d = std::get_if<consensus::SetDefect>(&r)) return of(*d);
   return json(200, message_json(std::get<pb::HolderSet>(r)));
 }
--- a/src/gate/moves.cpp
+++ b/src/gate/moves.cpp
@@ -19,8 +19,8 @@
 }
 }  // namespace
 
-base::Receipt of(consensus::Defect d) {
-  return d == consensus::Defect::no_majority
+base::Receipt of(consensus::RegisterError d) {
+  return d == consensus::RegisterError::no_majority
              ? defect(503, "no majority of the holders answers; nothing was recorded")
              : defect(503, "the fate of this write is unknown: it may or may not be recorded. Read before trying again.");
 }
@@ -49,10 +49,10 @@
   if (!s->versions.empty() && std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
     return defects({{"/version", "the layout in force does not allow this version"}});
   auto key = rollout::service_key(name);
-  auto g = n.book().read(key);
+  auto g = n.registers().read(key);
   for (int i = 0; i < 8; ++i) {
-    if (auto* d = std::get_if<consensus::Defect>(&g)) return of(*d);
-    auto now = std::get<consensus::Held>(g);
+    if (auto* d = std::get_if<consensus::RegisterError>(&g)) return of(*d);
+    auto now = std::get<consensus::VersionedValue>(g);
     if (auto x = precondition(c.q, now.version)) return *x;
     pb::ServiceState st;
     st.ParseFromString(now.data);
@@ -73,10 +73,10 @@
     } else {
       rollout::open_trial(st, to, within, s->deadline);
     }
-    auto w = n.book().write(key, now.version, st.SerializeAsString());
-    if (auto* h = std::get_if<consensus::Held>(&w)) return told(st, h->version);
-    if (auto* d = std::get_if<consensus::Defect>(&w)) return of(*d);
-    g = std::get<consensus::Stale>(w).now;
+    auto w = n.registers().write(key, now.version, st.SerializeAsString());
+    if (auto* h = std::get_if<consensus::VersionedValue>(&w)) return told(st, h->version);
+    if (auto* d = std::get_if<consensus::RegisterError>(&w)) return of(*d);
+    g = std::get<consensus::VersionConflict>(w).now;
   }
   return json(412, R"({"defect":"other writes came first; ask again"})");
 }
--- a/src/gate/orders.cpp
+++ b/src/gate/orders.cpp
@@ -29,24 +29,24 @@
   o.set_number(number);
   o.set_document(std::get<std::shared_ptr<const traffic::Layout>>(g)->text);
   o.set_stated(j.at("stated").str());
-  auto r = n.book().read(traffic::kOrderKey);
+  auto r = n.registers().read(traffic::kOrderKey);
   for (int i = 0; i < kTries; ++i) {
-    auto* d = std::get_if<consensus::Defect>(&r);
+    auto* d = std::get_if<consensus::RegisterError>(&r);
     if (d) return defect(503, "no majority of the holders answers; the layout may or may not be recorded");
-    auto& held = std::get<consensus::Held>(r);
+    auto& held = std::get<consensus::VersionedValue>(r);
     pb::Order now;
     now.ParseFromString(held.data);
     if (now.number() >= number) return json(200, fmt::format(R"({{"number":{},"changed":false}})", now.number()), held.version);
-    auto w = n.book().write(traffic::kOrderKey, held.version, o.SerializeAsString());
-    if (auto* h = std::get_if<consensus::Held>(&w)) {
+    auto w = n.registers().write(traffic::kOrderKey, held.version, o.SerializeAsString());
+    if (auto* h = std::get_if<consensus::VersionedValue>(&w)) {
       lg.info("Layout {} was recorded.", number);
       n.mirror().hurry();
       return json(200, fmt::format(R"({{"number":{},"changed":true}})", number), h->version);
     }
-    if (auto* st = std::get_if<consensus::Stale>(&w))
+    if (auto* st = std::get_if<consensus::VersionConflict>(&w))
       r = st->now;
     else
-      r = std::get<consensus::Defect>(w);
+      r = std::get<consensus::RegisterError>(w);
   }
   return defect(503, "too many write at once; try again");
 }
--- a/src/gate/purger.cpp
+++ b/src/gate/purger.cpp
@@ -50,7 +50,7 @@
     std::vector<std::shared_ptr<Job>> jobs;
   };
   base::Ports& ps;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   std::map<std::string, Line> by;
 
   void write(const std::string& service, const std::vector<std::shared_ptr<Job>>& js) {
@@ -58,28 +58,28 @@
       for (auto& j : js) j->res = d;
     };
     auto key = "purge/" + service;
-    auto g = book.read(key);
-    auto* h = std::get_if<consensus::Held>(&g);
+    auto g = registers.read(key);
+    auto* h = std::get_if<consensus::VersionedValue>(&g);
     if (!h) return all(PurgeDefect::no_majority);
-    consensus::Held now = *h;
+    consensus::VersionedValue now = *h;
     for (;;) {
       pb::PurgeSet s;
       s.ParseFromString(now.data);
       std::vector<PurgeDone> done;
       for (auto& j : js) done.push_back(add_purge(s, j->p));
-      auto r = book.write(key, now.version, s.SerializeAsString());
-      if (std::holds_alternative<consensus::Held>(r)) {
+      auto r = registers.write(key, now.version, s.SerializeAsString());
+      if (std::holds_alternative<consensus::VersionedValue>(r)) {
         for (size_t i = 0; i < js.size(); ++i) js[i]->res = done[i];
         return;
       }
-      if (auto* d = std::get_if<consensus::Defect>(&r))
-        return all(*d == consensus::Defect::no_majority ? PurgeDefect::no_majority : PurgeDefect::fate_unknown);
-      now = std::get<consensus::Stale>(r).now;
+      if (auto* d = std::get_if<consensus::RegisterError>(&r))
+        return all(*d == consensus::RegisterError::no_majority ? PurgeDefect::no_majority : PurgeDefect::fate_unknown);
+      now = std::get<consensus::VersionConflict>(r).now;
     }
   }
 };
 
-Purger::Purger(base::Ports& ps, consensus::Book& b) : p_(new Impl{ps, b, {}}) {}
+Purger::Purger(base::Ports& ps, consensus::RegisterClient& b) : p_(new Impl{ps, b, {}}) {}
 Purger::~Purger() = default;
 
 std::variant<PurgeDone, PurgeDefect> Purger::put(const std::string& service, const pb::Purge& p) {
--- a/src/gate/purger.hpp
+++ b/src/gate/purger.hpp
@@ -1,7 +1,7 @@
 // Purges: those that come together are written together, and a service's list
 // stays bounded because old purges are folded into wider ones.
 #pragma once
-#include "consensus/book.hpp"
+#include "consensus/register_client.hpp"
 
 namespace dunlinwing::gate {
 
@@ -17,7 +17,7 @@
 
 class Purger {
  public:
-  Purger(base::Ports& ps, consensus::Book& b);
+  Purger(base::Ports& ps, consensus::RegisterClient& b);
   ~Purger();
   std::variant<PurgeDone, PurgeDefect> put(const std::string& service, const pb::Purge& p);
 
--- a/src/gate/self.cpp
+++ b/src/gate/self.cpp
@@ -7,7 +7,7 @@
 
 base::Receipt self(relay::Node& n) {
   auto& c = n.config();
-  auto& set = n.book().set();
+  auto& set = n.registers().set();
   std::string hs;
   for (auto& h : set.all())
     hs += fmt::format(R"({}{{"name":{},"address":{}}})", hs.empty() ? "" : ",", base::quote(h.name), base::quote(h.address));
--- a/src/membership/departed.cpp
+++ b/src/membership/departed.cpp
@@ -10,9 +10,9 @@
 constexpr int kTries = 16;
 }  // namespace
 
-bool depart(consensus::Book& book, const std::string& instance) {
-  auto g = book.read(kDepartedKey);
-  auto* h = std::get_if<consensus::Held>(&g);
+bool depart(consensus::RegisterClient& registers, const std::string& instance) {
+  auto g = registers.read(kDepartedKey);
+  auto* h = std::get_if<consensus::VersionedValue>(&g);
   if (!h) return false;
   auto now = *h;
   for (int i = 0; i < kTries; ++i) {
@@ -22,9 +22,9 @@
     if (std::find(v.begin(), v.end(), instance) != v.end()) return true;
     *v.Add() = instance;
     if (v.size() > kMostKept) v.DeleteSubrange(0, v.size() - kMostKept);
-    auto w = book.write(kDepartedKey, now.version, d.SerializeAsString());
-    if (std::holds_alternative<consensus::Held>(w)) return true;
-    auto* s = std::get_if<consensus::Stale>(&w);
+    auto w = registers.write(kDepartedKey, now.version, d.SerializeAsString());
+    if (std::holds_alternative<consensus::VersionedValue>(w)) return true;
+    auto* s = std::get_if<consensus::VersionConflict>(&w);
     if (!s) return false;
     now = s->now;
   }
--- a/src/membership/departed.hpp
+++ b/src/membership/departed.hpp
@@ -3,14 +3,14 @@
 #pragma once
 #include <set>
 
-#include "consensus/book.hpp"
+#include "consensus/register_client.hpp"
 
 namespace dunlinwing::membership {
 
 inline constexpr const char* kDepartedKey = "departed";
 
 // True once the word is recorded.
-bool depart(consensus::Book& book, const std::string& instance);
+bool depart(consensus::RegisterClient& registers, const std::string& instance);
 std::set<std::string> read_departed(const std::string& data);
 
 }  // namespace dunlinwing::membership
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -14,7 +14,7 @@
 
 struct Duty::Impl {
   base::Ports& ps;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   Mirror& mirror;
   std::string name, me, zone;
   Span span;
@@ -43,8 +43,8 @@
 
   bool put(pb::Permit p, uint64_t expect) {
     Tick from = ps.clock.now();
-    auto r = book.write(duty_key(name), expect, p.SerializeAsString());
-    if (auto* h = std::get_if<consensus::Held>(&r)) {
+    auto r = registers.write(duty_key(name), expect, p.SerializeAsString());
+    if (auto* h = std::get_if<consensus::VersionedValue>(&r)) {
       version = h->version;
       mine = p;
       term = p.term();
@@ -60,8 +60,8 @@
     p.set_renewals(p.renewals() + 1);
     p.set_understudy(understudy());
     if (put(p, version)) return;
-    auto g = book.read(duty_key(name));
-    if (auto* h = std::get_if<consensus::Held>(&g)) {
+    auto g = registers.read(duty_key(name));
+    if (auto* h = std::get_if<consensus::VersionedValue>(&g)) {
       pb::Permit now;
       now.ParseFromString(h->data);
       if (now.holder() == me && now.term() == term) {
@@ -106,7 +106,7 @@
   }
 };
 
-Duty::Duty(base::Ports& ps, consensus::Book& b, Mirror& m, std::string name, std::string me, std::string zone,
+Duty::Duty(base::Ports& ps, consensus::RegisterClient& b, Mirror& m, std::string name, std::string me, std::string zone,
            Span bound)
     : p_(new Impl{ps, b, m, std::move(name), std::move(me), std::move(zone), bound * 2}) {}
 Duty::~Duty() = default;
--- a/src/membership/duty.hpp
+++ b/src/membership/duty.hpp
@@ -8,7 +8,7 @@
 
 class Duty {
  public:
-  Duty(base::Ports& ps, consensus::Book& book, Mirror& m, std::string name, std::string me, std::string zone,
+  Duty(base::Ports& ps, consensus::RegisterClient& registers, Mirror& m, std::string name, std::string me, std::string zone,
        Span bound);
   ~Duty();
   void start();        // begins to stand for the duty
--- a/src/membership/mirror.cpp
+++ b/src/membership/mirror.cpp
@@ -26,7 +26,7 @@
   };
   base::Ports& ps;
   MirrorConfig c;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   consensus::Acceptor* mine;
   std::function<void(pb::News&)> own;
   std::function<void()> seen;
@@ -45,9 +45,9 @@
   bool told = false, asked = false;  // asked: somebody waits for the next pull
   std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
 
-  Impl(base::Ports& p, MirrorConfig cc, consensus::Book& b, consensus::Acceptor* m,
+  Impl(base::Ports& p, MirrorConfig cc, consensus::RegisterClient& b, consensus::Acceptor* m,
        std::function<void(pb::News&)> o, std::function<void()> s)
-      : ps(p), c(std::move(cc)), book(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()) {
+      : ps(p), c(std::move(cc)), registers(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()) {
     first = static_cast<size_t>(ps.chance.below(b.holders().size()));
   }
 
@@ -70,7 +70,7 @@
   std::pair<const pb::Slot*, size_t> latest(const std::string& name) const {
     const pb::Slot* best = nullptr;
     size_t n = 0;
-    for (auto& h : book.holders()) {
+    for (auto& h : registers.holders()) {
       auto s = sides.find(h.name);
       if (s == sides.end()) continue;
       auto f = s->second.slots.find(name);
@@ -88,13 +88,13 @@
   bool settle_open() {
     for (auto i = open.begin(); i != open.end();) {
       auto [s, n] = latest(*i);
-      consensus::Held h;
-      if (n >= book.majority()) {
+      consensus::VersionedValue h;
+      if (n >= registers.majority()) {
         h = {s->value().version(), s->value().data()};
       } else {
         auto name = *i;
-        auto g = book.read(name);
-        auto* x = std::get_if<consensus::Held>(&g);
+        auto g = registers.read(name);
+        auto* x = std::get_if<consensus::VersionedValue>(&g);
         if (!x) return false;
         h = *x;
         i = open.find(name);
@@ -122,10 +122,10 @@
 
   // The set of holders has changed: what is chosen is settled anew under it.
   bool reseat() {
-    if (mine) mine->adopt(book.set().message());
+    if (mine) mine->adopt(registers.set().message());
     for (auto& [k, s] : sides)
       for (auto& [n, x] : s.slots) open.insert(n);
-    lg.info("{}: the holders are now those of epoch {}.", c.me, book.set().epoch());
+    lg.info("{}: the holders are now those of epoch {}.", c.me, registers.set().epoch());
     return false;
   }
 
@@ -149,8 +149,8 @@
         *p->mutable_own() = n;
       }
     }
-    auto hs = book.holders();
-    auto epoch = book.set().epoch();
+    auto hs = registers.holders();
+    auto epoch = registers.set().epoch();
     if (hs.empty()) return false;  // nobody has named the holders yet
     first %= hs.size();
     consensus::Local local;
@@ -177,7 +177,7 @@
         any = true;
         n += !rs[k]->pull().mute();
         take(hs[who[k]].name, rs[k]->pull(), ps.clock.now());
-        book.set().adopt(rs[k]->pull().set());
+        registers.set().adopt(rs[k]->pull().set());
         heard.push_back(rs[k]->pull());
       }
       return any;
@@ -187,17 +187,17 @@
     for (size_t k = 0; k < hs.size(); ++k)
       if (auto i = (first + k) % hs.size(); k || heard.empty()) rest.push_back(i);
     // In a large fleet a relay asks no more holders than it needs, as long as those answer.
-    size_t need = book.majority() - std::min(book.majority(), heard.size());
+    size_t need = registers.majority() - std::min(registers.majority(), heard.size());
     if (!mine && news.size() >= kLargeFleet && rest.size() > need) {
       std::stable_partition(rest.begin(), rest.end(), [&](size_t i) { return silent[hs[i].name] == 0; });
       later.assign(rest.begin() + static_cast<std::ptrdiff_t>(need), rest.end());
       rest.resize(need);
     }
     ask(rest, c.pull());
-    if (!later.empty() && n < book.majority()) ask(later, c.pull());
+    if (!later.empty() && n < registers.majority()) ask(later, c.pull());
     Tick now = ps.clock.now();
-    if (book.set().epoch() != epoch) return reseat();
-    if (n < book.majority()) return false;
+    if (registers.set().epoch() != epoch) return reseat();
+    if (n < registers.majority()) return false;
     if (!incarnation) {
       auto m = news.mark(c.me);
       for (auto& r : heard)
@@ -210,7 +210,7 @@
     if (auto f = chosen.find(consensus::kHoldersKey); f != chosen.end()) {
       pb::HolderSet set;
       if (set.ParseFromString(f->second.data) && set.epoch() > epoch) {
-        book.set().adopt(set);
+        registers.set().adopt(set);
         return reseat();
       }
     }
@@ -248,7 +248,7 @@
   }
 };
 
-Mirror::Mirror(base::Ports& ps, MirrorConfig c, consensus::Book& b, consensus::Acceptor* m,
+Mirror::Mirror(base::Ports& ps, MirrorConfig c, consensus::RegisterClient& b, consensus::Acceptor* m,
                std::function<void(pb::News&)> own, std::function<void()> seen)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, std::move(own), std::move(seen))) {}
 Mirror::~Mirror() = default;
--- a/src/membership/mirror.hpp
+++ b/src/membership/mirror.hpp
@@ -8,11 +8,11 @@
 
 #include "membership/news.hpp"
 #include "consensus/acceptor.hpp"
-#include "consensus/book.hpp"
+#include "consensus/register_client.hpp"
 
 namespace dunlinwing::membership {
 
-using Chosen = std::map<std::string, consensus::Held>;
+using Chosen = std::map<std::string, consensus::VersionedValue>;
 
 struct MirrorConfig {
   std::string me;
@@ -25,7 +25,7 @@
 class Mirror {
  public:
   // `own` fills in what this node says of itself; `seen` runs after each good pull.
-  Mirror(base::Ports& ps, MirrorConfig c, consensus::Book& book, consensus::Acceptor* mine,
+  Mirror(base::Ports& ps, MirrorConfig c, consensus::RegisterClient& registers, consensus::Acceptor* mine,
          std::function<void(pb::News&)> own, std::function<void()> seen);
   ~Mirror();
   void start();
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -50,18 +50,18 @@
 
 struct ReplicaRepair::Impl {
   base::Ports& ps;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   Mirror& mirror;
   Duty& duty;
   int tolerate;
   Span bound;
   std::map<std::string, Tick> met;  // when each holder's session last stood, as far as known here
 
-  Impl(base::Ports& p, consensus::Book& b, Mirror& m, Duty& d, int t, Span bd)
-      : ps(p), book(b), mirror(m), duty(d), tolerate(t), bound(bd) {}
+  Impl(base::Ports& p, consensus::RegisterClient& b, Mirror& m, Duty& d, int t, Span bd)
+      : ps(p), registers(b), mirror(m), duty(d), tolerate(t), bound(bd) {}
 
   ClusterView sight() {
-    ClusterView s{book.holders(), {}, tolerate, bound};
+    ClusterView s{registers.holders(), {}, tolerate, bound};
     Tick now = ps.clock.now();
     std::set<std::string> in;
     for (auto& m : mirror.news().members(now)) {
@@ -95,7 +95,7 @@
     else
       std::erase_if(to, [&](auto& h) { return h.name == st->who.name; });
     auto from = ps.clock.now();
-    auto r = book.change(to, [&] { return duty.held() ? mirror.names(bound) : std::nullopt; });
+    auto r = registers.change(to, [&] { return duty.held() ? mirror.names(bound) : std::nullopt; });
     if (auto* set = std::get_if<pb::HolderSet>(&r))
       lg.info("{} {} the holders, for {}; epoch {}, {} of them, in {} ms.", st->who.name, st->add ? "joins" : "leaves", st->why,
               set->epoch(), set->holders_size(), (ps.clock.now() - from).count());
@@ -104,7 +104,7 @@
   }
 };
 
-ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::Book& b, Mirror& m, Duty& d, int tolerate, Span bound)
+ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, Mirror& m, Duty& d, int tolerate, Span bound)
     : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
--- a/src/membership/seek.cpp
+++ b/src/membership/seek.cpp
@@ -51,7 +51,7 @@
 struct Seek::Impl {
   base::Ports& ps;
   SeekConfig c;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   Mirror& mirror;
   consensus::Acceptor* mine;
   std::vector<std::string> origin;     // the seeds of the first start, when this was it
@@ -59,8 +59,8 @@
   Tick good{0}, looked{0};
   std::string said;
 
-  Impl(base::Ports& p, SeekConfig cc, consensus::Book& b, Mirror& m, consensus::Acceptor* a)
-      : ps(p), c(std::move(cc)), book(b), mirror(m), mine(a) {}
+  Impl(base::Ports& p, SeekConfig cc, consensus::RegisterClient& b, Mirror& m, consensus::Acceptor* a)
+      : ps(p), c(std::move(cc)), registers(b), mirror(m), mine(a) {}
 
   // By address, from all that answer in time.
   std::map<std::string, Self> ask(const std::vector<std::string>& at, Span limit) {
@@ -89,7 +89,7 @@
   }
 
   bool adopt(const pb::HolderSet& s, const std::string& who) {
-    if (!book.set().adopt(s)) return false;
+    if (!registers.set().adopt(s)) return false;
     lg.info("{}: {} the holders of epoch {}, {} of them.", c.me, who, s.epoch(), s.holders_size());
     if (mine) mine->adopt(s);
     return true;
@@ -107,7 +107,7 @@
     for (auto& x : got)
       if (!best || x.second.set.epoch() > best->second.set.epoch()) best = &x;
     if (best && adopt(best->second.set, best->first + " named")) return;
-    if (!book.holders().empty() || origin.empty()) return;
+    if (!registers.holders().empty() || origin.empty()) return;
     for (auto& a : origin)
       if (got.count(a)) told[a] = got[a];
     if (told.size() < origin.size()) return say("not all seeds have answered yet, so the first set of holders is not known.");
@@ -119,7 +119,7 @@
   }
 
   void tell() {
-    auto set = book.set().message();
+    auto set = registers.set().message();
     for (auto& [a, s] : ask(c.seeds, c.bound / 4)) {
       if (s.name == c.me || s.set.epoch() >= set.epoch()) continue;
       pb::Ask q;
@@ -138,14 +138,14 @@
     for (;;) {
       Tick now = ps.clock.now();
       if (mirror.fresh()) good = now;
-      if (book.holders().empty()) {
+      if (registers.holders().empty()) {
         look();
         ps.clock.nap(c.bound / 16);
         continue;
       }
       if (now - good >= c.bound * kSilent) {
         look();
-      } else if (mine && book.set().epoch() && now - looked >= c.bound * kTell) {
+      } else if (mine && registers.set().epoch() && now - looked >= c.bound * kTell) {
         looked = now;
         tell();
       }
@@ -156,7 +156,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Seek::Seek(base::Ports& ps, SeekConfig c, consensus::Book& b, Mirror& m, consensus::Acceptor* mine)
+Seek::Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, Mirror& m, consensus::Acceptor* mine)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, mine)) {
   p_->weak = p_;
 }
--- a/src/membership/seek.hpp
+++ b/src/membership/seek.hpp
@@ -28,7 +28,7 @@
 
 class Seek {
  public:
-  Seek(base::Ports& ps, SeekConfig c, consensus::Book& b, Mirror& m, consensus::Acceptor* mine);
+  Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, Mirror& m, consensus::Acceptor* mine);
   ~Seek();
   void start();
   void seeds(std::vector<std::string> addresses);  // in place of those of now
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -149,7 +149,7 @@
   void software(const std::string& program) {
     hand = std::make_unique<dw::storage::DiskExecutor>(pool);
     if (!c.data.empty()) shelf = std::make_unique<dw::storage::ArtifactFiles>(c.data);
-    artifacts = std::make_unique<dw::software::Artifacts>(ports, node->book(), node->mirror(), c.node.name, shelf.get(),
+    artifacts = std::make_unique<dw::software::Artifacts>(ports, node->registers(), node->mirror(), c.node.name, shelf.get(),
                                                           hand.get(), c.node.bound);
     node->artifacts(artifacts.get());
     dw::software::StagerPorts sp;
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -23,7 +23,7 @@
   bool holder;
   consensus::Holders set;
   std::unique_ptr<consensus::Acceptor> acceptor;
-  consensus::Book book;
+  consensus::RegisterClient registers;
   membership::Mirror mirror;
   membership::Duty duty;
   membership::Seek seek;
@@ -48,13 +48,13 @@
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
       : ps(p), c(with_face(std::move(cc))), holder(disk != nullptr), set(c.holders),
         acceptor(disk ? std::make_unique<consensus::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
-        book(ps, c.name, set, c.bound / 4,
+        registers(ps, c.name, set, c.bound / 4,
              acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : consensus::Local()),
-        mirror(ps, {c.name, c.bound}, book, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
-        duty(ps, book, mirror, "rollout", c.name, c.zone, c.bound),
-        seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, book, mirror, acceptor.get()),
-        replica_repair(ps, book, mirror, duty, c.tolerate, c.bound),
-        conductor(ps, book, mirror, duty, {c.name, c.bound, c.scale}),
+        mirror(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
+        duty(ps, registers, mirror, "rollout", c.name, c.zone, c.bound),
+        seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, mirror, acceptor.get()),
+        replica_repair(ps, registers, mirror, duty, c.tolerate, c.bound),
+        conductor(ps, registers, mirror, duty, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return mirror.fresh(); }) {
     traffic.bound_cache(c.cache_bytes);
     traffic.shots().bound_places(c.sockets > 0 ? c.sockets / 8 : 0);
@@ -328,13 +328,13 @@
     x = {b, p_->ps.clock.now()};
     if (left) x.first.set_leaving(true);
   }
-  bool known = (!b.leaving() || membership::depart(p_->book, b.instance())) && (same || p_->mirror.settle(p_->c.bound / 2));
+  bool known = (!b.leaving() || membership::depart(p_->registers, b.instance())) && (same || p_->mirror.settle(p_->c.bound / 2));
   ++(known ? p_->beats_taken : p_->beats_missed);
   return known;
 }
 
 bool Node::gone(const std::string& instance) {
-  if (!membership::depart(p_->book, instance)) return false;
+  if (!membership::depart(p_->registers, instance)) return false;
   p_->mirror.hurry();
   return true;
 }
@@ -349,7 +349,7 @@
 
 const NodeConfig& Node::config() const { return p_->c; }
 membership::Mirror& Node::mirror() { return p_->mirror; }
-consensus::Book& Node::book() { return p_->book; }
+consensus::RegisterClient& Node::registers() { return p_->registers; }
 membership::Duty& Node::duty() { return p_->duty; }
 consensus::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
 void Node::seeds(std::vector<std::string> addresses) { p_->seek.seeds(std::move(addresses)); }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -42,7 +42,7 @@
 
   const NodeConfig& config() const;
   membership::Mirror& mirror();
-  consensus::Book& book();
+  consensus::RegisterClient& registers();
   membership::Duty& duty();
   consensus::Acceptor* acceptor();
   void seeds(std::vector<std::string> addresses);
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -59,7 +59,7 @@
 
 struct Conductor::Impl {
   base::Ports& ps;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   membership::Mirror& mirror;
   membership::Duty& duty;
   ConductorConfig c;
@@ -87,8 +87,8 @@
   Settler settler;
   Watch watch;
 
-  Impl(base::Ports& p, consensus::Book& b, membership::Mirror& m, membership::Duty& d, ConductorConfig cc)
-      : ps(p), book(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
+  Impl(base::Ports& p, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, ConductorConfig cc)
+      : ps(p), registers(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
   }
@@ -167,8 +167,8 @@
 
   bool save(const pb::Rollout& next) {
     if (!duty.held()) return false;
-    auto r = book.write(kRolloutKey, version, next.SerializeAsString());
-    if (auto* h = std::get_if<consensus::Held>(&r)) {
+    auto r = registers.write(kRolloutKey, version, next.SerializeAsString());
+    if (auto* h = std::get_if<consensus::VersionedValue>(&r)) {
       version = h->version;
       state = next;
       saved = ps.clock.now();
@@ -179,8 +179,8 @@
   }
 
   bool reload() {
-    auto g = book.read(kRolloutKey);
-    auto* h = std::get_if<consensus::Held>(&g);
+    auto g = registers.read(kRolloutKey);
+    auto* h = std::get_if<consensus::VersionedValue>(&g);
     if (!h) return false;
     version = h->version;
     state.Clear();
@@ -290,8 +290,8 @@
       }
       if (write) {
         if (!duty.held()) return;
-        auto r = book.write(k, mine.first, o.state.SerializeAsString());
-        auto* held = std::get_if<consensus::Held>(&r);
+        auto r = registers.write(k, mine.first, o.state.SerializeAsString());
+        auto* held = std::get_if<consensus::VersionedValue>(&r);
         if (!held) continue;  // the next pull tells what stands
         mine = {held->version, o.state};
         service_saved[name] = now;
@@ -338,7 +338,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Conductor::Conductor(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, ConductorConfig c)
+Conductor::Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, ConductorConfig c)
     : p_(std::make_shared<Impl>(ps, b, m, d, std::move(c))) {
   p_->weak = p_;
 }
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -24,7 +24,7 @@
     Tick heard{0};
   };
   base::Ports& ps;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   membership::Mirror& mirror;
   membership::Duty& duty;
   Span bound;
@@ -149,13 +149,13 @@
     if (!o.fell && !o.rose) return;
     if (!duty.held()) return;
     // Whatever becomes of the write, what it lowers may have been lowered now.
-    auto w = book.write(share_key(svc), version, o.shares.SerializeAsString());
-    if (o.fell || !std::holds_alternative<consensus::Held>(w)) fell[svc] = ps.clock.now();
+    auto w = registers.write(share_key(svc), version, o.shares.SerializeAsString());
+    if (o.fell || !std::holds_alternative<consensus::VersionedValue>(w)) fell[svc] = ps.clock.now();
     lg.debug("Shares of {} were {} for {} nodes.", svc, o.fell ? "lowered" : "raised", o.shares.milli_size());
   }
 };
 
-Pacer::Pacer(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, Span bound)
+Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound}) {}
 Pacer::~Pacer() = default;
 void Pacer::tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -27,7 +27,7 @@
 
 struct Settler::Impl {
   base::Ports& ps;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   membership::Mirror& mirror;
   membership::Duty& duty;
   Span bound;
@@ -43,7 +43,7 @@
     return st;
   }
   bool write(const std::string& name, uint64_t version, const pb::ServiceState& st) {
-    return duty.held() && std::holds_alternative<consensus::Held>(book.write(service_key(name), version, st.SerializeAsString()));
+    return duty.held() && std::holds_alternative<consensus::VersionedValue>(registers.write(service_key(name), version, st.SerializeAsString()));
   }
 
   void settle() {
@@ -97,7 +97,7 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, consensus::Book& b, membership::Mirror& m, membership::Duty& d, Span bound)
+Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
 Settler::~Settler() = default;
 
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -31,7 +31,7 @@
 
 struct Artifacts::Impl {
   base::Ports& ps;
-  consensus::Book& book;
+  consensus::RegisterClient& registers;
   membership::Mirror& mirror;
   std::string me;
   storage::ArtifactFiles* shelf;
@@ -74,7 +74,7 @@
   consensus::Replies ask_holders(const pb::Ask& a, Span limit) {
     consensus::Local local;
     if (shelf) local = [this](const pb::Ask& x) { return answer(x); };
-    return consensus::ask_all(ps, book.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
+    return consensus::ask_all(ps, registers.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
   }
 
   // How much a majority of holders has.
@@ -88,18 +88,18 @@
       whole += r->piece().whole();
       if (!r->piece().why().empty()) why = r->piece().why();
     }
-    if (held.size() < book.majority()) return PieceDefect::no_majority;
+    if (held.size() < registers.majority()) return PieceDefect::no_majority;
     std::sort(held.rbegin(), held.rend());
     pb::Piece p;
-    p.set_held(held[book.majority() - 1]);
-    p.set_whole(whole >= book.majority());
+    p.set_held(held[registers.majority() - 1]);
+    p.set_whole(whole >= registers.majority());
     if (p.held() >= need) return p;
     return why.find("names") != why.npos ? PieceDefect::unknown_artifact : PieceDefect::gap;
   }
 
   // One piece of an artifact from any holder that has it.
   std::optional<pb::Piece> piece(const std::string& sha, uint64_t offset) {
-    auto hs = book.holders();
+    auto hs = registers.holders();
     for (size_t i = hs.size(); i > 1; --i) std::swap(hs[i - 1], hs[ps.chance.below(i)]);
     pb::Ask a;
     a.mutable_fetch()->set_sha256(sha);
@@ -132,7 +132,7 @@
   }
 };
 
-Artifacts::Artifacts(base::Ports& ps, consensus::Book& b, membership::Mirror& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
+Artifacts::Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
                      Span bound)
     : p_(new Impl{ps, b, m, std::move(me), s, h, bound}) {}
 Artifacts::~Artifacts() = default;
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -30,9 +30,9 @@
 std::atomic<size_t> held_bodies{0};
 
 // A share of what all bodies together may take.
-class Held {
+class VersionedValue {
  public:
-  ~Held() { held_bodies -= n_; }
+  ~VersionedValue() { held_bodies -= n_; }
   bool grow_to(size_t n, size_t most) {
     if (n <= n_) return true;
     if (held_bodies.fetch_add(n - n_) + (n - n_) > most) {
@@ -262,7 +262,7 @@
   par.header_limit(static_cast<uint32_t>(std::min<size_t>(at->head_bytes, UINT32_MAX)));
   par.body_limit(at->body_bytes);
   base::Request q;
-  Held held;
+  VersionedValue held;
   bool headed = false;
   for (;;) {
     while (!par.is_done() && !l.got().empty()) {
--- a/test/checker.cpp
+++ b/test/checker.cpp
@@ -18,7 +18,7 @@
   std::string method, target, in;
   int64_t at = 0;
 };
-struct Got {
+struct ReadResult {
   std::string id, outcome, out, relay, retry;
   int64_t status = 0, produced = -1, gen = -1, from = 0, at = 0;
 };
@@ -28,13 +28,13 @@
   bool bad = false;
 };
 
-struct Book {
+struct RegisterClient {
   std::map<std::string, Ask> asks;
-  std::vector<Got> gots;
+  std::vector<ReadResult> gots;
   std::vector<Ran> runs;
   std::map<std::string, int64_t> leaving, gone;  // instance -> when known
   std::vector<base::Json> events;
-  std::vector<Got> lost;
+  std::vector<ReadResult> lost;
   std::set<std::string> well;                           // requests that got a good answer
   std::map<std::string, std::vector<int64_t>> harm;     // machine -> when it was killed, frozen or warned
   std::vector<int64_t> harms;                           // all of them, and cuts
@@ -42,8 +42,8 @@
 
 int64_t number(const std::string& s) { return s.empty() ? -1 : std::strtoll(s.c_str(), nullptr, 10); }
 
-Book sort_out(const Journals& js) {
-  Book b;
+RegisterClient sort_out(const Journals& js) {
+  RegisterClient b;
   std::map<std::string, std::string> names;  // of machines, by the address on which they take callers
   for (auto& j : js.lines)
     if (j.at("t").str() == "machine") names[j.at("callers").str()] = j.at("machine").str();
@@ -65,7 +65,7 @@
     } else if (t == "leaving") {
       b.leaving.emplace(s("instance"), j.at("at").num());  // the first word counts
     } else if (t == "lost") {
-      Got g;
+      ReadResult g;
       g.id = s("id");
       g.relay = relay();
       g.from = j.at("from").num();
@@ -90,7 +90,7 @@
 bool safe(const std::string& m) { return m == "GET" || m == "HEAD"; }
 
 struct Checks {
-  const Book& b;
+  const RegisterClient& b;
   CheckReport out;
   std::map<std::string, std::vector<const Ran*>> by_id;
   void breach(int r, std::string w) { out.breaches.push_back({r, std::move(w)}); }
--- a/test/fault_stories.cpp
+++ b/test/fault_stories.cpp
@@ -215,15 +215,15 @@
     auto ok = std::make_shared<bool>(false);
     for (int i = 0; i < 20 && !*ok; ++i) {
       s.w.spawn(h->life, [h, ok] {
-        auto g = h->node->book().read(rollout::kRolloutKey);
-        auto* held = std::get_if<consensus::Held>(&g);
+        auto g = h->node->registers().read(rollout::kRolloutKey);
+        auto* held = std::get_if<consensus::VersionedValue>(&g);
         pb::Rollout r;
         if (!held || !r.ParseFromString(held->data)) return;
         r.set_generation(r.generation() + 1);
         auto& a = (*r.mutable_nodes())["e1"];
         a.set_generation(r.generation());
         (*a.mutable_releases())["layout"] = "nowhere";
-        *ok = std::holds_alternative<consensus::Held>(h->node->book().write(rollout::kRolloutKey, held->version, r.SerializeAsString()));
+        *ok = std::holds_alternative<consensus::VersionedValue>(h->node->registers().write(rollout::kRolloutKey, held->version, r.SerializeAsString()));
       });
       s.f.nap(Span(300));
     }
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -34,7 +34,7 @@
 
 std::set<std::string> holders_at(sim::Host& h) {
   std::set<std::string> out;
-  for (auto& x : h.node->book().set().all()) out.insert(x.name);
+  for (auto& x : h.node->registers().set().all()) out.insert(x.name);
   return out;
 }
 
@@ -110,7 +110,7 @@
     for (int k = 0; k < 8; ++k)
       s.w.spawn(any->life, [any, pads, k] {
         for (int i = k; i < 400; i += 8)
-          *pads += std::holds_alternative<consensus::Held>(any->node->book().write(fmt::format("pad/{}", i), 0, std::string(400, 'x')));
+          *pads += std::holds_alternative<consensus::VersionedValue>(any->node->registers().write(fmt::format("pad/{}", i), 0, std::string(400, 'x')));
       });
     s.want(s.f.until(Span(20000), [&] { return *pads == 400; }), "the registers were not written");
     auto w = writer(s, 600);
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -213,8 +213,8 @@
     auto write = [&](const std::string& host) {
       auto* h = &s.f.at(host);
       s.w.spawn(h->life, [h, wins, ends] {
-        auto r = h->node->book().write("contested", 0, h->name);
-        if (std::holds_alternative<consensus::Held>(r)) wins->push_back(h->name);
+        auto r = h->node->registers().write("contested", 0, h->name);
+        if (std::holds_alternative<consensus::VersionedValue>(r)) wins->push_back(h->name);
         ++*ends;
       });
     };
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -17,7 +17,7 @@
     f.w.spawn(f.nodes[0]->life(), [&f, &left, &done] {
       while (left > 0) {
         auto key = fmt::format("idle/{:06}", left--);
-        f.nodes[0]->relay().book().write(key, 0, std::string(200, 'x'));
+        f.nodes[0]->relay().registers().write(key, 0, std::string(200, 'x'));
         ++done;
       }
     });
@@ -30,8 +30,8 @@
   auto& n = *f.nodes[0];
   double ms = 0;
   f.on(n, Span(5000), [&] {
-    membership::Duty none(n.ports(), n.relay().book(), n.relay().mirror(), "measured", n.name, n.zone, f.s.bound);
-    rollout::Conductor c(n.ports(), n.relay().book(), n.relay().mirror(), none, {n.name, f.s.bound, 600});
+    membership::Duty none(n.ports(), n.relay().registers(), n.relay().mirror(), "measured", n.name, n.zone, f.s.bound);
+    rollout::Conductor c(n.ports(), n.relay().registers(), n.relay().mirror(), none, {n.name, f.s.bound, 600});
     c.tick();  // reads the releases once
     auto from = cpu_ns();
     for (int i = 0; i < kTicks; ++i) c.tick();
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -100,10 +100,10 @@
     auto* n = &f.some();
     ++under_way;
     f.w.spawn(n->life(), [this, key, from, n] {
-      auto r = n->relay().book().write(key, version[key], std::string(kChangeBytes, 'x'));
+      auto r = n->relay().registers().write(key, version[key], std::string(kChangeBytes, 'x'));
       --under_way;
       busy[key] = false;
-      auto* h = std::get_if<consensus::Held>(&r);
+      auto* h = std::get_if<consensus::VersionedValue>(&r);
       if (!h) return void(++failed);
       version[key] = h->version;
       change_told.add(static_cast<double>((f.w.now() - from).count()));
@@ -116,7 +116,7 @@
     auto* n = f.nodes[i].get();
     if (!n->up()) return;
     if (purgers.empty()) purgers.resize(f.nodes.size());
-    if (!purgers[i]) purgers[i] = std::make_unique<gate::Purger>(n->ports(), n->relay().book());
+    if (!purgers[i]) purgers[i] = std::make_unique<gate::Purger>(n->ports(), n->relay().registers());
     auto service = fmt::format("s{}", f.w.below(kServices));
     pb::Purge p;
     p.set_kind("path");
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -211,23 +211,23 @@
             if (!host->up()) continue;
             // The work runs in the host's own life and dies with it.
             s.w.spawn(host->life, [&s, st, host, k, i] {
-              auto& book = host->node->book();
+              auto& registers = host->node->registers();
               auto floor = st->acked;
-              auto g = book.read("race");
-              auto* h = std::get_if<consensus::Held>(&g);
+              auto g = registers.read("race");
+              auto* h = std::get_if<consensus::VersionedValue>(&g);
               if (!h) return;
               ++st->reads;
               s.want(h->version >= floor, fmt::format("a read gave version {} after {} was acknowledged", h->version, floor));
               if (auto f = st->won.find(h->version); f != st->won.end())
                 s.want(f->second == h->data, "a read gave another value than was acknowledged");
               auto mine = fmt::format("{}/{}/{}", host->name, k, i);
-              auto w = book.write("race", h->version, mine);
-              if (auto* d = std::get_if<consensus::Held>(&w)) {
+              auto w = registers.write("race", h->version, mine);
+              if (auto* d = std::get_if<consensus::VersionedValue>(&w)) {
                 ++st->writes;
                 auto [f, fresh] = st->won.emplace(d->version, mine);
                 s.want(fresh || f->second == mine, fmt::format("two writers won version {}", d->version));
                 st->acked = std::max(st->acked, d->version);
-              } else if (std::holds_alternative<consensus::Stale>(w)) {
+              } else if (std::holds_alternative<consensus::VersionConflict>(w)) {
                 ++st->stale;
               } else {
                 ++st->unsure;
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -51,7 +51,7 @@
       }
       if (n->generation() < gen) broken = h->name + " fell back to a lower generation";
       gen = n->generation();
-      auto& set = n->book().set();
+      auto& set = n->registers().set();
       if (set.epoch() && set.epoch() != seat[h->name]) {
         seat[h->name] = set.epoch();
         auto text = set.message().SerializeAsString();
