--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -24,24 +24,24 @@
   base::Ports& ps;
   base::Disk& disk;
   std::string me;
-  Holders& set;
+  ReplicaSetView& set;
   uint64_t epoch = 0;  // of the set that is synced here
   Span round;
   pb::Stage stage = pb::BLANK;
   std::optional<pb::First> first;
   bool bad = false, writing = false;
-  std::map<std::string, pb::Slot> slots, synced;
+  std::map<std::string, pb::RegisterState> slots, synced;
   std::map<std::string, uint64_t> feed;
   uint64_t boot = 0, count = 0;
   std::vector<pb::Record> batch;
   uint64_t put = 0, done = 0;
   std::vector<std::shared_ptr<base::Spot>> waits;
 
-  Impl(base::Ports& p, base::Disk& d, std::string m, Holders& s, Span r)
+  Impl(base::Ports& p, base::Disk& d, std::string m, ReplicaSetView& s, Span r)
       : ps(p), disk(d), me(std::move(m)), set(s), round(r) {}
 
-  std::vector<Holder> others() const {
-    std::vector<Holder> out;
+  std::vector<Replica> others() const {
+    std::vector<Replica> out;
     for (auto& h : set.all())
       if (h.name != me) out.push_back(h);
     return out;
@@ -106,7 +106,7 @@
     return out;
   }
 
-  bool adopt(const pb::HolderSet& s) {
+  bool adopt(const pb::ReplicaSet& s) {
     if (s.epoch() <= epoch) return true;
     set.adopt(s);
     epoch = s.epoch();
@@ -116,7 +116,7 @@
   }
 
   // All slots of the others in one sync.
-  bool take(std::map<std::string, pb::Slot>& got) {
+  bool take(std::map<std::string, pb::RegisterState>& got) {
     pb::Record last;
     for (auto& [k, s] : got) {
       s.set_name(k);
@@ -162,7 +162,7 @@
       auto rs = ask_all(ps, others, [&](size_t) { return a; }, round, [](auto&) { return false; });
       size_t heard = 0, born = 0, formed = 0, full = 0;
       bool newer = false;
-      std::map<std::string, pb::Slot> got;
+      std::map<std::string, pb::RegisterState> got;
       for (auto& r : rs) {
         if (!r || !r->has_image()) continue;
         auto& im = r->image();
@@ -196,7 +196,7 @@
   }
 };
 
-Acceptor::Acceptor(base::Ports& ps, base::Disk& d, std::string me, Holders& set, Span round)
+Acceptor::Acceptor(base::Ports& ps, base::Disk& d, std::string me, ReplicaSetView& set, Span round)
     : p_(std::make_shared<Impl>(ps, d, std::move(me), set, round)) {}
 Acceptor::~Acceptor() = default;
 
@@ -220,7 +220,7 @@
 std::optional<pb::First> Acceptor::first() const { return p_->first; }
 
 bool Acceptor::mute() const { return p_->bad || p_->stage != pb::FORMED; }
-bool Acceptor::adopt(const pb::HolderSet& s) { return p_->adopt(s); }
+bool Acceptor::adopt(const pb::ReplicaSet& s) { return p_->adopt(s); }
 
 pb::Reply Acceptor::answer(const pb::Ask& a) {
   auto& p = *p_;
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -3,13 +3,13 @@
 // stays mute until the others have refilled it.
 #pragma once
 #include "base/ports.hpp"
-#include "consensus/holders.hpp"
+#include "consensus/replica_set.hpp"
 
 namespace dunlinwing::consensus {
 
 class Acceptor {
  public:
-  Acceptor(base::Ports& ps, base::Disk& d, std::string me, Holders& set, Span round);
+  Acceptor(base::Ports& ps, base::Disk& d, std::string me, ReplicaSetView& set, Span round);
   ~Acceptor();
   // Loads the disk and begins to refill when it must. `first`: this is the first start of the
   // whole fleet; without it only formed disks fill a blank one, or others that never voted.
@@ -19,7 +19,7 @@
   void changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const;
   bool mute() const;
   // Makes a newer set of holders last here; lower epochs are turned away from then on.
-  bool adopt(const pb::HolderSet& s);
+  bool adopt(const pb::ReplicaSet& s);
 
  private:
   struct Impl;
--- a/src/consensus/ask.cpp
+++ b/src/consensus/ask.cpp
@@ -4,7 +4,7 @@
 
 namespace dunlinwing::consensus {
 
-Replies ask_all(base::Ports& ps, const std::vector<Holder>& ts, const std::function<pb::Ask(size_t)>& make,
+Replies ask_all(base::Ports& ps, const std::vector<Replica>& ts, const std::function<pb::Ask(size_t)>& make,
                 Span limit, const Enough& enough, const std::string& me, const Local& local) {
   struct Table {
     Replies rs;
--- a/src/consensus/ask.hpp
+++ b/src/consensus/ask.hpp
@@ -5,7 +5,7 @@
 
 namespace dunlinwing::consensus {
 
-struct Holder {
+struct Replica {
   std::string name, address;
 };
 
@@ -14,7 +14,7 @@
 using Local = std::function<pb::Reply(const pb::Ask&)>;
 
 // `local` answers for the target named `me`, without the network.
-Replies ask_all(base::Ports& ps, const std::vector<Holder>& ts, const std::function<pb::Ask(size_t)>& make,
+Replies ask_all(base::Ports& ps, const std::vector<Replica>& ts, const std::function<pb::Ask(size_t)>& make,
                 Span limit, const Enough& enough, const std::string& me = {}, const Local& local = {});
 
 }  // namespace dunlinwing::consensus
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -21,7 +21,7 @@
 struct RegisterClient::Impl {
   base::Ports& ps;
   std::string me;
-  Holders& set;
+  ReplicaSetView& set;
   Span round;
   Local local;
   uint64_t top = 0;
@@ -64,8 +64,8 @@
   }
 
   // The slot that a majority has accepted at one ballot, none higher being seen.
-  const pb::Slot* agreed(const Replies& rs) const {
-    const pb::Slot* best = nullptr;
+  const pb::RegisterState* agreed(const Replies& rs) const {
+    const pb::RegisterState* best = nullptr;
     auto yes = [](auto& r) { return r && r->has_vote() && r->vote().yes(); };
     for (auto& r : rs)
       if (yes(r) && (!best || lower(best->accepted(), r->vote().slot().accepted()))) best = &r->vote().slot();
@@ -98,7 +98,7 @@
     *a.mutable_prepare()->mutable_ballot() = b;
     auto from = ps.clock.now();
     auto rs = ask(a, [&](auto& r) { return settled(r); });
-    pb::Slot best;
+    pb::RegisterState best;
     for (auto& r : rs)
       if (r && r->has_vote()) {
         note(r->vote());
@@ -149,12 +149,12 @@
   }
 };
 
-RegisterClient::RegisterClient(base::Ports& ps, std::string me, Holders& set, Span round, Local local)
+RegisterClient::RegisterClient(base::Ports& ps, std::string me, ReplicaSetView& set, Span round, Local local)
     : p_(new Impl{ps, std::move(me), set, round, std::move(local)}) {}
 RegisterClient::~RegisterClient() = default;
 size_t RegisterClient::majority() const { return p_->majority(); }
-const std::vector<Holder>& RegisterClient::holders() const { return p_->set.all(); }
-Holders& RegisterClient::set() { return p_->set; }
+const std::vector<Replica>& RegisterClient::holders() const { return p_->set.all(); }
+ReplicaSetView& RegisterClient::set() { return p_->set; }
 
 ReadResult RegisterClient::read(const std::string& name) {
   auto& p = *p_;
@@ -166,7 +166,7 @@
     if (!o.heard && ++silent >= kSilentTries) break;
     p.back_off(i);
   }
-  return Defect::no_majority;
+  return RegisterError::no_majority;
 }
 
 WriteResult RegisterClient::write(const std::string& name, uint64_t expect, const std::string& data) {
@@ -178,7 +178,7 @@
   bool sent = false;
   auto stale = [&](const pb::Value& v) -> WriteResult {
     // Past this many later writes the tags no longer tell whether ours was among them.
-    if (sent && v.version() > expect + kPastTags) return Defect::fate_unknown;
+    if (sent && v.version() > expect + kPastTags) return RegisterError::fate_unknown;
     return VersionConflict{{v.version(), v.data()}};
   };
   Tick end = p.ps.clock.now() + p.round * kRounds;
@@ -210,46 +210,46 @@
     if (!o.heard && ++silent >= kSilentTries) break;
     p.back_off(i);
   }
-  return sent ? Defect::fate_unknown : Defect::no_majority;
+  return sent ? RegisterError::fate_unknown : RegisterError::no_majority;
 }
 
-std::variant<pb::HolderSet, SetDefect> RegisterClient::change(const std::vector<Holder>& to,
+std::variant<pb::ReplicaSet, ReplicaSetError> RegisterClient::change(const std::vector<Replica>& to,
                                                     const std::function<std::optional<std::vector<std::string>>()>& names) {
   auto& p = *p_;
   auto from = p.set.message();
-  auto in = [](const std::vector<Holder>& v, const std::string& n) {
+  auto in = [](const std::vector<Replica>& v, const std::string& n) {
     return std::any_of(v.begin(), v.end(), [&](auto& h) { return h.name == n; });
   };
   size_t more = 0, fewer = 0;
   for (auto& h : to) more += !in(p.set.all(), h.name);
   for (auto& h : p.set.all()) fewer += !in(to, h.name);
-  if (more + fewer != 1) return SetDefect::not_one_step;
-  if (fewer && to.size() < 3) return SetDefect::too_few;
+  if (more + fewer != 1) return ReplicaSetError::not_one_step;
+  if (fewer && to.size() < 3) return ReplicaSetError::too_few;
   pb::Ask a;
   *a.mutable_adopt()->mutable_set() = from;
   auto rs = ask_all(p.ps, p.set.all(), [&](size_t) { return a; }, p.round, [](auto&) { return false; }, p.me, p.local);
-  if (Impl::yeses(rs) < p.majority()) return SetDefect::no_majority;
+  if (Impl::yeses(rs) < p.majority()) return ReplicaSetError::no_majority;
   // Asked for only now: what was won before under the set before this one is among them.
   auto ns = names();
-  if (!ns) return SetDefect::no_majority;
-  if (!p.finish(*ns)) return SetDefect::no_majority;
-  auto g = read(kHoldersKey);
+  if (!ns) return ReplicaSetError::no_majority;
+  if (!p.finish(*ns)) return ReplicaSetError::no_majority;
+  auto g = read(kReplicaSetKey);
   auto* h = std::get_if<VersionedValue>(&g);
-  if (!h) return SetDefect::no_majority;
-  if (p.set.epoch() != from.epoch()) return SetDefect::raced;
-  pb::HolderSet next;
+  if (!h) return ReplicaSetError::no_majority;
+  if (p.set.epoch() != from.epoch()) return ReplicaSetError::raced;
+  pb::ReplicaSet next;
   next.set_epoch(from.epoch() + 1);
   for (auto& x : to) {
     auto* e = next.add_holders();
     e->set_name(x.name);
     e->set_address(x.address);
   }
-  pb::HolderSet seen;
+  pb::ReplicaSet seen;
   seen.ParseFromString(h->data);
-  if (seen.epoch() > from.epoch()) return SetDefect::raced;
-  auto w = write(kHoldersKey, h->version, next.SerializeAsString());
-  if (std::holds_alternative<VersionConflict>(w)) return SetDefect::raced;
-  if (auto* d = std::get_if<Defect>(&w)) return *d == Defect::no_majority ? SetDefect::no_majority : SetDefect::fate_unknown;
+  if (seen.epoch() > from.epoch()) return ReplicaSetError::raced;
+  auto w = write(kReplicaSetKey, h->version, next.SerializeAsString());
+  if (std::holds_alternative<VersionConflict>(w)) return ReplicaSetError::raced;
+  if (auto* d = std::get_if<RegisterError>(&w)) return *d == RegisterError::no_majority ? ReplicaSetError::no_majority : ReplicaSetError::fate_unknown;
   return next;
 }
 
--- a/src/consensus/holders.cpp
+++ b/src/consensus/replica_set.cpp
@@ -1,13 +1,13 @@
 // Adopting never goes back to a lower epoch.
-#include "consensus/holders.hpp"
+#include "consensus/replica_set.hpp"
 
 #include <algorithm>
 
 namespace dunlinwing::consensus {
 
-Holders::Holders(std::vector<Holder> first) : all_(std::move(first)) {}
+ReplicaSetView::ReplicaSetView(std::vector<Replica> first) : all_(std::move(first)) {}
 
-bool Holders::adopt(const pb::HolderSet& s) {
+bool ReplicaSetView::adopt(const pb::ReplicaSet& s) {
   if (s.epoch() <= epoch_ || s.holders_size() == 0) return false;
   epoch_ = s.epoch();
   all_.clear();
@@ -15,12 +15,12 @@
   return true;
 }
 
-bool Holders::has(const std::string& n) const {
+bool ReplicaSetView::has(const std::string& n) const {
   return std::any_of(all_.begin(), all_.end(), [&](auto& h) { return h.name == n; });
 }
 
-pb::HolderSet Holders::message() const {
-  pb::HolderSet s;
+pb::ReplicaSet ReplicaSetView::message() const {
+  pb::ReplicaSet s;
   s.set_epoch(epoch_);
   for (auto& h : all_) {
     auto* e = s.add_holders();
--- a/src/consensus/holders.hpp
+++ b/src/consensus/replica_set.hpp
@@ -5,23 +5,23 @@
 
 namespace dunlinwing::consensus {
 
-class Holders {
+class ReplicaSetView {
  public:
-  explicit Holders(std::vector<Holder> first);
-  bool adopt(const pb::HolderSet& s);  // true when it was newer
+  explicit ReplicaSetView(std::vector<Replica> first);
+  bool adopt(const pb::ReplicaSet& s);  // true when it was newer
   uint64_t epoch() const { return epoch_; }
-  const std::vector<Holder>& all() const { return all_; }
+  const std::vector<Replica>& all() const { return all_; }
   size_t majority() const { return all_.size() / 2 + 1; }
   bool has(const std::string& name) const;
-  pb::HolderSet message() const;
+  pb::ReplicaSet message() const;
 
  private:
   uint64_t epoch_ = 0;
-  std::vector<Holder> all_;
+  std::vector<Replica> all_;
 };
 
-inline constexpr const char* kHoldersKey = "holders";
+inline constexpr const char* kReplicaSetKey = "holders";
 
-enum class SetDefect { not_one_step, too_few, no_majority, fate_unknown, raced };
+enum class ReplicaSetError { not_one_step, too_few, no_majority, fate_unknown, raced };
 
 }  // namespace dunlinwing::consensus
--- a/src/consensus/vote.cpp
+++ b/src/consensus/vote.cpp
@@ -9,7 +9,7 @@
 }
 bool equal(const pb::Ballot& a, const pb::Ballot& b) { return a.round() == b.round() && a.node() == b.node(); }
 
-Step prepare(const pb::Slot& s, const pb::Prepare& p) {
+Step prepare(const pb::RegisterState& s, const pb::Prepare& p) {
   Step r{s};
   if (!lower(s.promised(), p.ballot())) return r;
   r.yes = r.dirty = true;
@@ -18,7 +18,7 @@
   return r;
 }
 
-Step accept(const pb::Slot& s, const pb::Accept& a) {
+Step accept(const pb::RegisterState& s, const pb::Accept& a) {
   Step r{s};
   if (lower(a.ballot(), s.promised())) return r;
   r.yes = r.dirty = true;
@@ -29,8 +29,8 @@
   return r;
 }
 
-pb::Slot higher(const pb::Slot& a, const pb::Slot& b) {
-  pb::Slot r = lower(a.accepted(), b.accepted()) ? b : a;
+pb::RegisterState higher(const pb::RegisterState& a, const pb::RegisterState& b) {
+  pb::RegisterState r = lower(a.accepted(), b.accepted()) ? b : a;
   *r.mutable_promised() = lower(a.promised(), b.promised()) ? b.promised() : a.promised();
   return r;
 }
--- a/src/consensus/vote.hpp
+++ b/src/consensus/vote.hpp
@@ -7,15 +7,15 @@
 namespace dunlinwing::consensus {
 
 struct Step {
-  pb::Slot slot;
+  pb::RegisterState slot;
   bool yes = false;
   bool dirty = false;  // the slot changed and must be synced before the vote
 };
 
 bool lower(const pb::Ballot& a, const pb::Ballot& b);
 bool equal(const pb::Ballot& a, const pb::Ballot& b);
-Step prepare(const pb::Slot& s, const pb::Prepare& p);
-Step accept(const pb::Slot& s, const pb::Accept& a);
-pb::Slot higher(const pb::Slot& a, const pb::Slot& b);  // the later promise, the later accepted value
+Step prepare(const pb::RegisterState& s, const pb::Prepare& p);
+Step accept(const pb::RegisterState& s, const pb::Accept& a);
+pb::RegisterState higher(const pb::RegisterState& a, const pb::RegisterState& b);  // the later promise, the later accepted value
 
 }  // namespace dunlinwing::consensus
--- a/src/gate/holders.cpp
+++ b/src/gate/holders.cpp
@@ -11,12 +11,12 @@
 
 namespace dunlinwing::gate {
 namespace {
-base::Receipt of(consensus::SetDefect d) {
+base::Receipt of(consensus::ReplicaSetError d) {
   switch (d) {
-    case consensus::SetDefect::not_one_step: return defect(409, "the set can change by one machine at a time");
-    case consensus::SetDefect::too_few: return defect(409, "fewer than three holders could not bear a loss");
-    case consensus::SetDefect::no_majority: return defect(503, "no majority of the holders answers; nothing was changed");
-    case consensus::SetDefect::raced: return defect(412, "another change of the set came first; read before trying again");
+    case consensus::ReplicaSetError::not_one_step: return defect(409, "the set can change by one machine at a time");
+    case consensus::ReplicaSetError::too_few: return defect(409, "fewer than three holders could not bear a loss");
+    case consensus::ReplicaSetError::no_majority: return defect(503, "no majority of the holders answers; nothing was changed");
+    case consensus::ReplicaSetError::raced: return defect(412, "another change of the set came first; read before trying again");
     default: return defect(503, "the fate of this write is unknown: read before trying again");
   }
 }
@@ -24,7 +24,7 @@
 
 base::Receipt holders(relay::Node& n) {
   auto& set = n.registers().set();
-  auto f = n.mirror().chosen().find(consensus::kHoldersKey);
+  auto f = n.mirror().chosen().find(consensus::kReplicaSetKey);
   return json(200, message_json(set.message()), f == n.mirror().chosen().end() ? 0 : f->second.version);
 }
 
@@ -37,7 +37,7 @@
   auto address = j.at("address").str();
   if (on && address.empty()) ds.push_back({"/address", "is missing"});
   if (!ds.empty()) return defects(ds);
-  if (!n.mirror().settle(n.config().bound)) return of(consensus::SetDefect::no_majority);
+  if (!n.mirror().settle(n.config().bound)) return of(consensus::ReplicaSetError::no_majority);
   auto to = n.registers().set().all();
   auto same = [&](auto& h) { return h.name == c.path[2]; };
   if (on == std::any_of(to.begin(), to.end(), same)) return json(200, message_json(n.registers().set().message()));
@@ -46,8 +46,8 @@
   else
     std::erase_if(to, same);
   auto r = n.registers().change(to, [&] { return n.mirror().names(n.config().bound); });
-  if (auto* d = std::get_if<consensus::SetDefect>(&r)) return of(*d);
-  return json(200, message_json(std::get<pb::HolderSet>(r)));
+  if (auto* d = std::get_if<consensus::ReplicaSetError>(&r)) return of(*d);
+  return json(200, message_json(std::get<pb::ReplicaSet>(r)));
 }
 
 }  // namespace dunlinwing::gate
--- a/src/membership/mirror.cpp
+++ b/src/membership/mirror.cpp
@@ -22,7 +22,7 @@
   struct Side {
     uint64_t boot = 0, seen = 0;
     Tick voted{0};  // when it last answered and was not mute
-    std::map<std::string, pb::Slot> slots;
+    std::map<std::string, pb::RegisterState> slots;
   };
   base::Ports& ps;
   MirrorConfig c;
@@ -67,8 +67,8 @@
   }
 
   // The latest ballot known for a register, and at how many holders it stands.
-  std::pair<const pb::Slot*, size_t> latest(const std::string& name) const {
-    const pb::Slot* best = nullptr;
+  std::pair<const pb::RegisterState*, size_t> latest(const std::string& name) const {
+    const pb::RegisterState* best = nullptr;
     size_t n = 0;
     for (auto& h : registers.holders()) {
       auto s = sides.find(h.name);
@@ -159,7 +159,7 @@
     std::vector<pb::PullReply> heard;
     // Asks those named and takes what they say; false when none answered.
     auto ask = [&](const std::vector<size_t>& who, Span limit) {
-      std::vector<consensus::Holder> to;
+      std::vector<consensus::Replica> to;
       for (auto i : who) to.push_back(hs[i]);
       *base.mutable_pull()->mutable_have() = news.marks();
       auto make = [&](size_t k) {
@@ -207,8 +207,8 @@
       return false;  // the next pull announces this node
     }
     if (!settle_open()) return false;
-    if (auto f = chosen.find(consensus::kHoldersKey); f != chosen.end()) {
-      pb::HolderSet set;
+    if (auto f = chosen.find(consensus::kReplicaSetKey); f != chosen.end()) {
+      pb::ReplicaSet set;
       if (set.ParseFromString(f->second.data) && set.epoch() > epoch) {
         registers.set().adopt(set);
         return reseat();
--- a/src/membership/news.hpp
+++ b/src/membership/news.hpp
@@ -1,5 +1,5 @@
 // What nodes know of each other: for each source the latest news, with its
-// version and its age. Holders keep it for those who pull; pullers merge what
+// version and its age. ReplicaSetView keep it for those who pull; pullers merge what
 // they get. A node is a member while its news is young.
 #pragma once
 #include <set>
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -21,7 +21,7 @@
   std::map<std::string, const RepairCandidate*> by;
   for (auto& n : s.nodes) by[n.name] = &n;
   std::map<std::string, size_t> zones;
-  const consensus::Holder* gone = nullptr;
+  const consensus::Replica* gone = nullptr;
   for (auto& h : s.set) {
     auto f = by.find(h.name);
     if (f == by.end()) return {};
@@ -96,7 +96,7 @@
       std::erase_if(to, [&](auto& h) { return h.name == st->who.name; });
     auto from = ps.clock.now();
     auto r = registers.change(to, [&] { return duty.held() ? mirror.names(bound) : std::nullopt; });
-    if (auto* set = std::get_if<pb::HolderSet>(&r))
+    if (auto* set = std::get_if<pb::ReplicaSet>(&r))
       lg.info("{} {} the holders, for {}; epoch {}, {} of them, in {} ms.", st->who.name, st->add ? "joins" : "leaves", st->why,
               set->epoch(), set->holders_size(), (ps.clock.now() - from).count());
     else
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -15,7 +15,7 @@
 };
 
 struct ClusterView {
-  std::vector<consensus::Holder> set;
+  std::vector<consensus::Replica> set;
   std::vector<RepairCandidate> nodes;
   int tolerate = 1;
   Span bound{2000};
@@ -23,7 +23,7 @@
 
 struct RepairStep {
   bool add = false;
-  consensus::Holder who;
+  consensus::Replica who;
   std::string why;
 };
 
--- a/src/membership/seek.cpp
+++ b/src/membership/seek.cpp
@@ -30,7 +30,7 @@
   return s;
 }
 
-std::optional<pb::HolderSet> first_set(const std::vector<Self>& seeds) {
+std::optional<pb::ReplicaSet> first_set(const std::vector<Self>& seeds) {
   std::map<std::string, std::string> by;
   for (auto& s : seeds) {
     if (!s.disk) continue;
@@ -38,7 +38,7 @@
     if (!fresh && f->second != s.peer_address) return {};
   }
   if (by.empty()) return {};
-  pb::HolderSet set;
+  pb::ReplicaSet set;
   set.set_epoch(1);
   for (auto& [n, a] : by) {
     auto* e = set.add_holders();
@@ -88,7 +88,7 @@
     if (what != std::exchange(said, what)) lg.warn("{}: {}", c.me, what);
   }
 
-  bool adopt(const pb::HolderSet& s, const std::string& who) {
+  bool adopt(const pb::ReplicaSet& s, const std::string& who) {
     if (!registers.set().adopt(s)) return false;
     lg.info("{}: {} the holders of epoch {}, {} of them.", c.me, who, s.epoch(), s.holders_size());
     if (mine) mine->adopt(s);
--- a/src/membership/seek.hpp
+++ b/src/membership/seek.hpp
@@ -18,13 +18,13 @@
 struct Self {
   std::string name, zone, peer_address;
   bool disk = false;
-  pb::HolderSet set;
+  pb::ReplicaSet set;
 };
 std::optional<Self> read_self(std::string_view body);
 
 // The first set, from what each seed has told of itself; nothing when none of them
 // has a disk, or two that differ go by one name.
-std::optional<pb::HolderSet> first_set(const std::vector<Self>& seeds);
+std::optional<pb::ReplicaSet> first_set(const std::vector<Self>& seeds);
 
 class Seek {
  public:
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -21,7 +21,7 @@
   base::Ports& ps;
   NodeConfig c;
   bool holder;
-  consensus::Holders set;
+  consensus::ReplicaSetView set;
   std::unique_ptr<consensus::Acceptor> acceptor;
   consensus::RegisterClient registers;
   membership::Mirror mirror;
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -11,7 +11,7 @@
 
 struct NodeConfig {
   std::string name, zone, peer_address, http_address;
-  std::vector<consensus::Holder> holders;  // none: the first set forms out of the seeds
+  std::vector<consensus::Replica> holders;  // none: the first set forms out of the seeds
   std::vector<std::string> seeds;         // control addresses
   bool first_start = true;                // of the whole fleet
   int tolerate = 0;                       // holders that may be lost at once; 0: only operators change the set
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -118,7 +118,7 @@
     h.doubt = true;
     return h;
   }
-  std::map<std::string, pb::Slot> m;
+  std::map<std::string, pb::RegisterState> m;
   for (auto& s : h.image.slots()) m[s.name()] = s;
   for (size_t i = 1; i < rs.size(); ++i) {
     pb::Record r;
--- a/test/consensus_unit.cpp
+++ b/test/consensus_unit.cpp
@@ -18,11 +18,11 @@
       property("registry: of racing proposers at most one value is chosen for a version",
                [] {
                  constexpr int kHolders = 5, kProposers = 3;
-                 std::vector<pb::Slot> slots(kHolders);
+                 std::vector<pb::RegisterState> slots(kHolders);
                  struct Prop {
                    pb::Ballot b;
                    int yes = 0, at = 0, acks = 0;
-                   pb::Slot best;
+                   pb::RegisterState best;
                    bool accepting = false;
                    pb::Value v;
                    std::vector<bool> asked = std::vector<bool>(kHolders), put = std::vector<bool>(kHolders);
@@ -82,7 +82,7 @@
                }),
       {"registry: a promise is not given twice, nor an accept below it",
        [] {
-         pb::Slot s;
+         pb::RegisterState s;
          pb::Prepare p;
          *p.mutable_ballot() = ballot(3, "a");
          auto one = consensus::prepare(s, p);
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -14,7 +14,7 @@
   };
 }
 
-// Holders and others are killed at random, also right after they acknowledged.
+// ReplicaSetView and others are killed at random, also right after they acknowledged.
 void kills(Scene& s) {
   s.length = Span(80000);
   s.must_meet = {"kill"};
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -76,7 +76,7 @@
   }
 
   std::string up(const Shape& s) {
-    std::vector<consensus::Holder> hs;
+    std::vector<consensus::Replica> hs;
     auto addr = [](int i) { return fmt::format("127.0.0.1:{}", kPort + i); };
     for (int i = 0; i < s.holders; ++i) hs.push_back({fmt::format("h{}", i + 1), addr(i)});
     for (int i = 0; i < s.nodes; ++i) {
--- a/test/storage_unit.cpp
+++ b/test/storage_unit.cpp
@@ -18,7 +18,7 @@
 std::map<std::string, uint64_t> fill(sim::Platter& p, int n, size_t log_bytes) {
   storage::SnapshotStore s(std::make_unique<sim::MemFiles>(p), log_bytes);
   auto im = s.load().image;
-  std::map<std::string, pb::Slot> all;
+  std::map<std::string, pb::RegisterState> all;
   for (auto& x : im.slots()) all[x.name()] = x;
   im.set_stage(pb::FORMED);
   pb::Record st;
