--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -44,8 +44,8 @@
   Impl(base::Ports& p, relay::Node& node) : ps(p), n(node), purger(p, node.registers()) {}
 
   std::optional<consensus::VersionedValue> chosen(const std::string& key) {
-    auto f = n.mirror().chosen().find(key);
-    if (f == n.mirror().chosen().end() || f->second.version == 0) return {};
+    auto f = n.state_cache().chosen().find(key);
+    if (f == n.state_cache().chosen().end() || f->second.version == 0) return {};
     return f->second;
   }
 
@@ -61,7 +61,7 @@
     pb::Act act;
     auto a = chosen(rollout::act_key(kind, name));
     if (a) act.ParseFromString(a->data);
-    auto roll = rollout::read_rollout(n.mirror().chosen());
+    auto roll = rollout::read_rollout(n.state_cache().chosen());
     std::string b = fmt::format(R"({{"kind":{},"name":{},"course":{},"acts":{})", base::quote(kind),
                                 base::quote(name), course(roll, kind, name), message_json(act));
     if (with_text) b += ",\"document\":" + h->data;
@@ -70,7 +70,7 @@
 
   base::Receipt releases(const std::string& kind) {
     std::string b;
-    for (auto& [k, h] : n.mirror().chosen()) {
+    for (auto& [k, h] : n.state_cache().chosen()) {
       if (!k.starts_with("release/") || !h.version) continue;
       auto at = k.find('/', 8);
       auto kd = k.substr(8, at - 8), nm = k.substr(at + 1);
@@ -172,7 +172,7 @@
         c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Receipt> {
           if (st.switching()) return defect(409, "the service is being switched to version " + st.trial());
           if (st.current().empty())
-            st.set_current(s->versions.empty() ? rollout::commonest(n.mirror().news().workers(ps.clock.now()), name, to) : s->versions.front());
+            st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().news().workers(ps.clock.now()), name, to) : s->versions.front());
           if (st.quarantined().count(to)) {
             if (!j.at("lift_quarantine").flag())
               return defect(409, "the version is in quarantine: " + st.quarantined().at(to));
@@ -224,7 +224,7 @@
     auto service = j.at("service").str(traffic::kAllServices);
     if (service == traffic::kAllServices && p.kind() == "service") return defects({{"/service", "is missing"}});
     auto clash = [&](const std::string& of) { return defect(409, "a purge of this name exists for service " + of + " and is another; take a new name"); };
-    for (auto& [k, h] : p.name().empty() ? membership::Chosen() : n.mirror().chosen()) {
+    for (auto& [k, h] : p.name().empty() ? membership::Chosen() : n.state_cache().chosen()) {
       pb::PurgeSet s;
       if (!k.starts_with("purge/") || k.substr(6) == service || !s.ParseFromString(h.data)) continue;
       for (auto& x : s.purges())
@@ -291,7 +291,7 @@
 
   base::Receipt assignments() {
     auto h = chosen(rollout::kRolloutKey);
-    auto roll = rollout::read_rollout(n.mirror().chosen());
+    auto roll = rollout::read_rollout(n.state_cache().chosen());
     return json(200, message_json(roll), h ? h->version : 0);
   }
 
@@ -304,7 +304,7 @@
     }
     if (is(2, "assignments")) return assignments();
     if (is(3, "assignments")) {
-      auto roll = rollout::read_rollout(n.mirror().chosen());
+      auto roll = rollout::read_rollout(n.state_cache().chosen());
       auto f = roll.nodes().find(p[2]);
       if (f == roll.nodes().end()) return defect(404, "no such node");
       return json(200, message_json(f->second), f->second.generation());
@@ -340,7 +340,7 @@
     Span most = std::clamp(Span(num("wait_ms")), Span(0), kLongestWatch);
     Tick end = ps.clock.now() + most;
     for (;;) {
-      if (!n.mirror().settle(n.config().bound)) return defect(503, "no majority of the holders answers");
+      if (!n.state_cache().settle(n.config().bound)) return defect(503, "no majority of the holders answers");
       auto r = read(c);
       if (after < 0 || r.status != 200) return r;
       auto tag = base::header(r.headers, "ETag");
--- a/src/gate/holders.cpp
+++ b/src/gate/holders.cpp
@@ -24,8 +24,8 @@
 
 base::Receipt holders(relay::Node& n) {
   auto& set = n.registers().set();
-  auto f = n.mirror().chosen().find(consensus::kReplicaSetKey);
-  return json(200, message_json(set.message()), f == n.mirror().chosen().end() ? 0 : f->second.version);
+  auto f = n.state_cache().chosen().find(consensus::kReplicaSetKey);
+  return json(200, message_json(set.message()), f == n.state_cache().chosen().end() ? 0 : f->second.version);
 }
 
 base::Receipt put_holder(relay::Node& n, Call& c) {
@@ -37,7 +37,7 @@
   auto address = j.at("address").str();
   if (on && address.empty()) ds.push_back({"/address", "is missing"});
   if (!ds.empty()) return defects(ds);
-  if (!n.mirror().settle(n.config().bound)) return of(consensus::ReplicaSetError::no_majority);
+  if (!n.state_cache().settle(n.config().bound)) return of(consensus::ReplicaSetError::no_majority);
   auto to = n.registers().set().all();
   auto same = [&](auto& h) { return h.name == c.path[2]; };
   if (on == std::any_of(to.begin(), to.end(), same)) return json(200, message_json(n.registers().set().message()));
@@ -45,7 +45,7 @@
     to.push_back({c.path[2], address});
   else
     std::erase_if(to, same);
-  auto r = n.registers().change(to, [&] { return n.mirror().names(n.config().bound); });
+  auto r = n.registers().change(to, [&] { return n.state_cache().names(n.config().bound); });
   if (auto* d = std::get_if<consensus::ReplicaSetError>(&r)) return of(*d);
   return json(200, message_json(std::get<pb::ReplicaSet>(r)));
 }
--- a/src/gate/moves.cpp
+++ b/src/gate/moves.cpp
@@ -26,9 +26,9 @@
 }
 
 base::Receipt move(relay::Node& n, Call& c) {
-  auto f = n.mirror().chosen().find(rollout::service_key(c.path[2]));
+  auto f = n.state_cache().chosen().find(rollout::service_key(c.path[2]));
   pb::ServiceState s;
-  if (f != n.mirror().chosen().end()) s.ParseFromString(f->second.data);
+  if (f != n.state_cache().chosen().end()) s.ParseFromString(f->second.data);
   if (rollout::outcome(s).empty()) return defect(404, "no move of this service was ever asked for");
   return told(s, f->second.version);
 }
@@ -61,7 +61,7 @@
       return told(st, now.version);
     if (runs && st.switching()) return defect(409, "the service is being switched to version " + st.trial() + "; ask again when that has ended");
     if (st.current().empty())
-      st.set_current(s->versions.empty() ? rollout::commonest(n.mirror().news().workers(ps.clock.now()), name, to) : s->versions.front());
+      st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().news().workers(ps.clock.now()), name, to) : s->versions.front());
     if (lift) st.mutable_quarantined()->erase(to);
     if (st.quarantined().count(to) || st.current() == to) {
       bool good = st.current() == to;
--- a/src/gate/orders.cpp
+++ b/src/gate/orders.cpp
@@ -40,7 +40,7 @@
     auto w = n.registers().write(traffic::kOrderKey, held.version, o.SerializeAsString());
     if (auto* h = std::get_if<consensus::VersionedValue>(&w)) {
       lg.info("Layout {} was recorded.", number);
-      n.mirror().hurry();
+      n.state_cache().hurry();
       return json(200, fmt::format(R"({{"number":{},"changed":true}})", number), h->version);
     }
     if (auto* st = std::get_if<consensus::VersionConflict>(&w))
@@ -52,9 +52,9 @@
 }
 
 base::Receipt order(relay::Node& n) {
-  auto f = n.mirror().chosen().find(traffic::kOrderKey);
+  auto f = n.state_cache().chosen().find(traffic::kOrderKey);
   pb::Order o;
-  if (f == n.mirror().chosen().end() || !o.ParseFromString(f->second.data) || !o.number()) return defect(404, "no layout was ever stated under a number");
+  if (f == n.state_cache().chosen().end() || !o.ParseFromString(f->second.data) || !o.number()) return defect(404, "no layout was ever stated under a number");
   return json(200, fmt::format(R"({{"number":{},"content":{},"stated":{}}})", o.number(), o.document(), base::quote(o.stated())),
               f->second.version);
 }
--- a/src/gate/views.cpp
+++ b/src/gate/views.cpp
@@ -10,9 +10,9 @@
 
 base::Receipt nodes(relay::Node& n, Tick now) {
   std::map<std::string, bool> in;
-  for (auto& m : n.mirror().news().members(now)) in[m.name] = true;
+  for (auto& m : n.state_cache().news().members(now)) in[m.name] = true;
   std::string b;
-  for (auto& m : n.mirror().news().all(now)) {
+  for (auto& m : n.state_cache().news().all(now)) {
     if (m.fact.zone().empty()) continue;
     b += fmt::format(R"({}{{"name":{},"member":{},"age_ms":{},"facts":{}}})", b.empty() ? "" : ",",
                      base::quote(m.name), in.count(m.name) > 0, m.age.count(), message_json(m.fact));
@@ -22,12 +22,12 @@
 
 base::Receipt workers(relay::Node& n, Tick now) {
   std::string b;
-  for (auto& [i, w] : n.mirror().news().workers(now)) {
+  for (auto& [i, w] : n.state_cache().news().workers(now)) {
     b += fmt::format(R"({}{{"instance":{},"gone":{},"age_ms":{},"beat":{}}})", b.empty() ? "" : ",",
                      base::quote(i), w.gone, w.age.count(), message_json(w.beat));
   }
   std::string left;
-  if (auto f = n.mirror().chosen().find(membership::kDepartedKey); f != n.mirror().chosen().end())
+  if (auto f = n.state_cache().chosen().find(membership::kDepartedKey); f != n.state_cache().chosen().end())
     for (auto& i : membership::read_departed(f->second.data)) left += (left.empty() ? "" : ",") + base::quote(i);
   return json(200, "{\"workers\":[" + b + "],\"departed\":[" + left + "]}");
 }
@@ -37,7 +37,7 @@
 template <class M>
 base::Receipt listed(relay::Node& n, const std::string& prefix, const char* what) {
   std::string b;
-  for (auto& [k, h] : n.mirror().chosen()) {
+  for (auto& [k, h] : n.state_cache().chosen()) {
     if (!k.starts_with(prefix)) continue;
     M m;
     m.ParseFromString(h.data);
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -15,7 +15,7 @@
 struct Duty::Impl {
   base::Ports& ps;
   consensus::RegisterClient& registers;
-  Mirror& mirror;
+  StateCache& state_cache;
   std::string name, me, zone;
   Span span;
   bool leaving = false, resting = false;
@@ -25,15 +25,15 @@
 
   pb::Permit known() const {
     pb::Permit p;
-    auto f = mirror.chosen().find(duty_key(name));
-    if (f != mirror.chosen().end()) p.ParseFromString(f->second.data);
+    auto f = state_cache.chosen().find(duty_key(name));
+    if (f != state_cache.chosen().end()) p.ParseFromString(f->second.data);
     return p;
   }
 
   // A member that could take over, in another zone when there is one.
   std::string understudy() const {
     std::string other;
-    for (auto& m : mirror.news().members(ps.clock.now())) {
+    for (auto& m : state_cache.news().members(ps.clock.now())) {
       if (!m.fact.holder() || m.fact.drained() || m.name == me) continue;
       if (m.fact.zone() != zone) return m.name;
       if (other.empty()) other = m.name;
@@ -83,9 +83,9 @@
   }
 
   void stand() {
-    auto f = mirror.chosen().find(duty_key(name));
+    auto f = state_cache.chosen().find(duty_key(name));
     Tick now = ps.clock.now();
-    uint64_t v = f == mirror.chosen().end() ? 0 : f->second.version;
+    uint64_t v = f == state_cache.chosen().end() ? 0 : f->second.version;
     pb::Permit p = known();
     if (v != seen_version || seen == Tick(0)) {
       seen_version = v;
@@ -106,7 +106,7 @@
   }
 };
 
-Duty::Duty(base::Ports& ps, consensus::RegisterClient& b, Mirror& m, std::string name, std::string me, std::string zone,
+Duty::Duty(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, std::string name, std::string me, std::string zone,
            Span bound)
     : p_(new Impl{ps, b, m, std::move(name), std::move(me), std::move(zone), bound * 2}) {}
 Duty::~Duty() = default;
@@ -119,7 +119,7 @@
         p->give_up();
       else if (had)
         p->renew();
-      else if (p->mirror.fresh() && !p->resting)
+      else if (p->state_cache.fresh() && !p->resting)
         p->stand();
       p->ps.clock.nap(p->span / 8 + Span(p->ps.chance.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
     }
--- a/src/membership/duty.hpp
+++ b/src/membership/duty.hpp
@@ -2,13 +2,13 @@
 // majority of the holders wrote, renewed in good time. Its holder stops before
 // the permit ends; its understudy takes it up once it has lapsed, others later.
 #pragma once
-#include "membership/mirror.hpp"
+#include "membership/state_cache.hpp"
 
 namespace dunlinwing::membership {
 
 class Duty {
  public:
-  Duty(base::Ports& ps, consensus::RegisterClient& registers, Mirror& m, std::string name, std::string me, std::string zone,
+  Duty(base::Ports& ps, consensus::RegisterClient& registers, StateCache& m, std::string name, std::string me, std::string zone,
        Span bound);
   ~Duty();
   void start();        // begins to stand for the duty
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -51,32 +51,32 @@
 struct ReplicaRepair::Impl {
   base::Ports& ps;
   consensus::RegisterClient& registers;
-  Mirror& mirror;
+  StateCache& state_cache;
   Duty& duty;
   int tolerate;
   Span bound;
   std::map<std::string, Tick> met;  // when each holder's session last stood, as far as known here
 
-  Impl(base::Ports& p, consensus::RegisterClient& b, Mirror& m, Duty& d, int t, Span bd)
-      : ps(p), registers(b), mirror(m), duty(d), tolerate(t), bound(bd) {}
+  Impl(base::Ports& p, consensus::RegisterClient& b, StateCache& m, Duty& d, int t, Span bd)
+      : ps(p), registers(b), state_cache(m), duty(d), tolerate(t), bound(bd) {}
 
   ClusterView sight() {
     ClusterView s{registers.holders(), {}, tolerate, bound};
     Tick now = ps.clock.now();
     std::set<std::string> in;
-    for (auto& m : mirror.news().members(now)) {
+    for (auto& m : state_cache.news().members(now)) {
       in.insert(m.name);
       met[m.name] = now;
     }
     std::map<std::string, RepairCandidate> by;
     for (auto& h : s.set) by[h.name] = {h.name, "", h.address, true, false, false, Span(0)};
-    for (auto& m : mirror.news().all(now)) {
+    for (auto& m : state_cache.news().all(now)) {
       if (m.fact.zone().empty()) continue;
       auto& k = by[m.name];
       k = {m.name, m.fact.zone(), m.fact.peer_address(), m.fact.disk(), in.count(m.name) && !m.fact.drained(), false, Span(0)};
     }
     for (auto& [n, k] : by) {
-      k.votes = mirror.votes(n);
+      k.votes = state_cache.votes(n);
       k.absent = now - met.emplace(n, now).first->second;
       s.nodes.push_back(k);
     }
@@ -84,7 +84,7 @@
   }
 
   void tick() {
-    if (!mirror.fresh()) return met.clear();  // what was not seen is not absence
+    if (!state_cache.fresh()) return met.clear();  // what was not seen is not absence
     auto s = sight();
     if (!duty.held()) return;
     auto st = plan_repair(s);
@@ -95,7 +95,7 @@
     else
       std::erase_if(to, [&](auto& h) { return h.name == st->who.name; });
     auto from = ps.clock.now();
-    auto r = registers.change(to, [&] { return duty.held() ? mirror.names(bound) : std::nullopt; });
+    auto r = registers.change(to, [&] { return duty.held() ? state_cache.names(bound) : std::nullopt; });
     if (auto* set = std::get_if<pb::ReplicaSet>(&r))
       lg.info("{} {} the holders, for {}; epoch {}, {} of them, in {} ms.", st->who.name, st->add ? "joins" : "leaves", st->why,
               set->epoch(), set->holders_size(), (ps.clock.now() - from).count());
@@ -104,7 +104,7 @@
   }
 };
 
-ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, Mirror& m, Duty& d, int tolerate, Span bound)
+ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Duty& d, int tolerate, Span bound)
     : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -34,7 +34,7 @@
 
 class ReplicaRepair {
  public:
-  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, Mirror& m, Duty& d, int tolerate, Span bound);
+  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Duty& d, int tolerate, Span bound);
   ~ReplicaRepair();
   void start();
 
--- a/src/membership/seek.cpp
+++ b/src/membership/seek.cpp
@@ -52,15 +52,15 @@
   base::Ports& ps;
   SeekConfig c;
   consensus::RegisterClient& registers;
-  Mirror& mirror;
+  StateCache& state_cache;
   consensus::Acceptor* mine;
   std::vector<std::string> origin;     // the seeds of the first start, when this was it
   std::map<std::string, Self> told;    // by those seeds
   Tick good{0}, looked{0};
   std::string said;
 
-  Impl(base::Ports& p, SeekConfig cc, consensus::RegisterClient& b, Mirror& m, consensus::Acceptor* a)
-      : ps(p), c(std::move(cc)), registers(b), mirror(m), mine(a) {}
+  Impl(base::Ports& p, SeekConfig cc, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* a)
+      : ps(p), c(std::move(cc)), registers(b), state_cache(m), mine(a) {}
 
   // By address, from all that answer in time.
   std::map<std::string, Self> ask(const std::vector<std::string>& at, Span limit) {
@@ -98,7 +98,7 @@
   void look() {
     auto at = c.seeds;
     for (auto& a : origin) at.push_back(a);
-    for (auto& m : mirror.news().all(ps.clock.now())) at.push_back(m.fact.http_address());
+    for (auto& m : state_cache.news().all(ps.clock.now())) at.push_back(m.fact.http_address());
     std::sort(at.begin(), at.end());
     at.erase(std::unique(at.begin(), at.end()), at.end());
     std::erase(at, std::string());
@@ -137,7 +137,7 @@
     good = ps.clock.now();
     for (;;) {
       Tick now = ps.clock.now();
-      if (mirror.fresh()) good = now;
+      if (state_cache.fresh()) good = now;
       if (registers.holders().empty()) {
         look();
         ps.clock.nap(c.bound / 16);
@@ -156,7 +156,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Seek::Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, Mirror& m, consensus::Acceptor* mine)
+Seek::Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, mine)) {
   p_->weak = p_;
 }
--- a/src/membership/seek.hpp
+++ b/src/membership/seek.hpp
@@ -3,7 +3,7 @@
 // first start of the fleet, when all seeds have answered and none knows a set, the
 // first set is those seeds that have a disk; every relay finds the same one.
 #pragma once
-#include "membership/mirror.hpp"
+#include "membership/state_cache.hpp"
 
 namespace dunlinwing::membership {
 
@@ -28,7 +28,7 @@
 
 class Seek {
  public:
-  Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, Mirror& m, consensus::Acceptor* mine);
+  Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine);
   ~Seek();
   void start();
   void seeds(std::vector<std::string> addresses);  // in place of those of now
--- a/src/membership/mirror.cpp
+++ b/src/membership/state_cache.cpp
@@ -4,7 +4,7 @@
 // answered and every register whose latest ballot is not at a majority has
 // been finished by a read. Whatever was acknowledged before such a pull began
 // is then in `chosen`.
-#include "membership/mirror.hpp"
+#include "membership/state_cache.hpp"
 
 #include <algorithm>
 
@@ -18,14 +18,14 @@
 constexpr size_t kLargeFleet = 32;
 }
 
-struct Mirror::Impl {
+struct StateCache::Impl {
   struct Side {
     uint64_t boot = 0, seen = 0;
     Tick voted{0};  // when it last answered and was not mute
     std::map<std::string, pb::RegisterState> slots;
   };
   base::Ports& ps;
-  MirrorConfig c;
+  StateCacheConfig c;
   consensus::RegisterClient& registers;
   consensus::Acceptor* mine;
   std::function<void(pb::News&)> own;
@@ -45,7 +45,7 @@
   bool told = false, asked = false;  // asked: somebody waits for the next pull
   std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
 
-  Impl(base::Ports& p, MirrorConfig cc, consensus::RegisterClient& b, consensus::Acceptor* m,
+  Impl(base::Ports& p, StateCacheConfig cc, consensus::RegisterClient& b, consensus::Acceptor* m,
        std::function<void(pb::News&)> o, std::function<void()> s)
       : ps(p), c(std::move(cc)), registers(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()) {
     first = static_cast<size_t>(ps.chance.below(b.holders().size()));
@@ -248,12 +248,12 @@
   }
 };
 
-Mirror::Mirror(base::Ports& ps, MirrorConfig c, consensus::RegisterClient& b, consensus::Acceptor* m,
+StateCache::StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& b, consensus::Acceptor* m,
                std::function<void(pb::News&)> own, std::function<void()> seen)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, std::move(own), std::move(seen))) {}
-Mirror::~Mirror() = default;
+StateCache::~StateCache() = default;
 
-void Mirror::start() {
+void StateCache::start() {
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
       Tick from = p->ps.clock.now();
@@ -276,15 +276,15 @@
   });
 }
 
-bool Mirror::once() { return p_->once(); }
-bool Mirror::fresh() const { return p_->ps.clock.now().count() < p_->permit.load(); }
-Tick Mirror::permit_end() const { return Tick(p_->permit.load()); }
-const Chosen& Mirror::chosen() const { return p_->chosen; }
-NewsTable& Mirror::news() { return p_->news; }
-pb::Reply Mirror::answer(const pb::Ask& a) { return p_->answer(a); }
-uint64_t Mirror::incarnation() const { return p_->incarnation; }
+bool StateCache::once() { return p_->once(); }
+bool StateCache::fresh() const { return p_->ps.clock.now().count() < p_->permit.load(); }
+Tick StateCache::permit_end() const { return Tick(p_->permit.load()); }
+const Chosen& StateCache::chosen() const { return p_->chosen; }
+NewsTable& StateCache::news() { return p_->news; }
+pb::Reply StateCache::answer(const pb::Ask& a) { return p_->answer(a); }
+uint64_t StateCache::incarnation() const { return p_->incarnation; }
 
-bool Mirror::settle(Span limit) {
+bool StateCache::settle(Span limit) {
   auto s = p_->ps.tasks.spot();
   auto now = p_->ps.clock.now();
   p_->waits.emplace_back(now, s);
@@ -292,19 +292,19 @@
   return s->park(limit);
 }
 
-std::optional<std::vector<std::string>> Mirror::names(Span limit) {
+std::optional<std::vector<std::string>> StateCache::names(Span limit) {
   if (!settle(limit)) return {};
   std::vector<std::string> out;
   for (auto& [k, h] : p_->chosen) out.push_back(k);
   return out;
 }
 
-bool Mirror::votes(const std::string& holder) const {
+bool StateCache::votes(const std::string& holder) const {
   auto f = p_->sides.find(holder);
   return f != p_->sides.end() && f->second.voted != Tick(0) && p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
 }
 
-void Mirror::hurry() {
+void StateCache::hurry() {
   p_->asked = true;
   if (p_->rest) p_->rest->wake();
 }
--- a/src/membership/mirror.hpp
+++ b/src/membership/state_cache.hpp
@@ -6,7 +6,7 @@
 #include <atomic>
 #include <set>
 
-#include "membership/news.hpp"
+#include "membership/status_table.hpp"
 #include "consensus/acceptor.hpp"
 #include "consensus/register_client.hpp"
 
@@ -14,7 +14,7 @@
 
 using Chosen = std::map<std::string, consensus::VersionedValue>;
 
-struct MirrorConfig {
+struct StateCacheConfig {
   std::string me;
   Span bound{2000};  // the 2-second bound; every other span here is a ratio of it
   Span pull() const { return bound / 8; }
@@ -22,12 +22,12 @@
   Span session() const { return bound * 3 / 2; }
 };
 
-class Mirror {
+class StateCache {
  public:
   // `own` fills in what this node says of itself; `seen` runs after each good pull.
-  Mirror(base::Ports& ps, MirrorConfig c, consensus::RegisterClient& registers, consensus::Acceptor* mine,
+  StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& registers, consensus::Acceptor* mine,
          std::function<void(pb::News&)> own, std::function<void()> seen);
-  ~Mirror();
+  ~StateCache();
   void start();
   bool once();                            // one pull; true when good
   bool fresh() const;                     // from any thread
--- a/src/membership/news.cpp
+++ b/src/membership/status_table.cpp
@@ -1,6 +1,6 @@
 // Versions are pairs of incarnation and count, so that a source that was
 // restarted, and counts from one again, is never taken for its older self.
-#include "membership/news.hpp"
+#include "membership/status_table.hpp"
 
 #include <tuple>
 
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -149,16 +149,16 @@
   void software(const std::string& program) {
     hand = std::make_unique<dw::storage::DiskExecutor>(pool);
     if (!c.data.empty()) shelf = std::make_unique<dw::storage::ArtifactFiles>(c.data);
-    artifacts = std::make_unique<dw::software::Artifacts>(ports, node->registers(), node->mirror(), c.node.name, shelf.get(),
+    artifacts = std::make_unique<dw::software::Artifacts>(ports, node->registers(), node->state_cache(), c.node.name, shelf.get(),
                                                           hand.get(), c.node.bound);
     node->artifacts(artifacts.get());
     dw::software::StagerPorts sp;
     sp.wanted = [this] { return node->wanted_software(); };
     sp.defect = [this](auto& why) { node->software_defect(why); };
-    sp.sound = [this] { return node->mirror().fresh() && (node->ready() || !node->traffic().table()->layout); };
+    sp.sound = [this] { return node->state_cache().fresh() && (node->ready() || !node->traffic().table()->layout); };
     sp.crowded = [this] {
       // At most a third of the nodes may be out at once; a duty's pair goes one by one.
-      size_t in = node->mirror().news().members(clock.now()).size();
+      size_t in = node->state_cache().news().members(clock.now()).size();
       auto t = node->traffic().table();
       return in * 3 < static_cast<size_t>(t->nodes) * 2;
     };
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -24,7 +24,7 @@
   consensus::ReplicaSetView set;
   std::unique_ptr<consensus::Acceptor> acceptor;
   consensus::RegisterClient registers;
-  membership::Mirror mirror;
+  membership::StateCache state_cache;
   membership::Duty duty;
   membership::Seek seek;
   membership::ReplicaRepair replica_repair;
@@ -50,12 +50,12 @@
         acceptor(disk ? std::make_unique<consensus::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
         registers(ps, c.name, set, c.bound / 4,
              acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : consensus::Local()),
-        mirror(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
-        duty(ps, registers, mirror, "rollout", c.name, c.zone, c.bound),
-        seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, mirror, acceptor.get()),
-        replica_repair(ps, registers, mirror, duty, c.tolerate, c.bound),
-        conductor(ps, registers, mirror, duty, {c.name, c.bound, c.scale}),
-        traffic(ps, *c.face, c.name, c.zone, [this] { return mirror.fresh(); }) {
+        state_cache(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
+        duty(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
+        seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache, acceptor.get()),
+        replica_repair(ps, registers, state_cache, duty, c.tolerate, c.bound),
+        conductor(ps, registers, state_cache, duty, {c.name, c.bound, c.scale}),
+        traffic(ps, *c.face, c.name, c.zone, [this] { return state_cache.fresh(); }) {
     traffic.bound_cache(c.cache_bytes);
     traffic.shots().bound_places(c.sockets > 0 ? c.sockets / 8 : 0);
   }
@@ -101,8 +101,8 @@
 
   std::shared_ptr<const traffic::Layout> layout(const std::string& name, std::string& why) {
     if (auto f = layouts.find(name); f != layouts.end()) return f->second;
-    auto r = mirror.chosen().find(rollout::release_key("layout", name));
-    if (r == mirror.chosen().end()) {
+    auto r = state_cache.chosen().find(rollout::release_key("layout", name));
+    if (r == state_cache.chosen().end()) {
       why = "the release is not known here";
       return {};
     }
@@ -140,8 +140,8 @@
     if (ok && now_sys != running.end() && now_sys->second == sys) {
       s = old->system;  // releases do not change, so it need not be read again
     } else if (ok && !sys.empty()) {
-      auto r = mirror.chosen().find(rollout::release_key("system", sys));
-      ok = r != mirror.chosen().end();
+      auto r = state_cache.chosen().find(rollout::release_key("system", sys));
+      ok = r != state_cache.chosen().end();
       if (ok) {
         auto g = rollout::read_release("system", sys, r->second.data);
         if (auto* x = std::get_if<rollout::Release>(&g))
@@ -172,7 +172,7 @@
     auto old = want_soft ? want_soft->name : std::string();
     want_soft.reset();
     if (name.empty()) return soft_defect.clear();
-    for (auto& [sha, w] : software::recorded(mirror.chosen()))
+    for (auto& [sha, w] : software::recorded(state_cache.chosen()))
       if (w.name == name) want_soft = w;
     if (want_soft && want_soft->version == kSoftware) {
       running["software"] = name;
@@ -183,9 +183,9 @@
 
   bool stated_drained() const {
     for (auto& k : {drain_key("node", c.name), drain_key("zone", c.zone)}) {
-      auto f = mirror.chosen().find(k);
+      auto f = state_cache.chosen().find(k);
       pb::Drain d;
-      if (f != mirror.chosen().end() && d.ParseFromString(f->second.data) && d.drained()) return true;
+      if (f != state_cache.chosen().end() && d.ParseFromString(f->second.data) && d.drained()) return true;
     }
     return false;
   }
@@ -196,7 +196,7 @@
     if (was != drained) lg.info("{}: {}.", c.name, drained ? "drained; callers are sent elsewhere" : "no longer drained");
     duty.rest(drained);
     auto t = std::make_shared<traffic::Table>();
-    auto roll = rollout::read_rollout(mirror.chosen());
+    auto roll = rollout::read_rollout(state_cache.chosen());
     if (auto f = roll.nodes().find(c.name); f != roll.nodes().end())
       load(f->second, *t);
     else
@@ -209,7 +209,7 @@
       }
     }
     layouts = t->layouts;
-    if (auto& o = orders.look(mirror.chosen()); o.number) {
+    if (auto& o = orders.look(state_cache.chosen()); o.number) {
       if (o.number > traffic.table()->order) lg.info("{}: layout {} is in force here.", c.name, o.number);
       t->order = t->generation = o.number;
       t->layout = o.layout;
@@ -217,7 +217,7 @@
     }
     if (t->layout) t->layouts[t->layout->name] = t->layout;
     std::vector<std::string> alive;
-    auto workers = mirror.news().workers(now);
+    auto workers = state_cache.news().workers(now);
     std::map<std::string, Span> youngest;  // beat from each address: its earlier owners have ended
     for (auto& [i, w] : workers) {
       auto [f, first] = youngest.emplace(w.beat.address(), w.age);
@@ -234,7 +234,7 @@
       swept = now;
       traffic.sweep();
     }
-    for (auto& [k, h] : mirror.chosen()) {
+    for (auto& [k, h] : state_cache.chosen()) {
       if (k.starts_with("service/")) t->states[k.substr(8)].ParseFromString(h.data);
       if (k.starts_with("share/")) {
         pb::Shares sh;
@@ -243,10 +243,10 @@
       }
       if (k.starts_with("purge/")) t->purges[k.substr(6)].ParseFromString(h.data);
     }
-    jury.hear(t->states, mirror.news().latest(now), static_cast<uint64_t>(t->system.bad_answers));
+    jury.hear(t->states, state_cache.news().latest(now), static_cast<uint64_t>(t->system.bad_answers));
     t->given_up = jury.all_stopped();
     traffic::settle(*t);
-    for (auto& m : mirror.news().members(now))
+    for (auto& m : state_cache.news().members(now))
       if (m.fact.shield() && m.fact.ready()) t->shields.push_back({m.name, m.fact.peer_address()});
     t->nodes = std::max<int>(roll.nodes_size(), 1);
     for (auto& [n, a] : roll.nodes()) t->rank += n < c.name;
@@ -256,7 +256,7 @@
 
   bool ready() const {
     auto t = traffic.table();
-    return !leaving && !drained && mirror.fresh() && t->layout && !traffic::overtaken(*t, c.name, t->generation);
+    return !leaving && !drained && state_cache.fresh() && t->layout && !traffic::overtaken(*t, c.name, t->generation);
   }
 };
 
@@ -268,7 +268,7 @@
   if (p_->c.first_start) first.emplace();
   if (first && p_->c.holders.empty()) first->mutable_seeds()->Assign(p_->c.seeds.begin(), p_->c.seeds.end());
   if (p_->acceptor) p_->acceptor->start(first);
-  p_->mirror.start();
+  p_->state_cache.start();
   p_->seek.start();
   if (p_->holder) {
     p_->duty.start();
@@ -282,7 +282,7 @@
 pb::Reply Node::answer(const pb::Ask& a) {
   pb::Reply out;
   switch (a.body_case()) {
-    case pb::Ask::kPull: return p_->mirror.answer(a);
+    case pb::Ask::kPull: return p_->state_cache.answer(a);
     case pb::Ask::kProbe:
       if (p_->ps.clock.now() - p_->reached_at >= p_->c.bound / 2) {
         p_->reached_at = p_->ps.clock.now();
@@ -318,7 +318,7 @@
 pb::CarryReply Node::carry(const pb::Carry& c) { return p_->traffic.carry(c); }
 
 bool Node::beat(const pb::Beat& b) {
-  if (!p_->mirror.fresh() || p_->leaving) return ++p_->beats_missed, false;
+  if (!p_->state_cache.fresh() || p_->leaving) return ++p_->beats_missed, false;
   auto& x = p_->beats[b.instance()];
   // What the fleet has heard of this worker before need not be waited for again.
   bool same = x.first.number() && x.first.address() == b.address() && x.first.service() == b.service() &&
@@ -328,14 +328,14 @@
     x = {b, p_->ps.clock.now()};
     if (left) x.first.set_leaving(true);
   }
-  bool known = (!b.leaving() || membership::depart(p_->registers, b.instance())) && (same || p_->mirror.settle(p_->c.bound / 2));
+  bool known = (!b.leaving() || membership::depart(p_->registers, b.instance())) && (same || p_->state_cache.settle(p_->c.bound / 2));
   ++(known ? p_->beats_taken : p_->beats_missed);
   return known;
 }
 
 bool Node::gone(const std::string& instance) {
   if (!membership::depart(p_->registers, instance)) return false;
-  p_->mirror.hurry();
+  p_->state_cache.hurry();
   return true;
 }
 
@@ -344,11 +344,11 @@
 void Node::leave() {
   p_->leaving = true;
   p_->duty.hand_over();
-  p_->mirror.settle(p_->c.bound / 2);  // tells the others that this node leaves
+  p_->state_cache.settle(p_->c.bound / 2);  // tells the others that this node leaves
 }
 
 const NodeConfig& Node::config() const { return p_->c; }
-membership::Mirror& Node::mirror() { return p_->mirror; }
+membership::StateCache& Node::state_cache() { return p_->state_cache; }
 consensus::RegisterClient& Node::registers() { return p_->registers; }
 membership::Duty& Node::duty() { return p_->duty; }
 consensus::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -41,7 +41,7 @@
   void leave();  // unready, duties handed over, the session ended; requests are still served
 
   const NodeConfig& config() const;
-  membership::Mirror& mirror();
+  membership::StateCache& state_cache();
   consensus::RegisterClient& registers();
   membership::Duty& duty();
   consensus::Acceptor* acceptor();
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -60,7 +60,7 @@
 struct Conductor::Impl {
   base::Ports& ps;
   consensus::RegisterClient& registers;
-  membership::Mirror& mirror;
+  membership::StateCache& state_cache;
   membership::Duty& duty;
   ConductorConfig c;
   Rules rules;
@@ -87,8 +87,8 @@
   Settler settler;
   Watch watch;
 
-  Impl(base::Ports& p, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, ConductorConfig cc)
-      : ps(p), registers(b), mirror(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
+  Impl(base::Ports& p, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, ConductorConfig cc)
+      : ps(p), registers(b), state_cache(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
   }
@@ -108,9 +108,9 @@
   Sight look(Tick now, Span dt) {
     Sight v;
     v.dt = dt;
-    auto wall = median_wall(mirror.news().members(now));
+    auto wall = median_wall(state_cache.news().members(now));
     v.quiet = wall && rules.system.quiet.open(*wall);
-    auto news = mirror.news().latest(now);
+    auto news = state_cache.news().latest(now);
     auto permit = duty.known();
     std::map<std::string, NodeSight> by;
     for (auto& [n, a] : state.nodes()) {
@@ -151,7 +151,7 @@
     }
     looked = now;
     for (auto& [n, s] : by) v.nodes.push_back(s);
-    for (auto& [k, h] : mirror.chosen()) {
+    for (auto& [k, h] : state_cache.chosen()) {
       if (k.starts_with("release/")) {
         if (auto f = releases.find(k); f != releases.end()) continue;
         auto a = k.find('/', 8);
@@ -206,7 +206,7 @@
   // Asks the nodes on a release under way, and a few others to compare with.
   void probe() {
     std::vector<membership::Member> on, off;
-    for (auto& m : mirror.news().members(ps.clock.now()))
+    for (auto& m : state_cache.news().members(ps.clock.now()))
       if (!m.fact.drained() && state.nodes().count(m.name)) (on_trial(m.name) ? on : off).push_back(m);
     if (on.empty()) return;
     for (size_t i = 0; i < std::min(kOthers, off.size()); ++i) on.push_back(off[turn++ % off.size()]);
@@ -225,7 +225,7 @@
   }
 
   std::shared_ptr<const traffic::Layout> layout_in_force() {
-    if (auto& o = orders.look(mirror.chosen()); o.number) return o.layout;
+    if (auto& o = orders.look(state_cache.chosen()); o.number) return o.layout;
     auto f = state.in_force().find("layout");
     if (f == state.in_force().end()) return {};
     if (layout && layout->name == f->second) return layout;
@@ -238,7 +238,7 @@
 
   void moves(Tick now, Span dt) {
     std::map<std::string, MoveSight> vs;
-    auto news = mirror.news().latest(now);
+    auto news = state_cache.news().latest(now);
     for (auto& [src, x] : news)
       for (auto& b : x.bad()) {
         auto& k = bad[src][b.service() + "/" + b.version() + "/" + b.route()];
@@ -255,7 +255,7 @@
         recent.push_back({now, b.service(), b.version(), d});
       }
     std::erase_if(recent, [&](auto& m) { return now - m.at > c.bound * 30; });
-    watch.look(now, mirror.chosen(), news, mirror.news().workers(now));
+    watch.look(now, state_cache.chosen(), news, state_cache.news().workers(now));
     if (!duty.held()) return;
     for (auto& m : recent) {
       auto add = [&](Counts& t) {
@@ -265,9 +265,9 @@
       add(vs[m.service].minute[m.version]);
       if (now - m.at <= c.bound * 5) add(vs[m.service].recent[m.version]);
     }
-    for (auto& [i, w] : mirror.news().workers(now))
+    for (auto& [i, w] : state_cache.news().workers(now))
       if (!w.gone) vs[w.beat.service()].workers[w.beat.version()]++;
-    for (auto& [k, h] : mirror.chosen()) {
+    for (auto& [k, h] : state_cache.chosen()) {
       if (!k.starts_with("service/")) continue;
       auto name = k.substr(8);
       auto& mine = services[name];
@@ -302,7 +302,7 @@
 
   void tick() {
     Tick now = ps.clock.now();
-    if (!mirror.fresh()) {
+    if (!state_cache.fresh()) {
       last = Tick(0);
       return;
     }
@@ -310,7 +310,7 @@
     Span dt = held && last != Tick(0) ? std::min<Span>(now - last, c.bound) : Span(0);
     last = held ? now : Tick(0);
     if (!held) {
-      state = read_rollout(mirror.chosen());
+      state = read_rollout(state_cache.chosen());
       loaded = false;
       settler.idle();
       look(now, Span(0));
@@ -338,7 +338,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Conductor::Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, ConductorConfig c)
+Conductor::Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, ConductorConfig c)
     : p_(std::make_shared<Impl>(ps, b, m, d, std::move(c))) {
   p_->weak = p_;
 }
--- a/src/rollout/conductor.hpp
+++ b/src/rollout/conductor.hpp
@@ -14,7 +14,7 @@
 
 class Conductor {
  public:
-  Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, ConductorConfig c);
+  Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, ConductorConfig c);
   ~Conductor();
   void start();
   void tick();  // one look and what follows from it
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -25,7 +25,7 @@
   };
   base::Ports& ps;
   consensus::RegisterClient& registers;
-  membership::Mirror& mirror;
+  membership::StateCache& state_cache;
   membership::Duty& duty;
   Span bound;
   uint64_t term = 0;
@@ -39,7 +39,7 @@
 
   // The least rate that any layout assigned now states; a rate holds for all.
   void read_rates(const pb::Rollout& r, const std::map<std::string, Release>& releases) {
-    if (auto& o = orders.look(mirror.chosen()); o.number) {
+    if (auto& o = orders.look(state_cache.chosen()); o.number) {
       rates.clear();
       if (o.layout)
         for (auto& [k, s] : o.layout->services)
@@ -81,7 +81,7 @@
     last = now;
     looks = std::min(looks + 1, kLooks);
     read_rates(r, releases);
-    auto news = mirror.news().latest(now);
+    auto news = state_cache.news().latest(now);
     for (auto& [svc, rate] : rates) {
       ShareSight v;
       v.rate = rate;
@@ -112,9 +112,9 @@
           if (news.at(n).node().shield()) d = 1;
       // A node that is restarted asks for as much as before once it is back; were its
       // share given away meanwhile, it would have to wait for others' to fall.
-      auto have = mirror.chosen().find(share_key(svc));
+      auto have = state_cache.chosen().find(share_key(svc));
       pb::Shares sh;
-      if (have != mirror.chosen().end()) sh.ParseFromString(have->second.data);
+      if (have != state_cache.chosen().end()) sh.ParseFromString(have->second.data);
       double asked = 0;
       for (auto& [n, d] : v.demand) asked += d;
       auto kept = bound * (asked > static_cast<double>(rate) ? kAwayScarce : kAwayBounds);
@@ -138,10 +138,10 @@
   }
 
   void write(const std::string& svc, const ShareSight& v) {
-    auto c = mirror.chosen().find(share_key(svc));
+    auto c = state_cache.chosen().find(share_key(svc));
     pb::Shares have;
     uint64_t version = 0;
-    if (c != mirror.chosen().end()) {
+    if (c != state_cache.chosen().end()) {
       have.ParseFromString(c->second.data);
       version = c->second.version;
     }
@@ -155,7 +155,7 @@
   }
 };
 
-Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, Span bound)
+Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound}) {}
 Pacer::~Pacer() = default;
 void Pacer::tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
--- a/src/rollout/pacer.hpp
+++ b/src/rollout/pacer.hpp
@@ -8,7 +8,7 @@
 
 class Pacer {
  public:
-  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, Span bound);
+  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, Span bound);
   ~Pacer();
   void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
 
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -28,7 +28,7 @@
 struct Settler::Impl {
   base::Ports& ps;
   consensus::RegisterClient& registers;
-  membership::Mirror& mirror;
+  membership::StateCache& state_cache;
   membership::Duty& duty;
   Span bound;
   std::string settled;                  // the layout of which all is known to be in place
@@ -37,8 +37,8 @@
 
   pb::ServiceState state(const std::string& name, uint64_t& version) {
     pb::ServiceState st;
-    auto h = mirror.chosen().find(service_key(name));
-    version = h == mirror.chosen().end() ? 0 : h->second.version;
+    auto h = state_cache.chosen().find(service_key(name));
+    version = h == state_cache.chosen().end() ? 0 : h->second.version;
     if (version) st.ParseFromString(h->second.data);
     return st;
   }
@@ -47,7 +47,7 @@
   }
 
   void settle() {
-    auto ws = mirror.news().workers(ps.clock.now());
+    auto ws = state_cache.news().workers(ps.clock.now());
     bool all = true;
     for (auto& [name, s] : now->services) {
       uint64_t version = 0;
@@ -62,7 +62,7 @@
       if (!write(name, version, st)) return;  // the next tick looks again
       if (s.versions.empty()) lg.info("Service {}: version {} is in place, as its workers say.", name, v);
     }
-    for (auto& [k, h] : membership::Chosen(mirror.chosen())) {
+    for (auto& [k, h] : membership::Chosen(state_cache.chosen())) {
       pb::ServiceState st;
       if (!k.starts_with("service/") || now->services.count(k.substr(8)) || !st.ParseFromString(h.data) || st.current().empty()) continue;
       st.clear_current();
@@ -74,7 +74,7 @@
   }
 
   void replace() {
-    auto ws = mirror.news().workers(ps.clock.now());
+    auto ws = state_cache.news().workers(ps.clock.now());
     for (auto& [name, s] : now->services) {
       if (!s.versions.empty()) continue;
       uint64_t version = 0;
@@ -97,7 +97,7 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, membership::Duty& d, Span bound)
+Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
 Settler::~Settler() = default;
 
--- a/src/rollout/watch.hpp
+++ b/src/rollout/watch.hpp
@@ -2,7 +2,7 @@
 // on with them whenever the duty comes to it: since when it knows of each, since when
 // its workers are warm, and what came back.
 #pragma once
-#include "membership/mirror.hpp"
+#include "membership/state_cache.hpp"
 #include "rollout/moves.hpp"
 
 namespace dunlinwing::rollout {
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -32,7 +32,7 @@
 struct Artifacts::Impl {
   base::Ports& ps;
   consensus::RegisterClient& registers;
-  membership::Mirror& mirror;
+  membership::StateCache& state_cache;
   std::string me;
   storage::ArtifactFiles* shelf;
   storage::DiskExecutor* hand;
@@ -49,7 +49,7 @@
     if (a.has_chunk()) {
       auto& c = a.chunk();
       bool ok = false;
-      if (!recorded(mirror.chosen()).count(c.sha256())) {
+      if (!recorded(state_cache.chosen()).count(c.sha256())) {
         r->set_why("no recorded release names it");
         return out;
       }
@@ -115,7 +115,7 @@
   }
 
   void repair() {
-    for (auto& [sha, w] : recorded(mirror.chosen())) {
+    for (auto& [sha, w] : recorded(state_cache.chosen())) {
       storage::Kept k;
       hand->run([&, s = sha] { k = shelf->look(s); });
       bool begun = !k.whole;
@@ -132,7 +132,7 @@
   }
 };
 
-Artifacts::Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
+Artifacts::Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
                      Span bound)
     : p_(new Impl{ps, b, m, std::move(me), s, h, bound}) {}
 Artifacts::~Artifacts() = default;
@@ -142,7 +142,7 @@
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
       p->ps.clock.nap(p->bound * 2);
-      if (p->mirror.fresh()) p->repair();
+      if (p->state_cache.fresh()) p->repair();
     }
   });
 }
@@ -150,7 +150,7 @@
 pb::Reply Artifacts::answer(const pb::Ask& a) { return p_->answer(a); }
 
 std::variant<pb::Piece, PieceDefect> Artifacts::put(const std::string& sha, uint64_t offset, const std::string& data) {
-  auto all = recorded(p_->mirror.chosen());
+  auto all = recorded(p_->state_cache.chosen());
   auto f = all.find(sha);
   if (f == all.end()) return PieceDefect::unknown_artifact;
   pb::Ask a;
@@ -163,7 +163,7 @@
 }
 
 std::variant<pb::Piece, PieceDefect> Artifacts::look(const std::string& sha) {
-  if (!recorded(p_->mirror.chosen()).count(sha)) return PieceDefect::unknown_artifact;
+  if (!recorded(p_->state_cache.chosen()).count(sha)) return PieceDefect::unknown_artifact;
   pb::Ask a;
   a.mutable_fetch()->set_sha256(sha);
   return p_->settled(p_->ask_holders(a, p_->bound), 0);
--- a/src/software/artifacts.hpp
+++ b/src/software/artifacts.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "storage/disk_executor.hpp"
 #include "storage/artifact_files.hpp"
-#include "membership/mirror.hpp"
+#include "membership/state_cache.hpp"
 
 namespace dunlinwing::software {
 
@@ -19,7 +19,7 @@
 class Artifacts {
  public:
   // `shelf` is null on a machine that holds no state.
-  Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::Mirror& m, std::string me, storage::ArtifactFiles* shelf, storage::DiskExecutor* hand,
+  Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me, storage::ArtifactFiles* shelf, storage::DiskExecutor* hand,
             Span bound);
   ~Artifacts();
   void start();                        // begins to repair
--- a/src/traffic/order.hpp
+++ b/src/traffic/order.hpp
@@ -2,7 +2,7 @@
 // document. It is in force on every node as soon as the node has heard of it, and
 // while there is one no layout comes by a release.
 #pragma once
-#include "membership/mirror.hpp"
+#include "membership/state_cache.hpp"
 #include "traffic/layout.hpp"
 
 namespace dunlinwing::traffic {
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include <set>
 
-#include "membership/news.hpp"
+#include "membership/status_table.hpp"
 #include "rollout/system.hpp"
 #include "traffic/layout.hpp"
 #include "wire.pb.h"
--- a/test/measure/faults.cpp
+++ b/test/measure/faults.cpp
@@ -49,7 +49,7 @@
 
 double permits(Hollow& f) {
   int n = 0;
-  for (auto& x : f.nodes) n += x->up() && x->relay().mirror().fresh();
+  for (auto& x : f.nodes) n += x->up() && x->relay().state_cache().fresh();
   return n;
 }
 
@@ -60,7 +60,7 @@
   for (auto& n : f.nodes) {
     if (!n->up()) continue;
     std::map<std::string, bool> in;
-    for (auto& m : n->relay().mirror().news().members(f.w.now())) in[m.name] = true;
+    for (auto& m : n->relay().state_cache().news().members(f.w.now())) in[m.name] = true;
     for (auto* d : dead)
       if (in.count(d->name)) return false;
   }
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -209,7 +209,7 @@
 
 bool Hollow::fresh() {
   for (auto& n : nodes)
-    if (n->up() && !n->relay().mirror().fresh()) return false;
+    if (n->up() && !n->relay().state_cache().fresh()) return false;
   return true;
 }
 
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -101,7 +101,7 @@
       clock.nap(Span(250 / s.nodes));
       pool.spawn([n = r->node.get()] { n->start(); });
     }
-    if (!until(Span(30000), [&] { return each([](Real& r) { return r.node->mirror().fresh(); }); })) return "not every node got a permit";
+    if (!until(Span(30000), [&] { return each([](Real& r) { return r.node->state_cache().fresh(); }); })) return "not every node got a permit";
     if (!until(Span(20000), [&] {
           base::Request q{"", "PUT", "/v1/releases/layout/first", layout_doc(0), {}};
           auto st = all.back()->control->answer(q).status;
@@ -131,7 +131,7 @@
     auto from = clock.now();
     int looks = 0, stale = 0;
     for (; clock.now() - from < Span(seconds * 1000); clock.nap(Span(250)), ++looks)
-      stale += !each([](Real& r) { return r.node->mirror().fresh(); });
+      stale += !each([](Real& r) { return r.node->state_cache().fresh(); });
     double sec = static_cast<double>((clock.now() - from).count()) / 1000, n = s.nodes;
     auto t1 = toll();
     o["relay_bytes"] = static_cast<double>(t1.bytes - t0.bytes) / sec / (n - s.holders);
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -30,8 +30,8 @@
   auto& n = *f.nodes[0];
   double ms = 0;
   f.on(n, Span(5000), [&] {
-    membership::Duty none(n.ports(), n.relay().registers(), n.relay().mirror(), "measured", n.name, n.zone, f.s.bound);
-    rollout::Conductor c(n.ports(), n.relay().registers(), n.relay().mirror(), none, {n.name, f.s.bound, 600});
+    membership::Duty none(n.ports(), n.relay().registers(), n.relay().state_cache(), "measured", n.name, n.zone, f.s.bound);
+    rollout::Conductor c(n.ports(), n.relay().registers(), n.relay().state_cache(), none, {n.name, f.s.bound, 600});
     c.tick();  // reads the releases once
     auto from = cpu_ns();
     for (int i = 0; i < kTicks; ++i) c.tick();
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -61,7 +61,7 @@
     uint64_t out = UINT64_MAX;
     for (size_t i = 0; i < v.size(); ++i) {
       if (!f.nodes[i]->up()) continue;
-      auto& c = f.nodes[i]->relay().mirror().chosen();
+      auto& c = f.nodes[i]->relay().state_cache().chosen();
       auto h = c.find(key);
       if (h == c.end()) return 0;
       if (h->second.version != v[i].version) {
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -64,7 +64,7 @@
   uint64_t top = 0;
   for (auto& h : s.f.hosts()) {
     if (!h->up()) continue;
-    auto& c = h->node->mirror().chosen();
+    auto& c = h->node->state_cache().chosen();
     auto f = c.find(rollout::kRolloutKey);
     if (f == c.end() || f->second.version <= top) continue;
     top = f->second.version;
@@ -119,7 +119,7 @@
 
 void knows(Scene& s, sim::Host& h, const std::map<std::string, std::string>& acked) {
   for (auto& [n, doc] : acked) {
-    auto& c = h.node->mirror().chosen();
+    auto& c = h.node->state_cache().chosen();
     auto f = c.find("release/layout/" + n);
     s.want(f != c.end() && f->second.data == doc, fmt::format("{} does not know the acknowledged {}", h.name, n));
   }
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -161,7 +161,7 @@
     s.want(*done > 390, fmt::format("only {} of 400 purges were taken, {} had 503, {} were lost", *done, s.figures["purge_503"], s.figures["purge_0_lost"]));
     pb::PurgeSet set;
     for (auto& h : s.f.hosts())
-      if (auto f = h->node->mirror().chosen().find("purge/content"); f != h->node->mirror().chosen().end())
+      if (auto f = h->node->state_cache().chosen().find("purge/content"); f != h->node->state_cache().chosen().end())
         set.ParseFromString(f->second.data);
     s.want(set.purges_size() > 0 && set.purges_size() <= 128, "the purges are not bounded");
     s.figures["purges_taken"] = static_cast<uint64_t>(*done);
