--- a/src/console/doctor.cpp
+++ b/src/console/doctor.cpp
@@ -36,7 +36,7 @@
     else if (!facts.at("load_defect").str().empty())
       f.add(fmt::format("node {} cannot load what it is assigned: {}", name, facts.at("load_defect").str()));
     else if (!ready)
-      f.add(fmt::format("node {} of zone {} is a member but not ready: it is drained, or has no layout or no fresh news", name, zone));
+      f.add(fmt::format("node {} of zone {} is a member but not ready: it is drained, or has no layout or no fresh statuses", name, zone));
   }
   if (lost > 0)
     f.add(fmt::format("{} of {} holders are lost; {} more may be lost before control stops", lost, holders,
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -172,7 +172,7 @@
         c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Receipt> {
           if (st.switching()) return defect(409, "the service is being switched to version " + st.trial());
           if (st.current().empty())
-            st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().news().workers(ps.clock.now()), name, to) : s->versions.front());
+            st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to) : s->versions.front());
           if (st.quarantined().count(to)) {
             if (!j.at("lift_quarantine").flag())
               return defect(409, "the version is in quarantine: " + st.quarantined().at(to));
--- a/src/gate/moves.cpp
+++ b/src/gate/moves.cpp
@@ -61,7 +61,7 @@
       return told(st, now.version);
     if (runs && st.switching()) return defect(409, "the service is being switched to version " + st.trial() + "; ask again when that has ended");
     if (st.current().empty())
-      st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().news().workers(ps.clock.now()), name, to) : s->versions.front());
+      st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to) : s->versions.front());
     if (lift) st.mutable_quarantined()->erase(to);
     if (st.quarantined().count(to) || st.current() == to) {
       bool good = st.current() == to;
--- a/src/gate/views.cpp
+++ b/src/gate/views.cpp
@@ -10,9 +10,9 @@
 
 base::Receipt nodes(relay::Node& n, Tick now) {
   std::map<std::string, bool> in;
-  for (auto& m : n.state_cache().news().members(now)) in[m.name] = true;
+  for (auto& m : n.state_cache().statuses().members(now)) in[m.name] = true;
   std::string b;
-  for (auto& m : n.state_cache().news().all(now)) {
+  for (auto& m : n.state_cache().statuses().all(now)) {
     if (m.fact.zone().empty()) continue;
     b += fmt::format(R"({}{{"name":{},"member":{},"age_ms":{},"facts":{}}})", b.empty() ? "" : ",",
                      base::quote(m.name), in.count(m.name) > 0, m.age.count(), message_json(m.fact));
@@ -22,7 +22,7 @@
 
 base::Receipt workers(relay::Node& n, Tick now) {
   std::string b;
-  for (auto& [i, w] : n.state_cache().news().workers(now)) {
+  for (auto& [i, w] : n.state_cache().statuses().workers(now)) {
     b += fmt::format(R"({}{{"instance":{},"gone":{},"age_ms":{},"beat":{}}})", b.empty() ? "" : ",",
                      base::quote(i), w.gone, w.age.count(), message_json(w.beat));
   }
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -33,7 +33,7 @@
   // A member that could take over, in another zone when there is one.
   std::string understudy() const {
     std::string other;
-    for (auto& m : state_cache.news().members(ps.clock.now())) {
+    for (auto& m : state_cache.statuses().members(ps.clock.now())) {
       if (!m.fact.holder() || m.fact.drained() || m.name == me) continue;
       if (m.fact.zone() != zone) return m.name;
       if (other.empty()) other = m.name;
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -64,13 +64,13 @@
     ClusterView s{registers.holders(), {}, tolerate, bound};
     Tick now = ps.clock.now();
     std::set<std::string> in;
-    for (auto& m : state_cache.news().members(now)) {
+    for (auto& m : state_cache.statuses().members(now)) {
       in.insert(m.name);
       met[m.name] = now;
     }
     std::map<std::string, RepairCandidate> by;
     for (auto& h : s.set) by[h.name] = {h.name, "", h.address, true, false, false, Span(0)};
-    for (auto& m : state_cache.news().all(now)) {
+    for (auto& m : state_cache.statuses().all(now)) {
       if (m.fact.zone().empty()) continue;
       auto& k = by[m.name];
       k = {m.name, m.fact.zone(), m.fact.peer_address(), m.fact.disk(), in.count(m.name) && !m.fact.drained(), false, Span(0)};
--- a/src/membership/seek.cpp
+++ b/src/membership/seek.cpp
@@ -11,7 +11,7 @@
 namespace dunlinwing::membership {
 namespace {
 constexpr base::Log lg("membership");
-constexpr int kSilent = 2;  // bounds without fresh news after which others are asked
+constexpr int kSilent = 2;  // bounds without fresh statuses after which others are asked
 constexpr int kTell = 2;    // bounds between two looks at what the seeds know
 }  // namespace
 
@@ -98,7 +98,7 @@
   void look() {
     auto at = c.seeds;
     for (auto& a : origin) at.push_back(a);
-    for (auto& m : state_cache.news().all(ps.clock.now())) at.push_back(m.fact.http_address());
+    for (auto& m : state_cache.statuses().all(ps.clock.now())) at.push_back(m.fact.http_address());
     std::sort(at.begin(), at.end());
     at.erase(std::unique(at.begin(), at.end()), at.end());
     std::erase(at, std::string());
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -1,5 +1,5 @@
 // One pull asks one holder first and, with what that one knew, all others at
-// once, so that each piece of news comes once and not from everybody. It goes on
+// once, so that each piece of statuses comes once and not from everybody. It goes on
 // when all have answered or an eighth of the bound has passed. It is good when a majority of voting holders
 // answered and every register whose latest ballot is not at a majority has
 // been finished by a read. Whatever was acknowledged before such a pull began
@@ -28,9 +28,9 @@
   StateCacheConfig c;
   consensus::RegisterClient& registers;
   consensus::Acceptor* mine;
-  std::function<void(pb::News&)> own;
+  std::function<void(pb::NodeStatus&)> own;
   std::function<void()> seen;
-  NewsTable news;
+  StatusTable statuses;
   std::map<std::string, Side> sides;  // by holder
   Chosen chosen;
   std::map<std::string, pb::Ballot> at;  // the ballot at which `chosen` was settled
@@ -46,8 +46,8 @@
   std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
 
   Impl(base::Ports& p, StateCacheConfig cc, consensus::RegisterClient& b, consensus::Acceptor* m,
-       std::function<void(pb::News&)> o, std::function<void()> s)
-      : ps(p), c(std::move(cc)), registers(b), mine(m), own(std::move(o)), seen(std::move(s)), news(c.session()) {
+       std::function<void(pb::NodeStatus&)> o, std::function<void()> s)
+      : ps(p), c(std::move(cc)), registers(b), mine(m), own(std::move(o)), seen(std::move(s)), statuses(c.session()) {
     first = static_cast<size_t>(ps.chance.below(b.holders().size()));
   }
 
@@ -62,8 +62,8 @@
       s.slots[x.name()] = x;
       open.insert(x.name());
     }
-    for (auto& n : r.news())
-      if (n.source() != c.me) news.merge(n, now);
+    for (auto& n : r.statuses())
+      if (n.source() != c.me) statuses.merge(n, now);
   }
 
   // The latest ballot known for a register, and at how many holders it stands.
@@ -107,8 +107,8 @@
   }
 
   // What must be passed on at once; the rest (counters, clocks, ages) may wait.
-  static std::string gist(const pb::News& n) {
-    pb::News g;
+  static std::string gist(const pb::NodeStatus& n) {
+    pb::NodeStatus g;
     *g.mutable_node() = n.node();
     g.mutable_node()->clear_wall_ms();
     g.mutable_node()->clear_running();
@@ -135,7 +135,7 @@
     auto* p = base.mutable_pull();
     p->set_node(c.me);
     if (incarnation) {
-      pb::News n;
+      pb::NodeStatus n;
       n.set_source(c.me);
       n.mutable_mark()->set_incarnation(incarnation);
       own(n);
@@ -145,7 +145,7 @@
         said = start;
         said_key = key;
         n.mutable_mark()->set_count(++count);
-        news.merge(n, start);
+        statuses.merge(n, start);
         *p->mutable_own() = n;
       }
     }
@@ -161,7 +161,7 @@
     auto ask = [&](const std::vector<size_t>& who, Span limit) {
       std::vector<consensus::Replica> to;
       for (auto i : who) to.push_back(hs[i]);
-      *base.mutable_pull()->mutable_have() = news.marks();
+      *base.mutable_pull()->mutable_have() = statuses.marks();
       auto make = [&](size_t k) {
         pb::Ask a = base;
         a.mutable_pull()->set_boot(sides[hs[who[k]].name].boot);
@@ -188,7 +188,7 @@
       if (auto i = (first + k) % hs.size(); k || heard.empty()) rest.push_back(i);
     // In a large fleet a relay asks no more holders than it needs, as long as those answer.
     size_t need = registers.majority() - std::min(registers.majority(), heard.size());
-    if (!mine && news.size() >= kLargeFleet && rest.size() > need) {
+    if (!mine && statuses.size() >= kLargeFleet && rest.size() > need) {
       std::stable_partition(rest.begin(), rest.end(), [&](size_t i) { return silent[hs[i].name] == 0; });
       later.assign(rest.begin() + static_cast<std::ptrdiff_t>(need), rest.end());
       rest.resize(need);
@@ -199,9 +199,9 @@
     if (registers.set().epoch() != epoch) return reseat();
     if (n < registers.majority()) return false;
     if (!incarnation) {
-      auto m = news.mark(c.me);
+      auto m = statuses.mark(c.me);
       for (auto& r : heard)
-        for (auto& x : r.news())
+        for (auto& x : r.statuses())
           if (x.source() == c.me && (!m || newer(x.mark(), *m))) m = x.mark();
       incarnation = m ? m->incarnation() + 1 : 1;
       return false;  // the next pull announces this node
@@ -216,9 +216,9 @@
     }
     if (auto f = chosen.find(kDepartedKey); f != chosen.end() && f->second.version != departed) {
       departed = f->second.version;
-      news.departed(read_departed(f->second.data));
+      statuses.departed(read_departed(f->second.data));
     }
-    news.forget(now);
+    statuses.forget(now);
     // A pull that itself took longer than the permit has proved nothing.
     permit = (start + c.permit()).count();
     seen();
@@ -231,15 +231,15 @@
     auto& q = a.pull();
     auto* r = out.mutable_pull();
     Tick now = ps.clock.now();
-    if (q.has_own()) news.merge(q.own(), now);
+    if (q.has_own()) statuses.merge(q.own(), now);
     if (mine)
       mine->changes(q.boot(), q.seen(), *r);
     else
       r->set_mute(true);
-    for (auto& n : news.since(q.have(), now)) *r->add_news() = n;
+    for (auto& n : statuses.since(q.have(), now)) *r->add_statuses() = n;
     if (!q.has_own())  // a node that begins again asks under which incarnation it was known
-      if (auto m = news.mark(q.node())) {
-        auto* n = r->add_news();
+      if (auto m = statuses.mark(q.node())) {
+        auto* n = r->add_statuses();
         n->set_source(q.node());
         *n->mutable_mark() = *m;
         n->set_age_ms(static_cast<uint64_t>(c.session().count()) * 2);
@@ -249,7 +249,7 @@
 };
 
 StateCache::StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& b, consensus::Acceptor* m,
-               std::function<void(pb::News&)> own, std::function<void()> seen)
+               std::function<void(pb::NodeStatus&)> own, std::function<void()> seen)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, std::move(own), std::move(seen))) {}
 StateCache::~StateCache() = default;
 
@@ -280,7 +280,7 @@
 bool StateCache::fresh() const { return p_->ps.clock.now().count() < p_->permit.load(); }
 Tick StateCache::permit_end() const { return Tick(p_->permit.load()); }
 const Chosen& StateCache::chosen() const { return p_->chosen; }
-NewsTable& StateCache::news() { return p_->news; }
+StatusTable& StateCache::statuses() { return p_->statuses; }
 pb::Reply StateCache::answer(const pb::Ask& a) { return p_->answer(a); }
 uint64_t StateCache::incarnation() const { return p_->incarnation; }
 
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -26,14 +26,14 @@
  public:
   // `own` fills in what this node says of itself; `seen` runs after each good pull.
   StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& registers, consensus::Acceptor* mine,
-         std::function<void(pb::News&)> own, std::function<void()> seen);
+         std::function<void(pb::NodeStatus&)> own, std::function<void()> seen);
   ~StateCache();
   void start();
   bool once();                            // one pull; true when good
   bool fresh() const;                     // from any thread
   Tick permit_end() const;                // from any thread
   const Chosen& chosen() const;
-  NewsTable& news();
+  StatusTable& statuses();
   pb::Reply answer(const pb::Ask& pull);  // a holder's side of a pull
   uint64_t incarnation() const;
   // Parks until a pull that began after this call was good, or time is up.
--- a/src/membership/status_table.cpp
+++ b/src/membership/status_table.cpp
@@ -10,64 +10,64 @@
   return std::make_tuple(a.incarnation(), a.count()) > std::make_tuple(b.incarnation(), b.count());
 }
 
-bool NewsTable::merge(const pb::News& n, Tick now) {
+bool StatusTable::merge(const pb::NodeStatus& n, Tick now) {
   auto& e = by_[n.source()];
   Tick heard = now - Span(static_cast<int64_t>(n.age_ms()));
-  if (e.news.source().empty() || newer(n.mark(), e.news.mark())) {
-    e.news = n;
+  if (e.statuses.source().empty() || newer(n.mark(), e.statuses.mark())) {
+    e.statuses = n;
     e.heard = heard;
     return true;
   }
   return false;
 }
 
-std::vector<pb::News> NewsTable::since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const {
-  std::vector<pb::News> out;
+std::vector<pb::NodeStatus> StatusTable::since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const {
+  std::vector<pb::NodeStatus> out;
   for (auto& [k, e] : by_) {
     auto f = have.find(k);
-    if (f != have.end() && !newer(e.news.mark(), f->second)) continue;
-    out.push_back(e.news);
+    if (f != have.end() && !newer(e.statuses.mark(), f->second)) continue;
+    out.push_back(e.statuses);
     out.back().set_age_ms(static_cast<uint64_t>((now - e.heard).count()));
   }
   return out;
 }
 
-google::protobuf::Map<std::string, pb::Mark> NewsTable::marks() const {
+google::protobuf::Map<std::string, pb::Mark> StatusTable::marks() const {
   google::protobuf::Map<std::string, pb::Mark> m;
-  for (auto& [k, e] : by_) m[k] = e.news.mark();
+  for (auto& [k, e] : by_) m[k] = e.statuses.mark();
   return m;
 }
 
-std::optional<pb::Mark> NewsTable::mark(const std::string& s) const {
+std::optional<pb::Mark> StatusTable::mark(const std::string& s) const {
   auto f = by_.find(s);
   if (f == by_.end()) return {};
-  return f->second.news.mark();
+  return f->second.statuses.mark();
 }
 
-std::vector<Member> NewsTable::all(Tick now) const {
+std::vector<Member> StatusTable::all(Tick now) const {
   std::vector<Member> out;
-  for (auto& [k, e] : by_) out.push_back({k, e.news.node(), now - e.heard});
+  for (auto& [k, e] : by_) out.push_back({k, e.statuses.node(), now - e.heard});
   return out;
 }
 
-std::vector<Member> NewsTable::members(Tick now) const {
+std::vector<Member> StatusTable::members(Tick now) const {
   std::vector<Member> out;
   for (auto& m : all(now))
     if (m.age < session_ && !m.fact.leaving()) out.push_back(m);
   return out;
 }
 
-std::map<std::string, pb::News> NewsTable::latest(Tick now) const {
-  std::map<std::string, pb::News> out;
+std::map<std::string, pb::NodeStatus> StatusTable::latest(Tick now) const {
+  std::map<std::string, pb::NodeStatus> out;
   for (auto& [k, e] : by_)
-    if (now - e.heard < session_) out[k] = e.news;
+    if (now - e.heard < session_) out[k] = e.statuses;
   return out;
 }
 
-std::map<std::string, WorkerFact> NewsTable::workers(Tick now) const {
+std::map<std::string, WorkerFact> StatusTable::workers(Tick now) const {
   std::map<std::string, WorkerFact> out;
   for (auto& [k, e] : by_)
-    for (auto& b : e.news.beats()) {
+    for (auto& b : e.statuses.beats()) {
       Span age = now - e.heard + Span(static_cast<int64_t>(b.age_ms()));
       auto& w = out[b.instance()];
       bool later = w.beat.instance().empty() || b.number() > w.beat.number();
@@ -86,7 +86,7 @@
   return out;
 }
 
-void NewsTable::forget(Tick now) {
+void StatusTable::forget(Tick now) {
   for (auto i = by_.begin(); i != by_.end();)
     i = now - i->second.heard > session_ * 20 ? by_.erase(i) : std::next(i);
 }
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -1,6 +1,6 @@
-// What nodes know of each other: for each source the latest news, with its
+// What nodes know of each other: for each source the latest statuses, with its
 // version and its age. ReplicaSetView keep it for those who pull; pullers merge what
-// they get. A node is a member while its news is young.
+// they get. A node is a member while its statuses is young.
 #pragma once
 #include <set>
 
@@ -21,24 +21,24 @@
   bool gone = false;  // leaving, or its beats are missing
 };
 
-class NewsTable {
+class StatusTable {
  public:
-  explicit NewsTable(Span session) : session_(session) {}
-  bool merge(const pb::News& n, Tick now);  // false when what is known is as new
-  std::vector<pb::News> since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const;
+  explicit StatusTable(Span session) : session_(session) {}
+  bool merge(const pb::NodeStatus& n, Tick now);  // false when what is known is as new
+  std::vector<pb::NodeStatus> since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const;
   google::protobuf::Map<std::string, pb::Mark> marks() const;
   std::optional<pb::Mark> mark(const std::string& source) const;
   std::vector<Member> members(Tick now) const;
   std::vector<Member> all(Tick now) const;
   std::map<std::string, WorkerFact> workers(Tick now) const;
-  std::map<std::string, pb::News> latest(Tick now) const;  // sessions that stand
+  std::map<std::string, pb::NodeStatus> latest(Tick now) const;  // sessions that stand
   void departed(std::set<std::string> instances) { departed_ = std::move(instances); }
   size_t size() const { return by_.size(); }
   void forget(Tick now);
 
  private:
   struct Entry {
-    pb::News news;
+    pb::NodeStatus statuses;
     Tick heard{0};  // when the source said it, on our clock
   };
   Span session_;
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -158,7 +158,7 @@
     sp.sound = [this] { return node->state_cache().fresh() && (node->ready() || !node->traffic().table()->layout); };
     sp.crowded = [this] {
       // At most a third of the nodes may be out at once; a duty's pair goes one by one.
-      size_t in = node->state_cache().news().members(clock.now()).size();
+      size_t in = node->state_cache().statuses().members(clock.now()).size();
       auto t = node->traffic().table();
       return in * 3 < static_cast<size_t>(t->nodes) * 2;
     };
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -50,7 +50,7 @@
         acceptor(disk ? std::make_unique<consensus::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
         registers(ps, c.name, set, c.bound / 4,
              acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : consensus::Local()),
-        state_cache(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::News& n) { own(n); }, [this] { seen(); }),
+        state_cache(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::NodeStatus& n) { own(n); }, [this] { seen(); }),
         duty(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
         seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache, acceptor.get()),
         replica_repair(ps, registers, state_cache, duty, c.tolerate, c.bound),
@@ -65,7 +65,7 @@
     return c;
   }
 
-  void own(pb::News& n) {
+  void own(pb::NodeStatus& n) {
     Tick now = ps.clock.now();
     auto* f = n.mutable_node();
     f->set_zone(c.zone);
@@ -217,7 +217,7 @@
     }
     if (t->layout) t->layouts[t->layout->name] = t->layout;
     std::vector<std::string> alive;
-    auto workers = state_cache.news().workers(now);
+    auto workers = state_cache.statuses().workers(now);
     std::map<std::string, Span> youngest;  // beat from each address: its earlier owners have ended
     for (auto& [i, w] : workers) {
       auto [f, first] = youngest.emplace(w.beat.address(), w.age);
@@ -243,10 +243,10 @@
       }
       if (k.starts_with("purge/")) t->purges[k.substr(6)].ParseFromString(h.data);
     }
-    jury.hear(t->states, state_cache.news().latest(now), static_cast<uint64_t>(t->system.bad_answers));
+    jury.hear(t->states, state_cache.statuses().latest(now), static_cast<uint64_t>(t->system.bad_answers));
     t->given_up = jury.all_stopped();
     traffic::settle(*t);
-    for (auto& m : state_cache.news().members(now))
+    for (auto& m : state_cache.statuses().members(now))
       if (m.fact.shield() && m.fact.ready()) t->shields.push_back({m.name, m.fact.peer_address()});
     t->nodes = std::max<int>(roll.nodes_size(), 1);
     for (auto& [n, a] : roll.nodes()) t->rank += n < c.name;
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -108,16 +108,16 @@
   Sight look(Tick now, Span dt) {
     Sight v;
     v.dt = dt;
-    auto wall = median_wall(state_cache.news().members(now));
+    auto wall = median_wall(state_cache.statuses().members(now));
     v.quiet = wall && rules.system.quiet.open(*wall);
-    auto news = state_cache.news().latest(now);
+    auto statuses = state_cache.statuses().latest(now);
     auto permit = duty.known();
     std::map<std::string, NodeSight> by;
     for (auto& [n, a] : state.nodes()) {
       by[n].name = n;
       by[n].zone = a.zone();
     }
-    for (auto& [n, x] : news) {
+    for (auto& [n, x] : statuses) {
       if (x.node().zone().empty()) continue;
       auto& s = by[n];
       s.name = n;
@@ -206,7 +206,7 @@
   // Asks the nodes on a release under way, and a few others to compare with.
   void probe() {
     std::vector<membership::Member> on, off;
-    for (auto& m : state_cache.news().members(ps.clock.now()))
+    for (auto& m : state_cache.statuses().members(ps.clock.now()))
       if (!m.fact.drained() && state.nodes().count(m.name)) (on_trial(m.name) ? on : off).push_back(m);
     if (on.empty()) return;
     for (size_t i = 0; i < std::min(kOthers, off.size()); ++i) on.push_back(off[turn++ % off.size()]);
@@ -238,8 +238,8 @@
 
   void moves(Tick now, Span dt) {
     std::map<std::string, MoveSight> vs;
-    auto news = state_cache.news().latest(now);
-    for (auto& [src, x] : news)
+    auto statuses = state_cache.statuses().latest(now);
+    for (auto& [src, x] : statuses)
       for (auto& b : x.bad()) {
         auto& k = bad[src][b.service() + "/" + b.version() + "/" + b.route()];
         Counts d{b.good(), b.bad()};
@@ -255,7 +255,7 @@
         recent.push_back({now, b.service(), b.version(), d});
       }
     std::erase_if(recent, [&](auto& m) { return now - m.at > c.bound * 30; });
-    watch.look(now, state_cache.chosen(), news, state_cache.news().workers(now));
+    watch.look(now, state_cache.chosen(), statuses, state_cache.statuses().workers(now));
     if (!duty.held()) return;
     for (auto& m : recent) {
       auto add = [&](Counts& t) {
@@ -265,7 +265,7 @@
       add(vs[m.service].minute[m.version]);
       if (now - m.at <= c.bound * 5) add(vs[m.service].recent[m.version]);
     }
-    for (auto& [i, w] : state_cache.news().workers(now))
+    for (auto& [i, w] : state_cache.statuses().workers(now))
       if (!w.gone) vs[w.beat.service()].workers[w.beat.version()]++;
     for (auto& [k, h] : state_cache.chosen()) {
       if (!k.starts_with("service/")) continue;
@@ -278,7 +278,7 @@
       }
       auto& v = vs[name];
       v.dt = dt;
-      for (auto& [src, x] : news)
+      for (auto& [src, x] : statuses)
         for (auto& t : x.trials())
           v.given_up |= t.service() == name && t.number() == mine.second.trial_number() && t.stopped() && !mine.second.trial().empty();
       watch.tell(now, name, mine.second, v);
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -81,13 +81,13 @@
     last = now;
     looks = std::min(looks + 1, kLooks);
     read_rates(r, releases);
-    auto news = state_cache.news().latest(now);
+    auto statuses = state_cache.statuses().latest(now);
     for (auto& [svc, rate] : rates) {
       ShareSight v;
       v.rate = rate;
       v.bound = bound;
       bool shields = false;
-      for (auto& [n, x] : news) {
+      for (auto& [n, x] : statuses) {
         if (x.node().zone().empty() || x.node().leaving()) continue;
         auto& s = seen[svc][n];
         for (auto& d : x.demands()) {
@@ -109,7 +109,7 @@
       for (auto& [n, d] : v.demand) all += d;
       if (shields && all < 1)
         for (auto& [n, d] : v.demand)
-          if (news.at(n).node().shield()) d = 1;
+          if (statuses.at(n).node().shield()) d = 1;
       // A node that is restarted asks for as much as before once it is back; were its
       // share given away meanwhile, it would have to wait for others' to fall.
       auto have = state_cache.chosen().find(share_key(svc));
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -47,7 +47,7 @@
   }
 
   void settle() {
-    auto ws = state_cache.news().workers(ps.clock.now());
+    auto ws = state_cache.statuses().workers(ps.clock.now());
     bool all = true;
     for (auto& [name, s] : now->services) {
       uint64_t version = 0;
@@ -74,7 +74,7 @@
   }
 
   void replace() {
-    auto ws = state_cache.news().workers(ps.clock.now());
+    auto ws = state_cache.statuses().workers(ps.clock.now());
     for (auto& [name, s] : now->services) {
       if (!s.versions.empty()) continue;
       uint64_t version = 0;
--- a/src/rollout/watch.cpp
+++ b/src/rollout/watch.cpp
@@ -9,7 +9,7 @@
 
 namespace dunlinwing::rollout {
 
-void Watch::look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::News>& news,
+void Watch::look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
                  const std::map<std::string, membership::WorkerFact>& workers) {
   std::map<std::string, pb::ServiceState> states;
   std::map<std::string, std::vector<traffic::Worker>> by;
@@ -50,7 +50,7 @@
       c.switching = now;
     c.warm_workers = warm_by[name];
   }
-  docket_.hear(states, news, warm);
+  docket_.hear(states, statuses, warm);
   last_ = now;
 }
 
--- a/src/rollout/watch.hpp
+++ b/src/rollout/watch.hpp
@@ -10,7 +10,7 @@
 class Watch {
  public:
   explicit Watch(Span bound) : bound_(bound) {}
-  void look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::News>& news,
+  void look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
             const std::map<std::string, membership::WorkerFact>& workers);
   void tell(Tick now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const;
 
--- a/src/traffic/docket.cpp
+++ b/src/traffic/docket.cpp
@@ -54,7 +54,7 @@
   return t;
 }
 
-void Docket::hear(const States& states, const std::map<std::string, pb::News>& news, const std::set<std::string>& warm) {
+void Docket::hear(const States& states, const std::map<std::string, pb::NodeStatus>& statuses, const std::set<std::string>& warm) {
   for (auto& [name, s] : states) {
     if (s.trial().empty()) {
       cases_.erase(name);
@@ -64,7 +64,7 @@
     if (c.number != s.trial_number()) c = {s.trial_number(), false, {}};
     c.warm |= warm.count(name) > 0;
   }
-  for (auto& [src, n] : news) {
+  for (auto& [src, n] : statuses) {
     auto& [inc, rows] = last_[src];
     if (inc != n.mark().incarnation()) rows.clear();
     inc = n.mark().incarnation();
--- a/src/traffic/docket.hpp
+++ b/src/traffic/docket.hpp
@@ -1,6 +1,6 @@
 // What all relays together have seen of a version on trial and of the one in place,
 // by route: in the whole trial, and since its workers are warm. Each node adds it up
-// from the news by itself, over restarts of their sources; nothing of it is recorded.
+// from the statuses by itself, over restarts of their sources; nothing of it is recorded.
 #pragma once
 #include "base/common.hpp"
 #include "wire.pb.h"
@@ -28,7 +28,7 @@
  public:
   using States = std::map<std::string, pb::ServiceState>;
   // `warm`: services whose trial has warm workers now.
-  void hear(const States& states, const std::map<std::string, pb::News>& news, const std::set<std::string>& warm = {});
+  void hear(const States& states, const std::map<std::string, pb::NodeStatus>& statuses, const std::set<std::string>& warm = {});
   const Seen& at(const std::string& service) const;
 
  private:
--- a/src/traffic/jury.cpp
+++ b/src/traffic/jury.cpp
@@ -6,9 +6,9 @@
 
 namespace dunlinwing::traffic {
 
-void Jury::hear(const std::map<std::string, pb::ServiceState>& states, const std::map<std::string, pb::News>& news,
+void Jury::hear(const std::map<std::string, pb::ServiceState>& states, const std::map<std::string, pb::NodeStatus>& statuses,
                 uint64_t limit) {
-  docket_.hear(states, news);
+  docket_.hear(states, statuses);
   for (auto& [name, s] : states) {
     auto& c = cases_[name];
     if (s.trial().empty()) {
@@ -20,7 +20,7 @@
       stopped_.erase(name);
     }
     bool told = false;
-    for (auto& [src, n] : news)
+    for (auto& [src, n] : statuses)
       for (auto& t : n.trials()) {
         if (t.service() != name || t.number() != c.number) continue;
         auto& b = c.bad[{src, n.mark().incarnation()}];
--- a/src/traffic/jury.hpp
+++ b/src/traffic/jury.hpp
@@ -11,8 +11,8 @@
 
 class Jury {
  public:
-  // `states` by service; `news` by source, this relay's own among them.
-  void hear(const std::map<std::string, pb::ServiceState>& states, const std::map<std::string, pb::News>& news,
+  // `states` by service; `statuses` by source, this relay's own among them.
+  void hear(const std::map<std::string, pb::ServiceState>& states, const std::map<std::string, pb::NodeStatus>& statuses,
             uint64_t limit);
   bool stopped(const std::string& service) const { return stopped_.count(service) > 0; }
   const std::set<std::string>& all_stopped() const { return stopped_; }
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -179,7 +179,7 @@
 void Traffic::sweep() { p_->fills.sweep(); }
 size_t Traffic::cache_bytes() const { return p_->fills.bytes(); }
 
-void Traffic::say(pb::News& n) const {
+void Traffic::say(pb::NodeStatus& n) const {
   std::lock_guard l(p_->m);
   for (auto& [k, t] : p_->tallies) {
     auto* x = n.add_tallies();
--- a/src/traffic/serve.hpp
+++ b/src/traffic/serve.hpp
@@ -18,7 +18,7 @@
   TablePtr table() const;
   void drain();  // from now on every new request is turned away
   int running();
-  void say(pb::News& n) const;  // what this node tells of its traffic
+  void say(pb::NodeStatus& n) const;  // what this node tells of its traffic
   const ServeCounts& counts() const;
   Shots& shots();
   size_t cache_bytes() const;
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -215,7 +215,7 @@
       break;
     }
     if (!p.fresh()) {
-      if (!left) last = turned_away("this node's news is too old");
+      if (!left) last = turned_away("this node's statuses is too old");
       break;
     }
     base::ShotRules rules(limit);
--- a/src/traffic/trial.hpp
+++ b/src/traffic/trial.hpp
@@ -13,7 +13,7 @@
 inline constexpr int64_t kAhead = 20;
 
 // Of a move with a term only two workers of the new version are asked, the first two by
-// name, so that they have something to do. All relays choose alike, from the same news.
+// name, so that they have something to do. All relays choose alike, from the same statuses.
 std::vector<Worker> trial_workers(const std::vector<Worker>& ws, const std::string& version, bool term);
 
 class Trials {
--- a/test/measure/delays.hpp
+++ b/test/measure/delays.hpp
@@ -1,5 +1,5 @@
 // Figures of whole simulated deployments with callers: what control costs by size, how
-// long news takes, and how long there is no service when machines are lost.
+// long statuses takes, and how long there is no service when machines are lost.
 #pragma once
 
 namespace dunlinwing::measure {
--- a/test/measure/faults.cpp
+++ b/test/measure/faults.cpp
@@ -60,7 +60,7 @@
   for (auto& n : f.nodes) {
     if (!n->up()) continue;
     std::map<std::string, bool> in;
-    for (auto& m : n->relay().state_cache().news().members(f.w.now())) in[m.name] = true;
+    for (auto& m : n->relay().state_cache().statuses().members(f.w.now())) in[m.name] = true;
     for (auto* d : dead)
       if (in.count(d->name)) return false;
   }
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -49,7 +49,7 @@
     f_.split.marks += p.ByteSizeLong() - p.own().ByteSizeLong();
   }
   void look(const pb::PullReply& r) {
-    for (auto& n : r.news()) f_.split.news += n.ByteSizeLong();
+    for (auto& n : r.statuses()) f_.split.statuses += n.ByteSizeLong();
     for (auto& s : r.slots()) f_.split.slots += s.ByteSizeLong();
   }
   Span way() {
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -1,4 +1,4 @@
-// Hollow relays: the product's own control (news, registers, permits, duties,
+// Hollow relays: the product's own control (statuses, registers, permits, duties,
 // rollout) without callers, many in one process on invented time. What goes between
 // two of them is encoded and decoded as on a wire, and counted at both ends.
 #pragma once
@@ -18,7 +18,7 @@
 };
 
 struct Split {  // what the bytes of pulls are, from one pull in sixteen
-  uint64_t marks = 0, own = 0, news = 0, slots = 0;
+  uint64_t marks = 0, own = 0, statuses = 0, slots = 0;
 };
 
 struct Proc;  // one run of one node's process
--- a/test/measure/project.cpp
+++ b/test/measure/project.cpp
@@ -129,7 +129,7 @@
   double times;
   const char *limit_text, *mechanism;
 };
-constexpr const char* kScope = "news by scope, pulls through the tree (1, 2)";
+constexpr const char* kScope = "statuses by scope, pulls through the tree (1, 2)";
 const Role kRoles[] = {
     {"relay", "messages", "relay_messages", 0, 1, "", "a tree: one parent, not five holders (2)"},
     {"relay", "bytes", "relay_bytes", 7, 1, "7 KB/s", "scope, tree, deltas, numbered purges (1 to 5)"},
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -95,7 +95,7 @@
   auto per = [&](uint64_t a, uint64_t b) { return static_cast<double>(a - b) * 16 / sec / static_cast<double>(f.nodes.size()); };
   o["pull_marks_bytes"] = per(f.split.marks, split.marks);
   o["pull_own_bytes"] = per(f.split.own, split.own);
-  o["pull_news_bytes"] = per(f.split.news, split.news);
+  o["pull_news_bytes"] = per(f.split.statuses, split.statuses);
   o["pull_slots_bytes"] = per(f.split.slots, split.slots);
 }
 }  // namespace
--- a/test/measure/tables.cpp
+++ b/test/measure/tables.cpp
@@ -41,8 +41,8 @@
 
 std::string split(const Rows& r) {
   return by_size(r, {"sizes", "double"},
-                 {{"vectors of versions", "pull_marks_bytes", 1e-3}, {"others' news", "pull_news_bytes", 1e-3},
-                  {"own news", "pull_own_bytes", 1e-3}, {"registers", "pull_slots_bytes", 1e-3}});
+                 {{"vectors of versions", "pull_marks_bytes", 1e-3}, {"others' statuses", "pull_news_bytes", 1e-3},
+                  {"own statuses", "pull_own_bytes", 1e-3}, {"registers", "pull_slots_bytes", 1e-3}});
 }
 
 std::string sockets(const Rows& r) {
--- a/test/measure/tree.cpp
+++ b/test/measure/tree.cpp
@@ -164,7 +164,7 @@
     at(now + 10, [this] { look(); });
   }
 
-  void news(double end) {
+  void statuses(double end) {
     std::vector<std::pair<double, double>> v;
     for (double x = 0; x < end; x += std::exponential_distribution<double>(t.purges / 1000)(rng)) v.emplace_back(x, t.entry_bytes);
     for (double x = 0; x < end; x += std::exponential_distribution<double>(kChanges / 1000)(rng)) v.emplace_back(x, kLayout);
@@ -185,7 +185,7 @@
   Model m(seed, t);
   m.build();
   double warm = 3000, end = warm + t.seconds * 1000.0;
-  m.news(end);
+  m.statuses(end);
   for (size_t i = 0; i < m.ps.size(); ++i) m.at(m.draw(0, t.pull_ms), [&m, i] { m.pull(static_cast<int>(i)); });
   m.at(10, [&m] { m.look(); });
   m.at(warm, [&m] {
--- a/test/measure/tree.hpp
+++ b/test/measure/tree.hpp
@@ -1,5 +1,5 @@
 // A model, not the product: what a tree of pulls would cost at the users' full size.
-// Numbered news is written at a world set and pulled down level by level; every reply
+// Numbered statuses is written at a world set and pulled down level by level; every reply
 // chains the proof of freshness that its sender has.
 #pragma once
 #include <cstdint>
--- a/test/move_unit.cpp
+++ b/test/move_unit.cpp
@@ -103,7 +103,7 @@
   st.set_current("1");
   rollout::open_trial(st, "2", Span(14000), Span(500));
   st.set_switching(true);
-  pb::News n;
+  pb::NodeStatus n;
   n.mutable_mark()->set_incarnation(1);
   auto* x = n.add_bad();
   x->set_service("s");
