--- a/src/console/doctor.cpp
+++ b/src/console/doctor.cpp
@@ -100,7 +100,7 @@
     look_at_workers(s.link.get("/v1/workers").body, s.link.get("/v1/assignments").body, s, f);
     auto d = s.link.get("/v1/duties").body.at("rollout");
     if (d.at("holder").str().empty()) f.add("nobody does the rollout duty");
-    if (number(d.at("term")) && d.at("understudy").str().empty()) f.add("the rollout duty has no understudy");
+    if (number(d.at("term")) && d.at("understudy").str().empty()) f.add("the rollout leadership has no understudy");
   }
   if (s.json) {
     std::string b;
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -316,7 +316,7 @@
     if (is(2, "holders")) return holders(n);
     if (is(3, "layouts") && p[2] == "current") return order(n);
     if (is(3, "artifacts")) return artifact(c, false);
-    if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.duty().known()) + "}");
+    if (is(2, "duties")) return json(200, "{\"rollout\":" + message_json(n.leadership().known()) + "}");
     if (is(3, "moves")) return move(n, c);
     if (is(3, "services")) {
       auto h = chosen(rollout::service_key(p[2]));
--- a/src/membership/duty.cpp
+++ b/src/membership/leadership.cpp
@@ -1,7 +1,7 @@
 // The permit's span is twice the bound; its holder renews at a quarter of it
 // and counts it from before the write, three quarters long. Others count the
 // whole span from when they saw the last renewal, so no clocks are compared.
-#include "membership/duty.hpp"
+#include "membership/leadership.hpp"
 
 #include "base/log.hpp"
 
@@ -10,9 +10,9 @@
 constexpr base::Log lg("duty");
 }
 
-std::string duty_key(const std::string& n) { return "duty/" + n; }
+std::string leadership_key(const std::string& n) { return "duty/" + n; }
 
-struct Duty::Impl {
+struct Leadership::Impl {
   base::Ports& ps;
   consensus::RegisterClient& registers;
   StateCache& state_cache;
@@ -21,11 +21,11 @@
   bool leaving = false, resting = false;
   Tick end{0}, seen{0};
   uint64_t term = 0, version = 0, seen_version = 0;
-  pb::Permit mine;
+  pb::LeaderLease mine;
 
-  pb::Permit known() const {
-    pb::Permit p;
-    auto f = state_cache.chosen().find(duty_key(name));
+  pb::LeaderLease known() const {
+    pb::LeaderLease p;
+    auto f = state_cache.chosen().find(leadership_key(name));
     if (f != state_cache.chosen().end()) p.ParseFromString(f->second.data);
     return p;
   }
@@ -41,9 +41,9 @@
     return other;
   }
 
-  bool put(pb::Permit p, uint64_t expect) {
+  bool put(pb::LeaderLease p, uint64_t expect) {
     Tick from = ps.clock.now();
-    auto r = registers.write(duty_key(name), expect, p.SerializeAsString());
+    auto r = registers.write(leadership_key(name), expect, p.SerializeAsString());
     if (auto* h = std::get_if<consensus::VersionedValue>(&r)) {
       version = h->version;
       mine = p;
@@ -56,13 +56,13 @@
   }
 
   void renew() {
-    pb::Permit p = mine;
+    pb::LeaderLease p = mine;
     p.set_renewals(p.renewals() + 1);
     p.set_understudy(understudy());
     if (put(p, version)) return;
-    auto g = registers.read(duty_key(name));
+    auto g = registers.read(leadership_key(name));
     if (auto* h = std::get_if<consensus::VersionedValue>(&g)) {
-      pb::Permit now;
+      pb::LeaderLease now;
       now.ParseFromString(h->data);
       if (now.holder() == me && now.term() == term) {
         version = h->version;
@@ -70,23 +70,23 @@
         return;
       }
       end = Tick(0);
-      lg.warn("{}: the duty {} passed to {}.", me, name, now.holder().empty() ? "nobody" : now.holder());
+      lg.warn("{}: the leadership {} passed to {}.", me, name, now.holder().empty() ? "nobody" : now.holder());
     }
   }
 
   void give_up() {
-    pb::Permit p = mine;
+    pb::LeaderLease p = mine;
     p.set_holder("");
     put(p, version);
     end = Tick(0);
-    lg.info("{}: handed the duty {} over to {}.", me, name, p.understudy());
+    lg.info("{}: handed the leadership {} over to {}.", me, name, p.understudy());
   }
 
   void stand() {
-    auto f = state_cache.chosen().find(duty_key(name));
+    auto f = state_cache.chosen().find(leadership_key(name));
     Tick now = ps.clock.now();
     uint64_t v = f == state_cache.chosen().end() ? 0 : f->second.version;
-    pb::Permit p = known();
+    pb::LeaderLease p = known();
     if (v != seen_version || seen == Tick(0)) {
       seen_version = v;
       seen = now;
@@ -97,21 +97,21 @@
     if (p.holder().empty() && !p.understudy().empty() && p.understudy() != me) wait = span;
     if (!p.holder().empty() && p.understudy() != me) wait = span * 3 / 2;
     if (now - seen < wait) return;
-    pb::Permit n;
+    pb::LeaderLease n;
     n.set_holder(me);
     n.set_term(p.term() + 1);
     n.set_span_ms(static_cast<uint64_t>(span.count()));
     n.set_understudy(understudy());
-    if (put(n, v)) lg.info("{}: took the duty {} under term {}.", me, name, n.term());
+    if (put(n, v)) lg.info("{}: took the leadership {} under term {}.", me, name, n.term());
   }
 };
 
-Duty::Duty(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, std::string name, std::string me, std::string zone,
+Leadership::Leadership(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, std::string name, std::string me, std::string zone,
            Span bound)
     : p_(new Impl{ps, b, m, std::move(name), std::move(me), std::move(zone), bound * 2}) {}
-Duty::~Duty() = default;
+Leadership::~Leadership() = default;
 
-void Duty::start() {
+void Leadership::start() {
   p_->ps.tasks.spawn([p = p_] {
     while (!p->leaving) {
       bool had = p->ps.clock.now() < p->end;
@@ -126,14 +126,14 @@
   });
 }
 
-bool Duty::held() const { return !p_->leaving && p_->ps.clock.now() < p_->end; }
-uint64_t Duty::term() const { return p_->term; }
-pb::Permit Duty::known() const { return p_->known(); }
-Span Duty::span() const { return p_->span; }
+bool Leadership::held() const { return !p_->leaving && p_->ps.clock.now() < p_->end; }
+uint64_t Leadership::term() const { return p_->term; }
+pb::LeaderLease Leadership::known() const { return p_->known(); }
+Span Leadership::span() const { return p_->span; }
 
-void Duty::rest(bool on) { p_->resting = on; }
+void Leadership::rest(bool on) { p_->resting = on; }
 
-void Duty::hand_over() {
+void Leadership::transfer() {
   bool had = held();
   p_->leaving = true;
   if (had) p_->give_up();
--- /dev/null
+++ b/src/membership/leadership.hpp
@@ -0,0 +1,29 @@
+// A leadership that one node does at a time: its permit is a register that a
+// majority of the holders wrote, renewed in good time. Its holder stops before
+// the permit ends; its understudy takes it up once it has lapsed, others later.
+#pragma once
+#include "membership/state_cache.hpp"
+
+namespace dunlinwing::membership {
+
+class Leadership {
+ public:
+  Leadership(base::Ports& ps, consensus::RegisterClient& registers, StateCache& m, std::string name, std::string me, std::string zone,
+       Span bound);
+  ~Leadership();
+  void start();        // begins to stand for the leadership
+  bool held() const;   // to be asked right before each act
+  uint64_t term() const;
+  pb::LeaderLease known() const;  // who holds it, as far as the last pull tells
+  void rest(bool on);  // a drained node stands for no leadership and gives up what it holds
+  void transfer();    // gives it up in favour of the understudy
+  Span span() const;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> p_;
+};
+
+std::string leadership_key(const std::string& name);
+
+}  // namespace dunlinwing::membership
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -52,13 +52,13 @@
   base::Ports& ps;
   consensus::RegisterClient& registers;
   StateCache& state_cache;
-  Duty& duty;
+  Leadership& leadership;
   int tolerate;
   Span bound;
   std::map<std::string, Tick> met;  // when each holder's session last stood, as far as known here
 
-  Impl(base::Ports& p, consensus::RegisterClient& b, StateCache& m, Duty& d, int t, Span bd)
-      : ps(p), registers(b), state_cache(m), duty(d), tolerate(t), bound(bd) {}
+  Impl(base::Ports& p, consensus::RegisterClient& b, StateCache& m, Leadership& d, int t, Span bd)
+      : ps(p), registers(b), state_cache(m), leadership(d), tolerate(t), bound(bd) {}
 
   ClusterView sight() {
     ClusterView s{registers.holders(), {}, tolerate, bound};
@@ -86,7 +86,7 @@
   void tick() {
     if (!state_cache.fresh()) return met.clear();  // what was not seen is not absence
     auto s = sight();
-    if (!duty.held()) return;
+    if (!leadership.held()) return;
     auto st = plan_repair(s);
     if (!st) return;
     auto to = s.set;
@@ -95,7 +95,7 @@
     else
       std::erase_if(to, [&](auto& h) { return h.name == st->who.name; });
     auto from = ps.clock.now();
-    auto r = registers.change(to, [&] { return duty.held() ? state_cache.names(bound) : std::nullopt; });
+    auto r = registers.change(to, [&] { return leadership.held() ? state_cache.names(bound) : std::nullopt; });
     if (auto* set = std::get_if<pb::ReplicaSet>(&r))
       lg.info("{} {} the holders, for {}; epoch {}, {} of them, in {} ms.", st->who.name, st->add ? "joins" : "leaves", st->why,
               set->epoch(), set->holders_size(), (ps.clock.now() - from).count());
@@ -104,7 +104,7 @@
   }
 };
 
-ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Duty& d, int tolerate, Span bound)
+ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Span bound)
     : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -2,7 +2,7 @@
 // over zones. The step is pure and names one change at most; the part runs it under
 // the rollout duty's permit.
 #pragma once
-#include "membership/duty.hpp"
+#include "membership/leadership.hpp"
 
 namespace dunlinwing::membership {
 
@@ -34,7 +34,7 @@
 
 class ReplicaRepair {
  public:
-  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Duty& d, int tolerate, Span bound);
+  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Span bound);
   ~ReplicaRepair();
   void start();
 
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -25,7 +25,7 @@
   std::unique_ptr<consensus::Acceptor> acceptor;
   consensus::RegisterClient registers;
   membership::StateCache state_cache;
-  membership::Duty duty;
+  membership::Leadership leadership;
   membership::Seek seek;
   membership::ReplicaRepair replica_repair;
   rollout::Conductor conductor;
@@ -51,10 +51,10 @@
         registers(ps, c.name, set, c.bound / 4,
              acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : consensus::Local()),
         state_cache(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::NodeStatus& n) { own(n); }, [this] { seen(); }),
-        duty(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
+        leadership(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
         seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache, acceptor.get()),
-        replica_repair(ps, registers, state_cache, duty, c.tolerate, c.bound),
-        conductor(ps, registers, state_cache, duty, {c.name, c.bound, c.scale}),
+        replica_repair(ps, registers, state_cache, leadership, c.tolerate, c.bound),
+        conductor(ps, registers, state_cache, leadership, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return state_cache.fresh(); }) {
     traffic.bound_cache(c.cache_bytes);
     traffic.shots().bound_places(c.sockets > 0 ? c.sockets / 8 : 0);
@@ -194,7 +194,7 @@
     Tick now = ps.clock.now();
     bool was = drained.exchange(stated_drained());
     if (was != drained) lg.info("{}: {}.", c.name, drained ? "drained; callers are sent elsewhere" : "no longer drained");
-    duty.rest(drained);
+    leadership.rest(drained);
     auto t = std::make_shared<traffic::Table>();
     auto roll = rollout::read_rollout(state_cache.chosen());
     if (auto f = roll.nodes().find(c.name); f != roll.nodes().end())
@@ -271,7 +271,7 @@
   p_->state_cache.start();
   p_->seek.start();
   if (p_->holder) {
-    p_->duty.start();
+    p_->leadership.start();
     p_->conductor.start();
     p_->replica_repair.start();
   }
@@ -343,14 +343,14 @@
 
 void Node::leave() {
   p_->leaving = true;
-  p_->duty.hand_over();
+  p_->leadership.transfer();
   p_->state_cache.settle(p_->c.bound / 2);  // tells the others that this node leaves
 }
 
 const NodeConfig& Node::config() const { return p_->c; }
 membership::StateCache& Node::state_cache() { return p_->state_cache; }
 consensus::RegisterClient& Node::registers() { return p_->registers; }
-membership::Duty& Node::duty() { return p_->duty; }
+membership::Leadership& Node::leadership() { return p_->leadership; }
 consensus::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
 void Node::seeds(std::vector<std::string> addresses) { p_->seek.seeds(std::move(addresses)); }
 traffic::Traffic& Node::traffic() { return p_->traffic; }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -2,7 +2,7 @@
 // program and the simulation both run this. All control runs on one thread;
 // serve() and carry() may be called from any.
 #pragma once
-#include "membership/duty.hpp"
+#include "membership/leadership.hpp"
 #include "rollout/conductor.hpp"
 #include "software/artifacts.hpp"
 #include "traffic/serve.hpp"
@@ -43,7 +43,7 @@
   const NodeConfig& config() const;
   membership::StateCache& state_cache();
   consensus::RegisterClient& registers();
-  membership::Duty& duty();
+  membership::Leadership& leadership();
   consensus::Acceptor* acceptor();
   void seeds(std::vector<std::string> addresses);
   traffic::Traffic& traffic();
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -1,4 +1,4 @@
-// The loop runs on every node that stands for the duty; the understudy keeps
+// The loop runs on every node that stands for the leadership; the understudy keeps
 // watching too, so that its counters are warm when the permit comes to it.
 // Writes are compare-and-set on the version last read and carry the term, so a
 // holder that was frozen past its permit can change nothing.
@@ -61,7 +61,7 @@
   base::Ports& ps;
   consensus::RegisterClient& registers;
   membership::StateCache& state_cache;
-  membership::Duty& duty;
+  membership::Leadership& leadership;
   ConductorConfig c;
   Rules rules;
   pb::Rollout state;
@@ -87,8 +87,8 @@
   Settler settler;
   Watch watch;
 
-  Impl(base::Ports& p, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, ConductorConfig cc)
-      : ps(p), registers(b), state_cache(m), duty(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
+  Impl(base::Ports& p, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, ConductorConfig cc)
+      : ps(p), registers(b), state_cache(m), leadership(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
   }
@@ -111,7 +111,7 @@
     auto wall = median_wall(state_cache.statuses().members(now));
     v.quiet = wall && rules.system.quiet.open(*wall);
     auto statuses = state_cache.statuses().latest(now);
-    auto permit = duty.known();
+    auto permit = leadership.known();
     std::map<std::string, NodeSight> by;
     for (auto& [n, a] : state.nodes()) {
       by[n].name = n;
@@ -166,7 +166,7 @@
   }
 
   bool save(const pb::Rollout& next) {
-    if (!duty.held()) return false;
+    if (!leadership.held()) return false;
     auto r = registers.write(kRolloutKey, version, next.SerializeAsString());
     if (auto* h = std::get_if<consensus::VersionedValue>(&r)) {
       version = h->version;
@@ -256,7 +256,7 @@
       }
     std::erase_if(recent, [&](auto& m) { return now - m.at > c.bound * 30; });
     watch.look(now, state_cache.chosen(), statuses, state_cache.statuses().workers(now));
-    if (!duty.held()) return;
+    if (!leadership.held()) return;
     for (auto& m : recent) {
       auto add = [&](Counts& t) {
         t.good += m.n.good;
@@ -289,7 +289,7 @@
         continue;
       }
       if (write) {
-        if (!duty.held()) return;
+        if (!leadership.held()) return;
         auto r = registers.write(k, mine.first, o.state.SerializeAsString());
         auto* held = std::get_if<consensus::VersionedValue>(&r);
         if (!held) continue;  // the next pull tells what stands
@@ -306,7 +306,7 @@
       last = Tick(0);
       return;
     }
-    bool held = duty.held();
+    bool held = leadership.held();
     Span dt = held && last != Tick(0) ? std::min<Span>(now - last, c.bound) : Span(0);
     last = held ? now : Tick(0);
     if (!held) {
@@ -317,8 +317,8 @@
       return moves(now, Span(0));
     }
     if (!loaded && !reload()) return;
-    if (state.term() > duty.term()) return;
-    if (state.term() < duty.term() && !feed(TookDuty{duty.term()})) return;
+    if (state.term() > leadership.term()) return;
+    if (state.term() < leadership.term() && !feed(TookDuty{leadership.term()})) return;
     if (auto a = state.in_force().find("system"); a != state.in_force().end())
       if (auto f = releases.find(release_key("system", a->second)); f != releases.end())
         rules.system = read_system(f->second.content);
@@ -338,7 +338,7 @@
   std::weak_ptr<Impl> weak;
 };
 
-Conductor::Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, ConductorConfig c)
+Conductor::Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, ConductorConfig c)
     : p_(std::make_shared<Impl>(ps, b, m, d, std::move(c))) {
   p_->weak = p_;
 }
--- a/src/rollout/conductor.hpp
+++ b/src/rollout/conductor.hpp
@@ -1,7 +1,7 @@
-// Does the rollout duty while this node holds its permit: looks at the fleet,
+// Does the rollout leadership while this node holds its permit: looks at the fleet,
 // feeds the reducers, and writes what they decide to the registers.
 #pragma once
-#include "membership/duty.hpp"
+#include "membership/leadership.hpp"
 #include "rollout/moves.hpp"
 
 namespace dunlinwing::rollout {
@@ -14,7 +14,7 @@
 
 class Conductor {
  public:
-  Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, ConductorConfig c);
+  Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, ConductorConfig c);
   ~Conductor();
   void start();
   void tick();  // one look and what follows from it
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -1,5 +1,5 @@
 // Looks at what each relay was asked of late and writes a service's shares when
-// they should fall or may rise. After taking the duty up it does not know when
+// they should fall or may rise. After taking the leadership up it does not know when
 // shares last fell, and so waits a bound before it lets any rise; nor what is asked
 // where, and so lowers none for want of demand until it has looked a few times.
 #include "rollout/pacer.hpp"
@@ -26,11 +26,11 @@
   base::Ports& ps;
   consensus::RegisterClient& registers;
   membership::StateCache& state_cache;
-  membership::Duty& duty;
+  membership::Leadership& leadership;
   Span bound;
   uint64_t term = 0;
   Tick last{0};
-  int looks = 0;  // since the duty was taken up
+  int looks = 0;  // since the leadership was taken up
   std::map<std::string, std::map<std::string, Seen>> seen;  // service -> node
   std::map<std::string, Tick> fell;
   std::map<std::string, int64_t> rates;
@@ -69,8 +69,8 @@
   }
 
   void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases) {
-    if (term != duty.term()) {
-      term = duty.term();
+    if (term != leadership.term()) {
+      term = leadership.term();
       fell.clear();
       seen.clear();  // counts of long ago
       looks = 0;
@@ -147,7 +147,7 @@
     }
     auto o = step(have, v);
     if (!o.fell && !o.rose) return;
-    if (!duty.held()) return;
+    if (!leadership.held()) return;
     // Whatever becomes of the write, what it lowers may have been lowered now.
     auto w = registers.write(share_key(svc), version, o.shares.SerializeAsString());
     if (o.fell || !std::holds_alternative<consensus::VersionedValue>(w)) fell[svc] = ps.clock.now();
@@ -155,7 +155,7 @@
   }
 };
 
-Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, Span bound)
+Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound}) {}
 Pacer::~Pacer() = default;
 void Pacer::tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
--- a/src/rollout/pacer.hpp
+++ b/src/rollout/pacer.hpp
@@ -1,6 +1,6 @@
-// Keeps the shares of stated rates, for the holder of the rollout duty.
+// Keeps the shares of stated rates, for the holder of the rollout leadership.
 #pragma once
-#include "membership/duty.hpp"
+#include "membership/leadership.hpp"
 #include "rollout/release.hpp"
 #include "rollout/shares.hpp"
 
@@ -8,7 +8,7 @@
 
 class Pacer {
  public:
-  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, Span bound);
+  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Span bound);
   ~Pacer();
   void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
 
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -155,7 +155,7 @@
     put(c, {m->name});
   }
 
-  // Puts the zone's nodes on the release: all that keep no state or duty at
+  // Puts the zone's nodes on the release: all that keep no state or leadership at
   // once, those that do one at a time. True when none is left.
   bool spread(pb::Course& c) {
     std::vector<std::string> plain, replica_repair;
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -29,7 +29,7 @@
   base::Ports& ps;
   consensus::RegisterClient& registers;
   membership::StateCache& state_cache;
-  membership::Duty& duty;
+  membership::Leadership& leadership;
   Span bound;
   std::string settled;                  // the layout of which all is known to be in place
   std::shared_ptr<const traffic::Layout> now;
@@ -43,7 +43,7 @@
     return st;
   }
   bool write(const std::string& name, uint64_t version, const pb::ServiceState& st) {
-    return duty.held() && std::holds_alternative<consensus::VersionedValue>(registers.write(service_key(name), version, st.SerializeAsString()));
+    return leadership.held() && std::holds_alternative<consensus::VersionedValue>(registers.write(service_key(name), version, st.SerializeAsString()));
   }
 
   void settle() {
@@ -97,7 +97,7 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Duty& d, Span bound)
+Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Span bound)
     : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
 Settler::~Settler() = default;
 
--- a/src/rollout/watch.hpp
+++ b/src/rollout/watch.hpp
@@ -1,5 +1,5 @@
-// What a holder, with the duty or without, sees of moves with a term, so that it can go
-// on with them whenever the duty comes to it: since when it knows of each, since when
+// What a holder, with the leadership or without, sees of moves with a term, so that it can go
+// on with them whenever the leadership comes to it: since when it knows of each, since when
 // its workers are warm, and what came back.
 #pragma once
 #include "membership/state_cache.hpp"
--- a/src/traffic/jury.hpp
+++ b/src/traffic/jury.hpp
@@ -1,7 +1,7 @@
 // What a relay itself makes of a version on trial: it adds up the bad answers that
 // all relays tell of, over their restarts, and gives the trial up when they are too
-// many or when any relay says that it has; one with a term also when it is plainly worse. It needs no holder of a duty for that;
-// the duty only makes the verdict last.
+// many or when any relay says that it has; one with a term also when it is plainly worse. It needs no holder of a leadership for that;
+// the leadership only makes the verdict last.
 #pragma once
 #include <set>
 
--- a/test/fault_stories.cpp
+++ b/test/fault_stories.cpp
@@ -32,7 +32,7 @@
         if (t.status != 200 && t.status != 202) return false;
         ++s.w.met["acked"];
         for (auto& h : s.f.hosts())
-          if (h->up() && (h->name == t.by || (s.w.chance(300) && h->node->duty().held()))) s.f.kill(h->name);
+          if (h->up() && (h->name == t.by || (s.w.chance(300) && h->node->leadership().held()))) s.f.kill(h->name);
         return true;
       });
       s.want(ok, target + " was not acknowledged");
@@ -121,7 +121,7 @@
   };
 }
 
-// The disk of whoever holds the duty turns slow, again and again; releases, trials and
+// The disk of whoever holds the leadership turns slow, again and again; releases, trials and
 // purges go on.
 void slow_duty(Scene& s) {
   s.length = Span(120000);
--- a/test/limit_stories.cpp
+++ b/test/limit_stories.cpp
@@ -12,7 +12,7 @@
     auto how = s.w.below(4);
     if (!s.f.until(Span(40000), [&] { return s.w.met["bad_answer"] >= 30 + s.w.below(20); })) return;
     std::vector<std::string> pair;
-    if (auto* h = duty_holder(s)) pair = {h->name, h->node->duty().known().understudy()};
+    if (auto* h = duty_holder(s)) pair = {h->name, h->node->leadership().known().understudy()};
     for (auto& n : pair) {
       if (n.empty()) continue;
       if (how == 0) s.f.kill(n);
@@ -133,7 +133,7 @@
 }
 
 // What could make the sends at a paced origin bunch: relays that freeze and thaw with
-// many naps due, all relays restarted at once, cuts, the duty changing hands, and a
+// many naps due, all relays restarted at once, cuts, the leadership changing hands, and a
 // layout that lowers the rate to a third.
 void pace_faults(Scene& s) {
   s.length = Span(90000);
@@ -219,7 +219,7 @@
   };
 }
 
-// Most of what is asked comes to one relay, and the duty changes hands while all relays
+// Most of what is asked comes to one relay, and the leadership changes hands while all relays
 // stand. Who takes it up has looked at no demand yet, and may not lower a share for that.
 void share_and_duty(Scene& s) {
   struct Seen {
--- a/test/measure/project.cpp
+++ b/test/measure/project.cpp
@@ -144,7 +144,7 @@
     {"duty's pair", "messages beyond a holder's", "", 0, 1, "", "its writes; not told apart"},
     {"duty's pair", "state: memory", "", 0, 1, "", "counters by node; not told apart"},
     {"duty's pair", "bytes", "duty_bytes", 1250000, 1, "as a holder's", "sums by zone instead of each node's counters (1)"},
-    {"duty's pair", "processor of the watch", "watch_ms", 1000, 4, "1000 ms/s: control is one thread", "sums by zone; a duty per region (1, 4)"},
+    {"duty's pair", "processor of the watch", "watch_ms", 1000, 4, "1000 ms/s: control is one thread", "sums by zone; a leadership per region (1, 4)"},
     {"console", "messages, processor; it keeps no state", "", 0, 1, "", "one exchange a look"},
     {"console", "bytes of one look at all nodes", "console_nodes_bytes", 0, 1, "", "asked by zone, or the sums"},
     {"console", "bytes of one look at assignments", "console_assignments_bytes", 0, 1, "", "asked by zone; assignments by zone and exception (3)"},
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -30,7 +30,7 @@
   auto& n = *f.nodes[0];
   double ms = 0;
   f.on(n, Span(5000), [&] {
-    membership::Duty none(n.ports(), n.relay().registers(), n.relay().state_cache(), "measured", n.name, n.zone, f.s.bound);
+    membership::Leadership none(n.ports(), n.relay().registers(), n.relay().state_cache(), "measured", n.name, n.zone, f.s.bound);
     rollout::Conductor c(n.ports(), n.relay().registers(), n.relay().state_cache(), none, {n.name, f.s.bound, 600});
     c.tick();  // reads the releases once
     auto from = cpu_ns();
@@ -65,7 +65,7 @@
 
 void costs(Hollow& f, const std::vector<Mark>& was, const Split& split, uint64_t cpu, double sec, Figures& o) {
   Spread bytes;
-  double rb = 0, rm = 0, hb = 0, hm = 0, ans = 0, most = 0, duty = 0;
+  double rb = 0, rm = 0, hb = 0, hm = 0, ans = 0, most = 0, leadership = 0;
   int rn = 0, hn = 0;
   for (size_t i = 0; i < f.nodes.size(); ++i) {
     auto& n = *f.nodes[i];
@@ -77,7 +77,7 @@
     ++(n.holder ? hn : rn);
     if (n.holder) most = std::max(most, b);
     if (!n.holder) bytes.add(b);
-    if (n.up() && n.relay().duty().held()) duty = b;
+    if (n.up() && n.relay().leadership().held()) leadership = b;
   }
   double all = static_cast<double>(cpu) / 1e6 / sec;
   o["relay_bytes"] = rn ? rb / rn : 0;
@@ -88,7 +88,7 @@
   o["holder_bytes"] = hb / hn;
   o["holder_bytes_worst"] = most;
   o["holder_messages"] = hm / hn;
-  o["duty_bytes"] = duty;
+  o["duty_bytes"] = leadership;
   o["cpu_ms_s"] = all;                                                 // the whole fleet
   o["relay_cpu_ms_s"] = (all - ans) / static_cast<double>(f.nodes.size());  // a node's own pulls and tables
   o["holder_cpu_ms_s"] = o["relay_cpu_ms_s"] + ans / hn;
--- a/test/move_stories.cpp
+++ b/test/move_stories.cpp
@@ -9,7 +9,7 @@
 
 struct Plan {
   std::string how;       // of the bad version: errors, slow, one_route, late, under_load, whole_load; empty: a good one
-  std::string trouble;   // duty, freeze or restarts, in its midst
+  std::string trouble;   // leadership, freeze or restarts, in its midst
 };
 
 void spoil(Scene& s, sim::Worker& x, const std::string& how, int percent) {
--- a/test/platform/day.hpp
+++ b/test/platform/day.hpp
@@ -46,7 +46,7 @@
 };
 const std::map<std::string, Kind>& kinds();
 
-// Throws Failed when a rule is broken or a duty is unmet.
+// Throws Failed when a rule is broken or a leadership is unmet.
 void play(const std::string& kind, uint64_t seed, bool small, int load, std::map<std::string, uint64_t>& figures);
 
 }  // namespace dunlinwing::test
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -23,7 +23,7 @@
       auto name = h->name;
       s.f.kill(name);
       bool taken = s.f.until(Span(15000), [&] { return duty_holder(s) != nullptr; });
-      s.want(taken, "nobody took the duty up");
+      s.want(taken, "nobody took the leadership up");
       pb::Rollout after;
       rollout_seen(s, after);
       for (auto& c : before.courses())
@@ -90,7 +90,7 @@
   };
 }
 
-// Quiet hours are the fleet's, not a machine's: whoever holds the duty waits for them.
+// Quiet hours are the fleet's, not a machine's: whoever holds the leadership waits for them.
 void quiet_hours(Scene& s) {
   s.length = Span(90000);
   s.must_meet = {"kill"};
@@ -112,11 +112,11 @@
       if (!h) continue;
       auto name = h->name;
       s.f.kill(name);
-      s.want(s.f.until(Span(15000), [&] { return duty_holder(s) != nullptr; }), "nobody took the duty up");
+      s.want(s.f.until(Span(15000), [&] { return duty_holder(s) != nullptr; }), "nobody took the leadership up");
       s.f.start(name);
     }
     s.f.nap(Span(2000));
-    s.want(phase(s, "second") == "WAITING", "another holder of the duty did not wait");
+    s.want(phase(s, "second") == "WAITING", "another holder of the leadership did not wait");
     for (auto& h : s.f.hosts()) h->wall += 70 * 60000;
     s.want(reach(s, "second", "ONE", Span(6000)), "no phase started in the quiet hours");
     for (auto& h : s.f.hosts()) h->wall -= 70 * 60000;
@@ -324,7 +324,7 @@
         auto* n = duty_holder(s);
         return n && n != h;
       });
-      s.want(passed, "the duty did not pass on");
+      s.want(passed, "the leadership did not pass on");
       s.w.mend();
       s.f.nap(Span(2000 + s.w.below(3000)));
     }
--- a/test/rollout_unit.cpp
+++ b/test/rollout_unit.cpp
@@ -251,7 +251,7 @@
 }
 
 // Whatever happens, phases come in order, no hold is cut short, and what
-// failed never spreads; the duty may pass on at any moment.
+// failed never spreads; the leadership may pass on at any moment.
 void any_history() {
   Bench b(*rc::gen::inRange(2, 5), *rc::gen::inRange(1, 5));
   b.record("new");
@@ -358,7 +358,7 @@
 std::vector<Case> rollout_cases() {
   return {
       {"rollout: one machine, one zone without it, then the rest zone by zone", ordinary},
-      {"rollout: those that keep state or a duty change one by one", keepers_one_by_one},
+      {"rollout: those that keep state or a leadership change one by one", keepers_one_by_one},
       {"rollout: a bad release stops in phase one", [] { bad_in(pb::ONE); }},
       {"rollout: a bad release stops in phase two", [] { bad_in(pb::TWO); }},
       {"rollout: a bad release stops in phase three", [] { bad_in(pb::THREE); }},
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -58,7 +58,7 @@
         auto [at, fresh] = sets.emplace(set.epoch(), text);
         if (!fresh && at->second != text) broken = fmt::format("two sets of holders under epoch {}, one of them at {}", set.epoch(), h->name);
       }
-      holders += n->duty().held();
+      holders += n->leadership().held();
     }
     if (holders > 1) broken = "two nodes hold the rollout duty";
   }
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -113,7 +113,7 @@
 
 sim::Host* duty_holder(Scene& s) {
   for (auto& h : s.f.hosts())
-    if (h->up() && h->node->duty().held()) return h.get();
+    if (h->up() && h->node->leadership().held()) return h.get();
   return nullptr;
 }
 
