--- a/src/gate/report.cpp
+++ b/src/gate/report.cpp
@@ -34,8 +34,8 @@
   p.one("repeats_total", "counter", "Repeats granted.", n.traffic().shots().repeats());
   p.one("ready", "gauge", "1 when the platform may send callers.", n.ready() ? 1 : 0);
   p.one("generation", "gauge", "The generation in force here.", n.generation());
-  p.one("permit_left_ms", "gauge", "What is left of the freshness permit.",
-        std::max<int64_t>(0, (n.state_cache().permit_end() - now).count()));
+  p.one("permit_left_ms", "gauge", "What is left of the read lease.",
+        std::max<int64_t>(0, (n.state_cache().read_lease_end() - now).count()));
   p.one("duty_held", "gauge", "1 when this node does the rollout leadership.", n.leadership().held() ? 1 : 0);
   p.one("members", "gauge", "Nodes whose session stands.", n.state_cache().statuses().members(now).size());
   p.one("registers", "gauge", "Registers known.", n.state_cache().chosen().size());
@@ -69,7 +69,7 @@
   return fmt::format(
       R"({{"name":{},"zone":{},"software":"{}","ready":{},"fresh":{},"permit_left_ms":{},"generation":{},"layout":{},"holder":{},"votes":{},"shield":{},"duty":{},"incarnation":{},"members":{},"requests":{},"defects":{},"turned_away":{},"unknown":{},"cache":{{"hits":{},"fills":{},"bytes":{}}}}})",
       base::quote(c.name), base::quote(c.zone), kSoftware, n.ready(), n.state_cache().fresh(),
-      std::max<int64_t>(0, (n.state_cache().permit_end() - now).count()), n.generation(), base::quote(n.release()),
+      std::max<int64_t>(0, (n.state_cache().read_lease_end() - now).count()), n.generation(), base::quote(n.release()),
       n.acceptor() != nullptr, n.acceptor() && !n.acceptor()->mute(), c.shield, n.leadership().held(), n.state_cache().incarnation(),
       n.state_cache().statuses().members(now).size(), k.requests.load(), k.defects.load(), k.turned_away.load(), k.unknown.load(),
       k.hits.load(), k.fills.load(), n.traffic().cache_bytes());
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -1,4 +1,4 @@
-// The permit's span is twice the bound; its holder renews at a quarter of it
+// The read_lease's span is twice the bound; its holder renews at a quarter of it
 // and counts it from before the write, three quarters long. Others count the
 // whole span from when they saw the last renewal, so no clocks are compared.
 #include "membership/leadership.hpp"
@@ -51,7 +51,7 @@
       end = from + span * 3 / 4;
       return true;
     }
-    // Whatever the fate of a renewal, the old permit stands only until its own end.
+    // Whatever the fate of a renewal, the old read_lease stands only until its own end.
     return false;
   }
 
--- a/src/membership/leadership.hpp
+++ b/src/membership/leadership.hpp
@@ -1,6 +1,6 @@
-// A leadership that one node does at a time: its permit is a register that a
+// A leadership that one node does at a time: its read_lease is a register that a
 // majority of the holders wrote, renewed in good time. Its holder stops before
-// the permit ends; its understudy takes it up once it has lapsed, others later.
+// the read_lease ends; its understudy takes it up once it has lapsed, others later.
 #pragma once
 #include "membership/state_cache.hpp"
 
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -1,6 +1,6 @@
 // Keeps the set of holders at what the stated tolerance needs: 2f+1 disks, spread
 // over zones. The step is pure and names one change at most; the part runs it under
-// the rollout duty's permit.
+// the rollout duty's read_lease.
 #pragma once
 #include "membership/leadership.hpp"
 
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -37,7 +37,7 @@
   std::set<std::string> open;
   uint64_t incarnation = 0, count = 0, departed = 0;
   size_t first = 0;  // the holder asked first
-  std::atomic<int64_t> permit{0};
+  std::atomic<int64_t> read_lease{0};
   Tick said{0};
   std::string said_key;
   std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
@@ -219,8 +219,8 @@
       statuses.departed(read_departed(f->second.data));
     }
     statuses.forget(now);
-    // A pull that itself took longer than the permit has proved nothing.
-    permit = (start + c.permit()).count();
+    // A pull that itself took longer than the read_lease has proved nothing.
+    read_lease = (start + c.read_lease()).count();
     seen();
     std::erase_if(waits, [&](auto& w) { return w.first <= start ? (w.second->wake(), true) : false; });
     return true;
@@ -259,9 +259,9 @@
       Tick from = p->ps.clock.now();
       p->asked = false;
       bool ok = p->once();
-      bool was = std::exchange(p->told, p->ps.clock.now().count() < p->permit.load());
-      if (was && !p->told) lg.warn("{}: the freshness permit has lapsed.", p->c.me);
-      if (!was && p->told) lg.info("{}: the freshness permit stands.", p->c.me);
+      bool was = std::exchange(p->told, p->ps.clock.now().count() < p->read_lease.load());
+      if (was && !p->told) lg.warn("{}: the read lease has lapsed.", p->c.me);
+      if (!was && p->told) lg.info("{}: the read lease stands.", p->c.me);
       Span spent = p->ps.clock.now() - from;
       Span rest = p->c.pull() - spent;
       if (!ok) rest = std::min(rest, p->c.pull() / 2);
@@ -277,8 +277,8 @@
 }
 
 bool StateCache::once() { return p_->once(); }
-bool StateCache::fresh() const { return p_->ps.clock.now().count() < p_->permit.load(); }
-Tick StateCache::permit_end() const { return Tick(p_->permit.load()); }
+bool StateCache::fresh() const { return p_->ps.clock.now().count() < p_->read_lease.load(); }
+Tick StateCache::read_lease_end() const { return Tick(p_->read_lease.load()); }
 const Chosen& StateCache::chosen() const { return p_->chosen; }
 StatusTable& StateCache::statuses() { return p_->statuses; }
 pb::Reply StateCache::answer(const pb::Ask& a) { return p_->answer(a); }
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -1,6 +1,6 @@
 // A node's view of the fleet's state: it pulls from the holders what it lacks,
-// settles which register values are chosen, and holds the freshness permit.
-// The permit runs from the start of the last good pull; without it the node
+// settles which register values are chosen, and holds the read lease.
+// The read_lease runs from the start of the last good pull; without it the node
 // must act on nothing it has here.
 #pragma once
 #include <atomic>
@@ -18,7 +18,7 @@
   std::string me;
   Span bound{2000};  // the 2-second bound; every other span here is a ratio of it
   Span pull() const { return bound / 8; }
-  Span permit() const { return bound * 3 / 4; }
+  Span read_lease() const { return bound * 3 / 4; }
   Span session() const { return bound * 3 / 2; }
 };
 
@@ -31,7 +31,7 @@
   void start();
   bool once();                            // one pull; true when good
   bool fresh() const;                     // from any thread
-  Tick permit_end() const;                // from any thread
+  Tick read_lease_end() const;                // from any thread
   const Chosen& chosen() const;
   StatusTable& statuses();
   pb::Reply answer(const pb::Ask& pull);  // a holder's side of a pull
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -1,7 +1,7 @@
 // The loop runs on every node that stands for the leadership; the understudy keeps
-// watching too, so that its counters are warm when the permit comes to it.
+// watching too, so that its counters are warm when the read_lease comes to it.
 // Writes are compare-and-set on the version last read and carry the term, so a
-// holder that was frozen past its permit can change nothing.
+// holder that was frozen past its read_lease can change nothing.
 #include "rollout/conductor.hpp"
 
 #include <algorithm>
@@ -111,7 +111,7 @@
     auto wall = median_wall(state_cache.statuses().members(now));
     v.quiet = wall && rules.system.quiet.open(*wall);
     auto statuses = state_cache.statuses().latest(now);
-    auto permit = leadership.known();
+    auto read_lease = leadership.known();
     std::map<std::string, NodeSight> by;
     for (auto& [n, a] : state.nodes()) {
       by[n].name = n;
@@ -124,7 +124,7 @@
       s.zone = x.node().zone();
       s.present = !x.node().leaving();
       s.drained = x.node().drained();
-      s.keeper = x.node().holder() || n == permit.holder() || n == permit.understudy();
+      s.keeper = x.node().holder() || n == read_lease.holder() || n == read_lease.understudy();
       for (auto& [k, rel] : x.node().running()) s.running[k] = rel;
       s.load_defect = x.node().load_defect();
       uint64_t rq = 0, df = 0;
--- a/src/rollout/conductor.hpp
+++ b/src/rollout/conductor.hpp
@@ -1,4 +1,4 @@
-// Does the rollout leadership while this node holds its permit: looks at the fleet,
+// Does the rollout leadership while this node holds its read_lease: looks at the fleet,
 // feeds the reducers, and writes what they decide to the registers.
 #pragma once
 #include "membership/leadership.hpp"
--- a/src/rollout/reducer.hpp
+++ b/src/rollout/reducer.hpp
@@ -25,7 +25,7 @@
   Release release;
 };
 struct Sight {
-  Span dt{0};  // observed under the permit since the last sight
+  Span dt{0};  // observed under the read_lease since the last sight
   bool quiet = true;
   std::vector<NodeSight> nodes;
   std::map<std::string, Release> releases;  // by register name
--- a/src/rollout/watch.cpp
+++ b/src/rollout/watch.cpp
@@ -1,5 +1,5 @@
 // A move was asked for after the pull that came before the look that first showed it. Who
-// begins to look in its midst takes what is recorded, and adds the span of a permit and
+// begins to look in its midst takes what is recorded, and adds the span of a read_lease and
 // a bound for what was recorded late: whatever is not known counts against it.
 #include "rollout/watch.hpp"
 
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -53,7 +53,7 @@
   bool on(Node& n, Span most, std::function<void()> f);  // runs it in the node's process; false when it did not end
   Node& some();                                          // one that is up
   bool all_up();
-  bool fresh();                                          // every node that is up has a permit
+  bool fresh();                                          // every node that is up has a read_lease
   bool serving(const std::string& layout);               // and runs this layout
   void beats(int workers, Span period);                  // each worker stays with its relay
   bool cut(const Node& a, const Node& b) const { return apart >= 0 && (a.region == apart) != (b.region == apart); }
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -25,7 +25,7 @@
 }
 
 // A watch of the duty's pair: what a holder does each eighth of the bound when the
-// permit is another's. It parks nowhere.
+// read_lease is another's. It parks nowhere.
 double watch_ms(Hollow& f) {
   auto& n = *f.nodes[0];
   double ms = 0;
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -309,7 +309,7 @@
 }
 
 // A split that leaves the duty's holder on the small side: it stops before its
-// permit ends, and the other side goes on.
+// read_lease ends, and the other side goes on.
 void split_duty(Scene& s) {
   s.length = Span(90000);
   s.must_meet = {"cut"};
