--- a/src/gate/self.cpp
+++ b/src/gate/self.cpp
@@ -1,4 +1,4 @@
-// The other half, which reads it, is members/seek.
+// The other half, which reads it, is members/discovery.
 #include "gate/self.hpp"
 
 #include <fmt/format.h>
--- a/src/gate/views.cpp
+++ b/src/gate/views.cpp
@@ -4,7 +4,7 @@
 #include <fmt/format.h>
 
 #include "gate/control.hpp"
-#include "membership/departed.hpp"
+#include "membership/deregistered.hpp"
 
 namespace dunlinwing::gate {
 
@@ -27,8 +27,8 @@
                      base::quote(i), w.gone, w.age.count(), message_json(w.beat));
   }
   std::string left;
-  if (auto f = n.state_cache().chosen().find(membership::kDepartedKey); f != n.state_cache().chosen().end())
-    for (auto& i : membership::read_departed(f->second.data)) left += (left.empty() ? "" : ",") + base::quote(i);
+  if (auto f = n.state_cache().chosen().find(membership::kDeregisteredKey); f != n.state_cache().chosen().end())
+    for (auto& i : membership::read_deregistered(f->second.data)) left += (left.empty() ? "" : ",") + base::quote(i);
   return json(200, "{\"workers\":[" + b + "],\"departed\":[" + left + "]}");
 }
 
--- a/src/membership/departed.cpp
+++ b/src/membership/deregistered.cpp
@@ -1,6 +1,6 @@
 // An instance's name is new with each start, so the oldest words can go: their last
 // beats are long past.
-#include "membership/departed.hpp"
+#include "membership/deregistered.hpp"
 
 #include <algorithm>
 
@@ -10,19 +10,19 @@
 constexpr int kTries = 16;
 }  // namespace
 
-bool depart(consensus::RegisterClient& registers, const std::string& instance) {
-  auto g = registers.read(kDepartedKey);
+bool deregister(consensus::RegisterClient& registers, const std::string& instance) {
+  auto g = registers.read(kDeregisteredKey);
   auto* h = std::get_if<consensus::VersionedValue>(&g);
   if (!h) return false;
   auto now = *h;
   for (int i = 0; i < kTries; ++i) {
-    pb::Departed d;
+    pb::Deregistered d;
     d.ParseFromString(now.data);
     auto& v = *d.mutable_instances();
     if (std::find(v.begin(), v.end(), instance) != v.end()) return true;
     *v.Add() = instance;
     if (v.size() > kMostKept) v.DeleteSubrange(0, v.size() - kMostKept);
-    auto w = registers.write(kDepartedKey, now.version, d.SerializeAsString());
+    auto w = registers.write(kDeregisteredKey, now.version, d.SerializeAsString());
     if (std::holds_alternative<consensus::VersionedValue>(w)) return true;
     auto* s = std::get_if<consensus::VersionConflict>(&w);
     if (!s) return false;
@@ -31,8 +31,8 @@
   return false;
 }
 
-std::set<std::string> read_departed(const std::string& data) {
-  pb::Departed d;
+std::set<std::string> read_deregistered(const std::string& data) {
+  pb::Deregistered d;
   d.ParseFromString(data);
   return {d.instances().begin(), d.instances().end()};
 }
--- a/src/membership/departed.hpp
+++ b/src/membership/deregistered.hpp
@@ -7,10 +7,10 @@
 
 namespace dunlinwing::membership {
 
-inline constexpr const char* kDepartedKey = "departed";
+inline constexpr const char* kDeregisteredKey = "departed";
 
 // True once the word is recorded.
-bool depart(consensus::RegisterClient& registers, const std::string& instance);
-std::set<std::string> read_departed(const std::string& data);
+bool deregister(consensus::RegisterClient& registers, const std::string& instance);
+std::set<std::string> read_deregistered(const std::string& data);
 
 }  // namespace dunlinwing::membership
--- a/src/membership/seek.cpp
+++ b/src/membership/discovery.cpp
@@ -1,7 +1,7 @@
 // All are asked at once, each by a fiber of its own. A relay with a disk, which
 // remembers the set over a power cut, also tells seeds that know an older one or
 // none, so that those who ask them later find it there.
-#include "membership/seek.hpp"
+#include "membership/discovery.hpp"
 
 #include <algorithm>
 
@@ -48,9 +48,9 @@
   return set;
 }
 
-struct Seek::Impl {
+struct Discovery::Impl {
   base::Ports& ps;
-  SeekConfig c;
+  DiscoveryConfig c;
   consensus::RegisterClient& registers;
   StateCache& state_cache;
   consensus::Acceptor* mine;
@@ -59,7 +59,7 @@
   Tick good{0}, looked{0};
   std::string said;
 
-  Impl(base::Ports& p, SeekConfig cc, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* a)
+  Impl(base::Ports& p, DiscoveryConfig cc, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* a)
       : ps(p), c(std::move(cc)), registers(b), state_cache(m), mine(a) {}
 
   // By address, from all that answer in time.
@@ -156,16 +156,16 @@
   std::weak_ptr<Impl> weak;
 };
 
-Seek::Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine)
+Discovery::Discovery(base::Ports& ps, DiscoveryConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, mine)) {
   p_->weak = p_;
 }
-Seek::~Seek() = default;
+Discovery::~Discovery() = default;
 
-void Seek::start() {
+void Discovery::start() {
   p_->ps.tasks.spawn([p = p_] { p->run(); });
 }
 
-void Seek::seeds(std::vector<std::string> addresses) { p_->c.seeds = std::move(addresses); }
+void Discovery::seeds(std::vector<std::string> addresses) { p_->c.seeds = std::move(addresses); }
 
 }  // namespace dunlinwing::membership
--- a/src/membership/seek.hpp
+++ b/src/membership/discovery.hpp
@@ -7,7 +7,7 @@
 
 namespace dunlinwing::membership {
 
-struct SeekConfig {
+struct DiscoveryConfig {
   std::string me;
   Span bound{2000};
   bool first = false;  // the fleet's first start, and no settings name the holders
@@ -26,10 +26,10 @@
 // has a disk, or two that differ go by one name.
 std::optional<pb::ReplicaSet> first_set(const std::vector<Self>& seeds);
 
-class Seek {
+class Discovery {
  public:
-  Seek(base::Ports& ps, SeekConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine);
-  ~Seek();
+  Discovery(base::Ports& ps, DiscoveryConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine);
+  ~Discovery();
   void start();
   void seeds(std::vector<std::string> addresses);  // in place of those of now
 
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -9,7 +9,7 @@
 #include <algorithm>
 
 #include "base/log.hpp"
-#include "membership/departed.hpp"
+#include "membership/deregistered.hpp"
 #include "consensus/vote.hpp"
 
 namespace dunlinwing::membership {
@@ -35,7 +35,7 @@
   Chosen chosen;
   std::map<std::string, pb::Ballot> at;  // the ballot at which `chosen` was settled
   std::set<std::string> open;
-  uint64_t incarnation = 0, count = 0, departed = 0;
+  uint64_t incarnation = 0, count = 0, deregistered = 0;
   size_t first = 0;  // the holder asked first
   std::atomic<int64_t> read_lease{0};
   Tick said{0};
@@ -214,9 +214,9 @@
         return reseat();
       }
     }
-    if (auto f = chosen.find(kDepartedKey); f != chosen.end() && f->second.version != departed) {
-      departed = f->second.version;
-      statuses.departed(read_departed(f->second.data));
+    if (auto f = chosen.find(kDeregisteredKey); f != chosen.end() && f->second.version != deregistered) {
+      deregistered = f->second.version;
+      statuses.deregistered(read_deregistered(f->second.data));
     }
     statuses.forget(now);
     // A pull that itself took longer than the read_lease has proved nothing.
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -32,7 +32,7 @@
   std::vector<Member> all(Tick now) const;
   std::map<std::string, WorkerFact> workers(Tick now) const;
   std::map<std::string, pb::NodeStatus> latest(Tick now) const;  // sessions that stand
-  void departed(std::set<std::string> instances) { departed_ = std::move(instances); }
+  void deregistered(std::set<std::string> instances) { departed_ = std::move(instances); }
   size_t size() const { return by_.size(); }
   void forget(Tick now);
 
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -6,9 +6,9 @@
 #include <atomic>
 
 #include "base/log.hpp"
-#include "membership/departed.hpp"
+#include "membership/deregistered.hpp"
 #include "membership/replica_repair.hpp"
-#include "membership/seek.hpp"
+#include "membership/discovery.hpp"
 #include "traffic/jury.hpp"
 #include "traffic/order.hpp"
 
@@ -26,7 +26,7 @@
   consensus::RegisterClient registers;
   membership::StateCache state_cache;
   membership::Leadership leadership;
-  membership::Seek seek;
+  membership::Discovery discovery;
   membership::ReplicaRepair replica_repair;
   rollout::Conductor conductor;
   traffic::Traffic traffic;
@@ -52,7 +52,7 @@
              acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : consensus::Local()),
         state_cache(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::NodeStatus& n) { own(n); }, [this] { seen(); }),
         leadership(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
-        seek(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache, acceptor.get()),
+        discovery(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache, acceptor.get()),
         replica_repair(ps, registers, state_cache, leadership, c.tolerate, c.bound),
         conductor(ps, registers, state_cache, leadership, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return state_cache.fresh(); }) {
@@ -269,7 +269,7 @@
   if (first && p_->c.holders.empty()) first->mutable_seeds()->Assign(p_->c.seeds.begin(), p_->c.seeds.end());
   if (p_->acceptor) p_->acceptor->start(first);
   p_->state_cache.start();
-  p_->seek.start();
+  p_->discovery.start();
   if (p_->holder) {
     p_->leadership.start();
     p_->conductor.start();
@@ -328,13 +328,13 @@
     x = {b, p_->ps.clock.now()};
     if (left) x.first.set_leaving(true);
   }
-  bool known = (!b.leaving() || membership::depart(p_->registers, b.instance())) && (same || p_->state_cache.settle(p_->c.bound / 2));
+  bool known = (!b.leaving() || membership::deregister(p_->registers, b.instance())) && (same || p_->state_cache.settle(p_->c.bound / 2));
   ++(known ? p_->beats_taken : p_->beats_missed);
   return known;
 }
 
 bool Node::gone(const std::string& instance) {
-  if (!membership::depart(p_->registers, instance)) return false;
+  if (!membership::deregister(p_->registers, instance)) return false;
   p_->state_cache.hurry();
   return true;
 }
@@ -352,7 +352,7 @@
 consensus::RegisterClient& Node::registers() { return p_->registers; }
 membership::Leadership& Node::leadership() { return p_->leadership; }
 consensus::Acceptor* Node::acceptor() { return p_->acceptor.get(); }
-void Node::seeds(std::vector<std::string> addresses) { p_->seek.seeds(std::move(addresses)); }
+void Node::seeds(std::vector<std::string> addresses) { p_->discovery.seeds(std::move(addresses)); }
 traffic::Traffic& Node::traffic() { return p_->traffic; }
 uint64_t Node::generation() const { return p_->generation; }
 std::optional<software::Want> Node::wanted_software() const { return p_->want_soft; }
--- a/test/replica_repair_unit.cpp
+++ b/test/replica_repair_unit.cpp
@@ -1,6 +1,6 @@
 // The step that keeps the set of holders, and the first set.
 #include "membership/replica_repair.hpp"
-#include "membership/seek.hpp"
+#include "membership/discovery.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
@@ -120,7 +120,7 @@
          goes(s.nodes[2]);
          same(step(s), std::string("none"), "step");
        }},
-      {"seek: the first set is the seeds with a disk, in one order",
+      {"discovery: the first set is the seeds with a disk, in one order",
        [] {
          membership::Self a{"a", "1", "p:a", true, {}}, b{"b", "2", "p:b", false, {}}, c{"c", "3", "p:c", true, {}};
          auto x = membership::first_set({c, b, a}), y = membership::first_set({a, c, b, a});
@@ -129,7 +129,7 @@
          membership::Self d{"a", "1", "p:d", true, {}};
          expect(!membership::first_set({a, d}), "two that go by one name");
        }},
-      {"seek: what a relay tells of itself is read back",
+      {"discovery: what a relay tells of itself is read back",
        [] {
          auto s = membership::read_self(R"({"name":"a","zone":"z","peer_address":"p","disk":true,"epoch":3,"holders":[{"name":"h","address":"q"}]})");
          expect(s && s->name == "a" && s->disk && s->set.epoch() == 3 && s->set.holders(0).address() == "q", "read wrongly");
