--- a/src/base/common.hpp
+++ b/src/base/common.hpp
@@ -15,8 +15,8 @@
 
 namespace dunlinwing {
 
-using Span = std::chrono::milliseconds;
-using Tick = std::chrono::milliseconds;  // since boot, counting sleep
+using Duration = std::chrono::milliseconds;
+using TimePoint = std::chrono::milliseconds;  // since boot, counting sleep
 
 template <class... F>
 struct Cases : F... {
--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -10,9 +10,9 @@
 class Clock {
  public:
   virtual ~Clock() = default;
-  virtual Tick now() = 0;
+  virtual TimePoint now() = 0;
   virtual int64_t wall_ms() = 0;
-  virtual void nap(Span s) = 0;
+  virtual void nap(Duration s) = 0;
 };
 
 class Chance {
@@ -26,7 +26,7 @@
 class Spot {
  public:
   virtual ~Spot() = default;
-  virtual bool park(Span s) = 0;  // true when woken, false when time ran out
+  virtual bool park(Duration s) = 0;  // true when woken, false when time ran out
   virtual void wake() = 0;        // from any thread, any number of times
 };
 
@@ -43,7 +43,7 @@
 class Net {
  public:
   virtual ~Net() = default;
-  virtual std::variant<pb::Reply, NetDefect> ask(const std::string& addr, const pb::Ask& a, Span limit) = 0;
+  virtual std::variant<pb::Reply, NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) = 0;
 };
 
 enum class DiskDefect { failed };
@@ -82,8 +82,8 @@
 struct ShotRules {
   template <class R, class P>
   ShotRules(std::chrono::duration<R, P> l) : limit(l) {}  // a bare limit is a rule
-  Span limit;                      // in which the whole answer must be here
-  Span connect{0};                 // in which a new connection must stand; 0: the limit
+  Duration limit;                      // in which the whole answer must be here
+  Duration connect{0};                 // in which a new connection must stand; 0: the limit
   int most = 0;                    // connections held to this address at once; 0: no bound
   bool safe = false;               // may ride a connection that the worker may be about to close
   std::function<bool(const Receipt&)> mine;
@@ -92,7 +92,7 @@
 class Origin {
  public:
   virtual ~Origin() = default;
-  virtual bool reach(const std::string& addr, Span limit) = 0;  // whether a connection can be made; no byte is sent
+  virtual bool reach(const std::string& addr, Duration limit) = 0;  // whether a connection can be made; no byte is sent
   virtual std::variant<Receipt, ShotDefect> shoot(const std::string& addr, const Request& q, const ShotRules& r) = 0;
 };
 
--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -56,7 +56,7 @@
   p_->bytes += n;
 }
 
-void Cache::sweep(Tick now) {
+void Cache::sweep(TimePoint now) {
   std::lock_guard l(p_->m);
   for (auto i = p_->by.begin(); i != p_->by.end();) {
     auto at = i++;
@@ -89,7 +89,7 @@
   f->waits.clear();
 }
 
-std::optional<ItemPtr> Cache::wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Spot> s, Span limit) {
+std::optional<ItemPtr> Cache::wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Spot> s, Duration limit) {
   {
     std::lock_guard l(f->m);
     if (f->done) return f->item;
@@ -141,7 +141,7 @@
   return !cc.count("no-store") && !cc.count("no-cache");
 }
 
-std::optional<Span> lifetime(const base::Request& q, const base::Receipt& r) {
+std::optional<Duration> lifetime(const base::Request& q, const base::Receipt& r) {
   if (r.status != 200 || q.method != "GET") return {};
   if (!base::header(r.headers, "Vary").empty() || !base::header(r.headers, "Set-Cookie").empty()) return {};
   auto cc = directives(joined(r.headers, "Cache-Control"));
@@ -151,12 +151,12 @@
     if (auto f = cc.find(d); f != cc.end()) {
       auto n = number(f->second);
       if (!n || *n == 0) return {};
-      return Span(std::min<int64_t>(*n, 31536000) * 1000);
+      return Duration(std::min<int64_t>(*n, 31536000) * 1000);
     }
   return {};
 }
 
-std::optional<Span> stated(const base::Receipt& r, Span life) {
+std::optional<Duration> stated(const base::Receipt& r, Duration life) {
   if (r.status != 200 || !base::header(r.headers, "Set-Cookie").empty()) return {};
   auto cc = directives(joined(r.headers, "Cache-Control"));
   for (auto* d : {"no-store", "private", "no-cache"})
@@ -178,9 +178,9 @@
   return Cut{at, static_cast<size_t>(std::min<int64_t>(*to, static_cast<int64_t>(bytes) - 1)) - at + 1};
 }
 
-Span age_header(const base::Receipt& r) {
+Duration age_header(const base::Receipt& r) {
   auto n = number(base::header(r.headers, "Age"));
-  return Span(n ? std::min<int64_t>(*n, 31536000) * 1000 : 0);
+  return Duration(n ? std::min<int64_t>(*n, 31536000) * 1000 : 0);
 }
 
 }  // namespace dunlinwing::cache
--- a/src/cache/cache.hpp
+++ b/src/cache/cache.hpp
@@ -9,8 +9,8 @@
   base::Receipt receipt;
   std::string service, version;
   std::vector<std::string> tags;
-  Tick born{0};  // before the fetch began, less the Age it came with
-  Span life{0};
+  TimePoint born{0};  // before the fetch began, less the Age it came with
+  Duration life{0};
   uint64_t purge = 0;  // the purge number known when the fetch began
 };
 using ItemPtr = std::shared_ptr<const Item>;
@@ -22,14 +22,14 @@
   ItemPtr find(const std::string& key);
   void put(const std::string& key, ItemPtr i, size_t most_bytes);
   size_t bytes() const;
-  void sweep(Tick now);
+  void sweep(TimePoint now);
 
   // One fill a key: the first caller leads, the others wait for its item, which
   // is null when what came back may not be shared.
   struct Fill;
   std::shared_ptr<Fill> join(const std::string& key, bool& lead);
   void finish(const std::string& key, const std::shared_ptr<Fill>& f, ItemPtr i);
-  std::optional<ItemPtr> wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Spot> s, Span limit);
+  std::optional<ItemPtr> wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Spot> s, Duration limit);
 
  private:
   struct Impl;
@@ -38,12 +38,12 @@
 
 // How long a shared cache may keep a receipt by RFC 9111, nothing when it may
 // not; and the Age it came with.
-std::optional<Span> lifetime(const base::Request& q, const base::Receipt& r);
-Span age_header(const base::Receipt& r);
+std::optional<Duration> lifetime(const base::Request& q, const base::Receipt& r);
+Duration age_header(const base::Receipt& r);
 // `cuts`: single ranges and If-None-Match are answered from whole receipts.
 bool may_ask_cache(const base::Request& q, bool cuts);
 // The operators' own lifetime, unless the worker forbids it.
-std::optional<Span> stated(const base::Receipt& r, Span life);
+std::optional<Duration> stated(const base::Receipt& r, Duration life);
 struct Cut {
   size_t from = 0, size = 0;  // size 0: beyond the end
 };
--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -26,7 +26,7 @@
   std::string me;
   ReplicaSetView& set;
   uint64_t epoch = 0;  // of the set that is synced here
-  Span round;
+  Duration round;
   pb::Stage stage = pb::BLANK;
   std::optional<pb::First> first;
   bool bad = false, writing = false;
@@ -37,7 +37,7 @@
   uint64_t put = 0, done = 0;
   std::vector<std::shared_ptr<base::Spot>> waits;
 
-  Impl(base::Ports& p, base::Disk& d, std::string m, ReplicaSetView& s, Span r)
+  Impl(base::Ports& p, base::Disk& d, std::string m, ReplicaSetView& s, Duration r)
       : ps(p), disk(d), me(std::move(m)), set(s), round(r) {}
 
   std::vector<Replica> others() const {
@@ -196,7 +196,7 @@
   }
 };
 
-Acceptor::Acceptor(base::Ports& ps, base::Disk& d, std::string me, ReplicaSetView& set, Span round)
+Acceptor::Acceptor(base::Ports& ps, base::Disk& d, std::string me, ReplicaSetView& set, Duration round)
     : p_(std::make_shared<Impl>(ps, d, std::move(me), set, round)) {}
 Acceptor::~Acceptor() = default;
 
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -9,7 +9,7 @@
 
 class Acceptor {
  public:
-  Acceptor(base::Ports& ps, base::Disk& d, std::string me, ReplicaSetView& set, Span round);
+  Acceptor(base::Ports& ps, base::Disk& d, std::string me, ReplicaSetView& set, Duration round);
   ~Acceptor();
   // Loads the disk and begins to refill when it must. `first`: this is the first start of the
   // whole fleet; without it only formed disks fill a blank one, or others that never voted.
--- a/src/consensus/ask.cpp
+++ b/src/consensus/ask.cpp
@@ -5,7 +5,7 @@
 namespace dunlinwing::consensus {
 
 Replies ask_all(base::Ports& ps, const std::vector<Replica>& ts, const std::function<pb::Ask(size_t)>& make,
-                Span limit, const Enough& enough, const std::string& me, const Local& local) {
+                Duration limit, const Enough& enough, const std::string& me, const Local& local) {
   struct Table {
     Replies rs;
     size_t left;
--- a/src/consensus/ask.hpp
+++ b/src/consensus/ask.hpp
@@ -15,6 +15,6 @@
 
 // `local` answers for the target named `me`, without the network.
 Replies ask_all(base::Ports& ps, const std::vector<Replica>& ts, const std::function<pb::Ask(size_t)>& make,
-                Span limit, const Enough& enough, const std::string& me = {}, const Local& local = {});
+                Duration limit, const Enough& enough, const std::string& me = {}, const Local& local = {});
 
 }  // namespace dunlinwing::consensus
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -22,7 +22,7 @@
   base::Ports& ps;
   std::string me;
   ReplicaSetView& set;
-  Span round;
+  Duration round;
   Local local;
   uint64_t top = 0;
 
@@ -60,7 +60,7 @@
   // Proposers that met each other wait a random while, longer each time.
   void back_off(int i) {
     auto most = static_cast<uint64_t>(round.count()) / 32 * static_cast<uint64_t>(1 << std::min(i, kMostDoublings));
-    ps.clock.nap(Span(1 + ps.chance.below(most + 1)));
+    ps.clock.nap(Duration(1 + ps.chance.below(most + 1)));
   }
 
   // The slot that a majority has accepted at one ballot, none higher being seen.
@@ -149,7 +149,7 @@
   }
 };
 
-RegisterClient::RegisterClient(base::Ports& ps, std::string me, ReplicaSetView& set, Span round, Local local)
+RegisterClient::RegisterClient(base::Ports& ps, std::string me, ReplicaSetView& set, Duration round, Local local)
     : p_(new Impl{ps, std::move(me), set, round, std::move(local)}) {}
 RegisterClient::~RegisterClient() = default;
 size_t RegisterClient::majority() const { return p_->majority(); }
@@ -158,7 +158,7 @@
 
 ReadResult RegisterClient::read(const std::string& name) {
   auto& p = *p_;
-  Tick end = p.ps.clock.now() + p.round * kRounds;
+  TimePoint end = p.ps.clock.now() + p.round * kRounds;
   for (int i = 0, silent = 0; i == 0 || p.ps.clock.now() < end; ++i) {
     if (auto v = p.peek(name)) return VersionedValue{v->version(), v->data()};
     auto o = p.turn(name, [](const pb::Value& v) { return v; });
@@ -181,7 +181,7 @@
     if (sent && v.version() > expect + kPastTags) return RegisterError::fate_unknown;
     return VersionConflict{{v.version(), v.data()}};
   };
-  Tick end = p.ps.clock.now() + p.round * kRounds;
+  TimePoint end = p.ps.clock.now() + p.round * kRounds;
   for (int i = 0, silent = 0; i == 0 || p.ps.clock.now() < end; ++i) {
     // After a round that broke off, a look first: the race may be over.
     if (i > 0)
--- a/src/consensus/register_client.hpp
+++ b/src/consensus/register_client.hpp
@@ -20,7 +20,7 @@
 
 class RegisterClient {
  public:
-  RegisterClient(base::Ports& ps, std::string me, ReplicaSetView& set, Span round, Local local);
+  RegisterClient(base::Ports& ps, std::string me, ReplicaSetView& set, Duration round, Local local);
   ~RegisterClient();
   ReadResult read(const std::string& name);
   WriteResult write(const std::string& name, uint64_t expect, const std::string& data);
--- a/src/console/commands.cpp
+++ b/src/console/commands.cpp
@@ -93,7 +93,7 @@
 // Follows a release until it ends, a line for each change of phase or reason.
 int watch(Session& s) {
   std::string last;
-  Tick end = s.clock.now() + Span((s.wait_s ? s.wait_s : 86400) * 1000LL);
+  TimePoint end = s.clock.now() + Duration((s.wait_s ? s.wait_s : 86400) * 1000LL);
   while (s.clock.now() < end) {
     auto r = s.link.get(release(s));
     if (r.status != 200) return refused(r);
@@ -105,7 +105,7 @@
     last = now;
     if (ph == "DONE") return kFine;
     if (ph == "STOPPED" || ph == "WITHDRAWN") return kNotSo;
-    s.clock.nap(Span(500));
+    s.clock.nap(Duration(500));
   }
   std::cerr << "console: still under way when the time was up\n";
   return kNotSo;
--- a/src/console/doctor.cpp
+++ b/src/console/doctor.cpp
@@ -85,7 +85,7 @@
   Findings f;
   int silent = 0;
   for (auto& x : s.link.seeds()) {
-    auto r = s.link.at(x, "/readyz", Span(2000));
+    auto r = s.link.at(x, "/readyz", Duration(2000));
     silent += r.status == 0;
     if (r.status == 0) f.add("seed " + x + " does not answer");
   }
--- a/src/console/holders.cpp
+++ b/src/console/holders.cpp
@@ -8,7 +8,7 @@
 
 namespace dunlinwing::console {
 namespace {
-constexpr Span kLook{500};
+constexpr Duration kLook{500};
 constexpr int kWaitSeconds = 60;
 
 struct Seat {
@@ -27,7 +27,7 @@
     Seat x{h.at("name").str(), h.at("address").str(), {}, false};
     for (auto& n : ns.body.at("nodes").items())
       if (n.at("name").str() == x.name && n.at("member").flag()) x.http = n.at("facts").at("http_address").str();
-    if (!x.http.empty()) x.votes = s.link.at(x.http, "/status", Span(2000)).body.at("votes").flag();
+    if (!x.http.empty()) x.votes = s.link.at(x.http, "/status", Duration(2000)).body.at("votes").flag();
     out.push_back(x);
   }
   return out;
@@ -50,7 +50,7 @@
   auto r = s.link.put("/v1/holders/" + s.args[1], body);
   if (r.status != 200) return refused(r);
   std::cout << s.args[1] << " holds the state from now on; waiting until its disk is filled and votes\n" << std::flush;
-  for (auto end = s.clock.now() + Span(1000 * (s.wait_s ? s.wait_s : kWaitSeconds)); s.clock.now() < end; s.clock.nap(kLook)) {
+  for (auto end = s.clock.now() + Duration(1000 * (s.wait_s ? s.wait_s : kWaitSeconds)); s.clock.now() < end; s.clock.nap(kLook)) {
     auto g = seats(s);
     if (auto* v = std::get_if<0>(&g))
       for (auto& x : *v)
--- a/src/console/link.cpp
+++ b/src/console/link.cpp
@@ -16,7 +16,7 @@
 }
 }  // namespace
 
-Reply Link::any(const base::Request& q, Span limit) {
+Reply Link::any(const base::Request& q, Duration limit) {
   Reply last;
   for (auto& s : r_.seeds) {
     auto r = http_.shoot(s, q, limit);
@@ -31,14 +31,14 @@
   return last;
 }
 
-Reply Link::get(const std::string& path, Span limit) { return any({"", "GET", path, "", {}}, limit); }
+Reply Link::get(const std::string& path, Duration limit) { return any({"", "GET", path, "", {}}, limit); }
 
 Reply Link::put(const std::string& path, const std::string& body,
                 std::vector<std::pair<std::string, std::string>> hs) {
-  return any({"", "PUT", path, body, std::move(hs)}, Span(8000));
+  return any({"", "PUT", path, body, std::move(hs)}, Duration(8000));
 }
 
-Reply Link::at(const std::string& seed, const std::string& path, Span limit) {
+Reply Link::at(const std::string& seed, const std::string& path, Duration limit) {
   auto r = http_.shoot(seed, {"", "GET", path, "", {}}, limit);
   if (auto* a = std::get_if<base::Receipt>(&r)) return of(*a, seed);
   return {};
--- a/src/console/link.hpp
+++ b/src/console/link.hpp
@@ -19,14 +19,14 @@
 class Link {
  public:
   Link(base::Origin& http, Reach r) : http_(http), r_(std::move(r)) {}
-  Reply get(const std::string& path, Span limit = Span(8000));
+  Reply get(const std::string& path, Duration limit = Duration(8000));
   Reply put(const std::string& path, const std::string& body,
             std::vector<std::pair<std::string, std::string>> hs = {});
-  Reply at(const std::string& seed, const std::string& path, Span limit);
+  Reply at(const std::string& seed, const std::string& path, Duration limit);
   const std::vector<std::string>& seeds() const { return r_.seeds; }
 
  private:
-  Reply any(const base::Request& q, Span limit);
+  Reply any(const base::Request& q, Duration limit);
   base::Origin& http_;
   Reach r_;
 };
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -23,7 +23,7 @@
 namespace dunlinwing::gate {
 namespace {
 constexpr base::Log lg("gate");
-constexpr Span kLongestWatch{30000};
+constexpr Duration kLongestWatch{30000};
 
 std::variant<base::Json, base::Receipt> checked(const std::string& body, const base::Schema& s) {
   auto p = base::Json::parse(body);
@@ -181,7 +181,7 @@
           if (st.current() == to) {
             rollout::drop_trial(st);
           } else if (st.trial() != to) {
-            rollout::open_trial(st, to, Span(0), s->deadline);
+            rollout::open_trial(st, to, Duration(0), s->deadline);
           }
           return {};
         });
@@ -337,8 +337,8 @@
       return v;
     };
     auto after = num("after");
-    Span most = std::clamp(Span(num("wait_ms")), Span(0), kLongestWatch);
-    Tick end = ps.clock.now() + most;
+    Duration most = std::clamp(Duration(num("wait_ms")), Duration(0), kLongestWatch);
+    TimePoint end = ps.clock.now() + most;
     for (;;) {
       if (!n.state_cache().settle(n.config().bound)) return defect(503, "no majority of the holders answers");
       auto r = read(c);
--- a/src/gate/moves.cpp
+++ b/src/gate/moves.cpp
@@ -40,7 +40,7 @@
   auto ds = term_schema().check(j);
   if (!ds.empty()) return defects(ds);
   auto name = c.path[2], to = j.at("version").str();
-  Span within(j.at("within_ms").num());
+  Duration within(j.at("within_ms").num());
   auto t = n.traffic().table();
   const traffic::Service* s = nullptr;
   if (t->layout)
--- a/src/gate/purger.cpp
+++ b/src/gate/purger.cpp
@@ -99,7 +99,7 @@
       l.writing = false;
     });
   }
-  while (!j->res) j->spot->park(Span(1000));
+  while (!j->res) j->spot->park(Duration(1000));
   return *j->res;
 }
 
--- a/src/gate/report.cpp
+++ b/src/gate/report.cpp
@@ -20,7 +20,7 @@
 };
 }  // namespace
 
-std::string metrics(relay::Node& n, Tick now) {
+std::string metrics(relay::Node& n, TimePoint now) {
   Page p;
   auto& c = n.traffic().counts();
   p.one("requests_total", "counter", "Requests of callers answered.", c.requests.load());
@@ -63,7 +63,7 @@
   return p.out;
 }
 
-std::string status(relay::Node& n, Tick now) {
+std::string status(relay::Node& n, TimePoint now) {
   auto& c = n.config();
   auto& k = n.traffic().counts();
   return fmt::format(
--- a/src/gate/report.hpp
+++ b/src/gate/report.hpp
@@ -5,7 +5,7 @@
 
 namespace dunlinwing::gate {
 
-std::string metrics(relay::Node& n, Tick now);
-std::string status(relay::Node& n, Tick now);
+std::string metrics(relay::Node& n, TimePoint now);
+std::string status(relay::Node& n, TimePoint now);
 
 }  // namespace dunlinwing::gate
--- a/src/gate/views.cpp
+++ b/src/gate/views.cpp
@@ -8,7 +8,7 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt nodes(relay::Node& n, Tick now) {
+base::Receipt nodes(relay::Node& n, TimePoint now) {
   std::map<std::string, bool> in;
   for (auto& m : n.state_cache().statuses().members(now)) in[m.name] = true;
   std::string b;
@@ -20,7 +20,7 @@
   return json(200, "{\"nodes\":[" + b + "]}");
 }
 
-base::Receipt workers(relay::Node& n, Tick now) {
+base::Receipt workers(relay::Node& n, TimePoint now) {
   std::string b;
   for (auto& [i, w] : n.state_cache().statuses().workers(now)) {
     b += fmt::format(R"({}{{"instance":{},"gone":{},"age_ms":{},"beat":{}}})", b.empty() ? "" : ",",
--- a/src/gate/views.hpp
+++ b/src/gate/views.hpp
@@ -4,8 +4,8 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt nodes(relay::Node& n, Tick now);
-base::Receipt workers(relay::Node& n, Tick now);
+base::Receipt nodes(relay::Node& n, TimePoint now);
+base::Receipt workers(relay::Node& n, TimePoint now);
 base::Receipt drains(relay::Node& n);
 base::Receipt purges(relay::Node& n);
 
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -56,21 +56,21 @@
   consensus::Acceptor* mine;
   std::vector<std::string> origin;     // the seeds of the first start, when this was it
   std::map<std::string, Self> told;    // by those seeds
-  Tick good{0}, looked{0};
+  TimePoint good{0}, looked{0};
   std::string said;
 
   Impl(base::Ports& p, DiscoveryConfig cc, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* a)
       : ps(p), c(std::move(cc)), registers(b), state_cache(m), mine(a) {}
 
   // By address, from all that answer in time.
-  std::map<std::string, Self> ask(const std::vector<std::string>& at, Span limit) {
+  std::map<std::string, Self> ask(const std::vector<std::string>& at, Duration limit) {
     struct Table {
       std::map<std::string, Self> got;
       size_t left;
       std::shared_ptr<base::Spot> spot;
     };
     auto t = std::make_shared<Table>(Table{{}, at.size(), ps.tasks.spot()});
-    Tick end = ps.clock.now() + limit;
+    TimePoint end = ps.clock.now() + limit;
     for (auto& a : at)
       ps.tasks.spawn([t, a, limit, this, hold = weak.lock()] {
         auto r = ps.origin.shoot(a, {"", "GET", "/v1/self", "", {}}, limit);
@@ -136,7 +136,7 @@
     origin.erase(std::unique(origin.begin(), origin.end()), origin.end());
     good = ps.clock.now();
     for (;;) {
-      Tick now = ps.clock.now();
+      TimePoint now = ps.clock.now();
       if (state_cache.fresh()) good = now;
       if (registers.holders().empty()) {
         look();
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -9,7 +9,7 @@
 
 struct DiscoveryConfig {
   std::string me;
-  Span bound{2000};
+  Duration bound{2000};
   bool first = false;  // the fleet's first start, and no settings name the holders
   std::vector<std::string> seeds;
 };
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -17,9 +17,9 @@
   consensus::RegisterClient& registers;
   StateCache& state_cache;
   std::string name, me, zone;
-  Span span;
+  Duration span;
   bool leaving = false, resting = false;
-  Tick end{0}, seen{0};
+  TimePoint end{0}, seen{0};
   uint64_t term = 0, version = 0, seen_version = 0;
   pb::LeaderLease mine;
 
@@ -42,7 +42,7 @@
   }
 
   bool put(pb::LeaderLease p, uint64_t expect) {
-    Tick from = ps.clock.now();
+    TimePoint from = ps.clock.now();
     auto r = registers.write(leadership_key(name), expect, p.SerializeAsString());
     if (auto* h = std::get_if<consensus::VersionedValue>(&r)) {
       version = h->version;
@@ -69,7 +69,7 @@
         mine = now;
         return;
       }
-      end = Tick(0);
+      end = TimePoint(0);
       lg.warn("{}: the leadership {} passed to {}.", me, name, now.holder().empty() ? "nobody" : now.holder());
     }
   }
@@ -78,22 +78,22 @@
     pb::LeaderLease p = mine;
     p.set_holder("");
     put(p, version);
-    end = Tick(0);
+    end = TimePoint(0);
     lg.info("{}: handed the leadership {} over to {}.", me, name, p.understudy());
   }
 
   void stand() {
     auto f = state_cache.chosen().find(leadership_key(name));
-    Tick now = ps.clock.now();
+    TimePoint now = ps.clock.now();
     uint64_t v = f == state_cache.chosen().end() ? 0 : f->second.version;
     pb::LeaderLease p = known();
-    if (v != seen_version || seen == Tick(0)) {
+    if (v != seen_version || seen == TimePoint(0)) {
       seen_version = v;
       seen = now;
       if (!p.holder().empty()) return;
     }
-    Span wait = span;
-    if (p.holder().empty()) wait = Span(0);
+    Duration wait = span;
+    if (p.holder().empty()) wait = Duration(0);
     if (p.holder().empty() && !p.understudy().empty() && p.understudy() != me) wait = span;
     if (!p.holder().empty() && p.understudy() != me) wait = span * 3 / 2;
     if (now - seen < wait) return;
@@ -107,7 +107,7 @@
 };
 
 Leadership::Leadership(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, std::string name, std::string me, std::string zone,
-           Span bound)
+           Duration bound)
     : p_(new Impl{ps, b, m, std::move(name), std::move(me), std::move(zone), bound * 2}) {}
 Leadership::~Leadership() = default;
 
@@ -121,7 +121,7 @@
         p->renew();
       else if (p->state_cache.fresh() && !p->resting)
         p->stand();
-      p->ps.clock.nap(p->span / 8 + Span(p->ps.chance.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
+      p->ps.clock.nap(p->span / 8 + Duration(p->ps.chance.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
     }
   });
 }
@@ -129,7 +129,7 @@
 bool Leadership::held() const { return !p_->leaving && p_->ps.clock.now() < p_->end; }
 uint64_t Leadership::term() const { return p_->term; }
 pb::LeaderLease Leadership::known() const { return p_->known(); }
-Span Leadership::span() const { return p_->span; }
+Duration Leadership::span() const { return p_->span; }
 
 void Leadership::rest(bool on) { p_->resting = on; }
 
--- a/src/membership/leadership.hpp
+++ b/src/membership/leadership.hpp
@@ -9,7 +9,7 @@
 class Leadership {
  public:
   Leadership(base::Ports& ps, consensus::RegisterClient& registers, StateCache& m, std::string name, std::string me, std::string zone,
-       Span bound);
+       Duration bound);
   ~Leadership();
   void start();        // begins to stand for the leadership
   bool held() const;   // to be asked right before each act
@@ -17,7 +17,7 @@
   pb::LeaderLease known() const;  // who holds it, as far as the last pull tells
   void rest(bool on);  // a drained node stands for no leadership and gives up what it holds
   void transfer();    // gives it up in favour of the understudy
-  Span span() const;
+  Duration span() const;
 
  private:
   struct Impl;
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -54,26 +54,26 @@
   StateCache& state_cache;
   Leadership& leadership;
   int tolerate;
-  Span bound;
-  std::map<std::string, Tick> met;  // when each holder's session last stood, as far as known here
+  Duration bound;
+  std::map<std::string, TimePoint> met;  // when each holder's session last stood, as far as known here
 
-  Impl(base::Ports& p, consensus::RegisterClient& b, StateCache& m, Leadership& d, int t, Span bd)
+  Impl(base::Ports& p, consensus::RegisterClient& b, StateCache& m, Leadership& d, int t, Duration bd)
       : ps(p), registers(b), state_cache(m), leadership(d), tolerate(t), bound(bd) {}
 
   ClusterView sight() {
     ClusterView s{registers.holders(), {}, tolerate, bound};
-    Tick now = ps.clock.now();
+    TimePoint now = ps.clock.now();
     std::set<std::string> in;
     for (auto& m : state_cache.statuses().members(now)) {
       in.insert(m.name);
       met[m.name] = now;
     }
     std::map<std::string, RepairCandidate> by;
-    for (auto& h : s.set) by[h.name] = {h.name, "", h.address, true, false, false, Span(0)};
+    for (auto& h : s.set) by[h.name] = {h.name, "", h.address, true, false, false, Duration(0)};
     for (auto& m : state_cache.statuses().all(now)) {
       if (m.fact.zone().empty()) continue;
       auto& k = by[m.name];
-      k = {m.name, m.fact.zone(), m.fact.peer_address(), m.fact.disk(), in.count(m.name) && !m.fact.drained(), false, Span(0)};
+      k = {m.name, m.fact.zone(), m.fact.peer_address(), m.fact.disk(), in.count(m.name) && !m.fact.drained(), false, Duration(0)};
     }
     for (auto& [n, k] : by) {
       k.votes = state_cache.votes(n);
@@ -104,7 +104,7 @@
   }
 };
 
-ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Span bound)
+ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Duration bound)
     : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -11,14 +11,14 @@
   bool disk = false;
   bool present = false;  // its session stands, and it is not about to go
   bool votes = false;
-  Span absent{0};        // for how long its session has not stood
+  Duration absent{0};        // for how long its session has not stood
 };
 
 struct ClusterView {
   std::vector<consensus::Replica> set;
   std::vector<RepairCandidate> nodes;
   int tolerate = 1;
-  Span bound{2000};
+  Duration bound{2000};
 };
 
 struct RepairStep {
@@ -34,7 +34,7 @@
 
 class ReplicaRepair {
  public:
-  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Span bound);
+  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Duration bound);
   ~ReplicaRepair();
   void start();
 
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -21,7 +21,7 @@
 struct StateCache::Impl {
   struct Side {
     uint64_t boot = 0, seen = 0;
-    Tick voted{0};  // when it last answered and was not mute
+    TimePoint voted{0};  // when it last answered and was not mute
     std::map<std::string, pb::RegisterState> slots;
   };
   base::Ports& ps;
@@ -38,9 +38,9 @@
   uint64_t incarnation = 0, count = 0, deregistered = 0;
   size_t first = 0;  // the holder asked first
   std::atomic<int64_t> read_lease{0};
-  Tick said{0};
+  TimePoint said{0};
   std::string said_key;
-  std::vector<std::pair<Tick, std::shared_ptr<base::Spot>>> waits;
+  std::vector<std::pair<TimePoint, std::shared_ptr<base::Spot>>> waits;
   std::map<std::string, int> silent;  // asks in a row that a holder did not answer
   bool told = false, asked = false;  // asked: somebody waits for the next pull
   std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
@@ -51,7 +51,7 @@
     first = static_cast<size_t>(ps.chance.below(b.holders().size()));
   }
 
-  void take(const std::string& who, const pb::PullReply& r, Tick now) {
+  void take(const std::string& who, const pb::PullReply& r, TimePoint now) {
     auto& s = sides[who];
     // The holder was restarted: it tells anew what it has accepted, which after a loss may be less.
     if (s.boot != r.boot()) s.slots.clear();
@@ -130,7 +130,7 @@
   }
 
   bool once() {
-    Tick start = ps.clock.now();
+    TimePoint start = ps.clock.now();
     pb::Ask base;
     auto* p = base.mutable_pull();
     p->set_node(c.me);
@@ -158,7 +158,7 @@
     size_t n = 0;
     std::vector<pb::PullReply> heard;
     // Asks those named and takes what they say; false when none answered.
-    auto ask = [&](const std::vector<size_t>& who, Span limit) {
+    auto ask = [&](const std::vector<size_t>& who, Duration limit) {
       std::vector<consensus::Replica> to;
       for (auto i : who) to.push_back(hs[i]);
       *base.mutable_pull()->mutable_have() = statuses.marks();
@@ -195,7 +195,7 @@
     }
     ask(rest, c.pull());
     if (!later.empty() && n < registers.majority()) ask(later, c.pull());
-    Tick now = ps.clock.now();
+    TimePoint now = ps.clock.now();
     if (registers.set().epoch() != epoch) return reseat();
     if (n < registers.majority()) return false;
     if (!incarnation) {
@@ -230,7 +230,7 @@
     pb::Reply out;
     auto& q = a.pull();
     auto* r = out.mutable_pull();
-    Tick now = ps.clock.now();
+    TimePoint now = ps.clock.now();
     if (q.has_own()) statuses.merge(q.own(), now);
     if (mine)
       mine->changes(q.boot(), q.seen(), *r);
@@ -256,16 +256,16 @@
 void StateCache::start() {
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
-      Tick from = p->ps.clock.now();
+      TimePoint from = p->ps.clock.now();
       p->asked = false;
       bool ok = p->once();
       bool was = std::exchange(p->told, p->ps.clock.now().count() < p->read_lease.load());
       if (was && !p->told) lg.warn("{}: the read lease has lapsed.", p->c.me);
       if (!was && p->told) lg.info("{}: the read lease stands.", p->c.me);
-      Span spent = p->ps.clock.now() - from;
-      Span rest = p->c.pull() - spent;
+      Duration spent = p->ps.clock.now() - from;
+      Duration rest = p->c.pull() - spent;
       if (!ok) rest = std::min(rest, p->c.pull() / 2);
-      Span least = p->c.pull() / 10;  // between pulls, whoever is in a hurry
+      Duration least = p->c.pull() / 10;  // between pulls, whoever is in a hurry
       p->ps.clock.nap(least);
       if (rest > least && !p->asked) {
         p->rest = p->ps.tasks.spot();
@@ -278,13 +278,13 @@
 
 bool StateCache::once() { return p_->once(); }
 bool StateCache::fresh() const { return p_->ps.clock.now().count() < p_->read_lease.load(); }
-Tick StateCache::read_lease_end() const { return Tick(p_->read_lease.load()); }
+TimePoint StateCache::read_lease_end() const { return TimePoint(p_->read_lease.load()); }
 const Chosen& StateCache::chosen() const { return p_->chosen; }
 StatusTable& StateCache::statuses() { return p_->statuses; }
 pb::Reply StateCache::answer(const pb::Ask& a) { return p_->answer(a); }
 uint64_t StateCache::incarnation() const { return p_->incarnation; }
 
-bool StateCache::settle(Span limit) {
+bool StateCache::settle(Duration limit) {
   auto s = p_->ps.tasks.spot();
   auto now = p_->ps.clock.now();
   p_->waits.emplace_back(now, s);
@@ -292,7 +292,7 @@
   return s->park(limit);
 }
 
-std::optional<std::vector<std::string>> StateCache::names(Span limit) {
+std::optional<std::vector<std::string>> StateCache::names(Duration limit) {
   if (!settle(limit)) return {};
   std::vector<std::string> out;
   for (auto& [k, h] : p_->chosen) out.push_back(k);
@@ -301,7 +301,7 @@
 
 bool StateCache::votes(const std::string& holder) const {
   auto f = p_->sides.find(holder);
-  return f != p_->sides.end() && f->second.voted != Tick(0) && p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
+  return f != p_->sides.end() && f->second.voted != TimePoint(0) && p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
 }
 
 void StateCache::hurry() {
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -16,10 +16,10 @@
 
 struct StateCacheConfig {
   std::string me;
-  Span bound{2000};  // the 2-second bound; every other span here is a ratio of it
-  Span pull() const { return bound / 8; }
-  Span read_lease() const { return bound * 3 / 4; }
-  Span session() const { return bound * 3 / 2; }
+  Duration bound{2000};  // the 2-second bound; every other span here is a ratio of it
+  Duration pull() const { return bound / 8; }
+  Duration read_lease() const { return bound * 3 / 4; }
+  Duration session() const { return bound * 3 / 2; }
 };
 
 class StateCache {
@@ -31,15 +31,15 @@
   void start();
   bool once();                            // one pull; true when good
   bool fresh() const;                     // from any thread
-  Tick read_lease_end() const;                // from any thread
+  TimePoint read_lease_end() const;                // from any thread
   const Chosen& chosen() const;
   StatusTable& statuses();
   pb::Reply answer(const pb::Ask& pull);  // a holder's side of a pull
   uint64_t incarnation() const;
   // Parks until a pull that began after this call was good, or time is up.
-  bool settle(Span limit);
+  bool settle(Duration limit);
   // The names of all registers, from a pull that began after this call.
-  std::optional<std::vector<std::string>> names(Span limit);
+  std::optional<std::vector<std::string>> names(Duration limit);
   bool votes(const std::string& holder) const;  // it answered a pull in the last half of the bound, and not as mute
   void hurry();  // the next pull begins at once, or as soon as the one under way has ended
 
--- a/src/membership/status_table.cpp
+++ b/src/membership/status_table.cpp
@@ -10,9 +10,9 @@
   return std::make_tuple(a.incarnation(), a.count()) > std::make_tuple(b.incarnation(), b.count());
 }
 
-bool StatusTable::merge(const pb::NodeStatus& n, Tick now) {
+bool StatusTable::merge(const pb::NodeStatus& n, TimePoint now) {
   auto& e = by_[n.source()];
-  Tick heard = now - Span(static_cast<int64_t>(n.age_ms()));
+  TimePoint heard = now - Duration(static_cast<int64_t>(n.age_ms()));
   if (e.statuses.source().empty() || newer(n.mark(), e.statuses.mark())) {
     e.statuses = n;
     e.heard = heard;
@@ -21,7 +21,7 @@
   return false;
 }
 
-std::vector<pb::NodeStatus> StatusTable::since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const {
+std::vector<pb::NodeStatus> StatusTable::since(const google::protobuf::Map<std::string, pb::Mark>& have, TimePoint now) const {
   std::vector<pb::NodeStatus> out;
   for (auto& [k, e] : by_) {
     auto f = have.find(k);
@@ -44,31 +44,31 @@
   return f->second.statuses.mark();
 }
 
-std::vector<Member> StatusTable::all(Tick now) const {
+std::vector<Member> StatusTable::all(TimePoint now) const {
   std::vector<Member> out;
   for (auto& [k, e] : by_) out.push_back({k, e.statuses.node(), now - e.heard});
   return out;
 }
 
-std::vector<Member> StatusTable::members(Tick now) const {
+std::vector<Member> StatusTable::members(TimePoint now) const {
   std::vector<Member> out;
   for (auto& m : all(now))
     if (m.age < session_ && !m.fact.leaving()) out.push_back(m);
   return out;
 }
 
-std::map<std::string, pb::NodeStatus> StatusTable::latest(Tick now) const {
+std::map<std::string, pb::NodeStatus> StatusTable::latest(TimePoint now) const {
   std::map<std::string, pb::NodeStatus> out;
   for (auto& [k, e] : by_)
     if (now - e.heard < session_) out[k] = e.statuses;
   return out;
 }
 
-std::map<std::string, WorkerFact> StatusTable::workers(Tick now) const {
+std::map<std::string, WorkerFact> StatusTable::workers(TimePoint now) const {
   std::map<std::string, WorkerFact> out;
   for (auto& [k, e] : by_)
     for (auto& b : e.statuses.beats()) {
-      Span age = now - e.heard + Span(static_cast<int64_t>(b.age_ms()));
+      Duration age = now - e.heard + Duration(static_cast<int64_t>(b.age_ms()));
       auto& w = out[b.instance()];
       bool later = w.beat.instance().empty() || b.number() > w.beat.number();
       if (later || (b.number() == w.beat.number() && age < w.age)) {
@@ -82,11 +82,11 @@
     }
   for (auto& [k, w] : out)
     if (departed_.count(k)) w.beat.set_leaving(true);
-  for (auto& [k, w] : out) w.gone = w.beat.leaving() || w.age > Span(w.beat.period_ms() * kMissedBeats);
+  for (auto& [k, w] : out) w.gone = w.beat.leaving() || w.age > Duration(w.beat.period_ms() * kMissedBeats);
   return out;
 }
 
-void StatusTable::forget(Tick now) {
+void StatusTable::forget(TimePoint now) {
   for (auto i = by_.begin(); i != by_.end();)
     i = now - i->second.heard > session_ * 20 ? by_.erase(i) : std::next(i);
 }
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -12,36 +12,36 @@
 struct Member {
   std::string name;
   pb::NodeFact fact;
-  Span age{0};
+  Duration age{0};
 };
 
 struct WorkerFact {
   pb::Beat beat;
-  Span age{0};
+  Duration age{0};
   bool gone = false;  // leaving, or its beats are missing
 };
 
 class StatusTable {
  public:
-  explicit StatusTable(Span session) : session_(session) {}
-  bool merge(const pb::NodeStatus& n, Tick now);  // false when what is known is as new
-  std::vector<pb::NodeStatus> since(const google::protobuf::Map<std::string, pb::Mark>& have, Tick now) const;
+  explicit StatusTable(Duration session) : session_(session) {}
+  bool merge(const pb::NodeStatus& n, TimePoint now);  // false when what is known is as new
+  std::vector<pb::NodeStatus> since(const google::protobuf::Map<std::string, pb::Mark>& have, TimePoint now) const;
   google::protobuf::Map<std::string, pb::Mark> marks() const;
   std::optional<pb::Mark> mark(const std::string& source) const;
-  std::vector<Member> members(Tick now) const;
-  std::vector<Member> all(Tick now) const;
-  std::map<std::string, WorkerFact> workers(Tick now) const;
-  std::map<std::string, pb::NodeStatus> latest(Tick now) const;  // sessions that stand
+  std::vector<Member> members(TimePoint now) const;
+  std::vector<Member> all(TimePoint now) const;
+  std::map<std::string, WorkerFact> workers(TimePoint now) const;
+  std::map<std::string, pb::NodeStatus> latest(TimePoint now) const;  // sessions that stand
   void deregistered(std::set<std::string> instances) { departed_ = std::move(instances); }
   size_t size() const { return by_.size(); }
-  void forget(Tick now);
+  void forget(TimePoint now);
 
  private:
   struct Entry {
     pb::NodeStatus statuses;
-    Tick heard{0};  // when the source said it, on our clock
+    TimePoint heard{0};  // when the source said it, on our clock
   };
-  Span session_;
+  Duration session_;
   std::map<std::string, Entry> by_;
   std::set<std::string> departed_;  // as recorded: workers whose word to leave was taken
 };
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -81,17 +81,17 @@
   c.threads = static_cast<int>(j.at("threads").num(c.threads));
   c.log_level = j.at("log_level").str(c.log_level);
   c.log_bytes = static_cast<size_t>(j.at("log_bytes").num(static_cast<int64_t>(c.log_bytes)));
-  n.bound = Span(j.at("bound_ms").num(2000));
+  n.bound = Duration(j.at("bound_ms").num(2000));
   c.readiness = addr("/listen/readiness", l.at("readiness").str());
   c.face = j.at("face").str("own");
-  auto span = [](const base::Json& v) { return Span(static_cast<int64_t>(v.real() * 1000)); };
+  auto span = [](const base::Json& v) { return Duration(static_cast<int64_t>(v.real() * 1000)); };
   c.beat = span(j.at("beat_s"));
   if (auto b = j.at("bounds"); j.has("bounds")) {
     // One bound serves all that must be heeded everywhere: the shortest of them.
-    auto shortest = Span::max();
+    auto shortest = Duration::max();
     for (auto* k : {"layout_s", "leave_s", "purge_s"})
       if (b.has(k)) shortest = std::min(shortest, span(b.at(k)));
-    if (shortest != Span::max()) n.bound = shortest;
+    if (shortest != Duration::max()) n.bound = shortest;
     c.grace = span(b.at("grace_s"));
     auto& s = n.system;
     s.repeat_share = b.at("repeat_share").real(s.repeat_share);
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -31,7 +31,7 @@
   rollout::Conductor conductor;
   traffic::Traffic traffic;
   std::atomic<bool> leaving{false}, drained{false};
-  std::map<std::string, std::pair<pb::Beat, Tick>> beats;
+  std::map<std::string, std::pair<pb::Beat, TimePoint>> beats;
   std::map<std::string, std::shared_ptr<const traffic::Layout>> layouts;
   std::map<std::string, std::string> running;
   std::string load_defect, soft_defect;
@@ -39,11 +39,11 @@
   software::Artifacts* artifacts = nullptr;
   traffic::Jury jury;
   traffic::Orders orders;
-  Tick swept{0};
+  TimePoint swept{0};
   std::atomic<uint64_t> generation{0};
   uint64_t beats_taken = 0, beats_missed = 0;
   std::vector<std::string> unreached;  // at the last look, not more often than each half bound
-  Tick reached_at{0};
+  TimePoint reached_at{0};
 
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
       : ps(p), c(with_face(std::move(cc))), holder(disk != nullptr), set(c.holders),
@@ -66,7 +66,7 @@
   }
 
   void own(pb::NodeStatus& n) {
-    Tick now = ps.clock.now();
+    TimePoint now = ps.clock.now();
     auto* f = n.mutable_node();
     f->set_zone(c.zone);
     f->set_peer_address(c.peer_address);
@@ -85,7 +85,7 @@
     for (auto i = beats.begin(); i != beats.end();) {
       auto& [b, at] = i->second;
       // Long kept past its end, so that no late echo brings the worker back.
-      if (now - at > Span(b.period_ms()) * 20 + c.bound * 10) {
+      if (now - at > Duration(b.period_ms()) * 20 + c.bound * 10) {
         i = beats.erase(i);
         continue;
       }
@@ -191,7 +191,7 @@
   }
 
   void seen() {
-    Tick now = ps.clock.now();
+    TimePoint now = ps.clock.now();
     bool was = drained.exchange(stated_drained());
     if (was != drained) lg.info("{}: {}.", c.name, drained ? "drained; callers are sent elsewhere" : "no longer drained");
     leadership.rest(drained);
@@ -218,7 +218,7 @@
     if (t->layout) t->layouts[t->layout->name] = t->layout;
     std::vector<std::string> alive;
     auto workers = state_cache.statuses().workers(now);
-    std::map<std::string, Span> youngest;  // beat from each address: its earlier owners have ended
+    std::map<std::string, Duration> youngest;  // beat from each address: its earlier owners have ended
     for (auto& [i, w] : workers) {
       auto [f, first] = youngest.emplace(w.beat.address(), w.age);
       if (!first) f->second = std::min(f->second, w.age);
@@ -228,7 +228,7 @@
       if (w.gone || w.age > youngest[b.address()]) continue;
       alive.push_back(i);
       t->workers[b.service()].push_back({i, b.service(), b.version(), b.zone(), b.address(), static_cast<int>(b.capacity()),
-                                         now - w.age + Span(b.cold_ms())});
+                                         now - w.age + Duration(b.cold_ms())});
     }
     if (now - swept >= c.bound / 2) {
       swept = now;
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -16,7 +16,7 @@
   bool first_start = true;                // of the whole fleet
   int tolerate = 0;                       // holders that may be lost at once; 0: only operators change the set
   bool shield = false;
-  Span bound{2000};
+  Duration bound{2000};
   double scale = 1;
   rollout::System system;       // in force while no system release is
   int sockets = 0;              // that the process may have open; 0: not stated
--- a/src/rollout/checks.cpp
+++ b/src/rollout/checks.cpp
@@ -74,7 +74,7 @@
     if (o && n.present && n.load_defect.starts_with(c.kind() + "/" + c.release() + ":")) refused = n.name + ": " + n.load_defect;
   }
   if (!waived("beats")) {
-    if (c.phase() == pb::ONE && on_lost > 0 && Span(static_cast<int64_t>(c.lost_ms())) >= r.absence(c.kind()))
+    if (c.phase() == pb::ONE && on_lost > 0 && Duration(static_cast<int64_t>(c.lost_ms())) >= r.absence(c.kind()))
       return "check beats: the phase-one machine is lost";
     // One machine may be lost unnoticed; a third of those on it, when the rest stands better, may not.
     if (on_lost >= 2 && on_lost * 3 > on_all && on_lost * off_all > 2 * off_lost * on_all)
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -68,19 +68,19 @@
   uint64_t version = 0, term = 0;
   bool loaded = false;
   size_t turn = 0;
-  Tick last{0}, saved{0}, looked{0};
+  TimePoint last{0}, saved{0}, looked{0};
   std::map<std::string, Count> counts;
   std::map<std::string, std::pair<uint64_t, uint64_t>> probes;
   std::map<std::string, Release> releases;
   std::map<std::string, std::map<std::string, std::pair<uint64_t, Counts>>> bad;  // source -> service/version
   struct Moment {
-    Tick at;
+    TimePoint at;
     std::string service, version;
     Counts n;
   };
   std::vector<Moment> recent;
   std::map<std::string, std::pair<uint64_t, pb::ServiceState>> services;
-  std::map<std::string, Tick> service_saved;
+  std::map<std::string, TimePoint> service_saved;
   std::shared_ptr<const traffic::Layout> layout;
   traffic::Orders orders;
   Pacer pacer;
@@ -105,7 +105,7 @@
     return false;
   }
 
-  Sight look(Tick now, Span dt) {
+  Sight look(TimePoint now, Duration dt) {
     Sight v;
     v.dt = dt;
     auto wall = median_wall(state_cache.statuses().members(now));
@@ -138,7 +138,7 @@
         s.defects = df - std::min(df, k.defects);
         s.beats = x.beats_taken() - std::min(x.beats_taken(), k.beats);
       }
-      double sec = looked == Tick(0) ? 0 : static_cast<double>(std::min<Span>(now - looked, c.bound).count()) / 1000;
+      double sec = looked == TimePoint(0) ? 0 : static_cast<double>(std::min<Duration>(now - looked, c.bound).count()) / 1000;
       bool tried = on_trial(n), learns = !tried && sec > 0 && k.incarnation == x.mark().incarnation();
       if (learns)
         k.usual += std::max(kLatest, 1.0 / static_cast<double>(++k.looks)) * (static_cast<double>(s.beats) / sec - k.usual);
@@ -193,7 +193,7 @@
   bool feed(const Event& e) {
     auto o = step(state, e, rules);
     auto [write, urgent] = saving(o.effects);
-    Span flush = std::min<Span>(c.bound * 5, Span(static_cast<int64_t>(45000 / c.scale)));
+    Duration flush = std::min<Duration>(c.bound * 5, Duration(static_cast<int64_t>(45000 / c.scale)));
     if (write && !urgent && ps.clock.now() - saved < flush) {
       state = o.state;
       return true;
@@ -236,7 +236,7 @@
     return layout = l ? *l : nullptr;
   }
 
-  void moves(Tick now, Span dt) {
+  void moves(TimePoint now, Duration dt) {
     std::map<std::string, MoveSight> vs;
     auto statuses = state_cache.statuses().latest(now);
     for (auto& [src, x] : statuses)
@@ -301,20 +301,20 @@
   }
 
   void tick() {
-    Tick now = ps.clock.now();
+    TimePoint now = ps.clock.now();
     if (!state_cache.fresh()) {
-      last = Tick(0);
+      last = TimePoint(0);
       return;
     }
     bool held = leadership.held();
-    Span dt = held && last != Tick(0) ? std::min<Span>(now - last, c.bound) : Span(0);
-    last = held ? now : Tick(0);
+    Duration dt = held && last != TimePoint(0) ? std::min<Duration>(now - last, c.bound) : Duration(0);
+    last = held ? now : TimePoint(0);
     if (!held) {
       state = read_rollout(state_cache.chosen());
       loaded = false;
       settler.idle();
-      look(now, Span(0));
-      return moves(now, Span(0));
+      look(now, Duration(0));
+      return moves(now, Duration(0));
     }
     if (!loaded && !reload()) return;
     if (state.term() > leadership.term()) return;
--- a/src/rollout/conductor.hpp
+++ b/src/rollout/conductor.hpp
@@ -8,7 +8,7 @@
 
 struct ConductorConfig {
   std::string me;
-  Span bound{2000};
+  Duration bound{2000};
   double scale = 1;
 };
 
--- a/src/rollout/moves.cpp
+++ b/src/rollout/moves.cpp
@@ -48,7 +48,7 @@
       banish(ver, fmt::format("{} bad answers of {} on trial, against {} of {}", n.bad(), n.good() + n.bad(),
                               n.from_bad(), n.from_good() + n.from_bad()));
     } else if (n.good() + n.bad() >= static_cast<uint64_t>(r.system.promote_requests) &&
-               Span(static_cast<int64_t>(n.held_ms())) >= Span(static_cast<int64_t>(
+               Duration(static_cast<int64_t>(n.held_ms())) >= Duration(static_cast<int64_t>(
                    static_cast<double>(r.system.promote_seconds) * 1000 / r.scale))) {
       if (worse(a, b)) {
         n.set_why("it answers worse than the version in place, and stays on trial");
--- a/src/rollout/moves.hpp
+++ b/src/rollout/moves.hpp
@@ -11,15 +11,15 @@
 };
 
 struct MoveSight {
-  Span dt{0};
+  Duration dt{0};
   std::map<std::string, Counts> delta;   // by version, since the last sight
   std::map<std::string, Counts> recent;  // by version, over the last ten seconds
   std::map<std::string, Counts> minute;  // by version, over the last minute
   std::map<std::string, int> workers;    // by version, beating
   bool given_up = false;                 // some relay has given the trial up by itself
   // For a move with a term:
-  Span asked{0};                         // at least so long ago it was asked for
-  Span switching{0};                     // so long ago at the most its switch was recorded
+  Duration asked{0};                         // at least so long ago it was asked for
+  Duration switching{0};                     // so long ago at the most its switch was recorded
   std::map<std::string, int> warm;       // by version, beating and not cold
   bool all_warm = false;                 // the workers that the trial asks are warm, and were a while ago
   traffic::Seen seen;
@@ -38,7 +38,7 @@
 
 void drop_trial(pb::ServiceState& s);  // without a verdict
 // Opens a trial; `within` 0: without a term.
-void open_trial(pb::ServiceState& s, const std::string& version, Span within, Span longest);
+void open_trial(pb::ServiceState& s, const std::string& version, Duration within, Duration longest);
 // What the operator is told of a move with a term: running, completed, rolled_back, or empty when none was asked for.
 std::string outcome(const pb::ServiceState& s);
 
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -21,18 +21,18 @@
     uint64_t incarnation = 0, asked = 0;
     double rate = 0;
     bool known = false;  // the rate
-    Tick heard{0};
+    TimePoint heard{0};
   };
   base::Ports& ps;
   consensus::RegisterClient& registers;
   membership::StateCache& state_cache;
   membership::Leadership& leadership;
-  Span bound;
+  Duration bound;
   uint64_t term = 0;
-  Tick last{0};
+  TimePoint last{0};
   int looks = 0;  // since the leadership was taken up
   std::map<std::string, std::map<std::string, Seen>> seen;  // service -> node
-  std::map<std::string, Tick> fell;
+  std::map<std::string, TimePoint> fell;
   std::map<std::string, int64_t> rates;
   std::string rates_of;
   traffic::Orders orders;
@@ -68,7 +68,7 @@
     rates_of = key;
   }
 
-  void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases) {
+  void tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& releases) {
     if (term != leadership.term()) {
       term = leadership.term();
       fell.clear();
@@ -123,14 +123,14 @@
         if (auto& s = seen[svc][n]; s.known) told += s.rate, held += m;
       for (auto& [n, m] : sh.milli()) {
         auto& s = seen[svc][n];
-        if (s.heard == Tick(0)) s.heard = now;
+        if (s.heard == TimePoint(0)) s.heard = now;
         bool away = now - s.heard < kept;
         if (!v.demand.count(n) && !away) continue;
         // Whose demand is not known asks as its share says.
         v.demand[n] = s.known ? s.rate : m * (held > 0 ? told / held : 0.001);
       }
       auto& f = fell[svc];
-      if (f == Tick(0)) f = now;
+      if (f == TimePoint(0)) f = now;
       if (looks < kLooks && sh.milli_size() && sh.rate() <= static_cast<uint32_t>(rate)) continue;
       v.since_fall = now - f;
       write(svc, v);
@@ -155,9 +155,9 @@
   }
 };
 
-Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Span bound)
+Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Duration bound)
     : p_(new Impl{ps, b, m, d, bound}) {}
 Pacer::~Pacer() = default;
-void Pacer::tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
+void Pacer::tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
 
 }  // namespace dunlinwing::rollout
--- a/src/rollout/pacer.hpp
+++ b/src/rollout/pacer.hpp
@@ -8,9 +8,9 @@
 
 class Pacer {
  public:
-  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Span bound);
+  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Duration bound);
   ~Pacer();
-  void tick(Tick now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
+  void tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
 
  private:
   struct Impl;
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -13,10 +13,10 @@
 
 namespace dunlinwing::rollout {
 
-Span Rules::hold(const Release& r, pb::Phase p) const {
+Duration Rules::hold(const Release& r, pb::Phase p) const {
   double ms = static_cast<double>(p == pb::ONE ? r.holds.one.count() : r.holds.two.count());
   if (p == pb::THREE) ms /= 4;  // each zone of the rest
-  return Span(static_cast<int64_t>(ms / scale));
+  return Duration(static_cast<int64_t>(ms / scale));
 }
 
 bool finished(pb::Phase p) { return p == pb::DONE || p == pb::STOPPED || p == pb::WITHDRAWN; }
@@ -188,7 +188,7 @@
       return false;
     }
     if (replica_repair.empty()) return settled;
-    if (settled && Span(static_cast<int64_t>(c.settle_ms())) >= r.settle()) {
+    if (settled && Duration(static_cast<int64_t>(c.settle_ms())) >= r.settle()) {
       put(c, {replica_repair.front()});
       c.set_settle_ms(0);
     }
@@ -230,8 +230,8 @@
     bool whole = c.phase() == pb::ONE ? runs_all(c, v, s) : spread(c);
     if (!whole) return c.set_why("its nodes are still loading it");
     c.set_held_ms(c.held_ms() + static_cast<uint64_t>(v.dt.count()));
-    Span left = r.hold(rel, c.phase()) - Span(static_cast<int64_t>(c.held_ms()));
-    if (left > Span(0)) return c.set_why(fmt::format("holding: {} s of the phase are left", (left.count() + 999) / 1000));
+    Duration left = r.hold(rel, c.phase()) - Duration(static_cast<int64_t>(c.held_ms()));
+    if (left > Duration(0)) return c.set_why(fmt::format("holding: {} s of the phase are left", (left.count() + 999) / 1000));
     if (auto few = wanting(c, r, act)) return c.set_why(*few);
     if (!v.quiet && !(c.phase() == pb::THREE && zones_left(c).empty()))
       return c.set_why("waiting for the quiet hours");
--- a/src/rollout/reducer.hpp
+++ b/src/rollout/reducer.hpp
@@ -25,7 +25,7 @@
   Release release;
 };
 struct Sight {
-  Span dt{0};  // observed under the read_lease since the last sight
+  Duration dt{0};  // observed under the read_lease since the last sight
   bool quiet = true;
   std::vector<NodeSight> nodes;
   std::map<std::string, Release> releases;  // by register name
@@ -46,12 +46,12 @@
 
 struct Rules {
   double scale = 1;  // holds are divided by it; only the fleet runner sets it
-  Span bound{2000};
+  Duration bound{2000};
   System system;
-  Span hold(const Release& r, pb::Phase p) const;
-  Span settle() const { return bound; }
+  Duration hold(const Release& r, pb::Phase p) const;
+  Duration settle() const { return bound; }
   // Software restarts its machine, which may be away for a while.
-  Span absence(const std::string& kind) const { return kind == "software" ? bound * 20 : Span(0); }
+  Duration absence(const std::string& kind) const { return kind == "software" ? bound * 20 : Duration(0); }
 };
 
 struct Outcome {
--- a/src/rollout/release.cpp
+++ b/src/rollout/release.cpp
@@ -65,9 +65,9 @@
     under(soft.check(c));
   }
   Release r{kind, name, std::string(text), minimum(kind), j.at("express").str(), j.at("supersedes").str(), c};
-  auto longer = [&](const char* k, Span& h) {
+  auto longer = [&](const char* k, Duration& h) {
     if (!j.at("holds").has(k)) return;
-    Span want = std::chrono::minutes(j.at("holds").at(k).num());
+    Duration want = std::chrono::minutes(j.at("holds").at(k).num());
     if (want < h)
       ds.push_back({std::string("/holds/") + k, fmt::format("is shorter than the minimum of {} min",
                                                            std::chrono::duration_cast<std::chrono::minutes>(h).count())});
--- a/src/rollout/release.hpp
+++ b/src/rollout/release.hpp
@@ -9,7 +9,7 @@
 bool is_kind(std::string_view k);
 
 struct Holds {
-  Span one{0}, two{0};
+  Duration one{0}, two{0};
 };
 Holds minimum(std::string_view kind);
 
--- a/src/rollout/term.cpp
+++ b/src/rollout/term.cpp
@@ -12,7 +12,7 @@
 
 namespace dunlinwing::rollout {
 namespace {
-Span span(uint64_t ms) { return Span(static_cast<int64_t>(ms)); }
+Duration span(uint64_t ms) { return Duration(static_cast<int64_t>(ms)); }
 int of(const std::map<std::string, int>& m, const std::string& k) {
   auto f = m.find(k);
   return f == m.end() ? 0 : f->second;
@@ -27,7 +27,7 @@
   s.set_why("another order took its place");
 }
 
-void open_trial(pb::ServiceState& s, const std::string& version, Span within, Span longest) {
+void open_trial(pb::ServiceState& s, const std::string& version, Duration within, Duration longest) {
   drop_trial(s);
   s.set_trial(version);
   s.set_trial_number(s.trial_number() + 1);
@@ -37,8 +37,8 @@
   s.set_why("on trial");
   s.set_within_ms(static_cast<uint64_t>(within.count()));
   s.set_longest_ms(static_cast<uint64_t>(longest.count()));
-  s.set_percent(within > Span(0) ? traffic::kColdPercent : 0);
-  if (within == Span(0)) return;
+  s.set_percent(within > Duration(0) ? traffic::kColdPercent : 0);
+  if (within == Duration(0)) return;
   s.set_asked(version);
   s.set_outcome("running");
 }
@@ -55,9 +55,9 @@
   n.set_bad(std::max(s.bad(), all.bad));
   n.set_from_good(std::max(s.from_good(), from.good));
   n.set_from_bad(std::max(s.from_bad(), from.bad));
-  Span term = span(s.within_ms()), at = span(n.held_ms()), margin = r.bound / 8;
-  Span ending = r.bound + std::min(span(s.longest_ms()), r.bound);  // of a switch, once it is recorded
-  Span latest = term - ending - margin * 3, verdict = latest - margin * 2;
+  Duration term = span(s.within_ms()), at = span(n.held_ms()), margin = r.bound / 8;
+  Duration ending = r.bound + std::min(span(s.longest_ms()), r.bound);  // of a switch, once it is recorded
+  Duration latest = term - ending - margin * 3, verdict = latest - margin * 2;
 
   auto save = [&](bool urgent) { o.effects.push_back(Save{urgent}); };
   auto end = [&](const char* how, const std::string& why) {
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -30,10 +30,10 @@
   consensus::RegisterClient& registers;
   membership::StateCache& state_cache;
   membership::Leadership& leadership;
-  Span bound;
+  Duration bound;
   std::string settled;                  // the layout of which all is known to be in place
   std::shared_ptr<const traffic::Layout> now;
-  std::map<std::string, Tick> gone;     // since when no worker of the version in place beats
+  std::map<std::string, TimePoint> gone;     // since when no worker of the version in place beats
 
   pb::ServiceState state(const std::string& name, uint64_t& version) {
     pb::ServiceState st;
@@ -97,7 +97,7 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Span bound)
+Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Duration bound)
     : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
 Settler::~Settler() = default;
 
--- a/src/rollout/watch.cpp
+++ b/src/rollout/watch.cpp
@@ -9,7 +9,7 @@
 
 namespace dunlinwing::rollout {
 
-void Watch::look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
+void Watch::look(TimePoint now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
                  const std::map<std::string, membership::WorkerFact>& workers) {
   std::map<std::string, pb::ServiceState> states;
   std::map<std::string, std::vector<traffic::Worker>> by;
@@ -18,7 +18,7 @@
   for (auto& [i, w] : workers) {
     if (w.gone) continue;
     by[w.beat.service()].push_back({i, w.beat.service(), w.beat.version(), {}, {}, 1});
-    if (Span(w.beat.cold_ms()) > w.age)
+    if (Duration(w.beat.cold_ms()) > w.age)
       cold.insert(i);
     else
       ++warm_by[w.beat.service()][w.beat.version()];
@@ -35,18 +35,18 @@
     auto& c = cases_[name];
     if (c.number != s.trial_number()) {
       c = {s.trial_number(), {}, {}, {}, {}};
-      c.asked = last_ == Tick(0) ? now - Span(static_cast<int64_t>(s.held_ms())) - bound_ * 3 : last_ - bound_ / 8;
+      c.asked = last_ == TimePoint(0) ? now - Duration(static_cast<int64_t>(s.held_ms())) - bound_ * 3 : last_ - bound_ / 8;
     }
     auto asked = traffic::trial_workers(by[name], s.trial(), true);
     bool any_cold = std::any_of(asked.begin(), asked.end(), [&](auto& w) { return cold.count(w.instance); });
     if (asked.empty() || any_cold)
-      c.warm = Tick(0);
-    else if (c.warm == Tick(0))
+      c.warm = TimePoint(0);
+    else if (c.warm == TimePoint(0))
       c.warm = now;
-    if (c.warm != Tick(0) && now - c.warm >= bound_ / 4) warm.insert(name);
+    if (c.warm != TimePoint(0) && now - c.warm >= bound_ / 4) warm.insert(name);
     if (!s.switching())
-      c.switching = Tick(0);
-    else if (c.switching == Tick(0))
+      c.switching = TimePoint(0);
+    else if (c.switching == TimePoint(0))
       c.switching = now;
     c.warm_workers = warm_by[name];
   }
@@ -54,14 +54,14 @@
   last_ = now;
 }
 
-void Watch::tell(Tick now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const {
+void Watch::tell(TimePoint now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const {
   auto f = cases_.find(service);
   if (f == cases_.end() || f->second.number != s.trial_number()) return;
   auto& c = f->second;
   v.asked = now - c.asked;
-  v.switching = c.switching == Tick(0) ? Span(0) : now - c.switching;
+  v.switching = c.switching == TimePoint(0) ? Duration(0) : now - c.switching;
   v.warm = c.warm_workers;
-  v.all_warm = c.warm != Tick(0) && now - c.warm >= bound_ / 4;
+  v.all_warm = c.warm != TimePoint(0) && now - c.warm >= bound_ / 4;
   v.seen = docket_.at(service);
 }
 
--- a/src/rollout/watch.hpp
+++ b/src/rollout/watch.hpp
@@ -9,19 +9,19 @@
 
 class Watch {
  public:
-  explicit Watch(Span bound) : bound_(bound) {}
-  void look(Tick now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
+  explicit Watch(Duration bound) : bound_(bound) {}
+  void look(TimePoint now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
             const std::map<std::string, membership::WorkerFact>& workers);
-  void tell(Tick now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const;
+  void tell(TimePoint now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const;
 
  private:
   struct Case {
     uint64_t number = 0;
-    Tick asked{0}, warm{0}, switching{0};
+    TimePoint asked{0}, warm{0}, switching{0};
     std::map<std::string, int> warm_workers;
   };
-  Span bound_;
-  Tick last_{0};
+  Duration bound_;
+  TimePoint last_{0};
   std::map<std::string, Case> cases_;
   traffic::Docket docket_;
 };
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -19,7 +19,7 @@
   s.edges = 9;
   s.first = 4;
   s.second = 6;
-  s.far = Span(2);
+  s.far = Duration(2);
   return s;
 }
 
@@ -27,8 +27,8 @@
 FleetShape practice_shape() {
   auto s = lobby_shape();
   s.second = 7;
-  s.near = Span(0);
-  s.far = Span(1);
+  s.near = Duration(0);
+  s.far = Duration(1);
   return s;
 }
 
@@ -131,7 +131,7 @@
 void Fleet::wipe(const std::string& n) {
   ++w_.met["lost_disk"];
   // What a dying process still writes must not land on the new disk.
-  w_.after(Span(1), [this, n] { at(n).platter.files.clear(); });
+  w_.after(Duration(1), [this, n] { at(n).platter.files.clear(); });
 }
 
 void Fleet::cut_off(const std::string& n) {
@@ -167,7 +167,7 @@
     while (p->alive) {
       if (!p->foreign) beat(*p);
       if (p->leaving && p->left) return;
-      nap(Span(p->period_ms));
+      nap(Duration(p->period_ms));
     }
   });
   return *p;
@@ -191,16 +191,16 @@
 
 void Fleet::outside(std::function<void()> f) { w_.spawn(out_, std::move(f)); }
 
-void Fleet::nap(Span s) {
+void Fleet::nap(Duration s) {
   Wait x;
   w_.park(out_, s, x);
 }
 
-bool Fleet::until(Span most, const std::function<bool()>& f) {
+bool Fleet::until(Duration most, const std::function<bool()>& f) {
   auto end = w_.now() + most;
   while (!f()) {
     if (w_.now() >= end) return false;
-    nap(Span(50));
+    nap(Duration(50));
   }
   return true;
 }
@@ -214,7 +214,7 @@
 }  // namespace
 
 // One HTTP exchange with a host: lost when its process dies or never answers.
-static std::shared_ptr<Visit> visit(World& w, const FleetShape& s, const LifePtr& out, Host& h, base::Request q, bool control, Span most) {
+static std::shared_ptr<Visit> visit(World& w, const FleetShape& s, const LifePtr& out, Host& h, base::Request q, bool control, Duration most) {
   auto v = std::make_shared<Visit>();
   auto qp = std::make_shared<base::Request>(std::move(q));
   auto* node = h.node.get();
@@ -222,7 +222,7 @@
   auto go = std::make_shared<std::function<void()>>();
   *go = [&w, &s, v, qp, node, ctl, control, life = h.life, go] {
     if (life->dead) return;
-    if (w.frozen(life->host)) return w.after(Span(50), *go);
+    if (w.frozen(life->host)) return w.after(Duration(50), *go);
     w.spawn(life, [&w, &s, v, qp, node, ctl, control] {
       v->read = true;
       FleetShape::Handler product = [ctl](base::Request& x) { return ctl->answer(x); };
@@ -231,19 +231,19 @@
       w.wake(v->wait);
     });
   };
-  w.after(Span(1), *go);
+  w.after(Duration(1), *go);
   auto end = w.now() + most;
-  while (!v->done && w.now() < end && !h.life->dead) w.park(out, std::min<Span>(end - w.now(), Span(200)), v->wait);
+  while (!v->done && w.now() < end && !h.life->dead) w.park(out, std::min<Duration>(end - w.now(), Duration(200)), v->wait);
   v->lost = !v->done;
   return v;
 }
 
-std::variant<base::Receipt, base::ShotDefect> SimOrigin::relay(const std::string& name, const base::Request& q, Span limit) {
+std::variant<base::Receipt, base::ShotDefect> SimOrigin::relay(const std::string& name, const base::Request& q, Duration limit) {
   auto& w = f_.w_;
   auto& h = f_.at(name);
   bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.chance(w.weather.loss_permille);
   Wait x;
-  if (lost || !h.up()) return w.park(l_, lost ? limit : Span(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
+  if (lost || !h.up()) return w.park(l_, lost ? limit : Duration(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
   auto v = visit(w, f_.s_, l_, h, q, true, limit);
   if (v->lost) return base::ShotDefect::unknown;
   return v->r;
@@ -254,13 +254,13 @@
   auto* h = some(false);
   if (!h) return {0, {}, {}, true};
   if (target == "/v1/beats" && breaks(h->name, "beats")) return ++w_.met["beat_unheard"], Told{0, {}, {}, true};
-  auto v = visit(w_, s_, out_, *h, {"", method, target, body, std::move(hs)}, true, Span(5000));
+  auto v = visit(w_, s_, out_, *h, {"", method, target, body, std::move(hs)}, true, Duration(5000));
   if (v->lost) return {0, {}, {}, true};
   return {v->r.status, v->r.body, base::header(v->r.headers, "ETag"), false, h->name};
 }
 
-Exchange Fleet::exchange(Host& to, base::Request q, bool control, Span most) {
-  if (!to.up()) return nap(Span(1)), Exchange{};
+Exchange Fleet::exchange(Host& to, base::Request q, bool control, Duration most) {
+  if (!to.up()) return nap(Duration(1)), Exchange{};
   auto v = visit(w_, s_, out_, to, std::move(q), control, most);
   return {!v->lost, v->read, v->r};
 }
@@ -276,7 +276,7 @@
   w_.journal.push_back(fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":"{}","in":"{}","at":{},"relay":"{}"}})", id,
                                    method, target, base::sha256_base64(body), from, h->name));
   ++calls;
-  auto v = visit(w_, s_, out_, *h, std::move(q), false, Span(10000));
+  auto v = visit(w_, s_, out_, *h, std::move(q), false, Duration(10000));
   if (v->lost) {
     w_.journal.push_back(fmt::format(R"({{"t":"lost","id":"{}","from":{},"at":{},"relay":"{}"}})", id, from, w_.now().count(), h->name));
     return 0;
@@ -293,11 +293,11 @@
   return r.status;
 }
 
-void Fleet::callers(int per_second, Tick until, std::function<void()> one) {
+void Fleet::callers(int per_second, TimePoint until, std::function<void()> one) {
   outside([this, per_second, until, one] {
     while (w_.now() < until) {
       outside(one);
-      nap(Span(1000 / per_second));
+      nap(Duration(1000 / per_second));
     }
   });
 }
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -12,12 +12,12 @@
   bool seeded = false;  // the first set of holders forms out of the seeds, the hosts h1 to h3
   int tolerate = 0;
   double scale = 600;
-  Span bound{2000};
+  Duration bound{2000};
   int64_t wall0 = 1700000000000;
   // What a release of this name breaks on the nodes that run it: nothing, beats or reach.
   std::string broken, breaks;
   int first = 3, second = 3;  // workers of the cached and of the other service
-  Span near{1}, far{3};       // a message's way
+  Duration near{1}, far{3};       // a message's way
   // A deployment that speaks other words: they go into each relay's settings, stand
   // before its control face, and take the place of the workers below.
   using Handler = std::function<base::Receipt(base::Request&)>;
@@ -57,13 +57,13 @@
   bool foreign = false;  // a program of somebody else: runs what it gets, says 421, and never beats
   int bad_percent = 0, lose_percent = 0, wrong_percent = 0, refuse_percent = 0;
   std::function<void(const std::string& by)> left;  // told who took its word that it leaves; it says nothing more then
-  Span least{1}, most{8};
+  Duration least{1}, most{8};
   int64_t max_age = 0, period_ms = 1000;
   int load = 0;  // as it says in its answers; the work that others give it
   uint64_t beats = 0;
   // A version that is bad in its own way: how many times slower this request is, 0 when it fails.
   std::function<int(const std::string& target)> spoils;
-  Tick warm_at{0};   // until then it is twice as slow, and says so
+  TimePoint warm_at{0};   // until then it is twice as slow, and says so
   int running = 0;
 };
 
@@ -97,13 +97,13 @@
 
   // Fibers of the outside world.
   int call(const std::string& method, const std::string& target, const std::string& body = {}, Host* to = nullptr);
-  void callers(int per_second, Tick until, std::function<void()> one);
+  void callers(int per_second, TimePoint until, std::function<void()> one);
   Told tell(const std::string& method, const std::string& target, const std::string& body,
             std::vector<std::pair<std::string, std::string>> hs = {});
-  Exchange exchange(Host& to, base::Request q, bool control, Span most);
+  Exchange exchange(Host& to, base::Request q, bool control, Duration most);
   void outside(std::function<void()> f);
-  void nap(Span s);
-  bool until(Span most, const std::function<bool()>& f);
+  void nap(Duration s);
+  bool until(Duration most, const std::function<bool()>& f);
   void event(const std::string& fields);
 
   bool breaks(const std::string& host, const std::string& what);  // whether its release does that
--- a/src/sim/origin.cpp
+++ b/src/sim/origin.cpp
@@ -16,9 +16,9 @@
 }
 }  // namespace
 
-bool SimOrigin::reach(const std::string& addr, Span) {
+bool SimOrigin::reach(const std::string& addr, Duration) {
   Wait x;
-  f_.w_.park(l_, Span(1), x);
+  f_.w_.park(l_, Duration(1), x);
   if (f_.breaks(l_->host, "reach")) return ++f_.w_.met["unreachable"], false;
   if (f_.s_.stands) return f_.s_.stands(addr);
   for (auto& w : f_.workers_)
@@ -28,11 +28,11 @@
 
 std::variant<base::Receipt, base::ShotDefect> SimOrigin::shoot(const std::string& addr, const base::Request& q,
                                                                const base::ShotRules& rules) {
-  Span limit = rules.limit;
+  Duration limit = rules.limit;
   auto& w = f_.w_;
   if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
   if (f_.s_.shoot) return f_.s_.shoot(l_, addr, q, rules);
-  auto nap = [&](Span s) {
+  auto nap = [&](Duration s) {
     Wait x;
     w.park(l_, s, x);
   };
@@ -41,7 +41,7 @@
       if (x->alive && x->address == addr) return x.get();
     return nullptr;
   };
-  nap(Span(1));
+  nap(Duration(1));
   auto* x = find();
   if (!x) return base::ShotDefect::unsent;
   auto h = [&](const char* n) { return base::header(q.headers, n); };
@@ -62,7 +62,7 @@
     ++w.met["worker_refused"];
     return base::Receipt{503, head(*x, h("Dunlinwing-Request"), {{"Dunlinwing-Outcome", "not-run"}}), ""};
   }
-  Span took = x->least + Span(w.below(static_cast<uint64_t>((x->most - x->least).count()) + 1));
+  Duration took = x->least + Duration(w.below(static_cast<uint64_t>((x->most - x->least).count()) + 1));
   auto at = w.now().count();
   if (w.now() < x->warm_at) took *= 2;
   int times = x->spoils ? x->spoils(q.target) : 1;
--- a/src/sim/ports.cpp
+++ b/src/sim/ports.cpp
@@ -4,7 +4,7 @@
 
 namespace dunlinwing::sim {
 
-void Clock::nap(Span s) {
+void Clock::nap(Duration s) {
   Wait w;
   w_.park(l_, s, w);
 }
@@ -13,7 +13,7 @@
 class SimSpot final : public base::Spot {
  public:
   SimSpot(World& w, LifePtr l) : w_(w), l_(std::move(l)) {}
-  bool park(Span s) override { return w_.park(l_, s, wait_); }
+  bool park(Duration s) override { return w_.park(l_, s, wait_); }
   void wake() override { w_.wake(wait_); }
 
  private:
@@ -25,7 +25,7 @@
 
 std::shared_ptr<base::Spot> Tasks::spot() { return std::make_shared<SimSpot>(w_, l_); }
 
-std::variant<pb::Reply, base::NetDefect> Net::ask(const std::string& addr, const pb::Ask& a, Span limit) {
+std::variant<pb::Reply, base::NetDefect> Net::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
   struct Talk {
     std::optional<pb::Reply> reply;
     bool refused = false;
@@ -35,7 +35,7 @@
   auto back = [this, t, from = l_->host](const std::string& to, std::optional<pb::Reply> r) {
     if (w_.cut_off(to, from)) return void(++w_.met["cut"]);
     if (w_.chance(w_.weather.loss_permille)) return void(++w_.met["loss"]);
-    Span d = w_.weather.least + Span(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
+    Duration d = w_.weather.least + Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
     w_.after(d, [this, t, r = std::move(r)] {
       if (t->reply || t->refused) return;
       if (r)
@@ -52,13 +52,13 @@
     w_.bytes += a.ByteSizeLong();
     if (w_.cut_off(l_->host, host)) return void(++w_.met["cut"]);
     if (w_.chance(w_.weather.loss_permille)) return void(++w_.met["loss"]);
-    Span d = w_.weather.least + Span(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
+    Duration d = w_.weather.least + Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
     // What a frozen host is sent waits in its sockets until the thaw.
     auto arrive = std::make_shared<std::function<void()>>();
     *arrive = [this, addr, a, host, back, arrive] {
       auto p = d_.find(addr);
       if (p == d_.end() || !p->second.life || p->second.life->dead) return back(host, {});
-      if (w_.frozen(host)) return w_.after(Span(50), *arrive);
+      if (w_.frozen(host)) return w_.after(Duration(50), *arrive);
       w_.spawn(p->second.life, [this, answer = p->second.answer, a, back, host] {
         auto r = answer(a);
         ++w_.messages;
@@ -73,7 +73,7 @@
     ++w_.met["twice"];
     send();
   }
-  Tick end = w_.now() + limit;
+  TimePoint end = w_.now() + limit;
   while (!t->reply && !t->refused && w_.now() < end) w_.park(l_, end - w_.now(), t->wait);
   if (t->reply) return *t->reply;
   return t->refused ? base::NetDefect::unreachable : base::NetDefect::timed_out;
@@ -110,8 +110,8 @@
 
 std::optional<base::DiskDefect> Disk::save(const std::vector<pb::Record>& rs,
                                            const std::function<pb::Image()>& whole) {
-  Span d = p_.least + Span(w_.below(static_cast<uint64_t>((p_.most - p_.least).count()) + 1));
-  if (d > Span(100)) ++w_.met["slow_disk"];
+  Duration d = p_.least + Duration(w_.below(static_cast<uint64_t>((p_.most - p_.least).count()) + 1));
+  if (d > Duration(100)) ++w_.met["slow_disk"];
   try {
     Wait w;
     w_.park(l_, d, w);
--- a/src/sim/ports.hpp
+++ b/src/sim/ports.hpp
@@ -9,9 +9,9 @@
 class Clock final : public base::Clock {
  public:
   Clock(World& w, LifePtr l, int64_t* wall) : w_(w), l_(std::move(l)), wall_(wall) {}
-  Tick now() override { return w_.now(); }
+  TimePoint now() override { return w_.now(); }
   int64_t wall_ms() override { return w_.now().count() + *wall_; }
-  void nap(Span s) override;
+  void nap(Duration s) override;
 
  private:
   World& w_;
@@ -50,7 +50,7 @@
 class Net final : public base::Net {
  public:
   Net(World& w, LifePtr l, Directory& d) : w_(w), l_(std::move(l)), d_(d) {}
-  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Span limit) override;
+  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) override;
 
  private:
   World& w_;
@@ -62,7 +62,7 @@
 // done, or torn.
 struct Platter {
   std::map<std::string, std::string> files;
-  Span least{1}, most{4};
+  Duration least{1}, most{4};
   bool failing = false;
 };
 
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -16,7 +16,7 @@
 World::World(uint64_t seed) : rng_(seed) {}
 World::~World() = default;
 
-void World::at(Tick t, std::function<void()> f) {
+void World::at(TimePoint t, std::function<void()> f) {
   events_.emplace(std::make_pair(std::max(t, now_), order_++), Event{std::move(f)});
 }
 
@@ -30,7 +30,7 @@
   if (check_) check_();
 }
 
-void World::run(Tick until, std::function<void()> check, std::function<void()> first) {
+void World::run(TimePoint until, std::function<void()> check, std::function<void()> first) {
   check_ = std::move(check);
   auto* me = bf::context::active();
   bool done = false;
@@ -56,7 +56,7 @@
   }).detach();
 }
 
-bool World::park(const LifePtr& l, Span s, Wait& w) {
+bool World::park(const LifePtr& l, Duration s, Wait& w) {
   if (l->dead) throw Dead{};
   w.life = l;
   if (!w.woken) {
@@ -64,7 +64,7 @@
     w.due = false;
     auto turn = w.turn = ++turns_;
     l->waits.insert(&w);
-    at(now_ + std::max(s, Span(0)), [this, l, &w, turn] {
+    at(now_ + std::max(s, Duration(0)), [this, l, &w, turn] {
       if (l->waits.count(&w) && w.turn == turn) resume(&w);
     });
     while (!w.due) bf::context::active()->suspend();
@@ -98,7 +98,7 @@
   for (auto* w : std::set<Wait*>(l->waits)) resume(w);
 }
 
-void World::freeze(const std::string& h, Tick until) {
+void World::freeze(const std::string& h, TimePoint until) {
   frozen_[h] = until;
   ++met["freeze"];
   journal.push_back(fmt::format(R"({{"t":"frozen","machine":"{}","until":{},"at":{}}})", h, until.count(), now_.count()));
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -23,29 +23,29 @@
 
 struct Weather {  // what the network does to messages
   int loss_permille = 0, twice_permille = 0;
-  Span least{1}, most{3};
+  Duration least{1}, most{3};
 };
 
 class World {
  public:
   explicit World(uint64_t seed);
   ~World();
-  Tick now() const { return now_; }
+  TimePoint now() const { return now_; }
   uint64_t draw() { return rng_(); }
   uint64_t below(uint64_t n) { return n ? rng_() % n : 0; }
   bool chance(int permille) { return below(1000) < static_cast<uint64_t>(permille); }
 
-  void at(Tick t, std::function<void()> f);
-  void after(Span s, std::function<void()> f) { at(now_ + s, std::move(f)); }
+  void at(TimePoint t, std::function<void()> f);
+  void after(Duration s, std::function<void()> f) { at(now_ + s, std::move(f)); }
   // Runs events and the fibers they wake until the time has come.
-  void run(Tick until, std::function<void()> check, std::function<void()> first);
+  void run(TimePoint until, std::function<void()> check, std::function<void()> first);
   uint64_t steps() const { return steps_; }
 
   void spawn(const LifePtr& l, std::function<void()> f);
-  bool park(const LifePtr& l, Span s, struct Wait& w);  // true when woken
+  bool park(const LifePtr& l, Duration s, struct Wait& w);  // true when woken
   void wake(struct Wait& w);
   void kill(const LifePtr& l);
-  void freeze(const std::string& host, Tick until);
+  void freeze(const std::string& host, TimePoint until);
   bool frozen(const std::string& host) const;
 
   void cut(const std::string& from, const std::string& to);
@@ -64,12 +64,12 @@
   struct Event {
     std::function<void()> f;
   };
-  std::multimap<std::pair<Tick, uint64_t>, Event> events_;
+  std::multimap<std::pair<TimePoint, uint64_t>, Event> events_;
   std::mt19937_64 rng_;
-  Tick now_{1000000};
+  TimePoint now_{1000000};
   uint64_t steps_ = 0, order_ = 0, turns_ = 0;
-  Tick cut_told_{0};
-  std::map<std::string, Tick> frozen_;
+  TimePoint cut_told_{0};
+  std::map<std::string, TimePoint> frozen_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::function<void()> check_;
 };
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -36,7 +36,7 @@
   std::string me;
   storage::ArtifactFiles* shelf;
   storage::DiskExecutor* hand;
-  Span bound;
+  Duration bound;
 
   pb::Reply answer(const pb::Ask& a) {
     pb::Reply out;
@@ -71,7 +71,7 @@
     return out;
   }
 
-  consensus::Replies ask_holders(const pb::Ask& a, Span limit) {
+  consensus::Replies ask_holders(const pb::Ask& a, Duration limit) {
     consensus::Local local;
     if (shelf) local = [this](const pb::Ask& x) { return answer(x); };
     return consensus::ask_all(ps, registers.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
@@ -133,7 +133,7 @@
 };
 
 Artifacts::Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
-                     Span bound)
+                     Duration bound)
     : p_(new Impl{ps, b, m, std::move(me), s, h, bound}) {}
 Artifacts::~Artifacts() = default;
 
--- a/src/software/artifacts.hpp
+++ b/src/software/artifacts.hpp
@@ -20,7 +20,7 @@
  public:
   // `shelf` is null on a machine that holds no state.
   Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me, storage::ArtifactFiles* shelf, storage::DiskExecutor* hand,
-            Span bound);
+            Duration bound);
   ~Artifacts();
   void start();                        // begins to repair
   pb::Reply answer(const pb::Ask& a);  // chunk and fetch, on a holder
--- a/src/software/stager.cpp
+++ b/src/software/stager.cpp
@@ -20,7 +20,7 @@
   storage::DiskExecutor& hand;
   StagerPorts sp;
   std::string dir, program;
-  Span bound;
+  Duration bound;
 
   std::string file(const char* n) const { return dir + "/" + n; }
   std::string text(const char* n) {
@@ -45,7 +45,7 @@
   // The program named in `next` is this one: it has so long to prove itself.
   void prove(const std::string& sha) {
     lg.info("This program, {}, is new here and has to prove itself.", program);
-    Tick end = ps.clock.now() + bound * kProofBounds, since = ps.clock.now();
+    TimePoint end = ps.clock.now() + bound * kProofBounds, since = ps.clock.now();
     while (ps.clock.now() < end) {
       if (!sp.sound()) since = ps.clock.now();
       if (ps.clock.now() - since >= bound * kSoundBounds) {
@@ -98,7 +98,7 @@
   }
 };
 
-Stager::Stager(base::Ports& ps, Artifacts& a, storage::DiskExecutor& h, StagerPorts sp, std::string dir, std::string program, Span bound)
+Stager::Stager(base::Ports& ps, Artifacts& a, storage::DiskExecutor& h, StagerPorts sp, std::string dir, std::string program, Duration bound)
     : p_(new Impl{ps, a, h, std::move(sp), std::move(dir), std::move(program), bound}) {}
 Stager::~Stager() = default;
 
--- a/src/software/stager.hpp
+++ b/src/software/stager.hpp
@@ -21,7 +21,7 @@
 
 class Stager {
  public:
-  Stager(base::Ports& ps, Artifacts& a, storage::DiskExecutor& h, StagerPorts sp, std::string dir, std::string program, Span bound);
+  Stager(base::Ports& ps, Artifacts& a, storage::DiskExecutor& h, StagerPorts sp, std::string dir, std::string program, Duration bound);
   ~Stager();
   void start();
 
--- a/src/storage/disk_executor.cpp
+++ b/src/storage/disk_executor.cpp
@@ -63,7 +63,7 @@
   }
   p_->cv.notify_one();
   for (;;) {
-    j->spot->park(Span(3600000));
+    j->spot->park(Duration(3600000));
     std::lock_guard l(p_->m);
     if (j->done) return;
   }
--- a/src/traffic/budget.cpp
+++ b/src/traffic/budget.cpp
@@ -34,7 +34,7 @@
   return true;
 }
 
-std::variant<Turn, Span> Pace::reserve(const std::string& s, double share, Span most) {
+std::variant<Turn, Duration> Pace::reserve(const std::string& s, double share, Duration most) {
   std::lock_guard l(m_);
   auto now = static_cast<double>(clock_.now().count());
   if (share <= 0) return most;
@@ -42,9 +42,9 @@
   auto& n = next_ms_.emplace(s, began_ + gap).first->second;
   double at = std::max(n, now);
   double wait = at - now;
-  if (wait > static_cast<double>(most.count())) return Span(static_cast<int64_t>(wait));
+  if (wait > static_cast<double>(most.count())) return Duration(static_cast<int64_t>(wait));
   n = at + gap;
-  return Turn{Span(static_cast<int64_t>(wait + 0.999)), at, share};
+  return Turn{Duration(static_cast<int64_t>(wait + 0.999)), at, share};
 }
 
 bool Pace::stands(const Turn& t, double share) const {
--- a/src/traffic/budget.hpp
+++ b/src/traffic/budget.hpp
@@ -25,7 +25,7 @@
 
 // A place in the row of sends at an origin's stated rate.
 struct Turn {
-  Span wait{0};
+  Duration wait{0};
   double due_ms = 0, share = 0;
 };
 
@@ -34,7 +34,7 @@
  public:
   explicit Pace(base::Clock& c) : clock_(c), began_(static_cast<double>(c.now().count())) {}
   // The next turn, or how long it would be until one when that is beyond `most`.
-  std::variant<Turn, Span> reserve(const std::string& service, double share, Span most);
+  std::variant<Turn, Duration> reserve(const std::string& service, double share, Duration most);
   // Whether a turn that was waited for still stands: its time is now, and the
   // share it was reckoned with has not fallen since.
   bool stands(const Turn& t, double share) const;
--- a/src/traffic/face.cpp
+++ b/src/traffic/face.cpp
@@ -82,7 +82,7 @@
 
   std::vector<std::string> tags(const base::Receipt&) const override { return {}; }
 
-  base::Receipt say(int status, const std::string& why, Outcome o, std::optional<Span> back) const override {
+  base::Receipt say(int status, const std::string& why, Outcome o, std::optional<Duration> back) const override {
     base::Receipt r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, {}};
     if (o != Outcome::none) r.headers.emplace_back("Dunlinwing-Outcome", o == Outcome::not_run ? "not-run" : "unknown");
     if (back) r.headers.emplace_back("Retry-After", std::to_string(std::max<int64_t>(1, (back->count() + 999) / 1000)));
--- a/src/traffic/face.hpp
+++ b/src/traffic/face.hpp
@@ -17,7 +17,7 @@
 
 struct Asked {
   std::string id;               // by which worker and caller know the request
-  std::optional<Span> left;     // that the caller will wait, when it says so
+  std::optional<Duration> left;     // that the caller will wait, when it says so
 };
 
 struct Load {
@@ -28,7 +28,7 @@
   const Worker& worker;
   std::string relay;
   uint64_t generation = 0;
-  Span left{0};
+  Duration left{0};
 };
 
 class Face {
@@ -42,7 +42,7 @@
   virtual std::vector<std::string> tags(const base::Receipt& r) const = 0;  // under which a receipt may be purged
   virtual void clean(base::Receipt& r) const = 0;  // takes out what a worker said to us alone
   // An answer of our own. `back`: when it makes sense to come back, if it does.
-  virtual base::Receipt say(int status, const std::string& why, Outcome o, std::optional<Span> back) const = 0;
+  virtual base::Receipt say(int status, const std::string& why, Outcome o, std::optional<Duration> back) const = 0;
   // Last touches on whatever goes to the caller who asked under `id`. Generation 0: none decided it.
   virtual void send(base::Receipt& r, const std::string& id, uint64_t generation) const = 0;
 };
--- a/src/traffic/fills.cpp
+++ b/src/traffic/fills.cpp
@@ -6,7 +6,7 @@
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr Span kShieldRest{2000};
+constexpr Duration kShieldRest{2000};
 constexpr int kFewNodes = 24;  // fewer fetch for themselves: a hop costs more than the origin is spared
 
 // What was fetched by GET, as the answer to HEAD.
@@ -18,7 +18,7 @@
 
 // A kept receipt as the answer to this request: its age told, cut to the one range
 // that was asked for, or only confirmed when the caller has the same already.
-base::Receipt answer(const cache::Item& i, const base::Request& q, Tick now, bool kept) {
+base::Receipt answer(const cache::Item& i, const base::Request& q, TimePoint now, bool kept) {
   auto have = base::header(i.receipt.headers, "ETag");
   auto known = base::header(q.headers, "If-None-Match");
   auto range = base::header(q.headers, "Range");
@@ -48,9 +48,9 @@
 }  // namespace
 
 // Turned away, with when to come back, spread so that a crowd does not return at once.
-Way Ways::away(int status, const std::string& why, Span back) const {
-  std::optional<Span> b;
-  if (status == 503 || status == 429) b = back + Span(ps.chance.below(static_cast<uint64_t>(back.count()) + 100));
+Way Ways::away(int status, const std::string& why, Duration back) const {
+  std::optional<Duration> b;
+  if (status == 503 || status == 429) b = back + Duration(ps.chance.below(static_cast<uint64_t>(back.count()) + 100));
   return {face.say(status, why, Outcome::not_run, b), Outcome::not_run};
 }
 
@@ -78,18 +78,18 @@
 
 cache::ItemPtr Fills::kept(const Work& w) { return cache_.find(key_of(w)); }
 
-bool Fills::usable(const cache::ItemPtr& i, const Work& w, Tick now) const {
+bool Fills::usable(const cache::ItemPtr& i, const Work& w, TimePoint now) const {
   if (!i) return false;
   auto t = table_();
-  Span most = std::min(i->life, lifetime(w));
+  Duration most = std::min(i->life, lifetime(w));
   auto st = t->states.find(w.service->name);
   bool banned = st != t->states.end() && st->second.quarantined().count(i->version);
   if (traffic::overtaken(*t, w.relay, w.generation)) return false;
   return now - i->born < most && !banned && !purged(*t, named(w, *i), i->purge) && fresh_();
 }
 
-Span Fills::lifetime(const Work& w) {
-  return w.route->keep > Span(0) ? w.route->keep : Span(w.service->lifetime_s * 1000);
+Duration Fills::lifetime(const Work& w) {
+  return w.route->keep > Duration(0) ? w.route->keep : Duration(w.service->lifetime_s * 1000);
 }
 
 // A shield that just failed is left alone for about as long as the fleet takes to notice.
@@ -157,8 +157,8 @@
       i->receipt.status = static_cast<int>(cr.status());
       for (auto& h : cr.headers()) i->receipt.headers.emplace_back(h.name(), h.value());
       i->receipt.body = cr.body();
-      i->born -= Span(static_cast<int64_t>(cr.age_ms()));
-      i->life = Span(static_cast<int64_t>(cr.life_ms()));
+      i->born -= Duration(static_cast<int64_t>(cr.age_ms()));
+      i->life = Duration(static_cast<int64_t>(cr.life_ms()));
       i->purge = purge_least(i->purge, cr.fill_purge());
       i->version = cr.version();
       i->tags = face_.tags(i->receipt);
@@ -168,7 +168,7 @@
     }
     // The shield speaks for the origin: what it turns away is not tried around it.
     if (x && x->has_carry() && x->carry().turned_away())
-      return {ways_.away(503, x->carry().why(), Span(static_cast<int64_t>(x->carry().back_ms()))), nullptr};
+      return {ways_.away(503, x->carry().why(), Duration(static_cast<int64_t>(x->carry().back_ms()))), nullptr};
     // What the shield did with it is not known, so a direct shot may be a repeat.
     direct.again = reached && !(x && x->has_carry() && x->carry().not_run());
   }
@@ -176,7 +176,7 @@
   f.left |= direct.again;  // the shield may have had it run
   f.doubt |= direct.again;
   if (f.fate != Fate::answered) return {ways_.of(std::move(f)), nullptr};
-  auto life = w.route->keep > Span(0) ? cache::stated(f.receipt, w.route->keep) : cache::lifetime(get, f.receipt);
+  auto life = w.route->keep > Duration(0) ? cache::stated(f.receipt, w.route->keep) : cache::lifetime(get, f.receipt);
   i->born -= cache::age_header(f.receipt);
   i->version = f.version;
   i->tags = face_.tags(f.receipt);
@@ -187,7 +187,7 @@
 }
 
 Way Fills::cached(const Work& w) {
-  bool kept = w.route->keep > Span(0);
+  bool kept = w.route->keep > Duration(0);
   auto key = key_of(w);
   if (auto i = cache_.find(key); usable(i, w, ps_.clock.now())) {
     ++n_.hits;
@@ -198,7 +198,7 @@
   auto f = cache_.join(flight, lead);
   if (!lead) {
     // Half of its time is for the other's fetch, half for one of its own.
-    auto i = cache_.wait(f, ps_.tasks.spot(), std::max<Span>(w.start_by() - ps_.clock.now(), Span(0)));
+    auto i = cache_.wait(f, ps_.tasks.spot(), std::max<Duration>(w.start_by() - ps_.clock.now(), Duration(0)));
     if (i && usable(*i, w, ps_.clock.now())) {
       ++n_.hits;
       return {answer(**i, w.q, ps_.clock.now(), kept)};
--- a/src/traffic/fills.hpp
+++ b/src/traffic/fills.hpp
@@ -19,14 +19,14 @@
   base::Receipt receipt;
   Outcome outcome = Outcome::none;
   bool overtaken = false, left = false, doubt = false;
-  Span back{0};  // when turned away
+  Duration back{0};  // when turned away
 };
 
 struct Ways {
   base::Ports& ps;
   const Face& face;
   // Turned away, with when to come back, spread so that a crowd does not return at once.
-  Way away(int status, const std::string& why, Span back = Span(0)) const;
+  Way away(int status, const std::string& why, Duration back = Duration(0)) const;
   Way unknown(const std::string& why) const;
   Way of(Fetched&& f) const;
 };
@@ -38,8 +38,8 @@
   Way cached(const Work& w);
   // What is kept for this request, usable or not.
   cache::ItemPtr kept(const Work& w);
-  bool usable(const cache::ItemPtr& i, const Work& w, Tick now) const;
-  static Span lifetime(const Work& w);
+  bool usable(const cache::ItemPtr& i, const Work& w, TimePoint now) const;
+  static Duration lifetime(const Work& w);
   void bound(size_t bytes) { most_ = bytes; }
   void sweep() { cache_.sweep(ps_.clock.now()); }
   size_t bytes() const { return cache_.bytes(); }
@@ -60,7 +60,7 @@
   cache::Cache cache_;
   size_t most_ = SIZE_MAX;
   std::mutex m_;
-  std::map<std::string, Tick> resting_;  // shields, until when
+  std::map<std::string, TimePoint> resting_;  // shields, until when
 };
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/layout.cpp
+++ b/src/traffic/layout.cpp
@@ -80,7 +80,7 @@
     return !s.empty() && s.size() <= 64 &&
            s.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == s.npos;
   };
-  auto ms_of = [](const base::Json& v) { return Span(static_cast<int64_t>(std::ceil(v.real()))); };
+  auto ms_of = [](const base::Json& v) { return Duration(static_cast<int64_t>(std::ceil(v.real()))); };
   auto l = std::make_shared<Layout>();
   l->name = name;
   l->text = j.text();
@@ -89,7 +89,7 @@
     Service s;
     s.name = k;
     s.versions = v.at("versions").strs();
-    s.deadline = Span(v.at("deadline_ms").num(s.deadline.count()));
+    s.deadline = Duration(v.at("deadline_ms").num(s.deadline.count()));
     s.waitlist = static_cast<int>(v.at("waitlist").num(s.waitlist));
     s.inflight = static_cast<int>(v.at("inflight").num(s.inflight));
     s.rate = v.at("rate").real(0);
@@ -137,8 +137,8 @@
   l->body_bytes = j.at("limits").at("body_bytes").num(l->body_bytes);
   l->cache_bytes = j.at("limits").at("cache_bytes").num(l->cache_bytes);
   l->head_bytes = j.at("limits").at("head_bytes").num(l->head_bytes);
-  l->head_time = Span(j.at("limits").at("head_ms").num(l->head_time.count()));
-  l->idle_time = Span(j.at("limits").at("idle_ms").num(l->idle_time.count()));
+  l->head_time = Duration(j.at("limits").at("head_ms").num(l->head_time.count()));
+  l->idle_time = Duration(j.at("limits").at("idle_ms").num(l->idle_time.count()));
   return std::shared_ptr<const Layout>(l);
 }
 
--- a/src/traffic/layout.hpp
+++ b/src/traffic/layout.hpp
@@ -8,7 +8,7 @@
 struct Service {
   std::string name;
   std::vector<std::string> versions;  // the first serves until a move says otherwise; none named: any that a move brought in
-  Span deadline{2000};
+  Duration deadline{2000};
   int waitlist = 64;    // waiting at one relay
   int inflight = 64;    // at workers from one relay
   double rate = 0;      // requests a second over the whole fleet; 0: no limit
@@ -26,12 +26,12 @@
   std::vector<std::pair<std::string, double>> split;  // services with their weights
   std::vector<std::string> methods;
   Kind kind = Kind::by_method;
-  Span timeout{0};  // 0: the service's deadline
-  Span aim{0};      // in which an answer is worth most; 0: the time-out
+  Duration timeout{0};  // 0: the service's deadline
+  Duration aim{0};      // in which an answer is worth most; 0: the time-out
   int priority = 0;  // 0 goes first
   int shots = 4;     // workers to which one request may be sent, at most
   const std::string& label() const { return name.empty() ? prefix : name; }
-  Span keep{0};      // how long receipts are kept without the worker's word; 0: as it says
+  Duration keep{0};      // how long receipts are kept without the worker's word; 0: as it says
 };
 
 struct Layout {
@@ -41,7 +41,7 @@
   int64_t body_bytes = 1 << 20;
   int64_t cache_bytes = 64 << 20;
   int64_t head_bytes = 16 << 10;  // of a request
-  Span head_time{10000}, idle_time{60000};  // for a request's head; between requests
+  Duration head_time{10000}, idle_time{60000};  // for a request's head; between requests
 
   // Null route: nothing matches. With `other_method` set, only the method does not.
   const Route* match(std::string_view method, std::string_view host, std::string_view target, bool& other_method) const;
--- a/src/traffic/place.cpp
+++ b/src/traffic/place.cpp
@@ -11,7 +11,7 @@
 namespace {
 constexpr int kFailsAside = 5;
 constexpr int kUnsentAside = 2;  // connections that could not be made tell more than bad answers
-constexpr Span kAside{500};
+constexpr Duration kAside{500};
 constexpr int kMostDoublings = 4;
 constexpr double kLearn = 0.15;       // weight of the latest answer
 constexpr double kFadeMs = 800;       // in which most of a told load has faded
@@ -19,7 +19,7 @@
 constexpr double kRoom = 0.6;         // of its slots: the own zone is left beyond
 constexpr double kFull = 0.35;        // how much slower when all its slots are taken
 constexpr double kSilent = 6;         // times the usual time without an answer: something is wrong there
-constexpr Span kSilentLeast{400};
+constexpr Duration kSilentLeast{400};
 constexpr double kUnknownMs = 50;
 constexpr size_t kLook = 3;           // workers looked at for one choice
 
@@ -28,7 +28,7 @@
   double told = 0, pace = 0;  // load as told; milliseconds an answer takes there, 0 while unknown
   int slots = 0;
   uint64_t lot = 0;  // this relay's and this worker's; 0: not drawn yet
-  Tick told_at{0}, progress{0}, aside{0};
+  TimePoint told_at{0}, progress{0}, aside{0};
   bool trying = false;
 };
 }  // namespace
@@ -51,26 +51,26 @@
     auto f = pace.find(service);
     return f == pace.end() ? 0 : f->second;
   }
-  double load(const State& s, Tick now) const {
+  double load(const State& s, TimePoint now) const {
     double told = s.told * std::exp(-static_cast<double>((now - s.told_at).count()) / kFadeMs);
     return std::max(told, static_cast<double>(s.running)) + 1;
   }
-  double fill(const Worker& w, Tick now) {
+  double fill(const Worker& w, TimePoint now) {
     auto& s = by[w.instance];
     return load(s, now) / std::max(s.slots ? s.slots : w.capacity, 1);
   }
-  double one(const Worker& w, Tick now) {
+  double one(const Worker& w, TimePoint now) {
     auto& s = by[w.instance];
     double t = s.pace > 0 ? s.pace : usual(w.service) > 0 ? usual(w.service) : kUnknownMs;
     return w.cold_until > now ? t * kCold : t;
   }
-  double wait(const Worker& w, Tick now) { return one(w, now) * std::max(0.0, fill(w, now) - 1); }
-  double expected(const Worker& w, Tick now) {
+  double wait(const Worker& w, TimePoint now) { return one(w, now) * std::max(0.0, fill(w, now) - 1); }
+  double expected(const Worker& w, TimePoint now) {
     auto& s = by[w.instance];
     double one = this->one(w, now);
     double f = fill(w, now);
     double t = one * (1 + kFull * std::min(f, 1.0) + std::max(0.0, f - 1));
-    if (s.running && now - s.progress > std::max(kSilentLeast, Span(static_cast<int64_t>(one * kSilent)))) t *= 16;
+    if (s.running && now - s.progress > std::max(kSilentLeast, Duration(static_cast<int64_t>(one * kSilent)))) t *= 16;
     return t;
   }
 };
@@ -81,7 +81,7 @@
 std::optional<Choice> Places::choose(const std::vector<Worker>& ws, const std::vector<std::string>& vs,
                                      const std::string& zone, const std::vector<std::string>& tried, size_t few) {
   std::lock_guard l(p_->m);
-  Tick now = p_->clock.now();
+  TimePoint now = p_->clock.now();
   std::vector<const Worker*> fit, near, aside;
   for (auto& w : ws) {
     if (std::find(vs.begin(), vs.end(), w.version) == vs.end()) continue;
@@ -120,7 +120,7 @@
   }
   auto& s = p_->by[w->instance];
   if (s.fails >= kFailsAside || s.unsent >= kUnsentAside) s.trying = true;
-  return Choice{*w, Span(static_cast<int64_t>(p_->expected(*w, now))), Span(static_cast<int64_t>(p_->wait(*w, now)))};
+  return Choice{*w, Duration(static_cast<int64_t>(p_->expected(*w, now))), Duration(static_cast<int64_t>(p_->wait(*w, now)))};
 }
 
 void Places::name(const std::string& relay) { p_->relay = relay; }
@@ -134,7 +134,7 @@
 void Places::ended(const Worker& w, const Ended& e) {
   std::lock_guard l(p_->m);
   auto& s = p_->by[w.instance];
-  Tick now = p_->clock.now();
+  TimePoint now = p_->clock.now();
   s.running = std::max(0, s.running - 1);
   s.trying = false;
   if (e.good || e.load) s.progress = now;
@@ -144,7 +144,7 @@
     s.told_at = now;
     if (e.load->slots > 0) s.slots = e.load->slots;
   }
-  if (e.good && e.took > Span(0) && !(e.load && e.load->waiting > 0) && w.cold_until <= now) {
+  if (e.good && e.took > Duration(0) && !(e.load && e.load->waiting > 0) && w.cold_until <= now) {
     auto learn = [&](double& x) { x += (x > 0 ? kLearn : 1) * (static_cast<double>(e.took.count()) - x); };
     learn(s.pace);
     learn(p_->pace[w.service]);
@@ -174,9 +174,9 @@
   });
 }
 
-Span Places::usual(const std::string& service) const {
+Duration Places::usual(const std::string& service) const {
   std::lock_guard l(p_->m);
-  return Span(static_cast<int64_t>(p_->usual(service)));
+  return Duration(static_cast<int64_t>(p_->usual(service)));
 }
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/place.hpp
+++ b/src/traffic/place.hpp
@@ -13,14 +13,14 @@
 
 struct Choice {
   Worker worker;
-  Span expected{0};  // until its answer
-  Span wait{0};      // the part of it spent behind others there
+  Duration expected{0};  // until its answer
+  Duration wait{0};      // the part of it spent behind others there
 };
 
 struct Ended {
   bool good = false, unsent = false;
   std::optional<Load> load;
-  Span took{0};
+  Duration took{0};
 };
 
 class Places {
@@ -38,7 +38,7 @@
   void elsewhere(const Worker& w);
   void forget(const std::vector<std::string>& alive);
   // What an answer of this service usually takes; 0 while nothing is known.
-  Span usual(const std::string& service) const;
+  Duration usual(const std::string& service) const;
 
  private:
   struct Impl;
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -81,11 +81,11 @@
         if (!route) return other ? p.ways.away(405, "no route takes this method") : p.ways.away(404, "no route leads there");
         auto* s = p.split(lay, *route);
         if (!s) return p.ways.away(503, "no service of this route has any weight");
-        Span most = route->timeout > Span(0) ? route->timeout : s->deadline;
+        Duration most = route->timeout > Duration(0) ? route->timeout : s->deadline;
         if (asked.left) most = std::min(most, *asked.left);
         Work x{t, t->layout, s, route, q, route->host.empty() ? "" : route->host, arrived, arrived + most, p.me, t->generation, again};
-        bool keep = Fills::lifetime(x) > Span(0) && (route->kind == Kind::by_method || route->kind == Kind::cacheable);
-        if (keep && cache::may_ask_cache(q, route->keep > Span(0))) return p.fills.cached(x);
+        bool keep = Fills::lifetime(x) > Duration(0) && (route->kind == Kind::by_method || route->kind == Kind::cacheable);
+        if (keep && cache::may_ask_cache(q, route->keep > Duration(0))) return p.fills.cached(x);
         return p.ways.of(p.shots.run(x));
       }();
       again |= w.left;
@@ -120,7 +120,7 @@
   if (s == l->second->services.end()) return no("the layout has no such service");
   if (purge_least(purge_number(*t, c.service()), c.purge_seen()) != c.purge_seen()) return no("this node lacks a purge");
   Work w{t, l->second, &s->second, nullptr, {}, {}, p.ps.clock.now(), {}, c.relay(), c.generation()};
-  w.deadline = w.arrived + Span(c.left_ms());
+  w.deadline = w.arrived + Duration(c.left_ms());
   w.q.method = "GET";
   w.q.target = c.target();
   for (auto& h : c.headers()) w.q.headers.emplace_back(h.name(), h.value());
@@ -155,7 +155,7 @@
   return out;
 }
 
-std::vector<std::string> Traffic::unreached(Span limit) {
+std::vector<std::string> Traffic::unreached(Duration limit) {
   std::vector<std::string> out;
   auto t = p_->now_table();
   if (!t->layout) return out;
--- a/src/traffic/serve.hpp
+++ b/src/traffic/serve.hpp
@@ -13,7 +13,7 @@
   pb::CarryReply carry(const pb::Carry& c);
   // The services that have workers and none that a request from here could reach:
   // route, version, place and connection are tried, and no byte is sent.
-  std::vector<std::string> unreached(Span limit);
+  std::vector<std::string> unreached(Duration limit);
   void swap(TablePtr t);
   TablePtr table() const;
   void drain();  // from now on every new request is turned away
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -14,14 +14,14 @@
 constexpr int kWorkPart = 4;    // of its deadline a first shot must still have half this part
 constexpr int kConnectPart = 4; // of the time left, for a connection to stand
 constexpr int kSlow = 4;        // times the usual, and an answer counts as slow
-constexpr Span kSlowLeast{20};
+constexpr Duration kSlowLeast{20};
 constexpr size_t kLeastPlaces = 6;
 constexpr size_t kRelaysOfAll = 12;  // relays that use one worker, about
 constexpr double kCapPart = 0.85;  // of the connections a worker takes, over all relays
 // How far past its aim an answer may be expected to be while it is still worth its place, by rank.
 constexpr double kPatience[] = {3.0, 2.0, 1.3};
 
-Fetched turned_away(std::string why, Span back = Span(0)) {
+Fetched turned_away(std::string why, Duration back = Duration(0)) {
   Fetched f{Fate::not_run, {}, {}, std::move(why)};
   f.back = back;
   return f;
@@ -57,11 +57,11 @@
       : ps(p), face(fa), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.chance),
         pace(p.clock), waits(p) {}
 
-  void count(const Work& w, const Worker& to, bool good, Span took) {
+  void count(const Work& w, const Worker& to, bool good, Duration took) {
     auto t = table();
     auto st = t->states.find(to.service);
     auto usual = places.usual(to.service);
-    bool slow = good && usual > Span(0) && took > std::max(usual * kSlow, kSlowLeast);
+    bool slow = good && usual > Duration(0) && took > std::max(usual * kSlow, kSlowLeast);
     std::lock_guard l(m);
     auto& c = counts[{to.service, to.version, w.route->label()}];
     (good ? c.good : c.bad)++;
@@ -74,14 +74,14 @@
   }
 
   // How long until it makes sense to come back, when the wait at the best place found is not worth it.
-  std::optional<Span> too_full(const Work& w, const Choice& c) const {
-    if (w.route->aim <= Span(0)) return {};
-    Span one = c.expected - c.wait;
+  std::optional<Duration> too_full(const Work& w, const Choice& c) const {
+    if (w.route->aim <= Duration(0)) return {};
+    Duration one = c.expected - c.wait;
     auto rank = static_cast<size_t>(std::min<int>(w.route->priority, std::size(kPatience) - 1));
-    Span most = std::max(Span(static_cast<int64_t>(static_cast<double>(w.route->aim.count()) * kPatience[rank])) - one, one);
-    Span left = w.deadline - ps.clock.now();
+    Duration most = std::max(Duration(static_cast<int64_t>(static_cast<double>(w.route->aim.count()) * kPatience[rank])) - one, one);
+    Duration left = w.deadline - ps.clock.now();
     if (c.wait <= most && c.wait + one < left) return {};
-    return std::max(c.wait - most, Span(0)) + one / 2;
+    return std::max(c.wait - most, Duration(0)) + one / 2;
   }
 
   double share(const std::string& service) {
@@ -91,16 +91,16 @@
   }
 
   // Waits for this request's turn at a paced origin. When none comes in time: how long it would have been.
-  std::optional<Span> await_turn(const Work& w) {
+  std::optional<Duration> await_turn(const Work& w) {
     auto& s = *w.service;
     for (;;) {
       // A turn that comes too late for the aim is not worth waiting for.
-      Span most = w.start_by() - ps.clock.now();
-      if (w.route->aim > Span(0)) most = std::min(most, w.route->aim * 3 / 4);
+      Duration most = w.start_by() - ps.clock.now();
+      if (w.route->aim > Duration(0)) most = std::min(most, w.route->aim * 3 / 4);
       auto r = pace.reserve(s.name, share(s.name), most);
       auto* t = std::get_if<Turn>(&r);
-      if (!t) return std::get<Span>(r);
-      if (t->wait > Span(0)) ps.clock.nap(t->wait);
+      if (!t) return std::get<Duration>(r);
+      if (t->wait > Duration(0)) ps.clock.nap(t->wait);
       if (pace.stands(*t, share(s.name))) return {};
     }
   }
@@ -139,7 +139,7 @@
   return true;
 }
 
-bool Shots::reaches(const Work& w, Span limit) {
+bool Shots::reaches(const Work& w, Duration limit) {
   std::vector<std::string> tried;
   for (int i = 0; i < 2; ++i) {
     auto to = p_->pick(w, tried, true);
@@ -173,7 +173,7 @@
   struct Out {
     Impl& p;
     const std::string& s;
-    Tick from;
+    TimePoint from;
     ~Out() { p.waits.leave(s, p.ps.clock.now() - from); }
   } out{p, s.name, clock.now()};
 
@@ -208,9 +208,9 @@
     auto& to = c->worker;
     tried.push_back(to.instance);
     base::Request q = w.q;
-    Span limit = w.deadline - clock.now();
+    Duration limit = w.deadline - clock.now();
     p.face.dress(q, {to, w.relay, w.generation, limit});
-    if (limit <= (left ? Span(0) : w.span() / (2 * kWorkPart))) {
+    if (limit <= (left ? Duration(0) : w.span() / (2 * kWorkPart))) {
       if (!left) last.why = "its deadline has passed";
       break;
     }
@@ -225,9 +225,9 @@
     if (s.connections > 0)
       rules.most = std::max(1, static_cast<int>(kCapPart * s.connections / std::max(p.table()->nodes, 1)));
     p.places.began(to);
-    Tick from = clock.now();
+    TimePoint from = clock.now();
     auto r = p.ps.origin.shoot(to.address, q, rules);
-    Span took = clock.now() - from;
+    Duration took = clock.now() - from;
     auto* a = std::get_if<base::Receipt>(&r);
     Look l = a ? p.face.look(*a, to, q) : Look::broken;
     auto* d = std::get_if<base::ShotDefect>(&r);
@@ -236,7 +236,7 @@
     bool declined = l == Look::not_run || l == Look::elsewhere;
     if (!must_pay && !unsent) sent(s.name);
     p.places.ended(to, {l == Look::good || declined, unsent,
-                        a && l != Look::broken ? p.face.load(*a) : std::nullopt, l == Look::good ? took : Span(0)});
+                        a && l != Look::broken ? p.face.load(*a) : std::nullopt, l == Look::good ? took : Duration(0)});
     if (l == Look::elsewhere) p.places.elsewhere(to);
     if (!unsent && !declined) p.count(w, to, l == Look::good, took);
     left |= !unsent;
@@ -273,7 +273,7 @@
 std::pair<int, int> Shots::load(const std::string& s) { return p_->waits.load(s); }
 int Shots::running() { return p_->waits.running(); }
 uint64_t Shots::repeats() const { return p_->again; }
-Span Shots::usual(const std::string& s) const { return p_->places.usual(s); }
+Duration Shots::usual(const std::string& s) const { return p_->places.usual(s); }
 void Shots::bound_places(int m) { p_->most_places = m; }
 void Shots::workers_known(const std::vector<std::string>& a) { p_->places.forget(a); }
 
--- a/src/traffic/shots.hpp
+++ b/src/traffic/shots.hpp
@@ -18,12 +18,12 @@
   const Route* route = nullptr;
   base::Request q;
   std::string host;  // part of a receipt's name when the route is bound to a host
-  Tick arrived{0}, deadline{0};
+  TimePoint arrived{0}, deadline{0};
   std::string relay;        // where it entered, and the assignment there
   uint64_t generation = 0;
   bool again = false;  // a repeat of something already sent: needs the budget
-  Span span() const { return deadline - arrived; }
-  Tick start_by() const { return deadline - span() / 2; }  // no first shot after it: told early, not late
+  Duration span() const { return deadline - arrived; }
+  TimePoint start_by() const { return deadline - span() / 2; }  // no first shot after it: told early, not late
   bool safe() const;  // may run more than once
 };
 
@@ -37,7 +37,7 @@
   std::string version, why;
   bool left = false;   // some byte of some shot may have reached a worker
   bool doubt = false;  // and not every worker that got one said that it did not run it
-  Span back{0};       // when it makes sense to come back, when turned away
+  Duration back{0};       // when it makes sense to come back, when turned away
 };
 
 struct VersionCount {
@@ -55,7 +55,7 @@
   Shots(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
   ~Shots();
   Fetched run(const Work& w);
-  bool reaches(const Work& w, Span limit);  // whether some worker would take a connection
+  bool reaches(const Work& w, Duration limit);  // whether some worker would take a connection
   bool repeat_allowed(const Work& w);
   void sent(const std::string& service);  // a first send that earns repeats
   std::map<CountKey, VersionCount> counts() const;
@@ -64,7 +64,7 @@
   std::map<std::string, uint64_t> asked() const;  // of services with a stated rate
   std::pair<int, int> load(const std::string& service);
   int running();
-  Span usual(const std::string& service) const;  // what an answer takes here; 0: not known
+  Duration usual(const std::string& service) const;  // what an answer takes here; 0: not known
   uint64_t repeats() const;
   void bound_places(int most);  // workers of one service that this relay uses, at most; 0: no bound
   void workers_known(const std::vector<std::string>& instances);
--- a/src/traffic/waitlist.cpp
+++ b/src/traffic/waitlist.cpp
@@ -7,9 +7,9 @@
 
 namespace dunlinwing::traffic {
 
-Entry Waitlists::enter(const std::string& s, int inflight, int longest, Tick start_by) {
+Entry Waitlists::enter(const std::string& s, int inflight, int longest, TimePoint start_by) {
   auto w = std::make_shared<Waiter>();
-  Span left;
+  Duration left;
   {
     std::lock_guard l(m_);
     auto& t = by_[s];
@@ -21,7 +21,7 @@
     left = start_by - ps_.clock.now();
     if (static_cast<int>(t.waits.size()) >= longest) return Entry::full;
     double wait = t.took_ms * static_cast<double>(t.waits.size() + 1) / std::max(t.limit, 1);
-    if (left <= Span(0) || wait > static_cast<double>(left.count())) return Entry::too_late;
+    if (left <= Duration(0) || wait > static_cast<double>(left.count())) return Entry::too_late;
     w->spot = ps_.tasks.spot();
     t.waits.push_back(w);
   }
@@ -30,14 +30,14 @@
     std::lock_guard l(m_);
     if (w->in) return Entry::in;
     left = start_by - ps_.clock.now();
-    if (left > Span(0)) continue;
+    if (left > Duration(0)) continue;
     auto& q = by_[s].waits;
     q.erase(std::remove(q.begin(), q.end(), w), q.end());
     return Entry::too_late;
   }
 }
 
-void Waitlists::leave(const std::string& s, Span took) {
+void Waitlists::leave(const std::string& s, Duration took) {
   std::lock_guard l(m_);
   auto& t = by_[s];
   --t.running;
@@ -51,10 +51,10 @@
   }
 }
 
-Span Waitlists::drained_in(const std::string& s) {
+Duration Waitlists::drained_in(const std::string& s) {
   std::lock_guard l(m_);
   auto& t = by_[s];
-  return Span(static_cast<int64_t>(t.took_ms * static_cast<double>(t.waits.size() + 1) / std::max(t.limit, 1)));
+  return Duration(static_cast<int64_t>(t.took_ms * static_cast<double>(t.waits.size() + 1) / std::max(t.limit, 1)));
 }
 
 std::pair<int, int> Waitlists::load(const std::string& s) {
--- a/src/traffic/waitlist.hpp
+++ b/src/traffic/waitlist.hpp
@@ -13,10 +13,10 @@
 class Waitlists {
  public:
   explicit Waitlists(base::Ports& ps) : ps_(ps) {}
-  Entry enter(const std::string& service, int inflight, int longest, Tick start_by);
-  void leave(const std::string& service, Span took);
+  Entry enter(const std::string& service, int inflight, int longest, TimePoint start_by);
+  void leave(const std::string& service, Duration took);
   // How long it will be until those now waiting have had their places.
-  Span drained_in(const std::string& service);
+  Duration drained_in(const std::string& service);
   std::pair<int, int> load(const std::string& service);  // running, waiting
   int running();
 
--- a/src/wire/http_origin.cpp
+++ b/src/wire/http_origin.cpp
@@ -23,7 +23,7 @@
 struct Answer {
   base::Receipt r;
   bool keep = false;
-  std::optional<Span> stated;
+  std::optional<Duration> stated;
 };
 
 std::string head_of(const base::Request& q, const std::string& addr) {
@@ -44,13 +44,13 @@
   return o.append("\r\n");
 }
 
-std::optional<Span> stated(std::string_view v) {
+std::optional<Duration> stated(std::string_view v) {
   for (auto& w : base::words(v, ',')) {
     auto e = w.find('=');
     if (e == w.npos || !base::same_word(std::string_view(w).substr(0, e), "timeout")) continue;
     int64_t n = 0;
     std::from_chars(w.data() + e + 1, w.data() + w.size(), n);
-    return Span(std::clamp<int64_t>(n, 0, 3600) * 1000);
+    return Duration(std::clamp<int64_t>(n, 0, 3600) * 1000);
   }
   return {};
 }
@@ -109,7 +109,7 @@
 int HttpOrigin::idle() const { return p_->idle(); }
 int HttpOrigin::held(const std::string& addr) const { return p_->held(addr); }
 
-bool HttpOrigin::reach(const std::string& addr, Span limit) {
+bool HttpOrigin::reach(const std::string& addr, Duration limit) {
   auto [l, ec] = Line::to(addr, std::chrono::steady_clock::now() + limit);
   return l != nullptr;
 }
@@ -118,7 +118,7 @@
                                                           const base::ShotRules& rules) {
   auto from = std::chrono::steady_clock::now();
   auto end = from + rules.limit;
-  auto by = rules.connect > Span(0) ? std::min(end, from + rules.connect) : end;
+  auto by = rules.connect > Duration(0) ? std::min(end, from + rules.connect) : end;
   auto loan = p_->lend(addr, rules.safe, rules.most, by);
   if (!loan) return ShotDefect::unsent;
   auto& l = *loan->line;
@@ -136,7 +136,7 @@
       continue;
     }
     late.clear();
-    if (a->keep && l.got().empty() && a->stated.value_or(Span(1)) > Span(0)) loan->plan_repair(a->stated);
+    if (a->keep && l.got().empty() && a->stated.value_or(Duration(1)) > Duration(0)) loan->plan_repair(a->stated);
     return std::move(a->r);
   }
   return ShotDefect::unknown;
--- a/src/wire/http_origin.hpp
+++ b/src/wire/http_origin.hpp
@@ -10,7 +10,7 @@
   // Answers' bodies beyond `body_bytes` are not taken; `kept` idle connections at most.
   explicit HttpOrigin(size_t body_bytes, size_t kept = 512);
   ~HttpOrigin() override;
-  bool reach(const std::string& addr, Span limit) override;
+  bool reach(const std::string& addr, Duration limit) override;
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string& addr, const base::Request& q,
                                                       const base::ShotRules& r) override;
   int idle() const;                         // connections kept
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -21,11 +21,11 @@
 
 namespace {
 constexpr base::Log lg("http");
-constexpr Span kLinger(1000);            // in which a client that was turned away may go on sending
+constexpr Duration kLinger(1000);            // in which a client that was turned away may go on sending
 constexpr size_t kMostLinger = 1 << 20;  // and how much
 constexpr size_t kBodyRoom = 32 << 10;
-constexpr Span kSweepLeast(50), kSweepMost(500);
-constexpr Span kNoDescriptors(100);
+constexpr Duration kSweepLeast(50), kSweepMost(500);
+constexpr Duration kNoDescriptors(100);
 
 std::atomic<size_t> held_bodies{0};
 
@@ -79,7 +79,7 @@
 struct Talk {
   std::shared_ptr<Line> l;
   Step step = Step::idle;
-  Tick since{0};
+  TimePoint since{0};
   bool slow = false;
   std::list<Talk*>::iterator at;
 };
@@ -91,8 +91,8 @@
   std::atomic<int> n{0};
 };
 
-Tick now() {
-  return std::chrono::duration_cast<Tick>(std::chrono::steady_clock::now().time_since_epoch());
+TimePoint now() {
+  return std::chrono::duration_cast<TimePoint>(std::chrono::steady_clock::now().time_since_epoch());
 }
 }  // namespace
 
@@ -177,7 +177,7 @@
                  : t->step == Step::body   ? l->body
                  : t->step == Step::write  ? l->write
                  : t->step == Step::linger ? kLinger
-                                           : Span::max();
+                                           : Duration::max();
     bool reads = t->step != Step::write;
     if (t0 - t->since < bound || t->l->stopped() || (reads && !t->l->waits())) continue;  // what came counts
     t->slow = t->step == Step::head || t->step == Step::body;
@@ -243,7 +243,7 @@
     line("Connection", "close");
   else if (version < 11)
     line("Connection", "keep-alive");
-  if (keep && l.tell_idle && l.idle >= Span(1000))
+  if (keep && l.tell_idle && l.idle >= Duration(1000))
     line("Keep-Alive", fmt::format("timeout={}", l.idle.count() / 1000));
   out += "\r\n";
   t.step = Step::write;
@@ -321,14 +321,14 @@
 }
 
 void HttpServer::Impl::accept(int from, int to) {
-  Tick told{-kSweepMost * 100};
+  TimePoint told{-kSweepMost * 100};
   for (int i = from; !closing;) {
     if (++i >= to) i = from;
     auto s = std::make_shared<tcp::socket>(pool.io(i));
     auto [ec] = await<>([&](auto k) { acc->async_accept(*s, std::move(k)); });
     if (closing) return;
     if (ec) {
-      if (now() - told > Span(10000)) {
+      if (now() - told > Duration(10000)) {
         lg.warn("A connection to {} was lost while being taken: {}.", name, ec.message());
         told = now();
       }
@@ -341,7 +341,7 @@
       auto fullest = std::max_element(lanes.begin(), lanes.end(), [](auto& a, auto& b) { return a->n < b->n; });
       int f = static_cast<int>(fullest - lanes.begin());
       asio::post(pool.io(f), [me = shared_from_this(), f] { evict(*me->lanes[f]); });
-      room->park(Span(1000));
+      room->park(Duration(1000));
       crowded = false;
     }
     settle(*s);
--- a/src/wire/kept.cpp
+++ b/src/wire/kept.cpp
@@ -12,9 +12,9 @@
 // Of the time after which the worker closes an idle connection, the part in
 // which we use it: for what must not be sent twice, and for the rest.
 constexpr double kSurePart = 1.0 / 3, kPart = 0.7;
-constexpr Span kSureUnstated(1000), kUnstated(4000);
+constexpr Duration kSureUnstated(1000), kUnstated(4000);
 constexpr size_t kMostIdleEach = 64;
-constexpr Span kPruneEvery(1000);
+constexpr Duration kPruneEvery(1000);
 
 std::chrono::steady_clock::time_point now() { return std::chrono::steady_clock::now(); }
 
@@ -95,7 +95,7 @@
     if (!spot) spot = make_spot();
     h.waiting.push_back(spot);
     l.unlock();
-    spot->park(std::chrono::ceil<Span>(end - t));
+    spot->park(std::chrono::ceil<Duration>(end - t));
   }
   auto loan = std::make_unique<Loan>(shared_from_this(), addr);
   loan->used = used;
@@ -109,7 +109,7 @@
   if (k_) k_->gone(addr_);
 }
 
-void Kept::Loan::plan_repair(std::optional<Span> stated) {
+void Kept::Loan::plan_repair(std::optional<Duration> stated) {
   std::exchange(k_, nullptr)->back(addr_, std::move(line), stated);
 }
 
@@ -118,7 +118,7 @@
   left(hosts_[addr]);
 }
 
-void Kept::back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Span> stated) {
+void Kept::back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Duration> stated) {
   auto t = now();
   l->arm(kAnswerRoom);
   l->when_woken([k = weak_from_this(), addr, raw = l.get()] {
@@ -126,7 +126,7 @@
   });
   std::lock_guard g(m_);
   auto& h = hosts_[addr];
-  auto part = [&](double p) { return std::chrono::duration_cast<Span>(*stated * p); };
+  auto part = [&](double p) { return std::chrono::duration_cast<Duration>(*stated * p); };
   h.idle.push_back({std::move(l), &Pool::here(), t, t + (stated ? part(kSurePart) : kSureUnstated),
                     t + (stated ? part(kPart) : kUnstated)});
   ++idle_;
--- a/src/wire/kept.hpp
+++ b/src/wire/kept.hpp
@@ -20,7 +20,7 @@
     Loan(std::shared_ptr<Kept> k, std::string addr) : k_(std::move(k)), addr_(std::move(addr)) {}
     Loan(const Loan&) = delete;
     ~Loan();
-    void plan_repair(std::optional<Span> stated);  // the worker's Keep-Alive time, if it stated one
+    void plan_repair(std::optional<Duration> stated);  // the worker's Keep-Alive time, if it stated one
     std::shared_ptr<Line> line;
     bool used = false;  // it has carried an answer before
 
@@ -54,7 +54,7 @@
   void left(Host& h);
   void prune(At now);
   void lost(const std::string& addr, Line* l);
-  void back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Span> stated);
+  void back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Duration> stated);
   void gone(const std::string& addr);
 
   size_t most_, idle_ = 0;
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -59,10 +59,10 @@
 class RealSpot final : public base::Spot, public std::enable_shared_from_this<RealSpot> {
  public:
   explicit RealSpot(asio::io_context& io) : io_(io) {}
-  bool park(Span s) override {
+  bool park(Duration s) override {
     if (woken_) {
       boost::this_fiber::yield();  // one that is always woken must not keep the others out
-    } else if (s > Span(0)) {
+    } else if (s > Duration(0)) {
       auto* me = parked_ = bf::context::active();
       Alarm a;
       a.set(std::chrono::steady_clock::now() + s, [this] { go(); });
@@ -237,10 +237,10 @@
 std::shared_ptr<base::Spot> make_spot() { return std::make_shared<RealSpot>(*tls_io); }
 std::shared_ptr<base::Spot> Pool::spot() { return make_spot(); }
 
-Tick RealClock::now() {
+TimePoint RealClock::now() {
   timespec t{};
   clock_gettime(CLOCK_BOOTTIME, &t);
-  return Tick(t.tv_sec * 1000 + t.tv_nsec / 1000000);
+  return TimePoint(t.tv_sec * 1000 + t.tv_nsec / 1000000);
 }
 
 int64_t RealClock::wall_ms() {
@@ -249,7 +249,7 @@
   return t.tv_sec * 1000LL + t.tv_nsec / 1000000;
 }
 
-void RealClock::nap(Span s) {
+void RealClock::nap(Duration s) {
   auto* me = bf::context::active();
   bool up = false;
   Alarm a;
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -78,9 +78,9 @@
 
 class RealClock final : public base::Clock {
  public:
-  Tick now() override;  // CLOCK_BOOTTIME
+  TimePoint now() override;  // CLOCK_BOOTTIME
   int64_t wall_ms() override;
-  void nap(Span s) override;
+  void nap(Duration s) override;
 };
 
 class RealChance final : public base::Chance {
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::seconds kKept(20);        // well before the other side drops it
 constexpr std::chrono::seconds kPruneEvery(5);
 constexpr std::chrono::seconds kReplyMoves(5);
-constexpr Span kDoor(50);  // how soon it is looked again whether there is room
+constexpr Duration kDoor(50);  // how soon it is looked again whether there is room
 constexpr size_t kFrameRoom = 64 << 10;
 
 using At = std::chrono::steady_clock::time_point;
@@ -138,7 +138,7 @@
 }
 }  // namespace
 
-std::variant<pb::Reply, base::NetDefect> PeerNet::ask(const std::string& addr, const pb::Ask& a, Span limit) {
+std::variant<pb::Reply, base::NetDefect> PeerNet::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
   auto t = now();
   prune(t);
   auto end = t + limit;
@@ -165,7 +165,7 @@
     bool timed = l->stopped();
     l->close();
     // A kept connection may have been ended for room just now. Asks may come twice, but for requests carried.
-    if (ec && reused && !timed && l->got().empty() && !a.has_carry()) return ask(addr, a, std::chrono::duration_cast<Span>(end - now()));
+    if (ec && reused && !timed && l->got().empty() && !a.has_carry()) return ask(addr, a, std::chrono::duration_cast<Duration>(end - now()));
     if (!ec) return base::NetDefect::garbled;
     return sent && timed ? base::NetDefect::timed_out
            : ec == boost::system::errc::bad_message ? base::NetDefect::garbled
@@ -201,7 +201,7 @@
       auto [ec] = await<>([&](auto k) { acc->async_accept(s, std::move(k)); });
       if (ec) {
         lg.warn("A peer's connection was lost while being taken: {}.", ec.message());
-        RealClock().nap(Span(50));
+        RealClock().nap(Duration(50));
         continue;
       }
       settle(s);
--- a/test/caller.cpp
+++ b/test/caller.cpp
@@ -108,7 +108,7 @@
     uint64_t all = static_cast<uint64_t>(FLAGS_rate) * static_cast<uint64_t>(FLAGS_seconds), turn = 0;
     for (uint64_t n = 0; n < all; ++n) {
       auto due = from + std::chrono::microseconds(n * 1000000 / static_cast<uint64_t>(FLAGS_rate));
-      auto wait = std::chrono::duration_cast<Span>(due - std::chrono::steady_clock::now());
+      auto wait = std::chrono::duration_cast<Duration>(due - std::chrono::steady_clock::now());
       if (wait > 0ms) clock.nap(wait);
       Relay* r = nullptr;
       for (size_t k = 0; k < relays.size() && !r; ++k) {
--- a/test/fault_stories.cpp
+++ b/test/fault_stories.cpp
@@ -8,7 +8,7 @@
 
 std::string body_of(Scene& s, const std::string& target) {
   std::string b;
-  s.f.until(Span(10000), [&] {
+  s.f.until(Duration(10000), [&] {
     auto t = s.f.tell("GET", target, "");
     b = t.status == 200 ? t.body : "";
     return t.status == 200;
@@ -19,15 +19,15 @@
 // The relay that acknowledged something is killed in that very moment, now and then
 // with the duty's holder; what it acknowledged is still there afterwards.
 void kill_after_ack(Scene& s) {
-  s.length = Span(120000);
+  s.length = Duration(120000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 30, sim_layout("\"1\",\"2\"", 3))) return;
     allow(s, "2");
     for (int i = 0; i < 2; ++i) s.f.add_worker("app", "2", 0);
-    s.f.nap(Span(3000));
+    s.f.nap(Duration(3000));
     auto acked = [&](const std::string& m, const std::string& target, const std::string& body) {
-      bool ok = s.f.until(Span(25000), [&] {
+      bool ok = s.f.until(Duration(25000), [&] {
         auto t = s.f.tell(m, target, body);
         if (t.status != 200 && t.status != 202) return false;
         ++s.w.met["acked"];
@@ -37,7 +37,7 @@
       });
       s.want(ok, target + " was not acknowledged");
       if (!ok) return;
-      s.f.nap(Span(s.w.below(1500)));
+      s.f.nap(Duration(s.w.below(1500)));
       s.f.start_all();
     };
     auto has = [&](const std::string& target, const std::string& what) {
@@ -57,38 +57,38 @@
       has("/v1/drains", n);
       auto beat = fmt::format(R"({{"service":"app","version":"1","instance":"{}","zone":"a","address":"10.9.9.9:1","leaving":true,"number":7,"period_ms":60000}})", n);
       acked("POST", "/v1/beats", beat);
-      s.f.nap(Span(2000));
+      s.f.nap(Duration(2000));
       has("/v1/workers", "\"" + n + "\"");
     }
     acked("PUT", "/v1/services/app", R"({"version":"2"})");
     has("/v1/services/app", "\"2\"");
     acked("PUT", "/v1/holders/x1", R"({"holder":true,"address":"peer:x1"})");
     has("/v1/holders", "x1");
-    s.f.nap(Span(3000));
+    s.f.nap(Duration(3000));
     s.f.event(R"("t":"returned")");
-    s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after the machines returned");
-    s.f.nap(Span(21000));
+    s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
+    s.f.nap(Duration(21000));
   };
 }
 
 // The only relay that a worker told that it leaves dies right after it acknowledged
 // that, and comes back knowing nothing; the worker says it no second time.
 void last_word(Scene& s) {
-  s.length = Span(110000);
+  s.length = Duration(110000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 80)) return;
     for (auto& x : s.f.workers()) x->period_ms = 3000;
     for (size_t i = 0; i < 6; ++i) {
       s.f.add_worker(s.f.workers()[i]->service, "1", s.f.workers()[i]->max_age).period_ms = 3000;
-      s.f.nap(Span(3500));
+      s.f.nap(Duration(3500));
       auto& w = *s.f.workers()[i];
       w.left = [&s](const std::string& by) {
         s.f.kill(by);
         s.f.start(by);
       };
       w.leaving = true;
-      s.f.nap(Span(9000));
+      s.f.nap(Duration(9000));
       w.alive = false;
     }
   };
@@ -97,7 +97,7 @@
 // One zone goes away whole, then both machines of the second tier; callers of the rest
 // go on, a layout is recorded meanwhile.
 void zone_lost(Scene& s) {
-  s.length = Span(120000);
+  s.length = Duration(120000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 60)) return;
@@ -106,15 +106,15 @@
       for (auto& h : s.f.hosts())
         if (is(*h)) gone.push_back(h->name);
       for (auto& n : gone) s.f.kill(n);
-      s.f.nap(Span(500));
+      s.f.nap(Duration(500));
       auto c = s.f.calls, g = s.f.good;
       put(s, fmt::format("without-{}", gone.front()), sim_layout("\"1\"", 3));
-      s.f.nap(Span(6000));
+      s.f.nap(Duration(6000));
       s.want((s.f.good - g) * 100 >= (s.f.calls - c) * 97, fmt::format("{} away: only {} of {} calls went well", what, s.f.good - g, s.f.calls - c));
       for (auto& n : gone) s.f.start(n);
       s.f.event(R"("t":"returned")");
-      s.want(serves(s, Span(15000)), std::string("no service after the return of ") + what);
-      s.f.nap(Span(20500));
+      s.want(serves(s, Duration(15000)), std::string("no service after the return of ") + what);
+      s.f.nap(Duration(20500));
     };
     part("a zone", [&](sim::Host& h) { return h.zone == "a"; });
     part("the second tier", [&](sim::Host& h) { return h.shield; });
@@ -124,7 +124,7 @@
 // The disk of whoever holds the leadership turns slow, again and again; releases, trials and
 // purges go on.
 void slow_duty(Scene& s) {
-  s.length = Span(120000);
+  s.length = Duration(120000);
   s.must_meet = {"slow_disk"};
   s.story = [&s] {
     if (!begin(s, 80)) return;
@@ -132,21 +132,21 @@
     std::string last;
     for (int i = 0; i < 10; ++i) {
       if (auto* h = duty_holder(s)) {
-        if (!last.empty()) s.f.at(last).platter.least = Span(1), s.f.at(last).platter.most = Span(4);
+        if (!last.empty()) s.f.at(last).platter.least = Duration(1), s.f.at(last).platter.most = Duration(4);
         last = h->name;
-        h->platter.least = Span(400);
-        h->platter.most = Span(2500);
+        h->platter.least = Duration(400);
+        h->platter.most = Duration(2500);
       }
       purge(s, fmt::format("p{}", i), "prefix", "/c/");
-      s.f.nap(Span(4000));
+      s.f.nap(Duration(4000));
     }
-    s.want(reach(s, "second", "DONE", Span(60000)), "a slow disk at the duty's holder held a release up: " + release_state(s, "second").text());
+    s.want(reach(s, "second", "DONE", Duration(60000)), "a slow disk at the duty's holder held a release up: " + release_state(s, "second").text());
   };
 }
 
 // A storm of purges while relays are cut off and come back, one way and both.
 void storm_cut(Scene& s) {
-  s.length = Span(80000);
+  s.length = Duration(80000);
   s.must_meet = {"cut"};
   s.story = [&s] {
     if (!begin(s, 60)) return;
@@ -161,27 +161,27 @@
       }
       for (int k = 0; k < 40; ++k)
         s.f.outside([&s, i, k] { purge(s, fmt::format("s{}-{}", i, k), k % 3 ? "path" : "prefix", fmt::format("/c/{}", k % 20)); });
-      s.f.nap(Span(500 + s.w.below(4000)));
+      s.f.nap(Duration(500 + s.w.below(4000)));
       s.w.mend();
-      s.f.nap(Span(s.w.below(1500)));
+      s.f.nap(Duration(s.w.below(1500)));
     }
     s.f.event(R"("t":"returned")");
-    s.want(serves(s, Span(15000)), "no service after the cuts");
-    s.f.nap(Span(20500));
+    s.want(serves(s, Duration(15000)), "no service after the cuts");
+    s.f.nap(Duration(20500));
   };
 }
 
 // Workers are replaced one by one while a layout rolls out and a service moves to a
 // new version; invalid layouts come in between.
 void busy_evening(Scene& s) {
-  s.length = Span(150000);
+  s.length = Duration(150000);
   s.story = [&s] {
     if (!begin(s, 100, sim_layout("\"1\",\"2\"", 3))) return;
     allow(s, "2");
     for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0);
-    s.f.nap(Span(2500));
+    s.f.nap(Duration(2500));
     put(s, "second", sim_layout("\"1\",\"2\"", 2));
-    s.want(s.f.until(Span(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; }), "the move was not taken");
+    s.want(s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; }), "the move was not taken");
     auto calls = s.f.calls, good = s.f.good;
     static const char* const bad[] = {"{", "[]", R"({"content":{"services":{},"routes":[]},"holds":{"one_min":1}})",
                                       R"({"content":{"services":{"a":{"versions":["1"]}},"routes":[{"prefix":"/","service":"b"}]}})",
@@ -193,22 +193,22 @@
       s.f.add_worker(old.service, old.version, old.max_age);
       auto t = s.f.tell("PUT", fmt::format("/v1/releases/layout/bad{}", i), bad[i % std::size(bad)]);
       s.want(t.lost || t.status == 422 || t.status == 503, fmt::format("an invalid layout gave {} {}", t.status, t.body));
-      s.f.nap(Span(1500));
+      s.f.nap(Duration(1500));
       s.f.workers()[i]->leaving = true;
-      s.f.nap(Span(3500));
+      s.f.nap(Duration(3500));
       s.f.workers()[i]->alive = false;
     }
     calls = s.f.calls - calls;
     good = s.f.good - good;
     s.want(good * 1000 >= calls * 998, fmt::format("only {} of {} calls went well", good, calls));
-    s.want(reach(s, "second", "DONE", Span(60000)), "the layout did not run everywhere");
-    s.want(s.f.until(Span(60000), [&] { return body_of(s, "/v1/services/app").find("\"current\":\"2\"") != std::string::npos; }), "the move did not end");
+    s.want(reach(s, "second", "DONE", Duration(60000)), "the layout did not run everywhere");
+    s.want(s.f.until(Duration(60000), [&] { return body_of(s, "/v1/services/app").find("\"current\":\"2\"") != std::string::npos; }), "the move did not end");
   };
 }
 
 // A node is assigned a release that it cannot load: it may not go on under the old one.
 void unloadable(Scene& s) {
-  s.length = Span(40000);
+  s.length = Duration(40000);
   s.story = [&s] {
     if (!begin(s, 60)) return;
     auto* h = &s.f.at("e1");
@@ -225,13 +225,13 @@
         (*a.mutable_releases())["layout"] = "nowhere";
         *ok = std::holds_alternative<consensus::VersionedValue>(h->node->registers().write(rollout::kRolloutKey, held->version, r.SerializeAsString()));
       });
-      s.f.nap(Span(300));
+      s.f.nap(Duration(300));
     }
     s.want(*ok, "the assignment was not written");
-    s.f.nap(Span(2000));
+    s.f.nap(Duration(2000));
     s.want(!h->node->ready(), "a node serves on under a layout that it was taken off");
     for (int i = 0; i < 10; ++i) s.want(s.f.call("GET", "/a/1", "", h) == 503, "it took a request under the old layout");
-    s.f.nap(Span(3000));
+    s.f.nap(Duration(3000));
   };
 }
 }  // namespace
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -291,7 +291,7 @@
   return last;
 }
 
-bool Fleet::until(Span most, const std::function<bool()>& what) {
+bool Fleet::until(Duration most, const std::function<bool()>& what) {
   auto end = clock.now() + most;
   while (clock.now() < end) {
     if (what()) return true;
@@ -300,7 +300,7 @@
   return what();
 }
 
-bool Fleet::all_ready(Span most) {
+bool Fleet::all_ready(Duration most) {
   return until(most, [&] {
     for (size_t i = 0; i < ms_.size(); ++i)
       if (auto& m = ms_[i]; m.kind != "worker" && m.pid > 0 && !m.frozen && http(m.name, "GET", "/readyz").status != 200) return false;
@@ -308,7 +308,7 @@
   });
 }
 
-bool Fleet::layout_everywhere(const std::string& name, Span most) {
+bool Fleet::layout_everywhere(const std::string& name, Duration most) {
   return until(most, [&] {
     auto r = any("GET", "/v1/releases/layout/" + name);
     auto p = base::Json::parse(r.body);
--- a/test/fleet.hpp
+++ b/test/fleet.hpp
@@ -58,9 +58,9 @@
   base::Receipt http(const std::string& node, const std::string& method, const std::string& target,
                      const std::string& body = {}, std::vector<std::pair<std::string, std::string>> hs = {});
   base::Receipt any(const std::string& method, const std::string& target, const std::string& body = {});
-  bool until(Span most, const std::function<bool()>& what);  // polls a condition
-  bool all_ready(Span most);
-  bool layout_everywhere(const std::string& name, Span most);
+  bool until(Duration most, const std::function<bool()>& what);  // polls a condition
+  bool all_ready(Duration most);
+  bool layout_everywhere(const std::string& name, Duration most);
   void event(const std::string& json_fields);
 
   Links& links() { return links_; }
--- a/test/limit_stories.cpp
+++ b/test/limit_stories.cpp
@@ -10,13 +10,13 @@
 void trouble_in_trial(Scene& s) {
   s.f.outside([&s] {
     auto how = s.w.below(4);
-    if (!s.f.until(Span(40000), [&] { return s.w.met["bad_answer"] >= 30 + s.w.below(20); })) return;
+    if (!s.f.until(Duration(40000), [&] { return s.w.met["bad_answer"] >= 30 + s.w.below(20); })) return;
     std::vector<std::string> pair;
     if (auto* h = duty_holder(s)) pair = {h->name, h->node->leadership().known().understudy()};
     for (auto& n : pair) {
       if (n.empty()) continue;
       if (how == 0) s.f.kill(n);
-      if (how == 1) s.w.freeze(n, s.w.now() + Span(20000));
+      if (how == 1) s.w.freeze(n, s.w.now() + Duration(20000));
       if (how == 2) s.f.cut_off(n);
     }
     if (how == 3)
@@ -25,20 +25,20 @@
           s.f.kill(h->name);
           s.f.start(h->name);
         }
-    s.f.nap(Span(15000));
+    s.f.nap(Duration(15000));
     s.w.mend();
     s.f.start_all();
   });
 }
 
 void move_to(Scene& s, int bad, bool trouble = false, int old_bad = 0) {
-  s.length = Span(110000);
+  s.length = Duration(110000);
   s.story = [&s, bad, trouble, old_bad] {
     if (!begin(s, 150, sim_layout("\"1\",\"2\"", 4))) return;
     allow(s, "2");
     for (int i = 0; i < 2; ++i) s.f.add_worker("app", "2", 0).bad_percent = bad;
-    s.f.nap(Span(2500));
-    bool took = s.f.until(Span(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
+    s.f.nap(Duration(2500));
+    bool took = s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
     s.want(took, "the move was not taken");
     for (auto& x : s.f.workers())
       if (x->service == "app" && x->version == "1") x->bad_percent = old_bad;
@@ -49,19 +49,19 @@
       auto* j = std::get_if<base::Json>(&p);
       return j ? *j : base::Json();
     };
-    bool end = s.f.until(Span(60000), [&] {
+    bool end = s.f.until(Duration(60000), [&] {
       auto j = state();
       return bad ? !j.at("quarantined").at("2").str().empty() : j.at("current").str() == "2";
     });
     s.want(end, "the move did not come to its end: " + state().text());
-    if (bad) s.f.nap(Span(10000));
+    if (bad) s.f.nap(Duration(10000));
     if (bad) s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 409, "a quarantined version came back unasked");
   };
 }
 
 // Workers lose half their answers while relays are restarted again and again.
 void repeat_storm(Scene& s) {
-  s.length = Span(40000);
+  s.length = Duration(40000);
   s.must_meet = {"bad_answer", "kill"};
   s.story = [&s] {
     auto doc = sim_layout("\"1\"", 1);
@@ -69,32 +69,32 @@
     doc.replace(doc.rfind("\"deadline_ms\":2000"), 18, R"("deadline_ms":700)");
     if (!begin(s, 60, doc)) return;
     for (auto& x : s.f.workers()) x->bad_percent = 100;
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     if (s.f.hosts().size() > 20) return;
     for (int round = 0; round < 4; ++round) {
       for (auto& h : s.f.hosts()) s.f.kill(h->name);
       s.f.start_all();
-      s.f.nap(Span(2200));
+      s.f.nap(Duration(2200));
     }
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
   };
 }
 
 // Whoever is turned away is told so early: behind workers that hang, behind another's
 // fetch that hangs, on a waitlist that stops moving, at an origin's pace.
 void given_up(Scene& s) {
-  s.length = Span(60000);
-  s.away_within = Span(1200);  // of a deadline of 2000
+  s.length = Duration(60000);
+  s.away_within = Duration(1200);  // of a deadline of 2000
   s.story = [&s] {
     auto doc = sim_layout("\"1\"", 1, 20);
     for (auto at : {doc.rfind("\"deadline_ms\""), doc.find("\"deadline_ms\"")}) doc.insert(at, R"("inflight":3,"waitlist":40,)");
     if (!begin(s, 100, doc)) return;
-    s.f.nap(Span(3000));
+    s.f.nap(Duration(3000));
     for (int round = 0; round < 5; ++round) {
-      for (auto& x : s.f.workers()) x->least = Span(9000), x->most = Span(9500);
-      s.f.nap(Span(1500 + s.w.below(3000)));
-      for (auto& x : s.f.workers()) x->least = Span(200), x->most = Span(500);
-      s.f.nap(Span(3000));
+      for (auto& x : s.f.workers()) x->least = Duration(9000), x->most = Duration(9500);
+      s.f.nap(Duration(1500 + s.w.below(3000)));
+      for (auto& x : s.f.workers()) x->least = Duration(200), x->most = Duration(500);
+      s.f.nap(Duration(3000));
     }
   };
 }
@@ -102,31 +102,31 @@
 // Callers crowd one relay, then another; the origin's rate holds over all, and
 // the share follows the demand.
 void slow_origin(Scene& s) {
-  s.length = Span(80000);
-  s.away_within = Span(1200);
+  s.length = Duration(80000);
+  s.away_within = Duration(1200);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 20, sim_layout("\"1\"", 4, 30))) return;
     s.f.event(R"("t":"rate","service":"app","n":30)");
     auto at = std::make_shared<std::string>("e1");
     auto n = std::make_shared<std::pair<uint64_t, uint64_t>>();
-    s.f.callers(60, s.w.now() + Span(60000), [&s, at, n] {
+    s.f.callers(60, s.w.now() + Duration(60000), [&s, at, n] {
       auto& h = s.f.at(*at);
       if (!h.up() || !h.node->ready()) return;
       ++n->first;
       n->second += s.f.call("GET", fmt::format("/a/{}", s.w.below(10000)), "", &h) == 200;
     });
-    s.f.nap(Span(15000));
+    s.f.nap(Duration(15000));
     n->first = n->second = 0;
-    s.f.nap(Span(10000));
+    s.f.nap(Duration(10000));
     // The crowd alone asks 60 a second of 30; an even split would give it 3.
     s.want(n->second > 120, fmt::format("only {} of {} got through where the demand is", n->second, n->first));
     s.figures["through_in_10s"] = n->second;
     *at = "e3";
     s.f.kill("e1");
-    s.f.nap(Span(15000));
+    s.f.nap(Duration(15000));
     n->first = n->second = 0;
-    s.f.nap(Span(10000));
+    s.f.nap(Duration(10000));
     s.figures["followed_in_10s"] = n->second;
     s.want(n->second > 120, fmt::format("the share did not follow: {} of {}", n->second, n->first));
   };
@@ -136,7 +136,7 @@
 // many naps due, all relays restarted at once, cuts, the leadership changing hands, and a
 // layout that lowers the rate to a third.
 void pace_faults(Scene& s) {
-  s.length = Span(90000);
+  s.length = Duration(90000);
   s.must_meet = {"kill", "freeze", "cut"};
   s.story = [&s] {
     auto doc = [](int rate, const char* more) {
@@ -146,31 +146,31 @@
     };
     if (!begin(s, 20, doc(30, ""))) return;
     s.f.event(R"("t":"rate","service":"app","n":30)");
-    s.f.callers(60, s.w.now() + Span(75000), [&s] { s.f.call("GET", fmt::format("/a/{}", s.w.below(10000))); });
-    s.f.nap(Span(8000));
+    s.f.callers(60, s.w.now() + Duration(75000), [&s] { s.f.call("GET", fmt::format("/a/{}", s.w.below(10000))); });
+    s.f.nap(Duration(8000));
     for (int i = 0; i < 8; ++i) {
       for (auto& h : s.f.hosts())
-        if (s.w.chance(500)) s.w.freeze(h->name, s.w.now() + Span(300 + s.w.below(1000)));
-      s.f.nap(Span(1000 + s.w.below(1500)));
+        if (s.w.chance(500)) s.w.freeze(h->name, s.w.now() + Duration(300 + s.w.below(1000)));
+      s.f.nap(Duration(1000 + s.w.below(1500)));
     }
     for (int i = 0; i < 4; ++i) {
       for (auto& h : s.f.hosts()) s.f.kill(h->name);
       s.f.start_all();
-      s.f.nap(Span(1800));
+      s.f.nap(Duration(1800));
     }
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     for (int i = 0; i < 3; ++i) {
       if (auto* h = duty_holder(s)) s.f.cut_off(h->name);
-      s.f.nap(Span(6000));
+      s.f.nap(Duration(6000));
       s.w.mend();
-      s.f.nap(Span(1500));
+      s.f.nap(Duration(1500));
     }
     put(s, "slower", doc(10, R"(,"express":"the origin is in trouble")"));
     pb::Rollout r;
-    s.want(s.f.until(Span(8000), [&] { return rollout_seen(s, r) && r.in_force().at("layout") == "slower"; }), "the lower rate did not come in force");
-    s.f.nap(Span(2000));
+    s.want(s.f.until(Duration(8000), [&] { return rollout_seen(s, r) && r.in_force().at("layout") == "slower"; }), "the lower rate did not come in force");
+    s.f.nap(Duration(2000));
     s.f.event(R"("t":"rate","service":"app","n":10)");
-    s.f.nap(Span(12000));
+    s.f.nap(Duration(12000));
   };
 }
 
@@ -179,43 +179,43 @@
 void share_waits(Scene& s) {
   struct Seen {
     int early = 0, refused = 0;
-    Span longest{0};
-    Tick back{0};  // requests within a second of it count
+    Duration longest{0};
+    TimePoint back{0};  // requests within a second of it count
   };
-  s.length = Span(75000);
+  s.length = Duration(75000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 10, sim_layout("\"1\"", 4, 300))) return;
     s.f.event(R"("t":"rate","service":"app","n":300)");
     auto x = std::make_shared<Seen>();
     for (std::string e : {"e1", "e2", "e3", "e4"})
-      s.f.callers(25, s.w.now() + Span(60000), [&s, x, e] {
+      s.f.callers(25, s.w.now() + Duration(60000), [&s, x, e] {
         auto& h = s.f.at(e);
         if (!h.up() || !h.node->ready()) return;
         auto at = s.w.now();
-        bool counts = e == "e1" && x->back > Tick(0) && at - x->back < Span(1000);
+        bool counts = e == "e1" && x->back > TimePoint(0) && at - x->back < Duration(1000);
         int got = s.f.call("GET", fmt::format("/a/{}", s.w.below(10000)), "", &h);
         if (!counts) return;
         ++x->early;
         x->refused += got != 200;
-        x->longest = std::max(x->longest, Span(s.w.now() - at));
+        x->longest = std::max(x->longest, Duration(s.w.now() - at));
       });
-    s.f.nap(Span(15000));
+    s.f.nap(Duration(15000));
     for (int i = 0; i < 3; ++i) {
       s.f.kill("e1");
-      s.f.nap(Span(6000 + s.w.below(3000)));
+      s.f.nap(Duration(6000 + s.w.below(3000)));
       s.f.start("e1");
-      s.want(s.f.until(Span(8000), [&] { return s.f.at("e1").node->ready(); }), "the relay did not come back");
+      s.want(s.f.until(Duration(8000), [&] { return s.f.at("e1").node->ready(); }), "the relay did not come back");
       x->back = s.w.now();
-      s.f.nap(Span(4000));
-      x->back = Tick(0);
+      s.f.nap(Duration(4000));
+      x->back = TimePoint(0);
     }
     s.figures["early"] = static_cast<uint64_t>(x->early);
     s.figures["refused"] = static_cast<uint64_t>(x->refused);
     s.figures["longest_ms"] = static_cast<uint64_t>(x->longest.count());
     s.want(x->early >= 60, fmt::format("only {} requests came in the first seconds", x->early));
     s.want(!x->refused, fmt::format("{} of {} requests right after a restart were turned away", x->refused, x->early));
-    s.want(x->longest < Span(150), fmt::format("a request waited {} ms right after a restart", x->longest.count()));
+    s.want(x->longest < Duration(150), fmt::format("a request waited {} ms right after a restart", x->longest.count()));
   };
 }
 
@@ -225,28 +225,28 @@
   struct Seen {
     int asked = 0, refused = 0;
   };
-  s.length = Span(75000);
+  s.length = Duration(75000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 20, sim_layout("\"1\"", 4, 150))) return;
     s.f.event(R"("t":"rate","service":"app","n":150)");
     auto x = std::make_shared<Seen>();
-    s.f.callers(70, s.w.now() + Span(60000), [&s, x] {
+    s.f.callers(70, s.w.now() + Duration(60000), [&s, x] {
       auto& h = s.f.at("e1");
       if (!h.node->ready()) return;
       ++x->asked;
       x->refused += s.f.call("GET", fmt::format("/a/{}", s.w.below(10000)), "", &h) != 200;
     });
-    s.f.nap(Span(20000));
+    s.f.nap(Duration(20000));
     *x = {};
     for (int i = 0; i < 3; ++i) {
       auto* h = duty_holder(s);
       if (!h) continue;
       auto name = h->name;
       s.f.kill(name);
-      s.f.nap(Span(2000 + s.w.below(3000)));
+      s.f.nap(Duration(2000 + s.w.below(3000)));
       s.f.start(name);
-      s.f.nap(Span(8000));
+      s.f.nap(Duration(8000));
     }
     s.figures["asked"] = static_cast<uint64_t>(x->asked);
     s.figures["refused"] = static_cast<uint64_t>(x->refused);
--- a/test/load_scenarios.cpp
+++ b/test/load_scenarios.cpp
@@ -55,7 +55,7 @@
     for (int i = 0; i < 5; ++i) {
       auto n = r.f.machines()[rng() % 12].name;
       r.f.freeze(n);
-      r.f.clock.nap(Span(300 + rng() % 2500));
+      r.f.clock.nap(Duration(300 + rng() % 2500));
       r.f.thaw(n);
       auto k = r.f.machines()[rng() % 12].name;
       r.f.kill(k);
@@ -82,7 +82,7 @@
       for (int k = 0; k < 25; ++k, ++all)
         done += purge(r, fmt::format("s{}-{}", i, k), k % 4 ? "path" : "prefix", fmt::format("{}{}", base, rng() % 20));
       r.f.links().mend_all();
-      r.f.clock.nap(Span(rng() % 1500));
+      r.f.clock.nap(Duration(rng() % 1500));
     }
     std::cout << "purges acknowledged: " << done << " of " << all << "\n";
     return say(done * 10 >= all * 9, "the storm of purges was taken") && ready_again(r, "all relays are ready after it");
@@ -116,7 +116,7 @@
   allow(r, "1");
   return calls(r, [&] {
     int won = 0, lost = 0, odd = 0, invalid = 0, named = 0;
-    auto end = r.f.clock.now() + Span(r.seconds * 1000 - 8000);
+    auto end = r.f.clock.now() + Duration(r.seconds * 1000 - 8000);
     for (int i = 0; r.f.clock.now() < end; ++i) {
       auto name = fmt::format("race{}", i);
       for (int k = 0; k < 2; ++k) {
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -5,18 +5,18 @@
 namespace {
 
 void calm(Scene& s) {
-  s.length = Span(110000);
+  s.length = Duration(110000);
   s.story = [&s] {
     if (!begin(s, 60)) return;
     put(s, "second", sim_layout("\"1\"", 3));
-    s.want(reach(s, "second", "DONE", Span(90000)), "the second layout did not run everywhere, it is " + phase(s, "second"));
+    s.want(reach(s, "second", "DONE", Duration(90000)), "the second layout did not run everywhere, it is " + phase(s, "second"));
     s.want(s.f.good * 100 > s.f.calls * 99, fmt::format("only {} of {} calls went well", s.f.good, s.f.calls));
   };
 }
 
 // ReplicaSetView and others are killed at random, also right after they acknowledged.
 void kills(Scene& s) {
-  s.length = Span(80000);
+  s.length = Duration(80000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s)) return;
@@ -24,39 +24,39 @@
     for (int i = 0; i < 12; ++i) {
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       if (may_fall(s, *h)) s.f.kill(h->name);
-      s.f.nap(Span(300 + s.w.below(2500)));
+      s.f.nap(Duration(300 + s.w.below(2500)));
       for (auto& x : s.f.hosts())
         if (!x->up() && s.w.chance(600)) s.f.start(x->name);
     }
     s.f.start_all();
     s.f.event(R"("t":"returned")");
-    s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after the machines returned");
+    s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
     s.want(s.f.tell("GET", "/v1/releases/layout/second", "").status == 200, "an acknowledged layout is gone");
-    s.f.nap(Span(15000));
+    s.f.nap(Duration(15000));
   };
 }
 
 void all_at_once(Scene& s) {
-  s.length = Span(80000);
+  s.length = Duration(80000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s)) return;
     put(s, "second", sim_layout("\"1\"", 3));
     for (int k = 0; k < 2; ++k) {
       for (auto& h : s.f.hosts()) s.f.kill(h->name);
-      s.f.nap(Span(500 + s.w.below(3000)));
+      s.f.nap(Duration(500 + s.w.below(3000)));
       s.f.start_all();
       s.f.event(R"("t":"returned")");
-      s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after a restart of all");
+      s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after a restart of all");
       s.want(s.f.tell("GET", "/v1/releases/layout/second", "").status == 200, "an acknowledged layout is gone");
-      s.f.nap(Span(1000 + s.w.below(12000)));
+      s.f.nap(Duration(1000 + s.w.below(12000)));
     }
   };
 }
 
 // One machine after the other loses its disk and comes back blank.
 void lost_disks(Scene& s) {
-  s.length = Span(100000);
+  s.length = Duration(100000);
   s.must_meet = {"lost_disk"};
   s.story = [&s] {
     if (!begin(s)) return;
@@ -65,9 +65,9 @@
       put(s, fmt::format("r{}", i), sim_layout("\"1\"", 3 + i));
       s.f.kill(name);
       s.f.wipe(name);
-      s.f.nap(Span(10 + s.w.below(3000)));
+      s.f.nap(Duration(10 + s.w.below(3000)));
       s.f.start(name);
-      bool back = s.f.until(Span(10000), [&] { return !s.f.at(name).node->acceptor()->mute(); });
+      bool back = s.f.until(Duration(10000), [&] { return !s.f.at(name).node->acceptor()->mute(); });
       s.want(back, name + " was not refilled");
       for (int k = 0; k <= i; ++k)
         s.want(s.f.tell("GET", fmt::format("/v1/releases/layout/r{}", k), "").status == 200, "an acknowledged layout is gone");
@@ -76,24 +76,24 @@
 }
 
 void freezes(Scene& s) {
-  s.length = Span(80000);
+  s.length = Duration(80000);
   s.must_meet = {"freeze"};
   s.story = [&s] {
     if (!begin(s)) return;
     put(s, "second", sim_layout("\"1\"", 3));
     for (int i = 0; i < 10; ++i) {
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
-      s.w.freeze(h->name, s.w.now() + Span(500 + s.w.below(8000)));
+      s.w.freeze(h->name, s.w.now() + Duration(500 + s.w.below(8000)));
       if (s.w.chance(500)) purge(s, fmt::format("p{}", i), "prefix", "/c/");
-      s.f.nap(Span(500 + s.w.below(5000)));
+      s.f.nap(Duration(500 + s.w.below(5000)));
     }
-    s.want(serves(s, Span(20000)), "the fleet did not serve again after the freezes");
+    s.want(serves(s, Duration(20000)), "the fleet did not serve again after the freezes");
   };
 }
 
 // The core is split, one way and both; the small side must turn away.
 void splits(Scene& s) {
-  s.length = Span(90000);
+  s.length = Duration(90000);
   s.must_meet = {"cut"};
   s.story = [&s] {
     if (!begin(s)) return;
@@ -107,27 +107,27 @@
           if (!one_way) s.w.cut(b, a);
         }
       auto name = fmt::format("p{}", i);
-      s.f.nap(Span(500 + s.w.below(2000)));
+      s.f.nap(Duration(500 + s.w.below(2000)));
       purge(s, name, "service", "");
-      s.f.nap(Span(1000 + s.w.below(6000)));
+      s.f.nap(Duration(1000 + s.w.below(6000)));
       s.w.mend();
       s.f.event(R"("t":"returned")");
-      s.want(serves(s, Span(15000)), "the fleet did not serve again after a split");
-      s.f.nap(Span(1000));
+      s.want(serves(s, Duration(15000)), "the fleet did not serve again after a split");
+      s.f.nap(Duration(1000));
     }
   };
 }
 
 void bad_network(Scene& s) {
-  s.length = Span(70000);
+  s.length = Duration(70000);
   s.must_meet = {"loss", "twice"};
   s.story = [&s] {
-    s.w.weather = {30, 30, Span(1), Span(40)};
+    s.w.weather = {30, 30, Duration(1), Duration(40)};
     if (!begin(s)) return;
     put(s, "second", sim_layout("\"1\"", 3));
     for (int i = 0; i < 10; ++i) {
       purge(s, fmt::format("p{}", i), "prefix", "/c/1");
-      s.f.nap(Span(3000));
+      s.f.nap(Duration(3000));
     }
   };
 }
@@ -137,11 +137,11 @@
 // Two machines that hold state are replaced by two others, one after the other,
 // while layouts are recorded and machines fail; nothing acknowledged is lost.
 void replaced_holders(Scene& s) {
-  s.length = Span(120000);
+  s.length = Duration(120000);
   s.must_meet = {"kill", "loss"};
   s.story = [&s] {
     if (!begin(s)) return;
-    s.w.weather = {10, 10, Span(1), Span(15)};
+    s.w.weather = {10, 10, Duration(1), Duration(15)};
     auto stop = std::make_shared<bool>(false);
     auto acked = std::make_shared<std::map<std::string, std::string>>();
     s.f.outside([&s, stop, acked] {
@@ -149,36 +149,36 @@
         auto name = fmt::format("r{}", i);
         auto doc = sim_layout("\"1\"", 1 + i % 9);
         if (s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status == 202) (*acked)[name] = doc;
-        s.f.nap(Span(300 + s.w.below(700)));
+        s.f.nap(Duration(300 + s.w.below(700)));
       }
     });
     for (int k = 1; k <= 2; ++k) {
       auto in = fmt::format("x{}", k), out = fmt::format("h{}", k);
       auto state = [&](const std::string& n, bool on) {
         auto body = on ? fmt::format(R"({{"holder":true,"address":"peer:{}"}})", n) : std::string(R"({"holder":false})");
-        bool ok = s.f.until(Span(20000), [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
+        bool ok = s.f.until(Duration(20000), [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
         s.want(ok, "the set of holders could not be changed for " + n);
       };
       s.f.kill(out);  // the machine is gone for good
       state(in, true);
-      s.want(s.f.until(Span(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
+      s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
       state(out, false);
-      s.f.nap(Span(1000 + s.w.below(2000)));
+      s.f.nap(Duration(1000 + s.w.below(2000)));
     }
     s.f.start("h1");  // the old machine comes back, and nobody counts its votes
     // Three of the five of now; without the two new ones there would be no majority.
     s.f.kill("h3");
     s.f.kill("h4");
-    s.f.nap(Span(5000));
+    s.f.nap(Duration(5000));
     auto n = acked->size();
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     s.want(acked->size() > n, "two of the five present holders lost, and control stood still");
     *stop = true;
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     s.w.weather = s.f.calm();
     s.f.start("h3");
     s.f.start("h4");
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     for (auto& h : s.f.hosts())
       if (h->up()) knows(s, *h, *acked);
     auto p = base::Json::parse(s.f.tell("GET", "/v1/holders", "").body);
@@ -191,7 +191,7 @@
 // A relay that missed every change of the set writes with the holders it still
 // knows, two of which are long removed and come back just then.
 void stale_set(Scene& s) {
-  s.length = Span(90000);
+  s.length = Duration(90000);
   s.must_meet = {"kill", "cut"};
   s.story = [&s] {
     if (!begin(s)) return;
@@ -199,15 +199,15 @@
     for (int k = 1; k <= 2; ++k) {
       auto in = fmt::format("x{}", k), out = fmt::format("h{}", k);
       auto state = [&](const std::string& n, const std::string& body) {
-        bool ok = s.f.until(Span(20000), [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
+        bool ok = s.f.until(Duration(20000), [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
         s.want(ok, "the set of holders could not be changed for " + n);
       };
       s.f.kill(out);
       state(in, fmt::format(R"({{"holder":true,"address":"peer:{}"}})", in));
-      s.want(s.f.until(Span(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
+      s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
       state(out, R"({"holder":false})");
     }
-    s.f.nap(Span(3000));
+    s.f.nap(Duration(3000));
     auto wins = std::make_shared<std::vector<std::string>>();
     auto ends = std::make_shared<int>(0);
     auto write = [&](const std::string& host) {
@@ -226,16 +226,16 @@
     for (auto* h : {"h1", "h2"})
       for (auto& x : s.f.hosts())
         if (x->name != h) s.w.cut(h, x->name), s.w.cut(x->name, h);
-    s.f.nap(Span(300));
+    s.f.nap(Duration(300));
     s.w.cut("e1", "h3");
     s.w.cut("h3", "e1");
     for (auto* h : {"h1", "h2", "h3"}) s.w.join("e4", h);
     write("e4");
     write("e1");
-    s.want(s.f.until(Span(10000), [&] { return *ends == 2; }), "a write did not come back");
+    s.want(s.f.until(Duration(10000), [&] { return *ends == 2; }), "a write did not come back");
     s.want(wins->size() <= 1, "two writers won the same version, one with a set long gone");
     s.w.mend();
-    s.f.nap(Span(5000));
+    s.f.nap(Duration(5000));
   };
 }
 }  // namespace
--- a/test/measure/delays.cpp
+++ b/test/measure/delays.cpp
@@ -20,7 +20,7 @@
   }
 };
 
-void play(uint64_t seed, sim::FleetShape shape, Span length, const std::function<void(Scene&)>& story) {
+void play(uint64_t seed, sim::FleetShape shape, Duration length, const std::function<void(Scene&)>& story) {
   sim::World w(seed);
   sim::Fleet f(w, shape);
   Scene s{w, f, {}};
@@ -30,7 +30,7 @@
   });
   if (!s.why.empty()) std::cout << "seed " << seed << ": " << s.why << "\n";
   f.end();
-  w.run(w.now() + Span(20000), nullptr, nullptr);
+  w.run(w.now() + Duration(20000), nullptr, nullptr);
 }
 
 }  // namespace
@@ -41,11 +41,11 @@
     for (int k = 1; k <= seeds; ++k) {
       sim::FleetShape shape;
       shape.edges = edges;
-      play(static_cast<uint64_t>(k), shape, Span(30000), [&](Scene& s) {
+      play(static_cast<uint64_t>(k), shape, Duration(30000), [&](Scene& s) {
         if (!begin(s, 100)) return;
-        s.f.nap(Span(2000));
+        s.f.nap(Duration(2000));
         auto m = s.w.messages, b = s.w.bytes;
-        s.f.nap(Span(10000));
+        s.f.nap(Duration(10000));
         double per = 10.0 * (edges + 5);
         msgs.v.push_back(static_cast<double>(s.w.messages - m) / per);
         bytes.v.push_back(static_cast<double>(s.w.bytes - b) / per);
@@ -59,7 +59,7 @@
 // Milliseconds until the condition holds on every host that is up.
 double till_all(Scene& s, const std::function<bool(sim::Host&)>& ok) {
   auto from = s.w.now();
-  s.f.until(Span(20000), [&] {
+  s.f.until(Duration(20000), [&] {
     for (auto& h : s.f.hosts())
       if (h->up() && !ok(*h)) return false;
     return true;
@@ -68,14 +68,14 @@
 }
 
 // How long callers of the others went without a good answer.
-double gap(Scene& s, const std::function<void()>& harm, Span look) {
+double gap(Scene& s, const std::function<void()>& harm, Duration look) {
   harm();
   auto end = s.w.now() + look;
-  Tick last = s.w.now();
+  TimePoint last = s.w.now();
   double worst = 0;
   auto good = s.f.good;
   while (s.w.now() < end) {
-    s.f.nap(Span(20));
+    s.f.nap(Duration(20));
     if (s.f.good != good) {
       worst = std::max(worst, static_cast<double>((s.w.now() - last).count()));
       last = s.w.now();
@@ -91,10 +91,10 @@
   Figure purge_seen, assigned, holder, zone, all, quarantine, bad;
   for (int k = 1; k <= seeds * 4; ++k) {
     auto seed = static_cast<uint64_t>(k);
-    play(seed, {}, Span(70000), [&](Scene& s) {
+    play(seed, {}, Duration(70000), [&](Scene& s) {
       if (!begin(s, 100)) return;
       for (int i = 0; i < 3; ++i) {
-        s.f.nap(Span(1000 + s.w.below(1000)));
+        s.f.nap(Duration(1000 + s.w.below(1000)));
         purge(s, fmt::format("p{}", i), "service", "");
         auto want = static_cast<uint64_t>(i + 1);
         purge_seen.v.push_back(till_all(s, [&](sim::Host& h) { return traffic::purge_number(*h.node->traffic().table(), "content") >= want; }));
@@ -102,32 +102,32 @@
       auto doc = sim_layout("\"1\"", 3, 0, R"(,"express":"measured")");
       put(s, "second", doc);
       pb::Rollout r;
-      s.f.until(Span(5000), [&] {
+      s.f.until(Duration(5000), [&] {
         rollout_seen(s, r);
         return r.in_force().count("layout") && r.in_force().at("layout") == "second";
       });
       assigned.v.push_back(till_all(s, [](sim::Host& h) { return h.node->release() == "second"; }));
-      holder.v.push_back(gap(s, [&] { s.f.kill("h1"); }, Span(6000)));
+      holder.v.push_back(gap(s, [&] { s.f.kill("h1"); }, Duration(6000)));
       s.f.start("h1");
-      s.f.nap(Span(3000));
+      s.f.nap(Duration(3000));
       zone.v.push_back(gap(s, [&] {
         for (auto& h : s.f.hosts())
           if (h->zone == "a") s.f.kill(h->name);
-      }, Span(6000)));
+      }, Duration(6000)));
       s.f.start_all();
-      s.f.nap(Span(5000));
+      s.f.nap(Duration(5000));
       all.v.push_back(gap(s, [&] {
         for (auto& h : s.f.hosts()) s.f.kill(h->name);
         s.f.start_all();
-      }, Span(10000)));
+      }, Duration(10000)));
     });
-    play(seed, {}, Span(60000), [&](Scene& s) {
+    play(seed, {}, Duration(60000), [&](Scene& s) {
       if (!begin(s, 150, sim_layout("\"1\",\"2\"", 4))) return;
       auto& x = s.f.add_worker("app", "2", 0);
       x.bad_percent = 70;
-      s.f.nap(Span(2500));
-      s.f.until(Span(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
-      s.f.until(Span(40000), [&] { return s.w.met["bad_answer"] >= 50; });
+      s.f.nap(Duration(2500));
+      s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
+      s.f.until(Duration(40000), [&] { return s.w.met["bad_answer"] >= 50; });
       quarantine.v.push_back(till_all(s, [](sim::Host& h) {
         auto t = h.node->traffic().table();
         auto f = t->states.find("app");
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -17,7 +17,7 @@
 class HollowNet final : public base::Net {
  public:
   HollowNet(Hollow& f, Node& me, sim::LifePtr l) : f_(f), me_(me), l_(std::move(l)) {}
-  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Span limit) override {
+  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
     auto t = std::make_shared<Talk>();
     auto to = f_.by.find(addr);
     auto& w = f_.w;
@@ -26,7 +26,7 @@
     if (++f_.asks % kSample == 0 && a.has_pull()) look(a.pull());
     if (to != f_.by.end() && !f_.cut(me_, *to->second))
       w.after(way(), [this, t, n = to->second, text = std::move(text)] { arrive(t, *n, text); });
-    Tick end = w.now() + limit;
+    TimePoint end = w.now() + limit;
     while (!t->reply && !t->refused && w.now() < end) w.park(l_, end - w.now(), t->wait);
     if (!t->reply) return t->refused ? base::NetDefect::unreachable : base::NetDefect::timed_out;
     pb::Reply r;
@@ -52,9 +52,9 @@
     for (auto& n : r.statuses()) f_.split.statuses += n.ByteSizeLong();
     for (auto& s : r.slots()) f_.split.slots += s.ByteSizeLong();
   }
-  Span way() {
+  Duration way() {
     auto most = static_cast<uint64_t>((f_.s.far - f_.s.near).count());
-    return f_.s.near + Span(f_.w.below(most + 1));
+    return f_.s.near + Duration(f_.w.below(most + 1));
   }
   void back(const std::shared_ptr<Talk>& t, Node& from, std::optional<std::string> r) {
     if (f_.cut(me_, from)) return;
@@ -89,7 +89,7 @@
 
 class NoOrigin final : public base::Origin {
  public:
-  bool reach(const std::string&, Span) override { return true; }
+  bool reach(const std::string&, Duration) override { return true; }
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
     return base::ShotDefect::unsent;
   }
@@ -156,7 +156,7 @@
 
 // Not in one instant: a fleet's pulls are spread over their span.
 void Hollow::start_all() {
-  for (auto& n : nodes) w.after(Span(w.below(250)), [this, p = n.get()] { start(*p); });
+  for (auto& n : nodes) w.after(Duration(w.below(250)), [this, p = n.get()] { start(*p); });
 }
 
 void Hollow::kill(Node& n) {
@@ -172,21 +172,21 @@
 
 void Hollow::outside(std::function<void()> f) { w.spawn(out, std::move(f)); }
 
-void Hollow::nap(Span d) {
+void Hollow::nap(Duration d) {
   sim::Wait x;
   w.park(out, d, x);
 }
 
-bool Hollow::until(Span most, const std::function<bool()>& f) {
+bool Hollow::until(Duration most, const std::function<bool()>& f) {
   auto end = w.now() + most;
   while (!f()) {
     if (w.now() >= end) return false;
-    nap(Span(10));
+    nap(Duration(10));
   }
   return true;
 }
 
-bool Hollow::on(Node& n, Span most, std::function<void()> f) {
+bool Hollow::on(Node& n, Duration most, std::function<void()> f) {
   if (!n.up()) return false;
   auto done = std::make_shared<bool>(false);
   w.spawn(n.life(), [done, f = std::move(f)] {
@@ -219,11 +219,11 @@
   return true;
 }
 
-void Hollow::beats(int workers, Span period) {
+void Hollow::beats(int workers, Duration period) {
   for (int i = 0; i < workers; ++i) {
     auto* n = nodes[static_cast<size_t>(i) % nodes.size()].get();
     outside([this, i, n, period] {
-      nap(Span(w.below(static_cast<uint64_t>(period.count()))));
+      nap(Duration(w.below(static_cast<uint64_t>(period.count()))));
       for (uint64_t k = 1;; ++k, nap(period)) {
         if (!n->up()) continue;
         pb::Beat b;
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -9,8 +9,8 @@
 
 struct Shape {
   int nodes = 14, holders = 5, zones = 3, regions = 3;
-  Span near{1}, far{3};  // a message's way
-  Span bound{2000};
+  Duration near{1}, far{3};  // a message's way
+  Duration bound{2000};
 };
 
 struct Toll {  // at one node's own link, both ways
@@ -48,14 +48,14 @@
   void kill(Node& n);
   void end();
   void outside(std::function<void()> f);
-  void nap(Span s);
-  bool until(Span most, const std::function<bool()>& f);
-  bool on(Node& n, Span most, std::function<void()> f);  // runs it in the node's process; false when it did not end
+  void nap(Duration s);
+  bool until(Duration most, const std::function<bool()>& f);
+  bool on(Node& n, Duration most, std::function<void()> f);  // runs it in the node's process; false when it did not end
   Node& some();                                          // one that is up
   bool all_up();
   bool fresh();                                          // every node that is up has a read_lease
   bool serving(const std::string& layout);               // and runs this layout
-  void beats(int workers, Span period);                  // each worker stays with its relay
+  void beats(int workers, Duration period);                  // each worker stays with its relay
   bool cut(const Node& a, const Node& b) const { return apart >= 0 && (a.region == apart) != (b.region == apart); }
 
   sim::World& w;
--- a/test/measure/main.cpp
+++ b/test/measure/main.cpp
@@ -64,7 +64,7 @@
   s.holders = FLAGS_holders;
   s.zones = FLAGS_zones;
   s.regions = FLAGS_regions;
-  s.far = dunlinwing::Span(FLAGS_far_ms);
+  s.far = dunlinwing::Duration(FLAGS_far_ms);
   if (FLAGS_part == "fault") return dm::trouble(seed, s, {FLAGS_fault, FLAGS_seconds, FLAGS_changes, FLAGS_purges});
   if (FLAGS_part == "sockets") return dm::sockets(s, FLAGS_seconds);
   return dm::steady(seed, s, {FLAGS_workers, FLAGS_period_ms, FLAGS_registers, FLAGS_changes, FLAGS_purges, FLAGS_layouts, FLAGS_seconds});
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -25,7 +25,7 @@
 
 class CountedNet final : public base::Net {
  public:
-  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Span limit) override {
+  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
     toll.messages += 2;
     toll.bytes += a.ByteSizeLong() + 8;
     auto r = net_.ask(addr, a, limit);
@@ -40,7 +40,7 @@
 
 class NoOrigin final : public base::Origin {
  public:
-  bool reach(const std::string&, Span) override { return true; }
+  bool reach(const std::string&, Duration) override { return true; }
   std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
     return base::ShotDefect::unsent;
   }
@@ -63,9 +63,9 @@
   std::vector<std::unique_ptr<Real>> all;
   std::promise<Figures> told;
 
-  bool until(Span most, const std::function<bool()>& f) {
+  bool until(Duration most, const std::function<bool()>& f) {
     auto end = clock.now() + most;
-    for (; !f(); clock.nap(Span(20)))
+    for (; !f(); clock.nap(Duration(20)))
       if (clock.now() >= end) return false;
     return true;
   }
@@ -98,17 +98,17 @@
       all.push_back(std::move(r));
     }
     for (auto& r : all) {
-      clock.nap(Span(250 / s.nodes));
+      clock.nap(Duration(250 / s.nodes));
       pool.spawn([n = r->node.get()] { n->start(); });
     }
-    if (!until(Span(30000), [&] { return each([](Real& r) { return r.node->state_cache().fresh(); }); })) return "not every node got a permit";
-    if (!until(Span(20000), [&] {
+    if (!until(Duration(30000), [&] { return each([](Real& r) { return r.node->state_cache().fresh(); }); })) return "not every node got a permit";
+    if (!until(Duration(20000), [&] {
           base::Request q{"", "PUT", "/v1/releases/layout/first", layout_doc(0), {}};
           auto st = all.back()->control->answer(q).status;
           return st == 200 || st == 202;
         }))
       return "the first layout was not taken";
-    if (!until(Span(30000), [&] { return each([](Real& r) { return r.node->release() == "first"; }); })) return "not every node runs the first layout";
+    if (!until(Duration(30000), [&] { return each([](Real& r) { return r.node->release() == "first"; }); })) return "not every node runs the first layout";
     return {};
   }
 
@@ -117,7 +117,7 @@
     auto why = up(s);
     o["ended"] = why.empty();
     if (!why.empty()) return o;
-    clock.nap(Span(3000));
+    clock.nap(Duration(3000));
     auto toll = [&] {
       Toll t;
       for (size_t i = static_cast<size_t>(s.holders); i < all.size(); ++i) {
@@ -130,7 +130,7 @@
     auto u0 = used_ms(false), s0 = used_ms(true);
     auto from = clock.now();
     int looks = 0, stale = 0;
-    for (; clock.now() - from < Span(seconds * 1000); clock.nap(Span(250)), ++looks)
+    for (; clock.now() - from < Duration(seconds * 1000); clock.nap(Duration(250)), ++looks)
       stale += !each([](Real& r) { return r.node->state_cache().fresh(); });
     double sec = static_cast<double>((clock.now() - from).count()) / 1000, n = s.nodes;
     auto t1 = toll();
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -8,7 +8,7 @@
 
 namespace dunlinwing::measure {
 namespace {
-constexpr Span kUp{120000};
+constexpr Duration kUp{120000};
 constexpr int kTicks = 8;
 
 void registers(Hollow& f, int n) {
@@ -21,7 +21,7 @@
         ++done;
       }
     });
-  f.until(Span(300000), [&] { return done >= n; });
+  f.until(Duration(300000), [&] { return done >= n; });
 }
 
 // A watch of the duty's pair: what a holder does each eighth of the bound when the
@@ -29,7 +29,7 @@
 double watch_ms(Hollow& f) {
   auto& n = *f.nodes[0];
   double ms = 0;
-  f.on(n, Span(5000), [&] {
+  f.on(n, Duration(5000), [&] {
     membership::Leadership none(n.ports(), n.relay().registers(), n.relay().state_cache(), "measured", n.name, n.zone, f.s.bound);
     rollout::Conductor c(n.ports(), n.relay().registers(), n.relay().state_cache(), none, {n.name, f.s.bound, 600});
     c.tick();  // reads the releases once
@@ -44,7 +44,7 @@
 void console(Hollow& f, Figures& o) {
   for (auto* what : {"nodes", "assignments"}) {
     size_t bytes = 0;
-    f.on(*f.nodes.back(), Span(5000), [&] {
+    f.on(*f.nodes.back(), Duration(5000), [&] {
       base::Request q{"", "GET", fmt::format("/v1/{}", what), "", {}};
       bytes = f.nodes.back()->control().answer(q).body.size();
     });
@@ -100,7 +100,7 @@
 }
 }  // namespace
 
-std::string play(uint64_t seed, Shape s, Span length, const std::function<void(Hollow&)>& story) {
+std::string play(uint64_t seed, Shape s, Duration length, const std::function<void(Hollow&)>& story) {
   sim::World w(seed);
   Hollow f(w, s);
   std::string why = "the run's time was over";
@@ -120,7 +120,7 @@
     });
   });
   f.end();
-  w.run(w.now() + Span(20000), nullptr, nullptr);
+  w.run(w.now() + Duration(20000), nullptr, nullptr);
   return why;
 }
 
@@ -128,15 +128,15 @@
   Figures o;
   auto empty = resident();
   auto began = cpu_ns();
-  Tick up{0};
-  auto why = play(seed, s, Span(l.window_s * 1000 + 400000), [&](Hollow& f) {
+  TimePoint up{0};
+  auto why = play(seed, s, Duration(l.window_s * 1000 + 400000), [&](Hollow& f) {
     up = f.w.now();
     o["start_cpu_ms"] = static_cast<double>(cpu_ns() - began) / 1e6;
     if (l.registers) registers(f, l.registers);
-    if (l.workers) f.beats(l.workers, Span(l.period_ms));
-    f.nap(Span(2500) + Span(l.workers ? 2 * l.period_ms : 0));
+    if (l.workers) f.beats(l.workers, Duration(l.period_ms));
+    f.nap(Duration(2500) + Duration(l.workers ? 2 * l.period_ms : 0));
     Stream st(f);
-    auto end = f.w.now() + Span(l.window_s * 1000);
+    auto end = f.w.now() + Duration(l.window_s * 1000);
     auto was = marks(f);
     auto split = f.split;
     auto taken = f.beats_taken, missed = f.beats_missed;
@@ -147,11 +147,11 @@
     for (int i = 1; i <= l.layouts; ++i) {
       auto from = f.w.now();
       auto name = fmt::format("next{}", i);
-      if (put_layout(f, name, i) && f.until(Span(60000), [&] { return f.serving(name); }))
+      if (put_layout(f, name, i) && f.until(Duration(60000), [&] { return f.serving(name); }))
         layouts.add(static_cast<double>((f.w.now() - from).count()));
     }
     uint64_t looks = 0, stale = 0;
-    for (; f.w.now() < end; f.nap(Span(250)), ++looks) stale += !f.fresh();
+    for (; f.w.now() < end; f.nap(Duration(250)), ++looks) stale += !f.fresh();
     costs(f, was, split, cpu_ns() - cpu, static_cast<double>((f.w.now() - end).count() + l.window_s * 1000) / 1000, o);
     o["beats_taken"] = static_cast<double>(f.beats_taken - taken);
     o["beats_missed"] = static_cast<double>(f.beats_missed - missed);
@@ -163,7 +163,7 @@
       o["layout_most_ms"] = layouts.most();
     }
     if (l.changes > 0 || l.purges > 0) {
-      o["all_everywhere"] = st.rest(Span(30000));
+      o["all_everywhere"] = st.rest(Duration(30000));
       st.figures(o);
     }
     o["watch_ms"] = watch_ms(f);
--- a/test/measure/steady.hpp
+++ b/test/measure/steady.hpp
@@ -14,7 +14,7 @@
 };
 
 // Runs `story` in a fleet that is up and serves a layout; tells why not otherwise.
-std::string play(uint64_t seed, Shape s, Span length, const std::function<void(Hollow&)>& story);
+std::string play(uint64_t seed, Shape s, Duration length, const std::function<void(Hollow&)>& story);
 Figures steady(uint64_t seed, Shape s, const Load& l);
 
 // Streams of changes and purges, and how long each takes until all nodes know it.
@@ -22,9 +22,9 @@
  public:
   explicit Stream(Hollow& f);
   ~Stream();
-  void changes(double a_second, Tick until);
-  void purges(double a_second, Tick until);
-  bool rest(Span most);  // true once all that was acknowledged is everywhere
+  void changes(double a_second, TimePoint until);
+  void purges(double a_second, TimePoint until);
+  bool rest(Duration most);  // true once all that was acknowledged is everywhere
   void figures(Figures& out) const;
 
  private:
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -25,7 +25,7 @@
   for (int i = 0; i < 20 && !ok; ++i) {
     auto& n = f.some();
     auto st = std::make_shared<int>(0);
-    f.on(n, Span(5000), [&n, name, k, st] {
+    f.on(n, Duration(5000), [&n, name, k, st] {
       base::Request q{"", "PUT", "/v1/releases/layout/" + name, layout_doc(k), {}};
       *st = n.control().answer(q).status;
     });
@@ -38,7 +38,7 @@
   struct Want {
     std::string key;
     uint64_t least;
-    Tick from;
+    TimePoint from;
     bool purge;
   };
   struct Seen {
@@ -79,7 +79,7 @@
   void look() {
     if (std::exchange(looking, true)) return;
     f.outside([this] {
-      for (;; f.nap(Span(10))) {
+      for (;; f.nap(Duration(10))) {
         std::map<std::string, uint64_t> at;
         for (auto& x : wants)
           if (!at.count(x.key)) at[x.key] = least(x.key, x.purge);
@@ -134,12 +134,12 @@
     });
   }
 
-  void flow(double a_second, Tick until, uint64_t& count, std::function<void()> one) {
+  void flow(double a_second, TimePoint until, uint64_t& count, std::function<void()> one) {
     if (a_second <= 0) return;
     look();
     f.outside([this, a_second, until, &count, one] {
       double due = 0;
-      for (; f.w.now() < until; f.nap(Span(5)))
+      for (; f.w.now() < until; f.nap(Duration(5)))
         for (due += a_second * 0.005; due >= 1; due -= 1, ++count) one();
     });
   }
@@ -147,13 +147,13 @@
 
 Stream::Stream(Hollow& f) : p_(std::make_shared<Impl>(f)) {}
 Stream::~Stream() = default;
-void Stream::changes(double n, Tick until) {
+void Stream::changes(double n, TimePoint until) {
   p_->flow(n, until, p_->asked_changes, [p = p_] { p->change_one(); });
 }
-void Stream::purges(double n, Tick until) {
+void Stream::purges(double n, TimePoint until) {
   p_->flow(n, until, p_->asked_purges, [p = p_] { p->purge_one(); });
 }
-bool Stream::rest(Span most) {
+bool Stream::rest(Duration most) {
   return p_->f.until(most, [p = p_] { return p->wants.empty() && !p->under_way; });
 }
 
--- a/test/mixed_stories.cpp
+++ b/test/mixed_stories.cpp
@@ -26,7 +26,7 @@
     met("kill_many");
     for (auto& h : s.f.hosts())
       if (s.w.chance(400)) s.f.kill(h->name);
-    s.f.nap(Span(300));
+    s.f.nap(Duration(300));
     s.f.start_all();
   }
   void lose_disk() {
@@ -37,7 +37,7 @@
       s.f.wipe(h.name);
     }
   }
-  void freeze() { s.w.freeze(host().name, s.w.now() + Span(s.w.below(5000))); }
+  void freeze() { s.w.freeze(host().name, s.w.now() + Duration(s.w.below(5000))); }
   void cut() {
     auto& h = host();
     for (auto& x : s.f.hosts())
@@ -59,7 +59,7 @@
       n->leave();
       *gone = true;
     });
-    s.f.until(Span(4000), [&] { return *gone || !h->up(); });
+    s.f.until(Duration(4000), [&] { return *gone || !h->up(); });
     s.f.kill(name);
     s.f.start(name);
   }
@@ -69,10 +69,10 @@
   }
   void slow_disk() {
     auto& p = host().platter;
-    p.least = Span(200);
-    p.most = Span(1500);
+    p.least = Duration(200);
+    p.most = Duration(1500);
   }
-  void weather() { s.w.weather = {static_cast<int>(s.w.below(30)), static_cast<int>(s.w.below(30)), Span(1), Span(1 + s.w.below(30))}; }
+  void weather() { s.w.weather = {static_cast<int>(s.w.below(30)), static_cast<int>(s.w.below(30)), Duration(1), Duration(1 + s.w.below(30))}; }
   void worker_dies() {
     auto* w = worker();
     if (!w) return;
@@ -89,7 +89,7 @@
     s.f.add_worker(w->service, w->version, w->max_age);
     w->leaving = true;
     s.f.outside([this, w] {
-      s.f.nap(Span(5000));
+      s.f.nap(Duration(5000));
       w->alive = false;
     });
   }
@@ -100,7 +100,7 @@
     w->lose_percent = static_cast<int>(s.w.below(20));
     w->wrong_percent = static_cast<int>(s.w.below(10));
     w->bad_percent = static_cast<int>(s.w.below(10));
-    w->most = Span(8 + s.w.below(1500));
+    w->most = Duration(8 + s.w.below(1500));
   }
   void address_passes() {
     auto* w = worker();
@@ -116,7 +116,7 @@
   }
   void crowd() {
     met("crowd");
-    s.f.callers(150, s.w.now() + Span(2500), [this] { s.f.call("GET", fmt::format("/a/{}", s.w.below(100000))); });
+    s.f.callers(150, s.w.now() + Duration(2500), [this] { s.f.call("GET", fmt::format("/a/{}", s.w.below(100000))); });
   }
   void layout() {
     auto name = fmt::format("m{}", turn);
@@ -145,7 +145,7 @@
                               &Mix::clear, &Mix::storm, &Mix::move};
     for (turn = 0; turn < 25; ++turn) {
       for (auto n = 1 + s.w.below(3); n; --n) (this->*list[s.w.below(std::size(list))])();
-      s.f.nap(Span(s.w.below(2500)));
+      s.f.nap(Duration(s.w.below(2500)));
       if (s.w.chance(350)) s.w.mend();
       for (auto& x : s.f.hosts())
         if (!x->up() && s.w.chance(450)) s.f.start(x->name);
@@ -155,20 +155,20 @@
   void mend() {
     s.w.mend();
     s.w.weather = s.f.calm();
-    for (auto& h : s.f.hosts()) h->platter.least = Span(1), h->platter.most = Span(4);
-    for (auto& w : s.f.workers()) w->lose_percent = w->wrong_percent = w->bad_percent = 0, w->most = Span(8);
-    s.f.nap(Span(5100));  // the last freeze is over
+    for (auto& h : s.f.hosts()) h->platter.least = Duration(1), h->platter.most = Duration(4);
+    for (auto& w : s.f.workers()) w->lose_percent = w->wrong_percent = w->bad_percent = 0, w->most = Duration(8);
+    s.f.nap(Duration(5100));  // the last freeze is over
     s.f.start_all();
     s.f.event(R"("t":"returned")");
-    s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after the machines returned");
-    s.f.nap(Span(2000));
+    s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
+    s.f.nap(Duration(2000));
     for (auto& h : s.f.hosts()) knows(s, *h, layouts);
-    s.f.nap(Span(20000));
+    s.f.nap(Duration(20000));
   }
 };
 
 void mixed(Scene& s) {
-  s.length = Span(170000);
+  s.length = Duration(170000);
   s.must_meet = {"kill", "freeze", "cut"};
   s.story = [&s] {
     if (!begin(s, 50, sim_layout("\"1\",\"2\"", 3))) return;
--- a/test/move_unit.cpp
+++ b/test/move_unit.cpp
@@ -9,7 +9,7 @@
 
 namespace dunlinwing::test {
 namespace {
-constexpr Span kLook{250};
+constexpr Duration kLook{250};
 
 // A fleet in miniature: each look brings answers by route, drawn with the given rates.
 struct Bench {
@@ -20,20 +20,20 @@
   std::map<std::string, double> slow;
   double old_fails = 0;
   int per_second = 300, warm = 4, bad_from_ms = 0;
-  Span now{0}, switched{-1}, warm_at{4000};
+  Duration now{0}, switched{-1}, warm_at{4000};
   traffic::Seen seen;
   uint64_t to_trial = 0, all = 0;
 
-  explicit Bench(uint64_t seed, Span term = Span(14000)) : rng(seed) {
+  explicit Bench(uint64_t seed, Duration term = Duration(14000)) : rng(seed) {
     s.set_current("1");
-    rollout::open_trial(s, "2", term, Span(500));
+    rollout::open_trial(s, "2", term, Duration(500));
   }
   double draw() { return std::uniform_real_distribution<>(0, 1)(rng); }
 
   void answer(const std::string& route, bool mine, bool is_warm) {
     auto rate = [&](const std::map<std::string, double>& m) {
       auto f = m.find(route);
-      return f == m.end() || now < Span(bad_from_ms) ? 0.0 : f->second;
+      return f == m.end() || now < Duration(bad_from_ms) ? 0.0 : f->second;
     };
     traffic::Tally t;
     bool bad = draw() < (mine ? rate(fails) : old_fails), late = mine && draw() < rate(slow);
@@ -60,12 +60,12 @@
     v.warm = {{"1", 4}, {"2", is_warm ? warm : 0}};
     v.all_warm = is_warm;
     v.seen = seen;
-    if (s.switching() && switched < Span(0)) switched = now;
-    v.switching = s.switching() ? now - switched : Span(0);
+    if (s.switching() && switched < Duration(0)) switched = now;
+    v.switching = s.switching() ? now - switched : Duration(0);
     s = rollout::step("app", s, v, r).state;
   }
   void run(const std::vector<std::string>& routes) {
-    while (!s.trial().empty() && now < Span(30000)) look(routes);
+    while (!s.trial().empty() && now < Duration(30000)) look(routes);
   }
   bool promoted() const { return s.current() == "2"; }
 };
@@ -74,7 +74,7 @@
   Bench b(1);
   b.run({"a", "b"});
   expect(b.promoted() && b.s.outcome() == "completed", "a good version was not promoted: " + b.s.why());
-  expect(b.now <= Span(13500), fmt::format("it was completed only at {} ms", b.now.count()));
+  expect(b.now <= Duration(13500), fmt::format("it was completed only at {} ms", b.now.count()));
   expect(b.s.kept().empty(), "the old version is still open");
 }
 
@@ -93,7 +93,7 @@
   auto v = traffic::versions(svc, &b.s);
   expect(v.open == std::vector<std::string>{"2"} && v.trial.empty(), "another version is open in the switch");
   b.run({"a"});
-  expect(b.now - from >= Span(2500), "completed before all permits had turned over");
+  expect(b.now - from >= Duration(2500), "completed before all permits had turned over");
 }
 
 // In the switch a version that is bad under the whole load is noticed by a relay alone.
@@ -101,7 +101,7 @@
   traffic::Jury j;
   pb::ServiceState st;
   st.set_current("1");
-  rollout::open_trial(st, "2", Span(14000), Span(500));
+  rollout::open_trial(st, "2", Duration(14000), Duration(500));
   st.set_switching(true);
   pb::NodeStatus n;
   n.mutable_mark()->set_incarnation(1);
@@ -189,7 +189,7 @@
   auto bad = [](auto set) {
     return [set] {
       int rate = *rc::gen::inRange(35, 61);
-      Bench b(*rc::gen::arbitrary<uint64_t>(), Span(*rc::gen::inRange(12, 17) * 1000));
+      Bench b(*rc::gen::arbitrary<uint64_t>(), Duration(*rc::gen::inRange(12, 17) * 1000));
       b.per_second = *rc::gen::inRange(100, 601);
       b.old_fails = *rc::gen::inRange(0, 6) / 100.0;
       set(b, rate / 100.0);
