--- a/test/platform/clients.cpp
+++ b/test/platform/clients.cpp
@@ -15,10 +15,10 @@
         base::Request q;
         q.method = "GET";
         q.target = "/readiness";
-        auto x = f_.exchange(*p, q, true, Span(1000));
+        auto x = f_.exchange(*p, q, true, Duration(1000));
         auto& n = missed_[p->name];
         n = x.whole && x.receipt.status == 200 ? 0 : n + 1;
-        f_.nap(Span(1000));
+        f_.nap(Duration(1000));
       }
     });
 }
@@ -45,7 +45,7 @@
   return pick([](auto&) { return true; });
 }
 
-Try& Clients::send(sim::Host& h, Try t, Span most) {
+Try& Clients::send(sim::Host& h, Try t, Duration most) {
   auto& w = f_.world();
   t.id = fmt::format("{:016x}", ++named_ * 0x9e3779b97f4a7c15u);
   t.relay = h.name;
@@ -85,17 +85,17 @@
     if (dice == 1) t.receipt.headers = {{"Range", "bytes=3-17"}};
     if (dice == 2) t.receipt.headers = {{"If-None-Match", fmt::format("\"v{}\"", d_.replaced[t.target].size())}};
   }
-  t.deadline = w.now() + Span(static_cast<int64_t>(l.timeout_s * 1000));
+  t.deadline = w.now() + Duration(static_cast<int64_t>(l.timeout_s * 1000));
   bool repeatable = l.kind != "non_idempotent";
   std::set<std::string> tried;
   ++wanted;
-  for (int i = 0; i < 4 && w.now() + Span(20) < t.deadline; ++i) {
+  for (int i = 0; i < 4 && w.now() + Duration(20) < t.deadline; ++i) {
     auto* h = door(zone, tried);
     tried.insert(h->name);
     t.first = i == 0;
     auto left = t.deadline - w.now();
     auto most = left;
-    if (repeatable && !h->up()) most = std::min<Span>(left / 3, Span(1000));
+    if (repeatable && !h->up()) most = std::min<Duration>(left / 3, Duration(1000));
     auto& r = send(*h, t, most);
     int st = r.whole ? r.receipt.status : 0;
     if (st / 100 == 2 || st == 304 || st == 416) {
@@ -108,19 +108,19 @@
     auto told = base::header(r.receipt.headers, "Retry-After");
     double back = 0;
     std::from_chars(told.data(), told.data() + told.size(), back);
-    auto wait = std::min(Span(static_cast<int64_t>(back * 1000)), (t.deadline - w.now()) / 3);
-    if (!impatient && wait > Span(0)) f_.nap(wait);
-    if (impatient) f_.nap(Span(2));
+    auto wait = std::min(Duration(static_cast<int64_t>(back * 1000)), (t.deadline - w.now()) / 3);
+    if (!impatient && wait > Duration(0)) f_.nap(wait);
+    if (impatient) f_.nap(Duration(2));
   }
 }
 
-void Clients::come(const Page& p, int per_second, Tick until) {
+void Clients::come(const Page& p, int per_second, TimePoint until) {
   page_ = p;
   f_.outside([this, per_second, until] {
     auto& w = f_.world();
     while (w.now() < until) {
       f_.outside([this] { one(); });
-      f_.nap(Span(w.below(static_cast<uint64_t>(2000 / per_second)) + 1));
+      f_.nap(Duration(w.below(static_cast<uint64_t>(2000 / per_second)) + 1));
     }
   });
 }
@@ -135,8 +135,8 @@
       t.host = host;
       t.target = target;
       t.probe = true;
-      t.deadline = f_.world().now() + Span(1000);
-      send(*p, t, Span(1000));
+      t.deadline = f_.world().now() + Duration(1000);
+      send(*p, t, Duration(1000));
     });
   }
 }
--- a/test/platform/day.cpp
+++ b/test/platform/day.cpp
@@ -10,7 +10,7 @@
 
 namespace dunlinwing::test {
 namespace {
-constexpr Span kBeat{1500};
+constexpr Duration kBeat{1500};
 
 sim::FleetShape shape(bool small, Yard& yard) {
   sim::FleetShape s;
@@ -19,7 +19,7 @@
   s.seeded = true;
   s.tolerate = 1;
   s.scale = 1;
-  s.far = Span(2);
+  s.far = Duration(2);
   std::shared_ptr<const traffic::Face> face = platform::face();
   s.settings = [face](relay::NodeConfig& c) {
     c.face = face;
@@ -48,10 +48,10 @@
   for (int i = 0; i < 40; ++i) d.tags[fmt::format("/obj/{:x}", i)] = fmt::format("t{}", i % 5);
   f.outside([this] { watch(); });
   clients.knock();
-  f.nap(Span(500));
+  f.nap(Duration(500));
   bool ok = op.put(page);
   want(ok, "the first configuration was not taken");
-  ok = ok && f.until(Span(15000), [&] {
+  ok = ok && f.until(Duration(15000), [&] {
     for (auto& h : f.hosts()) {
       if (!h->up() || !h->node->ready()) return false;
       auto t = h->node->traffic().table();
@@ -61,14 +61,14 @@
     return clients.all_in();
   });
   want(ok, "not all became ready and knew all workers within 15 s");
-  f.nap(Span(2000));
+  f.nap(Duration(2000));
   for (auto& h : f.hosts()) {
     auto t = h->node->traffic().table();
     want(static_cast<size_t>(t->nodes) == f.hosts().size(), fmt::format("{} shares the fleet's allowances among {} of {}", h->name, t->nodes, f.hosts().size()));
   }
-  over = w.now() + Span(600000);
+  over = w.now() + Duration(600000);
   clients.come(page, per_second, over);
-  f.nap(Span(3000));
+  f.nap(Duration(3000));
   return ok;
 }
 
@@ -94,7 +94,7 @@
   return *v.at(below(v.size()));
 }
 
-void Day::kill_for(const std::string& host, Span down) {
+void Day::kill_for(const std::string& host, Duration down) {
   d.unplanned = true;
   harm(host);
   f.kill(host);
@@ -113,15 +113,15 @@
   if (h.holder) unsettle();
   auto* n = h.node.get();
   auto life = h.life;
-  Tick from = w.now();
+  TimePoint from = w.now();
   w.spawn(life, [n] { n->leave(); });
-  f.nap(Span(2700));
+  f.nap(Duration(2700));
   if (life->dead) return;
   n->traffic().drain();
-  while (!life->dead && n->traffic().running() > 0 && w.now() < from + Span(4800)) f.nap(Span(10));
-  f.nap(Span(50));
+  while (!life->dead && n->traffic().running() > 0 && w.now() < from + Duration(4800)) f.nap(Duration(10));
+  f.nap(Duration(50));
   if (!life->dead) f.kill(host);
-  f.nap(Span(300));
+  f.nap(Duration(300));
   harm(host);
   f.start(host);
 }
@@ -157,7 +157,7 @@
     for (auto& h : f.hosts())
       for (auto* c : main)
         if (!joined(*h, *c)) harm(h->name);
-    f.nap(Span(20));
+    f.nap(Duration(20));
   }
 }
 
@@ -165,20 +165,20 @@
   Day day(seed, small);
   auto& story = kinds().at(kind);
   std::map<std::string, uint64_t> got;
-  Tick end = day.w.now() + Span(90000);
-  day.w.run(day.w.now() + Span(2000), nullptr, [&] {
+  TimePoint end = day.w.now() + Duration(90000);
+  day.w.run(day.w.now() + Duration(2000), nullptr, [&] {
     day.f.start_all();
     day.f.outside([&] {
       if (day.begin(story.per_second * load, story.rate)) story.run(day);
-      day.f.nap(Span(1500));
+      day.f.nap(Duration(1500));
       got = {{"wanted", day.clients.wanted}, {"served", day.clients.served}};
-      day.op.read_back(Span(3000));
+      day.op.read_back(Duration(3000));
       day.done = true;
     });
   });
-  while (!day.done && day.w.now() < end) day.w.run(day.w.now() + Span(2000), nullptr, nullptr);
+  while (!day.done && day.w.now() < end) day.w.run(day.w.now() + Duration(2000), nullptr, nullptr);
   day.f.end();
-  day.w.run(day.w.now() + Span(20000), nullptr, nullptr);
+  day.w.run(day.w.now() + Duration(20000), nullptr, nullptr);
   for (auto& [k, v] : got) figures[k] += v;
   for (auto& [k, v] : day.w.met) figures["met_" + k] += v;
   for (auto& [id, t] : day.d.tries) figures["tries_in_touch"] += in_touch(day.d, t.relay, t.sent);
--- a/test/platform/day.hpp
+++ b/test/platform/day.hpp
@@ -19,7 +19,7 @@
   Page page;                      // the newest that the operator means
   bool done = false;
   double floor = 0.9;             // of requests that have to be served
-  Tick over{0};                   // when clients stop
+  TimePoint over{0};                   // when clients stop
   std::vector<std::string> unmet;  // duties, and what a kind itself wants to see
 
   bool begin(int per_second = 60, double rate = 0);  // up to the first traffic
@@ -27,7 +27,7 @@
   bool change(uint64_t dice);     // the operator's next configuration
   uint64_t below(uint64_t n) { return w.below(n); }
   sim::Host& any(bool core);      // one that is up
-  void kill_for(const std::string& host, Span down);
+  void kill_for(const std::string& host, Duration down);
   void unsettle() { d.shaken.push_back(w.now()); }
   void harm(const std::string& host) { d.harmed[host].push_back(w.now()); }
   void term(const std::string& host);  // SIGTERM, its end, and its next start
--- a/test/platform/operator.cpp
+++ b/test/platform/operator.cpp
@@ -5,14 +5,14 @@
 
 namespace dunlinwing::test {
 namespace {
-constexpr Span kAck{4000};
+constexpr Duration kAck{4000};
 }
 
-std::pair<int, std::string> Operator::call(const std::string& method, const std::string& target, const std::string& body, Span most,
+std::pair<int, std::string> Operator::call(const std::string& method, const std::string& target, const std::string& body, Duration most,
                                            const std::string& what) {
   auto& w = f_.world();
-  Tick from = w.now(), end = from + most;
-  Span pause{100};
+  TimePoint from = w.now(), end = from + most;
+  Duration pause{100};
   int fours = 0;
   bool told = false;
   for (;;) {
@@ -23,7 +23,7 @@
     q.target = target;
     q.body = body;
     if (!body.empty()) q.headers = {{"Content-Type", "application/json"}};
-    auto x = f_.exchange(h, q, true, Span(1000));
+    auto x = f_.exchange(h, q, true, Duration(1000));
     int st = x.whole ? x.receipt.status : 0;
     if (st / 100 == 2) return last_by = h.name, std::pair(st, x.receipt.body);
     if (st == 400 || st == 409 || st == 412 || st == 413 || st == 422) return {st, x.receipt.body};
@@ -31,14 +31,14 @@
     if (w.now() - from > kAck && !told && !what.empty()) told = true, d_.late.push_back({what, from, w.now()});
     if (w.now() > end) return {0, {}};
     f_.nap(pause);
-    pause = std::min<Span>(pause * 3 / 2, Span(1000));
+    pause = std::min<Duration>(pause * 3 / 2, Duration(1000));
   }
 }
 
 int Operator::put_text(const std::string& what, const Page& p, const std::string& text, bool valid) {
   d_.stated.push_back({p, text, what, {}, valid, f_.world().now(), {}, 0});
   auto place = d_.stated.size() - 1;
-  auto [st, body] = call("PUT", "/configuration", text, Span(20000), valid ? what : "");
+  auto [st, body] = call("PUT", "/configuration", text, Duration(20000), valid ? what : "");
   auto& s = d_.stated[place];
   s.by = last_by;
   if (st / 100 == 2)
@@ -59,7 +59,7 @@
   return st / 100 == 2;
 }
 
-bool Operator::move(const std::string& service, const std::string& version, Span within, bool bad) {
+bool Operator::move(const std::string& service, const std::string& version, Duration within, bool bad) {
   auto now = f_.world().now();
   d_.moves.push_back({service, version, {}, bad, now, now + within, {}, {}});
   auto place = d_.moves.size() - 1;
@@ -70,7 +70,7 @@
 }
 
 std::string Operator::state(const std::string& service, std::string* version) {
-  auto [st, body] = call("GET", "/rollouts/" + service, "", Span(2000), "");
+  auto [st, body] = call("GET", "/rollouts/" + service, "", Duration(2000), "");
   auto g = base::Json::parse(body);
   auto* j = std::get_if<base::Json>(&g);
   if (st != 200 || !j) return {};
@@ -78,16 +78,16 @@
   return j->at("state").str();
 }
 
-void Operator::read_back(Span over) {
+void Operator::read_back(Duration over) {
   auto end = f_.world().now() + over;
   do {
     auto asked = f_.world().now();
-    auto [st, body] = call("GET", "/configuration", "", Span(8000), "");
+    auto [st, body] = call("GET", "/configuration", "", Duration(8000), "");
     if (st != 200) continue;
     auto g = base::Json::parse(body);
     auto* j = std::get_if<base::Json>(&g);
     d_.read_back.push_back({j ? static_cast<uint64_t>(j->at("revision").num()) : 0, body, asked});
-    f_.nap(Span(300));
+    f_.nap(Duration(300));
   } while (f_.world().now() < end);
 }
 
--- a/test/platform/people.hpp
+++ b/test/platform/people.hpp
@@ -9,7 +9,7 @@
  public:
   Clients(sim::Fleet& f, Diary& d) : f_(f), d_(d) {}
   void knock();                                 // keeps asking every node whether it is ready
-  void come(const Page& p, int per_second, Tick until);
+  void come(const Page& p, int per_second, TimePoint until);
   void probe(const std::string& host, const std::string& target);  // to each node that takes clients
   void page(const Page& p) { page_ = p; }        // from now on clients want what it offers
   bool impatient = false;                       // do not wait as told
@@ -19,7 +19,7 @@
  private:
   void one();
   sim::Host* door(const std::string& zone, const std::set<std::string>& tried);
-  Try& send(sim::Host& h, Try t, Span most);
+  Try& send(sim::Host& h, Try t, Duration most);
   sim::Fleet& f_;
   Diary& d_;
   Page page_;
@@ -33,13 +33,13 @@
   bool put(const Page& p);                      // sent until it gets a clear answer
   int put_text(const std::string& what, const Page& p, const std::string& text, bool valid);
   bool purge(const std::string& host, const std::string& path, const std::string& tag);
-  bool move(const std::string& service, const std::string& version, Span within, bool bad);
+  bool move(const std::string& service, const std::string& version, Duration within, bool bad);
   std::string state(const std::string& service, std::string* version = nullptr);
-  void read_back(Span over);
+  void read_back(Duration over);
   std::string last_by;                          // who took the last order
 
  private:
-  std::pair<int, std::string> call(const std::string& method, const std::string& target, const std::string& body, Span most, const std::string& what);
+  std::pair<int, std::string> call(const std::string& method, const std::string& target, const std::string& body, Duration most, const std::string& what);
   sim::Fleet& f_;
   Diary& d_;
 };
--- a/test/platform/rules.cpp
+++ b/test/platform/rules.cpp
@@ -9,7 +9,7 @@
 
 namespace dunlinwing::test {
 namespace {
-constexpr Span kApply{2000}, kRevert{250}, kDrain{2000}, kPurge{2000}, kStaleSlack{2000}, kRollback{5000}, kWindow{10000}, kCeiling{5000};
+constexpr Duration kApply{2000}, kRevert{250}, kDrain{2000}, kPurge{2000}, kStaleSlack{2000}, kRollback{5000}, kWindow{10000}, kCeiling{5000};
 
 struct Bench {
   const Diary& d;
@@ -76,7 +76,7 @@
   }
 
   // Configurations that may hold for a request sent at `sent` and handled at `at`.
-  std::vector<const Stated*> may_hold(Tick sent, Tick at) const {
+  std::vector<const Stated*> may_hold(TimePoint sent, TimePoint at) const {
     uint64_t least = 0;
     for (auto& s : d.stated)
       if (s.valid && s.taken && *s.taken + kApply < sent) least = std::max(least, s.page.revision);
@@ -117,7 +117,7 @@
   void back() {
     struct Shown {
       uint64_t least = 0;
-      Tick at{0};
+      TimePoint at{0};
     };
     std::map<const void*, std::vector<Shown>> shown;
     for (auto& a : d.arrivals) {
@@ -139,7 +139,7 @@
   }
 
   void configurations() {
-    auto newest = [&](Tick at) {
+    auto newest = [&](TimePoint at) {
       uint64_t n = 0;
       for (auto& s : d.stated)
         if (s.valid && s.taken && *s.taken <= at) n = std::max(n, s.page.revision);
@@ -150,7 +150,7 @@
       if (!s.valid && s.refused / 100 != 4) say("CONFIG", fmt::format("invalid, and {} to it: {}", s.refused, s.what));
       if (s.valid && s.refused / 100 == 4) say("CONFIG", fmt::format("valid, and {} to it: {}", s.refused, s.what));
     }
-    if (newest(Tick::max()) && d.read_back.empty()) say("CONFIG", "it does not come when read back");
+    if (newest(TimePoint::max()) && d.read_back.empty()) say("CONFIG", "it does not come when read back");
     for (auto& [n, text, asked] : d.read_back) {
       if (n < newest(asked)) say("CONFIG", fmt::format("{} is read back, and {} was acknowledged", n, newest(asked)));
       if (std::none_of(d.stated.begin(), d.stated.end(), [&](auto& s) { return s.valid && s.text == text; }))
@@ -168,8 +168,8 @@
   }
 
   void budget() {
-    std::map<std::string, std::vector<Tick>> again;
-    std::map<std::string, std::vector<std::pair<Tick, double>>> asked_for;
+    std::map<std::string, std::vector<TimePoint>> again;
+    std::map<std::string, std::vector<std::pair<TimePoint, double>>> asked_for;
     std::set<std::string> seen;
     for (auto& a : d.arrivals)
       if (asked(a.id) && !seen.insert(a.service + a.id).second) again[a.service].push_back(a.at);
@@ -183,7 +183,7 @@
       for (size_t i = 0, j = 0; i < v.size(); ++i) {
         while (v[j] + kWindow <= v[i]) ++j;
         if (i - j < 64) continue;
-        auto in = [&](Tick from) {
+        auto in = [&](TimePoint from) {
           double n = 0;
           for (auto& [at, x] : asked_for[service]) n += at >= from && at < from + kWindow ? x : 0;
           return n;
@@ -202,7 +202,7 @@
       if (!m.bad) continue;
       double all = 0, mine = 0;
       int bad = 0;
-      std::optional<Tick> fiftieth;
+      std::optional<TimePoint> fiftieth;
       for (auto& a : d.arrivals) {
         if (a.service != m.service || a.at < m.ordered || a.at > m.term) continue;
         ++all;
@@ -223,7 +223,7 @@
       auto f = d.made.find(base::header(t.receipt.headers, "Edge-Signature"));
       auto g = d.replaced.find(t.target);
       if (f == d.made.end() || g == d.replaced.end() || !f->second.object || f->second.version >= g->second.size()) continue;
-      Tick gone = g->second[f->second.version];
+      TimePoint gone = g->second[f->second.version];
       auto tag = d.tags.count(t.target) ? d.tags.at(t.target) : "";
       for (auto& p : d.purges) {
         bool named = p.tag.empty() ? p.host == t.host && p.path == t.target : p.tag == tag || p.tag == "tall";
@@ -233,7 +233,7 @@
       double keep = 0;
       for (auto& s : d.stated)
         if (auto* l = s.valid ? s.page.match(t.host, t.target) : nullptr) keep = std::max(keep, l->keep_s);
-      if (t.sent > gone + Span(static_cast<int64_t>(keep * 1000)) + kStaleSlack)
+      if (t.sent > gone + Duration(static_cast<int64_t>(keep * 1000)) + kStaleSlack)
         say("STALE", fmt::format("{} at {} {} ms after it was replaced", t.target, t.relay, (t.sent - gone).count()));
     }
   }
@@ -245,7 +245,7 @@
         if (s.valid) rates[b.name] = std::max(rates[b.name], b.rate);
     for (auto& [service, rate] : rates) {
       if (rate <= 0) continue;
-      std::vector<Tick> v;
+      std::vector<TimePoint> v;
       for (auto& a : d.arrivals)
         if (a.service == service && in_touch(d, a.relay, a.at)) v.push_back(a.at);
       for (size_t i = 0, j = 0; i < v.size(); ++i) {
@@ -261,14 +261,14 @@
   void lost() {
     for (auto& [id, t] : d.tries) {
       if (t.whole || !t.read || t.ended >= t.deadline || t.probe || d.unplanned) continue;
-      bool planned = std::any_of(d.terms.begin(), d.terms.end(), [&](auto& x) { return x.second == t.relay && t.ended >= x.first && t.ended < x.first + Span(7000); });
+      bool planned = std::any_of(d.terms.begin(), d.terms.end(), [&](auto& x) { return x.second == t.relay && t.ended >= x.first && t.ended < x.first + Duration(7000); });
       if (planned) say("LOST", fmt::format("{} was broken off at {} by its planned end", id, t.relay));
     }
   }
 
   void orders() {
     for (auto& l : d.late) {
-      bool calm = std::none_of(d.shaken.begin(), d.shaken.end(), [&](Tick t) { return t > l.sent - kContact && t < l.ended; });
+      bool calm = std::none_of(d.shaken.begin(), d.shaken.end(), [&](TimePoint t) { return t > l.sent - kContact && t < l.ended; });
       for (auto& [n, v] : d.harmed)
         for (auto t : v) calm &= t <= l.sent - kContact || t >= l.ended;
       if (calm) say("ACKS", l.what + " had no acknowledgement in four calm seconds");
@@ -277,8 +277,8 @@
 };
 }  // namespace
 
-bool in_touch(const Diary& d, const std::string& machine, Tick t) {
-  auto within = [&](const std::vector<Tick>& v) {
+bool in_touch(const Diary& d, const std::string& machine, TimePoint t) {
+  auto within = [&](const std::vector<TimePoint>& v) {
     auto i = std::lower_bound(v.begin(), v.end(), t - kContact);
     return i != v.end() && *i <= t;
   };
--- a/test/platform/rules_unit.cpp
+++ b/test/platform/rules_unit.cpp
@@ -8,7 +8,7 @@
 namespace dunlinwing::test {
 namespace {
 
-constexpr Tick at(int64_t ms) { return Tick(1000000 + ms); }
+constexpr TimePoint at(int64_t ms) { return TimePoint(1000000 + ms); }
 
 Try asked(const std::string& id, const std::string& kind, const std::string& target, int64_t ms, int status) {
   Try t;
@@ -27,7 +27,7 @@
 }
 
 Arrival ran(const Try& t, const std::string& service) {
-  return {t.id, t.method, t.host, t.target, t.body, service, "v1", "i-1", "e1", nullptr, t.sent + Span(2), true, false, false};
+  return {t.id, t.method, t.host, t.target, t.body, service, "v1", "i-1", "e1", nullptr, t.sent + Duration(2), true, false, false};
 }
 
 // One configuration, acknowledged long ago, and one request of each kind, well served.
--- a/test/platform/words_unit.cpp
+++ b/test/platform/words_unit.cpp
@@ -24,7 +24,7 @@
   base::Receipt says{200, {}, "{}"};
   base::Receipt call(const std::string& method, const std::string& target, const std::string& body = {}) {
     base::Request q{"", method, target, body, {}};
-    return platform::answer(q, Span(1500), [this](base::Request& x) {
+    return platform::answer(q, Duration(1500), [this](base::Request& x) {
       asked.push_back({x.method, x.target, x.body});
       return says;
     });
@@ -52,7 +52,7 @@
   bool other = false;
   auto& x = **l;
   auto* o = x.match("GET", "a.example:80", "/obj/1?q", other);
-  expect(o && o->kind == traffic::Kind::cacheable && o->keep == Span(6000) && o->timeout == Span(1500) && o->aim == Span(200) && o->priority == 2 &&
+  expect(o && o->kind == traffic::Kind::cacheable && o->keep == Duration(6000) && o->timeout == Duration(1500) && o->aim == Duration(200) && o->priority == 2 &&
              o->shots == 2 && o->name == "r-obj",
          "a cacheable route");
   auto* t = x.match("GET", "B.example", "/get/1", other);
@@ -61,7 +61,7 @@
   expect(p && p->kind == traffic::Kind::unsafe && p->split.size() == 1, "a route that may run once");
   expect(!x.match("GET", "c.example", "/get/1", other), "another host");
   expect(x.services.at("huvo").rate == 590 && x.services.at("huvo").connections == 130 && x.services.at("huvo").probe == "/health", "a service");
-  expect(x.head_bytes == 16384 && x.body_bytes == 67108864 && x.head_time == Span(3000) && x.idle_time == Span(15000), "the limits");
+  expect(x.head_bytes == 16384 && x.body_bytes == 67108864 && x.head_time == Duration(3000) && x.idle_time == Duration(15000), "the limits");
 }
 
 void invalid() {
@@ -160,10 +160,10 @@
   Draw c;
   base::Request q{"", "GET", "/", "", {{"Attempt-Id", "id1"}, {"Time-Remaining", "480"}, {"Connection", "x-one"}, {"X-One", "1"}, {"X-Two", "2"}}};
   auto a = f->read(q, c);
-  expect(a.id == "id1" && a.left == Span(480), "what a client says of itself");
+  expect(a.id == "id1" && a.left == Duration(480), "what a client says of itself");
   q.id = a.id;
   traffic::Worker w{"i-1", "b", "v1", "z", "10.0.0.1:80"};
-  f->dress(q, {w, "e1", 3, Span(333)});
+  f->dress(q, {w, "e1", 3, Duration(333)});
   auto h = [&](const char* n) { return base::header(q.headers, n); };
   expect(h("Attempt-Id") == "id1" && h("Time-Remaining") == "333" && h("Target-Instance") == "i-1", "what a worker is told");
   expect(h("X-One").empty() && h("Connection").empty() && h("X-Two") == "2", "what concerns one connection goes");
@@ -174,7 +174,7 @@
 
 void answers() {
   auto f = platform::face();
-  auto r = f->say(503, "full", traffic::Outcome::not_run, Span(1250));
+  auto r = f->say(503, "full", traffic::Outcome::not_run, Duration(1250));
   expect(r.status == 503 && base::header(r.headers, "Retry-After") == "1.250", "fractions of a second");
   expect(base::header(f->say(502, "x", traffic::Outcome::unknown, {}).headers, "Retry-After").empty(), "none when it does not help");
   base::Receipt kept{200, {{"Attempt-Id", "first"}, {"Edge-Signature", "s"}, {"Connection", "close"}, {"ETag", "e"}}, "x"};
--- a/test/platform/yard.cpp
+++ b/test/platform/yard.cpp
@@ -9,7 +9,7 @@
 
 namespace dunlinwing::test {
 namespace {
-constexpr Span kBeat{1500}, kDrain{2000}, kAck{4000};
+constexpr Duration kBeat{1500}, kDrain{2000}, kAck{4000};
 
 std::string stamp(const std::string& of) { return fmt::format("sig.{:x}", std::hash<std::string>()(of)); }
 
@@ -40,7 +40,7 @@
   return out;
 }
 
-Server& Yard::add(const std::string& service, const std::string& version, Span cold, const std::string& address) {
+Server& Yard::add(const std::string& service, const std::string& version, Duration cold, const std::string& address) {
   auto n = ++named_;
   auto s = std::make_unique<Server>();
   s->id = fmt::format("i-{}", n);
@@ -48,7 +48,7 @@
   s->version = version;
   s->zone = std::string(1, static_cast<char>('a' + n % 3));
   s->address = address.empty() ? fmt::format("10.9.0.{}:8080", n) : address;
-  s->work = Span(4 + 3 * (n % 4));
+  s->work = Duration(4 + 3 * (n % 4));
   s->warm_at = f_.world().now() + cold;
   s->tells_load = service == "huvo";
   s->resets_when_full = n % 5 == 1;
@@ -59,7 +59,7 @@
 }
 
 void Yard::beats(Server& s) {
-  f_.nap(Span(f_.world().below(1400)));
+  f_.nap(Duration(f_.world().below(1400)));
   while (s.alive && !s.draining) {
     if (!s.dark) beat(s, "PUT");
     f_.nap(kBeat);
@@ -77,19 +77,19 @@
     q.body = fmt::format(
         R"({{"backend":"{}","address":"{}","zone":"{}","revision":"{}","slots":{},"state":"{}","cold-remaining-s":{},"call-seq":{}}})",
         s.service, s.address, s.zone, s.version, s.slots, draining ? "draining" : "ready", static_cast<double>(cold) / 1000, ++s.calls);
-  Span pause{50};
+  Duration pause{50};
   // An end is said for some seconds, a beat to a few nodes.
-  Tick from = w.now();
+  TimePoint from = w.now();
   for (int i = 0; s.alive && (i < 5 || (draining && w.now() < from + kAck)); ++i) {
     auto& hosts = f_.hosts();
     auto& h = *hosts[w.below(hosts.size())];
-    auto x = f_.exchange(h, q, true, Span(1000));
+    auto x = f_.exchange(h, q, true, Duration(1000));
     if (x.whole && x.receipt.status / 100 == 2) {
       if (draining || q.method == "DELETE") d_.left.push_back({s.id, h.name, w.now()});
       return true;
     }
     f_.nap(pause);
-    pause = std::min<Span>(pause * 2, Span(500));
+    pause = std::min<Duration>(pause * 2, Duration(500));
   }
   return false;
 }
@@ -98,7 +98,7 @@
   s.draining = true;
   auto from = f_.world().now();
   if (!beat(s, "PUT") && s.alive) d_.late.push_back({"draining of " + s.id, from, f_.world().now()});
-  f_.nap(kDrain + Span(400));
+  f_.nap(kDrain + Duration(400));
   beat(s, "DELETE");
   s.alive = false;
 }
@@ -148,16 +148,16 @@
 Yard::Shot Yard::shoot(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::ShotRules& rules) {
   auto& w = f_.world();
   auto end = w.now() + rules.limit;
-  auto nap = [&](Span t) {
+  auto nap = [&](Duration t) {
     sim::Wait x;
     w.park(l, t, x);
   };
-  nap(Span(1));
+  nap(Duration(1));
   auto* s = at(address);
   if (!s) return base::ShotDefect::unsent;
   if (s->dark) {
     bool kept = w.below(3) == 0;  // on a connection that stood already it is sent into the dark
-    nap(kept ? rules.limit : std::min(rules.limit, rules.connect > Span(0) ? rules.connect : rules.limit));
+    nap(kept ? rules.limit : std::min(rules.limit, rules.connect > Duration(0) ? rules.connect : rules.limit));
     return kept ? base::ShotDefect::unknown : base::ShotDefect::unsent;
   }
   auto h = [&](const char* n) { return base::header(q.headers, n); };
@@ -177,13 +177,13 @@
   if (auto f = rates.find(s->service); f != rates.end()) {
     auto& c = came_[s->service];
     c.push_back(w.now());
-    while (c.front() < w.now() - Span(1000)) c.erase(c.begin());
+    while (c.front() < w.now() - Duration(1000)) c.erase(c.begin());
     if (static_cast<double>(c.size()) > f->second * 1.5) return not_run(429);
   }
   int64_t left = 0;
   auto told = h("Time-Remaining");
   std::from_chars(told.data(), told.data() + told.size(), left);
-  auto deadline = w.now() + Span(left);
+  auto deadline = w.now() + Duration(left);
   if (s->running >= s->slots) {
     if (s->waiting >= s->queue) {
       if (s->resets_when_full) return ++w.met["reset_when_full"], base::ShotDefect::unknown;
@@ -191,14 +191,14 @@
     }
     Busy b(s->waiting);
     while (s->running >= s->slots && s->alive) {
-      nap(Span(2));
+      nap(Duration(2));
       if (w.now() >= end) return base::ShotDefect::unknown;
       if (w.now() >= deadline) return not_run(503);
     }
     if (!s->alive || s->dark) return base::ShotDefect::unknown;
   }
   int times = s->bad ? s->bad(q.target) : 1;
-  Span took = s->work * s->slower * std::max(times, 1) + Span(w.below(4));
+  Duration took = s->work * s->slower * std::max(times, 1) + Duration(w.below(4));
   if (w.now() < s->warm_at) took *= 3;
   d_.arrivals[place].ran = true;
   d_.arrivals[place].at = w.now();
--- a/test/platform/yard.hpp
+++ b/test/platform/yard.hpp
@@ -10,9 +10,9 @@
   std::string id, service, version, zone, address;
   int slots = 8, queue = 8, running = 0, waiting = 0;
   bool alive = true, dark = false, draining = false, tells_load = true, resets_when_full = false;
-  Span work{8};
+  Duration work{8};
   int slower = 1;
-  Tick warm_at{0};
+  TimePoint warm_at{0};
   uint64_t calls = 0;
   int lose = 0, cut = 0, spoil = 0, extra = 0;       // in a thousand
   std::function<int(const std::string& target)> bad;  // times slower, 0: it fails; for bad versions
@@ -25,7 +25,7 @@
   using Shot = std::variant<base::Receipt, base::ShotDefect>;
   Shot shoot(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::ShotRules& r);
   bool stands(const std::string& address);
-  Server& add(const std::string& service, const std::string& version = "v1", Span cold = Span(0), const std::string& address = {});
+  Server& add(const std::string& service, const std::string& version = "v1", Duration cold = Duration(0), const std::string& address = {});
   void drain(Server& s);   // says so, serves on, says that it has ended, and ends
   void crash(Server& s, bool dark = false);
   std::vector<Server*> of(const std::string& service, const std::string& version = {});
@@ -40,7 +40,7 @@
   sim::Fleet& f_;
   Diary& d_;
   std::vector<std::unique_ptr<Server>> all_;
-  std::map<std::string, std::vector<Tick>> came_;
+  std::map<std::string, std::vector<TimePoint>> came_;
   uint64_t named_ = 0;
 };
 
--- a/test/replica_repair_unit.cpp
+++ b/test/replica_repair_unit.cpp
@@ -9,16 +9,16 @@
 using membership::ClusterView;
 
 RepairCandidate node(const std::string& name, const std::string& zone, bool votes) {
-  return {name, zone, "at:" + name, true, true, votes, Span(0)};
+  return {name, zone, "at:" + name, true, true, votes, Duration(0)};
 }
 ClusterView three(int tolerate) {
-  ClusterView s{{}, {node("a", "1", true), node("b", "2", true), node("c", "2", true)}, tolerate, Span(2000)};
+  ClusterView s{{}, {node("a", "1", true), node("b", "2", true), node("c", "2", true)}, tolerate, Duration(2000)};
   for (auto& n : s.nodes) s.set.push_back({n.name, n.address});
   return s;
 }
 void goes(RepairCandidate& k) {
   k.present = k.votes = false;
-  k.absent = Span(2000) * membership::kGoneBounds;
+  k.absent = Duration(2000) * membership::kGoneBounds;
 }
 std::string step(const ClusterView& s) {
   auto st = membership::plan_repair(s);
@@ -30,7 +30,7 @@
 void any_course() {
   int tolerate = *rc::gen::inRange(1, 4);
   int n = *rc::gen::inRange(3, 12), first = *rc::gen::inRange(1, 4);
-  ClusterView s{{}, {}, tolerate, Span(2000)};
+  ClusterView s{{}, {}, tolerate, Duration(2000)};
   for (int i = 0; i < n; ++i) {
     s.nodes.push_back(node("n" + std::to_string(i), std::to_string(i % 3), i < first));
     if (i < first) s.set.push_back({s.nodes.back().name, s.nodes.back().address});
@@ -70,12 +70,12 @@
     auto& k = s.nodes[static_cast<size_t>(x) % s.nodes.size()];
     int what = x / 20 % 5;
     if (what == 0) goes(k);
-    if (what == 1) k.present = k.votes = false, k.absent = Span(1000);
-    if (what == 2) k.present = true, k.votes = in(k.name), k.absent = Span(0);
+    if (what == 1) k.present = k.votes = false, k.absent = Duration(1000);
+    if (what == 2) k.present = true, k.votes = in(k.name), k.absent = Duration(0);
     if (what == 3) k.present = true, k.votes = false;
     if (what == 4) take();
   }
-  for (auto& k : s.nodes) k.present = true, k.votes = in(k.name), k.absent = Span(0);
+  for (auto& k : s.nodes) k.present = true, k.votes = in(k.name), k.absent = Duration(0);
   int steps = 0;
   while (take()) RC_ASSERT(++steps < 40);
   RC_ASSERT(s.set.size() >= std::min<size_t>({static_cast<size_t>(n), static_cast<size_t>(2 * tolerate + 1), 9}));
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -8,21 +8,21 @@
 // The duty's primary is killed in each phase. Hold time once recorded stays,
 // and the release still runs its course, each node being moved once.
 void duty_dies(Scene& s) {
-  s.length = Span(200000);
+  s.length = Duration(200000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 80)) return;
     put(s, "second", sim_layout("\"1\"", 3));
     for (std::string ph : {"ONE", "TWO", "THREE"}) {
-      if (!reach(s, "second", ph, Span(60000))) return s.want(false, "phase " + ph + " was not reached");
-      s.f.nap(Span(s.w.below(1500)));
+      if (!reach(s, "second", ph, Duration(60000))) return s.want(false, "phase " + ph + " was not reached");
+      s.f.nap(Duration(s.w.below(1500)));
       auto* h = duty_holder(s);
       if (!h) continue;
       pb::Rollout before;
       rollout_seen(s, before);
       auto name = h->name;
       s.f.kill(name);
-      bool taken = s.f.until(Span(15000), [&] { return duty_holder(s) != nullptr; });
+      bool taken = s.f.until(Duration(15000), [&] { return duty_holder(s) != nullptr; });
       s.want(taken, "nobody took the leadership up");
       pb::Rollout after;
       rollout_seen(s, after);
@@ -32,29 +32,29 @@
             s.want(d.held_ms() >= c.held_ms(), "hold time was lost");
       s.f.start(name);
     }
-    s.want(reach(s, "second", "DONE", Span(100000)), "the release did not finish: " + release_state(s, "second").text());
+    s.want(reach(s, "second", "DONE", Duration(100000)), "the release did not finish: " + release_state(s, "second").text());
   };
 }
 
 // A release that takes requests to a new service, whose workers turn bad once it has
 // reached a phase.
 void bad_release_in(Scene& s, const std::string& ph) {
-  s.length = Span(120000);
+  s.length = Duration(120000);
   s.must_meet = {"bad_answer"};
   s.story = [&s, ph] {
     if (!begin(s, 80)) return;
     std::vector<sim::Worker*> two;
     for (int i = 0; i < 3; ++i) two.push_back(&s.f.add_worker("fresh", "1", 0));
     s.f.event(R"("t":"allowed","service":"fresh","version":"1","prefix":"/a/")");
-    s.f.nap(Span(2500));
+    s.f.nap(Duration(2500));
     auto doc = sim_layout("\"1\"", 3);
     doc.replace(doc.find(R"("service":"app","methods":["GET"])"), 15, R"("service":"fresh")");
     doc.insert(doc.find("\"app\""), R"("fresh":{"versions":["1"],"deadline_ms":2000},)");
     put(s, "second", doc);
-    if (!reach(s, "second", ph, Span(80000))) return s.want(false, "phase " + ph + " was not reached");
+    if (!reach(s, "second", ph, Duration(80000))) return s.want(false, "phase " + ph + " was not reached");
     for (auto* x : two) x->bad_percent = 60;
-    s.want(reach(s, "second", "STOPPED", Span(20000)), "a bad release was not stopped in phase " + ph);
-    s.f.nap(Span(2000));
+    s.want(reach(s, "second", "STOPPED", Duration(20000)), "a bad release was not stopped in phase " + ph);
+    s.f.nap(Duration(2000));
     uint64_t top = 0;
     for (auto& h : s.f.hosts()) {
       s.want(h->node->release() == "first", h->name + " did not go back");
@@ -69,19 +69,19 @@
 // A layout that leaves the version in place out, or names a new one first, would take
 // a service to a version that was never on trial.
 void version_by_layout(Scene& s) {
-  s.length = Span(80000);
+  s.length = Duration(80000);
   s.story = [&s] {
     if (!begin(s, 80)) return;
     for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0).bad_percent = 60;
     for (int i = 0; i < 3; ++i) s.f.add_worker("content", "2", 3);
     allow(s, "2");
-    s.f.nap(Span(3000));
+    s.f.nap(Duration(3000));
     s.f.event(R"("t":"bad_version","service":"app","version":"2")");
     for (auto* vs : {"\"2\"", "\"2\",\"1\""}) {
       auto name = fmt::format("v{}", std::string(vs).size());
       auto t = s.f.tell("PUT", "/v1/releases/layout/" + name, sim_layout(vs, 3, 0, R"(,"express":"in a hurry")"));
       s.want(t.lost || t.status == 409 || t.status == 202, "the layout gave " + t.body);
-      s.f.nap(Span(12000));
+      s.f.nap(Duration(12000));
     }
     // What was recorded before a version came into place may still be stated again.
     auto again = s.f.tell("PUT", "/v1/releases/layout/first", sim_layout());
@@ -92,7 +92,7 @@
 
 // Quiet hours are the fleet's, not a machine's: whoever holds the leadership waits for them.
 void quiet_hours(Scene& s) {
-  s.length = Span(90000);
+  s.length = Duration(90000);
   s.must_meet = {"kill"};
   s.story = [&s] {
     if (!begin(s, 60)) return;
@@ -102,25 +102,25 @@
       return fmt::format("{:02}:{:02}", m / 60, m % 60);
     };
     auto sys = fmt::format(R"({{"express":"hours for all","content":{{"quiet_hours":{{"from":"{}","to":"{}"}}}}}})", hour(60), hour(120));
-    s.want(s.f.until(Span(8000), [&] { return s.f.tell("PUT", "/v1/releases/system/hours", sys).status == 202; }), "quiet hours were not taken");
-    s.f.nap(Span(3000));
+    s.want(s.f.until(Duration(8000), [&] { return s.f.tell("PUT", "/v1/releases/system/hours", sys).status == 202; }), "quiet hours were not taken");
+    s.f.nap(Duration(3000));
     put(s, "second", sim_layout("\"1\"", 3));
     for (int i = 0; i < 2; ++i) {
-      s.f.nap(Span(3000));
+      s.f.nap(Duration(3000));
       s.want(phase(s, "second") == "WAITING", "a phase started in the busy hours");
       auto* h = duty_holder(s);
       if (!h) continue;
       auto name = h->name;
       s.f.kill(name);
-      s.want(s.f.until(Span(15000), [&] { return duty_holder(s) != nullptr; }), "nobody took the leadership up");
+      s.want(s.f.until(Duration(15000), [&] { return duty_holder(s) != nullptr; }), "nobody took the leadership up");
       s.f.start(name);
     }
-    s.f.nap(Span(2000));
+    s.f.nap(Duration(2000));
     s.want(phase(s, "second") == "WAITING", "another holder of the leadership did not wait");
     for (auto& h : s.f.hosts()) h->wall += 70 * 60000;
-    s.want(reach(s, "second", "ONE", Span(6000)), "no phase started in the quiet hours");
+    s.want(reach(s, "second", "ONE", Duration(6000)), "no phase started in the quiet hours");
     for (auto& h : s.f.hosts()) h->wall -= 70 * 60000;
-    s.f.nap(Span(9000));
+    s.f.nap(Duration(9000));
     s.want(phase(s, "second") == "ONE", "a phase started after the quiet hours");
     s.want(s.f.tell("PUT", "/v1/releases/system/odd", R"({"content":{"quiet_hours":{"from":"27:00","to":"01:00"}}})").status == 422, "27:00 was taken");
   };
@@ -129,7 +129,7 @@
 // Requests wait for seconds, for a place or for the origin's pace, while one layout
 // after the other comes in force everywhere; a relay is cut off now and then.
 void old_layout(Scene& s) {
-  s.length = Span(90000);
+  s.length = Duration(90000);
   s.must_meet = {"cut"};
   s.story = [&s] {
     auto doc = [](int life) {
@@ -141,32 +141,32 @@
     if (!begin(s, 40, doc(3))) return;
     s.f.event(R"("t":"rate","service":"app","n":8)");
     for (int i = 0; i < 8; ++i) {
-      s.f.nap(Span(3000 + s.w.below(3000)));
+      s.f.nap(Duration(3000 + s.w.below(3000)));
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       s.f.cut_off(h->name);
-      s.f.nap(Span(s.w.below(500)));
+      s.f.nap(Duration(s.w.below(500)));
       put(s, fmt::format("r{}", i), doc(1 + i));
-      s.f.nap(Span(s.w.below(1500)));
+      s.f.nap(Duration(s.w.below(1500)));
       s.w.mend();
     }
-    s.f.nap(Span(9000));
+    s.f.nap(Duration(9000));
   };
 }
 
 // A release that breaks only what callers do not see: the workers' beats through its
 // nodes, or their way to a service that nobody asks just then.
 void blind_release_in(Scene& s, const std::string& ph, const std::string& what) {
-  s.length = Span(470000);
+  s.length = Duration(470000);
   s.must_meet = {what == "beats" ? "beat_unheard" : "unreachable"};
   s.story = [&s, ph, what] {
     if (!begin(s, 80)) return;
-    s.f.nap(Span(65000));  // so that it is known which beats are usual
+    s.f.nap(Duration(65000));  // so that it is known which beats are usual
     put(s, "second", sim_layout("\"1\"", 3, 0, R"(,"holds":{"one_min":900,"two_min":1600})"));
-    if (!reach(s, "second", ph, Span(280000))) return s.want(false, "phase " + ph + " was not reached");
+    if (!reach(s, "second", ph, Duration(280000))) return s.want(false, "phase " + ph + " was not reached");
     s.f.faults().broken = "second";
     s.f.faults().breaks = what;
     std::string now = ph;
-    s.f.until(Span(100000), [&] { return (now = phase(s, "second")) != ph; });
+    s.f.until(Duration(100000), [&] { return (now = phase(s, "second")) != ph; });
     s.want(now == "STOPPED", "it was not stopped in phase " + ph + ": " + release_state(s, "second").text());
     auto why = release_state(s, "second").at("course").at("why").str();
     s.want(why.find(what == "beats" ? "check worker-beats" : "check probes") == 0, "it was stopped for another reason: " + why);
@@ -175,24 +175,24 @@
 
 // Without traffic there is no evidence, and no release goes on.
 void too_little(Scene& s) {
-  s.length = Span(60000);
+  s.length = Duration(60000);
   s.story = [&s] {
     if (!begin(s, 1)) return;
     put(s, "second", sim_layout("\"1\"", 3));
-    s.f.nap(Span(25000));
+    s.f.nap(Duration(25000));
     s.want(phase(s, "second") == "ONE", "it went on without evidence");
     auto why = release_state(s, "second").at("course").at("why").str();
     s.want(why.find("too little evidence") == 0, "it does not say why it holds: " + why);
     auto t = s.f.tell("PUT", "/v1/releases/layout/second/waivers/evidence", R"({"reason":"a quiet night"})");
     s.want(t.status == 200, "the waiver was not taken");
-    s.want(reach(s, "second", "TWO", Span(10000)), "a waived check still held it");
+    s.want(reach(s, "second", "TWO", Duration(10000)), "a waived check still held it");
   };
 }
 
 // Compare-and-set by everybody at once while machines fail: for each version
 // one winner, and no read ever older than what was acknowledged before it.
 void races(Scene& s) {
-  s.length = Span(60000);
+  s.length = Duration(60000);
   s.must_meet = {"kill", "loss", "freeze"};
   struct State {
     std::map<uint64_t, std::string> won;
@@ -201,13 +201,13 @@
   auto st = std::make_shared<State>();
   s.story = [&s, st] {
     if (!begin(s, 5)) return;
-    s.w.weather = {20, 20, Span(1), Span(25)};
-    auto end = s.w.now() + Span(30000);
+    s.w.weather = {20, 20, Duration(1), Duration(25)};
+    auto end = s.w.now() + Duration(30000);
     for (auto& h : s.f.hosts())
       for (int k = 0; k < 2; ++k)
         s.f.outside([&s, st, end, host = h.get(), k] {
           for (int i = 0; s.w.now() < end; ++i) {
-            s.f.nap(Span(s.w.below(1000)));
+            s.f.nap(Duration(s.w.below(1000)));
             if (!host->up()) continue;
             // The work runs in the host's own life and dies with it.
             s.w.spawn(host->life, [&s, st, host, k, i] {
@@ -236,18 +236,18 @@
           }
         });
     while (s.w.now() < end) {
-      s.f.nap(Span(500 + s.w.below(1500)));
+      s.f.nap(Duration(500 + s.w.below(1500)));
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       if (s.w.chance(400)) {
         if (may_fall(s, *h)) s.f.kill(h->name);
       } else if (s.w.chance(500)) {
-        s.w.freeze(h->name, s.w.now() + Span(s.w.below(3000)));
+        s.w.freeze(h->name, s.w.now() + Duration(s.w.below(3000)));
       }
       for (auto& x : s.f.hosts())
         if (!x->up() && s.w.chance(500)) s.f.start(x->name);
     }
     s.f.start_all();
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     s.figures = {{"race_writes", st->writes}, {"race_reads", st->reads}, {"race_stale", st->stale}, {"race_unsure", st->unsure}};
     s.want(st->writes > 20 && st->stale > 0,
            fmt::format("there was no race: {} writes, {} stale, {} unsure, {} reads", st->writes, st->stale, st->unsure, st->reads));
@@ -256,7 +256,7 @@
 
 // Operators race each other and send nonsense; one wins, the rest are told.
 void operators_race(Scene& s) {
-  s.length = Span(60000);
+  s.length = Duration(60000);
   s.story = [&s] {
     if (!begin(s)) return;
     auto won = std::make_shared<int>(0), lost = std::make_shared<int>(0), odd = std::make_shared<int>(0);
@@ -265,7 +265,7 @@
         auto t = s.f.tell("PUT", "/v1/releases/layout/contested", sim_layout("\"1\"", 1 + i));
         (t.status == 202 ? *won : t.status == 412 ? *lost : *odd)++;
       });
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     s.want(*won == 1, fmt::format("{} operators won, {} lost, {} other", *won, *lost, *odd));
     for (auto* bad : {"{", "[]", R"({"content":{}})", R"({"content":{"services":{"x":{"versions":[]}},"routes":[]}})"}) {
       auto t = s.f.tell("PUT", "/v1/releases/layout/bad", bad);
@@ -279,7 +279,7 @@
     s.want(purge(s, "once", "path", "/c/1") && purge(s, "once", "path", "/c/1"), "a purge stated twice was not taken as one");
     s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"content","kind":"path","path":"/c/2"})").status == 409,
            "another purge under a known name was acknowledged");
-    s.f.nap(Span(500));
+    s.f.nap(Duration(500));
     s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"app","kind":"path","path":"/c/1"})").status == 409,
            "another service's purge under a known name was acknowledged");
     s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"9"})").status == 422, "a version that no layout allows was taken");
@@ -288,7 +288,7 @@
 
 // A watch returns when what it watches has changed, and not before.
 void watch(Scene& s) {
-  s.length = Span(60000);
+  s.length = Duration(60000);
   s.story = [&s] {
     if (!begin(s)) return;
     auto t = s.f.tell("GET", "/v1/assignments", "");
@@ -297,21 +297,21 @@
     s.want(none.status == 404, "a watch of nothing did not say 404");
     auto from = s.w.now();
     auto same = s.f.tell("GET", "/v1/assignments?wait_ms=1500&after=" + v, "");
-    s.want(same.status == 304 && s.w.now() - from >= Span(1500), fmt::format("a watch of what does not change gave {}", same.status));
+    s.want(same.status == 304 && s.w.now() - from >= Duration(1500), fmt::format("a watch of what does not change gave {}", same.status));
     s.f.outside([&s] {
-      s.f.nap(Span(1000));
+      s.f.nap(Duration(1000));
       put(s, "second", sim_layout("\"1\"", 3));
     });
     from = s.w.now();
     auto next = s.f.tell("GET", "/v1/assignments?wait_ms=4500&after=" + v, "");
-    s.want(next.status == 200 && s.w.now() - from >= Span(1000), "a watch missed a change");
+    s.want(next.status == 200 && s.w.now() - from >= Duration(1000), "a watch missed a change");
   };
 }
 
 // A split that leaves the duty's holder on the small side: it stops before its
 // read_lease ends, and the other side goes on.
 void split_duty(Scene& s) {
-  s.length = Span(90000);
+  s.length = Duration(90000);
   s.must_meet = {"cut"};
   s.story = [&s] {
     if (!begin(s, 40)) return;
@@ -320,20 +320,20 @@
       auto* h = duty_holder(s);
       if (!h) return s.want(false, "nobody holds the duty");
       s.f.cut_off(h->name);
-      bool passed = s.f.until(Span(15000), [&] {
+      bool passed = s.f.until(Duration(15000), [&] {
         auto* n = duty_holder(s);
         return n && n != h;
       });
       s.want(passed, "the leadership did not pass on");
       s.w.mend();
-      s.f.nap(Span(2000 + s.w.below(3000)));
+      s.f.nap(Duration(2000 + s.w.below(3000)));
     }
   };
 }
 
 // Each machine in turn is stopped with a warning and started again.
 void rolling_restart(Scene& s) {
-  s.length = Span(120000);
+  s.length = Duration(120000);
   s.story = [&s] {
     if (!begin(s, 40)) return;
     auto calls = s.f.calls, good = s.f.good;
@@ -344,11 +344,11 @@
         n->leave();
         gone = true;
       });
-      s.want(s.f.until(Span(5000), [&] { return gone && h->node->traffic().running() == 0; }), name + " did not leave within five seconds");
+      s.want(s.f.until(Duration(5000), [&] { return gone && h->node->traffic().running() == 0; }), name + " did not leave within five seconds");
       s.f.kill(name);
-      s.f.nap(Span(200));
+      s.f.nap(Duration(200));
       s.f.start(name);
-      s.want(serves(s, Span(10000)), name + " did not come back");
+      s.want(serves(s, Duration(10000)), name + " did not come back");
     }
     calls = s.f.calls - calls;
     good = s.f.good - good;
--- a/test/rollout_unit.cpp
+++ b/test/rollout_unit.cpp
@@ -14,8 +14,8 @@
   Rules r;
   Sight v;
   std::string log;
-  std::vector<std::pair<Span, std::string>> assigned;  // when a node first got release "new"
-  Span clock{0};
+  std::vector<std::pair<Duration, std::string>> assigned;  // when a node first got release "new"
+  Duration clock{0};
   std::set<std::string> on;
 
   explicit Bench(int zones = 3, int per = 4) {
@@ -29,7 +29,7 @@
         v.nodes.push_back(n);
       }
     record("base");
-    tick(Span(0));
+    tick(Duration(0));
   }
   void record(const std::string& name, const std::string& more = "") {
     auto g = read_release("layout", name, R"({"content":{"services":{"a":{"versions":["1"]}},
@@ -55,7 +55,7 @@
     for (auto& x : o.effects)
       if (auto* t = as<Tell>(x)) log += t->text + "\n";
   }
-  void tick(Span dt) {
+  void tick(Duration dt) {
     clock += dt;
     v.dt = dt;
     for (auto& n : v.nodes) {
@@ -65,8 +65,8 @@
     }
     feed(v);
   }
-  void pass(Span t, Span by = Span(1000)) {
-    for (Span d{0}; d < t; d += by) tick(by);
+  void pass(Duration t, Duration by = Duration(1000)) {
+    for (Duration d{0}; d < t; d += by) tick(by);
   }
   const pb::Course& course(const std::string& name) {
     for (auto& c : s.courses())
@@ -98,14 +98,14 @@
       b.traffic(10);
       for (auto& n : b.v.nodes) n.beats = 4, n.beats_usual = 4000;
       b.record("new");
-      b.tick(Span(1000));
+      b.tick(Duration(1000));
       for (int i = 0; i < 30; ++i) {
         for (auto& n : b.v.nodes) {
           bool on = all || b.s.nodes().at(n.name).releases().at("layout") == "new";
           if (beats) n.beats = on ? 0 : 4;
           if (!beats) n.probes_ok = !on, n.probes_bad = on;
         }
-        b.tick(Span(1000));
+        b.tick(Duration(1000));
       }
       auto ph = b.course("new").phase();
       expect((ph == pb::STOPPED) == !all, fmt::format("beats {}, all {}: it is {}", beats, all, pb::Phase_Name(ph)));
@@ -125,7 +125,7 @@
   expect(b.assigned[1].first - b.assigned[0].first >= minutes(15), "phase one was shorter than 15 minutes");
   auto zone = b.node(b.assigned[1].second).zone;
   expect(zone != home, "phase two took the zone of the phase-one machine");
-  Span last{0};
+  Duration last{0};
   for (size_t i = 1; i <= 4; ++i) {
     same(b.node(b.assigned[i].second).zone, zone, "the zone of phase two");
     last = b.assigned[i].first;
@@ -143,7 +143,7 @@
   b.traffic(10);
   b.record("new");
   b.pass(minutes(200));
-  std::map<Span, int> at;
+  std::map<Duration, int> at;
   for (auto& [t, n] : b.assigned)
     if (b.node(n).keeper) same(++at[t], 1, "replica_repair changed together");
   expect(b.course("new").phase() == pb::DONE, "it did not finish");
@@ -154,7 +154,7 @@
   Bench b;
   b.traffic(10);
   b.record("new");
-  for (int i = 0; i < 20000 && b.course("new").phase() != p; ++i) b.tick(Span(1000));
+  for (int i = 0; i < 20000 && b.course("new").phase() != p; ++i) b.tick(Duration(1000));
   expect(b.course("new").phase() == p, "the phase was not reached");
   auto had = b.assigned.size();
   auto gen = b.s.generation();
@@ -188,7 +188,7 @@
   b.record("new");
   b.pass(minutes(5));
   b.node(b.assigned[0].second).present = false;
-  b.tick(Span(1000));
+  b.tick(Duration(1000));
   expect(b.course("new").phase() == pb::STOPPED, "the loss of the phase-one machine went unnoticed");
 }
 
@@ -196,9 +196,9 @@
   Bench b;
   b.traffic(10);
   b.record("new");
-  b.tick(Span(1000));
+  b.tick(Duration(1000));
   b.node(b.assigned[0].second).load_defect = "layout/new: unreadable";
-  b.tick(Span(1000));
+  b.tick(Duration(1000));
   expect(b.course("new").phase() == pb::STOPPED, "a release that does not load went on");
 }
 
@@ -210,7 +210,7 @@
   b.pass(minutes(60));
   expect(b.course("new").phase() == pb::WAITING, "it started in the busy hours");
   b.v.quiet = true;
-  b.tick(Span(1000));
+  b.tick(Duration(1000));
   b.v.quiet = false;
   b.pass(minutes(60));
   expect(b.course("new").phase() == pb::ONE, "phase two started in the busy hours");
@@ -233,12 +233,12 @@
   b.pass(minutes(10));
   expect(b.course("next").phase() == pb::WAITING, "two of a kind at once");
   b.record("urgent", R"(,"supersedes":"new")");
-  b.tick(Span(1000));
-  b.tick(Span(1000));
+  b.tick(Duration(1000));
+  b.tick(Duration(1000));
   expect(b.course("new").phase() == pb::WITHDRAWN, "it was not superseded");
   expect(b.course("urgent").phase() == pb::ONE, "the superseding one did not start");
   b.v.acts["release/layout/next"].set_withdrawn("no need");
-  b.tick(Span(1000));
+  b.tick(Duration(1000));
   expect(b.course("next").phase() == pb::WITHDRAWN, "a waiting release was not withdrawn");
 }
 
@@ -246,7 +246,7 @@
   Bench b;
   b.traffic(10);
   b.record("new", R"(,"express":"an origin is on fire")");
-  b.tick(Span(1000));
+  b.tick(Duration(1000));
   same(b.assigned.size(), size_t(12), "nodes that got it at once");
 }
 
@@ -255,7 +255,7 @@
 void any_history() {
   Bench b(*rc::gen::inRange(2, 5), *rc::gen::inRange(1, 5));
   b.record("new");
-  Span held{0};
+  Duration held{0};
   auto was = pb::WAITING;
   uint64_t term = 0;
   auto moves = *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 100));
@@ -274,7 +274,7 @@
     if (was == pb::TWO && now == pb::THREE) RC_ASSERT(held >= minutes(20) - minutes(4));
     RC_ASSERT(!(was == pb::WAITING && (now == pb::TWO || now == pb::THREE)));
     RC_ASSERT(!(was == pb::ONE && now == pb::THREE));
-    held = Span(static_cast<int64_t>(b.course("new").held_ms()));
+    held = Duration(static_cast<int64_t>(b.course("new").held_ms()));
     if (now == pb::ONE) RC_ASSERT(b.assigned.size() == 1u);
     was = now;
   }
@@ -286,7 +286,7 @@
   s.set_current("1");
   s.set_trial("2");
   MoveSight v;
-  v.dt = Span(500);
+  v.dt = Duration(500);
   for (int i = 0; i < 9; ++i) {
     v.delta = {{"1", {500, 0}}, {"2", {20, 5}}};
     s = step("app", s, v, r).state;
@@ -302,7 +302,7 @@
   s.set_current("1");
   s.set_trial("2");
   MoveSight v;
-  v.dt = Span(1000);
+  v.dt = Duration(1000);
   v.delta = {{"1", {90, 1}}, {"2", {10, 0}}};
   for (int i = 0; i < 59; ++i) s = step("app", s, v, r).state;
   same(s.current(), std::string("1"), "the version before a minute of trial");
@@ -321,10 +321,10 @@
 void shares_never_exceed() {
   int64_t rate = *rc::gen::inRange(2, 200);
   pb::Shares s;
-  std::vector<std::pair<Span, pb::Shares>> written;
-  Span now{0}, fell{0};
+  std::vector<std::pair<Duration, pb::Shares>> written;
+  Duration now{0}, fell{0};
   for (int m : *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 1000))) {
-    now += Span(200 + m % 900);
+    now += Duration(200 + m % 900);
     ShareSight v;
     v.rate = rate;
     v.since_fall = now - fell;
@@ -339,7 +339,7 @@
       // Each relay uses some version no older than the bound, at worst for the sum.
       uint32_t worst = 0;
       for (size_t k = 0; k < written.size(); ++k) {
-        bool last_before = k + 1 == written.size() || written[k + 1].first > now - Span(2000);
+        bool last_before = k + 1 == written.size() || written[k + 1].first > now - Duration(2000);
         if (!last_before) continue;
         auto f = written[k].second.milli().find(n);
         if (f != written[k].second.milli().end()) worst = std::max(worst, f->second);
--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -56,7 +56,7 @@
   if (!begin(r)) return false;
   return calls(r, [&] {
     return say(put_layout(r, "second", layout_document(r.f.config().deployment, "2")), "second layout recorded") &&
-           say(r.f.layout_everywhere("second", Span(r.seconds * 1000 + 30000)), "second layout runs everywhere");
+           say(r.f.layout_everywhere("second", Duration(r.seconds * 1000 + 30000)), "second layout runs everywhere");
   });
 }
 
@@ -122,7 +122,7 @@
   std::map<std::string, int> met;
   bool lobby = r.f.config().deployment == "lobby";
   auto relay = [&] { return r.f.machines()[rng() % 14].name; };
-  auto end = r.f.clock.now() + Span((r.seconds - 25) * 1000);
+  auto end = r.f.clock.now() + Duration((r.seconds - 25) * 1000);
   bool ok = calls(r, [&] {
     for (int i = 0; r.f.clock.now() < end; ++i) {
       auto n = relay();
@@ -155,7 +155,7 @@
         auto old = r.f.machines()[18 + rng() % 4].name;
         if (r.f.at(old).pid > 0) ::kill(r.f.at(old).pid, SIGTERM);
       }
-      r.f.clock.nap(Span(300 + rng() % 1500));
+      r.f.clock.nap(Duration(300 + rng() % 1500));
       for (auto& x : r.f.machines()) r.f.gone(x.name);
       if (rng() % 3 == 0) r.f.links().mend_all();
       for (auto& x : r.f.machines()) {
@@ -198,7 +198,7 @@
     r.f.event(fmt::format(R"("t":"bad_version","service":"{}","version":"2")", svc));
     bool put = r.f.until(10s, [&] { return r.f.any("PUT", fmt::format("/v1/services/{}", svc), R"({"version":"2"})").status == 200; });
     return say(put, "the move was stated") &&
-           say(r.f.until(Span(r.seconds * 1000), [&] { return r.f.any("GET", fmt::format("/v1/services/{}", svc)).body.find("\"2\":\"") != std::string::npos; }),
+           say(r.f.until(Duration(r.seconds * 1000), [&] { return r.f.any("GET", fmt::format("/v1/services/{}", svc)).body.find("\"2\":\"") != std::string::npos; }),
                "the bad version is in quarantine");
   });
 }
@@ -220,7 +220,7 @@
   return say(r.f.any("GET", "/v1/artifacts/" + sha).body.find("\"whole\":true") != std::string::npos, "a majority holds the artifact whole");
 }
 
-bool software_is(Run& r, const std::string& name, const std::string& ph, Span most) {
+bool software_is(Run& r, const std::string& name, const std::string& ph, Duration most) {
   return r.f.until(most, [&] { return r.f.any("GET", "/v1/releases/software/" + name).body.find("\"phase\":\"" + ph + "\"") != std::string::npos; });
 }
 
@@ -242,7 +242,7 @@
            say(software_is(r, "broken", "STOPPED", 90s), "the broken program was stopped") &&
            say(r.f.all_ready(30s) && running(r, "0.1.0") == 14, "all machines run the last good program") &&
            record_software(r, "better", "0.2.0", r.f.config().bin + "/relay_next") &&
-           say(software_is(r, "better", "DONE", Span(r.seconds * 1000)), "the better program ran its course") &&
+           say(software_is(r, "better", "DONE", Duration(r.seconds * 1000)), "the better program ran its course") &&
            say(r.f.until(30s, [&] { return running(r, "0.2.0") == 14; }), "all machines run it");
   });
 }
--- a/test/sim_cases.hpp
+++ b/test/sim_cases.hpp
@@ -17,11 +17,11 @@
   sim::Fleet& f;
   std::string only;                 // the relay that all callers go to; empty: any that is ready
   std::function<void()> story;      // a fiber of the outside world
-  Span length{60000};
+  Duration length{60000};
   bool story_done = false;
   std::string why;                  // set when something was not seen
   std::map<std::string, uint64_t> figures;
-  Span away_within{0};              // no request may be turned away later than so long after it came; 0: not looked at
+  Duration away_within{0};              // no request may be turned away later than so long after it came; 0: not looked at
   std::vector<std::string> must_meet;  // faults that the run has to have met
   void want(bool ok, const std::string& what) {
     if (!ok && why.empty()) why = what;
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -84,7 +84,7 @@
   });
   bool done = s.story_done;
   f.end();
-  w.run(w.now() + Span(20000), nullptr, nullptr);
+  w.run(w.now() + Duration(20000), nullptr, nullptr);
   Journals js;
   for (auto& l : w.journal) js.add(l);
   if (!journal.empty()) {
@@ -101,7 +101,7 @@
     throw Failed(fmt::format("rule {} ({} breaches): {}", r.breaches[0].rule, r.breaches.size(), r.breaches[0].what));
   expect(s.why.empty(), s.why);
   auto late = r.figures["longest_not_run_ms"];
-  expect(s.away_within == Span(0) || Span(static_cast<int64_t>(late)) <= s.away_within, fmt::format("a request was turned away only after {} ms", late));
+  expect(s.away_within == Duration(0) || Duration(static_cast<int64_t>(late)) <= s.away_within, fmt::format("a request was turned away only after {} ms", late));
   expect(!r.figures["no_retry_after"], "a request was turned away without being told when to come back");
   expect(!r.figures["lost_unexplained"], fmt::format("{} requests were lost at relays that nothing befell", r.figures["lost_unexplained"]));
   expect(done, "the story did not come to its end");
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -39,7 +39,7 @@
   return release_state(s, name).at("course").at("phase").str("?");
 }
 
-bool reach(Scene& s, const std::string& name, const std::string& ph, Span most) {
+bool reach(Scene& s, const std::string& name, const std::string& ph, Duration most) {
   return s.f.until(most, [&] { return phase(s, name) == ph; });
 }
 
@@ -79,18 +79,18 @@
   auto& sh = s.f.shape();
   for (int i = 0; i < sh.first; ++i) s.f.add_worker("content", "1", 3);
   for (int i = 0; i < sh.second; ++i) s.f.add_worker("app", "1", 0);
-  bool ok = s.f.until(Span(15000), [&] {
+  bool ok = s.f.until(Duration(15000), [&] {
     auto t = s.f.tell("PUT", "/v1/releases/layout/first", doc);
     return t.status == 202 || t.status == 200;
   });
   s.want(ok, "the first layout was not taken");
-  ok = ok && s.f.until(Span(10000), [&] {
+  ok = ok && s.f.until(Duration(10000), [&] {
     for (auto& h : s.f.hosts())
       if (h->up() && !h->node->ready()) return false;
     return true;
   });
   s.want(ok, "not all relays became ready");
-  ok = ok && s.f.until(Span(5000), [&] {
+  ok = ok && s.f.until(Duration(5000), [&] {
     for (auto& h : s.f.hosts()) {
       auto t = h->node->traffic().table();
       for (auto* n : {"content", "app"})
@@ -101,7 +101,7 @@
   s.want(ok, "not all relays came to know all workers");
   s.f.event(R"("t":"lifetime","ms":3000)");
   allow(s, "1");
-  s.f.callers(rate, s.w.now() + Span(600000), [&s] { mix(s); });
+  s.f.callers(rate, s.w.now() + Duration(600000), [&s] { mix(s); });
   return ok;
 }
 
@@ -125,7 +125,7 @@
   }
 }
 
-bool serves(Scene& s, Span most) {
+bool serves(Scene& s, Duration most) {
   return s.f.until(most, [&] {
     int ready = 0, up = 0;
     for (auto& h : s.f.hosts()) {
@@ -137,7 +137,7 @@
 }
 
 void put(Scene& s, const std::string& name, const std::string& doc) {
-  bool ok = s.f.until(Span(20000), [&] {
+  bool ok = s.f.until(Duration(20000), [&] {
     auto st = s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status;
     return st == 202 || st == 200;
   });
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -15,12 +15,12 @@
 sim::Host* duty_holder(Scene& s);
 // That the host knows each layout that was acknowledged, byte for byte.
 void knows(Scene& s, sim::Host& h, const std::map<std::string, std::string>& acked);
-bool serves(Scene& s, Span most);  // every relay that is up is ready
+bool serves(Scene& s, Duration most);  // every relay that is up is ready
 void put(Scene& s, const std::string& name, const std::string& doc);
 void allow(Scene& s, const std::string& version);
 base::Json release_state(Scene& s, const std::string& name);
 std::string phase(Scene& s, const std::string& name);
-bool reach(Scene& s, const std::string& name, const std::string& ph, Span most);
+bool reach(Scene& s, const std::string& name, const std::string& ph, Duration most);
 bool purge(Scene& s, const std::string& name, const std::string& kind, const std::string& path);
 const pb::Rollout* rollout_seen(Scene& s, pb::Rollout& out);
 
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -7,7 +7,7 @@
 // Workers crash, lose answers after doing the work, hand out wrong bytes and
 // refuse, all at once.
 void bad_workers(Scene& s) {
-  s.length = Span(80000);
+  s.length = Duration(80000);
   s.must_meet = {"lost_answer", "wrong_bytes", "bad_answer", "worker_refused", "worker_died_in_request"};
   s.story = [&s] {
     if (!begin(s, 60)) return;
@@ -16,11 +16,11 @@
       x->wrong_percent = 4;
       x->bad_percent = 4;
       x->refuse_percent = 4;
-      x->most = Span(400);
+      x->most = Duration(400);
     }
     s.f.add_worker("app", "9", 0);  // of a version that no layout ever allowed
     for (int i = 0; i < 12; ++i) {
-      s.f.nap(Span(1500));
+      s.f.nap(Duration(1500));
       auto& old = *s.f.workers()[s.w.below(s.f.workers().size())];
       if (!old.alive) continue;
       auto service = old.service;
@@ -33,16 +33,16 @@
 
 // Workers are replaced one by one; each says that it leaves before it goes.
 void replaced(Scene& s) {
-  s.length = Span(80000);
+  s.length = Duration(80000);
   s.story = [&s] {
     if (!begin(s, 60)) return;
     auto calls = s.f.calls, good = s.f.good;
     for (size_t i = 0; i < 6; ++i) {
       auto& old = *s.f.workers()[i];
       s.f.add_worker(old.service, "1", old.max_age);
-      s.f.nap(Span(1500));
+      s.f.nap(Duration(1500));
       s.f.workers()[i]->leaving = true;
-      s.f.nap(Span(4500));
+      s.f.nap(Duration(4500));
       s.f.workers()[i]->alive = false;
     }
     calls = s.f.calls - calls;
@@ -53,7 +53,7 @@
 
 // A worker's address passes to a worker of the other service.
 void address_reuse(Scene& s) {
-  s.length = Span(70000);
+  s.length = Duration(70000);
   s.must_meet = {"wrong_address"};
   s.story = [&s] {
     if (!begin(s, 60)) return;
@@ -62,7 +62,7 @@
       old.alive = false;
       auto& n = s.f.add_worker(old.service == "app" ? "content" : "app", "1", old.service == "app" ? 3 : 0);
       n.address = s.f.workers()[static_cast<size_t>(i)]->address;
-      s.f.nap(Span(6000));
+      s.f.nap(Duration(6000));
       s.f.add_worker(s.f.workers()[static_cast<size_t>(i)]->service, "1", s.f.workers()[static_cast<size_t>(i)]->max_age);
     }
   };
@@ -71,7 +71,7 @@
 // A worker's address passes to a program that is none of ours: it runs whatever it
 // gets, and says 421 for reasons of its own.
 void foreign_address(Scene& s) {
-  s.length = Span(60000);
+  s.length = Duration(60000);
   s.must_meet = {"foreign"};
   s.story = [&s] {
     if (!begin(s, 80)) return;
@@ -82,41 +82,41 @@
       auto& x = s.f.add_worker("app", "1", 0);
       x.foreign = true;
       x.address = address;
-      s.f.nap(Span(6000));
+      s.f.nap(Duration(6000));
       x.alive = false;
       s.f.add_worker("app", "1", 0);
-      s.f.nap(Span(4000));
+      s.f.nap(Duration(4000));
     }
   };
 }
 
 void slow_workers(Scene& s) {
-  s.length = Span(70000);
+  s.length = Duration(70000);
   s.must_meet = {"slow_worker"};
   s.story = [&s] {
     if (!begin(s, 60)) return;
     for (int round = 0; round < 4; ++round) {
       for (auto& x : s.f.workers()) {
         bool slow = s.w.chance(500);
-        x->least = Span(slow ? 500 : 1);
-        x->most = Span(slow ? 4000 : 8);
+        x->least = Duration(slow ? 500 : 1);
+        x->most = Duration(slow ? 4000 : 8);
       }
-      s.f.nap(Span(6000));
+      s.f.nap(Duration(6000));
     }
     for (auto& x : s.f.workers()) {
-      x->least = Span(1);
-      x->most = Span(8);
+      x->least = Duration(1);
+      x->most = Duration(8);
     }
-    s.f.nap(Span(6000));
+    s.f.nap(Duration(6000));
     auto calls = s.f.calls, good = s.f.good;
-    s.f.nap(Span(8000));
+    s.f.nap(Duration(8000));
     s.want((s.f.good - good) * 100 >= (s.f.calls - calls) * 98, "no recovery after the workers were quick again");
   };
 }
 
 // One worker is busy with work that no relay gave it, and says so in its answers.
 void told_load(Scene& s) {
-  s.length = Span(50000);
+  s.length = Duration(50000);
   s.story = [&s] {
     if (!begin(s, 120)) return;
     sim::Worker* busy = nullptr;
@@ -131,17 +131,17 @@
     };
     auto part = [&](const char* when) {
       auto a = runs();
-      s.f.nap(Span(10000));
+      s.f.nap(Duration(10000));
       auto b = runs();
       s.figures[when] = static_cast<uint64_t>((b.second - a.second) * 100 / std::max(1, b.first - a.first));
       return s.figures[when];
     };
     auto even = part("percent_before");
     busy->load = 40;
-    s.f.nap(Span(1000));
+    s.f.nap(Duration(1000));
     auto less = part("percent_under_load");
     busy->load = 0;
-    s.f.nap(Span(2000));
+    s.f.nap(Duration(2000));
     auto again = part("percent_after");
     s.want(less * 2 < even, fmt::format("{} percent before, {} under load", even, less));
     s.want(again * 2 > even, fmt::format("{} percent before, {} when the load was gone", even, again));
@@ -149,15 +149,15 @@
 }
 
 void purge_storm(Scene& s) {
-  s.length = Span(60000);
+  s.length = Duration(60000);
   s.story = [&s] {
     if (!begin(s, 40)) return;
     auto done = std::make_shared<int>(0);
     for (int i = 0; i < 400; ++i) {
       s.f.outside([&s, i, done] { *done += purge(s, fmt::format("storm{}", i), i % 3 ? "path" : "prefix", fmt::format("/c/{}", i % 20)); });
-      if (i % 40 == 0) s.f.nap(Span(300));
+      if (i % 40 == 0) s.f.nap(Duration(300));
     }
-    s.f.nap(Span(10000));
+    s.f.nap(Duration(10000));
     s.want(*done > 390, fmt::format("only {} of 400 purges were taken, {} had 503, {} were lost", *done, s.figures["purge_503"], s.figures["purge_0_lost"]));
     pb::PurgeSet set;
     for (auto& h : s.f.hosts())
@@ -172,16 +172,16 @@
 // Everybody wants one service at once: the other goes on, and afterwards all is
 // as before without an operator.
 void crowd(Scene& s) {
-  s.length = Span(60000);
-  s.away_within = Span(1200);
+  s.length = Duration(60000);
+  s.away_within = Duration(1200);
   s.story = [&s] {
     auto doc = sim_layout();
     auto tight = std::string(R"("rate":0,"inflight":4,"waitlist":8)");
     doc.replace(doc.find("\"rate\":0"), 8, tight);
     if (!begin(s, 30, doc)) return;
     for (auto& x : s.f.workers())
-      if (x->service == "app") x->least = Span(150), x->most = Span(250);
-    auto end = s.w.now() + Span(10000);
+      if (x->service == "app") x->least = Duration(150), x->most = Duration(250);
+    auto end = s.w.now() + Duration(10000);
     auto calls = std::make_shared<uint64_t>(0), away = std::make_shared<uint64_t>(0);
     s.f.callers(500, end, [&s, calls, away] {
       ++*calls;
@@ -189,17 +189,17 @@
     });
     auto n = std::make_shared<std::pair<uint64_t, uint64_t>>();
     while (s.w.now() < end) {
-      s.f.nap(Span(50));
+      s.f.nap(Duration(50));
       s.f.outside([&s, n] {
         ++n->first;
         n->second += s.f.call("GET", fmt::format("/c/{}", s.w.below(1000))) == 200;
       });
     }
-    s.f.nap(Span(3000));
+    s.f.nap(Duration(3000));
     s.want(n->first > 50 && n->second * 100 >= n->first * 97,
            fmt::format("the other service starved: {} of {}", n->second, n->first));
     auto c0 = s.f.calls, g0 = s.f.good;
-    s.f.nap(Span(5000));
+    s.f.nap(Duration(5000));
     s.want((s.f.good - g0) * 100 >= (s.f.calls - c0) * 95, "no recovery after the crowd");  // some are under way
     s.figures = {{"crowd_calls", *calls}, {"crowd_turned_away", *away}, {"other_calls", n->first}, {"other_good", n->second}};
     s.want(*away > 100, "there was no crowd");
@@ -207,31 +207,31 @@
 }
 
 void slow_disks(Scene& s) {
-  s.length = Span(70000);
+  s.length = Duration(70000);
   s.must_meet = {"slow_disk"};
   s.story = [&s] {
     if (!begin(s)) return;
     for (int i = 0; i < 2; ++i) {
       auto& p = s.f.at(fmt::format("h{}", 1 + i * 2)).platter;
-      p.least = Span(300);
-      p.most = Span(2500);
+      p.least = Duration(300);
+      p.most = Duration(2500);
     }
-    Span worst{0};
+    Duration worst{0};
     for (int i = 0; i < 8; ++i) {
       auto from = s.w.now();
       put(s, fmt::format("r{}", i), sim_layout("\"1\"", 3 + i));
-      worst = std::max<Span>(worst, s.w.now() - from);
-      s.f.nap(Span(2000));
+      worst = std::max<Duration>(worst, s.w.now() - from);
+      s.f.nap(Duration(2000));
     }
-    s.want(worst < Span(1500), fmt::format("a write took {} ms beside two slow disks", worst.count()));
+    s.want(worst < Duration(1500), fmt::format("a write took {} ms beside two slow disks", worst.count()));
     s.figures = {{"worst_write_ms", static_cast<uint64_t>(worst.count())}};
-    s.want(serves(s, Span(5000)), "slow disks made relays unready");
+    s.want(serves(s, Duration(5000)), "slow disks made relays unready");
   };
 }
 
 // Wall clocks jump by days, both ways; nothing but quiet hours may notice.
 void clock_jumps(Scene& s) {
-  s.length = Span(110000);
+  s.length = Duration(110000);
   s.story = [&s] {
     if (!begin(s, 60)) return;
     put(s, "second", sim_layout("\"1\"", 3));
@@ -239,9 +239,9 @@
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       h->wall += static_cast<int64_t>(s.w.below(4 * 86400000ull)) - 2 * 86400000ll;
       ++s.w.met["clock_jump"];
-      s.f.nap(Span(1000));
+      s.f.nap(Duration(1000));
     }
-    s.want(reach(s, "second", "DONE", Span(60000)), "clock jumps held a release up");
+    s.want(reach(s, "second", "DONE", Duration(60000)), "clock jumps held a release up");
     s.want(s.f.good * 100 > s.f.calls * 99, "clock jumps hurt traffic");
   };
   s.must_meet = {"clock_jump"};
@@ -250,11 +250,11 @@
 // Everything at once, and then the acknowledged configuration is read back from
 // each relay, byte for byte.
 void end_of_day(Scene& s) {
-  s.length = Span(160000);
+  s.length = Duration(160000);
   s.must_meet = {"kill", "freeze", "loss", "cut", "lost_disk"};
   s.story = [&s] {
     if (!begin(s, 40)) return;
-    s.w.weather = {10, 10, Span(1), Span(20)};
+    s.w.weather = {10, 10, Duration(1), Duration(20)};
     std::map<std::string, std::string> acked;
     for (int i = 0; i < 30; ++i) {
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
@@ -264,7 +264,7 @@
         case 0:
           if (may_fall(s, *h)) s.f.kill(h->name);
           break;
-        case 1: s.w.freeze(h->name, s.w.now() + Span(s.w.below(5000))); break;
+        case 1: s.w.freeze(h->name, s.w.now() + Duration(s.w.below(5000))); break;
         case 2: s.f.cut_off(h->name); break;
         case 3:
           if (h->up() && h->holder && down == 0) {
@@ -279,7 +279,7 @@
           if (s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status == 202) acked[name] = doc;
         }
       }
-      s.f.nap(Span(s.w.below(2500)));
+      s.f.nap(Duration(s.w.below(2500)));
       if (s.w.chance(400)) s.w.mend();
       for (auto& x : s.f.hosts())
         if (!x->up() && s.w.chance(400)) s.f.start(x->name);
@@ -288,11 +288,11 @@
     s.w.weather = s.f.calm();
     s.f.start_all();
     s.f.event(R"("t":"returned")");
-    s.want(serves(s, Span(15000)), "the fleet did not serve again 15 s after the machines returned");
-    s.f.nap(Span(2000));
+    s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
+    s.f.nap(Duration(2000));
     for (auto& h : s.f.hosts()) knows(s, *h, acked);
     s.figures = {{"layouts_read_back", acked.size()}};
-    s.f.nap(Span(20000));
+    s.f.nap(Duration(20000));
   };
 }
 }  // namespace
--- a/test/traffic_unit.cpp
+++ b/test/traffic_unit.cpp
@@ -11,10 +11,10 @@
 namespace dunlinwing::test {
 namespace {
 struct DiskExecutor final : base::Clock {
-  Tick t{1000000};
-  Tick now() override { return t; }
+  TimePoint t{1000000};
+  TimePoint now() override { return t; }
   int64_t wall_ms() override { return 0; }
-  void nap(Span) override {}
+  void nap(Duration) override {}
 };
 
 std::optional<int64_t> life(std::vector<std::pair<std::string, std::string>> hs) {
@@ -31,9 +31,9 @@
                [] {
                  DiskExecutor c;
                  traffic::Repeats r;
-                 std::vector<std::pair<Tick, bool>> all;
+                 std::vector<std::pair<TimePoint, bool>> all;
                  for (int m : *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 1000))) {
-                   c.t += Span(m % 200);
+                   c.t += Duration(m % 200);
                    if (m % 3) {
                      r.sent("s");
                      all.push_back({c.t, false});
@@ -42,7 +42,7 @@
                    }
                    size_t again = 0, sent = 0;
                    for (auto& [t, a] : all)
-                     if (t > c.t - Span(10000)) (a ? again : sent)++;
+                     if (t > c.t - Duration(10000)) (a ? again : sent)++;
                    RC_ASSERT(again <= sent / 5 + 2);
                  }
                }),
@@ -66,12 +66,12 @@
        [] {
          DiskExecutor c;
          traffic::Pace p(c);
-         auto turn = [&](double share) { return std::get<traffic::Turn>(p.reserve("s", share, Span(60000))); };
+         auto turn = [&](double share) { return std::get<traffic::Turn>(p.reserve("s", share, Duration(60000))); };
          auto a = turn(10);
-         expect(a.wait == Span(100), "a new process waits a whole interval");
+         expect(a.wait == Duration(100), "a new process waits a whole interval");
          c.t += a.wait;
          expect(p.stands(a, 10) && p.stands(a, 20) && !p.stands(a, 5), "a fallen share");
-         c.t += Span(150);
+         c.t += Duration(150);
          expect(!p.stands(a, 10), "a missed turn");
        }},
       property("budget: a pace never lets a second hold more than its share and one",
@@ -81,8 +81,8 @@
                  double share = *rc::gen::inRange(1, 50);
                  std::vector<int64_t> at;
                  for (int m : *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 100))) {
-                   c.t += Span(m);
-                   auto r = p.reserve("s", share, Span(500));
+                   c.t += Duration(m);
+                   auto r = p.reserve("s", share, Duration(500));
                    if (auto* w = std::get_if<traffic::Turn>(&r)) at.push_back((c.t + w->wait).count());
                  }
                  std::sort(at.begin(), at.end());
--- a/test/worker.cpp
+++ b/test/worker.cpp
@@ -55,7 +55,7 @@
     bool hit = static_cast<int>(chance.below(100)) < FLAGS_fault_percent;
     auto fault = hit ? FLAGS_fault : std::string("none");
     auto at = clock.now().count();
-    clock.nap(Span(fault == "slow" ? FLAGS_work_ms * 500 : FLAGS_work_ms));
+    clock.nap(Duration(fault == "slow" ? FLAGS_work_ms * 500 : FLAGS_work_ms));
     auto body = fmt::format(R"({{"service":"{}","version":"{}","instance":"{}","target":{},"echo":{},"produced":{},"pad":"{}"}})",
                             FLAGS_service, FLAGS_runs, instance, test::qt(q.target), test::qt(id), at,
                             std::string(static_cast<size_t>(FLAGS_pad), 'x'));
@@ -100,7 +100,7 @@
   void beats() {
     for (;;) {
       beat();
-      clock.nap(Span(FLAGS_period_ms));
+      clock.nap(Duration(FLAGS_period_ms));
     }
   }
 
