--- a/src/base/ports.cpp
+++ b/src/base/ports.cpp
@@ -44,6 +44,6 @@
   return out;
 }
 
-std::string token(Chance& c) { return fmt::format("{:016x}{:016x}", c.draw(), c.draw()); }
+std::string token(Random& c) { return fmt::format("{:016x}{:016x}", c.draw(), c.draw()); }
 
 }  // namespace dunlinwing::base
--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -1,4 +1,4 @@
-// The ports through which the product meets time, chance, tasks, the network
+// The ports through which the product meets time, random, tasks, the network
 // and disks. The real ones are in wire and disk; the simulated ones are in
 // sim, and run the very same callers on invented time.
 #pragma once
@@ -12,29 +12,29 @@
   virtual ~Clock() = default;
   virtual TimePoint now() = 0;
   virtual int64_t wall_ms() = 0;
-  virtual void nap(Duration s) = 0;
+  virtual void sleep(Duration s) = 0;
 };
 
-class Chance {
+class Random {
  public:
-  virtual ~Chance() = default;
+  virtual ~Random() = default;
   virtual uint64_t draw() = 0;
   uint64_t below(uint64_t n) { return n ? draw() % n : 0; }
 };
 
 // A place where one fiber waits until another wakes it or its time is up.
-class Spot {
+class Condition {
  public:
-  virtual ~Spot() = default;
-  virtual bool park(Duration s) = 0;  // true when woken, false when time ran out
-  virtual void wake() = 0;        // from any thread, any number of times
+  virtual ~Condition() = default;
+  virtual bool wait(Duration s) = 0;  // true when woken, false when time ran out
+  virtual void notify() = 0;        // from any thread, any number of times
 };
 
 class Tasks {
  public:
   virtual ~Tasks() = default;
   virtual void spawn(std::function<void()> f) = 0;
-  virtual std::shared_ptr<Spot> spot() = 0;
+  virtual std::shared_ptr<Condition> condition() = 0;
 };
 
 // Only `unreachable` says that nothing was sent.
@@ -98,7 +98,7 @@
 
 struct Ports {
   Clock& clock;
-  Chance& chance;
+  Random& random;
   Tasks& tasks;
   Net& net;
   Origin& origin;
@@ -108,6 +108,6 @@
 bool same_word(std::string_view a, std::string_view b);  // ASCII case folded
 std::vector<std::string> words(std::string_view s, char sep);  // trimmed, none empty
 std::string sha256_base64(std::string_view body);
-std::string token(Chance& c);
+std::string token(Random& c);
 
 }  // namespace dunlinwing::base
--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -12,7 +12,7 @@
   std::mutex m;
   bool done = false;
   ItemPtr item;
-  std::vector<std::shared_ptr<base::Spot>> waits;
+  std::vector<std::shared_ptr<base::Condition>> waits;
 };
 
 struct Cache::Impl {
@@ -85,17 +85,17 @@
   std::lock_guard l(f->m);
   f->done = true;
   f->item = std::move(i);
-  for (auto& w : f->waits) w->wake();
+  for (auto& w : f->waits) w->notify();
   f->waits.clear();
 }
 
-std::optional<ItemPtr> Cache::wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Spot> s, Duration limit) {
+std::optional<ItemPtr> Cache::wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Condition> s, Duration limit) {
   {
     std::lock_guard l(f->m);
     if (f->done) return f->item;
     f->waits.push_back(s);
   }
-  s->park(limit);
+  s->wait(limit);
   std::lock_guard l(f->m);
   if (f->done) return f->item;
   return {};
--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -35,7 +35,7 @@
   uint64_t boot = 0, count = 0;
   std::vector<pb::Record> batch;
   uint64_t put = 0, done = 0;
-  std::vector<std::shared_ptr<base::Spot>> waits;
+  std::vector<std::shared_ptr<base::Condition>> waits;
 
   Impl(base::Ports& p, base::Disk& d, std::string m, ReplicaSetView& s, Duration r)
       : ps(p), disk(d), me(std::move(m)), set(s), round(r) {}
@@ -77,14 +77,14 @@
           for (auto& x : b) publish(x);
           done = upto;
         }
-        for (auto& w : std::exchange(waits, {})) w->wake();
+        for (auto& w : std::exchange(waits, {})) w->notify();
       }
       writing = false;
     }
     while (done < mine && !bad) {
-      auto s = ps.tasks.spot();
+      auto s = ps.tasks.condition();
       waits.push_back(s);
-      s->park(round);
+      s->wait(round);
     }
     return done >= mine;
   }
@@ -149,11 +149,11 @@
       *r.mutable_first() = *first;
       if (!sync(r)) return;
     }
-    if (stage == pb::BLANK) ps.clock.nap(round);
+    if (stage == pb::BLANK) ps.clock.sleep(round);
     bool doubted = false;
     while (stage != pb::FORMED && !bad) {
       if (!set.has(me)) {  // no holder yet, or the set is not known
-        ps.clock.nap(round / 4);
+        ps.clock.sleep(round / 4);
         continue;
       }
       auto others = this->others();
@@ -176,7 +176,7 @@
       }
       bool every = heard == others.size();
       if (newer || !set.has(me)) {  // asked of another set than the one in force, or not a holder yet
-        ps.clock.nap(round / 4);
+        ps.clock.sleep(round / 4);
       } else if (stage == pb::BLANK && formed >= others.size() / 2 + 1) {
         if (!adopt(set.message())) return;
         if (!take(got)) return;
@@ -190,7 +190,7 @@
       } else {
         if (stage == pb::BLANK && every && !formed && !std::exchange(doubted, true))
           lg.warn("{}: this disk is blank, and the others cannot tell whether anything was ever recorded; it stays mute.", me);
-        ps.clock.nap(round / 4);
+        ps.clock.sleep(round / 4);
       }
     }
   }
@@ -202,7 +202,7 @@
 
 void Acceptor::start(const std::optional<pb::First>& first) {
   auto l = p_->disk.load();
-  p_->boot = p_->ps.chance.draw() | 1;
+  p_->boot = p_->ps.random.draw() | 1;
   p_->stage = l.image.stage();
   p_->set.adopt(l.image.set());
   p_->epoch = l.image.set().epoch();
--- a/src/consensus/ask.cpp
+++ b/src/consensus/ask.cpp
@@ -9,12 +9,12 @@
   struct Table {
     Replies rs;
     size_t left;
-    std::shared_ptr<base::Spot> spot;
+    std::shared_ptr<base::Condition> condition;
   };
   auto t = std::make_shared<Table>();
   t->rs.resize(ts.size());
   t->left = ts.size();
-  t->spot = ps.tasks.spot();
+  t->condition = ps.tasks.condition();
   auto end = ps.clock.now() + limit;
   for (size_t i = 0; i < ts.size(); ++i)
     ps.tasks.spawn([&ps, t, i, to = ts[i], a = make(i), limit, mine = local && ts[i].name == me, local] {
@@ -25,12 +25,12 @@
         if (auto* x = std::get_if<pb::Reply>(&r)) t->rs[i] = std::move(*x);
       }
       --t->left;
-      t->spot->wake();
+      t->condition->notify();
     });
   while (t->left && !enough(t->rs)) {
     auto now = ps.clock.now();
     if (now >= end) break;
-    t->spot->park(end - now);
+    t->condition->wait(end - now);
   }
   return t->rs;
 }
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -60,7 +60,7 @@
   // Proposers that met each other wait a random while, longer each time.
   void back_off(int i) {
     auto most = static_cast<uint64_t>(round.count()) / 32 * static_cast<uint64_t>(1 << std::min(i, kMostDoublings));
-    ps.clock.nap(Duration(1 + ps.chance.below(most + 1)));
+    ps.clock.sleep(Duration(1 + ps.random.below(most + 1)));
   }
 
   // The slot that a majority has accepted at one ballot, none higher being seen.
@@ -127,9 +127,9 @@
       std::vector<std::string> names;
       size_t next = 0, left = 0;
       bool ok = true;
-      std::shared_ptr<base::Spot> spot;
+      std::shared_ptr<base::Condition> condition;
     };
-    auto t = std::make_shared<Table>(Table{names, 0, std::min(kAtOnce, names.size()), true, ps.tasks.spot()});
+    auto t = std::make_shared<Table>(Table{names, 0, std::min(kAtOnce, names.size()), true, ps.tasks.condition()});
     for (size_t k = t->left; k > 0; --k)
       ps.tasks.spawn([this, t] {
         while (t->ok && t->next < t->names.size()) {
@@ -142,9 +142,9 @@
           t->ok &= done;
         }
         --t->left;
-        t->spot->wake();
+        t->condition->notify();
       });
-    while (t->left) t->spot->park(round);
+    while (t->left) t->condition->wait(round);
     return t->ok;
   }
 };
@@ -171,7 +171,7 @@
 
 WriteResult RegisterClient::write(const std::string& name, uint64_t expect, const std::string& data) {
   auto& p = *p_;
-  auto tag = base::token(p.ps.chance);
+  auto tag = base::token(p.ps.random);
   auto is_mine = [&](const pb::Value& v) {
     return v.tag() == tag || std::find(v.past().begin(), v.past().end(), tag) != v.past().end();
   };
--- a/src/console/commands.cpp
+++ b/src/console/commands.cpp
@@ -105,7 +105,7 @@
     last = now;
     if (ph == "DONE") return kFine;
     if (ph == "STOPPED" || ph == "WITHDRAWN") return kNotSo;
-    s.clock.nap(Duration(500));
+    s.clock.sleep(Duration(500));
   }
   std::cerr << "console: still under way when the time was up\n";
   return kNotSo;
--- a/src/console/holders.cpp
+++ b/src/console/holders.cpp
@@ -50,7 +50,7 @@
   auto r = s.link.put("/v1/holders/" + s.args[1], body);
   if (r.status != 200) return refused(r);
   std::cout << s.args[1] << " holds the state from now on; waiting until its disk is filled and votes\n" << std::flush;
-  for (auto end = s.clock.now() + Duration(1000 * (s.wait_s ? s.wait_s : kWaitSeconds)); s.clock.now() < end; s.clock.nap(kLook)) {
+  for (auto end = s.clock.now() + Duration(1000 * (s.wait_s ? s.wait_s : kWaitSeconds)); s.clock.now() < end; s.clock.sleep(kLook)) {
     auto g = seats(s);
     if (auto* v = std::get_if<0>(&g))
       for (auto& x : *v)
--- a/src/gate/purger.cpp
+++ b/src/gate/purger.cpp
@@ -42,7 +42,7 @@
 struct Purger::Impl {
   struct Job {
     pb::Purge p;
-    std::shared_ptr<base::Spot> spot;
+    std::shared_ptr<base::Condition> condition;
     std::optional<std::variant<PurgeDone, PurgeDefect>> res;
   };
   struct Line {
@@ -85,7 +85,7 @@
 std::variant<PurgeDone, PurgeDefect> Purger::put(const std::string& service, const pb::Purge& p) {
   auto j = std::make_shared<Impl::Job>();
   j->p = p;
-  j->spot = p_->ps.tasks.spot();
+  j->condition = p_->ps.tasks.condition();
   auto& l = p_->by[service];
   l.jobs.push_back(j);
   if (!l.writing) {
@@ -94,12 +94,12 @@
       while (!l.jobs.empty()) {
         auto js = std::exchange(l.jobs, {});
         me->write(service, js);
-        for (auto& x : js) x->spot->wake();
+        for (auto& x : js) x->condition->notify();
       }
       l.writing = false;
     });
   }
-  while (!j->res) j->spot->park(Duration(1000));
+  while (!j->res) j->condition->wait(Duration(1000));
   return *j->res;
 }
 
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -67,9 +67,9 @@
     struct Table {
       std::map<std::string, Self> got;
       size_t left;
-      std::shared_ptr<base::Spot> spot;
+      std::shared_ptr<base::Condition> condition;
     };
-    auto t = std::make_shared<Table>(Table{{}, at.size(), ps.tasks.spot()});
+    auto t = std::make_shared<Table>(Table{{}, at.size(), ps.tasks.condition()});
     TimePoint end = ps.clock.now() + limit;
     for (auto& a : at)
       ps.tasks.spawn([t, a, limit, this, hold = weak.lock()] {
@@ -78,9 +78,9 @@
         if (x && x->status == 200)
           if (auto s = read_self(x->body)) t->got[a] = *s;
         --t->left;
-        t->spot->wake();
+        t->condition->notify();
       });
-    while (t->left && ps.clock.now() < end) t->spot->park(end - ps.clock.now());
+    while (t->left && ps.clock.now() < end) t->condition->wait(end - ps.clock.now());
     return t->got;
   }
 
@@ -140,7 +140,7 @@
       if (state_cache.fresh()) good = now;
       if (registers.holders().empty()) {
         look();
-        ps.clock.nap(c.bound / 16);
+        ps.clock.sleep(c.bound / 16);
         continue;
       }
       if (now - good >= c.bound * kSilent) {
@@ -149,7 +149,7 @@
         looked = now;
         tell();
       }
-      ps.clock.nap(c.bound);
+      ps.clock.sleep(c.bound);
     }
   }
 
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -121,7 +121,7 @@
         p->renew();
       else if (p->state_cache.fresh() && !p->resting)
         p->stand();
-      p->ps.clock.nap(p->span / 8 + Duration(p->ps.chance.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
+      p->ps.clock.sleep(p->span / 8 + Duration(p->ps.random.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
     }
   });
 }
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -112,7 +112,7 @@
   if (p_->tolerate < 1) return;
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
-      p->ps.clock.nap(p->bound / 2);
+      p->ps.clock.sleep(p->bound / 2);
       p->tick();
     }
   });
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -40,15 +40,15 @@
   std::atomic<int64_t> read_lease{0};
   TimePoint said{0};
   std::string said_key;
-  std::vector<std::pair<TimePoint, std::shared_ptr<base::Spot>>> waits;
+  std::vector<std::pair<TimePoint, std::shared_ptr<base::Condition>>> waits;
   std::map<std::string, int> silent;  // asks in a row that a holder did not answer
   bool told = false, asked = false;  // asked: somebody waits for the next pull
-  std::shared_ptr<base::Spot> rest;  // where the loop waits between pulls
+  std::shared_ptr<base::Condition> rest;  // where the loop waits between pulls
 
   Impl(base::Ports& p, StateCacheConfig cc, consensus::RegisterClient& b, consensus::Acceptor* m,
        std::function<void(pb::NodeStatus&)> o, std::function<void()> s)
       : ps(p), c(std::move(cc)), registers(b), mine(m), own(std::move(o)), seen(std::move(s)), statuses(c.session()) {
-    first = static_cast<size_t>(ps.chance.below(b.holders().size()));
+    first = static_cast<size_t>(ps.random.below(b.holders().size()));
   }
 
   void take(const std::string& who, const pb::PullReply& r, TimePoint now) {
@@ -222,7 +222,7 @@
     // A pull that itself took longer than the read_lease has proved nothing.
     read_lease = (start + c.read_lease()).count();
     seen();
-    std::erase_if(waits, [&](auto& w) { return w.first <= start ? (w.second->wake(), true) : false; });
+    std::erase_if(waits, [&](auto& w) { return w.first <= start ? (w.second->notify(), true) : false; });
     return true;
   }
 
@@ -266,10 +266,10 @@
       Duration rest = p->c.pull() - spent;
       if (!ok) rest = std::min(rest, p->c.pull() / 2);
       Duration least = p->c.pull() / 10;  // between pulls, whoever is in a hurry
-      p->ps.clock.nap(least);
+      p->ps.clock.sleep(least);
       if (rest > least && !p->asked) {
-        p->rest = p->ps.tasks.spot();
-        p->rest->park(rest - least);
+        p->rest = p->ps.tasks.condition();
+        p->rest->wait(rest - least);
         p->rest.reset();
       }
     }
@@ -285,11 +285,11 @@
 uint64_t StateCache::incarnation() const { return p_->incarnation; }
 
 bool StateCache::settle(Duration limit) {
-  auto s = p_->ps.tasks.spot();
+  auto s = p_->ps.tasks.condition();
   auto now = p_->ps.clock.now();
   p_->waits.emplace_back(now, s);
   hurry();
-  return s->park(limit);
+  return s->wait(limit);
 }
 
 std::optional<std::vector<std::string>> StateCache::names(Duration limit) {
@@ -306,7 +306,7 @@
 
 void StateCache::hurry() {
   p_->asked = true;
-  if (p_->rest) p_->rest->wake();
+  if (p_->rest) p_->rest->notify();
 }
 
 }  // namespace dunlinwing::membership
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -66,10 +66,10 @@
   dw::relay::Config c;
   dw::wire::Pool pool;
   dw::wire::RealClock clock;
-  dw::wire::RealChance chance;
+  dw::wire::RealChance random;
   dw::wire::PeerNet net;
   dw::wire::HttpOrigin origin;
-  dw::base::Ports ports{clock, chance, pool, net, origin};
+  dw::base::Ports ports{clock, random, pool, net, origin};
   std::unique_ptr<dw::storage::AsyncDisk> disk;
   std::unique_ptr<dw::relay::Node> node;
   std::unique_ptr<dw::storage::ArtifactFiles> shelf;
@@ -91,16 +91,16 @@
       *r.mutable_carry() = node->carry(a.carry());
       return r;
     }
-    auto spot = pool.spot();
+    auto condition = pool.condition();
     auto out = std::make_shared<dw::pb::Reply>();
     auto done = std::make_shared<std::atomic<bool>>(false);
     next = next + 1 < pool.size() ? next + 1 : 1;
-    pool.spawn_on(next, [this, a, out, done, spot] {
+    pool.spawn_on(next, [this, a, out, done, condition] {
       *out->mutable_carry() = node->carry(a.carry());
       *done = true;
-      spot->wake();
+      condition->notify();
     });
-    while (!*done) spot->park(1000ms);
+    while (!*done) condition->wait(1000ms);
     return *out;
   }
 
@@ -131,7 +131,7 @@
   // The limits of callers' connections are the layout's.
   void follow_limits() {
     std::shared_ptr<const dw::traffic::Layout> seen;
-    for (;; clock.nap(c.node.bound / 8)) {
+    for (;; clock.sleep(c.node.bound / 8)) {
       auto l = node->traffic().table()->layout;
       if (!l || l == seen || !callers) continue;
       seen = l;
@@ -168,7 +168,7 @@
 
   void finish(int status) {
     if (std::exchange(ending, true)) {
-      for (;;) clock.nap(1000ms);
+      for (;;) clock.sleep(1000ms);
     }
     // The platform asks each second whether this node is ready, so callers go on
     // coming for as long; they are served until it has heard the no.
@@ -177,11 +177,11 @@
     lg.info("{}: asked to stop; draining.", c.node.name);
     if (callers) callers->wind_down();
     node->leave();
-    if (clock.now() < heard) clock.nap(heard - clock.now());
+    if (clock.now() < heard) clock.sleep(heard - clock.now());
     node->traffic().drain();
     if (callers) callers->close();
     if (callers) callers->close_idle();
-    while ((node->traffic().running() > 0 || (callers && callers->running() > 0)) && clock.now() < end) clock.nap(10ms);
+    while ((node->traffic().running() > 0 || (callers && callers->running() > 0)) && clock.now() < end) clock.sleep(10ms);
     lg.info("{}: stopped.", c.node.name);
     dw::wire::Pool::stop(status);
   }
@@ -245,7 +245,7 @@
     app.pool.spawn([&] { app.follow_limits(); });
     app.stager->start();
     app.pool.spawn([&] {
-      for (;; app.clock.nap(c->node.bound)) reread.look(false);
+      for (;; app.clock.sleep(c->node.bound)) reread.look(false);
     });
   });
 }
--- a/src/rollout/checks.cpp
+++ b/src/rollout/checks.cpp
@@ -19,7 +19,7 @@
 constexpr double kSlack = 0.005;       // a defect rate this close to the rest is no failure
 constexpr uint64_t kLeastDefects = 5;  // one bad answer proves nothing
 constexpr uint64_t kLeastProbes = 10;
-constexpr uint64_t kLeastBeats = 16;  // by chance alone less than a quarter of so many hardly ever comes
+constexpr uint64_t kLeastBeats = 16;  // by random alone less than a quarter of so many hardly ever comes
 }  // namespace
 
 bool runs(const NodeSight& n, const pb::Course& c) {
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -350,7 +350,7 @@
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
       p->tick();
-      p->ps.clock.nap(p->c.bound / 8);
+      p->ps.clock.sleep(p->c.bound / 8);
     }
   });
 }
--- a/src/rollout/reducer.hpp
+++ b/src/rollout/reducer.hpp
@@ -1,6 +1,6 @@
 // The control reducer of rollout: a pure step from the recorded state and one
 // event to the next state and the effects wanted. No clock, no network, no
-// chance: whoever holds the leadership feeds it what was seen and for how long.
+// random: whoever holds the leadership feeds it what was seen and for how long.
 #pragma once
 #include "base/common.hpp"
 #include "rollout/release.hpp"
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -70,11 +70,11 @@
   h.life = std::make_shared<Life>();
   h.life->host = n;
   h.clock = std::make_unique<Clock>(w_, h.life, &h.wall);
-  h.chance = std::make_unique<Chance>(w_);
+  h.random = std::make_unique<Random>(w_);
   h.tasks = std::make_unique<Tasks>(w_, h.life);
   h.net = std::make_unique<Net>(w_, h.life, dir_);
   h.origin = std::make_unique<SimOrigin>(*this, h.life);
-  h.ports.reset(new base::Ports{*h.clock, *h.chance, *h.tasks, *h.net, *h.origin});
+  h.ports.reset(new base::Ports{*h.clock, *h.random, *h.tasks, *h.net, *h.origin});
   if (h.holder || h.spare) h.disk = std::make_unique<Disk>(w_, h.life, h.platter);
   relay::NodeConfig c;
   c.name = n;
@@ -117,7 +117,7 @@
   auto g = std::make_unique<Grave>();
   g->h.life = h.life;
   g->h.clock = std::move(h.clock);
-  g->h.chance = std::move(h.chance);
+  g->h.random = std::move(h.random);
   g->h.tasks = std::move(h.tasks);
   g->h.net = std::move(h.net);
   g->h.origin = std::move(h.origin);
@@ -167,7 +167,7 @@
     while (p->alive) {
       if (!p->foreign) beat(*p);
       if (p->leaving && p->left) return;
-      nap(Duration(p->period_ms));
+      sleep(Duration(p->period_ms));
     }
   });
   return *p;
@@ -191,16 +191,16 @@
 
 void Fleet::outside(std::function<void()> f) { w_.spawn(out_, std::move(f)); }
 
-void Fleet::nap(Duration s) {
+void Fleet::sleep(Duration s) {
   Wait x;
-  w_.park(out_, s, x);
+  w_.wait(out_, s, x);
 }
 
 bool Fleet::until(Duration most, const std::function<bool()>& f) {
   auto end = w_.now() + most;
   while (!f()) {
     if (w_.now() >= end) return false;
-    nap(Duration(50));
+    sleep(Duration(50));
   }
   return true;
 }
@@ -228,12 +228,12 @@
       FleetShape::Handler product = [ctl](base::Request& x) { return ctl->answer(x); };
       v->r = !control ? node->serve(*qp) : s.before ? s.before(*qp, product) : product(*qp);
       v->done = true;
-      w.wake(v->wait);
+      w.notify(v->wait);
     });
   };
   w.after(Duration(1), *go);
   auto end = w.now() + most;
-  while (!v->done && w.now() < end && !h.life->dead) w.park(out, std::min<Duration>(end - w.now(), Duration(200)), v->wait);
+  while (!v->done && w.now() < end && !h.life->dead) w.wait(out, std::min<Duration>(end - w.now(), Duration(200)), v->wait);
   v->lost = !v->done;
   return v;
 }
@@ -241,9 +241,9 @@
 std::variant<base::Receipt, base::ShotDefect> SimOrigin::relay(const std::string& name, const base::Request& q, Duration limit) {
   auto& w = f_.w_;
   auto& h = f_.at(name);
-  bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.chance(w.weather.loss_permille);
+  bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.random(w.weather.loss_permille);
   Wait x;
-  if (lost || !h.up()) return w.park(l_, lost ? limit : Duration(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
+  if (lost || !h.up()) return w.wait(l_, lost ? limit : Duration(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
   auto v = visit(w, f_.s_, l_, h, q, true, limit);
   if (v->lost) return base::ShotDefect::unknown;
   return v->r;
@@ -260,7 +260,7 @@
 }
 
 Exchange Fleet::exchange(Host& to, base::Request q, bool control, Duration most) {
-  if (!to.up()) return nap(Duration(1)), Exchange{};
+  if (!to.up()) return sleep(Duration(1)), Exchange{};
   auto v = visit(w_, s_, out_, to, std::move(q), control, most);
   return {!v->lost, v->read, v->r};
 }
@@ -297,7 +297,7 @@
   outside([this, per_second, until, one] {
     while (w_.now() < until) {
       outside(one);
-      nap(Duration(1000 / per_second));
+      sleep(Duration(1000 / per_second));
     }
   });
 }
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -40,7 +40,7 @@
   int64_t wall = 0;
   LifePtr life;
   std::unique_ptr<Clock> clock;
-  std::unique_ptr<Chance> chance;
+  std::unique_ptr<Random> random;
   std::unique_ptr<Tasks> tasks;
   std::unique_ptr<Net> net;
   std::unique_ptr<base::Origin> origin;
@@ -102,7 +102,7 @@
             std::vector<std::pair<std::string, std::string>> hs = {});
   Exchange exchange(Host& to, base::Request q, bool control, Duration most);
   void outside(std::function<void()> f);
-  void nap(Duration s);
+  void sleep(Duration s);
   bool until(Duration most, const std::function<bool()>& f);
   void event(const std::string& fields);
 
--- a/src/sim/origin.cpp
+++ b/src/sim/origin.cpp
@@ -18,7 +18,7 @@
 
 bool SimOrigin::reach(const std::string& addr, Duration) {
   Wait x;
-  f_.w_.park(l_, Duration(1), x);
+  f_.w_.wait(l_, Duration(1), x);
   if (f_.breaks(l_->host, "reach")) return ++f_.w_.met["unreachable"], false;
   if (f_.s_.stands) return f_.s_.stands(addr);
   for (auto& w : f_.workers_)
@@ -32,16 +32,16 @@
   auto& w = f_.w_;
   if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
   if (f_.s_.shoot) return f_.s_.shoot(l_, addr, q, rules);
-  auto nap = [&](Duration s) {
+  auto sleep = [&](Duration s) {
     Wait x;
-    w.park(l_, s, x);
+    w.wait(l_, s, x);
   };
   auto find = [&]() -> Worker* {
     for (auto& x : f_.workers_)
       if (x->alive && x->address == addr) return x.get();
     return nullptr;
   };
-  nap(Duration(1));
+  sleep(Duration(1));
   auto* x = find();
   if (!x) return base::ShotDefect::unsent;
   auto h = [&](const char* n) { return base::header(q.headers, n); };
@@ -76,7 +76,7 @@
       h("Dunlinwing-Relay"), h("Dunlinwing-Generation"), at, bad || wrong || times > 1));
   auto name = x->instance;
   ++x->running;
-  nap(std::min(took, limit));
+  sleep(std::min(took, limit));
   --x->running;
   if (took > limit) {
     ++w.met["slow_worker"];
@@ -89,7 +89,7 @@
   }
   if (static_cast<int>(w.below(100)) < x->lose_percent) {
     ++w.met["lost_answer"];
-    nap(limit - took);
+    sleep(limit - took);
     return base::ShotDefect::unknown;
   }
   base::Receipt r{bad ? 500 : 200, head(*x, h("Dunlinwing-Request"), {{"Content-Digest", "sha-256=:" + sum + ":"}}), body};
--- a/src/sim/ports.cpp
+++ b/src/sim/ports.cpp
@@ -4,17 +4,17 @@
 
 namespace dunlinwing::sim {
 
-void Clock::nap(Duration s) {
+void Clock::sleep(Duration s) {
   Wait w;
-  w_.park(l_, s, w);
+  w_.wait(l_, s, w);
 }
 
 namespace {
-class SimSpot final : public base::Spot {
+class SimSpot final : public base::Condition {
  public:
   SimSpot(World& w, LifePtr l) : w_(w), l_(std::move(l)) {}
-  bool park(Duration s) override { return w_.park(l_, s, wait_); }
-  void wake() override { w_.wake(wait_); }
+  bool wait(Duration s) override { return w_.wait(l_, s, wait_); }
+  void notify() override { w_.notify(wait_); }
 
  private:
   World& w_;
@@ -23,7 +23,7 @@
 };
 }  // namespace
 
-std::shared_ptr<base::Spot> Tasks::spot() { return std::make_shared<SimSpot>(w_, l_); }
+std::shared_ptr<base::Condition> Tasks::condition() { return std::make_shared<SimSpot>(w_, l_); }
 
 std::variant<pb::Reply, base::NetDefect> Net::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
   struct Talk {
@@ -34,7 +34,7 @@
   auto t = std::make_shared<Talk>();
   auto back = [this, t, from = l_->host](const std::string& to, std::optional<pb::Reply> r) {
     if (w_.cut_off(to, from)) return void(++w_.met["cut"]);
-    if (w_.chance(w_.weather.loss_permille)) return void(++w_.met["loss"]);
+    if (w_.random(w_.weather.loss_permille)) return void(++w_.met["loss"]);
     Duration d = w_.weather.least + Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
     w_.after(d, [this, t, r = std::move(r)] {
       if (t->reply || t->refused) return;
@@ -42,7 +42,7 @@
         t->reply = r;
       else
         t->refused = true;
-      w_.wake(t->wait);
+      w_.notify(t->wait);
     });
   };
   auto f = d_.find(addr);
@@ -51,7 +51,7 @@
     ++w_.messages;
     w_.bytes += a.ByteSizeLong();
     if (w_.cut_off(l_->host, host)) return void(++w_.met["cut"]);
-    if (w_.chance(w_.weather.loss_permille)) return void(++w_.met["loss"]);
+    if (w_.random(w_.weather.loss_permille)) return void(++w_.met["loss"]);
     Duration d = w_.weather.least + Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
     // What a frozen host is sent waits in its sockets until the thaw.
     auto arrive = std::make_shared<std::function<void()>>();
@@ -69,12 +69,12 @@
     w_.after(d, *arrive);
   };
   send();
-  if (w_.chance(w_.weather.twice_permille)) {
+  if (w_.random(w_.weather.twice_permille)) {
     ++w_.met["twice"];
     send();
   }
   TimePoint end = w_.now() + limit;
-  while (!t->reply && !t->refused && w_.now() < end) w_.park(l_, end - w_.now(), t->wait);
+  while (!t->reply && !t->refused && w_.now() < end) w_.wait(l_, end - w_.now(), t->wait);
   if (t->reply) return *t->reply;
   return t->refused ? base::NetDefect::unreachable : base::NetDefect::timed_out;
 }
@@ -114,7 +114,7 @@
   if (d > Duration(100)) ++w_.met["slow_disk"];
   try {
     Wait w;
-    w_.park(l_, d, w);
+    w_.wait(l_, d, w);
   } catch (const Dead&) {
     auto dice = w_.below(3);
     if (dice == 0) f_->room = 0;
--- a/src/sim/ports.hpp
+++ b/src/sim/ports.hpp
@@ -11,7 +11,7 @@
   Clock(World& w, LifePtr l, int64_t* wall) : w_(w), l_(std::move(l)), wall_(wall) {}
   TimePoint now() override { return w_.now(); }
   int64_t wall_ms() override { return w_.now().count() + *wall_; }
-  void nap(Duration s) override;
+  void sleep(Duration s) override;
 
  private:
   World& w_;
@@ -19,9 +19,9 @@
   int64_t* wall_;
 };
 
-class Chance final : public base::Chance {
+class Random final : public base::Random {
  public:
-  explicit Chance(World& w) : w_(w) {}
+  explicit Random(World& w) : w_(w) {}
   uint64_t draw() override { return w_.draw(); }
 
  private:
@@ -32,7 +32,7 @@
  public:
   Tasks(World& w, LifePtr l) : w_(w), l_(std::move(l)) {}
   void spawn(std::function<void()> f) override { w_.spawn(l_, std::move(f)); }
-  std::shared_ptr<base::Spot> spot() override;
+  std::shared_ptr<base::Condition> condition() override;
 
  private:
   World& w_;
--- a/src/sim/world.cpp
+++ b/src/sim/world.cpp
@@ -56,7 +56,7 @@
   }).detach();
 }
 
-bool World::park(const LifePtr& l, Duration s, Wait& w) {
+bool World::wait(const LifePtr& l, Duration s, Wait& w) {
   if (l->dead) throw Dead{};
   w.life = l;
   if (!w.woken) {
@@ -87,7 +87,7 @@
   bf::context::active()->schedule(static_cast<bf::context*>(w->fiber));
 }
 
-void World::wake(Wait& w) {
+void World::notify(Wait& w) {
   w.woken = true;
   if (w.fiber) resume(&w);
 }
--- a/src/sim/world.hpp
+++ b/src/sim/world.hpp
@@ -33,17 +33,17 @@
   TimePoint now() const { return now_; }
   uint64_t draw() { return rng_(); }
   uint64_t below(uint64_t n) { return n ? rng_() % n : 0; }
-  bool chance(int permille) { return below(1000) < static_cast<uint64_t>(permille); }
+  bool random(int permille) { return below(1000) < static_cast<uint64_t>(permille); }
 
   void at(TimePoint t, std::function<void()> f);
   void after(Duration s, std::function<void()> f) { at(now_ + s, std::move(f)); }
-  // Runs events and the fibers they wake until the time has come.
+  // Runs events and the fibers they notify until the time has come.
   void run(TimePoint until, std::function<void()> check, std::function<void()> first);
   uint64_t steps() const { return steps_; }
 
   void spawn(const LifePtr& l, std::function<void()> f);
-  bool park(const LifePtr& l, Duration s, struct Wait& w);  // true when woken
-  void wake(struct Wait& w);
+  bool wait(const LifePtr& l, Duration s, struct Wait& w);  // true when woken
+  void notify(struct Wait& w);
   void kill(const LifePtr& l);
   void freeze(const std::string& host, TimePoint until);
   bool frozen(const std::string& host) const;
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -100,7 +100,7 @@
   // One piece of an artifact from any holder that has it.
   std::optional<pb::Piece> piece(const std::string& sha, uint64_t offset) {
     auto hs = registers.holders();
-    for (size_t i = hs.size(); i > 1; --i) std::swap(hs[i - 1], hs[ps.chance.below(i)]);
+    for (size_t i = hs.size(); i > 1; --i) std::swap(hs[i - 1], hs[ps.random.below(i)]);
     pb::Ask a;
     a.mutable_fetch()->set_sha256(sha);
     a.mutable_fetch()->set_offset(offset);
@@ -141,7 +141,7 @@
   if (!p_->shelf) return;
   p_->ps.tasks.spawn([p = p_] {
     for (;;) {
-      p->ps.clock.nap(p->bound * 2);
+      p->ps.clock.sleep(p->bound * 2);
       if (p->state_cache.fresh()) p->repair();
     }
   });
--- a/src/software/stager.cpp
+++ b/src/software/stager.cpp
@@ -54,7 +54,7 @@
         lg.info("This program, {}, has proved itself.", program);
         return;
       }
-      ps.clock.nap(bound / 8);
+      ps.clock.sleep(bound / 8);
     }
     lg.error("This program, {}, did not prove itself; the machine goes back to the last good one.", program);
     refuse(sha);
@@ -91,7 +91,7 @@
     });
     if (!right) return sp.defect("software/" + w.name + ": what came has another digest");
     if (!put_up) return sp.defect("software/" + w.name + ": it cannot be staged in the release folder");
-    while (sp.crowded()) ps.clock.nap(bound / 2);
+    while (sp.crowded()) ps.clock.sleep(bound / 2);
     if (!put("next", name + " " + w.sha256)) return sp.defect("software/" + w.name + ": the release folder cannot be written");
     lg.info("{} is staged; this process ends so that it can be started.", name);
     sp.end(kStartNext);
@@ -106,7 +106,7 @@
   p_->ps.tasks.spawn([p = p_] {
     if (!p->dir.empty()) p->settle_next();
     for (;;) {
-      p->ps.clock.nap(p->bound / 2);
+      p->ps.clock.sleep(p->bound / 2);
       auto w = p->sp.wanted();
       if (!w) continue;
       if (p->dir.empty())
--- a/src/storage/disk_executor.cpp
+++ b/src/storage/disk_executor.cpp
@@ -10,7 +10,7 @@
 namespace {
 struct Job {
   std::function<void()> f;
-  std::shared_ptr<base::Spot> spot;
+  std::shared_ptr<base::Condition> condition;
   bool done = false;
 };
 }  // namespace
@@ -35,7 +35,7 @@
       j->f();
       l.lock();
       j->done = true;
-      j->spot->wake();
+      j->condition->notify();
     }
   }
 };
@@ -56,14 +56,14 @@
 void DiskExecutor::run(std::function<void()> f) {
   auto j = std::make_shared<Job>();
   j->f = std::move(f);
-  j->spot = p_->tasks.spot();
+  j->condition = p_->tasks.condition();
   {
     std::lock_guard l(p_->m);
     p_->jobs.push_back(j);
   }
   p_->cv.notify_one();
   for (;;) {
-    j->spot->park(Duration(3600000));
+    j->condition->wait(Duration(3600000));
     std::lock_guard l(p_->m);
     if (j->done) return;
   }
--- a/src/traffic/face.cpp
+++ b/src/traffic/face.cpp
@@ -39,7 +39,7 @@
 
 class Own final : public Face {
  public:
-  Asked read(const base::Request&, base::Chance& c) const override { return {base::token(c), {}}; }
+  Asked read(const base::Request&, base::Random& c) const override { return {base::token(c), {}}; }
 
   void dress(base::Request& q, const Dress& d) const override {
     strip(q.headers);
--- a/src/traffic/face.hpp
+++ b/src/traffic/face.hpp
@@ -34,7 +34,7 @@
 class Face {
  public:
   virtual ~Face() = default;
-  virtual Asked read(const base::Request& q, base::Chance& c) const = 0;
+  virtual Asked read(const base::Request& q, base::Random& c) const = 0;
   virtual void dress(base::Request& q, const Dress& d) const = 0;
   virtual Look look(const base::Receipt& r, const Worker& w, const base::Request& q) const = 0;
   virtual bool mine(const base::Receipt& r, const std::string& id) const = 0;  // whether it answers this request
--- a/src/traffic/fills.cpp
+++ b/src/traffic/fills.cpp
@@ -50,7 +50,7 @@
 // Turned away, with when to come back, spread so that a crowd does not return at once.
 Way Ways::away(int status, const std::string& why, Duration back) const {
   std::optional<Duration> b;
-  if (status == 503 || status == 429) b = back + Duration(ps.chance.below(static_cast<uint64_t>(back.count()) + 100));
+  if (status == 503 || status == 429) b = back + Duration(ps.random.below(static_cast<uint64_t>(back.count()) + 100));
   return {face.say(status, why, Outcome::not_run, b), Outcome::not_run};
 }
 
@@ -198,7 +198,7 @@
   auto f = cache_.join(flight, lead);
   if (!lead) {
     // Half of its time is for the other's fetch, half for one of its own.
-    auto i = cache_.wait(f, ps_.tasks.spot(), std::max<Duration>(w.start_by() - ps_.clock.now(), Duration(0)));
+    auto i = cache_.wait(f, ps_.tasks.condition(), std::max<Duration>(w.start_by() - ps_.clock.now(), Duration(0)));
     if (i && usable(*i, w, ps_.clock.now())) {
       ++n_.hits;
       return {answer(**i, w.q, ps_.clock.now(), kept)};
--- a/src/traffic/place.cpp
+++ b/src/traffic/place.cpp
@@ -35,7 +35,7 @@
 
 struct Places::Impl {
   base::Clock& clock;
-  base::Chance& chance;
+  base::Random& random;
   mutable std::mutex m;
   std::map<std::string, State> by;
   std::map<std::string, double> pace;  // by service
@@ -75,7 +75,7 @@
   }
 };
 
-Places::Places(base::Clock& c, base::Chance& r) : p_(new Impl{c, r, {}, {}, {}, {}}) {}
+Places::Places(base::Clock& c, base::Random& r) : p_(new Impl{c, r, {}, {}, {}, {}}) {}
 Places::~Places() = default;
 
 std::optional<Choice> Places::choose(const std::vector<Worker>& ws, const std::vector<std::string>& vs,
@@ -107,7 +107,7 @@
     const Worker* best = nullptr;
     double least = 0;
     for (size_t i = 0; i < kLook && i < v.size(); ++i) {
-      std::swap(v[i], v[i + p_->chance.below(v.size() - i)]);
+      std::swap(v[i], v[i + p_->random.below(v.size() - i)]);
       double t = p_->expected(*v[i], now);
       if (!best || t < least) best = v[i], least = t;
     }
--- a/src/traffic/place.hpp
+++ b/src/traffic/place.hpp
@@ -25,7 +25,7 @@
 
 class Places {
  public:
-  Places(base::Clock& c, base::Chance& r);
+  Places(base::Clock& c, base::Random& r);
   ~Places();
   // Null when no worker of these versions is left that is not in `tried`. Of more than
   // `few` that fit, this relay uses its own few, the same as long as they fit.
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -41,7 +41,7 @@
     double all = 0;
     for (auto& [k, w] : r.split) all += w;
     if (all <= 0) return nullptr;
-    double at = r.split.size() > 1 ? all * static_cast<double>(ps.chance.below(1 << 20)) / (1 << 20) : 0;
+    double at = r.split.size() > 1 ? all * static_cast<double>(ps.random.below(1 << 20)) / (1 << 20) : 0;
     for (auto& [k, w] : r.split) {
       if (w > 0 && at < w) return &l.services.at(k);
       at -= w;
@@ -59,7 +59,7 @@
 base::Receipt Traffic::serve(base::Request& q) {
   auto& p = *p_;
   auto arrived = p.ps.clock.now();
-  auto asked = p.face.read(q, p.ps.chance);
+  auto asked = p.face.read(q, p.ps.random);
   q.id = asked.id;
   auto host = base::header(q.headers, "Host");
   TablePtr t;
@@ -124,7 +124,7 @@
   w.q.method = "GET";
   w.q.target = c.target();
   for (auto& h : c.headers()) w.q.headers.emplace_back(h.name(), h.value());
-  w.q.id = p.face.read(w.q, p.ps.chance).id;
+  w.q.id = p.face.read(w.q, p.ps.random).id;
   bool other = false;
   w.route = l->second->match("GET", base::header(w.q.headers, "Host"), c.target(), other);
   if (!w.route) return no("the layout has no such route");
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -54,7 +54,7 @@
   int most_places = 0;
 
   Impl(base::Ports& p, const Face& fa, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
-      : ps(p), face(fa), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.chance),
+      : ps(p), face(fa), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.random),
         pace(p.clock), waits(p) {}
 
   void count(const Work& w, const Worker& to, bool good, Duration took) {
@@ -100,7 +100,7 @@
       auto r = pace.reserve(s.name, share(s.name), most);
       auto* t = std::get_if<Turn>(&r);
       if (!t) return std::get<Duration>(r);
-      if (t->wait > Duration(0)) ps.clock.nap(t->wait);
+      if (t->wait > Duration(0)) ps.clock.sleep(t->wait);
       if (pace.stands(*t, share(s.name))) return {};
     }
   }
--- a/src/traffic/waitlist.cpp
+++ b/src/traffic/waitlist.cpp
@@ -22,11 +22,11 @@
     if (static_cast<int>(t.waits.size()) >= longest) return Entry::full;
     double wait = t.took_ms * static_cast<double>(t.waits.size() + 1) / std::max(t.limit, 1);
     if (left <= Duration(0) || wait > static_cast<double>(left.count())) return Entry::too_late;
-    w->spot = ps_.tasks.spot();
+    w->condition = ps_.tasks.condition();
     t.waits.push_back(w);
   }
   for (;;) {
-    w->spot->park(left);
+    w->condition->wait(left);
     std::lock_guard l(m_);
     if (w->in) return Entry::in;
     left = start_by - ps_.clock.now();
@@ -47,7 +47,7 @@
     t.waits.pop_front();
     w->in = true;
     ++t.running;
-    w->spot->wake();
+    w->condition->notify();
   }
 }
 
--- a/src/traffic/waitlist.hpp
+++ b/src/traffic/waitlist.hpp
@@ -22,7 +22,7 @@
 
  private:
   struct Waiter {
-    std::shared_ptr<base::Spot> spot;
+    std::shared_ptr<base::Condition> condition;
     bool in = false, gone = false;
   };
   struct List {
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -105,7 +105,7 @@
   std::atomic<int> running{0}, open{0};
   std::shared_ptr<tcp::acceptor> acc;
   std::vector<std::unique_ptr<Lane>> lanes;
-  std::shared_ptr<base::Spot> room;  // where the accepting fiber waits for a connection to end
+  std::shared_ptr<base::Condition> room;  // where the accepting fiber waits for a connection to end
   std::atomic<bool> crowded{false};
 
   Impl(Pool& p, std::string n, HttpLimits l, HttpHandler f)
@@ -148,7 +148,7 @@
   p_->pool.spawn_on(0, [p = p_] {
     Ec ec;
     if (p->acc) p->acc->close(ec);
-    if (p->room) p->room->wake();
+    if (p->room) p->room->notify();
   });
 }
 
@@ -198,7 +198,7 @@
   if (lane.all.empty()) lane.sweep.clear();
   t.l->close();
   --open;
-  if (crowded) room->wake();
+  if (crowded) room->notify();
 }
 
 // Answers what was not understood; the connection ends, but not before the
@@ -333,7 +333,7 @@
         told = now();
       }
       each_lane([](Lane& l) { evict(l); });
-      RealClock().nap(kNoDescriptors);
+      RealClock().sleep(kNoDescriptors);
       continue;
     }
     for (size_t most; (most = lim.load()->most) > 0 && open >= static_cast<int>(most) && !closing;) {
@@ -341,7 +341,7 @@
       auto fullest = std::max_element(lanes.begin(), lanes.end(), [](auto& a, auto& b) { return a->n < b->n; });
       int f = static_cast<int>(fullest - lanes.begin());
       asio::post(pool.io(f), [me = shared_from_this(), f] { evict(*me->lanes[f]); });
-      room->park(Duration(1000));
+      room->wait(Duration(1000));
       crowded = false;
     }
     settle(*s);
@@ -364,7 +364,7 @@
   if (!ec) p_->acc->listen(1024, ec);
   if (ec) return fmt::format("cannot listen on {}: {}", addr, ec.message());
   p_->pool.spawn_on(0, [p = p_, from, to] {
-    p->room = p->pool.spot();
+    p->room = p->pool.condition();
     p->accept(from, to);
   });
   return {};
--- a/src/wire/kept.cpp
+++ b/src/wire/kept.cpp
@@ -60,7 +60,7 @@
 void Kept::left(Host& h) {
   --h.held;
   if (h.waiting.empty()) return;
-  h.waiting.front()->wake();
+  h.waiting.front()->notify();
   h.waiting.pop_front();
 }
 
@@ -78,12 +78,12 @@
 std::unique_ptr<Kept::Loan> Kept::lend(const std::string& addr, bool safe, int most, At end) {
   std::shared_ptr<Line> line;
   bool used = false;
-  for (std::shared_ptr<base::Spot> spot;;) {
+  for (std::shared_ptr<base::Condition> condition;;) {
     std::unique_lock l(m_);
     auto t = now();
     prune(t);
     auto& h = hosts_[addr];
-    if (spot) std::erase(h.waiting, spot);
+    if (condition) std::erase(h.waiting, condition);
     line = take(h, safe);
     if (!line && most > 0 && h.held >= most && !h.idle.empty()) drop(h, 0);  // unfit for this one, or another thread's
     used = line != nullptr;
@@ -92,10 +92,10 @@
       break;
     }
     if (t >= end) return nullptr;
-    if (!spot) spot = make_spot();
-    h.waiting.push_back(spot);
+    if (!condition) condition = make_spot();
+    h.waiting.push_back(condition);
     l.unlock();
-    spot->park(std::chrono::ceil<Duration>(end - t));
+    condition->wait(std::chrono::ceil<Duration>(end - t));
   }
   auto loan = std::make_unique<Loan>(shared_from_this(), addr);
   loan->used = used;
@@ -138,7 +138,7 @@
     drop(*old, 0);
   }
   if (!h.waiting.empty()) {
-    h.waiting.front()->wake();
+    h.waiting.front()->notify();
     h.waiting.pop_front();
   }
 }
--- a/src/wire/kept.hpp
+++ b/src/wire/kept.hpp
@@ -45,7 +45,7 @@
   struct Host {
     std::vector<One> idle;  // the latest used last
     int held = 0;
-    std::deque<std::shared_ptr<base::Spot>> waiting;
+    std::deque<std::shared_ptr<base::Condition>> waiting;
   };
   using Hosts = std::map<std::string, Host>;
 
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -1,6 +1,6 @@
 // The scheduler is a plain ready-list. Only the dispatcher fiber ever runs
-// handlers and alarms, so neither can try to wake the fiber that runs it.
-// Fibers meet across threads through the io_context alone; on one thread a wake
+// handlers and alarms, so neither can try to notify the fiber that runs it.
+// Fibers meet across threads through the io_context alone; on one thread a notify
 // is a mere push. The reactor is asked when no fiber is ready, and once in a
 // number of rounds when some always is: each asking is a system call.
 #include "wire/loop.hpp"
@@ -56,10 +56,10 @@
 
 constexpr int kRoundsUnasked = 32;
 
-class RealSpot final : public base::Spot, public std::enable_shared_from_this<RealSpot> {
+class RealSpot final : public base::Condition, public std::enable_shared_from_this<RealSpot> {
  public:
   explicit RealSpot(asio::io_context& io) : io_(io) {}
-  bool park(Duration s) override {
+  bool wait(Duration s) override {
     if (woken_) {
       boost::this_fiber::yield();  // one that is always woken must not keep the others out
     } else if (s > Duration(0)) {
@@ -70,7 +70,7 @@
     }
     return std::exchange(woken_, false);
   }
-  void wake() override {
+  void notify() override {
     if (tls_io == &io_) return here();
     asio::post(io_, [me = shared_from_this()] { me->here(); });
   }
@@ -234,8 +234,8 @@
 
 void Pool::spawn(std::function<void()> f) { launch(std::move(f)); }
 
-std::shared_ptr<base::Spot> make_spot() { return std::make_shared<RealSpot>(*tls_io); }
-std::shared_ptr<base::Spot> Pool::spot() { return make_spot(); }
+std::shared_ptr<base::Condition> make_spot() { return std::make_shared<RealSpot>(*tls_io); }
+std::shared_ptr<base::Condition> Pool::condition() { return make_spot(); }
 
 TimePoint RealClock::now() {
   timespec t{};
@@ -249,7 +249,7 @@
   return t.tv_sec * 1000LL + t.tv_nsec / 1000000;
 }
 
-void RealClock::nap(Duration s) {
+void RealClock::sleep(Duration s) {
   auto* me = bf::context::active();
   bool up = false;
   Alarm a;
--- a/src/wire/loop.hpp
+++ b/src/wire/loop.hpp
@@ -41,7 +41,7 @@
   Alarm(const Alarm&) = delete;
   Alarm& operator=(const Alarm&) = delete;
   ~Alarm() { clear(); }
-  void set(At at, std::function<void()> f);  // `f` must not park
+  void set(At at, std::function<void()> f);  // `f` must not wait
   void clear();
 
  private:
@@ -54,7 +54,7 @@
 // Whether a kept connection is still whole: open, and nothing came unasked.
 bool still_idle(int fd);
 
-std::shared_ptr<base::Spot> make_spot();  // of the calling thread
+std::shared_ptr<base::Condition> make_spot();  // of the calling thread
 
 // A pool of threads. Thread 0 carries control, the others carry traffic.
 class Pool final : public base::Tasks {
@@ -68,7 +68,7 @@
   [[noreturn]] static void stop(int code);
   void spawn_on(int i, std::function<void()> f);
   void spawn(std::function<void()> f) override;  // on the calling thread
-  std::shared_ptr<base::Spot> spot() override;
+  std::shared_ptr<base::Condition> condition() override;
   static boost::asio::io_context& here();
 
  private:
@@ -80,10 +80,10 @@
  public:
   TimePoint now() override;  // CLOCK_BOOTTIME
   int64_t wall_ms() override;
-  void nap(Duration s) override;
+  void sleep(Duration s) override;
 };
 
-class RealChance final : public base::Chance {
+class RealChance final : public base::Random {
  public:
   uint64_t draw() override;
 };
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -70,7 +70,7 @@
   PeerHandler h;
   size_t most, open = 0;
   std::list<std::shared_ptr<Line>> waiting;
-  std::shared_ptr<base::Spot> door;
+  std::shared_ptr<base::Condition> door;
 
   bool crowded() const { return open * 2 > most; }
   void make_room() {
@@ -80,7 +80,7 @@
   }
   void left() {
     --open;
-    if (door) door->wake();
+    if (door) door->notify();
   }
 };
 
@@ -193,15 +193,15 @@
   if (!ec) acc->listen(1024, ec);
   if (ec) return fmt::format("cannot listen on {}: {}", addr, ec.message());
   pool.spawn_on(0, [&pool, acc, s0 = std::make_shared<Server>(Server{std::move(h), most})] {
-    s0->door = pool.spot();
+    s0->door = pool.condition();
     for (;;) {
       s0->make_room();
-      while (s0->open >= s0->most) s0->door->park(kDoor);
+      while (s0->open >= s0->most) s0->door->wait(kDoor);
       tcp::socket s(pool.io(0));
       auto [ec] = await<>([&](auto k) { acc->async_accept(s, std::move(k)); });
       if (ec) {
         lg.warn("A peer's connection was lost while being taken: {}.", ec.message());
-        RealClock().nap(Duration(50));
+        RealClock().sleep(Duration(50));
         continue;
       }
       settle(s);
--- a/test/caller.cpp
+++ b/test/caller.cpp
@@ -97,19 +97,19 @@
       auto x = http.shoot(r.control, q, 900ms);
       auto* a = std::get_if<base::Receipt>(&x);
       r.ready = a && a->status == 200;
-      clock.nap(1000ms);
+      clock.sleep(1000ms);
     }
   }
 
   void run() {
     for (auto& r : relays) pool.spawn([this, p = r.get()] { watch(*p); });
-    clock.nap(300ms);
+    clock.sleep(300ms);
     auto from = std::chrono::steady_clock::now();
     uint64_t all = static_cast<uint64_t>(FLAGS_rate) * static_cast<uint64_t>(FLAGS_seconds), turn = 0;
     for (uint64_t n = 0; n < all; ++n) {
       auto due = from + std::chrono::microseconds(n * 1000000 / static_cast<uint64_t>(FLAGS_rate));
       auto wait = std::chrono::duration_cast<Duration>(due - std::chrono::steady_clock::now());
-      if (wait > 0ms) clock.nap(wait);
+      if (wait > 0ms) clock.sleep(wait);
       Relay* r = nullptr;
       for (size_t k = 0; k < relays.size() && !r; ++k) {
         auto& c = relays[(turn + k) % relays.size()];
@@ -121,7 +121,7 @@
       ++open;
       pool.spawn_on(1 + static_cast<int>(n % 2), [this, q, r] { one(q, *r); });
     }
-    while (open > 0) clock.nap(20ms);
+    while (open > 0) clock.sleep(20ms);
     std::cout << fmt::format("asked {} ok {} not_run {} unknown {} other {} lost {}\n", all, ok.load(), away.load(),
                              unknown.load(), other.load(), lost.load())
               << std::flush;
--- a/test/fault_stories.cpp
+++ b/test/fault_stories.cpp
@@ -25,19 +25,19 @@
     if (!begin(s, 30, sim_layout("\"1\",\"2\"", 3))) return;
     allow(s, "2");
     for (int i = 0; i < 2; ++i) s.f.add_worker("app", "2", 0);
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     auto acked = [&](const std::string& m, const std::string& target, const std::string& body) {
       bool ok = s.f.until(Duration(25000), [&] {
         auto t = s.f.tell(m, target, body);
         if (t.status != 200 && t.status != 202) return false;
         ++s.w.met["acked"];
         for (auto& h : s.f.hosts())
-          if (h->up() && (h->name == t.by || (s.w.chance(300) && h->node->leadership().held()))) s.f.kill(h->name);
+          if (h->up() && (h->name == t.by || (s.w.random(300) && h->node->leadership().held()))) s.f.kill(h->name);
         return true;
       });
       s.want(ok, target + " was not acknowledged");
       if (!ok) return;
-      s.f.nap(Duration(s.w.below(1500)));
+      s.f.sleep(Duration(s.w.below(1500)));
       s.f.start_all();
     };
     auto has = [&](const std::string& target, const std::string& what) {
@@ -57,17 +57,17 @@
       has("/v1/drains", n);
       auto beat = fmt::format(R"({{"service":"app","version":"1","instance":"{}","zone":"a","address":"10.9.9.9:1","leaving":true,"number":7,"period_ms":60000}})", n);
       acked("POST", "/v1/beats", beat);
-      s.f.nap(Duration(2000));
+      s.f.sleep(Duration(2000));
       has("/v1/workers", "\"" + n + "\"");
     }
     acked("PUT", "/v1/services/app", R"({"version":"2"})");
     has("/v1/services/app", "\"2\"");
     acked("PUT", "/v1/holders/x1", R"({"holder":true,"address":"peer:x1"})");
     has("/v1/holders", "x1");
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
-    s.f.nap(Duration(21000));
+    s.f.sleep(Duration(21000));
   };
 }
 
@@ -81,14 +81,14 @@
     for (auto& x : s.f.workers()) x->period_ms = 3000;
     for (size_t i = 0; i < 6; ++i) {
       s.f.add_worker(s.f.workers()[i]->service, "1", s.f.workers()[i]->max_age).period_ms = 3000;
-      s.f.nap(Duration(3500));
+      s.f.sleep(Duration(3500));
       auto& w = *s.f.workers()[i];
       w.left = [&s](const std::string& by) {
         s.f.kill(by);
         s.f.start(by);
       };
       w.leaving = true;
-      s.f.nap(Duration(9000));
+      s.f.sleep(Duration(9000));
       w.alive = false;
     }
   };
@@ -106,15 +106,15 @@
       for (auto& h : s.f.hosts())
         if (is(*h)) gone.push_back(h->name);
       for (auto& n : gone) s.f.kill(n);
-      s.f.nap(Duration(500));
+      s.f.sleep(Duration(500));
       auto c = s.f.calls, g = s.f.good;
       put(s, fmt::format("without-{}", gone.front()), sim_layout("\"1\"", 3));
-      s.f.nap(Duration(6000));
+      s.f.sleep(Duration(6000));
       s.want((s.f.good - g) * 100 >= (s.f.calls - c) * 97, fmt::format("{} away: only {} of {} calls went well", what, s.f.good - g, s.f.calls - c));
       for (auto& n : gone) s.f.start(n);
       s.f.event(R"("t":"returned")");
       s.want(serves(s, Duration(15000)), std::string("no service after the return of ") + what);
-      s.f.nap(Duration(20500));
+      s.f.sleep(Duration(20500));
     };
     part("a zone", [&](sim::Host& h) { return h.zone == "a"; });
     part("the second tier", [&](sim::Host& h) { return h.shield; });
@@ -138,7 +138,7 @@
         h->platter.most = Duration(2500);
       }
       purge(s, fmt::format("p{}", i), "prefix", "/c/");
-      s.f.nap(Duration(4000));
+      s.f.sleep(Duration(4000));
     }
     s.want(reach(s, "second", "DONE", Duration(60000)), "a slow disk at the duty's holder held a release up: " + release_state(s, "second").text());
   };
@@ -152,7 +152,7 @@
     if (!begin(s, 60)) return;
     for (int i = 0; i < 8; ++i) {
       for (auto& h : s.f.hosts()) {
-        if (!s.w.chance(250)) continue;
+        if (!s.w.random(250)) continue;
         for (auto& x : s.f.hosts()) {
           if (x == h) continue;
           s.w.cut(h->name, x->name);
@@ -161,13 +161,13 @@
       }
       for (int k = 0; k < 40; ++k)
         s.f.outside([&s, i, k] { purge(s, fmt::format("s{}-{}", i, k), k % 3 ? "path" : "prefix", fmt::format("/c/{}", k % 20)); });
-      s.f.nap(Duration(500 + s.w.below(4000)));
+      s.f.sleep(Duration(500 + s.w.below(4000)));
       s.w.mend();
-      s.f.nap(Duration(s.w.below(1500)));
+      s.f.sleep(Duration(s.w.below(1500)));
     }
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Duration(15000)), "no service after the cuts");
-    s.f.nap(Duration(20500));
+    s.f.sleep(Duration(20500));
   };
 }
 
@@ -179,7 +179,7 @@
     if (!begin(s, 100, sim_layout("\"1\",\"2\"", 3))) return;
     allow(s, "2");
     for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0);
-    s.f.nap(Duration(2500));
+    s.f.sleep(Duration(2500));
     put(s, "second", sim_layout("\"1\",\"2\"", 2));
     s.want(s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; }), "the move was not taken");
     auto calls = s.f.calls, good = s.f.good;
@@ -193,9 +193,9 @@
       s.f.add_worker(old.service, old.version, old.max_age);
       auto t = s.f.tell("PUT", fmt::format("/v1/releases/layout/bad{}", i), bad[i % std::size(bad)]);
       s.want(t.lost || t.status == 422 || t.status == 503, fmt::format("an invalid layout gave {} {}", t.status, t.body));
-      s.f.nap(Duration(1500));
+      s.f.sleep(Duration(1500));
       s.f.workers()[i]->leaving = true;
-      s.f.nap(Duration(3500));
+      s.f.sleep(Duration(3500));
       s.f.workers()[i]->alive = false;
     }
     calls = s.f.calls - calls;
@@ -225,13 +225,13 @@
         (*a.mutable_releases())["layout"] = "nowhere";
         *ok = std::holds_alternative<consensus::VersionedValue>(h->node->registers().write(rollout::kRolloutKey, held->version, r.SerializeAsString()));
       });
-      s.f.nap(Duration(300));
+      s.f.sleep(Duration(300));
     }
     s.want(*ok, "the assignment was not written");
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     s.want(!h->node->ready(), "a node serves on under a layout that it was taken off");
     for (int i = 0; i < 10; ++i) s.want(s.f.call("GET", "/a/1", "", h) == 503, "it took a request under the old layout");
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
   };
 }
 }  // namespace
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -173,7 +173,7 @@
     while (supervised) {
       for (size_t i = 0; i < 14; ++i)
         if (ms_[i].pid > 0 && gone(ms_[i].name)) start(ms_[i].name);
-      clock.nap(50ms);
+      clock.sleep(50ms);
     }
   });
 }
@@ -184,7 +184,7 @@
   ::kill(m.pid, SIGTERM);
   event(fmt::format(R"("t":"warned","machine":"{}")", n));
   auto end = clock.now() + 6s;
-  while (!gone(n) && clock.now() < end) clock.nap(20ms);
+  while (!gone(n) && clock.now() < end) clock.sleep(20ms);
   if (!gone(n)) {
     event(fmt::format(R"("t":"overstayed","machine":"{}")", n));
     kill(n);
@@ -231,10 +231,10 @@
     }
   auto end = clock.now() + 6s;
   for (auto& m : ms_)
-    while (!gone(m.name) && clock.now() < end) clock.nap(20ms);
+    while (!gone(m.name) && clock.now() < end) clock.sleep(20ms);
   for (auto& m : ms_)
     if (m.pid > 0) kill(m.name);
-  while (watching_) clock.nap(20ms);
+  while (watching_) clock.sleep(20ms);
 }
 
 void Fleet::watch_assignments() {
@@ -246,7 +246,7 @@
       auto p = base::Json::parse(r.body);
       auto* j = std::get_if<base::Json>(&p);
       if (r.status != 200 || !j) {
-        clock.nap(100ms);
+        clock.sleep(100ms);
         continue;
       }
       auto tag = base::header(r.headers, "ETag");
@@ -295,7 +295,7 @@
   auto end = clock.now() + most;
   while (clock.now() < end) {
     if (what()) return true;
-    clock.nap(50ms);
+    clock.sleep(50ms);
   }
   return what();
 }
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -35,7 +35,7 @@
   auto shut = std::make_shared<bool>(false);
   pool.spawn([&pool, shut, &s] {
     wire::RealClock c;
-    for (int i = 0; i < 60 && !*shut; ++i) c.nap(20ms);
+    for (int i = 0; i < 60 && !*shut; ++i) c.sleep(20ms);
     if (*shut) return;
     wire::Ec ec;
     s.cancel(ec);
@@ -48,7 +48,7 @@
     if (out.find("\r\n\r\n") != out.npos && bytes.find("close") != bytes.npos && out.size() > 4096) break;
   }
   *shut = true;
-  clock.nap(50ms);
+  clock.sleep(50ms);
   return out;
 }
 
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -26,7 +26,7 @@
         *w.gap = std::max<Duration>(*w.gap, s.w.now() - last);
         last = s.w.now();
       }
-      s.f.nap(Duration(1 + s.w.below(static_cast<uint64_t>(most_nap))));
+      s.f.sleep(Duration(1 + s.w.below(static_cast<uint64_t>(most_nap))));
     }
   });
   return w;
@@ -59,17 +59,17 @@
   s.length = Duration(70000);
   s.story = [&s] {
     auto kind = s.w.below(4);
-    s.f.nap(Duration((kind == 3 ? 20 : 0) + s.w.below(1500)));
+    s.f.sleep(Duration((kind == 3 ? 20 : 0) + s.w.below(1500)));
     auto one = fmt::format("h{}", 1 + s.w.below(3));
     if (kind == 1 || kind == 2) {
       s.f.kill(one);
       if (kind == 2) s.f.wipe(one);
-      s.f.nap(Duration(2 + s.w.below(1500)));
+      s.f.sleep(Duration(2 + s.w.below(1500)));
       s.f.start(one);
     } else if (kind == 3) {
       // Not before the first sync of a blank disk: what remembers nothing cannot tell.
       for (auto& h : s.f.hosts()) s.f.kill(h->name);
-      s.f.nap(Duration(2 + s.w.below(1500)));
+      s.f.sleep(Duration(2 + s.w.below(1500)));
       s.f.start_all();
     }
     s.figures[fmt::format("kind_{}", kind)] = 1;
@@ -78,21 +78,21 @@
     s.figures["formed_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
     if (!begin(s)) return;
     auto w = writer(s, 400);
-    s.f.nap(Duration(4000));
+    s.f.sleep(Duration(4000));
     // A disk lost later never forms anew: it is filled from the two others, and not from one.
     s.f.kill("h1");
     s.f.wipe("h1");
     s.f.kill("h2");
-    s.f.nap(Duration(500));
+    s.f.sleep(Duration(500));
     s.f.start("h1");
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     s.want(s.f.at("h1").node->acceptor()->mute(), "a lost disk formed out of one other");
     s.f.start("h2");
     s.f.event(R"("t":"returned")");
     s.want(s.f.until(Duration(10000), [&] { return settled(s, 3); }), "the lost disk was not filled");
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     *w.stop = true;
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     all_know(s, *w.acked);
     s.want(w.acked->size() > 5, "hardly anything was acknowledged");
   };
@@ -114,7 +114,7 @@
       });
     s.want(s.f.until(Duration(20000), [&] { return *pads == 400; }), "the registers were not written");
     auto w = writer(s, 600);
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     auto out = fmt::format("h{}", 1 + s.w.below(3));
     s.f.kill(out);
     s.f.wipe(out);
@@ -134,19 +134,19 @@
     s.figures["unready_looks"] = unready;
     s.figures["healed_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
     s.figures["longest_ack_gap_ms"] = static_cast<uint64_t>(w.gap->count());
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     auto next = out == "h1" ? "h2" : "h1";
     s.f.kill(next);
     s.f.wipe(next);
-    s.f.nap(Duration(1000));
+    s.f.sleep(Duration(1000));
     auto n = w.acked->size();
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     s.want(w.acked->size() > n, "one of the three present holders lost, and control stood still");
     s.f.start(next);
     s.f.start(out);  // comes back with an empty disk, as a spare
     s.want(s.f.until(Duration(15000), [&] { return settled(s, 3); }), "the second lost disk was not filled");
     *w.stop = true;
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     all_know(s, *w.acked);
     s.figures["layouts_acked"] = w.acked->size();
   };
@@ -163,7 +163,7 @@
     s.want(s.f.until(Duration(20000), [&] { return settled(s, 5); }), "the set did not grow to five");
     s.figures["grown_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
     s.figures["longest_ack_gap_ms"] = static_cast<uint64_t>(w.gap->count());
-    s.f.nap(Duration(2000 + s.w.below(3000)));
+    s.f.sleep(Duration(2000 + s.w.below(3000)));
     std::vector<std::string> disks{"h1", "h2", "h3", "x1", "x2"};
     for (auto& h : s.f.hosts()) s.f.kill(h->name);
     for (int k = 0; k < 2; ++k) {
@@ -171,13 +171,13 @@
       s.f.wipe(disks[i]);
       disks.erase(disks.begin() + static_cast<long>(i));
     }
-    s.f.nap(Duration(100 + s.w.below(2000)));
+    s.f.sleep(Duration(100 + s.w.below(2000)));
     s.f.start_all();
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the cut");
     s.want(s.f.until(Duration(10000), [&] { return settled(s, 5); }), "the lost disks were not filled");
     *w.stop = true;
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     all_know(s, *w.acked);
     s.figures["layouts_acked"] = w.acked->size();
   };
--- a/test/limit_stories.cpp
+++ b/test/limit_stories.cpp
@@ -25,7 +25,7 @@
           s.f.kill(h->name);
           s.f.start(h->name);
         }
-    s.f.nap(Duration(15000));
+    s.f.sleep(Duration(15000));
     s.w.mend();
     s.f.start_all();
   });
@@ -37,7 +37,7 @@
     if (!begin(s, 150, sim_layout("\"1\",\"2\"", 4))) return;
     allow(s, "2");
     for (int i = 0; i < 2; ++i) s.f.add_worker("app", "2", 0).bad_percent = bad;
-    s.f.nap(Duration(2500));
+    s.f.sleep(Duration(2500));
     bool took = s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
     s.want(took, "the move was not taken");
     for (auto& x : s.f.workers())
@@ -54,7 +54,7 @@
       return bad ? !j.at("quarantined").at("2").str().empty() : j.at("current").str() == "2";
     });
     s.want(end, "the move did not come to its end: " + state().text());
-    if (bad) s.f.nap(Duration(10000));
+    if (bad) s.f.sleep(Duration(10000));
     if (bad) s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 409, "a quarantined version came back unasked");
   };
 }
@@ -69,14 +69,14 @@
     doc.replace(doc.rfind("\"deadline_ms\":2000"), 18, R"("deadline_ms":700)");
     if (!begin(s, 60, doc)) return;
     for (auto& x : s.f.workers()) x->bad_percent = 100;
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     if (s.f.hosts().size() > 20) return;
     for (int round = 0; round < 4; ++round) {
       for (auto& h : s.f.hosts()) s.f.kill(h->name);
       s.f.start_all();
-      s.f.nap(Duration(2200));
+      s.f.sleep(Duration(2200));
     }
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
   };
 }
 
@@ -89,12 +89,12 @@
     auto doc = sim_layout("\"1\"", 1, 20);
     for (auto at : {doc.rfind("\"deadline_ms\""), doc.find("\"deadline_ms\"")}) doc.insert(at, R"("inflight":3,"waitlist":40,)");
     if (!begin(s, 100, doc)) return;
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     for (int round = 0; round < 5; ++round) {
       for (auto& x : s.f.workers()) x->least = Duration(9000), x->most = Duration(9500);
-      s.f.nap(Duration(1500 + s.w.below(3000)));
+      s.f.sleep(Duration(1500 + s.w.below(3000)));
       for (auto& x : s.f.workers()) x->least = Duration(200), x->most = Duration(500);
-      s.f.nap(Duration(3000));
+      s.f.sleep(Duration(3000));
     }
   };
 }
@@ -116,17 +116,17 @@
       ++n->first;
       n->second += s.f.call("GET", fmt::format("/a/{}", s.w.below(10000)), "", &h) == 200;
     });
-    s.f.nap(Duration(15000));
+    s.f.sleep(Duration(15000));
     n->first = n->second = 0;
-    s.f.nap(Duration(10000));
+    s.f.sleep(Duration(10000));
     // The crowd alone asks 60 a second of 30; an even split would give it 3.
     s.want(n->second > 120, fmt::format("only {} of {} got through where the demand is", n->second, n->first));
     s.figures["through_in_10s"] = n->second;
     *at = "e3";
     s.f.kill("e1");
-    s.f.nap(Duration(15000));
+    s.f.sleep(Duration(15000));
     n->first = n->second = 0;
-    s.f.nap(Duration(10000));
+    s.f.sleep(Duration(10000));
     s.figures["followed_in_10s"] = n->second;
     s.want(n->second > 120, fmt::format("the share did not follow: {} of {}", n->second, n->first));
   };
@@ -147,30 +147,30 @@
     if (!begin(s, 20, doc(30, ""))) return;
     s.f.event(R"("t":"rate","service":"app","n":30)");
     s.f.callers(60, s.w.now() + Duration(75000), [&s] { s.f.call("GET", fmt::format("/a/{}", s.w.below(10000))); });
-    s.f.nap(Duration(8000));
+    s.f.sleep(Duration(8000));
     for (int i = 0; i < 8; ++i) {
       for (auto& h : s.f.hosts())
-        if (s.w.chance(500)) s.w.freeze(h->name, s.w.now() + Duration(300 + s.w.below(1000)));
-      s.f.nap(Duration(1000 + s.w.below(1500)));
+        if (s.w.random(500)) s.w.freeze(h->name, s.w.now() + Duration(300 + s.w.below(1000)));
+      s.f.sleep(Duration(1000 + s.w.below(1500)));
     }
     for (int i = 0; i < 4; ++i) {
       for (auto& h : s.f.hosts()) s.f.kill(h->name);
       s.f.start_all();
-      s.f.nap(Duration(1800));
+      s.f.sleep(Duration(1800));
     }
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     for (int i = 0; i < 3; ++i) {
       if (auto* h = duty_holder(s)) s.f.cut_off(h->name);
-      s.f.nap(Duration(6000));
+      s.f.sleep(Duration(6000));
       s.w.mend();
-      s.f.nap(Duration(1500));
+      s.f.sleep(Duration(1500));
     }
     put(s, "slower", doc(10, R"(,"express":"the origin is in trouble")"));
     pb::Rollout r;
     s.want(s.f.until(Duration(8000), [&] { return rollout_seen(s, r) && r.in_force().at("layout") == "slower"; }), "the lower rate did not come in force");
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     s.f.event(R"("t":"rate","service":"app","n":10)");
-    s.f.nap(Duration(12000));
+    s.f.sleep(Duration(12000));
   };
 }
 
@@ -200,14 +200,14 @@
         x->refused += got != 200;
         x->longest = std::max(x->longest, Duration(s.w.now() - at));
       });
-    s.f.nap(Duration(15000));
+    s.f.sleep(Duration(15000));
     for (int i = 0; i < 3; ++i) {
       s.f.kill("e1");
-      s.f.nap(Duration(6000 + s.w.below(3000)));
+      s.f.sleep(Duration(6000 + s.w.below(3000)));
       s.f.start("e1");
       s.want(s.f.until(Duration(8000), [&] { return s.f.at("e1").node->ready(); }), "the relay did not come back");
       x->back = s.w.now();
-      s.f.nap(Duration(4000));
+      s.f.sleep(Duration(4000));
       x->back = TimePoint(0);
     }
     s.figures["early"] = static_cast<uint64_t>(x->early);
@@ -237,16 +237,16 @@
       ++x->asked;
       x->refused += s.f.call("GET", fmt::format("/a/{}", s.w.below(10000)), "", &h) != 200;
     });
-    s.f.nap(Duration(20000));
+    s.f.sleep(Duration(20000));
     *x = {};
     for (int i = 0; i < 3; ++i) {
       auto* h = duty_holder(s);
       if (!h) continue;
       auto name = h->name;
       s.f.kill(name);
-      s.f.nap(Duration(2000 + s.w.below(3000)));
+      s.f.sleep(Duration(2000 + s.w.below(3000)));
       s.f.start(name);
-      s.f.nap(Duration(8000));
+      s.f.sleep(Duration(8000));
     }
     s.figures["asked"] = static_cast<uint64_t>(x->asked);
     s.figures["refused"] = static_cast<uint64_t>(x->refused);
--- a/test/load_scenarios.cpp
+++ b/test/load_scenarios.cpp
@@ -27,10 +27,10 @@
   return calls(r, [&] {
     bool ok = true;
     for (int i = 0; i < 2; ++i) {
-      r.f.clock.nap(8s);
+      r.f.clock.sleep(8s);
       auto p = r.f.start_caller(fmt::format("crowd{}", i), r.rate * 5, 4, r.seed + 100 + static_cast<uint64_t>(i));
       ok &= r.f.until(60s, [&] { return r.f.caller_done(p); });
-      r.f.clock.nap(4s);
+      r.f.clock.sleep(4s);
       r.f.event(R"("t":"returned")");
     }
     return say(ok, "two crowds came and went");
@@ -45,7 +45,7 @@
   auto svc = second_service(r);
   auto rated = [&](const std::string& name, int n) {
     if (!put_layout(r, name, layout_with(r, fmt::format("\"rate\":{},", n), R"("express":"the origin is slow",)"))) return false;
-    r.f.clock.nap(5s);
+    r.f.clock.sleep(5s);
     r.f.event(fmt::format(R"("t":"rate","service":"{}","n":{})", svc, n));
     return true;
   };
@@ -55,12 +55,12 @@
     for (int i = 0; i < 5; ++i) {
       auto n = r.f.machines()[rng() % 12].name;
       r.f.freeze(n);
-      r.f.clock.nap(Duration(300 + rng() % 2500));
+      r.f.clock.sleep(Duration(300 + rng() % 2500));
       r.f.thaw(n);
       auto k = r.f.machines()[rng() % 12].name;
       r.f.kill(k);
       r.f.start(k);
-      r.f.clock.nap(2s);
+      r.f.clock.sleep(2s);
     }
     ok &= rated("slower", r.rate / 10);
     return say(ok, "the rate was stated and lowered");
@@ -82,7 +82,7 @@
       for (int k = 0; k < 25; ++k, ++all)
         done += purge(r, fmt::format("s{}-{}", i, k), k % 4 ? "path" : "prefix", fmt::format("{}{}", base, rng() % 20));
       r.f.links().mend_all();
-      r.f.clock.nap(Duration(rng() % 1500));
+      r.f.clock.sleep(Duration(rng() % 1500));
     }
     std::cout << "purges acknowledged: " << done << " of " << all << "\n";
     return say(done * 10 >= all * 9, "the storm of purges was taken") && ready_again(r, "all relays are ready after it");
@@ -101,9 +101,9 @@
       auto address = old.args[std::find(old.args.begin(), old.args.end(), "--address") - old.args.begin() + 1];
       r.f.kill(old.name);
       r.f.add_worker(first, "1", "a", {"--max_age", "4", "--address", address});
-      r.f.clock.nap(3s);
+      r.f.clock.sleep(3s);
       r.f.add_worker(second_service(r), "1", "b", {});
-      r.f.clock.nap(4s);
+      r.f.clock.sleep(4s);
     }
     return say(true, "four addresses passed to the other service");
   });
@@ -128,7 +128,7 @@
       auto a = r.f.any("PUT", fmt::format("/v1/releases/layout/bad{}", i), bad[i % 4]);
       ++invalid;
       named += a.status == 422 && a.body.find("\"at\":") != std::string::npos;
-      r.f.clock.nap(500ms);
+      r.f.clock.sleep(500ms);
     }
     std::cout << fmt::format("races {} won {} told {} other {}; invalid {} named {}\n", won + lost + odd, won, lost, odd, invalid, named);
     return say(odd == 0 && won == lost && invalid == named && won > 0, "one of two operators won each time, and nonsense was named");
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -24,15 +24,15 @@
     for (int i = 0; i < 12; ++i) {
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       if (may_fall(s, *h)) s.f.kill(h->name);
-      s.f.nap(Duration(300 + s.w.below(2500)));
+      s.f.sleep(Duration(300 + s.w.below(2500)));
       for (auto& x : s.f.hosts())
-        if (!x->up() && s.w.chance(600)) s.f.start(x->name);
+        if (!x->up() && s.w.random(600)) s.f.start(x->name);
     }
     s.f.start_all();
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
     s.want(s.f.tell("GET", "/v1/releases/layout/second", "").status == 200, "an acknowledged layout is gone");
-    s.f.nap(Duration(15000));
+    s.f.sleep(Duration(15000));
   };
 }
 
@@ -44,12 +44,12 @@
     put(s, "second", sim_layout("\"1\"", 3));
     for (int k = 0; k < 2; ++k) {
       for (auto& h : s.f.hosts()) s.f.kill(h->name);
-      s.f.nap(Duration(500 + s.w.below(3000)));
+      s.f.sleep(Duration(500 + s.w.below(3000)));
       s.f.start_all();
       s.f.event(R"("t":"returned")");
       s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after a restart of all");
       s.want(s.f.tell("GET", "/v1/releases/layout/second", "").status == 200, "an acknowledged layout is gone");
-      s.f.nap(Duration(1000 + s.w.below(12000)));
+      s.f.sleep(Duration(1000 + s.w.below(12000)));
     }
   };
 }
@@ -65,7 +65,7 @@
       put(s, fmt::format("r{}", i), sim_layout("\"1\"", 3 + i));
       s.f.kill(name);
       s.f.wipe(name);
-      s.f.nap(Duration(10 + s.w.below(3000)));
+      s.f.sleep(Duration(10 + s.w.below(3000)));
       s.f.start(name);
       bool back = s.f.until(Duration(10000), [&] { return !s.f.at(name).node->acceptor()->mute(); });
       s.want(back, name + " was not refilled");
@@ -84,8 +84,8 @@
     for (int i = 0; i < 10; ++i) {
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       s.w.freeze(h->name, s.w.now() + Duration(500 + s.w.below(8000)));
-      if (s.w.chance(500)) purge(s, fmt::format("p{}", i), "prefix", "/c/");
-      s.f.nap(Duration(500 + s.w.below(5000)));
+      if (s.w.random(500)) purge(s, fmt::format("p{}", i), "prefix", "/c/");
+      s.f.sleep(Duration(500 + s.w.below(5000)));
     }
     s.want(serves(s, Duration(20000)), "the fleet did not serve again after the freezes");
   };
@@ -99,21 +99,21 @@
     if (!begin(s)) return;
     for (int i = 0; i < 5; ++i) {
       std::vector<std::string> left, right;
-      for (auto& h : s.f.hosts()) (s.w.chance(400) ? left : right).push_back(h->name);
-      bool one_way = s.w.chance(300);
+      for (auto& h : s.f.hosts()) (s.w.random(400) ? left : right).push_back(h->name);
+      bool one_way = s.w.random(300);
       for (auto& a : left)
         for (auto& b : right) {
           s.w.cut(a, b);
           if (!one_way) s.w.cut(b, a);
         }
       auto name = fmt::format("p{}", i);
-      s.f.nap(Duration(500 + s.w.below(2000)));
+      s.f.sleep(Duration(500 + s.w.below(2000)));
       purge(s, name, "service", "");
-      s.f.nap(Duration(1000 + s.w.below(6000)));
+      s.f.sleep(Duration(1000 + s.w.below(6000)));
       s.w.mend();
       s.f.event(R"("t":"returned")");
       s.want(serves(s, Duration(15000)), "the fleet did not serve again after a split");
-      s.f.nap(Duration(1000));
+      s.f.sleep(Duration(1000));
     }
   };
 }
@@ -127,7 +127,7 @@
     put(s, "second", sim_layout("\"1\"", 3));
     for (int i = 0; i < 10; ++i) {
       purge(s, fmt::format("p{}", i), "prefix", "/c/1");
-      s.f.nap(Duration(3000));
+      s.f.sleep(Duration(3000));
     }
   };
 }
@@ -149,7 +149,7 @@
         auto name = fmt::format("r{}", i);
         auto doc = sim_layout("\"1\"", 1 + i % 9);
         if (s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status == 202) (*acked)[name] = doc;
-        s.f.nap(Duration(300 + s.w.below(700)));
+        s.f.sleep(Duration(300 + s.w.below(700)));
       }
     });
     for (int k = 1; k <= 2; ++k) {
@@ -163,22 +163,22 @@
       state(in, true);
       s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
       state(out, false);
-      s.f.nap(Duration(1000 + s.w.below(2000)));
+      s.f.sleep(Duration(1000 + s.w.below(2000)));
     }
     s.f.start("h1");  // the old machine comes back, and nobody counts its votes
     // Three of the five of now; without the two new ones there would be no majority.
     s.f.kill("h3");
     s.f.kill("h4");
-    s.f.nap(Duration(5000));
+    s.f.sleep(Duration(5000));
     auto n = acked->size();
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     s.want(acked->size() > n, "two of the five present holders lost, and control stood still");
     *stop = true;
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     s.w.weather = s.f.calm();
     s.f.start("h3");
     s.f.start("h4");
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     for (auto& h : s.f.hosts())
       if (h->up()) knows(s, *h, *acked);
     auto p = base::Json::parse(s.f.tell("GET", "/v1/holders", "").body);
@@ -207,7 +207,7 @@
       s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
       state(out, R"({"holder":false})");
     }
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     auto wins = std::make_shared<std::vector<std::string>>();
     auto ends = std::make_shared<int>(0);
     auto write = [&](const std::string& host) {
@@ -226,7 +226,7 @@
     for (auto* h : {"h1", "h2"})
       for (auto& x : s.f.hosts())
         if (x->name != h) s.w.cut(h, x->name), s.w.cut(x->name, h);
-    s.f.nap(Duration(300));
+    s.f.sleep(Duration(300));
     s.w.cut("e1", "h3");
     s.w.cut("h3", "e1");
     for (auto* h : {"h1", "h2", "h3"}) s.w.join("e4", h);
@@ -235,7 +235,7 @@
     s.want(s.f.until(Duration(10000), [&] { return *ends == 2; }), "a write did not come back");
     s.want(wins->size() <= 1, "two writers won the same version, one with a set long gone");
     s.w.mend();
-    s.f.nap(Duration(5000));
+    s.f.sleep(Duration(5000));
   };
 }
 }  // namespace
--- a/test/measure/delays.cpp
+++ b/test/measure/delays.cpp
@@ -43,9 +43,9 @@
       shape.edges = edges;
       play(static_cast<uint64_t>(k), shape, Duration(30000), [&](Scene& s) {
         if (!begin(s, 100)) return;
-        s.f.nap(Duration(2000));
+        s.f.sleep(Duration(2000));
         auto m = s.w.messages, b = s.w.bytes;
-        s.f.nap(Duration(10000));
+        s.f.sleep(Duration(10000));
         double per = 10.0 * (edges + 5);
         msgs.v.push_back(static_cast<double>(s.w.messages - m) / per);
         bytes.v.push_back(static_cast<double>(s.w.bytes - b) / per);
@@ -75,7 +75,7 @@
   double worst = 0;
   auto good = s.f.good;
   while (s.w.now() < end) {
-    s.f.nap(Duration(20));
+    s.f.sleep(Duration(20));
     if (s.f.good != good) {
       worst = std::max(worst, static_cast<double>((s.w.now() - last).count()));
       last = s.w.now();
@@ -94,7 +94,7 @@
     play(seed, {}, Duration(70000), [&](Scene& s) {
       if (!begin(s, 100)) return;
       for (int i = 0; i < 3; ++i) {
-        s.f.nap(Duration(1000 + s.w.below(1000)));
+        s.f.sleep(Duration(1000 + s.w.below(1000)));
         purge(s, fmt::format("p{}", i), "service", "");
         auto want = static_cast<uint64_t>(i + 1);
         purge_seen.v.push_back(till_all(s, [&](sim::Host& h) { return traffic::purge_number(*h.node->traffic().table(), "content") >= want; }));
@@ -109,13 +109,13 @@
       assigned.v.push_back(till_all(s, [](sim::Host& h) { return h.node->release() == "second"; }));
       holder.v.push_back(gap(s, [&] { s.f.kill("h1"); }, Duration(6000)));
       s.f.start("h1");
-      s.f.nap(Duration(3000));
+      s.f.sleep(Duration(3000));
       zone.v.push_back(gap(s, [&] {
         for (auto& h : s.f.hosts())
           if (h->zone == "a") s.f.kill(h->name);
       }, Duration(6000)));
       s.f.start_all();
-      s.f.nap(Duration(5000));
+      s.f.sleep(Duration(5000));
       all.v.push_back(gap(s, [&] {
         for (auto& h : s.f.hosts()) s.f.kill(h->name);
         s.f.start_all();
@@ -125,7 +125,7 @@
       if (!begin(s, 150, sim_layout("\"1\",\"2\"", 4))) return;
       auto& x = s.f.add_worker("app", "2", 0);
       x.bad_percent = 70;
-      s.f.nap(Duration(2500));
+      s.f.sleep(Duration(2500));
       s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
       s.f.until(Duration(40000), [&] { return s.w.met["bad_answer"] >= 50; });
       quarantine.v.push_back(till_all(s, [](sim::Host& h) {
--- a/test/measure/faults.cpp
+++ b/test/measure/faults.cpp
@@ -23,7 +23,7 @@
   for (auto& n : f.nodes) m->was.push_back(n->toll.bytes);
   f.outside([m] {
     while (m->on) {
-      m->f.nap(Duration(1000));
+      m->f.sleep(Duration(1000));
       for (size_t i = 0; i < m->was.size(); ++i) {
         auto& now = m->f.nodes[i]->toll.bytes;
         double d = static_cast<double>(now - std::exchange(m->was[i], now));
@@ -78,14 +78,14 @@
   o["lost_nodes"] = static_cast<double>(dead.size());
   o["known_gone_ms"] = ms_until(f, Duration(20000), [&] { return known_gone(f, dead); });
   uint64_t looks = 0, stale = 0;
-  for (; f.w.now() - from < Duration(t.hold_s * 1000); f.nap(Duration(50)), ++looks) stale += !f.fresh();
+  for (; f.w.now() - from < Duration(t.hold_s * 1000); f.sleep(Duration(50)), ++looks) stale += !f.fresh();
   o["looks"] = static_cast<double>(looks);
   o["looks_without_all_permits"] = static_cast<double>(stale);
   put(o, "while", *m, t.hold_s);
   m = meter(f);
   for (auto* n : dead) f.start(*n);
   o["whole_again_ms"] = ms_until(f, Duration(60000), [&] { return whole(f); });
-  f.nap(Duration(5000));
+  f.sleep(Duration(5000));
   put(o, "after", *m, 5 + std::max(0.0, o["whole_again_ms"]) / 1000);
 }
 
@@ -99,11 +99,11 @@
   o["apart_nodes"] = inside;
   st.changes(t.changes, end);
   st.purges(t.purges, end);
-  f.nap(std::min<Duration>(Duration(5000), end - f.w.now()));
+  f.sleep(std::min<Duration>(Duration(5000), end - f.w.now()));
   o["permits_while"] = permits(f);
   o["others"] = static_cast<double>(f.nodes.size()) - inside;
   double least = o["permits_while"];
-  for (; f.w.now() < end; f.nap(Duration(500))) least = std::min(least, permits(f));
+  for (; f.w.now() < end; f.sleep(Duration(500))) least = std::min(least, permits(f));
   o["permits_least"] = least;
   put(o, "while", *m, t.hold_s);
   m = meter(f);
@@ -112,7 +112,7 @@
   o["all_everywhere"] = st.rest(Duration(30000));
   st.figures(o);
   o["all_everywhere_ms"] = o["whole_again_ms"] < 0 ? -1 : static_cast<double>((f.w.now() - end).count());
-  f.nap(Duration(5000));
+  f.sleep(Duration(5000));
   put(o, "after", *m, static_cast<double>((f.w.now() - end).count()) / 1000);
 }
 
@@ -121,14 +121,14 @@
   size_t want = std::max<size_t>(2, f.nodes.size() / 100);
   for (auto i = f.nodes.size(); them.size() < want; --i) them.push_back(f.nodes[i - 1].get());
   for (auto* n : them) f.kill(*n);
-  f.nap(Duration(1000));
+  f.sleep(Duration(1000));
   auto m = meter(f);
   auto bytes = them[0]->toll.bytes;
   for (auto* n : them) f.start(*n);
   o["restarted"] = static_cast<double>(want);
   o["whole_again_ms"] = ms_until(f, Duration(60000), [&] { return whole(f); });
   o["first_bytes"] = static_cast<double>(them[0]->toll.bytes - bytes);
-  f.nap(Duration(t.hold_s * 1000));
+  f.sleep(Duration(t.hold_s * 1000));
   put(o, "after", *m, t.hold_s + std::max(0.0, o["whole_again_ms"]) / 1000);
 }
 
@@ -140,7 +140,7 @@
   st.changes(t.changes, end);
   st.purges(t.purges, end);
   uint64_t looks = 0, stale = 0;
-  for (; f.w.now() < end; f.nap(Duration(250)), ++looks) stale += !f.fresh();
+  for (; f.w.now() < end; f.sleep(Duration(250)), ++looks) stale += !f.fresh();
   o["cpu_ms_s"] = static_cast<double>(cpu_ns() - cpu) / 1e6 / t.hold_s;
   o["looks"] = static_cast<double>(looks);
   o["looks_without_all_permits"] = static_cast<double>(stale);
@@ -154,9 +154,9 @@
 Figures trouble(uint64_t seed, Shape s, const Trouble& t) {
   Figures o;
   auto why = play(seed, s, Duration(t.hold_s * 1000 + 300000), [&](Hollow& f) {
-    f.nap(Duration(3000));
+    f.sleep(Duration(3000));
     auto m = meter(f);
-    f.nap(Duration(5000));
+    f.sleep(Duration(5000));
     put(o, "before", *m, 5);
     if (t.kind == "zone") zone(f, t, o);
     if (t.kind == "apart") apart(f, t, o);
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -27,7 +27,7 @@
     if (to != f_.by.end() && !f_.cut(me_, *to->second))
       w.after(way(), [this, t, n = to->second, text = std::move(text)] { arrive(t, *n, text); });
     TimePoint end = w.now() + limit;
-    while (!t->reply && !t->refused && w.now() < end) w.park(l_, end - w.now(), t->wait);
+    while (!t->reply && !t->refused && w.now() < end) w.wait(l_, end - w.now(), t->wait);
     if (!t->reply) return t->refused ? base::NetDefect::unreachable : base::NetDefect::timed_out;
     pb::Reply r;
     r.ParseFromString(*t->reply);
@@ -62,7 +62,7 @@
       if (r) count(me_, r->size());
       t->refused = !r;
       t->reply = std::move(r);
-      f_.w.wake(t->wait);
+      f_.w.notify(t->wait);
     });
   }
   void arrive(const std::shared_ptr<Talk>& t, Node& n, const std::string& text) {
@@ -99,7 +99,7 @@
 struct Proc {
   sim::LifePtr life;
   sim::Clock clock;
-  sim::Chance chance;
+  sim::Random random;
   sim::Tasks tasks;
   HollowNet net;
   NoOrigin origin;
@@ -109,7 +109,7 @@
   std::unique_ptr<gate::Control> control;
 
   Proc(Hollow& f, Node& n, sim::LifePtr l, const relay::NodeConfig& c)
-      : life(l), clock(f.w, l, &n.wall), chance(f.w), tasks(f.w, l), net(f, n, l), ports{clock, chance, tasks, net, origin},
+      : life(l), clock(f.w, l, &n.wall), random(f.w), tasks(f.w, l), net(f, n, l), ports{clock, random, tasks, net, origin},
         disk(n.holder ? std::make_unique<sim::Disk>(f.w, l, n.platter) : nullptr),
         node(std::make_unique<relay::Node>(ports, c, disk.get())), control(std::make_unique<gate::Control>(ports, *node)) {}
 };
@@ -172,16 +172,16 @@
 
 void Hollow::outside(std::function<void()> f) { w.spawn(out, std::move(f)); }
 
-void Hollow::nap(Duration d) {
+void Hollow::sleep(Duration d) {
   sim::Wait x;
-  w.park(out, d, x);
+  w.wait(out, d, x);
 }
 
 bool Hollow::until(Duration most, const std::function<bool()>& f) {
   auto end = w.now() + most;
   while (!f()) {
     if (w.now() >= end) return false;
-    nap(Duration(10));
+    sleep(Duration(10));
   }
   return true;
 }
@@ -223,8 +223,8 @@
   for (int i = 0; i < workers; ++i) {
     auto* n = nodes[static_cast<size_t>(i) % nodes.size()].get();
     outside([this, i, n, period] {
-      nap(Duration(w.below(static_cast<uint64_t>(period.count()))));
-      for (uint64_t k = 1;; ++k, nap(period)) {
+      sleep(Duration(w.below(static_cast<uint64_t>(period.count()))));
+      for (uint64_t k = 1;; ++k, sleep(period)) {
         if (!n->up()) continue;
         pb::Beat b;
         b.set_service(i % 2 ? "app" : "content");
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -48,7 +48,7 @@
   void kill(Node& n);
   void end();
   void outside(std::function<void()> f);
-  void nap(Duration s);
+  void sleep(Duration s);
   bool until(Duration most, const std::function<bool()>& f);
   bool on(Node& n, Duration most, std::function<void()> f);  // runs it in the node's process; false when it did not end
   Node& some();                                          // one that is up
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -59,13 +59,13 @@
 struct Run {
   wire::Pool pool{1};
   wire::RealClock clock;
-  wire::RealChance chance;
+  wire::RealChance random;
   std::vector<std::unique_ptr<Real>> all;
   std::promise<Figures> told;
 
   bool until(Duration most, const std::function<bool()>& f) {
     auto end = clock.now() + most;
-    for (; !f(); clock.nap(Duration(20)))
+    for (; !f(); clock.sleep(Duration(20)))
       if (clock.now() >= end) return false;
     return true;
   }
@@ -81,7 +81,7 @@
     for (int i = 0; i < s.holders; ++i) hs.push_back({fmt::format("h{}", i + 1), addr(i)});
     for (int i = 0; i < s.nodes; ++i) {
       auto r = std::make_unique<Real>();
-      r->ports = std::make_unique<base::Ports>(base::Ports{clock, chance, pool, r->net, r->origin});
+      r->ports = std::make_unique<base::Ports>(base::Ports{clock, random, pool, r->net, r->origin});
       if (i < s.holders) r->disk = std::make_unique<storage::SnapshotStore>(std::make_unique<sim::MemFiles>(r->platter), 16384);
       relay::NodeConfig c;
       c.name = fmt::format("{}{}", i < s.holders ? "h" : "e", i + 1);
@@ -98,7 +98,7 @@
       all.push_back(std::move(r));
     }
     for (auto& r : all) {
-      clock.nap(Duration(250 / s.nodes));
+      clock.sleep(Duration(250 / s.nodes));
       pool.spawn([n = r->node.get()] { n->start(); });
     }
     if (!until(Duration(30000), [&] { return each([](Real& r) { return r.node->state_cache().fresh(); }); })) return "not every node got a permit";
@@ -117,7 +117,7 @@
     auto why = up(s);
     o["ended"] = why.empty();
     if (!why.empty()) return o;
-    clock.nap(Duration(3000));
+    clock.sleep(Duration(3000));
     auto toll = [&] {
       Toll t;
       for (size_t i = static_cast<size_t>(s.holders); i < all.size(); ++i) {
@@ -130,7 +130,7 @@
     auto u0 = used_ms(false), s0 = used_ms(true);
     auto from = clock.now();
     int looks = 0, stale = 0;
-    for (; clock.now() - from < Duration(seconds * 1000); clock.nap(Duration(250)), ++looks)
+    for (; clock.now() - from < Duration(seconds * 1000); clock.sleep(Duration(250)), ++looks)
       stale += !each([](Real& r) { return r.node->state_cache().fresh(); });
     double sec = static_cast<double>((clock.now() - from).count()) / 1000, n = s.nodes;
     auto t1 = toll();
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -134,7 +134,7 @@
     o["start_cpu_ms"] = static_cast<double>(cpu_ns() - began) / 1e6;
     if (l.registers) registers(f, l.registers);
     if (l.workers) f.beats(l.workers, Duration(l.period_ms));
-    f.nap(Duration(2500) + Duration(l.workers ? 2 * l.period_ms : 0));
+    f.sleep(Duration(2500) + Duration(l.workers ? 2 * l.period_ms : 0));
     Stream st(f);
     auto end = f.w.now() + Duration(l.window_s * 1000);
     auto was = marks(f);
@@ -151,7 +151,7 @@
         layouts.add(static_cast<double>((f.w.now() - from).count()));
     }
     uint64_t looks = 0, stale = 0;
-    for (; f.w.now() < end; f.nap(Duration(250)), ++looks) stale += !f.fresh();
+    for (; f.w.now() < end; f.sleep(Duration(250)), ++looks) stale += !f.fresh();
     costs(f, was, split, cpu_ns() - cpu, static_cast<double>((f.w.now() - end).count() + l.window_s * 1000) / 1000, o);
     o["beats_taken"] = static_cast<double>(f.beats_taken - taken);
     o["beats_missed"] = static_cast<double>(f.beats_missed - missed);
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -79,7 +79,7 @@
   void look() {
     if (std::exchange(looking, true)) return;
     f.outside([this] {
-      for (;; f.nap(Duration(10))) {
+      for (;; f.sleep(Duration(10))) {
         std::map<std::string, uint64_t> at;
         for (auto& x : wants)
           if (!at.count(x.key)) at[x.key] = least(x.key, x.purge);
@@ -139,7 +139,7 @@
     look();
     f.outside([this, a_second, until, &count, one] {
       double due = 0;
-      for (; f.w.now() < until; f.nap(Duration(5)))
+      for (; f.w.now() < until; f.sleep(Duration(5)))
         for (due += a_second * 0.005; due >= 1; due -= 1, ++count) one();
     });
   }
--- a/test/mixed_stories.cpp
+++ b/test/mixed_stories.cpp
@@ -25,8 +25,8 @@
   void kill_many() {
     met("kill_many");
     for (auto& h : s.f.hosts())
-      if (s.w.chance(400)) s.f.kill(h->name);
-    s.f.nap(Duration(300));
+      if (s.w.random(400)) s.f.kill(h->name);
+    s.f.sleep(Duration(300));
     s.f.start_all();
   }
   void lose_disk() {
@@ -45,7 +45,7 @@
   }
   void split() {
     std::vector<std::string> left, right;
-    for (auto& h : s.f.hosts()) (s.w.chance(400) ? left : right).push_back(h->name);
+    for (auto& h : s.f.hosts()) (s.w.random(400) ? left : right).push_back(h->name);
     for (auto& a : left)
       for (auto& b : right) s.w.cut(a, b), s.w.cut(b, a);
   }
@@ -89,7 +89,7 @@
     s.f.add_worker(w->service, w->version, w->max_age);
     w->leaving = true;
     s.f.outside([this, w] {
-      s.f.nap(Duration(5000));
+      s.f.sleep(Duration(5000));
       w->alive = false;
     });
   }
@@ -111,7 +111,7 @@
     w->alive = false;
     auto& x = s.f.add_worker(service == "app" ? "content" : "app", "1", service == "app" ? 3 : 0);
     x.address = address;
-    x.foreign = s.w.chance(300);
+    x.foreign = s.w.random(300);
     s.f.add_worker(service, version, age);
   }
   void crowd() {
@@ -120,7 +120,7 @@
   }
   void layout() {
     auto name = fmt::format("m{}", turn);
-    auto doc = sim_layout("\"1\",\"2\"", 1 + static_cast<int>(s.w.below(3)), 0, s.w.chance(300) ? R"(,"express":"mixed")" : "");
+    auto doc = sim_layout("\"1\",\"2\"", 1 + static_cast<int>(s.w.below(3)), 0, s.w.random(300) ? R"(,"express":"mixed")" : "");
     if (s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status == 202) layouts[name] = doc, met("layout");
   }
   void invalid() {
@@ -128,13 +128,13 @@
     s.want(t.lost || t.status == 422 || t.status == 503, "an invalid layout gave " + t.body);
     met("invalid_layout");
   }
-  void clear() { purge(s, fmt::format("u{}", turn), s.w.chance(500) ? "prefix" : "path", s.w.chance(500) ? "/c/" : "/c/3"), met("purge"); }
+  void clear() { purge(s, fmt::format("u{}", turn), s.w.random(500) ? "prefix" : "path", s.w.random(500) ? "/c/" : "/c/3"), met("purge"); }
   void storm() {
     met("purge_storm");
     for (int k = 0; k < 30; ++k) s.f.outside([this, k, t = turn] { purge(s, fmt::format("w{}-{}", t, k), "path", fmt::format("/c/{}", k % 20)); });
   }
   void move() {
-    if (s.f.tell("PUT", "/v1/services/app", s.w.chance(500) ? R"({"version":"2"})" : R"({"version":"1"})").status == 200) met("move");
+    if (s.f.tell("PUT", "/v1/services/app", s.w.random(500) ? R"({"version":"2"})" : R"({"version":"1"})").status == 200) met("move");
   }
 
   void all() {
@@ -145,10 +145,10 @@
                               &Mix::clear, &Mix::storm, &Mix::move};
     for (turn = 0; turn < 25; ++turn) {
       for (auto n = 1 + s.w.below(3); n; --n) (this->*list[s.w.below(std::size(list))])();
-      s.f.nap(Duration(s.w.below(2500)));
-      if (s.w.chance(350)) s.w.mend();
+      s.f.sleep(Duration(s.w.below(2500)));
+      if (s.w.random(350)) s.w.mend();
       for (auto& x : s.f.hosts())
-        if (!x->up() && s.w.chance(450)) s.f.start(x->name);
+        if (!x->up() && s.w.random(450)) s.f.start(x->name);
     }
   }
 
@@ -157,13 +157,13 @@
     s.w.weather = s.f.calm();
     for (auto& h : s.f.hosts()) h->platter.least = Duration(1), h->platter.most = Duration(4);
     for (auto& w : s.f.workers()) w->lose_percent = w->wrong_percent = w->bad_percent = 0, w->most = Duration(8);
-    s.f.nap(Duration(5100));  // the last freeze is over
+    s.f.sleep(Duration(5100));  // the last freeze is over
     s.f.start_all();
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     for (auto& h : s.f.hosts()) knows(s, *h, layouts);
-    s.f.nap(Duration(20000));
+    s.f.sleep(Duration(20000));
   }
 };
 
--- a/test/move_stories.cpp
+++ b/test/move_stories.cpp
@@ -41,12 +41,12 @@
 // In the midst of the move, at a time drawn anew each seed.
 void disturb(Scene& s, const std::string& what, Duration within) {
   s.f.outside([&s, what, within] {
-    s.f.nap(Duration(s.w.below(static_cast<uint64_t>(within.count()))));
+    s.f.sleep(Duration(s.w.below(static_cast<uint64_t>(within.count()))));
     auto* h = duty_holder(s);
     auto name = h ? h->name : std::string("h1");
     if (what == "duty") {
       if (may_fall(s, s.f.at(name))) s.f.kill(name);
-      s.f.nap(Duration(1000 + s.w.below(3000)));
+      s.f.sleep(Duration(1000 + s.w.below(3000)));
       s.f.start_all();
     } else if (what == "freeze") {
       s.w.freeze(name, s.w.now() + Duration(2000 + s.w.below(4000)));
@@ -54,7 +54,7 @@
       for (auto& x : s.f.hosts())
         if (!x->holder) {
           s.f.kill(x->name);
-          s.f.nap(Duration(300));
+          s.f.sleep(Duration(300));
           s.f.start(x->name);
         }
     }
@@ -88,19 +88,19 @@
         mine.push_back(&x);
       }
     };
-    if (s.w.chance(500)) start(), s.f.nap(Duration(s.w.below(1000)));
+    if (s.w.random(500)) start(), s.f.sleep(Duration(s.w.below(1000)));
     allow(s, "2");
     auto from = s.w.now();
     if (!p.how.empty())
       s.f.event(fmt::format(R"("t":"bad_version","service":"app","version":"2","until":{},"slack":50)", (from + term).count()));
     auto order = fmt::format(R"({{"version":"2","within_ms":{}}})", term.count());
     s.want(s.f.until(Duration(3000), [&] { return s.f.tell("PUT", "/v1/moves/app", order).status == 200; }), "the order was not taken");
-    if (mine.empty()) s.f.nap(Duration(s.w.below(500))), start();
+    if (mine.empty()) s.f.sleep(Duration(s.w.below(500))), start();
     if (!p.trouble.empty()) disturb(s, p.trouble, term);
     s.want(s.f.until(Duration(3000), [&] { return s.f.tell("PUT", "/v1/moves/app", order).status == 200; }), "the order stated again was not taken");
     std::string now;
     s.f.until(term + Duration(9000), [&] {
-      s.f.nap(Duration(200));
+      s.f.sleep(Duration(200));
       now = state("moves").at("state").str();
       return now == "completed" || now == "rolled_back";
     });
@@ -112,7 +112,7 @@
       for (auto& x : s.f.workers())
         if (x->service == "app" && x->version == "1") x->alive = false;
       auto calls = s.f.calls, good = s.f.good;
-      s.f.nap(Duration(3000));
+      s.f.sleep(Duration(3000));
       s.want(s.f.calls - calls <= s.f.good - good + 5 || !p.trouble.empty(),
              fmt::format("{} of {} calls failed when the old workers were halted", s.f.calls - calls - (s.f.good - good), s.f.calls - calls));
       s.want(state("services").at("current").str() == "2", "it is completed and not in place");
@@ -120,7 +120,7 @@
     if (p.how.empty() && p.trouble.empty()) s.want(now == "completed" && took <= term, "a good version is " + why());
     if (!p.how.empty()) s.want(now == "rolled_back" && (took <= term || !p.trouble.empty()), "a bad version is " + why());
     s.want(!now.empty() && now != "running", "the move came to no end: " + why());
-    s.f.nap(Duration(9000));
+    s.f.sleep(Duration(9000));
     auto again = s.f.tell("PUT", "/v1/moves/app", order);
     auto j = base::Json::parse(again.body);
     s.want(again.lost || (std::holds_alternative<base::Json>(j) && std::get<base::Json>(j).at("state").str() == now),
@@ -140,16 +140,16 @@
     };
     s.want(s.f.until(Duration(8000), [&] { return current() == "1"; }), "no version came into place");
     for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0);
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     for (auto& x : s.f.workers())
       if (x->service == "app" && x->version == "1") x->alive = false;
-    s.f.nap(Duration(9000));
+    s.f.sleep(Duration(9000));
     s.want(current() == "1", "a version that nobody asked for took over at once");
     allow(s, "2");  // nothing went to it until here, or the checker speaks
     s.want(s.f.until(Duration(8000), [&] { return current() == "2"; }), "nothing took the place of a version that is gone");
-    s.f.nap(Duration(1000));
+    s.f.sleep(Duration(1000));
     auto good = s.f.good;
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     s.want(s.f.good > good + 80, "the service does not serve");
   };
 }
--- a/test/platform/clients.cpp
+++ b/test/platform/clients.cpp
@@ -18,7 +18,7 @@
         auto x = f_.exchange(*p, q, true, Duration(1000));
         auto& n = missed_[p->name];
         n = x.whole && x.receipt.status == 200 ? 0 : n + 1;
-        f_.nap(Duration(1000));
+        f_.sleep(Duration(1000));
       }
     });
 }
@@ -109,8 +109,8 @@
     double back = 0;
     std::from_chars(told.data(), told.data() + told.size(), back);
     auto wait = std::min(Duration(static_cast<int64_t>(back * 1000)), (t.deadline - w.now()) / 3);
-    if (!impatient && wait > Duration(0)) f_.nap(wait);
-    if (impatient) f_.nap(Duration(2));
+    if (!impatient && wait > Duration(0)) f_.sleep(wait);
+    if (impatient) f_.sleep(Duration(2));
   }
 }
 
@@ -120,7 +120,7 @@
     auto& w = f_.world();
     while (w.now() < until) {
       f_.outside([this] { one(); });
-      f_.nap(Duration(w.below(static_cast<uint64_t>(2000 / per_second)) + 1));
+      f_.sleep(Duration(w.below(static_cast<uint64_t>(2000 / per_second)) + 1));
     }
   });
 }
--- a/test/platform/day.cpp
+++ b/test/platform/day.cpp
@@ -48,7 +48,7 @@
   for (int i = 0; i < 40; ++i) d.tags[fmt::format("/obj/{:x}", i)] = fmt::format("t{}", i % 5);
   f.outside([this] { watch(); });
   clients.knock();
-  f.nap(Duration(500));
+  f.sleep(Duration(500));
   bool ok = op.put(page);
   want(ok, "the first configuration was not taken");
   ok = ok && f.until(Duration(15000), [&] {
@@ -61,14 +61,14 @@
     return clients.all_in();
   });
   want(ok, "not all became ready and knew all workers within 15 s");
-  f.nap(Duration(2000));
+  f.sleep(Duration(2000));
   for (auto& h : f.hosts()) {
     auto t = h->node->traffic().table();
     want(static_cast<size_t>(t->nodes) == f.hosts().size(), fmt::format("{} shares the fleet's allowances among {} of {}", h->name, t->nodes, f.hosts().size()));
   }
   over = w.now() + Duration(600000);
   clients.come(page, per_second, over);
-  f.nap(Duration(3000));
+  f.sleep(Duration(3000));
   return ok;
 }
 
@@ -99,7 +99,7 @@
   harm(host);
   f.kill(host);
   f.outside([this, host, down] {
-    f.nap(down);
+    f.sleep(down);
     harm(host);
     f.start(host);
   });
@@ -115,13 +115,13 @@
   auto life = h.life;
   TimePoint from = w.now();
   w.spawn(life, [n] { n->leave(); });
-  f.nap(Duration(2700));
+  f.sleep(Duration(2700));
   if (life->dead) return;
   n->traffic().drain();
-  while (!life->dead && n->traffic().running() > 0 && w.now() < from + Duration(4800)) f.nap(Duration(10));
-  f.nap(Duration(50));
+  while (!life->dead && n->traffic().running() > 0 && w.now() < from + Duration(4800)) f.sleep(Duration(10));
+  f.sleep(Duration(50));
   if (!life->dead) f.kill(host);
-  f.nap(Duration(300));
+  f.sleep(Duration(300));
   harm(host);
   f.start(host);
 }
@@ -157,7 +157,7 @@
     for (auto& h : f.hosts())
       for (auto* c : main)
         if (!joined(*h, *c)) harm(h->name);
-    f.nap(Duration(20));
+    f.sleep(Duration(20));
   }
 }
 
@@ -170,7 +170,7 @@
     day.f.start_all();
     day.f.outside([&] {
       if (day.begin(story.per_second * load, story.rate)) story.run(day);
-      day.f.nap(Duration(1500));
+      day.f.sleep(Duration(1500));
       got = {{"wanted", day.clients.wanted}, {"served", day.clients.served}};
       day.op.read_back(Duration(3000));
       day.done = true;
--- a/test/platform/kinds.cpp
+++ b/test/platform/kinds.cpp
@@ -12,7 +12,7 @@
 void config_change(Day& y) {
   for (int i = 0; i < 7; ++i) {
     y.want(y.change(y.w.draw() % 1000000), "a configuration was not taken");
-    y.f.nap(Duration(300 + y.below(2000)));
+    y.f.sleep(Duration(300 + y.below(2000)));
   }
 }
 
@@ -31,7 +31,7 @@
     y.f.until(Duration(25000), [&] { return left == 0; });
     y.op.read_back(Duration(100));
     y.page = y.d.read_back.back().text == b.text() ? b : a;
-    y.f.nap(Duration(500));
+    y.f.sleep(Duration(500));
   }
 }
 
@@ -43,10 +43,10 @@
     int st = y.op.put_text(what, p, text, false);
     y.want(st / 100 == 4, fmt::format("{} got {}", what, st));
     y.clients.probe("bad.example", "/bad/x");
-    y.f.nap(Duration(150));
+    y.f.sleep(Duration(150));
   }
   y.op.read_back(Duration(100));
-  y.f.nap(Duration(2500));
+  y.f.sleep(Duration(2500));
   y.clients.probe("bad.example", "/bad/x");
   y.want(y.change(0), "a valid configuration was not taken after invalid ones");
 }
@@ -62,7 +62,7 @@
       for (auto& [k, t] : y.d.tags)
         if (t == y.d.tags[o] && k != o) y.yard.change(k);
     y.want(y.op.purge("a.example", tag ? "" : o, tag ? y.d.tags[o] : ""), "a purge was not taken");
-    y.f.nap(Duration(600 + y.below(500)));
+    y.f.sleep(Duration(600 + y.below(500)));
   }
 }
 
@@ -74,9 +74,9 @@
       y.yard.change(o);
       y.want(y.op.purge("a.example", o, ""), "a purge was not taken");
     });
-    y.f.nap(Duration(60));
+    y.f.sleep(Duration(60));
   }
-  y.f.nap(Duration(3000));
+  y.f.sleep(Duration(3000));
 }
 
 void release(Day& y) {
@@ -84,10 +84,10 @@
     for (auto* s : y.yard.of(service)) {
       if (y.below(2)) continue;
       y.yard.add(service, "v1", Duration(2000));
-      y.f.nap(Duration(1000));
+      y.f.sleep(Duration(1000));
       y.f.outside([&y, s] { y.yard.drain(*s); });
     }
-  y.f.nap(Duration(3500));
+  y.f.sleep(Duration(3500));
 }
 
 // Their addresses go to workers of the other service.
@@ -98,29 +98,29 @@
     auto* s = v[i];
     y.f.outside([&y, s, drained] {
       drained ? y.yard.drain(*s) : y.yard.crash(*s);
-      y.f.nap(Duration(2000 + y.below(500)));
+      y.f.sleep(Duration(2000 + y.below(500)));
       y.yard.add("huvo", "v1", Duration(1000), s->address);
     });
   }
-  y.f.nap(Duration(9000));
+  y.f.sleep(Duration(9000));
 }
 
 void scale_in(Day& y) {
   auto v = y.yard.of("wuno");
   for (size_t i = 0; i < 3; ++i) y.f.outside([&y, s = v[i]] { y.yard.drain(*s); });
-  y.f.nap(Duration(4000));
+  y.f.sleep(Duration(4000));
 }
 
 void srv_crash(Day& y) {
   auto v = y.yard.of("wuno"), u = y.yard.of("huvo");
   bool dark = y.below(2);
   for (auto* s : {v[0], u[0]}) y.yard.crash(*s, dark);
-  y.f.nap(Duration(5000));
+  y.f.sleep(Duration(5000));
   for (auto* s : {v[0], u[0]}) {
     if (dark) s->dark = false;
     else y.yard.add(s->service, "v1", Duration(2000));
   }
-  y.f.nap(Duration(3000));
+  y.f.sleep(Duration(3000));
   y.floor = 0.85;
 }
 
@@ -130,19 +130,19 @@
     for (size_t i = 0; i < v.size(); ++i)
       if (i == 0 || y.below(3) == 0) v[i]->slower = 4;
   }
-  y.f.nap(Duration(5000));
+  y.f.sleep(Duration(5000));
   for (auto* n : {"wuno", "huvo"})
     for (auto* s : y.yard.of(n)) s->slower = 1;
-  y.f.nap(Duration(2000));
+  y.f.sleep(Duration(2000));
 }
 
 // Every worker of one service is slow, and clients do not wait as told.
 void crowd(Day& y) {
   y.clients.impatient = true;
   for (auto* s : y.yard.of("wuno")) s->slower = 24;
-  y.f.nap(Duration(8000));
+  y.f.sleep(Duration(8000));
   for (auto* s : y.yard.of("wuno")) s->slower = 1;
-  y.f.nap(Duration(3000));
+  y.f.sleep(Duration(3000));
   y.floor = 0.3;
 }
 
@@ -152,7 +152,7 @@
     auto v = y.yard.of(n);
     for (size_t i = 0; i < v.size(); i += 2) v[i]->*how = permille;
   }
-  y.f.nap(Duration(9000));
+  y.f.sleep(Duration(9000));
 }
 
 // The origin of the objects takes only so much, and they are kept but shortly.
@@ -162,9 +162,9 @@
   p.lines[0].keep_s = 0.5;
   y.want(y.op.put(p), "a configuration was not taken");
   y.page = p;
-  y.f.nap(Duration(5000));
+  y.f.sleep(Duration(5000));
   y.kill_for(y.any(false).name, Duration(500));
-  y.f.nap(Duration(5000));
+  y.f.sleep(Duration(5000));
   y.floor = 0.3;
 }
 
@@ -184,7 +184,7 @@
     if (how == 2) s->bad = [hit, &w, from](auto&) { return w.now() > from && hit() ? 0 : 1; };
     if (how == 3) s->bad = [hit](auto& t) { return t.starts_with("/post/") || t.starts_with("/obj/") ? hit() ? 0 : 1 : 1; };
   }
-  y.f.nap(Duration(1700));
+  y.f.sleep(Duration(1700));
   Duration within(12000);
   y.want(y.op.move(service, "v2", within, bad), "a rollout was not taken");
   auto& m = y.d.moves.back();
@@ -195,16 +195,16 @@
       m.ended = y.w.now();
       break;
     }
-    y.f.nap(Duration(250));
+    y.f.sleep(Duration(250));
   }
   y.want(m.state == (bad ? "rolled_back" : "completed"), fmt::format("{} v2 of {} ended {}, how {}", bad ? "bad" : "good", service, m.state, how));
   if (m.state == "completed")
     for (auto* s : old) s->alive = false;
   if (m.state == "rolled_back") {
-    y.f.nap(Duration(2000));
+    y.f.sleep(Duration(2000));
     for (auto* s : fresh) y.f.outside([&y, s] { y.yard.drain(*s); });
   }
-  y.f.nap(Duration(4000));
+  y.f.sleep(Duration(4000));
 }
 // An operator's work, something that befalls machines and workers that misbehave, at once.
 void mix(Day& y) {
--- a/test/platform/machine_kinds.cpp
+++ b/test/platform/machine_kinds.cpp
@@ -9,7 +9,7 @@
 void node_kill(Day& y) {
   for (int i = 0; i < 3; ++i) {
     y.kill_for(y.any(i == 1).name, Duration(200 + y.below(2500)));
-    y.f.nap(Duration(3500));
+    y.f.sleep(Duration(3500));
   }
   y.floor = 0.85;
 }
@@ -19,7 +19,7 @@
   for (auto& h : y.f.hosts())
     if (y.below(10) < 6) names.push_back(h->name);
   for (auto& n : names) y.kill_for(n, Duration(300 + y.below(700)));
-  y.f.nap(Duration(8000));
+  y.f.sleep(Duration(8000));
   y.floor = 0.6;
 }
 
@@ -29,17 +29,17 @@
     auto old = y.page;
     y.page = next_page(old, old.revision + 1, 5 * y.below(100));
     bool ok = y.op.put(y.page);
-    y.f.nap(Duration(y.below(4)));
+    y.f.sleep(Duration(y.below(4)));
     auto by = y.op.last_by;
     y.d.unplanned = true;
     y.harm(by);
     y.f.kill(by);
     if (wipe) y.f.wipe(by);
     y.want(ok, "a configuration was not taken");
-    y.f.nap(Duration(500 + y.below(1500)));
+    y.f.sleep(Duration(500 + y.below(1500)));
     y.harm(by);
     y.f.start(by);
-    y.f.nap(Duration(5000));
+    y.f.sleep(Duration(5000));
     if (ok) y.clients.page(y.page);
   }
   y.floor = 0.85;
@@ -54,11 +54,11 @@
       y.w.cut(one, h->name);
       if (!one_way) y.w.cut(h->name, one);
     }
-  y.f.nap(Duration(1000));
+  y.f.sleep(Duration(1000));
   y.change(5 * y.below(100));
-  y.f.nap(Duration(4000));
+  y.f.sleep(Duration(4000));
   y.w.mend();
-  y.f.nap(Duration(4000));
+  y.f.sleep(Duration(4000));
   y.floor = 0.8;
 }
 
@@ -67,11 +67,11 @@
   auto one = y.any(false).name;
   for (auto& h : y.f.hosts())
     if (h->holder) y.w.cut(one, h->name), y.w.cut(h->name, one);
-  y.f.nap(Duration(1000));
+  y.f.sleep(Duration(1000));
   y.change(5 * y.below(100));
-  y.f.nap(Duration(4000));
+  y.f.sleep(Duration(4000));
   y.w.mend();
-  y.f.nap(Duration(4000));
+  y.f.sleep(Duration(4000));
   y.floor = 0.85;
 }
 
@@ -80,9 +80,9 @@
   for (bool core : {false, true}) {
     auto& h = y.any(core);
     y.w.freeze(h.name, y.w.now() + Duration(1500 + y.below(3500)));
-    y.f.nap(Duration(500));
+    y.f.sleep(Duration(500));
     y.change(y.w.draw() % 100000);
-    y.f.nap(Duration(6500));
+    y.f.sleep(Duration(6500));
   }
   y.floor = 0.8;
 }
@@ -99,7 +99,7 @@
       if (h->holder) y.unsettle();
     }
     y.change(y.w.draw() % 100000);
-    y.f.nap(Duration(4500));
+    y.f.sleep(Duration(4500));
   }
 }
 
@@ -107,30 +107,30 @@
   for (auto& h : y.f.hosts()) {
     if (h->up() && (h->holder || y.below(3) == 0)) {
       y.term(h->name);
-      y.f.nap(Duration(1000));
+      y.f.sleep(Duration(1000));
     }
   }
 }
 
 void seed_change(Day& y) {
   for (auto& h : y.f.hosts()) h->node->seeds({"http:e1", "http:h3", "http:e2"});
-  y.f.nap(Duration(1000));
+  y.f.sleep(Duration(1000));
   y.change(0);
   y.kill_for(y.any(false).name, Duration(300));
-  y.f.nap(Duration(5000));
+  y.f.sleep(Duration(5000));
 }
 
 // All are killed, and the order comes while they start.
 void order_at_start(Day& y) {
   y.d.unplanned = true;
   for (int i = 0; i < 4; ++i) y.yard.add("huvo", "v2");
-  y.f.nap(Duration(2000));
+  y.f.sleep(Duration(2000));
   for (auto& h : y.f.hosts()) y.f.kill(h->name);
-  y.f.nap(Duration(300));
+  y.f.sleep(Duration(300));
   y.f.start_all();
-  y.f.nap(Duration(y.below(400)));
+  y.f.sleep(Duration(y.below(400)));
   y.want(y.op.move("huvo", "v2", Duration(12000), false), "a rollout was not taken by relays that just started");
-  y.f.nap(Duration(2000));
+  y.f.sleep(Duration(2000));
   std::string version;
   auto st = y.op.state("huvo", &version);
   y.want(!st.empty() && version == "v2", fmt::format("the rollout reads {} {}", version, st));
@@ -140,24 +140,24 @@
 // Right after one more change was acknowledged.
 void closing(Day& y, int how) {
   for (int i = 0; i < 4; ++i) y.yard.add("huvo", "v2");
-  y.f.nap(Duration(2000));
+  y.f.sleep(Duration(2000));
   y.want(y.op.move("huvo", "v2", Duration(12000), false), "a rollout was not taken");
   auto old = y.page;
   y.page = next_page(old, old.revision + 2, 5 * y.below(100));
   y.want(y.op.put(y.page), "the last configuration was not taken");
   y.d.unplanned = true;
   y.d.closed = y.w.now();
-  y.f.nap(Duration(y.below(4)));
+  y.f.sleep(Duration(y.below(4)));
   std::string one = fmt::format("h{}", 1 + y.below(3));
   for (auto& h : y.f.hosts())
     if (how != 2 || h->name == one || y.below(2)) y.f.kill(h->name);
   if (how == 2) y.f.wipe(one);
-  y.f.nap(Duration(how == 0 ? 500 : 3000));
+  y.f.sleep(Duration(how == 0 ? 500 : 3000));
   y.f.start_all();
   y.d.back = y.w.now();
-  y.f.nap(Duration(15000));
+  y.f.sleep(Duration(15000));
   auto wanted = y.clients.wanted, served = y.clients.served;
-  y.f.nap(Duration(4000));
+  y.f.sleep(Duration(4000));
   std::string version;
   auto st = y.op.state("huvo", &version);
   y.want(!st.empty() && version == "v2", fmt::format("LOST: the rollout reads {} {} after the closing fault", version, st));
--- a/test/platform/operator.cpp
+++ b/test/platform/operator.cpp
@@ -30,7 +30,7 @@
     if (st / 100 == 4 && st != 408 && st != 429 && ++fours == 3) return {st, x.receipt.body};
     if (w.now() - from > kAck && !told && !what.empty()) told = true, d_.late.push_back({what, from, w.now()});
     if (w.now() > end) return {0, {}};
-    f_.nap(pause);
+    f_.sleep(pause);
     pause = std::min<Duration>(pause * 3 / 2, Duration(1000));
   }
 }
@@ -87,7 +87,7 @@
     auto g = base::Json::parse(body);
     auto* j = std::get_if<base::Json>(&g);
     d_.read_back.push_back({j ? static_cast<uint64_t>(j->at("revision").num()) : 0, body, asked});
-    f_.nap(Duration(300));
+    f_.sleep(Duration(300));
   } while (f_.world().now() < end);
 }
 
--- a/test/platform/words_unit.cpp
+++ b/test/platform/words_unit.cpp
@@ -126,7 +126,7 @@
   }
 }
 
-struct Draw final : base::Chance {
+struct Draw final : base::Random {
   std::mt19937_64 r{1};
   uint64_t draw() override { return r(); }
 };
--- a/test/platform/yard.cpp
+++ b/test/platform/yard.cpp
@@ -59,10 +59,10 @@
 }
 
 void Yard::beats(Server& s) {
-  f_.nap(Duration(f_.world().below(1400)));
+  f_.sleep(Duration(f_.world().below(1400)));
   while (s.alive && !s.draining) {
     if (!s.dark) beat(s, "PUT");
-    f_.nap(kBeat);
+    f_.sleep(kBeat);
   }
 }
 
@@ -88,7 +88,7 @@
       if (draining || q.method == "DELETE") d_.left.push_back({s.id, h.name, w.now()});
       return true;
     }
-    f_.nap(pause);
+    f_.sleep(pause);
     pause = std::min<Duration>(pause * 2, Duration(500));
   }
   return false;
@@ -98,7 +98,7 @@
   s.draining = true;
   auto from = f_.world().now();
   if (!beat(s, "PUT") && s.alive) d_.late.push_back({"draining of " + s.id, from, f_.world().now()});
-  f_.nap(kDrain + Duration(400));
+  f_.sleep(kDrain + Duration(400));
   beat(s, "DELETE");
   s.alive = false;
 }
@@ -148,16 +148,16 @@
 Yard::Shot Yard::shoot(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::ShotRules& rules) {
   auto& w = f_.world();
   auto end = w.now() + rules.limit;
-  auto nap = [&](Duration t) {
+  auto sleep = [&](Duration t) {
     sim::Wait x;
-    w.park(l, t, x);
+    w.wait(l, t, x);
   };
-  nap(Duration(1));
+  sleep(Duration(1));
   auto* s = at(address);
   if (!s) return base::ShotDefect::unsent;
   if (s->dark) {
     bool kept = w.below(3) == 0;  // on a connection that stood already it is sent into the dark
-    nap(kept ? rules.limit : std::min(rules.limit, rules.connect > Duration(0) ? rules.connect : rules.limit));
+    sleep(kept ? rules.limit : std::min(rules.limit, rules.connect > Duration(0) ? rules.connect : rules.limit));
     return kept ? base::ShotDefect::unknown : base::ShotDefect::unsent;
   }
   auto h = [&](const char* n) { return base::header(q.headers, n); };
@@ -191,7 +191,7 @@
     }
     Busy b(s->waiting);
     while (s->running >= s->slots && s->alive) {
-      nap(Duration(2));
+      sleep(Duration(2));
       if (w.now() >= end) return base::ShotDefect::unknown;
       if (w.now() >= deadline) return not_run(503);
     }
@@ -206,17 +206,17 @@
   Busy b(s->running);
   bool over = w.now() + took > deadline;
   auto r = answer(*s, q, !times);
-  nap(std::min(over ? deadline - w.now() : took, end - w.now()));
+  sleep(std::min(over ? deadline - w.now() : took, end - w.now()));
   if (w.now() >= end) return base::ShotDefect::unknown;
   if (!s->alive || s->dark) return ++w.met["died_in_request"], base::ShotDefect::unknown;
   if (over) return base::Receipt{504, {{"Attempt-Id", h("Attempt-Id")}}, {}};
-  if (w.chance(s->lose)) {
+  if (w.random(s->lose)) {
     ++w.met["answer_lost"];
-    nap(end - w.now());
+    sleep(end - w.now());
     return base::ShotDefect::unknown;
   }
-  if (w.chance(s->cut)) return ++w.met["answer_cut"], base::ShotDefect::unknown;
-  if (w.chance(s->spoil)) return ++w.met["answer_spoilt"], base::ShotDefect::unknown;
+  if (w.random(s->cut)) return ++w.met["answer_cut"], base::ShotDefect::unknown;
+  if (w.random(s->spoil)) return ++w.met["answer_spoilt"], base::ShotDefect::unknown;
   if (s->late) {
     // The one before comes where this one is due; the caller of the port may be able to tell.
     auto before = *std::exchange(s->late, {});
@@ -224,7 +224,7 @@
     if (rules.mine && !rules.mine(before) && w.below(2)) return base::ShotDefect::unknown;
     return before;
   }
-  if (w.chance(s->extra)) s->late = r;
+  if (w.random(s->extra)) s->late = r;
   return r;
 }
 
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -15,7 +15,7 @@
     put(s, "second", sim_layout("\"1\"", 3));
     for (std::string ph : {"ONE", "TWO", "THREE"}) {
       if (!reach(s, "second", ph, Duration(60000))) return s.want(false, "phase " + ph + " was not reached");
-      s.f.nap(Duration(s.w.below(1500)));
+      s.f.sleep(Duration(s.w.below(1500)));
       auto* h = duty_holder(s);
       if (!h) continue;
       pb::Rollout before;
@@ -46,7 +46,7 @@
     std::vector<sim::Worker*> two;
     for (int i = 0; i < 3; ++i) two.push_back(&s.f.add_worker("fresh", "1", 0));
     s.f.event(R"("t":"allowed","service":"fresh","version":"1","prefix":"/a/")");
-    s.f.nap(Duration(2500));
+    s.f.sleep(Duration(2500));
     auto doc = sim_layout("\"1\"", 3);
     doc.replace(doc.find(R"("service":"app","methods":["GET"])"), 15, R"("service":"fresh")");
     doc.insert(doc.find("\"app\""), R"("fresh":{"versions":["1"],"deadline_ms":2000},)");
@@ -54,7 +54,7 @@
     if (!reach(s, "second", ph, Duration(80000))) return s.want(false, "phase " + ph + " was not reached");
     for (auto* x : two) x->bad_percent = 60;
     s.want(reach(s, "second", "STOPPED", Duration(20000)), "a bad release was not stopped in phase " + ph);
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     uint64_t top = 0;
     for (auto& h : s.f.hosts()) {
       s.want(h->node->release() == "first", h->name + " did not go back");
@@ -75,13 +75,13 @@
     for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0).bad_percent = 60;
     for (int i = 0; i < 3; ++i) s.f.add_worker("content", "2", 3);
     allow(s, "2");
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     s.f.event(R"("t":"bad_version","service":"app","version":"2")");
     for (auto* vs : {"\"2\"", "\"2\",\"1\""}) {
       auto name = fmt::format("v{}", std::string(vs).size());
       auto t = s.f.tell("PUT", "/v1/releases/layout/" + name, sim_layout(vs, 3, 0, R"(,"express":"in a hurry")"));
       s.want(t.lost || t.status == 409 || t.status == 202, "the layout gave " + t.body);
-      s.f.nap(Duration(12000));
+      s.f.sleep(Duration(12000));
     }
     // What was recorded before a version came into place may still be stated again.
     auto again = s.f.tell("PUT", "/v1/releases/layout/first", sim_layout());
@@ -103,10 +103,10 @@
     };
     auto sys = fmt::format(R"({{"express":"hours for all","content":{{"quiet_hours":{{"from":"{}","to":"{}"}}}}}})", hour(60), hour(120));
     s.want(s.f.until(Duration(8000), [&] { return s.f.tell("PUT", "/v1/releases/system/hours", sys).status == 202; }), "quiet hours were not taken");
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     put(s, "second", sim_layout("\"1\"", 3));
     for (int i = 0; i < 2; ++i) {
-      s.f.nap(Duration(3000));
+      s.f.sleep(Duration(3000));
       s.want(phase(s, "second") == "WAITING", "a phase started in the busy hours");
       auto* h = duty_holder(s);
       if (!h) continue;
@@ -115,12 +115,12 @@
       s.want(s.f.until(Duration(15000), [&] { return duty_holder(s) != nullptr; }), "nobody took the leadership up");
       s.f.start(name);
     }
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     s.want(phase(s, "second") == "WAITING", "another holder of the leadership did not wait");
     for (auto& h : s.f.hosts()) h->wall += 70 * 60000;
     s.want(reach(s, "second", "ONE", Duration(6000)), "no phase started in the quiet hours");
     for (auto& h : s.f.hosts()) h->wall -= 70 * 60000;
-    s.f.nap(Duration(9000));
+    s.f.sleep(Duration(9000));
     s.want(phase(s, "second") == "ONE", "a phase started after the quiet hours");
     s.want(s.f.tell("PUT", "/v1/releases/system/odd", R"({"content":{"quiet_hours":{"from":"27:00","to":"01:00"}}})").status == 422, "27:00 was taken");
   };
@@ -141,15 +141,15 @@
     if (!begin(s, 40, doc(3))) return;
     s.f.event(R"("t":"rate","service":"app","n":8)");
     for (int i = 0; i < 8; ++i) {
-      s.f.nap(Duration(3000 + s.w.below(3000)));
+      s.f.sleep(Duration(3000 + s.w.below(3000)));
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       s.f.cut_off(h->name);
-      s.f.nap(Duration(s.w.below(500)));
+      s.f.sleep(Duration(s.w.below(500)));
       put(s, fmt::format("r{}", i), doc(1 + i));
-      s.f.nap(Duration(s.w.below(1500)));
+      s.f.sleep(Duration(s.w.below(1500)));
       s.w.mend();
     }
-    s.f.nap(Duration(9000));
+    s.f.sleep(Duration(9000));
   };
 }
 
@@ -160,7 +160,7 @@
   s.must_meet = {what == "beats" ? "beat_unheard" : "unreachable"};
   s.story = [&s, ph, what] {
     if (!begin(s, 80)) return;
-    s.f.nap(Duration(65000));  // so that it is known which beats are usual
+    s.f.sleep(Duration(65000));  // so that it is known which beats are usual
     put(s, "second", sim_layout("\"1\"", 3, 0, R"(,"holds":{"one_min":900,"two_min":1600})"));
     if (!reach(s, "second", ph, Duration(280000))) return s.want(false, "phase " + ph + " was not reached");
     s.f.faults().broken = "second";
@@ -179,7 +179,7 @@
   s.story = [&s] {
     if (!begin(s, 1)) return;
     put(s, "second", sim_layout("\"1\"", 3));
-    s.f.nap(Duration(25000));
+    s.f.sleep(Duration(25000));
     s.want(phase(s, "second") == "ONE", "it went on without evidence");
     auto why = release_state(s, "second").at("course").at("why").str();
     s.want(why.find("too little evidence") == 0, "it does not say why it holds: " + why);
@@ -207,7 +207,7 @@
       for (int k = 0; k < 2; ++k)
         s.f.outside([&s, st, end, host = h.get(), k] {
           for (int i = 0; s.w.now() < end; ++i) {
-            s.f.nap(Duration(s.w.below(1000)));
+            s.f.sleep(Duration(s.w.below(1000)));
             if (!host->up()) continue;
             // The work runs in the host's own life and dies with it.
             s.w.spawn(host->life, [&s, st, host, k, i] {
@@ -236,18 +236,18 @@
           }
         });
     while (s.w.now() < end) {
-      s.f.nap(Duration(500 + s.w.below(1500)));
+      s.f.sleep(Duration(500 + s.w.below(1500)));
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
-      if (s.w.chance(400)) {
+      if (s.w.random(400)) {
         if (may_fall(s, *h)) s.f.kill(h->name);
-      } else if (s.w.chance(500)) {
+      } else if (s.w.random(500)) {
         s.w.freeze(h->name, s.w.now() + Duration(s.w.below(3000)));
       }
       for (auto& x : s.f.hosts())
-        if (!x->up() && s.w.chance(500)) s.f.start(x->name);
+        if (!x->up() && s.w.random(500)) s.f.start(x->name);
     }
     s.f.start_all();
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     s.figures = {{"race_writes", st->writes}, {"race_reads", st->reads}, {"race_stale", st->stale}, {"race_unsure", st->unsure}};
     s.want(st->writes > 20 && st->stale > 0,
            fmt::format("there was no race: {} writes, {} stale, {} unsure, {} reads", st->writes, st->stale, st->unsure, st->reads));
@@ -265,7 +265,7 @@
         auto t = s.f.tell("PUT", "/v1/releases/layout/contested", sim_layout("\"1\"", 1 + i));
         (t.status == 202 ? *won : t.status == 412 ? *lost : *odd)++;
       });
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     s.want(*won == 1, fmt::format("{} operators won, {} lost, {} other", *won, *lost, *odd));
     for (auto* bad : {"{", "[]", R"({"content":{}})", R"({"content":{"services":{"x":{"versions":[]}},"routes":[]}})"}) {
       auto t = s.f.tell("PUT", "/v1/releases/layout/bad", bad);
@@ -279,7 +279,7 @@
     s.want(purge(s, "once", "path", "/c/1") && purge(s, "once", "path", "/c/1"), "a purge stated twice was not taken as one");
     s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"content","kind":"path","path":"/c/2"})").status == 409,
            "another purge under a known name was acknowledged");
-    s.f.nap(Duration(500));
+    s.f.sleep(Duration(500));
     s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"app","kind":"path","path":"/c/1"})").status == 409,
            "another service's purge under a known name was acknowledged");
     s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"9"})").status == 422, "a version that no layout allows was taken");
@@ -299,7 +299,7 @@
     auto same = s.f.tell("GET", "/v1/assignments?wait_ms=1500&after=" + v, "");
     s.want(same.status == 304 && s.w.now() - from >= Duration(1500), fmt::format("a watch of what does not change gave {}", same.status));
     s.f.outside([&s] {
-      s.f.nap(Duration(1000));
+      s.f.sleep(Duration(1000));
       put(s, "second", sim_layout("\"1\"", 3));
     });
     from = s.w.now();
@@ -326,7 +326,7 @@
       });
       s.want(passed, "the leadership did not pass on");
       s.w.mend();
-      s.f.nap(Duration(2000 + s.w.below(3000)));
+      s.f.sleep(Duration(2000 + s.w.below(3000)));
     }
   };
 }
@@ -346,7 +346,7 @@
       });
       s.want(s.f.until(Duration(5000), [&] { return gone && h->node->traffic().running() == 0; }), name + " did not leave within five seconds");
       s.f.kill(name);
-      s.f.nap(Duration(200));
+      s.f.sleep(Duration(200));
       s.f.start(name);
       s.want(serves(s, Duration(10000)), name + " did not come back");
     }
--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -40,14 +40,14 @@
 bool calls(Run& r, const std::function<bool()>& meanwhile) {
   auto p = r.f.start_caller("c1", r.rate, r.seconds, r.seed);
   bool ok = meanwhile();
-  while (!r.f.caller_done(p)) r.f.clock.nap(50ms);
+  while (!r.f.caller_done(p)) r.f.clock.sleep(50ms);
   return ok;
 }
 
 namespace {
 bool up(Run& r) {
   if (!begin(r)) return false;
-  while (!r.stopped()) r.f.clock.nap(100ms);
+  while (!r.stopped()) r.f.clock.sleep(100ms);
   return true;
 }
 
@@ -155,7 +155,7 @@
         auto old = r.f.machines()[18 + rng() % 4].name;
         if (r.f.at(old).pid > 0) ::kill(r.f.at(old).pid, SIGTERM);
       }
-      r.f.clock.nap(Duration(300 + rng() % 1500));
+      r.f.clock.sleep(Duration(300 + rng() % 1500));
       for (auto& x : r.f.machines()) r.f.gone(x.name);
       if (rng() % 3 == 0) r.f.links().mend_all();
       for (auto& x : r.f.machines()) {
@@ -194,7 +194,7 @@
   allow(r, "2");
   for (auto* z : {"a", "b"}) r.f.add_worker(svc, "2", z, {"--fault", "error", "--fault_percent", "50"});
   return calls(r, [&] {
-    r.f.clock.nap(3s);
+    r.f.clock.sleep(3s);
     r.f.event(fmt::format(R"("t":"bad_version","service":"{}","version":"2")", svc));
     bool put = r.f.until(10s, [&] { return r.f.any("PUT", fmt::format("/v1/services/{}", svc), R"({"version":"2"})").status == 200; });
     return say(put, "the move was stated") &&
@@ -212,7 +212,7 @@
   auto a = r.f.any("PUT", "/v1/releases/software/" + name,
                    fmt::format(R"({{"content":{{"version":"{}","sha256":"{}","bytes":{}}}}})", version, sha, data.size()));
   if (a.status != 202) return say(false, a.body);
-  r.f.clock.nap(1s);
+  r.f.clock.sleep(1s);
   for (size_t at = 0; at < data.size(); at += 1 << 20) {
     auto p = r.f.any("PUT", fmt::format("/v1/artifacts/{}?offset={}", sha, at), data.substr(at, 1 << 20));
     if (p.status != 200) return say(false, p.body);
@@ -278,9 +278,9 @@
   if (!begin(r)) return false;
   allow(r, "1");
   return calls(r, [&] {
-    r.f.clock.nap(8s);
+    r.f.clock.sleep(8s);
     for (int i = 0; i < 14; ++i) r.f.kill(r.f.machines()[static_cast<size_t>(i)].name);
-    r.f.clock.nap(2s);
+    r.f.clock.sleep(2s);
     r.f.start_relays();
     return ready_again(r, "all relays are ready within 15 s of the machines' return");
   });
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -1,5 +1,5 @@
 // Runs one case under one seed: the story and the callers are fibers; after
-// each event the rules that can be checked on the spot are; at the end the
+// each event the rules that can be checked on the condition are; at the end the
 // journal is.
 #include <fstream>
 
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -20,7 +20,7 @@
     }
     s.f.add_worker("app", "9", 0);  // of a version that no layout ever allowed
     for (int i = 0; i < 12; ++i) {
-      s.f.nap(Duration(1500));
+      s.f.sleep(Duration(1500));
       auto& old = *s.f.workers()[s.w.below(s.f.workers().size())];
       if (!old.alive) continue;
       auto service = old.service;
@@ -40,9 +40,9 @@
     for (size_t i = 0; i < 6; ++i) {
       auto& old = *s.f.workers()[i];
       s.f.add_worker(old.service, "1", old.max_age);
-      s.f.nap(Duration(1500));
+      s.f.sleep(Duration(1500));
       s.f.workers()[i]->leaving = true;
-      s.f.nap(Duration(4500));
+      s.f.sleep(Duration(4500));
       s.f.workers()[i]->alive = false;
     }
     calls = s.f.calls - calls;
@@ -62,7 +62,7 @@
       old.alive = false;
       auto& n = s.f.add_worker(old.service == "app" ? "content" : "app", "1", old.service == "app" ? 3 : 0);
       n.address = s.f.workers()[static_cast<size_t>(i)]->address;
-      s.f.nap(Duration(6000));
+      s.f.sleep(Duration(6000));
       s.f.add_worker(s.f.workers()[static_cast<size_t>(i)]->service, "1", s.f.workers()[static_cast<size_t>(i)]->max_age);
     }
   };
@@ -82,10 +82,10 @@
       auto& x = s.f.add_worker("app", "1", 0);
       x.foreign = true;
       x.address = address;
-      s.f.nap(Duration(6000));
+      s.f.sleep(Duration(6000));
       x.alive = false;
       s.f.add_worker("app", "1", 0);
-      s.f.nap(Duration(4000));
+      s.f.sleep(Duration(4000));
     }
   };
 }
@@ -97,19 +97,19 @@
     if (!begin(s, 60)) return;
     for (int round = 0; round < 4; ++round) {
       for (auto& x : s.f.workers()) {
-        bool slow = s.w.chance(500);
+        bool slow = s.w.random(500);
         x->least = Duration(slow ? 500 : 1);
         x->most = Duration(slow ? 4000 : 8);
       }
-      s.f.nap(Duration(6000));
+      s.f.sleep(Duration(6000));
     }
     for (auto& x : s.f.workers()) {
       x->least = Duration(1);
       x->most = Duration(8);
     }
-    s.f.nap(Duration(6000));
+    s.f.sleep(Duration(6000));
     auto calls = s.f.calls, good = s.f.good;
-    s.f.nap(Duration(8000));
+    s.f.sleep(Duration(8000));
     s.want((s.f.good - good) * 100 >= (s.f.calls - calls) * 98, "no recovery after the workers were quick again");
   };
 }
@@ -131,17 +131,17 @@
     };
     auto part = [&](const char* when) {
       auto a = runs();
-      s.f.nap(Duration(10000));
+      s.f.sleep(Duration(10000));
       auto b = runs();
       s.figures[when] = static_cast<uint64_t>((b.second - a.second) * 100 / std::max(1, b.first - a.first));
       return s.figures[when];
     };
     auto even = part("percent_before");
     busy->load = 40;
-    s.f.nap(Duration(1000));
+    s.f.sleep(Duration(1000));
     auto less = part("percent_under_load");
     busy->load = 0;
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     auto again = part("percent_after");
     s.want(less * 2 < even, fmt::format("{} percent before, {} under load", even, less));
     s.want(again * 2 > even, fmt::format("{} percent before, {} when the load was gone", even, again));
@@ -155,9 +155,9 @@
     auto done = std::make_shared<int>(0);
     for (int i = 0; i < 400; ++i) {
       s.f.outside([&s, i, done] { *done += purge(s, fmt::format("storm{}", i), i % 3 ? "path" : "prefix", fmt::format("/c/{}", i % 20)); });
-      if (i % 40 == 0) s.f.nap(Duration(300));
+      if (i % 40 == 0) s.f.sleep(Duration(300));
     }
-    s.f.nap(Duration(10000));
+    s.f.sleep(Duration(10000));
     s.want(*done > 390, fmt::format("only {} of 400 purges were taken, {} had 503, {} were lost", *done, s.figures["purge_503"], s.figures["purge_0_lost"]));
     pb::PurgeSet set;
     for (auto& h : s.f.hosts())
@@ -189,17 +189,17 @@
     });
     auto n = std::make_shared<std::pair<uint64_t, uint64_t>>();
     while (s.w.now() < end) {
-      s.f.nap(Duration(50));
+      s.f.sleep(Duration(50));
       s.f.outside([&s, n] {
         ++n->first;
         n->second += s.f.call("GET", fmt::format("/c/{}", s.w.below(1000))) == 200;
       });
     }
-    s.f.nap(Duration(3000));
+    s.f.sleep(Duration(3000));
     s.want(n->first > 50 && n->second * 100 >= n->first * 97,
            fmt::format("the other service starved: {} of {}", n->second, n->first));
     auto c0 = s.f.calls, g0 = s.f.good;
-    s.f.nap(Duration(5000));
+    s.f.sleep(Duration(5000));
     s.want((s.f.good - g0) * 100 >= (s.f.calls - c0) * 95, "no recovery after the crowd");  // some are under way
     s.figures = {{"crowd_calls", *calls}, {"crowd_turned_away", *away}, {"other_calls", n->first}, {"other_good", n->second}};
     s.want(*away > 100, "there was no crowd");
@@ -221,7 +221,7 @@
       auto from = s.w.now();
       put(s, fmt::format("r{}", i), sim_layout("\"1\"", 3 + i));
       worst = std::max<Duration>(worst, s.w.now() - from);
-      s.f.nap(Duration(2000));
+      s.f.sleep(Duration(2000));
     }
     s.want(worst < Duration(1500), fmt::format("a write took {} ms beside two slow disks", worst.count()));
     s.figures = {{"worst_write_ms", static_cast<uint64_t>(worst.count())}};
@@ -239,7 +239,7 @@
       auto& h = s.f.hosts()[s.w.below(s.f.hosts().size())];
       h->wall += static_cast<int64_t>(s.w.below(4 * 86400000ull)) - 2 * 86400000ll;
       ++s.w.met["clock_jump"];
-      s.f.nap(Duration(1000));
+      s.f.sleep(Duration(1000));
     }
     s.want(reach(s, "second", "DONE", Duration(60000)), "clock jumps held a release up");
     s.want(s.f.good * 100 > s.f.calls * 99, "clock jumps hurt traffic");
@@ -279,20 +279,20 @@
           if (s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status == 202) acked[name] = doc;
         }
       }
-      s.f.nap(Duration(s.w.below(2500)));
-      if (s.w.chance(400)) s.w.mend();
+      s.f.sleep(Duration(s.w.below(2500)));
+      if (s.w.random(400)) s.w.mend();
       for (auto& x : s.f.hosts())
-        if (!x->up() && s.w.chance(400)) s.f.start(x->name);
+        if (!x->up() && s.w.random(400)) s.f.start(x->name);
     }
     s.w.mend();
     s.w.weather = s.f.calm();
     s.f.start_all();
     s.f.event(R"("t":"returned")");
     s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after the machines returned");
-    s.f.nap(Duration(2000));
+    s.f.sleep(Duration(2000));
     for (auto& h : s.f.hosts()) knows(s, *h, acked);
     s.figures = {{"layouts_read_back", acked.size()}};
-    s.f.nap(Duration(20000));
+    s.f.sleep(Duration(20000));
   };
 }
 }  // namespace
--- a/test/traffic_unit.cpp
+++ b/test/traffic_unit.cpp
@@ -14,7 +14,7 @@
   TimePoint t{1000000};
   TimePoint now() override { return t; }
   int64_t wall_ms() override { return 0; }
-  void nap(Duration) override {}
+  void sleep(Duration) override {}
 };
 
 std::optional<int64_t> life(std::vector<std::pair<std::string, std::string>> hs) {
--- a/test/wire_cases.hpp
+++ b/test/wire_cases.hpp
@@ -14,7 +14,7 @@
   wire::RealClock c;
   for (int i = 0; !f(); ++i) {
     if (i > 10000) throw Failed("it never came about: " + what);
-    c.nap(1ms);
+    c.sleep(1ms);
   }
 }
 
@@ -86,7 +86,7 @@
     for (auto& w : lines)
       if (auto l = w.lock()) l->stop();
     wire::RealClock c;
-    while (open) c.nap(1ms);
+    while (open) c.sleep(1ms);
   }
   std::string addr() const { return fmt::format("127.0.0.1:{}", acc->local_endpoint().port()); }
 
--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -106,12 +106,12 @@
   same(w.conns, 2, "connections after one that was not to be kept");
   o.shoot(w.addr(), get(), rules(false));
   same(w.conns, 2, "connections while it is fresh");
-  c.nap(340ms);
+  c.sleep(340ms);
   o.shoot(w.addr(), get(), rules(false));
   same(w.conns, 3, "connections once it is not fresh for what may run only once");
   o.shoot(w.addr(), get(), rules(true));
   same(w.conns, 3, "connections for what may run twice");
-  c.nap(710ms);
+  c.sleep(710ms);
   o.shoot(w.addr(), get(), rules(true));
   same(w.conns, 4, "connections once they are old");
   until([&] { return w.open == 1; }, "old connections are closed");
@@ -125,12 +125,12 @@
 }
 
 void capped() {
-  auto spot = pool().spot();
+  auto condition = pool().condition();
   int inside = 0;
   StandIn w([&](int, int n, auto&) {
     if (n == 0) {
       ++inside;
-      spot->park(10s);
+      condition->wait(10s);
     }
     return ok(std::to_string(n));
   });
@@ -145,7 +145,7 @@
   auto s = o.shoot(w.addr(), get(), quick);
   expect(std::get_if<ShotDefect>(&s) && std::get<ShotDefect>(s) == ShotDefect::unsent, "more connections than allowed");
   pool().spawn([&] { second = body(o.shoot(w.addr(), get(), r)); });
-  spot->wake();
+  condition->notify();
   until([&] { return !second.empty(); }, "the second follows");
   same(first + second, "01", "answers");
   same(w.conns, 1, "connections");
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -150,7 +150,7 @@
   b.ask(kGet, "GET /a ");
   half.send("GET /a HTTP/1.1\r\n");
   until([&] { return v.s.open() == 4; }, "four connections");
-  wire::RealClock().nap(5ms);  // for the half head to be read
+  wire::RealClock().sleep(5ms);  // for the half head to be read
   v.s.wind_down();
   auto last = a.ask(kGet);
   expect(a.ended && last.find("Connection: close") != last.npos, "not the last answer: " + last);
@@ -169,7 +169,7 @@
   a.ask(kGet, "GET /a ");
   Raw b(v.addr);
   b.ask(kGet, "GET /a ");
-  wire::RealClock().nap(2ms);
+  wire::RealClock().sleep(2ms);
   b.ask(kGet, "GET /a ");
   Raw c(v.addr);
   c.ask(kGet, "GET /a ");
@@ -211,7 +211,7 @@
   {
     Raw r(v.addr);
     r.send(kGet);
-    wire::RealClock().nap(5ms);
+    wire::RealClock().sleep(5ms);
     for (int fd : taken) ::close(fd);
     ::setrlimit(RLIMIT_NOFILE, &was);
     expect(r.read("GET /a ").starts_with("HTTP/1.1 200"), "the connection was lost");
--- a/test/wire_test.cpp
+++ b/test/wire_test.cpp
@@ -28,17 +28,17 @@
 };
 
 void spots() {
-  auto s = pool.spot();
+  auto s = pool.condition();
   auto from = clk.now();
-  test::expect(!s->park(30ms), "a spot nobody woke was woken");
+  test::expect(!s->wait(30ms), "a condition nobody woke was woken");
   test::expect(clk.now() - from >= 30ms, "a deadline came early");
-  s->wake();
-  test::expect(s->park(60s), "a wake before the park was lost");
-  pool.spawn_on(2, [s] { s->wake(); });
-  test::expect(s->park(60s), "a wake from another thread was lost");
+  s->notify();
+  test::expect(s->wait(60s), "a notify before the wait was lost");
+  pool.spawn_on(2, [s] { s->notify(); });
+  test::expect(s->wait(60s), "a notify from another thread was lost");
   for (int i = 0; i < 200; ++i) {
-    pool.spawn_on(1 + i % 2, [s] { s->wake(); });
-    test::expect(s->park(60s), "one of many wakes was lost");
+    pool.spawn_on(1 + i % 2, [s] { s->notify(); });
+    test::expect(s->wait(60s), "one of many wakes was lost");
   }
 }
 
@@ -47,14 +47,14 @@
   auto stop = std::make_shared<bool>(false);
   auto turns = std::make_shared<uint64_t>(0);
   pool.spawn([stop, turns] {
-    auto s = pool.spot();
+    auto s = pool.condition();
     while (!*stop) {
       ++*turns;
-      s->wake();
-      s->park(60s);
+      s->notify();
+      s->wait(60s);
     }
   });
-  clk.nap(20ms);
+  clk.sleep(20ms);
   *stop = true;
   test::expect(*turns > 10, "the busy fiber did not run");
 }
@@ -98,11 +98,11 @@
   for (int i = 0; i < 20; ++i) {
     auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 5s);
     test::expect(std::holds_alternative<base::Receipt>(r), fmt::format("request {} met a closed connection", i));
-    clk.nap(2ms);  // the close is on its way
+    clk.sleep(2ms);  // the close is on its way
   }
   test::same(*served, 20, "requests served");
   m.acc.close();
-  clk.nap(1ms);
+  clk.sleep(1ms);
 }
 
 // Bodies without a length, cut short, or too long are no whole answers.
@@ -122,7 +122,7 @@
     auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 5s);
     test::expect(std::holds_alternative<base::ShotDefect>(r), "taken for a whole answer: " + a.substr(0, 60));
     m.acc.close();
-    clk.nap(1ms);
+    clk.sleep(1ms);
   }
 }
 }  // namespace
@@ -131,7 +131,7 @@
   std::string only = argc > 1 ? argv[1] : "";
   std::signal(SIGPIPE, SIG_IGN);
   pool.run([only] {
-    std::vector<test::Case> all = {{"wire: spots wake across threads and keep their deadlines", spots},
+    std::vector<test::Case> all = {{"wire: spots notify across threads and keep their deadlines", spots},
                                    {"wire: a busy fiber does not starve timers", fairness},
                                    {"wire: what never answers is given up in time, truthfully", silent},
                                    {"wire: a connection closed behind our back is not used", closed_behind},
--- a/test/worker.cpp
+++ b/test/worker.cpp
@@ -34,10 +34,10 @@
 struct App {
   wire::Pool pool{2};
   wire::RealClock clock;
-  wire::RealChance chance;
+  wire::RealChance random;
   wire::HttpOrigin post{1 << 20};
   test::Journal journal{FLAGS_journal};
-  std::string instance = base::token(chance).substr(0, 12);
+  std::string instance = base::token(random).substr(0, 12);
   std::vector<std::string> relays;
   std::atomic<int> load{0};
   std::atomic<bool> leaving{false};
@@ -52,10 +52,10 @@
               "not the worker you meant\n"};
     auto id = h("Caller-Id");
     ++load;
-    bool hit = static_cast<int>(chance.below(100)) < FLAGS_fault_percent;
+    bool hit = static_cast<int>(random.below(100)) < FLAGS_fault_percent;
     auto fault = hit ? FLAGS_fault : std::string("none");
     auto at = clock.now().count();
-    clock.nap(Duration(fault == "slow" ? FLAGS_work_ms * 500 : FLAGS_work_ms));
+    clock.sleep(Duration(fault == "slow" ? FLAGS_work_ms * 500 : FLAGS_work_ms));
     auto body = fmt::format(R"({{"service":"{}","version":"{}","instance":"{}","target":{},"echo":{},"produced":{},"pad":"{}"}})",
                             FLAGS_service, FLAGS_runs, instance, test::qt(q.target), test::qt(id), at,
                             std::string(static_cast<size_t>(FLAGS_pad), 'x'));
@@ -65,7 +65,7 @@
         R"({{"t":"run","id":{},"rid":"{}","method":"{}","target":{},"in":"{}","out":"{}","service":"{}","version":"{}","instance":"{}","relay":"{}","gen":"{}","at":{},"bad":{}}})",
         test::qt(id), h("Dunlinwing-Request"), q.method, test::qt(q.target), base::sha256_base64(q.body), sum,
         FLAGS_service, FLAGS_runs, instance, h("Dunlinwing-Relay"), h("Dunlinwing-Generation"), at, bad));
-    if (fault == "lose_answer") clock.nap(3600s);  // the work is done and the answer never comes
+    if (fault == "lose_answer") clock.sleep(3600s);  // the work is done and the answer never comes
     base::Receipt r{fault == "error" ? 500 : 200, {}, body};
     if (fault == "wrong_bytes") r.body[r.body.size() / 2] ^= 1;
     auto put = [&](const char* k, std::string v) { r.headers.emplace_back(k, std::move(v)); };
@@ -90,7 +90,7 @@
         FLAGS_service, FLAGS_runs, instance, FLAGS_zone, FLAGS_address, FLAGS_capacity, leaving.load(), ++number,
         FLAGS_period_ms);
     for (int i = 0; i < 4; ++i) {
-      auto r = post.shoot(relays[chance.below(relays.size())], q, 1500ms);
+      auto r = post.shoot(relays[random.below(relays.size())], q, 1500ms);
       auto* a = std::get_if<base::Receipt>(&r);
       if (a && a->status == 200) return true;
     }
@@ -100,7 +100,7 @@
   void beats() {
     for (;;) {
       beat();
-      clock.nap(Duration(FLAGS_period_ms));
+      clock.sleep(Duration(FLAGS_period_ms));
     }
   }
 
@@ -111,7 +111,7 @@
         journal.line(fmt::format(R"({{"t":"leaving","instance":"{}","at":{}}})", instance, clock.now().count()));
         break;
       }
-    clock.nap(3000ms);
+    clock.sleep(3000ms);
     wire::Pool::stop(0);
   }
 };
