--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -35,12 +35,12 @@
 namespace {
 // RapidJSON keeps the last of two members of one name; an operator who wrote
 // a key twice should be told instead.
-std::optional<DocDefect> twice(const rj::Value& v, const std::string& at) {
+std::optional<ValidationError> twice(const rj::Value& v, const std::string& at) {
   if (v.IsObject()) {
     std::map<std::string, int> n;
     for (auto& m : v.GetObject()) {
       std::string k = m.name.GetString();
-      if (++n[k] > 1) return DocDefect{at + "/" + k, "the key stands twice"};
+      if (++n[k] > 1) return ValidationError{at + "/" + k, "the key stands twice"};
       if (auto d = twice(m.value, at + "/" + k)) return d;
     }
   } else if (v.IsArray()) {
@@ -51,11 +51,11 @@
 }
 }  // namespace
 
-std::variant<Json, DocDefect> Json::parse(std::string_view t) {
+std::variant<Json, ValidationError> Json::parse(std::string_view t) {
   auto d = std::make_shared<rj::Document>();
   d->Parse<rj::kParseIterativeFlag | rj::kParseValidateEncodingFlag>(t.data(), t.size());
   if (d->HasParseError())
-    return DocDefect{"", fmt::format("not JSON at byte {}: {}", d->GetErrorOffset(),
+    return ValidationError{"", fmt::format("not JSON at byte {}: {}", d->GetErrorOffset(),
                                      rj::GetParseError_En(d->GetParseError()))};
   if (auto w = twice(*d, "")) return *w;
   auto i = std::make_shared<Impl>();
@@ -163,7 +163,7 @@
   n.doc = std::make_unique<rj::SchemaDocument>(t);
 }
 
-void walk(const rj::Value& v, const Schema::Impl::Node& n, const std::string& at, std::vector<DocDefect>& out) {
+void walk(const rj::Value& v, const Schema::Impl::Node& n, const std::string& at, std::vector<ValidationError>& out) {
   rj::SchemaValidator val(*n.doc);
   if (!v.Accept(val)) {
     std::string k = val.GetInvalidSchemaKeyword() ? val.GetInvalidSchemaKeyword() : "schema";
@@ -199,8 +199,8 @@
   p_ = p;
 }
 
-std::vector<DocDefect> Schema::check(const Json& j) const {
-  std::vector<DocDefect> out;
+std::vector<ValidationError> Schema::check(const Json& j) const {
+  std::vector<ValidationError> out;
   walk(*j.p_->v, p_->root, "", out);
   return out;
 }
--- a/src/base/json.hpp
+++ b/src/base/json.hpp
@@ -6,14 +6,14 @@
 
 namespace dunlinwing::base {
 
-struct DocDefect {
+struct ValidationError {
   std::string at, what;
 };
 
 // A read-only view of a parsed document or of a part of it.
 class Json {
  public:
-  static std::variant<Json, DocDefect> parse(std::string_view text);
+  static std::variant<Json, ValidationError> parse(std::string_view text);
   Json();
   bool has(const char* k) const;
   Json at(const char* k) const;  // null view when absent
@@ -35,7 +35,7 @@
 class Schema {
  public:
   explicit Schema(std::string_view text);
-  std::vector<DocDefect> check(const Json& j) const;
+  std::vector<ValidationError> check(const Json& j) const;
 
   struct Impl;
 
--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -38,15 +38,15 @@
 };
 
 // Only `unreachable` says that nothing was sent.
-enum class NetDefect { unreachable, broken, timed_out, garbled };
+enum class NetError { unreachable, broken, timed_out, garbled };
 
 class Net {
  public:
   virtual ~Net() = default;
-  virtual std::variant<pb::Reply, NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) = 0;
+  virtual std::variant<pb::Reply, NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) = 0;
 };
 
-enum class DiskDefect { failed };
+enum class DiskError { failed };
 
 struct Loaded {
   pb::Image image;
@@ -58,7 +58,7 @@
   virtual ~Disk() = default;
   virtual Loaded load() = 0;
   // Returns once all records are synced. `whole` is called when a fresh image is due.
-  virtual std::optional<DiskDefect> save(const std::vector<pb::Record>& rs,
+  virtual std::optional<DiskError> save(const std::vector<pb::Record>& rs,
                                          const std::function<pb::Image()>& whole) = 0;
 };
 
@@ -75,7 +75,7 @@
 
 // How a shot at a worker failed: nothing was sent; the worker itself said it
 // did not run it; or nobody can tell.
-enum class ShotDefect { unsent, not_run, unknown };
+enum class AttemptError { unsent, not_run, unknown };
 
 // What a shot is bound by. `mine` tells an answer to this request from one that
 // belongs to an earlier request on the same connection; null: every answer is.
@@ -93,7 +93,7 @@
  public:
   virtual ~Origin() = default;
   virtual bool reach(const std::string& addr, Duration limit) = 0;  // whether a connection can be made; no byte is sent
-  virtual std::variant<Receipt, ShotDefect> shoot(const std::string& addr, const Request& q, const ShotRules& r) = 0;
+  virtual std::variant<Receipt, AttemptError> shoot(const std::string& addr, const Request& q, const ShotRules& r) = 0;
 };
 
 struct Ports {
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -27,7 +27,7 @@
 
 std::variant<base::Json, base::Receipt> checked(const std::string& body, const base::Schema& s) {
   auto p = base::Json::parse(body);
-  if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
+  if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
   auto ds = s.check(j);
   if (!ds.empty()) return defects(ds);
@@ -108,7 +108,7 @@
     if (!rollout::is_kind(kind)) return defect(404, "no such kind of release");
     if (!rollout::good_name(name)) return defect(422, "a release is named by letters, digits, '-', '_' and '.'");
     auto g = rollout::read_release(kind, name, c.q.body);
-    if (auto* d = std::get_if<std::vector<base::DocDefect>>(&g)) return defects(*d);
+    if (auto* d = std::get_if<std::vector<base::ValidationError>>(&g)) return defects(*d);
     auto key = rollout::release_key(kind, name);
     if (kind == "layout" && !chosen(key))  // one that is recorded may be stated again
       if (auto d = leaves_out(std::get<rollout::Release>(g))) return *d;
@@ -231,8 +231,8 @@
         if (x.name() == p.name()) return clash(k.substr(6));
     }
     auto r = purger.put(service, p);
-    if (auto* d = std::get_if<PurgeDefect>(&r))
-      return of(*d == PurgeDefect::no_majority ? consensus::RegisterError::no_majority : consensus::RegisterError::fate_unknown);
+    if (auto* d = std::get_if<PurgeError>(&r))
+      return of(*d == PurgeError::no_majority ? consensus::RegisterError::no_majority : consensus::RegisterError::fate_unknown);
     auto& done = std::get<PurgeDone>(r);
     if (done.clash) return clash(service);
     return json(200, fmt::format(R"({{"purge":{},"number":{},"was_known":{}}})", base::quote(p.name()), done.number,
@@ -261,9 +261,9 @@
         return defect(422, "offset is no number");
     if (put && (c.q.body.empty() || c.q.body.size() > software::kPiece)) return defect(413, "a piece has 1 to 1048576 bytes");
     auto r = put ? a->put(c.path[2], at, c.q.body) : a->look(c.path[2]);
-    if (auto* d = std::get_if<software::PieceDefect>(&r)) {
-      if (*d == software::PieceDefect::unknown_artifact) return defect(404, "no recorded software release names this digest");
-      if (*d == software::PieceDefect::gap) return defect(409, "the piece does not follow what is held; GET says how much that is");
+    if (auto* d = std::get_if<software::PieceError>(&r)) {
+      if (*d == software::PieceError::unknown_artifact) return defect(404, "no recorded software release names this digest");
+      if (*d == software::PieceError::gap) return defect(409, "the piece does not follow what is held; GET says how much that is");
       return defect(503, "no majority of the holders answers; state the piece again");
     }
     auto& p = std::get<pb::Piece>(r);
--- a/src/gate/control.hpp
+++ b/src/gate/control.hpp
@@ -27,7 +27,7 @@
 
 base::Receipt json(int status, std::string body, std::optional<uint64_t> version = {});
 base::Receipt defect(int status, const std::string& why);
-base::Receipt defects(const std::vector<base::DocDefect>& ds);
+base::Receipt defects(const std::vector<base::ValidationError>& ds);
 std::string message_json(const google::protobuf::Message& m);
 
 // If-Match and If-None-Match against the version in force; nothing when the
--- a/src/gate/holders.cpp
+++ b/src/gate/holders.cpp
@@ -30,7 +30,7 @@
 
 base::Receipt put_holder(relay::Node& n, Call& c) {
   auto p = base::Json::parse(c.q.body);
-  if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
+  if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
   auto ds = holder_schema().check(j);
   bool on = j.at("holder").flag();
--- a/src/gate/moves.cpp
+++ b/src/gate/moves.cpp
@@ -35,7 +35,7 @@
 
 base::Receipt put_move(base::Ports& ps, relay::Node& n, Call& c) {
   auto p = base::Json::parse(c.q.body);
-  if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
+  if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
   auto ds = term_schema().check(j);
   if (!ds.empty()) return defects(ds);
--- a/src/gate/orders.cpp
+++ b/src/gate/orders.cpp
@@ -21,10 +21,10 @@
   auto [e, ec] = std::from_chars(s.data(), s.data() + s.size(), number);
   if (ec != std::errc() || e != s.data() + s.size() || !number) return defect(422, "a layout is stated under a number above 0");
   auto p = base::Json::parse(c.q.body);
-  if (auto* d = std::get_if<base::DocDefect>(&p)) return defects({*d});
+  if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
   auto g = traffic::read_layout(traffic::order_name(number), j.at("content"));
-  if (auto* d = std::get_if<std::vector<base::DocDefect>>(&g)) return defects(*d);
+  if (auto* d = std::get_if<std::vector<base::ValidationError>>(&g)) return defects(*d);
   pb::Order o;
   o.set_number(number);
   o.set_document(std::get<std::shared_ptr<const traffic::Layout>>(g)->text);
--- a/src/gate/purger.cpp
+++ b/src/gate/purger.cpp
@@ -43,7 +43,7 @@
   struct Job {
     pb::Purge p;
     std::shared_ptr<base::Condition> condition;
-    std::optional<std::variant<PurgeDone, PurgeDefect>> res;
+    std::optional<std::variant<PurgeDone, PurgeError>> res;
   };
   struct Line {
     bool writing = false;
@@ -54,13 +54,13 @@
   std::map<std::string, Line> by;
 
   void write(const std::string& service, const std::vector<std::shared_ptr<Job>>& js) {
-    auto all = [&](PurgeDefect d) {
+    auto all = [&](PurgeError d) {
       for (auto& j : js) j->res = d;
     };
     auto key = "purge/" + service;
     auto g = registers.read(key);
     auto* h = std::get_if<consensus::VersionedValue>(&g);
-    if (!h) return all(PurgeDefect::no_majority);
+    if (!h) return all(PurgeError::no_majority);
     consensus::VersionedValue now = *h;
     for (;;) {
       pb::PurgeSet s;
@@ -73,7 +73,7 @@
         return;
       }
       if (auto* d = std::get_if<consensus::RegisterError>(&r))
-        return all(*d == consensus::RegisterError::no_majority ? PurgeDefect::no_majority : PurgeDefect::fate_unknown);
+        return all(*d == consensus::RegisterError::no_majority ? PurgeError::no_majority : PurgeError::fate_unknown);
       now = std::get<consensus::VersionConflict>(r).now;
     }
   }
@@ -82,7 +82,7 @@
 Purger::Purger(base::Ports& ps, consensus::RegisterClient& b) : p_(new Impl{ps, b, {}}) {}
 Purger::~Purger() = default;
 
-std::variant<PurgeDone, PurgeDefect> Purger::put(const std::string& service, const pb::Purge& p) {
+std::variant<PurgeDone, PurgeError> Purger::put(const std::string& service, const pb::Purge& p) {
   auto j = std::make_shared<Impl::Job>();
   j->p = p;
   j->condition = p_->ps.tasks.condition();
--- a/src/gate/purger.hpp
+++ b/src/gate/purger.hpp
@@ -5,7 +5,7 @@
 
 namespace dunlinwing::gate {
 
-enum class PurgeDefect { no_majority, fate_unknown };
+enum class PurgeError { no_majority, fate_unknown };
 struct PurgeDone {
   uint64_t number = 0;
   bool known = false;  // a purge of this name was there already
@@ -19,7 +19,7 @@
  public:
   Purger(base::Ports& ps, consensus::RegisterClient& b);
   ~Purger();
-  std::variant<PurgeDone, PurgeDefect> put(const std::string& service, const pb::Purge& p);
+  std::variant<PurgeDone, PurgeError> put(const std::string& service, const pb::Purge& p);
 
  private:
   struct Impl;
--- a/src/gate/shape.cpp
+++ b/src/gate/shape.cpp
@@ -61,7 +61,7 @@
   return json(status, fmt::format("{{\"defect\":{}}}", base::quote(why)));
 }
 
-base::Receipt defects(const std::vector<base::DocDefect>& ds) {
+base::Receipt defects(const std::vector<base::ValidationError>& ds) {
   std::string b;
   for (auto& d : ds)
     b += fmt::format("{}{{\"at\":{},\"what\":{}}}", b.empty() ? "" : ",", base::quote(d.at), base::quote(d.what));
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -53,7 +53,7 @@
 ConfigGot read_config(std::string_view text) {
   static const base::Schema schema(config_schema());
   auto p = base::Json::parse(text);
-  if (auto* d = std::get_if<base::DocDefect>(&p)) return std::vector<base::DocDefect>{*d};
+  if (auto* d = std::get_if<base::ValidationError>(&p)) return std::vector<base::ValidationError>{*d};
   auto& j = std::get<base::Json>(p);
   auto ds = schema.check(j);
   Config c;
--- a/src/relay/config.hpp
+++ b/src/relay/config.hpp
@@ -18,7 +18,7 @@
   size_t log_bytes = 4 << 20;
 };
 
-using ConfigGot = std::variant<Config, std::vector<base::DocDefect>>;
+using ConfigGot = std::variant<Config, std::vector<base::ValidationError>>;
 ConfigGot read_config(std::string_view text);
 std::string_view config_schema();
 
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -45,7 +45,7 @@
     return {};
   }
   auto g = dw::relay::read_config(b.str());
-  if (auto* ds = std::get_if<std::vector<dw::base::DocDefect>>(&g)) {
+  if (auto* ds = std::get_if<std::vector<dw::base::ValidationError>>(&g)) {
     for (auto& d : *ds) std::cerr << "relay: " << FLAGS_config << ": " << (d.at.empty() ? "/" : d.at) << " " << d.what << "\n";
     return {};
   }
@@ -209,7 +209,7 @@
             c->node.scale);
   if (!c->data.empty()) {
     auto f = dw::storage::open_folder(c->data);
-    if (auto* d = std::get_if<dw::storage::OpenDefect>(&f)) {
+    if (auto* d = std::get_if<dw::storage::OpenError>(&f)) {
       lg.error("{}: {}.", c->node.name, d->what);
       return kCannotStart;
     }
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -107,7 +107,7 @@
       return {};
     }
     auto g = rollout::read_release("layout", name, r->second.data);
-    if (auto* d = std::get_if<std::vector<base::DocDefect>>(&g)) {
+    if (auto* d = std::get_if<std::vector<base::ValidationError>>(&g)) {
       why = d->empty() ? "unreadable" : d->front().at + " " + d->front().what;
       return {};
     }
--- a/src/relay/reread.cpp
+++ b/src/relay/reread.cpp
@@ -62,7 +62,7 @@
     auto t = read();
     if (!t || (*t == text && !asked)) return;
     auto g = read_config(*t);
-    if (auto* ds = std::get_if<std::vector<base::DocDefect>>(&g)) {
+    if (auto* ds = std::get_if<std::vector<base::ValidationError>>(&g)) {
       for (auto& d : *ds) lg.error("{}: {} {}; the settings read before stay.", path, d.at.empty() ? "/" : d.at, d.what);
       return;
     }
--- a/src/rollout/release.cpp
+++ b/src/rollout/release.cpp
@@ -49,16 +49,16 @@
 ReleaseGot read_release(const std::string& kind, const std::string& name, std::string_view text) {
   static const base::Schema env(kSchema), soft(kSoftware);
   auto p = base::Json::parse(text);
-  if (auto* d = std::get_if<base::DocDefect>(&p)) return std::vector<base::DocDefect>{*d};
+  if (auto* d = std::get_if<base::ValidationError>(&p)) return std::vector<base::ValidationError>{*d};
   auto& j = std::get<base::Json>(p);
   auto ds = env.check(j);
   auto c = j.at("content");
-  auto under = [&](std::vector<base::DocDefect> more) {
+  auto under = [&](std::vector<base::ValidationError> more) {
     for (auto& d : more) ds.push_back({"/content" + d.at, d.what});
   };
   if (kind == "layout") {
     auto l = traffic::read_layout(name, c);
-    if (auto* d = std::get_if<std::vector<base::DocDefect>>(&l)) under(*d);
+    if (auto* d = std::get_if<std::vector<base::ValidationError>>(&l)) under(*d);
   } else if (kind == "system") {
     under(check_system(c));
   } else {
--- a/src/rollout/release.hpp
+++ b/src/rollout/release.hpp
@@ -20,7 +20,7 @@
   base::Json content;
 };
 
-using ReleaseGot = std::variant<Release, std::vector<base::DocDefect>>;
+using ReleaseGot = std::variant<Release, std::vector<base::ValidationError>>;
 // Checks the envelope and, by kind, the content.
 ReleaseGot read_release(const std::string& kind, const std::string& name, std::string_view text);
 
--- a/src/rollout/system.cpp
+++ b/src/rollout/system.cpp
@@ -26,7 +26,7 @@
 }
 }  // namespace
 
-std::vector<base::DocDefect> check_system(const base::Json& j) {
+std::vector<base::ValidationError> check_system(const base::Json& j) {
   static const base::Schema s(system_schema());
   auto ds = s.check(j);
   if (!ds.empty()) return ds;
--- a/src/rollout/system.hpp
+++ b/src/rollout/system.hpp
@@ -23,7 +23,7 @@
   Quiet quiet;                         // when phases may start; absent: always
 };
 
-std::vector<base::DocDefect> check_system(const base::Json& j);
+std::vector<base::ValidationError> check_system(const base::Json& j);
 System read_system(const base::Json& j, const System& base = {});  // what the document leaves out is as in `base`
 std::string_view system_schema();
 
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -238,14 +238,14 @@
   return v;
 }
 
-std::variant<base::Receipt, base::ShotDefect> SimOrigin::relay(const std::string& name, const base::Request& q, Duration limit) {
+std::variant<base::Receipt, base::AttemptError> SimOrigin::relay(const std::string& name, const base::Request& q, Duration limit) {
   auto& w = f_.w_;
   auto& h = f_.at(name);
   bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.random(w.weather.loss_permille);
   Wait x;
-  if (lost || !h.up()) return w.wait(l_, lost ? limit : Duration(1), x), lost ? base::ShotDefect::unknown : base::ShotDefect::unsent;
+  if (lost || !h.up()) return w.wait(l_, lost ? limit : Duration(1), x), lost ? base::AttemptError::unknown : base::AttemptError::unsent;
   auto v = visit(w, f_.s_, l_, h, q, true, limit);
-  if (v->lost) return base::ShotDefect::unknown;
+  if (v->lost) return base::AttemptError::unknown;
   return v->r;
 }
 
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -23,7 +23,7 @@
   using Handler = std::function<base::Receipt(base::Request&)>;
   std::function<void(relay::NodeConfig&)> settings;
   std::function<base::Receipt(base::Request&, const Handler& product)> before;
-  std::function<std::variant<base::Receipt, base::ShotDefect>(const LifePtr&, const std::string& address, const base::Request&,
+  std::function<std::variant<base::Receipt, base::AttemptError>(const LifePtr&, const std::string& address, const base::Request&,
                                                               const base::ShotRules&)> shoot;
   std::function<bool(const std::string& address)> stands;
 };
--- a/src/sim/origin.cpp
+++ b/src/sim/origin.cpp
@@ -26,7 +26,7 @@
   return false;
 }
 
-std::variant<base::Receipt, base::ShotDefect> SimOrigin::shoot(const std::string& addr, const base::Request& q,
+std::variant<base::Receipt, base::AttemptError> SimOrigin::shoot(const std::string& addr, const base::Request& q,
                                                                const base::ShotRules& rules) {
   Duration limit = rules.limit;
   auto& w = f_.w_;
@@ -43,7 +43,7 @@
   };
   sleep(Duration(1));
   auto* x = find();
-  if (!x) return base::ShotDefect::unsent;
+  if (!x) return base::AttemptError::unsent;
   auto h = [&](const char* n) { return base::header(q.headers, n); };
   if (x->foreign) {
     ++w.met["foreign"];
@@ -80,17 +80,17 @@
   --x->running;
   if (took > limit) {
     ++w.met["slow_worker"];
-    return base::ShotDefect::unknown;
+    return base::AttemptError::unknown;
   }
   x = find();
   if (!x || x->instance != name) {
     ++w.met["worker_died_in_request"];
-    return base::ShotDefect::unknown;
+    return base::AttemptError::unknown;
   }
   if (static_cast<int>(w.below(100)) < x->lose_percent) {
     ++w.met["lost_answer"];
     sleep(limit - took);
-    return base::ShotDefect::unknown;
+    return base::AttemptError::unknown;
   }
   base::Receipt r{bad ? 500 : 200, head(*x, h("Dunlinwing-Request"), {{"Content-Digest", "sha-256=:" + sum + ":"}}), body};
   if (wrong) r.body[r.body.size() / 2] ^= 1;
--- a/src/sim/ports.cpp
+++ b/src/sim/ports.cpp
@@ -25,7 +25,7 @@
 
 std::shared_ptr<base::Condition> Tasks::condition() { return std::make_shared<SimSpot>(w_, l_); }
 
-std::variant<pb::Reply, base::NetDefect> Net::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
+std::variant<pb::Reply, base::NetError> Net::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
   struct Talk {
     std::optional<pb::Reply> reply;
     bool refused = false;
@@ -76,7 +76,7 @@
   TimePoint end = w_.now() + limit;
   while (!t->reply && !t->refused && w_.now() < end) w_.wait(l_, end - w_.now(), t->wait);
   if (t->reply) return *t->reply;
-  return t->refused ? base::NetDefect::unreachable : base::NetDefect::timed_out;
+  return t->refused ? base::NetError::unreachable : base::NetError::timed_out;
 }
 
 std::optional<std::string> MemFiles::read(const std::string& n) {
@@ -108,7 +108,7 @@
   s_ = std::make_unique<storage::SnapshotStore>(std::move(f), 16384);
 }
 
-std::optional<base::DiskDefect> Disk::save(const std::vector<pb::Record>& rs,
+std::optional<base::DiskError> Disk::save(const std::vector<pb::Record>& rs,
                                            const std::function<pb::Image()>& whole) {
   Duration d = p_.least + Duration(w_.below(static_cast<uint64_t>((p_.most - p_.least).count()) + 1));
   if (d > Duration(100)) ++w_.met["slow_disk"];
--- a/src/sim/ports.hpp
+++ b/src/sim/ports.hpp
@@ -50,7 +50,7 @@
 class Net final : public base::Net {
  public:
   Net(World& w, LifePtr l, Directory& d) : w_(w), l_(std::move(l)), d_(d) {}
-  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) override;
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override;
 
  private:
   World& w_;
@@ -84,7 +84,7 @@
  public:
   Disk(World& w, LifePtr l, Platter& p);
   base::Loaded load() override { return s_->load(); }
-  std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
+  std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
                                        const std::function<pb::Image()>& whole) override;
 
  private:
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -78,7 +78,7 @@
   }
 
   // How much a majority of holders has.
-  std::variant<pb::Piece, PieceDefect> settled(const consensus::Replies& rs, uint64_t need) {
+  std::variant<pb::Piece, PieceError> settled(const consensus::Replies& rs, uint64_t need) {
     std::vector<uint64_t> held;
     size_t whole = 0;
     std::string why;
@@ -88,13 +88,13 @@
       whole += r->piece().whole();
       if (!r->piece().why().empty()) why = r->piece().why();
     }
-    if (held.size() < registers.majority()) return PieceDefect::no_majority;
+    if (held.size() < registers.majority()) return PieceError::no_majority;
     std::sort(held.rbegin(), held.rend());
     pb::Piece p;
     p.set_held(held[registers.majority() - 1]);
     p.set_whole(whole >= registers.majority());
     if (p.held() >= need) return p;
-    return why.find("names") != why.npos ? PieceDefect::unknown_artifact : PieceDefect::gap;
+    return why.find("names") != why.npos ? PieceError::unknown_artifact : PieceError::gap;
   }
 
   // One piece of an artifact from any holder that has it.
@@ -149,10 +149,10 @@
 
 pb::Reply Artifacts::answer(const pb::Ask& a) { return p_->answer(a); }
 
-std::variant<pb::Piece, PieceDefect> Artifacts::put(const std::string& sha, uint64_t offset, const std::string& data) {
+std::variant<pb::Piece, PieceError> Artifacts::put(const std::string& sha, uint64_t offset, const std::string& data) {
   auto all = recorded(p_->state_cache.chosen());
   auto f = all.find(sha);
-  if (f == all.end()) return PieceDefect::unknown_artifact;
+  if (f == all.end()) return PieceError::unknown_artifact;
   pb::Ask a;
   auto* c = a.mutable_chunk();
   c->set_sha256(sha);
@@ -162,8 +162,8 @@
   return p_->settled(p_->ask_holders(a, p_->bound * 2), std::min<uint64_t>(offset + data.size(), f->second.bytes));
 }
 
-std::variant<pb::Piece, PieceDefect> Artifacts::look(const std::string& sha) {
-  if (!recorded(p_->state_cache.chosen()).count(sha)) return PieceDefect::unknown_artifact;
+std::variant<pb::Piece, PieceError> Artifacts::look(const std::string& sha) {
+  if (!recorded(p_->state_cache.chosen()).count(sha)) return PieceError::unknown_artifact;
   pb::Ask a;
   a.mutable_fetch()->set_sha256(sha);
   return p_->settled(p_->ask_holders(a, p_->bound), 0);
--- a/src/software/artifacts.hpp
+++ b/src/software/artifacts.hpp
@@ -14,7 +14,7 @@
 // The recorded software releases, by digest.
 std::map<std::string, Want> recorded(const membership::Chosen& c);
 
-enum class PieceDefect { unknown_artifact, gap, no_majority };
+enum class PieceError { unknown_artifact, gap, no_majority };
 
 class Artifacts {
  public:
@@ -24,8 +24,8 @@
   ~Artifacts();
   void start();                        // begins to repair
   pb::Reply answer(const pb::Ask& a);  // chunk and fetch, on a holder
-  std::variant<pb::Piece, PieceDefect> put(const std::string& sha, uint64_t offset, const std::string& data);
-  std::variant<pb::Piece, PieceDefect> look(const std::string& sha);  // what a majority holds
+  std::variant<pb::Piece, PieceError> put(const std::string& sha, uint64_t offset, const std::string& data);
+  std::variant<pb::Piece, PieceError> look(const std::string& sha);  // what a majority holds
   // Fetches the whole to a file from whichever holders have it.
   bool fetch(const Want& w, const std::string& path, storage::DiskExecutor& hand);
 
--- a/src/storage/async_disk.hpp
+++ b/src/storage/async_disk.hpp
@@ -9,9 +9,9 @@
   AsyncDisk(std::unique_ptr<base::Disk> d, base::Tasks& t) : d_(std::move(d)), hand_(t) {}
   base::Loaded load() override { return d_->load(); }  // blocks; called before the pool runs
   // The image is made on the caller's thread, since tables belong to the caller.
-  std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
+  std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
                                        const std::function<pb::Image()>& whole) override {
-    std::optional<base::DiskDefect> r;
+    std::optional<base::DiskError> r;
     hand_.run([&, image = whole()] { r = d_->save(rs, [&] { return image; }); });
     return r;
   }
--- a/src/storage/files.cpp
+++ b/src/storage/files.cpp
@@ -71,16 +71,16 @@
 };
 }  // namespace
 
-std::variant<std::unique_ptr<Files>, OpenDefect> open_folder(const std::string& dir) {
+std::variant<std::unique_ptr<Files>, OpenError> open_folder(const std::string& dir) {
   auto bad = [&](const char* what) {
-    return OpenDefect{fmt::format("{} the data folder {}: {}", what, dir, std::strerror(errno))};
+    return OpenError{fmt::format("{} the data folder {}: {}", what, dir, std::strerror(errno))};
   };
   if (::mkdir(dir.c_str(), 0750) != 0 && errno != EEXIST) return bad("cannot make");
   int fd = ::open(dir.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   if (fd < 0) return bad("cannot open");
   if (::flock(fd, LOCK_EX | LOCK_NB) != 0) {
     ::close(fd);
-    return OpenDefect{fmt::format("the data folder {} is in use by another relay", dir)};
+    return OpenError{fmt::format("the data folder {} is in use by another relay", dir)};
   }
   return std::unique_ptr<Files>(new Folder(dir, fd));
 }
--- a/src/storage/files.hpp
+++ b/src/storage/files.hpp
@@ -5,7 +5,7 @@
 
 namespace dunlinwing::storage {
 
-struct OpenDefect {
+struct OpenError {
   std::string what;
 };
 
@@ -20,6 +20,6 @@
 };
 
 // Locks the folder, so that no second relay uses it.
-std::variant<std::unique_ptr<Files>, OpenDefect> open_folder(const std::string& dir);
+std::variant<std::unique_ptr<Files>, OpenError> open_folder(const std::string& dir);
 
 }  // namespace dunlinwing::storage
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -177,10 +177,10 @@
   return out;
 }
 
-std::optional<base::DiskDefect> SnapshotStore::save(const std::vector<pb::Record>& rs,
+std::optional<base::DiskError> SnapshotStore::save(const std::vector<pb::Record>& rs,
                                             const std::function<pb::Image()>& whole) {
   auto& p = *p_;
-  if (p.broken) return base::DiskDefect::failed;
+  if (p.broken) return base::DiskError::failed;
   std::string b;
   for (auto& r : rs) b += frame(r.SerializeAsString());
   bool ok;
@@ -194,7 +194,7 @@
   // After a failed sync nobody knows what is on the disk: it takes no more part.
   p.broken = true;
   lg.error("A write to {} failed. This holder votes no more until restarted.", p.files->place());
-  return base::DiskDefect::failed;
+  return base::DiskError::failed;
 }
 
 }  // namespace dunlinwing::storage
--- a/src/storage/snapshot_store.hpp
+++ b/src/storage/snapshot_store.hpp
@@ -19,7 +19,7 @@
   SnapshotStore(std::unique_ptr<Files> f, size_t log_bytes);
   ~SnapshotStore() override;
   base::Loaded load() override;
-  std::optional<base::DiskDefect> save(const std::vector<pb::Record>& rs,
+  std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
                                        const std::function<pb::Image()>& whole) override;
 
  private:
--- a/src/traffic/fills.cpp
+++ b/src/traffic/fills.cpp
@@ -148,8 +148,8 @@
     ++n_.carried;
     auto r = ps_.net.ask(to, a, (w.deadline - ps_.clock.now()) / 2);
     auto* x = std::get_if<pb::Reply>(&r);
-    auto* nd = std::get_if<base::NetDefect>(&r);
-    bool reached = !nd || *nd != base::NetDefect::unreachable;
+    auto* nd = std::get_if<base::NetError>(&r);
+    bool reached = !nd || *nd != base::NetError::unreachable;
     if (reached) shots_.sent(w.service->name);
     if (nd) shield_failed(to);
     if (x && x->has_carry() && !x->carry().not_run() && !x->carry().unknown()) {
--- a/src/traffic/layout.cpp
+++ b/src/traffic/layout.cpp
@@ -144,7 +144,7 @@
 
 LayoutGot read_layout(const std::string& name, std::string_view text) {
   auto p = base::Json::parse(text);
-  if (auto* d = std::get_if<base::DocDefect>(&p)) return std::vector<base::DocDefect>{*d};
+  if (auto* d = std::get_if<base::ValidationError>(&p)) return std::vector<base::ValidationError>{*d};
   return read_layout(name, std::get<base::Json>(p));
 }
 
--- a/src/traffic/layout.hpp
+++ b/src/traffic/layout.hpp
@@ -47,7 +47,7 @@
   const Route* match(std::string_view method, std::string_view host, std::string_view target, bool& other_method) const;
 };
 
-using LayoutGot = std::variant<std::shared_ptr<const Layout>, std::vector<base::DocDefect>>;
+using LayoutGot = std::variant<std::shared_ptr<const Layout>, std::vector<base::ValidationError>>;
 LayoutGot read_layout(const std::string& name, const base::Json& j);
 LayoutGot read_layout(const std::string& name, std::string_view text);
 std::string_view layout_schema();
--- a/src/traffic/shots.cpp
+++ b/src/traffic/shots.cpp
@@ -230,9 +230,9 @@
     Duration took = clock.now() - from;
     auto* a = std::get_if<base::Receipt>(&r);
     Look l = a ? p.face.look(*a, to, q) : Look::broken;
-    auto* d = std::get_if<base::ShotDefect>(&r);
-    bool unsent = d && *d == base::ShotDefect::unsent;
-    if (d && *d == base::ShotDefect::not_run) l = Look::not_run;
+    auto* d = std::get_if<base::AttemptError>(&r);
+    bool unsent = d && *d == base::AttemptError::unsent;
+    if (d && *d == base::AttemptError::not_run) l = Look::not_run;
     bool declined = l == Look::not_run || l == Look::elsewhere;
     if (!must_pay && !unsent) sent(s.name);
     p.places.ended(to, {l == Look::good || declined, unsent,
--- a/src/wire/http_origin.cpp
+++ b/src/wire/http_origin.cpp
@@ -11,7 +11,7 @@
 namespace dunlinwing::wire {
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using base::ShotDefect;
+using base::AttemptError;
 using Parser = http::response_parser<http::string_body>;
 
 namespace {
@@ -114,32 +114,32 @@
   return l != nullptr;
 }
 
-std::variant<base::Receipt, ShotDefect> HttpOrigin::shoot(const std::string& addr, const base::Request& q,
+std::variant<base::Receipt, AttemptError> HttpOrigin::shoot(const std::string& addr, const base::Request& q,
                                                           const base::ShotRules& rules) {
   auto from = std::chrono::steady_clock::now();
   auto end = from + rules.limit;
   auto by = rules.connect > Duration(0) ? std::min(end, from + rules.connect) : end;
   auto loan = p_->lend(addr, rules.safe, rules.most, by);
-  if (!loan) return ShotDefect::unsent;
+  if (!loan) return AttemptError::unsent;
   auto& l = *loan->line;
   Alarm late;
   late.set(end, [&l] { l.stop(); });
   auto head = head_of(q, addr);
-  if (l.send(head, q.body)) return l.sent() ? ShotDefect::unknown : ShotDefect::unsent;
+  if (l.send(head, q.body)) return l.sent() ? AttemptError::unknown : AttemptError::unsent;
   bool bare = q.method == "HEAD";
   for (int i = 0; i <= kMostSkipped; ++i) {
     auto a = read_answer(l, bare, most_);
-    if (!a) return ShotDefect::unknown;
+    if (!a) return AttemptError::unknown;
     if (rules.mine && !rules.mine(a->r)) {
       // It may answer an earlier request; whether that one's answer has a body is not known to a HEAD.
-      if (!loan->used || bare || !a->keep) return ShotDefect::unknown;
+      if (!loan->used || bare || !a->keep) return AttemptError::unknown;
       continue;
     }
     late.clear();
     if (a->keep && l.got().empty() && a->stated.value_or(Duration(1)) > Duration(0)) loan->plan_repair(a->stated);
     return std::move(a->r);
   }
-  return ShotDefect::unknown;
+  return AttemptError::unknown;
 }
 
 }  // namespace dunlinwing::wire
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -138,7 +138,7 @@
 }
 }  // namespace
 
-std::variant<pb::Reply, base::NetDefect> PeerNet::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
+std::variant<pb::Reply, base::NetError> PeerNet::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
   auto t = now();
   prune(t);
   auto end = t + limit;
@@ -153,7 +153,7 @@
   }
   bool reused = l != nullptr;
   if (!l) l = Line::to(addr, end).first;
-  if (!l) return base::NetDefect::unreachable;
+  if (!l) return base::NetError::unreachable;
   Alarm late;
   late.set(end, [&l] { l->stop(); });
   pb::Reply r;
@@ -166,10 +166,10 @@
     l->close();
     // A kept connection may have been ended for room just now. Asks may come twice, but for requests carried.
     if (ec && reused && !timed && l->got().empty() && !a.has_carry()) return ask(addr, a, std::chrono::duration_cast<Duration>(end - now()));
-    if (!ec) return base::NetDefect::garbled;
-    return sent && timed ? base::NetDefect::timed_out
-           : ec == boost::system::errc::bad_message ? base::NetDefect::garbled
-                                                    : base::NetDefect::broken;
+    if (!ec) return base::NetError::garbled;
+    return sent && timed ? base::NetError::timed_out
+           : ec == boost::system::errc::bad_message ? base::NetError::garbled
+                                                    : base::NetError::broken;
   }
   l->arm();
   auto& v = idle[addr];
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -8,7 +8,7 @@
 
 class PeerNet final : public base::Net {
  public:
-  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) override;
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override;
 };
 
 using PeerHandler = std::function<pb::Reply(const pb::Ask&)>;
--- a/test/caller.cpp
+++ b/test/caller.cpp
@@ -83,7 +83,7 @@
       (a->status < 400 ? ok : out == "not-run" ? away : out == "unknown" ? unknown : other)++;
     } else {
       journal.line(fmt::format(R"({{"t":"lost","id":"{}","sent":{},"from":{},"at":{},"relay":"{}"}})", id,
-                               std::get<base::ShotDefect>(x) != base::ShotDefect::unsent, from, to, r.callers));
+                               std::get<base::AttemptError>(x) != base::AttemptError::unsent, from, to, r.callers));
       ++lost;
     }
     --open;
--- a/test/config_unit.cpp
+++ b/test/config_unit.cpp
@@ -11,19 +11,19 @@
 
 namespace dunlinwing::test {
 namespace {
-std::string places(const std::vector<base::DocDefect>& ds) {
+std::string places(const std::vector<base::ValidationError>& ds) {
   std::string s;
   for (auto& d : ds) s += d.at + ";";
   return s;
 }
 std::string bad_config(const std::string& t) {
   auto r = relay::read_config(t);
-  auto* d = std::get_if<std::vector<base::DocDefect>>(&r);
+  auto* d = std::get_if<std::vector<base::ValidationError>>(&r);
   return d ? places(*d) : "valid";
 }
 std::string bad_release(const std::string& kind, const std::string& t) {
   auto r = rollout::read_release(kind, "x", t);
-  auto* d = std::get_if<std::vector<base::DocDefect>>(&r);
+  auto* d = std::get_if<std::vector<base::ValidationError>>(&r);
   return d ? places(*d) : "valid";
 }
 }  // namespace
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -17,7 +17,7 @@
 class HollowNet final : public base::Net {
  public:
   HollowNet(Hollow& f, Node& me, sim::LifePtr l) : f_(f), me_(me), l_(std::move(l)) {}
-  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
     auto t = std::make_shared<Talk>();
     auto to = f_.by.find(addr);
     auto& w = f_.w;
@@ -28,7 +28,7 @@
       w.after(way(), [this, t, n = to->second, text = std::move(text)] { arrive(t, *n, text); });
     TimePoint end = w.now() + limit;
     while (!t->reply && !t->refused && w.now() < end) w.wait(l_, end - w.now(), t->wait);
-    if (!t->reply) return t->refused ? base::NetDefect::unreachable : base::NetDefect::timed_out;
+    if (!t->reply) return t->refused ? base::NetError::unreachable : base::NetError::timed_out;
     pb::Reply r;
     r.ParseFromString(*t->reply);
     return r;
@@ -90,8 +90,8 @@
 class NoOrigin final : public base::Origin {
  public:
   bool reach(const std::string&, Duration) override { return true; }
-  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
-    return base::ShotDefect::unsent;
+  std::variant<base::Receipt, base::AttemptError> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
+    return base::AttemptError::unsent;
   }
 };
 }  // namespace
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -25,7 +25,7 @@
 
 class CountedNet final : public base::Net {
  public:
-  std::variant<pb::Reply, base::NetDefect> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
     toll.messages += 2;
     toll.bytes += a.ByteSizeLong() + 8;
     auto r = net_.ask(addr, a, limit);
@@ -41,8 +41,8 @@
 class NoOrigin final : public base::Origin {
  public:
   bool reach(const std::string&, Duration) override { return true; }
-  std::variant<base::Receipt, base::ShotDefect> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
-    return base::ShotDefect::unsent;
+  std::variant<base::Receipt, base::AttemptError> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
+    return base::AttemptError::unsent;
   }
 };
 
--- a/test/platform/words_unit.cpp
+++ b/test/platform/words_unit.cpp
@@ -72,7 +72,7 @@
     same(st, 400, what);
     if (g.asked.empty()) continue;  // it could not be read at all
     auto j = std::get<base::Json>(base::Json::parse(g.asked[0].body));
-    expect(std::holds_alternative<std::vector<base::DocDefect>>(traffic::read_layout("x", j.at("content"))), what + " is no valid layout");
+    expect(std::holds_alternative<std::vector<base::ValidationError>>(traffic::read_layout("x", j.at("content"))), what + " is no valid layout");
   }
 }
 
--- a/test/platform/yard.cpp
+++ b/test/platform/yard.cpp
@@ -154,11 +154,11 @@
   };
   sleep(Duration(1));
   auto* s = at(address);
-  if (!s) return base::ShotDefect::unsent;
+  if (!s) return base::AttemptError::unsent;
   if (s->dark) {
     bool kept = w.below(3) == 0;  // on a connection that stood already it is sent into the dark
     sleep(kept ? rules.limit : std::min(rules.limit, rules.connect > Duration(0) ? rules.connect : rules.limit));
-    return kept ? base::ShotDefect::unknown : base::ShotDefect::unsent;
+    return kept ? base::AttemptError::unknown : base::AttemptError::unsent;
   }
   auto h = [&](const char* n) { return base::header(q.headers, n); };
   auto name = s->id, meant = h("Target-Instance");
@@ -186,16 +186,16 @@
   auto deadline = w.now() + Duration(left);
   if (s->running >= s->slots) {
     if (s->waiting >= s->queue) {
-      if (s->resets_when_full) return ++w.met["reset_when_full"], base::ShotDefect::unknown;
+      if (s->resets_when_full) return ++w.met["reset_when_full"], base::AttemptError::unknown;
       return not_run(503);
     }
     Busy b(s->waiting);
     while (s->running >= s->slots && s->alive) {
       sleep(Duration(2));
-      if (w.now() >= end) return base::ShotDefect::unknown;
+      if (w.now() >= end) return base::AttemptError::unknown;
       if (w.now() >= deadline) return not_run(503);
     }
-    if (!s->alive || s->dark) return base::ShotDefect::unknown;
+    if (!s->alive || s->dark) return base::AttemptError::unknown;
   }
   int times = s->bad ? s->bad(q.target) : 1;
   Duration took = s->work * s->slower * std::max(times, 1) + Duration(w.below(4));
@@ -207,21 +207,21 @@
   bool over = w.now() + took > deadline;
   auto r = answer(*s, q, !times);
   sleep(std::min(over ? deadline - w.now() : took, end - w.now()));
-  if (w.now() >= end) return base::ShotDefect::unknown;
-  if (!s->alive || s->dark) return ++w.met["died_in_request"], base::ShotDefect::unknown;
+  if (w.now() >= end) return base::AttemptError::unknown;
+  if (!s->alive || s->dark) return ++w.met["died_in_request"], base::AttemptError::unknown;
   if (over) return base::Receipt{504, {{"Attempt-Id", h("Attempt-Id")}}, {}};
   if (w.random(s->lose)) {
     ++w.met["answer_lost"];
     sleep(end - w.now());
-    return base::ShotDefect::unknown;
+    return base::AttemptError::unknown;
   }
-  if (w.random(s->cut)) return ++w.met["answer_cut"], base::ShotDefect::unknown;
-  if (w.random(s->spoil)) return ++w.met["answer_spoilt"], base::ShotDefect::unknown;
+  if (w.random(s->cut)) return ++w.met["answer_cut"], base::AttemptError::unknown;
+  if (w.random(s->spoil)) return ++w.met["answer_spoilt"], base::AttemptError::unknown;
   if (s->late) {
     // The one before comes where this one is due; the caller of the port may be able to tell.
     auto before = *std::exchange(s->late, {});
     ++w.met["answer_extra"];
-    if (rules.mine && !rules.mine(before) && w.below(2)) return base::ShotDefect::unknown;
+    if (rules.mine && !rules.mine(before) && w.below(2)) return base::AttemptError::unknown;
     return before;
   }
   if (w.random(s->extra)) s->late = r;
--- a/test/platform/yard.hpp
+++ b/test/platform/yard.hpp
@@ -22,7 +22,7 @@
 class Yard {
  public:
   Yard(sim::Fleet& f, Diary& d) : f_(f), d_(d) {}
-  using Shot = std::variant<base::Receipt, base::ShotDefect>;
+  using Shot = std::variant<base::Receipt, base::AttemptError>;
   Shot shoot(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::ShotRules& r);
   bool stands(const std::string& address);
   Server& add(const std::string& service, const std::string& version = "v1", Duration cold = Duration(0), const std::string& address = {});
--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -3,8 +3,8 @@
 
 namespace dunlinwing::test {
 namespace {
-using base::ShotDefect;
-using Shot = std::variant<base::Receipt, ShotDefect>;
+using base::AttemptError;
+using Shot = std::variant<base::Receipt, AttemptError>;
 
 std::string ok(const std::string& body, const std::string& more = "") {
   return fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}", more, body.size(), body);
@@ -16,8 +16,8 @@
   return r;
 }
 bool unknown(const Shot& s) {
-  auto* d = std::get_if<ShotDefect>(&s);
-  return d && *d == ShotDefect::unknown;
+  auto* d = std::get_if<AttemptError>(&s);
+  return d && *d == AttemptError::unknown;
 }
 std::string body(const Shot& s) {
   auto* a = std::get_if<base::Receipt>(&s);
@@ -143,7 +143,7 @@
   auto quick = r;
   quick.connect = 20ms;
   auto s = o.shoot(w.addr(), get(), quick);
-  expect(std::get_if<ShotDefect>(&s) && std::get<ShotDefect>(s) == ShotDefect::unsent, "more connections than allowed");
+  expect(std::get_if<AttemptError>(&s) && std::get<AttemptError>(s) == AttemptError::unsent, "more connections than allowed");
   pool().spawn([&] { second = body(o.shoot(w.addr(), get(), r)); });
   condition->notify();
   until([&] { return !second.empty(); }, "the second follows");
@@ -177,8 +177,8 @@
   auto r = rules();
   r.connect = 50ms;
   auto s = o.shoot(addr, get(), r);
-  auto* d = std::get_if<ShotDefect>(&s);
-  expect(d && *d == ShotDefect::unsent, "without a connection nothing is sent");
+  auto* d = std::get_if<AttemptError>(&s);
+  expect(d && *d == AttemptError::unsent, "without a connection nothing is sent");
   same(o.held(addr), 0, "connections held");
   expect(!o.reach(addr, 50ms), "it was reached");
 }
--- a/test/wire_test.cpp
+++ b/test/wire_test.cpp
@@ -65,16 +65,16 @@
   wire::PeerNet net;
   auto from = clk.now();
   auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 100ms);
-  test::expect(std::get<base::ShotDefect>(r) == base::ShotDefect::unknown, "bytes left, yet it was not unknown");
+  test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unknown, "bytes left, yet it was not unknown");
   auto p = net.ask(m.addr(), pb::Ask(), 100ms);
-  test::expect(std::get<base::NetDefect>(p) == base::NetDefect::timed_out, "a silent peer did not time out");
+  test::expect(std::get<base::NetError>(p) == base::NetError::timed_out, "a silent peer did not time out");
   test::expect(clk.now() - from < 20s, "the limits did not bind");
   auto gone = m.addr();
   m.acc.close();
   r = http.shoot(gone, {"", "POST", "/", "x", {}}, 1s);
-  test::expect(std::get<base::ShotDefect>(r) == base::ShotDefect::unsent, "a refused connection sent something");
+  test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unsent, "a refused connection sent something");
   p = net.ask(gone, pb::Ask(), 1s);
-  test::expect(std::get<base::NetDefect>(p) == base::NetDefect::unreachable, "a refused connection was not unreachable");
+  test::expect(std::get<base::NetError>(p) == base::NetError::unreachable, "a refused connection was not unreachable");
 }
 
 // A server that closes each connection after its answer, saying that it keeps it.
@@ -120,7 +120,7 @@
     });
     wire::HttpOrigin http(1 << 20);
     auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 5s);
-    test::expect(std::holds_alternative<base::ShotDefect>(r), "taken for a whole answer: " + a.substr(0, 60));
+    test::expect(std::holds_alternative<base::AttemptError>(r), "taken for a whole answer: " + a.substr(0, 60));
     m.acc.close();
     clk.sleep(1ms);
   }
