--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -67,7 +67,7 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
-struct Receipt {
+struct Response {
   int status = 0;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
@@ -79,21 +79,21 @@
 
 // What a shot is bound by. `mine` tells an answer to this request from one that
 // belongs to an earlier request on the same connection; null: every answer is.
-struct ShotRules {
+struct AttemptRules {
   template <class R, class P>
-  ShotRules(std::chrono::duration<R, P> l) : limit(l) {}  // a bare limit is a rule
+  AttemptRules(std::chrono::duration<R, P> l) : limit(l) {}  // a bare limit is a rule
   Duration limit;                      // in which the whole answer must be here
   Duration connect{0};                 // in which a new connection must stand; 0: the limit
   int most = 0;                    // connections held to this address at once; 0: no bound
   bool safe = false;               // may ride a connection that the worker may be about to close
-  std::function<bool(const Receipt&)> mine;
+  std::function<bool(const Response&)> mine;
 };
 
 class Origin {
  public:
   virtual ~Origin() = default;
   virtual bool reach(const std::string& addr, Duration limit) = 0;  // whether a connection can be made; no byte is sent
-  virtual std::variant<Receipt, AttemptError> shoot(const std::string& addr, const Request& q, const ShotRules& r) = 0;
+  virtual std::variant<Response, AttemptError> send(const std::string& addr, const Request& q, const AttemptRules& r) = 0;
 };
 
 struct Ports {
--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -141,7 +141,7 @@
   return !cc.count("no-store") && !cc.count("no-cache");
 }
 
-std::optional<Duration> lifetime(const base::Request& q, const base::Receipt& r) {
+std::optional<Duration> lifetime(const base::Request& q, const base::Response& r) {
   if (r.status != 200 || q.method != "GET") return {};
   if (!base::header(r.headers, "Vary").empty() || !base::header(r.headers, "Set-Cookie").empty()) return {};
   auto cc = directives(joined(r.headers, "Cache-Control"));
@@ -156,7 +156,7 @@
   return {};
 }
 
-std::optional<Duration> stated(const base::Receipt& r, Duration life) {
+std::optional<Duration> stated(const base::Response& r, Duration life) {
   if (r.status != 200 || !base::header(r.headers, "Set-Cookie").empty()) return {};
   auto cc = directives(joined(r.headers, "Cache-Control"));
   for (auto* d : {"no-store", "private", "no-cache"})
@@ -178,7 +178,7 @@
   return Cut{at, static_cast<size_t>(std::min<int64_t>(*to, static_cast<int64_t>(bytes) - 1)) - at + 1};
 }
 
-Duration age_header(const base::Receipt& r) {
+Duration age_header(const base::Response& r) {
   auto n = number(base::header(r.headers, "Age"));
   return Duration(n ? std::min<int64_t>(*n, 31536000) * 1000 : 0);
 }
--- a/src/cache/cache.hpp
+++ b/src/cache/cache.hpp
@@ -6,7 +6,7 @@
 namespace dunlinwing::cache {
 
 struct Item {
-  base::Receipt receipt;
+  base::Response receipt;
   std::string service, version;
   std::vector<std::string> tags;
   TimePoint born{0};  // before the fetch began, less the Age it came with
@@ -38,12 +38,12 @@
 
 // How long a shared cache may keep a receipt by RFC 9111, nothing when it may
 // not; and the Age it came with.
-std::optional<Duration> lifetime(const base::Request& q, const base::Receipt& r);
-Duration age_header(const base::Receipt& r);
+std::optional<Duration> lifetime(const base::Request& q, const base::Response& r);
+Duration age_header(const base::Response& r);
 // `cuts`: single ranges and If-None-Match are answered from whole receipts.
 bool may_ask_cache(const base::Request& q, bool cuts);
 // The operators' own lifetime, unless the worker forbids it.
-std::optional<Duration> stated(const base::Receipt& r, Duration life);
+std::optional<Duration> stated(const base::Response& r, Duration life);
 struct Cut {
   size_t from = 0, size = 0;  // size 0: beyond the end
 };
--- a/src/console/link.cpp
+++ b/src/console/link.cpp
@@ -8,7 +8,7 @@
 
 namespace dunlinwing::console {
 namespace {
-Reply of(const base::Receipt& r, const std::string& from) {
+Reply of(const base::Response& r, const std::string& from) {
   Reply x{r.status, {}, r.body, base::header(r.headers, "ETag"), from};
   auto p = base::Json::parse(r.body);
   if (auto* j = std::get_if<base::Json>(&p)) x.body = *j;
@@ -19,13 +19,13 @@
 Reply Link::any(const base::Request& q, Duration limit) {
   Reply last;
   for (auto& s : r_.seeds) {
-    auto r = http_.shoot(s, q, limit);
-    if (auto* a = std::get_if<base::Receipt>(&r)) {
+    auto r = http_.send(s, q, limit);
+    if (auto* a = std::get_if<base::Response>(&r)) {
       last = of(*a, s);
       if (a->status != 503 || last.text.find("fate") != std::string::npos) return last;
     }
     if (!r_.quiet)
-      std::cerr << "console: " << s << (std::holds_alternative<base::Receipt>(r) ? " cannot settle this" : " does not answer")
+      std::cerr << "console: " << s << (std::holds_alternative<base::Response>(r) ? " cannot settle this" : " does not answer")
                 << "; trying the next seed\n";
   }
   return last;
@@ -39,8 +39,8 @@
 }
 
 Reply Link::at(const std::string& seed, const std::string& path, Duration limit) {
-  auto r = http_.shoot(seed, {"", "GET", path, "", {}}, limit);
-  if (auto* a = std::get_if<base::Receipt>(&r)) return of(*a, seed);
+  auto r = http_.send(seed, {"", "GET", path, "", {}}, limit);
+  if (auto* a = std::get_if<base::Response>(&r)) return of(*a, seed);
   return {};
 }
 
--- a/src/gate/control.cpp
+++ b/src/gate/control.cpp
@@ -25,7 +25,7 @@
 constexpr base::Log lg("gate");
 constexpr Duration kLongestWatch{30000};
 
-std::variant<base::Json, base::Receipt> checked(const std::string& body, const base::Schema& s) {
+std::variant<base::Json, base::Response> checked(const std::string& body, const base::Schema& s) {
   auto p = base::Json::parse(body);
   if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
@@ -55,7 +55,7 @@
     return "null";
   }
 
-  base::Receipt release(const std::string& kind, const std::string& name, bool with_text) {
+  base::Response release(const std::string& kind, const std::string& name, bool with_text) {
     auto h = chosen(rollout::release_key(kind, name));
     if (!h) return defect(404, "no such release");
     pb::Act act;
@@ -68,7 +68,7 @@
     return json(200, b + "}", h->version);
   }
 
-  base::Receipt releases(const std::string& kind) {
+  base::Response releases(const std::string& kind) {
     std::string b;
     for (auto& [k, h] : n.state_cache().chosen()) {
       if (!k.starts_with("release/") || !h.version) continue;
@@ -84,7 +84,7 @@
 
   // A worker version goes into service by a move, on trial; never by a layout that
   // leaves out the one in place.
-  std::optional<base::Receipt> leaves_out(const rollout::Release& r) {
+  std::optional<base::Response> leaves_out(const rollout::Release& r) {
     auto t = n.traffic().table();
     auto g = traffic::read_layout(r.name, r.content);
     auto* l = std::get_if<std::shared_ptr<const traffic::Layout>>(&g);
@@ -103,7 +103,7 @@
     return {};
   }
 
-  base::Receipt put_release(Call& c) {
+  base::Response put_release(Call& c) {
     auto &kind = c.path[2], &name = c.path[3];
     if (!rollout::is_kind(kind)) return defect(404, "no such kind of release");
     if (!rollout::good_name(name)) return defect(422, "a release is named by letters, digits, '-', '_' and '.'");
@@ -133,7 +133,7 @@
   }
 
   // waivers/CHECK, withdrawal, express: what operators say of a release.
-  base::Receipt put_act(Call& c) {
+  base::Response put_act(Call& c) {
     auto &kind = c.path[2], &name = c.path[3], &what = c.path[4];
     std::string check = c.path.size() > 5 ? c.path[5] : "";
     bool waiver = what == "waivers" && std::any_of(std::begin(rollout::kChecks), std::end(rollout::kChecks),
@@ -141,12 +141,12 @@
     if (!waiver && (c.path.size() != 5 || (what != "withdrawal" && what != "express")))
       return defect(404, "no such resource");
     auto b = checked(c.q.body, reason_schema());
-    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    if (auto* r = std::get_if<base::Response>(&b)) return *r;
     auto why = std::get<base::Json>(b).at("reason").str();
     auto rel = n.registers().read(rollout::release_key(kind, name));
     if (auto* d = std::get_if<consensus::RegisterError>(&rel)) return of(*d);
     if (std::get<consensus::VersionedValue>(rel).version == 0) return defect(404, "no such release");
-    return change<pb::Act>(c, rollout::act_key(kind, name), [&](pb::Act& a) -> std::optional<base::Receipt> {
+    return change<pb::Act>(c, rollout::act_key(kind, name), [&](pb::Act& a) -> std::optional<base::Response> {
       if (waiver)
         (*a.mutable_waived())[check] = why;
       else
@@ -155,10 +155,10 @@
     });
   }
 
-  base::Receipt put_service(Call& c) {
+  base::Response put_service(Call& c) {
     auto& name = c.path[2];
     auto b = checked(c.q.body, move_schema());
-    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    if (auto* r = std::get_if<base::Response>(&b)) return *r;
     auto& j = std::get<base::Json>(b);
     auto to = j.at("version").str();
     auto t = n.traffic().table();
@@ -169,7 +169,7 @@
     if (!s->versions.empty() && std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
       return defects({{"/version", "the layout in force does not allow this version"}});
     return change<pb::ServiceState>(
-        c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Receipt> {
+        c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Response> {
           if (st.switching()) return defect(409, "the service is being switched to version " + st.trial());
           if (st.current().empty())
             st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to) : s->versions.front());
@@ -189,7 +189,7 @@
 
   // Read, change, compare-and-set; races are run again unless the caller named a version.
   template <class M, class F>
-  base::Receipt change(Call& c, const std::string& key, F f) {
+  base::Response change(Call& c, const std::string& key, F f) {
     bool named = !base::header(c.q.headers, "If-Match").empty() || !base::header(c.q.headers, "If-None-Match").empty();
     auto g = n.registers().read(key);
     if (auto* d = std::get_if<consensus::RegisterError>(&g)) return of(*d);
@@ -211,9 +211,9 @@
     return json(412, fmt::format(R"({{"defect":"another write came first","version":{}}})", now.version), now.version);
   }
 
-  base::Receipt put_purge(Call& c) {
+  base::Response put_purge(Call& c) {
     auto b = checked(c.q.body, purge_schema());
-    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    if (auto* r = std::get_if<base::Response>(&b)) return *r;
     auto& j = std::get<base::Json>(b);
     pb::Purge p;
     if (c.path.size() > 2) p.set_name(c.path[2]);
@@ -239,12 +239,12 @@
                                  done.known));
   }
 
-  base::Receipt put_drain(Call& c) {
+  base::Response put_drain(Call& c) {
     if (c.path[2] != "node" && c.path[2] != "zone") return defect(404, "a node or a zone is drained");
     auto b = checked(c.q.body, drain_schema());
-    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    if (auto* r = std::get_if<base::Response>(&b)) return *r;
     auto& j = std::get<base::Json>(b);
-    return change<pb::Drain>(c, relay::drain_key(c.path[2], c.path[3]), [&](pb::Drain& d) -> std::optional<base::Receipt> {
+    return change<pb::Drain>(c, relay::drain_key(c.path[2], c.path[3]), [&](pb::Drain& d) -> std::optional<base::Response> {
       d.set_drained(j.at("drained").flag());
       d.set_reason(j.at("reason").str());
       return {};
@@ -252,7 +252,7 @@
   }
 
   // PUT /v1/artifacts/SHA256?offset=N: pieces in order, each of a mebibyte at most.
-  base::Receipt artifact(Call& c, bool put) {
+  base::Response artifact(Call& c, bool put) {
     auto* a = n.artifacts();
     if (!a) return defect(503, "this node takes no artifacts");
     uint64_t at = 0;
@@ -270,9 +270,9 @@
     return json(200, fmt::format(R"({{"held":{},"whole":{}}})", p.held(), p.whole()));
   }
 
-  base::Receipt beat(Call& c) {
+  base::Response beat(Call& c) {
     auto b = checked(c.q.body, beat_schema());
-    if (auto* r = std::get_if<base::Receipt>(&b)) return *r;
+    if (auto* r = std::get_if<base::Response>(&b)) return *r;
     auto& j = std::get<base::Json>(b);
     pb::Beat x;
     x.set_service(j.at("service").str());
@@ -289,13 +289,13 @@
     return json(200, "{\"known\":true}");
   }
 
-  base::Receipt assignments() {
+  base::Response assignments() {
     auto h = chosen(rollout::kRolloutKey);
     auto roll = rollout::read_rollout(n.state_cache().chosen());
     return json(200, message_json(roll), h ? h->version : 0);
   }
 
-  base::Receipt read(Call& c) {
+  base::Response read(Call& c) {
     auto& p = c.path;
     auto is = [&](size_t k, const char* name) { return p.size() == k && p[1] == name; };
     if (p.size() >= 2 && p.size() <= 4 && p[1] == "releases") {
@@ -329,7 +329,7 @@
   }
 
   // A watch is a read that waits until the answer's version is past `after`.
-  base::Receipt watch(Call& c) {
+  base::Response watch(Call& c) {
     auto num = [&](const char* k) {
       int64_t v = -1;
       if (auto f = c.query.find(k); f != c.query.end())
@@ -355,7 +355,7 @@
 Control::Control(base::Ports& ps, relay::Node& n) : p_(new Impl(ps, n)) {}
 Control::~Control() = default;
 
-base::Receipt Control::answer(base::Request& q) {
+base::Response Control::answer(base::Request& q) {
   auto& p = *p_;
   auto c = take_apart(q);
   if (c.path.size() == 1 && c.path[0] == "readyz")
--- a/src/gate/control.hpp
+++ b/src/gate/control.hpp
@@ -10,7 +10,7 @@
  public:
   Control(base::Ports& ps, relay::Node& n);
   ~Control();
-  base::Receipt answer(base::Request& q);
+  base::Response answer(base::Request& q);
 
  private:
   struct Impl;
@@ -25,13 +25,13 @@
 };
 Call take_apart(base::Request& q);
 
-base::Receipt json(int status, std::string body, std::optional<uint64_t> version = {});
-base::Receipt defect(int status, const std::string& why);
-base::Receipt defects(const std::vector<base::ValidationError>& ds);
+base::Response json(int status, std::string body, std::optional<uint64_t> version = {});
+base::Response defect(int status, const std::string& why);
+base::Response defects(const std::vector<base::ValidationError>& ds);
 std::string message_json(const google::protobuf::Message& m);
 
 // If-Match and If-None-Match against the version in force; nothing when the
 // write may go on.
-std::optional<base::Receipt> precondition(const base::Request& q, uint64_t version);
+std::optional<base::Response> precondition(const base::Request& q, uint64_t version);
 
 }  // namespace dunlinwing::gate
--- a/src/gate/holders.cpp
+++ b/src/gate/holders.cpp
@@ -11,7 +11,7 @@
 
 namespace dunlinwing::gate {
 namespace {
-base::Receipt of(consensus::ReplicaSetError d) {
+base::Response of(consensus::ReplicaSetError d) {
   switch (d) {
     case consensus::ReplicaSetError::not_one_step: return defect(409, "the set can change by one machine at a time");
     case consensus::ReplicaSetError::too_few: return defect(409, "fewer than three holders could not bear a loss");
@@ -22,13 +22,13 @@
 }
 }  // namespace
 
-base::Receipt holders(relay::Node& n) {
+base::Response holders(relay::Node& n) {
   auto& set = n.registers().set();
   auto f = n.state_cache().chosen().find(consensus::kReplicaSetKey);
   return json(200, message_json(set.message()), f == n.state_cache().chosen().end() ? 0 : f->second.version);
 }
 
-base::Receipt put_holder(relay::Node& n, Call& c) {
+base::Response put_holder(relay::Node& n, Call& c) {
   auto p = base::Json::parse(c.q.body);
   if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
--- a/src/gate/holders.hpp
+++ b/src/gate/holders.hpp
@@ -4,7 +4,7 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt put_holder(relay::Node& n, Call& c);
-base::Receipt holders(relay::Node& n);
+base::Response put_holder(relay::Node& n, Call& c);
+base::Response holders(relay::Node& n);
 
 }  // namespace dunlinwing::gate
--- a/src/gate/moves.cpp
+++ b/src/gate/moves.cpp
@@ -11,7 +11,7 @@
 
 namespace dunlinwing::gate {
 namespace {
-base::Receipt told(const pb::ServiceState& s, uint64_t version) {
+base::Response told(const pb::ServiceState& s, uint64_t version) {
   return json(200, fmt::format(R"({{"state":{},"version":{},"why":{},"within_ms":{},"asked_ms_ago":{},"good":{},"bad":{}}})",
                                base::quote(rollout::outcome(s)), base::quote(s.asked()), base::quote(s.why()),
                                s.within_ms(), s.held_ms(), s.good(), s.bad()),
@@ -19,13 +19,13 @@
 }
 }  // namespace
 
-base::Receipt of(consensus::RegisterError d) {
+base::Response of(consensus::RegisterError d) {
   return d == consensus::RegisterError::no_majority
              ? defect(503, "no majority of the holders answers; nothing was recorded")
              : defect(503, "the fate of this write is unknown: it may or may not be recorded. Read before trying again.");
 }
 
-base::Receipt move(relay::Node& n, Call& c) {
+base::Response move(relay::Node& n, Call& c) {
   auto f = n.state_cache().chosen().find(rollout::service_key(c.path[2]));
   pb::ServiceState s;
   if (f != n.state_cache().chosen().end()) s.ParseFromString(f->second.data);
@@ -33,7 +33,7 @@
   return told(s, f->second.version);
 }
 
-base::Receipt put_move(base::Ports& ps, relay::Node& n, Call& c) {
+base::Response put_move(base::Ports& ps, relay::Node& n, Call& c) {
   auto p = base::Json::parse(c.q.body);
   if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
--- a/src/gate/moves.hpp
+++ b/src/gate/moves.hpp
@@ -4,8 +4,8 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt put_move(base::Ports& ps, relay::Node& n, Call& c);
-base::Receipt move(relay::Node& n, Call& c);  // after a pull that began after the request
-base::Receipt of(consensus::RegisterError d);
+base::Response put_move(base::Ports& ps, relay::Node& n, Call& c);
+base::Response move(relay::Node& n, Call& c);  // after a pull that began after the request
+base::Response of(consensus::RegisterError d);
 
 }  // namespace dunlinwing::gate
--- a/src/gate/orders.cpp
+++ b/src/gate/orders.cpp
@@ -15,7 +15,7 @@
 constexpr int kTries = 16;
 }  // namespace
 
-base::Receipt put_order(base::Ports&, relay::Node& n, Call& c) {
+base::Response put_order(base::Ports&, relay::Node& n, Call& c) {
   uint64_t number = 0;
   auto& s = c.path[2];
   auto [e, ec] = std::from_chars(s.data(), s.data() + s.size(), number);
@@ -51,7 +51,7 @@
   return defect(503, "too many write at once; try again");
 }
 
-base::Receipt order(relay::Node& n) {
+base::Response order(relay::Node& n) {
   auto f = n.state_cache().chosen().find(traffic::kOrderKey);
   pb::Order o;
   if (f == n.state_cache().chosen().end() || !o.ParseFromString(f->second.data) || !o.number()) return defect(404, "no layout was ever stated under a number");
--- a/src/gate/orders.hpp
+++ b/src/gate/orders.hpp
@@ -5,8 +5,8 @@
 namespace dunlinwing::gate {
 
 // PUT /v1/layouts/NUMBER {"content":{layout},"stated":"what the operator sent"}
-base::Receipt put_order(base::Ports& ps, relay::Node& n, Call& c);
+base::Response put_order(base::Ports& ps, relay::Node& n, Call& c);
 // GET /v1/layouts/current
-base::Receipt order(relay::Node& n);
+base::Response order(relay::Node& n);
 
 }  // namespace dunlinwing::gate
--- a/src/gate/report.cpp
+++ b/src/gate/report.cpp
@@ -48,7 +48,7 @@
   p.head("waiting", "gauge", "Requests on the waitlist.");
   for (auto& [s, x] : t->layout->services)
     p.out += fmt::format("dunlinwing_waiting{{service=\"{}\"}} {}\n", s, n.traffic().shots().load(s).second);
-  p.head("shots_total", "counter", "Shots by version and how they ended.");
+  p.head("shots_total", "counter", "UpstreamClient by version and how they ended.");
   std::map<std::pair<std::string, std::string>, traffic::VersionCount> sums;  // over the routes
   for (auto& [k, v] : n.traffic().shots().counts()) {
     auto& x = sums[{k.service, k.version}];
--- a/src/gate/self.cpp
+++ b/src/gate/self.cpp
@@ -5,7 +5,7 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt self(relay::Node& n) {
+base::Response self(relay::Node& n) {
   auto& c = n.config();
   auto& set = n.registers().set();
   std::string hs;
--- a/src/gate/self.hpp
+++ b/src/gate/self.hpp
@@ -5,6 +5,6 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt self(relay::Node& n);
+base::Response self(relay::Node& n);
 
 }  // namespace dunlinwing::gate
--- a/src/gate/shape.cpp
+++ b/src/gate/shape.cpp
@@ -49,19 +49,19 @@
   return c;
 }
 
-base::Receipt json(int status, std::string body, std::optional<uint64_t> v) {
-  base::Receipt r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, std::move(body)};
+base::Response json(int status, std::string body, std::optional<uint64_t> v) {
+  base::Response r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, std::move(body)};
   if (v) r.headers.emplace_back("ETag", fmt::format("\"{}\"", *v));
   if (status == 503) r.headers.emplace_back("Retry-After", "1");
   if (!r.body.empty() && r.body.back() != '\n') r.body += '\n';
   return r;
 }
 
-base::Receipt defect(int status, const std::string& why) {
+base::Response defect(int status, const std::string& why) {
   return json(status, fmt::format("{{\"defect\":{}}}", base::quote(why)));
 }
 
-base::Receipt defects(const std::vector<base::ValidationError>& ds) {
+base::Response defects(const std::vector<base::ValidationError>& ds) {
   std::string b;
   for (auto& d : ds)
     b += fmt::format("{}{{\"at\":{},\"what\":{}}}", b.empty() ? "" : ",", base::quote(d.at), base::quote(d.what));
@@ -77,7 +77,7 @@
   return s;
 }
 
-std::optional<base::Receipt> precondition(const base::Request& q, uint64_t version) {
+std::optional<base::Response> precondition(const base::Request& q, uint64_t version) {
   auto tag = fmt::format("\"{}\"", version);
   auto stale = [&] {
     auto r = json(412, fmt::format("{{\"defect\":\"the version in force is another\",\"version\":{}}}", version), version);
--- a/src/gate/views.cpp
+++ b/src/gate/views.cpp
@@ -8,7 +8,7 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt nodes(relay::Node& n, TimePoint now) {
+base::Response nodes(relay::Node& n, TimePoint now) {
   std::map<std::string, bool> in;
   for (auto& m : n.state_cache().statuses().members(now)) in[m.name] = true;
   std::string b;
@@ -20,7 +20,7 @@
   return json(200, "{\"nodes\":[" + b + "]}");
 }
 
-base::Receipt workers(relay::Node& n, TimePoint now) {
+base::Response workers(relay::Node& n, TimePoint now) {
   std::string b;
   for (auto& [i, w] : n.state_cache().statuses().workers(now)) {
     b += fmt::format(R"({}{{"instance":{},"gone":{},"age_ms":{},"beat":{}}})", b.empty() ? "" : ",",
@@ -35,7 +35,7 @@
 namespace {
 // The registers whose names begin so, each a message of one kind, by the rest of the name.
 template <class M>
-base::Receipt listed(relay::Node& n, const std::string& prefix, const char* what) {
+base::Response listed(relay::Node& n, const std::string& prefix, const char* what) {
   std::string b;
   for (auto& [k, h] : n.state_cache().chosen()) {
     if (!k.starts_with(prefix)) continue;
@@ -47,7 +47,7 @@
 }
 }  // namespace
 
-base::Receipt drains(relay::Node& n) { return listed<pb::Drain>(n, "drain/", "drains"); }
-base::Receipt purges(relay::Node& n) { return listed<pb::PurgeSet>(n, "purge/", "purges"); }
+base::Response drains(relay::Node& n) { return listed<pb::Drain>(n, "drain/", "drains"); }
+base::Response purges(relay::Node& n) { return listed<pb::PurgeSet>(n, "purge/", "purges"); }
 
 }  // namespace dunlinwing::gate
--- a/src/gate/views.hpp
+++ b/src/gate/views.hpp
@@ -4,9 +4,9 @@
 
 namespace dunlinwing::gate {
 
-base::Receipt nodes(relay::Node& n, TimePoint now);
-base::Receipt workers(relay::Node& n, TimePoint now);
-base::Receipt drains(relay::Node& n);
-base::Receipt purges(relay::Node& n);
+base::Response nodes(relay::Node& n, TimePoint now);
+base::Response workers(relay::Node& n, TimePoint now);
+base::Response drains(relay::Node& n);
+base::Response purges(relay::Node& n);
 
 }  // namespace dunlinwing::gate
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -73,8 +73,8 @@
     TimePoint end = ps.clock.now() + limit;
     for (auto& a : at)
       ps.tasks.spawn([t, a, limit, this, hold = weak.lock()] {
-        auto r = ps.origin.shoot(a, {"", "GET", "/v1/self", "", {}}, limit);
-        auto* x = std::get_if<base::Receipt>(&r);
+        auto r = ps.origin.send(a, {"", "GET", "/v1/self", "", {}}, limit);
+        auto* x = std::get_if<base::Response>(&r);
         if (x && x->status == 200)
           if (auto s = read_self(x->body)) t->got[a] = *s;
         --t->left;
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -314,7 +314,7 @@
   }
 }
 
-base::Receipt Node::serve(base::Request& q) { return p_->traffic.serve(q); }
+base::Response Node::serve(base::Request& q) { return p_->traffic.serve(q); }
 pb::CarryReply Node::carry(const pb::Carry& c) { return p_->traffic.carry(c); }
 
 bool Node::beat(const pb::Beat& b) {
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -31,7 +31,7 @@
   ~Node();
   void start();
   pb::Reply answer(const pb::Ask& a);   // what other nodes ask; not for carries
-  base::Receipt serve(base::Request& q);
+  base::Response serve(base::Request& q);
   pb::CarryReply carry(const pb::Carry& c);
   // Takes a worker's beat; true once a majority of holders has heard of it.
   bool beat(const pb::Beat& b);
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -208,7 +208,7 @@
 namespace {
 struct Visit {
   bool done = false, lost = false, read = false;
-  base::Receipt r;
+  base::Response r;
   Wait wait;
 };
 }  // namespace
@@ -238,7 +238,7 @@
   return v;
 }
 
-std::variant<base::Receipt, base::AttemptError> SimOrigin::relay(const std::string& name, const base::Request& q, Duration limit) {
+std::variant<base::Response, base::AttemptError> SimOrigin::relay(const std::string& name, const base::Request& q, Duration limit) {
   auto& w = f_.w_;
   auto& h = f_.at(name);
   bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.random(w.weather.loss_permille);
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -20,11 +20,11 @@
   Duration near{1}, far{3};       // a message's way
   // A deployment that speaks other words: they go into each relay's settings, stand
   // before its control face, and take the place of the workers below.
-  using Handler = std::function<base::Receipt(base::Request&)>;
+  using Handler = std::function<base::Response(base::Request&)>;
   std::function<void(relay::NodeConfig&)> settings;
-  std::function<base::Receipt(base::Request&, const Handler& product)> before;
-  std::function<std::variant<base::Receipt, base::AttemptError>(const LifePtr&, const std::string& address, const base::Request&,
-                                                              const base::ShotRules&)> shoot;
+  std::function<base::Response(base::Request&, const Handler& product)> before;
+  std::function<std::variant<base::Response, base::AttemptError>(const LifePtr&, const std::string& address, const base::Request&,
+                                                              const base::AttemptRules&)> send;
   std::function<bool(const std::string& address)> stands;
 };
 
@@ -76,7 +76,7 @@
 
 struct Exchange {  // with one host
   bool whole = false, read = false;  // the answer came; the process began on the request
-  base::Receipt receipt;
+  base::Response receipt;
 };
 
 class Fleet {
--- a/src/sim/origin.cpp
+++ b/src/sim/origin.cpp
@@ -26,12 +26,12 @@
   return false;
 }
 
-std::variant<base::Receipt, base::AttemptError> SimOrigin::shoot(const std::string& addr, const base::Request& q,
-                                                               const base::ShotRules& rules) {
+std::variant<base::Response, base::AttemptError> SimOrigin::send(const std::string& addr, const base::Request& q,
+                                                               const base::AttemptRules& rules) {
   Duration limit = rules.limit;
   auto& w = f_.w_;
   if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
-  if (f_.s_.shoot) return f_.s_.shoot(l_, addr, q, rules);
+  if (f_.s_.send) return f_.s_.send(l_, addr, q, rules);
   auto sleep = [&](Duration s) {
     Wait x;
     w.wait(l_, s, x);
@@ -51,16 +51,16 @@
         R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"{}","out":"","service":"{}","version":"{}","instance":"{}","at":{},"bad":true}})",
         h("Caller-Id"), q.method, q.target, base::sha256_base64(q.body), h("Dunlinwing-Service"), h("Dunlinwing-Version"), x->instance,
         w.now().count()));
-    return base::Receipt{421, {}, ""};
+    return base::Response{421, {}, ""};
   }
   if (h("Dunlinwing-Instance") != x->instance || h("Dunlinwing-Service") != x->service ||
       h("Dunlinwing-Version") != x->version) {
     ++w.met["wrong_address"];
-    return base::Receipt{421, head(*x, h("Dunlinwing-Request"), {{"Dunlinwing-Outcome", "not-run"}}), ""};
+    return base::Response{421, head(*x, h("Dunlinwing-Request"), {{"Dunlinwing-Outcome", "not-run"}}), ""};
   }
   if (static_cast<int>(w.below(100)) < x->refuse_percent) {
     ++w.met["worker_refused"];
-    return base::Receipt{503, head(*x, h("Dunlinwing-Request"), {{"Dunlinwing-Outcome", "not-run"}}), ""};
+    return base::Response{503, head(*x, h("Dunlinwing-Request"), {{"Dunlinwing-Outcome", "not-run"}}), ""};
   }
   Duration took = x->least + Duration(w.below(static_cast<uint64_t>((x->most - x->least).count()) + 1));
   auto at = w.now().count();
@@ -92,7 +92,7 @@
     sleep(limit - took);
     return base::AttemptError::unknown;
   }
-  base::Receipt r{bad ? 500 : 200, head(*x, h("Dunlinwing-Request"), {{"Content-Digest", "sha-256=:" + sum + ":"}}), body};
+  base::Response r{bad ? 500 : 200, head(*x, h("Dunlinwing-Request"), {{"Content-Digest", "sha-256=:" + sum + ":"}}), body};
   if (wrong) r.body[r.body.size() / 2] ^= 1;
   if (bad) ++w.met["bad_answer"];
   if (wrong) ++w.met["wrong_bytes"];
--- a/src/sim/origin.hpp
+++ b/src/sim/origin.hpp
@@ -9,11 +9,11 @@
  public:
   SimOrigin(Fleet& f, LifePtr l) : f_(f), l_(std::move(l)) {}
   bool reach(const std::string& addr, Duration) override;
-  std::variant<base::Receipt, base::AttemptError> shoot(const std::string& addr, const base::Request& q,
-                                                      const base::ShotRules& rules) override;
+  std::variant<base::Response, base::AttemptError> send(const std::string& addr, const base::Request& q,
+                                                      const base::AttemptRules& rules) override;
 
  private:
-  std::variant<base::Receipt, base::AttemptError> relay(const std::string& name, const base::Request& q, Duration limit);
+  std::variant<base::Response, base::AttemptError> relay(const std::string& name, const base::Request& q, Duration limit);
   Fleet& f_;
   LifePtr l_;
 };
--- a/src/traffic/face.cpp
+++ b/src/traffic/face.cpp
@@ -52,12 +52,12 @@
     q.headers.emplace_back("Dunlinwing-Generation", std::to_string(d.generation));
   }
 
-  bool mine(const base::Receipt& r, const std::string& id) const override {
+  bool mine(const base::Response& r, const std::string& id) const override {
     return base::header(r.headers, "Dunlinwing-Request") == id;
   }
 
   // Whether what came back is the named worker's own whole answer to this request.
-  Look look(const base::Receipt& r, const Worker& w, const base::Request& q) const override {
+  Look look(const base::Response& r, const Worker& w, const base::Request& q) const override {
     auto is = [&](const char* h, const std::string& v) { return base::header(r.headers, h) == v; };
     bool this_one = mine(r, q.id) && !base::header(r.headers, "Dunlinwing-Instance").empty();
     if (r.status == 421) return this_one && is("Dunlinwing-Outcome", "not-run") ? Look::elsewhere : Look::broken;
@@ -73,29 +73,29 @@
     return r.status >= 500 ? Look::answered_badly : Look::good;
   }
 
-  std::optional<Load> load(const base::Receipt& r) const override {
+  std::optional<Load> load(const base::Response& r) const override {
     auto h = base::header(r.headers, "Dunlinwing-Load");
     int n = 0;
     if (std::from_chars(h.data(), h.data() + h.size(), n).ec != std::errc()) return {};
     return Load{n, 0, 0};
   }
 
-  std::vector<std::string> tags(const base::Receipt&) const override { return {}; }
+  std::vector<std::string> tags(const base::Response&) const override { return {}; }
 
-  base::Receipt say(int status, const std::string& why, Outcome o, std::optional<Duration> back) const override {
-    base::Receipt r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, {}};
+  base::Response say(int status, const std::string& why, Outcome o, std::optional<Duration> back) const override {
+    base::Response r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, {}};
     if (o != Outcome::none) r.headers.emplace_back("Dunlinwing-Outcome", o == Outcome::not_run ? "not-run" : "unknown");
     if (back) r.headers.emplace_back("Retry-After", std::to_string(std::max<int64_t>(1, (back->count() + 999) / 1000)));
     r.body = fmt::format("{{\"defect\":{}}}\n", base::quote(why));
     return r;
   }
 
-  void clean(base::Receipt& r) const override {
+  void clean(base::Response& r) const override {
     strip(r.headers);
     r.headers.emplace_back("Via", "1.1 dunlinwing");
   }
 
-  void send(base::Receipt& r, const std::string&, uint64_t generation) const override {
+  void send(base::Response& r, const std::string&, uint64_t generation) const override {
     if (generation) r.headers.emplace_back("Dunlinwing-Generation", std::to_string(generation));
   }
 };
--- a/src/traffic/fills.cpp
+++ b/src/traffic/fills.cpp
@@ -10,7 +10,7 @@
 constexpr int kFewNodes = 24;  // fewer fetch for themselves: a hop costs more than the origin is spared
 
 // What was fetched by GET, as the answer to HEAD.
-void shape_head(base::Receipt& r, const base::Request& q) {
+void shape_head(base::Response& r, const base::Request& q) {
   if (q.method != "HEAD") return;
   r.headers.emplace_back("Content-Length", std::to_string(r.body.size()));
   r.body.clear();
@@ -18,11 +18,11 @@
 
 // A kept receipt as the answer to this request: its age told, cut to the one range
 // that was asked for, or only confirmed when the caller has the same already.
-base::Receipt answer(const cache::Item& i, const base::Request& q, TimePoint now, bool kept) {
+base::Response answer(const cache::Item& i, const base::Request& q, TimePoint now, bool kept) {
   auto have = base::header(i.receipt.headers, "ETag");
   auto known = base::header(q.headers, "If-None-Match");
   auto range = base::header(q.headers, "Range");
-  base::Receipt r{i.receipt.status, i.receipt.headers, {}};
+  base::Response r{i.receipt.status, i.receipt.headers, {}};
   std::erase_if(r.headers, [](auto& h) { return base::same_word(h.first, "Age"); });
   if (!kept) r.headers.emplace_back("Age", std::to_string(std::max<int64_t>(0, (now - i.born).count()) / 1000));
   if (!known.empty() && known == have) {
@@ -72,7 +72,7 @@
 }
 
 Fills::Fills(base::Ports& ps, const Face& face, std::string me, std::function<bool()> fresh, std::function<TablePtr()> table,
-             Shots& shots, ServeCounts& counts)
+             UpstreamClient& shots, ServeCounts& counts)
     : ps_(ps), face_(face), ways_{ps, face}, me_(std::move(me)), fresh_(std::move(fresh)), table_(std::move(table)),
       shots_(shots), n_(counts) {}
 
--- a/src/traffic/fills.hpp
+++ b/src/traffic/fills.hpp
@@ -6,7 +6,7 @@
 #include <mutex>
 
 #include "cache/cache.hpp"
-#include "traffic/shots.hpp"
+#include "traffic/upstream_client.hpp"
 
 namespace dunlinwing::traffic {
 
@@ -16,7 +16,7 @@
 
 // What is to be said to a caller, or that the request is to be matched anew.
 struct Way {
-  base::Receipt receipt;
+  base::Response receipt;
   Outcome outcome = Outcome::none;
   bool overtaken = false, left = false, doubt = false;
   Duration back{0};  // when turned away
@@ -34,7 +34,7 @@
 class Fills {
  public:
   Fills(base::Ports& ps, const Face& face, std::string me, std::function<bool()> fresh, std::function<TablePtr()> table,
-        Shots& shots, ServeCounts& counts);
+        UpstreamClient& shots, ServeCounts& counts);
   Way cached(const Work& w);
   // What is kept for this request, usable or not.
   cache::ItemPtr kept(const Work& w);
@@ -55,7 +55,7 @@
   std::string me_;
   std::function<bool()> fresh_;
   std::function<TablePtr()> table_;
-  Shots& shots_;
+  UpstreamClient& shots_;
   ServeCounts& n_;
   cache::Cache cache_;
   size_t most_ = SIZE_MAX;
--- a/src/traffic/place.cpp
+++ b/src/traffic/load_balancer.cpp
@@ -1,7 +1,7 @@
 // A worker's load is the greater of what this relay has under way there and what
 // the worker last said of itself, which fades, since others' requests end unseen.
 // Its pace is learnt from answers that had nothing waiting before them.
-#include "traffic/place.hpp"
+#include "traffic/load_balancer.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -33,7 +33,7 @@
 };
 }  // namespace
 
-struct Places::Impl {
+struct LoadBalancer::Impl {
   base::Clock& clock;
   base::Random& random;
   mutable std::mutex m;
@@ -75,10 +75,10 @@
   }
 };
 
-Places::Places(base::Clock& c, base::Random& r) : p_(new Impl{c, r, {}, {}, {}, {}}) {}
-Places::~Places() = default;
+LoadBalancer::LoadBalancer(base::Clock& c, base::Random& r) : p_(new Impl{c, r, {}, {}, {}, {}}) {}
+LoadBalancer::~LoadBalancer() = default;
 
-std::optional<Choice> Places::choose(const std::vector<Worker>& ws, const std::vector<std::string>& vs,
+std::optional<Choice> LoadBalancer::choose(const std::vector<Worker>& ws, const std::vector<std::string>& vs,
                                      const std::string& zone, const std::vector<std::string>& tried, size_t few) {
   std::lock_guard l(p_->m);
   TimePoint now = p_->clock.now();
@@ -123,15 +123,15 @@
   return Choice{*w, Duration(static_cast<int64_t>(p_->expected(*w, now))), Duration(static_cast<int64_t>(p_->wait(*w, now)))};
 }
 
-void Places::name(const std::string& relay) { p_->relay = relay; }
+void LoadBalancer::name(const std::string& relay) { p_->relay = relay; }
 
-void Places::began(const Worker& w) {
+void LoadBalancer::began(const Worker& w) {
   std::lock_guard l(p_->m);
   auto& s = p_->by[w.instance];
   if (!s.running++) s.progress = p_->clock.now();
 }
 
-void Places::ended(const Worker& w, const Ended& e) {
+void LoadBalancer::ended(const Worker& w, const Ended& e) {
   std::lock_guard l(p_->m);
   auto& s = p_->by[w.instance];
   TimePoint now = p_->clock.now();
@@ -159,7 +159,7 @@
   ++s.rounds;
 }
 
-void Places::elsewhere(const Worker& w) {
+void LoadBalancer::elsewhere(const Worker& w) {
   std::lock_guard l(p_->m);
   auto& s = p_->by[w.instance];
   s.fails = kFailsAside;
@@ -167,14 +167,14 @@
   s.aside = p_->clock.now() + kAside * (1 << kMostDoublings);
 }
 
-void Places::forget(const std::vector<std::string>& alive) {
+void LoadBalancer::forget(const std::vector<std::string>& alive) {
   std::lock_guard l(p_->m);
   std::erase_if(p_->by, [&](auto& x) {
     return !x.second.running && std::find(alive.begin(), alive.end(), x.first) == alive.end();
   });
 }
 
-Duration Places::usual(const std::string& service) const {
+Duration LoadBalancer::usual(const std::string& service) const {
   std::lock_guard l(p_->m);
   return Duration(static_cast<int64_t>(p_->usual(service)));
 }
--- a/src/traffic/place.hpp
+++ b/src/traffic/load_balancer.hpp
@@ -23,10 +23,10 @@
   Duration took{0};
 };
 
-class Places {
+class LoadBalancer {
  public:
-  Places(base::Clock& c, base::Random& r);
-  ~Places();
+  LoadBalancer(base::Clock& c, base::Random& r);
+  ~LoadBalancer();
   // Null when no worker of these versions is left that is not in `tried`. Of more than
   // `few` that fit, this relay uses its own few, the same as long as they fit.
   std::optional<Choice> choose(const std::vector<Worker>& ws, const std::vector<std::string>& versions,
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -13,7 +13,7 @@
   std::string me, zone;
   std::function<bool()> fresh;
   std::shared_ptr<const Table> table = std::make_shared<Table>();
-  Shots shots;
+  UpstreamClient shots;
   ServeCounts n;
   Ways ways;
   Fills fills;
@@ -56,7 +56,7 @@
     : p_(new Impl(ps, face, std::move(me), std::move(zone), std::move(fresh))) {}
 Traffic::~Traffic() = default;
 
-base::Receipt Traffic::serve(base::Request& q) {
+base::Response Traffic::serve(base::Request& q) {
   auto& p = *p_;
   auto arrived = p.ps.clock.now();
   auto asked = p.face.read(q, p.ps.random);
@@ -174,7 +174,7 @@
 void Traffic::drain() { p_->draining = true; }
 int Traffic::running() { return p_->shots.running(); }
 const ServeCounts& Traffic::counts() const { return p_->n; }
-Shots& Traffic::shots() { return p_->shots; }
+UpstreamClient& Traffic::shots() { return p_->shots; }
 void Traffic::bound_cache(size_t bytes) { p_->fills.bound(bytes); }
 void Traffic::sweep() { p_->fills.sweep(); }
 size_t Traffic::cache_bytes() const { return p_->fills.bytes(); }
--- a/src/traffic/serve.hpp
+++ b/src/traffic/serve.hpp
@@ -9,7 +9,7 @@
  public:
   Traffic(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh);
   ~Traffic();
-  base::Receipt serve(base::Request& q);
+  base::Response serve(base::Request& q);
   pb::CarryReply carry(const pb::Carry& c);
   // The services that have workers and none that a request from here could reach:
   // route, version, place and connection are tried, and no byte is sent.
@@ -20,7 +20,7 @@
   int running();
   void say(pb::NodeStatus& n) const;  // what this node tells of its traffic
   const ServeCounts& counts() const;
-  Shots& shots();
+  UpstreamClient& shots();
   size_t cache_bytes() const;
   void bound_cache(size_t bytes);  // the machine's own bound, beside the layout's
   void sweep();                    // drops kept receipts that are past their life
--- a/src/traffic/shots.cpp
+++ b/src/traffic/upstream_client.cpp
@@ -2,7 +2,7 @@
 // meant; nothing was sent; the worker said it did not run it; or nobody can
 // tell. Only safe requests are sent again after the last, and within budget.
 // A caller is promised "not run" only when no byte of any shot left.
-#include "traffic/shots.hpp"
+#include "traffic/upstream_client.hpp"
 
 #include <fmt/format.h>
 
@@ -35,13 +35,13 @@
   return route->kind != Kind::unsafe;
 }
 
-struct Shots::Impl {
+struct UpstreamClient::Impl {
   base::Ports& ps;
   const Face& face;
   std::string zone;
   std::function<bool()> fresh;
   std::function<TablePtr()> table;
-  Places places;
+  LoadBalancer places;
   Trials trials;
   Repeats repeats;
   Pace pace;
@@ -125,21 +125,21 @@
   }
 };
 
-Shots::Shots(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh,
+UpstreamClient::UpstreamClient(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh,
              std::function<TablePtr()> table)
     : p_(new Impl(ps, face, std::move(zone), std::move(fresh), std::move(table))) {
   p_->places.name(me);
 }
-Shots::~Shots() = default;
+UpstreamClient::~UpstreamClient() = default;
 
-bool Shots::repeat_allowed(const Work& w) {
+bool UpstreamClient::repeat_allowed(const Work& w) {
   auto t = p_->table();
   if (!p_->repeats.grant(w.service->name, repeat_part(t->system.repeat_allowance, t->nodes, t->rank))) return false;
   ++p_->again;
   return true;
 }
 
-bool Shots::reaches(const Work& w, Duration limit) {
+bool UpstreamClient::reaches(const Work& w, Duration limit) {
   std::vector<std::string> tried;
   for (int i = 0; i < 2; ++i) {
     auto to = p_->pick(w, tried, true);
@@ -150,14 +150,14 @@
   return false;
 }
 
-void Shots::sent(const std::string& s) { p_->repeats.sent(s, p_->table()->system.repeat_share); }
+void UpstreamClient::sent(const std::string& s) { p_->repeats.sent(s, p_->table()->system.repeat_share); }
 
-std::map<std::string, uint64_t> Shots::asked() const {
+std::map<std::string, uint64_t> UpstreamClient::asked() const {
   std::lock_guard l(p_->m);
   return p_->asked;
 }
 
-Fetched Shots::run(const Work& w) {
+Fetched UpstreamClient::run(const Work& w) {
   auto& p = *p_;
   auto& s = *w.service;
   if (s.rate > 0) {
@@ -218,17 +218,17 @@
       if (!left) last = turned_away("this node's statuses is too old");
       break;
     }
-    base::ShotRules rules(limit);
+    base::AttemptRules rules(limit);
     rules.connect = limit / kConnectPart;
     rules.safe = w.safe();
-    rules.mine = [&](const base::Receipt& r) { return p.face.mine(r, q.id); };
+    rules.mine = [&](const base::Response& r) { return p.face.mine(r, q.id); };
     if (s.connections > 0)
       rules.most = std::max(1, static_cast<int>(kCapPart * s.connections / std::max(p.table()->nodes, 1)));
     p.places.began(to);
     TimePoint from = clock.now();
-    auto r = p.ps.origin.shoot(to.address, q, rules);
+    auto r = p.ps.origin.send(to.address, q, rules);
     Duration took = clock.now() - from;
-    auto* a = std::get_if<base::Receipt>(&r);
+    auto* a = std::get_if<base::Response>(&r);
     Look l = a ? p.face.look(*a, to, q) : Look::broken;
     auto* d = std::get_if<base::AttemptError>(&r);
     bool unsent = d && *d == base::AttemptError::unsent;
@@ -262,19 +262,19 @@
   return last;
 }
 
-std::map<CountKey, VersionCount> Shots::counts() const {
+std::map<CountKey, VersionCount> UpstreamClient::counts() const {
   std::lock_guard l(p_->m);
   return p_->counts;
 }
-std::map<std::string, std::pair<uint64_t, uint64_t>> Shots::trials() const {
+std::map<std::string, std::pair<uint64_t, uint64_t>> UpstreamClient::trials() const {
   std::lock_guard l(p_->m);
   return p_->on_trial;
 }
-std::pair<int, int> Shots::load(const std::string& s) { return p_->waits.load(s); }
-int Shots::running() { return p_->waits.running(); }
-uint64_t Shots::repeats() const { return p_->again; }
-Duration Shots::usual(const std::string& s) const { return p_->places.usual(s); }
-void Shots::bound_places(int m) { p_->most_places = m; }
-void Shots::workers_known(const std::vector<std::string>& a) { p_->places.forget(a); }
+std::pair<int, int> UpstreamClient::load(const std::string& s) { return p_->waits.load(s); }
+int UpstreamClient::running() { return p_->waits.running(); }
+uint64_t UpstreamClient::repeats() const { return p_->again; }
+Duration UpstreamClient::usual(const std::string& s) const { return p_->places.usual(s); }
+void UpstreamClient::bound_places(int m) { p_->most_places = m; }
+void UpstreamClient::workers_known(const std::vector<std::string>& a) { p_->places.forget(a); }
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/shots.hpp
+++ b/src/traffic/upstream_client.hpp
@@ -5,7 +5,7 @@
 
 #include "base/ports.hpp"
 #include "traffic/budget.hpp"
-#include "traffic/place.hpp"
+#include "traffic/load_balancer.hpp"
 #include "traffic/trial.hpp"
 #include "traffic/waitlist.hpp"
 
@@ -33,7 +33,7 @@
 
 struct Fetched {
   Fate fate = Fate::not_run;
-  base::Receipt receipt;
+  base::Response receipt;
   std::string version, why;
   bool left = false;   // some byte of some shot may have reached a worker
   bool doubt = false;  // and not every worker that got one said that it did not run it
@@ -50,10 +50,10 @@
   auto operator<=>(const CountKey&) const = default;
 };
 
-class Shots {
+class UpstreamClient {
  public:
-  Shots(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
-  ~Shots();
+  UpstreamClient(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
+  ~UpstreamClient();
   Fetched run(const Work& w);
   bool reaches(const Work& w, Duration limit);  // whether some worker would take a connection
   bool repeat_allowed(const Work& w);
--- a/src/wire/http_origin.cpp
+++ b/src/wire/http_origin.cpp
@@ -21,7 +21,7 @@
 constexpr size_t kBodyRoom = 32 << 10;
 
 struct Answer {
-  base::Receipt r;
+  base::Response r;
   bool keep = false;
   std::optional<Duration> stated;
 };
@@ -114,8 +114,8 @@
   return l != nullptr;
 }
 
-std::variant<base::Receipt, AttemptError> HttpOrigin::shoot(const std::string& addr, const base::Request& q,
-                                                          const base::ShotRules& rules) {
+std::variant<base::Response, AttemptError> HttpOrigin::send(const std::string& addr, const base::Request& q,
+                                                          const base::AttemptRules& rules) {
   auto from = std::chrono::steady_clock::now();
   auto end = from + rules.limit;
   auto by = rules.connect > Duration(0) ? std::min(end, from + rules.connect) : end;
--- a/src/wire/http_origin.hpp
+++ b/src/wire/http_origin.hpp
@@ -11,8 +11,8 @@
   explicit HttpOrigin(size_t body_bytes, size_t kept = 512);
   ~HttpOrigin() override;
   bool reach(const std::string& addr, Duration limit) override;
-  std::variant<base::Receipt, base::AttemptError> shoot(const std::string& addr, const base::Request& q,
-                                                      const base::ShotRules& r) override;
+  std::variant<base::Response, base::AttemptError> send(const std::string& addr, const base::Request& q,
+                                                      const base::AttemptRules& r) override;
   int idle() const;                         // connections kept
   int held(const std::string& addr) const;  // connections to it, in use or kept
 
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -117,7 +117,7 @@
   void talk(Lane& lane, Line::Socket s);
   bool turn(Talk& t);
   bool refuse(Talk& t, int status, const std::string& why);
-  bool answer(Talk& t, const base::Receipt& a, bool head, unsigned version, bool keep, const HttpLimits& l);
+  bool answer(Talk& t, const base::Response& a, bool head, unsigned version, bool keep, const HttpLimits& l);
   void linger(Talk& t);
   void watch(Lane& lane);
   void sweep(Lane& lane);
@@ -204,7 +204,7 @@
 // Answers what was not understood; the connection ends, but not before the
 // client could read why.
 bool HttpServer::Impl::refuse(Talk& t, int status, const std::string& why) {
-  base::Receipt a{status, {{"Content-Type", "application/json"}}, fmt::format("{{\"defect\":\"{}\"}}\n", why)};
+  base::Response a{status, {{"Content-Type", "application/json"}}, fmt::format("{{\"defect\":\"{}\"}}\n", why)};
   t.l->go_on();
   if (answer(t, a, false, 11, false, *lim.load())) linger(t);
   return false;
@@ -222,7 +222,7 @@
   }
 }
 
-bool HttpServer::Impl::answer(Talk& t, const base::Receipt& a, bool head, unsigned version, bool keep,
+bool HttpServer::Impl::answer(Talk& t, const base::Response& a, bool head, unsigned version, bool keep,
                               const HttpLimits& l) {
   bool bare = a.status == 204 || a.status / 100 == 1, same = a.status == 304;
   std::string out;
--- a/src/wire/http_server.hpp
+++ b/src/wire/http_server.hpp
@@ -17,7 +17,7 @@
   bool tell_idle = false;      // name the idle time in Keep-Alive
 };
 
-using HttpHandler = std::function<base::Receipt(base::Request&)>;
+using HttpHandler = std::function<base::Response(base::Request&)>;
 
 class HttpServer {
  public:
--- a/test/caller.cpp
+++ b/test/caller.cpp
@@ -67,9 +67,9 @@
     auto from = clock.now().count();
     journal.line(fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":{},"in":"{}","at":{},"relay":"{}"}})", id,
                              q.method, test::qt(q.target), base::sha256_base64(q.body), from, r.callers));
-    auto x = http.shoot(r.callers, q, 10000ms);
+    auto x = http.send(r.callers, q, 10000ms);
     auto to = clock.now().count();
-    if (auto* a = std::get_if<base::Receipt>(&x)) {
+    if (auto* a = std::get_if<base::Response>(&x)) {
       auto out = base::header(a->headers, "Dunlinwing-Outcome");
       int64_t produced = -1;
       if (a->status == 200) {
@@ -94,8 +94,8 @@
       base::Request q;
       q.method = "GET";
       q.target = "/readyz";
-      auto x = http.shoot(r.control, q, 900ms);
-      auto* a = std::get_if<base::Receipt>(&x);
+      auto x = http.send(r.control, q, 900ms);
+      auto* a = std::get_if<base::Response>(&x);
       r.ready = a && a->status == 200;
       clock.sleep(1000ms);
     }
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -272,16 +272,16 @@
 
 bool Fleet::caller_done(pid_t p) { return waitpid(p, nullptr, WNOHANG) == p; }
 
-base::Receipt Fleet::http(const std::string& node, const std::string& method, const std::string& target,
+base::Response Fleet::http(const std::string& node, const std::string& method, const std::string& target,
                           const std::string& body, std::vector<std::pair<std::string, std::string>> hs) {
   base::Request q{"", method, target, body, std::move(hs)};
-  auto r = http_.shoot(at(node).control, q, 5s);
-  if (auto* a = std::get_if<base::Receipt>(&r)) return *a;
+  auto r = http_.send(at(node).control, q, 5s);
+  if (auto* a = std::get_if<base::Response>(&r)) return *a;
   return {0, {}, {}};
 }
 
-base::Receipt Fleet::any(const std::string& method, const std::string& target, const std::string& body) {
-  base::Receipt last;
+base::Response Fleet::any(const std::string& method, const std::string& target, const std::string& body) {
+  base::Response last;
   for (size_t i = 0; i < ms_.size(); ++i) {
     auto& m = ms_[i];
     if (m.kind == "worker" || m.pid <= 0 || m.frozen) continue;
--- a/test/fleet.hpp
+++ b/test/fleet.hpp
@@ -55,9 +55,9 @@
   pid_t start_caller(const std::string& name, int rate, int seconds, uint64_t seed);
   bool caller_done(pid_t p);
 
-  base::Receipt http(const std::string& node, const std::string& method, const std::string& target,
+  base::Response http(const std::string& node, const std::string& method, const std::string& target,
                      const std::string& body = {}, std::vector<std::pair<std::string, std::string>> hs = {});
-  base::Receipt any(const std::string& method, const std::string& target, const std::string& body = {});
+  base::Response any(const std::string& method, const std::string& target, const std::string& body = {});
   bool until(Duration most, const std::function<bool()>& what);  // polls a condition
   bool all_ready(Duration most);
   bool layout_everywhere(const std::string& name, Duration most);
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -90,7 +90,7 @@
 class NoOrigin final : public base::Origin {
  public:
   bool reach(const std::string&, Duration) override { return true; }
-  std::variant<base::Receipt, base::AttemptError> shoot(const std::string&, const base::Request&, const base::ShotRules&) override {
+  std::variant<base::Response, base::AttemptError> send(const std::string&, const base::Request&, const base::AttemptRules&) override {
     return base::AttemptError::unsent;
   }
 };
--- a/test/platform/day.cpp
+++ b/test/platform/day.cpp
@@ -28,7 +28,7 @@
     c.system.repeat_allowance = 64;
   };
   s.before = [](base::Request& q, const sim::FleetShape::Handler& product) { return platform::answer(q, kBeat, product); };
-  s.shoot = [&yard](auto& l, auto& a, auto& q, auto& r) { return yard.shoot(l, a, q, r); };
+  s.send = [&yard](auto& l, auto& a, auto& q, auto& r) { return yard.send(l, a, q, r); };
   s.stands = [&yard](auto& a) { return yard.stands(a); };
   return s;
 }
--- a/test/platform/diary.hpp
+++ b/test/platform/diary.hpp
@@ -21,7 +21,7 @@
   const void* life = nullptr;
   TimePoint sent{0}, ended{0}, deadline{0};
   bool whole = false, read = false, first = false, probe = false;
-  base::Receipt receipt;
+  base::Response receipt;
 };
 
 struct Made {  // by a worker, under a stamp
--- a/test/platform/words_unit.cpp
+++ b/test/platform/words_unit.cpp
@@ -21,8 +21,8 @@
 // One call through the gate, to a product that answers all alike.
 struct Gate {
   std::vector<Asked> asked;
-  base::Receipt says{200, {}, "{}"};
-  base::Receipt call(const std::string& method, const std::string& target, const std::string& body = {}) {
+  base::Response says{200, {}, "{}"};
+  base::Response call(const std::string& method, const std::string& target, const std::string& body = {}) {
     base::Request q{"", method, target, body, {}};
     return platform::answer(q, Duration(1500), [this](base::Request& x) {
       asked.push_back({x.method, x.target, x.body});
@@ -177,13 +177,13 @@
   auto r = f->say(503, "full", traffic::Outcome::not_run, Duration(1250));
   expect(r.status == 503 && base::header(r.headers, "Retry-After") == "1.250", "fractions of a second");
   expect(base::header(f->say(502, "x", traffic::Outcome::unknown, {}).headers, "Retry-After").empty(), "none when it does not help");
-  base::Receipt kept{200, {{"Attempt-Id", "first"}, {"Edge-Signature", "s"}, {"Connection", "close"}, {"ETag", "e"}}, "x"};
+  base::Response kept{200, {{"Attempt-Id", "first"}, {"Edge-Signature", "s"}, {"Connection", "close"}, {"ETag", "e"}}, "x"};
   f->clean(kept);
   f->send(kept, "second", 0);
   expect(base::header(kept.headers, "Attempt-Id") == "second" && base::header(kept.headers, "Edge-Signature") == "s" &&
              base::header(kept.headers, "Connection").empty() && base::header(kept.headers, "ETag") == "e",
          "a kept copy goes out under the id of who asks");
-  base::Receipt told{200, {{"Server-Load", "3,1,8"}, {"Object-Tags", "t1 t2"}}, ""};
+  base::Response told{200, {{"Server-Load", "3,1,8"}, {"Object-Tags", "t1 t2"}}, ""};
   auto l = f->load(told);
   expect(l && l->running == 3 && l->waiting == 1 && l->slots == 8 && f->tags(told).size() == 2, "load and tags");
   expect(!f->load({200, {{"Server-Load", "3"}}, ""}), "a load that cannot be read");
--- a/test/platform/yard.cpp
+++ b/test/platform/yard.cpp
@@ -110,11 +110,11 @@
 
 void Yard::change(const std::string& t) { d_.replaced[t].push_back(f_.world().now()); }
 
-base::Receipt Yard::answer(Server& s, const base::Request& q, bool fails) {
+base::Response Yard::answer(Server& s, const base::Request& q, bool fails) {
   auto h = [&](const char* n) { return base::header(q.headers, n); };
   auto id = h("Attempt-Id");
   Made m{id, q.target, {}, 0, is_object(q.target) && q.method == "GET", fails, f_.world().now()};
-  base::Receipt r{fails ? 500 : 200, {}, {}};
+  base::Response r{fails ? 500 : 200, {}, {}};
   if (!id.empty()) r.headers.emplace_back("Attempt-Id", id);
   if (s.tells_load) r.headers.emplace_back("Server-Load", fmt::format("{},{},{}", s.running, s.waiting, s.slots));
   if (s.draining) r.headers.emplace_back("Connection", "close");
@@ -145,7 +145,7 @@
   return r;
 }
 
-Yard::Shot Yard::shoot(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::ShotRules& rules) {
+Yard::Shot Yard::send(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& rules) {
   auto& w = f_.world();
   auto end = w.now() + rules.limit;
   auto sleep = [&](Duration t) {
@@ -168,11 +168,11 @@
   auto place = d_.arrivals.size() - 1;
   auto not_run = [&](int status) {
     ++w.met[fmt::format("not_run_{}", status)];
-    base::Receipt r{status, {{"Not-Executed", "1"}}, {}};
+    base::Response r{status, {{"Not-Executed", "1"}}, {}};
     if (s->tells_load) r.headers.emplace_back("Server-Load", fmt::format("{},{},{}", s->running, s->waiting, s->slots));
     return r;
   };
-  if (other) return ++w.met["elsewhere"], base::Receipt{421, {{"Instance-Id", name}}, {}};
+  if (other) return ++w.met["elsewhere"], base::Response{421, {{"Instance-Id", name}}, {}};
   if (h("Attempt-Id").empty()) return not_run(400);
   if (auto f = rates.find(s->service); f != rates.end()) {
     auto& c = came_[s->service];
@@ -209,7 +209,7 @@
   sleep(std::min(over ? deadline - w.now() : took, end - w.now()));
   if (w.now() >= end) return base::AttemptError::unknown;
   if (!s->alive || s->dark) return ++w.met["died_in_request"], base::AttemptError::unknown;
-  if (over) return base::Receipt{504, {{"Attempt-Id", h("Attempt-Id")}}, {}};
+  if (over) return base::Response{504, {{"Attempt-Id", h("Attempt-Id")}}, {}};
   if (w.random(s->lose)) {
     ++w.met["answer_lost"];
     sleep(end - w.now());
--- a/test/platform/yard.hpp
+++ b/test/platform/yard.hpp
@@ -16,14 +16,14 @@
   uint64_t calls = 0;
   int lose = 0, cut = 0, spoil = 0, extra = 0;       // in a thousand
   std::function<int(const std::string& target)> bad;  // times slower, 0: it fails; for bad versions
-  std::optional<base::Receipt> late;                  // an answer too many, not yet sent
+  std::optional<base::Response> late;                  // an answer too many, not yet sent
 };
 
 class Yard {
  public:
   Yard(sim::Fleet& f, Diary& d) : f_(f), d_(d) {}
-  using Shot = std::variant<base::Receipt, base::AttemptError>;
-  Shot shoot(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::ShotRules& r);
+  using Shot = std::variant<base::Response, base::AttemptError>;
+  Shot send(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& r);
   bool stands(const std::string& address);
   Server& add(const std::string& service, const std::string& version = "v1", Duration cold = Duration(0), const std::string& address = {});
   void drain(Server& s);   // says so, serves on, says that it has ended, and ends
@@ -36,7 +36,7 @@
   void beats(Server& s);
   bool beat(Server& s, const char* method);
   Server* at(const std::string& address);
-  base::Receipt answer(Server& s, const base::Request& q, bool fails);
+  base::Response answer(Server& s, const base::Request& q, bool fails);
   sim::Fleet& f_;
   Diary& d_;
   std::vector<std::unique_ptr<Server>> all_;
--- a/test/traffic_unit.cpp
+++ b/test/traffic_unit.cpp
@@ -3,8 +3,8 @@
 #include "gate/purger.hpp"
 #include "traffic/budget.hpp"
 #include "traffic/face.hpp"
-#include "traffic/place.hpp"
-#include "traffic/shots.hpp"
+#include "traffic/load_balancer.hpp"
+#include "traffic/upstream_client.hpp"
 #include "traffic/trial.hpp"
 #include "unit.hpp"
 
@@ -143,7 +143,7 @@
        }},
       {"headers: those of one connection, and ours, do not pass",
        [] {
-         base::Receipt r;
+         base::Response r;
          auto& h = r.headers;
          h = {{"connection", "close, X-Mine"}, {"X-Mine", "1"},
                                                             {"TE", "trailers"},              {"dunlinwing-instance", "x"},
--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -1,17 +1,17 @@
-// Shots at a stand-in worker that cuts, babbles, is late, full or leaving.
+// UpstreamClient at a stand-in worker that cuts, babbles, is late, full or leaving.
 #include "wire_cases.hpp"
 
 namespace dunlinwing::test {
 namespace {
 using base::AttemptError;
-using Shot = std::variant<base::Receipt, AttemptError>;
+using Shot = std::variant<base::Response, AttemptError>;
 
 std::string ok(const std::string& body, const std::string& more = "") {
   return fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: {}\r\n\r\n{}", more, body.size(), body);
 }
 base::Request get(const std::string& m = "GET") { return {"", m, "/", "", {}}; }
-base::ShotRules rules(bool safe = true) {
-  base::ShotRules r(10s);
+base::AttemptRules rules(bool safe = true) {
+  base::AttemptRules r(10s);
   r.safe = safe;
   return r;
 }
@@ -20,26 +20,26 @@
   return d && *d == AttemptError::unknown;
 }
 std::string body(const Shot& s) {
-  auto* a = std::get_if<base::Receipt>(&s);
+  auto* a = std::get_if<base::Response>(&s);
   return a ? a->body : "a defect";
 }
 
 void stale() {
-  auto mine = [](const std::string& b) { return [b](const base::Receipt& r) { return r.body == b; }; };
+  auto mine = [](const std::string& b) { return [b](const base::Response& r) { return r.body == b; }; };
   StandIn w([](int, int n, auto&) {
     return n == 0 ? ok("0") : n == 1 ? ok("old") + ok("older") + ok("1") : n == 2 ? ok("a") + ok("b") + ok("c") + ok("2") : ok("not");
   });
   wire::HttpOrigin o(1 << 20);
   auto r = rules();
   r.mine = mine("0");
-  same(body(o.shoot(w.addr(), get(), r)), "0", "the first");
+  same(body(o.send(w.addr(), get(), r)), "0", "the first");
   r.mine = mine("1");
-  same(body(o.shoot(w.addr(), get(), r)), "1", "after two late answers");
+  same(body(o.send(w.addr(), get(), r)), "1", "after two late answers");
   same(w.conns, 1, "connections");
   r.mine = mine("2");
-  expect(unknown(o.shoot(w.addr(), get(), r)), "three answers were skipped");
+  expect(unknown(o.send(w.addr(), get(), r)), "three answers were skipped");
   r.mine = mine("3");
-  expect(unknown(o.shoot(w.addr(), get(), r)), "a fresh connection's first answer was skipped");
+  expect(unknown(o.send(w.addr(), get(), r)), "a fresh connection's first answer was skipped");
   same(w.conns, 2, "connections");
   same(o.held(w.addr()), 0, "connections held after bad ends");
 }
@@ -47,11 +47,11 @@
 void leftovers() {
   StandIn w([](int, int n, auto&) { return n % 2 ? ok("x") : ok("good") + ok("nobody asked"); });
   wire::HttpOrigin o(1 << 20);
-  same(body(o.shoot(w.addr(), get(), rules())), "good", "a whole answer with more behind it");
-  same(body(o.shoot(w.addr(), get(), rules())), "x", "the next");
+  same(body(o.send(w.addr(), get(), rules())), "good", "a whole answer with more behind it");
+  same(body(o.send(w.addr(), get(), rules())), "x", "the next");
   same(w.conns, 2, "connections");
   StandIn late([](int, int, auto&) { return ok("good"); });
-  same(body(o.shoot(late.addr(), get(), rules())), "good", "an answer");
+  same(body(o.send(late.addr(), get(), rules())), "good", "an answer");
 }
 
 void strange() {
@@ -62,7 +62,7 @@
                         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")}) {
     StandIn w([a](int, int, auto&) { return a; });
     wire::HttpOrigin o(1000);
-    expect(unknown(o.shoot(w.addr(), get(), rules())), "taken for a whole answer: " + a.substr(0, 60));
+    expect(unknown(o.send(w.addr(), get(), rules())), "taken for a whole answer: " + a.substr(0, 60));
     same(o.held(w.addr()), 0, "connections held");
   }
   StandIn w([](int, int n, auto&) {
@@ -73,13 +73,13 @@
     return ok("last", "Connection: close\r\n");
   });
   wire::HttpOrigin o(1000);
-  auto a = std::get<base::Receipt>(o.shoot(w.addr(), get(), rules()));
+  auto a = std::get<base::Response>(o.send(w.addr(), get(), rules()));
   same(a.body, "zip", "an answer after an interim one");
   same(base::header(a.headers, "Content-Encoding"), "gzip", "its encoding");
-  same(body(o.shoot(w.addr(), get("HEAD"), rules())), "", "an answer to HEAD");
-  same(body(o.shoot(w.addr(), get(), rules())), "abc", "a chunked answer");
-  same(body(o.shoot(w.addr(), get(), rules())), "", "a 304");
-  same(body(o.shoot(w.addr(), get(), rules())), "last", "the last answer");
+  same(body(o.send(w.addr(), get("HEAD"), rules())), "", "an answer to HEAD");
+  same(body(o.send(w.addr(), get(), rules())), "abc", "a chunked answer");
+  same(body(o.send(w.addr(), get(), rules())), "", "a 304");
+  same(body(o.send(w.addr(), get(), rules())), "last", "the last answer");
   same(w.conns, 1, "connections");
   same(o.held(w.addr()), 0, "connections held after Connection: close");
 }
@@ -91,9 +91,9 @@
     return ok("");
   });
   wire::HttpOrigin o(1000);
-  o.shoot(w.addr(), {"", "POST", "/p?q=1", "", {{"Host", "given"}, {"X-A", "b"}, {"content-length", "7"}}}, rules());
+  o.send(w.addr(), {"", "POST", "/p?q=1", "", {{"Host", "given"}, {"X-A", "b"}, {"content-length", "7"}}}, rules());
   same(head, "POST /p?q=1 HTTP/1.1\r\nHost: given\r\nX-A: b\r\nContent-Length: 0\r\n\r\n", "what was written");
-  o.shoot(w.addr(), get("PURGE"), rules());
+  o.send(w.addr(), get("PURGE"), rules());
   same(head, "PURGE / HTTP/1.1\r\nHost: " + w.addr() + "\r\n\r\n", "what was written");
 }
 
@@ -101,18 +101,18 @@
   StandIn w([](int, int n, auto&) { return ok("", n == 0 ? "Keep-Alive: timeout=0\r\n" : "Keep-Alive: max=9, timeout=1\r\n"); });
   wire::HttpOrigin o(1000);
   wire::RealClock c;
-  o.shoot(w.addr(), get(), rules());
-  o.shoot(w.addr(), get(), rules(false));
+  o.send(w.addr(), get(), rules());
+  o.send(w.addr(), get(), rules(false));
   same(w.conns, 2, "connections after one that was not to be kept");
-  o.shoot(w.addr(), get(), rules(false));
+  o.send(w.addr(), get(), rules(false));
   same(w.conns, 2, "connections while it is fresh");
   c.sleep(340ms);
-  o.shoot(w.addr(), get(), rules(false));
+  o.send(w.addr(), get(), rules(false));
   same(w.conns, 3, "connections once it is not fresh for what may run only once");
-  o.shoot(w.addr(), get(), rules(true));
+  o.send(w.addr(), get(), rules(true));
   same(w.conns, 3, "connections for what may run twice");
   c.sleep(710ms);
-  o.shoot(w.addr(), get(), rules(true));
+  o.send(w.addr(), get(), rules(true));
   same(w.conns, 4, "connections once they are old");
   until([&] { return w.open == 1; }, "old connections are closed");
 }
@@ -120,7 +120,7 @@
 void noticed() {
   StandIn w([](int, int, auto&) { return ok("") + "cut"; });
   wire::HttpOrigin o(1000);
-  o.shoot(w.addr(), get(), rules());
+  o.send(w.addr(), get(), rules());
   until([&] { return o.idle() == 0 && o.held(w.addr()) == 0; }, "the end of an idle connection is noticed");
 }
 
@@ -138,13 +138,13 @@
   auto r = rules();
   r.most = 1;
   std::string first, second;
-  pool().spawn([&] { first = body(o.shoot(w.addr(), get(), r)); });
+  pool().spawn([&] { first = body(o.send(w.addr(), get(), r)); });
   until([&] { return inside == 1; }, "the first is there");
   auto quick = r;
   quick.connect = 20ms;
-  auto s = o.shoot(w.addr(), get(), quick);
+  auto s = o.send(w.addr(), get(), quick);
   expect(std::get_if<AttemptError>(&s) && std::get<AttemptError>(s) == AttemptError::unsent, "more connections than allowed");
-  pool().spawn([&] { second = body(o.shoot(w.addr(), get(), r)); });
+  pool().spawn([&] { second = body(o.send(w.addr(), get(), r)); });
   condition->notify();
   until([&] { return !second.empty(); }, "the second follows");
   same(first + second, "01", "answers");
@@ -153,7 +153,7 @@
   auto done = std::make_shared<std::atomic<int>>(0);
   for (int i : {1, 2})
     pool().spawn_on(i, [&o, r, a = w.addr(), done] {
-      if (std::holds_alternative<base::Receipt>(o.shoot(a, get(), r))) ++*done;
+      if (std::holds_alternative<base::Response>(o.send(a, get(), r))) ++*done;
     });
   until([&] { return *done == 2; }, "other threads have their turn");
   expect(o.held(w.addr()) <= 1, "more connections than allowed");
@@ -176,7 +176,7 @@
   wire::HttpOrigin o(1000);
   auto r = rules();
   r.connect = 50ms;
-  auto s = o.shoot(addr, get(), r);
+  auto s = o.send(addr, get(), r);
   auto* d = std::get_if<AttemptError>(&s);
   expect(d && *d == AttemptError::unsent, "without a connection nothing is sent");
   same(o.held(addr), 0, "connections held");
@@ -208,12 +208,12 @@
     pool().spawn_on(f % 3, [&, f, a = w.addr()] {
       for (int i = 0; i < 150; ++i) {
         auto id = fmt::format("{}-{}", f, i);
-        base::ShotRules r(50ms);
+        base::AttemptRules r(50ms);
         r.safe = i % 2;
         r.most = 4;
-        r.mine = [&id](const base::Receipt& x) { return base::header(x.headers, "Id") == id; };
-        auto s = o.shoot(a, {"", i % 2 ? "GET" : "POST", "/", "", {{"Id", id}}}, r);
-        if (auto* x = std::get_if<base::Receipt>(&s)) ++(x->body == id ? good : wrong);
+        r.mine = [&id](const base::Response& x) { return base::header(x.headers, "Id") == id; };
+        auto s = o.send(a, {"", i % 2 ? "GET" : "POST", "/", "", {{"Id", id}}}, r);
+        if (auto* x = std::get_if<base::Response>(&s)) ++(x->body == id ? good : wrong);
         if (o.held(a) > 4) ++wrong;
       }
       --left;
@@ -227,7 +227,7 @@
   wire::HttpOrigin o(1000, 2);
   StandIn a([](int, int, auto&) { return ok(""); }), b([](int, int, auto&) { return ok(""); }),
       c([](int, int, auto&) { return ok(""); });
-  for (auto* w : {&a, &b, &c}) o.shoot(w->addr(), get(), rules());
+  for (auto* w : {&a, &b, &c}) o.send(w->addr(), get(), rules());
   same(o.idle(), 2, "idle connections");
   same(o.held(a.addr()), 0, "connections to the one longest idle");
   until([&] { return a.open == 0; }, "it is closed");
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -10,7 +10,7 @@
 namespace {
 const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 wire::HttpHandler echo() {
-  return [](base::Request& q) -> base::Receipt {
+  return [](base::Request& q) -> base::Response {
     if (q.target == "/none") return {204, {}, "left out"};
     if (q.target == "/same") return {304, {{"ETag", "\"1\""}}, "left out"};
     if (q.target == "/odd") return {200, {{"Connection", "close"}, {"Content-Length", "99"}}, "odd"};
@@ -181,7 +181,7 @@
 void unread() {
   wire::HttpLimits l;
   l.write = 200ms;
-  Served v(l, [](base::Request&) -> base::Receipt { return {200, {}, std::string(64 << 20, 'x')}; });
+  Served v(l, [](base::Request&) -> base::Response { return {200, {}, std::string(64 << 20, 'x')}; });
   Raw a(v.addr);
   a.send(kGet);
   until([&] { return v.s.running() == 1; }, "it runs");
@@ -189,7 +189,7 @@
 }
 
 void trailers() {
-  Served v({}, [](base::Request& q) -> base::Receipt { return {200, {}, base::header(q.headers, "X") + "!" + q.body}; });
+  Served v({}, [](base::Request& q) -> base::Response { return {200, {}, base::header(q.headers, "X") + "!" + q.body}; });
   Raw r(v.addr);
   auto a = r.ask("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: late\r\n\r\n", "!a");
   expect(a.ends_with("\r\n\r\n!a"), "a trailer became a header: " + a);
--- a/test/wire_test.cpp
+++ b/test/wire_test.cpp
@@ -64,14 +64,14 @@
   wire::HttpOrigin http(1 << 20);
   wire::PeerNet net;
   auto from = clk.now();
-  auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 100ms);
+  auto r = http.send(m.addr(), {"", "GET", "/", "", {}}, 100ms);
   test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unknown, "bytes left, yet it was not unknown");
   auto p = net.ask(m.addr(), pb::Ask(), 100ms);
   test::expect(std::get<base::NetError>(p) == base::NetError::timed_out, "a silent peer did not time out");
   test::expect(clk.now() - from < 20s, "the limits did not bind");
   auto gone = m.addr();
   m.acc.close();
-  r = http.shoot(gone, {"", "POST", "/", "x", {}}, 1s);
+  r = http.send(gone, {"", "POST", "/", "x", {}}, 1s);
   test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unsent, "a refused connection sent something");
   p = net.ask(gone, pb::Ask(), 1s);
   test::expect(std::get<base::NetError>(p) == base::NetError::unreachable, "a refused connection was not unreachable");
@@ -96,8 +96,8 @@
   });
   wire::HttpOrigin http(1 << 20);
   for (int i = 0; i < 20; ++i) {
-    auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 5s);
-    test::expect(std::holds_alternative<base::Receipt>(r), fmt::format("request {} met a closed connection", i));
+    auto r = http.send(m.addr(), {"", "GET", "/", "", {}}, 5s);
+    test::expect(std::holds_alternative<base::Response>(r), fmt::format("request {} met a closed connection", i));
     clk.sleep(2ms);  // the close is on its way
   }
   test::same(*served, 20, "requests served");
@@ -119,7 +119,7 @@
       wire::await<size_t>([&](auto h) { s.async_write_some(boost::asio::buffer(a), std::move(h)); });
     });
     wire::HttpOrigin http(1 << 20);
-    auto r = http.shoot(m.addr(), {"", "GET", "/", "", {}}, 5s);
+    auto r = http.send(m.addr(), {"", "GET", "/", "", {}}, 5s);
     test::expect(std::holds_alternative<base::AttemptError>(r), "taken for a whole answer: " + a.substr(0, 60));
     m.acc.close();
     clk.sleep(1ms);
--- a/test/worker.cpp
+++ b/test/worker.cpp
@@ -43,7 +43,7 @@
   std::atomic<bool> leaving{false};
   uint64_t number = 0;
 
-  base::Receipt answer(base::Request& q) {
+  base::Response answer(base::Request& q) {
     auto h = [&](const char* n) { return base::header(q.headers, n); };
     if (h("Dunlinwing-Service") != FLAGS_service || h("Dunlinwing-Version") != FLAGS_runs ||
         h("Dunlinwing-Instance") != instance)
@@ -66,7 +66,7 @@
         test::qt(id), h("Dunlinwing-Request"), q.method, test::qt(q.target), base::sha256_base64(q.body), sum,
         FLAGS_service, FLAGS_runs, instance, h("Dunlinwing-Relay"), h("Dunlinwing-Generation"), at, bad));
     if (fault == "lose_answer") clock.sleep(3600s);  // the work is done and the answer never comes
-    base::Receipt r{fault == "error" ? 500 : 200, {}, body};
+    base::Response r{fault == "error" ? 500 : 200, {}, body};
     if (fault == "wrong_bytes") r.body[r.body.size() / 2] ^= 1;
     auto put = [&](const char* k, std::string v) { r.headers.emplace_back(k, std::move(v)); };
     put("Content-Type", "application/json");
@@ -90,8 +90,8 @@
         FLAGS_service, FLAGS_runs, instance, FLAGS_zone, FLAGS_address, FLAGS_capacity, leaving.load(), ++number,
         FLAGS_period_ms);
     for (int i = 0; i < 4; ++i) {
-      auto r = post.shoot(relays[random.below(relays.size())], q, 1500ms);
-      auto* a = std::get_if<base::Receipt>(&r);
+      auto r = post.send(relays[random.below(relays.size())], q, 1500ms);
+      auto* a = std::get_if<base::Response>(&r);
       if (a && a->status == 200) return true;
     }
     return false;
