--- a/src/gate/control.cpp
+++ b/src/control_api/control.cpp
@@ -1,7 +1,7 @@
 // Reads and writes of the named resources. A read waits for a pull that began
 // after it came in, so it shows whatever was acknowledged before. Writes are
 // compare-and-set on the register of the resource.
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 
 #include <fmt/format.h>
 #include <google/protobuf/util/message_differencer.h>
@@ -10,19 +10,19 @@
 #include <charconv>
 
 #include "base/log.hpp"
-#include "gate/holders.hpp"
-#include "gate/orders.hpp"
-#include "gate/moves.hpp"
-#include "gate/report.hpp"
-#include "gate/schemas.hpp"
-#include "gate/self.hpp"
-#include "gate/views.hpp"
+#include "control_api/holders.hpp"
+#include "control_api/orders.hpp"
+#include "control_api/moves.hpp"
+#include "control_api/report.hpp"
+#include "control_api/schemas.hpp"
+#include "control_api/self.hpp"
+#include "control_api/views.hpp"
 #include "rollout/checks.hpp"
 #include "rollout/versions.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 namespace {
-constexpr base::Log lg("gate");
+constexpr base::Log lg("control-api");
 constexpr Duration kLongestWatch{30000};
 
 std::variant<base::Json, base::Response> checked(const std::string& body, const base::Schema& s) {
@@ -384,4 +384,4 @@
   return defect(404, "no such resource");
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/control.hpp
+++ b/src/control_api/control.hpp
@@ -1,10 +1,10 @@
 // The face for operators, workers and the platform: named resources in JSON
 // over HTTP, at any relay.
 #pragma once
-#include "gate/purger.hpp"
+#include "control_api/purger.hpp"
 #include "relay/node.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 class Control {
  public:
@@ -34,4 +34,4 @@
 // write may go on.
 std::optional<base::Response> precondition(const base::Request& q, uint64_t version);
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/holders.cpp
+++ b/src/control_api/holders.cpp
@@ -1,15 +1,15 @@
 // A new holder must be up, with an empty disk, before it is added: it is refilled
 // from the others before it votes. An old one is removed only after that.
-#include "gate/holders.hpp"
+#include "control_api/holders.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 
-#include "gate/schemas.hpp"
+#include "control_api/schemas.hpp"
 #include "wire/peer.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 namespace {
 base::Response of(consensus::ReplicaSetError d) {
   switch (d) {
@@ -50,4 +50,4 @@
   return json(200, message_json(std::get<pb::ReplicaSet>(r)));
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/holders.hpp
+++ b/src/control_api/holders.hpp
@@ -1,10 +1,10 @@
 // The set of holders as a resource: one machine is added or removed at a time.
 #pragma once
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 base::Response put_holder(relay::Node& n, Call& c);
 base::Response holders(relay::Node& n);
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/moves.cpp
+++ b/src/control_api/moves.cpp
@@ -1,15 +1,15 @@
 // An order is acknowledged once it is recorded. The same order again is the same move,
 // while it runs and after it; another takes its place unless it is being switched.
-#include "gate/moves.hpp"
+#include "control_api/moves.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 
-#include "gate/schemas.hpp"
+#include "control_api/schemas.hpp"
 #include "rollout/versions.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 namespace {
 base::Response told(const pb::ServiceState& s, uint64_t version) {
   return json(200, fmt::format(R"({{"state":{},"version":{},"why":{},"within_ms":{},"asked_ms_ago":{},"good":{},"bad":{}}})",
@@ -81,4 +81,4 @@
   return json(412, R"({"defect":"other writes came first; ask again"})");
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/orders.cpp
+++ b/src/control_api/orders.cpp
@@ -1,6 +1,6 @@
 // A layout whose number is not above the one held is acknowledged and changes
 // nothing, but only after its document was found valid like any other.
-#include "gate/orders.hpp"
+#include "control_api/orders.hpp"
 
 #include <fmt/format.h>
 
@@ -9,9 +9,9 @@
 #include "base/log.hpp"
 #include "traffic/order.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 namespace {
-constexpr base::Log lg("gate");
+constexpr base::Log lg("control-api");
 constexpr int kTries = 16;
 }  // namespace
 
@@ -59,4 +59,4 @@
               f->second.version);
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/purger.cpp
+++ b/src/control_api/purger.cpp
@@ -1,11 +1,11 @@
 // One write a service is under way at a time; what comes meanwhile goes into
 // the next. Folding makes a purge wider, never narrower, so nothing purged can
 // come back.
-#include "gate/purger.hpp"
+#include "control_api/purger.hpp"
 
 #include <algorithm>
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 namespace {
 constexpr int kMostPurges = 128;
 
@@ -103,4 +103,4 @@
   return *j->res;
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/purger.hpp
+++ b/src/control_api/purger.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "consensus/register_client.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 enum class PurgeError { no_majority, fate_unknown };
 struct PurgeDone {
@@ -26,4 +26,4 @@
   std::shared_ptr<Impl> p_;
 };
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/report.cpp
+++ b/src/control_api/report.cpp
@@ -1,11 +1,11 @@
 // Counters are this process's own, since its start.
-#include "gate/report.hpp"
+#include "control_api/report.hpp"
 
 #include <fmt/format.h>
 
 #include "base/json.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 namespace {
 struct Page {
   std::string out;
@@ -75,4 +75,4 @@
       k.hits.load(), k.fills.load(), n.traffic().cache_bytes());
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/report.hpp
+++ b/src/control_api/report.hpp
@@ -3,9 +3,9 @@
 #pragma once
 #include "relay/node.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 std::string metrics(relay::Node& n, TimePoint now);
 std::string status(relay::Node& n, TimePoint now);
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/schemas.cpp
+++ b/src/control_api/schemas.cpp
@@ -1,7 +1,7 @@
 // What each body must look like.
-#include "gate/schemas.hpp"
+#include "control_api/schemas.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 const base::Schema& beat_schema() {
   static const base::Schema s(R"({
@@ -60,4 +60,4 @@
   return s;
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/schemas.hpp
+++ b/src/control_api/schemas.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include "base/json.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 const base::Schema& beat_schema();
 const base::Schema& purge_schema();
@@ -12,4 +12,4 @@
 const base::Schema& drain_schema();
 const base::Schema& holder_schema();
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/self.cpp
+++ b/src/control_api/self.cpp
@@ -1,9 +1,9 @@
 // The other half, which reads it, is members/discovery.
-#include "gate/self.hpp"
+#include "control_api/self.hpp"
 
 #include <fmt/format.h>
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 base::Response self(relay::Node& n) {
   auto& c = n.config();
@@ -15,4 +15,4 @@
                                base::quote(c.zone), base::quote(c.peer_address), n.acceptor() != nullptr, set.epoch(), hs));
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/self.hpp
+++ b/src/control_api/self.hpp
@@ -1,10 +1,10 @@
 // What a relay tells of itself to one that looks for the holders: at once, whether
 // or not it is fresh.
 #pragma once
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 base::Response self(relay::Node& n);
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/shape.cpp
+++ b/src/control_api/shape.cpp
@@ -2,9 +2,9 @@
 #include <fmt/format.h>
 #include <google/protobuf/util/json_util.h>
 
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 namespace {
 std::string decode(std::string_view s) {
   auto hex = [](char c) {
@@ -90,4 +90,4 @@
   return {};
 }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/gate/views.cpp
+++ b/src/control_api/views.cpp
@@ -1,12 +1,12 @@
 // Each is read from what the last good pull brought.
-#include "gate/views.hpp"
+#include "control_api/views.hpp"
 
 #include <fmt/format.h>
 
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 #include "membership/deregistered.hpp"
 
-namespace dunlinwing::gate {
+namespace dunlinwing::control_api {
 
 base::Response nodes(relay::Node& n, TimePoint now) {
   std::map<std::string, bool> in;
@@ -50,4 +50,4 @@
 base::Response drains(relay::Node& n) { return listed<pb::Drain>(n, "drain/", "drains"); }
 base::Response purges(relay::Node& n) { return listed<pb::PurgeSet>(n, "purge/", "purges"); }
 
-}  // namespace dunlinwing::gate
+}  // namespace dunlinwing::control_api
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -11,7 +11,7 @@
 #include "base/log.hpp"
 #include "storage/async_disk.hpp"
 #include "storage/snapshot_store.hpp"
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 #include "platform/face.hpp"
 #include "platform/gate.hpp"
 #include "relay/reread.hpp"
@@ -76,7 +76,7 @@
   std::unique_ptr<dw::storage::DiskExecutor> hand;
   std::unique_ptr<dw::software::Artifacts> artifacts;
   std::unique_ptr<dw::software::Stager> stager;
-  std::unique_ptr<dw::gate::Control> control;
+  std::unique_ptr<dw::control_api::Control> control;
   std::unique_ptr<dw::wire::HttpServer> callers, operators, readiness;
   int next = 0;
   bool ending = false;
@@ -220,7 +220,7 @@
   app.node = std::make_unique<dw::relay::Node>(app.ports, c->node, app.disk.get());
   std::string program = argv[0];
   app.software(program.substr(program.rfind('/') + 1));
-  app.control = std::make_unique<dw::gate::Control>(app.ports, *app.node);
+  app.control = std::make_unique<dw::control_api::Control>(app.ports, *app.node);
   if (auto e = app.listen()) {
     lg.error("{}: {}.", c->node.name, *e);
     return kCannotStart;
--- a/src/sim/fleet.cpp
+++ b/src/sim/fleet.cpp
@@ -92,7 +92,7 @@
   for (auto& x : hosts_)
     if (x->holder && !s_.seeded) c.holders.push_back({x->name, x->address});
   h.node = std::make_unique<relay::Node>(*h.ports, c, h.disk.get());
-  h.control = std::make_unique<gate::Control>(*h.ports, *h.node);
+  h.control = std::make_unique<control_api::Control>(*h.ports, *h.node);
   auto* node = h.node.get();
   dir_[h.address] = {n, h.life, [node](const pb::Ask& a) {
                        if (!a.has_carry()) return node->answer(a);
--- a/src/sim/fleet.hpp
+++ b/src/sim/fleet.hpp
@@ -2,7 +2,7 @@
 // operators, and the faults that can befall them. Journals come out in the
 // form of the stand-ins', so that one checker reads both.
 #pragma once
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 #include "sim/ports.hpp"
 
 namespace dunlinwing::sim {
@@ -47,7 +47,7 @@
   std::unique_ptr<base::Ports> ports;
   std::unique_ptr<Disk> disk;
   std::unique_ptr<relay::Node> node;
-  std::unique_ptr<gate::Control> control;
+  std::unique_ptr<control_api::Control> control;
   bool up() const { return life && !life->dead; }
 };
 
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -106,17 +106,17 @@
   base::Ports ports;
   std::unique_ptr<sim::Disk> disk;
   std::unique_ptr<relay::Node> node;
-  std::unique_ptr<gate::Control> control;
+  std::unique_ptr<control_api::Control> control;
 
   Proc(Hollow& f, Node& n, sim::LifePtr l, const relay::NodeConfig& c)
       : life(l), clock(f.w, l, &n.wall), random(f.w), tasks(f.w, l), net(f, n, l), ports{clock, random, tasks, net, origin},
         disk(n.holder ? std::make_unique<sim::Disk>(f.w, l, n.platter) : nullptr),
-        node(std::make_unique<relay::Node>(ports, c, disk.get())), control(std::make_unique<gate::Control>(ports, *node)) {}
+        node(std::make_unique<relay::Node>(ports, c, disk.get())), control(std::make_unique<control_api::Control>(ports, *node)) {}
 };
 
 bool Node::up() const { return proc && !proc->life->dead; }
 relay::Node& Node::relay() const { return *proc->node; }
-gate::Control& Node::control() const { return *proc->control; }
+control_api::Control& Node::control() const { return *proc->control; }
 const sim::LifePtr& Node::life() const { return proc->life; }
 base::Ports& Node::ports() const { return proc->ports; }
 
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -2,7 +2,7 @@
 // rollout) without callers, many in one process on invented time. What goes between
 // two of them is encoded and decoded as on a wire, and counted at both ends.
 #pragma once
-#include "gate/control.hpp"
+#include "control_api/control.hpp"
 #include "sim/ports.hpp"
 
 namespace dunlinwing::measure {
@@ -35,7 +35,7 @@
   std::shared_ptr<Proc> proc;
   bool up() const;
   relay::Node& relay() const;
-  gate::Control& control() const;
+  control_api::Control& control() const;
   const sim::LifePtr& life() const;
   base::Ports& ports() const;
 };
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -53,7 +53,7 @@
   std::unique_ptr<base::Ports> ports;
   std::unique_ptr<storage::SnapshotStore> disk;
   std::unique_ptr<relay::Node> node;
-  std::unique_ptr<gate::Control> control;
+  std::unique_ptr<control_api::Control> control;
 };
 
 struct Run {
@@ -91,7 +91,7 @@
       c.bound = s.bound;
       c.scale = 600;
       r->node = std::make_unique<relay::Node>(*r->ports, c, r->disk.get());
-      r->control = std::make_unique<gate::Control>(*r->ports, *r->node);
+      r->control = std::make_unique<control_api::Control>(*r->ports, *r->node);
       auto* node = r->node.get();
       if (i < s.holders)
         if (auto e = wire::serve_peers(pool, c.peer_address, [node](const pb::Ask& a) { return node->answer(a); })) return *e;
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -49,7 +49,7 @@
   std::map<std::string, std::vector<Seen>> seen;
   std::map<std::string, uint64_t> version;
   std::map<std::string, bool> busy;
-  std::vector<std::unique_ptr<gate::Purger>> purgers;
+  std::vector<std::unique_ptr<control_api::Purger>> purgers;
   Spread change, purge, change_told, purge_told;
   uint64_t asked_changes = 0, asked_purges = 0, failed = 0, named = 0, under_way = 0, folded = 0;
   bool looking = false;
@@ -116,7 +116,7 @@
     auto* n = f.nodes[i].get();
     if (!n->up()) return;
     if (purgers.empty()) purgers.resize(f.nodes.size());
-    if (!purgers[i]) purgers[i] = std::make_unique<gate::Purger>(n->ports(), n->relay().registers());
+    if (!purgers[i]) purgers[i] = std::make_unique<control_api::Purger>(n->ports(), n->relay().registers());
     auto service = fmt::format("s{}", f.w.below(kServices));
     pb::Purge p;
     p.set_kind("path");
@@ -127,7 +127,7 @@
     f.w.spawn(n->life(), [this, i, service, p, from] {
       auto r = purgers[i]->put(service, p);
       --under_way;
-      auto* d = std::get_if<gate::PurgeDone>(&r);
+      auto* d = std::get_if<control_api::PurgeDone>(&r);
       if (!d) return void(++failed);
       purge_told.add(static_cast<double>((f.w.now() - from).count()));
       wants.push_back({"purge/" + service, d->number, from, true});
--- a/test/traffic_unit.cpp
+++ b/test/traffic_unit.cpp
@@ -1,6 +1,6 @@
 // Budgets, trials, purges, cache lifetimes and headers.
 #include "cache/cache.hpp"
-#include "gate/purger.hpp"
+#include "control_api/purger.hpp"
 #include "traffic/budget.hpp"
 #include "traffic/face.hpp"
 #include "traffic/load_balancer.hpp"
@@ -112,7 +112,7 @@
                    p.set_name("p" + std::to_string(i));
                    p.set_kind("path");
                    p.set_path("/c/" + std::to_string(i % 300));
-                   done.emplace_back(p.path(), gate::add_purge(s, p).number);
+                   done.emplace_back(p.path(), control_api::add_purge(s, p).number);
                  }
                  RC_ASSERT(s.purges_size() <= 128);
                  traffic::Table t;
@@ -125,12 +125,12 @@
          pb::Purge p;
          p.set_name("a");
          p.set_kind("service");
-         gate::add_purge(s, p);
-         expect(gate::add_purge(s, p).known && s.number() == 1, "it was taken twice");
-         expect(!gate::add_purge(s, p).clash, "the same document clashed");
+         control_api::add_purge(s, p);
+         expect(control_api::add_purge(s, p).known && s.number() == 1, "it was taken twice");
+         expect(!control_api::add_purge(s, p).clash, "the same document clashed");
          p.set_kind("prefix");
          p.set_path("/c/");
-         expect(gate::add_purge(s, p).clash && s.number() == 1, "another document under a known name was taken as done");
+         expect(control_api::add_purge(s, p).clash && s.number() == 1, "another document under a known name was taken as done");
        }},
       {"cache: lifetimes by RFC 9111",
        [] {
