--- a/src/sim/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -1,14 +1,14 @@
 // Hosts keep their platters over restarts; everything else of a process is
 // made anew. A killed process is buried once its last fiber has unwound.
-#include "sim/fleet.hpp"
+#include "simulation/fleet.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 
-#include "sim/origin.hpp"
+#include "simulation/origin.hpp"
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 
 struct Fleet::Grave {
   Host h;
@@ -311,4 +311,4 @@
   for (auto& h : hosts_) kill(h->name);
 }
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/src/sim/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -3,9 +3,9 @@
 // form of the stand-ins', so that one checker reads both.
 #pragma once
 #include "control_api/control.hpp"
-#include "sim/ports.hpp"
+#include "simulation/ports.hpp"
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 
 struct FleetShape {
   int holders = 5, edges = 4, spares = 0;  // spares have a disk, and no settings name them as holders
@@ -129,4 +129,4 @@
   bool old_ = false;  // all were started once
 };
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/src/sim/origin.cpp
+++ b/src/simulation/origin.cpp
@@ -1,9 +1,9 @@
 // What a simulated worker does with a request; what it ran goes to the journal.
-#include "sim/origin.hpp"
+#include "simulation/origin.hpp"
 
 #include <fmt/format.h>
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 namespace {
 std::vector<std::pair<std::string, std::string>> head(const Worker& x, const std::string& rid,
                                                       std::vector<std::pair<std::string, std::string>> more) {
@@ -100,4 +100,4 @@
   return r;
 }
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/src/sim/origin.hpp
+++ b/src/simulation/origin.hpp
@@ -1,9 +1,9 @@
 // Requests reach a simulated worker by its address, whoever stands there now, and a
 // relay's control face by its name.
 #pragma once
-#include "sim/fleet.hpp"
+#include "simulation/fleet.hpp"
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 
 class SimOrigin final : public base::Origin {
  public:
@@ -18,4 +18,4 @@
   LifePtr l_;
 };
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/src/sim/ports.cpp
+++ b/src/simulation/ports.cpp
@@ -1,8 +1,8 @@
 // Messages take their time, get lost, come twice and overtake each other; both
 // directions of a link can be cut apart from each other.
-#include "sim/ports.hpp"
+#include "simulation/ports.hpp"
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 
 void Clock::sleep(Duration s) {
   Wait w;
@@ -129,4 +129,4 @@
   return d2;
 }
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/src/sim/ports.hpp
+++ b/src/simulation/ports.hpp
@@ -2,9 +2,9 @@
 #pragma once
 #include "base/ports.hpp"
 #include "storage/snapshot_store.hpp"
-#include "sim/world.hpp"
+#include "simulation/world.hpp"
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 
 class Clock final : public base::Clock {
  public:
@@ -95,4 +95,4 @@
   std::unique_ptr<storage::SnapshotStore> s_;
 };
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/src/sim/world.cpp
+++ b/src/simulation/world.cpp
@@ -1,7 +1,7 @@
 // The event list is the idle hook of the fiber scheduler: when no fiber is
 // ready, the next event happens. A frozen host's fibers are not woken before
 // its thaw; a dead one's are woken once, to unwind.
-#include "sim/world.hpp"
+#include "simulation/world.hpp"
 
 #include <fmt/format.h>
 
@@ -10,7 +10,7 @@
 
 #include "wire/loop.hpp"
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 namespace bf = boost::fibers;
 
 World::World(uint64_t seed) : rng_(seed) {}
@@ -114,4 +114,4 @@
   return f != frozen_.end() && f->second > now_;
 }
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/src/sim/world.hpp
+++ b/src/simulation/world.hpp
@@ -8,7 +8,7 @@
 
 #include "base/ports.hpp"
 
-namespace dunlinwing::sim {
+namespace dunlinwing::simulation {
 
 struct Dead {};  // thrown in the fibers of a process that was killed
 
@@ -81,4 +81,4 @@
   uint64_t turn = 0;  // tells a late timer from this one's
 };
 
-}  // namespace dunlinwing::sim
+}  // namespace dunlinwing::simulation
--- a/test/fault_stories.cpp
+++ b/test/fault_stories.cpp
@@ -116,8 +116,8 @@
       s.want(serves(s, Duration(15000)), std::string("no service after the return of ") + what);
       s.f.sleep(Duration(20500));
     };
-    part("a zone", [&](sim::Host& h) { return h.zone == "a"; });
-    part("the second tier", [&](sim::Host& h) { return h.shield; });
+    part("a zone", [&](simulation::Host& h) { return h.zone == "a"; });
+    part("the second tier", [&](simulation::Host& h) { return h.shield; });
   };
 }
 
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -32,7 +32,7 @@
   return w;
 }
 
-std::set<std::string> holders_at(sim::Host& h) {
+std::set<std::string> holders_at(simulation::Host& h) {
   std::set<std::string> out;
   for (auto& x : h.node->registers().set().all()) out.insert(x.name);
   return out;
@@ -184,7 +184,7 @@
 }
 
 auto seeded(int tolerate) {
-  return [tolerate](sim::FleetShape& f) {
+  return [tolerate](simulation::FleetShape& f) {
     f.seeded = true;
     f.holders = 3;
     f.tolerate = tolerate;
--- a/test/measure/delays.cpp
+++ b/test/measure/delays.cpp
@@ -20,9 +20,9 @@
   }
 };
 
-void play(uint64_t seed, sim::FleetShape shape, Duration length, const std::function<void(Scene&)>& story) {
-  sim::World w(seed);
-  sim::Fleet f(w, shape);
+void play(uint64_t seed, simulation::FleetShape shape, Duration length, const std::function<void(Scene&)>& story) {
+  simulation::World w(seed);
+  simulation::Fleet f(w, shape);
   Scene s{w, f, {}};
   w.run(w.now() + length, nullptr, [&] {
     f.start_all();
@@ -39,7 +39,7 @@
   for (int edges : {9, 27, 59}) {
     Figure msgs, bytes;
     for (int k = 1; k <= seeds; ++k) {
-      sim::FleetShape shape;
+      simulation::FleetShape shape;
       shape.edges = edges;
       play(static_cast<uint64_t>(k), shape, Duration(30000), [&](Scene& s) {
         if (!begin(s, 100)) return;
@@ -57,7 +57,7 @@
 
 namespace {
 // Milliseconds until the condition holds on every host that is up.
-double till_all(Scene& s, const std::function<bool(sim::Host&)>& ok) {
+double till_all(Scene& s, const std::function<bool(simulation::Host&)>& ok) {
   auto from = s.w.now();
   s.f.until(Duration(20000), [&] {
     for (auto& h : s.f.hosts())
@@ -97,7 +97,7 @@
         s.f.sleep(Duration(1000 + s.w.below(1000)));
         purge(s, fmt::format("p{}", i), "service", "");
         auto want = static_cast<uint64_t>(i + 1);
-        purge_seen.v.push_back(till_all(s, [&](sim::Host& h) { return traffic::purge_number(*h.node->traffic().table(), "content") >= want; }));
+        purge_seen.v.push_back(till_all(s, [&](simulation::Host& h) { return traffic::purge_number(*h.node->traffic().table(), "content") >= want; }));
       }
       auto doc = sim_layout("\"1\"", 3, 0, R"(,"express":"measured")");
       put(s, "second", doc);
@@ -106,7 +106,7 @@
         rollout_seen(s, r);
         return r.in_force().count("layout") && r.in_force().at("layout") == "second";
       });
-      assigned.v.push_back(till_all(s, [](sim::Host& h) { return h.node->release() == "second"; }));
+      assigned.v.push_back(till_all(s, [](simulation::Host& h) { return h.node->release() == "second"; }));
       holder.v.push_back(gap(s, [&] { s.f.kill("h1"); }, Duration(6000)));
       s.f.start("h1");
       s.f.sleep(Duration(3000));
@@ -128,7 +128,7 @@
       s.f.sleep(Duration(2500));
       s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
       s.f.until(Duration(40000), [&] { return s.w.met["bad_answer"] >= 50; });
-      quarantine.v.push_back(till_all(s, [](sim::Host& h) {
+      quarantine.v.push_back(till_all(s, [](simulation::Host& h) {
         auto t = h.node->traffic().table();
         auto f = t->states.find("app");
         return f != t->states.end() && f->second.quarantined().count("2");
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -16,7 +16,7 @@
 
 class HollowNet final : public base::Net {
  public:
-  HollowNet(Hollow& f, Node& me, sim::LifePtr l) : f_(f), me_(me), l_(std::move(l)) {}
+  HollowNet(Hollow& f, Node& me, simulation::LifePtr l) : f_(f), me_(me), l_(std::move(l)) {}
   std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
     auto t = std::make_shared<Talk>();
     auto to = f_.by.find(addr);
@@ -38,7 +38,7 @@
   struct Talk {
     std::optional<std::string> reply;
     bool refused = false;
-    sim::Wait wait;
+    simulation::Wait wait;
   };
   void count(Node& n, size_t bytes) {
     ++n.toll.messages;
@@ -84,7 +84,7 @@
   }
   Hollow& f_;
   Node& me_;
-  sim::LifePtr l_;
+  simulation::LifePtr l_;
 };
 
 class NoOrigin final : public base::Origin {
@@ -97,30 +97,30 @@
 }  // namespace
 
 struct Proc {
-  sim::LifePtr life;
-  sim::Clock clock;
-  sim::Random random;
-  sim::Tasks tasks;
+  simulation::LifePtr life;
+  simulation::Clock clock;
+  simulation::Random random;
+  simulation::Tasks tasks;
   HollowNet net;
   NoOrigin origin;
   base::Ports ports;
-  std::unique_ptr<sim::Disk> disk;
+  std::unique_ptr<simulation::Disk> disk;
   std::unique_ptr<relay::Node> node;
   std::unique_ptr<control_api::Control> control;
 
-  Proc(Hollow& f, Node& n, sim::LifePtr l, const relay::NodeConfig& c)
+  Proc(Hollow& f, Node& n, simulation::LifePtr l, const relay::NodeConfig& c)
       : life(l), clock(f.w, l, &n.wall), random(f.w), tasks(f.w, l), net(f, n, l), ports{clock, random, tasks, net, origin},
-        disk(n.holder ? std::make_unique<sim::Disk>(f.w, l, n.platter) : nullptr),
+        disk(n.holder ? std::make_unique<simulation::Disk>(f.w, l, n.platter) : nullptr),
         node(std::make_unique<relay::Node>(ports, c, disk.get())), control(std::make_unique<control_api::Control>(ports, *node)) {}
 };
 
 bool Node::up() const { return proc && !proc->life->dead; }
 relay::Node& Node::relay() const { return *proc->node; }
 control_api::Control& Node::control() const { return *proc->control; }
-const sim::LifePtr& Node::life() const { return proc->life; }
+const simulation::LifePtr& Node::life() const { return proc->life; }
 base::Ports& Node::ports() const { return proc->ports; }
 
-Hollow::Hollow(sim::World& world, Shape shape) : w(world), s(shape), out(std::make_shared<sim::Life>()) {
+Hollow::Hollow(simulation::World& world, Shape shape) : w(world), s(shape), out(std::make_shared<simulation::Life>()) {
   out->host = "outside";
   for (int i = 0; i < s.nodes; ++i) {
     auto n = std::make_unique<Node>();
@@ -139,7 +139,7 @@
 
 void Hollow::start(Node& n) {
   if (n.up()) return;
-  auto l = std::make_shared<sim::Life>();
+  auto l = std::make_shared<simulation::Life>();
   l->host = n.name;
   relay::NodeConfig c;
   c.name = n.name;
@@ -173,7 +173,7 @@
 void Hollow::outside(std::function<void()> f) { w.spawn(out, std::move(f)); }
 
 void Hollow::sleep(Duration d) {
-  sim::Wait x;
+  simulation::Wait x;
   w.wait(out, d, x);
 }
 
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -3,7 +3,7 @@
 // two of them is encoded and decoded as on a wire, and counted at both ends.
 #pragma once
 #include "control_api/control.hpp"
-#include "sim/ports.hpp"
+#include "simulation/ports.hpp"
 
 namespace dunlinwing::measure {
 
@@ -28,7 +28,7 @@
   std::string name, zone, address;
   int region = 0;
   bool holder = false;
-  sim::Platter platter;
+  simulation::Platter platter;
   int64_t wall = 0;
   Toll toll;
   uint64_t answer_ns = 0;  // processor time spent on others' pulls
@@ -36,12 +36,12 @@
   bool up() const;
   relay::Node& relay() const;
   control_api::Control& control() const;
-  const sim::LifePtr& life() const;
+  const simulation::LifePtr& life() const;
   base::Ports& ports() const;
 };
 
 struct Hollow {
-  Hollow(sim::World& w, Shape s);
+  Hollow(simulation::World& w, Shape s);
   ~Hollow();
   void start(Node& n);
   void start_all();
@@ -58,11 +58,11 @@
   void beats(int workers, Duration period);                  // each worker stays with its relay
   bool cut(const Node& a, const Node& b) const { return apart >= 0 && (a.region == apart) != (b.region == apart); }
 
-  sim::World& w;
+  simulation::World& w;
   Shape s;
   std::vector<std::unique_ptr<Node>> nodes;
   std::map<std::string, Node*> by;  // by address
-  sim::LifePtr out;
+  simulation::LifePtr out;
   std::vector<std::shared_ptr<Proc>> graves;
   int apart = -1;  // a region that hears no other
   uint64_t asks = 0, answers = 0, beats_taken = 0, beats_missed = 0;
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -47,7 +47,7 @@
 };
 
 struct Real {
-  sim::Platter platter;
+  simulation::Platter platter;
   CountedNet net;
   NoOrigin origin;
   std::unique_ptr<base::Ports> ports;
@@ -82,7 +82,7 @@
     for (int i = 0; i < s.nodes; ++i) {
       auto r = std::make_unique<Real>();
       r->ports = std::make_unique<base::Ports>(base::Ports{clock, random, pool, r->net, r->origin});
-      if (i < s.holders) r->disk = std::make_unique<storage::SnapshotStore>(std::make_unique<sim::MemFiles>(r->platter), 16384);
+      if (i < s.holders) r->disk = std::make_unique<storage::SnapshotStore>(std::make_unique<simulation::MemFiles>(r->platter), 16384);
       relay::NodeConfig c;
       c.name = fmt::format("{}{}", i < s.holders ? "h" : "e", i + 1);
       c.zone = fmt::format("z{}", i % s.zones);
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -101,7 +101,7 @@
 }  // namespace
 
 std::string play(uint64_t seed, Shape s, Duration length, const std::function<void(Hollow&)>& story) {
-  sim::World w(seed);
+  simulation::World w(seed);
   Hollow f(w, s);
   std::string why = "the run's time was over";
   w.run(w.now() + length + kUp, nullptr, [&] {
--- a/test/mixed_stories.cpp
+++ b/test/mixed_stories.cpp
@@ -11,8 +11,8 @@
   std::map<std::string, std::string> layouts;
   int turn = 0;
 
-  sim::Host& host() { return *s.f.hosts()[s.w.below(s.f.hosts().size())]; }
-  sim::Worker* worker() {
+  simulation::Host& host() { return *s.f.hosts()[s.w.below(s.f.hosts().size())]; }
+  simulation::Worker* worker() {
     auto& ws = s.f.workers();
     auto* w = ws[s.w.below(ws.size())].get();
     return w->alive && !w->leaving && !w->foreign ? w : nullptr;
--- a/test/move_stories.cpp
+++ b/test/move_stories.cpp
@@ -12,7 +12,7 @@
   std::string trouble;   // leadership, freeze or restarts, in its midst
 };
 
-void spoil(Scene& s, sim::Worker& x, const std::string& how, int percent) {
+void spoil(Scene& s, simulation::Worker& x, const std::string& how, int percent) {
   auto* w = &s.w;
   auto* f = &s.f;
   auto bad = [w, percent] { return static_cast<int>(w->below(100)) < percent; };
@@ -75,7 +75,7 @@
     s.want(s.f.tell("GET", "/v1/moves/app", "").status == 404, "a move was told of that nobody asked for");
     Duration term(12000 + static_cast<int64_t>(s.w.below(5)) * 1000);
     int percent = 35 + static_cast<int>(s.w.below(26));
-    std::vector<sim::Worker*> mine;
+    std::vector<simulation::Worker*> mine;
     for (auto& x : s.f.workers())
       if (x->service == "app") x->least = Duration(5), x->most = Duration(15);
     auto start = [&] {
--- a/test/platform/clients.cpp
+++ b/test/platform/clients.cpp
@@ -28,9 +28,9 @@
   return std::all_of(missed_.begin(), missed_.end(), [](auto& m) { return m.second == 0; });
 }
 
-sim::Host* Clients::door(const std::string& zone, const std::set<std::string>& tried) {
-  auto pick = [&](auto ok) -> sim::Host* {
-    std::vector<sim::Host*> v;
+simulation::Host* Clients::door(const std::string& zone, const std::set<std::string>& tried) {
+  auto pick = [&](auto ok) -> simulation::Host* {
+    std::vector<simulation::Host*> v;
     for (auto& h : f_.hosts())
       if (ok(*h)) v.push_back(h.get());
     return v.empty() ? nullptr : v[f_.world().below(v.size())];
@@ -45,7 +45,7 @@
   return pick([](auto&) { return true; });
 }
 
-Try& Clients::send(sim::Host& h, Try t, Duration most) {
+Try& Clients::send(simulation::Host& h, Try t, Duration most) {
   auto& w = f_.world();
   t.id = fmt::format("{:016x}", ++named_ * 0x9e3779b97f4a7c15u);
   t.relay = h.name;
--- a/test/platform/day.cpp
+++ b/test/platform/day.cpp
@@ -12,8 +12,8 @@
 namespace {
 constexpr Duration kBeat{1500};
 
-sim::FleetShape shape(bool small, Yard& yard) {
-  sim::FleetShape s;
+simulation::FleetShape shape(bool small, Yard& yard) {
+  simulation::FleetShape s;
   s.holders = 3;
   s.edges = small ? 4 : 9;
   s.seeded = true;
@@ -27,7 +27,7 @@
     c.cache_bytes = 65 << 20;
     c.system.repeat_allowance = 64;
   };
-  s.before = [](base::Request& q, const sim::FleetShape::Handler& product) { return platform::answer(q, kBeat, product); };
+  s.before = [](base::Request& q, const simulation::FleetShape::Handler& product) { return platform::answer(q, kBeat, product); };
   s.send = [&yard](auto& l, auto& a, auto& q, auto& r) { return yard.send(l, a, q, r); };
   s.stands = [&yard](auto& a) { return yard.stands(a); };
   return s;
@@ -87,8 +87,8 @@
   return ok;
 }
 
-sim::Host& Day::any(bool core) {
-  std::vector<sim::Host*> v;
+simulation::Host& Day::any(bool core) {
+  std::vector<simulation::Host*> v;
   for (auto& h : f.hosts())
     if (h->up() && h->holder == core && !w.frozen(h->name)) v.push_back(h.get());
   return *v.at(below(v.size()));
@@ -130,7 +130,7 @@
   for (;;) {
     std::string core;
     int up = 0, all = 0;
-    std::vector<sim::Host*> held;
+    std::vector<simulation::Host*> held;
     for (auto& h : f.hosts()) {
       bool well = h->up() && !w.frozen(h->name);
       auto& life = lives_[h->name];
@@ -143,7 +143,7 @@
       core += fmt::format("{}{}{}", h->name, well, h->life ? fmt::ptr(h->life.get()) : nullptr);
     }
     auto joined = [&](auto& a, auto& b) { return a.name == b.name || (!w.cut_off(a.name, b.name) && !w.cut_off(b.name, a.name)); };
-    std::vector<sim::Host*> main;  // of the core, those that reach over half of it
+    std::vector<simulation::Host*> main;  // of the core, those that reach over half of it
     for (auto* a : held) {
       int n = 0;
       for (auto* b : held) {
--- a/test/platform/day.hpp
+++ b/test/platform/day.hpp
@@ -10,10 +10,10 @@
 
 struct Day {
   Day(uint64_t seed, bool small);
-  sim::World w;
+  simulation::World w;
   Diary d;
   Yard yard;
-  sim::Fleet f;
+  simulation::Fleet f;
   Clients clients;
   Operator op;
   Page page;                      // the newest that the operator means
@@ -26,7 +26,7 @@
   void want(bool ok, const std::string& what);
   bool change(uint64_t dice);     // the operator's next configuration
   uint64_t below(uint64_t n) { return w.below(n); }
-  sim::Host& any(bool core);      // one that is up
+  simulation::Host& any(bool core);      // one that is up
   void kill_for(const std::string& host, Duration down);
   void unsettle() { d.shaken.push_back(w.now()); }
   void harm(const std::string& host) { d.harmed[host].push_back(w.now()); }
--- a/test/platform/machine_kinds.cpp
+++ b/test/platform/machine_kinds.cpp
@@ -88,7 +88,7 @@
 }
 
 void clock_step(Day& y) {
-  std::vector<sim::Host*> who;
+  std::vector<simulation::Host*> who;
   for (auto& h : y.f.hosts())
     if (y.below(10) < 3) who.push_back(h.get());
   int64_t by = y.below(2) ? 2000 : -2000;
--- a/test/platform/people.hpp
+++ b/test/platform/people.hpp
@@ -7,7 +7,7 @@
 
 class Clients {
  public:
-  Clients(sim::Fleet& f, Diary& d) : f_(f), d_(d) {}
+  Clients(simulation::Fleet& f, Diary& d) : f_(f), d_(d) {}
   void knock();                                 // keeps asking every node whether it is ready
   void come(const Page& p, int per_second, TimePoint until);
   void probe(const std::string& host, const std::string& target);  // to each node that takes clients
@@ -18,9 +18,9 @@
 
  private:
   void one();
-  sim::Host* door(const std::string& zone, const std::set<std::string>& tried);
-  Try& send(sim::Host& h, Try t, Duration most);
-  sim::Fleet& f_;
+  simulation::Host* door(const std::string& zone, const std::set<std::string>& tried);
+  Try& send(simulation::Host& h, Try t, Duration most);
+  simulation::Fleet& f_;
   Diary& d_;
   Page page_;
   std::map<std::string, int> missed_;
@@ -29,7 +29,7 @@
 
 class Operator {
  public:
-  Operator(sim::Fleet& f, Diary& d) : f_(f), d_(d) {}
+  Operator(simulation::Fleet& f, Diary& d) : f_(f), d_(d) {}
   bool put(const Page& p);                      // sent until it gets a clear answer
   int put_text(const std::string& what, const Page& p, const std::string& text, bool valid);
   bool purge(const std::string& host, const std::string& path, const std::string& tag);
@@ -40,7 +40,7 @@
 
  private:
   std::pair<int, std::string> call(const std::string& method, const std::string& target, const std::string& body, Duration most, const std::string& what);
-  sim::Fleet& f_;
+  simulation::Fleet& f_;
   Diary& d_;
 };
 
--- a/test/platform/yard.cpp
+++ b/test/platform/yard.cpp
@@ -145,11 +145,11 @@
   return r;
 }
 
-Yard::Shot Yard::send(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& rules) {
+Yard::Shot Yard::send(const simulation::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& rules) {
   auto& w = f_.world();
   auto end = w.now() + rules.limit;
   auto sleep = [&](Duration t) {
-    sim::Wait x;
+    simulation::Wait x;
     w.wait(l, t, x);
   };
   sleep(Duration(1));
--- a/test/platform/yard.hpp
+++ b/test/platform/yard.hpp
@@ -2,7 +2,7 @@
 // objects that change, beat, drain, crash, and misbehave as they are told to.
 #pragma once
 #include "platform/diary.hpp"
-#include "sim/fleet.hpp"
+#include "simulation/fleet.hpp"
 
 namespace dunlinwing::test {
 
@@ -21,9 +21,9 @@
 
 class Yard {
  public:
-  Yard(sim::Fleet& f, Diary& d) : f_(f), d_(d) {}
+  Yard(simulation::Fleet& f, Diary& d) : f_(f), d_(d) {}
   using Shot = std::variant<base::Response, base::AttemptError>;
-  Shot send(const sim::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& r);
+  Shot send(const simulation::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& r);
   bool stands(const std::string& address);
   Server& add(const std::string& service, const std::string& version = "v1", Duration cold = Duration(0), const std::string& address = {});
   void drain(Server& s);   // says so, serves on, says that it has ended, and ends
@@ -37,7 +37,7 @@
   bool beat(Server& s, const char* method);
   Server* at(const std::string& address);
   base::Response answer(Server& s, const base::Request& q, bool fails);
-  sim::Fleet& f_;
+  simulation::Fleet& f_;
   Diary& d_;
   std::vector<std::unique_ptr<Server>> all_;
   std::map<std::string, std::vector<TimePoint>> came_;
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -43,7 +43,7 @@
   s.must_meet = {"bad_answer"};
   s.story = [&s, ph] {
     if (!begin(s, 80)) return;
-    std::vector<sim::Worker*> two;
+    std::vector<simulation::Worker*> two;
     for (int i = 0; i < 3; ++i) two.push_back(&s.f.add_worker("fresh", "1", 0));
     s.f.event(R"("t":"allowed","service":"fresh","version":"1","prefix":"/a/")");
     s.f.sleep(Duration(2500));
--- a/test/sim_cases.hpp
+++ b/test/sim_cases.hpp
@@ -3,7 +3,7 @@
 #pragma once
 #include "checker.hpp"
 #include "expect.hpp"
-#include "sim/fleet.hpp"
+#include "simulation/fleet.hpp"
 
 namespace dunlinwing::test {
 
@@ -13,8 +13,8 @@
 };
 
 struct Scene {
-  sim::World& w;
-  sim::Fleet& f;
+  simulation::World& w;
+  simulation::Fleet& f;
   std::string only;                 // the relay that all callers go to; empty: any that is ready
   std::function<void()> story;      // a fiber of the outside world
   Duration length{60000};
@@ -31,12 +31,12 @@
 struct SimCase {
   std::function<void(Scene&)> set_up;
   int spares = 0;
-  std::function<void(sim::FleetShape&)> shape;  // what this case needs otherwise than it is
+  std::function<void(simulation::FleetShape&)> shape;  // what this case needs otherwise than it is
   SimCase() = default;
   template <class F>
-  SimCase(F f, int sp = 0, std::function<void(sim::FleetShape&)> sh = {}) : set_up(f), spares(sp), shape(std::move(sh)) {}
+  SimCase(F f, int sp = 0, std::function<void(simulation::FleetShape&)> sh = {}) : set_up(f), spares(sp), shape(std::move(sh)) {}
 };
 const std::map<std::string, SimCase>& sim_cases();
-void run_sim(const SimCase& c, const sim::FleetShape& shape, uint64_t seed, SimFigures& sum, const std::string& journal);
+void run_sim(const SimCase& c, const simulation::FleetShape& shape, uint64_t seed, SimFigures& sum, const std::string& journal);
 
 }  // namespace dunlinwing::test
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -11,7 +11,7 @@
 
 // What must hold after every single event, whatever has happened.
 struct Watch {
-  sim::Fleet& f;
+  simulation::Fleet& f;
   std::map<std::string, std::pair<void*, uint64_t>> shown;
   std::map<std::string, uint64_t> told;  // generations already journalled as acknowledged
   std::map<std::string, uint64_t> seat;      // host -> epoch of the set it was last seen with
@@ -65,12 +65,12 @@
 };
 }  // namespace
 
-void run_sim(const SimCase& c, const sim::FleetShape& sh, uint64_t seed, SimFigures& sum, const std::string& journal) {
-  sim::World w(seed);
+void run_sim(const SimCase& c, const simulation::FleetShape& sh, uint64_t seed, SimFigures& sum, const std::string& journal) {
+  simulation::World w(seed);
   auto shape = sh;
   shape.spares = c.spares;
   if (c.shape) c.shape(shape);
-  sim::Fleet f(w, shape);
+  simulation::Fleet f(w, shape);
   Scene s{w, f, {}};
   Watch watch{f, {}, {}, {}, {}, {}, {}};
   w.synced = [&](auto& host, auto& r) { watch.synced(host, r); };
--- a/test/sim_test.cpp
+++ b/test/sim_test.cpp
@@ -21,7 +21,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   base::Level l;
   if (base::parse_level(FLAGS_log_level, l)) base::set_level(l);
-  auto shape = FLAGS_shape == "lobby" ? sim::lobby_shape() : FLAGS_shape == "practice" ? sim::practice_shape() : sim::FleetShape();
+  auto shape = FLAGS_shape == "lobby" ? simulation::lobby_shape() : FLAGS_shape == "practice" ? simulation::practice_shape() : simulation::FleetShape();
   if (FLAGS_edges) shape.edges = FLAGS_edges;
   std::vector<test::Case> cs;
   bool whole = test::sim_cases().count(FLAGS_case_name) > 0;
--- a/test/storage_unit.cpp
+++ b/test/storage_unit.cpp
@@ -1,6 +1,6 @@
 // The disk format under torn and rotten bytes, and the store over restarts.
 #include "storage/snapshot_store.hpp"
-#include "sim/ports.hpp"
+#include "simulation/ports.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
@@ -15,8 +15,8 @@
 }
 
 // Writes a run of records, as a holder would, and returns what it then knows.
-std::map<std::string, uint64_t> fill(sim::Platter& p, int n, size_t log_bytes) {
-  storage::SnapshotStore s(std::make_unique<sim::MemFiles>(p), log_bytes);
+std::map<std::string, uint64_t> fill(simulation::Platter& p, int n, size_t log_bytes) {
+  storage::SnapshotStore s(std::make_unique<simulation::MemFiles>(p), log_bytes);
   auto im = s.load().image;
   std::map<std::string, pb::RegisterState> all;
   for (auto& x : im.slots()) all[x.name()] = x;
@@ -46,14 +46,14 @@
   return out;
 }
 
-base::Loaded load(sim::Platter& p) { return storage::SnapshotStore(std::make_unique<sim::MemFiles>(p), 2000).load(); }
+base::Loaded load(simulation::Platter& p) { return storage::SnapshotStore(std::make_unique<simulation::MemFiles>(p), 2000).load(); }
 }  // namespace
 
 std::vector<Case> disk_cases() {
   return {
       property("disk: what was saved is loaded, over any number of slot turns",
                [] {
-                 sim::Platter p;
+                 simulation::Platter p;
                  auto n = *rc::gen::inRange(0, 200);
                  auto want = fill(p, n, static_cast<size_t>(*rc::gen::inRange(100, 4000)));
                  auto l = load(p);
@@ -63,12 +63,12 @@
                }),
       property("disk: a torn last write loses that write only",
                [] {
-                 sim::Platter p;
+                 simulation::Platter p;
                  auto n = *rc::gen::inRange(1, 60);
                  fill(p, n - 1, 1 << 20);
                  auto before = versions(load(p));
                  auto kept = p.files;
-                 storage::SnapshotStore s(std::make_unique<sim::MemFiles>(p), 1 << 20);
+                 storage::SnapshotStore s(std::make_unique<simulation::MemFiles>(p), 1 << 20);
                  s.load();
                  auto base = p.files;
                  s.save({record("last", 999, "x")}, [] { return pb::Image(); });
@@ -83,7 +83,7 @@
                }),
       property("disk: a rotten byte inside the log is never believed",
                [] {
-                 sim::Platter p;
+                 simulation::Platter p;
                  auto want = fill(p, *rc::gen::inRange(5, 40), 1 << 20);
                  // The log in use is the longer one; rot anywhere before its last record.
                  auto& b = p.files["log.0"].size() > p.files["log.1"].size() ? p.files["log.0"] : p.files["log.1"];
@@ -97,7 +97,7 @@
                }),
       property("disk: a rotten slot in use is never believed",
                [] {
-                 sim::Platter p;
+                 simulation::Platter p;
                  fill(p, *rc::gen::inRange(5, 40), 1 << 20);
                  auto k = p.files["log.0"].size() > p.files["log.1"].size() ? "slot.0" : "slot.1";
                  auto& b = p.files[k];
@@ -107,8 +107,8 @@
                }),
       {"disk: a failing disk says so, and stays failed",
        [] {
-         sim::Platter p;
-         storage::SnapshotStore s(std::make_unique<sim::MemFiles>(p), 1000);
+         simulation::Platter p;
+         storage::SnapshotStore s(std::make_unique<simulation::MemFiles>(p), 1000);
          s.load();
          p.failing = true;
          expect(s.save({record("a", 1, "")}, [] { return pb::Image(); }).has_value(), "a failed write was hidden");
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -17,7 +17,7 @@
 void mix(Scene& s) {
   auto& w = s.w;
   auto d = w.below(100);
-  sim::Host* to = nullptr;
+  simulation::Host* to = nullptr;
   if (!s.only.empty() && s.f.at(s.only).up() && s.f.at(s.only).node->ready()) to = &s.f.at(s.only);
   if (d < 50)
     s.f.call("GET", fmt::format("/c/{}", w.below(20)), "", to);
@@ -105,19 +105,19 @@
   return ok;
 }
 
-bool may_fall(Scene& s, sim::Host& h) {
+bool may_fall(Scene& s, simulation::Host& h) {
   int down = 0;
   for (auto& x : s.f.hosts()) down += x->holder && (!x->up() || x->node->acceptor()->mute());
   return h.up() && (!h.holder || down < 2);
 }
 
-sim::Host* duty_holder(Scene& s) {
+simulation::Host* duty_holder(Scene& s) {
   for (auto& h : s.f.hosts())
     if (h->up() && h->node->leadership().held()) return h.get();
   return nullptr;
 }
 
-void knows(Scene& s, sim::Host& h, const std::map<std::string, std::string>& acked) {
+void knows(Scene& s, simulation::Host& h, const std::map<std::string, std::string>& acked) {
   for (auto& [n, doc] : acked) {
     auto& c = h.node->state_cache().chosen();
     auto f = c.find("release/layout/" + n);
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -11,10 +11,10 @@
 // callers call for the rest of the run.
 bool begin(Scene& s, int rate = 20, const std::string& doc = sim_layout());
 // Whether the host may be killed with a majority of disks left that vote.
-bool may_fall(Scene& s, sim::Host& h);
-sim::Host* duty_holder(Scene& s);
+bool may_fall(Scene& s, simulation::Host& h);
+simulation::Host* duty_holder(Scene& s);
 // That the host knows each layout that was acknowledged, byte for byte.
-void knows(Scene& s, sim::Host& h, const std::map<std::string, std::string>& acked);
+void knows(Scene& s, simulation::Host& h, const std::map<std::string, std::string>& acked);
 bool serves(Scene& s, Duration most);  // every relay that is up is ready
 void put(Scene& s, const std::string& name, const std::string& doc);
 void allow(Scene& s, const std::string& version);
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -119,7 +119,7 @@
   s.length = Duration(50000);
   s.story = [&s] {
     if (!begin(s, 120)) return;
-    sim::Worker* busy = nullptr;
+    simulation::Worker* busy = nullptr;
     int n = 0;
     for (auto& x : s.f.workers())
       if (x->service == "app") ++n, busy = x.get();
