--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -4,14 +4,13 @@
 #include "base/json.hpp"
 
 #define RAPIDJSON_HAS_STDSTRING 1
+#include <fmt/format.h>
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
 #include <rapidjson/schema.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
-#include <fmt/format.h>
-
 #include <stdexcept>
 
 namespace dunlinwing::base {
@@ -56,7 +55,7 @@
   d->Parse<rj::kParseIterativeFlag | rj::kParseValidateEncodingFlag>(t.data(), t.size());
   if (d->HasParseError())
     return ValidationError{"", fmt::format("not JSON at byte {}: {}", d->GetErrorOffset(),
-                                     rj::GetParseError_En(d->GetParseError()))};
+                                           rj::GetParseError_En(d->GetParseError()))};
   if (auto w = twice(*d, "")) return *w;
   auto i = std::make_shared<Impl>();
   i->doc = d;
@@ -163,7 +162,8 @@
   n.doc = std::make_unique<rj::SchemaDocument>(t);
 }
 
-void walk(const rj::Value& v, const Schema::Impl::Node& n, const std::string& at, std::vector<ValidationError>& out) {
+void walk(const rj::Value& v, const Schema::Impl::Node& n, const std::string& at,
+          std::vector<ValidationError>& out) {
   rj::SchemaValidator val(*n.doc);
   if (!v.Accept(val)) {
     std::string k = val.GetInvalidSchemaKeyword() ? val.GetInvalidSchemaKeyword() : "schema";
--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -27,7 +27,7 @@
  public:
   virtual ~Condition() = default;
   virtual bool wait(Duration s) = 0;  // true when woken, false when time ran out
-  virtual void notify() = 0;        // from any thread, any number of times
+  virtual void notify() = 0;          // from any thread, any number of times
 };
 
 class Tasks {
@@ -43,7 +43,8 @@
 class Net {
  public:
   virtual ~Net() = default;
-  virtual std::variant<pb::Reply, NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) = 0;
+  virtual std::variant<pb::Reply, NetError> ask(const std::string& addr, const pb::Ask& a,
+                                                Duration limit) = 0;
 };
 
 enum class DiskError { failed };
@@ -59,7 +60,7 @@
   virtual Loaded load() = 0;
   // Returns once all records are synced. `whole` is called when a fresh image is due.
   virtual std::optional<DiskError> save(const std::vector<pb::Record>& rs,
-                                         const std::function<pb::Image()>& whole) = 0;
+                                        const std::function<pb::Image()>& whole) = 0;
 };
 
 struct Request {
@@ -82,18 +83,20 @@
 struct AttemptRules {
   template <class R, class P>
   AttemptRules(std::chrono::duration<R, P> l) : limit(l) {}  // a bare limit is a rule
-  Duration limit;                      // in which the whole answer must be here
-  Duration connect{0};                 // in which a new connection must stand; 0: the limit
-  int most = 0;                    // connections held to this address at once; 0: no bound
-  bool safe = false;               // may ride a connection that the worker may be about to close
+  Duration limit;                                            // in which the whole answer must be here
+  Duration connect{0};  // in which a new connection must stand; 0: the limit
+  int most = 0;         // connections held to this address at once; 0: no bound
+  bool safe = false;    // may ride a connection that the worker may be about to close
   std::function<bool(const Response&)> mine;
 };
 
 class Origin {
  public:
   virtual ~Origin() = default;
-  virtual bool reach(const std::string& addr, Duration limit) = 0;  // whether a connection can be made; no byte is sent
-  virtual std::variant<Response, AttemptError> send(const std::string& addr, const Request& q, const AttemptRules& r) = 0;
+  virtual bool reach(const std::string& addr,
+                     Duration limit) = 0;  // whether a connection can be made; no byte is sent
+  virtual std::variant<Response, AttemptError> send(const std::string& addr, const Request& q,
+                                                    const AttemptRules& r) = 0;
 };
 
 struct Ports {
@@ -105,7 +108,7 @@
 };
 
 std::string header(const std::vector<std::pair<std::string, std::string>>& hs, std::string_view name);
-bool same_word(std::string_view a, std::string_view b);  // ASCII case folded
+bool same_word(std::string_view a, std::string_view b);        // ASCII case folded
 std::vector<std::string> words(std::string_view s, char sep);  // trimmed, none empty
 std::string sha256_base64(std::string_view body);
 std::string token(Random& c);
--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -89,7 +89,8 @@
   f->waits.clear();
 }
 
-std::optional<ItemPtr> Cache::wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Condition> s, Duration limit) {
+std::optional<ItemPtr> Cache::wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Condition> s,
+                                   Duration limit) {
   {
     std::lock_guard l(f->m);
     if (f->done) return f->item;
@@ -132,7 +133,8 @@
 
 bool may_ask_cache(const base::Request& q, bool cuts) {
   if (q.method != "GET" && q.method != "HEAD") return false;
-  for (auto* h : {"Authorization", "If-Modified-Since", "If-Match", "If-Unmodified-Since", "If-Range", "Cookie"})
+  for (auto* h :
+       {"Authorization", "If-Modified-Since", "If-Match", "If-Unmodified-Since", "If-Range", "Cookie"})
     if (!base::header(q.headers, h).empty()) return false;
   if (!cuts)
     for (auto* h : {"Range", "If-None-Match"})
--- a/src/cache/cache.hpp
+++ b/src/cache/cache.hpp
@@ -29,7 +29,8 @@
   struct Fill;
   std::shared_ptr<Fill> join(const std::string& key, bool& lead);
   void finish(const std::string& key, const std::shared_ptr<Fill>& f, ItemPtr i);
-  std::optional<ItemPtr> wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Condition> s, Duration limit);
+  std::optional<ItemPtr> wait(const std::shared_ptr<Fill>& f, std::shared_ptr<base::Condition> s,
+                              Duration limit);
 
  private:
   struct Impl;
--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -159,7 +159,8 @@
       auto others = this->others();
       pb::Ask a;
       a.mutable_dump()->set_node(me);
-      auto rs = ask_all(ps, others, [&](size_t) { return a; }, round, [](auto&) { return false; });
+      auto rs = ask_all(
+          ps, others, [&](size_t) { return a; }, round, [](auto&) { return false; });
       size_t heard = 0, born = 0, formed = 0, full = 0;
       bool newer = false;
       std::map<std::string, pb::RegisterState> got;
@@ -182,14 +183,18 @@
         if (!take(got)) return;
         lg.info("{}: refilled with {} registers from {} holders.", me, got.size(), formed);
         set_stage(pb::FORMED);
-      } else if (stage == pb::BLANK && every && !full && !formed && set.epoch() <= 1 && (first || !may_have_voted(born))) {
+      } else if (stage == pb::BLANK && every && !full && !formed && set.epoch() <= 1 &&
+                 (first || !may_have_voted(born))) {
         if (!adopt(set.message())) return;  // a born disk knows its set
         set_stage(pb::BORN);
       } else if (stage == pb::BORN && (formed > 0 || (every && born == others.size()))) {
         set_stage(pb::FORMED);
       } else {
         if (stage == pb::BLANK && every && !formed && !std::exchange(doubted, true))
-          lg.warn("{}: this disk is blank, and the others cannot tell whether anything was ever recorded; it stays mute.", me);
+          lg.warn(
+              "{}: this disk is blank, and the others cannot tell whether anything was ever recorded; it "
+              "stays mute.",
+              me);
         ps.clock.sleep(round / 4);
       }
     }
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -15,7 +15,7 @@
   // whole fleet; without it only formed disks fill a blank one, or others that never voted.
   void start(const std::optional<pb::First>& first);
   std::optional<pb::First> first() const;  // as told, or as the blank disk remembers
-  pb::Reply answer(const pb::Ask& a);    // prepare, accept, peek, dump; parks until synced
+  pb::Reply answer(const pb::Ask& a);      // prepare, accept, peek, dump; parks until synced
   void changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const;
   bool mute() const;
   // Makes a newer set of holders last here; lower epochs are turned away from then on.
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -12,10 +12,10 @@
 namespace dunlinwing::consensus {
 namespace {
 constexpr int kPastTags = 8;
-constexpr int kRounds = 5;        // of a round's limit: how long an operation tries
-constexpr int kSilentTries = 3;   // without hearing a majority before it says so
+constexpr int kRounds = 5;       // of a round's limit: how long an operation tries
+constexpr int kSilentTries = 3;  // without hearing a majority before it says so
 constexpr int kMostDoublings = 6;
-constexpr size_t kAtOnce = 16;    // registers finished side by side; holders sync their votes together
+constexpr size_t kAtOnce = 16;  // registers finished side by side; holders sync their votes together
 }  // namespace
 
 struct RegisterClient::Impl {
@@ -33,7 +33,8 @@
   Replies ask(pb::Ask a, const Enough& e) {
     auto epoch = set.epoch();
     a.set_epoch(epoch);
-    auto rs = ask_all(ps, set.all(), [&](size_t) { return a; }, round, e, me, local);
+    auto rs = ask_all(
+        ps, set.all(), [&](size_t) { return a; }, round, e, me, local);
     for (auto& r : rs)
       if (r && r->has_vote()) set.adopt(r->vote().newer());
     if (set.epoch() != epoch) rs.assign(set.all().size(), std::nullopt);
@@ -59,7 +60,8 @@
 
   // Proposers that met each other wait a random while, longer each time.
   void back_off(int i) {
-    auto most = static_cast<uint64_t>(round.count()) / 32 * static_cast<uint64_t>(1 << std::min(i, kMostDoublings));
+    auto most =
+        static_cast<uint64_t>(round.count()) / 32 * static_cast<uint64_t>(1 << std::min(i, kMostDoublings));
     ps.clock.sleep(Duration(1 + ps.random.below(most + 1)));
   }
 
@@ -129,7 +131,8 @@
       bool ok = true;
       std::shared_ptr<base::Condition> condition;
     };
-    auto t = std::make_shared<Table>(Table{names, 0, std::min(kAtOnce, names.size()), true, ps.tasks.condition()});
+    auto t =
+        std::make_shared<Table>(Table{names, 0, std::min(kAtOnce, names.size()), true, ps.tasks.condition()});
     for (size_t k = t->left; k > 0; --k)
       ps.tasks.spawn([this, t] {
         while (t->ok && t->next < t->names.size()) {
@@ -149,7 +152,8 @@
   }
 };
 
-RegisterClient::RegisterClient(base::Ports& ps, std::string me, ReplicaSetView& set, Duration round, Local local)
+RegisterClient::RegisterClient(base::Ports& ps, std::string me, ReplicaSetView& set, Duration round,
+                               Local local)
     : p_(new Impl{ps, std::move(me), set, round, std::move(local)}) {}
 RegisterClient::~RegisterClient() = default;
 size_t RegisterClient::majority() const { return p_->majority(); }
@@ -213,8 +217,8 @@
   return sent ? RegisterError::fate_unknown : RegisterError::no_majority;
 }
 
-std::variant<pb::ReplicaSet, ReplicaSetError> RegisterClient::change(const std::vector<Replica>& to,
-                                                    const std::function<std::optional<std::vector<std::string>>()>& names) {
+std::variant<pb::ReplicaSet, ReplicaSetError> RegisterClient::change(
+    const std::vector<Replica>& to, const std::function<std::optional<std::vector<std::string>>()>& names) {
   auto& p = *p_;
   auto from = p.set.message();
   auto in = [](const std::vector<Replica>& v, const std::string& n) {
@@ -227,7 +231,8 @@
   if (fewer && to.size() < 3) return ReplicaSetError::too_few;
   pb::Ask a;
   *a.mutable_adopt()->mutable_set() = from;
-  auto rs = ask_all(p.ps, p.set.all(), [&](size_t) { return a; }, p.round, [](auto&) { return false; }, p.me, p.local);
+  auto rs = ask_all(
+      p.ps, p.set.all(), [&](size_t) { return a; }, p.round, [](auto&) { return false; }, p.me, p.local);
   if (Impl::yeses(rs) < p.majority()) return ReplicaSetError::no_majority;
   // Asked for only now: what was won before under the set before this one is among them.
   auto ns = names();
@@ -249,7 +254,8 @@
   if (seen.epoch() > from.epoch()) return ReplicaSetError::raced;
   auto w = write(kReplicaSetKey, h->version, next.SerializeAsString());
   if (std::holds_alternative<VersionConflict>(w)) return ReplicaSetError::raced;
-  if (auto* d = std::get_if<RegisterError>(&w)) return *d == RegisterError::no_majority ? ReplicaSetError::no_majority : ReplicaSetError::fate_unknown;
+  if (auto* d = std::get_if<RegisterError>(&w))
+    return *d == RegisterError::no_majority ? ReplicaSetError::no_majority : ReplicaSetError::fate_unknown;
   return next;
 }
 
--- a/src/consensus/register_client.hpp
+++ b/src/consensus/register_client.hpp
@@ -27,8 +27,8 @@
   // Goes to a set that differs by one machine: the present set is made last at a
   // majority of itself, every register that `names` then tells of is finished under it, and only then
   // is the next set written.
-  std::variant<pb::ReplicaSet, ReplicaSetError> change(const std::vector<Replica>& to,
-                                                const std::function<std::optional<std::vector<std::string>>()>& names);
+  std::variant<pb::ReplicaSet, ReplicaSetError> change(
+      const std::vector<Replica>& to, const std::function<std::optional<std::vector<std::string>>()>& names);
   size_t majority() const;
   const std::vector<Replica>& holders() const;
   ReplicaSetView& set();
--- a/src/consensus/vote.cpp
+++ b/src/consensus/vote.cpp
@@ -7,7 +7,9 @@
 bool lower(const pb::Ballot& a, const pb::Ballot& b) {
   return a.round() != b.round() ? a.round() < b.round() : a.node() < b.node();
 }
-bool equal(const pb::Ballot& a, const pb::Ballot& b) { return a.round() == b.round() && a.node() == b.node(); }
+bool equal(const pb::Ballot& a, const pb::Ballot& b) {
+  return a.round() == b.round() && a.node() == b.node();
+}
 
 Step prepare(const pb::RegisterState& s, const pb::Prepare& p) {
   Step r{s};
--- a/src/consensus/vote.hpp
+++ b/src/consensus/vote.hpp
@@ -16,6 +16,7 @@
 bool equal(const pb::Ballot& a, const pb::Ballot& b);
 Step prepare(const pb::RegisterState& s, const pb::Prepare& p);
 Step accept(const pb::RegisterState& s, const pb::Accept& a);
-pb::RegisterState higher(const pb::RegisterState& a, const pb::RegisterState& b);  // the later promise, the later accepted value
+pb::RegisterState higher(const pb::RegisterState& a,
+                         const pb::RegisterState& b);  // the later promise, the later accepted value
 
 }  // namespace dunlinwing::consensus
--- a/src/console/commands.cpp
+++ b/src/console/commands.cpp
@@ -34,7 +34,9 @@
   return b.str();
 }
 
-std::string body_of(const std::string& reason) { return fmt::format("{{\"reason\":{}}}", base::quote(reason)); }
+std::string body_of(const std::string& reason) {
+  return fmt::format("{{\"reason\":{}}}", base::quote(reason));
+}
 
 int with_reason(Session& s, const std::string& path, const std::string& words) {
   if (s.reason.empty()) {
@@ -80,10 +82,14 @@
               << "why       " << c.at("why").str() << "\n"
               << "machine   " << c.at("machine").str() << "\n"
               << "held      " << c.at("held_ms").str("0") << " ms\n"
-              << "on it     " << e.at("on_requests").str("0") << " requests, " << e.at("on_defects").str("0") << " defects\n"
-              << "elsewhere " << e.at("off_requests").str("0") << " requests, " << e.at("off_defects").str("0") << " defects\n"
-              << "probes    " << e.at("probes_ok").str("0") << " good, " << e.at("probes_bad").str("0") << " bad\n";
-    for (auto& [k, v] : j.at("acts").at("waived").members()) std::cout << "waived    " << k << ": " << v.str() << "\n";
+              << "on it     " << e.at("on_requests").str("0") << " requests, " << e.at("on_defects").str("0")
+              << " defects\n"
+              << "elsewhere " << e.at("off_requests").str("0") << " requests, "
+              << e.at("off_defects").str("0") << " defects\n"
+              << "probes    " << e.at("probes_ok").str("0") << " good, " << e.at("probes_bad").str("0")
+              << " bad\n";
+    for (auto& [k, v] : j.at("acts").at("waived").members())
+      std::cout << "waived    " << k << ": " << v.str() << "\n";
   });
   if (rc != kFine) return rc;
   auto ph = r.body.at("course").at("phase").str();
@@ -100,7 +106,8 @@
     auto c = r.body.at("course");
     auto ph = c.at("phase").str("not taken up yet");
     auto now = ph + " " + c.at("zone").str() + ": " + c.at("why").str();
-    if (auto i = now.find(" s of the phase"); i != now.npos) now = ph + " " + c.at("zone").str() + ": holding";
+    if (auto i = now.find(" s of the phase"); i != now.npos)
+      now = ph + " " + c.at("zone").str() + ": holding";
     if (now != last) std::cout << now << "\n" << std::flush;
     last = now;
     if (ph == "DONE") return kFine;
@@ -129,7 +136,8 @@
     }
     auto r = s.link.put(fmt::format("{}?offset={}", path, held), data->substr(held, kPiece));
     if (r.status == 409) {
-      std::cerr << "console: the file is not the one that the release names, or another upload is under way\n";
+      std::cerr
+          << "console: the file is not the one that the release names, or another upload is under way\n";
       return kRejected;
     }
     if (r.status != 200) return refused(r);
@@ -144,7 +152,8 @@
   if (a.status != 200) return refused(a);
   if (b.status != 200) return refused(b);
   int n = 0;
-  std::function<void(const base::Json&, const base::Json&, const std::string&)> walk = [&](auto& x, auto& y, auto at) {
+  std::function<void(const base::Json&, const base::Json&, const std::string&)> walk = [&](auto& x, auto& y,
+                                                                                           auto at) {
     auto mx = x.members(), my = y.members();
     if (mx.empty() && my.empty()) {
       if (x.text() != y.text()) std::cout << at << ": " << x.text() << " -> " << y.text() << "\n", ++n;
@@ -161,25 +170,44 @@
 
 int nodes(Session& s) {
   return show(s, s.link.get("/v1/nodes"), [](auto& j) {
-    std::cout << row({{"NAME", 10}, {"ZONE", 6}, {"MEMBER", 7}, {"READY", 6}, {"HOLDER", 7}, {"GEN", 6}, {"LAYOUT", 20}, {"SOFTWARE", 0}});
+    std::cout << row({{"NAME", 10},
+                      {"ZONE", 6},
+                      {"MEMBER", 7},
+                      {"READY", 6},
+                      {"HOLDER", 7},
+                      {"GEN", 6},
+                      {"LAYOUT", 20},
+                      {"SOFTWARE", 0}});
     for (auto& x : j.at("nodes").items()) {
       auto f = x.at("facts");
       auto yes = [](bool b) { return std::string(b ? "yes" : "no"); };
-      std::cout << row({{x.at("name").str(), 10}, {f.at("zone").str(), 6}, {yes(x.at("member").flag()), 7},
-                        {yes(f.at("ready").flag()), 6}, {yes(f.at("holder").flag()), 7}, {f.at("generation").str(), 6},
-                        {f.at("running").at("layout").str(), 20}, {f.at("software").str(), 0}});
+      std::cout << row({{x.at("name").str(), 10},
+                        {f.at("zone").str(), 6},
+                        {yes(x.at("member").flag()), 7},
+                        {yes(f.at("ready").flag()), 6},
+                        {yes(f.at("holder").flag()), 7},
+                        {f.at("generation").str(), 6},
+                        {f.at("running").at("layout").str(), 20},
+                        {f.at("software").str(), 0}});
     }
   });
 }
 
 int workers(Session& s) {
   return show(s, s.link.get("/v1/workers"), [](auto& j) {
-    std::cout << row({{"INSTANCE", 16}, {"SERVICE", 14}, {"VERSION", 10}, {"ZONE", 6}, {"ADDRESS", 22}, {"STATE", 0}});
+    std::cout << row(
+        {{"INSTANCE", 16}, {"SERVICE", 14}, {"VERSION", 10}, {"ZONE", 6}, {"ADDRESS", 22}, {"STATE", 0}});
     for (auto& x : j.at("workers").items()) {
       auto b = x.at("beat");
-      std::cout << row({{x.at("instance").str(), 16}, {b.at("service").str(), 14}, {b.at("version").str(), 10},
-                        {b.at("zone").str(), 6}, {b.at("address").str(), 22},
-                        {b.at("leaving").flag() ? "leaving" : x.at("gone").flag() ? "gone" : "beating", 0}});
+      std::cout << row({{x.at("instance").str(), 16},
+                        {b.at("service").str(), 14},
+                        {b.at("version").str(), 10},
+                        {b.at("zone").str(), 6},
+                        {b.at("address").str(), 22},
+                        {b.at("leaving").flag() ? "leaving"
+                         : x.at("gone").flag()  ? "gone"
+                                                : "beating",
+                         0}});
     }
   });
 }
@@ -187,8 +215,8 @@
 int duties(Session& s) {
   return show(s, s.link.get("/v1/duties"), [](auto& j) {
     for (auto& [k, d] : j.members())
-      std::cout << k << ": " << d.at("holder").str() << ", understudy " << d.at("understudy").str() << ", term "
-                << d.at("term").str() << "\n";
+      std::cout << k << ": " << d.at("holder").str() << ", understudy " << d.at("understudy").str()
+                << ", term " << d.at("term").str() << "\n";
   });
 }
 
@@ -202,17 +230,22 @@
 int move(Session& s) {
   auto body = fmt::format("{{\"version\":{}}}", base::quote(s.args[1]));
   if (s.args.size() > 2) {
-    body.insert(body.size() - 1, fmt::format(",\"within_ms\":{}", std::strtoll(s.args[2].c_str(), nullptr, 10) * 1000));
-    return done(s, s.link.put("/v1/moves/" + s.args[0], body), "asked for; see how it goes with: console get moves/" + s.args[0]);
+    body.insert(body.size() - 1,
+                fmt::format(",\"within_ms\":{}", std::strtoll(s.args[2].c_str(), nullptr, 10) * 1000));
+    return done(s, s.link.put("/v1/moves/" + s.args[0], body),
+                "asked for; see how it goes with: console get moves/" + s.args[0]);
   }
-  return done(s, s.link.put("/v1/services/" + s.args[0], body), "stated; watch it with: console get services/" + s.args[0]);
+  return done(s, s.link.put("/v1/services/" + s.args[0], body),
+              "stated; watch it with: console get services/" + s.args[0]);
 }
 
 int purge(Session& s) {
   auto& kind = s.args[2];
   auto path = s.args.size() > 3 ? fmt::format(",\"path\":{}", base::quote(s.args[3])) : "";
-  auto body = fmt::format("{{\"service\":{},\"kind\":{}{}}}", base::quote(s.args[1]), base::quote(kind), path);
-  return done(s, s.link.put("/v1/purges/" + s.args[0], body), "purged; no relay serves it two seconds from now");
+  auto body =
+      fmt::format("{{\"service\":{},\"kind\":{}{}}}", base::quote(s.args[1]), base::quote(kind), path);
+  return done(s, s.link.put("/v1/purges/" + s.args[0], body),
+              "purged; no relay serves it two seconds from now");
 }
 
 int drain(Session& s, bool on) {
@@ -221,7 +254,8 @@
     return kUsage;
   }
   auto body = fmt::format("{{\"drained\":{},\"reason\":{}}}", on, base::quote(s.reason));
-  return done(s, s.link.put(fmt::format("/v1/drains/{}/{}", s.args[0], s.args[1]), body), on ? "draining" : "no longer drained");
+  return done(s, s.link.put(fmt::format("/v1/drains/{}/{}", s.args[0], s.args[1]), body),
+              on ? "draining" : "no longer drained");
 }
 }  // namespace
 
@@ -237,7 +271,8 @@
     std::cerr << "console: no seed could be reached\n";
     return kNoAnswer;
   }
-  std::cerr << "console: " << r.from << " answers " << r.status << ": " << r.body.at("defect").str(r.text) << "\n";
+  std::cerr << "console: " << r.from << " answers " << r.status << ": " << r.body.at("defect").str(r.text)
+            << "\n";
   for (auto& d : r.body.at("defects").items())
     std::cerr << "  " << d.at("at").str() << " " << d.at("what").str() << "\n";
   if (r.status == 404) return kNotFound;
@@ -254,20 +289,29 @@
       {"upload", {"upload NAME FILE", "the program of a recorded software release", 2, 2, upload}},
       {"diff", {"diff KIND NAME NAME", "what differs between two releases", 3, 3, diff}},
       {"get", {"get RESOURCE", "any resource, as JSON", 1, 1, get}},
-      {"waive", {"waive KIND NAME CHECK --reason R", "waives one check for one release", 3, 3,
-                 [](Session& s) { return with_reason(s, release(s) + "/waivers/" + s.args[2], "waived"); }}},
-      {"withdraw", {"withdraw KIND NAME --reason R", "takes a release back", 2, 2,
-                    [](Session& s) { return with_reason(s, release(s) + "/withdrawal", "withdrawn"); }}},
-      {"express", {"express KIND NAME --reason R", "sends a release to all at once", 2, 2,
-                   [](Session& s) { return with_reason(s, release(s) + "/express", "sent by express"); }}},
-      {"move", {"move SERVICE VERSION [SECONDS]", "moves a service to a worker version; within so many seconds, or back", 2, 3, move}},
+      {"waive",
+       {"waive KIND NAME CHECK --reason R", "waives one check for one release", 3, 3,
+        [](Session& s) { return with_reason(s, release(s) + "/waivers/" + s.args[2], "waived"); }}},
+      {"withdraw",
+       {"withdraw KIND NAME --reason R", "takes a release back", 2, 2,
+        [](Session& s) { return with_reason(s, release(s) + "/withdrawal", "withdrawn"); }}},
+      {"express",
+       {"express KIND NAME --reason R", "sends a release to all at once", 2, 2,
+        [](Session& s) { return with_reason(s, release(s) + "/express", "sent by express"); }}},
+      {"move",
+       {"move SERVICE VERSION [SECONDS]",
+        "moves a service to a worker version; within so many seconds, or back", 2, 3, move}},
       {"purge", {"purge NAME SERVICE path|prefix|service [PATH]", "purges cached content", 3, 4, purge}},
-      {"drain", {"drain node|zone NAME --reason R", "takes a relay or a zone out of traffic", 2, 2,
-                 [](Session& s) { return drain(s, true); }}},
-      {"undrain", {"undrain node|zone NAME", "lets it back in", 2, 2, [](Session& s) { return drain(s, false); }}},
+      {"drain",
+       {"drain node|zone NAME --reason R", "takes a relay or a zone out of traffic", 2, 2,
+        [](Session& s) { return drain(s, true); }}},
+      {"undrain",
+       {"undrain node|zone NAME", "lets it back in", 2, 2, [](Session& s) { return drain(s, false); }}},
       {"nodes", {"nodes", "all relays", 0, 0, nodes}},
       {"workers", {"workers", "all workers", 0, 0, workers}},
-      {"holders", {"holders [list] | add NAME IP:PORT | remove NAME", "who holds the state; changes the set by one machine", 0, 3, holders}},
+      {"holders",
+       {"holders [list] | add NAME IP:PORT | remove NAME",
+        "who holds the state; changes the set by one machine", 0, 3, holders}},
       {"duties", {"duties", "who does which duty", 0, 0, duties}},
       {"doctor", {"doctor", "says in plain words what is wrong, and where", 0, 0, doctor}}};
   return all;
--- a/src/console/commands.hpp
+++ b/src/console/commands.hpp
@@ -5,7 +5,8 @@
 namespace dunlinwing::console {
 
 // Exit statuses.
-inline constexpr int kFine = 0, kNotSo = 1, kUsage = 2, kNotFound = 3, kRejected = 4, kNoAnswer = 5, kFateUnknown = 6;
+inline constexpr int kFine = 0, kNotSo = 1, kUsage = 2, kNotFound = 3, kRejected = 4, kNoAnswer = 5,
+                     kFateUnknown = 6;
 
 struct Session {
   Link& link;
--- a/src/console/doctor.cpp
+++ b/src/console/doctor.cpp
@@ -1,7 +1,7 @@
 // Looks at everything an operator would look at, and says what is wrong.
-#include <algorithm>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <iostream>
 #include <set>
 
@@ -31,12 +31,16 @@
       lost += !member;
     }
     if (!member)
-      f.add(fmt::format("node {} of zone {} has not been heard of for {} s: look whether its machine and process are up", name,
-                        zone, x.at("age_ms").num() / 1000));
+      f.add(fmt::format(
+          "node {} of zone {} has not been heard of for {} s: look whether its machine and process are up",
+          name, zone, x.at("age_ms").num() / 1000));
     else if (!facts.at("load_defect").str().empty())
       f.add(fmt::format("node {} cannot load what it is assigned: {}", name, facts.at("load_defect").str()));
     else if (!ready)
-      f.add(fmt::format("node {} of zone {} is a member but not ready: it is drained, or has no layout or no fresh statuses", name, zone));
+      f.add(
+          fmt::format("node {} of zone {} is a member but not ready: it is drained, or has no layout or no "
+                      "fresh statuses",
+                      name, zone));
   }
   if (lost > 0)
     f.add(fmt::format("{} of {} holders are lost; {} more may be lost before control stops", lost, holders,
@@ -53,7 +57,8 @@
     if (ph == "STOPPED") f.add(fmt::format("release {} was stopped: {}", name, c.at("why").str()));
     if (c.at("why").str().starts_with("too little evidence"))
       f.add(fmt::format("release {} holds: {}; wait, or waive the check evidence", name, c.at("why").str()));
-    if (c.at("why").str().starts_with("there is no zone")) f.add(fmt::format("release {} cannot go on: {}", name, c.at("why").str()));
+    if (c.at("why").str().starts_with("there is no zone"))
+      f.add(fmt::format("release {} cannot go on: {}", name, c.at("why").str()));
   }
 }
 
@@ -93,14 +98,16 @@
   if (nodes.status != 200) {
     f.add(silent == static_cast<int>(s.link.seeds().size())
               ? "no seed answers: nothing more can be said from here"
-              : "no majority of the holders answers: control is at a stand, relays turn callers away. Bring holders back");
+              : "no majority of the holders answers: control is at a stand, relays turn callers away. Bring "
+                "holders back");
   } else {
     look_at_nodes(nodes.body, f);
     look_at_releases(s.link.get("/v1/releases").body, f);
     look_at_workers(s.link.get("/v1/workers").body, s.link.get("/v1/assignments").body, s, f);
     auto d = s.link.get("/v1/duties").body.at("rollout");
     if (d.at("holder").str().empty()) f.add("nobody does the rollout duty");
-    if (number(d.at("term")) && d.at("understudy").str().empty()) f.add("the rollout leadership has no understudy");
+    if (number(d.at("term")) && d.at("understudy").str().empty())
+      f.add("the rollout leadership has no understudy");
   }
   if (s.json) {
     std::string b;
--- a/src/console/holders.cpp
+++ b/src/console/holders.cpp
@@ -26,7 +26,8 @@
   for (auto& h : set.body.at("holders").items()) {
     Seat x{h.at("name").str(), h.at("address").str(), {}, false};
     for (auto& n : ns.body.at("nodes").items())
-      if (n.at("name").str() == x.name && n.at("member").flag()) x.http = n.at("facts").at("http_address").str();
+      if (n.at("name").str() == x.name && n.at("member").flag())
+        x.http = n.at("facts").at("http_address").str();
     if (!x.http.empty()) x.votes = s.link.at(x.http, "/status", Duration(2000)).body.at("votes").flag();
     out.push_back(x);
   }
@@ -39,7 +40,12 @@
   bool all = true;
   std::cout << row({{"HOLDER", 10}, {"PEERS", 22}, {"VOTES", 0}});
   for (auto& x : std::get<0>(g)) {
-    std::cout << row({{x.name, 10}, {x.peers, 22}, {x.votes ? "yes" : x.http.empty() ? "away" : "not yet", 0}});
+    std::cout << row({{x.name, 10},
+                      {x.peers, 22},
+                      {x.votes          ? "yes"
+                       : x.http.empty() ? "away"
+                                        : "not yet",
+                       0}});
     all &= x.votes;
   }
   return all ? kFine : kNotSo;
@@ -49,8 +55,10 @@
   auto body = fmt::format("{{\"holder\":true,\"address\":{}}}", base::quote(s.args[2]));
   auto r = s.link.put("/v1/holders/" + s.args[1], body);
   if (r.status != 200) return refused(r);
-  std::cout << s.args[1] << " holds the state from now on; waiting until its disk is filled and votes\n" << std::flush;
-  for (auto end = s.clock.now() + Duration(1000 * (s.wait_s ? s.wait_s : kWaitSeconds)); s.clock.now() < end; s.clock.sleep(kLook)) {
+  std::cout << s.args[1] << " holds the state from now on; waiting until its disk is filled and votes\n"
+            << std::flush;
+  for (auto end = s.clock.now() + Duration(1000 * (s.wait_s ? s.wait_s : kWaitSeconds)); s.clock.now() < end;
+       s.clock.sleep(kLook)) {
     auto g = seats(s);
     if (auto* v = std::get_if<0>(&g))
       for (auto& x : *v)
--- a/src/console/link.cpp
+++ b/src/console/link.cpp
@@ -25,7 +25,8 @@
       if (a->status != 503 || last.text.find("fate") != std::string::npos) return last;
     }
     if (!r_.quiet)
-      std::cerr << "console: " << s << (std::holds_alternative<base::Response>(r) ? " cannot settle this" : " does not answer")
+      std::cerr << "console: " << s
+                << (std::holds_alternative<base::Response>(r) ? " cannot settle this" : " does not answer")
                 << "; trying the next seed\n";
   }
   return last;
--- a/src/control_api/control.cpp
+++ b/src/control_api/control.cpp
@@ -11,8 +11,8 @@
 
 #include "base/log.hpp"
 #include "control_api/holders.hpp"
-#include "control_api/orders.hpp"
 #include "control_api/moves.hpp"
+#include "control_api/orders.hpp"
 #include "control_api/report.hpp"
 #include "control_api/schemas.hpp"
 #include "control_api/self.hpp"
@@ -95,10 +95,17 @@
       if (auto* d = std::get_if<consensus::RegisterError>(&h)) return of(*d);
       pb::ServiceState st;
       st.ParseFromString(std::get<consensus::VersionedValue>(h).data);
-      auto in = [&](const std::string& v) { return std::find(s.versions.begin(), s.versions.end(), v) != s.versions.end(); };
-      if (st.current().empty() || s.versions.empty() || in(st.current()) || std::any_of(st.kept().begin(), st.kept().end(), in)) continue;
-      return json(409, fmt::format(R"({{"defects":[{{"at":"/content/services/{}/versions","what":"leaves out {}, the version in place; move the service first"}}]}})",
-                                   name, st.current()));
+      auto in = [&](const std::string& v) {
+        return std::find(s.versions.begin(), s.versions.end(), v) != s.versions.end();
+      };
+      if (st.current().empty() || s.versions.empty() || in(st.current()) ||
+          std::any_of(st.kept().begin(), st.kept().end(), in))
+        continue;
+      return json(
+          409,
+          fmt::format(
+              R"({{"defects":[{{"at":"/content/services/{}/versions","what":"leaves out {}, the version in place; move the service first"}}]}})",
+              name, st.current()));
     }
     return {};
   }
@@ -106,7 +113,8 @@
   base::Response put_release(Call& c) {
     auto &kind = c.path[2], &name = c.path[3];
     if (!rollout::is_kind(kind)) return defect(404, "no such kind of release");
-    if (!rollout::good_name(name)) return defect(422, "a release is named by letters, digits, '-', '_' and '.'");
+    if (!rollout::good_name(name))
+      return defect(422, "a release is named by letters, digits, '-', '_' and '.'");
     auto g = rollout::read_release(kind, name, c.q.body);
     if (auto* d = std::get_if<std::vector<base::ValidationError>>(&g)) return defects(*d);
     auto key = rollout::release_key(kind, name);
@@ -123,7 +131,8 @@
     auto where = fmt::format("/v1/releases/{}/{}", kind, name);
     if (auto* s = std::get_if<consensus::VersionConflict>(&w)) {
       if (s->now.data == c.q.body && base::header(c.q.headers, "If-None-Match").empty())
-        return json(200, fmt::format(R"({{"recorded":true,"was_known":true,"at":"{}"}})", where), s->now.version);
+        return json(200, fmt::format(R"({{"recorded":true,"was_known":true,"at":"{}"}})", where),
+                    s->now.version);
       return json(412, R"({"defect":"a release of this name exists and is immutable"})", s->now.version);
     }
     lg.info("Release {} {} was recorded.", kind, name);
@@ -172,7 +181,10 @@
         c, rollout::service_key(name), [&](pb::ServiceState& st) -> std::optional<base::Response> {
           if (st.switching()) return defect(409, "the service is being switched to version " + st.trial());
           if (st.current().empty())
-            st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to) : s->versions.front());
+            st.set_current(
+                s->versions.empty()
+                    ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to)
+                    : s->versions.front());
           if (st.quarantined().count(to)) {
             if (!j.at("lift_quarantine").flag())
               return defect(409, "the version is in quarantine: " + st.quarantined().at(to));
@@ -190,7 +202,8 @@
   // Read, change, compare-and-set; races are run again unless the caller named a version.
   template <class M, class F>
   base::Response change(Call& c, const std::string& key, F f) {
-    bool named = !base::header(c.q.headers, "If-Match").empty() || !base::header(c.q.headers, "If-None-Match").empty();
+    bool named =
+        !base::header(c.q.headers, "If-Match").empty() || !base::header(c.q.headers, "If-None-Match").empty();
     auto g = n.registers().read(key);
     if (auto* d = std::get_if<consensus::RegisterError>(&g)) return of(*d);
     auto now = std::get<consensus::VersionedValue>(g);
@@ -201,14 +214,16 @@
       m = old;
       if (auto r = f(m)) return *r;
       auto data = m.SerializeAsString();
-      if (now.version && google::protobuf::util::MessageDifferencer::Equals(m, old)) return json(200, message_json(m), now.version);
+      if (now.version && google::protobuf::util::MessageDifferencer::Equals(m, old))
+        return json(200, message_json(m), now.version);
       auto w = n.registers().write(key, now.version, data);
       if (auto* h = std::get_if<consensus::VersionedValue>(&w)) return json(200, message_json(m), h->version);
       if (auto* d = std::get_if<consensus::RegisterError>(&w)) return of(*d);
       now = std::get<consensus::VersionConflict>(w).now;
       if (named) break;
     }
-    return json(412, fmt::format(R"({{"defect":"another write came first","version":{}}})", now.version), now.version);
+    return json(412, fmt::format(R"({{"defect":"another write came first","version":{}}})", now.version),
+                now.version);
   }
 
   base::Response put_purge(Call& c) {
@@ -220,10 +235,15 @@
     p.set_kind(j.at("kind").str());
     p.set_path(j.at(p.kind() == "tag" ? "tag" : "path").str());
     p.set_host(j.at("host").str());
-    if (p.kind() != "service" && p.path().empty()) return defects({{p.kind() == "tag" ? "/tag" : "/path", "is missing"}});
+    if (p.kind() != "service" && p.path().empty())
+      return defects({{p.kind() == "tag" ? "/tag" : "/path", "is missing"}});
     auto service = j.at("service").str(traffic::kAllServices);
-    if (service == traffic::kAllServices && p.kind() == "service") return defects({{"/service", "is missing"}});
-    auto clash = [&](const std::string& of) { return defect(409, "a purge of this name exists for service " + of + " and is another; take a new name"); };
+    if (service == traffic::kAllServices && p.kind() == "service")
+      return defects({{"/service", "is missing"}});
+    auto clash = [&](const std::string& of) {
+      return defect(409,
+                    "a purge of this name exists for service " + of + " and is another; take a new name");
+    };
     for (auto& [k, h] : p.name().empty() ? membership::Chosen() : n.state_cache().chosen()) {
       pb::PurgeSet s;
       if (!k.starts_with("purge/") || k.substr(6) == service || !s.ParseFromString(h.data)) continue;
@@ -232,11 +252,12 @@
     }
     auto r = purger.put(service, p);
     if (auto* d = std::get_if<PurgeError>(&r))
-      return of(*d == PurgeError::no_majority ? consensus::RegisterError::no_majority : consensus::RegisterError::fate_unknown);
+      return of(*d == PurgeError::no_majority ? consensus::RegisterError::no_majority
+                                              : consensus::RegisterError::fate_unknown);
     auto& done = std::get<PurgeDone>(r);
     if (done.clash) return clash(service);
-    return json(200, fmt::format(R"({{"purge":{},"number":{},"was_known":{}}})", base::quote(p.name()), done.number,
-                                 done.known));
+    return json(200, fmt::format(R"({{"purge":{},"number":{},"was_known":{}}})", base::quote(p.name()),
+                                 done.number, done.known));
   }
 
   base::Response put_drain(Call& c) {
@@ -244,11 +265,12 @@
     auto b = checked(c.q.body, drain_schema());
     if (auto* r = std::get_if<base::Response>(&b)) return *r;
     auto& j = std::get<base::Json>(b);
-    return change<pb::Drain>(c, relay::drain_key(c.path[2], c.path[3]), [&](pb::Drain& d) -> std::optional<base::Response> {
-      d.set_drained(j.at("drained").flag());
-      d.set_reason(j.at("reason").str());
-      return {};
-    });
+    return change<pb::Drain>(c, relay::drain_key(c.path[2], c.path[3]),
+                             [&](pb::Drain& d) -> std::optional<base::Response> {
+                               d.set_drained(j.at("drained").flag());
+                               d.set_reason(j.at("reason").str());
+                               return {};
+                             });
   }
 
   // PUT /v1/artifacts/SHA256?offset=N: pieces in order, each of a mebibyte at most.
@@ -259,11 +281,14 @@
     if (auto f = c.query.find("offset"); f != c.query.end())
       if (std::from_chars(f->second.data(), f->second.data() + f->second.size(), at).ec != std::errc())
         return defect(422, "offset is no number");
-    if (put && (c.q.body.empty() || c.q.body.size() > software::kPiece)) return defect(413, "a piece has 1 to 1048576 bytes");
+    if (put && (c.q.body.empty() || c.q.body.size() > software::kPiece))
+      return defect(413, "a piece has 1 to 1048576 bytes");
     auto r = put ? a->put(c.path[2], at, c.q.body) : a->look(c.path[2]);
     if (auto* d = std::get_if<software::PieceError>(&r)) {
-      if (*d == software::PieceError::unknown_artifact) return defect(404, "no recorded software release names this digest");
-      if (*d == software::PieceError::gap) return defect(409, "the piece does not follow what is held; GET says how much that is");
+      if (*d == software::PieceError::unknown_artifact)
+        return defect(404, "no recorded software release names this digest");
+      if (*d == software::PieceError::gap)
+        return defect(409, "the piece does not follow what is held; GET says how much that is");
       return defect(503, "no majority of the holders answers; state the piece again");
     }
     auto& p = std::get<pb::Piece>(r);
@@ -370,7 +395,8 @@
   if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "beats") return p.beat(c);
   if (q.method == "POST" && c.path.size() == 2 && c.path[1] == "purges") return p.put_purge(c);
   if (q.method == "DELETE" && c.path.size() == 3 && c.path[1] == "workers")
-    return p.n.gone(c.path[2]) ? json(200, "{\"known\":true}") : defect(503, "this node cannot record it; try another");
+    return p.n.gone(c.path[2]) ? json(200, "{\"known\":true}")
+                               : defect(503, "this node cannot record it; try another");
   if (q.method != "PUT") return defect(405, "resources are read by GET and stated by PUT");
   if (c.path.size() == 4 && c.path[1] == "releases") return p.put_release(c);
   if (c.path.size() >= 5 && c.path.size() <= 6 && c.path[1] == "releases") return p.put_act(c);
--- a/src/control_api/control.hpp
+++ b/src/control_api/control.hpp
@@ -20,7 +20,7 @@
 // What a request asks of a resource, taken apart once.
 struct Call {
   base::Request& q;
-  std::vector<std::string> path;              // without the leading v1
+  std::vector<std::string> path;  // without the leading v1
   std::map<std::string, std::string> query;
 };
 Call take_apart(base::Request& q);
--- a/src/control_api/holders.cpp
+++ b/src/control_api/holders.cpp
@@ -13,11 +13,16 @@
 namespace {
 base::Response of(consensus::ReplicaSetError d) {
   switch (d) {
-    case consensus::ReplicaSetError::not_one_step: return defect(409, "the set can change by one machine at a time");
-    case consensus::ReplicaSetError::too_few: return defect(409, "fewer than three holders could not bear a loss");
-    case consensus::ReplicaSetError::no_majority: return defect(503, "no majority of the holders answers; nothing was changed");
-    case consensus::ReplicaSetError::raced: return defect(412, "another change of the set came first; read before trying again");
-    default: return defect(503, "the fate of this write is unknown: read before trying again");
+    case consensus::ReplicaSetError::not_one_step:
+      return defect(409, "the set can change by one machine at a time");
+    case consensus::ReplicaSetError::too_few:
+      return defect(409, "fewer than three holders could not bear a loss");
+    case consensus::ReplicaSetError::no_majority:
+      return defect(503, "no majority of the holders answers; nothing was changed");
+    case consensus::ReplicaSetError::raced:
+      return defect(412, "another change of the set came first; read before trying again");
+    default:
+      return defect(503, "the fate of this write is unknown: read before trying again");
   }
 }
 }  // namespace
@@ -40,7 +45,8 @@
   if (!n.state_cache().settle(n.config().bound)) return of(consensus::ReplicaSetError::no_majority);
   auto to = n.registers().set().all();
   auto same = [&](auto& h) { return h.name == c.path[2]; };
-  if (on == std::any_of(to.begin(), to.end(), same)) return json(200, message_json(n.registers().set().message()));
+  if (on == std::any_of(to.begin(), to.end(), same))
+    return json(200, message_json(n.registers().set().message()));
   if (on)
     to.push_back({c.path[2], address});
   else
--- a/src/control_api/moves.cpp
+++ b/src/control_api/moves.cpp
@@ -12,17 +12,22 @@
 namespace dunlinwing::control_api {
 namespace {
 base::Response told(const pb::ServiceState& s, uint64_t version) {
-  return json(200, fmt::format(R"({{"state":{},"version":{},"why":{},"within_ms":{},"asked_ms_ago":{},"good":{},"bad":{}}})",
-                               base::quote(rollout::outcome(s)), base::quote(s.asked()), base::quote(s.why()),
-                               s.within_ms(), s.held_ms(), s.good(), s.bad()),
-              version);
+  return json(
+      200,
+      fmt::format(
+          R"({{"state":{},"version":{},"why":{},"within_ms":{},"asked_ms_ago":{},"good":{},"bad":{}}})",
+          base::quote(rollout::outcome(s)), base::quote(s.asked()), base::quote(s.why()), s.within_ms(),
+          s.held_ms(), s.good(), s.bad()),
+      version);
 }
 }  // namespace
 
 base::Response of(consensus::RegisterError d) {
   return d == consensus::RegisterError::no_majority
              ? defect(503, "no majority of the holders answers; nothing was recorded")
-             : defect(503, "the fate of this write is unknown: it may or may not be recorded. Read before trying again.");
+             : defect(503,
+                      "the fate of this write is unknown: it may or may not be recorded. Read before trying "
+                      "again.");
 }
 
 base::Response move(relay::Node& n, Call& c) {
@@ -57,11 +62,16 @@
     pb::ServiceState st;
     st.ParseFromString(now.data);
     bool lift = j.at("lift_quarantine").flag(), runs = !st.trial().empty() && st.within_ms();
-    if (st.asked() == to && (runs ? st.trial() == to : !lift && (st.quarantined().count(to) || st.current() == to)))
+    if (st.asked() == to &&
+        (runs ? st.trial() == to : !lift && (st.quarantined().count(to) || st.current() == to)))
       return told(st, now.version);
-    if (runs && st.switching()) return defect(409, "the service is being switched to version " + st.trial() + "; ask again when that has ended");
+    if (runs && st.switching())
+      return defect(
+          409, "the service is being switched to version " + st.trial() + "; ask again when that has ended");
     if (st.current().empty())
-      st.set_current(s->versions.empty() ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to) : s->versions.front());
+      st.set_current(s->versions.empty()
+                         ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to)
+                         : s->versions.front());
     if (lift) st.mutable_quarantined()->erase(to);
     if (st.quarantined().count(to) || st.current() == to) {
       bool good = st.current() == to;
--- a/src/control_api/orders.cpp
+++ b/src/control_api/orders.cpp
@@ -19,7 +19,8 @@
   uint64_t number = 0;
   auto& s = c.path[2];
   auto [e, ec] = std::from_chars(s.data(), s.data() + s.size(), number);
-  if (ec != std::errc() || e != s.data() + s.size() || !number) return defect(422, "a layout is stated under a number above 0");
+  if (ec != std::errc() || e != s.data() + s.size() || !number)
+    return defect(422, "a layout is stated under a number above 0");
   auto p = base::Json::parse(c.q.body);
   if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
   auto& j = std::get<base::Json>(p);
@@ -36,7 +37,8 @@
     auto& held = std::get<consensus::VersionedValue>(r);
     pb::Order now;
     now.ParseFromString(held.data);
-    if (now.number() >= number) return json(200, fmt::format(R"({{"number":{},"changed":false}})", now.number()), held.version);
+    if (now.number() >= number)
+      return json(200, fmt::format(R"({{"number":{},"changed":false}})", now.number()), held.version);
     auto w = n.registers().write(traffic::kOrderKey, held.version, o.SerializeAsString());
     if (auto* h = std::get_if<consensus::VersionedValue>(&w)) {
       lg.info("Layout {} was recorded.", number);
@@ -54,8 +56,11 @@
 base::Response order(relay::Node& n) {
   auto f = n.state_cache().chosen().find(traffic::kOrderKey);
   pb::Order o;
-  if (f == n.state_cache().chosen().end() || !o.ParseFromString(f->second.data) || !o.number()) return defect(404, "no layout was ever stated under a number");
-  return json(200, fmt::format(R"({{"number":{},"content":{},"stated":{}}})", o.number(), o.document(), base::quote(o.stated())),
+  if (f == n.state_cache().chosen().end() || !o.ParseFromString(f->second.data) || !o.number())
+    return defect(404, "no layout was ever stated under a number");
+  return json(200,
+              fmt::format(R"({{"number":{},"content":{},"stated":{}}})", o.number(), o.document(),
+                          base::quote(o.stated())),
               f->second.version);
 }
 
--- a/src/control_api/purger.cpp
+++ b/src/control_api/purger.cpp
@@ -12,14 +12,16 @@
 bool covers(const pb::Purge& a, const pb::Purge& b) {
   if (a.number() < b.number() || (!a.host().empty() && a.host() != b.host())) return false;
   if (a.kind() == "service") return true;
-  if (a.kind() == "prefix" && (b.kind() == "prefix" || b.kind() == "path")) return b.path().starts_with(a.path());
+  if (a.kind() == "prefix" && (b.kind() == "prefix" || b.kind() == "path"))
+    return b.path().starts_with(a.path());
   return a.kind() == b.kind() && a.path() == b.path();
 }
 }  // namespace
 
 PurgeDone add_purge(pb::PurgeSet& s, const pb::Purge& p) {
   for (auto& x : s.purges())
-    if (!p.name().empty() && x.name() == p.name()) return {x.number(), true, x.kind() != p.kind() || x.path() != p.path()};
+    if (!p.name().empty() && x.name() == p.name())
+      return {x.number(), true, x.kind() != p.kind() || x.path() != p.path()};
   s.set_number(s.number() + 1);
   pb::Purge n = p;
   n.set_number(s.number());
@@ -33,7 +35,8 @@
     for (auto& x : *v) ns.push_back(x.number());
     std::nth_element(ns.begin(), ns.begin() + kMostPurges / 2, ns.end());
     fold.set_number(ns[kMostPurges / 2]);  // the older half
-    v->erase(std::remove_if(v->begin(), v->end(), [&](auto& x) { return x.number() <= fold.number(); }), v->end());
+    v->erase(std::remove_if(v->begin(), v->end(), [&](auto& x) { return x.number() <= fold.number(); }),
+             v->end());
     *v->Add() = fold;
   }
   return {s.number(), false};
@@ -73,7 +76,8 @@
         return;
       }
       if (auto* d = std::get_if<consensus::RegisterError>(&r))
-        return all(*d == consensus::RegisterError::no_majority ? PurgeError::no_majority : PurgeError::fate_unknown);
+        return all(*d == consensus::RegisterError::no_majority ? PurgeError::no_majority
+                                                               : PurgeError::fate_unknown);
       now = std::get<consensus::VersionConflict>(r).now;
     }
   }
--- a/src/control_api/report.cpp
+++ b/src/control_api/report.cpp
@@ -39,7 +39,8 @@
   p.one("duty_held", "gauge", "1 when this node does the rollout leadership.", n.leadership().held() ? 1 : 0);
   p.one("members", "gauge", "Nodes whose session stands.", n.state_cache().statuses().members(now).size());
   p.one("registers", "gauge", "Registers known.", n.state_cache().chosen().size());
-  if (n.acceptor()) p.one("votes", "gauge", "1 when this holder's disk may vote.", n.acceptor()->mute() ? 0 : 1);
+  if (n.acceptor())
+    p.one("votes", "gauge", "1 when this holder's disk may vote.", n.acceptor()->mute() ? 0 : 1);
   auto t = n.traffic().table();
   if (!t->layout) return p.out;
   p.head("running", "gauge", "Requests at workers.");
@@ -58,7 +59,8 @@
   for (auto& [k, v] : sums) {
     if (!t->layout->services.count(k.first)) continue;
     for (auto& [what, m] : {std::make_pair("good", v.good), std::make_pair("bad", v.bad)})
-      p.out += fmt::format("dunlinwing_shots_total{{service=\"{}\",version=\"{}\",end=\"{}\"}} {}\n", k.first, k.second, what, m);
+      p.out += fmt::format("dunlinwing_shots_total{{service=\"{}\",version=\"{}\",end=\"{}\"}} {}\n", k.first,
+                           k.second, what, m);
   }
   return p.out;
 }
@@ -69,10 +71,11 @@
   return fmt::format(
       R"({{"name":{},"zone":{},"software":"{}","ready":{},"fresh":{},"permit_left_ms":{},"generation":{},"layout":{},"holder":{},"votes":{},"shield":{},"duty":{},"incarnation":{},"members":{},"requests":{},"defects":{},"turned_away":{},"unknown":{},"cache":{{"hits":{},"fills":{},"bytes":{}}}}})",
       base::quote(c.name), base::quote(c.zone), kSoftware, n.ready(), n.state_cache().fresh(),
-      std::max<int64_t>(0, (n.state_cache().read_lease_end() - now).count()), n.generation(), base::quote(n.release()),
-      n.acceptor() != nullptr, n.acceptor() && !n.acceptor()->mute(), c.shield, n.leadership().held(), n.state_cache().incarnation(),
-      n.state_cache().statuses().members(now).size(), k.requests.load(), k.defects.load(), k.turned_away.load(), k.unknown.load(),
-      k.hits.load(), k.fills.load(), n.traffic().cache_bytes());
+      std::max<int64_t>(0, (n.state_cache().read_lease_end() - now).count()), n.generation(),
+      base::quote(n.release()), n.acceptor() != nullptr, n.acceptor() && !n.acceptor()->mute(), c.shield,
+      n.leadership().held(), n.state_cache().incarnation(), n.state_cache().statuses().members(now).size(),
+      k.requests.load(), k.defects.load(), k.turned_away.load(), k.unknown.load(), k.hits.load(),
+      k.fills.load(), n.traffic().cache_bytes());
 }
 
 }  // namespace dunlinwing::control_api
--- a/src/control_api/shape.cpp
+++ b/src/control_api/shape.cpp
@@ -42,7 +42,8 @@
       auto e = std::min(s.find('&', i), s.size());
       auto one = s.substr(i, e - i);
       auto eq = std::min(one.find('='), one.size());
-      if (!one.empty()) c.query[decode(one.substr(0, eq))] = decode(eq < one.size() ? one.substr(eq + 1) : "");
+      if (!one.empty())
+        c.query[decode(one.substr(0, eq))] = decode(eq < one.size() ? one.substr(eq + 1) : "");
       i = e + 1;
     }
   }
@@ -50,7 +51,8 @@
 }
 
 base::Response json(int status, std::string body, std::optional<uint64_t> v) {
-  base::Response r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, std::move(body)};
+  base::Response r{
+      status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, std::move(body)};
   if (v) r.headers.emplace_back("ETag", fmt::format("\"{}\"", *v));
   if (status == 503) r.headers.emplace_back("Retry-After", "1");
   if (!r.body.empty() && r.body.back() != '\n') r.body += '\n';
@@ -64,8 +66,11 @@
 base::Response defects(const std::vector<base::ValidationError>& ds) {
   std::string b;
   for (auto& d : ds)
-    b += fmt::format("{}{{\"at\":{},\"what\":{}}}", b.empty() ? "" : ",", base::quote(d.at), base::quote(d.what));
-  return json(422, fmt::format("{{\"defect\":\"the document is not valid; nothing was recorded\",\"defects\":[{}]}}", b));
+    b += fmt::format("{}{{\"at\":{},\"what\":{}}}", b.empty() ? "" : ",", base::quote(d.at),
+                     base::quote(d.what));
+  return json(
+      422,
+      fmt::format("{{\"defect\":\"the document is not valid; nothing was recorded\",\"defects\":[{}]}}", b));
 }
 
 std::string message_json(const google::protobuf::Message& m) {
@@ -80,7 +85,9 @@
 std::optional<base::Response> precondition(const base::Request& q, uint64_t version) {
   auto tag = fmt::format("\"{}\"", version);
   auto stale = [&] {
-    auto r = json(412, fmt::format("{{\"defect\":\"the version in force is another\",\"version\":{}}}", version), version);
+    auto r =
+        json(412, fmt::format("{{\"defect\":\"the version in force is another\",\"version\":{}}}", version),
+             version);
     return r;
   };
   auto m = base::header(q.headers, "If-Match");
--- a/src/control_api/views.cpp
+++ b/src/control_api/views.cpp
@@ -27,8 +27,10 @@
                      base::quote(i), w.gone, w.age.count(), message_json(w.beat));
   }
   std::string left;
-  if (auto f = n.state_cache().chosen().find(membership::kDeregisteredKey); f != n.state_cache().chosen().end())
-    for (auto& i : membership::read_deregistered(f->second.data)) left += (left.empty() ? "" : ",") + base::quote(i);
+  if (auto f = n.state_cache().chosen().find(membership::kDeregisteredKey);
+      f != n.state_cache().chosen().end())
+    for (auto& i : membership::read_deregistered(f->second.data))
+      left += (left.empty() ? "" : ",") + base::quote(i);
   return json(200, "{\"workers\":[" + b + "],\"departed\":[" + left + "]}");
 }
 
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -54,12 +54,13 @@
   consensus::RegisterClient& registers;
   StateCache& state_cache;
   consensus::Acceptor* mine;
-  std::vector<std::string> origin;     // the seeds of the first start, when this was it
-  std::map<std::string, Self> told;    // by those seeds
+  std::vector<std::string> origin;   // the seeds of the first start, when this was it
+  std::map<std::string, Self> told;  // by those seeds
   TimePoint good{0}, looked{0};
   std::string said;
 
-  Impl(base::Ports& p, DiscoveryConfig cc, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* a)
+  Impl(base::Ports& p, DiscoveryConfig cc, consensus::RegisterClient& b, StateCache& m,
+       consensus::Acceptor* a)
       : ps(p), c(std::move(cc)), registers(b), state_cache(m), mine(a) {}
 
   // By address, from all that answer in time.
@@ -110,7 +111,8 @@
     if (!registers.holders().empty() || origin.empty()) return;
     for (auto& a : origin)
       if (got.count(a)) told[a] = got[a];
-    if (told.size() < origin.size()) return say("not all seeds have answered yet, so the first set of holders is not known.");
+    if (told.size() < origin.size())
+      return say("not all seeds have answered yet, so the first set of holders is not known.");
     std::vector<Self> all;
     for (auto& [a, s] : told) all.push_back(s);
     auto set = first_set(all);
@@ -156,7 +158,8 @@
   std::weak_ptr<Impl> weak;
 };
 
-Discovery::Discovery(base::Ports& ps, DiscoveryConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine)
+Discovery::Discovery(base::Ports& ps, DiscoveryConfig c, consensus::RegisterClient& b, StateCache& m,
+                     consensus::Acceptor* mine)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, mine)) {
   p_->weak = p_;
 }
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -28,7 +28,8 @@
 
 class Discovery {
  public:
-  Discovery(base::Ports& ps, DiscoveryConfig c, consensus::RegisterClient& b, StateCache& m, consensus::Acceptor* mine);
+  Discovery(base::Ports& ps, DiscoveryConfig c, consensus::RegisterClient& b, StateCache& m,
+            consensus::Acceptor* mine);
   ~Discovery();
   void start();
   void seeds(std::vector<std::string> addresses);  // in place of those of now
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -70,7 +70,8 @@
         return;
       }
       end = TimePoint(0);
-      lg.warn("{}: the leadership {} passed to {}.", me, name, now.holder().empty() ? "nobody" : now.holder());
+      lg.warn("{}: the leadership {} passed to {}.", me, name,
+              now.holder().empty() ? "nobody" : now.holder());
     }
   }
 
@@ -106,8 +107,8 @@
   }
 };
 
-Leadership::Leadership(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, std::string name, std::string me, std::string zone,
-           Duration bound)
+Leadership::Leadership(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, std::string name,
+                       std::string me, std::string zone, Duration bound)
     : p_(new Impl{ps, b, m, std::move(name), std::move(me), std::move(zone), bound * 2}) {}
 Leadership::~Leadership() = default;
 
@@ -121,7 +122,8 @@
         p->renew();
       else if (p->state_cache.fresh() && !p->resting)
         p->stand();
-      p->ps.clock.sleep(p->span / 8 + Duration(p->ps.random.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
+      p->ps.clock.sleep(p->span / 8 +
+                        Duration(p->ps.random.below(static_cast<uint64_t>(p->span.count()) / 16 + 1)));
     }
   });
 }
--- a/src/membership/leadership.hpp
+++ b/src/membership/leadership.hpp
@@ -8,15 +8,15 @@
 
 class Leadership {
  public:
-  Leadership(base::Ports& ps, consensus::RegisterClient& registers, StateCache& m, std::string name, std::string me, std::string zone,
-       Duration bound);
+  Leadership(base::Ports& ps, consensus::RegisterClient& registers, StateCache& m, std::string name,
+             std::string me, std::string zone, Duration bound);
   ~Leadership();
-  void start();        // begins to stand for the leadership
-  bool held() const;   // to be asked right before each act
+  void start();       // begins to stand for the leadership
+  bool held() const;  // to be asked right before each act
   uint64_t term() const;
   pb::LeaderLease known() const;  // who holds it, as far as the last pull tells
-  void rest(bool on);  // a drained node stands for no leadership and gives up what it holds
-  void transfer();    // gives it up in favour of the understudy
+  void rest(bool on);             // a drained node stands for no leadership and gives up what it holds
+  void transfer();                // gives it up in favour of the understudy
   Duration span() const;
 
  private:
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -40,7 +40,8 @@
   if (live >= want || s.set.size() >= kMost) return {};
   const RepairCandidate* best = nullptr;
   for (auto& [n, k] : by) {
-    bool in = std::any_of(s.set.begin(), s.set.end(), [&](auto& h) { return h.name == k->name || h.address == k->address; });
+    bool in = std::any_of(s.set.begin(), s.set.end(),
+                          [&](auto& h) { return h.name == k->name || h.address == k->address; });
     if (in || !k->disk || !k->present || k->address.empty()) continue;
     if (!best || zones[k->zone] < zones[best->zone]) best = k;
   }
@@ -73,7 +74,8 @@
     for (auto& m : state_cache.statuses().all(now)) {
       if (m.fact.zone().empty()) continue;
       auto& k = by[m.name];
-      k = {m.name, m.fact.zone(), m.fact.peer_address(), m.fact.disk(), in.count(m.name) && !m.fact.drained(), false, Duration(0)};
+      k = {m.name, m.fact.zone(), m.fact.peer_address(), m.fact.disk(), in.count(m.name) && !m.fact.drained(),
+           false,  Duration(0)};
     }
     for (auto& [n, k] : by) {
       k.votes = state_cache.votes(n);
@@ -95,16 +97,20 @@
     else
       std::erase_if(to, [&](auto& h) { return h.name == st->who.name; });
     auto from = ps.clock.now();
-    auto r = registers.change(to, [&] { return leadership.held() ? state_cache.names(bound) : std::nullopt; });
+    auto r =
+        registers.change(to, [&] { return leadership.held() ? state_cache.names(bound) : std::nullopt; });
     if (auto* set = std::get_if<pb::ReplicaSet>(&r))
-      lg.info("{} {} the holders, for {}; epoch {}, {} of them, in {} ms.", st->who.name, st->add ? "joins" : "leaves", st->why,
-              set->epoch(), set->holders_size(), (ps.clock.now() - from).count());
+      lg.info("{} {} the holders, for {}; epoch {}, {} of them, in {} ms.", st->who.name,
+              st->add ? "joins" : "leaves", st->why, set->epoch(), set->holders_size(),
+              (ps.clock.now() - from).count());
     else
-      lg.warn("{} could not be {} the holders; the next look tries again.", st->who.name, st->add ? "added to" : "removed from");
+      lg.warn("{} could not be {} the holders; the next look tries again.", st->who.name,
+              st->add ? "added to" : "removed from");
   }
 };
 
-ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Duration bound)
+ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d,
+                             int tolerate, Duration bound)
     : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -11,7 +11,7 @@
   bool disk = false;
   bool present = false;  // its session stands, and it is not about to go
   bool votes = false;
-  Duration absent{0};        // for how long its session has not stood
+  Duration absent{0};  // for how long its session has not stood
 };
 
 struct ClusterView {
@@ -34,7 +34,8 @@
 
 class ReplicaRepair {
  public:
-  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate, Duration bound);
+  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate,
+                Duration bound);
   ~ReplicaRepair();
   void start();
 
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -9,14 +9,14 @@
 #include <algorithm>
 
 #include "base/log.hpp"
-#include "membership/deregistered.hpp"
 #include "consensus/vote.hpp"
+#include "membership/deregistered.hpp"
 
 namespace dunlinwing::membership {
 namespace {
 constexpr base::Log lg("membership");
 constexpr size_t kLargeFleet = 32;
-}
+}  // namespace
 
 struct StateCache::Impl {
   struct Side {
@@ -41,13 +41,19 @@
   TimePoint said{0};
   std::string said_key;
   std::vector<std::pair<TimePoint, std::shared_ptr<base::Condition>>> waits;
-  std::map<std::string, int> silent;  // asks in a row that a holder did not answer
-  bool told = false, asked = false;  // asked: somebody waits for the next pull
+  std::map<std::string, int> silent;      // asks in a row that a holder did not answer
+  bool told = false, asked = false;       // asked: somebody waits for the next pull
   std::shared_ptr<base::Condition> rest;  // where the loop waits between pulls
 
   Impl(base::Ports& p, StateCacheConfig cc, consensus::RegisterClient& b, consensus::Acceptor* m,
        std::function<void(pb::NodeStatus&)> o, std::function<void()> s)
-      : ps(p), c(std::move(cc)), registers(b), mine(m), own(std::move(o)), seen(std::move(s)), statuses(c.session()) {
+      : ps(p),
+        c(std::move(cc)),
+        registers(b),
+        mine(m),
+        own(std::move(o)),
+        seen(std::move(s)),
+        statuses(c.session()) {
     first = static_cast<size_t>(ps.random.below(b.holders().size()));
   }
 
@@ -113,10 +119,12 @@
     g.mutable_node()->clear_wall_ms();
     g.mutable_node()->clear_running();
     std::string s = g.SerializeAsString();
-    for (auto& [k, v] : std::map<std::string, std::string>(n.node().running().begin(), n.node().running().end()))
+    for (auto& [k, v] :
+         std::map<std::string, std::string>(n.node().running().begin(), n.node().running().end()))
       s += k + "=" + v + ";";
     for (auto& t : n.trials()) s += fmt::format("{}:{}:{}{};", t.service(), t.number(), t.bad(), t.stopped());
-    for (auto& b : n.beats()) s += fmt::format("{}/{}{};", b.instance(), b.leaving() ? 0 : b.number(), b.leaving());
+    for (auto& b : n.beats())
+      s += fmt::format("{}/{}{};", b.instance(), b.leaving() ? 0 : b.number(), b.leaving());
     return s;
   }
 
@@ -168,7 +176,8 @@
         a.mutable_pull()->set_seen(sides[hs[who[k]].name].seen);
         return a;
       };
-      auto rs = consensus::ask_all(ps, to, make, limit, [](auto&) { return false; }, c.me, local);
+      auto rs = consensus::ask_all(
+          ps, to, make, limit, [](auto&) { return false; }, c.me, local);
       bool any = false;
       for (size_t k = 0; k < rs.size(); ++k) {
         auto& quiet = silent[hs[who[k]].name];
@@ -248,8 +257,9 @@
   }
 };
 
-StateCache::StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& b, consensus::Acceptor* m,
-               std::function<void(pb::NodeStatus&)> own, std::function<void()> seen)
+StateCache::StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& b,
+                       consensus::Acceptor* m, std::function<void(pb::NodeStatus&)> own,
+                       std::function<void()> seen)
     : p_(std::make_shared<Impl>(ps, std::move(c), b, m, std::move(own), std::move(seen))) {}
 StateCache::~StateCache() = default;
 
@@ -301,7 +311,8 @@
 
 bool StateCache::votes(const std::string& holder) const {
   auto f = p_->sides.find(holder);
-  return f != p_->sides.end() && f->second.voted != TimePoint(0) && p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
+  return f != p_->sides.end() && f->second.voted != TimePoint(0) &&
+         p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
 }
 
 void StateCache::hurry() {
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -6,9 +6,9 @@
 #include <atomic>
 #include <set>
 
-#include "membership/status_table.hpp"
 #include "consensus/acceptor.hpp"
 #include "consensus/register_client.hpp"
+#include "membership/status_table.hpp"
 
 namespace dunlinwing::membership {
 
@@ -25,13 +25,13 @@
 class StateCache {
  public:
   // `own` fills in what this node says of itself; `seen` runs after each good pull.
-  StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& registers, consensus::Acceptor* mine,
-         std::function<void(pb::NodeStatus&)> own, std::function<void()> seen);
+  StateCache(base::Ports& ps, StateCacheConfig c, consensus::RegisterClient& registers,
+             consensus::Acceptor* mine, std::function<void(pb::NodeStatus&)> own, std::function<void()> seen);
   ~StateCache();
   void start();
-  bool once();                            // one pull; true when good
-  bool fresh() const;                     // from any thread
-  TimePoint read_lease_end() const;                // from any thread
+  bool once();                       // one pull; true when good
+  bool fresh() const;                // from any thread
+  TimePoint read_lease_end() const;  // from any thread
   const Chosen& chosen() const;
   StatusTable& statuses();
   pb::Reply answer(const pb::Ask& pull);  // a holder's side of a pull
@@ -40,7 +40,8 @@
   bool settle(Duration limit);
   // The names of all registers, from a pull that began after this call.
   std::optional<std::vector<std::string>> names(Duration limit);
-  bool votes(const std::string& holder) const;  // it answered a pull in the last half of the bound, and not as mute
+  bool votes(
+      const std::string& holder) const;  // it answered a pull in the last half of the bound, and not as mute
   void hurry();  // the next pull begins at once, or as soon as the one under way has ended
 
  private:
--- a/src/membership/status_table.cpp
+++ b/src/membership/status_table.cpp
@@ -21,7 +21,8 @@
   return false;
 }
 
-std::vector<pb::NodeStatus> StatusTable::since(const google::protobuf::Map<std::string, pb::Mark>& have, TimePoint now) const {
+std::vector<pb::NodeStatus> StatusTable::since(const google::protobuf::Map<std::string, pb::Mark>& have,
+                                               TimePoint now) const {
   std::vector<pb::NodeStatus> out;
   for (auto& [k, e] : by_) {
     auto f = have.find(k);
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -25,7 +25,8 @@
  public:
   explicit StatusTable(Duration session) : session_(session) {}
   bool merge(const pb::NodeStatus& n, TimePoint now);  // false when what is known is as new
-  std::vector<pb::NodeStatus> since(const google::protobuf::Map<std::string, pb::Mark>& have, TimePoint now) const;
+  std::vector<pb::NodeStatus> since(const google::protobuf::Map<std::string, pb::Mark>& have,
+                                    TimePoint now) const;
   google::protobuf::Map<std::string, pb::Mark> marks() const;
   std::optional<pb::Mark> mark(const std::string& source) const;
   std::vector<Member> members(TimePoint now) const;
--- a/src/relay/config.cpp
+++ b/src/relay/config.cpp
@@ -95,8 +95,10 @@
     c.grace = span(b.at("grace_s"));
     auto& s = n.system;
     s.repeat_share = b.at("repeat_share").real(s.repeat_share);
-    s.repeat_allowance = static_cast<int64_t>(b.at("repeat_allowance").real(static_cast<double>(s.repeat_allowance)));
-    s.trial_share_percent = static_cast<int64_t>(b.at("trial_share").real(static_cast<double>(s.trial_share_percent) / 100) * 100);
+    s.repeat_allowance =
+        static_cast<int64_t>(b.at("repeat_allowance").real(static_cast<double>(s.repeat_allowance)));
+    s.trial_share_percent = static_cast<int64_t>(
+        b.at("trial_share").real(static_cast<double>(s.trial_share_percent) / 100) * 100);
     s.bad_answers = static_cast<int64_t>(b.at("bad_answers").real(static_cast<double>(s.bad_answers)));
   }
   // Of a machine's memory a quarter may be kept receipts and a quarter bodies under way.
--- a/src/relay/config.hpp
+++ b/src/relay/config.hpp
@@ -11,8 +11,8 @@
   std::string callers, control, readiness, data, releases, log_level = "info";
   std::string face = "own";  // whose words callers, workers and operators are spoken to in
   int threads = 2;
-  Duration beat{0};         // how often workers beat, when their calls do not say it
-  Duration grace{0};        // from the word to stop until the process must have ended; 0: from the bound
+  Duration beat{0};      // how often workers beat, when their calls do not say it
+  Duration grace{0};     // from the word to stop until the process must have ended; 0: from the bound
   int sockets = 0;       // that this process may have open at once; 0: not stated
   double memory_mb = 0;  // of the machine, for this process; 0: not stated
   size_t log_bytes = 4 << 20;
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -9,13 +9,13 @@
 #include <sstream>
 
 #include "base/log.hpp"
-#include "storage/async_disk.hpp"
-#include "storage/snapshot_store.hpp"
 #include "control_api/control.hpp"
 #include "platform/face.hpp"
 #include "platform/gate.hpp"
 #include "relay/reread.hpp"
 #include "software/stager.hpp"
+#include "storage/async_disk.hpp"
+#include "storage/snapshot_store.hpp"
 #include "wire/http.hpp"
 #include "wire/peer.hpp"
 
@@ -46,7 +46,8 @@
   }
   auto g = dw::relay::read_config(b.str());
   if (auto* ds = std::get_if<std::vector<dw::base::ValidationError>>(&g)) {
-    for (auto& d : *ds) std::cerr << "relay: " << FLAGS_config << ": " << (d.at.empty() ? "/" : d.at) << " " << d.what << "\n";
+    for (auto& d : *ds)
+      std::cerr << "relay: " << FLAGS_config << ": " << (d.at.empty() ? "/" : d.at) << " " << d.what << "\n";
     return {};
   }
   auto c = std::get<dw::relay::Config>(g);
@@ -81,7 +82,10 @@
   int next = 0;
   bool ending = false;
 
-  explicit App(dw::relay::Config cc) : c(std::move(cc)), pool(c.threads), origin(16u << 20, c.sockets > 0 ? static_cast<size_t>(std::max(4, c.sockets / 10)) : 512) {}
+  explicit App(dw::relay::Config cc)
+      : c(std::move(cc)),
+        pool(c.threads),
+        origin(16u << 20, c.sockets > 0 ? static_cast<size_t>(std::max(4, c.sockets / 10)) : 512) {}
 
   // Carried requests are traffic: they run on a traffic thread, not on control's.
   dw::pb::Reply answer(const dw::pb::Ask& a) {
@@ -105,7 +109,10 @@
   }
 
   std::optional<std::string> listen() {
-    if (auto e = dw::wire::serve_peers(pool, c.node.peer_address, [this](auto& a) { return answer(a); }, c.sockets > 0 ? static_cast<size_t>(c.sockets) / 5 : 4096)) return e;
+    if (auto e = dw::wire::serve_peers(
+            pool, c.node.peer_address, [this](auto& a) { return answer(a); },
+            c.sockets > 0 ? static_cast<size_t>(c.sockets) / 5 : 4096))
+      return e;
     if (c.callers.empty()) return {};
     dw::wire::HttpLimits lim;
     lim.body_bytes = 8u << 20;
@@ -115,10 +122,12 @@
     if (c.sockets > 0) lim.most = static_cast<size_t>(std::max(3, c.sockets / 16));
     auto calls = lim;
     if (c.sockets > 0) calls.most = static_cast<size_t>(c.sockets / 3);
-    callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", calls, [this](auto& q) { return node->serve(q); });
+    callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", calls,
+                                                     [this](auto& q) { return node->serve(q); });
     dw::wire::HttpHandler product = [this](auto& q) { return control->answer(q); };
     dw::wire::HttpHandler told = product;
-    if (c.face == "platform") told = [this, product](auto& q) { return dw::platform::answer(q, c.beat, product); };
+    if (c.face == "platform")
+      told = [this, product](auto& q) { return dw::platform::answer(q, c.beat, product); };
     operators = std::make_unique<dw::wire::HttpServer>(pool, "control", lim, told);
     if (auto e = operators->listen(c.control, 0, 1)) return e;
     if (!c.readiness.empty()) {
@@ -149,13 +158,15 @@
   void software(const std::string& program) {
     hand = std::make_unique<dw::storage::DiskExecutor>(pool);
     if (!c.data.empty()) shelf = std::make_unique<dw::storage::ArtifactFiles>(c.data);
-    artifacts = std::make_unique<dw::software::Artifacts>(ports, node->registers(), node->state_cache(), c.node.name, shelf.get(),
-                                                          hand.get(), c.node.bound);
+    artifacts = std::make_unique<dw::software::Artifacts>(ports, node->registers(), node->state_cache(),
+                                                          c.node.name, shelf.get(), hand.get(), c.node.bound);
     node->artifacts(artifacts.get());
     dw::software::StagerPorts sp;
     sp.wanted = [this] { return node->wanted_software(); };
     sp.defect = [this](auto& why) { node->software_defect(why); };
-    sp.sound = [this] { return node->state_cache().fresh() && (node->ready() || !node->traffic().table()->layout); };
+    sp.sound = [this] {
+      return node->state_cache().fresh() && (node->ready() || !node->traffic().table()->layout);
+    };
     sp.crowded = [this] {
       // At most a third of the nodes may be out at once; a duty's pair goes one by one.
       size_t in = node->state_cache().statuses().members(clock.now()).size();
@@ -163,7 +174,8 @@
       return in * 3 < static_cast<size_t>(t->nodes) * 2;
     };
     sp.end = [this](int status) { finish(status); };
-    stager = std::make_unique<dw::software::Stager>(ports, *artifacts, *hand, sp, c.releases, program, c.node.bound);
+    stager = std::make_unique<dw::software::Stager>(ports, *artifacts, *hand, sp, c.releases, program,
+                                                    c.node.bound);
   }
 
   void finish(int status) {
@@ -173,7 +185,8 @@
     // The platform asks each second whether this node is ready, so callers go on
     // coming for as long; they are served until it has heard the no.
     auto grace = c.grace > 0ms ? c.grace * 4 / 5 : c.node.bound * 2;
-    auto end = clock.now() + grace, heard = clock.now() + (c.grace > 0ms ? c.grace * 9 / 20 : c.node.bound * 5 / 8);
+    auto end = clock.now() + grace,
+         heard = clock.now() + (c.grace > 0ms ? c.grace * 9 / 20 : c.node.bound * 5 / 8);
     lg.info("{}: asked to stop; draining.", c.node.name);
     if (callers) callers->wind_down();
     node->leave();
@@ -181,7 +194,8 @@
     node->traffic().drain();
     if (callers) callers->close();
     if (callers) callers->close_idle();
-    while ((node->traffic().running() > 0 || (callers && callers->running() > 0)) && clock.now() < end) clock.sleep(10ms);
+    while ((node->traffic().running() > 0 || (callers && callers->running() > 0)) && clock.now() < end)
+      clock.sleep(10ms);
     lg.info("{}: stopped.", c.node.name);
     dw::wire::Pool::stop(status);
   }
@@ -205,8 +219,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   App app(*c);
   if (c->node.scale > 1)
-    lg.warn("{}: HOLDS ARE DIVIDED BY {}. This is for trying things out, never for real machines.", c->node.name,
-            c->node.scale);
+    lg.warn("{}: HOLDS ARE DIVIDED BY {}. This is for trying things out, never for real machines.",
+            c->node.name, c->node.scale);
   if (!c->data.empty()) {
     auto f = dw::storage::open_folder(c->data);
     if (auto* d = std::get_if<dw::storage::OpenError>(&f)) {
@@ -237,8 +251,8 @@
     hups.async_wait(on_hup);
   };
   hups.async_wait(on_hup);
-  lg.info("{}: relay {} in zone {}; callers {}, control {}, peers {}.", c->node.name, dw::kSoftware, c->node.zone,
-          c->callers, c->control, c->node.peer_address);
+  lg.info("{}: relay {} in zone {}; callers {}, control {}, peers {}.", c->node.name, dw::kSoftware,
+          c->node.zone, c->callers, c->control, c->node.peer_address);
   app.pool.run([&] {
     app.node->start();
     app.artifacts->start();
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -7,8 +7,8 @@
 
 #include "base/log.hpp"
 #include "membership/deregistered.hpp"
-#include "membership/replica_repair.hpp"
 #include "membership/discovery.hpp"
+#include "membership/replica_repair.hpp"
 #include "traffic/jury.hpp"
 #include "traffic/order.hpp"
 
@@ -46,13 +46,20 @@
   TimePoint reached_at{0};
 
   Impl(base::Ports& p, NodeConfig cc, base::Disk* disk)
-      : ps(p), c(with_face(std::move(cc))), holder(disk != nullptr), set(c.holders),
+      : ps(p),
+        c(with_face(std::move(cc))),
+        holder(disk != nullptr),
+        set(c.holders),
         acceptor(disk ? std::make_unique<consensus::Acceptor>(ps, *disk, c.name, set, c.bound / 4) : nullptr),
         registers(ps, c.name, set, c.bound / 4,
-             acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); }) : consensus::Local()),
-        state_cache(ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::NodeStatus& n) { own(n); }, [this] { seen(); }),
+                  acceptor ? consensus::Local([this](const pb::Ask& a) { return acceptor->answer(a); })
+                           : consensus::Local()),
+        state_cache(
+            ps, {c.name, c.bound}, registers, acceptor.get(), [this](pb::NodeStatus& n) { own(n); },
+            [this] { seen(); }),
         leadership(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
-        discovery(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache, acceptor.get()),
+        discovery(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache,
+                  acceptor.get()),
         replica_repair(ps, registers, state_cache, leadership, c.tolerate, c.bound),
         conductor(ps, registers, state_cache, leadership, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return state_cache.fresh(); }) {
@@ -154,7 +161,8 @@
     if (!ok) return;  // what runs goes on running
     load_defect.clear();
     if (a.generation() > generation)
-      lg.info("{}: generation {} puts layout {} in force here.", c.name, a.generation(), lay.empty() ? "(none)" : lay);
+      lg.info("{}: generation {} puts layout {} in force here.", c.name, a.generation(),
+              lay.empty() ? "(none)" : lay);
     t.layout = l;
     t.system = s;
     t.generation = a.generation();
@@ -193,7 +201,8 @@
   void seen() {
     TimePoint now = ps.clock.now();
     bool was = drained.exchange(stated_drained());
-    if (was != drained) lg.info("{}: {}.", c.name, drained ? "drained; callers are sent elsewhere" : "no longer drained");
+    if (was != drained)
+      lg.info("{}: {}.", c.name, drained ? "drained; callers are sent elsewhere" : "no longer drained");
     leadership.rest(drained);
     auto t = std::make_shared<traffic::Table>();
     auto roll = rollout::read_rollout(state_cache.chosen());
@@ -227,7 +236,8 @@
       auto& b = w.beat;
       if (w.gone || w.age > youngest[b.address()]) continue;
       alive.push_back(i);
-      t->workers[b.service()].push_back({i, b.service(), b.version(), b.zone(), b.address(), static_cast<int>(b.capacity()),
+      t->workers[b.service()].push_back({i, b.service(), b.version(), b.zone(), b.address(),
+                                         static_cast<int>(b.capacity()),
                                          now - w.age + Duration(b.cold_ms())});
     }
     if (now - swept >= c.bound / 2) {
@@ -239,7 +249,8 @@
       if (k.starts_with("share/")) {
         pb::Shares sh;
         sh.ParseFromString(h.data);
-        if (auto f = sh.milli().find(c.name); f != sh.milli().end()) t->shares[k.substr(6)] = f->second / 1000.0;
+        if (auto f = sh.milli().find(c.name); f != sh.milli().end())
+          t->shares[k.substr(6)] = f->second / 1000.0;
       }
       if (k.starts_with("purge/")) t->purges[k.substr(6)].ParseFromString(h.data);
     }
@@ -256,7 +267,8 @@
 
   bool ready() const {
     auto t = traffic.table();
-    return !leaving && !drained && state_cache.fresh() && t->layout && !traffic::overtaken(*t, c.name, t->generation);
+    return !leaving && !drained && state_cache.fresh() && t->layout &&
+           !traffic::overtaken(*t, c.name, t->generation);
   }
 };
 
@@ -277,12 +289,15 @@
   }
 }
 
-std::string drain_key(const std::string& what, const std::string& name) { return "drain/" + what + "/" + name; }
+std::string drain_key(const std::string& what, const std::string& name) {
+  return "drain/" + what + "/" + name;
+}
 
 pb::Reply Node::answer(const pb::Ask& a) {
   pb::Reply out;
   switch (a.body_case()) {
-    case pb::Ask::kPull: return p_->state_cache.answer(a);
+    case pb::Ask::kPull:
+      return p_->state_cache.answer(a);
     case pb::Ask::kProbe:
       if (p_->ps.clock.now() - p_->reached_at >= p_->c.bound / 2) {
         p_->reached_at = p_->ps.clock.now();
@@ -310,7 +325,9 @@
       }
       out.set_defect("this node holds no state");
       return out;
-    default: out.set_defect("not understood"); return out;
+    default:
+      out.set_defect("not understood");
+      return out;
   }
 }
 
@@ -328,7 +345,8 @@
     x = {b, p_->ps.clock.now()};
     if (left) x.first.set_leaving(true);
   }
-  bool known = (!b.leaving() || membership::deregister(p_->registers, b.instance())) && (same || p_->state_cache.settle(p_->c.bound / 2));
+  bool known = (!b.leaving() || membership::deregister(p_->registers, b.instance())) &&
+               (same || p_->state_cache.settle(p_->c.bound / 2));
   ++(known ? p_->beats_taken : p_->beats_missed);
   return known;
 }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -12,15 +12,15 @@
 struct NodeConfig {
   std::string name, zone, peer_address, http_address;
   std::vector<consensus::Replica> holders;  // none: the first set forms out of the seeds
-  std::vector<std::string> seeds;         // control addresses
-  bool first_start = true;                // of the whole fleet
-  int tolerate = 0;                       // holders that may be lost at once; 0: only operators change the set
+  std::vector<std::string> seeds;           // control addresses
+  bool first_start = true;                  // of the whole fleet
+  int tolerate = 0;  // holders that may be lost at once; 0: only operators change the set
   bool shield = false;
   Duration bound{2000};
   double scale = 1;
-  rollout::System system;       // in force while no system release is
-  int sockets = 0;              // that the process may have open; 0: not stated
-  size_t cache_bytes = SIZE_MAX;  // of this machine
+  rollout::System system;                     // in force while no system release is
+  int sockets = 0;                            // that the process may have open; 0: not stated
+  size_t cache_bytes = SIZE_MAX;              // of this machine
   std::shared_ptr<const traffic::Face> face;  // null: the product's own
 };
 
@@ -30,7 +30,7 @@
   Node(base::Ports& ps, NodeConfig c, base::Disk* disk);
   ~Node();
   void start();
-  pb::Reply answer(const pb::Ask& a);   // what other nodes ask; not for carries
+  pb::Reply answer(const pb::Ask& a);  // what other nodes ask; not for carries
   base::Response serve(base::Request& q);
   pb::CarryReply carry(const pb::Carry& c);
   // Takes a worker's beat; true once a majority of holders has heard of it.
--- a/src/relay/reread.cpp
+++ b/src/relay/reread.cpp
@@ -63,7 +63,8 @@
     if (!t || (*t == text && !asked)) return;
     auto g = read_config(*t);
     if (auto* ds = std::get_if<std::vector<base::ValidationError>>(&g)) {
-      for (auto& d : *ds) lg.error("{}: {} {}; the settings read before stay.", path, d.at.empty() ? "/" : d.at, d.what);
+      for (auto& d : *ds)
+        lg.error("{}: {} {}; the settings read before stay.", path, d.at.empty() ? "/" : d.at, d.what);
       return;
     }
     auto c = std::get<Config>(g);
@@ -82,7 +83,8 @@
   }
 };
 
-Reread::Reread(std::string path, std::function<void(std::vector<std::string>)> seeds) : p_(new Impl{std::move(path), std::move(seeds), {}, {}}) {
+Reread::Reread(std::string path, std::function<void(std::vector<std::string>)> seeds)
+    : p_(new Impl{std::move(path), std::move(seeds), {}, {}}) {
   p_->seen = p_->print();
   p_->text = p_->read().value_or("");
 }
--- a/src/rollout/checks.cpp
+++ b/src/rollout/checks.cpp
@@ -39,7 +39,8 @@
 
 void gather(pb::Course& c, const Sight& v, const pb::Rollout& s) {
   auto* e = c.mutable_evidence();
-  bool away = std::any_of(v.nodes.begin(), v.nodes.end(), [&](auto& n) { return !n.present && on(s, n.name, c); });
+  bool away =
+      std::any_of(v.nodes.begin(), v.nodes.end(), [&](auto& n) { return !n.present && on(s, n.name, c); });
   c.set_lost_ms(away ? c.lost_ms() + static_cast<uint64_t>(v.dt.count()) : 0);
   for (auto& n : v.nodes) {
     if (!n.present) continue;
@@ -71,10 +72,12 @@
     bool o = on(s, n.name, c);
     (o ? on_all : off_all)++;
     if (!n.present) (o ? on_lost : off_lost)++;
-    if (o && n.present && n.load_defect.starts_with(c.kind() + "/" + c.release() + ":")) refused = n.name + ": " + n.load_defect;
+    if (o && n.present && n.load_defect.starts_with(c.kind() + "/" + c.release() + ":"))
+      refused = n.name + ": " + n.load_defect;
   }
   if (!waived("beats")) {
-    if (c.phase() == pb::ONE && on_lost > 0 && Duration(static_cast<int64_t>(c.lost_ms())) >= r.absence(c.kind()))
+    if (c.phase() == pb::ONE && on_lost > 0 &&
+        Duration(static_cast<int64_t>(c.lost_ms())) >= r.absence(c.kind()))
       return "check beats: the phase-one machine is lost";
     // One machine may be lost unnoticed; a third of those on it, when the rest stands better, may not.
     if (on_lost >= 2 && on_lost * 3 > on_all && on_lost * off_all > 2 * off_lost * on_all)
@@ -83,8 +86,10 @@
   if (!waived("load") && !refused.empty()) return "check load: " + refused;
   auto& e = c.evidence();
   if (!waived("defects") && e.on_defects() >= kLeastDefects) {
-    double a = static_cast<double>(e.on_defects()) / static_cast<double>(std::max<uint64_t>(e.on_requests(), 1));
-    double b = static_cast<double>(e.off_defects()) / static_cast<double>(std::max<uint64_t>(e.off_requests(), 1));
+    double a =
+        static_cast<double>(e.on_defects()) / static_cast<double>(std::max<uint64_t>(e.on_requests(), 1));
+    double b =
+        static_cast<double>(e.off_defects()) / static_cast<double>(std::max<uint64_t>(e.off_requests(), 1));
     if (a > b * static_cast<double>(r.system.defect_ratio_percent) / 100 + kSlack)
       return fmt::format("check defects: {} of {} requests on it, {} of {} elsewhere", e.on_defects(),
                          e.on_requests(), e.off_defects(), e.off_requests());
@@ -94,12 +99,15 @@
   auto others = e.off_probes_ok() + e.off_probes_bad();
   if (!waived("probes") && probes >= kLeastProbes && e.probes_bad() * 4 > probes &&
       e.probes_bad() * others > 2 * e.off_probes_bad() * probes)
-    return fmt::format("check probes: {} of {} failed, {} of {} elsewhere", e.probes_bad(), probes, e.off_probes_bad(), others);
+    return fmt::format("check probes: {} of {} failed, {} of {} elsewhere", e.probes_bad(), probes,
+                       e.off_probes_bad(), others);
   // Workers' beats that used to come through these nodes stay away, and elsewhere they do not.
   auto usual = e.beats_usual() / 1000, off_usual = e.off_beats_usual() / 1000;
-  if (!waived("worker-beats") && usual >= kLeastBeats && e.beats() * 4 < usual && e.off_beats() * 2 > off_usual)
-    return fmt::format("check worker-beats: {} came through nodes on it where {} were usual, {} of {} elsewhere", e.beats(), usual,
-                       e.off_beats(), off_usual);
+  if (!waived("worker-beats") && usual >= kLeastBeats && e.beats() * 4 < usual &&
+      e.off_beats() * 2 > off_usual)
+    return fmt::format(
+        "check worker-beats: {} came through nodes on it where {} were usual, {} of {} elsewhere", e.beats(),
+        usual, e.off_beats(), off_usual);
   return {};
 }
 
--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -23,7 +23,7 @@
 };
 constexpr double kLatest = 0.002;  // least weight of the latest look at what is usual: some two minutes count
 constexpr uint64_t kLearnt = 240;  // looks, a minute of them, before a mean is taken for usual
-constexpr size_t kOthers = 3;     // nodes not on a release that are probed beside those on it
+constexpr size_t kOthers = 3;      // nodes not on a release that are probed beside those on it
 
 // Whether the effects ask for a write, and whether it may not wait.
 std::pair<bool, bool> saving(const std::vector<Effect>& es) {
@@ -87,8 +87,16 @@
   Settler settler;
   Watch watch;
 
-  Impl(base::Ports& p, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, ConductorConfig cc)
-      : ps(p), registers(b), state_cache(m), leadership(d), c(std::move(cc)), pacer(p, b, m, d, c.bound), settler(p, b, m, d, c.bound), watch(c.bound) {
+  Impl(base::Ports& p, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d,
+       ConductorConfig cc)
+      : ps(p),
+        registers(b),
+        state_cache(m),
+        leadership(d),
+        c(std::move(cc)),
+        pacer(p, b, m, d, c.bound),
+        settler(p, b, m, d, c.bound),
+        watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
   }
@@ -138,11 +146,15 @@
         s.defects = df - std::min(df, k.defects);
         s.beats = x.beats_taken() - std::min(x.beats_taken(), k.beats);
       }
-      double sec = looked == TimePoint(0) ? 0 : static_cast<double>(std::min<Duration>(now - looked, c.bound).count()) / 1000;
+      double sec = looked == TimePoint(0)
+                       ? 0
+                       : static_cast<double>(std::min<Duration>(now - looked, c.bound).count()) / 1000;
       bool tried = on_trial(n), learns = !tried && sec > 0 && k.incarnation == x.mark().incarnation();
       if (learns)
-        k.usual += std::max(kLatest, 1.0 / static_cast<double>(++k.looks)) * (static_cast<double>(s.beats) / sec - k.usual);
-      if ((tried || learns) && k.looks >= kLearnt) s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
+        k.usual += std::max(kLatest, 1.0 / static_cast<double>(++k.looks)) *
+                   (static_cast<double>(s.beats) / sec - k.usual);
+      if ((tried || learns) && k.looks >= kLearnt)
+        s.beats_usual = static_cast<uint64_t>(k.usual * sec * 1000);
       k = {x.mark().incarnation(), rq, df, x.beats_taken(), k.usual, k.looks};
       if (auto p = probes.find(n); p != probes.end()) {
         std::tie(s.probes_ok, s.probes_bad) = p->second;
@@ -280,7 +292,8 @@
       v.dt = dt;
       for (auto& [src, x] : statuses)
         for (auto& t : x.trials())
-          v.given_up |= t.service() == name && t.number() == mine.second.trial_number() && t.stopped() && !mine.second.trial().empty();
+          v.given_up |= t.service() == name && t.number() == mine.second.trial_number() && t.stopped() &&
+                        !mine.second.trial().empty();
       watch.tell(now, name, mine.second, v);
       auto o = step(name, mine.second, v, rules);
       auto [write, urgent] = saving(o.effects);
@@ -338,7 +351,8 @@
   std::weak_ptr<Impl> weak;
 };
 
-Conductor::Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, ConductorConfig c)
+Conductor::Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m,
+                     membership::Leadership& d, ConductorConfig c)
     : p_(std::make_shared<Impl>(ps, b, m, d, std::move(c))) {
   p_->weak = p_;
 }
--- a/src/rollout/conductor.hpp
+++ b/src/rollout/conductor.hpp
@@ -14,7 +14,8 @@
 
 class Conductor {
  public:
-  Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, ConductorConfig c);
+  Conductor(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m,
+            membership::Leadership& d, ConductorConfig c);
   ~Conductor();
   void start();
   void tick();  // one look and what follows from it
--- a/src/rollout/moves.cpp
+++ b/src/rollout/moves.cpp
@@ -48,8 +48,9 @@
       banish(ver, fmt::format("{} bad answers of {} on trial, against {} of {}", n.bad(), n.good() + n.bad(),
                               n.from_bad(), n.from_good() + n.from_bad()));
     } else if (n.good() + n.bad() >= static_cast<uint64_t>(r.system.promote_requests) &&
-               Duration(static_cast<int64_t>(n.held_ms())) >= Duration(static_cast<int64_t>(
-                   static_cast<double>(r.system.promote_seconds) * 1000 / r.scale))) {
+               Duration(static_cast<int64_t>(n.held_ms())) >=
+                   Duration(static_cast<int64_t>(static_cast<double>(r.system.promote_seconds) * 1000 /
+                                                 r.scale))) {
       if (worse(a, b)) {
         n.set_why("it answers worse than the version in place, and stays on trial");
       } else {
@@ -84,7 +85,8 @@
     return false;
   };
   if (!gave_way(v.recent)) gave_way(v.minute);
-  if (o.effects.empty() && !google::protobuf::util::MessageDifferencer::Equals(n, s)) o.effects.push_back(Save{false});
+  if (o.effects.empty() && !google::protobuf::util::MessageDifferencer::Equals(n, s))
+    o.effects.push_back(Save{false});
   return o;
 }
 
--- a/src/rollout/moves.hpp
+++ b/src/rollout/moves.hpp
@@ -18,10 +18,10 @@
   std::map<std::string, int> workers;    // by version, beating
   bool given_up = false;                 // some relay has given the trial up by itself
   // For a move with a term:
-  Duration asked{0};                         // at least so long ago it was asked for
-  Duration switching{0};                     // so long ago at the most its switch was recorded
-  std::map<std::string, int> warm;       // by version, beating and not cold
-  bool all_warm = false;                 // the workers that the trial asks are warm, and were a while ago
+  Duration asked{0};                // at least so long ago it was asked for
+  Duration switching{0};            // so long ago at the most its switch was recorded
+  std::map<std::string, int> warm;  // by version, beating and not cold
+  bool all_warm = false;            // the workers that the trial asks are warm, and were a while ago
   traffic::Seen seen;
 };
 
@@ -34,12 +34,14 @@
 // A move within a term (term.cpp): judged late in it, then switched as a whole, and
 // completed once no relay can still send to the old version. Without a verdict in time
 // the version is rolled back.
-MoveOutcome step_term(const std::string& service, const pb::ServiceState& s, const MoveSight& v, const Rules& r);
+MoveOutcome step_term(const std::string& service, const pb::ServiceState& s, const MoveSight& v,
+                      const Rules& r);
 
 void drop_trial(pb::ServiceState& s);  // without a verdict
 // Opens a trial; `within` 0: without a term.
 void open_trial(pb::ServiceState& s, const std::string& version, Duration within, Duration longest);
-// What the operator is told of a move with a term: running, completed, rolled_back, or empty when none was asked for.
+// What the operator is told of a move with a term: running, completed, rolled_back, or empty when none was
+// asked for.
 std::string outcome(const pb::ServiceState& s);
 
 std::string service_key(const std::string& service);
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -10,7 +10,7 @@
 namespace dunlinwing::rollout {
 namespace {
 constexpr base::Log lg("shares");
-constexpr double kFresh = 0.3;  // the weight of the latest look at demand
+constexpr double kFresh = 0.3;   // the weight of the latest look at demand
 constexpr int kLooks = 3;        // before demand is known well enough
 constexpr int kAwayBounds = 15;  // a node away for less is expected back, and its share is kept for it
 constexpr int kAwayScarce = 5;   // the same, while more is asked elsewhere than the rate allows
@@ -30,7 +30,7 @@
   Duration bound;
   uint64_t term = 0;
   TimePoint last{0};
-  int looks = 0;  // since the leadership was taken up
+  int looks = 0;                                            // since the leadership was taken up
   std::map<std::string, std::map<std::string, Seen>> seen;  // service -> node
   std::map<std::string, TimePoint> fell;
   std::map<std::string, int64_t> rates;
@@ -155,9 +155,12 @@
   }
 };
 
-Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Duration bound)
+Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m,
+             membership::Leadership& d, Duration bound)
     : p_(new Impl{ps, b, m, d, bound}) {}
 Pacer::~Pacer() = default;
-void Pacer::tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& rs) { p_->tick(now, r, rs); }
+void Pacer::tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& rs) {
+  p_->tick(now, r, rs);
+}
 
 }  // namespace dunlinwing::rollout
--- a/src/rollout/pacer.hpp
+++ b/src/rollout/pacer.hpp
@@ -8,7 +8,8 @@
 
 class Pacer {
  public:
-  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Duration bound);
+  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d,
+        Duration bound);
   ~Pacer();
   void tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
 
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -80,7 +80,8 @@
       a.set_generation(s.generation());
       for (auto& [kind, rel] : s.in_force()) (*a.mutable_releases())[kind] = rel;
       for (auto& [kind, m] : count) {
-        auto best = std::max_element(m.begin(), m.end(), [](auto& x, auto& y) { return x.second < y.second; });
+        auto best =
+            std::max_element(m.begin(), m.end(), [](auto& x, auto& y) { return x.second < y.second; });
         auto c = active(s, kind);
         // A zone that is only in part on a release counts as what it was.
         if (c && best->first == c->release() && c->phase() == pb::ONE) continue;
@@ -144,7 +145,8 @@
     std::vector<const NodeSight*> fit;
     for (bool replica_repair : {false, true}) {
       for (auto& n : v.nodes)
-        if (n.present && !n.drained && n.keeper == replica_repair && s.nodes().count(n.name)) fit.push_back(&n);
+        if (n.present && !n.drained && n.keeper == replica_repair && s.nodes().count(n.name))
+          fit.push_back(&n);
       if (!fit.empty()) break;
     }
     if (fit.empty()) return c.set_why("no node is present");
@@ -176,7 +178,8 @@
         if (a.zone() != c.zone()) continue;
         ++zone;
         auto f = seen.find(n);
-        out += assigned(n, c.kind()) == c.release() && (f == seen.end() || !f->second->present || !runs(*f->second, c));
+        out += assigned(n, c.kind()) == c.release() &&
+               (f == seen.end() || !f->second->present || !runs(*f->second, c));
       }
       size_t may = std::max<size_t>(1, zone / 3);
       if (out >= may) return false;
@@ -231,7 +234,8 @@
     if (!whole) return c.set_why("its nodes are still loading it");
     c.set_held_ms(c.held_ms() + static_cast<uint64_t>(v.dt.count()));
     Duration left = r.hold(rel, c.phase()) - Duration(static_cast<int64_t>(c.held_ms()));
-    if (left > Duration(0)) return c.set_why(fmt::format("holding: {} s of the phase are left", (left.count() + 999) / 1000));
+    if (left > Duration(0))
+      return c.set_why(fmt::format("holding: {} s of the phase are left", (left.count() + 999) / 1000));
     if (auto few = wanting(c, r, act)) return c.set_why(*few);
     if (!v.quiet && !(c.phase() == pb::THREE && zones_left(c).empty()))
       return c.set_why("waiting for the quiet hours");
--- a/src/rollout/reducer.hpp
+++ b/src/rollout/reducer.hpp
@@ -18,7 +18,9 @@
   std::string load_defect;
   uint64_t requests = 0, defects = 0;  // since the last sight
   uint64_t probes_ok = 0, probes_bad = 0;
-  uint64_t beats = 0, beats_usual = 0;  // of workers taken here since the last sight; thousandths usual before the release
+  uint64_t beats = 0,
+           beats_usual =
+               0;  // of workers taken here since the last sight; thousandths usual before the release
 };
 
 struct Recorded {
--- a/src/rollout/release.cpp
+++ b/src/rollout/release.cpp
@@ -69,8 +69,9 @@
     if (!j.at("holds").has(k)) return;
     Duration want = std::chrono::minutes(j.at("holds").at(k).num());
     if (want < h)
-      ds.push_back({std::string("/holds/") + k, fmt::format("is shorter than the minimum of {} min",
-                                                           std::chrono::duration_cast<std::chrono::minutes>(h).count())});
+      ds.push_back({std::string("/holds/") + k,
+                    fmt::format("is shorter than the minimum of {} min",
+                                std::chrono::duration_cast<std::chrono::minutes>(h).count())});
     h = std::max(h, want);
   };
   longer("one_min", r.holds.one);
--- a/src/rollout/shares.cpp
+++ b/src/rollout/shares.cpp
@@ -9,8 +9,8 @@
 namespace dunlinwing::rollout {
 namespace {
 constexpr double kHandedOut = 0.97;
-constexpr double kFloor = 0.2;     // of the rate, spread evenly, so that no relay starts from nothing
-constexpr double kChange = 0.15;   // smaller wishes are not worth a write
+constexpr double kFloor = 0.2;    // of the rate, spread evenly, so that no relay starts from nothing
+constexpr double kChange = 0.15;  // smaller wishes are not worth a write
 
 std::map<std::string, uint32_t> wish(const ShareSight& v) {
   std::vector<std::pair<double, std::string>> by;
--- a/src/rollout/shares.hpp
+++ b/src/rollout/shares.hpp
@@ -8,8 +8,8 @@
 
 struct ShareSight {
   int64_t rate = 0;                      // requests a second over the fleet
-  Duration since_fall{0};                    // since shares last fell, as the duty's holder knows
-  Duration bound{2000};                      // after this every relay has taken a fall to heart
+  Duration since_fall{0};                // since shares last fell, as the duty's holder knows
+  Duration bound{2000};                  // after this every relay has taken a fall to heart
   std::map<std::string, double> demand;  // by node present: requests a second asked of late
 };
 
--- a/src/rollout/system.cpp
+++ b/src/rollout/system.cpp
@@ -31,7 +31,8 @@
   auto ds = s.check(j);
   if (!ds.empty()) return ds;
   for (auto* k : {"from", "to"})
-    if (j.has("quiet_hours") && minute(j, k) > 24 * 60) ds.push_back({std::string("/quiet_hours/") + k, "is no time of the day"});
+    if (j.has("quiet_hours") && minute(j, k) > 24 * 60)
+      ds.push_back({std::string("/quiet_hours/") + k, "is no time of the day"});
   return ds;
 }
 
--- a/src/rollout/system.hpp
+++ b/src/rollout/system.hpp
@@ -24,7 +24,8 @@
 };
 
 std::vector<base::ValidationError> check_system(const base::Json& j);
-System read_system(const base::Json& j, const System& base = {});  // what the document leaves out is as in `base`
+System read_system(const base::Json& j,
+                   const System& base = {});  // what the document leaves out is as in `base`
 std::string_view system_schema();
 
 }  // namespace dunlinwing::rollout
--- a/src/rollout/term.cpp
+++ b/src/rollout/term.cpp
@@ -45,7 +45,8 @@
 
 std::string outcome(const pb::ServiceState& s) { return s.asked().empty() ? std::string() : s.outcome(); }
 
-MoveOutcome step_term(const std::string& name, const pb::ServiceState& s, const MoveSight& v, const Rules& r) {
+MoveOutcome step_term(const std::string& name, const pb::ServiceState& s, const MoveSight& v,
+                      const Rules& r) {
   MoveOutcome o{s, {}};
   auto& n = o.state;
   auto to = s.trial();
@@ -65,16 +66,18 @@
     n.set_switching(false);
     n.set_outcome(how);
     n.set_why(why);
-    o.effects.push_back(Tell{fmt::format("Service {}: the move to version {} is {}: {}.", name, to, how, why)});
+    o.effects.push_back(
+        Tell{fmt::format("Service {}: the move to version {} is {}: {}.", name, to, how, why)});
     save(true);
   };
   auto back = [&](const std::string& why) {
     (*n.mutable_quarantined())[to] = why;
     end("rolled_back", why);
   };
-  auto figures = fmt::format("{} bad answers of {}, {} slow, against {} and {} of {}", all.bad, all.all(), all.slow,
-                             from.bad, from.slow, from.all());
-  if (v.given_up || n.bad() >= static_cast<uint64_t>(r.system.bad_answers) || traffic::plainly_worse(v.seen)) {
+  auto figures = fmt::format("{} bad answers of {}, {} slow, against {} and {} of {}", all.bad, all.all(),
+                             all.slow, from.bad, from.slow, from.all());
+  if (v.given_up || n.bad() >= static_cast<uint64_t>(r.system.bad_answers) ||
+      traffic::plainly_worse(v.seen)) {
     back(figures);
   } else if (auto why = traffic::worse(v.seen); !why.empty()) {
     back(why);
@@ -93,7 +96,8 @@
     auto few = [&] { return of(v.warm, to) * 4 < std::max(1, of(v.workers, s.current())) * 3; };
     why = !v.all_warm ? std::string("its workers are not warm yet") : traffic::objection(v.seen);
     if (why.empty() && few())
-      why = fmt::format("{} warm workers for {} of the version in place", of(v.warm, to), of(v.workers, s.current()));
+      why = fmt::format("{} warm workers for {} of the version in place", of(v.warm, to),
+                        of(v.workers, s.current()));
     // What is not needed for the verdict is left for the switch, should it have to go back.
     uint32_t share = v.all_warm && !traffic::ample(v.seen) ? traffic::kTermPercent : traffic::kColdPercent;
     if (v.all_warm && s.percent() != share) {
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -31,9 +31,9 @@
   membership::StateCache& state_cache;
   membership::Leadership& leadership;
   Duration bound;
-  std::string settled;                  // the layout of which all is known to be in place
+  std::string settled;  // the layout of which all is known to be in place
   std::shared_ptr<const traffic::Layout> now;
-  std::map<std::string, TimePoint> gone;     // since when no worker of the version in place beats
+  std::map<std::string, TimePoint> gone;  // since when no worker of the version in place beats
 
   pb::ServiceState state(const std::string& name, uint64_t& version) {
     pb::ServiceState st;
@@ -43,7 +43,8 @@
     return st;
   }
   bool write(const std::string& name, uint64_t version, const pb::ServiceState& st) {
-    return leadership.held() && std::holds_alternative<consensus::VersionedValue>(registers.write(service_key(name), version, st.SerializeAsString()));
+    return leadership.held() && std::holds_alternative<consensus::VersionedValue>(
+                                    registers.write(service_key(name), version, st.SerializeAsString()));
   }
 
   void settle() {
@@ -64,7 +65,9 @@
     }
     for (auto& [k, h] : membership::Chosen(state_cache.chosen())) {
       pb::ServiceState st;
-      if (!k.starts_with("service/") || now->services.count(k.substr(8)) || !st.ParseFromString(h.data) || st.current().empty()) continue;
+      if (!k.starts_with("service/") || now->services.count(k.substr(8)) || !st.ParseFromString(h.data) ||
+          st.current().empty())
+        continue;
       st.clear_current();
       st.clear_kept();
       drop_trial(st);
@@ -81,15 +84,18 @@
       auto st = state(name, version);
       std::map<std::string, int> n;
       for (auto& [i, w] : ws)
-        if (!w.gone && w.beat.service() == name && !st.quarantined().count(w.beat.version())) ++n[w.beat.version()];
+        if (!w.gone && w.beat.service() == name && !st.quarantined().count(w.beat.version()))
+          ++n[w.beat.version()];
       if (st.current().empty() || !st.trial().empty() || n.empty() || n.count(st.current())) {
         gone.erase(name);
         continue;
       }
       auto [f, fresh] = gone.emplace(name, ps.clock.now());
-      if (fresh) lg.warn("Service {}: no worker of version {} beats any more, and others do.", name, st.current());
+      if (fresh)
+        lg.warn("Service {}: no worker of version {} beats any more, and others do.", name, st.current());
       if (ps.clock.now() - f->second < bound * kGoneBounds) continue;
-      auto to = std::max_element(n.begin(), n.end(), [](auto& a, auto& b) { return a.second < b.second; })->first;
+      auto to =
+          std::max_element(n.begin(), n.end(), [](auto& a, auto& b) { return a.second < b.second; })->first;
       lg.warn("Service {}: version {} takes the place of {}, which is gone.", name, to, st.current());
       st.set_current(to);
       if (write(name, version, st)) gone.erase(name);
@@ -97,7 +103,8 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Duration bound)
+Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m,
+                 membership::Leadership& d, Duration bound)
     : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
 Settler::~Settler() = default;
 
--- a/src/rollout/versions.hpp
+++ b/src/rollout/versions.hpp
@@ -12,9 +12,11 @@
 
 class Settler {
  public:
-  Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d, Duration bound);
+  Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d,
+          Duration bound);
   ~Settler();
-  // While the leadership is held: records what is in place, and what takes the place of a version that is gone.
+  // While the leadership is held: records what is in place, and what takes the place of a version that is
+  // gone.
   void tick(std::shared_ptr<const traffic::Layout> in_force);
   void idle();  // the leadership is not held
 
--- a/src/rollout/watch.cpp
+++ b/src/rollout/watch.cpp
@@ -9,7 +9,8 @@
 
 namespace dunlinwing::rollout {
 
-void Watch::look(TimePoint now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
+void Watch::look(TimePoint now, const membership::Chosen& chosen,
+                 const std::map<std::string, pb::NodeStatus>& statuses,
                  const std::map<std::string, membership::WorkerFact>& workers) {
   std::map<std::string, pb::ServiceState> states;
   std::map<std::string, std::vector<traffic::Worker>> by;
@@ -35,7 +36,8 @@
     auto& c = cases_[name];
     if (c.number != s.trial_number()) {
       c = {s.trial_number(), {}, {}, {}, {}};
-      c.asked = last_ == TimePoint(0) ? now - Duration(static_cast<int64_t>(s.held_ms())) - bound_ * 3 : last_ - bound_ / 8;
+      c.asked = last_ == TimePoint(0) ? now - Duration(static_cast<int64_t>(s.held_ms())) - bound_ * 3
+                                      : last_ - bound_ / 8;
     }
     auto asked = traffic::trial_workers(by[name], s.trial(), true);
     bool any_cold = std::any_of(asked.begin(), asked.end(), [&](auto& w) { return cold.count(w.instance); });
--- a/src/rollout/watch.hpp
+++ b/src/rollout/watch.hpp
@@ -10,7 +10,8 @@
 class Watch {
  public:
   explicit Watch(Duration bound) : bound_(bound) {}
-  void look(TimePoint now, const membership::Chosen& chosen, const std::map<std::string, pb::NodeStatus>& statuses,
+  void look(TimePoint now, const membership::Chosen& chosen,
+            const std::map<std::string, pb::NodeStatus>& statuses,
             const std::map<std::string, membership::WorkerFact>& workers);
   void tell(TimePoint now, const std::string& service, const pb::ServiceState& s, MoveSight& v) const;
 
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -183,7 +183,8 @@
     auto t = tell("POST", "/v1/beats", body);
     if (t.status != 200) continue;
     if (leaving)
-      w_.journal.push_back(fmt::format(R"({{"t":"leaving","instance":"{}","at":{}}})", x.instance, w_.now().count()));
+      w_.journal.push_back(
+          fmt::format(R"({{"t":"leaving","instance":"{}","at":{}}})", x.instance, w_.now().count()));
     if (leaving && x.left) x.left(t.by);
     return;
   }
@@ -214,7 +215,8 @@
 }  // namespace
 
 // One HTTP exchange with a host: lost when its process dies or never answers.
-static std::shared_ptr<Visit> visit(World& w, const FleetShape& s, const LifePtr& out, Host& h, base::Request q, bool control, Duration most) {
+static std::shared_ptr<Visit> visit(World& w, const FleetShape& s, const LifePtr& out, Host& h,
+                                    base::Request q, bool control, Duration most) {
   auto v = std::make_shared<Visit>();
   auto qp = std::make_shared<base::Request>(std::move(q));
   auto* node = h.node.get();
@@ -233,17 +235,21 @@
   };
   w.after(Duration(1), *go);
   auto end = w.now() + most;
-  while (!v->done && w.now() < end && !h.life->dead) w.wait(out, std::min<Duration>(end - w.now(), Duration(200)), v->wait);
+  while (!v->done && w.now() < end && !h.life->dead)
+    w.wait(out, std::min<Duration>(end - w.now(), Duration(200)), v->wait);
   v->lost = !v->done;
   return v;
 }
 
-std::variant<base::Response, base::AttemptError> SimOrigin::relay(const std::string& name, const base::Request& q, Duration limit) {
+std::variant<base::Response, base::AttemptError> SimOrigin::relay(const std::string& name,
+                                                                  const base::Request& q, Duration limit) {
   auto& w = f_.w_;
   auto& h = f_.at(name);
   bool lost = w.cut_off(l_->host, name) || w.cut_off(name, l_->host) || w.random(w.weather.loss_permille);
   Wait x;
-  if (lost || !h.up()) return w.wait(l_, lost ? limit : Duration(1), x), lost ? base::AttemptError::unknown : base::AttemptError::unsent;
+  if (lost || !h.up())
+    return w.wait(l_, lost ? limit : Duration(1), x),
+           lost ? base::AttemptError::unknown : base::AttemptError::unsent;
   auto v = visit(w, f_.s_, l_, h, q, true, limit);
   if (v->lost) return base::AttemptError::unknown;
   return v->r;
@@ -253,7 +259,8 @@
                  std::vector<std::pair<std::string, std::string>> hs) {
   auto* h = some(false);
   if (!h) return {0, {}, {}, true};
-  if (target == "/v1/beats" && breaks(h->name, "beats")) return ++w_.met["beat_unheard"], Told{0, {}, {}, true};
+  if (target == "/v1/beats" && breaks(h->name, "beats"))
+    return ++w_.met["beat_unheard"], Told{0, {}, {}, true};
   auto v = visit(w_, s_, out_, *h, {"", method, target, body, std::move(hs)}, true, Duration(5000));
   if (v->lost) return {0, {}, {}, true};
   return {v->r.status, v->r.body, base::header(v->r.headers, "ETag"), false, h->name};
@@ -273,12 +280,14 @@
   auto id = fmt::format("c{}", ++named_);
   q.headers.emplace_back("Caller-Id", id);
   auto from = w_.now().count();
-  w_.journal.push_back(fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":"{}","in":"{}","at":{},"relay":"{}"}})", id,
-                                   method, target, base::sha256_base64(body), from, h->name));
+  w_.journal.push_back(
+      fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":"{}","in":"{}","at":{},"relay":"{}"}})", id,
+                  method, target, base::sha256_base64(body), from, h->name));
   ++calls;
   auto v = visit(w_, s_, out_, *h, std::move(q), false, Duration(10000));
   if (v->lost) {
-    w_.journal.push_back(fmt::format(R"({{"t":"lost","id":"{}","from":{},"at":{},"relay":"{}"}})", id, from, w_.now().count(), h->name));
+    w_.journal.push_back(fmt::format(R"({{"t":"lost","id":"{}","from":{},"at":{},"relay":"{}"}})", id, from,
+                                     w_.now().count(), h->name));
     return 0;
   }
   auto& r = v->r;
@@ -289,7 +298,8 @@
   w_.journal.push_back(fmt::format(
       R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","retry_after":"{}","from":{},"at":{},"relay":"{}","why":{}}})",
       id, r.status, base::header(r.headers, "Dunlinwing-Outcome"), base::sha256_base64(r.body), produced,
-      base::header(r.headers, "Dunlinwing-Generation"), base::header(r.headers, "Retry-After"), from, w_.now().count(), h->name, r.status < 400 ? "\"\"" : base::quote(r.body)));
+      base::header(r.headers, "Dunlinwing-Generation"), base::header(r.headers, "Retry-After"), from,
+      w_.now().count(), h->name, r.status < 400 ? "\"\"" : base::quote(r.body)));
   return r.status;
 }
 
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -17,14 +17,15 @@
   // What a release of this name breaks on the nodes that run it: nothing, beats or reach.
   std::string broken, breaks;
   int first = 3, second = 3;  // workers of the cached and of the other service
-  Duration near{1}, far{3};       // a message's way
+  Duration near{1}, far{3};   // a message's way
   // A deployment that speaks other words: they go into each relay's settings, stand
   // before its control face, and take the place of the workers below.
   using Handler = std::function<base::Response(base::Request&)>;
   std::function<void(relay::NodeConfig&)> settings;
   std::function<base::Response(base::Request&, const Handler& product)> before;
-  std::function<std::variant<base::Response, base::AttemptError>(const LifePtr&, const std::string& address, const base::Request&,
-                                                              const base::AttemptRules&)> send;
+  std::function<std::variant<base::Response, base::AttemptError>(
+      const LifePtr&, const std::string& address, const base::Request&, const base::AttemptRules&)>
+      send;
   std::function<bool(const std::string& address)> stands;
 };
 
@@ -56,14 +57,15 @@
   bool alive = true, leaving = false;
   bool foreign = false;  // a program of somebody else: runs what it gets, says 421, and never beats
   int bad_percent = 0, lose_percent = 0, wrong_percent = 0, refuse_percent = 0;
-  std::function<void(const std::string& by)> left;  // told who took its word that it leaves; it says nothing more then
+  std::function<void(const std::string& by)>
+      left;  // told who took its word that it leaves; it says nothing more then
   Duration least{1}, most{8};
   int64_t max_age = 0, period_ms = 1000;
   int load = 0;  // as it says in its answers; the work that others give it
   uint64_t beats = 0;
   // A version that is bad in its own way: how many times slower this request is, 0 when it fails.
   std::function<int(const std::string& target)> spoils;
-  TimePoint warm_at{0};   // until then it is twice as slow, and says so
+  TimePoint warm_at{0};  // until then it is twice as slow, and says so
   int running = 0;
 };
 
@@ -74,7 +76,7 @@
   std::string by;  // the host that answered
 };
 
-struct Exchange {  // with one host
+struct Exchange {                    // with one host
   bool whole = false, read = false;  // the answer came; the process began on the request
   base::Response receipt;
 };
@@ -96,7 +98,8 @@
   std::vector<std::unique_ptr<Worker>>& workers() { return workers_; }
 
   // Fibers of the outside world.
-  int call(const std::string& method, const std::string& target, const std::string& body = {}, Host* to = nullptr);
+  int call(const std::string& method, const std::string& target, const std::string& body = {},
+           Host* to = nullptr);
   void callers(int per_second, TimePoint until, std::function<void()> one);
   Told tell(const std::string& method, const std::string& target, const std::string& body,
             std::vector<std::pair<std::string, std::string>> hs = {});
@@ -111,7 +114,7 @@
   World& world() { return w_; }
   const FleetShape& shape() const { return s_; }
   Weather calm() const { return {0, 0, s_.near, s_.far}; }  // the network of a good day
-  void end();  // kills all, so that every fiber unwinds
+  void end();                                               // kills all, so that every fiber unwinds
   uint64_t calls = 0, good = 0;
 
  private:
--- a/src/simulation/origin.cpp
+++ b/src/simulation/origin.cpp
@@ -26,8 +26,9 @@
   return false;
 }
 
-std::variant<base::Response, base::AttemptError> SimOrigin::send(const std::string& addr, const base::Request& q,
-                                                               const base::AttemptRules& rules) {
+std::variant<base::Response, base::AttemptError> SimOrigin::send(const std::string& addr,
+                                                                 const base::Request& q,
+                                                                 const base::AttemptRules& rules) {
   Duration limit = rules.limit;
   auto& w = f_.w_;
   if (addr.starts_with("http:")) return relay(addr.substr(5), q, limit);
@@ -49,8 +50,8 @@
     ++w.met["foreign"];
     w.journal.push_back(fmt::format(
         R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"{}","out":"","service":"{}","version":"{}","instance":"{}","at":{},"bad":true}})",
-        h("Caller-Id"), q.method, q.target, base::sha256_base64(q.body), h("Dunlinwing-Service"), h("Dunlinwing-Version"), x->instance,
-        w.now().count()));
+        h("Caller-Id"), q.method, q.target, base::sha256_base64(q.body), h("Dunlinwing-Service"),
+        h("Dunlinwing-Version"), x->instance, w.now().count()));
     return base::Response{421, {}, ""};
   }
   if (h("Dunlinwing-Instance") != x->instance || h("Dunlinwing-Service") != x->service ||
@@ -67,13 +68,14 @@
   if (w.now() < x->warm_at) took *= 2;
   int times = x->spoils ? x->spoils(q.target) : 1;
   if (times > 1) took *= times;
-  bool bad = static_cast<int>(w.below(100)) < x->bad_percent || !times, wrong = static_cast<int>(w.below(100)) < x->wrong_percent;
+  bool bad = static_cast<int>(w.below(100)) < x->bad_percent || !times,
+       wrong = static_cast<int>(w.below(100)) < x->wrong_percent;
   auto body = fmt::format(R"({{"target":"{}","echo":"{}","produced":{}}})", q.target, h("Caller-Id"), at);
   auto sum = base::sha256_base64(body);
   w.journal.push_back(fmt::format(
       R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"{}","out":"{}","service":"{}","version":"{}","instance":"{}","relay":"{}","gen":"{}","at":{},"bad":{}}})",
-      h("Caller-Id"), q.method, q.target, base::sha256_base64(q.body), sum, x->service, x->version, x->instance,
-      h("Dunlinwing-Relay"), h("Dunlinwing-Generation"), at, bad || wrong || times > 1));
+      h("Caller-Id"), q.method, q.target, base::sha256_base64(q.body), sum, x->service, x->version,
+      x->instance, h("Dunlinwing-Relay"), h("Dunlinwing-Generation"), at, bad || wrong || times > 1));
   auto name = x->instance;
   ++x->running;
   sleep(std::min(took, limit));
@@ -92,11 +94,13 @@
     sleep(limit - took);
     return base::AttemptError::unknown;
   }
-  base::Response r{bad ? 500 : 200, head(*x, h("Dunlinwing-Request"), {{"Content-Digest", "sha-256=:" + sum + ":"}}), body};
+  base::Response r{bad ? 500 : 200,
+                   head(*x, h("Dunlinwing-Request"), {{"Content-Digest", "sha-256=:" + sum + ":"}}), body};
   if (wrong) r.body[r.body.size() / 2] ^= 1;
   if (bad) ++w.met["bad_answer"];
   if (wrong) ++w.met["wrong_bytes"];
-  if (x->max_age && q.method == "GET") r.headers.emplace_back("Cache-Control", fmt::format("max-age={}", x->max_age));
+  if (x->max_age && q.method == "GET")
+    r.headers.emplace_back("Cache-Control", fmt::format("max-age={}", x->max_age));
   return r;
 }
 
--- a/src/simulation/origin.hpp
+++ b/src/simulation/origin.hpp
@@ -10,10 +10,11 @@
   SimOrigin(Fleet& f, LifePtr l) : f_(f), l_(std::move(l)) {}
   bool reach(const std::string& addr, Duration) override;
   std::variant<base::Response, base::AttemptError> send(const std::string& addr, const base::Request& q,
-                                                      const base::AttemptRules& rules) override;
+                                                        const base::AttemptRules& rules) override;
 
  private:
-  std::variant<base::Response, base::AttemptError> relay(const std::string& name, const base::Request& q, Duration limit);
+  std::variant<base::Response, base::AttemptError> relay(const std::string& name, const base::Request& q,
+                                                         Duration limit);
   Fleet& f_;
   LifePtr l_;
 };
--- a/src/simulation/ports.cpp
+++ b/src/simulation/ports.cpp
@@ -35,7 +35,8 @@
   auto back = [this, t, from = l_->host](const std::string& to, std::optional<pb::Reply> r) {
     if (w_.cut_off(to, from)) return void(++w_.met["cut"]);
     if (w_.random(w_.weather.loss_permille)) return void(++w_.met["loss"]);
-    Duration d = w_.weather.least + Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
+    Duration d = w_.weather.least +
+                 Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
     w_.after(d, [this, t, r = std::move(r)] {
       if (t->reply || t->refused) return;
       if (r)
@@ -52,7 +53,8 @@
     w_.bytes += a.ByteSizeLong();
     if (w_.cut_off(l_->host, host)) return void(++w_.met["cut"]);
     if (w_.random(w_.weather.loss_permille)) return void(++w_.met["loss"]);
-    Duration d = w_.weather.least + Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
+    Duration d = w_.weather.least +
+                 Duration(w_.below(static_cast<uint64_t>((w_.weather.most - w_.weather.least).count()) + 1));
     // What a frozen host is sent waits in its sockets until the thaw.
     auto arrive = std::make_shared<std::function<void()>>();
     *arrive = [this, addr, a, host, back, arrive] {
@@ -109,7 +111,7 @@
 }
 
 std::optional<base::DiskError> Disk::save(const std::vector<pb::Record>& rs,
-                                           const std::function<pb::Image()>& whole) {
+                                          const std::function<pb::Image()>& whole) {
   Duration d = p_.least + Duration(w_.below(static_cast<uint64_t>((p_.most - p_.least).count()) + 1));
   if (d > Duration(100)) ++w_.met["slow_disk"];
   try {
--- a/src/simulation/ports.hpp
+++ b/src/simulation/ports.hpp
@@ -1,8 +1,8 @@
 // The simulated ports of one process, and the disk that outlives it.
 #pragma once
 #include "base/ports.hpp"
-#include "storage/snapshot_store.hpp"
 #include "simulation/world.hpp"
+#include "storage/snapshot_store.hpp"
 
 namespace dunlinwing::simulation {
 
@@ -50,7 +50,8 @@
 class Net final : public base::Net {
  public:
   Net(World& w, LifePtr l, Directory& d) : w_(w), l_(std::move(l)), d_(d) {}
-  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override;
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a,
+                                              Duration limit) override;
 
  private:
   World& w_;
@@ -85,7 +86,7 @@
   Disk(World& w, LifePtr l, Platter& p);
   base::Loaded load() override { return s_->load(); }
   std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
-                                       const std::function<pb::Image()>& whole) override;
+                                      const std::function<pb::Image()>& whole) override;
 
  private:
   World& w_;
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -38,10 +38,11 @@
     done = true;
     bf::context::active()->schedule(me);
   });
-  wire::run_fibers([this] { step(); }, [] {}, [&] {
-    if (first) first();
-    while (!done) me->suspend();
-  });
+  wire::run_fibers([this] { step(); }, [] {},
+                   [&] {
+                     if (first) first();
+                     while (!done) me->suspend();
+                   });
   check_ = nullptr;
 }
 
@@ -101,12 +102,14 @@
 void World::freeze(const std::string& h, TimePoint until) {
   frozen_[h] = until;
   ++met["freeze"];
-  journal.push_back(fmt::format(R"({{"t":"frozen","machine":"{}","until":{},"at":{}}})", h, until.count(), now_.count()));
+  journal.push_back(
+      fmt::format(R"({{"t":"frozen","machine":"{}","until":{},"at":{}}})", h, until.count(), now_.count()));
 }
 
 void World::cut(const std::string& from, const std::string& to) {
   cuts_.insert({from, to});
-  if (std::exchange(cut_told_, now_) != now_) journal.push_back(fmt::format(R"({{"t":"cut","at":{}}})", now_.count()));
+  if (std::exchange(cut_told_, now_) != now_)
+    journal.push_back(fmt::format(R"({{"t":"cut","at":{}}})", now_.count()));
 }
 
 bool World::frozen(const std::string& h) const {
--- a/src/simulation/world.hpp
+++ b/src/simulation/world.hpp
@@ -55,8 +55,9 @@
   Weather weather;
   std::map<std::string, uint64_t> met;  // faults that a run in truth met
   uint64_t messages = 0, bytes = 0;     // between hosts, both ways
-  std::function<void(const std::string& host, const pb::Record&)> synced;  // told of each record once it is on a disk
-  std::vector<std::string> journal;     // lines as the stand-ins write them
+  std::function<void(const std::string& host, const pb::Record&)>
+      synced;                        // told of each record once it is on a disk
+  std::vector<std::string> journal;  // lines as the stand-ins write them
 
  private:
   void step();
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -17,7 +17,8 @@
 
 std::map<std::string, Want> recorded(const membership::Chosen& c) {
   std::map<std::string, Want> out;
-  for (auto i = c.lower_bound("release/software/"); i != c.end() && i->first.starts_with("release/software/"); ++i) {
+  for (auto i = c.lower_bound("release/software/"); i != c.end() && i->first.starts_with("release/software/");
+       ++i) {
     auto name = i->first.substr(17);
     auto g = rollout::read_release("software", name, i->second.data);
     auto* r = std::get_if<rollout::Release>(&g);
@@ -74,7 +75,8 @@
   consensus::Replies ask_holders(const pb::Ask& a, Duration limit) {
     consensus::Local local;
     if (shelf) local = [this](const pb::Ask& x) { return answer(x); };
-    return consensus::ask_all(ps, registers.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
+    return consensus::ask_all(
+        ps, registers.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
   }
 
   // How much a majority of holders has.
@@ -132,8 +134,8 @@
   }
 };
 
-Artifacts::Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me, storage::ArtifactFiles* s, storage::DiskExecutor* h,
-                     Duration bound)
+Artifacts::Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me,
+                     storage::ArtifactFiles* s, storage::DiskExecutor* h, Duration bound)
     : p_(new Impl{ps, b, m, std::move(me), s, h, bound}) {}
 Artifacts::~Artifacts() = default;
 
@@ -149,7 +151,8 @@
 
 pb::Reply Artifacts::answer(const pb::Ask& a) { return p_->answer(a); }
 
-std::variant<pb::Piece, PieceError> Artifacts::put(const std::string& sha, uint64_t offset, const std::string& data) {
+std::variant<pb::Piece, PieceError> Artifacts::put(const std::string& sha, uint64_t offset,
+                                                   const std::string& data) {
   auto all = recorded(p_->state_cache.chosen());
   auto f = all.find(sha);
   if (f == all.end()) return PieceError::unknown_artifact;
@@ -159,7 +162,8 @@
   c->set_offset(offset);
   c->set_data(data);
   c->set_total(f->second.bytes);
-  return p_->settled(p_->ask_holders(a, p_->bound * 2), std::min<uint64_t>(offset + data.size(), f->second.bytes));
+  return p_->settled(p_->ask_holders(a, p_->bound * 2),
+                     std::min<uint64_t>(offset + data.size(), f->second.bytes));
 }
 
 std::variant<pb::Piece, PieceError> Artifacts::look(const std::string& sha) {
@@ -178,7 +182,8 @@
     bool ok = false;
     hand.run([&] {
       int fd = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0750);
-      ok = fd >= 0 && ::write(fd, p->data().data(), p->data().size()) == static_cast<ssize_t>(p->data().size()) &&
+      ok = fd >= 0 &&
+           ::write(fd, p->data().data(), p->data().size()) == static_cast<ssize_t>(p->data().size()) &&
            ::fsync(fd) == 0;
       if (fd >= 0) ::close(fd);
     });
--- a/src/software/artifacts.hpp
+++ b/src/software/artifacts.hpp
@@ -1,9 +1,9 @@
 // Artifacts of software releases: any relay takes their pieces and passes them
 // to all holders; holders that missed some fetch them from the others.
 #pragma once
-#include "storage/disk_executor.hpp"
-#include "storage/artifact_files.hpp"
 #include "membership/state_cache.hpp"
+#include "storage/artifact_files.hpp"
+#include "storage/disk_executor.hpp"
 
 namespace dunlinwing::software {
 
@@ -19,8 +19,8 @@
 class Artifacts {
  public:
   // `shelf` is null on a machine that holds no state.
-  Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me, storage::ArtifactFiles* shelf, storage::DiskExecutor* hand,
-            Duration bound);
+  Artifacts(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, std::string me,
+            storage::ArtifactFiles* shelf, storage::DiskExecutor* hand, Duration bound);
   ~Artifacts();
   void start();                        // begins to repair
   pb::Reply answer(const pb::Ask& a);  // chunk and fetch, on a holder
--- a/src/software/stager.cpp
+++ b/src/software/stager.cpp
@@ -92,13 +92,15 @@
     if (!right) return sp.defect("software/" + w.name + ": what came has another digest");
     if (!put_up) return sp.defect("software/" + w.name + ": it cannot be staged in the release folder");
     while (sp.crowded()) ps.clock.sleep(bound / 2);
-    if (!put("next", name + " " + w.sha256)) return sp.defect("software/" + w.name + ": the release folder cannot be written");
+    if (!put("next", name + " " + w.sha256))
+      return sp.defect("software/" + w.name + ": the release folder cannot be written");
     lg.info("{} is staged; this process ends so that it can be started.", name);
     sp.end(kStartNext);
   }
 };
 
-Stager::Stager(base::Ports& ps, Artifacts& a, storage::DiskExecutor& h, StagerPorts sp, std::string dir, std::string program, Duration bound)
+Stager::Stager(base::Ports& ps, Artifacts& a, storage::DiskExecutor& h, StagerPorts sp, std::string dir,
+               std::string program, Duration bound)
     : p_(new Impl{ps, a, h, std::move(sp), std::move(dir), std::move(program), bound}) {}
 Stager::~Stager() = default;
 
--- a/src/storage/artifact_files.cpp
+++ b/src/storage/artifact_files.cpp
@@ -60,7 +60,8 @@
   auto t = p + ".new";
   {
     Fd f{::open(t.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0640)};
-    if (f.n < 0 || ::write(f.n, bytes.data(), bytes.size()) != static_cast<ssize_t>(bytes.size()) || ::fsync(f.n) != 0)
+    if (f.n < 0 || ::write(f.n, bytes.data(), bytes.size()) != static_cast<ssize_t>(bytes.size()) ||
+        ::fsync(f.n) != 0)
       return false;
   }
   return ::rename(t.c_str(), p.c_str()) == 0 && sync_dir(p.substr(0, p.rfind('/')));
@@ -73,7 +74,8 @@
   return {size_of(path(sha) + ".part").value_or(0), false};
 }
 
-std::optional<Kept> ArtifactFiles::put(const std::string& sha, uint64_t offset, const std::string& data, uint64_t total) {
+std::optional<Kept> ArtifactFiles::put(const std::string& sha, uint64_t offset, const std::string& data,
+                                       uint64_t total) {
   auto k = look(sha);
   if (k.whole || offset + data.size() <= k.bytes) return k;
   if (offset > k.bytes || offset + data.size() > total) return {};
@@ -83,7 +85,8 @@
     if (f.n < 0) return {};
     size_t skip = k.bytes - offset, at = 0;
     while (skip + at < data.size()) {
-      auto n = ::pwrite(f.n, data.data() + skip + at, data.size() - skip - at, static_cast<off_t>(k.bytes + at));
+      auto n =
+          ::pwrite(f.n, data.data() + skip + at, data.size() - skip - at, static_cast<off_t>(k.bytes + at));
       if (n <= 0) return {};
       at += static_cast<size_t>(n);
     }
--- a/src/storage/async_disk.hpp
+++ b/src/storage/async_disk.hpp
@@ -10,7 +10,7 @@
   base::Loaded load() override { return d_->load(); }  // blocks; called before the pool runs
   // The image is made on the caller's thread, since tables belong to the caller.
   std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
-                                       const std::function<pb::Image()>& whole) override {
+                                      const std::function<pb::Image()>& whole) override {
     std::optional<base::DiskError> r;
     hand_.run([&, image = whole()] { r = d_->save(rs, [&] { return image; }); });
     return r;
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -167,7 +167,8 @@
     out.doubt = true;
   }
   if (out.doubt) {
-    lg.error("What was synced to {} can no longer be read whole. It casts no vote until refilled.", p.files->place());
+    lg.error("What was synced to {} can no longer be read whole. It casts no vote until refilled.",
+             p.files->place());
     out.image = pb::Image();
   }
   if (!p.swap(out.image)) {
@@ -178,7 +179,7 @@
 }
 
 std::optional<base::DiskError> SnapshotStore::save(const std::vector<pb::Record>& rs,
-                                            const std::function<pb::Image()>& whole) {
+                                                   const std::function<pb::Image()>& whole) {
   auto& p = *p_;
   if (p.broken) return base::DiskError::failed;
   std::string b;
--- a/src/storage/snapshot_store.hpp
+++ b/src/storage/snapshot_store.hpp
@@ -20,7 +20,7 @@
   ~SnapshotStore() override;
   base::Loaded load() override;
   std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
-                                       const std::function<pb::Image()>& whole) override;
+                                      const std::function<pb::Image()>& whole) override;
 
  private:
   struct Impl;
--- a/src/traffic/budget.cpp
+++ b/src/traffic/budget.cpp
@@ -10,8 +10,8 @@
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr double kMargin = 0.75;    // of the allowance: what arrives is less even than what leaves
-constexpr double kLateMs = 100;     // a turn missed by more is taken anew
+constexpr double kMargin = 0.75;  // of the allowance: what arrives is less even than what leaves
+constexpr double kLateMs = 100;   // a turn missed by more is taken anew
 }  // namespace
 
 int repeat_part(int64_t allowance, int nodes, int rank) {
--- a/src/traffic/docket.cpp
+++ b/src/traffic/docket.cpp
@@ -15,8 +15,8 @@
 constexpr uint64_t kEnough = 30;    // answers on a route that are evidence
 constexpr uint64_t kClean = 12;     // enough on a route where none was poor
 constexpr uint64_t kAmple = 40;
-constexpr uint64_t kTraffic = 3;    // answers by the old version that make a route one with traffic
-constexpr uint64_t kSure = 60;      // answers by which a difference beyond the noise stays one
+constexpr uint64_t kTraffic = 3;  // answers by the old version that make a route one with traffic
+constexpr uint64_t kSure = 60;    // answers by which a difference beyond the noise stays one
 constexpr double kNoise = 0.08;
 constexpr double kSlower = 2.2, kSlowerMs = 3;
 
@@ -29,14 +29,15 @@
 }
 std::string differs(const std::string& route, const Tally& t, const Tally& o) {
   if (t.rate() > o.rate() + kNoise)
-    return fmt::format("{} poor answers of {} on route '{}', against {} of {}", t.poor(), t.all(), route, o.poor(), o.all());
+    return fmt::format("{} poor answers of {} on route '{}', against {} of {}", t.poor(), t.all(), route,
+                       o.poor(), o.all());
   if (o.all() && t.mean() > kSlower * o.mean() + kSlowerMs)
     return fmt::format("{:.1f} ms on route '{}', against {:.1f}", t.mean(), route, o.mean());
   return {};
 }
 Tally minus(const Tally& a, const Tally& b) {
-  return {a.good - std::min(a.good, b.good), a.bad - std::min(a.bad, b.bad), a.slow - std::min(a.slow, b.slow),
-          a.took_ms - std::min(a.took_ms, b.took_ms)};
+  return {a.good - std::min(a.good, b.good), a.bad - std::min(a.bad, b.bad),
+          a.slow - std::min(a.slow, b.slow), a.took_ms - std::min(a.took_ms, b.took_ms)};
 }
 }  // namespace
 
@@ -54,7 +55,8 @@
   return t;
 }
 
-void Docket::hear(const States& states, const std::map<std::string, pb::NodeStatus>& statuses, const std::set<std::string>& warm) {
+void Docket::hear(const States& states, const std::map<std::string, pb::NodeStatus>& statuses,
+                  const std::set<std::string>& warm) {
   for (auto& [name, s] : states) {
     if (s.trial().empty()) {
       cases_.erase(name);
@@ -106,7 +108,8 @@
 std::string worse(const Seen& s) {
   for (auto& [k, t] : s.warm_trial)
     if (t.all() >= kSure)
-      if (auto d = differs(k, t, of(s.warm_old, k).all() ? of(s.warm_old, k) : of(s.old, k)); !d.empty()) return d;
+      if (auto d = differs(k, t, of(s.warm_old, k).all() ? of(s.warm_old, k) : of(s.old, k)); !d.empty())
+        return d;
   return {};
 }
 
--- a/src/traffic/docket.hpp
+++ b/src/traffic/docket.hpp
@@ -28,7 +28,8 @@
  public:
   using States = std::map<std::string, pb::ServiceState>;
   // `warm`: services whose trial has warm workers now.
-  void hear(const States& states, const std::map<std::string, pb::NodeStatus>& statuses, const std::set<std::string>& warm = {});
+  void hear(const States& states, const std::map<std::string, pb::NodeStatus>& statuses,
+            const std::set<std::string>& warm = {});
   const Seen& at(const std::string& service) const;
 
  private:
--- a/src/traffic/face.cpp
+++ b/src/traffic/face.cpp
@@ -11,9 +11,17 @@
 namespace dunlinwing::traffic {
 
 void strip_hop(std::vector<std::pair<std::string, std::string>>& hs) {
-  static const char* const hop[] = {"Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
-                                    "TE",         "Transfer-Encoding", "Trailer",          "Upgrade",
-                                    "Expect",     "Content-Length",    "Proxy-Authorization"};
+  static const char* const hop[] = {"Connection",
+                                    "Keep-Alive",
+                                    "Proxy-Connection",
+                                    "Proxy-Authenticate",
+                                    "TE",
+                                    "Transfer-Encoding",
+                                    "Trailer",
+                                    "Upgrade",
+                                    "Expect",
+                                    "Content-Length",
+                                    "Proxy-Authorization"};
   std::vector<std::string> named;
   for (auto& [k, v] : hs)
     if (base::same_word(k, "Connection"))
@@ -60,7 +68,8 @@
   Look look(const base::Response& r, const Worker& w, const base::Request& q) const override {
     auto is = [&](const char* h, const std::string& v) { return base::header(r.headers, h) == v; };
     bool this_one = mine(r, q.id) && !base::header(r.headers, "Dunlinwing-Instance").empty();
-    if (r.status == 421) return this_one && is("Dunlinwing-Outcome", "not-run") ? Look::elsewhere : Look::broken;
+    if (r.status == 421)
+      return this_one && is("Dunlinwing-Outcome", "not-run") ? Look::elsewhere : Look::broken;
     if (!is("Dunlinwing-Service", w.service) || !is("Dunlinwing-Version", w.version) ||
         !is("Dunlinwing-Instance", w.instance) || !mine(r, q.id))
       return Look::broken;
@@ -82,10 +91,14 @@
 
   std::vector<std::string> tags(const base::Response&) const override { return {}; }
 
-  base::Response say(int status, const std::string& why, Outcome o, std::optional<Duration> back) const override {
+  base::Response say(int status, const std::string& why, Outcome o,
+                     std::optional<Duration> back) const override {
     base::Response r{status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, {}};
-    if (o != Outcome::none) r.headers.emplace_back("Dunlinwing-Outcome", o == Outcome::not_run ? "not-run" : "unknown");
-    if (back) r.headers.emplace_back("Retry-After", std::to_string(std::max<int64_t>(1, (back->count() + 999) / 1000)));
+    if (o != Outcome::none)
+      r.headers.emplace_back("Dunlinwing-Outcome", o == Outcome::not_run ? "not-run" : "unknown");
+    if (back)
+      r.headers.emplace_back("Retry-After",
+                             std::to_string(std::max<int64_t>(1, (back->count() + 999) / 1000)));
     r.body = fmt::format("{{\"defect\":{}}}\n", base::quote(why));
     return r;
   }
--- a/src/traffic/face.hpp
+++ b/src/traffic/face.hpp
@@ -16,8 +16,8 @@
 enum class Outcome { none, not_run, unknown };
 
 struct Asked {
-  std::string id;               // by which worker and caller know the request
-  std::optional<Duration> left;     // that the caller will wait, when it says so
+  std::string id;                // by which worker and caller know the request
+  std::optional<Duration> left;  // that the caller will wait, when it says so
 };
 
 struct Load {
@@ -37,12 +37,15 @@
   virtual Asked read(const base::Request& q, base::Random& c) const = 0;
   virtual void dress(base::Request& q, const Dress& d) const = 0;
   virtual Look look(const base::Response& r, const Worker& w, const base::Request& q) const = 0;
-  virtual bool mine(const base::Response& r, const std::string& id) const = 0;  // whether it answers this request
+  virtual bool mine(const base::Response& r,
+                    const std::string& id) const = 0;  // whether it answers this request
   virtual std::optional<Load> load(const base::Response& r) const = 0;
-  virtual std::vector<std::string> tags(const base::Response& r) const = 0;  // under which a receipt may be purged
+  virtual std::vector<std::string> tags(
+      const base::Response& r) const = 0;           // under which a receipt may be purged
   virtual void clean(base::Response& r) const = 0;  // takes out what a worker said to us alone
   // An answer of our own. `back`: when it makes sense to come back, if it does.
-  virtual base::Response say(int status, const std::string& why, Outcome o, std::optional<Duration> back) const = 0;
+  virtual base::Response say(int status, const std::string& why, Outcome o,
+                             std::optional<Duration> back) const = 0;
   // Last touches on whatever goes to the caller who asked under `id`. Generation 0: none decided it.
   virtual void send(base::Response& r, const std::string& id, uint64_t generation) const = 0;
 };
--- a/src/traffic/fills.cpp
+++ b/src/traffic/fills.cpp
@@ -24,7 +24,8 @@
   auto range = base::header(q.headers, "Range");
   base::Response r{i.receipt.status, i.receipt.headers, {}};
   std::erase_if(r.headers, [](auto& h) { return base::same_word(h.first, "Age"); });
-  if (!kept) r.headers.emplace_back("Age", std::to_string(std::max<int64_t>(0, (now - i.born).count()) / 1000));
+  if (!kept)
+    r.headers.emplace_back("Age", std::to_string(std::max<int64_t>(0, (now - i.born).count()) / 1000));
   if (!known.empty() && known == have) {
     r.status = 304;
     return r;
@@ -33,7 +34,8 @@
   if (auto c = range.empty() ? std::nullopt : cache::cut(range, size)) {
     if (!c->size) return {416, {{"Content-Range", fmt::format("bytes */{}", size)}}, {}};
     r.status = 206;
-    r.headers.emplace_back("Content-Range", fmt::format("bytes {}-{}/{}", c->from, c->from + c->size - 1, size));
+    r.headers.emplace_back("Content-Range",
+                           fmt::format("bytes {}-{}/{}", c->from, c->from + c->size - 1, size));
     from = c->from;
     size = c->size;
   }
@@ -50,11 +52,14 @@
 // Turned away, with when to come back, spread so that a crowd does not return at once.
 Way Ways::away(int status, const std::string& why, Duration back) const {
   std::optional<Duration> b;
-  if (status == 503 || status == 429) b = back + Duration(ps.random.below(static_cast<uint64_t>(back.count()) + 100));
+  if (status == 503 || status == 429)
+    b = back + Duration(ps.random.below(static_cast<uint64_t>(back.count()) + 100));
   return {face.say(status, why, Outcome::not_run, b), Outcome::not_run};
 }
 
-Way Ways::unknown(const std::string& why) const { return {face.say(502, why, Outcome::unknown, {}), Outcome::unknown}; }
+Way Ways::unknown(const std::string& why) const {
+  return {face.say(502, why, Outcome::unknown, {}), Outcome::unknown};
+}
 
 Way Ways::of(Fetched&& f) const {
   Way w;
@@ -71,10 +76,16 @@
   return w;
 }
 
-Fills::Fills(base::Ports& ps, const Face& face, std::string me, std::function<bool()> fresh, std::function<TablePtr()> table,
-             UpstreamClient& shots, ServeCounts& counts)
-    : ps_(ps), face_(face), ways_{ps, face}, me_(std::move(me)), fresh_(std::move(fresh)), table_(std::move(table)),
-      shots_(shots), n_(counts) {}
+Fills::Fills(base::Ports& ps, const Face& face, std::string me, std::function<bool()> fresh,
+             std::function<TablePtr()> table, UpstreamClient& shots, ServeCounts& counts)
+    : ps_(ps),
+      face_(face),
+      ways_{ps, face},
+      me_(std::move(me)),
+      fresh_(std::move(fresh)),
+      table_(std::move(table)),
+      shots_(shots),
+      n_(counts) {}
 
 cache::ItemPtr Fills::kept(const Work& w) { return cache_.find(key_of(w)); }
 
@@ -126,7 +137,8 @@
   Work direct = w;
   direct.q.method = "GET";
   std::erase_if(direct.q.headers, [](auto& h) {
-    return base::same_word(h.first, "Range") || base::same_word(h.first, "If-None-Match") || base::same_word(h.first, "If-Range");
+    return base::same_word(h.first, "Range") || base::same_word(h.first, "If-None-Match") ||
+           base::same_word(h.first, "If-Range");
   });
   auto& get = direct.q;
   if (auto to = shield_for(*w.table, key); !to.empty()) {
@@ -163,12 +175,14 @@
       i->version = cr.version();
       i->tags = face_.tags(i->receipt);
       // It may have been kept there, and this node may have slept since it asked.
-      if (cr.cacheable() ? usable(i, w, ps_.clock.now()) : fresh_() && !purged(*table_(), named(w, *i), i->purge))
+      if (cr.cacheable() ? usable(i, w, ps_.clock.now())
+                         : fresh_() && !purged(*table_(), named(w, *i), i->purge))
         return {Way{i->receipt}, cr.cacheable() ? cache::ItemPtr(i) : nullptr};
     }
     // The shield speaks for the origin: what it turns away is not tried around it.
     if (x && x->has_carry() && x->carry().turned_away())
-      return {ways_.away(503, x->carry().why(), Duration(static_cast<int64_t>(x->carry().back_ms()))), nullptr};
+      return {ways_.away(503, x->carry().why(), Duration(static_cast<int64_t>(x->carry().back_ms()))),
+              nullptr};
     // What the shield did with it is not known, so a direct shot may be a repeat.
     direct.again = reached && !(x && x->has_carry() && x->carry().not_run());
   }
@@ -176,7 +190,8 @@
   f.left |= direct.again;  // the shield may have had it run
   f.doubt |= direct.again;
   if (f.fate != Fate::answered) return {ways_.of(std::move(f)), nullptr};
-  auto life = w.route->keep > Duration(0) ? cache::stated(f.receipt, w.route->keep) : cache::lifetime(get, f.receipt);
+  auto life =
+      w.route->keep > Duration(0) ? cache::stated(f.receipt, w.route->keep) : cache::lifetime(get, f.receipt);
   i->born -= cache::age_header(f.receipt);
   i->version = f.version;
   i->tags = face_.tags(f.receipt);
@@ -198,7 +213,8 @@
   auto f = cache_.join(flight, lead);
   if (!lead) {
     // Half of its time is for the other's fetch, half for one of its own.
-    auto i = cache_.wait(f, ps_.tasks.condition(), std::max<Duration>(w.start_by() - ps_.clock.now(), Duration(0)));
+    auto i = cache_.wait(f, ps_.tasks.condition(),
+                         std::max<Duration>(w.start_by() - ps_.clock.now(), Duration(0)));
     if (i && usable(*i, w, ps_.clock.now())) {
       ++n_.hits;
       return {answer(**i, w.q, ps_.clock.now(), kept)};
@@ -215,7 +231,8 @@
   } close{cache_, flight, f, nullptr};
   got = fill(w, key);
   close.i = got.second;
-  if (got.second) cache_.put(key, got.second, std::min<size_t>(static_cast<size_t>(w.layout->cache_bytes), most_));
+  if (got.second)
+    cache_.put(key, got.second, std::min<size_t>(static_cast<size_t>(w.layout->cache_bytes), most_));
   if (got.second) return {answer(*got.second, w.q, ps_.clock.now(), kept)};
   shape_head(got.first.receipt, w.q);
   return got.first;
--- a/src/traffic/fills.hpp
+++ b/src/traffic/fills.hpp
@@ -33,8 +33,8 @@
 
 class Fills {
  public:
-  Fills(base::Ports& ps, const Face& face, std::string me, std::function<bool()> fresh, std::function<TablePtr()> table,
-        UpstreamClient& shots, ServeCounts& counts);
+  Fills(base::Ports& ps, const Face& face, std::string me, std::function<bool()> fresh,
+        std::function<TablePtr()> table, UpstreamClient& shots, ServeCounts& counts);
   Way cached(const Work& w);
   // What is kept for this request, usable or not.
   cache::ItemPtr kept(const Work& w);
--- a/src/traffic/jury.cpp
+++ b/src/traffic/jury.cpp
@@ -6,8 +6,8 @@
 
 namespace dunlinwing::traffic {
 
-void Jury::hear(const std::map<std::string, pb::ServiceState>& states, const std::map<std::string, pb::NodeStatus>& statuses,
-                uint64_t limit) {
+void Jury::hear(const std::map<std::string, pb::ServiceState>& states,
+                const std::map<std::string, pb::NodeStatus>& statuses, uint64_t limit) {
   docket_.hear(states, statuses);
   for (auto& [name, s] : states) {
     auto& c = cases_[name];
--- a/src/traffic/jury.hpp
+++ b/src/traffic/jury.hpp
@@ -1,7 +1,7 @@
 // What a relay itself makes of a version on trial: it adds up the bad answers that
 // all relays tell of, over their restarts, and gives the trial up when they are too
-// many or when any relay says that it has; one with a term also when it is plainly worse. It needs no holder of a leadership for that;
-// the leadership only makes the verdict last.
+// many or when any relay says that it has; one with a term also when it is plainly worse. It needs no holder
+// of a leadership for that; the leadership only makes the verdict last.
 #pragma once
 #include <set>
 
@@ -12,8 +12,8 @@
 class Jury {
  public:
   // `states` by service; `statuses` by source, this relay's own among them.
-  void hear(const std::map<std::string, pb::ServiceState>& states, const std::map<std::string, pb::NodeStatus>& statuses,
-            uint64_t limit);
+  void hear(const std::map<std::string, pb::ServiceState>& states,
+            const std::map<std::string, pb::NodeStatus>& statuses, uint64_t limit);
   bool stopped(const std::string& service) const { return stopped_.count(service) > 0; }
   const std::set<std::string>& all_stopped() const { return stopped_; }
 
--- a/src/traffic/layout.cpp
+++ b/src/traffic/layout.cpp
@@ -57,7 +57,8 @@
       "cache_bytes":{"type":"integer","minimum":0,"maximum":4294967296}}}}})";
 }
 
-const Route* Layout::match(std::string_view method, std::string_view host, std::string_view target, bool& other) const {
+const Route* Layout::match(std::string_view method, std::string_view host, std::string_view target,
+                           bool& other) const {
   auto path = target.substr(0, target.find('?'));
   host = host.substr(0, host.rfind(':'));
   other = false;
@@ -85,7 +86,8 @@
   l->name = name;
   l->text = j.text();
   for (auto& [k, v] : j.at("services").members()) {
-    if (!names_ok(k)) defects.push_back({"/services/" + k, "a service is named by letters, digits, -, _ and ."});
+    if (!names_ok(k))
+      defects.push_back({"/services/" + k, "a service is named by letters, digits, -, _ and ."});
     Service s;
     s.name = k;
     s.versions = v.at("versions").strs();
@@ -108,21 +110,26 @@
     x.prefix = r.at("prefix").str();
     x.methods = r.at("methods").strs();
     auto kind = r.at("kind").str();
-    x.kind = kind == "safe" ? Kind::safe : kind == "unsafe" ? Kind::unsafe : kind == "cacheable" ? Kind::cacheable : Kind::by_method;
+    x.kind = kind == "safe"        ? Kind::safe
+             : kind == "unsafe"    ? Kind::unsafe
+             : kind == "cacheable" ? Kind::cacheable
+                                   : Kind::by_method;
     x.timeout = ms_of(r.at("timeout_ms"));
     x.aim = ms_of(r.at("aim_ms"));
     x.priority = static_cast<int>(r.at("priority").num(0));
     x.shots = static_cast<int>(r.at("shots").num(x.shots));
     x.keep = ms_of(r.at("keep_ms"));
     auto here = [&](const char* k) { return fmt::format("/routes/{}/{}", i, k); };
-    if (r.has("service") == r.has("split")) defects.push_back({here("service"), "a route names either a service or a split"});
+    if (r.has("service") == r.has("split"))
+      defects.push_back({here("service"), "a route names either a service or a split"});
     if (r.has("service")) x.split = {{r.at("service").str(), 1.0}};
     for (auto& w : r.at("split").items()) x.split.emplace_back(w.at("service").str(), w.at("weight").real());
     for (auto& [svc, w] : x.split)
       if (!l->services.count(svc)) defects.push_back({here("service"), "names no service of this layout"});
     auto ms = x.methods.empty() ? std::vector<std::string>{"*"} : x.methods;
     for (auto& m : ms)
-      if (once[x.host + " " + x.prefix + " " + m]++) defects.push_back({here("prefix"), "an earlier route has this prefix and method"});
+      if (once[x.host + " " + x.prefix + " " + m]++)
+        defects.push_back({here("prefix"), "an earlier route has this prefix and method"});
     l->routes.push_back(x);
     ++i;
   }
--- a/src/traffic/load_balancer.cpp
+++ b/src/traffic/load_balancer.cpp
@@ -13,15 +13,15 @@
 constexpr int kUnsentAside = 2;  // connections that could not be made tell more than bad answers
 constexpr Duration kAside{500};
 constexpr int kMostDoublings = 4;
-constexpr double kLearn = 0.15;       // weight of the latest answer
-constexpr double kFadeMs = 800;       // in which most of a told load has faded
-constexpr double kCold = 2.0;         // how much slower a worker is that has just started
-constexpr double kRoom = 0.6;         // of its slots: the own zone is left beyond
-constexpr double kFull = 0.35;        // how much slower when all its slots are taken
-constexpr double kSilent = 6;         // times the usual time without an answer: something is wrong there
+constexpr double kLearn = 0.15;  // weight of the latest answer
+constexpr double kFadeMs = 800;  // in which most of a told load has faded
+constexpr double kCold = 2.0;    // how much slower a worker is that has just started
+constexpr double kRoom = 0.6;    // of its slots: the own zone is left beyond
+constexpr double kFull = 0.35;   // how much slower when all its slots are taken
+constexpr double kSilent = 6;    // times the usual time without an answer: something is wrong there
 constexpr Duration kSilentLeast{400};
 constexpr double kUnknownMs = 50;
-constexpr size_t kLook = 3;           // workers looked at for one choice
+constexpr size_t kLook = 3;  // workers looked at for one choice
 
 struct State {
   int running = 0, fails = 0, unsent = 0, rounds = 0;
@@ -70,7 +70,8 @@
     double one = this->one(w, now);
     double f = fill(w, now);
     double t = one * (1 + kFull * std::min(f, 1.0) + std::max(0.0, f - 1));
-    if (s.running && now - s.progress > std::max(kSilentLeast, Duration(static_cast<int64_t>(one * kSilent)))) t *= 16;
+    if (s.running && now - s.progress > std::max(kSilentLeast, Duration(static_cast<int64_t>(one * kSilent))))
+      t *= 16;
     return t;
   }
 };
@@ -79,7 +80,8 @@
 LoadBalancer::~LoadBalancer() = default;
 
 std::optional<Choice> LoadBalancer::choose(const std::vector<Worker>& ws, const std::vector<std::string>& vs,
-                                     const std::string& zone, const std::vector<std::string>& tried, size_t few) {
+                                           const std::string& zone, const std::vector<std::string>& tried,
+                                           size_t few) {
   std::lock_guard l(p_->m);
   TimePoint now = p_->clock.now();
   std::vector<const Worker*> fit, near, aside;
@@ -120,7 +122,8 @@
   }
   auto& s = p_->by[w->instance];
   if (s.fails >= kFailsAside || s.unsent >= kUnsentAside) s.trying = true;
-  return Choice{*w, Duration(static_cast<int64_t>(p_->expected(*w, now))), Duration(static_cast<int64_t>(p_->wait(*w, now)))};
+  return Choice{*w, Duration(static_cast<int64_t>(p_->expected(*w, now))),
+                Duration(static_cast<int64_t>(p_->wait(*w, now)))};
 }
 
 void LoadBalancer::name(const std::string& relay) { p_->relay = relay; }
--- a/src/traffic/load_balancer.hpp
+++ b/src/traffic/load_balancer.hpp
@@ -30,7 +30,8 @@
   // Null when no worker of these versions is left that is not in `tried`. Of more than
   // `few` that fit, this relay uses its own few, the same as long as they fit.
   std::optional<Choice> choose(const std::vector<Worker>& ws, const std::vector<std::string>& versions,
-                               const std::string& zone, const std::vector<std::string>& tried, size_t few = SIZE_MAX);
+                               const std::string& zone, const std::vector<std::string>& tried,
+                               size_t few = SIZE_MAX);
   void name(const std::string& relay);  // by which this relay's few are drawn
   void began(const Worker& w);
   void ended(const Worker& w, const Ended& e);
--- a/src/traffic/serve.cpp
+++ b/src/traffic/serve.cpp
@@ -22,8 +22,15 @@
   std::map<std::string, std::pair<uint64_t, uint64_t>> tallies;
 
   Impl(base::Ports& p, const Face& fa, std::string a, std::string z, std::function<bool()> f)
-      : ps(p), face(fa), me(std::move(a)), zone(z), fresh(f), shots(p, fa, me, z, f, [this] { return now_table(); }),
-        ways{p, fa}, fills(p, fa, me, f, [this] { return now_table(); }, shots, n) {}
+      : ps(p),
+        face(fa),
+        me(std::move(a)),
+        zone(z),
+        fresh(f),
+        shots(p, fa, me, z, f, [this] { return now_table(); }),
+        ways{p, fa},
+        fills(
+            p, fa, me, f, [this] { return now_table(); }, shots, n) {}
 
   TablePtr now_table() const { return std::atomic_load(&table); }
 
@@ -52,7 +59,8 @@
   }
 };
 
-Traffic::Traffic(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh)
+Traffic::Traffic(base::Ports& ps, const Face& face, std::string me, std::string zone,
+                 std::function<bool()> fresh)
     : p_(new Impl(ps, face, std::move(me), std::move(zone), std::move(fresh))) {}
 Traffic::~Traffic() = default;
 
@@ -75,16 +83,21 @@
       under = t->generation;
       w = [&]() -> Way {
         auto& lay = *t->layout;
-        if (static_cast<int64_t>(q.body.size()) > lay.body_bytes) return p.ways.away(413, "the body is longer than the layout allows");
+        if (static_cast<int64_t>(q.body.size()) > lay.body_bytes)
+          return p.ways.away(413, "the body is longer than the layout allows");
         bool other = false;
         auto* route = lay.match(q.method, host, q.target, other);
-        if (!route) return other ? p.ways.away(405, "no route takes this method") : p.ways.away(404, "no route leads there");
+        if (!route)
+          return other ? p.ways.away(405, "no route takes this method")
+                       : p.ways.away(404, "no route leads there");
         auto* s = p.split(lay, *route);
         if (!s) return p.ways.away(503, "no service of this route has any weight");
         Duration most = route->timeout > Duration(0) ? route->timeout : s->deadline;
         if (asked.left) most = std::min(most, *asked.left);
-        Work x{t, t->layout, s, route, q, route->host.empty() ? "" : route->host, arrived, arrived + most, p.me, t->generation, again};
-        bool keep = Fills::lifetime(x) > Duration(0) && (route->kind == Kind::by_method || route->kind == Kind::cacheable);
+        Work x{t,       t->layout,      s,    route,         q,    route->host.empty() ? "" : route->host,
+               arrived, arrived + most, p.me, t->generation, again};
+        bool keep = Fills::lifetime(x) > Duration(0) &&
+                    (route->kind == Kind::by_method || route->kind == Kind::cacheable);
         if (keep && cache::may_ask_cache(q, route->keep > Duration(0))) return p.fills.cached(x);
         return p.ways.of(p.shots.run(x));
       }();
@@ -118,7 +131,8 @@
   if (l == t->layouts.end()) return no("this node lacks the layout");
   auto s = l->second->services.find(c.service());
   if (s == l->second->services.end()) return no("the layout has no such service");
-  if (purge_least(purge_number(*t, c.service()), c.purge_seen()) != c.purge_seen()) return no("this node lacks a purge");
+  if (purge_least(purge_number(*t, c.service()), c.purge_seen()) != c.purge_seen())
+    return no("this node lacks a purge");
   Work w{t, l->second, &s->second, nullptr, {}, {}, p.ps.clock.now(), {}, c.relay(), c.generation()};
   w.deadline = w.arrived + Duration(c.left_ms());
   w.q.method = "GET";
@@ -163,7 +177,8 @@
     auto f = t->workers.find(name);
     if (f == t->workers.end() || f->second.empty()) continue;
     Route any;
-    Work w{t, t->layout, &s, &any, {}, {}, p_->ps.clock.now(), p_->ps.clock.now() + limit, p_->me, t->generation};
+    Work w{t,      t->layout,    &s, &any, {}, {}, p_->ps.clock.now(), p_->ps.clock.now() + limit,
+           p_->me, t->generation};
     if (!p_->shots.reaches(w, limit)) out.push_back(name);
   }
   return out;
--- a/src/traffic/table.cpp
+++ b/src/traffic/table.cpp
@@ -23,7 +23,8 @@
 Versions versions(const Service& s, const pb::ServiceState* st) {
   Versions v;
   auto allowed = [&](const std::string& x) {
-    return !x.empty() && (s.versions.empty() || std::find(s.versions.begin(), s.versions.end(), x) != s.versions.end()) &&
+    return !x.empty() &&
+           (s.versions.empty() || std::find(s.versions.begin(), s.versions.end(), x) != s.versions.end()) &&
            !(st && st->quarantined().count(x));
   };
   if (st && st->switching() && allowed(st->trial())) {
@@ -70,7 +71,8 @@
     if (!p.host().empty() && !base::same_word(p.host(), n.host)) continue;
     if (p.kind() == "prefix" && path.substr(0, p.path().size()) == p.path()) return true;
     if (p.kind() == "path" && (path == p.path() || n.target == p.path())) return true;
-    if (p.kind() == "tag" && n.tags && std::find(n.tags->begin(), n.tags->end(), p.path()) != n.tags->end()) return true;
+    if (p.kind() == "tag" && n.tags && std::find(n.tags->begin(), n.tags->end(), p.path()) != n.tags->end())
+      return true;
   }
   return false;
 }
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -21,16 +21,16 @@
 };
 
 struct Table {
-  uint64_t generation = 0;                                       // that runs here
-  uint64_t order = 0;                                            // the numbered layout in force; 0: layouts come as releases
-  std::map<std::string, uint64_t> assigned;                      // by node: the latest generation written for it
-  std::shared_ptr<const Layout> layout;                          // this node's own; null: none yet
+  uint64_t generation = 0;                   // that runs here
+  uint64_t order = 0;                        // the numbered layout in force; 0: layouts come as releases
+  std::map<std::string, uint64_t> assigned;  // by node: the latest generation written for it
+  std::shared_ptr<const Layout> layout;      // this node's own; null: none yet
   std::map<std::string, std::shared_ptr<const Layout>> layouts;  // by release name, for carried requests
   std::map<std::string, std::vector<Worker>> workers;            // by service
   std::map<std::string, pb::ServiceState> states;
-  std::set<std::string> given_up;                                // services whose trial this node has given up
+  std::set<std::string> given_up;  // services whose trial this node has given up
   std::map<std::string, pb::PurgeSet> purges;
-  std::map<std::string, double> shares;                          // this node's part of each stated rate
+  std::map<std::string, double> shares;  // this node's part of each stated rate
   std::vector<Shield> shields;
   int nodes = 1, rank = 0;  // among how many fleet-wide allowances are shared; this node's place among them
   rollout::System system;
--- a/src/traffic/trial.cpp
+++ b/src/traffic/trial.cpp
@@ -26,7 +26,8 @@
                                   const std::string& route) {
   auto st = t.states.find(service);
   auto ws = t.workers.find(service);
-  if (version.empty() || st == t.states.end() || ws == t.workers.end() || t.given_up.count(service)) return {};
+  if (version.empty() || st == t.states.end() || ws == t.workers.end() || t.given_up.count(service))
+    return {};
   bool term = st->second.within_ms() > 0;
   auto v = trial_workers(ws->second, version, term);
   if (v.empty()) return {};
@@ -41,8 +42,8 @@
   return v;
 }
 
-bool Trials::grant(const std::string& service, uint64_t number, const std::string& version, const std::string& route,
-                   Part p) {
+bool Trials::grant(const std::string& service, uint64_t number, const std::string& version,
+                   const std::string& route, Part p) {
   std::lock_guard l(m_);
   auto& s = by_[service];
   if (s.number != number || s.version != version) s = {number, version};
--- a/src/traffic/trial.hpp
+++ b/src/traffic/trial.hpp
@@ -28,7 +28,8 @@
   struct Part {
     int earn = 0, spend = 0, ahead = 0;
   };
-  bool grant(const std::string& service, uint64_t number, const std::string& version, const std::string& route, Part p);
+  bool grant(const std::string& service, uint64_t number, const std::string& version,
+             const std::string& route, Part p);
 
  private:
   struct Share {
--- a/src/traffic/upstream_client.cpp
+++ b/src/traffic/upstream_client.cpp
@@ -10,14 +10,14 @@
 
 namespace dunlinwing::traffic {
 namespace {
-constexpr int kMostTries = 8;   // workers looked for, sent to or not
-constexpr int kWorkPart = 4;    // of its deadline a first shot must still have half this part
-constexpr int kConnectPart = 4; // of the time left, for a connection to stand
-constexpr int kSlow = 4;        // times the usual, and an answer counts as slow
+constexpr int kMostTries = 8;    // workers looked for, sent to or not
+constexpr int kWorkPart = 4;     // of its deadline a first shot must still have half this part
+constexpr int kConnectPart = 4;  // of the time left, for a connection to stand
+constexpr int kSlow = 4;         // times the usual, and an answer counts as slow
 constexpr Duration kSlowLeast{20};
 constexpr size_t kLeastPlaces = 6;
 constexpr size_t kRelaysOfAll = 12;  // relays that use one worker, about
-constexpr double kCapPart = 0.85;  // of the connections a worker takes, over all relays
+constexpr double kCapPart = 0.85;    // of the connections a worker takes, over all relays
 // How far past its aim an answer may be expected to be while it is still worth its place, by rank.
 constexpr double kPatience[] = {3.0, 2.0, 1.3};
 
@@ -54,8 +54,14 @@
   int most_places = 0;
 
   Impl(base::Ports& p, const Face& fa, std::string z, std::function<bool()> f, std::function<TablePtr()> t)
-      : ps(p), face(fa), zone(std::move(z)), fresh(std::move(f)), table(std::move(t)), places(p.clock, p.random),
-        pace(p.clock), waits(p) {}
+      : ps(p),
+        face(fa),
+        zone(std::move(z)),
+        fresh(std::move(f)),
+        table(std::move(t)),
+        places(p.clock, p.random),
+        pace(p.clock),
+        waits(p) {}
 
   void count(const Work& w, const Worker& to, bool good, Duration took) {
     auto t = table();
@@ -78,7 +84,9 @@
     if (w.route->aim <= Duration(0)) return {};
     Duration one = c.expected - c.wait;
     auto rank = static_cast<size_t>(std::min<int>(w.route->priority, std::size(kPatience) - 1));
-    Duration most = std::max(Duration(static_cast<int64_t>(static_cast<double>(w.route->aim.count()) * kPatience[rank])) - one, one);
+    Duration most = std::max(
+        Duration(static_cast<int64_t>(static_cast<double>(w.route->aim.count()) * kPatience[rank])) - one,
+        one);
     Duration left = w.deadline - ps.clock.now();
     if (c.wait <= most && c.wait + one < left) return {};
     return std::max(c.wait - most, Duration(0)) + one / 2;
@@ -108,7 +116,8 @@
   // Of many workers each relay of a large fleet uses a few, so that its connections
   // are used often enough to be kept, and each worker is used by a few relays.
   size_t few(const Table& t, size_t workers) const {
-    size_t n = std::max<size_t>(kLeastPlaces, (workers * kRelaysOfAll + static_cast<size_t>(t.nodes) - 1) / static_cast<size_t>(std::max(t.nodes, 1)));
+    size_t n = std::max<size_t>(kLeastPlaces, (workers * kRelaysOfAll + static_cast<size_t>(t.nodes) - 1) /
+                                                  static_cast<size_t>(std::max(t.nodes, 1)));
     return most_places > 0 ? std::min(n, std::max(kLeastPlaces, static_cast<size_t>(most_places))) : n;
   }
 
@@ -125,8 +134,8 @@
   }
 };
 
-UpstreamClient::UpstreamClient(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh,
-             std::function<TablePtr()> table)
+UpstreamClient::UpstreamClient(base::Ports& ps, const Face& face, std::string me, std::string zone,
+                               std::function<bool()> fresh, std::function<TablePtr()> table)
     : p_(new Impl(ps, face, std::move(zone), std::move(fresh), std::move(table))) {
   p_->places.name(me);
 }
@@ -134,7 +143,8 @@
 
 bool UpstreamClient::repeat_allowed(const Work& w) {
   auto t = p_->table();
-  if (!p_->repeats.grant(w.service->name, repeat_part(t->system.repeat_allowance, t->nodes, t->rank))) return false;
+  if (!p_->repeats.grant(w.service->name, repeat_part(t->system.repeat_allowance, t->nodes, t->rank)))
+    return false;
   ++p_->again;
   return true;
 }
@@ -166,9 +176,12 @@
   }
   auto& clock = p.ps.clock;
   switch (p.waits.enter(s.name, s.inflight, s.waitlist, w.start_by())) {
-    case Entry::full: return turned_away("the waitlist is full", p.waits.drained_in(s.name));
-    case Entry::too_late: return turned_away("its deadline cannot be met", p.waits.drained_in(s.name));
-    case Entry::in: break;
+    case Entry::full:
+      return turned_away("the waitlist is full", p.waits.drained_in(s.name));
+    case Entry::too_late:
+      return turned_away("its deadline cannot be met", p.waits.drained_in(s.name));
+    case Entry::in:
+      break;
   }
   struct Out {
     Impl& p;
@@ -235,8 +248,9 @@
     if (d && *d == base::AttemptError::not_run) l = Look::not_run;
     bool declined = l == Look::not_run || l == Look::elsewhere;
     if (!must_pay && !unsent) sent(s.name);
-    p.places.ended(to, {l == Look::good || declined, unsent,
-                        a && l != Look::broken ? p.face.load(*a) : std::nullopt, l == Look::good ? took : Duration(0)});
+    p.places.ended(
+        to, {l == Look::good || declined, unsent, a && l != Look::broken ? p.face.load(*a) : std::nullopt,
+             l == Look::good ? took : Duration(0)});
     if (l == Look::elsewhere) p.places.elsewhere(to);
     if (!unsent && !declined) p.count(w, to, l == Look::good, took);
     left |= !unsent;
--- a/src/traffic/upstream_client.hpp
+++ b/src/traffic/upstream_client.hpp
@@ -19,11 +19,13 @@
   base::Request q;
   std::string host;  // part of a receipt's name when the route is bound to a host
   TimePoint arrived{0}, deadline{0};
-  std::string relay;        // where it entered, and the assignment there
+  std::string relay;  // where it entered, and the assignment there
   uint64_t generation = 0;
   bool again = false;  // a repeat of something already sent: needs the budget
   Duration span() const { return deadline - arrived; }
-  TimePoint start_by() const { return deadline - span() / 2; }  // no first shot after it: told early, not late
+  TimePoint start_by() const {
+    return deadline - span() / 2;
+  }                   // no first shot after it: told early, not late
   bool safe() const;  // may run more than once
 };
 
@@ -37,7 +39,7 @@
   std::string version, why;
   bool left = false;   // some byte of some shot may have reached a worker
   bool doubt = false;  // and not every worker that got one said that it did not run it
-  Duration back{0};       // when it makes sense to come back, when turned away
+  Duration back{0};    // when it makes sense to come back, when turned away
 };
 
 struct VersionCount {
@@ -52,7 +54,8 @@
 
 class UpstreamClient {
  public:
-  UpstreamClient(base::Ports& ps, const Face& face, std::string me, std::string zone, std::function<bool()> fresh, std::function<TablePtr()> table);
+  UpstreamClient(base::Ports& ps, const Face& face, std::string me, std::string zone,
+                 std::function<bool()> fresh, std::function<TablePtr()> table);
   ~UpstreamClient();
   Fetched run(const Work& w);
   bool reaches(const Work& w, Duration limit);  // whether some worker would take a connection
--- a/src/traffic/waitlist.cpp
+++ b/src/traffic/waitlist.cpp
@@ -54,7 +54,8 @@
 Duration Waitlists::drained_in(const std::string& s) {
   std::lock_guard l(m_);
   auto& t = by_[s];
-  return Duration(static_cast<int64_t>(t.took_ms * static_cast<double>(t.waits.size() + 1) / std::max(t.limit, 1)));
+  return Duration(
+      static_cast<int64_t>(t.took_ms * static_cast<double>(t.waits.size() + 1) / std::max(t.limit, 1)));
 }
 
 std::pair<int, int> Waitlists::load(const std::string& s) {
--- a/src/wire/http_origin.cpp
+++ b/src/wire/http_origin.cpp
@@ -15,8 +15,8 @@
 using Parser = http::response_parser<http::string_body>;
 
 namespace {
-constexpr int kMostSkipped = 2;   // answers to earlier requests
-constexpr int kMostInterim = 8;   // 1xx before an answer
+constexpr int kMostSkipped = 2;  // answers to earlier requests
+constexpr int kMostInterim = 8;  // 1xx before an answer
 constexpr uint32_t kMostHead = 64 << 10;
 constexpr size_t kBodyRoom = 32 << 10;
 
@@ -34,7 +34,8 @@
   o.append(q.method).append(" ").append(q.target).append(" HTTP/1.1\r\n");
   bool host = false;
   for (auto& [k, v] : q.headers) {
-    if (base::same_word(k, "Content-Length") || base::same_word(k, "Transfer-Encoding")) continue;  // ours to say
+    if (base::same_word(k, "Content-Length") || base::same_word(k, "Transfer-Encoding"))
+      continue;  // ours to say
     host |= base::same_word(k, "Host");
     o.append(k).append(": ").append(v).append("\r\n");
   }
@@ -104,7 +105,8 @@
   using Kept::Kept;
 };
 
-HttpOrigin::HttpOrigin(size_t body_bytes, size_t kept) : most_(body_bytes), p_(std::make_shared<Impl>(kept)) {}
+HttpOrigin::HttpOrigin(size_t body_bytes, size_t kept)
+    : most_(body_bytes), p_(std::make_shared<Impl>(kept)) {}
 HttpOrigin::~HttpOrigin() { p_->clear(); }
 int HttpOrigin::idle() const { return p_->idle(); }
 int HttpOrigin::held(const std::string& addr) const { return p_->held(addr); }
@@ -115,7 +117,7 @@
 }
 
 std::variant<base::Response, AttemptError> HttpOrigin::send(const std::string& addr, const base::Request& q,
-                                                          const base::AttemptRules& rules) {
+                                                            const base::AttemptRules& rules) {
   auto from = std::chrono::steady_clock::now();
   auto end = from + rules.limit;
   auto by = rules.connect > Duration(0) ? std::min(end, from + rules.connect) : end;
@@ -136,7 +138,8 @@
       continue;
     }
     late.clear();
-    if (a->keep && l.got().empty() && a->stated.value_or(Duration(1)) > Duration(0)) loan->plan_repair(a->stated);
+    if (a->keep && l.got().empty() && a->stated.value_or(Duration(1)) > Duration(0))
+      loan->plan_repair(a->stated);
     return std::move(a->r);
   }
   return AttemptError::unknown;
--- a/src/wire/http_origin.hpp
+++ b/src/wire/http_origin.hpp
@@ -12,7 +12,7 @@
   ~HttpOrigin() override;
   bool reach(const std::string& addr, Duration limit) override;
   std::variant<base::Response, base::AttemptError> send(const std::string& addr, const base::Request& q,
-                                                      const base::AttemptRules& r) override;
+                                                        const base::AttemptRules& r) override;
   int idle() const;                         // connections kept
   int held(const std::string& addr) const;  // connections to it, in use or kept
 
--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 constexpr base::Log lg("http");
-constexpr Duration kLinger(1000);            // in which a client that was turned away may go on sending
+constexpr Duration kLinger(1000);        // in which a client that was turned away may go on sending
 constexpr size_t kMostLinger = 1 << 20;  // and how much
 constexpr size_t kBodyRoom = 32 << 10;
 constexpr Duration kSweepLeast(50), kSweepMost(500);
@@ -204,7 +204,8 @@
 // Answers what was not understood; the connection ends, but not before the
 // client could read why.
 bool HttpServer::Impl::refuse(Talk& t, int status, const std::string& why) {
-  base::Response a{status, {{"Content-Type", "application/json"}}, fmt::format("{{\"defect\":\"{}\"}}\n", why)};
+  base::Response a{
+      status, {{"Content-Type", "application/json"}}, fmt::format("{{\"defect\":\"{}\"}}\n", why)};
   t.l->go_on();
   if (answer(t, a, false, 11, false, *lim.load())) linger(t);
   return false;
@@ -229,9 +230,12 @@
   size_t n = 128;
   for (auto& [k, v] : a.headers) n += k.size() + v.size() + 4;
   out.reserve(n);
-  auto line = [&](std::string_view k, std::string_view v) { out.append(k).append(": ").append(v).append("\r\n"); };
+  auto line = [&](std::string_view k, std::string_view v) {
+    out.append(k).append(": ").append(v).append("\r\n");
+  };
   auto why = http::obsolete_reason(static_cast<http::status>(a.status));
-  fmt::format_to(std::back_inserter(out), "HTTP/1.1 {} {}\r\n", a.status, std::string_view(why.data(), why.size()));
+  fmt::format_to(std::back_inserter(out), "HTTP/1.1 {} {}\r\n", a.status,
+                 std::string_view(why.data(), why.size()));
   for (auto& [k, v] : a.headers)
     if (!ours(k)) line(k, v);
   auto given = head || same ? base::header(a.headers, "Content-Length") : std::string();
@@ -294,7 +298,8 @@
           return false;
       }
     }
-    if (headed && !held.grow_to(par.get().body().size(), at->bodies)) return refuse(t, 503, "too many bodies at once");
+    if (headed && !held.grow_to(par.get().body().size(), at->bodies))
+      return refuse(t, 503, "too many bodies at once");
     if (par.is_done()) break;
     bool first = l.got().empty() && !headed && t.step == Step::idle;
     auto ec = l.fill(headed ? kBodyRoom : Line::kRoom);
@@ -338,7 +343,8 @@
     }
     for (size_t most; (most = lim.load()->most) > 0 && open >= static_cast<int>(most) && !closing;) {
       crowded = true;
-      auto fullest = std::max_element(lanes.begin(), lanes.end(), [](auto& a, auto& b) { return a->n < b->n; });
+      auto fullest =
+          std::max_element(lanes.begin(), lanes.end(), [](auto& a, auto& b) { return a->n < b->n; });
       int f = static_cast<int>(fullest - lanes.begin());
       asio::post(pool.io(f), [me = shared_from_this(), f] { evict(*me->lanes[f]); });
       room->wait(Duration(1000));
--- a/src/wire/http_server.hpp
+++ b/src/wire/http_server.hpp
@@ -10,10 +10,10 @@
   size_t body_bytes = 1 << 20;
   size_t bodies = 256u << 20;  // of all requests' bodies that this process holds at once
   size_t most = 0;             // open connections; 0: no bound
-  Duration idle{60000};            // until a request begins
-  Duration read{10000};            // from a head's first byte to its last
-  Duration body{30000};            // from a head's end to its body's
-  Duration write{10000};           // without an answer's bytes moving
+  Duration idle{60000};        // until a request begins
+  Duration read{10000};        // from a head's first byte to its last
+  Duration body{30000};        // from a head's end to its body's
+  Duration write{10000};       // without an answer's bytes moving
   bool tell_idle = false;      // name the idle time in Keep-Alive
 };
 
--- a/src/wire/kept.cpp
+++ b/src/wire/kept.cpp
@@ -85,7 +85,8 @@
     auto& h = hosts_[addr];
     if (condition) std::erase(h.waiting, condition);
     line = take(h, safe);
-    if (!line && most > 0 && h.held >= most && !h.idle.empty()) drop(h, 0);  // unfit for this one, or another thread's
+    if (!line && most > 0 && h.held >= most && !h.idle.empty())
+      drop(h, 0);  // unfit for this one, or another thread's
     used = line != nullptr;
     if (used || most <= 0 || h.held < most) {
       h.held += !used;
--- a/src/wire/line.cpp
+++ b/src/wire/line.cpp
@@ -20,7 +20,8 @@
 constexpr size_t kSpareBuffer = 16 << 10;  // a larger buffer is given back once it is empty
 }  // namespace
 
-std::pair<std::shared_ptr<Line>, Ec> Line::to(const std::string& addr, std::chrono::steady_clock::time_point end) {
+std::pair<std::shared_ptr<Line>, Ec> Line::to(const std::string& addr,
+                                              std::chrono::steady_clock::time_point end) {
   auto at = split_address(addr);
   if (!at) return {nullptr, make_error_code(boost::system::errc::invalid_argument)};
   auto l = std::make_shared<Line>(Socket(Pool::here()));
@@ -57,15 +58,16 @@
     if (buf_.size() < to_ + room) buf_.resize(to_ + room);
   }
   reading_ = true;
-  s_.async_read_some(asio::buffer(buf_.data() + to_, buf_.size() - to_), [me = shared_from_this()](Ec e, size_t n) {
-    me->reading_ = false;
-    me->ec_ = e;
-    me->to_ += n;
-    if (auto* w = std::exchange(me->waiter_, nullptr))
-      boost::fibers::context::active()->schedule(w);
-    else if (me->woken_)
-      std::exchange(me->woken_, nullptr)();
-  });
+  s_.async_read_some(asio::buffer(buf_.data() + to_, buf_.size() - to_),
+                     [me = shared_from_this()](Ec e, size_t n) {
+                       me->reading_ = false;
+                       me->ec_ = e;
+                       me->to_ += n;
+                       if (auto* w = std::exchange(me->waiter_, nullptr))
+                         boost::fibers::context::active()->schedule(w);
+                       else if (me->woken_)
+                         std::exchange(me->woken_, nullptr)();
+                     });
 }
 
 Ec Line::fill(size_t room) {
@@ -78,7 +80,8 @@
     waiter_ = me;
     me->suspend();
   }
-  if (ec_ == asio::error::operation_aborted && stop_) return std::exchange(ec_, Ec());  // it may be used again
+  if (ec_ == asio::error::operation_aborted && stop_)
+    return std::exchange(ec_, Ec());  // it may be used again
   if (to_ - from_ > had) return {};
   return ec_;
 }
@@ -97,7 +100,8 @@
   sent_ = std::max<ssize_t>(k, 0);
   while (sent_ < a.size() + b.size()) {
     if (stop_) return asio::error::operation_aborted;
-    std::array<asio::const_buffer, 2> left{asio::buffer(a) + sent_, asio::buffer(b) + (sent_ - std::min(sent_, a.size()))};
+    std::array<asio::const_buffer, 2> left{asio::buffer(a) + sent_,
+                                           asio::buffer(b) + (sent_ - std::min(sent_, a.size()))};
     auto [ec, n] = await<size_t>([&](auto h) { s_.async_write_some(left, std::move(h)); });
     if (ec) return ec;
     sent_ += n;
--- a/src/wire/line.hpp
+++ b/src/wire/line.hpp
@@ -18,22 +18,25 @@
   explicit Line(Socket s) : s_(std::move(s)) {}
 
   // A connection to IP:port, or why there is none by `end`.
-  static std::pair<std::shared_ptr<Line>, Ec> to(const std::string& addr, std::chrono::steady_clock::time_point end);
+  static std::pair<std::shared_ptr<Line>, Ec> to(const std::string& addr,
+                                                 std::chrono::steady_clock::time_point end);
 
   std::string_view got() const { return {buf_.data() + from_, to_ - from_}; }
   void use(size_t n) { from_ += n; }
-  Ec fill(size_t room = kRoom);                // parks until more bytes are here, at most `room`
+  Ec fill(size_t room = kRoom);  // parks until more bytes are here, at most `room`
   // Sends both parts as one; `moved` is called as bytes go, if they do not go at once.
   Ec send(std::string_view a, std::string_view b = {}, const std::function<void()>& moved = {});
-  size_t sent() const { return sent_; }        // bytes of the last `send` that left
+  size_t sent() const { return sent_; }  // bytes of the last `send` that left
 
-  void arm(size_t room = kRoom);               // leaves a read pending
-  bool waits() const { return reading_; }      // for bytes, or their end
-  bool quiet() const;                          // armed, and nothing came: no byte, no end
-  bool still() const;                          // the same, asked of the system now
-  void when_woken(std::function<void()> f) { woken_ = std::move(f); }  // runs when a pending read ends unawaited
+  void arm(size_t room = kRoom);           // leaves a read pending
+  bool waits() const { return reading_; }  // for bytes, or their end
+  bool quiet() const;                      // armed, and nothing came: no byte, no end
+  bool still() const;                      // the same, asked of the system now
+  void when_woken(std::function<void()> f) {
+    woken_ = std::move(f);
+  }  // runs when a pending read ends unawaited
 
-  void stop();                                 // whoever waits on it, now or next, gets `operation_aborted`
+  void stop();  // whoever waits on it, now or next, gets `operation_aborted`
   bool stopped() const { return stop_; }
   void go_on() { stop_ = false; }
   void close();
--- a/src/wire/loop.cpp
+++ b/src/wire/loop.cpp
@@ -11,13 +11,12 @@
 #include <time.h>
 #include <unistd.h>
 
-#include <cerrno>
-
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
+#include <cerrno>
 #include <new>
 #include <random>
 #include <thread>
@@ -131,7 +130,8 @@
       at = v.back();
       v.pop_back();
     } else {
-      at = ::mmap(nullptr, kSize + kGuard, PROT_READ | PROT_WRITE, MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
+      at = ::mmap(nullptr, kSize + kGuard, PROT_READ | PROT_WRITE,
+                  MAP_PRIVATE | MAP_ANONYMOUS | MAP_NORESERVE, -1, 0);
       if (at == MAP_FAILED) throw std::bad_alloc();
       ::mprotect(at, kGuard, PROT_NONE);
     }
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -138,15 +138,18 @@
 }
 }  // namespace
 
-std::variant<pb::Reply, base::NetError> PeerNet::ask(const std::string& addr, const pb::Ask& a, Duration limit) {
+std::variant<pb::Reply, base::NetError> PeerNet::ask(const std::string& addr, const pb::Ask& a,
+                                                     Duration limit) {
   auto t = now();
   prune(t);
   auto end = t + limit;
   std::shared_ptr<Line> l;
   if (auto f = idle.find(addr); f != idle.end()) {
     for (auto& v = f->second; !l && !v.empty();) {
-      if (t - v.back().since < kKept && v.back().l->still()) l = std::move(v.back().l);
-      else v.back().l->close();
+      if (t - v.back().since < kKept && v.back().l->still())
+        l = std::move(v.back().l);
+      else
+        v.back().l->close();
       v.pop_back();
     }
     if (f->second.empty()) idle.erase(f);
@@ -165,9 +168,10 @@
     bool timed = l->stopped();
     l->close();
     // A kept connection may have been ended for room just now. Asks may come twice, but for requests carried.
-    if (ec && reused && !timed && l->got().empty() && !a.has_carry()) return ask(addr, a, std::chrono::duration_cast<Duration>(end - now()));
+    if (ec && reused && !timed && l->got().empty() && !a.has_carry())
+      return ask(addr, a, std::chrono::duration_cast<Duration>(end - now()));
     if (!ec) return base::NetError::garbled;
-    return sent && timed ? base::NetError::timed_out
+    return sent && timed                            ? base::NetError::timed_out
            : ec == boost::system::errc::bad_message ? base::NetError::garbled
                                                     : base::NetError::broken;
   }
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -8,14 +8,16 @@
 
 class PeerNet final : public base::Net {
  public:
-  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override;
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a,
+                                              Duration limit) override;
 };
 
 using PeerHandler = std::function<pb::Reply(const pb::Ask&)>;
 
 // Takes peers' connections on thread 0. Returns a line of text when the
 // address cannot be had. Beyond `most` connections those that are idle longest end.
-std::optional<std::string> serve_peers(Pool& pool, const std::string& addr, PeerHandler h, size_t most = 4096);
+std::optional<std::string> serve_peers(Pool& pool, const std::string& addr, PeerHandler h,
+                                       size_t most = 4096);
 
 struct Address {
   std::string ip;
