--- a/test/caller.cpp
+++ b/test/caller.cpp
@@ -65,8 +65,9 @@
   void one(const base::Request& q, Relay& r) {
     auto id = base::header(q.headers, "Caller-Id");
     auto from = clock.now().count();
-    journal.line(fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":{},"in":"{}","at":{},"relay":"{}"}})", id,
-                             q.method, test::qt(q.target), base::sha256_base64(q.body), from, r.callers));
+    journal.line(
+        fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":{},"in":"{}","at":{},"relay":"{}"}})", id,
+                    q.method, test::qt(q.target), base::sha256_base64(q.body), from, r.callers));
     auto x = http.send(r.callers, q, 10000ms);
     auto to = clock.now().count();
     if (auto* a = std::get_if<base::Response>(&x)) {
@@ -78,12 +79,14 @@
       }
       journal.line(fmt::format(
           R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","retry_after":"{}","from":{},"at":{},"relay":"{}","why":{}}})",
-          id, a->status, out, base::sha256_base64(a->body), produced, base::header(a->headers, "Dunlinwing-Generation"),
-          base::header(a->headers, "Retry-After"), from, to, r.callers, a->status < 400 ? "\"\"" : test::qt(a->body)));
+          id, a->status, out, base::sha256_base64(a->body), produced,
+          base::header(a->headers, "Dunlinwing-Generation"), base::header(a->headers, "Retry-After"), from,
+          to, r.callers, a->status < 400 ? "\"\"" : test::qt(a->body)));
       (a->status < 400 ? ok : out == "not-run" ? away : out == "unknown" ? unknown : other)++;
     } else {
       journal.line(fmt::format(R"({{"t":"lost","id":"{}","sent":{},"from":{},"at":{},"relay":"{}"}})", id,
-                               std::get<base::AttemptError>(x) != base::AttemptError::unsent, from, to, r.callers));
+                               std::get<base::AttemptError>(x) != base::AttemptError::unsent, from, to,
+                               r.callers));
       ++lost;
     }
     --open;
@@ -122,8 +125,8 @@
       pool.spawn_on(1 + static_cast<int>(n % 2), [this, q, r] { one(q, *r); });
     }
     while (open > 0) clock.sleep(20ms);
-    std::cout << fmt::format("asked {} ok {} not_run {} unknown {} other {} lost {}\n", all, ok.load(), away.load(),
-                             unknown.load(), other.load(), lost.load())
+    std::cout << fmt::format("asked {} ok {} not_run {} unknown {} other {} lost {}\n", all, ok.load(),
+                             away.load(), unknown.load(), other.load(), lost.load())
               << std::flush;
     wire::Pool::stop(0);
   }
--- a/test/checker.cpp
+++ b/test/checker.cpp
@@ -35,9 +35,9 @@
   std::map<std::string, int64_t> leaving, gone;  // instance -> when known
   std::vector<base::Json> events;
   std::vector<ReadResult> lost;
-  std::set<std::string> well;                           // requests that got a good answer
-  std::map<std::string, std::vector<int64_t>> harm;     // machine -> when it was killed, frozen or warned
-  std::vector<int64_t> harms;                           // all of them, and cuts
+  std::set<std::string> well;                        // requests that got a good answer
+  std::map<std::string, std::vector<int64_t>> harm;  // machine -> when it was killed, frozen or warned
+  std::vector<int64_t> harms;                        // all of them, and cuts
 };
 
 int64_t number(const std::string& s) { return s.empty() ? -1 : std::strtoll(s.c_str(), nullptr, 10); }
@@ -57,8 +57,8 @@
     if (t == "ask") {
       b.asks[s("id")] = {s("method"), s("target"), s("in"), j.at("at").num()};
     } else if (t == "got") {
-      b.gots.push_back({s("id"), s("outcome"), s("out"), relay(), s("retry_after"), j.at("status").num(), j.at("produced").num(-1),
-                        number(s("gen")), j.at("from").num(), j.at("at").num()});
+      b.gots.push_back({s("id"), s("outcome"), s("out"), relay(), s("retry_after"), j.at("status").num(),
+                        j.at("produced").num(-1), number(s("gen")), j.at("from").num(), j.at("at").num()});
     } else if (t == "run") {
       b.runs.push_back({s("id"), s("method"), s("target"), s("in"), s("out"), s("service"), s("version"),
                         s("instance"), s("relay"), number(s("gen")), j.at("at").num(), j.at("bad").flag()});
@@ -97,7 +97,8 @@
 
   void once() {
     for (auto& [id, rs] : by_id)
-      if (rs.size() > 1 && !safe(rs.front()->method)) breach(1, id + " ran " + std::to_string(rs.size()) + " times");
+      if (rs.size() > 1 && !safe(rs.front()->method))
+        breach(1, id + " ran " + std::to_string(rs.size()) + " times");
   }
 
   void not_run() {
@@ -146,25 +147,29 @@
         auto p = r.service + "/" + r.version + "/";
         if (k.starts_with(p) && r.target.starts_with(k.substr(p.size()))) hit = true;
       }
-      if (!hit) breach(5, fmt::format("{} went to {} {}, which no layout allowed", r.target, r.service, r.version));
+      if (!hit)
+        breach(5, fmt::format("{} went to {} {}, which no layout allowed", r.target, r.service, r.version));
     }
   }
 
   void generations() {
     std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> acked;  // relay -> (when, generation)
     for (auto& e : b.events)
-      if (e.at("t").str() == "assigned") acked[e.at("relay").str()].push_back({e.at("at").num(), e.at("generation").num()});
+      if (e.at("t").str() == "assigned")
+        acked[e.at("relay").str()].push_back({e.at("at").num(), e.at("generation").num()});
     std::map<std::string, int64_t> shown, ended;
     std::map<std::string, std::vector<std::pair<int64_t, int64_t>>> tops;
     for (auto& g : b.gots) {
       if (g.gen < 0) continue;
       for (auto& [at, n] : acked[g.relay])
         if (g.from > at + kBound && g.gen < n)
-          breach(6, fmt::format("{} ran {} under generation {} at {}, {} was acknowledged at {}", g.relay, g.id, g.gen, g.from, n, at));
+          breach(6, fmt::format("{} ran {} under generation {} at {}, {} was acknowledged at {}", g.relay,
+                                g.id, g.gen, g.from, n, at));
       // What was shown by an answer that ended before this request began.
       auto& t = tops[g.relay];
       auto f = std::upper_bound(t.begin(), t.end(), std::make_pair(g.from - 1, INT64_MAX));
-      if (f != t.begin() && std::prev(f)->second > g.gen) breach(6, fmt::format("{} slipped back to generation {}", g.relay, g.gen));
+      if (f != t.begin() && std::prev(f)->second > g.gen)
+        breach(6, fmt::format("{} slipped back to generation {}", g.relay, g.gen));
       auto top = std::max(t.empty() ? -1 : t.back().second, g.gen);
       t.push_back({g.at, top});
     }
@@ -173,7 +178,8 @@
       if (auto f = acked.find(r.relay); r.gen >= 0 && f != acked.end())
         for (auto& [at, n] : f->second)
           if (r.at > at + kBound && r.gen < n)
-            breach(6, fmt::format("{} of {} was sent under generation {} {} ms after {} was acknowledged", r.id, r.relay, r.gen, r.at - at, n));
+            breach(6, fmt::format("{} of {} was sent under generation {} {} ms after {} was acknowledged",
+                                  r.id, r.relay, r.gen, r.at - at, n));
   }
 
   void left() {
@@ -186,7 +192,9 @@
     // What was made after the purge was asked for may be newer than it: only what is older is judged.
     std::vector<std::tuple<int64_t, int64_t, std::string, bool>> ps;
     for (auto& e : b.events)
-      if (e.at("t").str() == "purged") ps.push_back({e.at("asked").num(e.at("at").num()), e.at("at").num(), e.at("path").str(), e.at("prefix").flag()});
+      if (e.at("t").str() == "purged")
+        ps.push_back({e.at("asked").num(e.at("at").num()), e.at("at").num(), e.at("path").str(),
+                      e.at("prefix").flag()});
     int64_t life = 0;
     for (auto& e : b.events)
       if (e.at("t").str() == "lifetime") life = std::max(life, e.at("ms").num());
@@ -252,10 +260,12 @@
           over = true;
           breach(10, fmt::format("{} of {} requests of {} so far went to version {}", mine, all, s, v));
         }
-        if (fifty && r.at > fifty + 5000) breach(10, fmt::format("{} {} still got requests {} ms after 50 bad answers", s, v, r.at - fifty));
+        if (fifty && r.at > fifty + 5000)
+          breach(10, fmt::format("{} {} still got requests {} ms after 50 bad answers", s, v, r.at - fifty));
         if (r.bad && ++bad == 50) fifty = r.at;
       }
-      if (until && mine > all / 10 + slack) breach(10, fmt::format("{} of {} requests of {} in the term went to version {}", mine, all, s, v));
+      if (until && mine > all / 10 + slack)
+        breach(10, fmt::format("{} of {} requests of {} in the term went to version {}", mine, all, s, v));
       out.figures["bad_version_requests"] += static_cast<uint64_t>(mine);
       out.figures["bad_version_of"] += static_cast<uint64_t>(all);
     }
@@ -282,18 +292,21 @@
       }
       auto& worst = out.figures["rate_top_in_5s"];
       worst = std::max(worst, static_cast<uint64_t>(top));
-      if (top * 10 > rate * 5 * 11) breach(11, fmt::format("{} was sent {} requests in 5 s at a stated rate of {}", s, top, rate));
+      if (top * 10 > rate * 5 * 11)
+        breach(11, fmt::format("{} was sent {} requests in 5 s at a stated rate of {}", s, top, rate));
     }
   }
 
   void kept() {
     for (auto& e : b.events) {
       auto t = e.at("t").str();
-      if (t == "layout_lost") breach(12, "the acknowledged " + e.at("release").str() + " could not be read back");
+      if (t == "layout_lost")
+        breach(12, "the acknowledged " + e.at("release").str() + " could not be read back");
       if (t != "returned") continue;
       auto at = e.at("at").num();
       // Harm that comes on top has its own return.
-      if (std::any_of(b.harms.begin(), b.harms.end(), [&](auto h) { return h > at && h < at + 20000; })) continue;
+      if (std::any_of(b.harms.begin(), b.harms.end(), [&](auto h) { return h > at && h < at + 20000; }))
+        continue;
       uint64_t good = 0, all = 0;
       for (auto& [id, a] : b.asks)
         if (a.at > at + 15000 && a.at < at + 20000) {
@@ -301,7 +314,8 @@
           good += b.well.count(id);
         }
       out.figures["returns_judged"] += all > 0;
-      if (good * 2 < all) breach(12, fmt::format("{} of {} failed 15 s after machines returned", all - good, all));
+      if (good * 2 < all)
+        breach(12, fmt::format("{} of {} failed 15 s after machines returned", all - good, all));
     }
   }
 };
@@ -350,10 +364,13 @@
   for (auto& l : b.lost) {
     ended.insert(l.id);
     auto h = b.harm.find(l.relay);
-    bool told = h != b.harm.end() && std::any_of(h->second.begin(), h->second.end(), [&](auto t) { return t <= l.at + 500 && t > l.from - 8000; });
+    bool told = h != b.harm.end() && std::any_of(h->second.begin(), h->second.end(), [&](auto t) {
+                  return t <= l.at + 500 && t > l.from - 8000;
+                });
     f["lost_unexplained"] += !told;
   }
-  f["unanswered"] = std::count_if(b.asks.begin(), b.asks.end(), [&](auto& a) { return !ended.count(a.first); });
+  f["unanswered"] =
+      std::count_if(b.asks.begin(), b.asks.end(), [&](auto& a) { return !ended.count(a.first); });
   std::set<std::string> retries;
   for (auto& g : b.gots) {
     if (g.status != 503 || g.outcome != "not-run") continue;
@@ -362,7 +379,10 @@
   }
   f["retry_after_kinds"] = retries.size();
   for (auto& g : b.gots)
-    if (auto h = b.harm.find(g.relay); g.outcome == "not-run" && (h == b.harm.end() || std::none_of(h->second.begin(), h->second.end(), [&](auto t) { return t <= g.at && t > g.from - 8000; })))
+    if (auto h = b.harm.find(g.relay);
+        g.outcome == "not-run" &&
+        (h == b.harm.end() || std::none_of(h->second.begin(), h->second.end(),
+                                           [&](auto t) { return t <= g.at && t > g.from - 8000; })))
       f["longest_not_run_ms"] = std::max(f["longest_not_run_ms"], static_cast<uint64_t>(g.at - g.from));
   f["ran"] = b.runs.size();
   for (auto& g : b.gots) {
--- a/test/checker_unit.cpp
+++ b/test/checker_unit.cpp
@@ -8,8 +8,8 @@
 std::string ask(const std::string& id, const std::string& m, const std::string& t) {
   return fmt::format(R"({{"t":"ask","id":"{}","method":"{}","target":"{}","in":"i","at":100}})", id, m, t);
 }
-std::string ran(const std::string& id, const std::string& m, const std::string& t, int at, const std::string& more = "",
-                const std::string& version = "1") {
+std::string ran(const std::string& id, const std::string& m, const std::string& t, int at,
+                const std::string& more = "", const std::string& version = "1") {
   return fmt::format(
       R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"i","out":"o","service":"s","version":"{}","instance":"w","at":{}{}}})",
       id, m, t, version, at, more);
@@ -17,8 +17,8 @@
 std::string got(const std::string& id, int status, const std::string& outcome, int from, int produced = 100,
                 const std::string& gen = "1", const std::string& out = "o") {
   return fmt::format(
-      R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","from":{},"at":{},"relay":"r"}})", id,
-      status, outcome, out, produced, gen, from, from + 5);
+      R"({{"t":"got","id":"{}","status":{},"outcome":"{}","out":"{}","produced":{},"gen":"{}","from":{},"at":{},"relay":"r"}})",
+      id, status, outcome, out, produced, gen, from, from + 5);
 }
 const char* const kAllowed = R"({"t":"allowed","service":"s","version":"1","prefix":"/","at":0})";
 
@@ -30,8 +30,14 @@
   return {out.begin(), out.end()};
 }
 std::vector<std::string> clean() {
-  return {kAllowed, ask("a", "POST", "/p"), ran("a", "POST", "/p", 101), got("a", 200, "", 100),
-          ask("b", "GET", "/c"), ran("b", "GET", "/c", 102), got("b", 200, "", 100), got("c", 503, "not-run", 100)};
+  return {kAllowed,
+          ask("a", "POST", "/p"),
+          ran("a", "POST", "/p", 101),
+          got("a", 200, "", 100),
+          ask("b", "GET", "/c"),
+          ran("b", "GET", "/c", 102),
+          got("b", 200, "", 100),
+          got("c", 503, "not-run", 100)};
 }
 Case kept(int rule, const std::string& what, std::vector<std::string> more) {
   return {fmt::format("checker: rule {} bears {}", rule, what), [more] {
@@ -41,7 +47,8 @@
           }};
 }
 // `n` runs of service r, `gap` ms apart, from `from`.
-std::vector<std::string> row(int n, int gap, int from, const std::string& more = "", const std::string& version = "1") {
+std::vector<std::string> row(int n, int gap, int from, const std::string& more = "",
+                             const std::string& version = "1") {
   std::vector<std::string> out;
   for (int i = 0; i < n; ++i) {
     auto id = fmt::format("row{}-{}", from, i);
@@ -78,14 +85,16 @@
     rate.push_back(ran(id, "GET", "/c", 200 + i));
     bad.push_back(ask(id, "GET", "/c"));
     bad.push_back(ran(id, "GET", "/c", 200 + i, "", i < 20 ? "2" : "1"));
-    returned.push_back(fmt::format(R"({{"t":"ask","id":"{}","method":"GET","target":"/c","in":"i","at":16500}})", id));
+    returned.push_back(
+        fmt::format(R"({{"t":"ask","id":"{}","method":"GET","target":"/c","in":"i","at":16500}})", id));
   }
   for (int i = 0; i < 2000; ++i) {
     auto id = fmt::format("l{}", i);
     late.push_back(ask(id, "GET", "/c"));
     // 50 bad answers by 5000, one more request 5.1 s after them.
     bool two = i % 20 == 0 && i / 20 < 50;
-    late.push_back(ran(id, "GET", "/c", i == 1999 ? 10200 : i * 5, two ? R"(,"bad":true)" : "", two || i == 1999 ? "2" : "1"));
+    late.push_back(ran(id, "GET", "/c", i == 1999 ? 10200 : i * 5, two ? R"(,"bad":true)" : "",
+                       two || i == 1999 ? "2" : "1"));
   }
   const std::string two = R"({"t":"allowed","service":"s","version":"2","prefix":"/","at":0})";
   const std::string trial = R"({"t":"bad_version","service":"s","version":"2","at":0})";
@@ -93,7 +102,8 @@
     std::vector<std::string> v{R"({"t":"returned","at":1000})"};
     for (int i = 0; i < asked; ++i) {
       auto id = fmt::format("k{}", i);
-      v.push_back(fmt::format(R"({{"t":"ask","id":"{}","method":"GET","target":"/c","in":"i","at":16500}})", id));
+      v.push_back(
+          fmt::format(R"({{"t":"ask","id":"{}","method":"GET","target":"/c","in":"i","at":16500}})", id));
       if (i < well) v.push_back(got(id, 200, "", 16500, 16490));
     }
     return v;
@@ -105,7 +115,8 @@
   };
   auto within = [&](int slack) {
     auto v = bad;
-    v[0] = fmt::format(R"({{"t":"bad_version","service":"s","version":"2","until":5000,"slack":{},"at":0}})", slack);
+    v[0] = fmt::format(R"({{"t":"bad_version","service":"s","version":"2","until":5000,"slack":{},"at":0}})",
+                       slack);
     return v;
   };
   return {
@@ -117,35 +128,48 @@
             ran("d", "GET", "/c", 2100, R"(,"relay":"r","gen":"1")")}),
       kept(7, "a worker that was just leaving",
            {R"({"t":"leaving","instance":"w","at":10})", ask("d", "GET", "/c"), ran("d", "GET", "/c", 2010)}),
-      doctored(8, "purged content served late from a cache", {R"({"t":"purged","path":"/c","at":150})", ask("d", "GET", "/c"), got("d", 200, "", 2146)}),
-      kept(8, "purged content served just in time", {R"({"t":"purged","path":"/c","at":150})", ask("d", "GET", "/c"), got("d", 200, "", 2145)}),
-      kept(8, "what was made after the purge was asked for", {R"({"t":"purged","path":"/c","asked":99,"at":150})", ask("d", "GET", "/c"), got("d", 200, "", 2146)}),
-      kept(8, "content just within its lifetime", {R"({"t":"lifetime","ms":1000,"at":0})", got("b", 200, "", 3095)}),
+      doctored(8, "purged content served late from a cache",
+               {R"({"t":"purged","path":"/c","at":150})", ask("d", "GET", "/c"), got("d", 200, "", 2146)}),
+      kept(8, "purged content served just in time",
+           {R"({"t":"purged","path":"/c","at":150})", ask("d", "GET", "/c"), got("d", 200, "", 2145)}),
+      kept(8, "what was made after the purge was asked for",
+           {R"({"t":"purged","path":"/c","asked":99,"at":150})", ask("d", "GET", "/c"),
+            got("d", 200, "", 2146)}),
+      kept(8, "content just within its lifetime",
+           {R"({"t":"lifetime","ms":1000,"at":0})", got("b", 200, "", 3095)}),
       kept(9, "as many repeats as are allowed", repeats(20)),
       doctored(9, "one repeat more", repeats(21)),
-      kept(10, "a tenth and what is under way", plus({two, trial}, plus(row(98, 1, 300), row(15, 1, 500, "", "2")))),
+      kept(10, "a tenth and what is under way",
+           plus({two, trial}, plus(row(98, 1, 300), row(15, 1, 500, "", "2")))),
       doctored(10, "a bad version beyond the slack of its term", within(13)),
       kept(10, "a bad version just within the slack of its term", within(14)),
-      doctored(10, "one request more than a tenth", plus({two, trial}, plus(row(98, 1, 300), row(17, 1, 500, "", "2")))),
-      kept(11, "a tenth more than the rate", plus({R"({"t":"rate","service":"s","n":10,"at":300})"}, row(55, 1, 300))),
-      doctored(11, "one more than that", plus({R"({"t":"rate","service":"s","n":10,"at":300})"}, row(56, 1, 300))),
+      doctored(10, "one request more than a tenth",
+               plus({two, trial}, plus(row(98, 1, 300), row(17, 1, 500, "", "2")))),
+      kept(11, "a tenth more than the rate",
+           plus({R"({"t":"rate","service":"s","n":10,"at":300})"}, row(55, 1, 300))),
+      doctored(11, "one more than that",
+               plus({R"({"t":"rate","service":"s","n":10,"at":300})"}, row(56, 1, 300))),
       kept(12, "half that fail 15 s after the return", failing(20, 10)),
       doctored(12, "more than half lost, and few asked", failing(7, 3)),
       {"checker: a clean journal is clean", [] { expect(rules(clean()).empty(), "it reported something"); }},
       doctored(1, "a filing that ran twice", {ran("a", "POST", "/p", 110)}),
       doctored(2, "a promise that was not true", {ask("c", "POST", "/p"), ran("c", "POST", "/p", 101)}),
-      doctored(3, "an answer that no worker made", {ask("d", "GET", "/c"), got("d", 200, "", 100, 100, "1", "forged")}),
+      doctored(3, "an answer that no worker made",
+               {ask("d", "GET", "/c"), got("d", 200, "", 100, 100, "1", "forged")}),
       doctored(3, "somebody else's answer", {ask("d", "POST", "/p"), got("d", 200, "", 100)}),
       doctored(4, "a request no caller sent", {ran("ghost", "POST", "/p", 120)}),
       doctored(4, "an altered request", {ask("d", "POST", "/other"), ran("d", "POST", "/p", 120)}),
       doctored(5, "a version never allowed", {ask("d", "GET", "/c"), ran("d", "GET", "/c", 120, "", "9")}),
       doctored(6, "an old layout past the bound",
                {R"({"t":"assigned","relay":"r","generation":2,"at":100})", got("c", 503, "not-run", 2200)}),
-      doctored(6, "slipping back", {got("c", 503, "not-run", 120, 100, "7"), got("c", 503, "not-run", 200, 100, "6")}),
-      doctored(7, "a leaving worker that still got requests",
-               {R"({"t":"leaving","instance":"w","at":10})", ask("d", "GET", "/c"), ran("d", "GET", "/c", 2011)}),
+      doctored(6, "slipping back",
+               {got("c", 503, "not-run", 120, 100, "7"), got("c", 503, "not-run", 200, 100, "6")}),
+      doctored(
+          7, "a leaving worker that still got requests",
+          {R"({"t":"leaving","instance":"w","at":10})", ask("d", "GET", "/c"), ran("d", "GET", "/c", 2011)}),
       doctored(8, "purged content", {R"({"t":"purged","path":"/c","at":150})", got("b", 200, "", 2151)}),
-      doctored(8, "content past its lifetime", {R"({"t":"lifetime","ms":1000,"at":0})", got("b", 200, "", 3101)}),
+      doctored(8, "content past its lifetime",
+               {R"({"t":"lifetime","ms":1000,"at":0})", got("b", 200, "", 3101)}),
       doctored(9, "too many repeats", again),
       doctored(10, "too great a share for a bad version", bad),
       doctored(10, "a bad version used too long", late),
--- a/test/config_unit.cpp
+++ b/test/config_unit.cpp
@@ -5,9 +5,9 @@
 #include "relay/reread.hpp"
 #include "rollout/release.hpp"
 #include "rollout/system.hpp"
-#include "wire.pb.h"
 #include "traffic/layout.hpp"
 #include "unit.hpp"
+#include "wire.pb.h"
 
 namespace dunlinwing::test {
 namespace {
@@ -40,7 +40,8 @@
   std::function<void(const base::Json&)> walk = [&](const base::Json& j) {
     for (auto& [k, v] : j.at("properties").members()) {
       ++n;
-      bool there = b.str().find("`" + k + "`") != std::string::npos || b.str().find("`" + k + ".") != std::string::npos ||
+      bool there = b.str().find("`" + k + "`") != std::string::npos ||
+                   b.str().find("`" + k + ".") != std::string::npos ||
                    b.str().find("." + k + "`") != std::string::npos ||
                    b.str().find("\"" + k + "\"") != std::string::npos;
       expect(there, page + " does not tell of " + k);
@@ -60,7 +61,8 @@
   auto bytes = a.SerializeAsString();
   bytes += std::string("\xfa\x07\x03new", 6);  // field 127, three bytes
   pb::Ask b;
-  expect(b.ParseFromString(bytes) && b.has_pull() && b.pull().node() == "n", "an added field broke an older reader");
+  expect(b.ParseFromString(bytes) && b.has_pull() && b.pull().node() == "n",
+         "an added field broke an older reader");
   pb::Ask c;
   expect(c.ParseFromString(std::string("\xfa\x07\x03new", 6)) && c.body_case() == pb::Ask::BODY_NOT_SET,
          "an unknown ask was taken for a known one");
@@ -68,11 +70,13 @@
 }  // namespace
 
 std::vector<Case> config_cases() {
-  const std::string good = R"({"name":"n","zone":"a","listen":{"callers":"127.0.0.1:1","control":"127.0.0.1:2",
+  const std::string good =
+      R"({"name":"n","zone":"a","listen":{"callers":"127.0.0.1:1","control":"127.0.0.1:2",
     "peers":"127.0.0.1:3"},"holders":{"h":"127.0.0.1:4"},"seeds":["127.0.0.1:2"]})";
   return {
       {"config: a good one is taken", [good] { same(bad_config(good), std::string("valid"), "places"); }},
-      {"config: the page of the settings holds every key", [] { documented(relay::config_schema(), "settings.md"); }},
+      {"config: the page of the settings holds every key",
+       [] { documented(relay::config_schema(), "settings.md"); }},
       {"layout: its page holds every key", [] { documented(traffic::layout_schema(), "layout.md"); }},
       {"system: its page holds every key", [] { documented(rollout::system_schema(), "layout.md"); }},
       {"wire: an older reader passes over what is new", older_peer},
@@ -80,7 +84,8 @@
        [] {
          same(bad_config(R"({"name":"","zone":7,"listen":{"callers":"x","control":"127.0.0.1:2","peer":1},
               "holders":{"h":"127.0.0.1:4","i":"127.0.0.1:5"},"seeds":["127.0.0.1:2"],"bound_ms":1})"),
-              std::string("/name;/zone;/listen/peers;/listen/peer;/bound_ms;/listen/callers;/holders;"), "places");
+              std::string("/name;/zone;/listen/peers;/listen/peer;/bound_ms;/listen/callers;/holders;"),
+              "places");
        }},
       {"config: a key that stands twice is a defect",
        [] { same(bad_config(R"({"name":"a","name":"b"})"), std::string("/name;"), "places"); }},
@@ -96,7 +101,8 @@
        [good] {
          auto t = good;
          t.replace(t.find(R"("holders":{"h":"127.0.0.1:4"},)"), 30, "");
-         auto a = std::get<relay::Config>(relay::read_config(t)).node, b = std::get<relay::Config>(relay::read_config(good)).node;
+         auto a = std::get<relay::Config>(relay::read_config(t)).node,
+              b = std::get<relay::Config>(relay::read_config(good)).node;
          expect(a.holders.empty() && !a.first_start && a.tolerate == 1, "the defaults without holders");
          expect(b.first_start && b.tolerate == 0, "the defaults with holders");
          t.insert(1, R"("first_start":true,"tolerate":2,)");
@@ -116,7 +122,8 @@
        }},
       {"layout: references are checked across the document",
        [] {
-         same(bad_release("layout", R"({"content":{"services":{"a":{"versions":["1"]},"b":{"versions":["1","1"]}},
+         same(bad_release("layout",
+                          R"({"content":{"services":{"a":{"versions":["1"]},"b":{"versions":["1","1"]}},
               "routes":[{"prefix":"/x","service":"a"},{"prefix":"/x","service":"a"},{"prefix":"y","service":"c"}]}})"),
               std::string("/content/services/b/versions;/content/routes/2/prefix;/content/routes/1/prefix;"
                           "/content/routes/2/service;/content/services/b;"),
@@ -125,16 +132,19 @@
       {"release: a hold may be lengthened, never shortened",
        [] {
          auto doc = [](int one) {
-           return fmt::format(R"({{"holds":{{"one_min":{}}},"content":{{"services":{{"a":{{"versions":["1"]}}}},
+           return fmt::format(
+               R"({{"holds":{{"one_min":{}}},"content":{{"services":{{"a":{{"versions":["1"]}}}},
              "routes":[{{"prefix":"/","service":"a"}}]}}}})",
-                              one);
+               one);
          };
          same(bad_release("layout", doc(14)), std::string("/holds/one_min;"), "places");
          same(bad_release("layout", doc(16)), std::string("valid"), "places");
          auto m = rollout::minimum("software");
-         expect(m.one == std::chrono::hours(24) && m.two == std::chrono::hours(24), "software holds 24 and 24 hours");
+         expect(m.one == std::chrono::hours(24) && m.two == std::chrono::hours(24),
+                "software holds 24 and 24 hours");
          m = rollout::minimum("system");
-         expect(m.one == std::chrono::minutes(30) && m.two == std::chrono::hours(2), "system holds 30 min and 2 h");
+         expect(m.one == std::chrono::minutes(30) && m.two == std::chrono::hours(2),
+                "system holds 30 min and 2 h");
        }},
   };
 }
--- a/test/fault_stories.cpp
+++ b/test/fault_stories.cpp
@@ -1,7 +1,6 @@
 // Faults in the moment that hurts most, and several kinds at once.
-#include "story.hpp"
-
 #include "rollout/conductor.hpp"
+#include "story.hpp"
 
 namespace dunlinwing::test {
 namespace {
@@ -32,7 +31,8 @@
         if (t.status != 200 && t.status != 202) return false;
         ++s.w.met["acked"];
         for (auto& h : s.f.hosts())
-          if (h->up() && (h->name == t.by || (s.w.random(300) && h->node->leadership().held()))) s.f.kill(h->name);
+          if (h->up() && (h->name == t.by || (s.w.random(300) && h->node->leadership().held())))
+            s.f.kill(h->name);
         return true;
       });
       s.want(ok, target + " was not acknowledged");
@@ -55,7 +55,9 @@
       has("/v1/purges", "\"" + n + "\"");
       acked("PUT", "/v1/drains/node/e1", fmt::format(R"({{"drained":{},"reason":"{}"}})", i % 2 == 1, n));
       has("/v1/drains", n);
-      auto beat = fmt::format(R"({{"service":"app","version":"1","instance":"{}","zone":"a","address":"10.9.9.9:1","leaving":true,"number":7,"period_ms":60000}})", n);
+      auto beat = fmt::format(
+          R"({{"service":"app","version":"1","instance":"{}","zone":"a","address":"10.9.9.9:1","leaving":true,"number":7,"period_ms":60000}})",
+          n);
       acked("POST", "/v1/beats", beat);
       s.f.sleep(Duration(2000));
       has("/v1/workers", "\"" + n + "\"");
@@ -110,7 +112,8 @@
       auto c = s.f.calls, g = s.f.good;
       put(s, fmt::format("without-{}", gone.front()), sim_layout("\"1\"", 3));
       s.f.sleep(Duration(6000));
-      s.want((s.f.good - g) * 100 >= (s.f.calls - c) * 97, fmt::format("{} away: only {} of {} calls went well", what, s.f.good - g, s.f.calls - c));
+      s.want((s.f.good - g) * 100 >= (s.f.calls - c) * 97,
+             fmt::format("{} away: only {} of {} calls went well", what, s.f.good - g, s.f.calls - c));
       for (auto& n : gone) s.f.start(n);
       s.f.event(R"("t":"returned")");
       s.want(serves(s, Duration(15000)), std::string("no service after the return of ") + what);
@@ -140,7 +143,8 @@
       purge(s, fmt::format("p{}", i), "prefix", "/c/");
       s.f.sleep(Duration(4000));
     }
-    s.want(reach(s, "second", "DONE", Duration(60000)), "a slow disk at the duty's holder held a release up: " + release_state(s, "second").text());
+    s.want(reach(s, "second", "DONE", Duration(60000)),
+           "a slow disk at the duty's holder held a release up: " + release_state(s, "second").text());
   };
 }
 
@@ -160,7 +164,9 @@
         }
       }
       for (int k = 0; k < 40; ++k)
-        s.f.outside([&s, i, k] { purge(s, fmt::format("s{}-{}", i, k), k % 3 ? "path" : "prefix", fmt::format("/c/{}", k % 20)); });
+        s.f.outside([&s, i, k] {
+          purge(s, fmt::format("s{}-{}", i, k), k % 3 ? "path" : "prefix", fmt::format("/c/{}", k % 20));
+        });
       s.f.sleep(Duration(500 + s.w.below(4000)));
       s.w.mend();
       s.f.sleep(Duration(s.w.below(1500)));
@@ -181,18 +187,24 @@
     for (int i = 0; i < 3; ++i) s.f.add_worker("app", "2", 0);
     s.f.sleep(Duration(2500));
     put(s, "second", sim_layout("\"1\",\"2\"", 2));
-    s.want(s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; }), "the move was not taken");
+    s.want(s.f.until(Duration(10000),
+                     [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; }),
+           "the move was not taken");
     auto calls = s.f.calls, good = s.f.good;
-    static const char* const bad[] = {"{", "[]", R"({"content":{"services":{},"routes":[]},"holds":{"one_min":1}})",
-                                      R"({"content":{"services":{"a":{"versions":["1"]}},"routes":[{"prefix":"/","service":"b"}]}})",
-                                      R"({"content":{"services":{"a":{"versions":["1"],"deadline_ms":-1}},"routes":[]}})",
-                                      R"({"content":{"services":{"a":{"versions":["1"]}},"routes":[]},"unknown":1})"};
+    static const char* const bad[] = {
+        "{",
+        "[]",
+        R"({"content":{"services":{},"routes":[]},"holds":{"one_min":1}})",
+        R"({"content":{"services":{"a":{"versions":["1"]}},"routes":[{"prefix":"/","service":"b"}]}})",
+        R"({"content":{"services":{"a":{"versions":["1"],"deadline_ms":-1}},"routes":[]}})",
+        R"({"content":{"services":{"a":{"versions":["1"]}},"routes":[]},"unknown":1})"};
     auto n = s.f.workers().size() - 3;
     for (size_t i = 0; i < n; ++i) {
       auto& old = *s.f.workers()[i];
       s.f.add_worker(old.service, old.version, old.max_age);
       auto t = s.f.tell("PUT", fmt::format("/v1/releases/layout/bad{}", i), bad[i % std::size(bad)]);
-      s.want(t.lost || t.status == 422 || t.status == 503, fmt::format("an invalid layout gave {} {}", t.status, t.body));
+      s.want(t.lost || t.status == 422 || t.status == 503,
+             fmt::format("an invalid layout gave {} {}", t.status, t.body));
       s.f.sleep(Duration(1500));
       s.f.workers()[i]->leaving = true;
       s.f.sleep(Duration(3500));
@@ -202,7 +214,10 @@
     good = s.f.good - good;
     s.want(good * 1000 >= calls * 998, fmt::format("only {} of {} calls went well", good, calls));
     s.want(reach(s, "second", "DONE", Duration(60000)), "the layout did not run everywhere");
-    s.want(s.f.until(Duration(60000), [&] { return body_of(s, "/v1/services/app").find("\"current\":\"2\"") != std::string::npos; }), "the move did not end");
+    s.want(s.f.until(
+               Duration(60000),
+               [&] { return body_of(s, "/v1/services/app").find("\"current\":\"2\"") != std::string::npos; }),
+           "the move did not end");
   };
 }
 
@@ -223,22 +238,29 @@
         auto& a = (*r.mutable_nodes())["e1"];
         a.set_generation(r.generation());
         (*a.mutable_releases())["layout"] = "nowhere";
-        *ok = std::holds_alternative<consensus::VersionedValue>(h->node->registers().write(rollout::kRolloutKey, held->version, r.SerializeAsString()));
+        *ok = std::holds_alternative<consensus::VersionedValue>(
+            h->node->registers().write(rollout::kRolloutKey, held->version, r.SerializeAsString()));
       });
       s.f.sleep(Duration(300));
     }
     s.want(*ok, "the assignment was not written");
     s.f.sleep(Duration(2000));
     s.want(!h->node->ready(), "a node serves on under a layout that it was taken off");
-    for (int i = 0; i < 10; ++i) s.want(s.f.call("GET", "/a/1", "", h) == 503, "it took a request under the old layout");
+    for (int i = 0; i < 10; ++i)
+      s.want(s.f.call("GET", "/a/1", "", h) == 503, "it took a request under the old layout");
     s.f.sleep(Duration(3000));
   };
 }
 }  // namespace
 
 NamedCases fault_stories() {
-  return {{"kill_after_ack", SimCase(kill_after_ack, 1)}, {"last_word", last_word}, {"zone_lost", zone_lost}, {"slow_duty", slow_duty},
-          {"storm_cut", storm_cut}, {"busy_evening", busy_evening}, {"unloadable", unloadable}};
+  return {{"kill_after_ack", SimCase(kill_after_ack, 1)},
+          {"last_word", last_word},
+          {"zone_lost", zone_lost},
+          {"slow_duty", slow_duty},
+          {"storm_cut", storm_cut},
+          {"busy_evening", busy_evening},
+          {"unloadable", unloadable}};
 }
 
 }  // namespace dunlinwing::test
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -36,7 +36,10 @@
 }
 
 Fleet::Fleet(wire::Pool& pool, FleetConfig c)
-    : pool_(pool), c_(std::move(c)), links_(pool), events_((fs::create_directories(c_.dir), c_.dir + "/events.journal")) {}
+    : pool_(pool),
+      c_(std::move(c)),
+      links_(pool),
+      events_((fs::create_directories(c_.dir), c_.dir + "/events.journal")) {}
 
 Machine& Fleet::at(const std::string& n) {
   for (auto& m : ms_)
@@ -66,8 +69,10 @@
       if (!h.holder) continue;
       auto via = test::at(c_.port + 400 + m.index * 16 + h.index);
       if (m.name != h.name) links_.open(m.name, h.name, via, h.peers);
-      holders += fmt::format("{}\"{}\":\"{}\"", holders.empty() ? "" : ",", h.name, m.name == h.name ? h.peers : via);
-      if (std::count(seeds.begin(), seeds.end(), ',') < 2) seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ",", h.control);
+      holders += fmt::format("{}\"{}\":\"{}\"", holders.empty() ? "" : ",", h.name,
+                             m.name == h.name ? h.peers : via);
+      if (std::count(seeds.begin(), seeds.end(), ',') < 2)
+        seeds += fmt::format("{}\"{}\"", seeds.empty() ? "" : ",", h.control);
     }
     auto dir = c_.dir + "/" + m.name;
     fs::create_directories(dir + "/releases");
@@ -76,8 +81,10 @@
     std::ofstream f(dir + "/relay.json");
     f << fmt::format(R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},
 "holders":{{{}}},"seeds":[{}],"shield":{},"bound_ms":{},"hold_scale":{}{}}})",
-                     m.name, m.zone, m.callers, m.control, m.peers, holders, seeds, m.kind == "store", c_.bound_ms, c_.scale,
-                     fmt::format(",\"releases\":\"{}/releases\"", dir) + (m.holder || m.name == "e2" ? fmt::format(",\"data\":\"{}/data\"", dir) : ""))
+                     m.name, m.zone, m.callers, m.control, m.peers, holders, seeds, m.kind == "store",
+                     c_.bound_ms, c_.scale,
+                     fmt::format(",\"releases\":\"{}/releases\"", dir) +
+                         (m.holder || m.name == "e2" ? fmt::format(",\"data\":\"{}/data\"", dir) : ""))
       << "\n";
     m.args = {"--config", dir + "/relay.json"};
     event(fmt::format(R"("t":"machine","machine":"{}","callers":"{}")", m.name, m.callers));
@@ -129,8 +136,12 @@
   m.name = fmt::format("w{}", m.index + 1);
   m.zone = zone;
   m.kind = "worker";
-  m.args = {"--service",  service, "--runs", version, "--zone", zone, "--address", test::at(c_.port + 300 + m.index % 90),
-            "--relays",   relay_list(false), "--journal", c_.dir + "/" + m.name + ".journal"};
+  m.args = {"--service", service,
+            "--runs",    version,
+            "--zone",    zone,
+            "--address", test::at(c_.port + 300 + m.index % 90),
+            "--relays",  relay_list(false),
+            "--journal", c_.dir + "/" + m.name + ".journal"};
   for (auto& a : more) m.args.push_back(a);
   ms_.push_back(m);
   start(m.name);
@@ -142,7 +153,8 @@
   auto zone = [](int i) { return std::string(1, static_cast<char>('a' + i % 3)); };
   for (int i = 0; i < 4; ++i)
     add_worker(lobby ? "content" : "documents", "1", zone(i), {"--max_age", "4", "--pad", "2000"});
-  for (int i = 0; i < (lobby ? 6 : 7); ++i) add_worker(lobby ? "matchmaking" : "application", "1", zone(i), {});
+  for (int i = 0; i < (lobby ? 6 : 7); ++i)
+    add_worker(lobby ? "matchmaking" : "application", "1", zone(i), {});
 }
 
 bool Fleet::gone(const std::string& n) {
@@ -162,7 +174,8 @@
     auto p = named(next ? "next" : "current");
     if (!p.empty()) m.program = dir + p;
     if (WIFEXITED(st) && WEXITSTATUS(st) >= 75)
-      event(fmt::format(R"("t":"handed_on","machine":"{}","status":{},"program":"{}")", n, WEXITSTATUS(st), p));
+      event(
+          fmt::format(R"("t":"handed_on","machine":"{}","status":{},"program":"{}")", n, WEXITSTATUS(st), p));
   }
   return m.pid <= 0;
 }
@@ -264,16 +277,16 @@
 
 pid_t Fleet::start_caller(const std::string& name, int rate, int seconds, uint64_t seed) {
   return spawn("caller",
-               {"--relays", relay_list(true), "--deployment", c_.deployment, "--rate", std::to_string(rate), "--seconds",
-                std::to_string(seconds), "--seed", std::to_string(seed), "--prefix", name, "--journal",
-                c_.dir + "/" + name + ".journal"},
+               {"--relays", relay_list(true), "--deployment", c_.deployment, "--rate", std::to_string(rate),
+                "--seconds", std::to_string(seconds), "--seed", std::to_string(seed), "--prefix", name,
+                "--journal", c_.dir + "/" + name + ".journal"},
                c_.dir + "/" + name + ".log");
 }
 
 bool Fleet::caller_done(pid_t p) { return waitpid(p, nullptr, WNOHANG) == p; }
 
 base::Response Fleet::http(const std::string& node, const std::string& method, const std::string& target,
-                          const std::string& body, std::vector<std::pair<std::string, std::string>> hs) {
+                           const std::string& body, std::vector<std::pair<std::string, std::string>> hs) {
   base::Request q{"", method, target, body, std::move(hs)};
   auto r = http_.send(at(node).control, q, 5s);
   if (auto* a = std::get_if<base::Response>(&r)) return *a;
@@ -303,7 +316,9 @@
 bool Fleet::all_ready(Duration most) {
   return until(most, [&] {
     for (size_t i = 0; i < ms_.size(); ++i)
-      if (auto& m = ms_[i]; m.kind != "worker" && m.pid > 0 && !m.frozen && http(m.name, "GET", "/readyz").status != 200) return false;
+      if (auto& m = ms_[i];
+          m.kind != "worker" && m.pid > 0 && !m.frozen && http(m.name, "GET", "/readyz").status != 200)
+        return false;
     return true;
   });
 }
--- a/test/fleet_main.cpp
+++ b/test/fleet_main.cpp
@@ -40,7 +40,8 @@
   if (!FLAGS_keep) std::filesystem::remove_all(FLAGS_dir);
   auto dir = std::filesystem::absolute(FLAGS_dir).string();
   wire::Pool pool(1);
-  test::FleetConfig c{dir, std::filesystem::absolute(FLAGS_bin).string(), FLAGS_deployment, FLAGS_port, FLAGS_scale};
+  test::FleetConfig c{dir, std::filesystem::absolute(FLAGS_bin).string(), FLAGS_deployment, FLAGS_port,
+                      FLAGS_scale};
   test::Fleet fleet(pool, c);
   fleet.lay_out();
   int rate = FLAGS_rate ? FLAGS_rate : FLAGS_deployment == "lobby" ? 370 : 900;
@@ -51,7 +52,8 @@
     test::Run run{fleet, rate, FLAGS_seconds, FLAGS_seed, [&] { return asked; }};
     bool ok = f->second(run);
     fleet.stop_all();
-    std::cout << (ok ? "scenario " : "SCENARIO FAILED ") << FLAGS_scenario << " " << FLAGS_deployment << "\n" << std::flush;
+    std::cout << (ok ? "scenario " : "SCENARIO FAILED ") << FLAGS_scenario << " " << FLAGS_deployment << "\n"
+              << std::flush;
     wire::Pool::stop(ok ? 0 : 1);
   });
 }
--- a/test/fleet_test.cpp
+++ b/test/fleet_test.cpp
@@ -1,5 +1,7 @@
 // A whole fleet of real processes, briefly, and the HTTP edges that only real
 // sockets can show. Waits on conditions, never on time alone.
+#include "fleet.hpp"
+
 #include <gflags/gflags.h>
 #include <unistd.h>
 
@@ -11,7 +13,6 @@
 
 #include "checker.hpp"
 #include "expect.hpp"
-#include "fleet.hpp"
 #include "wire/peer.hpp"
 
 DEFINE_string(bin, ".", "where the programs are");
@@ -27,7 +28,9 @@
   namespace asio = boost::asio;
   asio::ip::tcp::socket s(pool.io(0));
   auto a = wire::split_address(addr);
-  auto [e] = wire::await<>([&](auto h) { s.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(a->ip), a->port), std::move(h)); });
+  auto [e] = wire::await<>([&](auto h) {
+    s.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(a->ip), a->port), std::move(h));
+  });
   if (e) return "cannot connect";
   wire::await<size_t>([&](auto h) { asio::async_write(s, asio::buffer(bytes), std::move(h)); });
   std::string out;
@@ -66,42 +69,60 @@
     return r;
   };
   starts("a plain request", "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "200");
-  starts("two lengths", "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", "400");
+  starts("two lengths", "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+         "400");
   starts("a length and chunks",
-         "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400");
+         "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "400");
   starts("no host", "GET /lobbies/1 HTTP/1.1\r\n\r\n", "400");
   starts("two hosts", "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", "400");
   starts("nonsense", "\x01\x02 nonsense\r\n\r\n", "400");
-  starts("too long a head", "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", "431");
+  starts("too long a head",
+         "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\nX: " + std::string(40000, 'x') + "\r\n\r\n", "431");
   starts("too long a body for the layout",
-         "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\nConnection: close\r\n\r\n" + std::string(70000, 'x'), "413");
+         "POST /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\nConnection: close\r\n\r\n" +
+             std::string(70000, 'x'),
+         "413");
   starts("no route", "GET /nowhere HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "404");
   starts("no such method there", "DELETE /fees HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "405");
   starts("expect",
-         "POST /fees HTTP/1.1\r\nHost: x\r\nCaller-Id: t-expect\r\nExpect: 100-continue\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}",
+         "POST /fees HTTP/1.1\r\nHost: x\r\nCaller-Id: t-expect\r\nExpect: 100-continue\r\nContent-Length: "
+         "2\r\nConnection: close\r\n\r\n{}",
          "100");
-  auto ch = starts("chunks", "POST /fees HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "200");
+  auto ch = starts("chunks",
+                   "POST /fees HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: "
+                   "close\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+                   "200");
   auto head = starts("head", "HEAD /liveries/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "200");
   test::expect(head.substr(head.find("\r\n\r\n")).size() == 4, "an answer to HEAD has a body");
   test::expect(head.find("Content-Length: 0\r\n") == head.npos, "an answer to HEAD hides the length");
   auto two = raw(pool, at,
-                 "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\n\r\nGET /lobbies/2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+                 "GET /lobbies/1 HTTP/1.1\r\nHost: x\r\n\r\nGET /lobbies/2 HTTP/1.1\r\nHost: "
+                 "x\r\nConnection: close\r\n\r\n");
   test::same(count(two, "HTTP/1.1 200"), 2, "answers to two pipelined requests");
   test::expect(two.find("/lobbies/1") < two.find("/lobbies/2"), "pipelined answers out of order");
 }
 
 void faces(test::Fleet& f) {
-  auto r = f.http("e3", "PUT", "/v1/releases/layout/bad", R"({"content":{"services":{},"routes":[{"prefix":"x"}]}})");
+  auto r = f.http("e3", "PUT", "/v1/releases/layout/bad",
+                  R"({"content":{"services":{},"routes":[{"prefix":"x"}]}})");
   test::same(r.status, 422, "an invalid layout");
   for (auto* at : {"/content/services", "/content/routes/0/prefix", "/content/routes/0/service"})
-    test::expect(r.body.find(std::string("{\"at\":\"") + at + "\"") != r.body.npos, std::string("not named: ") + at + " in " + r.body);
+    test::expect(r.body.find(std::string("{\"at\":\"") + at + "\"") != r.body.npos,
+                 std::string("not named: ") + at + " in " + r.body);
   test::same(f.http("e3", "GET", "/v1/releases/layout/bad").status, 404, "what was not recorded");
   auto again = f.http("e7", "PUT", "/v1/releases/layout/first", test::layout_document("lobby"));
   test::same(again.status, 200, "the same release again");
-  test::same(f.http("e7", "PUT", "/v1/releases/layout/first", test::layout_document("lobby", "7")).status, 412, "another under its name");
-  test::same(f.http("s1", "PUT", "/v1/purges/one", R"({"service":"content","kind":"path","path":"/liveries/1"})").status, 200, "a purge");
-  auto once = f.http("s2", "PUT", "/v1/purges/one", R"({"service":"content","kind":"path","path":"/liveries/1"})");
-  test::expect(once.body.find("\"was_known\":true") != once.body.npos, "a purge of the same name was taken twice");
+  test::same(f.http("e7", "PUT", "/v1/releases/layout/first", test::layout_document("lobby", "7")).status,
+             412, "another under its name");
+  test::same(
+      f.http("s1", "PUT", "/v1/purges/one", R"({"service":"content","kind":"path","path":"/liveries/1"})")
+          .status,
+      200, "a purge");
+  auto once =
+      f.http("s2", "PUT", "/v1/purges/one", R"({"service":"content","kind":"path","path":"/liveries/1"})");
+  test::expect(once.body.find("\"was_known\":true") != once.body.npos,
+               "a purge of the same name was taken twice");
   test::same(f.http("e1", "GET", "/v1/nonsense").status, 404, "an unknown resource");
   test::same(f.http("e1", "DELETE", "/v1/nodes").status, 405, "a method that resources do not take");
 }
@@ -114,16 +135,20 @@
   try {
     f.start_relays();
     f.start_workers();
-    test::expect(f.until(30s, [&] { return f.any("GET", "/v1/nodes").status == 200; }), "control did not answer");
-    test::same(f.any("PUT", "/v1/releases/layout/first", test::layout_document("lobby")).status, 202, "the first layout");
+    test::expect(f.until(30s, [&] { return f.any("GET", "/v1/nodes").status == 200; }),
+                 "control did not answer");
+    test::same(f.any("PUT", "/v1/releases/layout/first", test::layout_document("lobby")).status, 202,
+               "the first layout");
     test::expect(f.all_ready(30s), "not all relays became ready");
-    test::expect(f.until(15s, [&] { return count(f.any("GET", "/v1/workers").body, "\"gone\":false") == 10; }),
-                 "not all workers are known");
+    test::expect(
+        f.until(15s, [&] { return count(f.any("GET", "/v1/workers").body, "\"gone\":false") == 10; }),
+        "not all workers are known");
     framing(pool, f);
     faces(f);
     f.watch_assignments();
     auto p = f.start_caller("c1", 200, 20, 7);
-    test::same(f.any("PUT", "/v1/releases/layout/second", test::layout_document("lobby", "2")).status, 202, "the second layout");
+    test::same(f.any("PUT", "/v1/releases/layout/second", test::layout_document("lobby", "2")).status, 202,
+               "the second layout");
     f.kill("e5");  // a holder, without warning
     f.wipe("e5");
     f.start("e5");
@@ -132,7 +157,8 @@
     // Callers go on calling until it is done: without them there is no evidence.
     int round = 1;
     bool done = f.until(150s, [&] {
-      if (f.caller_done(p)) p = f.start_caller(fmt::format("c{}", ++round), 200, 20, static_cast<uint64_t>(round));
+      if (f.caller_done(p))
+        p = f.start_caller(fmt::format("c{}", ++round), 200, 20, static_cast<uint64_t>(round));
       return f.layout_everywhere("second", 1s);
     });
     test::expect(done, "the second layout does not run everywhere");
@@ -140,9 +166,10 @@
     test::expect(f.all_ready(30s), "not all relays are ready at the end");
     for (auto& m : f.machines())
       if (m.kind != "worker")
-        test::expect(f.http(m.name, "GET", "/v1/releases/layout/second").body.find(
-                         "\"document\":" + test::layout_document("lobby", "2")) != std::string::npos,
-                     m.name + " does not read the acknowledged layout back byte for byte");
+        test::expect(
+            f.http(m.name, "GET", "/v1/releases/layout/second")
+                    .body.find("\"document\":" + test::layout_document("lobby", "2")) != std::string::npos,
+            m.name + " does not read the acknowledged layout back byte for byte");
   } catch (const std::exception& e) {
     why = e.what();
   }
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -74,7 +74,8 @@
     }
     s.figures[fmt::format("kind_{}", kind)] = 1;
     auto from = s.w.now();
-    if (!s.f.until(Duration(12000), [&] { return settled(s, 3); })) s.want(false, fmt::format("no set formed, kind {}", kind));
+    if (!s.f.until(Duration(12000), [&] { return settled(s, 3); }))
+      s.want(false, fmt::format("no set formed, kind {}", kind));
     s.figures["formed_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
     if (!begin(s)) return;
     auto w = writer(s, 400);
@@ -110,7 +111,8 @@
     for (int k = 0; k < 8; ++k)
       s.w.spawn(any->life, [any, pads, k] {
         for (int i = k; i < 400; i += 8)
-          *pads += std::holds_alternative<consensus::VersionedValue>(any->node->registers().write(fmt::format("pad/{}", i), 0, std::string(400, 'x')));
+          *pads += std::holds_alternative<consensus::VersionedValue>(
+              any->node->registers().write(fmt::format("pad/{}", i), 0, std::string(400, 'x')));
       });
     s.want(s.f.until(Duration(20000), [&] { return *pads == 400; }), "the registers were not written");
     auto w = writer(s, 600);
@@ -193,7 +195,9 @@
 }  // namespace
 
 NamedCases holder_stories() {
-  return {{"forms", SimCase(forms, 0, seeded(1))}, {"heals", SimCase(heals, 1, seeded(1))}, {"grows", SimCase(grows, 2, seeded(2))}};
+  return {{"forms", SimCase(forms, 0, seeded(1))},
+          {"heals", SimCase(heals, 1, seeded(1))},
+          {"grows", SimCase(grows, 2, seeded(2))}};
 }
 
 }  // namespace dunlinwing::test
--- a/test/limit_stories.cpp
+++ b/test/limit_stories.cpp
@@ -38,7 +38,9 @@
     allow(s, "2");
     for (int i = 0; i < 2; ++i) s.f.add_worker("app", "2", 0).bad_percent = bad;
     s.f.sleep(Duration(2500));
-    bool took = s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
+    bool took = s.f.until(Duration(10000), [&] {
+      return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200;
+    });
     s.want(took, "the move was not taken");
     for (auto& x : s.f.workers())
       if (x->service == "app" && x->version == "1") x->bad_percent = old_bad;
@@ -55,7 +57,9 @@
     });
     s.want(end, "the move did not come to its end: " + state().text());
     if (bad) s.f.sleep(Duration(10000));
-    if (bad) s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 409, "a quarantined version came back unasked");
+    if (bad)
+      s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 409,
+             "a quarantined version came back unasked");
   };
 }
 
@@ -87,7 +91,8 @@
   s.away_within = Duration(1200);  // of a deadline of 2000
   s.story = [&s] {
     auto doc = sim_layout("\"1\"", 1, 20);
-    for (auto at : {doc.rfind("\"deadline_ms\""), doc.find("\"deadline_ms\"")}) doc.insert(at, R"("inflight":3,"waitlist":40,)");
+    for (auto at : {doc.rfind("\"deadline_ms\""), doc.find("\"deadline_ms\"")})
+      doc.insert(at, R"("inflight":3,"waitlist":40,)");
     if (!begin(s, 100, doc)) return;
     s.f.sleep(Duration(3000));
     for (int round = 0; round < 5; ++round) {
@@ -120,7 +125,8 @@
     n->first = n->second = 0;
     s.f.sleep(Duration(10000));
     // The crowd alone asks 60 a second of 30; an even split would give it 3.
-    s.want(n->second > 120, fmt::format("only {} of {} got through where the demand is", n->second, n->first));
+    s.want(n->second > 120,
+           fmt::format("only {} of {} got through where the demand is", n->second, n->first));
     s.figures["through_in_10s"] = n->second;
     *at = "e3";
     s.f.kill("e1");
@@ -146,7 +152,8 @@
     };
     if (!begin(s, 20, doc(30, ""))) return;
     s.f.event(R"("t":"rate","service":"app","n":30)");
-    s.f.callers(60, s.w.now() + Duration(75000), [&s] { s.f.call("GET", fmt::format("/a/{}", s.w.below(10000))); });
+    s.f.callers(60, s.w.now() + Duration(75000),
+                [&s] { s.f.call("GET", fmt::format("/a/{}", s.w.below(10000))); });
     s.f.sleep(Duration(8000));
     for (int i = 0; i < 8; ++i) {
       for (auto& h : s.f.hosts())
@@ -167,7 +174,9 @@
     }
     put(s, "slower", doc(10, R"(,"express":"the origin is in trouble")"));
     pb::Rollout r;
-    s.want(s.f.until(Duration(8000), [&] { return rollout_seen(s, r) && r.in_force().at("layout") == "slower"; }), "the lower rate did not come in force");
+    s.want(s.f.until(Duration(8000),
+                     [&] { return rollout_seen(s, r) && r.in_force().at("layout") == "slower"; }),
+           "the lower rate did not come in force");
     s.f.sleep(Duration(2000));
     s.f.event(R"("t":"rate","service":"app","n":10)");
     s.f.sleep(Duration(12000));
@@ -205,7 +214,8 @@
       s.f.kill("e1");
       s.f.sleep(Duration(6000 + s.w.below(3000)));
       s.f.start("e1");
-      s.want(s.f.until(Duration(8000), [&] { return s.f.at("e1").node->ready(); }), "the relay did not come back");
+      s.want(s.f.until(Duration(8000), [&] { return s.f.at("e1").node->ready(); }),
+             "the relay did not come back");
       x->back = s.w.now();
       s.f.sleep(Duration(4000));
       x->back = TimePoint(0);
@@ -214,8 +224,10 @@
     s.figures["refused"] = static_cast<uint64_t>(x->refused);
     s.figures["longest_ms"] = static_cast<uint64_t>(x->longest.count());
     s.want(x->early >= 60, fmt::format("only {} requests came in the first seconds", x->early));
-    s.want(!x->refused, fmt::format("{} of {} requests right after a restart were turned away", x->refused, x->early));
-    s.want(x->longest < Duration(150), fmt::format("a request waited {} ms right after a restart", x->longest.count()));
+    s.want(!x->refused,
+           fmt::format("{} of {} requests right after a restart were turned away", x->refused, x->early));
+    s.want(x->longest < Duration(150),
+           fmt::format("a request waited {} ms right after a restart", x->longest.count()));
   };
 }
 
@@ -251,7 +263,8 @@
     s.figures["asked"] = static_cast<uint64_t>(x->asked);
     s.figures["refused"] = static_cast<uint64_t>(x->refused);
     s.want(x->asked > 1500, fmt::format("only {} were asked", x->asked));
-    s.want(x->refused * 50 < x->asked, fmt::format("{} of {} requests where the demand is were turned away", x->refused, x->asked));
+    s.want(x->refused * 50 < x->asked,
+           fmt::format("{} of {} requests where the demand is were turned away", x->refused, x->asked));
   };
 }
 
@@ -260,7 +273,8 @@
 NamedCases limit_stories() {
   return {{"bad_version", [](Scene& s) { move_to(s, 50); }},
           {"bad_version_trouble", [](Scene& s) { move_to(s, 50, true); }},
-          {"bad_version_lone", [](Scene& s) {
+          {"bad_version_lone",
+           [](Scene& s) {
              s.only = "e2";
              move_to(s, 50, true);
            }},
--- a/test/links.cpp
+++ b/test/links.cpp
@@ -38,7 +38,8 @@
   for (;;) {
     auto [e, n] = await<size_t>([&](auto h) { a->async_read_some(asio::buffer(buf), std::move(h)); });
     if (e) break;
-    auto [e2, n2] = await<size_t>([&, n = n](auto h) { asio::async_write(*b, asio::buffer(buf, n), std::move(h)); });
+    auto [e2, n2] =
+        await<size_t>([&, n = n](auto h) { asio::async_write(*b, asio::buffer(buf, n), std::move(h)); });
     if (e2) break;
   }
   Ec ec;
--- a/test/links.hpp
+++ b/test/links.hpp
@@ -10,7 +10,8 @@
 class Links {
  public:
   explicit Links(wire::Pool& pool) : pool_(pool) {}
-  void open(const std::string& from, const std::string& to, const std::string& listen, const std::string& target);
+  void open(const std::string& from, const std::string& to, const std::string& listen,
+            const std::string& target);
   void cut(const std::string& from, const std::string& to);
   void mend(const std::string& from, const std::string& to);
   void cut_off(const std::string& node);  // both ways, with all others
--- a/test/load_scenarios.cpp
+++ b/test/load_scenarios.cpp
@@ -1,17 +1,19 @@
 // Load and operators: crowds, an origin with a stated rate, purges in storms, addresses
 // that pass to another service, operators that race and send nonsense.
-#include "scenarios.hpp"
-
 #include <signal.h>
 
 #include <iostream>
 #include <random>
 
+#include "scenarios.hpp"
+
 namespace dunlinwing::test {
 using namespace std::chrono_literals;
 
 namespace {
-std::string second_service(Run& r) { return r.f.config().deployment == "lobby" ? "matchmaking" : "application"; }
+std::string second_service(Run& r) {
+  return r.f.config().deployment == "lobby" ? "matchmaking" : "application";
+}
 std::string layout_with(Run& r, const std::string& in_second, const std::string& more = {}) {
   auto d = layout_document(r.f.config().deployment);
   auto at = d.find("\"deadline_ms\"", d.find("\"" + second_service(r) + "\""));
@@ -28,7 +30,8 @@
     bool ok = true;
     for (int i = 0; i < 2; ++i) {
       r.f.clock.sleep(8s);
-      auto p = r.f.start_caller(fmt::format("crowd{}", i), r.rate * 5, 4, r.seed + 100 + static_cast<uint64_t>(i));
+      auto p =
+          r.f.start_caller(fmt::format("crowd{}", i), r.rate * 5, 4, r.seed + 100 + static_cast<uint64_t>(i));
       ok &= r.f.until(60s, [&] { return r.f.caller_done(p); });
       r.f.clock.sleep(4s);
       r.f.event(R"("t":"returned")");
@@ -44,7 +47,9 @@
   allow(r, "1");
   auto svc = second_service(r);
   auto rated = [&](const std::string& name, int n) {
-    if (!put_layout(r, name, layout_with(r, fmt::format("\"rate\":{},", n), R"("express":"the origin is slow",)"))) return false;
+    if (!put_layout(r, name,
+                    layout_with(r, fmt::format("\"rate\":{},", n), R"("express":"the origin is slow",)")))
+      return false;
     r.f.clock.sleep(5s);
     r.f.event(fmt::format(R"("t":"rate","service":"{}","n":{})", svc, n));
     return true;
@@ -80,12 +85,14 @@
       auto n = r.f.machines()[5 + rng() % 9].name;
       r.f.links().cut_off(n);
       for (int k = 0; k < 25; ++k, ++all)
-        done += purge(r, fmt::format("s{}-{}", i, k), k % 4 ? "path" : "prefix", fmt::format("{}{}", base, rng() % 20));
+        done += purge(r, fmt::format("s{}-{}", i, k), k % 4 ? "path" : "prefix",
+                      fmt::format("{}{}", base, rng() % 20));
       r.f.links().mend_all();
       r.f.clock.sleep(Duration(rng() % 1500));
     }
     std::cout << "purges acknowledged: " << done << " of " << all << "\n";
-    return say(done * 10 >= all * 9, "the storm of purges was taken") && ready_again(r, "all relays are ready after it");
+    return say(done * 10 >= all * 9, "the storm of purges was taken") &&
+           ready_again(r, "all relays are ready after it");
   });
 }
 
@@ -98,7 +105,8 @@
   return calls(r, [&] {
     for (int i = 0; i < 4; ++i) {
       auto& old = r.f.machines()[18 + static_cast<size_t>(i)];  // a worker of the second service
-      auto address = old.args[std::find(old.args.begin(), old.args.end(), "--address") - old.args.begin() + 1];
+      auto address =
+          old.args[std::find(old.args.begin(), old.args.end(), "--address") - old.args.begin() + 1];
       r.f.kill(old.name);
       r.f.add_worker(first, "1", "a", {"--max_age", "4", "--address", address});
       r.f.clock.sleep(3s);
@@ -121,17 +129,21 @@
       auto name = fmt::format("race{}", i);
       for (int k = 0; k < 2; ++k) {
         auto n = r.f.machines()[static_cast<size_t>((i * 3 + k * 5) % 14)].name;
-        auto a = r.f.http(n, "PUT", "/v1/releases/layout/" + name, layout_document(r.f.config().deployment, fmt::format("v{}{}", i, k)));
+        auto a = r.f.http(n, "PUT", "/v1/releases/layout/" + name,
+                          layout_document(r.f.config().deployment, fmt::format("v{}{}", i, k)));
         ++(a.status == 202 ? won : a.status == 412 ? lost : odd);
       }
-      static const char* const bad[] = {"{", "[]", R"({"content":{"services":{},"routes":7}})", R"({"content":{},"x":1})"};
+      static const char* const bad[] = {"{", "[]", R"({"content":{"services":{},"routes":7}})",
+                                        R"({"content":{},"x":1})"};
       auto a = r.f.any("PUT", fmt::format("/v1/releases/layout/bad{}", i), bad[i % 4]);
       ++invalid;
       named += a.status == 422 && a.body.find("\"at\":") != std::string::npos;
       r.f.clock.sleep(500ms);
     }
-    std::cout << fmt::format("races {} won {} told {} other {}; invalid {} named {}\n", won + lost + odd, won, lost, odd, invalid, named);
-    return say(odd == 0 && won == lost && invalid == named && won > 0, "one of two operators won each time, and nonsense was named");
+    std::cout << fmt::format("races {} won {} told {} other {}; invalid {} named {}\n", won + lost + odd, won,
+                             lost, odd, invalid, named);
+    return say(odd == 0 && won == lost && invalid == named && won > 0,
+               "one of two operators won each time, and nonsense was named");
   });
 }
 }  // namespace
--- a/test/machine_stories.cpp
+++ b/test/machine_stories.cpp
@@ -9,8 +9,10 @@
   s.story = [&s] {
     if (!begin(s, 60)) return;
     put(s, "second", sim_layout("\"1\"", 3));
-    s.want(reach(s, "second", "DONE", Duration(90000)), "the second layout did not run everywhere, it is " + phase(s, "second"));
-    s.want(s.f.good * 100 > s.f.calls * 99, fmt::format("only {} of {} calls went well", s.f.good, s.f.calls));
+    s.want(reach(s, "second", "DONE", Duration(90000)),
+           "the second layout did not run everywhere, it is " + phase(s, "second"));
+    s.want(s.f.good * 100 > s.f.calls * 99,
+           fmt::format("only {} of {} calls went well", s.f.good, s.f.calls));
   };
 }
 
@@ -48,7 +50,8 @@
       s.f.start_all();
       s.f.event(R"("t":"returned")");
       s.want(serves(s, Duration(15000)), "the fleet did not serve again 15 s after a restart of all");
-      s.want(s.f.tell("GET", "/v1/releases/layout/second", "").status == 200, "an acknowledged layout is gone");
+      s.want(s.f.tell("GET", "/v1/releases/layout/second", "").status == 200,
+             "an acknowledged layout is gone");
       s.f.sleep(Duration(1000 + s.w.below(12000)));
     }
   };
@@ -70,7 +73,8 @@
       bool back = s.f.until(Duration(10000), [&] { return !s.f.at(name).node->acceptor()->mute(); });
       s.want(back, name + " was not refilled");
       for (int k = 0; k <= i; ++k)
-        s.want(s.f.tell("GET", fmt::format("/v1/releases/layout/r{}", k), "").status == 200, "an acknowledged layout is gone");
+        s.want(s.f.tell("GET", fmt::format("/v1/releases/layout/r{}", k), "").status == 200,
+               "an acknowledged layout is gone");
     }
   };
 }
@@ -155,13 +159,16 @@
     for (int k = 1; k <= 2; ++k) {
       auto in = fmt::format("x{}", k), out = fmt::format("h{}", k);
       auto state = [&](const std::string& n, bool on) {
-        auto body = on ? fmt::format(R"({{"holder":true,"address":"peer:{}"}})", n) : std::string(R"({"holder":false})");
-        bool ok = s.f.until(Duration(20000), [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
+        auto body = on ? fmt::format(R"({{"holder":true,"address":"peer:{}"}})", n)
+                       : std::string(R"({"holder":false})");
+        bool ok = s.f.until(Duration(20000),
+                            [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
         s.want(ok, "the set of holders could not be changed for " + n);
       };
       s.f.kill(out);  // the machine is gone for good
       state(in, true);
-      s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
+      s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }),
+             in + " was not filled");
       state(out, false);
       s.f.sleep(Duration(1000 + s.w.below(2000)));
     }
@@ -183,7 +190,8 @@
       if (h->up()) knows(s, *h, *acked);
     auto p = base::Json::parse(s.f.tell("GET", "/v1/holders", "").body);
     auto* j = std::get_if<base::Json>(&p);
-    s.want(j && j->at("epoch").str() == "4" && j->at("holders").items().size() == 5, "the set is not what was stated");
+    s.want(j && j->at("epoch").str() == "4" && j->at("holders").items().size() == 5,
+           "the set is not what was stated");
     s.figures = {{"layouts_acked", acked->size()}};
   };
 }
@@ -199,12 +207,14 @@
     for (int k = 1; k <= 2; ++k) {
       auto in = fmt::format("x{}", k), out = fmt::format("h{}", k);
       auto state = [&](const std::string& n, const std::string& body) {
-        bool ok = s.f.until(Duration(20000), [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
+        bool ok = s.f.until(Duration(20000),
+                            [&] { return s.f.tell("PUT", "/v1/holders/" + n, body).status == 200; });
         s.want(ok, "the set of holders could not be changed for " + n);
       };
       s.f.kill(out);
       state(in, fmt::format(R"({{"holder":true,"address":"peer:{}"}})", in));
-      s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }), in + " was not filled");
+      s.want(s.f.until(Duration(15000), [&] { return !s.f.at(in).node->acceptor()->mute(); }),
+             in + " was not filled");
       state(out, R"({"holder":false})");
     }
     s.f.sleep(Duration(3000));
@@ -241,8 +251,13 @@
 }  // namespace
 
 NamedCases machine_cases() {
-  return {{"calm", calm},       {"kills", kills},   {"all_at_once", all_at_once}, {"lost_disks", lost_disks},
-          {"freezes", freezes}, {"splits", splits}, {"bad_network", bad_network},
+  return {{"calm", calm},
+          {"kills", kills},
+          {"all_at_once", all_at_once},
+          {"lost_disks", lost_disks},
+          {"freezes", freezes},
+          {"splits", splits},
+          {"bad_network", bad_network},
           {"replaced_holders", SimCase(replaced_holders, 2)},
           {"stale_set", SimCase(stale_set, 2)}};
 }
--- a/test/measure/delays.cpp
+++ b/test/measure/delays.cpp
@@ -16,11 +16,13 @@
   std::string text() {
     if (v.empty()) return "none";
     std::sort(v.begin(), v.end());
-    return fmt::format("median {:.0f} (least {:.0f}, most {:.0f}, n {})", v[v.size() / 2], v.front(), v.back(), v.size());
+    return fmt::format("median {:.0f} (least {:.0f}, most {:.0f}, n {})", v[v.size() / 2], v.front(),
+                       v.back(), v.size());
   }
 };
 
-void play(uint64_t seed, simulation::FleetShape shape, Duration length, const std::function<void(Scene&)>& story) {
+void play(uint64_t seed, simulation::FleetShape shape, Duration length,
+          const std::function<void(Scene&)>& story) {
   simulation::World w(seed);
   simulation::Fleet f(w, shape);
   Scene s{w, f, {}};
@@ -51,7 +53,8 @@
         bytes.v.push_back(static_cast<double>(s.w.bytes - b) / per);
       });
     }
-    std::cout << fmt::format("{} relays: messages per relay and second {}; bytes {}\n", edges + 5, msgs.text(), bytes.text());
+    std::cout << fmt::format("{} relays: messages per relay and second {}; bytes {}\n", edges + 5,
+                             msgs.text(), bytes.text());
   }
 }
 
@@ -97,7 +100,9 @@
         s.f.sleep(Duration(1000 + s.w.below(1000)));
         purge(s, fmt::format("p{}", i), "service", "");
         auto want = static_cast<uint64_t>(i + 1);
-        purge_seen.v.push_back(till_all(s, [&](simulation::Host& h) { return traffic::purge_number(*h.node->traffic().table(), "content") >= want; }));
+        purge_seen.v.push_back(till_all(s, [&](simulation::Host& h) {
+          return traffic::purge_number(*h.node->traffic().table(), "content") >= want;
+        }));
       }
       auto doc = sim_layout("\"1\"", 3, 0, R"(,"express":"measured")");
       put(s, "second", doc);
@@ -107,26 +112,34 @@
         return r.in_force().count("layout") && r.in_force().at("layout") == "second";
       });
       assigned.v.push_back(till_all(s, [](simulation::Host& h) { return h.node->release() == "second"; }));
-      holder.v.push_back(gap(s, [&] { s.f.kill("h1"); }, Duration(6000)));
+      holder.v.push_back(gap(
+          s, [&] { s.f.kill("h1"); }, Duration(6000)));
       s.f.start("h1");
       s.f.sleep(Duration(3000));
-      zone.v.push_back(gap(s, [&] {
-        for (auto& h : s.f.hosts())
-          if (h->zone == "a") s.f.kill(h->name);
-      }, Duration(6000)));
+      zone.v.push_back(gap(
+          s,
+          [&] {
+            for (auto& h : s.f.hosts())
+              if (h->zone == "a") s.f.kill(h->name);
+          },
+          Duration(6000)));
       s.f.start_all();
       s.f.sleep(Duration(5000));
-      all.v.push_back(gap(s, [&] {
-        for (auto& h : s.f.hosts()) s.f.kill(h->name);
-        s.f.start_all();
-      }, Duration(10000)));
+      all.v.push_back(gap(
+          s,
+          [&] {
+            for (auto& h : s.f.hosts()) s.f.kill(h->name);
+            s.f.start_all();
+          },
+          Duration(10000)));
     });
     play(seed, {}, Duration(60000), [&](Scene& s) {
       if (!begin(s, 150, sim_layout("\"1\",\"2\"", 4))) return;
       auto& x = s.f.add_worker("app", "2", 0);
       x.bad_percent = 70;
       s.f.sleep(Duration(2500));
-      s.f.until(Duration(10000), [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
+      s.f.until(Duration(10000),
+                [&] { return s.f.tell("PUT", "/v1/services/app", R"({"version":"2"})").status == 200; });
       s.f.until(Duration(40000), [&] { return s.w.met["bad_answer"] >= 50; });
       quarantine.v.push_back(till_all(s, [](simulation::Host& h) {
         auto t = h.node->traffic().table();
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -11,13 +11,14 @@
 
 namespace dunlinwing::measure {
 namespace {
-constexpr size_t kFrame = 4;    // length before each message
+constexpr size_t kFrame = 4;  // length before each message
 constexpr uint64_t kSample = 16;
 
 class HollowNet final : public base::Net {
  public:
   HollowNet(Hollow& f, Node& me, simulation::LifePtr l) : f_(f), me_(me), l_(std::move(l)) {}
-  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a,
+                                              Duration limit) override {
     auto t = std::make_shared<Talk>();
     auto to = f_.by.find(addr);
     auto& w = f_.w;
@@ -90,7 +91,8 @@
 class NoOrigin final : public base::Origin {
  public:
   bool reach(const std::string&, Duration) override { return true; }
-  std::variant<base::Response, base::AttemptError> send(const std::string&, const base::Request&, const base::AttemptRules&) override {
+  std::variant<base::Response, base::AttemptError> send(const std::string&, const base::Request&,
+                                                        const base::AttemptRules&) override {
     return base::AttemptError::unsent;
   }
 };
@@ -109,9 +111,15 @@
   std::unique_ptr<control_api::Control> control;
 
   Proc(Hollow& f, Node& n, simulation::LifePtr l, const relay::NodeConfig& c)
-      : life(l), clock(f.w, l, &n.wall), random(f.w), tasks(f.w, l), net(f, n, l), ports{clock, random, tasks, net, origin},
+      : life(l),
+        clock(f.w, l, &n.wall),
+        random(f.w),
+        tasks(f.w, l),
+        net(f, n, l),
+        ports{clock, random, tasks, net, origin},
         disk(n.holder ? std::make_unique<simulation::Disk>(f.w, l, n.platter) : nullptr),
-        node(std::make_unique<relay::Node>(ports, c, disk.get())), control(std::make_unique<control_api::Control>(ports, *node)) {}
+        node(std::make_unique<relay::Node>(ports, c, disk.get())),
+        control(std::make_unique<control_api::Control>(ports, *node)) {}
 };
 
 bool Node::up() const { return proc && !proc->life->dead; }
@@ -120,7 +128,8 @@
 const simulation::LifePtr& Node::life() const { return proc->life; }
 base::Ports& Node::ports() const { return proc->ports; }
 
-Hollow::Hollow(simulation::World& world, Shape shape) : w(world), s(shape), out(std::make_shared<simulation::Life>()) {
+Hollow::Hollow(simulation::World& world, Shape shape)
+    : w(world), s(shape), out(std::make_shared<simulation::Life>()) {
   out->host = "outside";
   for (int i = 0; i < s.nodes; ++i) {
     auto n = std::make_unique<Node>();
--- a/test/measure/hollow.hpp
+++ b/test/measure/hollow.hpp
@@ -50,13 +50,16 @@
   void outside(std::function<void()> f);
   void sleep(Duration s);
   bool until(Duration most, const std::function<bool()>& f);
-  bool on(Node& n, Duration most, std::function<void()> f);  // runs it in the node's process; false when it did not end
-  Node& some();                                          // one that is up
+  bool on(Node& n, Duration most,
+          std::function<void()> f);  // runs it in the node's process; false when it did not end
+  Node& some();                      // one that is up
   bool all_up();
-  bool fresh();                                          // every node that is up has a read_lease
-  bool serving(const std::string& layout);               // and runs this layout
-  void beats(int workers, Duration period);                  // each worker stays with its relay
-  bool cut(const Node& a, const Node& b) const { return apart >= 0 && (a.region == apart) != (b.region == apart); }
+  bool fresh();                              // every node that is up has a read_lease
+  bool serving(const std::string& layout);   // and runs this layout
+  void beats(int workers, Duration period);  // each worker stays with its relay
+  bool cut(const Node& a, const Node& b) const {
+    return apart >= 0 && (a.region == apart) != (b.region == apart);
+  }
 
   simulation::World& w;
   Shape s;
@@ -69,7 +72,7 @@
   Split split;
 };
 
-uint64_t cpu_ns();     // of this thread
-uint64_t resident();   // bytes of this process
+uint64_t cpu_ns();    // of this thread
+uint64_t resident();  // bytes of this process
 
 }  // namespace dunlinwing::measure
--- a/test/measure/main.cpp
+++ b/test/measure/main.cpp
@@ -65,16 +65,29 @@
   s.zones = FLAGS_zones;
   s.regions = FLAGS_regions;
   s.far = dunlinwing::Duration(FLAGS_far_ms);
-  if (FLAGS_part == "fault") return dm::trouble(seed, s, {FLAGS_fault, FLAGS_seconds, FLAGS_changes, FLAGS_purges});
+  if (FLAGS_part == "fault")
+    return dm::trouble(seed, s, {FLAGS_fault, FLAGS_seconds, FLAGS_changes, FLAGS_purges});
   if (FLAGS_part == "sockets") return dm::sockets(s, FLAGS_seconds);
-  return dm::steady(seed, s, {FLAGS_workers, FLAGS_period_ms, FLAGS_registers, FLAGS_changes, FLAGS_purges, FLAGS_layouts, FLAGS_seconds});
+  return dm::steady(seed, s,
+                    {FLAGS_workers, FLAGS_period_ms, FLAGS_registers, FLAGS_changes, FLAGS_purges,
+                     FLAGS_layouts, FLAGS_seconds});
 }
 
 int one() {
   auto f = FLAGS_part == "tree" ? model() : hollow();
-  dm::Row r{FLAGS_run, FLAGS_nodes, FLAGS_workers, FLAGS_period_ms, FLAGS_registers, FLAGS_changes, FLAGS_purges, FLAGS_seed, "", 0};
+  dm::Row r{FLAGS_run,
+            FLAGS_nodes,
+            FLAGS_workers,
+            FLAGS_period_ms,
+            FLAGS_registers,
+            FLAGS_changes,
+            FLAGS_purges,
+            FLAGS_seed,
+            "",
+            0};
   for (auto& [k, v] : f) std::cout << fmt::format("{} {:.6g}\n", k, v);
-  if (!FLAGS_csv.empty() && !dm::add_rows(FLAGS_csv, r, f)) return std::cerr << "measure: cannot write " << FLAGS_csv << "\n", 1;
+  if (!FLAGS_csv.empty() && !dm::add_rows(FLAGS_csv, r, f))
+    return std::cerr << "measure: cannot write " << FLAGS_csv << "\n", 1;
   return f["ended"] ? 0 : 2;
 }
 }  // namespace
@@ -88,7 +101,8 @@
     if (FLAGS_delays) dm::delays(FLAGS_seeds);
   } else if (FLAGS_part == "page") {
     status = dm::page(FLAGS_csv, FLAGS_page, FLAGS_plot);
-  } else if (FLAGS_part == "steady" || FLAGS_part == "fault" || FLAGS_part == "sockets" || FLAGS_part == "tree") {
+  } else if (FLAGS_part == "steady" || FLAGS_part == "fault" || FLAGS_part == "sockets" ||
+             FLAGS_part == "tree") {
     status = one();
   } else {
     std::cerr << "measure: no part is named " << FLAGS_part << "\n";
--- a/test/measure/pick.cpp
+++ b/test/measure/pick.cpp
@@ -54,7 +54,8 @@
   return s;
 }
 
-std::string at_size(const std::vector<Row>& rows, const std::string& run, const std::string& figure, int nodes, double k) {
+std::string at_size(const std::vector<Row>& rows, const std::string& run, const std::string& figure,
+                    int nodes, double k) {
   std::vector<double> v;
   for (auto& r : pick(rows, run, figure))
     if (r.nodes == nodes) v.push_back(r.value);
--- a/test/measure/pick.hpp
+++ b/test/measure/pick.hpp
@@ -9,7 +9,8 @@
 std::vector<int> sizes_of(const std::vector<Row>& rows, const std::string& run);
 // Median, with least and most when there is more than one; "" when there is none.
 std::string cell(std::vector<double> v, double scale = 1);
-std::string at_size(const std::vector<Row>& rows, const std::string& run, const std::string& figure, int nodes, double scale = 1);
+std::string at_size(const std::vector<Row>& rows, const std::string& run, const std::string& figure,
+                    int nodes, double scale = 1);
 double median(std::vector<double> v);
 std::string num(double x);  // three figures
 
--- a/test/measure/plot.cpp
+++ b/test/measure/plot.cpp
@@ -22,7 +22,8 @@
 bool draw(const std::vector<Row>& rows, const std::string& file) {
   std::string s = fmt::format(
       "set terminal svg size 900,640 background 'white' font 'sans,11'\nset output '{}'\n"
-      "set multiplot layout 2,2 title 'One node under the present control, by size of the fleet (hollow, simulated)'\n"
+      "set multiplot layout 2,2 title 'One node under the present control, by size of the fleet (hollow, "
+      "simulated)'\n"
       "set logscale xy\nset grid\nset key top left\nset xlabel 'nodes'\n",
       file);
   for (auto& p : kPanels) {
@@ -31,13 +32,16 @@
     for (auto& r : rows)
       if ((r.run == "sizes" || r.run == "double") && r.figure == p.figure && r.value > 0) {
         d += fmt::format("{} {:g}\n", r.nodes, r.value * p.scale);
-        if (r.run == "sizes") ps.push_back({double(r.nodes), r.value * p.scale / (p.times_n ? r.nodes : 1), r.seed});
+        if (r.run == "sizes")
+          ps.push_back({double(r.nodes), r.value * p.scale / (p.times_n ? r.nodes : 1), r.seed});
       }
     if (d.empty()) continue;
-    s += fmt::format("$d << EOD\n{}EOD\nset title '{}'\nset ylabel '{}'\nset xrange [5:20000]\n", d, p.title, p.unit);
+    s += fmt::format("$d << EOD\n{}EOD\nset title '{}'\nset ylabel '{}'\nset xrange [5:20000]\n", d, p.title,
+                     p.unit);
     auto l = fit(ps);
     s += fmt::format("f(x)={}({:g}+{:g}*x)\n", p.times_n ? "x*" : "", l.base, l.slope);
-    s += fmt::format("plot $d using 1:2 with points pt 7 ps 0.5 title 'runs', f(x) with lines dt 2 title 'fitted law'");
+    s += fmt::format(
+        "plot $d using 1:2 with points pt 7 ps 0.5 title 'runs', f(x) with lines dt 2 title 'fitted law'");
     if (p.limit > 0) s += fmt::format(", {} with lines lw 2 title 'allowed at 17000'", p.limit);
     s += "\n";
   }
--- a/test/measure/project.cpp
+++ b/test/measure/project.cpp
@@ -14,7 +14,8 @@
 namespace dunlinwing::measure {
 namespace {
 using Rows = std::vector<Row>;
-constexpr double kNodes = 17000, kWorkers = 6800, kPurges = 160, kChanges = 12000.0 / 86400, kRegisters = 12000;
+constexpr double kNodes = 17000, kWorkers = 6800, kPurges = 160, kChanges = 12000.0 / 86400,
+                 kRegisters = 12000;
 constexpr double kAt = 64, kHolders = 5;  // of the runs under loads
 
 struct Law {
@@ -45,15 +46,17 @@
   std::function<double(const Row&)> x;
   double fitted_to;  // what lies beyond is for the check
 };
-const Term kTerms[] = {{"workers", "worker (a beat each 2 s)", [](auto& r) { return r.workers; }, 64},
-                       {"beats", "beat/s (64 workers)", [](auto& r) { return r.workers * 1000.0 / r.period_ms; }, 1e9},
-                       {"registers", "register at rest", [](auto& r) { return r.registers; }, 1e9},
-                       {"changes", "change/s", [](auto& r) { return r.changes; }, 8},
-                       {"purges", "purge/s", [](auto& r) { return r.purges; }, 40}};
+const Term kTerms[] = {
+    {"workers", "worker (a beat each 2 s)", [](auto& r) { return r.workers; }, 64},
+    {"beats", "beat/s (64 workers)", [](auto& r) { return r.workers * 1000.0 / r.period_ms; }, 1e9},
+    {"registers", "register at rest", [](auto& r) { return r.registers; }, 1e9},
+    {"changes", "change/s", [](auto& r) { return r.changes; }, 8},
+    {"purges", "purge/s", [](auto& r) { return r.purges; }, 40}};
 
 Line by_size(const Rows& rows, const Law& l) {
   std::vector<Point> ps;
-  for (auto& r : pick(rows, "sizes", l.figure)) ps.push_back({double(r.nodes), r.value / (l.times_n ? r.nodes : 1), r.seed});
+  for (auto& r : pick(rows, "sizes", l.figure))
+    ps.push_back({double(r.nodes), r.value / (l.times_n ? r.nodes : 1), r.seed});
   return fit(ps);
 }
 
@@ -114,7 +117,8 @@
   const char* shared = holder ? "" : " × 64/17000";
   double up = holder ? kNodes / kAt : 1, down = holder ? 1 : kAt / kNodes;
   if (!f.ends_with("messages")) part("workers", by_term(rows, kTerms[0], f).slope, kWorkers, up, grown);
-  if (f == "memory_bytes" || f.ends_with("cpu_ms_s")) part("registers", by_term(rows, kTerms[2], f).slope, kRegisters, up, grown);
+  if (f == "memory_bytes" || f.ends_with("cpu_ms_s"))
+    part("registers", by_term(rows, kTerms[2], f).slope, kRegisters, up, grown);
   for (auto [t, n] : {std::pair{&kTerms[3], kChanges}, std::pair{&kTerms[4], kPurges}}) {
     auto c = cost(rows, *t, f, holder);
     part(t->run, c.pulled, n, up, grown);
@@ -133,21 +137,31 @@
 const Role kRoles[] = {
     {"relay", "messages", "relay_messages", 0, 1, "", "a tree: one parent, not five holders (2)"},
     {"relay", "bytes", "relay_bytes", 7, 1, "7 KB/s", "scope, tree, deltas, numbered purges (1 to 5)"},
-    {"relay", "processor", "relay_cpu_ms_s", 29, 1, "29 ms/s", "tables built from deltas of the scope (1, 3)"},
-    {"relay", "state: memory", "memory_bytes", 64, 1, "64 MB", "scope; registers read by name and not all mirrored (1, 3)"},
-    {"shield", "bytes (all of its control is a relay's, and so are its other rows)", "relay_bytes", 7, 1, "7 KB/s", "as a relay's"},
+    {"relay", "processor", "relay_cpu_ms_s", 29, 1, "29 ms/s",
+     "tables built from deltas of the scope (1, 3)"},
+    {"relay", "state: memory", "memory_bytes", 64, 1, "64 MB",
+     "scope; registers read by name and not all mirrored (1, 3)"},
+    {"shield", "bytes (all of its control is a relay's, and so are its other rows)", "relay_bytes", 7, 1,
+     "7 KB/s", "as a relay's"},
     {"shield", "what it carries for others", "", 0, 1, "", "not control; see the users' figures"},
     {"holder", "messages", "holder_messages", 0, 1, "", kScope},
-    {"holder", "bytes", "holder_bytes", 1250000, 1, "1250000 KB/s: a 10 Gbit/s link, assumed", "holders per region, pulls through the tree (2, 4)"},
-    {"holder", "processor", "holder_cpu_ms_s", 1000, 1, "1000 ms/s: control is one thread", "holders per region, pulls through the tree (2, 4)"},
-    {"holder", "state: memory (a mean of all nodes; its own is not told apart)", "memory_bytes", 0, 1, "", "machines set aside"},
+    {"holder", "bytes", "holder_bytes", 1250000, 1, "1250000 KB/s: a 10 Gbit/s link, assumed",
+     "holders per region, pulls through the tree (2, 4)"},
+    {"holder", "processor", "holder_cpu_ms_s", 1000, 1, "1000 ms/s: control is one thread",
+     "holders per region, pulls through the tree (2, 4)"},
+    {"holder", "state: memory (a mean of all nodes; its own is not told apart)", "memory_bytes", 0, 1, "",
+     "machines set aside"},
     {"duty's pair", "messages beyond a holder's", "", 0, 1, "", "its writes; not told apart"},
     {"duty's pair", "state: memory", "", 0, 1, "", "counters by node; not told apart"},
-    {"duty's pair", "bytes", "duty_bytes", 1250000, 1, "as a holder's", "sums by zone instead of each node's counters (1)"},
-    {"duty's pair", "processor of the watch", "watch_ms", 1000, 4, "1000 ms/s: control is one thread", "sums by zone; a leadership per region (1, 4)"},
+    {"duty's pair", "bytes", "duty_bytes", 1250000, 1, "as a holder's",
+     "sums by zone instead of each node's counters (1)"},
+    {"duty's pair", "processor of the watch", "watch_ms", 1000, 4, "1000 ms/s: control is one thread",
+     "sums by zone; a leadership per region (1, 4)"},
     {"console", "messages, processor; it keeps no state", "", 0, 1, "", "one exchange a look"},
-    {"console", "bytes of one look at all nodes", "console_nodes_bytes", 0, 1, "", "asked by zone, or the sums"},
-    {"console", "bytes of one look at assignments", "console_assignments_bytes", 0, 1, "", "asked by zone; assignments by zone and exception (3)"},
+    {"console", "bytes of one look at all nodes", "console_nodes_bytes", 0, 1, "",
+     "asked by zone, or the sums"},
+    {"console", "bytes of one look at assignments", "console_assignments_bytes", 0, 1, "",
+     "asked by zone; assignments by zone and exception (3)"},
 };
 }  // namespace
 
@@ -155,22 +169,23 @@
   Markdown m({"figure", "unit", "for each", "base", "slope (least, most by seed)", "points, seeds", "runs"});
   for (auto& l : kLaws) {
     auto f = by_size(rows, l);
-    m.row({l.what, l.unit, l.times_n ? "node that pulls, by node" : "node", num(f.base * l.scale), range(f, l.scale),
-           fmt::format("{}, {}", f.points, f.seeds), "`sizes`"});
+    m.row({l.what, l.unit, l.times_n ? "node that pulls, by node" : "node", num(f.base * l.scale),
+           range(f, l.scale), fmt::format("{}, {}", f.points, f.seeds), "`sizes`"});
   }
   for (auto& t : kTerms)
     for (auto* f : {"relay_bytes", "relay_cpu_ms_s", "memory_bytes", "holder_bytes", "holder_cpu_ms_s"}) {
       auto& l = law(f);
       auto x = by_term(rows, t, f);
       if (!x.points || std::string(t.run) == "beats") continue;  // their rate costs nothing: the loads' table
-      m.row({l.what, l.unit, t.what, num(x.base * l.scale), range(x, l.scale), fmt::format("{}, {}", x.points, x.seeds),
-             fmt::format("`{}`", t.run)});
+      m.row({l.what, l.unit, t.what, num(x.base * l.scale), range(x, l.scale),
+             fmt::format("{}, {}", x.points, x.seeds), fmt::format("`{}`", t.run)});
     }
   return m.text();
 }
 
 std::string roles(const Rows& rows) {
-  Markdown m({"role", "figure", "slope × size", "at the users' size (by the seeds' slopes)", "allowed", "verdict", "mechanism that would carry it"});
+  Markdown m({"role", "figure", "slope × size", "at the users' size (by the seeds' slopes)", "allowed",
+              "verdict", "mechanism that would carry it"});
   for (auto& r : kRoles) {
     if (!*r.figure) {
       m.row({r.role, r.what, "", "", "", "not measured", r.mechanism});
@@ -185,21 +200,31 @@
       g.slope = slope;
       return (size_law(g, l, kNodes) + a.value) * k;
     };
-    auto how = fmt::format("{}{} + {} × {}{}", l.times_n ? "17000 × (" : "", num(f.base * l.scale), num(f.slope * l.scale), kNodes, l.times_n ? ")" : "") + a.text;
+    auto how = fmt::format("{}{} + {} × {}{}", l.times_n ? "17000 × (" : "", num(f.base * l.scale),
+                           num(f.slope * l.scale), kNodes, l.times_n ? ")" : "") +
+               a.text;
     if (r.times != 1) how = fmt::format("{} a second × ({})", r.times, how);
     bool known = f.points > 0;
-    std::string verdict = !known ? "not measured" : r.limit == 0 ? "no limit stated" : at(f.slope) > r.limit ? "**not met**" : "met";
-    m.row({r.role, r.what, how, known ? fmt::format("{} {} ({}, {})", num(at(f.slope)), r.times != 1 ? "ms/s" : l.unit, num(at(f.least)), num(at(f.most))) : "", r.limit_text, verdict,
-           r.mechanism});
+    std::string verdict = !known                  ? "not measured"
+                          : r.limit == 0          ? "no limit stated"
+                          : at(f.slope) > r.limit ? "**not met**"
+                                                  : "met";
+    m.row({r.role, r.what, how,
+           known ? fmt::format("{} {} ({}, {})", num(at(f.slope)), r.times != 1 ? "ms/s" : l.unit,
+                               num(at(f.least)), num(at(f.most)))
+                 : "",
+           r.limit_text, verdict, r.mechanism});
   }
   return m.text();
 }
 
 std::string check(const Rows& rows) {
   Markdown m({"figure", "fitted on", "run at", "foretold", "measured", "error"});
-  auto row = [&](const std::string& what, const std::string& on, const std::string& at, double told, double seen, const Law& l) {
+  auto row = [&](const std::string& what, const std::string& on, const std::string& at, double told,
+                 double seen, const Law& l) {
     if (seen != 0)
-      m.row({fmt::format("{}, {}", what, l.unit), on, at, num(told * l.scale), num(seen * l.scale), fmt::format("{:+.0f}%", (told - seen) / seen * 100)});
+      m.row({fmt::format("{}, {}", what, l.unit), on, at, num(told * l.scale), num(seen * l.scale),
+             fmt::format("{:+.0f}%", (told - seen) / seen * 100)});
   };
   auto ns = sizes_of(rows, "sizes");
   for (auto& l : kLaws)
@@ -207,7 +232,9 @@
       std::vector<double> seen;
       for (auto& r : pick(rows, "double", l.figure))
         if (r.nodes == n) seen.push_back(r.value);
-      if (!ns.empty()) row(l.what, fmt::format("{} to {} nodes", ns.front(), ns.back()), fmt::format("{} nodes", n), size_law(by_size(rows, l), l, n), median(seen), l);
+      if (!ns.empty())
+        row(l.what, fmt::format("{} to {} nodes", ns.front(), ns.back()), fmt::format("{} nodes", n),
+            size_law(by_size(rows, l), l, n), median(seen), l);
     }
   for (auto& t : kTerms)
     for (auto* f : {"relay_bytes", "relay_cpu_ms_s"}) {
@@ -215,8 +242,8 @@
       for (auto& r : pick(rows, t.run, f))
         if (t.x(r) == 2 * t.fitted_to) seen.push_back(r.value);
       auto& l = law(f);
-      row(fmt::format("{} under {}", l.what, t.run), fmt::format("up to {:g} a {}", t.fitted_to, t.what), fmt::format("{:g}", 2 * t.fitted_to),
-          by_term(rows, t, f).at(2 * t.fitted_to), median(seen), l);
+      row(fmt::format("{} under {}", l.what, t.run), fmt::format("up to {:g} a {}", t.fitted_to, t.what),
+          fmt::format("{:g}", 2 * t.fitted_to), by_term(rows, t, f).at(2 * t.fitted_to), median(seen), l);
     }
   return m.text();
 }
--- a/test/measure/rows.cpp
+++ b/test/measure/rows.cpp
@@ -27,8 +27,9 @@
     std::stringstream t(s);
     for (std::string x; std::getline(t, x, ',');) v.push_back(x);
     if (v.size() != 10) continue;
-    out.push_back({v[0], std::atoi(v[1].c_str()), std::atoi(v[2].c_str()), std::atoi(v[3].c_str()), std::atoi(v[4].c_str()),
-                   std::atof(v[5].c_str()), std::atof(v[6].c_str()), std::atoi(v[7].c_str()), v[8], std::atof(v[9].c_str())});
+    out.push_back({v[0], std::atoi(v[1].c_str()), std::atoi(v[2].c_str()), std::atoi(v[3].c_str()),
+                   std::atoi(v[4].c_str()), std::atof(v[5].c_str()), std::atof(v[6].c_str()),
+                   std::atoi(v[7].c_str()), v[8], std::atof(v[9].c_str())});
   }
   return out;
 }
@@ -38,8 +39,8 @@
   std::ofstream f(file, std::ios::app);
   std::string s = blank ? std::string(kHead) + "\n" : "";
   for (auto& [k, v] : figures)
-    s += fmt::format("{},{},{},{},{},{:g},{:g},{},{},{:.6g}\n", r.run, r.nodes, r.workers, r.period_ms, r.registers, r.changes,
-                     r.purges, r.seed, k, v);
+    s += fmt::format("{},{},{},{},{},{:g},{:g},{},{},{:.6g}\n", r.run, r.nodes, r.workers, r.period_ms,
+                     r.registers, r.changes, r.purges, r.seed, k, v);
   f << s;
   return static_cast<bool>(f.flush());
 }
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -25,7 +25,8 @@
 
 class CountedNet final : public base::Net {
  public:
-  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a, Duration limit) override {
+  std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a,
+                                              Duration limit) override {
     toll.messages += 2;
     toll.bytes += a.ByteSizeLong() + 8;
     auto r = net_.ask(addr, a, limit);
@@ -41,7 +42,8 @@
 class NoOrigin final : public base::Origin {
  public:
   bool reach(const std::string&, Duration) override { return true; }
-  std::variant<base::Response, base::AttemptError> send(const std::string&, const base::Request&, const base::AttemptRules&) override {
+  std::variant<base::Response, base::AttemptError> send(const std::string&, const base::Request&,
+                                                        const base::AttemptRules&) override {
     return base::AttemptError::unsent;
   }
 };
@@ -82,7 +84,9 @@
     for (int i = 0; i < s.nodes; ++i) {
       auto r = std::make_unique<Real>();
       r->ports = std::make_unique<base::Ports>(base::Ports{clock, random, pool, r->net, r->origin});
-      if (i < s.holders) r->disk = std::make_unique<storage::SnapshotStore>(std::make_unique<simulation::MemFiles>(r->platter), 16384);
+      if (i < s.holders)
+        r->disk = std::make_unique<storage::SnapshotStore>(std::make_unique<simulation::MemFiles>(r->platter),
+                                                           16384);
       relay::NodeConfig c;
       c.name = fmt::format("{}{}", i < s.holders ? "h" : "e", i + 1);
       c.zone = fmt::format("z{}", i % s.zones);
@@ -94,21 +98,25 @@
       r->control = std::make_unique<control_api::Control>(*r->ports, *r->node);
       auto* node = r->node.get();
       if (i < s.holders)
-        if (auto e = wire::serve_peers(pool, c.peer_address, [node](const pb::Ask& a) { return node->answer(a); })) return *e;
+        if (auto e =
+                wire::serve_peers(pool, c.peer_address, [node](const pb::Ask& a) { return node->answer(a); }))
+          return *e;
       all.push_back(std::move(r));
     }
     for (auto& r : all) {
       clock.sleep(Duration(250 / s.nodes));
       pool.spawn([n = r->node.get()] { n->start(); });
     }
-    if (!until(Duration(30000), [&] { return each([](Real& r) { return r.node->state_cache().fresh(); }); })) return "not every node got a permit";
+    if (!until(Duration(30000), [&] { return each([](Real& r) { return r.node->state_cache().fresh(); }); }))
+      return "not every node got a permit";
     if (!until(Duration(20000), [&] {
           base::Request q{"", "PUT", "/v1/releases/layout/first", layout_doc(0), {}};
           auto st = all.back()->control->answer(q).status;
           return st == 200 || st == 202;
         }))
       return "the first layout was not taken";
-    if (!until(Duration(30000), [&] { return each([](Real& r) { return r.node->release() == "first"; }); })) return "not every node runs the first layout";
+    if (!until(Duration(30000), [&] { return each([](Real& r) { return r.node->release() == "first"; }); }))
+      return "not every node runs the first layout";
     return {};
   }
 
--- a/test/measure/steady.cpp
+++ b/test/measure/steady.cpp
@@ -30,8 +30,10 @@
   auto& n = *f.nodes[0];
   double ms = 0;
   f.on(n, Duration(5000), [&] {
-    membership::Leadership none(n.ports(), n.relay().registers(), n.relay().state_cache(), "measured", n.name, n.zone, f.s.bound);
-    rollout::Conductor c(n.ports(), n.relay().registers(), n.relay().state_cache(), none, {n.name, f.s.bound, 600});
+    membership::Leadership none(n.ports(), n.relay().registers(), n.relay().state_cache(), "measured", n.name,
+                                n.zone, f.s.bound);
+    rollout::Conductor c(n.ports(), n.relay().registers(), n.relay().state_cache(), none,
+                         {n.name, f.s.bound, 600});
     c.tick();  // reads the releases once
     auto from = cpu_ns();
     for (int i = 0; i < kTicks; ++i) c.tick();
@@ -63,7 +65,8 @@
   return v;
 }
 
-void costs(Hollow& f, const std::vector<Mark>& was, const Split& split, uint64_t cpu, double sec, Figures& o) {
+void costs(Hollow& f, const std::vector<Mark>& was, const Split& split, uint64_t cpu, double sec,
+           Figures& o) {
   Spread bytes;
   double rb = 0, rm = 0, hb = 0, hm = 0, ans = 0, most = 0, leadership = 0;
   int rn = 0, hn = 0;
@@ -89,10 +92,12 @@
   o["holder_bytes_worst"] = most;
   o["holder_messages"] = hm / hn;
   o["duty_bytes"] = leadership;
-  o["cpu_ms_s"] = all;                                                 // the whole fleet
+  o["cpu_ms_s"] = all;                                                      // the whole fleet
   o["relay_cpu_ms_s"] = (all - ans) / static_cast<double>(f.nodes.size());  // a node's own pulls and tables
   o["holder_cpu_ms_s"] = o["relay_cpu_ms_s"] + ans / hn;
-  auto per = [&](uint64_t a, uint64_t b) { return static_cast<double>(a - b) * 16 / sec / static_cast<double>(f.nodes.size()); };
+  auto per = [&](uint64_t a, uint64_t b) {
+    return static_cast<double>(a - b) * 16 / sec / static_cast<double>(f.nodes.size());
+  };
   o["pull_marks_bytes"] = per(f.split.marks, split.marks);
   o["pull_own_bytes"] = per(f.split.own, split.own);
   o["pull_news_bytes"] = per(f.split.statuses, split.statuses);
@@ -111,9 +116,11 @@
         why = x;
         f.end();
       };
-      if (!f.until(kUp / 2, [&] { return f.all_up() && f.fresh(); })) return not_up("not every node got a permit");
+      if (!f.until(kUp / 2, [&] { return f.all_up() && f.fresh(); }))
+        return not_up("not every node got a permit");
       if (!put_layout(f, "first", 0)) return not_up("the first layout was not taken");
-      if (!f.until(kUp / 2, [&] { return f.serving("first"); })) return not_up("not every node runs the first layout");
+      if (!f.until(kUp / 2, [&] { return f.serving("first"); }))
+        return not_up("not every node runs the first layout");
       story(f);
       why.clear();
       f.end();  // so that what is left of the run's time costs nothing
@@ -152,7 +159,8 @@
     }
     uint64_t looks = 0, stale = 0;
     for (; f.w.now() < end; f.sleep(Duration(250)), ++looks) stale += !f.fresh();
-    costs(f, was, split, cpu_ns() - cpu, static_cast<double>((f.w.now() - end).count() + l.window_s * 1000) / 1000, o);
+    costs(f, was, split, cpu_ns() - cpu,
+          static_cast<double>((f.w.now() - end).count() + l.window_s * 1000) / 1000, o);
     o["beats_taken"] = static_cast<double>(f.beats_taken - taken);
     o["beats_missed"] = static_cast<double>(f.beats_missed - missed);
     o["looks_without_all_permits"] = static_cast<double>(stale);
--- a/test/measure/tree.cpp
+++ b/test/measure/tree.cpp
@@ -16,7 +16,7 @@
 constexpr int kAsk = 24, kReply = 24, kScoped = 50, kLayout = 2000;  // bytes, the frame in them
 constexpr double kChanges = 12000.0 / 86400;
 constexpr double kPermit = 1500;  // three quarters of the bound
-constexpr int kGiveUp = 125;  // ms of silence before the other parent is asked
+constexpr int kGiveUp = 125;      // ms of silence before the other parent is asked
 
 struct Peer {
   int level = 0, region = 0;
@@ -33,7 +33,8 @@
   Tree t;
   std::mt19937_64 rng;
   std::vector<Peer> ps;
-  std::vector<double> asked, told, weight;  // by number: when it was asked for and acknowledged; bytes up to it
+  std::vector<double> asked, told,
+      weight;                   // by number: when it was asked for and acknowledged; bytes up to it
   double now = 0, from = 1e18;  // counted from then on
   int apart = -1;
   double joined = 0, repaired = -1, heaviest = 0;
@@ -89,13 +90,16 @@
       for (int i = 0; i < n; ++i) {
         // In a tree of ordinary nodes, each pulls from one of two that came before it.
         std::vector<int> p = mine;
-        if (t.fan && i >= 2 * t.fan) p = {in[static_cast<size_t>(i / t.fan - 1)], in[static_cast<size_t>(i / t.fan - 2)]};
+        if (t.fan && i >= 2 * t.fan)
+          p = {in[static_cast<size_t>(i / t.fan - 1)], in[static_cast<size_t>(i / t.fan - 2)]};
         in.push_back(add(3, r, p));
       }
     }
   }
 
-  size_t acknowledged() const { return static_cast<size_t>(std::upper_bound(told.begin(), told.end(), now) - told.begin()); }
+  size_t acknowledged() const {
+    return static_cast<size_t>(std::upper_bound(told.begin(), told.end(), now) - told.begin());
+  }
 
   void pull(int i) {
     auto& c = ps[static_cast<size_t>(i)];
@@ -166,8 +170,10 @@
 
   void statuses(double end) {
     std::vector<std::pair<double, double>> v;
-    for (double x = 0; x < end; x += std::exponential_distribution<double>(t.purges / 1000)(rng)) v.emplace_back(x, t.entry_bytes);
-    for (double x = 0; x < end; x += std::exponential_distribution<double>(kChanges / 1000)(rng)) v.emplace_back(x, kLayout);
+    for (double x = 0; x < end; x += std::exponential_distribution<double>(t.purges / 1000)(rng))
+      v.emplace_back(x, t.entry_bytes);
+    for (double x = 0; x < end; x += std::exponential_distribution<double>(kChanges / 1000)(rng))
+      v.emplace_back(x, kLayout);
     std::sort(v.begin(), v.end());
     weight.push_back(0);
     double last = 0;
@@ -186,7 +192,8 @@
   m.build();
   double warm = 3000, end = warm + t.seconds * 1000.0;
   m.statuses(end);
-  for (size_t i = 0; i < m.ps.size(); ++i) m.at(m.draw(0, t.pull_ms), [&m, i] { m.pull(static_cast<int>(i)); });
+  for (size_t i = 0; i < m.ps.size(); ++i)
+    m.at(m.draw(0, t.pull_ms), [&m, i] { m.pull(static_cast<int>(i)); });
   m.at(10, [&m] { m.look(); });
   m.at(warm, [&m] {
     m.from = m.now;
--- a/test/mixed_stories.cpp
+++ b/test/mixed_stories.cpp
@@ -72,7 +72,10 @@
     p.least = Duration(200);
     p.most = Duration(1500);
   }
-  void weather() { s.w.weather = {static_cast<int>(s.w.below(30)), static_cast<int>(s.w.below(30)), Duration(1), Duration(1 + s.w.below(30))}; }
+  void weather() {
+    s.w.weather = {static_cast<int>(s.w.below(30)), static_cast<int>(s.w.below(30)), Duration(1),
+                   Duration(1 + s.w.below(30))};
+  }
   void worker_dies() {
     auto* w = worker();
     if (!w) return;
@@ -116,33 +119,46 @@
   }
   void crowd() {
     met("crowd");
-    s.f.callers(150, s.w.now() + Duration(2500), [this] { s.f.call("GET", fmt::format("/a/{}", s.w.below(100000))); });
+    s.f.callers(150, s.w.now() + Duration(2500),
+                [this] { s.f.call("GET", fmt::format("/a/{}", s.w.below(100000))); });
   }
   void layout() {
     auto name = fmt::format("m{}", turn);
-    auto doc = sim_layout("\"1\",\"2\"", 1 + static_cast<int>(s.w.below(3)), 0, s.w.random(300) ? R"(,"express":"mixed")" : "");
+    auto doc = sim_layout("\"1\",\"2\"", 1 + static_cast<int>(s.w.below(3)), 0,
+                          s.w.random(300) ? R"(,"express":"mixed")" : "");
     if (s.f.tell("PUT", "/v1/releases/layout/" + name, doc).status == 202) layouts[name] = doc, met("layout");
   }
   void invalid() {
-    auto t = s.f.tell("PUT", fmt::format("/v1/releases/layout/i{}", turn), R"({"content":{"services":{},"routes":7}})");
+    auto t = s.f.tell("PUT", fmt::format("/v1/releases/layout/i{}", turn),
+                      R"({"content":{"services":{},"routes":7}})");
     s.want(t.lost || t.status == 422 || t.status == 503, "an invalid layout gave " + t.body);
     met("invalid_layout");
   }
-  void clear() { purge(s, fmt::format("u{}", turn), s.w.random(500) ? "prefix" : "path", s.w.random(500) ? "/c/" : "/c/3"), met("purge"); }
+  void clear() {
+    purge(s, fmt::format("u{}", turn), s.w.random(500) ? "prefix" : "path", s.w.random(500) ? "/c/" : "/c/3"),
+        met("purge");
+  }
   void storm() {
     met("purge_storm");
-    for (int k = 0; k < 30; ++k) s.f.outside([this, k, t = turn] { purge(s, fmt::format("w{}-{}", t, k), "path", fmt::format("/c/{}", k % 20)); });
+    for (int k = 0; k < 30; ++k)
+      s.f.outside([this, k, t = turn] {
+        purge(s, fmt::format("w{}-{}", t, k), "path", fmt::format("/c/{}", k % 20));
+      });
   }
   void move() {
-    if (s.f.tell("PUT", "/v1/services/app", s.w.random(500) ? R"({"version":"2"})" : R"({"version":"1"})").status == 200) met("move");
+    if (s.f.tell("PUT", "/v1/services/app", s.w.random(500) ? R"({"version":"2"})" : R"({"version":"1"})")
+            .status == 200)
+      met("move");
   }
 
   void all() {
     using Do = void (Mix::*)();
-    static const Do list[] = {&Mix::kill, &Mix::kill, &Mix::kill_many, &Mix::lose_disk, &Mix::freeze, &Mix::freeze, &Mix::cut, &Mix::split,
-                              &Mix::restart, &Mix::jump, &Mix::slow_disk, &Mix::weather, &Mix::worker_dies, &Mix::worker_leaves,
-                              &Mix::worker_ill, &Mix::address_passes, &Mix::crowd, &Mix::layout, &Mix::layout, &Mix::invalid, &Mix::clear,
-                              &Mix::clear, &Mix::storm, &Mix::move};
+    static const Do list[] = {&Mix::kill,        &Mix::kill,          &Mix::kill_many,  &Mix::lose_disk,
+                              &Mix::freeze,      &Mix::freeze,        &Mix::cut,        &Mix::split,
+                              &Mix::restart,     &Mix::jump,          &Mix::slow_disk,  &Mix::weather,
+                              &Mix::worker_dies, &Mix::worker_leaves, &Mix::worker_ill, &Mix::address_passes,
+                              &Mix::crowd,       &Mix::layout,        &Mix::layout,     &Mix::invalid,
+                              &Mix::clear,       &Mix::clear,         &Mix::storm,      &Mix::move};
     for (turn = 0; turn < 25; ++turn) {
       for (auto n = 1 + s.w.below(3); n; --n) (this->*list[s.w.below(std::size(list))])();
       s.f.sleep(Duration(s.w.below(2500)));
@@ -156,7 +172,8 @@
     s.w.mend();
     s.w.weather = s.f.calm();
     for (auto& h : s.f.hosts()) h->platter.least = Duration(1), h->platter.most = Duration(4);
-    for (auto& w : s.f.workers()) w->lose_percent = w->wrong_percent = w->bad_percent = 0, w->most = Duration(8);
+    for (auto& w : s.f.workers())
+      w->lose_percent = w->wrong_percent = w->bad_percent = 0, w->most = Duration(8);
     s.f.sleep(Duration(5100));  // the last freeze is over
     s.f.start_all();
     s.f.event(R"("t":"returned")");
--- a/test/move_stories.cpp
+++ b/test/move_stories.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 struct Plan {
-  std::string how;       // of the bad version: errors, slow, one_route, late, under_load, whole_load; empty: a good one
-  std::string trouble;   // leadership, freeze or restarts, in its midst
+  std::string
+      how;  // of the bad version: errors, slow, one_route, late, under_load, whole_load; empty: a good one
+  std::string trouble;  // leadership, freeze or restarts, in its midst
 };
 
 void spoil(Scene& s, simulation::Worker& x, const std::string& how, int percent) {
@@ -71,7 +72,8 @@
       auto* x = std::get_if<base::Json>(&j);
       return t.status == 200 && x ? *x : base::Json();
     };
-    s.want(s.f.until(Duration(8000), [&] { return state("services").at("current").str() == "1"; }), "no version came into place");
+    s.want(s.f.until(Duration(8000), [&] { return state("services").at("current").str() == "1"; }),
+           "no version came into place");
     s.want(s.f.tell("GET", "/v1/moves/app", "").status == 404, "a move was told of that nobody asked for");
     Duration term(12000 + static_cast<int64_t>(s.w.below(5)) * 1000);
     int percent = 35 + static_cast<int>(s.w.below(26));
@@ -92,12 +94,15 @@
     allow(s, "2");
     auto from = s.w.now();
     if (!p.how.empty())
-      s.f.event(fmt::format(R"("t":"bad_version","service":"app","version":"2","until":{},"slack":50)", (from + term).count()));
+      s.f.event(fmt::format(R"("t":"bad_version","service":"app","version":"2","until":{},"slack":50)",
+                            (from + term).count()));
     auto order = fmt::format(R"({{"version":"2","within_ms":{}}})", term.count());
-    s.want(s.f.until(Duration(3000), [&] { return s.f.tell("PUT", "/v1/moves/app", order).status == 200; }), "the order was not taken");
+    s.want(s.f.until(Duration(3000), [&] { return s.f.tell("PUT", "/v1/moves/app", order).status == 200; }),
+           "the order was not taken");
     if (mine.empty()) s.f.sleep(Duration(s.w.below(500))), start();
     if (!p.trouble.empty()) disturb(s, p.trouble, term);
-    s.want(s.f.until(Duration(3000), [&] { return s.f.tell("PUT", "/v1/moves/app", order).status == 200; }), "the order stated again was not taken");
+    s.want(s.f.until(Duration(3000), [&] { return s.f.tell("PUT", "/v1/moves/app", order).status == 200; }),
+           "the order stated again was not taken");
     std::string now;
     s.f.until(term + Duration(9000), [&] {
       s.f.sleep(Duration(200));
@@ -105,7 +110,9 @@
       return now == "completed" || now == "rolled_back";
     });
     auto took = s.w.now() - from;
-    auto why = [&] { return fmt::format("{} after {} of {} ms: {}", now, took.count(), term.count(), state("moves").text()); };
+    auto why = [&] {
+      return fmt::format("{} after {} of {} ms: {}", now, took.count(), term.count(), state("moves").text());
+    };
     s.figures[now + "_" + (p.how.empty() ? "good" : p.how)] = 1;
     s.figures["took_ms"] = static_cast<uint64_t>(took.count());
     if (now == "completed") {
@@ -114,16 +121,20 @@
       auto calls = s.f.calls, good = s.f.good;
       s.f.sleep(Duration(3000));
       s.want(s.f.calls - calls <= s.f.good - good + 5 || !p.trouble.empty(),
-             fmt::format("{} of {} calls failed when the old workers were halted", s.f.calls - calls - (s.f.good - good), s.f.calls - calls));
+             fmt::format("{} of {} calls failed when the old workers were halted",
+                         s.f.calls - calls - (s.f.good - good), s.f.calls - calls));
       s.want(state("services").at("current").str() == "2", "it is completed and not in place");
     }
-    if (p.how.empty() && p.trouble.empty()) s.want(now == "completed" && took <= term, "a good version is " + why());
-    if (!p.how.empty()) s.want(now == "rolled_back" && (took <= term || !p.trouble.empty()), "a bad version is " + why());
+    if (p.how.empty() && p.trouble.empty())
+      s.want(now == "completed" && took <= term, "a good version is " + why());
+    if (!p.how.empty())
+      s.want(now == "rolled_back" && (took <= term || !p.trouble.empty()), "a bad version is " + why());
     s.want(!now.empty() && now != "running", "the move came to no end: " + why());
     s.f.sleep(Duration(9000));
     auto again = s.f.tell("PUT", "/v1/moves/app", order);
     auto j = base::Json::parse(again.body);
-    s.want(again.lost || (std::holds_alternative<base::Json>(j) && std::get<base::Json>(j).at("state").str() == now),
+    s.want(again.lost ||
+               (std::holds_alternative<base::Json>(j) && std::get<base::Json>(j).at("state").str() == now),
            "the order come late once more began anew: " + again.body);
   };
 }
@@ -146,7 +157,8 @@
     s.f.sleep(Duration(9000));
     s.want(current() == "1", "a version that nobody asked for took over at once");
     allow(s, "2");  // nothing went to it until here, or the checker speaks
-    s.want(s.f.until(Duration(8000), [&] { return current() == "2"; }), "nothing took the place of a version that is gone");
+    s.want(s.f.until(Duration(8000), [&] { return current() == "2"; }),
+           "nothing took the place of a version that is gone");
     s.f.sleep(Duration(1000));
     auto good = s.f.good;
     s.f.sleep(Duration(2000));
--- a/test/move_unit.cpp
+++ b/test/move_unit.cpp
@@ -82,7 +82,8 @@
   Bench b(1);
   b.warm = 2;
   b.run({"a"});
-  expect(b.s.outcome() == "rolled_back" && b.s.why().find("no verdict in time: 2 warm workers for 4") == 0, b.s.why());
+  expect(b.s.outcome() == "rolled_back" && b.s.why().find("no verdict in time: 2 warm workers for 4") == 0,
+         b.s.why());
 }
 
 void switch_lasts() {
@@ -135,7 +136,8 @@
   t.states["s"].Clear();  // each table has its states read anew
   t.states["s"].set_current("1");
   traffic::settle(t);
-  expect(traffic::versions(svc, &t.states["s"]).open == std::vector<std::string>{"1"}, "a version that no move asked for is open");
+  expect(traffic::versions(svc, &t.states["s"]).open == std::vector<std::string>{"1"},
+         "a version that no move asked for is open");
 }
 
 void rare_routes() {
@@ -175,12 +177,14 @@
     for (int i = 0; i < 360 * 6; ++i) {
       auto k = rng() % relays.size();
       std::string route = rng() % 3 ? "a" : "b";
-      bool g = relays[k]->grant("s", 1, "2", route, {8, 8, traffic::repeat_part(traffic::kAhead, n, static_cast<int>(k))});
+      bool g = relays[k]->grant("s", 1, "2", route,
+                                {8, 8, traffic::repeat_part(traffic::kAhead, n, static_cast<int>(k))});
       mine += g;
       by[route] += g;
       expect(mine * 100 <= ++all * 8 + 100 * traffic::kAhead, "over the share");
     }
-    expect(by["a"] >= 40 && by["b"] >= 40, fmt::format("{} relays: {} and {} requests on trial", n, by["a"], by["b"]));
+    expect(by["a"] >= 40 && by["b"] >= 40,
+           fmt::format("{} relays: {} and {} requests on trial", n, by["a"], by["b"]));
   }
 }
 }  // namespace
@@ -206,10 +210,18 @@
       {"moves: the switch lasts until nothing can reach the old version", switch_lasts},
       {"moves: a relay goes back by itself in the switch", relay_goes_back},
       {"moves: a layout that names no version", any_version},
-      property("moves: a version that fails is never promoted", bad([](Bench& b, double x) { b.fails = {{"a", x}, {"b", x}, {"c", x}}; })),
-      property("moves: nor one that fails on one route of three", bad([](Bench& b, double x) { b.fails = {{"b", x}}; })),
-      property("moves: nor one that is slow", bad([](Bench& b, double x) { b.slow = {{"a", x}, {"b", x}, {"c", x}}; })),
-      property("moves: nor one that is slow on one route", bad([](Bench& b, double x) { b.slow = {{"c", x}}; })),
+      property("moves: a version that fails is never promoted", bad([](Bench& b, double x) {
+                 b.fails = {{"a", x}, {"b", x}, {"c", x}};
+               })),
+      property("moves: nor one that fails on one route of three", bad([](Bench& b, double x) {
+                 b.fails = {{"b", x}};
+               })),
+      property("moves: nor one that is slow", bad([](Bench& b, double x) {
+                 b.slow = {{"a", x}, {"b", x}, {"c", x}};
+               })),
+      property("moves: nor one that is slow on one route", bad([](Bench& b, double x) {
+                 b.slow = {{"c", x}};
+               })),
       property("moves: nor one that turns bad when it is warm", bad([](Bench& b, double x) {
                  b.fails = {{"a", x}, {"b", x}, {"c", x}};
                  b.bad_from_ms = 3000;
--- a/test/platform/clients.cpp
+++ b/test/platform/clients.cpp
@@ -40,7 +40,8 @@
   for (auto& h : f_.hosts())
     if (h->zone == zone) ++all, of_zone += in(*h);
   bool half = of_zone * 2 >= all;
-  if (auto* h = pick([&](auto& x) { return x.zone == zone && (!half || in(x)) && !tried.count(x.name); })) return h;
+  if (auto* h = pick([&](auto& x) { return x.zone == zone && (!half || in(x)) && !tried.count(x.name); }))
+    return h;
   if (auto* h = pick([&](auto& x) { return in(x) && !tried.count(x.name); })) return h;
   return pick([](auto&) { return true; });
 }
@@ -55,8 +56,11 @@
   q.method = t.method;
   q.target = t.target;
   q.body = t.body;
-  q.headers = {{"Host", t.host}, {"Attempt-Id", t.id}, {"Time-Remaining", std::to_string((t.deadline - t.sent).count())}};
-  if (!t.receipt.headers.empty()) q.headers.insert(q.headers.end(), t.receipt.headers.begin(), t.receipt.headers.end());
+  q.headers = {{"Host", t.host},
+               {"Attempt-Id", t.id},
+               {"Time-Remaining", std::to_string((t.deadline - t.sent).count())}};
+  if (!t.receipt.headers.empty())
+    q.headers.insert(q.headers.end(), t.receipt.headers.begin(), t.receipt.headers.end());
   t.receipt = {};
   auto id = t.id;
   d_.tries[id] = t;
@@ -71,7 +75,8 @@
 
 void Clients::one() {
   auto& w = f_.world();
-  auto zone = std::string(1, static_cast<char>('a' + (w.below(10) < 6 ? 0 : w.below(2) + 1)));  // one zone has most of them
+  auto zone = std::string(
+      1, static_cast<char>('a' + (w.below(10) < 6 ? 0 : w.below(2) + 1)));  // one zone has most of them
   auto& l = page_.lines[w.below(page_.lines.size())];
   Try t;
   t.kind = l.kind;
@@ -83,7 +88,8 @@
     auto dice = w.below(12);
     if (dice == 0) t.receipt.headers = {{"Range", fmt::format("bytes={}-", w.below(90))}};
     if (dice == 1) t.receipt.headers = {{"Range", "bytes=3-17"}};
-    if (dice == 2) t.receipt.headers = {{"If-None-Match", fmt::format("\"v{}\"", d_.replaced[t.target].size())}};
+    if (dice == 2)
+      t.receipt.headers = {{"If-None-Match", fmt::format("\"v{}\"", d_.replaced[t.target].size())}};
   }
   t.deadline = w.now() + Duration(static_cast<int64_t>(l.timeout_s * 1000));
   bool repeatable = l.kind != "non_idempotent";
--- a/test/platform/day.cpp
+++ b/test/platform/day.cpp
@@ -27,14 +27,17 @@
     c.cache_bytes = 65 << 20;
     c.system.repeat_allowance = 64;
   };
-  s.before = [](base::Request& q, const simulation::FleetShape::Handler& product) { return platform::answer(q, kBeat, product); };
+  s.before = [](base::Request& q, const simulation::FleetShape::Handler& product) {
+    return platform::answer(q, kBeat, product);
+  };
   s.send = [&yard](auto& l, auto& a, auto& q, auto& r) { return yard.send(l, a, q, r); };
   s.stands = [&yard](auto& a) { return yard.stands(a); };
   return s;
 }
 }  // namespace
 
-Day::Day(uint64_t seed, bool small) : w(seed), yard(f, d), f(w, shape(small, yard)), clients(f, d), op(f, d) {}
+Day::Day(uint64_t seed, bool small)
+    : w(seed), yard(f, d), f(w, shape(small, yard)), clients(f, d), op(f, d) {}
 
 void Day::want(bool ok, const std::string& what) {
   if (!ok) unmet.push_back(what);
@@ -64,7 +67,8 @@
   f.sleep(Duration(2000));
   for (auto& h : f.hosts()) {
     auto t = h->node->traffic().table();
-    want(static_cast<size_t>(t->nodes) == f.hosts().size(), fmt::format("{} shares the fleet's allowances among {} of {}", h->name, t->nodes, f.hosts().size()));
+    want(static_cast<size_t>(t->nodes) == f.hosts().size(),
+         fmt::format("{} shares the fleet's allowances among {} of {}", h->name, t->nodes, f.hosts().size()));
   }
   over = w.now() + Duration(600000);
   clients.come(page, per_second, over);
@@ -82,7 +86,8 @@
   bool ok = op.put(page);
   if (ok) clients.page(page);
   for (auto* p : {&old, &page})
-    for (size_t i = 4; i < p->lines.size(); ++i) clients.probe(p->lines[i].host, p->lines[i].prefix + "probe");
+    for (size_t i = 4; i < p->lines.size(); ++i)
+      clients.probe(p->lines[i].host, p->lines[i].prefix + "probe");
   clients.probe("c.example", "/never/there");
   return ok;
 }
@@ -142,7 +147,9 @@
       if (well) held.push_back(h.get());
       core += fmt::format("{}{}{}", h->name, well, h->life ? fmt::ptr(h->life.get()) : nullptr);
     }
-    auto joined = [&](auto& a, auto& b) { return a.name == b.name || (!w.cut_off(a.name, b.name) && !w.cut_off(b.name, a.name)); };
+    auto joined = [&](auto& a, auto& b) {
+      return a.name == b.name || (!w.cut_off(a.name, b.name) && !w.cut_off(b.name, a.name));
+    };
     std::vector<simulation::Host*> main;  // of the core, those that reach over half of it
     for (auto* a : held) {
       int n = 0;
@@ -161,7 +168,8 @@
   }
 }
 
-void play(const std::string& kind, uint64_t seed, bool small, int load, std::map<std::string, uint64_t>& figures) {
+void play(const std::string& kind, uint64_t seed, bool small, int load,
+          std::map<std::string, uint64_t>& figures) {
   Day day(seed, small);
   auto& story = kinds().at(kind);
   std::map<std::string, uint64_t> got;
@@ -194,7 +202,8 @@
   for (auto& u : day.unmet) all += "\n     unmet: " + u;
   if (!day.done) all += "\n     the day did not come to its end";
   double part = got["wanted"] ? static_cast<double>(got["served"]) / static_cast<double>(got["wanted"]) : 0;
-  if (part < day.floor) all += fmt::format("\n     {:.3f} of {} requests served, {} wanted", part, got["wanted"], day.floor);
+  if (part < day.floor)
+    all += fmt::format("\n     {:.3f} of {} requests served, {} wanted", part, got["wanted"], day.floor);
   expect(all.empty(), fmt::format("seed {}{}: {}", seed, small ? " small" : "", all));
 }
 
--- a/test/platform/day.hpp
+++ b/test/platform/day.hpp
@@ -16,24 +16,24 @@
   simulation::Fleet f;
   Clients clients;
   Operator op;
-  Page page;                      // the newest that the operator means
+  Page page;  // the newest that the operator means
   bool done = false;
-  double floor = 0.9;             // of requests that have to be served
-  TimePoint over{0};                   // when clients stop
+  double floor = 0.9;              // of requests that have to be served
+  TimePoint over{0};               // when clients stop
   std::vector<std::string> unmet;  // duties, and what a kind itself wants to see
 
   bool begin(int per_second = 60, double rate = 0);  // up to the first traffic
   void want(bool ok, const std::string& what);
-  bool change(uint64_t dice);     // the operator's next configuration
+  bool change(uint64_t dice);  // the operator's next configuration
   uint64_t below(uint64_t n) { return w.below(n); }
-  simulation::Host& any(bool core);      // one that is up
+  simulation::Host& any(bool core);  // one that is up
   void kill_for(const std::string& host, Duration down);
   void unsettle() { d.shaken.push_back(w.now()); }
   void harm(const std::string& host) { d.harmed[host].push_back(w.now()); }
   void term(const std::string& host);  // SIGTERM, its end, and its next start
 
  private:
-  void watch();                   // writes down what befalls machines and paths
+  void watch();  // writes down what befalls machines and paths
   std::map<std::string, const void*> lives_;
   std::string core_was_;
 };
@@ -47,6 +47,7 @@
 const std::map<std::string, Kind>& kinds();
 
 // Throws Failed when a rule is broken or a leadership is unmet.
-void play(const std::string& kind, uint64_t seed, bool small, int load, std::map<std::string, uint64_t>& figures);
+void play(const std::string& kind, uint64_t seed, bool small, int load,
+          std::map<std::string, uint64_t>& figures);
 
 }  // namespace dunlinwing::test
--- a/test/platform/diary.hpp
+++ b/test/platform/diary.hpp
@@ -71,22 +71,23 @@
 
 struct Diary {
   std::vector<Arrival> arrivals;
-  std::map<std::string, Try> tries;  // by id
-  std::map<std::string, Made> made;  // by stamp
+  std::map<std::string, Try> tries;                        // by id
+  std::map<std::string, Made> made;                        // by stamp
   std::map<std::string, std::vector<TimePoint>> replaced;  // target -> when version 1, 2 … came
-  std::map<std::string, std::string> tags;            // target -> its tag
+  std::map<std::string, std::string> tags;                 // target -> its tag
   std::vector<Stated> stated;
   std::vector<Purging> purges;
   std::vector<Left> left;
   std::vector<Moving> moves;
   std::vector<Late> late;
-  std::map<std::string, std::vector<TimePoint>> harmed;    // machine -> moments at which something befell it or its paths
-  std::vector<TimePoint> shaken;                           // moments at which the core was unsettled
+  std::map<std::string, std::vector<TimePoint>>
+      harmed;                     // machine -> moments at which something befell it or its paths
+  std::vector<TimePoint> shaken;  // moments at which the core was unsettled
   std::vector<TimePoint> origin_trouble;
-  std::vector<std::pair<TimePoint, std::string>> terms;    // SIGTERMs
-  bool unplanned = false;                             // some trouble that nobody had ordered
+  std::vector<std::pair<TimePoint, std::string>> terms;  // SIGTERMs
+  bool unplanned = false;                                // some trouble that nobody had ordered
   std::vector<ReadBack> read_back;
-  std::optional<TimePoint> closed, back;                   // the closing fault, and when all machines were up again
+  std::optional<TimePoint> closed, back;  // the closing fault, and when all machines were up again
 };
 
 // Whether the machine was in touch throughout the three seconds before `t`.
--- a/test/platform/kinds.cpp
+++ b/test/platform/kinds.cpp
@@ -117,8 +117,10 @@
   for (auto* s : {v[0], u[0]}) y.yard.crash(*s, dark);
   y.f.sleep(Duration(5000));
   for (auto* s : {v[0], u[0]}) {
-    if (dark) s->dark = false;
-    else y.yard.add(s->service, "v1", Duration(2000));
+    if (dark)
+      s->dark = false;
+    else
+      y.yard.add(s->service, "v1", Duration(2000));
   }
   y.f.sleep(Duration(3000));
   y.floor = 0.85;
@@ -182,7 +184,10 @@
     if (how == 0) s->bad = [hit](auto&) { return hit() ? 0 : 1; };
     if (how == 1) s->bad = [hit](auto&) { return hit() ? 8 : 1; };
     if (how == 2) s->bad = [hit, &w, from](auto&) { return w.now() > from && hit() ? 0 : 1; };
-    if (how == 3) s->bad = [hit](auto& t) { return t.starts_with("/post/") || t.starts_with("/obj/") ? hit() ? 0 : 1 : 1; };
+    if (how == 3)
+      s->bad = [hit](auto& t) {
+        return t.starts_with("/post/") || t.starts_with("/obj/") ? hit() ? 0 : 1 : 1;
+      };
   }
   y.f.sleep(Duration(1700));
   Duration within(12000);
@@ -197,7 +202,8 @@
     }
     y.f.sleep(Duration(250));
   }
-  y.want(m.state == (bad ? "rolled_back" : "completed"), fmt::format("{} v2 of {} ended {}, how {}", bad ? "bad" : "good", service, m.state, how));
+  y.want(m.state == (bad ? "rolled_back" : "completed"),
+         fmt::format("{} v2 of {} ended {}, how {}", bad ? "bad" : "good", service, m.state, how));
   if (m.state == "completed")
     for (auto* s : old) s->alive = false;
   if (m.state == "rolled_back") {
--- a/test/platform/machine_kinds.cpp
+++ b/test/platform/machine_kinds.cpp
@@ -129,7 +129,8 @@
   y.f.sleep(Duration(300));
   y.f.start_all();
   y.f.sleep(Duration(y.below(400)));
-  y.want(y.op.move("huvo", "v2", Duration(12000), false), "a rollout was not taken by relays that just started");
+  y.want(y.op.move("huvo", "v2", Duration(12000), false),
+         "a rollout was not taken by relays that just started");
   y.f.sleep(Duration(2000));
   std::string version;
   auto st = y.op.state("huvo", &version);
@@ -160,15 +161,16 @@
   y.f.sleep(Duration(4000));
   std::string version;
   auto st = y.op.state("huvo", &version);
-  y.want(!st.empty() && version == "v2", fmt::format("LOST: the rollout reads {} {} after the closing fault", version, st));
-  y.want((y.clients.served - served) * 4 >= (y.clients.wanted - wanted), "less than a quarter is served 15 s after all were back");
+  y.want(!st.empty() && version == "v2",
+         fmt::format("LOST: the rollout reads {} {} after the closing fault", version, st));
+  y.want((y.clients.served - served) * 4 >= (y.clients.wanted - wanted),
+         "less than a quarter is served 15 s after all were back");
   y.floor = 0.3;
 }
 }  // namespace
 
 std::map<std::string, Kind> machine_kinds() {
-  return {
-          {"node_kill", {node_kill}},
+  return {{"node_kill", {node_kill}},
           {"herd_kill", {herd_kill}},
           {"after_ack_kill", {[](Day& y) { after_ack(y, false); }}},
           {"after_ack_wipe", {[](Day& y) { after_ack(y, true); }}},
--- a/test/platform/main.cpp
+++ b/test/platform/main.cpp
@@ -25,7 +25,8 @@
     if (!whole || name == FLAGS_case_name)
       cs.push_back({name, [name = name, meets = kind.meets] {
                       std::map<std::string, uint64_t> sum;
-                      uint64_t from = FLAGS_seed ? FLAGS_seed : 1, to = FLAGS_seed ? FLAGS_seed : static_cast<uint64_t>(FLAGS_seeds);
+                      uint64_t from = FLAGS_seed ? FLAGS_seed : 1,
+                               to = FLAGS_seed ? FLAGS_seed : static_cast<uint64_t>(FLAGS_seeds);
                       std::string bad;
                       for (auto s = from; s <= to; ++s) try {
                           test::play(name, s, s % 2 == 0, FLAGS_load, sum);
@@ -33,7 +34,8 @@
                           bad += std::string(bad.empty() ? "" : "\n") + e.what();
                         }
                       for (auto& m : meets)
-                        if (!FLAGS_seed && !sum["met_" + m]) bad += (bad.empty() ? "" : "\n") + m + " was never met";
+                        if (!FLAGS_seed && !sum["met_" + m])
+                          bad += (bad.empty() ? "" : "\n") + m + " was never met";
                       if (FLAGS_figures) {
                         std::cout << name << ":";
                         for (auto& [k, v] : sum) std::cout << " " << k << " " << v;
--- a/test/platform/operator.cpp
+++ b/test/platform/operator.cpp
@@ -8,8 +8,8 @@
 constexpr Duration kAck{4000};
 }
 
-std::pair<int, std::string> Operator::call(const std::string& method, const std::string& target, const std::string& body, Duration most,
-                                           const std::string& what) {
+std::pair<int, std::string> Operator::call(const std::string& method, const std::string& target,
+                                           const std::string& body, Duration most, const std::string& what) {
   auto& w = f_.world();
   TimePoint from = w.now(), end = from + most;
   Duration pause{100};
@@ -28,7 +28,8 @@
     if (st / 100 == 2) return last_by = h.name, std::pair(st, x.receipt.body);
     if (st == 400 || st == 409 || st == 412 || st == 413 || st == 422) return {st, x.receipt.body};
     if (st / 100 == 4 && st != 408 && st != 429 && ++fours == 3) return {st, x.receipt.body};
-    if (w.now() - from > kAck && !told && !what.empty()) told = true, d_.late.push_back({what, from, w.now()});
+    if (w.now() - from > kAck && !told && !what.empty())
+      told = true, d_.late.push_back({what, from, w.now()});
     if (w.now() > end) return {0, {}};
     f_.sleep(pause);
     pause = std::min<Duration>(pause * 3 / 2, Duration(1000));
@@ -48,12 +49,15 @@
   return st;
 }
 
-bool Operator::put(const Page& p) { return put_text(fmt::format("configuration {}", p.revision), p, p.text(), true) == 200; }
+bool Operator::put(const Page& p) {
+  return put_text(fmt::format("configuration {}", p.revision), p, p.text(), true) == 200;
+}
 
 bool Operator::purge(const std::string& host, const std::string& path, const std::string& tag) {
   d_.purges.push_back({host, path, tag, f_.world().now(), {}});
   auto place = d_.purges.size() - 1;
-  auto body = tag.empty() ? fmt::format(R"({{"hostname":"{}","path":"{}"}})", host, path) : fmt::format(R"({{"tag":"{}"}})", tag);
+  auto body = tag.empty() ? fmt::format(R"({{"hostname":"{}","path":"{}"}})", host, path)
+                          : fmt::format(R"({{"tag":"{}"}})", tag);
   auto [st, text] = call("POST", "/purge", body, kAck, "purge of " + (tag.empty() ? path : tag));
   if (st / 100 == 2) d_.purges[place].taken = f_.world().now();
   return st / 100 == 2;
@@ -63,7 +67,8 @@
   auto now = f_.world().now();
   d_.moves.push_back({service, version, {}, bad, now, now + within, {}, {}});
   auto place = d_.moves.size() - 1;
-  auto body = fmt::format(R"({{"backend":"{}","target-revision":"{}","rollout-within-s":{}}})", service, version, within.count() / 1000);
+  auto body = fmt::format(R"({{"backend":"{}","target-revision":"{}","rollout-within-s":{}}})", service,
+                          version, within.count() / 1000);
   auto [st, text] = call("POST", "/rollouts", body, kAck, "rollout of " + service);
   if (st / 100 == 2) d_.moves[place].taken = f_.world().now();
   return st / 100 == 2;
--- a/test/platform/page.hpp
+++ b/test/platform/page.hpp
@@ -8,7 +8,7 @@
 
 namespace dunlinwing::test {
 
-struct Line {  // a route
+struct Line {                            // a route
   std::string name, host, prefix, kind;  // kind: idempotent, non_idempotent, cacheable
   double timeout_s = 1.5, aim_s = 0.2, keep_s = 0;
   int priority = 1, attempts = 2;
--- a/test/platform/people.hpp
+++ b/test/platform/people.hpp
@@ -8,12 +8,12 @@
 class Clients {
  public:
   Clients(simulation::Fleet& f, Diary& d) : f_(f), d_(d) {}
-  void knock();                                 // keeps asking every node whether it is ready
+  void knock();  // keeps asking every node whether it is ready
   void come(const Page& p, int per_second, TimePoint until);
   void probe(const std::string& host, const std::string& target);  // to each node that takes clients
-  void page(const Page& p) { page_ = p; }        // from now on clients want what it offers
-  bool impatient = false;                       // do not wait as told
-  uint64_t wanted = 0, served = 0;              // requests, their tries taken together
+  void page(const Page& p) { page_ = p; }                          // from now on clients want what it offers
+  bool impatient = false;                                          // do not wait as told
+  uint64_t wanted = 0, served = 0;                                 // requests, their tries taken together
   bool all_in() const;
 
  private:
@@ -30,16 +30,17 @@
 class Operator {
  public:
   Operator(simulation::Fleet& f, Diary& d) : f_(f), d_(d) {}
-  bool put(const Page& p);                      // sent until it gets a clear answer
+  bool put(const Page& p);  // sent until it gets a clear answer
   int put_text(const std::string& what, const Page& p, const std::string& text, bool valid);
   bool purge(const std::string& host, const std::string& path, const std::string& tag);
   bool move(const std::string& service, const std::string& version, Duration within, bool bad);
   std::string state(const std::string& service, std::string* version = nullptr);
   void read_back(Duration over);
-  std::string last_by;                          // who took the last order
+  std::string last_by;  // who took the last order
 
  private:
-  std::pair<int, std::string> call(const std::string& method, const std::string& target, const std::string& body, Duration most, const std::string& what);
+  std::pair<int, std::string> call(const std::string& method, const std::string& target,
+                                   const std::string& body, Duration most, const std::string& what);
   simulation::Fleet& f_;
   Diary& d_;
 };
--- a/test/platform/rules.cpp
+++ b/test/platform/rules.cpp
@@ -9,7 +9,8 @@
 
 namespace dunlinwing::test {
 namespace {
-constexpr Duration kApply{2000}, kRevert{250}, kDrain{2000}, kPurge{2000}, kStaleSlack{2000}, kRollback{5000}, kWindow{10000}, kCeiling{5000};
+constexpr Duration kApply{2000}, kRevert{250}, kDrain{2000}, kPurge{2000}, kStaleSlack{2000}, kRollback{5000},
+    kWindow{10000}, kCeiling{5000};
 
 struct Bench {
   const Diary& d;
@@ -42,11 +43,14 @@
       auto& m = f->second;
       auto body = m.body;
       if (auto c = base::header(r.headers, "Content-Range"); r.status == 206 && c.starts_with("bytes ")) {
-        auto first = std::strtoull(c.c_str() + 6, nullptr, 10), last = std::strtoull(c.c_str() + c.find('-') + 1, nullptr, 10);
+        auto first = std::strtoull(c.c_str() + 6, nullptr, 10),
+             last = std::strtoull(c.c_str() + c.find('-') + 1, nullptr, 10);
         body = first <= last && last < m.body.size() ? m.body.substr(first, last - first + 1) : "?";
       }
-      if (r.body != body) say("MIXED", fmt::format("not the worker's whole body for {} at {}: {}", t.target, t.relay, r.body));
-      if (m.target != t.target || (!m.object && m.id != id)) say("MIXED", fmt::format("{} {} got what was made for {} {}", id, t.target, m.id, m.target));
+      if (r.body != body)
+        say("MIXED", fmt::format("not the worker's whole body for {} at {}: {}", t.target, t.relay, r.body));
+      if (m.target != t.target || (!m.object && m.id != id))
+        say("MIXED", fmt::format("{} {} got what was made for {} {}", id, t.target, m.id, m.target));
       if (m.failed) say("MIXED", "a failure came as a success");
     }
   }
@@ -61,7 +65,8 @@
         continue;
       }
       if (t->method != a.method || t->target != a.target || t->body != a.body)
-        say("UNASKED", fmt::format("{} ran {} {} for {} {}", a.instance, a.method, a.target, t->method, t->target));
+        say("UNASKED",
+            fmt::format("{} ran {} {} for {} {}", a.instance, a.method, a.target, t->method, t->target));
     }
   }
 
@@ -71,7 +76,8 @@
       auto n = runs.count(id) ? runs[id].size() : 0;
       if (n > 1) say("TWICE", fmt::format("{} ran {} times", id, n));
       int st = t.whole ? t.receipt.status : 0;
-      if (n && (st == 429 || st == 503 || st == 408 || st == 421)) say("REFUSED", fmt::format("{} got {} and ran", id, st));
+      if (n && (st == 429 || st == 503 || st == 408 || st == 421))
+        say("REFUSED", fmt::format("{} got {} and ran", id, st));
     }
   }
 
@@ -90,21 +96,27 @@
     for (auto& a : d.arrivals) {
       auto* t = asked(a.id);
       if (!a.ran || !t) continue;
-      bool ever = std::any_of(d.stated.begin(), d.stated.end(),
-                              [&](auto& s) { return s.valid && s.sent <= a.at && s.page.leads(t->host, t->target, a.service); });
-      if (!ever) say("ROUTE", fmt::format("{} {} ran at {} of {}", t->host, t->target, a.instance, a.service));
+      bool ever = std::any_of(d.stated.begin(), d.stated.end(), [&](auto& s) {
+        return s.valid && s.sent <= a.at && s.page.leads(t->host, t->target, a.service);
+      });
+      if (!ever)
+        say("ROUTE", fmt::format("{} {} ran at {} of {}", t->host, t->target, a.instance, a.service));
       if (!ever || !in_touch(d, t->relay, a.at)) continue;
       auto v = may_hold(t->sent, a.at);
-      if (std::none_of(v.begin(), v.end(), [&](auto* s) { return s->page.leads(t->host, t->target, a.service); }))
-        say("CONFIG", fmt::format("late at {}: {} {} ran at {} after {}", t->relay, t->host, t->target, a.service, v.empty() ? 0 : v.front()->page.revision));
+      if (std::none_of(v.begin(), v.end(),
+                       [&](auto* s) { return s->page.leads(t->host, t->target, a.service); }))
+        say("CONFIG", fmt::format("late at {}: {} {} ran at {} after {}", t->relay, t->host, t->target,
+                                  a.service, v.empty() ? 0 : v.front()->page.revision));
     }
     size_t denied = 0;
     std::string which;
     for (auto& [id, t] : d.tries) {
       int st = t.whole ? t.receipt.status : 0;
-      if (st / 100 != 4 || st == 408 || st == 421 || st == 429 || st == 416 || !in_touch(d, t.relay, t.ended)) continue;
+      if (st / 100 != 4 || st == 408 || st == 421 || st == 429 || st == 416 || !in_touch(d, t.relay, t.ended))
+        continue;
       auto v = may_hold(t.sent, t.ended);
-      bool there = !v.empty() && std::all_of(v.begin(), v.end(), [&](auto* s) { return s->page.match(t.host, t.target); });
+      bool there = !v.empty() &&
+                   std::all_of(v.begin(), v.end(), [&](auto* s) { return s->page.match(t.host, t.target); });
       if (!there) continue;
       ++denied;
       which = fmt::format("{} to {} {} at {}", st, t.host, t.target, t.relay);
@@ -133,7 +145,8 @@
       auto& v = shown[t->life];
       for (auto& x : v)
         if (t->sent > x.at + kRevert && most < x.least)
-          say("CONFIG", fmt::format("back at {}: {} of {} after {} was seen", t->relay, t->target, most, x.least));
+          say("CONFIG",
+              fmt::format("back at {}: {} of {} after {} was seen", t->relay, t->target, most, x.least));
       if (v.empty() || least > v.back().least) v.push_back({least, a.at});
     }
   }
@@ -147,12 +160,15 @@
     };
     for (auto& s : d.stated) {
       if (!s.valid && s.taken) say("CONFIG", "acknowledged though invalid: " + s.what);
-      if (!s.valid && s.refused / 100 != 4) say("CONFIG", fmt::format("invalid, and {} to it: {}", s.refused, s.what));
-      if (s.valid && s.refused / 100 == 4) say("CONFIG", fmt::format("valid, and {} to it: {}", s.refused, s.what));
+      if (!s.valid && s.refused / 100 != 4)
+        say("CONFIG", fmt::format("invalid, and {} to it: {}", s.refused, s.what));
+      if (s.valid && s.refused / 100 == 4)
+        say("CONFIG", fmt::format("valid, and {} to it: {}", s.refused, s.what));
     }
     if (newest(TimePoint::max()) && d.read_back.empty()) say("CONFIG", "it does not come when read back");
     for (auto& [n, text, asked] : d.read_back) {
-      if (n < newest(asked)) say("CONFIG", fmt::format("{} is read back, and {} was acknowledged", n, newest(asked)));
+      if (n < newest(asked))
+        say("CONFIG", fmt::format("{} is read back, and {} was acknowledged", n, newest(asked)));
       if (std::none_of(d.stated.begin(), d.stated.end(), [&](auto& s) { return s.valid && s.text == text; }))
         say("CONFIG", fmt::format("what is read back under {} was never sent", n));
     }
@@ -163,7 +179,8 @@
       if (!in_touch(d, l.by, l.at)) continue;
       for (auto& a : d.arrivals)
         if (a.instance == l.instance && !a.other && a.at > l.at + kDrain && in_touch(d, a.relay, a.at))
-          say("DRAIN", fmt::format("{} got a request from {} {} ms after {} took its word", a.instance, a.relay, (a.at - l.at).count(), l.by));
+          say("DRAIN", fmt::format("{} got a request from {} {} ms after {} took its word", a.instance,
+                                   a.relay, (a.at - l.at).count(), l.by));
     }
   }
 
@@ -176,7 +193,8 @@
     for (auto& [id, t] : d.tries)
       for (auto& s : d.stated)
         if (auto* l = s.valid && s.taken && *s.taken <= t.sent ? s.page.match(t.host, t.target) : nullptr) {
-          for (auto& [to, weight] : l->to) asked_for[to].emplace_back(t.sent, 1.0 / static_cast<double>(l->to.size()));
+          for (auto& [to, weight] : l->to)
+            asked_for[to].emplace_back(t.sent, 1.0 / static_cast<double>(l->to.size()));
           break;
         }
     for (auto& [service, v] : again)
@@ -191,7 +209,8 @@
         auto from = v[i] - kWindow;
         double most = 0.2 * std::max({in(from), in(from - kWindow), in(from - kWindow / 2)}) + 64;
         if (static_cast<double>(i - j + 1) > most) {
-          say("BUDGET", fmt::format("{}: {} further arrivals in ten seconds, {:.0f} allowed", service, i - j + 1, most));
+          say("BUDGET", fmt::format("{}: {} further arrivals in ten seconds, {:.0f} allowed", service,
+                                    i - j + 1, most));
           break;
         }
       }
@@ -210,8 +229,10 @@
         mine += here && in_touch(d, a.relay, a.at);
         if (here && a.ran && a.bad && ++bad == 50) fiftieth = a.at;
         auto* t = asked(a.id);
-        if (here && fiftieth && t && t->sent > *fiftieth + kRollback && (d.shaken.empty() || d.shaken.back() < *fiftieth) && in_touch(d, a.relay, a.at))
-          say("EXPOSURE", fmt::format("{} still gets requests {} ms after its 50th bad answer", m.version, (t->sent - *fiftieth).count()));
+        if (here && fiftieth && t && t->sent > *fiftieth + kRollback &&
+            (d.shaken.empty() || d.shaken.back() < *fiftieth) && in_touch(d, a.relay, a.at))
+          say("EXPOSURE", fmt::format("{} still gets requests {} ms after its 50th bad answer", m.version,
+                                      (t->sent - *fiftieth).count()));
       }
       if (mine > 0.1 * all + 50) say("EXPOSURE", fmt::format("{} got {} of {}", m.version, mine, all));
     }
@@ -222,19 +243,23 @@
       if (!t.whole || t.receipt.status / 100 != 2 || !in_touch(d, t.relay, t.sent)) continue;
       auto f = d.made.find(base::header(t.receipt.headers, "Edge-Signature"));
       auto g = d.replaced.find(t.target);
-      if (f == d.made.end() || g == d.replaced.end() || !f->second.object || f->second.version >= g->second.size()) continue;
+      if (f == d.made.end() || g == d.replaced.end() || !f->second.object ||
+          f->second.version >= g->second.size())
+        continue;
       TimePoint gone = g->second[f->second.version];
       auto tag = d.tags.count(t.target) ? d.tags.at(t.target) : "";
       for (auto& p : d.purges) {
         bool named = p.tag.empty() ? p.host == t.host && p.path == t.target : p.tag == tag || p.tag == "tall";
         if (named && p.taken && p.sent >= gone && t.sent > *p.taken + kPurge)
-          say("STALE", fmt::format("{} at {} {} ms after its purge was acknowledged", t.target, t.relay, (t.sent - *p.taken).count()));
+          say("STALE", fmt::format("{} at {} {} ms after its purge was acknowledged", t.target, t.relay,
+                                   (t.sent - *p.taken).count()));
       }
       double keep = 0;
       for (auto& s : d.stated)
         if (auto* l = s.valid ? s.page.match(t.host, t.target) : nullptr) keep = std::max(keep, l->keep_s);
       if (t.sent > gone + Duration(static_cast<int64_t>(keep * 1000)) + kStaleSlack)
-        say("STALE", fmt::format("{} at {} {} ms after it was replaced", t.target, t.relay, (t.sent - gone).count()));
+        say("STALE",
+            fmt::format("{} at {} {} ms after it was replaced", t.target, t.relay, (t.sent - gone).count()));
     }
   }
 
@@ -261,14 +286,17 @@
   void lost() {
     for (auto& [id, t] : d.tries) {
       if (t.whole || !t.read || t.ended >= t.deadline || t.probe || d.unplanned) continue;
-      bool planned = std::any_of(d.terms.begin(), d.terms.end(), [&](auto& x) { return x.second == t.relay && t.ended >= x.first && t.ended < x.first + Duration(7000); });
+      bool planned = std::any_of(d.terms.begin(), d.terms.end(), [&](auto& x) {
+        return x.second == t.relay && t.ended >= x.first && t.ended < x.first + Duration(7000);
+      });
       if (planned) say("LOST", fmt::format("{} was broken off at {} by its planned end", id, t.relay));
     }
   }
 
   void orders() {
     for (auto& l : d.late) {
-      bool calm = std::none_of(d.shaken.begin(), d.shaken.end(), [&](TimePoint t) { return t > l.sent - kContact && t < l.ended; });
+      bool calm = std::none_of(d.shaken.begin(), d.shaken.end(),
+                               [&](TimePoint t) { return t > l.sent - kContact && t < l.ended; });
       for (auto& [n, v] : d.harmed)
         for (auto t : v) calm &= t <= l.sent - kContact || t >= l.ended;
       if (calm) say("ACKS", l.what + " had no acknowledgement in four calm seconds");
--- a/test/platform/rules_unit.cpp
+++ b/test/platform/rules_unit.cpp
@@ -27,7 +27,8 @@
 }
 
 Arrival ran(const Try& t, const std::string& service) {
-  return {t.id, t.method, t.host, t.target, t.body, service, "v1", "i-1", "e1", nullptr, t.sent + Duration(2), true, false, false};
+  return {t.id, t.method, t.host, t.target, t.body, service, "v1", "i-1", "e1", nullptr, t.sent + Duration(2),
+          true, false,    false};
 }
 
 // One configuration, acknowledged long ago, and one request of each kind, well served.
@@ -39,8 +40,12 @@
   int n = 0;
   for (auto* k : {"idempotent", "non_idempotent", "cacheable"}) {
     auto id = std::string(k).substr(0, 3);
-    auto t = asked(id, k, k == std::string("cacheable") ? "/obj/1" : k == std::string("idempotent") ? "/get/1" : "/post/1", 10000 + 100 * n++, 200);
-    d.made[ "s-" + id] = {id, t.target, t.receipt.body, 0, t.kind == "cacheable", false, t.sent};
+    auto t = asked(id, k,
+                   k == std::string("cacheable")    ? "/obj/1"
+                   : k == std::string("idempotent") ? "/get/1"
+                                                    : "/post/1",
+                   10000 + 100 * n++, 200);
+    d.made["s-" + id] = {id, t.target, t.receipt.body, 0, t.kind == "cacheable", false, t.sent};
     d.arrivals.push_back(ran(t, t.kind == "cacheable" ? "huvo" : "wuno"));
     d.tries[id] = t;
   }
@@ -58,8 +63,8 @@
   same(first_broken(d), rule, what);
 }
 
-void crowd(Diary& d, const std::string& kind, const std::string& target, const std::string& service, int n, int times, int64_t from, int64_t apart,
-           const std::string& version = "v1", bool bad = false) {
+void crowd(Diary& d, const std::string& kind, const std::string& target, const std::string& service, int n,
+           int times, int64_t from, int64_t apart, const std::string& version = "v1", bool bad = false) {
   for (int i = 0; i < n; ++i) {
     auto t = asked(std::to_string(i) + "x", kind, target, from + i * apart, 503);
     t.receipt.headers.pop_back();
@@ -76,7 +81,8 @@
 
 std::vector<Case> platform_rules_cases() {
   return {
-      {"platform rules: a good day breaks none", [] { same(first_broken(good()), std::string("none"), "rules"); }},
+      {"platform rules: a good day breaks none",
+       [] { same(first_broken(good()), std::string("none"), "rules"); }},
       {"platform rules: MIXED",
        [] {
          fires("MIXED", "no stamp", [](Diary& d) { d.tries["ide"].receipt.headers.pop_back(); });
@@ -99,12 +105,16 @@
          fires("UNASKED", "an id that nobody sent", [](Diary& d) { d.arrivals[0].id = "?"; });
          fires("UNASKED", "a changed body", [](Diary& d) { d.arrivals[1].body = "?"; });
          fires("TWICE", "it ran again", [](Diary& d) { d.arrivals.push_back(d.arrivals[1]); });
-         fires("REFUSED", "a promise", [](Diary& d) { d.tries["non"].receipt = {503, {{"Attempt-Id", "non"}}, ""}; });
-         fires("none", "a repeatable one may run again", [](Diary& d) { d.arrivals.push_back(d.arrivals[0]); });
+         fires("REFUSED", "a promise", [](Diary& d) {
+           d.tries["non"].receipt = {503, {{"Attempt-Id", "non"}}, ""};
+         });
+         fires("none", "a repeatable one may run again",
+               [](Diary& d) { d.arrivals.push_back(d.arrivals[0]); });
        }},
       {"platform rules: ROUTE and CONFIG",
        [] {
-         fires("ROUTE", "a service that no configuration names there", [](Diary& d) { d.arrivals[0].service = "huvo"; });
+         fires("ROUTE", "a service that no configuration names there",
+               [](Diary& d) { d.arrivals[0].service = "huvo"; });
          auto second = [](Diary& d, int64_t sent) {
            auto p = first_page(10);
            p.revision = 5;
@@ -115,7 +125,8 @@
          };
          fires("CONFIG", "late", [&](Diary& d) { second(d, 7000); });
          fires("none", "not yet late", [&](Diary& d) { second(d, 8500); });
-         fires("none", "late, by a machine that was not in touch", [&](Diary& d) { second(d, 7000), d.harmed["e1"] = {at(8000)}; });
+         fires("none", "late, by a machine that was not in touch",
+               [&](Diary& d) { second(d, 7000), d.harmed["e1"] = {at(8000)}; });
          fires("CONFIG", "back", [&](Diary& d) {
            second(d, 8500);
            auto t = asked("new", "idempotent", "/get/2", 9500, 503);
@@ -130,7 +141,9 @@
            t.host = "c.example";
            d.tries["new"] = t;
          });
-         fires("CONFIG", "an older one is read back", [&](Diary& d) { second(d, 60), d.arrivals[0].service = "huvo", d.read_back[0] = {3, d.stated[0].text, at(60000)}; });
+         fires("CONFIG", "an older one is read back", [&](Diary& d) {
+           second(d, 60), d.arrivals[0].service = "huvo", d.read_back[0] = {3, d.stated[0].text, at(60000)};
+         });
          fires("CONFIG", "another text is read back", [](Diary& d) { d.read_back[0].text += " "; });
          fires("CONFIG", "nothing is read back", [](Diary& d) { d.read_back.clear(); });
          auto invalid = [](Diary& d) -> Stated& {
@@ -145,13 +158,18 @@
        [] {
          fires("DRAIN", "after the bound", [](Diary& d) { d.left.push_back({"i-1", "h1", at(7900)}); });
          fires("none", "within it", [](Diary& d) { d.left.push_back({"i-1", "h1", at(8300)}); });
-         fires("none", "told to a machine out of touch", [](Diary& d) { d.left.push_back({"i-1", "h1", at(7900)}), d.harmed["h1"] = {at(6000)}; });
+         fires("none", "told to a machine out of touch", [](Diary& d) {
+           d.left.push_back({"i-1", "h1", at(7900)}), d.harmed["h1"] = {at(6000)};
+         });
        }},
       {"platform rules: BUDGET, EXPOSURE, CEILING",
        [] {
-         fires("BUDGET", "each sent twice", [](Diary& d) { crowd(d, "idempotent", "/get/1", "wuno", 200, 2, 20000, 20); });
-         fires("none", "each sent once", [](Diary& d) { crowd(d, "idempotent", "/get/1", "wuno", 200, 1, 20000, 20); });
-         fires("CEILING", "an origin of ten a second", [](Diary& d) { crowd(d, "cacheable", "/obj/1", "huvo", 100, 1, 20000, 40); });
+         fires("BUDGET", "each sent twice",
+               [](Diary& d) { crowd(d, "idempotent", "/get/1", "wuno", 200, 2, 20000, 20); });
+         fires("none", "each sent once",
+               [](Diary& d) { crowd(d, "idempotent", "/get/1", "wuno", 200, 1, 20000, 20); });
+         fires("CEILING", "an origin of ten a second",
+               [](Diary& d) { crowd(d, "cacheable", "/obj/1", "huvo", 100, 1, 20000, 40); });
          auto move = [](Diary& d, int n, bool all_bad) {
            d.moves.push_back({"wuno", "v2", "rolled_back", true, at(20000), at(32000), at(20010), at(31000)});
            crowd(d, "idempotent", "/get/1", "wuno", n, 1, 20100, 100, "v2", all_bad);
@@ -178,8 +196,12 @@
          auto lost = [](Diary& d) { d.tries["ide"].whole = false, d.terms = {{at(9900), "e1"}}; };
          fires("LOST", "by a planned end", lost);
          fires("none", "in unplanned trouble", [&](Diary& d) { lost(d), d.unplanned = true; });
-         fires("ACKS", "four calm seconds", [](Diary& d) { d.late.push_back({"a purge", at(9000), at(13100)}); });
-         fires("none", "the core was unsettled", [](Diary& d) { d.late.push_back({"a purge", at(9000), at(13100)}), d.shaken = {at(9500)}; });
+         fires("ACKS", "four calm seconds", [](Diary& d) {
+           d.late.push_back({"a purge", at(9000), at(13100)});
+         });
+         fires("none", "the core was unsettled", [](Diary& d) {
+           d.late.push_back({"a purge", at(9000), at(13100)}), d.shaken = {at(9500)};
+         });
        }},
   };
 }
--- a/test/platform/words_unit.cpp
+++ b/test/platform/words_unit.cpp
@@ -31,7 +31,8 @@
   }
 };
 
-void passed(const std::string& method, const std::string& target, const std::string& body, const Asked& want) {
+void passed(const std::string& method, const std::string& target, const std::string& body,
+            const Asked& want) {
   Gate g;
   same(g.call(method, target, body).status, 200, target);
   expect(g.asked.size() == 1, target + ": one call to the product");
@@ -52,16 +53,23 @@
   bool other = false;
   auto& x = **l;
   auto* o = x.match("GET", "a.example:80", "/obj/1?q", other);
-  expect(o && o->kind == traffic::Kind::cacheable && o->keep == Duration(6000) && o->timeout == Duration(1500) && o->aim == Duration(200) && o->priority == 2 &&
-             o->shots == 2 && o->name == "r-obj",
+  expect(o && o->kind == traffic::Kind::cacheable && o->keep == Duration(6000) &&
+             o->timeout == Duration(1500) && o->aim == Duration(200) && o->priority == 2 && o->shots == 2 &&
+             o->name == "r-obj",
          "a cacheable route");
   auto* t = x.match("GET", "B.example", "/get/1", other);
-  expect(t && t->kind == traffic::Kind::safe && t->split.size() == 2 && t->split[0].first == "huvo" && t->split[0].second == 70, "a split");
+  expect(t && t->kind == traffic::Kind::safe && t->split.size() == 2 && t->split[0].first == "huvo" &&
+             t->split[0].second == 70,
+         "a split");
   auto* p = x.match("POST", "a.example", "/post/1", other);
   expect(p && p->kind == traffic::Kind::unsafe && p->split.size() == 1, "a route that may run once");
   expect(!x.match("GET", "c.example", "/get/1", other), "another host");
-  expect(x.services.at("huvo").rate == 590 && x.services.at("huvo").connections == 130 && x.services.at("huvo").probe == "/health", "a service");
-  expect(x.head_bytes == 16384 && x.body_bytes == 67108864 && x.head_time == Duration(3000) && x.idle_time == Duration(15000), "the limits");
+  expect(x.services.at("huvo").rate == 590 && x.services.at("huvo").connections == 130 &&
+             x.services.at("huvo").probe == "/health",
+         "a service");
+  expect(x.head_bytes == 16384 && x.body_bytes == 67108864 && x.head_time == Duration(3000) &&
+             x.idle_time == Duration(15000),
+         "the limits");
 }
 
 void invalid() {
@@ -72,7 +80,9 @@
     same(st, 400, what);
     if (g.asked.empty()) continue;  // it could not be read at all
     auto j = std::get<base::Json>(base::Json::parse(g.asked[0].body));
-    expect(std::holds_alternative<std::vector<base::ValidationError>>(traffic::read_layout("x", j.at("content"))), what + " is no valid layout");
+    expect(std::holds_alternative<std::vector<base::ValidationError>>(
+               traffic::read_layout("x", j.at("content"))),
+           what + " is no valid layout");
   }
 }
 
@@ -93,36 +103,46 @@
 }
 
 void calls() {
-  passed("PUT", "/instances/i-1",
-         R"({"backend":"b","address":"10.0.0.1:80","zone":"z","revision":"v1","slots":32,"state":"ready","cold-remaining-s":1.25,"call-seq":4})",
-         {"POST", "/v1/beats",
-          R"({"service":"b","version":"v1","instance":"i-1","zone":"z","address":"10.0.0.1:80","capacity":32,"leaving":false,"cold_ms":1250,"number":4,"period_ms":1500})"});
-  passed("PUT", "/instances/i-1", R"({"backend":"b","address":"10.0.0.1:80","zone":"z","revision":"v1","slots":3,"state":"draining","call-seq":5})",
-         {"POST", "/v1/beats",
-          R"({"service":"b","version":"v1","instance":"i-1","zone":"z","address":"10.0.0.1:80","capacity":3,"leaving":true,"cold_ms":0,"number":5,"period_ms":1500})"});
+  passed(
+      "PUT", "/instances/i-1",
+      R"({"backend":"b","address":"10.0.0.1:80","zone":"z","revision":"v1","slots":32,"state":"ready","cold-remaining-s":1.25,"call-seq":4})",
+      {"POST", "/v1/beats",
+       R"({"service":"b","version":"v1","instance":"i-1","zone":"z","address":"10.0.0.1:80","capacity":32,"leaving":false,"cold_ms":1250,"number":4,"period_ms":1500})"});
+  passed(
+      "PUT", "/instances/i-1",
+      R"({"backend":"b","address":"10.0.0.1:80","zone":"z","revision":"v1","slots":3,"state":"draining","call-seq":5})",
+      {"POST", "/v1/beats",
+       R"({"service":"b","version":"v1","instance":"i-1","zone":"z","address":"10.0.0.1:80","capacity":3,"leaving":true,"cold_ms":0,"number":5,"period_ms":1500})"});
   passed("DELETE", "/instances/i-1", "", {"DELETE", "/v1/workers/i-1", ""});
-  passed("POST", "/rollouts", R"({"backend":"b","target-revision":"v2","rollout-within-s":12.5})", {"PUT", "/v1/moves/b", R"({"version":"v2","within_ms":12500})"});
-  passed("POST", "/purge", R"({"hostname":"h","path":"/p"})", {"POST", "/v1/purges", R"({"kind":"path","host":"h","path":"/p"})"});
+  passed("POST", "/rollouts", R"({"backend":"b","target-revision":"v2","rollout-within-s":12.5})",
+         {"PUT", "/v1/moves/b", R"({"version":"v2","within_ms":12500})"});
+  passed("POST", "/purge", R"({"hostname":"h","path":"/p"})",
+         {"POST", "/v1/purges", R"({"kind":"path","host":"h","path":"/p"})"});
   passed("POST", "/purge", R"({"tag":"t"})", {"POST", "/v1/purges", R"({"kind":"tag","tag":"t"})"});
   passed("GET", "/readiness", "", {"GET", "/readyz", ""});
   Gate g;
   g.says = {200, {}, R"({"state":"running","version":"v2","why":"x"})"};
-  same(g.call("GET", "/rollouts/b").body, std::string(R"({"state":"running","target-revision":"v2"})"), "a move's state");
+  same(g.call("GET", "/rollouts/b").body, std::string(R"({"state":"running","target-revision":"v2"})"),
+       "a move's state");
   same(g.asked[0].target, std::string("/v1/moves/b"), "where it is read");
   g.says = {503, {}, "{}"};
   same(g.call("GET", "/readiness").status, 503, "not ready");
-  for (auto* bad : {"", "{", "[]"}) same(g.call("POST", "/rollouts", bad).status, 400, "a rollout that cannot be read");
+  for (auto* bad : {"", "{", "[]"})
+    same(g.call("POST", "/rollouts", bad).status, 400, "a rollout that cannot be read");
   same(g.call("PUT", "/instances/i-1", "{").status, 400, "a beat that cannot be read");
   g.says = {409, {}, "{}"};
-  same(g.call("POST", "/rollouts", R"({"backend":"b","target-revision":"v2","rollout-within-s":1})").status, 409, "one is under way");
+  same(g.call("POST", "/rollouts", R"({"backend":"b","target-revision":"v2","rollout-within-s":1})").status,
+       409, "one is under way");
 }
 
 void others() {
-  for (auto* t : {"/v1/layouts/current", "/status", "/instances", "/instances/", "/instances/a/b", "/rollouts", "/rollouts/", "/configuration/x", "/"}) {
+  for (auto* t : {"/v1/layouts/current", "/status", "/instances", "/instances/", "/instances/a/b",
+                  "/rollouts", "/rollouts/", "/configuration/x", "/"}) {
     Gate g;
     g.says = {207, {}, "as it is"};
     auto r = g.call("GET", t);
-    expect(r.status == 207 && r.body == "as it is" && g.asked.size() == 1 && g.asked[0].target == t, std::string(t) + " is the product's own");
+    expect(r.status == 207 && r.body == "as it is" && g.asked.size() == 1 && g.asked[0].target == t,
+           std::string(t) + " is the product's own");
   }
 }
 
@@ -136,37 +156,50 @@
   auto f = platform::face();
   traffic::Worker w{"i-1", "b", "v1", "z", "10.0.0.1:80"};
   base::Request q{"id1", "GET", "/", "", {}};
-  auto look = [&](int st, std::vector<std::pair<std::string, std::string>> hs) { return f->look({st, std::move(hs), "x"}, w, q); };
+  auto look = [&](int st, std::vector<std::pair<std::string, std::string>> hs) {
+    return f->look({st, std::move(hs), "x"}, w, q);
+  };
   auto is = [&](Look want, int st, std::vector<std::pair<std::string, std::string>> hs) {
     expect(look(st, hs) == want, fmt::format("{} with {} headers", st, hs.size()));
   };
   is(Look::good, 200, {{"Attempt-Id", "id1"}, {"Edge-Signature", "s"}});
   is(Look::good, 404, {{"Attempt-Id", "id1"}, {"Edge-Signature", "s"}});
   is(Look::good, 304, {{"Attempt-Id", "id1"}});
-  is(Look::broken, 200, {{"Attempt-Id", "id1"}});                                 // without the stamp
-  is(Look::broken, 200, {{"Attempt-Id", "id0"}, {"Edge-Signature", "s"}});        // another's
-  is(Look::broken, 200, {{"Edge-Signature", "s"}});                               // nobody's
+  is(Look::broken, 200, {{"Attempt-Id", "id1"}});                           // without the stamp
+  is(Look::broken, 200, {{"Attempt-Id", "id0"}, {"Edge-Signature", "s"}});  // another's
+  is(Look::broken, 200, {{"Edge-Signature", "s"}});                         // nobody's
   is(Look::broken, 200, {{"Attempt-Id", "id1"}, {"Edge-Signature", "s"}, {"Content-Encoding", "gzip"}});
   is(Look::answered_badly, 500, {{"Attempt-Id", "id1"}});
   is(Look::answered_badly, 504, {{"Attempt-Id", "id1"}});
   is(Look::elsewhere, 421, {{"Instance-Id", "i-2"}});
   for (int st : {400, 429, 503}) is(Look::not_run, st, {{"Not-Executed", "1"}});
-  for (int st : {408, 429, 503}) is(Look::broken, st, {{"Attempt-Id", "id1"}});   // promises that the worker did not make
-  is(Look::broken, 503, {{"Attempt-Id", "id0"}, {"Not-Executed", "1"}});          // said of another request
+  for (int st : {408, 429, 503})
+    is(Look::broken, st, {{"Attempt-Id", "id1"}});  // promises that the worker did not make
+  is(Look::broken, 503, {{"Attempt-Id", "id0"}, {"Not-Executed", "1"}});  // said of another request
 }
 
 void requests() {
   auto f = platform::face();
   Draw c;
-  base::Request q{"", "GET", "/", "", {{"Attempt-Id", "id1"}, {"Time-Remaining", "480"}, {"Connection", "x-one"}, {"X-One", "1"}, {"X-Two", "2"}}};
+  base::Request q{"",
+                  "GET",
+                  "/",
+                  "",
+                  {{"Attempt-Id", "id1"},
+                   {"Time-Remaining", "480"},
+                   {"Connection", "x-one"},
+                   {"X-One", "1"},
+                   {"X-Two", "2"}}};
   auto a = f->read(q, c);
   expect(a.id == "id1" && a.left == Duration(480), "what a client says of itself");
   q.id = a.id;
   traffic::Worker w{"i-1", "b", "v1", "z", "10.0.0.1:80"};
   f->dress(q, {w, "e1", 3, Duration(333)});
   auto h = [&](const char* n) { return base::header(q.headers, n); };
-  expect(h("Attempt-Id") == "id1" && h("Time-Remaining") == "333" && h("Target-Instance") == "i-1", "what a worker is told");
-  expect(h("X-One").empty() && h("Connection").empty() && h("X-Two") == "2", "what concerns one connection goes");
+  expect(h("Attempt-Id") == "id1" && h("Time-Remaining") == "333" && h("Target-Instance") == "i-1",
+         "what a worker is told");
+  expect(h("X-One").empty() && h("Connection").empty() && h("X-Two") == "2",
+         "what concerns one connection goes");
   base::Request bare{"", "GET", "/", "", {{"Time-Remaining", "soon"}}};
   auto b = f->read(bare, c);
   expect(!b.id.empty() && !b.left, "nothing that can be read");
@@ -176,16 +209,20 @@
   auto f = platform::face();
   auto r = f->say(503, "full", traffic::Outcome::not_run, Duration(1250));
   expect(r.status == 503 && base::header(r.headers, "Retry-After") == "1.250", "fractions of a second");
-  expect(base::header(f->say(502, "x", traffic::Outcome::unknown, {}).headers, "Retry-After").empty(), "none when it does not help");
-  base::Response kept{200, {{"Attempt-Id", "first"}, {"Edge-Signature", "s"}, {"Connection", "close"}, {"ETag", "e"}}, "x"};
+  expect(base::header(f->say(502, "x", traffic::Outcome::unknown, {}).headers, "Retry-After").empty(),
+         "none when it does not help");
+  base::Response kept{
+      200, {{"Attempt-Id", "first"}, {"Edge-Signature", "s"}, {"Connection", "close"}, {"ETag", "e"}}, "x"};
   f->clean(kept);
   f->send(kept, "second", 0);
-  expect(base::header(kept.headers, "Attempt-Id") == "second" && base::header(kept.headers, "Edge-Signature") == "s" &&
+  expect(base::header(kept.headers, "Attempt-Id") == "second" &&
+             base::header(kept.headers, "Edge-Signature") == "s" &&
              base::header(kept.headers, "Connection").empty() && base::header(kept.headers, "ETag") == "e",
          "a kept copy goes out under the id of who asks");
   base::Response told{200, {{"Server-Load", "3,1,8"}, {"Object-Tags", "t1 t2"}}, ""};
   auto l = f->load(told);
-  expect(l && l->running == 3 && l->waiting == 1 && l->slots == 8 && f->tags(told).size() == 2, "load and tags");
+  expect(l && l->running == 3 && l->waiting == 1 && l->slots == 8 && f->tags(told).size() == 2,
+         "load and tags");
   expect(!f->load({200, {{"Server-Load", "3"}}, ""}), "a load that cannot be read");
 }
 
@@ -197,10 +234,14 @@
     std::ifstream in(e.path());
     std::stringstream b;
     b << in.rdbuf();
-    for (auto* word : {"Attempt-Id", "Time-Remaining", "Target-Instance", "Edge-Signature", "Not-Executed", "Server-Load", "Object-Tags", "Instance-Id",
-                       "/instances", "/rollouts", "/configuration", "\"/readiness", "entry-kind", "path-prefix", "traffic-split", "route-type",
-                       "target-latency-s", "max-attempts", "cache-ttl-s", "call-seq", "cold-remaining-s", "rollout-within-s", "target-revision", "beat-target"})
-      expect(b.str().find(word) == std::string::npos, fmt::format("{} stands in {}", word, e.path().filename().string()));
+    for (auto* word :
+         {"Attempt-Id",       "Time-Remaining",   "Target-Instance", "Edge-Signature", "Not-Executed",
+          "Server-Load",      "Object-Tags",      "Instance-Id",     "/instances",     "/rollouts",
+          "/configuration",   "\"/readiness",     "entry-kind",      "path-prefix",    "traffic-split",
+          "route-type",       "target-latency-s", "max-attempts",    "cache-ttl-s",    "call-seq",
+          "cold-remaining-s", "rollout-within-s", "target-revision", "beat-target"})
+      expect(b.str().find(word) == std::string::npos,
+             fmt::format("{} stands in {}", word, e.path().filename().string()));
   }
 }
 }  // namespace
--- a/test/platform/yard.cpp
+++ b/test/platform/yard.cpp
@@ -36,11 +36,13 @@
 std::vector<Server*> Yard::of(const std::string& service, const std::string& version) {
   std::vector<Server*> out;
   for (auto& s : all_)
-    if (s->alive && !s->draining && s->service == service && (version.empty() || s->version == version)) out.push_back(s.get());
+    if (s->alive && !s->draining && s->service == service && (version.empty() || s->version == version))
+      out.push_back(s.get());
   return out;
 }
 
-Server& Yard::add(const std::string& service, const std::string& version, Duration cold, const std::string& address) {
+Server& Yard::add(const std::string& service, const std::string& version, Duration cold,
+                  const std::string& address) {
   auto n = ++named_;
   auto s = std::make_unique<Server>();
   s->id = fmt::format("i-{}", n);
@@ -76,7 +78,8 @@
   if (q.method == "PUT")
     q.body = fmt::format(
         R"({{"backend":"{}","address":"{}","zone":"{}","revision":"{}","slots":{},"state":"{}","cold-remaining-s":{},"call-seq":{}}})",
-        s.service, s.address, s.zone, s.version, s.slots, draining ? "draining" : "ready", static_cast<double>(cold) / 1000, ++s.calls);
+        s.service, s.address, s.zone, s.version, s.slots, draining ? "draining" : "ready",
+        static_cast<double>(cold) / 1000, ++s.calls);
   Duration pause{50};
   // An end is said for some seconds, a beat to a few nodes.
   TimePoint from = w.now();
@@ -116,7 +119,8 @@
   Made m{id, q.target, {}, 0, is_object(q.target) && q.method == "GET", fails, f_.world().now()};
   base::Response r{fails ? 500 : 200, {}, {}};
   if (!id.empty()) r.headers.emplace_back("Attempt-Id", id);
-  if (s.tells_load) r.headers.emplace_back("Server-Load", fmt::format("{},{},{}", s.running, s.waiting, s.slots));
+  if (s.tells_load)
+    r.headers.emplace_back("Server-Load", fmt::format("{},{},{}", s.running, s.waiting, s.slots));
   if (s.draining) r.headers.emplace_back("Connection", "close");
   if (m.object) m.version = d_.replaced[q.target].size();
   m.body = m.object ? fmt::format("{} {} {} {}", s.service, q.target, m.version, std::string(64, 'o'))
@@ -145,7 +149,8 @@
   return r;
 }
 
-Yard::Shot Yard::send(const simulation::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& rules) {
+Yard::Shot Yard::send(const simulation::LifePtr& l, const std::string& address, const base::Request& q,
+                      const base::AttemptRules& rules) {
   auto& w = f_.world();
   auto end = w.now() + rules.limit;
   auto sleep = [&](Duration t) {
@@ -157,19 +162,21 @@
   if (!s) return base::AttemptError::unsent;
   if (s->dark) {
     bool kept = w.below(3) == 0;  // on a connection that stood already it is sent into the dark
-    sleep(kept ? rules.limit : std::min(rules.limit, rules.connect > Duration(0) ? rules.connect : rules.limit));
+    sleep(kept ? rules.limit
+               : std::min(rules.limit, rules.connect > Duration(0) ? rules.connect : rules.limit));
     return kept ? base::AttemptError::unknown : base::AttemptError::unsent;
   }
   auto h = [&](const char* n) { return base::header(q.headers, n); };
   auto name = s->id, meant = h("Target-Instance");
   bool other = !meant.empty() && meant != name;
-  d_.arrivals.push_back({h("Attempt-Id"), q.method, h("Host"), q.target, q.body, s->service, s->version, name, l->host, l.get(), w.now(),
-                         false, false, other});
+  d_.arrivals.push_back({h("Attempt-Id"), q.method, h("Host"), q.target, q.body, s->service, s->version, name,
+                         l->host, l.get(), w.now(), false, false, other});
   auto place = d_.arrivals.size() - 1;
   auto not_run = [&](int status) {
     ++w.met[fmt::format("not_run_{}", status)];
     base::Response r{status, {{"Not-Executed", "1"}}, {}};
-    if (s->tells_load) r.headers.emplace_back("Server-Load", fmt::format("{},{},{}", s->running, s->waiting, s->slots));
+    if (s->tells_load)
+      r.headers.emplace_back("Server-Load", fmt::format("{},{},{}", s->running, s->waiting, s->slots));
     return r;
   };
   if (other) return ++w.met["elsewhere"], base::Response{421, {{"Instance-Id", name}}, {}};
--- a/test/platform/yard.hpp
+++ b/test/platform/yard.hpp
@@ -14,19 +14,21 @@
   int slower = 1;
   TimePoint warm_at{0};
   uint64_t calls = 0;
-  int lose = 0, cut = 0, spoil = 0, extra = 0;       // in a thousand
+  int lose = 0, cut = 0, spoil = 0, extra = 0;        // in a thousand
   std::function<int(const std::string& target)> bad;  // times slower, 0: it fails; for bad versions
-  std::optional<base::Response> late;                  // an answer too many, not yet sent
+  std::optional<base::Response> late;                 // an answer too many, not yet sent
 };
 
 class Yard {
  public:
   Yard(simulation::Fleet& f, Diary& d) : f_(f), d_(d) {}
   using Shot = std::variant<base::Response, base::AttemptError>;
-  Shot send(const simulation::LifePtr& l, const std::string& address, const base::Request& q, const base::AttemptRules& r);
+  Shot send(const simulation::LifePtr& l, const std::string& address, const base::Request& q,
+            const base::AttemptRules& r);
   bool stands(const std::string& address);
-  Server& add(const std::string& service, const std::string& version = "v1", Duration cold = Duration(0), const std::string& address = {});
-  void drain(Server& s);   // says so, serves on, says that it has ended, and ends
+  Server& add(const std::string& service, const std::string& version = "v1", Duration cold = Duration(0),
+              const std::string& address = {});
+  void drain(Server& s);  // says so, serves on, says that it has ended, and ends
   void crash(Server& s, bool dark = false);
   std::vector<Server*> of(const std::string& service, const std::string& version = {});
   void change(const std::string& target);  // an object is replaced
--- a/test/replica_repair_unit.cpp
+++ b/test/replica_repair_unit.cpp
@@ -1,18 +1,19 @@
 // The step that keeps the set of holders, and the first set.
-#include "membership/replica_repair.hpp"
 #include "membership/discovery.hpp"
+#include "membership/replica_repair.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
 namespace {
-using membership::RepairCandidate;
 using membership::ClusterView;
+using membership::RepairCandidate;
 
 RepairCandidate node(const std::string& name, const std::string& zone, bool votes) {
   return {name, zone, "at:" + name, true, true, votes, Duration(0)};
 }
 ClusterView three(int tolerate) {
-  ClusterView s{{}, {node("a", "1", true), node("b", "2", true), node("c", "2", true)}, tolerate, Duration(2000)};
+  ClusterView s{
+      {}, {node("a", "1", true), node("b", "2", true), node("c", "2", true)}, tolerate, Duration(2000)};
   for (auto& n : s.nodes) s.set.push_back({n.name, n.address});
   return s;
 }
@@ -78,13 +79,16 @@
   for (auto& k : s.nodes) k.present = true, k.votes = in(k.name), k.absent = Duration(0);
   int steps = 0;
   while (take()) RC_ASSERT(++steps < 40);
-  RC_ASSERT(s.set.size() >= std::min<size_t>({static_cast<size_t>(n), static_cast<size_t>(2 * tolerate + 1), 9}));
+  RC_ASSERT(s.set.size() >=
+            std::min<size_t>({static_cast<size_t>(n), static_cast<size_t>(2 * tolerate + 1), 9}));
 }
 }  // namespace
 
 std::vector<Case> keepers_cases() {
   return {
-      property("replica_repair: whatever comes and goes, a majority stays and the set comes to what is wanted", any_course),
+      property(
+          "replica_repair: whatever comes and goes, a majority stays and the set comes to what is wanted",
+          any_course),
       {"replica_repair: the zone with fewest holders gives the next",
        [] {
          auto s = three(2);
@@ -122,17 +126,22 @@
        }},
       {"discovery: the first set is the seeds with a disk, in one order",
        [] {
-         membership::Self a{"a", "1", "p:a", true, {}}, b{"b", "2", "p:b", false, {}}, c{"c", "3", "p:c", true, {}};
+         membership::Self a{"a", "1", "p:a", true, {}}, b{"b", "2", "p:b", false, {}},
+             c{"c", "3", "p:c", true, {}};
          auto x = membership::first_set({c, b, a}), y = membership::first_set({a, c, b, a});
-         expect(x && y && x->SerializeAsString() == y->SerializeAsString() && x->holders_size() == 2 && x->epoch() == 1, "not one set");
+         expect(x && y && x->SerializeAsString() == y->SerializeAsString() && x->holders_size() == 2 &&
+                    x->epoch() == 1,
+                "not one set");
          expect(!membership::first_set({b}), "a set without a disk");
          membership::Self d{"a", "1", "p:d", true, {}};
          expect(!membership::first_set({a, d}), "two that go by one name");
        }},
       {"discovery: what a relay tells of itself is read back",
        [] {
-         auto s = membership::read_self(R"({"name":"a","zone":"z","peer_address":"p","disk":true,"epoch":3,"holders":[{"name":"h","address":"q"}]})");
-         expect(s && s->name == "a" && s->disk && s->set.epoch() == 3 && s->set.holders(0).address() == "q", "read wrongly");
+         auto s = membership::read_self(
+             R"({"name":"a","zone":"z","peer_address":"p","disk":true,"epoch":3,"holders":[{"name":"h","address":"q"}]})");
+         expect(s && s->name == "a" && s->disk && s->set.epoch() == 3 && s->set.holders(0).address() == "q",
+                "read wrongly");
          expect(!membership::read_self("{}") && !membership::read_self("x"), "taken without a name");
        }},
   };
--- a/test/rollout_stories.cpp
+++ b/test/rollout_stories.cpp
@@ -32,7 +32,8 @@
             s.want(d.held_ms() >= c.held_ms(), "hold time was lost");
       s.f.start(name);
     }
-    s.want(reach(s, "second", "DONE", Duration(100000)), "the release did not finish: " + release_state(s, "second").text());
+    s.want(reach(s, "second", "DONE", Duration(100000)),
+           "the release did not finish: " + release_state(s, "second").text());
   };
 }
 
@@ -79,7 +80,8 @@
     s.f.event(R"("t":"bad_version","service":"app","version":"2")");
     for (auto* vs : {"\"2\"", "\"2\",\"1\""}) {
       auto name = fmt::format("v{}", std::string(vs).size());
-      auto t = s.f.tell("PUT", "/v1/releases/layout/" + name, sim_layout(vs, 3, 0, R"(,"express":"in a hurry")"));
+      auto t =
+          s.f.tell("PUT", "/v1/releases/layout/" + name, sim_layout(vs, 3, 0, R"(,"express":"in a hurry")"));
       s.want(t.lost || t.status == 409 || t.status == 202, "the layout gave " + t.body);
       s.f.sleep(Duration(12000));
     }
@@ -101,8 +103,12 @@
       auto m = (from / 60000 + plus_min) % 1440;
       return fmt::format("{:02}:{:02}", m / 60, m % 60);
     };
-    auto sys = fmt::format(R"({{"express":"hours for all","content":{{"quiet_hours":{{"from":"{}","to":"{}"}}}}}})", hour(60), hour(120));
-    s.want(s.f.until(Duration(8000), [&] { return s.f.tell("PUT", "/v1/releases/system/hours", sys).status == 202; }), "quiet hours were not taken");
+    auto sys =
+        fmt::format(R"({{"express":"hours for all","content":{{"quiet_hours":{{"from":"{}","to":"{}"}}}}}})",
+                    hour(60), hour(120));
+    s.want(s.f.until(Duration(8000),
+                     [&] { return s.f.tell("PUT", "/v1/releases/system/hours", sys).status == 202; }),
+           "quiet hours were not taken");
     s.f.sleep(Duration(3000));
     put(s, "second", sim_layout("\"1\"", 3));
     for (int i = 0; i < 2; ++i) {
@@ -112,7 +118,8 @@
       if (!h) continue;
       auto name = h->name;
       s.f.kill(name);
-      s.want(s.f.until(Duration(15000), [&] { return duty_holder(s) != nullptr; }), "nobody took the leadership up");
+      s.want(s.f.until(Duration(15000), [&] { return duty_holder(s) != nullptr; }),
+             "nobody took the leadership up");
       s.f.start(name);
     }
     s.f.sleep(Duration(2000));
@@ -122,7 +129,10 @@
     for (auto& h : s.f.hosts()) h->wall -= 70 * 60000;
     s.f.sleep(Duration(9000));
     s.want(phase(s, "second") == "ONE", "a phase started after the quiet hours");
-    s.want(s.f.tell("PUT", "/v1/releases/system/odd", R"({"content":{"quiet_hours":{"from":"27:00","to":"01:00"}}})").status == 422, "27:00 was taken");
+    s.want(s.f.tell("PUT", "/v1/releases/system/odd",
+                    R"({"content":{"quiet_hours":{"from":"27:00","to":"01:00"}}})")
+                   .status == 422,
+           "27:00 was taken");
   };
 }
 
@@ -169,7 +179,8 @@
     s.f.until(Duration(100000), [&] { return (now = phase(s, "second")) != ph; });
     s.want(now == "STOPPED", "it was not stopped in phase " + ph + ": " + release_state(s, "second").text());
     auto why = release_state(s, "second").at("course").at("why").str();
-    s.want(why.find(what == "beats" ? "check worker-beats" : "check probes") == 0, "it was stopped for another reason: " + why);
+    s.want(why.find(what == "beats" ? "check worker-beats" : "check probes") == 0,
+           "it was stopped for another reason: " + why);
   };
 }
 
@@ -217,7 +228,8 @@
               auto* h = std::get_if<consensus::VersionedValue>(&g);
               if (!h) return;
               ++st->reads;
-              s.want(h->version >= floor, fmt::format("a read gave version {} after {} was acknowledged", h->version, floor));
+              s.want(h->version >= floor,
+                     fmt::format("a read gave version {} after {} was acknowledged", h->version, floor));
               if (auto f = st->won.find(h->version); f != st->won.end())
                 s.want(f->second == h->data, "a read gave another value than was acknowledged");
               auto mine = fmt::format("{}/{}/{}", host->name, k, i);
@@ -248,9 +260,13 @@
     }
     s.f.start_all();
     s.f.sleep(Duration(6000));
-    s.figures = {{"race_writes", st->writes}, {"race_reads", st->reads}, {"race_stale", st->stale}, {"race_unsure", st->unsure}};
+    s.figures = {{"race_writes", st->writes},
+                 {"race_reads", st->reads},
+                 {"race_stale", st->stale},
+                 {"race_unsure", st->unsure}};
     s.want(st->writes > 20 && st->stale > 0,
-           fmt::format("there was no race: {} writes, {} stale, {} unsure, {} reads", st->writes, st->stale, st->unsure, st->reads));
+           fmt::format("there was no race: {} writes, {} stale, {} unsure, {} reads", st->writes, st->stale,
+                       st->unsure, st->reads));
   };
 }
 
@@ -267,22 +283,29 @@
       });
     s.f.sleep(Duration(6000));
     s.want(*won == 1, fmt::format("{} operators won, {} lost, {} other", *won, *lost, *odd));
-    for (auto* bad : {"{", "[]", R"({"content":{}})", R"({"content":{"services":{"x":{"versions":[]}},"routes":[]}})"}) {
+    for (auto* bad :
+         {"{", "[]", R"({"content":{}})", R"({"content":{"services":{"x":{"versions":[]}},"routes":[]}})"}) {
       auto t = s.f.tell("PUT", "/v1/releases/layout/bad", bad);
-      s.want(t.status == 422 && t.body.find("\"defects\":[{\"at\":") != t.body.npos, "an invalid layout gave " + t.body);
+      s.want(t.status == 422 && t.body.find("\"defects\":[{\"at\":") != t.body.npos,
+             "an invalid layout gave " + t.body);
     }
     s.want(s.f.tell("GET", "/v1/releases/layout/bad", "").status == 404, "an invalid layout was recorded");
     auto a = s.f.tell("PUT", "/v1/services/app", R"({"version":"1"})");
     s.want(a.status == 200 && a.etag == "\"1\"", "the first statement of a service gave " + a.body);
     auto b = s.f.tell("PUT", "/v1/services/app", R"({"version":"1"})", {{"If-Match", "\"7\""}});
     s.want(b.status == 412 && b.etag == "\"1\"", "a stale If-Match was not told the version in force");
-    s.want(purge(s, "once", "path", "/c/1") && purge(s, "once", "path", "/c/1"), "a purge stated twice was not taken as one");
-    s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"content","kind":"path","path":"/c/2"})").status == 409,
-           "another purge under a known name was acknowledged");
+    s.want(purge(s, "once", "path", "/c/1") && purge(s, "once", "path", "/c/1"),
+           "a purge stated twice was not taken as one");
+    s.want(
+        s.f.tell("PUT", "/v1/purges/once", R"({"service":"content","kind":"path","path":"/c/2"})").status ==
+            409,
+        "another purge under a known name was acknowledged");
     s.f.sleep(Duration(500));
-    s.want(s.f.tell("PUT", "/v1/purges/once", R"({"service":"app","kind":"path","path":"/c/1"})").status == 409,
-           "another service's purge under a known name was acknowledged");
-    s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"9"})").status == 422, "a version that no layout allows was taken");
+    s.want(
+        s.f.tell("PUT", "/v1/purges/once", R"({"service":"app","kind":"path","path":"/c/1"})").status == 409,
+        "another service's purge under a known name was acknowledged");
+    s.want(s.f.tell("PUT", "/v1/services/app", R"({"version":"9"})").status == 422,
+           "a version that no layout allows was taken");
   };
 }
 
@@ -297,7 +320,8 @@
     s.want(none.status == 404, "a watch of nothing did not say 404");
     auto from = s.w.now();
     auto same = s.f.tell("GET", "/v1/assignments?wait_ms=1500&after=" + v, "");
-    s.want(same.status == 304 && s.w.now() - from >= Duration(1500), fmt::format("a watch of what does not change gave {}", same.status));
+    s.want(same.status == 304 && s.w.now() - from >= Duration(1500),
+           fmt::format("a watch of what does not change gave {}", same.status));
     s.f.outside([&s] {
       s.f.sleep(Duration(1000));
       put(s, "second", sim_layout("\"1\"", 3));
@@ -344,7 +368,8 @@
         n->leave();
         gone = true;
       });
-      s.want(s.f.until(Duration(5000), [&] { return gone && h->node->traffic().running() == 0; }), name + " did not leave within five seconds");
+      s.want(s.f.until(Duration(5000), [&] { return gone && h->node->traffic().running() == 0; }),
+             name + " did not leave within five seconds");
       s.f.kill(name);
       s.f.sleep(Duration(200));
       s.f.start(name);
--- a/test/rollout_unit.cpp
+++ b/test/rollout_unit.cpp
@@ -1,6 +1,6 @@
 // The rollout reducer on invented fleets: its order, its holds, its checks.
-#include "rollout/reducer.hpp"
 #include "rollout/moves.hpp"
+#include "rollout/reducer.hpp"
 #include "rollout/shares.hpp"
 #include "unit.hpp"
 
@@ -32,8 +32,10 @@
     tick(Duration(0));
   }
   void record(const std::string& name, const std::string& more = "") {
-    auto g = read_release("layout", name, R"({"content":{"services":{"a":{"versions":["1"]}},
-      "routes":[{"prefix":"/","service":"a"}]})" + more + "}");
+    auto g = read_release("layout", name,
+                          R"({"content":{"services":{"a":{"versions":["1"]}},
+      "routes":[{"prefix":"/","service":"a"}]})" +
+                              more + "}");
     auto& rel = std::get<Release>(g);
     v.releases[release_key("layout", name)] = rel;
     feed(Recorded{rel});
@@ -46,7 +48,8 @@
       if (f != s.nodes().end()) {
         expect(a.generation() >= f->second.generation(), "a node's generation fell");
         bool changed = a.releases().at("layout") != f->second.releases().at("layout");
-        expect(!changed || a.generation() > f->second.generation(), "an assignment changed without a higher generation");
+        expect(!changed || a.generation() > f->second.generation(),
+               "an assignment changed without a higher generation");
       }
       if (a.releases().count("layout") && a.releases().at("layout") == "new" && on.insert(n).second)
         assigned.emplace_back(clock, n);
@@ -108,8 +111,11 @@
         b.tick(Duration(1000));
       }
       auto ph = b.course("new").phase();
-      expect((ph == pb::STOPPED) == !all, fmt::format("beats {}, all {}: it is {}", beats, all, pb::Phase_Name(ph)));
-      if (!all) expect(b.course("new").why().find(beats ? "check worker-beats" : "check probes") == 0, b.course("new").why());
+      expect((ph == pb::STOPPED) == !all,
+             fmt::format("beats {}, all {}: it is {}", beats, all, pb::Phase_Name(ph)));
+      if (!all)
+        expect(b.course("new").why().find(beats ? "check worker-beats" : "check probes") == 0,
+               b.course("new").why());
     }
 }
 
@@ -164,7 +170,8 @@
   expect(b.course("new").why().find("check defects") == 0, b.course("new").why());
   expect(b.s.generation() > gen, "no higher generation took it back");
   expect(b.assigned.size() <= had + 4, "it spread while it was bad");
-  for (auto& [n, a] : b.s.nodes()) same(a.releases().at("layout"), std::string("base"), n + " after the stop");
+  for (auto& [n, a] : b.s.nodes())
+    same(a.releases().at("layout"), std::string("base"), n + " after the stop");
   b.traffic(10);
   b.pass(minutes(100));
   expect(b.course("new").phase() == pb::STOPPED, "a stopped release came back");
@@ -222,7 +229,8 @@
   b.traffic(10, 3, 3);
   b.record("new");
   b.pass(minutes(200));
-  expect(b.course("new").phase() == pb::DONE, "a bad hour for all stopped a release: " + b.course("new").why());
+  expect(b.course("new").phase() == pb::DONE,
+         "a bad hour for all stopped a release: " + b.course("new").why());
 }
 
 void one_after_the_other() {
