--- a/test/scenarios.cpp
+++ b/test/scenarios.cpp
@@ -33,7 +33,8 @@
   r.f.watch_assignments();
   r.f.start_workers();
   bool put = r.f.until(20s, [&] { return r.f.any("GET", "/v1/nodes").status == 200; });
-  return say(put, "control answers") && say(put_layout(r, "first", layout_document(r.f.config().deployment)), "first layout recorded") &&
+  return say(put, "control answers") &&
+         say(put_layout(r, "first", layout_document(r.f.config().deployment)), "first layout recorded") &&
          say(r.f.all_ready(20s), "all relays are ready under the first layout");
 }
 
@@ -55,8 +56,10 @@
 bool rollout(Run& r) {
   if (!begin(r)) return false;
   return calls(r, [&] {
-    return say(put_layout(r, "second", layout_document(r.f.config().deployment, "2")), "second layout recorded") &&
-           say(r.f.layout_everywhere("second", Duration(r.seconds * 1000 + 30000)), "second layout runs everywhere");
+    return say(put_layout(r, "second", layout_document(r.f.config().deployment, "2")),
+               "second layout recorded") &&
+           say(r.f.layout_everywhere("second", Duration(r.seconds * 1000 + 30000)),
+               "second layout runs everywhere");
   });
 }
 
@@ -80,8 +83,11 @@
 bool purge(Run& r, const std::string& name, const std::string& kind, const std::string& path) {
   auto svc = r.f.config().deployment == "lobby" ? "content" : "documents";
   auto asked = r.f.clock.now().count();
-  auto a = r.f.any("PUT", "/v1/purges/" + name, fmt::format(R"({{"service":"{}","kind":"{}","path":"{}"}})", svc, kind, path));
-  if (a.status == 200) r.f.event(fmt::format(R"("t":"purged","path":"{}","prefix":{},"asked":{})", path, kind == "prefix", asked));
+  auto a = r.f.any("PUT", "/v1/purges/" + name,
+                   fmt::format(R"({{"service":"{}","kind":"{}","path":"{}"}})", svc, kind, path));
+  if (a.status == 200)
+    r.f.event(
+        fmt::format(R"("t":"purged","path":"{}","prefix":{},"asked":{})", path, kind == "prefix", asked));
   return a.status == 200;
 }
 
@@ -135,10 +141,13 @@
       if (d == 1 && may) ++met["freeze"], r.f.freeze(n);
       if (d == 2 && m.holder && down == 0) ++met["lost_disk"], r.f.kill(n), r.f.wipe(n);
       if (d == 3) ++met["cut"], r.f.links().cut_off(n);
-      if (d == 4) met["purge"] += purge(r, fmt::format("p{}", i), rng() % 2 ? "prefix" : "path", fmt::format("{}{}", lobby ? "/liveries/" : "/notices/", rng() % 5));
+      if (d == 4)
+        met["purge"] += purge(r, fmt::format("p{}", i), rng() % 2 ? "prefix" : "path",
+                              fmt::format("{}{}", lobby ? "/liveries/" : "/notices/", rng() % 5));
       if (d == 5) {
         auto doc = layout_document(r.f.config().deployment, fmt::format("x{}", i));
-        if (put_layout(r, fmt::format("day{}", i), doc)) acked[fmt::format("day{}", i)] = doc, ++met["layout"];
+        if (put_layout(r, fmt::format("day{}", i), doc))
+          acked[fmt::format("day{}", i)] = doc, ++met["layout"];
       }
       if (d == 6) ++met["warn"], r.f.warn(n), r.f.start(n);
       if (d == 7) {  // a worker crashes and another of its service is started
@@ -172,7 +181,9 @@
   });
   for (auto& m : r.f.machines())
     for (auto& [n, doc] : acked)
-      if (m.kind != "worker" && r.f.http(m.name, "GET", "/v1/releases/layout/" + n).body.find("\"document\":" + doc) == std::string::npos) {
+      if (m.kind != "worker" &&
+          r.f.http(m.name, "GET", "/v1/releases/layout/" + n).body.find("\"document\":" + doc) ==
+              std::string::npos) {
         r.f.event(fmt::format(R"("t":"layout_lost","release":"{}")", n));
         ok = say(false, "a relay does not read an acknowledged layout back");
       }
@@ -196,9 +207,15 @@
   return calls(r, [&] {
     r.f.clock.sleep(3s);
     r.f.event(fmt::format(R"("t":"bad_version","service":"{}","version":"2")", svc));
-    bool put = r.f.until(10s, [&] { return r.f.any("PUT", fmt::format("/v1/services/{}", svc), R"({"version":"2"})").status == 200; });
+    bool put = r.f.until(10s, [&] {
+      return r.f.any("PUT", fmt::format("/v1/services/{}", svc), R"({"version":"2"})").status == 200;
+    });
     return say(put, "the move was stated") &&
-           say(r.f.until(Duration(r.seconds * 1000), [&] { return r.f.any("GET", fmt::format("/v1/services/{}", svc)).body.find("\"2\":\"") != std::string::npos; }),
+           say(r.f.until(Duration(r.seconds * 1000),
+                         [&] {
+                           return r.f.any("GET", fmt::format("/v1/services/{}", svc)).body.find("\"2\":\"") !=
+                                  std::string::npos;
+                         }),
                "the bad version is in quarantine");
   });
 }
@@ -209,25 +226,32 @@
   std::ifstream f(file, std::ios::binary);
   std::string data((std::istreambuf_iterator<char>(f)), {});
   auto sha = hex_digest(file);
-  auto a = r.f.any("PUT", "/v1/releases/software/" + name,
-                   fmt::format(R"({{"content":{{"version":"{}","sha256":"{}","bytes":{}}}}})", version, sha, data.size()));
+  auto a = r.f.any(
+      "PUT", "/v1/releases/software/" + name,
+      fmt::format(R"({{"content":{{"version":"{}","sha256":"{}","bytes":{}}}}})", version, sha, data.size()));
   if (a.status != 202) return say(false, a.body);
   r.f.clock.sleep(1s);
   for (size_t at = 0; at < data.size(); at += 1 << 20) {
     auto p = r.f.any("PUT", fmt::format("/v1/artifacts/{}?offset={}", sha, at), data.substr(at, 1 << 20));
     if (p.status != 200) return say(false, p.body);
   }
-  return say(r.f.any("GET", "/v1/artifacts/" + sha).body.find("\"whole\":true") != std::string::npos, "a majority holds the artifact whole");
+  return say(r.f.any("GET", "/v1/artifacts/" + sha).body.find("\"whole\":true") != std::string::npos,
+             "a majority holds the artifact whole");
 }
 
 bool software_is(Run& r, const std::string& name, const std::string& ph, Duration most) {
-  return r.f.until(most, [&] { return r.f.any("GET", "/v1/releases/software/" + name).body.find("\"phase\":\"" + ph + "\"") != std::string::npos; });
+  return r.f.until(most, [&] {
+    return r.f.any("GET", "/v1/releases/software/" + name).body.find("\"phase\":\"" + ph + "\"") !=
+           std::string::npos;
+  });
 }
 
 int running(Run& r, const std::string& version) {
   auto b = r.f.any("GET", "/v1/nodes").body;
   int n = 0;
-  for (auto i = b.find("\"software\":\"" + version); i != b.npos; i = b.find("\"software\":\"" + version, i + 1)) ++n;
+  for (auto i = b.find("\"software\":\"" + version); i != b.npos;
+       i = b.find("\"software\":\"" + version, i + 1))
+    ++n;
   return n;
 }
 
@@ -242,7 +266,8 @@
            say(software_is(r, "broken", "STOPPED", 90s), "the broken program was stopped") &&
            say(r.f.all_ready(30s) && running(r, "0.1.0") == 14, "all machines run the last good program") &&
            record_software(r, "better", "0.2.0", r.f.config().bin + "/relay_next") &&
-           say(software_is(r, "better", "DONE", Duration(r.seconds * 1000)), "the better program ran its course") &&
+           say(software_is(r, "better", "DONE", Duration(r.seconds * 1000)),
+               "the better program ran its course") &&
            say(r.f.until(30s, [&] { return running(r, "0.2.0") == 14; }), "all machines run it");
   });
 }
@@ -255,10 +280,15 @@
   return calls(r, [&] {
     r.f.kill("s2");
     bool in = r.f.until(20s, [&] {
-      return r.f.any("PUT", "/v1/holders/e2", fmt::format(R"({{"holder":true,"address":"{}"}})", r.f.at("e2").peers)).status == 200;
+      return r.f.any("PUT", "/v1/holders/e2",
+                     fmt::format(R"({{"holder":true,"address":"{}"}})", r.f.at("e2").peers))
+                 .status == 200;
+    });
+    bool votes = r.f.until(20s, [&] {
+      return r.f.http("e2", "GET", "/status").body.find("\"votes\":true") != std::string::npos;
     });
-    bool votes = r.f.until(20s, [&] { return r.f.http("e2", "GET", "/status").body.find("\"votes\":true") != std::string::npos; });
-    bool out = r.f.until(20s, [&] { return r.f.any("PUT", "/v1/holders/s2", R"({"holder":false})").status == 200; });
+    bool out =
+        r.f.until(20s, [&] { return r.f.any("PUT", "/v1/holders/s2", R"({"holder":false})").status == 200; });
     r.f.warn("e12");
     auto path = r.f.config().dir + "/e12/relay.json";
     std::ifstream i(path);
@@ -290,7 +320,8 @@
 const Scenarios& scenarios() {
   static const Scenarios all = [] {
     Scenarios m{
-      {"up", up}, {"rollout", rollout}, {"rolling", rolling}, {"day", day}, {"versions", versions}, {"power", power}, {"software", software}, {"reseed", reseed}};
+        {"up", up},       {"rollout", rollout},   {"rolling", rolling}, {"day", day}, {"versions", versions},
+        {"power", power}, {"software", software}, {"reseed", reseed}};
     m.merge(load_scenarios());
     return m;
   }();
--- a/test/sim_cases.hpp
+++ b/test/sim_cases.hpp
@@ -15,13 +15,14 @@
 struct Scene {
   simulation::World& w;
   simulation::Fleet& f;
-  std::string only;                 // the relay that all callers go to; empty: any that is ready
-  std::function<void()> story;      // a fiber of the outside world
+  std::string only;             // the relay that all callers go to; empty: any that is ready
+  std::function<void()> story;  // a fiber of the outside world
   Duration length{60000};
   bool story_done = false;
-  std::string why;                  // set when something was not seen
+  std::string why;  // set when something was not seen
   std::map<std::string, uint64_t> figures;
-  Duration away_within{0};              // no request may be turned away later than so long after it came; 0: not looked at
+  Duration away_within{
+      0};  // no request may be turned away later than so long after it came; 0: not looked at
   std::vector<std::string> must_meet;  // faults that the run has to have met
   void want(bool ok, const std::string& what) {
     if (!ok && why.empty()) why = what;
@@ -34,9 +35,11 @@
   std::function<void(simulation::FleetShape&)> shape;  // what this case needs otherwise than it is
   SimCase() = default;
   template <class F>
-  SimCase(F f, int sp = 0, std::function<void(simulation::FleetShape&)> sh = {}) : set_up(f), spares(sp), shape(std::move(sh)) {}
+  SimCase(F f, int sp = 0, std::function<void(simulation::FleetShape&)> sh = {})
+      : set_up(f), spares(sp), shape(std::move(sh)) {}
 };
 const std::map<std::string, SimCase>& sim_cases();
-void run_sim(const SimCase& c, const simulation::FleetShape& shape, uint64_t seed, SimFigures& sum, const std::string& journal);
+void run_sim(const SimCase& c, const simulation::FleetShape& shape, uint64_t seed, SimFigures& sum,
+             const std::string& journal);
 
 }  // namespace dunlinwing::test
--- a/test/sim_run.cpp
+++ b/test/sim_run.cpp
@@ -14,8 +14,8 @@
   simulation::Fleet& f;
   std::map<std::string, std::pair<void*, uint64_t>> shown;
   std::map<std::string, uint64_t> told;  // generations already journalled as acknowledged
-  std::map<std::string, uint64_t> seat;      // host -> epoch of the set it was last seen with
-  std::map<uint64_t, std::string> sets;      // epoch -> the set
+  std::map<std::string, uint64_t> seat;  // host -> epoch of the set it was last seen with
+  std::map<uint64_t, std::string> sets;  // epoch -> the set
   std::string broken;
   std::map<std::pair<uint64_t, std::string>, std::set<std::string>> votes;  // ballot -> disks that have it
 
@@ -56,7 +56,8 @@
         seat[h->name] = set.epoch();
         auto text = set.message().SerializeAsString();
         auto [at, fresh] = sets.emplace(set.epoch(), text);
-        if (!fresh && at->second != text) broken = fmt::format("two sets of holders under epoch {}, one of them at {}", set.epoch(), h->name);
+        if (!fresh && at->second != text)
+          broken = fmt::format("two sets of holders under epoch {}, one of them at {}", set.epoch(), h->name);
       }
       holders += n->leadership().held();
     }
@@ -65,7 +66,8 @@
 };
 }  // namespace
 
-void run_sim(const SimCase& c, const simulation::FleetShape& sh, uint64_t seed, SimFigures& sum, const std::string& journal) {
+void run_sim(const SimCase& c, const simulation::FleetShape& sh, uint64_t seed, SimFigures& sum,
+             const std::string& journal) {
   simulation::World w(seed);
   auto shape = sh;
   shape.spares = c.spares;
@@ -75,13 +77,15 @@
   Watch watch{f, {}, {}, {}, {}, {}, {}};
   w.synced = [&](auto& host, auto& r) { watch.synced(host, r); };
   c.set_up(s);
-  w.run(w.now() + s.length, [&] { watch.look(); }, [&] {
-    f.start_all();
-    f.outside([&] {
-      s.story();
-      s.story_done = true;
-    });
-  });
+  w.run(
+      w.now() + s.length, [&] { watch.look(); },
+      [&] {
+        f.start_all();
+        f.outside([&] {
+          s.story();
+          s.story_done = true;
+        });
+      });
   bool done = s.story_done;
   f.end();
   w.run(w.now() + Duration(20000), nullptr, nullptr);
@@ -92,18 +96,24 @@
     for (auto& l : w.journal) o << l << "\n";
   }
   auto r = check(js);
-  for (auto& [k, v] : r.figures) sum.n[k] = k.starts_with("longest") || k.starts_with("rate_top") || k.ends_with("kinds") ? std::max(sum.n[k], v) : sum.n[k] + v;
+  for (auto& [k, v] : r.figures)
+    sum.n[k] = k.starts_with("longest") || k.starts_with("rate_top") || k.ends_with("kinds")
+                   ? std::max(sum.n[k], v)
+                   : sum.n[k] + v;
   for (auto& [k, v] : w.met) sum.n["met_" + k] += v;
   for (auto& [k, v] : s.figures) sum.n[k] = std::max(sum.n[k], v);
   sum.n["steps"] += w.steps();
   expect(watch.broken.empty(), watch.broken);
   if (!r.breaches.empty())
-    throw Failed(fmt::format("rule {} ({} breaches): {}", r.breaches[0].rule, r.breaches.size(), r.breaches[0].what));
+    throw Failed(
+        fmt::format("rule {} ({} breaches): {}", r.breaches[0].rule, r.breaches.size(), r.breaches[0].what));
   expect(s.why.empty(), s.why);
   auto late = r.figures["longest_not_run_ms"];
-  expect(s.away_within == Duration(0) || Duration(static_cast<int64_t>(late)) <= s.away_within, fmt::format("a request was turned away only after {} ms", late));
+  expect(s.away_within == Duration(0) || Duration(static_cast<int64_t>(late)) <= s.away_within,
+         fmt::format("a request was turned away only after {} ms", late));
   expect(!r.figures["no_retry_after"], "a request was turned away without being told when to come back");
-  expect(!r.figures["lost_unexplained"], fmt::format("{} requests were lost at relays that nothing befell", r.figures["lost_unexplained"]));
+  expect(!r.figures["lost_unexplained"],
+         fmt::format("{} requests were lost at relays that nothing befell", r.figures["lost_unexplained"]));
   expect(done, "the story did not come to its end");
   for (auto& m : s.must_meet) sum.must.insert(m);
 }
--- a/test/sim_test.cpp
+++ b/test/sim_test.cpp
@@ -21,29 +21,33 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   base::Level l;
   if (base::parse_level(FLAGS_log_level, l)) base::set_level(l);
-  auto shape = FLAGS_shape == "lobby" ? simulation::lobby_shape() : FLAGS_shape == "practice" ? simulation::practice_shape() : simulation::FleetShape();
+  auto shape = FLAGS_shape == "lobby"      ? simulation::lobby_shape()
+               : FLAGS_shape == "practice" ? simulation::practice_shape()
+                                           : simulation::FleetShape();
   if (FLAGS_edges) shape.edges = FLAGS_edges;
   std::vector<test::Case> cs;
   bool whole = test::sim_cases().count(FLAGS_case_name) > 0;
   for (auto& [name, f] : test::sim_cases())
-    if (!whole || name == FLAGS_case_name) cs.push_back({name, [name = name, f = f, shape] {
-                    test::SimFigures sum;
-                    uint64_t from = FLAGS_seed ? FLAGS_seed : 1;
-                    uint64_t to = FLAGS_seed ? FLAGS_seed : static_cast<uint64_t>(FLAGS_seeds);
-                    for (uint64_t s = from; s <= to; ++s) {
-                      try {
-                        test::run_sim(f, shape, s, sum, FLAGS_journal);
-                      } catch (const std::exception& e) {
-                        throw test::Failed(fmt::format("seed {}: {}", s, e.what()));
+    if (!whole || name == FLAGS_case_name)
+      cs.push_back({name, [name = name, f = f, shape] {
+                      test::SimFigures sum;
+                      uint64_t from = FLAGS_seed ? FLAGS_seed : 1;
+                      uint64_t to = FLAGS_seed ? FLAGS_seed : static_cast<uint64_t>(FLAGS_seeds);
+                      for (uint64_t s = from; s <= to; ++s) {
+                        try {
+                          test::run_sim(f, shape, s, sum, FLAGS_journal);
+                        } catch (const std::exception& e) {
+                          throw test::Failed(fmt::format("seed {}: {}", s, e.what()));
+                        }
                       }
-                    }
-                    for (auto& m : sum.must)
-                      if (!FLAGS_seed) test::expect(sum.n["met_" + m] > 0, "the fault " + m + " was never met");
-                    if (!FLAGS_figures) return;
-                    std::cout << name << ": seeds " << to - from + 1;
-                    for (auto& [k, v] : sum.n) std::cout << " " << k << " " << v;
-                    std::cout << "\n";
-                  }});
+                      for (auto& m : sum.must)
+                        if (!FLAGS_seed)
+                          test::expect(sum.n["met_" + m] > 0, "the fault " + m + " was never met");
+                      if (!FLAGS_figures) return;
+                      std::cout << name << ": seeds " << to - from + 1;
+                      for (auto& [k, v] : sum.n) std::cout << " " << k << " " << v;
+                      std::cout << "\n";
+                    }});
   int rc = test::run_all(cs, FLAGS_case_name);
   std::cout.flush();
   ::_exit(rc);  // the fiber scheduler of this thread has no more to do
--- a/test/storage_unit.cpp
+++ b/test/storage_unit.cpp
@@ -1,6 +1,6 @@
 // The disk format under torn and rotten bytes, and the store over restarts.
-#include "storage/snapshot_store.hpp"
 #include "simulation/ports.hpp"
+#include "storage/snapshot_store.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
@@ -31,7 +31,8 @@
   };
   s.save({st}, whole);
   for (int i = 1; i <= n; ++i) {
-    auto r = record("r" + std::to_string(i % 7), static_cast<uint64_t>(i), std::string(static_cast<size_t>(i % 50), 'd'));
+    auto r = record("r" + std::to_string(i % 7), static_cast<uint64_t>(i),
+                    std::string(static_cast<size_t>(i % 50), 'd'));
     all[r.slot().name()] = r.slot();
     s.save({r}, whole);
   }
@@ -46,7 +47,9 @@
   return out;
 }
 
-base::Loaded load(simulation::Platter& p) { return storage::SnapshotStore(std::make_unique<simulation::MemFiles>(p), 2000).load(); }
+base::Loaded load(simulation::Platter& p) {
+  return storage::SnapshotStore(std::make_unique<simulation::MemFiles>(p), 2000).load();
+}
 }  // namespace
 
 std::vector<Case> disk_cases() {
@@ -86,7 +89,8 @@
                  simulation::Platter p;
                  auto want = fill(p, *rc::gen::inRange(5, 40), 1 << 20);
                  // The log in use is the longer one; rot anywhere before its last record.
-                 auto& b = p.files["log.0"].size() > p.files["log.1"].size() ? p.files["log.0"] : p.files["log.1"];
+                 auto& b =
+                     p.files["log.0"].size() > p.files["log.1"].size() ? p.files["log.0"] : p.files["log.1"];
                  auto parts = storage::unframe(b).first;
                  size_t last = 16 + parts.back().size();
                  auto at = *rc::gen::inRange<size_t>(0, b.size() - last);
@@ -111,9 +115,11 @@
          storage::SnapshotStore s(std::make_unique<simulation::MemFiles>(p), 1000);
          s.load();
          p.failing = true;
-         expect(s.save({record("a", 1, "")}, [] { return pb::Image(); }).has_value(), "a failed write was hidden");
+         expect(s.save({record("a", 1, "")}, [] { return pb::Image(); }).has_value(),
+                "a failed write was hidden");
          p.failing = false;
-         expect(s.save({record("a", 1, "")}, [] { return pb::Image(); }).has_value(), "a broken disk came back");
+         expect(s.save({record("a", 1, "")}, [] { return pb::Image(); }).has_value(),
+                "a broken disk came back");
        }},
   };
 }
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -56,7 +56,8 @@
                                 path.empty() ? "" : ",\"path\":\"" + path + "\""));
   s.figures[fmt::format("purge_{}{}", t.status, t.lost ? "_lost" : "")]++;
   if (t.status == 200)
-    s.f.event(fmt::format(R"("t":"purged","path":"{}","prefix":{},"asked":{})", path.empty() ? "/c/" : path, kind != "path", asked));
+    s.f.event(fmt::format(R"("t":"purged","path":"{}","prefix":{},"asked":{})", path.empty() ? "/c/" : path,
+                          kind != "path", asked));
   return t.status == 200;
 }
 
@@ -121,7 +122,8 @@
   for (auto& [n, doc] : acked) {
     auto& c = h.node->state_cache().chosen();
     auto f = c.find("release/layout/" + n);
-    s.want(f != c.end() && f->second.data == doc, fmt::format("{} does not know the acknowledged {}", h.name, n));
+    s.want(f != c.end() && f->second.data == doc,
+           fmt::format("{} does not know the acknowledged {}", h.name, n));
   }
 }
 
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -5,7 +5,8 @@
 
 namespace dunlinwing::test {
 
-std::string sim_layout(const std::string& versions = "\"1\"", int lifetime = 4, int rate = 0, const std::string& more = "");
+std::string sim_layout(const std::string& versions = "\"1\"", int lifetime = 4, int rate = 0,
+                       const std::string& more = "");
 void mix(Scene& s);
 // Starts workers, records the first layout, waits until all serve it, and lets
 // callers call for the rest of the run.
@@ -25,7 +26,7 @@
 const pb::Rollout* rollout_seen(Scene& s, pb::Rollout& out);
 
 using NamedCases = std::map<std::string, SimCase>;
-NamedCases machine_cases();   // kills, disks, freezes, splits, clocks
+NamedCases machine_cases();  // kills, disks, freezes, splits, clocks
 NamedCases rollout_stories();
 NamedCases traffic_stories();
 NamedCases limit_stories();
--- a/test/traffic_stories.cpp
+++ b/test/traffic_stories.cpp
@@ -63,7 +63,8 @@
       auto& n = s.f.add_worker(old.service == "app" ? "content" : "app", "1", old.service == "app" ? 3 : 0);
       n.address = s.f.workers()[static_cast<size_t>(i)]->address;
       s.f.sleep(Duration(6000));
-      s.f.add_worker(s.f.workers()[static_cast<size_t>(i)]->service, "1", s.f.workers()[static_cast<size_t>(i)]->max_age);
+      s.f.add_worker(s.f.workers()[static_cast<size_t>(i)]->service, "1",
+                     s.f.workers()[static_cast<size_t>(i)]->max_age);
     }
   };
 }
@@ -110,7 +111,8 @@
     s.f.sleep(Duration(6000));
     auto calls = s.f.calls, good = s.f.good;
     s.f.sleep(Duration(8000));
-    s.want((s.f.good - good) * 100 >= (s.f.calls - calls) * 98, "no recovery after the workers were quick again");
+    s.want((s.f.good - good) * 100 >= (s.f.calls - calls) * 98,
+           "no recovery after the workers were quick again");
   };
 }
 
@@ -126,7 +128,8 @@
     auto runs = [&] {
       std::pair<int, int> c;
       for (auto& l : s.w.journal)
-        if (l.find("\"t\":\"run\"") != l.npos && l.find("\"service\":\"app\"") != l.npos) ++c.first, c.second += l.find("\"" + busy->instance + "\"") != l.npos;
+        if (l.find("\"t\":\"run\"") != l.npos && l.find("\"service\":\"app\"") != l.npos)
+          ++c.first, c.second += l.find("\"" + busy->instance + "\"") != l.npos;
       return c;
     };
     auto part = [&](const char* when) {
@@ -154,14 +157,18 @@
     if (!begin(s, 40)) return;
     auto done = std::make_shared<int>(0);
     for (int i = 0; i < 400; ++i) {
-      s.f.outside([&s, i, done] { *done += purge(s, fmt::format("storm{}", i), i % 3 ? "path" : "prefix", fmt::format("/c/{}", i % 20)); });
+      s.f.outside([&s, i, done] {
+        *done += purge(s, fmt::format("storm{}", i), i % 3 ? "path" : "prefix", fmt::format("/c/{}", i % 20));
+      });
       if (i % 40 == 0) s.f.sleep(Duration(300));
     }
     s.f.sleep(Duration(10000));
-    s.want(*done > 390, fmt::format("only {} of 400 purges were taken, {} had 503, {} were lost", *done, s.figures["purge_503"], s.figures["purge_0_lost"]));
+    s.want(*done > 390, fmt::format("only {} of 400 purges were taken, {} had 503, {} were lost", *done,
+                                    s.figures["purge_503"], s.figures["purge_0_lost"]));
     pb::PurgeSet set;
     for (auto& h : s.f.hosts())
-      if (auto f = h->node->state_cache().chosen().find("purge/content"); f != h->node->state_cache().chosen().end())
+      if (auto f = h->node->state_cache().chosen().find("purge/content");
+          f != h->node->state_cache().chosen().end())
         set.ParseFromString(f->second.data);
     s.want(set.purges_size() > 0 && set.purges_size() <= 128, "the purges are not bounded");
     s.figures["purges_taken"] = static_cast<uint64_t>(*done);
@@ -200,8 +207,12 @@
            fmt::format("the other service starved: {} of {}", n->second, n->first));
     auto c0 = s.f.calls, g0 = s.f.good;
     s.f.sleep(Duration(5000));
-    s.want((s.f.good - g0) * 100 >= (s.f.calls - c0) * 95, "no recovery after the crowd");  // some are under way
-    s.figures = {{"crowd_calls", *calls}, {"crowd_turned_away", *away}, {"other_calls", n->first}, {"other_good", n->second}};
+    s.want((s.f.good - g0) * 100 >= (s.f.calls - c0) * 95,
+           "no recovery after the crowd");  // some are under way
+    s.figures = {{"crowd_calls", *calls},
+                 {"crowd_turned_away", *away},
+                 {"other_calls", n->first},
+                 {"other_good", n->second}};
     s.want(*away > 100, "there was no crowd");
   };
 }
@@ -264,15 +275,21 @@
         case 0:
           if (may_fall(s, *h)) s.f.kill(h->name);
           break;
-        case 1: s.w.freeze(h->name, s.w.now() + Duration(s.w.below(5000))); break;
-        case 2: s.f.cut_off(h->name); break;
+        case 1:
+          s.w.freeze(h->name, s.w.now() + Duration(s.w.below(5000)));
+          break;
+        case 2:
+          s.f.cut_off(h->name);
+          break;
         case 3:
           if (h->up() && h->holder && down == 0) {
             s.f.kill(h->name);
             s.f.wipe(h->name);
           }
           break;
-        case 4: purge(s, fmt::format("d{}", i), "prefix", "/c/"); break;
+        case 4:
+          purge(s, fmt::format("d{}", i), "prefix", "/c/");
+          break;
         default: {
           auto name = fmt::format("day{}", i);
           auto doc = sim_layout("\"1\"", 1 + static_cast<int>(s.w.below(9)));
@@ -298,16 +315,11 @@
 }  // namespace
 
 NamedCases traffic_stories() {
-  return {{"bad_workers", bad_workers},
-          {"replaced", replaced},
-          {"address_reuse", address_reuse},
-          {"foreign_address", foreign_address},
-          {"slow_workers", slow_workers},
-          {"told_load", told_load},
-          {"purge_storm", purge_storm},
-          {"crowd", crowd},
-          {"slow_disks", slow_disks},
-          {"clock_jumps", clock_jumps},
+  return {{"bad_workers", bad_workers},     {"replaced", replaced},
+          {"address_reuse", address_reuse}, {"foreign_address", foreign_address},
+          {"slow_workers", slow_workers},   {"told_load", told_load},
+          {"purge_storm", purge_storm},     {"crowd", crowd},
+          {"slow_disks", slow_disks},       {"clock_jumps", clock_jumps},
           {"end_of_day", end_of_day}};
 }
 
--- a/test/traffic_unit.cpp
+++ b/test/traffic_unit.cpp
@@ -4,8 +4,8 @@
 #include "traffic/budget.hpp"
 #include "traffic/face.hpp"
 #include "traffic/load_balancer.hpp"
-#include "traffic/upstream_client.hpp"
 #include "traffic/trial.hpp"
+#include "traffic/upstream_client.hpp"
 #include "unit.hpp"
 
 namespace dunlinwing::test {
@@ -66,7 +66,9 @@
        [] {
          DiskExecutor c;
          traffic::Pace p(c);
-         auto turn = [&](double share) { return std::get<traffic::Turn>(p.reserve("s", share, Duration(60000))); };
+         auto turn = [&](double share) {
+           return std::get<traffic::Turn>(p.reserve("s", share, Duration(60000)));
+         };
          auto a = turn(10);
          expect(a.wait == Duration(100), "a new process waits a whole interval");
          c.t += a.wait;
@@ -117,7 +119,8 @@
                  RC_ASSERT(s.purges_size() <= 128);
                  traffic::Table t;
                  t.purges["s"] = s;
-                 for (auto& [path, num] : done) RC_ASSERT(traffic::purged(t, {"s", "", path, nullptr}, num - 1));
+                 for (auto& [path, num] : done)
+                   RC_ASSERT(traffic::purged(t, {"s", "", path, nullptr}, num - 1));
                }),
       {"purge: the same name twice is one purge",
        [] {
@@ -130,13 +133,15 @@
          expect(!control_api::add_purge(s, p).clash, "the same document clashed");
          p.set_kind("prefix");
          p.set_path("/c/");
-         expect(control_api::add_purge(s, p).clash && s.number() == 1, "another document under a known name was taken as done");
+         expect(control_api::add_purge(s, p).clash && s.number() == 1,
+                "another document under a known name was taken as done");
        }},
       {"cache: lifetimes by RFC 9111",
        [] {
          same(life({{"Cache-Control", "max-age=5"}}).value_or(-1), int64_t(5000), "max-age");
          same(life({{"Cache-Control", "max-age=5, S-MaxAge=\"2\""}}).value_or(-1), int64_t(2000), "s-maxage");
-         same(life({{"Cache-Control", "max-age=5"}, {"Cache-Control", "private"}}).value_or(-1), int64_t(-1), "private");
+         same(life({{"Cache-Control", "max-age=5"}, {"Cache-Control", "private"}}).value_or(-1), int64_t(-1),
+              "private");
          same(life({{"Cache-Control", "max-age=5"}, {"Vary", "Accept"}}).value_or(-1), int64_t(-1), "vary");
          same(life({{"Cache-Control", "max-age=x"}}).value_or(-1), int64_t(-1), "no number");
          same(life({}).value_or(-1), int64_t(-1), "nothing said");
@@ -145,11 +150,12 @@
        [] {
          base::Response r;
          auto& h = r.headers;
-         h = {{"connection", "close, X-Mine"}, {"X-Mine", "1"},
-                                                            {"TE", "trailers"},              {"dunlinwing-instance", "x"},
-                                                            {"Idempotency-Key", "k"},        {"Accept", "a"}};
+         h = {{"connection", "close, X-Mine"}, {"X-Mine", "1"},          {"TE", "trailers"},
+              {"dunlinwing-instance", "x"},    {"Idempotency-Key", "k"}, {"Accept", "a"}};
          traffic::own_face()->clean(r);
-         expect(h.size() == 3 && h[2].first == "Via" && h[0].first == "Idempotency-Key" && h[1].first == "Accept", "what is left");
+         expect(h.size() == 3 && h[2].first == "Via" && h[0].first == "Idempotency-Key" &&
+                    h[1].first == "Accept",
+                "what is left");
        }},
       {"versions: a move holds only while the layout allows it, quarantine always",
        [] {
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -19,7 +19,9 @@
 
 template <class F>
 Case property(const std::string& name, F f) {
-  return {name, [name, f] { expect(rc::check(name, f), "the property does not hold; RapidCheck's report is above"); }};
+  return {name, [name, f] {
+            expect(rc::check(name, f), "the property does not hold; RapidCheck's report is above");
+          }};
 }
 
 }  // namespace dunlinwing::test
--- a/test/unit_test.cpp
+++ b/test/unit_test.cpp
@@ -1,8 +1,9 @@
 // Properties and small examples of the pure parts.
+#include "unit.hpp"
+
 #include <gflags/gflags.h>
 
 #include "expect.hpp"
-#include "unit.hpp"
 
 DEFINE_string(case_name, "", "only the cases whose name contains this");
 
@@ -10,8 +11,9 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   using namespace dunlinwing::test;
   std::vector<Case> all;
-  for (auto* part : {&disk_cases, &registry_cases, &rollout_cases, &move_cases, &traffic_cases, &checker_cases, &config_cases, &keepers_cases, &platform_words_cases,
-                     &platform_rules_cases})
+  for (auto* part :
+       {&disk_cases, &registry_cases, &rollout_cases, &move_cases, &traffic_cases, &checker_cases,
+        &config_cases, &keepers_cases, &platform_words_cases, &platform_rules_cases})
     for (auto& c : (*part)()) all.push_back(c);
   return run_all(all, FLAGS_case_name);
 }
--- a/test/wire_cases.hpp
+++ b/test/wire_cases.hpp
@@ -22,7 +22,8 @@
 struct Raw {
   std::shared_ptr<wire::Line> l;
   bool ended = false;
-  explicit Raw(const std::string& addr) : l(wire::Line::to(addr, std::chrono::steady_clock::now() + 10s).first) {
+  explicit Raw(const std::string& addr)
+      : l(wire::Line::to(addr, std::chrono::steady_clock::now() + 10s).first) {
     expect(l != nullptr, "no connection to " + addr);
   }
   ~Raw() { l->close(); }
--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -27,7 +27,10 @@
 void stale() {
   auto mine = [](const std::string& b) { return [b](const base::Response& r) { return r.body == b; }; };
   StandIn w([](int, int n, auto&) {
-    return n == 0 ? ok("0") : n == 1 ? ok("old") + ok("older") + ok("1") : n == 2 ? ok("a") + ok("b") + ok("c") + ok("2") : ok("not");
+    return n == 0   ? ok("0")
+           : n == 1 ? ok("old") + ok("older") + ok("1")
+           : n == 2 ? ok("a") + ok("b") + ok("c") + ok("2")
+                    : ok("not");
   });
   wire::HttpOrigin o(1 << 20);
   auto r = rules();
@@ -56,8 +59,8 @@
 
 void strange() {
   for (std::string a : {std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n"), ok(std::string(2000, 'x')),
-                        std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcut"), std::string("reset"),
-                        std::string("cut"), std::string("garbage garbage\r\n\r\n"),
+                        std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcut"),
+                        std::string("reset"), std::string("cut"), std::string("garbage garbage\r\n\r\n"),
                         std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
                         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n")}) {
     StandIn w([a](int, int, auto&) { return a; });
@@ -66,9 +69,12 @@
     same(o.held(w.addr()), 0, "connections held");
   }
   StandIn w([](int, int n, auto&) {
-    if (n == 0) return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok("zip", "Content-Encoding: gzip\r\n");
+    if (n == 0)
+      return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok("zip", "Content-Encoding: gzip\r\n");
     if (n == 1) return std::string("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
-    if (n == 2) return std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    if (n == 2)
+      return std::string(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
     if (n == 3) return std::string("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n");
     return ok("last", "Connection: close\r\n");
   });
@@ -91,14 +97,18 @@
     return ok("");
   });
   wire::HttpOrigin o(1000);
-  o.send(w.addr(), {"", "POST", "/p?q=1", "", {{"Host", "given"}, {"X-A", "b"}, {"content-length", "7"}}}, rules());
-  same(head, "POST /p?q=1 HTTP/1.1\r\nHost: given\r\nX-A: b\r\nContent-Length: 0\r\n\r\n", "what was written");
+  o.send(w.addr(), {"", "POST", "/p?q=1", "", {{"Host", "given"}, {"X-A", "b"}, {"content-length", "7"}}},
+         rules());
+  same(head, "POST /p?q=1 HTTP/1.1\r\nHost: given\r\nX-A: b\r\nContent-Length: 0\r\n\r\n",
+       "what was written");
   o.send(w.addr(), get("PURGE"), rules());
   same(head, "PURGE / HTTP/1.1\r\nHost: " + w.addr() + "\r\n\r\n", "what was written");
 }
 
 void ages() {
-  StandIn w([](int, int n, auto&) { return ok("", n == 0 ? "Keep-Alive: timeout=0\r\n" : "Keep-Alive: max=9, timeout=1\r\n"); });
+  StandIn w([](int, int n, auto&) {
+    return ok("", n == 0 ? "Keep-Alive: timeout=0\r\n" : "Keep-Alive: max=9, timeout=1\r\n");
+  });
   wire::HttpOrigin o(1000);
   wire::RealClock c;
   o.send(w.addr(), get(), rules());
@@ -143,7 +153,8 @@
   auto quick = r;
   quick.connect = 20ms;
   auto s = o.send(w.addr(), get(), quick);
-  expect(std::get_if<AttemptError>(&s) && std::get<AttemptError>(s) == AttemptError::unsent, "more connections than allowed");
+  expect(std::get_if<AttemptError>(&s) && std::get<AttemptError>(s) == AttemptError::unsent,
+         "more connections than allowed");
   pool().spawn([&] { second = body(o.send(w.addr(), get(), r)); });
   condition->notify();
   until([&] { return !second.empty(); }, "the second follows");
@@ -190,16 +201,26 @@
     auto id = head.substr(at, head.find('\r', at) - at);
     auto own = ok(id, "Id: " + id + "\r\n");
     switch (n * 7919 % 23) {
-      case 0: return own + own;
-      case 1: return own + ok("late", "Id: late\r\n") + "cut";
-      case 2: return ok("late", "Id: late\r\n") + own;
-      case 3: return own.substr(0, own.size() - 1) + "cut";
-      case 4: return std::string("reset");
-      case 5: return own + "cut";
-      case 6: return std::string("HTTP/1.1 2");
-      case 7: return own + "rubbish";
-      case 8: return ok(id, "Connection: close\r\nId: " + id + "\r\n") + "cut";
-      default: return own;
+      case 0:
+        return own + own;
+      case 1:
+        return own + ok("late", "Id: late\r\n") + "cut";
+      case 2:
+        return ok("late", "Id: late\r\n") + own;
+      case 3:
+        return own.substr(0, own.size() - 1) + "cut";
+      case 4:
+        return std::string("reset");
+      case 5:
+        return own + "cut";
+      case 6:
+        return std::string("HTTP/1.1 2");
+      case 7:
+        return own + "rubbish";
+      case 8:
+        return ok(id, "Connection: close\r\nId: " + id + "\r\n") + "cut";
+      default:
+        return own;
     }
   });
   wire::HttpOrigin o(1000);
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -43,18 +43,23 @@
     same(r.ask(kGet, "GET /a "), "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 7\r\n\r\nGET /a ", "an answer");
     same(r.ask("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
          "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 8\r\n\r\n", "an answer to HEAD");
-    same(r.ask("GET /none HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 204 No Content\r\n\r\n", "a 204");
+    same(r.ask("GET /none HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 204 No Content\r\n\r\n",
+         "a 204");
     same(r.ask("GET /same HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
          "HTTP/1.1 304 Not Modified\r\nETag: \"1\"\r\n\r\n", "a 304");
-    same(r.ask("GET /odd HTTP/1.1\r\nHost: h\r\n\r\n", "odd"), "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd",
-         "framing by the handler");
-    auto c = r.ask("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n3;x=y\r\n wo\r\n0\r\n\r\n",
-                   "hello wo");
+    same(r.ask("GET /odd HTTP/1.1\r\nHost: h\r\n\r\n", "odd"),
+         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nodd", "framing by the handler");
+    auto c = r.ask(
+        "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n3;x=y\r\n "
+        "wo\r\n0\r\n\r\n",
+        "hello wo");
     expect(c.find("Content-Length: 16\r\n") != c.npos, "a chunked request: " + c);
-    same(r.ask("POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", "\r\n\r\n"),
-         "HTTP/1.1 100 Continue\r\n\r\n", "the go-ahead");
+    same(
+        r.ask("POST /e HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n", "\r\n\r\n"),
+        "HTTP/1.1 100 Continue\r\n\r\n", "the go-ahead");
     r.ask("ok", "POST /e ok");
-    r.send(kGet + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n" + "POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nz");
+    r.send(kGet + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n" +
+           "POST /d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nz");
     r.read("GET /a ");
     r.read("GET /b ");
     r.read("POST /d z");
@@ -70,14 +75,16 @@
 
 void framing() {
   Served v({});
-  for (std::string q : {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-                        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-                        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
-                        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "GET x HTTP/1.1\r\nHost: h\r\n\r\n",
-                        "nonsense\r\n\r\n", "GET / HTTP/1.1\r\nHo st: h\r\n\r\n"}) {
+  for (std::string q :
+       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "GET x HTTP/1.1\r\nHost: h\r\n\r\n",
+        "nonsense\r\n\r\n", "GET / HTTP/1.1\r\nHo st: h\r\n\r\n"}) {
     Raw r(v.addr);
     auto a = r.ask(q + kGet);
-    expect(a.starts_with("HTTP/1.1 400") && r.ended && a.find("HTTP/1.1 ", 1) == a.npos, q + " was answered " + a);
+    expect(a.starts_with("HTTP/1.1 400") && r.ended && a.find("HTTP/1.1 ", 1) == a.npos,
+           q + " was answered " + a);
   }
 }
 
@@ -93,10 +100,13 @@
     return a.substr(9, 3);
   };
   same(status("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n"), "431", "a long head");
-  same(status("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x')), "431", "a long head without an end");
-  same(status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x')), "413", "a long body");
-  same(status("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x')), "413",
-       "a long body in chunks");
+  same(status("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x')), "431",
+       "a long head without an end");
+  same(status("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x')), "413",
+       "a long body");
+  same(status("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+              std::string(1001, 'x')),
+       "413", "a long body in chunks");
   Raw r(v.addr);
   r.ask("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x'), "xxx");
   l.head_bytes = 2000;
@@ -115,8 +125,7 @@
   head.send("GET / HT");
   body.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx");
   expect(head.read().starts_with("HTTP/1.1 408"), "a head that stopped was not told so");
-  expect(body.read().starts_with("HTTP/1.1 408"),
-         "a body that stopped was not told so");
+  expect(body.read().starts_with("HTTP/1.1 408"), "a body that stopped was not told so");
   same(idle.read(), "", "an idle connection's last words");
   same(kept.read(), "", "a kept connection's last words");
 }
@@ -128,15 +137,19 @@
   Raw a(v.addr);
   a.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
   std::string q = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 501\r\n\r\n" + std::string(501, 'x'), s;
-  until([&] {
-    Raw b(v.addr);
-    b.send(q);
-    s = b.read("\r\n\r\n");
-    return s.starts_with("HTTP/1.1 503");
-  }, "a body beyond the budget is turned away");
+  until(
+      [&] {
+        Raw b(v.addr);
+        b.send(q);
+        s = b.read("\r\n\r\n");
+        return s.starts_with("HTTP/1.1 503");
+      },
+      "a body beyond the budget is turned away");
   expect(s.find("Connection: close") != s.npos, "its connection was to end: " + s);
   Raw c(v.addr);
-  s = c.ask("POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1f5\r\n" + std::string(501, 'x'), "\r\n\r\n");
+  s = c.ask(
+      "POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1f5\r\n" + std::string(501, 'x'),
+      "\r\n\r\n");
   expect(s.starts_with("HTTP/1.1 503"), "a chunked body beyond the budget: " + s);
   a.ask(std::string(1000, 'y'), "yyy");
   Raw d(v.addr);
@@ -189,9 +202,13 @@
 }
 
 void trailers() {
-  Served v({}, [](base::Request& q) -> base::Response { return {200, {}, base::header(q.headers, "X") + "!" + q.body}; });
+  Served v({}, [](base::Request& q) -> base::Response {
+    return {200, {}, base::header(q.headers, "X") + "!" + q.body};
+  });
   Raw r(v.addr);
-  auto a = r.ask("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: late\r\n\r\n", "!a");
+  auto a =
+      r.ask("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: late\r\n\r\n",
+            "!a");
   expect(a.ends_with("\r\n\r\n!a"), "a trailer became a header: " + a);
 }
 
--- a/test/wire_test.cpp
+++ b/test/wire_test.cpp
@@ -65,16 +65,19 @@
   wire::PeerNet net;
   auto from = clk.now();
   auto r = http.send(m.addr(), {"", "GET", "/", "", {}}, 100ms);
-  test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unknown, "bytes left, yet it was not unknown");
+  test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unknown,
+               "bytes left, yet it was not unknown");
   auto p = net.ask(m.addr(), pb::Ask(), 100ms);
   test::expect(std::get<base::NetError>(p) == base::NetError::timed_out, "a silent peer did not time out");
   test::expect(clk.now() - from < 20s, "the limits did not bind");
   auto gone = m.addr();
   m.acc.close();
   r = http.send(gone, {"", "POST", "/", "x", {}}, 1s);
-  test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unsent, "a refused connection sent something");
+  test::expect(std::get<base::AttemptError>(r) == base::AttemptError::unsent,
+               "a refused connection sent something");
   p = net.ask(gone, pb::Ask(), 1s);
-  test::expect(std::get<base::NetError>(p) == base::NetError::unreachable, "a refused connection was not unreachable");
+  test::expect(std::get<base::NetError>(p) == base::NetError::unreachable,
+               "a refused connection was not unreachable");
 }
 
 // A server that closes each connection after its answer, saying that it keeps it.
@@ -87,7 +90,8 @@
       auto [e] = wire::await<>([&](auto h) { m.acc.async_accept(s, std::move(h)); });
       if (e) return;
       char b[1024];
-      auto [e2, n] = wire::await<size_t>([&](auto h) { s.async_read_some(boost::asio::buffer(b), std::move(h)); });
+      auto [e2, n] =
+          wire::await<size_t>([&](auto h) { s.async_read_some(boost::asio::buffer(b), std::move(h)); });
       if (e2) continue;
       ++*served;
       std::string a = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
@@ -97,7 +101,8 @@
   wire::HttpOrigin http(1 << 20);
   for (int i = 0; i < 20; ++i) {
     auto r = http.send(m.addr(), {"", "GET", "/", "", {}}, 5s);
-    test::expect(std::holds_alternative<base::Response>(r), fmt::format("request {} met a closed connection", i));
+    test::expect(std::holds_alternative<base::Response>(r),
+                 fmt::format("request {} met a closed connection", i));
     clk.sleep(2ms);  // the close is on its way
   }
   test::same(*served, 20, "requests served");
@@ -107,8 +112,9 @@
 
 // Bodies without a length, cut short, or too long are no whole answers.
 void not_whole() {
-  for (std::string a : {"HTTP/1.1 200 OK\r\n\r\nuntil I close", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort",
-                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "nonsense\r\n\r\n"}) {
+  for (std::string a :
+       {"HTTP/1.1 200 OK\r\n\r\nuntil I close", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nshort",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "nonsense\r\n\r\n"}) {
     Mute m;
     pool.spawn([&m, a] {
       boost::asio::ip::tcp::socket s(pool.io(0));
@@ -120,7 +126,8 @@
     });
     wire::HttpOrigin http(1 << 20);
     auto r = http.send(m.addr(), {"", "GET", "/", "", {}}, 5s);
-    test::expect(std::holds_alternative<base::AttemptError>(r), "taken for a whole answer: " + a.substr(0, 60));
+    test::expect(std::holds_alternative<base::AttemptError>(r),
+                 "taken for a whole answer: " + a.substr(0, 60));
     m.acc.close();
     clk.sleep(1ms);
   }
@@ -136,7 +143,8 @@
                                    {"wire: what never answers is given up in time, truthfully", silent},
                                    {"wire: a connection closed behind our back is not used", closed_behind},
                                    {"wire: only whole answers are answers", not_whole}};
-    for (auto& more : {test::server_cases(), test::origin_cases()}) all.insert(all.end(), more.begin(), more.end());
+    for (auto& more : {test::server_cases(), test::origin_cases()})
+      all.insert(all.end(), more.begin(), more.end());
     wire::Pool::stop(test::run_all(all, only));
   });
 }
--- a/test/worker.cpp
+++ b/test/worker.cpp
@@ -48,7 +48,9 @@
     if (h("Dunlinwing-Service") != FLAGS_service || h("Dunlinwing-Version") != FLAGS_runs ||
         h("Dunlinwing-Instance") != instance)
       return {421,
-              {{"Dunlinwing-Outcome", "not-run"}, {"Dunlinwing-Instance", instance}, {"Dunlinwing-Request", h("Dunlinwing-Request")}},
+              {{"Dunlinwing-Outcome", "not-run"},
+               {"Dunlinwing-Instance", instance},
+               {"Dunlinwing-Request", h("Dunlinwing-Request")}},
               "not the worker you meant\n"};
     auto id = h("Caller-Id");
     ++load;
@@ -56,9 +58,10 @@
     auto fault = hit ? FLAGS_fault : std::string("none");
     auto at = clock.now().count();
     clock.sleep(Duration(fault == "slow" ? FLAGS_work_ms * 500 : FLAGS_work_ms));
-    auto body = fmt::format(R"({{"service":"{}","version":"{}","instance":"{}","target":{},"echo":{},"produced":{},"pad":"{}"}})",
-                            FLAGS_service, FLAGS_runs, instance, test::qt(q.target), test::qt(id), at,
-                            std::string(static_cast<size_t>(FLAGS_pad), 'x'));
+    auto body = fmt::format(
+        R"({{"service":"{}","version":"{}","instance":"{}","target":{},"echo":{},"produced":{},"pad":"{}"}})",
+        FLAGS_service, FLAGS_runs, instance, test::qt(q.target), test::qt(id), at,
+        std::string(static_cast<size_t>(FLAGS_pad), 'x'));
     auto sum = base::sha256_base64(body);
     bool bad = fault == "error" || fault == "wrong_bytes" || fault == "wrong_name" || fault == "lose_answer";
     journal.line(fmt::format(
@@ -76,7 +79,8 @@
     put("Dunlinwing-Instance", fault == "wrong_name" ? "somebody" : instance);
     put("Dunlinwing-Request", h("Dunlinwing-Request"));
     put("Dunlinwing-Load", std::to_string(load.load()));
-    if (FLAGS_max_age > 0 && q.method == "GET") put("Cache-Control", fmt::format("max-age={}", FLAGS_max_age));
+    if (FLAGS_max_age > 0 && q.method == "GET")
+      put("Cache-Control", fmt::format("max-age={}", FLAGS_max_age));
     --load;
     return r;
   }
@@ -87,8 +91,8 @@
     q.target = "/v1/beats";
     q.body = fmt::format(
         R"({{"service":"{}","version":"{}","instance":"{}","zone":"{}","address":"{}","capacity":{},"leaving":{},"number":{},"period_ms":{}}})",
-        FLAGS_service, FLAGS_runs, instance, FLAGS_zone, FLAGS_address, FLAGS_capacity, leaving.load(), ++number,
-        FLAGS_period_ms);
+        FLAGS_service, FLAGS_runs, instance, FLAGS_zone, FLAGS_address, FLAGS_capacity, leaving.load(),
+        ++number, FLAGS_period_ms);
     for (int i = 0; i < 4; ++i) {
       auto r = post.send(relays[random.below(relays.size())], q, 1500ms);
       auto* a = std::get_if<base::Response>(&r);
@@ -108,7 +112,8 @@
     leaving = true;
     for (int i = 0; i < 5; ++i)
       if (beat()) {
-        journal.line(fmt::format(R"({{"t":"leaving","instance":"{}","at":{}}})", instance, clock.now().count()));
+        journal.line(
+            fmt::format(R"({{"t":"leaving","instance":"{}","at":{}}})", instance, clock.now().count()));
         break;
       }
     clock.sleep(3000ms);
