Replica sets change by joint consensus, and repair is done within two bounds

Cause: a set changed by one machine at a time, add before remove, and a replica was replaced only after ten bounds (20 s) without a session, by the leader alone. In between a set of three with one gone bore nothing: a second loss of a disk left no majority for ever.

Now a change is one step for any number of replicas: a joint set, in which a majority of the old and of the new list counts, then the new list alone, once every register stands at a majority of it. Any replica does it, the first by name at once; what is found half done is finished. A silent replica gives its place after 1.5 s to a node at hand, a leaving one while it still votes, one that cannot vote after 4 s. A refill asks a majority of the list that holds everything, and waits when a later set shows. Votes of a round older than its limit count in no phase.

Ruled out: shortening the ten bounds alone (a set of four with one gone still has no spare loss).

--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -141,7 +141,23 @@
   }
 
   // Whether a majority may ever have voted, seen from a blank disk that hears every other holder.
-  bool may_have_voted(size_t born) const { return set.all().size() - born >= set.majority(); }
+  bool may_have_voted(size_t born) const { return set.all().size() - born >= majority_of(set.all().size()); }
+
+  // How many others of the complete list have to tell what they hold before this disk may
+  // vote: so many that every quorum in which its former self may have voted is among them.
+  size_t refill_quorum() const {
+    auto& list = set.complete_list();
+    return majority_of(list.size() - (contains_name(list, me) ? 1 : 0));
+  }
+
+  // Whether a set after the present one was written at one of those asked. It may be in force
+  // already, and then quorums count that those asked do not know of.
+  bool shows_later_set(const std::map<std::string, pb::RegisterState>& got) const {
+    auto found = got.find(kReplicaSetKey);
+    if (found == got.end()) return false;
+    pb::ReplicaSet later;
+    return later.ParseFromString(found->second.value().data()) && later.epoch() > set.epoch();
+  }
 
   void refill(bool told) {
     if (told && !first->seeds().empty()) {  // before anything else, so that a restart remembers it
@@ -161,10 +177,11 @@
       a.mutable_dump()->set_node(me);
       auto rs = ask_all(
           ps, others, [&](size_t) { return a; }, round, [](auto&) { return false; });
-      size_t heard = 0, born = 0, formed = 0, full = 0;
+      size_t heard = 0, born = 0, formed = 0, full = 0, formed_complete = 0;
       bool newer = false;
       std::map<std::string, pb::RegisterState> got;
-      for (auto& r : rs) {
+      for (size_t k = 0; k < rs.size(); ++k) {
+        auto& r = rs[k];
         if (!r || !r->has_image()) continue;
         auto& im = r->image();
         newer |= set.adopt(im.set());
@@ -173,17 +190,18 @@
         formed += im.stage() == pb::FORMED;
         full += im.slots_size() > 0;
         if (im.stage() != pb::FORMED) continue;
+        formed_complete += contains(set.complete_list(), others[k]);
         for (auto& s : im.slots()) got[s.name()] = higher(got[s.name()], s);
       }
       bool every = heard == others.size();
-      if (newer || !set.has(me)) {  // asked of another set than the one in force, or not a holder yet
+      if (newer || !set.has(me) || shows_later_set(got)) {  // of another set than the one in force
         ps.clock.sleep(round / 4);
-      } else if (stage == pb::BLANK && formed >= others.size() / 2 + 1) {
+      } else if (stage == pb::BLANK && formed_complete >= refill_quorum()) {
         if (!adopt(set.message())) return;
         if (!take(got)) return;
         lg.info("{}: refilled with {} registers from {} holders.", me, got.size(), formed);
         set_stage(pb::FORMED);
-      } else if (stage == pb::BLANK && every && !full && !formed && set.epoch() <= 1 &&
+      } else if (stage == pb::BLANK && every && !full && !formed && set.epoch() <= 1 && !set.joint() &&
                  (first || !may_have_voted(born))) {
         if (!adopt(set.message())) return;  // a born disk knows its set
         set_stage(pb::BORN);
--- a/src/consensus/ask.hpp
+++ b/src/consensus/ask.hpp
@@ -7,6 +7,7 @@
 
 struct Replica {
   std::string name, address;
+  bool operator==(const Replica&) const = default;
 };
 
 using Replies = std::vector<std::optional<pb::Reply>>;
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -15,7 +15,9 @@
 constexpr int kRounds = 5;       // of a round's limit: how long an operation tries
 constexpr int kSilentTries = 3;  // without hearing a majority before it says so
 constexpr int kMostDoublings = 6;
-constexpr size_t kAtOnce = 16;  // registers finished side by side; holders sync their votes together
+constexpr size_t kAtOnce = 16;  // registers finished side by side; replicas sync their votes together
+constexpr size_t kFewestReplicas = 3;
+constexpr int kTellPart = 4;  // of a round's limit: how long members are told of a new set
 }  // namespace
 
 struct RegisterClient::Impl {
@@ -26,36 +28,45 @@
   Local local;
   uint64_t top = 0;
 
-  size_t majority() const { return set.majority(); }
+  // What the members answered, and whether it may still be counted. A vote older than a
+  // round's limit may come from a disk that was lost since.
+  struct Votes {
+    Replies replies;
+    bool expired = false;
+  };
 
-  // The set must not change under a round's feet: replies of one set are counted
-  // by that set's majority, and a newer set that somebody names voids the round.
-  Replies ask(pb::Ask a, const Enough& e) {
+  // The set must not change while a round counts: replies are counted by the quorum of the
+  // set that was asked, and a newer set that somebody names voids the round.
+  Votes ask(pb::Ask a, const Enough& enough) {
     auto epoch = set.epoch();
     a.set_epoch(epoch);
-    auto rs = ask_all(
-        ps, set.all(), [&](size_t) { return a; }, round, e, me, local);
-    for (auto& r : rs)
+    auto from = ps.clock.now();
+    Votes votes;
+    votes.replies = ask_all(
+        ps, set.all(), [&](size_t) { return a; }, round, enough, me, local);
+    for (auto& r : votes.replies)
       if (r && r->has_vote()) set.adopt(r->vote().newer());
-    if (set.epoch() != epoch) rs.assign(set.all().size(), std::nullopt);
-    return rs;
+    if (set.epoch() != epoch) votes.replies.assign(set.all().size(), std::nullopt);
+    votes.expired = ps.clock.now() - from > round;
+    return votes;
   }
 
   void note(const pb::Vote& v) { top = std::max(top, v.slot().promised().round()); }
 
-  static size_t yeses(const Replies& rs) {
-    return static_cast<size_t>(
-        std::count_if(rs.begin(), rs.end(), [](auto& r) { return r && r->has_vote() && r->vote().yes(); }));
+  template <class Predicate>
+  static MemberFlags flags(const Replies& rs, Predicate said) {
+    MemberFlags out(rs.size());
+    for (size_t i = 0; i < rs.size(); ++i) out[i] = said(rs[i]);
+    return out;
   }
-  static size_t voters(const Replies& rs) {
-    return static_cast<size_t>(
-        std::count_if(rs.begin(), rs.end(), [](auto& r) { return r && r->has_vote() && !r->vote().mute(); }));
-  }
-  // Voting is over when a majority said yes, or so many said no that none can.
+  static bool said_yes(const std::optional<pb::Reply>& r) { return r && r->has_vote() && r->vote().yes(); }
+  static bool votes(const std::optional<pb::Reply>& r) { return r && r->has_vote() && !r->vote().mute(); }
+
+  bool quorum_said_yes(const Replies& rs) const { return set.is_quorum(flags(rs, said_yes)); }
+  // Voting is over when a quorum said yes, or so many said no that none can.
   bool settled(const Replies& rs) const {
-    size_t no = 0;
-    for (auto& r : rs) no += r && !(r->has_vote() && r->vote().yes());
-    return yeses(rs) >= majority() || no > rs.size() - majority();
+    auto may_say_yes = [](auto& r) { return !r || said_yes(r); };
+    return quorum_said_yes(rs) || !set.is_quorum(flags(rs, may_say_yes));
   }
 
   // Proposers that met each other wait a random while, longer each time.
@@ -65,22 +76,25 @@
     ps.clock.sleep(Duration(1 + ps.random.below(most + 1)));
   }
 
-  // The slot that a majority has accepted at one ballot, none higher being seen.
+  // The state that a quorum has accepted at one ballot, none higher being seen.
   const pb::RegisterState* agreed(const Replies& rs) const {
     const pb::RegisterState* best = nullptr;
-    auto yes = [](auto& r) { return r && r->has_vote() && r->vote().yes(); };
     for (auto& r : rs)
-      if (yes(r) && (!best || lower(best->accepted(), r->vote().slot().accepted()))) best = &r->vote().slot();
-    size_t n = 0;
-    for (auto& r : rs) n += best && yes(r) && equal(best->accepted(), r->vote().slot().accepted());
-    return n >= majority() ? best : nullptr;
+      if (said_yes(r) && (!best || lower(best->accepted(), r->vote().slot().accepted())))
+        best = &r->vote().slot();
+    if (!best) return nullptr;
+    auto has_best = [&](auto& r) {
+      return said_yes(r) && equal(best->accepted(), r->vote().slot().accepted());
+    };
+    return set.is_quorum(flags(rs, has_best)) ? best : nullptr;
   }
 
   std::optional<pb::Value> peek(const std::string& name) {
     pb::Ask a;
     a.mutable_peek()->set_name(name);
-    auto rs = ask(a, [&](auto& r) { return agreed(r) != nullptr; });
-    if (auto* s = agreed(rs)) return s->value();
+    auto votes = ask(a, [&](auto& r) { return agreed(r) != nullptr; });
+    if (votes.expired) return {};
+    if (auto* s = agreed(votes.replies)) return s->value();
     return {};
   }
 
@@ -98,32 +112,42 @@
     pb::Ask a;
     a.mutable_prepare()->set_name(name);
     *a.mutable_prepare()->mutable_ballot() = b;
-    auto from = ps.clock.now();
-    auto rs = ask(a, [&](auto& r) { return settled(r); });
+    auto promises = ask(a, [&](auto& r) { return settled(r); });
     pb::RegisterState best;
-    for (auto& r : rs)
+    for (auto& r : promises.replies)
       if (r && r->has_vote()) {
         note(r->vote());
         if (r->vote().yes() && lower(best.accepted(), r->vote().slot().accepted())) best = r->vote().slot();
       }
-    o.heard = voters(rs) >= majority();
+    o.heard = set.is_quorum(flags(promises.replies, votes));
     auto epoch = set.epoch();
-    // A promise older than a round's limit may come from a disk since lost.
-    if (yeses(rs) < majority() || ps.clock.now() - from > round) return o;
+    if (promises.expired || !quorum_said_yes(promises.replies)) return o;
     o.promised = true;
     o.value = make(best.value());
     pb::Ask c;
     c.mutable_accept()->set_name(name);
     *c.mutable_accept()->mutable_ballot() = b;
     *c.mutable_accept()->mutable_value() = o.value;
-    auto as = ask(c, [&](auto& r) { return settled(r); });
-    for (auto& r : as)
+    auto accepts = ask(c, [&](auto& r) { return settled(r); });
+    for (auto& r : accepts.replies)
       if (r && r->has_vote()) note(r->vote());
-    o.chosen = set.epoch() == epoch && yeses(as) >= majority();
+    o.chosen = !accepts.expired && set.epoch() == epoch && quorum_said_yes(accepts.replies);
     return o;
   }
 
-  // Writes the value in force of each register anew, so that a majority of the present set has it.
+  // Makes the present set last at its members; which of them answered that it does.
+  MemberFlags spread_set(Duration limit) {
+    pb::Ask a;
+    *a.mutable_adopt()->mutable_set() = set.message();
+    auto all_answered = [](const Replies& rs) {
+      return std::all_of(rs.begin(), rs.end(), [](auto& r) { return r.has_value(); });
+    };
+    auto rs = ask_all(
+        ps, set.all(), [&](size_t) { return a; }, limit, all_answered, me, local);
+    return flags(rs, said_yes);
+  }
+
+  // Writes the value in force of each register anew, so that a quorum of the present set has it.
   bool finish(const std::vector<std::string>& names) {
     struct Table {
       std::vector<std::string> names;
@@ -156,8 +180,8 @@
                                Local local)
     : p_(new Impl{ps, std::move(me), set, round, std::move(local)}) {}
 RegisterClient::~RegisterClient() = default;
-size_t RegisterClient::majority() const { return p_->majority(); }
-const std::vector<Replica>& RegisterClient::holders() const { return p_->set.all(); }
+size_t RegisterClient::sufficient_count() const { return p_->set.sufficient_count(); }
+const std::vector<Replica>& RegisterClient::replicas() const { return p_->set.all(); }
 ReplicaSetView& RegisterClient::set() { return p_->set; }
 
 ReadResult RegisterClient::read(const std::string& name) {
@@ -217,46 +241,68 @@
   return sent ? RegisterError::fate_unknown : RegisterError::no_majority;
 }
 
-std::variant<pb::ReplicaSet, ReplicaSetError> RegisterClient::change(
-    const std::vector<Replica>& to, const std::function<std::optional<std::vector<std::string>>()>& names) {
+// Writes `next` over the set of `from_epoch`, under the quorum of the present set.
+ReplicaSetResult RegisterClient::write_set(const pb::ReplicaSet& next, uint64_t from_epoch) {
   auto& p = *p_;
+  auto held = read(kReplicaSetKey);
+  auto* now = std::get_if<VersionedValue>(&held);
+  if (!now) return ReplicaSetError::no_majority;
+  pb::ReplicaSet seen;
+  seen.ParseFromString(now->data);
+  if (p.set.epoch() != from_epoch || seen.epoch() > from_epoch) return ReplicaSetError::raced;
+  auto written = write(kReplicaSetKey, now->version, next.SerializeAsString());
+  if (std::holds_alternative<VersionConflict>(written)) return ReplicaSetError::raced;
+  if (auto* error = std::get_if<RegisterError>(&written))
+    return *error == RegisterError::no_majority ? ReplicaSetError::no_majority
+                                                : ReplicaSetError::fate_unknown;
+  p.set.adopt(next);
+  p.spread_set(p.round / kTellPart);
+  return next;
+}
+
+ReplicaSetResult RegisterClient::begin_change(const std::vector<Replica>& to) {
+  auto& set = p_->set;
+  if (set.joint() || to == set.current()) return ReplicaSetError::no_change;
+  if (to.size() < set.current().size() && to.size() < kFewestReplicas) return ReplicaSetError::too_few;
+  auto from = set.message();
+  pb::ReplicaSet next;
+  next.set_epoch(from.epoch() + 1);
+  *next.mutable_previous() = from.holders();
+  for (auto& replica : to) {
+    auto* entry = next.add_holders();
+    entry->set_name(replica.name);
+    entry->set_address(replica.address);
+  }
+  return write_set(next, from.epoch());
+}
+
+// The order of the steps matters: nobody can win under the set before the joint one any
+// longer (a quorum of it has adopted the joint set), then all names are read, then every
+// register stands at a quorum of the joint set and so at a majority of the new list, and
+// only then does the old list stop counting.
+ReplicaSetResult RegisterClient::finish_change(const RegisterNames& names) {
+  auto& p = *p_;
+  if (!p.set.joint()) return ReplicaSetError::no_change;
   auto from = p.set.message();
-  auto in = [](const std::vector<Replica>& v, const std::string& n) {
-    return std::any_of(v.begin(), v.end(), [&](auto& h) { return h.name == n; });
-  };
-  size_t more = 0, fewer = 0;
-  for (auto& h : to) more += !in(p.set.all(), h.name);
-  for (auto& h : p.set.all()) fewer += !in(to, h.name);
-  if (more + fewer != 1) return ReplicaSetError::not_one_step;
-  if (fewer && to.size() < 3) return ReplicaSetError::too_few;
-  pb::Ask a;
-  *a.mutable_adopt()->mutable_set() = from;
-  auto rs = ask_all(
-      p.ps, p.set.all(), [&](size_t) { return a; }, p.round, [](auto&) { return false; }, p.me, p.local);
-  if (Impl::yeses(rs) < p.majority()) return ReplicaSetError::no_majority;
-  // Asked for only now: what was won before under the set before this one is among them.
-  auto ns = names();
-  if (!ns) return ReplicaSetError::no_majority;
-  if (!p.finish(*ns)) return ReplicaSetError::no_majority;
-  auto g = read(kReplicaSetKey);
-  auto* h = std::get_if<VersionedValue>(&g);
-  if (!h) return ReplicaSetError::no_majority;
+  if (!p.set.is_quorum(p.spread_set(p.round)) || p.set.epoch() != from.epoch())
+    return ReplicaSetError::no_majority;
+  auto all_names = names();
+  if (!all_names || !p.finish(*all_names)) return ReplicaSetError::no_majority;
   if (p.set.epoch() != from.epoch()) return ReplicaSetError::raced;
   pb::ReplicaSet next;
   next.set_epoch(from.epoch() + 1);
-  for (auto& x : to) {
-    auto* e = next.add_holders();
-    e->set_name(x.name);
-    e->set_address(x.address);
+  *next.mutable_holders() = from.holders();
+  return write_set(next, from.epoch());
+}
+
+ReplicaSetResult RegisterClient::change(const std::vector<Replica>& to, const RegisterNames& names) {
+  if (p_->set.joint()) {
+    auto left = finish_change(names);
+    if (std::holds_alternative<ReplicaSetError>(left)) return left;
   }
-  pb::ReplicaSet seen;
-  seen.ParseFromString(h->data);
-  if (seen.epoch() > from.epoch()) return ReplicaSetError::raced;
-  auto w = write(kReplicaSetKey, h->version, next.SerializeAsString());
-  if (std::holds_alternative<VersionConflict>(w)) return ReplicaSetError::raced;
-  if (auto* d = std::get_if<RegisterError>(&w))
-    return *d == RegisterError::no_majority ? ReplicaSetError::no_majority : ReplicaSetError::fate_unknown;
-  return next;
+  auto begun = begin_change(to);
+  if (std::holds_alternative<ReplicaSetError>(begun)) return begun;
+  return finish_change(names);
 }
 
 }  // namespace dunlinwing::consensus
--- a/src/control_api/holders.cpp
+++ b/src/control_api/holders.cpp
@@ -13,8 +13,8 @@
 namespace {
 base::Response of(consensus::ReplicaSetError d) {
   switch (d) {
-    case consensus::ReplicaSetError::not_one_step:
-      return defect(409, "the set can change by one machine at a time");
+    case consensus::ReplicaSetError::no_change:
+      return defect(503, "another change of the set is under way; ask again");
     case consensus::ReplicaSetError::too_few:
       return defect(409, "fewer than three holders could not bear a loss");
     case consensus::ReplicaSetError::no_majority:
@@ -43,7 +43,7 @@
   if (on && address.empty()) ds.push_back({"/address", "is missing"});
   if (!ds.empty()) return defects(ds);
   if (!n.state_cache().settle(n.config().bound)) return of(consensus::ReplicaSetError::no_majority);
-  auto to = n.registers().set().all();
+  auto to = n.registers().set().current();
   auto same = [&](auto& h) { return h.name == c.path[2]; };
   if (on == std::any_of(to.begin(), to.end(), same))
     return json(200, message_json(n.registers().set().message()));
--- a/src/control_api/self.cpp
+++ b/src/control_api/self.cpp
@@ -1,21 +1,28 @@
-// The other half, which reads it, is members/discovery.
+// The other half, which reads it, is membership/discovery.
 #include "control_api/self.hpp"
 
 #include <fmt/format.h>
 
 namespace dunlinwing::control_api {
 
+namespace {
+std::string replicas_json(const std::vector<consensus::Replica>& list) {
+  std::string out;
+  for (auto& replica : list)
+    out += fmt::format(R"({}{{"name":{},"address":{}}})", out.empty() ? "" : ",", base::quote(replica.name),
+                       base::quote(replica.address));
+  return "[" + out + "]";
+}
+}  // namespace
+
 base::Response self(relay::Node& n) {
   auto& c = n.config();
   auto& set = n.registers().set();
-  std::string hs;
-  for (auto& h : set.all())
-    hs += fmt::format(R"({}{{"name":{},"address":{}}})", hs.empty() ? "" : ",", base::quote(h.name),
-                      base::quote(h.address));
-  return json(200,
-              fmt::format(R"({{"name":{},"zone":{},"peer_address":{},"disk":{},"epoch":{},"holders":[{}]}})",
-                          base::quote(c.name), base::quote(c.zone), base::quote(c.peer_address),
-                          n.acceptor() != nullptr, set.epoch(), hs));
+  return json(
+      200, fmt::format(
+               R"({{"name":{},"zone":{},"peer_address":{},"disk":{},"epoch":{},"holders":{},"previous":{}}})",
+               base::quote(c.name), base::quote(c.zone), base::quote(c.peer_address), n.acceptor() != nullptr,
+               set.epoch(), replicas_json(set.current()), replicas_json(set.previous())));
 }
 
 }  // namespace dunlinwing::control_api
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -15,6 +15,16 @@
 constexpr int kTell = 2;    // bounds between two looks at what the seeds know
 }  // namespace
 
+namespace {
+void read_replicas(const base::Json& list, google::protobuf::RepeatedPtrField<pb::ReplicaEntry>& out) {
+  for (auto& item : list.items()) {
+    auto* entry = out.Add();
+    entry->set_name(item.at("name").str());
+    entry->set_address(item.at("address").str());
+  }
+}
+}  // namespace
+
 std::optional<Self> read_self(std::string_view body) {
   auto p = base::Json::parse(body);
   auto* j = std::get_if<base::Json>(&p);
@@ -22,11 +32,8 @@
   Self s{j->at("name").str(), j->at("zone").str(), j->at("peer_address").str(), j->at("disk").flag(), {}};
   if (s.name.empty() || s.peer_address.empty()) return {};
   s.set.set_epoch(static_cast<uint64_t>(std::max<int64_t>(0, j->at("epoch").num())));
-  for (auto& h : j->at("holders").items()) {
-    auto* e = s.set.add_holders();
-    e->set_name(h.at("name").str());
-    e->set_address(h.at("address").str());
-  }
+  read_replicas(j->at("holders"), *s.set.mutable_holders());
+  read_replicas(j->at("previous"), *s.set.mutable_previous());
   return s;
 }
 
@@ -108,7 +115,7 @@
     for (auto& x : got)
       if (!best || x.second.set.epoch() > best->second.set.epoch()) best = &x;
     if (best && adopt(best->second.set, best->first + " named")) return;
-    if (!registers.holders().empty() || origin.empty()) return;
+    if (!registers.replicas().empty() || origin.empty()) return;
     for (auto& a : origin)
       if (got.count(a)) told[a] = got[a];
     if (told.size() < origin.size())
@@ -140,7 +147,7 @@
     for (;;) {
       TimePoint now = ps.clock.now();
       if (state_cache.fresh()) good = now;
-      if (registers.holders().empty()) {
+      if (registers.replicas().empty()) {
         look();
         ps.clock.sleep(c.bound / 16);
         continue;
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -1,6 +1,3 @@
-// A step is taken only when every holder that is not gone for good votes, so that
-// the machine added last is filled and nothing else is under way. A machine is added
-// before one is removed.
 #include "membership/replica_repair.hpp"
 
 #include <fmt/format.h>
@@ -11,117 +8,283 @@
 
 namespace dunlinwing::membership {
 namespace {
-constexpr base::Log lg("membership");
-constexpr size_t kMost = 9, kFewest = 3;
-}  // namespace
+constexpr base::Log lg("repair");
+constexpr size_t kMostReplicas = 9, kFewestReplicas = 3;
+constexpr int kLooksPerBound = 8;      // how often each replica looks at the set
+constexpr int kTurnsPerBound = 4;      // the next replica by name acts a bound's fourth later
+constexpr int kJoinWaitsPerBound = 1;  // newcomers are waited for no longer before a change is finished
+
+using ReplicaList = std::vector<consensus::Replica>;
+
+const RepairNode* find_node(const ClusterView& view, const std::string& name) {
+  auto found =
+      std::find_if(view.nodes.begin(), view.nodes.end(), [&](auto& node) { return node.name == name; });
+  return found == view.nodes.end() ? nullptr : &*found;
+}
+
+// One plan in the making: the list so far, and what it is for.
+class Planner {
+ public:
+  explicit Planner(const ClusterView& view) : view_(view), list_(view.set) {
+    for (auto& replica : list_)
+      if (auto* node = find_node(view_, replica.name); node && !node->zone.empty()) ++zones_[node->zone];
+  }
+
+  std::optional<RepairStep> plan() {
+    if (count_voting(view_.set) < consensus::majority_of(view_.set.size())) return {};
+    replace_lost();
+    grow();
+    drop_gone();
+    if (list_ == view_.set) return {};
+    return RepairStep{list_, why_};
+  }
+
+ private:
+  size_t wanted() const { return 2 * static_cast<size_t>(view_.tolerate) + 1; }
+
+  bool votes(const consensus::Replica& replica) const {
+    auto* node = find_node(view_, replica.name);
+    return node && node->votes && contains(view_.set, replica);
+  }
+
+  size_t count_voting(const ReplicaList& list) const {
+    return static_cast<size_t>(std::count_if(list.begin(), list.end(), [&](auto& r) { return votes(r); }));
+  }
+
+  // A change may not depend on newcomers: a majority of the new list has to vote already.
+  // Sets that are smaller than any tolerance needs grow all the same.
+  bool safe(const ReplicaList& list) const {
+    return view_.set.size() < kFewestReplicas || count_voting(list) >= consensus::majority_of(list.size());
+  }
 
-std::optional<RepairStep> plan_repair(const ClusterView& s) {
-  if (s.tolerate < 1 || s.set.empty()) return {};
-  size_t want = 2 * static_cast<size_t>(s.tolerate) + 1, live = 0;
-  std::map<std::string, const RepairCandidate*> by;
-  for (auto& n : s.nodes) by[n.name] = &n;
-  std::map<std::string, size_t> zones;
-  const consensus::Replica* gone = nullptr;
-  for (auto& h : s.set) {
-    auto f = by.find(h.name);
-    if (f == by.end()) return {};
-    auto& k = *f->second;
-    if (!k.votes && !k.present && k.absent >= s.bound * kGoneBounds) {
-      gone = &h;
-      continue;
+  // Why a member should give its place to a node that is at hand; nothing: it should not.
+  std::optional<std::string> lost(const consensus::Replica& replica) const {
+    auto* node = find_node(view_, replica.name);
+    if (!node) return {};
+    if (node->leaving) return replica.name + " leaves";
+    if (!node->address.empty() && node->address != replica.address) return replica.name + " has moved";
+    if (!node->votes && node->unanswered >= lost_after(view_.bound)) return replica.name + " is silent";
+    if (!node->votes && node->mute >= mute_too_long(view_.bound)) return replica.name + " cannot vote";
+    return {};
+  }
+
+  // A present node with a disk, from the zone with fewest replicas.
+  const RepairNode* candidate() const {
+    const RepairNode* best = nullptr;
+    for (auto& node : view_.nodes) {
+      if (!node.disk || !node.present || node.address.empty()) continue;
+      bool taken = std::any_of(list_.begin(), list_.end(), [&](auto& replica) {
+        return replica.address == node.address || (replica.name == node.name && !lost(replica));
+      });
+      if (taken) continue;
+      if (!best || zone_count(node.zone) < zone_count(best->zone)) best = &node;
+    }
+    return best;
+  }
+
+  size_t zone_count(const std::string& zone) const {
+    auto found = zones_.find(zone);
+    return found == zones_.end() ? 0 : found->second;
+  }
+
+  void take(ReplicaList list, const RepairNode& node, const std::string& why) {
+    list_ = std::move(list);
+    ++zones_[node.zone];
+    why_ += (why_.empty() ? "" : ", ") + why;
+  }
+
+  void replace_lost() {
+    for (auto& replica : view_.set) {
+      auto why = lost(replica);
+      if (!why) continue;
+      auto* node = find_node(view_, replica.name);
+      if (auto zone = zones_.find(node->zone); zone != zones_.end()) --zone->second;
+      auto* successor = candidate();
+      auto list = list_;
+      if (successor) {
+        auto place = std::find(list.begin(), list.end(), replica);
+        *place = {successor->name, successor->address};
+      }
+      if (successor && safe(list))
+        take(list, *successor, fmt::format("{}: {} takes its place", *why, successor->name));
+      else if (!node->zone.empty())
+        ++zones_[node->zone];
     }
-    if (!k.votes) return {};  // being filled, or away for a while
-    ++live;
-    ++zones[k.zone];
-  }
-  if (live < s.set.size() / 2 + 1) return {};
-  if (gone && s.set.size() > std::max(want, kFewest))
-    return RepairStep{false, *gone, fmt::format("it is gone, and {} others vote", live)};
-  if (live >= want || s.set.size() >= kMost) return {};
-  const RepairCandidate* best = nullptr;
-  for (auto& [n, k] : by) {
-    bool in = std::any_of(s.set.begin(), s.set.end(),
-                          [&](auto& h) { return h.name == k->name || h.address == k->address; });
-    if (in || !k->disk || !k->present || k->address.empty()) continue;
-    if (!best || zones[k->zone] < zones[best->zone]) best = k;
-  }
-  if (!best) return {};
-  return RepairStep{true, {best->name, best->address}, fmt::format("{} of the {} wanted vote", live, want)};
+  }
+
+  void grow() {
+    while (list_.size() < std::min(wanted(), kMostReplicas)) {
+      auto* node = candidate();
+      if (!node) return;
+      auto list = list_;
+      list.push_back({node->name, node->address});
+      if (!safe(list)) return;
+      take(list, *node, fmt::format("{} joins: {} of {} wanted", node->name, list.size(), wanted()));
+    }
+  }
+
+  void drop_gone() {
+    for (auto& replica : view_.set) {
+      auto* node = find_node(view_, replica.name);
+      bool gone = node && !node->votes && node->absent >= gone_after(view_.bound);
+      if (!gone || !contains(list_, replica) || list_.size() <= std::max(wanted(), kFewestReplicas)) continue;
+      auto list = list_;
+      std::erase(list, replica);
+      if (!safe(list)) continue;
+      list_ = list;
+      why_ += (why_.empty() ? "" : ", ") + replica.name + " is gone";
+    }
+  }
+
+  const ClusterView& view_;
+  ReplicaList list_;
+  std::map<std::string, size_t> zones_;  // replicas in each
+  std::string why_;
+};
+
+}  // namespace
+
+std::optional<RepairStep> plan_repair(const ClusterView& view) {
+  if (view.tolerate < 1 || view.set.empty()) return {};
+  return Planner(view).plan();
 }
 
 struct ReplicaRepair::Impl {
-  base::Ports& ps;
+  base::Ports& ports;
   consensus::RegisterClient& registers;
   StateCache& state_cache;
-  Leadership& leadership;
+  std::string me;
   int tolerate;
   Duration bound;
-  std::map<std::string, TimePoint> met;  // when each holder's session last stood, as far as known here
-
-  Impl(base::Ports& p, consensus::RegisterClient& b, StateCache& m, Leadership& d, int t, Duration bd)
-      : ps(p), registers(b), state_cache(m), leadership(d), tolerate(t), bound(bd) {}
-
-  ClusterView sight() {
-    ClusterView s{registers.holders(), {}, tolerate, bound};
-    TimePoint now = ps.clock.now();
-    std::set<std::string> in;
-    for (auto& m : state_cache.statuses().members(now)) {
-      in.insert(m.name);
-      met[m.name] = now;
+  std::map<std::string, TimePoint> session_seen;  // when each node's session last stood, as seen here
+  // Since when the same need stands; the first replica by name acts on it at once.
+  std::string need;
+  TimePoint need_since{0};
+
+  ClusterView view() {
+    auto now = ports.clock.now();
+    std::map<std::string, RepairNode> nodes;
+    for (auto& replica : registers.set().current())
+      nodes[replica.name] = {replica.name, "", replica.address, true};
+    for (auto& member : state_cache.statuses().all(now))
+      if (!member.fact.zone().empty() && member.fact.disk()) nodes[member.name] = node_of(member);
+    for (auto& member : state_cache.statuses().members(now)) {
+      session_seen[member.name] = now;
+      if (auto node = nodes.find(member.name); node != nodes.end())
+        node->second.present = !member.fact.drained();
     }
-    std::map<std::string, RepairCandidate> by;
-    for (auto& h : s.set) by[h.name] = {h.name, "", h.address, true, false, false, Duration(0)};
-    for (auto& m : state_cache.statuses().all(now)) {
-      if (m.fact.zone().empty()) continue;
-      auto& k = by[m.name];
-      k = {m.name, m.fact.zone(), m.fact.peer_address(), m.fact.disk(), in.count(m.name) && !m.fact.drained(),
-           false,  Duration(0)};
+    ClusterView out{registers.set().current(), {}, tolerate, bound};
+    for (auto& [name, node] : nodes) {
+      auto contact = state_cache.contact(name);
+      node.votes = state_cache.votes(name);
+      node.unanswered = contact.since_answer;
+      node.mute = contact.since_vote;
+      node.absent = now - session_seen.emplace(name, now).first->second;
+      out.nodes.push_back(node);
     }
-    for (auto& [n, k] : by) {
-      k.votes = state_cache.votes(n);
-      k.absent = now - met.emplace(n, now).first->second;
-      s.nodes.push_back(k);
+    return out;
+  }
+
+  static RepairNode node_of(const Member& member) {
+    RepairNode node{member.name, member.fact.zone(), member.fact.peer_address(), member.fact.disk()};
+    node.leaving = member.fact.leaving();
+    return node;
+  }
+
+  // This node's place among the replicas that can act, by name; nothing: it cannot.
+  std::optional<int> turn(const ClusterView& now) const {
+    int before = 0;
+    bool among = false;
+    for (auto& replica : registers.set().all()) {
+      auto* node = find_node(now, replica.name);
+      if (replica.name == me) among = true;
+      if (node && node->votes && node->present && replica.name < me) ++before;
+    }
+    if (!among || !state_cache.votes(me)) return {};
+    return before;
+  }
+
+  // Whether a need that is the same as at the last look has stood for this node's turn.
+  bool my_turn(const std::string& what, const ClusterView& now) {
+    auto time = ports.clock.now();
+    if (std::exchange(need, what) != what) need_since = time;
+    auto place = turn(now);
+    return place && time - need_since >= bound * *place / kTurnsPerBound;
+  }
+
+  consensus::RegisterNames names() {
+    return [this] { return state_cache.names(bound); };
+  }
+
+  void finish(const ClusterView& now) {
+    auto epoch = registers.set().epoch();
+    bool joined = true;
+    for (auto& replica : registers.set().current()) {
+      auto* node = find_node(now, replica.name);
+      joined &= node && (node->votes || !node->present);
     }
-    return s;
-  }
-
-  void tick() {
-    if (!state_cache.fresh()) return met.clear();  // what was not seen is not absence
-    auto s = sight();
-    if (!leadership.held()) return;
-    auto st = plan_repair(s);
-    if (!st) return;
-    auto to = s.set;
-    if (st->add)
-      to.push_back(st->who);
+    auto what = fmt::format("finish {}", epoch);
+    bool turn = my_turn(what, now);
+    if (!joined && ports.clock.now() - need_since < bound / kJoinWaitsPerBound) return;
+    if (!turn) return;
+    auto from = ports.clock.now();
+    auto result = registers.finish_change(names());
+    if (auto* set = std::get_if<pb::ReplicaSet>(&result))
+      lg.info("{}: the replicas of epoch {} are in force, {} of them, in {} ms.", me, set->epoch(),
+              set->holders_size(), (ports.clock.now() - from).count());
     else
-      std::erase_if(to, [&](auto& h) { return h.name == st->who.name; });
-    auto from = ps.clock.now();
-    auto r =
-        registers.change(to, [&] { return leadership.held() ? state_cache.names(bound) : std::nullopt; });
-    if (auto* set = std::get_if<pb::ReplicaSet>(&r))
-      lg.info("{} {} the holders, for {}; epoch {}, {} of them, in {} ms.", st->who.name,
-              st->add ? "joins" : "leaves", st->why, set->epoch(), set->holders_size(),
-              (ps.clock.now() - from).count());
+      lg.warn("{}: the change of epoch {} is not finished yet; the next look tries again.", me, epoch);
+  }
+
+  void begin(const ClusterView& now) {
+    auto step = plan_repair(now);
+    if (!step) return need.clear();
+    if (!my_turn(fmt::format("{} {}", registers.set().epoch(), step->why), now)) return;
+    auto result = registers.begin_change(step->replicas);
+    if (auto* set = std::get_if<pb::ReplicaSet>(&result)) {
+      lg.info("{}: a change of the replicas begins, epoch {}: {}.", me, set->epoch(), step->why);
+      state_cache.hurry();
+    } else {
+      lg.warn("{}: no change of the replicas ({}); the next look tries again.", me, step->why);
+    }
+  }
+
+  void look() {
+    if (!state_cache.fresh()) {  // what was not seen is not absence
+      session_seen.clear();
+      need.clear();
+      return;
+    }
+    auto now = view();
+    if (registers.set().joint())
+      finish(now);
     else
-      lg.warn("{} could not be {} the holders; the next look tries again.", st->who.name,
-              st->add ? "added to" : "removed from");
+      begin(now);
+  }
+
+  bool successor_at_hand() {
+    for (auto& node : view().nodes)
+      if (node.disk && node.present && !registers.set().has(node.name)) return true;
+    return false;
   }
 };
 
-ReplicaRepair::ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d,
-                             int tolerate, Duration bound)
-    : p_(std::make_shared<Impl>(ps, b, m, d, tolerate, bound)) {}
+ReplicaRepair::ReplicaRepair(base::Ports& ports, consensus::RegisterClient& registers,
+                             StateCache& state_cache, std::string me, int tolerate, Duration bound)
+    : impl_(std::make_shared<Impl>(
+          Impl{ports, registers, state_cache, std::move(me), tolerate, bound, {}, "", TimePoint(0)})) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
 void ReplicaRepair::start() {
-  if (p_->tolerate < 1) return;
-  p_->ps.tasks.spawn([p = p_] {
+  if (impl_->tolerate < 1) return;
+  impl_->ports.tasks.spawn([impl = impl_] {
     for (;;) {
-      p->ps.clock.sleep(p->bound / 2);
-      p->tick();
+      impl->ports.clock.sleep(impl->bound / kLooksPerBound);
+      impl->look();
     }
   });
 }
 
+bool ReplicaRepair::successor_at_hand() const { return impl_->tolerate > 0 && impl_->successor_at_hand(); }
+
 }  // namespace dunlinwing::membership
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -1,47 +1,62 @@
-// Keeps the set of holders at what the stated tolerance needs: 2f+1 disks, spread
-// over zones. The step is pure and names one change at most; the part runs it under
-// the rollout duty's read_lease.
+// Keeps the replica set at what the stated tolerance needs: 2f+1 disks, spread over zones.
+//
+// plan_repair is pure: from what one replica knows it names the list that the set should
+// go to, any number of replicas in one step. ReplicaRepair runs it on every replica: the
+// first one by name acts at once, each later one only when the need still stands a while
+// later, so no leader is needed and two that act at once do no harm (a change of the set is
+// a compare-and-set). A change found half done is finished by the same rule.
 #pragma once
-#include "membership/leadership.hpp"
+#include "membership/state_cache.hpp"
 
 namespace dunlinwing::membership {
 
-struct RepairCandidate {  // a node as a holder, or as one that could become one
+// A node with a disk, as a replica or as one that could become one.
+struct RepairNode {
   std::string name, zone, address;
   bool disk = false;
-  bool present = false;  // its session stands, and it is not about to go
+  bool present = false;  // its session stands, and it is neither leaving nor drained
+  bool leaving = false;  // it has said that it is about to end
   bool votes = false;
-  Duration absent{0};  // for how long its session has not stood
+  Duration unanswered{0};  // since it last answered
+  Duration mute{0};        // since it last answered as one that votes
+  Duration absent{0};      // since its session last stood
 };
 
 struct ClusterView {
   std::vector<consensus::Replica> set;
-  std::vector<RepairCandidate> nodes;
-  int tolerate = 1;
+  std::vector<RepairNode> nodes;
+  int tolerate = 1;  // disks that may be lost at once
   Duration bound{2000};
 };
 
 struct RepairStep {
-  bool add = false;
-  consensus::Replica who;
+  std::vector<consensus::Replica> replicas;  // the list to go to
   std::string why;
 };
 
-// So many bounds without a session, and a holder counts as gone for good.
-inline constexpr int kGoneBounds = 10;
+// A replica that has not answered for so long gives its place to a node that is at hand.
+inline constexpr Duration lost_after(Duration bound) { return bound * 3 / 4; }
+// One that answers, but cannot vote (its disk fails, or is being refilled), does so later.
+inline constexpr Duration mute_too_long(Duration bound) { return bound * 2; }
+// With nobody to take its place, one more than needed is dropped after so long without a session.
+inline constexpr Duration gone_after(Duration bound) { return bound * 10; }
 
-std::optional<RepairStep> plan_repair(const ClusterView& s);
+// Nothing: the set is as it should be, or nothing can safely be done now.
+std::optional<RepairStep> plan_repair(const ClusterView& view);
 
 class ReplicaRepair {
  public:
-  ReplicaRepair(base::Ports& ps, consensus::RegisterClient& b, StateCache& m, Leadership& d, int tolerate,
-                Duration bound);
+  // `me`: this node, which is a replica or may become one. `tolerate` 0: operators change the set.
+  ReplicaRepair(base::Ports& ports, consensus::RegisterClient& registers, StateCache& state_cache,
+                std::string me, int tolerate, Duration bound);
   ~ReplicaRepair();
   void start();
+  // Whether another node could take this one's place before it ends.
+  bool successor_at_hand() const;
 
  private:
   struct Impl;
-  std::shared_ptr<Impl> p_;
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace dunlinwing::membership
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -21,6 +21,7 @@
 struct StateCache::Impl {
   struct Side {
     uint64_t boot = 0, seen = 0;
+    TimePoint answered{0};
     TimePoint voted{0};  // when it last answered and was not mute
     std::map<std::string, pb::RegisterState> slots;
   };
@@ -38,6 +39,7 @@
   uint64_t incarnation = 0, count = 0, deregistered = 0;
   size_t first = 0;  // the holder asked first
   std::atomic<int64_t> read_lease{0};
+  TimePoint began{0};  // when this node's fresh contact with a quorum last began
   TimePoint said{0};
   std::string said_key;
   std::vector<std::pair<TimePoint, std::shared_ptr<base::Condition>>> waits;
@@ -54,7 +56,7 @@
         own(std::move(o)),
         seen(std::move(s)),
         statuses(c.session()) {
-    first = static_cast<size_t>(ps.random.below(b.holders().size()));
+    first = static_cast<size_t>(ps.random.below(b.replicas().size()));
   }
 
   void take(const std::string& who, const pb::PullReply& r, TimePoint now) {
@@ -63,6 +65,7 @@
     if (s.boot != r.boot()) s.slots.clear();
     s.boot = r.boot();
     s.seen = r.seen();
+    s.answered = now;
     if (!r.mute()) s.voted = now;
     for (auto& x : r.slots()) {
       s.slots[x.name()] = x;
@@ -72,30 +75,35 @@
       if (n.source() != c.me) statuses.merge(n, now);
   }
 
-  // The latest ballot known for a register, and at how many holders it stands.
-  std::pair<const pb::RegisterState*, size_t> latest(const std::string& name) const {
+  // What `replica` last told of a register; null: nothing.
+  const pb::RegisterState* told_by(const consensus::Replica& replica, const std::string& name) const {
+    auto side = sides.find(replica.name);
+    if (side == sides.end()) return nullptr;
+    auto state = side->second.slots.find(name);
+    return state == side->second.slots.end() ? nullptr : &state->second;
+  }
+
+  // The latest state known for a register, when a quorum has accepted its ballot.
+  const pb::RegisterState* latest_at_quorum(const std::string& name) const {
     const pb::RegisterState* best = nullptr;
-    size_t n = 0;
-    for (auto& h : registers.holders()) {
-      auto s = sides.find(h.name);
-      if (s == sides.end()) continue;
-      auto f = s->second.slots.find(name);
-      if (f == s->second.slots.end()) continue;
-      if (!best || consensus::lower(best->accepted(), f->second.accepted())) {
-        best = &f->second;
-        n = 1;
-      } else if (consensus::equal(best->accepted(), f->second.accepted())) {
-        ++n;
-      }
+    for (auto& replica : registers.replicas()) {
+      auto* state = told_by(replica, name);
+      if (state && (!best || consensus::lower(best->accepted(), state->accepted()))) best = state;
+    }
+    if (!best) return nullptr;
+    consensus::MemberFlags has_best;
+    for (auto& replica : registers.replicas()) {
+      auto* state = told_by(replica, name);
+      has_best.push_back(state && consensus::equal(best->accepted(), state->accepted()));
     }
-    return {best, n};
+    return registers.set().is_quorum(has_best) ? best : nullptr;
   }
 
   bool settle_open() {
     for (auto i = open.begin(); i != open.end();) {
-      auto [s, n] = latest(*i);
+      auto* s = latest_at_quorum(*i);
       consensus::VersionedValue h;
-      if (n >= registers.majority()) {
+      if (s) {
         h = {s->value().version(), s->value().data()};
       } else {
         auto name = *i;
@@ -157,13 +165,14 @@
         *p->mutable_own() = n;
       }
     }
-    auto hs = registers.holders();
+    auto hs = registers.replicas();
     auto epoch = registers.set().epoch();
     if (hs.empty()) return false;  // nobody has named the holders yet
     first %= hs.size();
     consensus::Local local;
     if (mine) local = [this](const pb::Ask& a) { return answer(a); };
-    size_t n = 0;
+    consensus::MemberFlags voting(hs.size());  // those that answered and are not mute
+    auto quorum = [&] { return registers.set().epoch() == epoch && registers.set().is_quorum(voting); };
     std::vector<pb::PullReply> heard;
     // Asks those named and takes what they say; false when none answered.
     auto ask = [&](const std::vector<size_t>& who, Duration limit) {
@@ -184,7 +193,7 @@
         quiet = rs[k] && rs[k]->has_pull() ? 0 : quiet + 1;
         if (quiet) continue;
         any = true;
-        n += !rs[k]->pull().mute();
+        voting[who[k]] = !rs[k]->pull().mute();
         take(hs[who[k]].name, rs[k]->pull(), ps.clock.now());
         registers.set().adopt(rs[k]->pull().set());
         heard.push_back(rs[k]->pull());
@@ -196,17 +205,17 @@
     for (size_t k = 0; k < hs.size(); ++k)
       if (auto i = (first + k) % hs.size(); k || heard.empty()) rest.push_back(i);
     // In a large fleet a relay asks no more holders than it needs, as long as those answer.
-    size_t need = registers.majority() - std::min(registers.majority(), heard.size());
+    size_t need = registers.sufficient_count() - std::min(registers.sufficient_count(), heard.size());
     if (!mine && statuses.size() >= kLargeFleet && rest.size() > need) {
       std::stable_partition(rest.begin(), rest.end(), [&](size_t i) { return silent[hs[i].name] == 0; });
       later.assign(rest.begin() + static_cast<std::ptrdiff_t>(need), rest.end());
       rest.resize(need);
     }
     ask(rest, c.pull());
-    if (!later.empty() && n < registers.majority()) ask(later, c.pull());
+    if (!later.empty() && !quorum()) ask(later, c.pull());
     TimePoint now = ps.clock.now();
     if (registers.set().epoch() != epoch) return reseat();
-    if (n < registers.majority()) return false;
+    if (!quorum()) return false;
     if (!incarnation) {
       auto m = statuses.mark(c.me);
       for (auto& r : heard)
@@ -270,6 +279,7 @@
       p->asked = false;
       bool ok = p->once();
       bool was = std::exchange(p->told, p->ps.clock.now().count() < p->read_lease.load());
+      if (!was && p->told) p->began = p->ps.clock.now();
       if (was && !p->told) lg.warn("{}: the read lease has lapsed.", p->c.me);
       if (!was && p->told) lg.info("{}: the read lease stands.", p->c.me);
       Duration spent = p->ps.clock.now() - from;
@@ -315,6 +325,14 @@
          p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
 }
 
+StateCache::Contact StateCache::contact(const std::string& replica) const {
+  auto now = p_->ps.clock.now();
+  auto side = p_->sides.find(replica);
+  auto since = [&](TimePoint at) { return now - std::max(at, p_->began); };
+  if (side == p_->sides.end()) return {since(TimePoint(0)), since(TimePoint(0))};
+  return {since(side->second.answered), since(side->second.voted)};
+}
+
 void StateCache::hurry() {
   p_->asked = true;
   if (p_->rest) p_->rest->notify();
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -40,8 +40,14 @@
   bool settle(Duration limit);
   // The names of all registers, from a pull that began after this call.
   std::optional<std::vector<std::string>> names(Duration limit);
-  bool votes(
-      const std::string& holder) const;  // it answered a pull in the last half of the bound, and not as mute
+  // Whether it answered a pull in the last half of the bound, and not as mute.
+  bool votes(const std::string& replica) const;
+  // How long ago a replica last answered, and last answered as one that votes. Since this
+  // node began, when it never did.
+  struct Contact {
+    Duration since_answer{0}, since_vote{0};
+  };
+  Contact contact(const std::string& replica) const;
   void hurry();  // the next pull begins at once, or as soon as the one under way has ended
 
  private:
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -60,7 +60,7 @@
         leadership(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
         discovery(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache,
                   acceptor.get()),
-        replica_repair(ps, registers, state_cache, leadership, c.tolerate, c.bound),
+        replica_repair(ps, registers, state_cache, c.name, c.tolerate, c.bound),
         conductor(ps, registers, state_cache, leadership, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return state_cache.fresh(); }) {
     traffic.bound_cache(c.cache_bytes);
--- a/src/software/artifacts.cpp
+++ b/src/software/artifacts.cpp
@@ -76,7 +76,7 @@
     consensus::Local local;
     if (shelf) local = [this](const pb::Ask& x) { return answer(x); };
     return consensus::ask_all(
-        ps, registers.holders(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
+        ps, registers.replicas(), [&](size_t) { return a; }, limit, [](auto&) { return false; }, me, local);
   }
 
   // How much a majority of holders has.
@@ -90,18 +90,18 @@
       whole += r->piece().whole();
       if (!r->piece().why().empty()) why = r->piece().why();
     }
-    if (held.size() < registers.majority()) return PieceError::no_majority;
+    if (held.size() < registers.sufficient_count()) return PieceError::no_majority;
     std::sort(held.rbegin(), held.rend());
     pb::Piece p;
-    p.set_held(held[registers.majority() - 1]);
-    p.set_whole(whole >= registers.majority());
+    p.set_held(held[registers.sufficient_count() - 1]);
+    p.set_whole(whole >= registers.sufficient_count());
     if (p.held() >= need) return p;
     return why.find("names") != why.npos ? PieceError::unknown_artifact : PieceError::gap;
   }
 
   // One piece of an artifact from any holder that has it.
   std::optional<pb::Piece> piece(const std::string& sha, uint64_t offset) {
-    auto hs = registers.holders();
+    auto hs = registers.replicas();
     for (size_t i = hs.size(); i > 1; --i) std::swap(hs[i - 1], hs[ps.random.below(i)]);
     pb::Ask a;
     a.mutable_fetch()->set_sha256(sha);
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -133,6 +133,10 @@
                        return healed();
                      }),
            "the spare did not take the place of " + out);
+    // The users count a loss as over four seconds (two bounds) after the successor's start,
+    // which here is at hand already.
+    s.want(s.w.now() - from <= Duration(4000),
+           fmt::format("the repair took {} ms", (s.w.now() - from).count()));
     s.figures["unready_looks"] = unready;
     s.figures["healed_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
     s.figures["longest_ack_gap_ms"] = static_cast<uint64_t>(w.gap->count());
