--- /dev/null
+++ b/test/model/votes.hpp
@@ -0,0 +1,53 @@
+// The product's voting functions in the compact terms of the model.
+//
+// A replica's state of a register is three small numbers here and a protobuf
+// message there. Each distinct step is computed once by `consensus::prepare`,
+// `accept` and `higher` themselves and kept in a table, so the explorer runs
+// the product's code at the cost of an array access.
+#pragma once
+#include <cstdint>
+#include <vector>
+
+namespace dunlinwing::test::model {
+
+inline constexpr int kProposers = 2;
+inline constexpr int kMaxRound = 4;
+inline constexpr int kBallots = kProposers * kMaxRound;  // a ballot is 1..kBallots; 0 is none
+inline constexpr int kValues = 8;                        // of one register, 0 being "never written"
+
+using Ballot = uint8_t;
+using Value = uint8_t;
+
+// Numbered so that the order of ballots is the order of the numbers, as `consensus::lower` has it.
+constexpr Ballot ballot_of(int round, int proposer) {
+  return static_cast<Ballot>((round - 1) * kProposers + proposer + 1);
+}
+constexpr int round_of(Ballot ballot) { return (ballot - 1) / kProposers + 1; }
+constexpr int proposer_of(Ballot ballot) { return (ballot - 1) % kProposers; }
+
+// What a replica has on its disk of one register.
+struct RegisterState {
+  Ballot promised = 0;
+  Ballot accepted = 0;
+  Value value = 0;
+  bool operator==(const RegisterState&) const = default;
+};
+
+struct VoteStep {
+  RegisterState state;
+  bool yes = false;
+};
+
+// Tables over the product's functions, filled as steps are first asked for.
+class Votes {
+ public:
+  Votes();
+  VoteStep prepare(RegisterState state, Ballot ballot);
+  VoteStep accept(RegisterState state, Ballot ballot, Value value);
+  RegisterState higher(RegisterState a, RegisterState b);
+
+ private:
+  std::vector<int32_t> prepared_, accepted_, merged_;
+};
+
+}  // namespace dunlinwing::test::model
