Registers: copies, old replies and replicas that have not adopted are no votes

(1) A pull counted replicas that had not yet made the joint set durable: a write acknowledged under the old set could be missed when the registers were finished. (2) Reads counted a refilled copy of an accepted value as a vote for it. (3) Reads counted replies from before a disk was lost.

Now a pull counts a replica only with an adopted epoch not below its own; refilled state is marked as copied until it is accepted anew, which the refilled replica brings about at once; an answer counts only within the limit of a round. A replica confirms an adoption only once it is durable (a second one under way was confirmed too early). A process that ends waits, within its grace, until a node at hand has taken its replica's place.

--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -25,7 +25,8 @@
   base::Disk& disk;
   std::string me;
   ReplicaSetView& set;
-  uint64_t epoch = 0;  // of the set that is synced here
+  uint64_t epoch = 0;          // of the set under which asks are answered
+  uint64_t adopted_epoch = 0;  // of the set that is durable here; never above `epoch`
   Duration round;
   pb::Stage stage = pb::BLANK;
   std::optional<pb::First> first;
@@ -106,20 +107,25 @@
     return out;
   }
 
+  // True once the set, or a newer one, is durable here. Asks of lower epochs are rejected
+  // from the first moment on.
   bool adopt(const pb::ReplicaSet& s) {
-    if (s.epoch() <= epoch) return true;
+    if (s.epoch() <= adopted_epoch) return true;
     set.adopt(s);
-    epoch = s.epoch();
+    epoch = std::max(epoch, s.epoch());
     pb::Record r;
     *r.mutable_set() = s;
-    return sync(r);
+    if (!sync(r)) return false;
+    adopted_epoch = std::max(adopted_epoch, s.epoch());
+    return true;
   }
 
-  // All slots of the others in one sync.
+  // All that the others hold, in one sync. It was not accepted here, so it is no vote.
   bool take(std::map<std::string, pb::RegisterState>& got) {
     pb::Record last;
     for (auto& [k, s] : got) {
       s.set_name(k);
+      s.set_copied(s.accepted().round() > 0);
       slots[k] = s;
       pb::Record r;
       *r.mutable_slot() = s;
@@ -228,7 +234,7 @@
   p_->boot = p_->ps.random.draw() | 1;
   p_->stage = l.image.stage();
   p_->set.adopt(l.image.set());
-  p_->epoch = l.image.set().epoch();
+  p_->epoch = p_->adopted_epoch = l.image.set().epoch();
   for (auto& s : l.image.slots()) {
     p_->slots[s.name()] = p_->synced[s.name()] = s;
     p_->feed[s.name()] = ++p_->count;
@@ -245,6 +251,13 @@
 bool Acceptor::mute() const { return p_->bad || p_->stage != pb::FORMED; }
 bool Acceptor::adopt(const pb::ReplicaSet& s) { return p_->adopt(s); }
 
+std::vector<std::string> Acceptor::copied() const {
+  std::vector<std::string> names;
+  for (auto& [name, state] : p_->synced)
+    if (state.copied()) names.push_back(name);
+  return names;
+}
+
 pb::Reply Acceptor::answer(const pb::Ask& a) {
   auto& p = *p_;
   pb::Reply out;
@@ -287,6 +300,7 @@
   out.set_seen(mute() ? 0 : p.count);  // of what is not told yet nothing was seen
   out.set_mute(mute());
   if (p.epoch) *out.mutable_set() = p.set.message();
+  out.set_adopted_epoch(p.adopted_epoch);
   if (mute()) return;
   if (boot != p.boot) seen = 0;
   for (auto& [k, n] : p.feed)
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -18,8 +18,10 @@
   pb::Reply answer(const pb::Ask& a);      // prepare, accept, peek, dump; parks until synced
   void changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const;
   bool mute() const;
-  // Makes a newer set of holders last here; lower epochs are turned away from then on.
+  // Makes a newer replica set durable here; asks of lower epochs are rejected from then on.
   bool adopt(const pb::ReplicaSet& s);
+  // The registers whose state came by a refill and was not accepted here since.
+  std::vector<std::string> copied() const;
 
  private:
   struct Impl;
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -84,7 +84,9 @@
         best = &r->vote().slot();
     if (!best) return nullptr;
     auto has_best = [&](auto& r) {
-      return said_yes(r) && equal(best->accepted(), r->vote().slot().accepted());
+      if (!said_yes(r)) return false;
+      auto& state = r->vote().slot();
+      return !state.copied() && equal(best->accepted(), state.accepted());
     };
     return set.is_quorum(flags(rs, has_best)) ? best : nullptr;
   }
@@ -295,6 +297,8 @@
   return write_set(next, from.epoch());
 }
 
+bool RegisterClient::rewrite(const std::vector<std::string>& names) { return p_->finish(names); }
+
 ReplicaSetResult RegisterClient::change(const std::vector<Replica>& to, const RegisterNames& names) {
   if (p_->set.joint()) {
     auto left = finish_change(names);
--- a/src/consensus/register_client.hpp
+++ b/src/consensus/register_client.hpp
@@ -33,6 +33,9 @@
   ReadResult read(const std::string& name);
   WriteResult write(const std::string& name, uint64_t expect, const std::string& data);
 
+  // Writes the value in force of each register anew; false when some could not be.
+  bool rewrite(const std::vector<std::string>& names);
+
   // Starts a change of the replica set: from now on a majority of both lists counts.
   ReplicaSetResult begin_change(const std::vector<Replica>& to);
   // Ends the change under way, whoever began it: every register comes to stand at a majority
--- a/src/consensus/vote.cpp
+++ b/src/consensus/vote.cpp
@@ -28,6 +28,7 @@
   *r.slot.mutable_promised() = a.ballot();
   *r.slot.mutable_accepted() = a.ballot();
   *r.slot.mutable_value() = a.value();
+  r.slot.clear_copied();
   return r;
 }
 
--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -153,6 +153,7 @@
   base::Ports& ports;
   consensus::RegisterClient& registers;
   StateCache& state_cache;
+  consensus::Acceptor& acceptor;
   std::string me;
   int tolerate;
   Duration bound;
@@ -255,6 +256,8 @@
       need.clear();
       return;
     }
+    // What came by a refill is no vote for anybody until it is accepted here.
+    if (auto copied = acceptor.copied(); !copied.empty() && !acceptor.mute()) registers.rewrite(copied);
     auto now = view();
     if (registers.set().joint())
       finish(now);
@@ -270,13 +273,13 @@
 };
 
 ReplicaRepair::ReplicaRepair(base::Ports& ports, consensus::RegisterClient& registers,
-                             StateCache& state_cache, std::string me, int tolerate, Duration bound)
-    : impl_(std::make_shared<Impl>(
-          Impl{ports, registers, state_cache, std::move(me), tolerate, bound, {}, "", TimePoint(0)})) {}
+                             StateCache& state_cache, consensus::Acceptor& acceptor, std::string me,
+                             int tolerate, Duration bound)
+    : impl_(std::make_shared<Impl>(Impl{
+          ports, registers, state_cache, acceptor, std::move(me), tolerate, bound, {}, "", TimePoint(0)})) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
 void ReplicaRepair::start() {
-  if (impl_->tolerate < 1) return;
   impl_->ports.tasks.spawn([impl = impl_] {
     for (;;) {
       impl->ports.clock.sleep(impl->bound / kLooksPerBound);
--- a/src/membership/replica_repair.hpp
+++ b/src/membership/replica_repair.hpp
@@ -48,7 +48,7 @@
  public:
   // `me`: this node, which is a replica or may become one. `tolerate` 0: operators change the set.
   ReplicaRepair(base::Ports& ports, consensus::RegisterClient& registers, StateCache& state_cache,
-                std::string me, int tolerate, Duration bound);
+                consensus::Acceptor& acceptor, std::string me, int tolerate, Duration bound);
   ~ReplicaRepair();
   void start();
   // Whether another node could take this one's place before it ends.
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -83,6 +83,13 @@
     return state == side->second.slots.end() ? nullptr : &state->second;
   }
 
+  // Whether what a replica last told may still be counted: an older word may come from a
+  // disk that was lost since.
+  bool told_in_time(const consensus::Replica& replica) const {
+    auto side = sides.find(replica.name);
+    return side != sides.end() && ps.clock.now() - side->second.voted <= c.word_limit();
+  }
+
   // The latest state known for a register, when a quorum has accepted its ballot.
   const pb::RegisterState* latest_at_quorum(const std::string& name) const {
     const pb::RegisterState* best = nullptr;
@@ -94,7 +101,8 @@
     consensus::MemberFlags has_best;
     for (auto& replica : registers.replicas()) {
       auto* state = told_by(replica, name);
-      has_best.push_back(state && consensus::equal(best->accepted(), state->accepted()));
+      has_best.push_back(state && !state->copied() && told_in_time(replica) &&
+                         consensus::equal(best->accepted(), state->accepted()));
     }
     return registers.set().is_quorum(has_best) ? best : nullptr;
   }
@@ -193,7 +201,8 @@
         quiet = rs[k] && rs[k]->has_pull() ? 0 : quiet + 1;
         if (quiet) continue;
         any = true;
-        voting[who[k]] = !rs[k]->pull().mute();
+        // One that has not made the present set durable may still vote under the one before.
+        voting[who[k]] = !rs[k]->pull().mute() && rs[k]->pull().adopted_epoch() >= epoch;
         take(hs[who[k]].name, rs[k]->pull(), ps.clock.now());
         registers.set().adopt(rs[k]->pull().set());
         heard.push_back(rs[k]->pull());
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -20,6 +20,7 @@
   Duration pull() const { return bound / 8; }
   Duration read_lease() const { return bound * 3 / 4; }
   Duration session() const { return bound * 3 / 2; }
+  Duration word_limit() const { return bound / 4; }  // how long a replica's answer counts
 };
 
 class StateCache {
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -194,8 +194,11 @@
     node->traffic().drain();
     if (callers) callers->close();
     if (callers) callers->close_idle();
-    while ((node->traffic().running() > 0 || (callers && callers->running() > 0)) && clock.now() < end)
-      clock.sleep(10ms);
+    auto busy = [this] {
+      return node->traffic().running() > 0 || (callers && callers->running() > 0) ||
+             node->hands_over_replica();
+    };
+    while (busy() && clock.now() < end) clock.sleep(10ms);
     lg.info("{}: stopped.", c.node.name);
     dw::wire::Pool::stop(status);
   }
--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -27,7 +27,7 @@
   membership::StateCache state_cache;
   membership::Leadership leadership;
   membership::Discovery discovery;
-  membership::ReplicaRepair replica_repair;
+  std::unique_ptr<membership::ReplicaRepair> replica_repair;  // null without a disk
   rollout::Conductor conductor;
   traffic::Traffic traffic;
   std::atomic<bool> leaving{false}, drained{false};
@@ -60,7 +60,9 @@
         leadership(ps, registers, state_cache, "rollout", c.name, c.zone, c.bound),
         discovery(ps, {c.name, c.bound, c.first_start && c.holders.empty(), c.seeds}, registers, state_cache,
                   acceptor.get()),
-        replica_repair(ps, registers, state_cache, c.name, c.tolerate, c.bound),
+        replica_repair(acceptor ? std::make_unique<membership::ReplicaRepair>(
+                                      ps, registers, state_cache, *acceptor, c.name, c.tolerate, c.bound)
+                                : nullptr),
         conductor(ps, registers, state_cache, leadership, {c.name, c.bound, c.scale}),
         traffic(ps, *c.face, c.name, c.zone, [this] { return state_cache.fresh(); }) {
     traffic.bound_cache(c.cache_bytes);
@@ -285,7 +287,7 @@
   if (p_->holder) {
     p_->leadership.start();
     p_->conductor.start();
-    p_->replica_repair.start();
+    p_->replica_repair->start();
   }
 }
 
@@ -365,6 +367,10 @@
   p_->state_cache.settle(p_->c.bound / 2);  // tells the others that this node leaves
 }
 
+bool Node::hands_over_replica() const {
+  return p_->replica_repair && p_->set.has(p_->c.name) && p_->replica_repair->successor_at_hand();
+}
+
 const NodeConfig& Node::config() const { return p_->c; }
 membership::StateCache& Node::state_cache() { return p_->state_cache; }
 consensus::RegisterClient& Node::registers() { return p_->registers; }
--- a/src/relay/node.hpp
+++ b/src/relay/node.hpp
@@ -38,6 +38,8 @@
   // Records that a worker has ended; true once that lasts.
   bool gone(const std::string& instance);
   bool ready() const;
+  // Whether this node is a replica whose place another one can still take before it ends.
+  bool hands_over_replica() const;
   void leave();  // unready, duties handed over, the session ended; requests are still served
 
   const NodeConfig& config() const;
