Consensus: the model's three traces played by the product's own objects

Cause: the exhaustive model found three traces that the protocol did not bear. The product now has rules against them, but nothing ran the product through those traces.

--- /dev/null
+++ b/test/consensus_harness.cpp
@@ -0,0 +1,334 @@
+// Processes, messages and time of the scripted environment. A process that has ended is kept
+// until the harness goes, for its fibers unwind only when they are next resumed.
+#include "consensus_harness.hpp"
+
+#include <algorithm>
+
+namespace dunlinwing::test {
+namespace {
+
+constexpr Duration kLongestScript{600'000};
+constexpr Duration kLongestWait{30'000};
+constexpr size_t kLogBytes = 16384;
+
+class NoOrigin final : public base::Origin {
+ public:
+  bool reach(const std::string&, Duration) override { return false; }
+  std::variant<base::Response, base::AttemptError> send(const std::string&, const base::Request&,
+                                                        const base::AttemptRules&) override {
+    return base::AttemptError::unsent;
+  }
+};
+
+MessageKind kind_of(const pb::Ask& ask) {
+  if (ask.has_prepare()) return MessageKind::prepare;
+  if (ask.has_accept()) return MessageKind::accept;
+  if (ask.has_peek()) return MessageKind::peek;
+  if (ask.has_dump()) return MessageKind::dump;
+  if (ask.has_adopt()) return MessageKind::adopt;
+  return MessageKind::pull;
+}
+
+}  // namespace
+
+struct Conversation {
+  std::optional<pb::Reply> reply;
+  bool refused = false;
+  simulation::Wait wait;
+  bool over() const { return reply || refused; }
+};
+
+bool MessageFilter::matches(const Message& message) const {
+  return (from.empty() || from == message.from) && (to.empty() || to == message.to) &&
+         (kind == MessageKind::any || kind == message.kind);
+}
+
+consensus::Replica replica_named(const std::string& name) { return {name, name}; }
+
+class HarnessCondition final : public base::Condition {
+ public:
+  HarnessCondition(ConsensusHarness& harness, std::string name, simulation::LifePtr life)
+      : harness_(harness), name_(std::move(name)), life_(std::move(life)) {}
+  bool wait(Duration span) override { return harness_.wait(name_, life_, span, wait_); }
+  void notify() override { harness_.world().notify(wait_); }
+
+ private:
+  ConsensusHarness& harness_;
+  std::string name_;
+  simulation::LifePtr life_;
+  simulation::Wait wait_;
+};
+
+class HarnessTasks final : public base::Tasks {
+ public:
+  HarnessTasks(ConsensusHarness& harness, std::string name, simulation::LifePtr life)
+      : harness_(harness), name_(std::move(name)), life_(std::move(life)) {}
+  void spawn(std::function<void()> task) override { harness_.world().spawn(life_, std::move(task)); }
+  std::shared_ptr<base::Condition> condition() override {
+    return std::make_shared<HarnessCondition>(harness_, name_, life_);
+  }
+
+ private:
+  ConsensusHarness& harness_;
+  std::string name_;
+  simulation::LifePtr life_;
+};
+
+class HarnessNet final : public base::Net {
+ public:
+  HarnessNet(ConsensusHarness& harness, std::string name, simulation::LifePtr life)
+      : harness_(harness), name_(std::move(name)), life_(std::move(life)) {}
+  std::variant<pb::Reply, base::NetError> ask(const std::string& address, const pb::Ask& ask,
+                                              Duration limit) override {
+    auto conversation = std::make_shared<Conversation>();
+    harness_.send({name_, address, kind_of(ask), ask, conversation});
+    TimePoint end = harness_.world().now() + limit;
+    while (!conversation->over()) {
+      auto now = harness_.world().now();
+      if (now >= end) return base::NetError::timed_out;
+      harness_.wait(name_, life_, end - now, conversation->wait);
+    }
+    if (conversation->reply) return *conversation->reply;
+    return base::NetError::unreachable;
+  }
+
+ private:
+  ConsensusHarness& harness_;
+  std::string name_;
+  simulation::LifePtr life_;
+};
+
+// One run of a node's process.
+struct HarnessProcess {
+  simulation::LifePtr life;
+  simulation::Clock clock;
+  simulation::Random random;
+  HarnessTasks tasks;
+  HarnessNet net;
+  NoOrigin origin;
+  base::Ports ports{clock, random, tasks, net, origin};
+  simulation::Disk disk;
+  consensus::ReplicaSetView set;
+  std::unique_ptr<consensus::Acceptor> acceptor;
+  std::unique_ptr<consensus::RegisterClient> client;
+  std::unique_ptr<membership::StateCache> cache;
+
+  HarnessProcess(ConsensusHarness& harness, const std::string& name, simulation::Platter& platter,
+                 bool replica, const pb::ReplicaSet& first_set, int64_t* wall)
+      : life(std::make_shared<simulation::Life>()),
+        clock(harness.world(), life, wall),
+        random(harness.world()),
+        tasks(harness, name, life),
+        net(harness, name, life),
+        disk(harness.world(), life, platter),
+        set({}) {
+    life->host = name;
+    set.adopt(first_set);
+    if (replica) acceptor = std::make_unique<consensus::Acceptor>(ports, disk, name, set, kRoundLimit);
+    consensus::Local local;
+    if (replica) local = [this](const pb::Ask& ask) { return acceptor->answer(ask); };
+    client = std::make_unique<consensus::RegisterClient>(ports, name, set, kRoundLimit, local);
+    membership::StateCacheConfig config{name, kStalenessBound};
+    cache = std::make_unique<membership::StateCache>(
+        ports, config, *client, acceptor.get(), [](pb::NodeStatus&) {}, [] {});
+    if (acceptor) acceptor->start({});
+  }
+
+  pb::Reply answer(const pb::Ask& ask) { return ask.has_pull() ? cache->answer(ask) : acceptor->answer(ask); }
+};
+
+ConsensusHarness::ConsensusHarness(uint64_t seed) : world_(seed) {
+  decide_ = [](const Message&) { return Transit{}; };
+}
+ConsensusHarness::~ConsensusHarness() = default;
+
+void ConsensusHarness::run(std::function<void()> script) {
+  std::exception_ptr failure;
+  auto guarded = [&] {
+    try {
+      script();
+    } catch (const std::exception&) {
+      failure = std::current_exception();
+    }
+    decide_ = [](const Message&) { return Transit{Fate::drop}; };
+    for (auto& [name, node] : nodes_) crash(name);
+  };
+  world_.run(world_.now() + kLongestScript, nullptr, [&] { world_.spawn(script_, guarded); });
+  if (failure) std::rethrow_exception(failure);
+}
+
+void ConsensusHarness::first_set(const std::vector<std::string>& names) {
+  first_set_.set_epoch(1);
+  for (auto& name : names) {
+    auto* entry = first_set_.add_holders();
+    entry->set_name(name);
+    entry->set_address(name);
+  }
+}
+
+void ConsensusHarness::add_formed_replica(const std::string& name) {
+  auto& platter = nodes_[name].platter;
+  pb::Image image;
+  image.set_stage(pb::FORMED);
+  *image.mutable_set() = first_set_;
+  pb::Record stage, set;
+  stage.set_stage(pb::FORMED);
+  *set.mutable_set() = first_set_;
+  storage::SnapshotStore store(std::make_unique<simulation::MemFiles>(platter), kLogBytes);
+  store.load();
+  store.save({stage, set}, [&] { return image; });
+  add_blank_replica(name);
+}
+
+void ConsensusHarness::add_blank_replica(const std::string& name) {
+  auto& node = nodes_[name];
+  node.replica = true;
+  node.platter.least = node.platter.most = Duration(1);
+  start_process(name);
+}
+
+void ConsensusHarness::add_client(const std::string& name) {
+  nodes_[name].replica = false;
+  start_process(name);
+}
+
+void ConsensusHarness::start_process(const std::string& name) {
+  auto& node = nodes_[name];
+  node.process =
+      std::make_unique<HarnessProcess>(*this, name, node.platter, node.replica, first_set_, &wall_offset_);
+}
+
+consensus::RegisterClient& ConsensusHarness::client(const std::string& name) {
+  return *nodes_.at(name).process->client;
+}
+consensus::Acceptor& ConsensusHarness::acceptor(const std::string& name) {
+  return *nodes_.at(name).process->acceptor;
+}
+membership::StateCache& ConsensusHarness::cache(const std::string& name) {
+  return *nodes_.at(name).process->cache;
+}
+consensus::ReplicaSetView& ConsensusHarness::set(const std::string& name) {
+  return nodes_.at(name).process->set;
+}
+bool ConsensusHarness::running(const std::string& name) const { return nodes_.at(name).process != nullptr; }
+
+void ConsensusHarness::crash(const std::string& name) {
+  auto& node = nodes_.at(name);
+  if (!node.process) return;
+  world_.kill(node.process->life);
+  ended_.push_back(std::move(node.process));
+}
+
+void ConsensusHarness::restart(const std::string& name) {
+  crash(name);
+  sleep(Duration(1));  // its fibers unwind; a write under way reaches the disk, or not
+  start_process(name);
+}
+
+void ConsensusHarness::lose_disk(const std::string& name) {
+  crash(name);
+  sleep(Duration(1));
+  nodes_.at(name).platter.files.clear();
+  start_process(name);
+}
+
+void ConsensusHarness::stall(const std::string& name) { nodes_.at(name).stalled = true; }
+void ConsensusHarness::wake(const std::string& name) { nodes_.at(name).stalled = false; }
+
+bool ConsensusHarness::wait(const std::string& name, const simulation::LifePtr& life, Duration span,
+                            simulation::Wait& wait) {
+  if (world_.wait(life, span, wait)) return true;
+  while (nodes_.at(name).stalled)
+    if (world_.wait(life, Duration(1), wait)) return true;
+  return false;
+}
+
+void ConsensusHarness::send(const Message& message) {
+  for (auto rule = rules_.rbegin(); rule != rules_.rend(); ++rule)
+    if (rule->first.matches(message)) return carry(message, {rule->second});
+  carry(message, decide_(message));
+}
+
+void ConsensusHarness::carry(const Message& message, const Transit& transit) {
+  switch (transit.fate) {
+    case Fate::hold:
+      held_.push_back(message);
+      return;
+    case Fate::drop:
+      return;
+    case Fate::refuse:
+      return reply(message, {});
+    case Fate::deliver:
+      return world_.after(transit.request_delay, [this, message, transit] { arrive(message, transit); });
+  }
+}
+
+void ConsensusHarness::arrive(const Message& message, const Transit& transit) {
+  auto target = nodes_.find(message.to);
+  if (target == nodes_.end() || !target->second.process || !target->second.replica) return reply(message, {});
+  auto* process = target->second.process.get();
+  world_.spawn(process->life, [this, process, message, transit] {
+    auto answer = process->answer(message.ask);
+    if (transit.reply_lost) return;
+    world_.after(transit.reply_delay, [this, message, answer] { reply(message, answer); });
+  });
+}
+
+void ConsensusHarness::reply(const Message& message, std::optional<pb::Reply> answer) {
+  auto& conversation = *message.conversation;
+  if (conversation.over()) return;
+  conversation.reply = std::move(answer);
+  conversation.refused = !conversation.reply;
+  world_.notify(conversation.wait);
+}
+
+std::optional<Message> ConsensusHarness::take_held(const MessageFilter& filter) {
+  auto found = std::find_if(held_.begin(), held_.end(),
+                            [&](const Message& message) { return filter.matches(message); });
+  if (found == held_.end()) return {};
+  Message message = *found;
+  held_.erase(found);
+  return message;
+}
+
+void ConsensusHarness::rule(const MessageFilter& filter, Fate fate) {
+  rules_.emplace_back(filter, fate);
+  if (fate == Fate::hold) return;
+  while (auto message = take_held(filter)) carry(*message, {fate});
+}
+
+bool ConsensusHarness::held(const MessageFilter& filter) const {
+  return std::any_of(held_.begin(), held_.end(),
+                     [&](const Message& message) { return filter.matches(message); });
+}
+
+void ConsensusHarness::await_sent(const MessageFilter& filter) {
+  wait_until([&] { return held(filter); }, "a message from " + filter.from + " to " + filter.to);
+}
+
+void ConsensusHarness::deliver(const MessageFilter& filter) {
+  await_sent(filter);
+  auto message = take_held(filter);
+  carry(*message, {Fate::deliver});
+  wait_until([&] { return message->conversation->over(); }, "the reply of " + filter.to);
+  sleep(Duration(1));
+}
+
+void ConsensusHarness::sleep(Duration span) {
+  simulation::Wait wait;
+  world_.wait(script_, span, wait);
+}
+
+void ConsensusHarness::wait_until(const std::function<bool()>& condition, const std::string& what) {
+  TimePoint end = world_.now() + kLongestWait;
+  while (!condition()) {
+    expect(world_.now() < end, "waited in vain for " + what);
+    sleep(Duration(1));
+  }
+}
+
+void ConsensusHarness::spawn(const std::string& name, std::function<void()> task) {
+  world_.spawn(nodes_.at(name).process->life, std::move(task));
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/consensus_harness.hpp
@@ -0,0 +1,145 @@
+// A scripted environment for the product's consensus.
+//
+// Every node runs the product's own Acceptor, RegisterClient and StateCache on the simulation's
+// invented clock. The network is the test's: each ask is a message that is held until the test
+// has it delivered, refused or dropped, or that a rule decides on as soon as it is sent. Disks
+// outlive their processes and can be lost. Nothing happens but what the script and its seed say.
+#pragma once
+#include <optional>
+
+#include "expect.hpp"
+#include "membership/state_cache.hpp"
+#include "simulation/ports.hpp"
+
+namespace dunlinwing::test {
+
+inline constexpr Duration kStalenessBound{2000};
+inline constexpr Duration kRoundLimit = kStalenessBound / 4;  // as the product has it
+
+enum class MessageKind : uint8_t { any, prepare, accept, peek, dump, adopt, pull };
+
+// An ask on its way, and where its sender waits for the reply.
+struct Conversation;
+struct Message {
+  std::string from, to;
+  MessageKind kind = MessageKind::any;
+  pb::Ask ask;
+  std::shared_ptr<Conversation> conversation;
+};
+
+// Matches messages; what is left empty matches everything.
+struct MessageFilter {
+  std::string from, to;
+  MessageKind kind = MessageKind::any;
+  bool matches(const Message& message) const;
+};
+
+enum class Fate : uint8_t {
+  hold,     // until the test decides
+  deliver,  // the request and, when it is answered, the reply
+  refuse,   // the sender hears at once that nobody is there
+  drop,     // the sender hears nothing
+};
+
+// What becomes of a message that has just been sent.
+struct Transit {
+  Fate fate = Fate::hold;
+  Duration request_delay{1}, reply_delay{0};
+  bool reply_lost = false;
+};
+
+// Something a node does, in a fiber of its process.
+template <class Result>
+struct Operation {
+  std::optional<Result> result;
+};
+
+struct HarnessProcess;
+
+class ConsensusHarness {
+ public:
+  explicit ConsensusHarness(uint64_t seed);
+  ~ConsensusHarness();
+  // Runs the script in a fiber, then ends all processes; rethrows what the script throws.
+  void run(std::function<void()> script);
+
+  // The set of epoch 1, which every node knows from its settings.
+  void first_set(const std::vector<std::string>& names);
+  // A member of the first set whose disk is formed and empty.
+  void add_formed_replica(const std::string& name);
+  // A node with a blank disk.
+  void add_blank_replica(const std::string& name);
+  // A node without a disk.
+  void add_client(const std::string& name);
+
+  consensus::RegisterClient& client(const std::string& name);
+  consensus::Acceptor& acceptor(const std::string& name);
+  membership::StateCache& cache(const std::string& name);
+  consensus::ReplicaSetView& set(const std::string& name);
+  bool running(const std::string& name) const;
+
+  void crash(const std::string& name);
+  void restart(const std::string& name);    // crashes it when it runs
+  void lose_disk(const std::string& name);  // crashes it, and starts it again on a blank disk
+  // Timers of the node's conditions fire only after `wake`, as on a host that stood still and
+  // then handles what it received before its timers.
+  void stall(const std::string& name);
+  void wake(const std::string& name);
+
+  // From now on matching messages meet this fate, those that are held included. Later rules go first.
+  void rule(const MessageFilter& filter, Fate fate);
+  // Asked for messages that no rule matches.
+  void default_transit(std::function<Transit(const Message&)> decide) { decide_ = std::move(decide); }
+  // Delivers the oldest held message that matches, waiting until one is sent, and waits until
+  // the reply has reached its sender.
+  void deliver(const MessageFilter& filter);
+  void await_sent(const MessageFilter& filter);
+  bool held(const MessageFilter& filter) const;
+
+  void sleep(Duration span);
+  void wait_until(const std::function<bool()>& condition, const std::string& what);
+  template <class Result>
+  std::shared_ptr<Operation<Result>> start(const std::string& name, std::function<Result()> call) {
+    auto operation = std::make_shared<Operation<Result>>();
+    spawn(name, [operation, call = std::move(call)] { operation->result = call(); });
+    return operation;
+  }
+  template <class Result>
+  Result result(const std::shared_ptr<Operation<Result>>& operation, const std::string& what) {
+    wait_until([&] { return operation->result.has_value(); }, what);
+    return *operation->result;
+  }
+  void spawn(const std::string& name, std::function<void()> task);
+  simulation::World& world() { return world_; }
+
+ private:
+  friend class HarnessNet;
+  friend class HarnessCondition;
+  struct Node {
+    bool replica = false;
+    bool stalled = false;
+    simulation::Platter platter;
+    std::unique_ptr<HarnessProcess> process;
+  };
+  void start_process(const std::string& name);
+  void send(const Message& message);
+  void carry(const Message& message, const Transit& transit);
+  void arrive(const Message& message, const Transit& transit);
+  void reply(const Message& message, std::optional<pb::Reply> answer);
+  std::optional<Message> take_held(const MessageFilter& filter);
+  bool wait(const std::string& name, const simulation::LifePtr& life, Duration span, simulation::Wait& wait);
+
+  simulation::World world_;
+  simulation::LifePtr script_ = std::make_shared<simulation::Life>();
+  int64_t wall_offset_ = 0;
+  pb::ReplicaSet first_set_;
+  std::map<std::string, Node> nodes_;
+  std::vector<std::unique_ptr<HarnessProcess>> ended_;  // whose fibers may still have to unwind
+  std::vector<Message> held_;
+  std::vector<std::pair<MessageFilter, Fate>> rules_;
+  std::function<Transit(const Message&)> decide_;
+};
+
+consensus::Replica replica_named(const std::string& name);
+
+}  // namespace dunlinwing::test
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -8,6 +8,7 @@
 
 std::vector<Case> disk_cases();
 std::vector<Case> registry_cases();
+std::vector<Case> consensus_trace_cases();
 std::vector<Case> rollout_cases();
 std::vector<Case> move_cases();
 std::vector<Case> traffic_cases();
