Simulated: a planned replacement, a loss right after it, then a lost disk

Each loss comes as soon as the one before counts no longer (four seconds after the successor's start).

--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -158,6 +158,70 @@
   };
 }
 
+// Whether all that are up know a finished set of three that holds `in` and not `out`.
+bool replaced(Scene& s, const std::string& out, const std::string& in) {
+  for (auto& h : s.f.hosts()) {
+    if (!h->up()) continue;
+    auto set = holders_at(*h);
+    if (h->node->registers().set().joint() || !set.count(in) || set.count(out)) return false;
+  }
+  return settled(s, 3);
+}
+
+// A replica leaves and its successor takes its place while it still votes; as soon as that
+// counts no longer as a loss, another is lost for good, and then a disk of a third.
+void second_loss(Scene& s) {
+  static constexpr Duration kCatchUp{4000};  // after which the users count a loss as over
+  s.length = Duration(110000);
+  s.must_meet = {"kill", "lost_disk"};
+  s.story = [&s] {
+    if (!begin(s)) return;
+    auto w = writer(s, 400);
+    s.f.kill("x2");  // comes when the second one is lost
+    s.f.sleep(Duration(2000));
+    std::vector<std::string> seeds{"h1", "h2", "h3"};
+    auto pick = [&] {
+      auto i = s.w.below(seeds.size());
+      auto name = seeds[i];
+      seeds.erase(seeds.begin() + static_cast<long>(i));
+      return name;
+    };
+    auto leaver = pick();
+    auto from = s.w.now();
+    s.f.at(leaver).node->leave();
+    s.want(s.f.until(kCatchUp, [&] { return replaced(s, leaver, "x1"); }),
+           leaver + " did not give its place in time");
+    s.figures["planned_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
+    s.f.kill(leaver);
+    s.f.wipe(leaver);
+    s.f.sleep(kCatchUp);
+    auto gone = pick();
+    s.f.kill(gone);
+    s.f.wipe(gone);
+    s.f.sleep(Duration(1000));
+    s.f.start("x2");
+    from = s.w.now();
+    s.want(s.f.until(kCatchUp, [&] { return replaced(s, gone, "x2"); }), gone + " was not replaced in time");
+    s.figures["lost_ms"] = static_cast<uint64_t>((s.w.now() - from).count());
+    s.f.sleep(kCatchUp - std::min(kCatchUp, s.w.now() - from));
+    auto third = pick();
+    s.f.kill(third);
+    s.f.wipe(third);
+    auto acked = w.acked->size();
+    s.f.sleep(Duration(1000));
+    s.f.start(third);
+    s.f.sleep(Duration(5000));
+    s.want(w.acked->size() > acked, "control stood still after the third loss");
+    s.want(settled(s, 3), "the wiped disk was not filled");
+    s.want(s.f.at(third).node->acceptor()->copied().empty(), "copies were not written anew");
+    *w.stop = true;
+    s.f.sleep(Duration(6000));
+    all_know(s, *w.acked);
+    s.figures["longest_ack_gap_ms"] = static_cast<uint64_t>(w.gap->count());
+    s.figures["layouts_acked"] = w.acked->size();
+  };
+}
+
 // Three seeds grow to five; then two disks are lost while all others lose power.
 void grows(Scene& s) {
   s.length = Duration(80000);
@@ -201,6 +265,7 @@
 NamedCases holder_stories() {
   return {{"forms", SimCase(forms, 0, seeded(1))},
           {"heals", SimCase(heals, 1, seeded(1))},
+          {"second_loss", SimCase(second_loss, 2, seeded(1))},
           {"grows", SimCase(grows, 2, seeded(2))}};
 }
 
