Answer operators only after hearing a majority, in time, and know orders again

Cause: a relay that was cut off went on deciding from what it last knew. PUT /v1/moves and /v1/services told 404 and 422 from this relay's own table, a named purge its 409 and a release its state from the last pull; a register operation tries for 2.5 s and a read waited for 2 s, while clients go on after one second, so that the 503 never reached them. Two contents under one number were both acknowledged. A release sent again under its own If-None-Match, a change under its own If-Match, and a move sent again after a newer one were refused or done twice (the older move put an end to the newer one's trial). Eight lost races gave 412, on which an operator ends.

Now: control_api/contact is the one place for contact and time. Reads wait for a pull of a third of the bound (0.65 s at most); each write runs in a fiber of its own and is answered within 0.8 s, its outcome unknown if need be, and begins no attempt after that. Whether a release is recorded is read from its register. Under a number held, the same content is acknowledged and another gets 409; below it nothing changes. A move that a newer one replaced is kept with how it ended, and acknowledged for 30 s when the same words come again. A precondition that only the request's own first sending can have overtaken does not refuse it. 412 is left for a client's own precondition; lost races and a service that is being switched are 503. A purge of another host under a known name is a clash.

Ruled out: breaking register operations off (a vote may be on its way); a round for each heartbeat that says nothing new (it is taken under the read lease, and the next one comes within seconds); telling a move sent again from a new one by its words alone, for good (an operator may want a version back).

control.cpp is split by job: releases, services, moves, purges, heartbeats, drains, artifact pieces, replicas, numbered configuration, views.

Tests that change: another release under a taken name is 409 and no longer 412 where the request had no precondition (rollout_stories, fleet_test, load_scenarios; as strict).

--- a/src/control_api/moves.cpp
+++ b/src/control_api/moves.cpp
@@ -1,94 +1,148 @@
-// An order is acknowledged once it is recorded. The same order again is the same move,
-// while it runs and after it; another takes its place unless it is being switched.
+// A move is acknowledged once it is recorded. The same request again is the same move: while
+// it runs, after it has ended, and for a while after a newer one took its place. Another
+// takes the place of a running one, unless the service is just being switched.
 #include "control_api/moves.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdlib>
 
+#include "control_api/contact.hpp"
 #include "control_api/schemas.hpp"
-#include "rollout/versions.hpp"
+#include "control_api/services.hpp"
+#include "rollout/moves.hpp"
 
 namespace dunlinwing::control_api {
 namespace {
-base::Response told(const pb::ServiceState& s, uint64_t version) {
-  return json(
+constexpr int kAttempts = 8;
+constexpr int kEarlierKept = 8;
+// So long after it was replaced, a move that is asked for again in the same words is a request
+// sent again. Later it is a new one.
+constexpr Duration kRepeatSpan{30000};
+
+struct MoveRequest {
+  std::string service, version;
+  Duration within{0};
+  bool lift_quarantine = false;
+};
+
+base::Response move_response(const pb::ServiceState& state, uint64_t version) {
+  constexpr auto kForm =
+      R"({{"state":{},"version":{},"why":{},"within_ms":{},"asked_ms_ago":{},"good":{},"bad":{}}})";
+  return json_response(
       200,
-      fmt::format(
-          R"({{"state":{},"version":{},"why":{},"within_ms":{},"asked_ms_ago":{},"good":{},"bad":{}}})",
-          base::quote(rollout::outcome(s)), base::quote(s.asked()), base::quote(s.why()), s.within_ms(),
-          s.held_ms(), s.good(), s.bad()),
+      fmt::format(kForm, base::quote(rollout::outcome(state)), base::quote(state.asked()),
+                  base::quote(state.why()), state.within_ms(), state.held_ms(), state.good(), state.bad()),
       version);
 }
-}  // namespace
 
-base::Response of(consensus::RegisterError d) {
-  return d == consensus::RegisterError::no_majority
-             ? defect(503, "no majority of the holders answers; nothing was recorded")
-             : defect(503,
-                      "the fate of this write is unknown: it may or may not be recorded. Read before trying "
-                      "again.");
+base::Response earlier_response(const pb::EarlierMove& earlier, uint64_t version) {
+  constexpr auto kForm = R"({{"state":{},"version":{},"why":{},"within_ms":{}}})";
+  return json_response(200,
+                       fmt::format(kForm, base::quote(earlier.outcome()), base::quote(earlier.version()),
+                                   base::quote(earlier.why()), earlier.within_ms()),
+                       version);
+}
+
+bool running(const pb::ServiceState& state) { return !state.trial().empty() && state.within_ms() > 0; }
+
+// Whether the latest move is the one that is asked for.
+bool is_latest(const pb::ServiceState& state, const MoveRequest& move) {
+  if (state.asked() != move.version) return false;
+  if (running(state)) return state.trial() == move.version;
+  bool stands = state.quarantined().count(move.version) > 0 || state.current() == move.version;
+  return stands && !move.lift_quarantine;
+}
+
+// The replaced move that this request repeats, or null.
+const pb::EarlierMove* find_repeated(const pb::ServiceState& state, const MoveRequest& move,
+                                     int64_t wall_ms) {
+  if (move.lift_quarantine) return nullptr;
+  for (auto& earlier : state.earlier()) {
+    bool same = earlier.version() == move.version &&
+                earlier.within_ms() == static_cast<uint64_t>(move.within.count());
+    if (same && std::abs(wall_ms - earlier.replaced_wall_ms()) < kRepeatSpan.count()) return &earlier;
+  }
+  return nullptr;
+}
+
+// Keeps the latest move among the earlier ones, as it ends.
+void keep_earlier(pb::ServiceState& state, int64_t wall_ms) {
+  rollout::drop_trial(state);
+  if (state.asked().empty() || !state.within_ms()) return;
+  auto& earlier = *state.mutable_earlier();
+  auto* kept = earlier.Add();
+  kept->set_version(state.asked());
+  kept->set_within_ms(state.within_ms());
+  kept->set_outcome(state.outcome());
+  kept->set_why(state.why());
+  kept->set_replaced_wall_ms(wall_ms);
+  if (earlier.size() > kEarlierKept) earlier.DeleteSubrange(0, earlier.size() - kEarlierKept);
 }
 
-base::Response move(relay::Node& n, Call& c) {
-  auto f = n.state_cache().chosen().find(rollout::service_key(c.path[2]));
-  pb::ServiceState s;
-  if (f != n.state_cache().chosen().end()) s.ParseFromString(f->second.data);
-  if (rollout::outcome(s).empty()) return defect(404, "no move of this service was ever asked for");
-  return told(s, f->second.version);
+// Makes the move the latest.
+void record_move(pb::ServiceState& state, const MoveRequest& move, Duration longest) {
+  if (move.lift_quarantine) state.mutable_quarantined()->erase(move.version);
+  bool in_place = state.current() == move.version;
+  if (!in_place && !state.quarantined().count(move.version))
+    return rollout::open_trial(state, move.version, move.within, longest);
+  state.set_asked(move.version);
+  state.set_within_ms(static_cast<uint64_t>(move.within.count()));
+  state.set_outcome(in_place ? "completed" : "rolled_back");
+  state.set_why(in_place ? "it is in place"
+                         : "the version is in quarantine: " + state.quarantined().at(move.version));
+}
+}  // namespace
+
+base::Response get_move(relay::Node& node, Call& call) {
+  auto& chosen = node.state_cache().chosen();
+  auto found = chosen.find(rollout::service_key(call.path[2]));
+  pb::ServiceState state;
+  if (found != chosen.end()) state.ParseFromString(found->second.data);
+  if (rollout::outcome(state).empty())
+    return error_response(404, "no move of this service was ever asked for");
+  return move_response(state, found->second.version);
 }
 
-base::Response put_move(base::Ports& ps, relay::Node& n, Call& c) {
-  auto p = base::Json::parse(c.q.body);
-  if (auto* d = std::get_if<base::ValidationError>(&p)) return defects({*d});
-  auto& j = std::get<base::Json>(p);
-  auto ds = term_schema().check(j);
-  if (!ds.empty()) return defects(ds);
-  auto name = c.path[2], to = j.at("version").str();
-  Duration within(j.at("within_ms").num());
-  auto t = n.traffic().table();
-  const traffic::Service* s = nullptr;
-  if (t->layout)
-    if (auto f = t->layout->services.find(name); f != t->layout->services.end()) s = &f->second;
-  if (!s) return defect(404, "the layout in force here has no such service");
-  if (!s->versions.empty() && std::find(s->versions.begin(), s->versions.end(), to) == s->versions.end())
-    return defects({{"/version", "the layout in force does not allow this version"}});
-  auto key = rollout::service_key(name);
-  auto g = n.registers().read(key);
-  for (int i = 0; i < 8; ++i) {
-    if (auto* d = std::get_if<consensus::RegisterError>(&g)) return of(*d);
-    auto now = std::get<consensus::VersionedValue>(g);
-    if (auto x = precondition(c.q, now.version)) return *x;
-    pb::ServiceState st;
-    st.ParseFromString(now.data);
-    bool lift = j.at("lift_quarantine").flag(), runs = !st.trial().empty() && st.within_ms();
-    if (st.asked() == to &&
-        (runs ? st.trial() == to : !lift && (st.quarantined().count(to) || st.current() == to)))
-      return told(st, now.version);
-    if (runs && st.switching())
-      return defect(
-          409, "the service is being switched to version " + st.trial() + "; ask again when that has ended");
-    if (st.current().empty())
-      st.set_current(s->versions.empty()
-                         ? rollout::commonest(n.state_cache().statuses().workers(ps.clock.now()), name, to)
-                         : s->versions.front());
-    if (lift) st.mutable_quarantined()->erase(to);
-    if (st.quarantined().count(to) || st.current() == to) {
-      bool good = st.current() == to;
-      rollout::drop_trial(st);
-      st.set_asked(to);
-      st.set_within_ms(static_cast<uint64_t>(within.count()));
-      st.set_outcome(good ? "completed" : "rolled_back");
-      st.set_why(good ? "it is in place" : "the version is in quarantine: " + st.quarantined().at(to));
-    } else {
-      rollout::open_trial(st, to, within, s->deadline);
+base::Response put_move(base::Ports& ports, relay::Node& node, Call& call) {
+  auto body = parse_body(call.request.body, term_schema());
+  if (auto* response = std::get_if<base::Response>(&body)) return *response;
+  auto& json = std::get<base::Json>(body);
+  MoveRequest move{call.path[2], json.at("version").str(), Duration(json.at("within_ms").num()),
+                   json.at("lift_quarantine").flag()};
+  auto looked_up = service_for_version(node, move.service, move.version);
+  if (auto* response = std::get_if<base::Response>(&looked_up)) return *response;
+  auto service = std::get<std::shared_ptr<const traffic::Service>>(looked_up);
+  auto key = rollout::service_key(move.service);
+  auto read = node.registers().read(key);
+  if (auto* error = std::get_if<consensus::RegisterError>(&read)) return register_error(*error);
+  auto held = std::get<consensus::VersionedValue>(read);
+  for (int i = 0; i < kAttempts && (i == 0 || ports.clock.now() < call.deadline); ++i) {
+    pb::ServiceState state;
+    state.ParseFromString(held.data);
+    if (is_latest(state, move)) return move_response(state, held.version);
+    auto wall_ms = ports.clock.wall_ms();
+    if (auto* repeated = find_repeated(state, move, wall_ms))
+      return earlier_response(*repeated, held.version);
+    if (auto failed = check_precondition(call.request, held.version)) return *failed;
+    if (running(state) && state.switching())
+      return error_response(503, "the service is being switched to version " + state.trial() +
+                                     "; ask again when that has ended");
+    if (state.current().empty()) {
+      auto current = version_in_place(ports, node, move.service, *service, move.version);
+      if (auto* response = std::get_if<base::Response>(&current)) return *response;
+      state.set_current(std::get<std::string>(current));
     }
-    auto w = n.registers().write(key, now.version, st.SerializeAsString());
-    if (auto* h = std::get_if<consensus::VersionedValue>(&w)) return told(st, h->version);
-    if (auto* d = std::get_if<consensus::RegisterError>(&w)) return of(*d);
-    g = std::get<consensus::VersionConflict>(w).now;
+    keep_earlier(state, wall_ms);
+    record_move(state, move, service->deadline);
+    auto written = node.registers().write(key, held.version, state.SerializeAsString());
+    if (auto* value = std::get_if<consensus::VersionedValue>(&written))
+      return move_response(state, value->version);
+    if (auto* error = std::get_if<consensus::RegisterError>(&written)) return register_error(*error);
+    held = std::get<consensus::VersionConflict>(written).now;
   }
-  return json(412, R"({"defect":"other writes came first; ask again"})");
+  return error_response(503, "other writes came first; ask again");
 }
 
 }  // namespace dunlinwing::control_api
--- a/src/control_api/moves.hpp
+++ b/src/control_api/moves.hpp
@@ -1,11 +1,13 @@
 // Moves of a service to a worker version within a term, as operators ask for them.
 #pragma once
-#include "control_api/control.hpp"
+#include "control_api/call.hpp"
+#include "relay/node.hpp"
 
 namespace dunlinwing::control_api {
 
-base::Response put_move(base::Ports& ps, relay::Node& n, Call& c);
-base::Response move(relay::Node& n, Call& c);  // after a pull that began after the request
-base::Response of(consensus::RegisterError d);
+// PUT /v1/moves/NAME {"version":…,"within_ms":…}
+base::Response put_move(base::Ports& ports, relay::Node& node, Call& call);
+// GET /v1/moves/NAME, after a pull that began after the request.
+base::Response get_move(relay::Node& node, Call& call);
 
 }  // namespace dunlinwing::control_api
--- a/src/control_api/purger.cpp
+++ b/src/control_api/purger.cpp
@@ -21,7 +21,7 @@
 PurgeDone add_purge(pb::PurgeSet& s, const pb::Purge& p) {
   for (auto& x : s.purges())
     if (!p.name().empty() && x.name() == p.name())
-      return {x.number(), true, x.kind() != p.kind() || x.path() != p.path()};
+      return {x.number(), true, x.kind() != p.kind() || x.path() != p.path() || x.host() != p.host()};
   s.set_number(s.number() + 1);
   pb::Purge n = p;
   n.set_number(s.number());
--- /dev/null
+++ b/src/control_api/releases.hpp
@@ -0,0 +1,15 @@
+// Releases as resources: immutable documents under a name, and what operators say of them.
+#pragma once
+#include "control_api/call.hpp"
+#include "relay/node.hpp"
+
+namespace dunlinwing::control_api {
+
+// PUT /v1/releases/KIND/NAME. The same document again is acknowledged, another gets 409.
+base::Response put_release(relay::Node& node, Call& call);
+// PUT /v1/releases/KIND/NAME/waivers/CHECK, …/withdrawal, …/express {"reason":…}
+base::Response put_act(base::Ports& ports, relay::Node& node, Call& call);
+// GET /v1/releases, /v1/releases/KIND, /v1/releases/KIND/NAME
+base::Response get_releases(relay::Node& node, Call& call);
+
+}  // namespace dunlinwing::control_api
--- /dev/null
+++ b/src/control_api/replicas.cpp
@@ -0,0 +1,59 @@
+// A new replica must be up, with an empty disk, before it is added: it is refilled
+// from the others before it votes. An old one is removed only after that.
+#include "control_api/replicas.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "control_api/contact.hpp"
+#include "control_api/schemas.hpp"
+#include "wire/peer.hpp"
+
+namespace dunlinwing::control_api {
+namespace {
+base::Response set_error(consensus::ReplicaSetError error) {
+  switch (error) {
+    case consensus::ReplicaSetError::not_one_step:
+      return error_response(409, "the set can change by one machine at a time");
+    case consensus::ReplicaSetError::too_few:
+      return error_response(409, "fewer than three holders could not bear a loss");
+    case consensus::ReplicaSetError::no_majority:
+      return register_error(consensus::RegisterError::no_majority);
+    case consensus::ReplicaSetError::raced:
+      return error_response(503, "another change of the set came first; read before trying again");
+    default:
+      return outcome_unknown();
+  }
+}
+}  // namespace
+
+base::Response get_replicas(relay::Node& node) {
+  auto& chosen = node.state_cache().chosen();
+  auto found = chosen.find(consensus::kReplicaSetKey);
+  uint64_t version = found == chosen.end() ? 0 : found->second.version;
+  return json_response(200, message_json(node.registers().set().message()), version);
+}
+
+base::Response put_replica(relay::Node& node, Call& call) {
+  auto body = parse_body(call.request.body, holder_schema());
+  if (auto* response = std::get_if<base::Response>(&body)) return *response;
+  auto& json = std::get<base::Json>(body);
+  bool add = json.at("holder").flag();
+  auto address = json.at("address").str();
+  if (add && address.empty()) return validation_errors({{"/address", "is missing"}});
+  if (auto unheard = hear_majority(node)) return *unheard;
+  auto& name = call.path[2];
+  auto next = node.registers().set().all();
+  bool present = node.registers().set().has(name);
+  if (add == present) return json_response(200, message_json(node.registers().set().message()));
+  if (add)
+    next.push_back({name, address});
+  else
+    std::erase_if(next, [&](auto& replica) { return replica.name == name; });
+  auto result = node.registers().change(next, [&] { return node.state_cache().names(node.config().bound); });
+  if (auto* error = std::get_if<consensus::ReplicaSetError>(&result)) return set_error(*error);
+  return json_response(200, message_json(std::get<pb::ReplicaSet>(result)));
+}
+
+}  // namespace dunlinwing::control_api
--- /dev/null
+++ b/src/control_api/replicas.hpp
@@ -0,0 +1,13 @@
+// The set of replicas as a resource: one machine is added or removed at a time.
+#pragma once
+#include "control_api/call.hpp"
+#include "relay/node.hpp"
+
+namespace dunlinwing::control_api {
+
+// PUT /v1/holders/NAME {"holder":…,"address":…}. Takes as long as refilling needs.
+base::Response put_replica(relay::Node& node, Call& call);
+// GET /v1/holders
+base::Response get_replicas(relay::Node& node);
+
+}  // namespace dunlinwing::control_api
--- a/src/control_api/self.cpp
+++ b/src/control_api/self.cpp
@@ -12,10 +12,10 @@
   for (auto& h : set.all())
     hs += fmt::format(R"({}{{"name":{},"address":{}}})", hs.empty() ? "" : ",", base::quote(h.name),
                       base::quote(h.address));
-  return json(200,
-              fmt::format(R"({{"name":{},"zone":{},"peer_address":{},"disk":{},"epoch":{},"holders":[{}]}})",
-                          base::quote(c.name), base::quote(c.zone), base::quote(c.peer_address),
-                          n.acceptor() != nullptr, set.epoch(), hs));
+  return json_response(
+      200, fmt::format(R"({{"name":{},"zone":{},"peer_address":{},"disk":{},"epoch":{},"holders":[{}]}})",
+                       base::quote(c.name), base::quote(c.zone), base::quote(c.peer_address),
+                       n.acceptor() != nullptr, set.epoch(), hs));
 }
 
 }  // namespace dunlinwing::control_api
--- a/src/control_api/self.hpp
+++ b/src/control_api/self.hpp
@@ -1,7 +1,8 @@
-// What a relay tells of itself to one that looks for the holders: at once, whether
+// What a relay tells of itself to one that looks for the replicas: at once, whether
 // or not it is fresh.
 #pragma once
-#include "control_api/control.hpp"
+#include "control_api/call.hpp"
+#include "relay/node.hpp"
 
 namespace dunlinwing::control_api {
 
--- a/src/control_api/views.cpp
+++ b/src/control_api/views.cpp
@@ -1,55 +1,76 @@
-// Each is read from what the last good pull brought.
+// Registers that hold one message each are listed by the rest of their names.
 #include "control_api/views.hpp"
 
 #include <fmt/format.h>
 
-#include "control_api/control.hpp"
 #include "membership/deregistered.hpp"
+#include "rollout/release.hpp"
 
 namespace dunlinwing::control_api {
-
-base::Response nodes(relay::Node& n, TimePoint now) {
-  std::map<std::string, bool> in;
-  for (auto& m : n.state_cache().statuses().members(now)) in[m.name] = true;
-  std::string b;
-  for (auto& m : n.state_cache().statuses().all(now)) {
-    if (m.fact.zone().empty()) continue;
-    b += fmt::format(R"({}{{"name":{},"member":{},"age_ms":{},"facts":{}}})", b.empty() ? "" : ",",
-                     base::quote(m.name), in.count(m.name) > 0, m.age.count(), message_json(m.fact));
+namespace {
+template <class Message>
+base::Response list_registers(relay::Node& node, const std::string& prefix, const char* what) {
+  std::string list;
+  for (auto& [key, held] : node.state_cache().chosen()) {
+    if (!key.starts_with(prefix)) continue;
+    Message message;
+    message.ParseFromString(held.data);
+    list += fmt::format("{}{}:{}", list.empty() ? "" : ",", base::quote(key.substr(prefix.size())),
+                        message_json(message));
   }
-  return json(200, "{\"nodes\":[" + b + "]}");
+  return json_response(200, fmt::format("{{\"{}\":{{{}}}}}", what, list));
+}
+
+std::string deregistered_names(relay::Node& node) {
+  auto& chosen = node.state_cache().chosen();
+  auto found = chosen.find(membership::kDeregisteredKey);
+  std::string list;
+  if (found == chosen.end()) return list;
+  for (auto& instance : membership::read_deregistered(found->second.data))
+    list += (list.empty() ? "" : ",") + base::quote(instance);
+  return list;
 }
+}  // namespace
 
-base::Response workers(relay::Node& n, TimePoint now) {
-  std::string b;
-  for (auto& [i, w] : n.state_cache().statuses().workers(now)) {
-    b += fmt::format(R"({}{{"instance":{},"gone":{},"age_ms":{},"beat":{}}})", b.empty() ? "" : ",",
-                     base::quote(i), w.gone, w.age.count(), message_json(w.beat));
+base::Response list_nodes(relay::Node& node, TimePoint now) {
+  std::set<std::string> members;
+  for (auto& member : node.state_cache().statuses().members(now)) members.insert(member.name);
+  std::string list;
+  for (auto& known : node.state_cache().statuses().all(now)) {
+    if (known.fact.zone().empty()) continue;
+    list += fmt::format(R"({}{{"name":{},"member":{},"age_ms":{},"facts":{}}})", list.empty() ? "" : ",",
+                        base::quote(known.name), members.count(known.name) > 0, known.age.count(),
+                        message_json(known.fact));
   }
-  std::string left;
-  if (auto f = n.state_cache().chosen().find(membership::kDeregisteredKey);
-      f != n.state_cache().chosen().end())
-    for (auto& i : membership::read_deregistered(f->second.data))
-      left += (left.empty() ? "" : ",") + base::quote(i);
-  return json(200, "{\"workers\":[" + b + "],\"departed\":[" + left + "]}");
+  return json_response(200, "{\"nodes\":[" + list + "]}");
 }
 
-namespace {
-// The registers whose names begin so, each a message of one kind, by the rest of the name.
-template <class M>
-base::Response listed(relay::Node& n, const std::string& prefix, const char* what) {
-  std::string b;
-  for (auto& [k, h] : n.state_cache().chosen()) {
-    if (!k.starts_with(prefix)) continue;
-    M m;
-    m.ParseFromString(h.data);
-    b += fmt::format("{}{}:{}", b.empty() ? "" : ",", base::quote(k.substr(prefix.size())), message_json(m));
+base::Response list_workers(relay::Node& node, TimePoint now) {
+  std::string list;
+  for (auto& [instance, worker] : node.state_cache().statuses().workers(now)) {
+    list += fmt::format(R"({}{{"instance":{},"gone":{},"age_ms":{},"beat":{}}})", list.empty() ? "" : ",",
+                        base::quote(instance), worker.gone, worker.age.count(), message_json(worker.beat));
   }
-  return json(200, fmt::format("{{\"{}\":{{{}}}}}", what, b));
+  return json_response(200, "{\"workers\":[" + list + "],\"departed\":[" + deregistered_names(node) + "]}");
+}
+
+base::Response list_drains(relay::Node& node) { return list_registers<pb::Drain>(node, "drain/", "drains"); }
+base::Response list_purges(relay::Node& node) {
+  return list_registers<pb::PurgeSet>(node, "purge/", "purges");
 }
-}  // namespace
 
-base::Response drains(relay::Node& n) { return listed<pb::Drain>(n, "drain/", "drains"); }
-base::Response purges(relay::Node& n) { return listed<pb::PurgeSet>(n, "purge/", "purges"); }
+base::Response get_assignments(relay::Node& node) {
+  auto& chosen = node.state_cache().chosen();
+  auto found = chosen.find(rollout::kRolloutKey);
+  uint64_t version = found == chosen.end() ? 0 : found->second.version;
+  return json_response(200, message_json(rollout::read_rollout(chosen)), version);
+}
+
+base::Response get_assignment(relay::Node& node, const std::string& name) {
+  auto rollout = rollout::read_rollout(node.state_cache().chosen());
+  auto found = rollout.nodes().find(name);
+  if (found == rollout.nodes().end()) return error_response(404, "no such node");
+  return json_response(200, message_json(found->second), found->second.generation());
+}
 
 }  // namespace dunlinwing::control_api
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -2,6 +2,7 @@
 // acknowledged; times count from the asking.
 #include <fmt/format.h>
 
+#include "control_api/purger.hpp"
 #include "steady.hpp"
 #include "traffic/layout.hpp"
 
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -156,6 +156,7 @@
     m.merge(fault_stories());
     m.merge(mixed_stories());
     m.merge(holder_stories());
+    m.merge(control_api_stories());
     return m;
   }();
   return all;
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -33,6 +33,7 @@
 NamedCases move_stories();
 NamedCases fault_stories();
 NamedCases mixed_stories();
-NamedCases holder_stories();  // the set forms, grows and heals by itself
+NamedCases holder_stories();       // the set forms, grows and heals by itself
+NamedCases control_api_stories();  // what operators are told by relays cut off, at once and again
 
 }  // namespace dunlinwing::test
