Give a second content under a held number no clear answer on the platform's face

Cause: the platform's face acknowledged each of two operators who sent different configurations under one number, though only one of them was held.

Retry-After of the product's own 503s goes through as well.

--- a/test/platform/diary.hpp
+++ b/test/platform/diary.hpp
@@ -80,6 +80,7 @@
   std::vector<Left> left;
   std::vector<Moving> moves;
   std::vector<Late> late;
+  std::vector<std::string> refused_again;  // orders that had been acknowledged, sent again
   std::map<std::string, std::vector<TimePoint>>
       harmed;                     // machine -> moments at which something befell it or its paths
   std::vector<TimePoint> shaken;  // moments at which the core was unsettled
--- a/test/platform/rules.cpp
+++ b/test/platform/rules.cpp
@@ -165,6 +165,14 @@
       if (s.valid && s.refused / 100 == 4)
         say("CONFIG", fmt::format("valid, and {} to it: {}", s.refused, s.what));
     }
+    for (auto& s : d.stated)
+      for (auto& t : d.stated) {
+        bool confirmed = s.valid && t.valid && s.taken && t.taken && s.text != t.text;
+        if (confirmed && s.page.revision == t.page.revision && *s.taken <= *t.taken &&
+            newest(*t.taken) == t.page.revision)
+          say("CONFIG", fmt::format("two contents are confirmed under {}", t.page.revision));
+      }
+    for (auto& r : d.refused_again) say("CONFIG", "acknowledged, sent again and refused: " + r);
     if (newest(TimePoint::max()) && d.read_back.empty()) say("CONFIG", "it does not come when read back");
     for (auto& [n, text, asked] : d.read_back) {
       if (n < newest(asked))
--- a/test/platform/rules_unit.cpp
+++ b/test/platform/rules_unit.cpp
@@ -146,6 +146,18 @@
          });
          fires("CONFIG", "another text is read back", [](Diary& d) { d.read_back[0].text += " "; });
          fires("CONFIG", "nothing is read back", [](Diary& d) { d.read_back.clear(); });
+         auto other_content = [](Diary& d) -> Stated& {
+           auto p = first_page(10);
+           p.lines[1].timeout_s = 1.25;
+           d.stated.push_back({p, p.text(), "other", "h1", true, at(100), {}, 0});
+           return d.stated.back();
+         };
+         fires("none", "another content under a number gets no clear answer",
+               [&](Diary& d) { other_content(d); });
+         fires("CONFIG", "another content under a number is confirmed",
+               [&](Diary& d) { other_content(d).taken = at(200); });
+         fires("CONFIG", "what was acknowledged is sent again and refused",
+               [](Diary& d) { d.refused_again.push_back("PUT /configuration: 409"); });
          auto invalid = [](Diary& d) -> Stated& {
            d.stated.push_back({{}, "x", "bad", "h1", false, at(5000), {}, 400});
            return d.stated.back();
--- a/test/platform/words_unit.cpp
+++ b/test/platform/words_unit.cpp
@@ -99,6 +99,13 @@
   same(g.call("GET", "/configuration").status, 404, "none yet");
   g.says = {503, {}, "{}"};
   same(g.call("PUT", "/configuration", p.text()).status, 503, "no majority");
+  g.says = {409, {}, "{}"};
+  auto contested = g.call("PUT", "/configuration", p.text());
+  same(contested.status, 503, "held under this number with other content");
+  same(base::header(contested.headers, "Retry-After"), std::string("1"), "when to come back");
+  g.says = {503, {{"Retry-After", "2"}}, "{}"};
+  same(base::header(g.call("PUT", "/configuration", p.text()).headers, "Retry-After"), std::string("2"),
+       "when to come back, as the product says");
   same(g.call("POST", "/configuration", p.text()).status, 405, "another method");
 }
 
