--- a/src/control_api/self.cpp
+++ b/src/control_api/self.cpp
@@ -18,7 +18,7 @@
 base::Response self(relay::Node& n) {
   auto& c = n.config();
   auto& set = n.registers().set();
-  return json(
+  return json_response(
       200, fmt::format(
                R"({{"name":{},"zone":{},"peer_address":{},"disk":{},"epoch":{},"holders":{},"previous":{}}})",
                base::quote(c.name), base::quote(c.zone), base::quote(c.peer_address), n.acceptor() != nullptr,
