Test client connections cut, split and pipelined at every byte

What the server does with a request that stops at byte n was covered for two positions only. The new cases cut three framings at each byte (close, reset, half close, silence), split a pipelined stream at each byte, and let another client take the descriptor number of one that left while its answer was made.

Ruled out by them: a cut request that runs, an answer given out of order or to another connection, a cut answer that looks complete. No fault was found, and nothing in the server changed. The stand-in server moved to wire_cases.hpp.

--- a/test/wire_cases.hpp
+++ b/test/wire_cases.hpp
@@ -1,6 +1,8 @@
 // What the tests of the wire share: a pool, raw connections, and a stand-in
 // worker that plays a script, one text an answer.
 #pragma once
+#include <unistd.h>
+
 #include "expect.hpp"
 #include "wire/http.hpp"
 #include "wire/line.hpp"
@@ -108,7 +110,26 @@
   }
 };
 
+// A server on an address of its own, on threads [from, to) of the pool.
+struct Served {
+  wire::HttpServer s;
+  std::string addr;
+  explicit Served(wire::HttpLimits l, wire::HttpHandler h, int from = 0, int to = 1)
+      : s(pool(), "test", l, std::move(h)) {
+    for (int port = 24100 + static_cast<int>(::getpid() % 500) * 16;; ++port) {
+      addr = fmt::format("127.0.0.1:{}", port);
+      if (!s.listen(addr, from, to)) break;
+    }
+  }
+  ~Served() {
+    s.close();
+    s.close_idle();
+    until([this] { return s.open() == 0; }, "all connections end");
+  }
+};
+
 std::vector<Case> server_cases();
 std::vector<Case> origin_cases();
+std::vector<Case> client_byte_cases();
 
 }  // namespace dunlinwing::test
--- /dev/null
+++ b/test/wire_client_bytes.cpp
@@ -0,0 +1,155 @@
+// The server met by clients that cut, split and pipeline their requests at every byte,
+// and that leave while their answer is made: a request runs only when it is whole, and
+// each answer goes to the connection and the request that it belongs to.
+#include <sys/socket.h>
+
+#include "wire_cases.hpp"
+
+namespace dunlinwing::test {
+namespace {
+const std::string kByLength = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nfirst";
+const std::string kInChunks =
+    "POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nsec\r\n3\r\nond\r\n0\r\nX: "
+    "y\r\n\r\n";
+const std::string kBare = "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+struct Counted {
+  std::map<std::string, int> runs;  // by target and body
+  wire::HttpHandler handler() {
+    return [this](base::Request& request) -> base::Response {
+      auto what = request.target + " " + request.body;
+      ++runs[what];
+      return {200, {}, "[" + what + "]"};
+    };
+  }
+};
+
+wire::HttpLimits quick() {
+  wire::HttpLimits limits;
+  limits.read = limits.body = limits.idle = 200ms;
+  return limits;
+}
+
+enum class End { close, reset, half_close, silence };
+
+void end(Raw& client, End how) {
+  if (how == End::reset) client.l->socket().set_option(boost::asio::socket_base::linger(true, 0));
+  if (how == End::close || how == End::reset) client.l->close();
+  if (how == End::half_close) client.l->close_send();
+}
+
+// A request that was cut at any byte never runs, and is never told that it went well.
+void cut() {
+  for (auto how : {End::close, End::reset, End::half_close, End::silence})
+    for (auto& request : {kByLength, kInChunks, kBare}) {
+      Counted counted;
+      {
+        Served server(quick(), counted.handler());
+        std::vector<std::unique_ptr<Raw>> clients;
+        for (size_t at = 0; at < request.size(); ++at) {
+          clients.push_back(std::make_unique<Raw>(server.addr));
+          clients.back()->send(std::string_view(request).substr(0, at));
+          end(*clients.back(), how);
+        }
+        if (how == End::half_close || how == End::silence)
+          for (auto& client : clients) {
+            auto told = client->read();
+            expect(told.empty() || told.starts_with("HTTP/1.1 408") || told.starts_with("HTTP/1.1 400"),
+                   "a cut request was told " + told);
+          }
+      }
+      expect(counted.runs.empty(), "a cut request ran: " + request);
+    }
+}
+
+// Three requests in one stream, split in two segments at any byte.
+void split() {
+  Counted counted;
+  Served server({}, counted.handler());
+  auto stream = kByLength + kInChunks + kBare;
+  for (size_t at = 0; at <= stream.size(); ++at) {
+    Raw client(server.addr);
+    client.send(std::string_view(stream).substr(0, at));
+    wire::RealClock().sleep(1ms);
+    client.send(std::string_view(stream).substr(at));
+    for (std::string want : {"[/1 first]", "[/2 second]", "[/3 ]"}) {
+      auto told = client.read("]");
+      expect(told.ends_with("\r\n\r\n" + want), fmt::format("split at {}: {} for {}", at, told, want));
+    }
+  }
+  int all = static_cast<int>(stream.size()) + 1;
+  for (auto* what : {"/1 first", "/2 second", "/3 "}) same(counted.runs[what], all, what);
+  same(counted.runs.size(), size_t(3), "different requests that ran");
+}
+
+// A pipelined request that is cut leaves the answers before it whole.
+void pipelined_cut() {
+  for (size_t at = 0; at < kInChunks.size(); ++at) {
+    Counted counted;
+    Served server(quick(), counted.handler());
+    Raw client(server.addr);
+    client.send(kByLength + kInChunks.substr(0, at));
+    client.l->close_send();
+    auto told = client.read();
+    expect(told.find("[/1 first]") != told.npos, fmt::format("cut at {}: {}", at, told));
+    same(counted.runs.size(), size_t(1), "requests that ran");
+  }
+}
+
+// A client leaves while its answer is made, another's connection takes the descriptor's number.
+void descriptor_reused() {
+  for (auto how : {End::close, End::reset}) {
+    auto go = pool().condition();
+    int slow = 0, told = 0;
+    Served server({}, [&](base::Request& request) -> base::Response {
+      if (request.target == "/slow") {
+        ++slow;
+        go->wait(10s);
+        ++told;
+        return {200, {}, std::string(200000, 's')};
+      }
+      return {200, {}, "[" + request.target + "]"};
+    });
+    {
+      Raw leaving(server.addr);
+      leaving.send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\nGET /behind HTTP/1.1\r\nHost: h\r\n\r\n");
+      until([&] { return slow == 1; }, "the slow one runs");
+      end(leaving, how);
+    }
+    std::vector<std::unique_ptr<Raw>> others;
+    for (int i = 0; i < 8; ++i) others.push_back(std::make_unique<Raw>(server.addr));
+    go->notify();
+    until([&] { return told == 1; }, "the answer for the one who left");
+    for (int i = 0; i < 8; ++i) {
+      auto target = fmt::format("/{}", i);
+      auto answer = others[i]->ask(fmt::format("GET {} HTTP/1.1\r\nHost: h\r\n\r\n", target), "]");
+      same(answer, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[" + target + "]", "another client's answer");
+    }
+  }
+}
+
+// An answer that cannot be delivered whole shows that it is cut.
+void undelivered() {
+  wire::HttpLimits limits;
+  limits.write = 200ms;
+  constexpr size_t kLong = 32 << 20;
+  Served server(limits, [](base::Request&) -> base::Response { return {200, {}, std::string(kLong, 'x')}; });
+  Raw client(server.addr);
+  client.send(kBare);
+  until([&] { return server.s.running() == 1; }, "it runs");
+  until([&] { return server.s.open() == 0; }, "it is given up");
+  auto told = client.read();
+  expect(told.find(fmt::format("Content-Length: {}\r\n", kLong)) != told.npos, "no length was told");
+  expect(told.size() < kLong, "it was delivered after all");
+}
+}  // namespace
+
+std::vector<Case> client_byte_cases() {
+  return {{"client: a request cut at any byte never runs", cut},
+          {"client: requests split at any byte are each answered", split},
+          {"client: a pipelined request that is cut costs no other its answer", pipelined_cut},
+          {"client: who takes the number of one who left gets its own answer", descriptor_reused},
+          {"client: an answer that is given up shows that it is cut", undelivered}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -18,24 +18,6 @@
   };
 }
 
-// A server on an address of its own, on threads [from, to) of the pool.
-struct Served {
-  wire::HttpServer s;
-  std::string addr;
-  explicit Served(wire::HttpLimits l, wire::HttpHandler h = echo(), int from = 0, int to = 1)
-      : s(pool(), "test", l, std::move(h)) {
-    for (int port = 24100 + static_cast<int>(::getpid() % 500) * 16;; ++port) {
-      addr = fmt::format("127.0.0.1:{}", port);
-      if (!s.listen(addr, from, to)) break;
-    }
-  }
-  ~Served() {
-    s.close();
-    s.close_idle();
-    until([this] { return s.open() == 0; }, "all connections end");
-  }
-};
-
 void answers() {
   for (int to : {1, 3}) {
     Served v({}, echo(), 0, to);
@@ -74,7 +56,7 @@
 }
 
 void framing() {
-  Served v({});
+  Served v({}, echo());
   for (std::string q :
        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
@@ -92,7 +74,7 @@
   wire::HttpLimits l;
   l.head_bytes = 500;
   l.body_bytes = 1000;
-  Served v(l);
+  Served v(l, echo());
   auto status = [&](const std::string& q) {
     Raw r(v.addr);
     auto a = r.ask(q);
@@ -119,7 +101,7 @@
   wire::HttpLimits l;
   l.idle = 200ms;
   l.read = l.body = l.write = 200ms;
-  Served v(l);
+  Served v(l, echo());
   Raw idle(v.addr), head(v.addr), body(v.addr), kept(v.addr);
   kept.ask(kGet, "GET /a ");
   head.send("GET / HT");
@@ -133,7 +115,7 @@
 void budget() {
   wire::HttpLimits l;
   l.bodies = 1500;
-  Served v(l);
+  Served v(l, echo());
   Raw a(v.addr);
   a.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
   std::string q = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 501\r\n\r\n" + std::string(501, 'x'), s;
@@ -157,7 +139,7 @@
 }
 
 void ends() {
-  Served v({});
+  Served v({}, echo());
   Raw a(v.addr), b(v.addr), fresh(v.addr), half(v.addr);
   a.ask(kGet, "GET /a ");
   b.ask(kGet, "GET /a ");
@@ -177,7 +159,7 @@
 void crowded() {
   wire::HttpLimits l;
   l.most = 2;
-  Served v(l);
+  Served v(l, echo());
   Raw a(v.addr);
   a.ask(kGet, "GET /a ");
   Raw b(v.addr);
@@ -214,7 +196,7 @@
 
 // No descriptor is left when a connection comes; it is taken once there is one.
 void no_descriptors() {
-  Served v({});
+  Served v({}, echo());
   rlimit was{};
   ::getrlimit(RLIMIT_NOFILE, &was);
   rlimit few{256, was.rlim_max};
