Bind each reply between relays to its ask by a number

Cause: a reply was matched to its ask by the connection alone. A reply to the ask before, standing where the next one is due, was taken ("replies given twice or out of turn": the reply to 2 was given to ask 3), and nothing told them apart.

Each ask now has a number that its process uses once, on whichever connection; the server repeats it, and a reply with another number ends the connection. A process of the version before repeats none and is understood as before. A connection that is given up is reset, so that an ask in its buffer is not delivered later.

Ruled out: replies cut at any byte, duplicates behind a reply, resets under waiting asks and a forwarded request sent twice were handled; the cases stay.

--- a/src/wire/line.cpp
+++ b/src/wire/line.cpp
@@ -88,6 +88,7 @@
 
 Ec Line::send(std::string_view a, std::string_view b, const std::function<void()>& moved) {
   sent_ = 0;
+  early_ = from_ != to_;
   if (stop_) return asio::error::operation_aborted;
   iovec v[2] = {{const_cast<char*>(a.data()), a.size()}, {const_cast<char*>(b.data()), b.size()}};
   msghdr m{};
@@ -104,6 +105,7 @@
                                            asio::buffer(b) + (sent_ - std::min(sent_, a.size()))};
     auto [ec, n] = await<size_t>([&](auto h) { s_.async_write_some(left, std::move(h)); });
     if (ec) return ec;
+    early_ = early_ || from_ != to_ || (sent_ + n < a.size() + b.size() && !still_idle(s_.native_handle()));
     sent_ += n;
     if (moved) moved();
   }
@@ -125,6 +127,12 @@
   s_.close(ig);
 }
 
+void Line::abort() {
+  Ec ig;
+  s_.set_option(asio::socket_base::linger(true, 0), ig);
+  close();
+}
+
 void Line::close_send() {
   Ec ig;
   s_.shutdown(Socket::shutdown_send, ig);
--- a/src/wire/line.hpp
+++ b/src/wire/line.hpp
@@ -27,6 +27,8 @@
   // Sends both parts as one; `moved` is called as bytes go, if they do not go at once.
   Ec send(std::string_view a, std::string_view b = {}, const std::function<void()>& moved = {});
   size_t sent() const { return sent_; }  // bytes of the last `send` that left
+  // Whether bytes, or the end, were there before the last `send` was whole.
+  bool answered_early() const { return early_; }
 
   void arm(size_t room = kRoom);           // leaves a read pending
   bool waits() const { return reading_; }  // for bytes, or their end
@@ -40,6 +42,7 @@
   bool stopped() const { return stop_; }
   void go_on() { stop_ = false; }
   void close();
+  void abort();  // closes at once: what was not delivered is dropped, the other side sees a reset
   void close_send();
   Socket& socket() { return s_; }
 
@@ -49,7 +52,7 @@
   Socket s_;
   std::string buf_;
   size_t from_ = 0, to_ = 0, sent_ = 0;
-  bool reading_ = false, stop_ = false;
+  bool reading_ = false, stop_ = false, early_ = false;
   Ec ec_;
   boost::fibers::context* waiter_ = nullptr;
   std::function<void()> woken_;
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -1,9 +1,11 @@
-// Frames, the pool of idle connections, and the server's loop. A connection
-// whose ask did not end well is closed, so no reply can meet another's ask. A
-// silent one is dropped: by the server after a while, by us well before.
+// Frames, the pool of idle connections, and the server's loop. Each ask has a number,
+// which its reply repeats; a connection whose ask did not end well is reset, so no reply
+// can meet another's ask and no ask is delivered after it was given up. A silent one is dropped: by the
+// server after a while, by us well before.
 #include "wire/peer.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <charconv>
 #include <list>
@@ -35,9 +37,18 @@
 
 At now() { return std::chrono::steady_clock::now(); }
 
-Ec write_frame(Line& l, const google::protobuf::MessageLite& m) {
+// Of the asks of this process: no number is used twice, on whichever connection.
+uint64_t next_number() {
+  static std::atomic<uint64_t> last{0};
+  return ++last;
+}
+
+// Writes `m`, and behind it the fields of `more`: read as one message they are merged.
+Ec write_frame(Line& l, const google::protobuf::MessageLite& m,
+               const google::protobuf::MessageLite* more = nullptr) {
   std::string b(4, '\0');
   m.AppendToString(&b);
+  if (more) more->AppendToString(&b);
   auto n = static_cast<uint32_t>(b.size() - 4);
   for (int i = 0; i < 4; ++i) b[i] = static_cast<char>(n >> (24 - 8 * i));
   return l.send(b);
@@ -105,6 +116,7 @@
     if (ec) return;
     silent.clear();
     auto r = h(a);
+    r.set_number(a.number());
     in(kReplyMoves);
     if (write_frame(*l, r) || s.crowded()) return;
   }
@@ -159,14 +171,17 @@
   if (!l) return base::NetError::unreachable;
   Alarm late;
   late.set(end, [&l] { l->stop(); });
+  pb::Ask name;
+  name.set_number(next_number());
   pb::Reply r;
-  auto ec = write_frame(*l, a);
+  auto ec = write_frame(*l, a, &name);
   bool sent = !ec;
   if (sent) ec = read_frame(*l, r);
   late.clear();
-  if (ec || !l->got().empty()) {
+  bool others = r.number() && r.number() != name.number();  // 0: an older process, which repeats none
+  if (ec || others || !l->got().empty()) {
     bool timed = l->stopped();
-    l->close();
+    l->abort();
     // A kept connection may have been ended for room just now. Asks may come twice, but for requests carried.
     if (ec && reused && !timed && l->got().empty() && !a.has_carry())
       return ask(addr, a, std::chrono::duration_cast<Duration>(end - now()));
--- a/test/wire_cases.hpp
+++ b/test/wire_cases.hpp
@@ -131,5 +131,6 @@
 std::vector<Case> server_cases();
 std::vector<Case> origin_cases();
 std::vector<Case> client_byte_cases();
+std::vector<Case> peer_cases();
 
 }  // namespace dunlinwing::test
--- /dev/null
+++ b/test/wire_peer.cpp
@@ -0,0 +1,242 @@
+// Asks between relays when the other side fails at every byte, answers twice, out of
+// turn or late, and when connections are reset under asks that wait.
+#include "wire/peer.hpp"
+#include "wire_cases.hpp"
+
+namespace dunlinwing::test {
+namespace {
+constexpr Duration kPatience(60), kPlenty(10000);
+
+pb::Ask fetch(uint64_t name) {
+  pb::Ask ask;
+  ask.mutable_fetch()->set_offset(name);
+  return ask;
+}
+
+pb::Reply reply_to(const pb::Ask& ask) {
+  pb::Reply reply;
+  reply.mutable_piece()->set_held(ask.fetch().offset());
+  return reply;
+}
+
+using Answer = std::variant<pb::Reply, base::NetError>;
+
+// True when it was answered; a reply to another ask fails the test.
+bool own(const Answer& answer, uint64_t name) {
+  auto* reply = std::get_if<pb::Reply>(&answer);
+  if (!reply) return false;
+  expect(reply->has_piece(), "a reply of another kind");
+  same(reply->piece().held(), name, "the ask that a reply belongs to");
+  return true;
+}
+
+// A peer whose bytes the test writes itself: `script` gets each ask and gives the bytes to
+// send; the text "cut" or "reset" at their end closes or resets the connection.
+class ScriptedPeer {
+ public:
+  using Script = std::function<std::string(int connection, const pb::Ask& ask)>;
+  explicit ScriptedPeer(Script script)
+      : script_(std::move(script)),
+        acceptor_(std::make_shared<boost::asio::ip::tcp::acceptor>(
+            pool().io(0), boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))) {
+    pool().spawn([this, acceptor = acceptor_] {
+      for (;;) {
+        boost::asio::ip::tcp::socket socket(pool().io(0));
+        auto [failed] = wire::await<>([&](auto done) { acceptor->async_accept(socket, std::move(done)); });
+        if (failed) return;
+        ++open_;
+        auto line = std::make_shared<wire::Line>(std::move(socket));
+        lines_.push_back(line);
+        pool().spawn([this, line, connection = connections_++] {
+          serve(connection, *line);
+          line->close();
+          --open_;
+        });
+      }
+    });
+  }
+  ~ScriptedPeer() {
+    acceptor_->close();
+    for (auto& weak : lines_)
+      if (auto line = weak.lock()) line->stop();
+    while (open_) wire::RealClock().sleep(1ms);
+  }
+  std::string address() const { return fmt::format("127.0.0.1:{}", acceptor_->local_endpoint().port()); }
+  int connections() const { return connections_; }
+  static std::string frame(const google::protobuf::MessageLite& message) {
+    auto bytes = message.SerializeAsString();
+    std::string out;
+    for (int shift = 24; shift >= 0; shift -= 8) out += static_cast<char>(bytes.size() >> shift & 0xff);
+    return out + bytes;
+  }
+
+ private:
+  void serve(int connection, wire::Line& line) {
+    for (;;) {
+      auto size = [&] {
+        auto got = line.got();
+        if (got.size() < 4) return size_t(4);
+        size_t bytes = 0;
+        for (int i = 0; i < 4; ++i) bytes = bytes << 8 | static_cast<unsigned char>(got[i]);
+        return 4 + bytes;
+      };
+      while (line.got().size() < size())
+        if (line.fill()) return;
+      pb::Ask ask;
+      ask.ParseFromArray(line.got().data() + 4, static_cast<int>(size() - 4));
+      line.use(size());
+      auto bytes = script_(connection, ask);
+      bool cut = bytes.ends_with("cut"), reset = bytes.ends_with("reset");
+      bytes.resize(bytes.size() - (cut ? 3 : reset ? 5 : 0));
+      if (reset) line.socket().set_option(boost::asio::socket_base::linger(true, 0));
+      if ((!bytes.empty() && line.send(bytes)) || cut || reset) return;
+    }
+  }
+  Script script_;
+  std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+  std::vector<std::weak_ptr<wire::Line>> lines_;
+  int connections_ = 0, open_ = 0;
+};
+
+pb::Reply numbered(const pb::Ask& ask) {
+  auto reply = reply_to(ask);
+  reply.set_number(ask.number());
+  return reply;
+}
+
+// A reply cut at each byte is no reply, and the next ask gets its own.
+void cut() {
+  for (std::string end : {"cut", "reset", ""})
+    for (bool kept : {false, true})
+      for (size_t at = 0; at < ScriptedPeer::frame(numbered(fetch(7))).size(); ++at) {
+        ScriptedPeer peer([&](int, const pb::Ask& ask) {
+          auto whole = ScriptedPeer::frame(numbered(ask));
+          return ask.fetch().offset() == 7 ? whole.substr(0, at) + end : whole;
+        });
+        wire::PeerNet net;
+        if (kept) expect(own(net.ask(peer.address(), fetch(1), kPlenty), 1), "the first ask");
+        auto answer = net.ask(peer.address(), fetch(7), kPatience);
+        expect(!own(answer, 7), fmt::format("a reply cut after {} bytes was taken", at));
+        expect(own(net.ask(peer.address(), fetch(9), kPlenty), 9), "the ask after it");
+      }
+}
+
+// Replies twice, in one segment or later, and to the ask before.
+void duplicated() {
+  for (int kind = 0; kind < 4; ++kind) {
+    std::string before;
+    ScriptedPeer peer([&](int, const pb::Ask& ask) {
+      auto mine = ScriptedPeer::frame(numbered(ask));
+      auto last = std::exchange(before, mine);
+      if (ask.fetch().offset() % 3) return mine;
+      switch (kind) {
+        case 0:
+          return mine + mine;
+        case 1:
+          return last;
+        case 2:
+          return last + mine;
+        default:
+          return mine + last.substr(0, 3);
+      }
+    });
+    wire::PeerNet net;
+    int answered = 0;
+    for (uint64_t name = 1; name <= 60; ++name)
+      answered += own(net.ask(peer.address(), fetch(name), kPatience), name);
+    expect(answered >= 30, fmt::format("kind {}: only {} of 60 were answered", kind, answered));
+  }
+}
+
+// A duplicate that comes late, when the connection waits or carries the next ask.
+void late_duplicate() {
+  std::vector<std::shared_ptr<wire::Line>> lines;
+  ScriptedPeer peer([&](int, const pb::Ask& ask) {
+    auto mine = ScriptedPeer::frame(numbered(ask));
+    return ask.fetch().offset() % 2 ? mine
+                                    : ScriptedPeer::frame(numbered(fetch(ask.fetch().offset() - 1))) + mine;
+  });
+  wire::PeerNet net;
+  for (uint64_t name = 1; name <= 40; ++name) own(net.ask(peer.address(), fetch(name), kPlenty), name);
+}
+
+// Many asks wait when all connections are reset; what is asked again gets its own reply.
+void reset_under_asks() {
+  auto go = pool().condition();
+  int waiting = 0;
+  bool down = true;
+  ScriptedPeer peer([&](int, const pb::Ask& ask) -> std::string {
+    if (down) {
+      ++waiting;
+      while (down) wire::RealClock().sleep(1ms);
+      return ask.fetch().offset() % 2 ? "reset" : ScriptedPeer::frame(numbered(ask)) + "reset";
+    }
+    return ScriptedPeer::frame(numbered(ask));
+  });
+  wire::PeerNet net;
+  constexpr int kAsks = 24;
+  int left = kAsks, wrong = 0;
+  for (int i = 0; i < kAsks; ++i)
+    pool().spawn([&, i] {
+      try {
+        own(net.ask(peer.address(), fetch(100 + i), kPlenty), 100 + i);
+        expect(own(net.ask(peer.address(), fetch(200 + i), kPlenty), 200 + i), "an ask after the resets");
+      } catch (const std::exception&) {
+        ++wrong;
+      }
+      --left;
+    });
+  until([&] { return waiting == kAsks; }, "all wait");
+  down = false;
+  until([&] { return left == 0; }, "all end");
+  same(wrong, 0, "asks with another's reply, or none after the resets");
+}
+
+// A forwarded request whose reply is lost on a kept connection is not asked again.
+void forwarded_once() {
+  int asked = 0;
+  ScriptedPeer peer([&](int, const pb::Ask& ask) -> std::string {
+    if (!ask.has_carry()) return ScriptedPeer::frame(numbered(ask));
+    ++asked;
+    return "reset";
+  });
+  wire::PeerNet net;
+  expect(own(net.ask(peer.address(), fetch(1), kPlenty), 1), "the first ask");
+  pb::Ask forward;
+  forward.mutable_carry()->set_id("a");
+  auto answer = net.ask(peer.address(), forward, kPlenty);
+  expect(std::holds_alternative<base::NetError>(answer), "an answer that was never given");
+  same(asked, 1, "times a forwarded request was sent");
+}
+
+// The number stands in every ask and comes back in the reply of our own server.
+void served() {
+  std::string address;
+  std::vector<uint64_t> numbers;
+  for (int port = 23100 + static_cast<int>(::getpid() % 500);; ++port) {
+    address = fmt::format("127.0.0.1:{}", port);
+    if (!wire::serve_peers(pool(), address, [&](const pb::Ask& ask) {
+          numbers.push_back(ask.number());
+          return reply_to(ask);
+        }))
+      break;
+  }
+  wire::PeerNet net;
+  for (uint64_t name = 1; name <= 5; ++name)
+    expect(own(net.ask(address, fetch(name), kPlenty), name), "an ask");
+  std::sort(numbers.begin(), numbers.end());
+  expect(std::unique(numbers.begin(), numbers.end()) == numbers.end(), "a number was used twice");
+  expect(numbers.front() > 0, "an ask without a number");
+}
+}  // namespace
+
+std::vector<Case> peer_cases() {
+  return {{"peer: a reply cut at any byte is none", cut},
+          {"peer: replies given twice or out of turn meet no other ask", duplicated},
+          {"peer: a late duplicate meets no other ask", late_duplicate},
+          {"peer: connections reset under asks", reset_under_asks},
+          {"peer: a forwarded request is sent once", forwarded_once},
+          {"peer: each ask has a number of its own", served}};
+}
+
+}  // namespace dunlinwing::test
