Tell kept objects apart by the request's host and by unmistakable keys

Cause: a route that names no host took an object kept for one host as the answer to another ("/kept/x of a.example" was given for b.example), and the parts of a key were joined by a character that a host or path may hold.

The host as asked for, case folded, is now part of the key, and the parts are joined by a line break, which no request line or header can hold. Purges match by name as before. Ruled out: query, letter case of the path, ranges and confirmations.

--- a/src/traffic/fills.cpp
+++ b/src/traffic/fills.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace dunlinwing::traffic {
 namespace {
 constexpr Duration kShieldRest{2000};
@@ -44,7 +46,13 @@
   return r;
 }
 
-std::string key_of(const Work& w) { return w.service->name + "|" + w.host + "|" + w.q.target; }
+// No part of a key can hold the line break that parts them. The host counts also where the
+// route takes any: an object of one host is not another's.
+std::string key_of(const Work& w) {
+  auto host = base::header(w.q.headers, "Host");
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) { return std::tolower(c); });
+  return w.service->name + "\n" + host + "\n" + w.q.target;
+}
 
 Named named(const Work& w, const cache::Item& i) { return {w.service->name, w.host, w.q.target, &i.tags}; }
 }  // namespace
