Take an answer for a request's only by name, and end connections in doubt

Causes, each shown by a case that failed before: - An error without a name (a 404 or 500 that came late) was taken for the next request's: another client was told 404 ("an error without a name", "extra answers"). Only a decline may come without a name, as the users' pages show it. - A nameless decline repeated where the next answer is due told a request that then ran as not run ("a bare decline is no word on the next request": 503, and it ran). After a nameless answer a connection carries repeatable requests alone; beside another's answer, or ahead of the request, a nameless one is nobody's. - A connection went on being used after another's answer was skipped on it. - What was given up with bytes in our buffer was still delivered once a frozen backend thawed, and ran. A connection that is given up is now reset.

Ruled out, cutting (close, reset, silence) after each byte of request and answer by length and in chunks on new and kept connections, and with 312 extra answers: a second run of what may run once, another's bytes, a cut answer that looks whole, a broken promise.

"origin: late answers are skipped" counts one connection more: the one with late answers on it ends now, which is stricter; it warms a new one to keep its bite. Left: a nameless decline that comes late behind a named answer cannot be told from the next one's; the pages say that answers too many have a name.

--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -74,12 +74,14 @@
   std::string body;
 };
 
-// How a shot at a worker failed: nothing was sent; the worker itself said it
-// did not run it; or nobody can tell.
+// How an attempt at a backend instance failed: nothing was sent; the instance itself
+// said that it did not run it; or nobody can tell.
 enum class AttemptError { unsent, not_run, unknown };
 
-// What a shot is bound by. `mine` tells an answer to this request from one that
+// What an attempt is bound by. `mine` tells an answer to this request from one that
 // belongs to an earlier request on the same connection; null: every answer is.
+// `nameless` tells an answer that is taken for this request's though it names none: it
+// has no weight where another answer may still come. Null: every answer has a name.
 struct AttemptRules {
   template <class R, class P>
   AttemptRules(std::chrono::duration<R, P> l) : limit(l) {}  // a bare limit is a rule
@@ -87,7 +89,7 @@
   Duration connect{0};  // in which a new connection must stand; 0: the limit
   int most = 0;         // connections held to this address at once; 0: no bound
   bool safe = false;    // may ride a connection that the worker may be about to close
-  std::function<bool(const Response&)> mine;
+  std::function<bool(const Response&)> mine, nameless;
 };
 
 class Origin {
--- a/src/traffic/face.cpp
+++ b/src/traffic/face.cpp
@@ -64,6 +64,10 @@
     return base::header(r.headers, "Dunlinwing-Request") == id;
   }
 
+  bool nameless(const base::Response& r) const override {
+    return base::header(r.headers, "Dunlinwing-Request").empty();
+  }
+
   // Whether what came back is the named worker's own whole answer to this request.
   Look look(const base::Response& r, const Worker& w, const base::Request& q) const override {
     auto is = [&](const char* h, const std::string& v) { return base::header(r.headers, h) == v; };
--- a/src/traffic/face.hpp
+++ b/src/traffic/face.hpp
@@ -38,7 +38,8 @@
   virtual void dress(base::Request& q, const Dress& d) const = 0;
   virtual Look look(const base::Response& r, const Worker& w, const base::Request& q) const = 0;
   virtual bool mine(const base::Response& r,
-                    const std::string& id) const = 0;  // whether it answers this request
+                    const std::string& id) const = 0;        // whether it answers this request
+  virtual bool nameless(const base::Response& r) const = 0;  // whether it names no request at all
   virtual std::optional<Load> load(const base::Response& r) const = 0;
   virtual std::vector<std::string> tags(
       const base::Response& r) const = 0;           // under which a receipt may be purged
--- a/src/traffic/upstream_client.cpp
+++ b/src/traffic/upstream_client.cpp
@@ -235,6 +235,7 @@
     rules.connect = limit / kConnectPart;
     rules.safe = w.safe();
     rules.mine = [&](const base::Response& r) { return p.face.mine(r, q.id); };
+    rules.nameless = [&](const base::Response& r) { return p.face.nameless(r); };
     if (s.connections > 0)
       rules.most = std::max(1, static_cast<int>(kCapPart * s.connections / std::max(p.table()->nodes, 1)));
     p.places.began(to);
--- a/src/wire/http_origin.cpp
+++ b/src/wire/http_origin.cpp
@@ -1,6 +1,7 @@
-// A shot: a connection, one gathered write, and answers read until one is ours.
+// An attempt: a connection, one gathered write, and answers read until one is ours.
 // Beast does the parsing. Whatever leaves a doubt about where an answer ends,
-// or whose it is, costs the connection, and the answer too.
+// or whose it is, costs the connection, and the answer too. A connection that was
+// given up is reset, so that what lies in its buffer is not delivered later.
 #include "wire/http_origin.hpp"
 
 #include <boost/beast/http.hpp>
@@ -127,22 +128,30 @@
   Alarm late;
   late.set(end, [&l] { l.stop(); });
   auto head = head_of(q, addr);
-  if (l.send(head, q.body)) return l.sent() ? AttemptError::unknown : AttemptError::unsent;
+  auto given_up = [&](AttemptError how) {
+    loan->abandon();
+    return how;
+  };
+  if (l.send(head, q.body)) return given_up(l.sent() ? AttemptError::unknown : AttemptError::unsent);
+  bool early = l.answered_early();
   bool bare = q.method == "HEAD";
-  for (int i = 0; i <= kMostSkipped; ++i) {
+  for (int skipped = 0; skipped <= kMostSkipped; ++skipped) {
     auto a = read_answer(l, bare, most_);
-    if (!a) return AttemptError::unknown;
+    if (!a) return given_up(AttemptError::unknown);
     if (rules.mine && !rules.mine(a->r)) {
       // It may answer an earlier request; whether that one's answer has a body is not known to a HEAD.
-      if (!loan->used || bare || !a->keep) return AttemptError::unknown;
+      if (!loan->used || bare || !a->keep) return given_up(AttemptError::unknown);
       continue;
     }
+    bool nameless = rules.nameless && rules.nameless(a->r);
+    // Beside another's answer, or ahead of the request, one without a name may be anybody's.
+    if (nameless && loan->used && (skipped || early)) return given_up(AttemptError::unknown);
     late.clear();
-    if (a->keep && l.got().empty() && a->stated.value_or(Duration(1)) > Duration(0))
-      loan->plan_repair(a->stated);
+    bool alone = !skipped && !early && l.got().empty();
+    if (alone && a->keep && a->stated.value_or(Duration(1)) > Duration(0)) loan->keep(a->stated, nameless);
     return std::move(a->r);
   }
-  return AttemptError::unknown;
+  return given_up(AttemptError::unknown);
 }
 
 }  // namespace dunlinwing::wire
--- a/src/wire/kept.cpp
+++ b/src/wire/kept.cpp
@@ -110,8 +110,13 @@
   if (k_) k_->gone(addr_);
 }
 
-void Kept::Loan::plan_repair(std::optional<Duration> stated) {
-  std::exchange(k_, nullptr)->back(addr_, std::move(line), stated);
+void Kept::Loan::keep(std::optional<Duration> stated, bool only_safe) {
+  std::exchange(k_, nullptr)->back(addr_, std::move(line), stated, only_safe);
+}
+
+void Kept::Loan::abandon() {
+  line->abort();
+  line.reset();
 }
 
 void Kept::gone(const std::string& addr) {
@@ -119,7 +124,8 @@
   left(hosts_[addr]);
 }
 
-void Kept::back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Duration> stated) {
+void Kept::back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Duration> stated,
+                bool only_safe) {
   auto t = now();
   l->arm(kAnswerRoom);
   l->when_woken([k = weak_from_this(), addr, raw = l.get()] {
@@ -128,8 +134,8 @@
   std::lock_guard g(m_);
   auto& h = hosts_[addr];
   auto part = [&](double p) { return std::chrono::duration_cast<Duration>(*stated * p); };
-  h.idle.push_back({std::move(l), &Pool::here(), t, t + (stated ? part(kSurePart) : kSureUnstated),
-                    t + (stated ? part(kPart) : kUnstated)});
+  auto sure = only_safe ? Duration(0) : stated ? part(kSurePart) : kSureUnstated;
+  h.idle.push_back({std::move(l), &Pool::here(), t, t + sure, t + (stated ? part(kPart) : kUnstated)});
   ++idle_;
   if (h.idle.size() > kMostIdleEach) drop(h, 0);
   if (idle_ > most_) {
--- a/src/wire/kept.hpp
+++ b/src/wire/kept.hpp
@@ -20,7 +20,10 @@
     Loan(std::shared_ptr<Kept> k, std::string addr) : k_(std::move(k)), addr_(std::move(addr)) {}
     Loan(const Loan&) = delete;
     ~Loan();
-    void plan_repair(std::optional<Duration> stated);  // the worker's Keep-Alive time, if it stated one
+    // Gives it back to the pool. `stated`: the other side's Keep-Alive time, if it stated one.
+    // With `only_safe` it no longer carries what must not run twice.
+    void keep(std::optional<Duration> stated, bool only_safe = false);
+    void abandon();  // resets it: what was not delivered yet never will be
     std::shared_ptr<Line> line;
     bool used = false;  // it has carried an answer before
 
@@ -54,7 +57,7 @@
   void left(Host& h);
   void prune(At now);
   void lost(const std::string& addr, Line* l);
-  void back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Duration> stated);
+  void back(const std::string& addr, std::shared_ptr<Line> l, std::optional<Duration> stated, bool only_safe);
   void gone(const std::string& addr);
 
   size_t most_, idle_ = 0;
--- /dev/null
+++ b/test/byte_backend.hpp
@@ -0,0 +1,181 @@
+// A stand-in backend that fails at one chosen byte: of a request it reads or of the
+// answer it sends. It counts the requests that reached it whole, by Attempt-Id.
+#pragma once
+#include <charconv>
+#include <set>
+
+#include "wire_cases.hpp"
+
+namespace dunlinwing::test {
+
+enum class Trouble { none, close, reset, silence };
+
+// What the backend does with the first request that carries `victim` as its Attempt-Id.
+struct Plan {
+  std::string victim;
+  Trouble trouble = Trouble::none;
+  bool receiving = false;  // whether `at` counts bytes of the request, else of the answer
+  size_t at = 0;           // bytes after which the trouble comes
+  bool chunked = false;    // the framing of every answer; else by length
+  std::string before;      // sent in one segment with the answer, ahead of it
+  std::string together;    // sent in one segment with the answer, behind it
+  std::string later;       // sent by itself soon after the answer
+  std::string early;       // sent once `at` bytes of the request are read
+  std::string instead;     // the victim's whole answer, in place of a good one
+};
+
+inline std::string good_body(const std::string& id) { return "made for " + id; }
+
+// A whole answer that names the request `id` and is stamped.
+inline std::string good_answer(const std::string& id, bool chunked) {
+  auto body = good_body(id);
+  auto head = fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nEdge-Signature: s.{}\r\n", id, id);
+  if (!chunked) return fmt::format("{}Content-Length: {}\r\n\r\n{}", head, body.size(), body);
+  constexpr size_t kFirst = 4;
+  return fmt::format(
+      "{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n{:x};x=y\r\n{}\r\n0\r\nX-T: 1\r\n\r\n", head, kFirst,
+      body.substr(0, kFirst), body.size() - kFirst, body.substr(kFirst));
+}
+
+class ByteBackend {
+ public:
+  explicit ByteBackend(Plan plan)
+      : plan_(std::move(plan)), acceptor_(std::make_shared<Acceptor>(pool().io(0), Endpoint(loopback(), 0))) {
+    pool().spawn([this, acceptor = acceptor_] { accept(*acceptor); });
+  }
+  ~ByteBackend() {
+    closing_ = true;
+    acceptor_->close();
+    for (auto& weak : lines_)
+      if (auto line = weak.lock()) line->stop();
+    wire::RealClock clock;
+    while (open_) clock.sleep(1ms);
+  }
+  std::string address() const { return fmt::format("127.0.0.1:{}", acceptor_->local_endpoint().port()); }
+  int whole(const std::string& id) const {
+    auto found = whole_.find(id);
+    return found == whole_.end() ? 0 : found->second;
+  }
+  bool begun(const std::string& id) const { return begun_.count(id) > 0; }  // its head came
+  size_t request_bytes() const { return request_bytes_; }  // of the longest request that was read whole
+  void freeze() { frozen_ = true; }
+  void thaw() { frozen_ = false; }
+
+ private:
+  using Acceptor = boost::asio::ip::tcp::acceptor;
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+  static boost::asio::ip::address loopback() { return boost::asio::ip::make_address("127.0.0.1"); }
+
+  void accept(Acceptor& acceptor) {
+    for (;;) {
+      boost::asio::ip::tcp::socket socket(pool().io(0));
+      auto [failed] = wire::await<>([&](auto done) { acceptor.async_accept(socket, std::move(done)); });
+      if (failed) return;
+      ++open_;
+      auto line = std::make_shared<wire::Line>(std::move(socket));
+      lines_.push_back(line);
+      pool().spawn([this, line] {
+        while (serve(*line)) {
+        }
+        line->close();
+        --open_;
+      });
+    }
+  }
+
+  static std::string header_of(std::string_view head, std::string_view name) {
+    auto at = head.find(fmt::format("\r\n{}: ", name));
+    if (at == head.npos) return {};
+    auto from = at + name.size() + 4;
+    return std::string(head.substr(from, head.find('\r', from) - from));
+  }
+
+  // Bytes of the request in `got`, once its head is whole.
+  static std::optional<size_t> request_size(std::string_view got) {
+    auto end = got.find("\r\n\r\n");
+    if (end == got.npos) return {};
+    size_t body = 0;
+    auto length = header_of(got.substr(0, end + 2), "Content-Length");
+    std::from_chars(length.data(), length.data() + length.size(), body);
+    return end + 4 + body;
+  }
+
+  void wait_while_frozen() {
+    wire::RealClock clock;
+    while (frozen_ && !closing_) clock.sleep(1ms);
+  }
+
+  // Ends the connection as planned; a silence lasts until the other side is gone.
+  bool fail(wire::Line& line) {
+    if (plan_.trouble == Trouble::reset) line.socket().set_option(boost::asio::socket_base::linger(true, 0));
+    if (plan_.trouble == Trouble::silence) {
+      line.use(line.got().size());
+      while (!line.fill()) line.use(line.got().size());
+    }
+    return false;
+  }
+
+  // Reads one request and answers it; false when the connection is to end.
+  bool serve(wire::Line& line) {
+    bool told_early = false;
+    std::optional<size_t> size;
+    for (;;) {
+      wait_while_frozen();
+      auto got = line.got();
+      size = request_size(got);
+      if (size) begun_.insert(header_of(got.substr(0, got.find("\r\n\r\n") + 2), "Attempt-Id"));
+      bool whole = size && got.size() >= *size;
+      bool is_victim = !hit_ && (plan_.victim.empty() || header_of(got, "Attempt-Id") == plan_.victim ||
+                                 (expect_victim_ && !size));
+      if (plan_.receiving && is_victim && got.size() >= plan_.at) {
+        if (!plan_.early.empty() && !std::exchange(told_early, true)) line.send(plan_.early);
+        if (plan_.trouble != Trouble::none) {
+          hit_ = true;
+          if (size && plan_.at >= *size) count(got, *size);
+          return fail(line);
+        }
+      }
+      if (whole) break;
+      if (line.fill()) return false;
+    }
+    std::string head(line.got().substr(0, line.got().find("\r\n\r\n") + 2));
+    count(head, *size);
+    line.use(*size);
+    return answer(line, header_of(head, "Attempt-Id"));
+  }
+
+  void count(std::string_view request, size_t size) {
+    ++whole_[header_of(request, "Attempt-Id")];
+    request_bytes_ = std::max(request_bytes_, size);
+  }
+
+  bool answer(wire::Line& line, const std::string& id) {
+    auto proper = good_answer(id, plan_.chunked);
+    if (id != plan_.victim || std::exchange(hit_, true)) return !line.send(proper);
+    if (!plan_.instead.empty()) proper = plan_.instead;
+    if (plan_.trouble != Trouble::none && !plan_.receiving) {
+      line.send(std::string_view(proper).substr(0, plan_.at));
+      return fail(line);
+    }
+    if (line.send(plan_.before + proper + plan_.together)) return false;
+    if (plan_.later.empty()) return true;
+    wire::RealClock().sleep(1ms);
+    return !line.send(plan_.later);
+  }
+
+ public:
+  // From now on the next bytes of a request are taken for the victim's, before its name is read.
+  void expect_victim() { expect_victim_ = true; }
+
+ private:
+  Plan plan_;
+  std::shared_ptr<Acceptor> acceptor_;
+  std::vector<std::weak_ptr<wire::Line>> lines_;
+  std::map<std::string, int> whole_;
+  std::set<std::string> begun_;
+  size_t request_bytes_ = 0;
+  int open_ = 0;
+  bool hit_ = false, frozen_ = false, closing_ = false, expect_victim_ = false;
+};
+
+}  // namespace dunlinwing::test
--- a/test/wire_cases.hpp
+++ b/test/wire_cases.hpp
@@ -130,6 +130,7 @@
 
 std::vector<Case> server_cases();
 std::vector<Case> origin_cases();
+std::vector<Case> answer_cases();
 std::vector<Case> client_byte_cases();
 std::vector<Case> peer_cases();
 
--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -29,7 +29,8 @@
   StandIn w([](int, int n, auto&) {
     return n == 0   ? ok("0")
            : n == 1 ? ok("old") + ok("older") + ok("1")
-           : n == 2 ? ok("a") + ok("b") + ok("c") + ok("2")
+           : n == 2 ? ok("used")
+           : n == 3 ? ok("a") + ok("b") + ok("c") + ok("2")
                     : ok("not");
   });
   wire::HttpOrigin o(1 << 20);
@@ -39,11 +40,15 @@
   r.mine = mine("1");
   same(body(o.send(w.addr(), get(), r)), "1", "after two late answers");
   same(w.conns, 1, "connections");
+  same(o.held(w.addr()), 0, "connections held after another's answer");
+  r.mine = mine("used");
+  same(body(o.send(w.addr(), get(), r)), "used", "the first on a connection of its own");
   r.mine = mine("2");
   expect(unknown(o.send(w.addr(), get(), r)), "three answers were skipped");
+  same(w.conns, 2, "connections");
   r.mine = mine("3");
   expect(unknown(o.send(w.addr(), get(), r)), "a fresh connection's first answer was skipped");
-  same(w.conns, 2, "connections");
+  same(w.conns, 3, "connections");
   same(o.held(w.addr()), 0, "connections held after bad ends");
 }
 
