Reject a part or a confirmation that nobody asked for

Cause: a 206 to a request without Range, or a 304 to one without a condition, was passed on as the answer (failing case: a 206 for the whole of /kept/x came through). It could not be kept, but it was not the object asked for either.

It now counts as an answer that is not the backend's own whole one. Ranges and confirmations that the client asked for pass as before, from the cache and without it.

--- a/src/traffic/face.cpp
+++ b/src/traffic/face.cpp
@@ -118,6 +118,13 @@
 };
 }  // namespace
 
+bool is_unasked_part(const base::Request& q, const base::Response& r) {
+  auto asked = [&](const char* name) { return !base::header(q.headers, name).empty(); };
+  if (r.status == 206) return !asked("Range");
+  if (r.status == 304) return !asked("If-None-Match") && !asked("If-Modified-Since");
+  return false;
+}
+
 std::unique_ptr<Face> own_face() { return std::make_unique<Own>(); }
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/face.hpp
+++ b/src/traffic/face.hpp
@@ -54,6 +54,10 @@
 // The product's own words: headers that begin with Dunlinwing-.
 std::unique_ptr<Face> own_face();
 
+// A part of a representation (206) or a bare confirmation (304) in answer to a request that
+// asked for neither: it does not stand for the whole.
+bool is_unasked_part(const base::Request& q, const base::Response& r);
+
 // Headers that belong to one connection only, taken out.
 void strip_hop(std::vector<std::pair<std::string, std::string>>& hs);
 
--- a/src/traffic/upstream_client.cpp
+++ b/src/traffic/upstream_client.cpp
@@ -244,6 +244,7 @@
     Duration took = clock.now() - from;
     auto* a = std::get_if<base::Response>(&r);
     Look l = a ? p.face.look(*a, to, q) : Look::broken;
+    if (a && is_unasked_part(q, *a)) l = Look::broken;
     auto* d = std::get_if<base::AttemptError>(&r);
     bool unsent = d && *d == base::AttemptError::unsent;
     if (d && *d == base::AttemptError::not_run) l = Look::not_run;
--- a/test/wire_answers.cpp
+++ b/test/wire_answers.cpp
@@ -252,6 +252,25 @@
   }
 }
 
+// A part of an object, or a bare confirmation, that nobody asked for is not the whole object.
+void parts_unasked() {
+  for (int status : {206, 304}) {
+    StandIn backend([&](int, int, const std::string&) {
+      return fmt::format(
+          "HTTP/1.1 {} X\r\nAttempt-Id: a\r\nEdge-Signature: s.a\r\nContent-Range: bytes 0-3/9\r\n"
+          "Content-Length: {}\r\n\r\n{}",
+          status, 4, status == 304 ? "" : "part");
+    });
+    Relay relay(backend.addr());
+    for (auto* target : {"/kept/x", "/any/x"}) {
+      base::Request request{
+          "", "GET", target, "", {{"Host", "h"}, {"Attempt-Id", "a"}, {"Time-Remaining", "5000"}}};
+      same(relay.get(request).status, 502,
+           fmt::format("a {} to a request for the whole of {}", status, target));
+    }
+  }
+}
+
 // A body larger than the sockets hold lies half in our buffer when the frozen backend is given
 // up. Once it thaws it must not get the rest: a client may have been told long ago.
 void thawed() {
@@ -346,6 +365,7 @@
           {"answers: a connection with another's answer on it ends", reuse},
           {"answers: a bare decline is no word on the next request", bare_decline_again},
           {"answers: an error without a name is nobody's", nameless_error},
+          {"answers: a part or a confirmation nobody asked for is not the object", parts_unasked},
           {"answers: what was given up half sent does not arrive later", thawed},
           {"answers: kept ones are told apart by host, path, query and range", keys},
           {"answers: one fetch for many gives each its own", coalesced}};
