Tell no false length to HEAD, and when to come back with a body that found no room

Causes: the answer to a HEAD that went straight to a backend said "Content-Length: 0", since its length stands in a header that belongs to one connection and is taken out; and the server's own 503 for bodies beyond the budget named no time to come back. Both cases failed before. Ruled out: answers from the cache, which tell their length themselves.

--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -26,6 +26,7 @@
 constexpr size_t kBodyRoom = 32 << 10;
 constexpr Duration kSweepLeast(50), kSweepMost(500);
 constexpr Duration kNoDescriptors(100);
+constexpr const char* kComeBackSeconds = "1";  // after which a body that found no room may be sent again
 
 std::atomic<size_t> held_bodies{0};
 
@@ -206,6 +207,7 @@
 bool HttpServer::Impl::refuse(Talk& t, int status, const std::string& why) {
   base::Response a{
       status, {{"Content-Type", "application/json"}}, fmt::format("{{\"defect\":\"{}\"}}\n", why)};
+  if (status == 503) a.headers.emplace_back("Retry-After", kComeBackSeconds);
   t.l->go_on();
   if (answer(t, a, false, 11, false, *lim.load())) linger(t);
   return false;
@@ -241,7 +243,7 @@
   auto given = head || same ? base::header(a.headers, "Content-Length") : std::string();
   if (!given.empty())
     line("Content-Length", given);
-  else if (!bare && !same)
+  else if (!bare && !same && !(head && a.body.empty()))  // a HEAD's answer does not tell its length by itself
     line("Content-Length", fmt::format_int(a.body.size()).c_str());
   if (!keep)
     line("Connection", "close");
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -11,6 +11,7 @@
 const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 wire::HttpHandler echo() {
   return [](base::Request& q) -> base::Response {
+    if (q.target == "/hollow") return {200, {}, ""};
     if (q.target == "/none") return {204, {}, "left out"};
     if (q.target == "/same") return {304, {{"ETag", "\"1\""}}, "left out"};
     if (q.target == "/odd") return {200, {{"Connection", "close"}, {"Content-Length", "99"}}, "odd"};
@@ -25,6 +26,10 @@
     same(r.ask(kGet, "GET /a "), "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 7\r\n\r\nGET /a ", "an answer");
     same(r.ask("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
          "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 8\r\n\r\n", "an answer to HEAD");
+    same(r.ask("HEAD /hollow HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 200 OK\r\n\r\n",
+         "an answer to HEAD whose length is not known");
+    same(r.ask("GET /hollow HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
+         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "an empty answer");
     same(r.ask("GET /none HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 204 No Content\r\n\r\n",
          "a 204");
     same(r.ask("GET /same HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
@@ -128,6 +133,7 @@
       },
       "a body beyond the budget is turned away");
   expect(s.find("Connection: close") != s.npos, "its connection was to end: " + s);
+  expect(s.find("Retry-After: 1\r\n") != s.npos, "it was not told when to come back: " + s);
   Raw c(v.addr);
   s = c.ask(
       "POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1f5\r\n" + std::string(501, 'x'),
