--- a/test/wire_cases.hpp
+++ b/test/wire_cases.hpp
@@ -134,5 +134,6 @@
 std::vector<Case> client_byte_cases();
 std::vector<Case> peer_cases();
 std::vector<Case> forward_cases();
+std::vector<Case> soak_cases();
 
 }  // namespace dunlinwing::test
