Test answers that come before their request was sent whole

A body larger than the sockets hold, answered at its head: a named answer counts and its connection ends; a nameless one on a used connection counts for nothing.

--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -52,6 +52,24 @@
   same(o.held(w.addr()), 0, "connections held after bad ends");
 }
 
+// An answer that is there before its request was sent whole. Named it counts, without a name
+// on a used connection it does not; either way the connection ends.
+void early() {
+  const std::string large(8 << 20, 'b');  // more than the sockets hold
+  for (bool has_name : {true, false}) {
+    StandIn w(
+        [&](int, int n, auto&) { return ok(n ? "early" : "first", has_name || !n ? "Id: x\r\n" : ""); });
+    wire::HttpOrigin o(1 << 20);
+    auto r = rules();
+    r.nameless = [](const base::Response& x) { return base::header(x.headers, "Id").empty(); };
+    same(body(o.send(w.addr(), get(), r)), "first", "the first on the connection");
+    auto s = o.send(w.addr(), {"", "POST", "/", large, {}}, r);
+    same(w.conns, 1, "connections");
+    same(body(s), has_name ? "early" : "a defect", "an early answer");
+    same(o.held(w.addr()), 0, "connections held after an early answer");
+  }
+}
+
 void leftovers() {
   StandIn w([](int, int n, auto&) { return n % 2 ? ok("x") : ok("good") + ok("nobody asked"); });
   wire::HttpOrigin o(1 << 20);
@@ -262,6 +280,7 @@
 
 std::vector<Case> origin_cases() {
   return {{"origin: late answers are skipped, on used connections only", stale},
+          {"origin: an early answer ends its connection", early},
           {"origin: bytes behind an answer cost the connection", leftovers},
           {"origin: what is not one whole answer is unknown", strange},
           {"origin: a request is written as given", written},
