Test that an answer without an end is not waited for

Its mutant went unnoticed: such an answer was thrown away either way, once the connection or the time ended. What the guard adds is that nobody is held for it; the case says so.

--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -113,6 +113,17 @@
   same(o.held(w.addr()), 0, "connections held after Connection: close");
 }
 
+// An answer that ends with its connection alone cannot be told from a cut one: it is not
+// waited for.
+void endless() {
+  StandIn w([](int, int, auto&) { return std::string("HTTP/1.1 200 OK\r\n\r\nuntil I close"); });
+  wire::HttpOrigin o(1000);
+  wire::RealClock clock;
+  auto from = clock.now();
+  expect(unknown(o.send(w.addr(), get(), rules())), "taken for a whole answer");
+  expect(clock.now() - from < rules().limit / 2, "it was waited for");
+}
+
 void written() {
   std::string head;
   StandIn w([&](int, int, auto& h) {
@@ -283,6 +294,7 @@
           {"origin: an early answer ends its connection", early},
           {"origin: bytes behind an answer cost the connection", leftovers},
           {"origin: what is not one whole answer is unknown", strange},
+          {"origin: an answer without an end is not waited for", endless},
           {"origin: a request is written as given", written},
           {"origin: kept connections age", ages},
           {"origin: an idle connection's end is noticed", noticed},
