--- a/src/traffic/upstream_client.cpp
+++ b/src/traffic/upstream_client.cpp
@@ -235,6 +235,7 @@
     rules.connect = limit / kConnectPart;
     rules.safe = w.safe();
     rules.mine = [&](const base::Response& r) { return p.face.mine(r, q.id); };
+    rules.nameless = [&](const base::Response& r) { return p.face.nameless(r); };
     if (s.connections > 0)
       rules.most = std::max(1, static_cast<int>(kCapPart * s.connections / std::max(p.table()->nodes, 1)));
     p.places.began(to);
@@ -243,6 +244,7 @@
     Duration took = clock.now() - from;
     auto* a = std::get_if<base::Response>(&r);
     Look l = a ? p.face.look(*a, to, q) : Look::broken;
+    if (a && is_unasked_part(q, *a)) l = Look::broken;
     auto* d = std::get_if<base::AttemptError>(&r);
     bool unsent = d && *d == base::AttemptError::unsent;
     if (d && *d == base::AttemptError::not_run) l = Look::not_run;
--- /dev/null
+++ b/test/wire_peer.cpp
@@ -0,0 +1,174 @@
+// Asks between relays when the other side fails at every byte, answers twice, out of
+// turn or late, and when connections are reset under asks that wait.
+#include "scripted_peer.hpp"
+#include "wire/peer.hpp"
+
+namespace dunlinwing::test {
+namespace {
+constexpr Duration kPatience(60), kPlenty(10000);
+
+pb::Ask fetch(uint64_t name) {
+  pb::Ask ask;
+  ask.mutable_fetch()->set_offset(name);
+  return ask;
+}
+
+pb::Reply reply_to(const pb::Ask& ask) {
+  pb::Reply reply;
+  reply.mutable_piece()->set_held(ask.fetch().offset());
+  return reply;
+}
+
+using Answer = std::variant<pb::Reply, base::NetError>;
+
+// True when it was answered; a reply to another ask fails the test.
+bool own(const Answer& answer, uint64_t name) {
+  auto* reply = std::get_if<pb::Reply>(&answer);
+  if (!reply) return false;
+  expect(reply->has_piece(), "a reply of another kind");
+  same(reply->piece().held(), name, "the ask that a reply belongs to");
+  return true;
+}
+
+pb::Reply numbered(const pb::Ask& ask) {
+  auto reply = reply_to(ask);
+  reply.set_number(ask.number());
+  return reply;
+}
+
+// A reply cut at each byte is no reply, and the next ask gets its own.
+void cut() {
+  for (std::string end : {"cut", "reset", ""})
+    for (bool kept : {false, true})
+      for (size_t at = 0; at < ScriptedPeer::frame(numbered(fetch(7))).size(); ++at) {
+        ScriptedPeer peer([&](int, const pb::Ask& ask) {
+          auto whole = ScriptedPeer::frame(numbered(ask));
+          return ask.fetch().offset() == 7 ? whole.substr(0, at) + end : whole;
+        });
+        wire::PeerNet net;
+        if (kept) expect(own(net.ask(peer.address(), fetch(1), kPlenty), 1), "the first ask");
+        auto answer = net.ask(peer.address(), fetch(7), kPatience);
+        expect(!own(answer, 7), fmt::format("a reply cut after {} bytes was taken", at));
+        expect(own(net.ask(peer.address(), fetch(9), kPlenty), 9), "the ask after it");
+      }
+}
+
+// Replies twice, in one segment or later, and to the ask before.
+void duplicated() {
+  for (int kind = 0; kind < 4; ++kind) {
+    std::string before;
+    ScriptedPeer peer([&](int, const pb::Ask& ask) {
+      auto mine = ScriptedPeer::frame(numbered(ask));
+      auto last = std::exchange(before, mine);
+      if (ask.fetch().offset() % 3) return mine;
+      switch (kind) {
+        case 0:
+          return mine + mine;
+        case 1:
+          return last;
+        case 2:
+          return last + mine;
+        default:
+          return mine + last.substr(0, 3);
+      }
+    });
+    wire::PeerNet net;
+    int answered = 0;
+    for (uint64_t name = 1; name <= 60; ++name)
+      answered += own(net.ask(peer.address(), fetch(name), kPatience), name);
+    expect(answered >= 30, fmt::format("kind {}: only {} of 60 were answered", kind, answered));
+  }
+}
+
+// A duplicate that comes late, when the connection waits or carries the next ask.
+void late_duplicate() {
+  std::vector<std::shared_ptr<wire::Line>> lines;
+  ScriptedPeer peer([&](int, const pb::Ask& ask) {
+    auto mine = ScriptedPeer::frame(numbered(ask));
+    return ask.fetch().offset() % 2 ? mine
+                                    : ScriptedPeer::frame(numbered(fetch(ask.fetch().offset() - 1))) + mine;
+  });
+  wire::PeerNet net;
+  for (uint64_t name = 1; name <= 40; ++name) own(net.ask(peer.address(), fetch(name), kPlenty), name);
+}
+
+// Many asks wait when all connections are reset; what is asked again gets its own reply.
+void reset_under_asks() {
+  auto go = pool().condition();
+  int waiting = 0;
+  bool down = true;
+  ScriptedPeer peer([&](int, const pb::Ask& ask) -> std::string {
+    if (down) {
+      ++waiting;
+      while (down) wire::RealClock().sleep(1ms);
+      return ask.fetch().offset() % 2 ? "reset" : ScriptedPeer::frame(numbered(ask)) + "reset";
+    }
+    return ScriptedPeer::frame(numbered(ask));
+  });
+  wire::PeerNet net;
+  constexpr int kAsks = 24;
+  int left = kAsks, wrong = 0;
+  for (int i = 0; i < kAsks; ++i)
+    pool().spawn([&, i] {
+      try {
+        own(net.ask(peer.address(), fetch(100 + i), kPlenty), 100 + i);
+        expect(own(net.ask(peer.address(), fetch(200 + i), kPlenty), 200 + i), "an ask after the resets");
+      } catch (const std::exception&) {
+        ++wrong;
+      }
+      --left;
+    });
+  until([&] { return waiting == kAsks; }, "all wait");
+  down = false;
+  until([&] { return left == 0; }, "all end");
+  same(wrong, 0, "asks with another's reply, or none after the resets");
+}
+
+// A forwarded request whose reply is lost on a kept connection is not asked again.
+void forwarded_once() {
+  int asked = 0;
+  ScriptedPeer peer([&](int, const pb::Ask& ask) -> std::string {
+    if (!ask.has_carry()) return ScriptedPeer::frame(numbered(ask));
+    ++asked;
+    return "reset";
+  });
+  wire::PeerNet net;
+  expect(own(net.ask(peer.address(), fetch(1), kPlenty), 1), "the first ask");
+  pb::Ask forward;
+  forward.mutable_carry()->set_id("a");
+  auto answer = net.ask(peer.address(), forward, kPlenty);
+  expect(std::holds_alternative<base::NetError>(answer), "an answer that was never given");
+  same(asked, 1, "times a forwarded request was sent");
+}
+
+// The number stands in every ask and comes back in the reply of our own server.
+void served() {
+  std::string address;
+  std::vector<uint64_t> numbers;
+  for (int port = 23100 + static_cast<int>(::getpid() % 500);; ++port) {
+    address = fmt::format("127.0.0.1:{}", port);
+    if (!wire::serve_peers(pool(), address, [&](const pb::Ask& ask) {
+          numbers.push_back(ask.number());
+          return reply_to(ask);
+        }))
+      break;
+  }
+  wire::PeerNet net;
+  for (uint64_t name = 1; name <= 5; ++name)
+    expect(own(net.ask(address, fetch(name), kPlenty), name), "an ask");
+  std::sort(numbers.begin(), numbers.end());
+  expect(std::unique(numbers.begin(), numbers.end()) == numbers.end(), "a number was used twice");
+  expect(numbers.front() > 0, "an ask without a number");
+}
+}  // namespace
+
+std::vector<Case> peer_cases() {
+  return {{"peer: a reply cut at any byte is none", cut},
+          {"peer: replies given twice or out of turn meet no other ask", duplicated},
+          {"peer: a late duplicate meets no other ask", late_duplicate},
+          {"peer: connections reset under asks", reset_under_asks},
+          {"peer: a forwarded request is sent once", forwarded_once},
+          {"peer: each ask has a number of its own", served}};
+}
+
+}  // namespace dunlinwing::test
