--- a/src/traffic/face.cpp
+++ b/src/traffic/face.cpp
@@ -64,6 +64,10 @@
     return base::header(r.headers, "Dunlinwing-Request") == id;
   }
 
+  bool nameless(const base::Response& r) const override {
+    return base::header(r.headers, "Dunlinwing-Request").empty();
+  }
+
   // Whether what came back is the named worker's own whole answer to this request.
   Look look(const base::Response& r, const Worker& w, const base::Request& q) const override {
     auto is = [&](const char* h, const std::string& v) { return base::header(r.headers, h) == v; };
@@ -114,6 +118,13 @@
 };
 }  // namespace
 
+bool is_unasked_part(const base::Request& q, const base::Response& r) {
+  auto asked = [&](const char* name) { return !base::header(q.headers, name).empty(); };
+  if (r.status == 206) return !asked("Range");
+  if (r.status == 304) return !asked("If-None-Match") && !asked("If-Modified-Since");
+  return false;
+}
+
 std::unique_ptr<Face> own_face() { return std::make_unique<Own>(); }
 
 }  // namespace dunlinwing::traffic
--- a/test/wire_origin.cpp
+++ b/test/wire_origin.cpp
@@ -29,7 +29,8 @@
   StandIn w([](int, int n, auto&) {
     return n == 0   ? ok("0")
            : n == 1 ? ok("old") + ok("older") + ok("1")
-           : n == 2 ? ok("a") + ok("b") + ok("c") + ok("2")
+           : n == 2 ? ok("used")
+           : n == 3 ? ok("a") + ok("b") + ok("c") + ok("2")
                     : ok("not");
   });
   wire::HttpOrigin o(1 << 20);
@@ -39,14 +40,36 @@
   r.mine = mine("1");
   same(body(o.send(w.addr(), get(), r)), "1", "after two late answers");
   same(w.conns, 1, "connections");
+  same(o.held(w.addr()), 0, "connections held after another's answer");
+  r.mine = mine("used");
+  same(body(o.send(w.addr(), get(), r)), "used", "the first on a connection of its own");
   r.mine = mine("2");
   expect(unknown(o.send(w.addr(), get(), r)), "three answers were skipped");
+  same(w.conns, 2, "connections");
   r.mine = mine("3");
   expect(unknown(o.send(w.addr(), get(), r)), "a fresh connection's first answer was skipped");
-  same(w.conns, 2, "connections");
+  same(w.conns, 3, "connections");
   same(o.held(w.addr()), 0, "connections held after bad ends");
 }
 
+// An answer that is there before its request was sent whole. Named it counts, without a name
+// on a used connection it does not; either way the connection ends.
+void early() {
+  const std::string large(8 << 20, 'b');  // more than the sockets hold
+  for (bool has_name : {true, false}) {
+    StandIn w(
+        [&](int, int n, auto&) { return ok(n ? "early" : "first", has_name || !n ? "Id: x\r\n" : ""); });
+    wire::HttpOrigin o(1 << 20);
+    auto r = rules();
+    r.nameless = [](const base::Response& x) { return base::header(x.headers, "Id").empty(); };
+    same(body(o.send(w.addr(), get(), r)), "first", "the first on the connection");
+    auto s = o.send(w.addr(), {"", "POST", "/", large, {}}, r);
+    same(w.conns, 1, "connections");
+    same(body(s), has_name ? "early" : "a defect", "an early answer");
+    same(o.held(w.addr()), 0, "connections held after an early answer");
+  }
+}
+
 void leftovers() {
   StandIn w([](int, int n, auto&) { return n % 2 ? ok("x") : ok("good") + ok("nobody asked"); });
   wire::HttpOrigin o(1 << 20);
@@ -90,6 +113,17 @@
   same(o.held(w.addr()), 0, "connections held after Connection: close");
 }
 
+// An answer that ends with its connection alone cannot be told from a cut one: it is not
+// waited for.
+void endless() {
+  StandIn w([](int, int, auto&) { return std::string("HTTP/1.1 200 OK\r\n\r\nuntil I close"); });
+  wire::HttpOrigin o(1000);
+  wire::RealClock clock;
+  auto from = clock.now();
+  expect(unknown(o.send(w.addr(), get(), rules())), "taken for a whole answer");
+  expect(clock.now() - from < rules().limit / 2, "it was waited for");
+}
+
 void written() {
   std::string head;
   StandIn w([&](int, int, auto& h) {
@@ -257,8 +291,10 @@
 
 std::vector<Case> origin_cases() {
   return {{"origin: late answers are skipped, on used connections only", stale},
+          {"origin: an early answer ends its connection", early},
           {"origin: bytes behind an answer cost the connection", leftovers},
           {"origin: what is not one whole answer is unknown", strange},
+          {"origin: an answer without an end is not waited for", endless},
           {"origin: a request is written as given", written},
           {"origin: kept connections age", ages},
           {"origin: an idle connection's end is noticed", noticed},
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -11,6 +11,7 @@
 const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 wire::HttpHandler echo() {
   return [](base::Request& q) -> base::Response {
+    if (q.target == "/hollow") return {200, {}, ""};
     if (q.target == "/none") return {204, {}, "left out"};
     if (q.target == "/same") return {304, {{"ETag", "\"1\""}}, "left out"};
     if (q.target == "/odd") return {200, {{"Connection", "close"}, {"Content-Length", "99"}}, "odd"};
@@ -18,24 +19,6 @@
   };
 }
 
-// A server on an address of its own, on threads [from, to) of the pool.
-struct Served {
-  wire::HttpServer s;
-  std::string addr;
-  explicit Served(wire::HttpLimits l, wire::HttpHandler h = echo(), int from = 0, int to = 1)
-      : s(pool(), "test", l, std::move(h)) {
-    for (int port = 24100 + static_cast<int>(::getpid() % 500) * 16;; ++port) {
-      addr = fmt::format("127.0.0.1:{}", port);
-      if (!s.listen(addr, from, to)) break;
-    }
-  }
-  ~Served() {
-    s.close();
-    s.close_idle();
-    until([this] { return s.open() == 0; }, "all connections end");
-  }
-};
-
 void answers() {
   for (int to : {1, 3}) {
     Served v({}, echo(), 0, to);
@@ -43,6 +26,10 @@
     same(r.ask(kGet, "GET /a "), "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 7\r\n\r\nGET /a ", "an answer");
     same(r.ask("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
          "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 8\r\n\r\n", "an answer to HEAD");
+    same(r.ask("HEAD /hollow HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 200 OK\r\n\r\n",
+         "an answer to HEAD whose length is not known");
+    same(r.ask("GET /hollow HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
+         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "an empty answer");
     same(r.ask("GET /none HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"), "HTTP/1.1 204 No Content\r\n\r\n",
          "a 204");
     same(r.ask("GET /same HTTP/1.1\r\nHost: h\r\n\r\n", "\r\n\r\n"),
@@ -74,7 +61,7 @@
 }
 
 void framing() {
-  Served v({});
+  Served v({}, echo());
   for (std::string q :
        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
@@ -92,7 +79,7 @@
   wire::HttpLimits l;
   l.head_bytes = 500;
   l.body_bytes = 1000;
-  Served v(l);
+  Served v(l, echo());
   auto status = [&](const std::string& q) {
     Raw r(v.addr);
     auto a = r.ask(q);
@@ -119,7 +106,7 @@
   wire::HttpLimits l;
   l.idle = 200ms;
   l.read = l.body = l.write = 200ms;
-  Served v(l);
+  Served v(l, echo());
   Raw idle(v.addr), head(v.addr), body(v.addr), kept(v.addr);
   kept.ask(kGet, "GET /a ");
   head.send("GET / HT");
@@ -133,7 +120,7 @@
 void budget() {
   wire::HttpLimits l;
   l.bodies = 1500;
-  Served v(l);
+  Served v(l, echo());
   Raw a(v.addr);
   a.send("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
   std::string q = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 501\r\n\r\n" + std::string(501, 'x'), s;
@@ -146,6 +133,7 @@
       },
       "a body beyond the budget is turned away");
   expect(s.find("Connection: close") != s.npos, "its connection was to end: " + s);
+  expect(s.find("Retry-After: 1\r\n") != s.npos, "it was not told when to come back: " + s);
   Raw c(v.addr);
   s = c.ask(
       "POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1f5\r\n" + std::string(501, 'x'),
@@ -157,7 +145,7 @@
 }
 
 void ends() {
-  Served v({});
+  Served v({}, echo());
   Raw a(v.addr), b(v.addr), fresh(v.addr), half(v.addr);
   a.ask(kGet, "GET /a ");
   b.ask(kGet, "GET /a ");
@@ -177,7 +165,7 @@
 void crowded() {
   wire::HttpLimits l;
   l.most = 2;
-  Served v(l);
+  Served v(l, echo());
   Raw a(v.addr);
   a.ask(kGet, "GET /a ");
   Raw b(v.addr);
@@ -214,7 +202,7 @@
 
 // No descriptor is left when a connection comes; it is taken once there is one.
 void no_descriptors() {
-  Served v({});
+  Served v({}, echo());
   rlimit was{};
   ::getrlimit(RLIMIT_NOFILE, &was);
   rlimit few{256, was.rlim_max};
