StateCache: the age of a replica's answer runs from its ask

Cause: found by a scripted trace on the product's objects: an answer was stamped when the whole ask had ended, so one that lay in a lingering ask, or in a node that stood still, looked young. Reads could go back.

--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -22,6 +22,7 @@
   struct Side {
     uint64_t boot = 0, seen = 0;
     TimePoint answered{0};
+    TimePoint asked{0};  // when the ask began that it last answered
     TimePoint voted{0};  // when it last answered and was not mute
     std::map<std::string, pb::RegisterState> slots;
   };
@@ -87,7 +88,7 @@
   // disk that was lost since.
   bool told_in_time(const consensus::Replica& replica) const {
     auto side = sides.find(replica.name);
-    return side != sides.end() && ps.clock.now() - side->second.voted <= c.word_limit();
+    return side != sides.end() && ps.clock.now() - side->second.asked <= c.word_limit();
   }
 
   // The latest state known for a register, when a quorum has accepted its ballot.
@@ -193,6 +194,7 @@
         a.mutable_pull()->set_seen(sides[hs[who[k]].name].seen);
         return a;
       };
+      TimePoint asked = ps.clock.now();
       auto rs = consensus::ask_all(
           ps, to, make, limit, [](auto&) { return false; }, c.me, local);
       bool any = false;
@@ -204,6 +206,7 @@
         // One that has not made the present set durable may still vote under the one before.
         voting[who[k]] = !rs[k]->pull().mute() && rs[k]->pull().adopted_epoch() >= epoch;
         take(hs[who[k]].name, rs[k]->pull(), ps.clock.now());
+        sides[hs[who[k]].name].asked = asked;
         registers.set().adopt(rs[k]->pull().set());
         heard.push_back(rs[k]->pull());
       }
