A replica whose disk failed writes itself anew, verifies it and votes again

Cause: one failed write set the acceptor's `bad` and the store's `broken` until the process ended, so a disk that was full for three seconds was a lost replica that nobody replaced. A write that stalled parked its callers for as long.

Now a replica is mute from the failed write until a whole image of its memory, with a log of its own, is written into the other slot, synced and read back; pauses double up to half a round's limit. Waiters of before the failure are never answered; a stalled write turns its callers away after a round's limit and queues nothing more. A set that was taken up in memory counts as adopted only once it is synced. The proof sketch is at Acceptor's recover().

Found on the way, each by the new cases or while writing them: - A pair of files whose sync failed may look whole in the system's cache. Loading believed it and wrote over the only pair that was on the disk. A pair now counts once a mark behind its heading is synced, and what was loaded is confirmed (proof.k) before the other is written over. Old disks are read as before, and old programs read the new ones. - A slot that the disk would not give (an I/O error) was taken for missing, and the older pair led. Now it is doubted. - Kept artifacts: a piece whose sync had failed counted as kept at the next look.

Ruled out: appending behind a failed record (it would be rot in the middle of the log); trusting the cache after a failed sync; three slots in turn (each restart on the failing disk moves on by one, so no number is enough).

--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -52,15 +52,23 @@
 struct Loaded {
   pb::Image image;
   bool doubt = false;  // something synced earlier can no longer be read
+  // The image could not be written anew, so it may stand in caches only: nothing of it may
+  // be told of until Disk::rewrite() succeeds.
+  bool unwritten = false;
 };
 
 class Disk {
  public:
   virtual ~Disk() = default;
   virtual Loaded load() = 0;
-  // Returns once all records are synced. `whole` is called when a fresh image is due.
+  // Returns once all records are synced. `whole` is called when a fresh image is due. After an
+  // error each later save fails too, until a rewrite() succeeds.
   virtual std::optional<DiskError> save(const std::vector<pb::Record>& rs,
                                         const std::function<pb::Image()>& whole) = 0;
+  // The way back after an error: writes the whole image beside what is there, syncs it and reads
+  // it back. Until it succeeds, what was synced before stays what is loaded; after an error
+  // it may be called again.
+  virtual std::optional<DiskError> rewrite(const pb::Image& whole) = 0;
 };
 
 struct Request {
--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -18,7 +18,11 @@
 namespace dunlinwing::consensus {
 namespace {
 constexpr base::Log lg("consensus");
-}
+// Pauses between two tries to write a failed disk anew, as parts of a round's limit: the first,
+// and the longest, to which it doubles.
+constexpr int kFirstPauseShare = 16;
+constexpr int kLongestPauseShare = 2;
+}  // namespace
 
 struct Acceptor::Impl : std::enable_shared_from_this<Acceptor::Impl> {
   base::Ports& ps;
@@ -29,7 +33,12 @@
   Duration round;
   pb::Stage stage = pb::BLANK;
   std::optional<pb::First> first;
-  bool bad = false, writing = false;
+  bool bad = false;     // the disk failed, and was not yet written anew
+  bool missed = false;  // memory changed while it was being written anew
+  bool writing = false, refilling = false;
+  TimePoint began{0};  // of the write under way
+  uint64_t failures = 0;
+  uint64_t synced_epoch = 0;
   std::map<std::string, pb::RegisterState> slots, synced;
   std::map<std::string, uint64_t> feed;
   uint64_t boot = 0, count = 0;
@@ -57,36 +66,126 @@
   }
 
   void publish(const pb::Record& r) {
+    if (r.has_set()) synced_epoch = std::max(synced_epoch, r.set().epoch());
     if (!r.has_slot()) return;
     auto& s = synced[r.slot().name()];
     if (!equal(s.accepted(), r.slot().accepted())) feed[r.slot().name()] = ++count;
     s = r.slot();
   }
 
-  // True once the record and all before it are synced.
+  // True once the record and all before it are synced; false when the disk fails, or answers
+  // nothing for a round's limit. The write may then still complete, but is answered by nobody.
   bool sync(const pb::Record& r) {
+    if (bad) {
+      missed = true;  // by the image being written
+      return false;
+    }
     batch.push_back(r);
-    uint64_t mine = ++put;
+    uint64_t mine = ++put, failures_before = failures;
     if (!writing) {
       writing = true;
-      while (!batch.empty() && !bad) {
-        auto b = std::exchange(batch, {});
-        uint64_t upto = put;
-        if (disk.save(b, [this] { return whole(); })) bad = true;
-        if (!bad) {
-          for (auto& x : b) publish(x);
-          done = upto;
-        }
-        for (auto& w : std::exchange(waits, {})) w->notify();
-      }
-      writing = false;
+      began = ps.clock.now();
+      ps.tasks.spawn([me = shared_from_this()] { me->write_batches(); });
     }
-    while (done < mine && !bad) {
+    auto end = ps.clock.now() + round;
+    while (done < mine && failures == failures_before && ps.clock.now() < end) {
       auto s = ps.tasks.condition();
       waits.push_back(s);
-      s->wait(round);
+      s->wait(end - ps.clock.now());
     }
-    return done >= mine;
+    return done >= mine && failures == failures_before;
+  }
+
+  void wake_all() {
+    for (auto& w : std::exchange(waits, {})) w->notify();
+  }
+
+  // What comes while a batch is being written goes into the next.
+  void write_batches() {
+    while (!batch.empty()) {
+      auto b = std::exchange(batch, {});
+      uint64_t upto = put;
+      began = ps.clock.now();
+      if (disk.save(b, [this] { return whole(); })) {
+        recover();
+        continue;
+      }
+      for (auto& x : b) publish(x);
+      done = upto;
+      wake_all();
+    }
+    writing = false;
+  }
+
+  // After a failed write nobody knows what of it is on the disk. The replica is mute until a
+  // whole image of its memory is written beside what was there, synced and read back.
+  //
+  // Why that is safe. Let M be the memory when the image is made, and A all that this replica
+  // ever answered for: promises, accepts, its set and its stage.
+  // - A is in M, or superseded there: every answer is given from memory after its record is
+  //   synced, and memory only rises in ballots and epochs. So no promise or accept that
+  //   somebody counted is forgotten.
+  // - M holds besides what was never answered for, for each such caller was told mute. A
+  //   promise that nobody counted only turns lower ballots away. An accept that nobody
+  //   counted is a value proposed at a ballot above every promise here, just as if the
+  //   answer had been lost on its way: Paxos holds whether or not such an answer arrives.
+  //   A later reader who counts it finds it on the disk.
+  // - Nothing of M is told of before the image is synced: mute replicas answer no vote, peek,
+  //   dump or pull. Then what is published is what is in the image.
+  // - What changed in memory while the image was being written had its sync refused
+  //   (`missed`), so another image follows before anything is answered.
+  // - No caller of before is answered later: `failures` has risen, whatever `done` becomes.
+  void recover() {
+    bad = true;
+    ++failures;
+    wake_all();
+    lg.error("{}: the disk failed; this replica is mute until it is written anew.", me);
+    Duration pause = std::max(Duration(1), round / kFirstPauseShare);
+    for (;;) {
+      missed = false;
+      batch.clear();  // all of it is in the image
+      auto image = whole();
+      if (!disk.rewrite(image)) {
+        if (missed) continue;
+        publish_image(image);
+        break;
+      }
+      ps.clock.sleep(pause);
+      pause = std::min<Duration>(pause * 2, std::max(Duration(1), round / kLongestPauseShare));
+    }
+    bad = false;
+    lg.info("{}: the disk is written anew; this replica votes again.", me);
+    if (stage != pb::FORMED && !refilling) ps.tasks.spawn([me = shared_from_this()] { me->fill(false); });
+  }
+
+  void publish_image(const pb::Image& image) {
+    pb::Record r;
+    if (image.has_set()) *r.mutable_set() = image.set();
+    publish(r);
+    for (auto& slot : image.slots()) {
+      *r.mutable_slot() = slot;
+      publish(r);
+    }
+  }
+
+  // Whether the set of this epoch is on the disk; waits for it while it is only in memory.
+  bool has_synced(uint64_t wanted) {
+    if (bad || synced_epoch >= wanted) return !bad;
+    pb::Record r;
+    *r.mutable_set() = set.message();
+    return sync(r) && synced_epoch >= wanted;
+  }
+
+  // A write under way for longer than a round's limit: nothing more is queued behind it.
+  bool stalled() const { return writing && ps.clock.now() - began > round; }
+
+  // Refills until formed, over failures of the disk; one fiber at a time, for a second one
+  // could take what it heard over a vote given since.
+  void fill(bool told) {
+    refilling = true;
+    do refill(told);
+    while (stage != pb::FORMED && !bad);
+    refilling = false;
   }
 
   pb::Reply vote(const Step& st) {
@@ -215,17 +314,25 @@
     p_->slots[s.name()] = p_->synced[s.name()] = s;
     p_->feed[s.name()] = ++p_->count;
   }
+  p_->synced_epoch = p_->epoch;
   lg.info("{}: the disk is {} and holds {} registers.", p_->me, pb::Stage_Name(p_->stage), p_->slots.size());
   if (p_->stage == pb::BLANK && l.image.has_first()) p_->first = l.image.first();
   bool told = first && !p_->first && p_->stage == pb::BLANK && p_->slots.empty() && !p_->epoch;
   if (told) p_->first = first;
-  if (p_->stage != pb::FORMED) p_->ps.tasks.spawn([p = p_, told] { p->refill(told); });
+  if (l.unwritten) {
+    p_->bad = p_->writing = true;
+    p_->ps.tasks.spawn([p = p_] {
+      p->recover();
+      p->write_batches();
+    });
+  }
+  if (p_->stage != pb::FORMED) p_->ps.tasks.spawn([p = p_, told] { p->fill(told); });
 }
 
 std::optional<pb::First> Acceptor::first() const { return p_->first; }
 
 bool Acceptor::mute() const { return p_->bad || p_->stage != pb::FORMED; }
-bool Acceptor::adopt(const pb::ReplicaSet& s) { return p_->adopt(s); }
+bool Acceptor::adopt(const pb::ReplicaSet& s) { return p_->adopt(s) && p_->has_synced(s.epoch()); }
 
 pb::Reply Acceptor::answer(const pb::Ask& a) {
   auto& p = *p_;
@@ -242,7 +349,7 @@
     return out;
   }
   if (a.has_adopt()) {
-    bool ok = !p.bad && p.adopt(a.adopt().set());
+    bool ok = !p.bad && !p.stalled() && adopt(a.adopt().set());
     out.mutable_vote()->set_yes(ok);
     return out;
   }
@@ -251,7 +358,7 @@
     out.mutable_vote()->set_mute(true);
     return out;
   }
-  if (mute()) {
+  if (mute() || (p.stalled() && !a.has_peek())) {
     out.mutable_vote()->set_mute(true);
     return out;
   }
--- a/src/simulation/ports.hpp
+++ b/src/simulation/ports.hpp
@@ -64,13 +64,15 @@
 struct Platter {
   std::map<std::string, std::string> files;
   Duration least{1}, most{4};
-  bool failing = false;
+  bool failing = false;        // refuses every write and sync
+  bool full = false;           // takes no more bytes: a write leaves a part of them, or none
+  TimePoint stalled_until{0};  // answers nothing before then
 };
 
 class MemFiles final : public storage::Files {
  public:
   explicit MemFiles(Platter& p) : p_(p) {}
-  std::optional<std::string> read(const std::string& n) override;
+  std::variant<std::string, storage::ReadError> read(const std::string& n) override;
   bool replace(const std::string& n, const std::string& b) override;
   bool append(const std::string& n, const std::string& b) override;
   bool sync_folder() override { return !p_.failing; }
@@ -87,8 +89,12 @@
   base::Loaded load() override { return s_->load(); }
   std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
                                       const std::function<pb::Image()>& whole) override;
+  std::optional<base::DiskError> rewrite(const pb::Image& whole) override;
 
  private:
+  // Lets the disk's time pass, then runs the write; a process that dies meanwhile leaves it
+  // done, torn or not begun.
+  std::optional<base::DiskError> timed(const std::function<std::optional<base::DiskError>()>& write);
   World& w_;
   LifePtr l_;
   Platter& p_;
--- a/src/storage/artifact_files.cpp
+++ b/src/storage/artifact_files.cpp
@@ -22,6 +22,13 @@
   if (::stat(p.c_str(), &st) != 0) return {};
   return static_cast<uint64_t>(st.st_size);
 }
+
+// What is there is told by a file's length, so bytes that may not be synced must not stay:
+// the next look would take them for kept.
+std::nullopt_t begin_again(const std::string& path) {
+  ::unlink(path.c_str());
+  return std::nullopt;
+}
 }  // namespace
 
 bool sync_dir(const std::string& dir) {
@@ -87,18 +94,16 @@
     while (skip + at < data.size()) {
       auto n =
           ::pwrite(f.n, data.data() + skip + at, data.size() - skip - at, static_cast<off_t>(k.bytes + at));
-      if (n <= 0) return {};
+      if (n <= 0) return begin_again(part);
       at += static_cast<size_t>(n);
     }
-    if (::fsync(f.n) != 0) return {};
+    if (::fsync(f.n) != 0) return begin_again(part);
   }
   k.bytes = offset + data.size();
   if (k.bytes < total) return k;
-  if (sha256_hex_of(part) != sha) {  // all there and wrong: it begins again
-    ::unlink(part.c_str());
-    return {};
-  }
-  if (::rename(part.c_str(), path(sha).c_str()) != 0 || !sync_dir(dir_)) return {};
+  if (sha256_hex_of(part) != sha) return begin_again(part);
+  if (::rename(part.c_str(), path(sha).c_str()) != 0) return {};
+  if (!sync_dir(dir_)) return begin_again(path(sha));
   return Kept{k.bytes, true};
 }
 
--- a/src/storage/async_disk.hpp
+++ b/src/storage/async_disk.hpp
@@ -15,6 +15,11 @@
     hand_.run([&, image = whole()] { r = d_->save(rs, [&] { return image; }); });
     return r;
   }
+  std::optional<base::DiskError> rewrite(const pb::Image& whole) override {
+    std::optional<base::DiskError> error;
+    hand_.run([&] { error = d_->rewrite(whole); });
+    return error;
+  }
 
  private:
   std::unique_ptr<base::Disk> d_;
--- a/src/storage/files.cpp
+++ b/src/storage/files.cpp
@@ -29,15 +29,17 @@
     close_log();
     ::close(fd_);
   }
-  std::optional<std::string> read(const std::string& n) override {
+  std::variant<std::string, ReadError> read(const std::string& n) override {
     int fd = ::openat(fd_, n.c_str(), O_RDONLY | O_CLOEXEC);
-    if (fd < 0) return {};
+    if (fd < 0) return errno == ENOENT ? ReadError::missing : ReadError::failed;
+    // Advice only: what was synced is read from the disk where the system can drop its cache.
+    (void)::posix_fadvise(fd, 0, 0, POSIX_FADV_DONTNEED);
     std::string out;
     char b[1 << 16];
     ssize_t k;
     while ((k = ::read(fd, b, sizeof b)) > 0) out.append(b, static_cast<size_t>(k));
     ::close(fd);
-    if (k < 0) return {};
+    if (k < 0) return ReadError::failed;
     return out;
   }
   bool replace(const std::string& n, const std::string& bytes) override {
--- a/src/storage/files.hpp
+++ b/src/storage/files.hpp
@@ -9,10 +9,13 @@
   std::string what;
 };
 
+// Missing: there is no such file. Failed: there is one, or there may be, and it cannot be read.
+enum class ReadError { missing, failed };
+
 class Files {
  public:
   virtual ~Files() = default;
-  virtual std::optional<std::string> read(const std::string& name) = 0;  // nothing: there is no such file
+  virtual std::variant<std::string, ReadError> read(const std::string& name) = 0;
   virtual bool replace(const std::string& name, const std::string& bytes) = 0;
   virtual bool append(const std::string& name, const std::string& bytes) = 0;
   virtual bool sync_folder() = 0;
--- a/src/storage/snapshot_store.cpp
+++ b/src/storage/snapshot_store.cpp
@@ -1,7 +1,18 @@
 // Files: slot.0, slot.1 and log.0, log.1. Slot k holds an image with its serial
 // number; log k holds the records since then and names the same serial. A new
-// image goes into the other slot and is synced, its log is made empty and
-// synced, then the folder is synced; only then is the old pair out of use.
+// image goes into the other slot: its log is made empty and synced with the folder, then
+// the image is synced with the folder; both files are read back, and last a mark is appended
+// to the log. Only then is the old pair out of use.
+//
+// A pair without the mark was never in use, and loading passes it over, though it may look
+// whole: after a failed sync, what is read may be the system's cache and not the disk. The
+// pair in use is never written but at the end of its log. The mark itself may have been read
+// from the cache, and behind a torn record it cannot be made again; so what was loaded is
+// first confirmed, in proof.k by its serial, and only then is the other pair written over.
+//
+// So whatever step fails, and however often the process starts anew on the failing disk, the
+// pair that holds all that was acknowledged stands until another one is known to be on the
+// disk. Nothing is acknowledged between a failed step and the next whole image.
 #include "storage/snapshot_store.hpp"
 
 #include <boost/crc.hpp>
@@ -13,6 +24,7 @@
 constexpr base::Log lg("disk");
 constexpr uint32_t kMark = 0x64774c31;
 constexpr size_t kHead = 16;
+constexpr char kMarked = '+';  // behind the serial in a log: a record must follow before the pair is in use
 
 uint32_t crc(std::string_view s) {
   boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> c;
@@ -68,18 +80,43 @@
   int cur = 0;
   uint64_t serial = 0;
   bool broken = false;
+  bool confirmed = true;  // that the pair in use is on the disk, or there is none
 
   static std::string part(const char* n, int k) { return fmt::format("{}.{}", n, k); }
 
+  bool stands(const std::string& name, const std::string& bytes) {
+    auto there = files->read(name);
+    auto* read = std::get_if<std::string>(&there);
+    return read && *read == bytes;
+  }
+
+  bool confirm() {
+    if (confirmed) return true;
+    auto proof = frame(std::to_string(serial));
+    confirmed = files->replace(part("proof", cur), proof) && files->sync_folder() &&
+                stands(part("proof", cur), proof);
+    return confirmed;
+  }
+
   bool swap(const pb::Image& im) {
+    if (!confirm()) return false;
     int k = 1 - cur;
-    auto n = std::to_string(serial + 1);
-    if (!files->replace(part("log", k), frame(n))) return false;
-    if (!files->replace(part("slot", k), frame(n) + frame(im.SerializeAsString()))) return false;
+    auto number = std::to_string(serial + 1);
+    auto log = frame(number + kMarked);
+    auto slot = frame(number) + frame(im.SerializeAsString());
+    if (!files->replace(part("log", k), log)) return false;
+    if (!files->sync_folder()) return false;  // so that no slot is found without its log
+    if (!files->replace(part("slot", k), slot)) return false;
     if (!files->sync_folder()) return false;
+    if (!stands(part("log", k), log) || !stands(part("slot", k), slot)) return false;
+    pb::Record mark;  // what it says the image says already
+    mark.set_stage(im.stage());
+    auto framed_mark = frame(mark.SerializeAsString());
+    if (!files->append(part("log", k), framed_mark)) return false;
     cur = k;
+    confirmed = true;
     ++serial;
-    log_now = 0;
+    log_now = framed_mark.size();
     return true;
   }
 };
@@ -97,27 +134,64 @@
   bool doubt = false;
 };
 
+// What of the slots cannot be believed. Unread: the disk would not give it, so it may be the
+// newest; a damaged one was read, and is most often one that was being written.
+struct Distrust {
+  bool damaged = false, unread = false;
+};
+
+uint64_t serial_in(const std::string& text) { return std::strtoull(text.c_str(), nullptr, 10); }
+
+// Whether the pair with a log of these payloads was in use: it has its mark, or was confirmed.
+bool was_in_use(Files& fs, int k, const std::vector<std::string>& log) {
+  if (log.size() != 1) return !log.empty();
+  auto read = fs.read(fmt::format("proof.{}", k));
+  auto* bytes = std::get_if<std::string>(&read);
+  if (!bytes) return false;
+  auto proof = unframe(*bytes).first;
+  return proof.size() == 1 && serial_in(proof[0]) == serial_in(log[0]);
+}
+bool was_in_use(Files& fs, int k) {
+  auto read = fs.read(fmt::format("log.{}", k));
+  auto* bytes = std::get_if<std::string>(&read);
+  return bytes && was_in_use(fs, k, unframe(*bytes).first);
+}
+
 // One slot with its log, when the slot can be believed.
-std::optional<Half> half(Files& fs, int k, bool& damaged) {
-  auto b = fs.read(fmt::format("slot.{}", k));
-  if (!b || b->empty()) return {};
+std::optional<Half> half(Files& fs, int k, Distrust& distrust) {
+  auto read = fs.read(fmt::format("slot.{}", k));
+  if (auto* error = std::get_if<ReadError>(&read)) {
+    distrust.unread |= *error == ReadError::failed;
+    distrust.damaged |= was_in_use(fs, k);
+    return {};
+  }
+  auto* b = &std::get<std::string>(read);
+  if (b->empty()) {
+    distrust.damaged |= was_in_use(fs, k);
+    return {};
+  }
   auto [ps, t] = unframe(*b);
   Half h;
   if (t != Tail::clean || ps.size() != 2 || !h.image.ParseFromString(ps[1])) {
-    damaged = true;
+    distrust.damaged = true;
     return {};
   }
-  h.serial = std::strtoull(ps[0].c_str(), nullptr, 10);
-  auto l = fs.read(fmt::format("log.{}", k));
+  h.serial = serial_in(ps[0]);
+  auto log = fs.read(fmt::format("log.{}", k));
+  auto* l = std::get_if<std::string>(&log);
   if (!l) {
     h.doubt = true;
     return h;
   }
   auto [rs, lt] = unframe(*l);
-  if (lt == Tail::corrupt || rs.empty() || std::strtoull(rs[0].c_str(), nullptr, 10) != h.serial) {
+  // Not even the heading is whole: the log was being replaced, which the one in use never is.
+  if (lt != Tail::corrupt && rs.empty()) return {};
+  if (lt == Tail::corrupt || serial_in(rs[0]) != h.serial) {
     h.doubt = true;
     return h;
   }
+  // Disks written by programs that made no mark have none behind their serial either.
+  if (rs[0].back() == kMarked && !was_in_use(fs, k, rs)) return {};
   std::map<std::string, pb::RegisterState> m;
   for (auto& s : h.image.slots()) m[s.name()] = s;
   for (size_t i = 1; i < rs.size(); ++i) {
@@ -142,10 +216,10 @@
 
 base::Loaded SnapshotStore::load() {
   auto& p = *p_;
-  bool damaged = false;
+  Distrust distrust;
   std::optional<Half> best;
   for (int k = 0; k < 2; ++k) {
-    auto h = half(*p.files, k, damaged);
+    auto h = half(*p.files, k, distrust);
     if (h && (!best || h->serial > best->serial)) {
       best = h;
       p.cur = k;
@@ -156,24 +230,26 @@
     out.image = best->image;
     out.doubt = best->doubt;
     p.serial = best->serial;
+    p.confirmed = false;
     // A slot that was being written when the machine died is damaged without
     // loss, for the other is whole and its log went on. Had the damaged one
-    // been in use, its log would hold records, or the other's a later serial.
-    if (damaged) {
-      auto other = p.files->read(Impl::part("log", 1 - p.cur));
-      if (other && unframe(*other).first.size() > 1) out.doubt = true;
-    }
-  } else if (damaged) {
+    // been in use, its log would hold the mark at least.
+    if (distrust.damaged) out.doubt |= was_in_use(*p.files, 1 - p.cur);
+  } else if (distrust.damaged) {
     out.doubt = true;
   }
+  out.doubt |= distrust.unread;
   if (out.doubt) {
     lg.error("What was synced to {} can no longer be read whole. It casts no vote until refilled.",
              p.files->place());
     out.image = pb::Image();
   }
-  if (!p.swap(out.image)) {
+  // A damaged pair left behind would be doubted again at the next start: both are made anew.
+  bool written = p.swap(out.image) && (!out.doubt || p.swap(out.image));
+  if (!written) {
     lg.error("The first image could not be written to {}.", p.files->place());
     p.broken = true;
+    out.unwritten = true;
   }
   return out;
 }
@@ -192,10 +268,18 @@
     p.log_now += b.size();
   }
   if (ok) return {};
-  // After a failed sync nobody knows what is on the disk: it takes no more part.
   p.broken = true;
-  lg.error("A write to {} failed. This holder votes no more until restarted.", p.files->place());
+  lg.error("A write to {} failed. This replica does not vote until a whole image is written.",
+           p.files->place());
   return base::DiskError::failed;
 }
 
+std::optional<base::DiskError> SnapshotStore::rewrite(const pb::Image& whole) {
+  auto& p = *p_;
+  p.broken = true;  // a pair half written may be loaded already, so the old log may not grow
+  if (!p.swap(whole)) return base::DiskError::failed;
+  p.broken = false;
+  return {};
+}
+
 }  // namespace dunlinwing::storage
--- a/src/storage/snapshot_store.hpp
+++ b/src/storage/snapshot_store.hpp
@@ -1,6 +1,10 @@
-// A holder's disk: two slots holding whole images, written in turn, and a
+// A replica's disk: two slots holding whole images, written in turn, and a
 // short log of records between them. Every record and image carries its
 // checksum; what cannot be believed is said, never guessed.
+//
+// A failed write or sync leaves the end of the log unknown. Nothing is appended
+// behind it: save() fails until rewrite() has put a whole image, with a log of its
+// own, into the other slot and has read both back.
 #pragma once
 #include "base/ports.hpp"
 #include "storage/files.hpp"
@@ -21,6 +25,7 @@
   base::Loaded load() override;
   std::optional<base::DiskError> save(const std::vector<pb::Record>& rs,
                                       const std::function<pb::Image()>& whole) override;
+  std::optional<base::DiskError> rewrite(const pb::Image& whole) override;
 
  private:
   struct Impl;
--- /dev/null
+++ b/test/storage_faults_unit.cpp
@@ -0,0 +1,309 @@
+// The store on a disk whose calls fail. A model of the system's cache and of the medium below
+// it says what a restart of the process, or a power cut, may find; whatever is then
+// loaded holds all that was acknowledged, or is doubted.
+#include <random>
+
+#include "storage/snapshot_store.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+
+// How one call goes wrong.
+enum class Fault {
+  none,
+  refused,   // nothing happens
+  partial,   // a part of the bytes reaches the cache: the disk is full
+  unsynced,  // all bytes reach the cache, and the sync fails
+  denied,    // all bytes reach the medium, and an error is returned all the same
+  lied,      // success is returned, and a part of the bytes is gone
+};
+constexpr Fault kHonest[] = {Fault::refused, Fault::partial, Fault::unsynced, Fault::denied};
+
+struct ProcessEnds {};  // thrown in the call in which it ends
+
+struct MediumFile {
+  std::string cached, synced;
+  bool named = false;  // the folder was synced since the file was made
+  bool exists_on_medium = false;
+};
+
+struct Medium {
+  std::map<std::string, MediumFile> files;
+  std::mt19937_64 random{1};
+  size_t below(size_t n) { return n ? random() % n : 0; }
+
+  // What may be found of bytes that were written over `old` and never synced.
+  std::string unsynced(const std::string& old, const std::string& now) {
+    if (now.starts_with(old)) return now.substr(0, old.size() + below(now.size() - old.size() + 1));
+    return below(2) ? old : now.substr(0, below(now.size() + 1));
+  }
+  void lose_cache() {
+    for (auto f = files.begin(); f != files.end();) {
+      auto& [name, file] = *f;
+      if (file.cached != file.synced) file.cached = file.synced = unsynced(file.synced, file.cached);
+      bool gone = !file.named && below(2);
+      f = gone ? files.erase(f) : std::next(f);
+    }
+  }
+};
+
+// Draws the fault of each call; may end the process in it.
+using Plan = std::function<Fault()>;
+
+class FaultyFiles final : public storage::Files {
+ public:
+  FaultyFiles(Medium& m, Plan plan) : medium_(m), plan_(std::move(plan)) {}
+  std::variant<std::string, storage::ReadError> read(const std::string& name) override {
+    auto f = medium_.files.find(name);
+    if (f == medium_.files.end()) return storage::ReadError::missing;
+    return f->second.cached;
+  }
+  bool replace(const std::string& name, const std::string& bytes) override { return write(name, "", bytes); }
+  bool append(const std::string& name, const std::string& bytes) override {
+    if (!medium_.files.count(name)) return false;
+    return write(name, medium_.files[name].cached, bytes);
+  }
+  bool sync_folder() override {
+    auto fault = plan_();
+    if (fault != Fault::none && fault != Fault::denied && fault != Fault::lied) return false;
+    for (auto& [name, file] : medium_.files) file.named = true;
+    return fault != Fault::denied;
+  }
+  std::string place() const override { return "model"; }
+
+ private:
+  bool write(const std::string& name, const std::string& before, const std::string& bytes) {
+    Fault fault;
+    try {
+      fault = plan_();
+    } catch (const ProcessEnds&) {
+      put(name, before, bytes.substr(0, medium_.below(bytes.size() + 1)));
+      throw;
+    }
+    if (fault == Fault::refused) return false;
+    bool part = fault == Fault::partial || fault == Fault::lied;
+    auto& file = put(name, before, part ? bytes.substr(0, medium_.below(bytes.size())) : bytes);
+    if (fault == Fault::partial || fault == Fault::unsynced) return false;
+    file.synced = file.cached;
+    return fault != Fault::denied;
+  }
+  MediumFile& put(const std::string& name, const std::string& before, const std::string& bytes) {
+    auto& file = medium_.files[name];
+    file.cached = before + bytes;
+    return file;
+  }
+  Medium& medium_;
+  Plan plan_;
+};
+
+using Versions = std::map<std::string, uint64_t>;
+
+// A replica as far as its disk goes: it acknowledges what the store says is synced, and is mute
+// from a failed save until a rewrite succeeds.
+class Replica {
+ public:
+  Replica(Medium& m, size_t log_bytes, Plan plan)
+      : store_(std::make_unique<FaultyFiles>(m, std::move(plan)), log_bytes) {}
+
+  // Empty when all is well, or else what was lost.
+  std::string start(const Versions& acknowledged) {
+    auto loaded = store_.load();
+    mute_ = loaded.unwritten;
+    doubted_ = loaded.doubt;
+    if (doubted_ && acknowledged.empty()) return "";  // a first image that was never whole
+    if (doubted_) return "doubted, though no byte that was synced is bad";
+    for (auto& slot : loaded.image.slots()) memory_[slot.name()] = slot;
+    for (auto& [name, version] : acknowledged)
+      if (memory_[name].value().version() < version)
+        return fmt::format("{} has version {} of {}", name, memory_[name].value().version(), version);
+    return "";
+  }
+  bool doubted() const { return doubted_; }
+  bool mute() const { return mute_; }
+
+  void vote(const std::string& name, uint64_t version, Versions& acknowledged) {
+    pb::Record r;
+    r.mutable_slot()->set_name(name);
+    r.mutable_slot()->mutable_value()->set_version(version);
+    r.mutable_slot()->mutable_value()->set_data(std::string(version % 40, 'd'));
+    memory_[name] = r.slot();
+    mute_ = store_.save({r}, [this] { return image(); }).has_value();
+    if (!mute_) acknowledged[name] = version;
+  }
+  void recover(Versions& acknowledged) {
+    mute_ = store_.rewrite(image()).has_value();
+    if (mute_) return;
+    // What is published is what is on the disk.
+    for (auto& [name, slot] : memory_) acknowledged[name] = slot.value().version();
+  }
+
+ private:
+  pb::Image image() const {
+    pb::Image out;
+    out.set_stage(pb::FORMED);
+    for (auto& [name, slot] : memory_) *out.add_slots() = slot;
+    return out;
+  }
+  storage::SnapshotStore store_;
+  std::map<std::string, pb::RegisterState> memory_;
+  bool mute_ = false, doubted_ = false;
+};
+
+constexpr size_t kSmallLog = 300;
+constexpr uint64_t kVotes = 24;
+constexpr int kNever = 1 << 20;
+
+// Votes through calls of which those from `first` on, `count` of them, fail, and ends the
+// process in call `end`. Returns what was lost then, if anything.
+std::string one_failure(Fault kind, int first, int count, int end, bool power_cut, uint64_t seed) {
+  Medium medium;
+  medium.random.seed(seed);
+  Versions acknowledged;
+  int calls = 0;
+  auto plan = [&] {
+    int call = calls++;
+    if (call == end) throw ProcessEnds{};
+    return call >= first && call < first + count ? kind : Fault::none;
+  };
+  try {
+    Replica replica(medium, kSmallLog, plan);
+    replica.start({});
+    for (uint64_t i = 1; i <= kVotes;) {
+      if (replica.mute())
+        replica.recover(acknowledged);
+      else
+        replica.vote("r" + std::to_string(i % 5), i, acknowledged), ++i;
+    }
+  } catch (const ProcessEnds&) {
+  }
+  if (power_cut) medium.lose_cache();
+  return Replica(medium, kSmallLog, [] { return Fault::none; }).start(acknowledged);
+}
+
+void every_single_call() {
+  constexpr int kCalls = 60;  // more than the votes make
+  int runs = 0;
+  for (auto kind : kHonest)
+    for (int first = 0; first < kCalls; ++first)
+      for (int count : {1, 2, 5})
+        for (int end : {first + 1, first + 2, first + 3, first + count, first + count + 4, kNever})
+          for (bool power_cut : {false, true}) {
+            auto seed = static_cast<uint64_t>(++runs);
+            auto lost = one_failure(kind, first, count, end, power_cut, seed);
+            expect(lost.empty(), fmt::format("fault {} in {} calls from call {}, end in {}, power cut {}: {}",
+                                             static_cast<int>(kind), count, first, end, power_cut, lost));
+          }
+}
+
+// Several lives, each of which may end in any call, on a disk that fails now and then.
+void many_lives() {
+  Medium medium;
+  medium.random.seed(*rc::gen::arbitrary<uint64_t>());
+  auto log_bytes = *rc::gen::inRange<size_t>(60, 2000);
+  auto percent = *rc::gen::inRange<size_t>(0, 50);
+  auto lives = *rc::gen::inRange(1, 8);
+  Versions acknowledged;
+  uint64_t version = 0;
+  for (int life = 0; life < lives; ++life) {
+    int left = static_cast<int>(medium.below(60));
+    auto plan = [&, last = Fault::none]() mutable {
+      if (left-- == 0) throw ProcessEnds{};
+      bool goes_on = last != Fault::none && medium.below(100) < 60;
+      if (!goes_on)
+        last = medium.below(100) < percent ? kHonest[medium.below(std::size(kHonest))] : Fault::none;
+      return last;
+    };
+    try {
+      Replica replica(medium, log_bytes, plan);
+      auto lost = replica.start(acknowledged);
+      RC_ASSERT(lost == "");
+      for (int i = 0; i < 100; ++i) {
+        if (replica.mute()) {
+          replica.recover(acknowledged);
+          continue;
+        }
+        ++version;
+        replica.vote("r" + std::to_string(medium.below(5)), version, acknowledged);
+      }
+    } catch (const ProcessEnds&) {
+    }
+    if (medium.below(2)) medium.lose_cache();
+  }
+  Replica last(medium, log_bytes, [] { return Fault::none; });
+  RC_ASSERT(last.start(acknowledged) == "");
+}
+
+// A disk that says it wrote a whole image, and did not, is found out by reading it back.
+void lies_are_read_back() {
+  for (uint64_t seed = 1; seed < 200; ++seed) {
+    Medium medium;
+    medium.random.seed(seed);
+    auto fault = Fault::none;
+    Versions acknowledged;
+    Replica replica(medium, kSmallLog, [&] { return fault; });
+    replica.start({});
+    replica.vote("a", 1, acknowledged);
+    fault = Fault::refused;
+    replica.vote("a", 2, acknowledged);
+    expect(replica.mute(), "a refused write was taken for done");
+    fault = Fault::lied;
+    replica.recover(acknowledged);
+    expect(replica.mute(), "an image that is not there was taken for written");
+    fault = Fault::none;
+    replica.recover(acknowledged);
+    expect(!replica.mute(), "a whole disk did not come back");
+    medium.lose_cache();
+    Replica next(medium, kSmallLog, [] { return Fault::none; });
+    expect(next.start(acknowledged).empty() && !next.doubted(), "the image written last was not loaded");
+  }
+}
+
+// A slot that the disk will not give may be the newest.
+class UnreadFiles final : public storage::Files {
+ public:
+  UnreadFiles(Medium& m, std::string unread)
+      : files_(m, [] { return Fault::none; }), unread_(std::move(unread)) {}
+  std::variant<std::string, storage::ReadError> read(const std::string& name) override {
+    if (name == unread_) return storage::ReadError::failed;
+    return files_.read(name);
+  }
+  bool replace(const std::string& name, const std::string& bytes) override {
+    return files_.replace(name, bytes);
+  }
+  bool append(const std::string& name, const std::string& bytes) override {
+    return files_.append(name, bytes);
+  }
+  bool sync_folder() override { return files_.sync_folder(); }
+  std::string place() const override { return files_.place(); }
+
+ private:
+  FaultyFiles files_;
+  std::string unread_;
+};
+
+void unread_slots_are_doubted() {
+  for (uint64_t votes = 1; votes <= kVotes; ++votes)
+    for (std::string slot : {"slot.0", "slot.1"}) {
+      Medium medium;
+      Versions acknowledged;
+      Replica replica(medium, kSmallLog, [] { return Fault::none; });
+      replica.start({});
+      for (uint64_t i = 1; i <= votes; ++i) replica.vote("r" + std::to_string(i % 5), i, acknowledged);
+      if (!medium.files.count(slot)) continue;
+      storage::SnapshotStore next(std::make_unique<UnreadFiles>(medium, slot), kSmallLog);
+      auto loaded = next.load();
+      expect(loaded.doubt && loaded.image.slots().empty(),
+             "a slot that could not be read was left out unsaid");
+    }
+}
+}  // namespace
+
+std::vector<Case> disk_fault_cases() {
+  return {{"disk: any call fails, and what was acknowledged is loaded or doubted", every_single_call},
+          property("disk: many lives on a failing disk lose nothing unsaid", many_lives),
+          {"disk: an image that was not written is not believed", lies_are_read_back},
+          {"disk: a slot that cannot be read is doubted", unread_slots_are_doubted}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -32,6 +32,7 @@
 NamedCases limit_stories();
 NamedCases move_stories();
 NamedCases fault_stories();
+NamedCases disk_stories();  // disks that fail for some seconds
 NamedCases mixed_stories();
 NamedCases holder_stories();  // the set forms, grows and heals by itself
 
