Unit cases of one acceptor on a disk that fails, stalls, or fails from the start

What is looked at: no vote, dump, peeked or pulled register while the disk fails; every caller of a failing write is told mute, also once the image is written; what is published afterwards is what is on the disk; a caller of a stalled write waits a round's limit and no longer, and nobody is queued behind it; a start on a disk that takes no write is mute.

--- /dev/null
+++ b/test/acceptor_unit.cpp
@@ -0,0 +1,189 @@
+// One acceptor on a simulated disk that fails or stalls: what it answers meanwhile, and after.
+#include "consensus/acceptor.hpp"
+#include "simulation/ports.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+
+constexpr Duration kRound{500};
+
+// An acceptor that has formed, in a world of its own.
+struct Bench {
+  struct NoOrigin final : base::Origin {
+    bool reach(const std::string&, Duration) override { return false; }
+    std::variant<base::Response, base::AttemptError> send(const std::string&, const base::Request&,
+                                                          const base::AttemptRules&) override {
+      return base::AttemptError::unsent;
+    }
+  };
+
+  simulation::World world{7};
+  simulation::LifePtr life = std::make_shared<simulation::Life>();
+  simulation::Platter platter;
+  simulation::Directory directory;
+  int64_t wall = 0;
+  simulation::Clock clock{world, life, &wall};
+  simulation::Random random{world};
+  simulation::Tasks tasks{world, life};
+  simulation::Net net{world, life, directory};
+  NoOrigin origin;
+  base::Ports ports{clock, random, tasks, net, origin};
+  simulation::Disk disk{world, life, platter};
+  consensus::ReplicaSetView set{{{"a", "peer:a"}}};
+  consensus::Acceptor acceptor{ports, disk, "a", set, kRound};
+
+  Bench() {
+    life->host = "a";
+    storage::SnapshotStore store(std::make_unique<simulation::MemFiles>(platter), 1000);
+    pb::Image formed;
+    formed.set_stage(pb::FORMED);
+    expect(!store.rewrite(formed), "the first image was not written");
+  }
+
+  // Runs the story to its end, within a minute of invented time.
+  void play(const std::function<void()>& story) {
+    bool done = false;
+    std::string why;
+    world.run(world.now() + Duration(60000), nullptr, [&] {
+      acceptor.start({});
+      world.spawn(life, [&] {
+        try {
+          story();
+        } catch (const std::exception& e) {
+          why = e.what();
+        }
+        done = true;
+      });
+    });
+    world.kill(life);
+    world.run(world.now() + Duration(1000), nullptr, nullptr);
+    expect(why.empty(), why);
+    expect(done, "the story did not come to its end");
+  }
+
+  pb::Vote prepare(uint64_t round) {
+    pb::Ask a;
+    a.mutable_prepare()->set_name("r");
+    a.mutable_prepare()->mutable_ballot()->set_round(round);
+    return acceptor.answer(a).vote();
+  }
+  pb::Vote accept(uint64_t round, uint64_t version) {
+    pb::Ask a;
+    a.mutable_accept()->set_name("r");
+    a.mutable_accept()->mutable_ballot()->set_round(round);
+    a.mutable_accept()->mutable_value()->set_version(version);
+    return acceptor.answer(a).vote();
+  }
+  uint64_t peeked() {
+    pb::Ask a;
+    a.mutable_peek()->set_name("r");
+    return acceptor.answer(a).vote().slot().value().version();
+  }
+  uint64_t on_disk() {
+    auto copy = platter;
+    auto loaded = storage::SnapshotStore(std::make_unique<simulation::MemFiles>(copy), 1000).load();
+    expect(!loaded.doubt, "the disk is doubted");
+    return loaded.image.slots_size() ? loaded.image.slots(0).value().version() : 0;
+  }
+};
+
+void failed_writes_are_not_answered() {
+  Bench b;
+  b.play([&] {
+    expect(b.prepare(1).yes() && b.accept(1, 1).yes(), "a sound disk does not vote");
+    b.platter.failing = true;
+    auto vote = b.accept(2, 2);
+    expect(vote.mute() && !vote.yes(), "a write that failed was acknowledged");
+    expect(b.acceptor.mute(), "the replica votes on a disk that failed");
+    expect(b.prepare(3).mute(), "a mute replica gave a promise");
+    pb::Ask dump;
+    dump.mutable_dump();
+    expect(b.acceptor.answer(dump).has_image() == false, "a mute replica told what it holds");
+    pb::PullReply pull;
+    b.acceptor.changes(0, 0, pull);
+    expect(pull.mute() && !pull.slots_size(), "a mute replica told of changes");
+    b.clock.sleep(Duration(3000));
+    expect(b.acceptor.mute(), "the replica came back on a disk that still fails");
+    b.platter.failing = false;
+    b.clock.sleep(Duration(1000));
+    expect(!b.acceptor.mute(), "the replica is mute a second after its disk works again");
+    expect(b.peeked() == b.on_disk(), "what is published is not what is on the disk");
+    expect(b.prepare(4).yes() && b.accept(4, 5).yes() && b.on_disk() == 5, "a vote did not reach the disk");
+  });
+}
+
+// Callers that came while the failing write was under way are told mute, one and all, though what
+// they asked for is on the disk in the end.
+void callers_in_a_failing_write() {
+  Bench b;
+  b.play([&] {
+    b.platter.least = b.platter.most = Duration(200);
+    struct Told {
+      int yes = 0, mute = 0;
+    };
+    auto told = std::make_shared<Told>();
+    b.platter.full = true;
+    for (uint64_t i = 1; i <= 5; ++i)
+      b.tasks.spawn([&b, told, i] {
+        auto vote = b.prepare(i);
+        told->yes += vote.yes();
+        told->mute += vote.mute();
+      });
+    b.clock.sleep(Duration(190));
+    for (uint64_t i = 6; i <= 9; ++i)
+      b.tasks.spawn([&b, told, i] {
+        auto vote = b.prepare(i);
+        told->yes += vote.yes();
+        told->mute += vote.mute();
+      });
+    b.clock.sleep(Duration(15));
+    b.platter.full = false;
+    b.clock.sleep(Duration(3000));
+    expect(told->yes == 0 && told->mute == 9,
+           fmt::format("{} callers of a failed write were told yes, {} mute", told->yes, told->mute));
+    expect(!b.acceptor.mute(), "the replica stayed mute");
+    expect(b.prepare(9).yes() == false && b.prepare(10).yes(), "a promise in the image does not bind");
+  });
+}
+
+void stalled_writes_are_left_after_a_round() {
+  Bench b;
+  b.play([&] {
+    expect(b.prepare(1).yes(), "a sound disk does not vote");
+    b.platter.stalled_until = b.world.now() + Duration(4000);
+    auto from = b.world.now();
+    expect(b.accept(1, 1).mute(), "a write that stalls was acknowledged");
+    auto took = b.world.now() - from;
+    expect(took <= kRound + Duration(20), fmt::format("its caller waited {} ms", took.count()));
+    b.clock.sleep(Duration(10));
+    from = b.world.now();
+    expect(b.prepare(2).mute() && b.world.now() == from, "a caller was queued behind a stalled write");
+    b.clock.sleep(Duration(4000));
+    expect(!b.acceptor.mute() && b.peeked() == 1, "the stalled write did not complete");
+    expect(b.prepare(3).yes(), "the replica does not vote after the stall");
+  });
+}
+
+// The process starts on a disk that takes no write: what it read may stand in caches only.
+void started_on_a_failing_disk() {
+  Bench b;
+  b.platter.failing = true;
+  b.play([&] {
+    expect(b.acceptor.mute() && b.prepare(1).mute(), "a replica votes on a disk that it cannot write");
+    b.clock.sleep(Duration(2000));
+    b.platter.failing = false;
+    b.clock.sleep(Duration(1000));
+    expect(b.prepare(2).yes(), "the replica is mute a second after its disk works");
+  });
+}
+}  // namespace
+
+std::vector<Case> acceptor_cases() {
+  return {{"acceptor: a write that failed is answered by nobody", failed_writes_are_not_answered},
+          {"acceptor: callers in a failing write are told mute", callers_in_a_failing_write},
+          {"acceptor: a stalled write is left after a round", stalled_writes_are_left_after_a_round},
+          {"acceptor: a start on a failing disk is mute", started_on_a_failing_disk}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -8,6 +8,7 @@
 
 std::vector<Case> disk_cases();
 std::vector<Case> disk_fault_cases();
+std::vector<Case> acceptor_cases();
 std::vector<Case> registry_cases();
 std::vector<Case> rollout_cases();
 std::vector<Case> move_cases();
