Fence what is written under the rollout leadership by the term of its lease

Cause: only the `rollout` register carried the leader's term. A leader that was frozen or cut off between reading a service's state or shares and writing them was held back by the lease check and the register's version alone: the version had not moved when its successor had not written yet, and a lease of a later term passed for the one of the decision.

Now ServiceState and Shares carry the term too, and every write of the conductor, the settler and the pacer goes through rollout/fence: the lease is held, it is the lease under which the decision was made, and no higher term stands in the value read. Who takes up the leadership writes its term into each service's state and shares before it acts on them, so a forerunner's compare-and-set meets another version. At a new term the settler's timers and the span since the last look begin anew.

Ruled out: a check at the replicas (they would have to read values); a lease check after the write (too late). Cost: one write a service and paced service at each change of the leadership.

--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -1,12 +1,14 @@
 // The loop runs on every node that stands for the leadership; the understudy keeps
 // watching too, so that its counters are warm when the read_lease comes to it.
-// Writes are compare-and-set on the version last read and carry the term, so a
-// holder that was frozen past its read_lease can change nothing.
+// Writes are compare-and-set on the version last read and go through the fence, so a
+// leader that was frozen past its lease can change nothing (rollout/fence.hpp). Who takes
+// up the leadership writes its term into each service's state before it acts on it.
 #include "rollout/conductor.hpp"
 
 #include <algorithm>
 
 #include "base/log.hpp"
+#include "rollout/fence.hpp"
 #include "rollout/pacer.hpp"
 #include "rollout/versions.hpp"
 #include "rollout/watch.hpp"
@@ -65,7 +67,8 @@
   ConductorConfig c;
   Rules rules;
   pb::Rollout state;
-  uint64_t version = 0, term = 0;
+  uint64_t version = 0;
+  Fence fence;
   bool loaded = false;
   size_t turn = 0;
   TimePoint last{0}, saved{0}, looked{0};
@@ -94,8 +97,9 @@
         state_cache(m),
         leadership(d),
         c(std::move(cc)),
-        pacer(p, b, m, d, c.bound),
-        settler(p, b, m, d, c.bound),
+        fence(d),
+        pacer(p, b, m, c.bound),
+        settler(p, b, m, c.bound),
         watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
@@ -177,10 +181,8 @@
     return v;
   }
 
-  bool save(const pb::Rollout& next) {
-    if (!leadership.held()) return false;
-    auto r = registers.write(kRolloutKey, version, next.SerializeAsString());
-    if (auto* h = std::get_if<consensus::VersionedValue>(&r)) {
+  bool save(pb::Rollout next) {
+    if (auto h = fence.write(registers, kRolloutKey, version, state.term(), next)) {
       version = h->version;
       state = next;
       saved = ps.clock.now();
@@ -288,6 +290,8 @@
         mine.second.Clear();
         mine.second.ParseFromString(h.data);
       }
+      auto in_force = mine.second.term();
+      if (!fence.allows(in_force)) continue;
       auto& v = vs[name];
       v.dt = dt;
       for (auto& [src, x] : statuses)
@@ -297,14 +301,15 @@
       watch.tell(now, name, mine.second, v);
       auto o = step(name, mine.second, v, rules);
       auto [write, urgent] = saving(o.effects);
-      if (write && !urgent && now - service_saved[name] < (o.state.within_ms() ? c.bound / 2 : c.bound)) {
+      // The first write under this term is never put off: it ends what was decided under others.
+      bool takes_up = in_force < fence.term();
+      if (write && !urgent && !takes_up &&
+          now - service_saved[name] < (o.state.within_ms() ? c.bound / 2 : c.bound)) {
         mine.second = o.state;
         continue;
       }
-      if (write) {
-        if (!leadership.held()) return;
-        auto r = registers.write(k, mine.first, o.state.SerializeAsString());
-        auto* held = std::get_if<consensus::VersionedValue>(&r);
+      if (write || takes_up) {
+        auto held = fence.write(registers, k, mine.first, in_force, o.state);
         if (!held) continue;  // the next pull tells what stands
         mine = {held->version, o.state};
         service_saved[name] = now;
@@ -320,6 +325,11 @@
       return;
     }
     bool held = leadership.held();
+    if (fence.begin()) {
+      last = TimePoint(0);
+      loaded = false;
+      settler.idle();
+    }
     Duration dt = held && last != TimePoint(0) ? std::min<Duration>(now - last, c.bound) : Duration(0);
     last = held ? now : TimePoint(0);
     if (!held) {
@@ -330,8 +340,8 @@
       return moves(now, Duration(0));
     }
     if (!loaded && !reload()) return;
-    if (state.term() > leadership.term()) return;
-    if (state.term() < leadership.term() && !feed(TookDuty{leadership.term()})) return;
+    if (!fence.allows(state.term())) return;
+    if (state.term() < fence.term() && !feed(TookDuty{fence.term()})) return;
     if (auto a = state.in_force().find("system"); a != state.in_force().end())
       if (auto f = releases.find(release_key("system", a->second)); f != releases.end())
         rules.system = read_system(f->second.content);
@@ -343,9 +353,9 @@
     }
     if (!feed(v)) return;
     probe();
-    settler.tick(layout_in_force());
+    settler.tick(layout_in_force(), fence);
     moves(now, dt);
-    pacer.tick(now, state, releases);
+    pacer.tick(now, state, releases, fence);
   }
 
   std::weak_ptr<Impl> weak;
--- a/src/rollout/pacer.cpp
+++ b/src/rollout/pacer.cpp
@@ -26,7 +26,6 @@
   base::Ports& ps;
   consensus::RegisterClient& registers;
   membership::StateCache& state_cache;
-  membership::Leadership& leadership;
   Duration bound;
   uint64_t term = 0;
   TimePoint last{0};
@@ -68,9 +67,18 @@
     rates_of = key;
   }
 
-  void tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& releases) {
-    if (term != leadership.term()) {
-      term = leadership.term();
+  // Writes the term into the shares, so that what was decided under an earlier one can no longer be
+  // written. True when it is in them; the shares are as they were.
+  bool take_up(const std::string& svc, pb::Shares shares, uint64_t version, const Fence& fence) {
+    if (!version || shares.term() == fence.term()) return fence.allows(shares.term());
+    fence.write(registers, share_key(svc), version, shares.term(), shares);
+    return false;  // the next look finds what stands
+  }
+
+  void tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& releases,
+            const Fence& fence) {
+    if (term != fence.term()) {
+      term = fence.term();
       fell.clear();
       seen.clear();  // counts of long ago
       looks = 0;
@@ -115,6 +123,8 @@
       auto have = state_cache.chosen().find(share_key(svc));
       pb::Shares sh;
       if (have != state_cache.chosen().end()) sh.ParseFromString(have->second.data);
+      auto version = have == state_cache.chosen().end() ? 0 : have->second.version;
+      if (!take_up(svc, sh, version, fence)) continue;
       double asked = 0;
       for (auto& [n, d] : v.demand) asked += d;
       auto kept = bound * (asked > static_cast<double>(rate) ? kAwayScarce : kAwayBounds);
@@ -133,34 +143,27 @@
       if (f == TimePoint(0)) f = now;
       if (looks < kLooks && sh.milli_size() && sh.rate() <= static_cast<uint32_t>(rate)) continue;
       v.since_fall = now - f;
-      write(svc, v);
+      write(svc, v, sh, version, fence);
     }
   }
 
-  void write(const std::string& svc, const ShareSight& v) {
-    auto c = state_cache.chosen().find(share_key(svc));
-    pb::Shares have;
-    uint64_t version = 0;
-    if (c != state_cache.chosen().end()) {
-      have.ParseFromString(c->second.data);
-      version = c->second.version;
-    }
+  void write(const std::string& svc, const ShareSight& v, const pb::Shares& have, uint64_t version,
+             const Fence& fence) {
     auto o = step(have, v);
     if (!o.fell && !o.rose) return;
-    if (!leadership.held()) return;
     // Whatever becomes of the write, what it lowers may have been lowered now.
-    auto w = registers.write(share_key(svc), version, o.shares.SerializeAsString());
-    if (o.fell || !std::holds_alternative<consensus::VersionedValue>(w)) fell[svc] = ps.clock.now();
+    bool written = fence.write(registers, share_key(svc), version, have.term(), o.shares).has_value();
+    if (o.fell || !written) fell[svc] = ps.clock.now();
     lg.debug("Shares of {} were {} for {} nodes.", svc, o.fell ? "lowered" : "raised", o.shares.milli_size());
   }
 };
 
-Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m,
-             membership::Leadership& d, Duration bound)
-    : p_(new Impl{ps, b, m, d, bound}) {}
+Pacer::Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, Duration bound)
+    : p_(new Impl{ps, b, m, bound}) {}
 Pacer::~Pacer() = default;
-void Pacer::tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& rs) {
-  p_->tick(now, r, rs);
+void Pacer::tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& rs,
+                 const Fence& fence) {
+  p_->tick(now, r, rs, fence);
 }
 
 }  // namespace dunlinwing::rollout
--- a/src/rollout/pacer.hpp
+++ b/src/rollout/pacer.hpp
@@ -1,6 +1,6 @@
 // Keeps the shares of stated rates, for the holder of the rollout leadership.
 #pragma once
-#include "membership/leadership.hpp"
+#include "rollout/fence.hpp"
 #include "rollout/release.hpp"
 #include "rollout/shares.hpp"
 
@@ -8,10 +8,10 @@
 
 class Pacer {
  public:
-  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d,
-        Duration bound);
+  Pacer(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, Duration bound);
   ~Pacer();
-  void tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& releases);
+  void tick(TimePoint now, const pb::Rollout& r, const std::map<std::string, Release>& releases,
+            const Fence& fence);
 
  private:
   struct Impl;
--- a/src/rollout/versions.cpp
+++ b/src/rollout/versions.cpp
@@ -29,10 +29,10 @@
   base::Ports& ps;
   consensus::RegisterClient& registers;
   membership::StateCache& state_cache;
-  membership::Leadership& leadership;
   Duration bound;
   std::string settled;  // the layout of which all is known to be in place
   std::shared_ptr<const traffic::Layout> now;
+  const Fence* fence = nullptr;           // of the tick under way
   std::map<std::string, TimePoint> gone;  // since when no worker of the version in place beats
 
   pb::ServiceState state(const std::string& name, uint64_t& version) {
@@ -42,9 +42,8 @@
     if (version) st.ParseFromString(h->second.data);
     return st;
   }
-  bool write(const std::string& name, uint64_t version, const pb::ServiceState& st) {
-    return leadership.held() && std::holds_alternative<consensus::VersionedValue>(
-                                    registers.write(service_key(name), version, st.SerializeAsString()));
+  bool write(const std::string& name, uint64_t version, pb::ServiceState st) {
+    return fence->write(registers, service_key(name), version, st.term(), st).has_value();
   }
 
   void settle() {
@@ -103,9 +102,8 @@
   }
 };
 
-Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m,
-                 membership::Leadership& d, Duration bound)
-    : p_(new Impl{ps, b, m, d, bound, {}, {}, {}}) {}
+Settler::Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, Duration bound)
+    : p_(new Impl{ps, b, m, bound, {}, {}, nullptr, {}}) {}
 Settler::~Settler() = default;
 
 void Settler::idle() {
@@ -113,9 +111,10 @@
   p_->gone.clear();
 }
 
-void Settler::tick(std::shared_ptr<const traffic::Layout> layout) {
+void Settler::tick(std::shared_ptr<const traffic::Layout> layout, const Fence& fence) {
   auto& p = *p_;
   if (!layout) return;
+  p.fence = &fence;
   p.now = std::move(layout);
   if (p.settled != p.now->name) p.settle();
   p.replace();
--- a/src/rollout/versions.hpp
+++ b/src/rollout/versions.hpp
@@ -1,7 +1,7 @@
 // Which worker version of a service is in place when no move has said so: the layout's
 // first, or, where it names none, what most of the service's workers report.
 #pragma once
-#include "membership/leadership.hpp"
+#include "rollout/fence.hpp"
 #include "traffic/layout.hpp"
 
 namespace dunlinwing::rollout {
@@ -12,12 +12,11 @@
 
 class Settler {
  public:
-  Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, membership::Leadership& d,
-          Duration bound);
+  Settler(base::Ports& ps, consensus::RegisterClient& b, membership::StateCache& m, Duration bound);
   ~Settler();
   // While the leadership is held: records what is in place, and what takes the place of a version that is
   // gone.
-  void tick(std::shared_ptr<const traffic::Layout> in_force);
+  void tick(std::shared_ptr<const traffic::Layout> in_force, const Fence& fence);
   void idle();  // the leadership is not held
 
  private:
--- /dev/null
+++ b/test/fence_unit.cpp
@@ -0,0 +1,45 @@
+// What a leader may write: only under the lease of its decision, never over a higher term.
+#include "rollout/fence.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+using rollout::may_replace;
+
+void examples() {
+  expect(may_replace({true, 3}, 3, 0), "the first write of a value was refused");
+  expect(may_replace({true, 3}, 3, 2), "a successor could not write over its forerunner's value");
+  expect(may_replace({true, 3}, 3, 3), "a leader could not write over its own value");
+  expect(!may_replace({true, 3}, 3, 4), "a value of a later term was written over");
+  expect(!may_replace({false, 3}, 3, 3), "a leader wrote after its lease");
+  expect(!may_replace({true, 5}, 3, 3), "a decision of an earlier lease was written under a later one");
+}
+
+// Leaders come and go, each with a higher term, and their writes meet in any order: the terms in
+// the register never fall.
+void terms_never_fall() {
+  uint64_t in_force = 0;
+  rollout::LeaseSight lease;
+  std::vector<uint64_t> decisions;  // each the term under which it was made, and not yet written
+  for (auto action : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4))) {
+    if (action == 0) lease = {true, lease.term + 1};
+    if (action == 1) lease.held = false;
+    if (action == 2 && lease.held) decisions.push_back(lease.term);
+    if (action != 3 || decisions.empty()) continue;
+    auto at = decisions.begin() + static_cast<long>(*rc::gen::inRange<size_t>(0, decisions.size()));
+    if (may_replace(lease, *at, in_force)) {
+      RC_ASSERT(*at >= in_force);
+      RC_ASSERT(lease.held && *at == lease.term);
+      in_force = *at;
+    }
+    decisions.erase(at);
+  }
+}
+}  // namespace
+
+std::vector<Case> fence_cases() {
+  return {{"fence: a write needs the lease of its decision and no higher term", examples},
+          property("fence: the terms of a register never fall", terms_never_fall)};
+}
+
+}  // namespace dunlinwing::test
--- a/test/story.cpp
+++ b/test/story.cpp
@@ -155,6 +155,7 @@
     m.merge(move_stories());
     m.merge(fault_stories());
     m.merge(disk_stories());
+    m.merge(fence_stories());
     m.merge(mixed_stories());
     m.merge(holder_stories());
     return m;
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -32,7 +32,8 @@
 NamedCases limit_stories();
 NamedCases move_stories();
 NamedCases fault_stories();
-NamedCases disk_stories();  // disks that fail for some seconds
+NamedCases disk_stories();   // disks that fail for some seconds
+NamedCases fence_stories();  // leaders stopped between reading and writing
 NamedCases mixed_stories();
 NamedCases holder_stories();  // the set forms, grows and heals by itself
 
