--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -75,6 +75,7 @@
   std::map<std::string, Count> counts;
   std::map<std::string, std::pair<uint64_t, uint64_t>> probes;
   std::map<std::string, Release> releases;
+  std::map<std::string, TimePoint> marks_seen;  // by entry of Rollout.forgotten: since when its mark is known
   std::map<std::string, std::map<std::string, std::pair<uint64_t, Counts>>> bad;  // source -> service/version
   struct Moment {
     TimePoint at;
@@ -178,9 +179,44 @@
       }
     }
     v.releases = releases;
+    see_marks(now, v);
     return v;
   }
 
+  // A mark that has been known here for a bound was acknowledged before any fresh relay's latest
+  // pull began, so a successor knows it too, whichever state of the rollout it reads.
+  void see_marks(TimePoint now, Sight& v) {
+    std::map<std::string, TimePoint> seen;
+    for (auto& name : state.forgotten()) {
+      auto act = v.acts.find("release/" + name);
+      if (act == v.acts.end() || !act->second.forgotten()) continue;
+      auto before = marks_seen.find(name);
+      auto since = seen[name] = before == marks_seen.end() ? now : before->second;
+      if (now - since > c.bound) v.marked.insert(name);
+    }
+    marks_seen = std::move(seen);
+  }
+
+  // Marks one course that is no longer kept; the next looks go on. Made twice it does no harm.
+  void mark_one(const Sight& v) {
+    for (auto& name : state.forgotten()) {
+      auto act = v.acts.find("release/" + name);
+      if (act != v.acts.end() && act->second.forgotten()) continue;
+      auto key = "act/" + name;
+      auto read = registers.read(key);
+      auto* there = std::get_if<consensus::VersionedValue>(&read);
+      if (!there || !leadership.held()) return;
+      pb::Act marked;
+      marked.ParseFromString(there->data);
+      if (marked.forgotten()) return;  // the next pull tells of it
+      marked.set_forgotten(true);
+      // A leader of an older program does not know the mark; by this it starts nothing anew either.
+      if (marked.withdrawn().empty()) marked.set_withdrawn("its course has ended and is no longer kept");
+      registers.write(key, there->version, marked.SerializeAsString());
+      return;
+    }
+  }
+
   bool save(pb::Rollout next) {
     if (auto h = fence.write(registers, kRolloutKey, version, state.term(), next)) {
       version = h->version;
@@ -347,6 +383,7 @@
         rules.system = read_system(f->second.content);
     auto v = look(now, dt);
     for (auto& [k, r] : v.releases) {
+      if (auto act = v.acts.find(k); act != v.acts.end() && act->second.forgotten()) continue;
       bool known = std::any_of(state.courses().begin(), state.courses().end(),
                                [&](auto& x) { return x.kind() == r.kind && x.release() == r.name; });
       if (!known && !feed(Recorded{r})) return;
@@ -356,6 +393,7 @@
     settler.tick(layout_in_force(), fence);
     moves(now, dt);
     pacer.tick(now, state, releases, fence);
+    mark_one(v);
   }
 
   std::weak_ptr<Impl> weak;
--- a/src/rollout/moves.cpp
+++ b/src/rollout/moves.cpp
@@ -10,12 +10,31 @@
 
 namespace dunlinwing::rollout {
 namespace {
+constexpr int kMostKept = 16;  // former versions without workers
+
 double rate(uint64_t good, uint64_t bad) {
   return good + bad ? static_cast<double>(bad) / static_cast<double>(good + bad) : 0;
 }
 bool worse(double a, double b) { return a > 2 * b + 0.01; }
 }  // namespace
 
+void prune_kept(pb::ServiceState& s, const std::map<std::string, int>& workers) {
+  auto* kept = s.mutable_kept();
+  auto idle = [&](const std::string& version) {
+    auto at = workers.find(version);
+    return at == workers.end() || !at->second;
+  };
+  auto many = std::count_if(kept->begin(), kept->end(), idle);
+  for (int i = 0; many > kMostKept && i < kept->size();) {
+    if (!idle(kept->Get(i))) {
+      ++i;
+      continue;
+    }
+    kept->DeleteSubrange(i, 1);
+    --many;
+  }
+}
+
 std::string service_key(const std::string& s) { return "service/" + s; }
 
 MoveOutcome step(const std::string& name, const pb::ServiceState& s, const MoveSight& v, const Rules& r) {
@@ -58,6 +77,7 @@
         auto* k = n.mutable_kept();
         k->erase(std::remove(k->begin(), k->end(), n.trial()), k->end());
         if (std::find(k->begin(), k->end(), old) == k->end()) n.add_kept(old);
+        prune_kept(n, v.workers);
         n.set_current(n.trial());
         n.clear_trial();
         n.set_why(fmt::format("promoted after {} requests, {} of them bad", n.good() + n.bad(), n.bad()));
--- a/src/rollout/moves.hpp
+++ b/src/rollout/moves.hpp
@@ -37,6 +37,8 @@
 MoveOutcome step_term(const std::string& service, const pb::ServiceState& s, const MoveSight& v,
                       const Rules& r);
 
+// Drops the oldest former versions that no worker beats with, beyond the sixteen latest of them.
+void prune_kept(pb::ServiceState& s, const std::map<std::string, int>& workers);
 void drop_trial(pb::ServiceState& s);  // without a verdict
 // Opens a trial; `within` 0: without a term.
 void open_trial(pb::ServiceState& s, const std::string& version, Duration within, Duration longest);
--- a/src/rollout/reducer.cpp
+++ b/src/rollout/reducer.cpp
@@ -290,11 +290,17 @@
     }
   }
 
+  // A course that is no longer kept leaves its name in the list in the same write, for its release
+  // is still recorded and would be taken for a new one. Once the mark in its act register says
+  // the same, the name goes, so that the list grows with what is under way and not with history.
   void forget() {
+    auto* names = s.mutable_forgotten();
+    names->erase(std::remove_if(names->begin(), names->end(), [&](auto& n) { return v.marked.count(n) > 0; }),
+                 names->end());
     std::map<std::string, int> n;
     for (int i = s.courses_size() - 1; i >= 0; --i)
       if (finished(s.courses(i).phase()) && ++n[s.courses(i).kind()] > kPastCourses) {
-        s.add_forgotten(s.courses(i).kind() + "/" + s.courses(i).release());
+        names->Add(s.courses(i).kind() + "/" + s.courses(i).release());
         s.mutable_courses()->DeleteSubrange(i, 1);
       }
   }
--- a/src/rollout/reducer.hpp
+++ b/src/rollout/reducer.hpp
@@ -2,6 +2,8 @@
 // event to the next state and the effects wanted. No clock, no network, no
 // random: whoever holds the leadership feeds it what was seen and for how long.
 #pragma once
+#include <set>
+
 #include "base/common.hpp"
 #include "rollout/release.hpp"
 #include "rollout/system.hpp"
@@ -32,6 +34,8 @@
   std::vector<NodeSight> nodes;
   std::map<std::string, Release> releases;  // by register name
   std::map<std::string, pb::Act> acts;      // by release register name
+  // Entries of Rollout.forgotten whose mark in their act register every leader must know by now.
+  std::set<std::string> marked;
 };
 struct TookDuty {
   uint64_t term = 0;
--- /dev/null
+++ b/test/control_state_unit.cpp
@@ -0,0 +1,35 @@
+// The sizes that docs/control-state.md states, and that no other part's cases look at.
+#include "control_api/purger.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+
+// However many purges there were, a service's set is small, and what was purged stays purged.
+void purges_are_bounded() {
+  constexpr int kPurges = 5000, kMostKept = 129;
+  pb::PurgeSet set;
+  for (int i = 0; i < kPurges; ++i) {
+    pb::Purge p;
+    p.set_kind(i % 3 ? "path" : "prefix");
+    p.set_path(fmt::format("/c/{}", i));
+    p.set_name(fmt::format("n{}", i));
+    auto done = control_api::add_purge(set, p);
+    expect(done.number == static_cast<uint64_t>(i) + 1, "a purge did not raise the number");
+    expect(set.purges_size() <= kMostKept, "purges pile up");
+  }
+  uint64_t folded = 0, oldest_kept = kPurges;
+  for (auto& p : set.purges())
+    if (p.kind() == "service")
+      folded = std::max(folded, p.number());
+    else
+      oldest_kept = std::min(oldest_kept, p.number());
+  expect(folded + 1 == oldest_kept, "some purge is neither kept nor folded into a wider one");
+}
+}  // namespace
+
+std::vector<Case> control_state_cases() {
+  return {{"control state: purges of a service are bounded", purges_are_bounded}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/rollout_unit.cpp
+++ b/test/rollout_unit.cpp
@@ -361,6 +361,75 @@
     RC_ASSERT(all * 5 + n <= static_cast<double>(rate) * 5.5 + 1);
   }
 }
+
+// Hundreds of releases have come and gone; the state of the rollout is no larger for it.
+void history_leaves_little() {
+  constexpr int kReleases = 400;
+  constexpr int kKept = 65;  // ended ones, and the latest
+  Bench b;
+  size_t bytes_early = 0;
+  for (int i = 0; i < kReleases; ++i) {
+    b.record(fmt::format("past{:03}", i), R"(,"express":"a trial of many")");
+    b.tick(Duration(250));
+    for (int k = 0; k < 2; ++k) {  // as the conductor does: marked, and known to all a while later
+      auto names = b.s.forgotten();
+      b.v.marked.clear();
+      for (auto& name : names) {
+        auto& act = b.v.acts["release/" + name];
+        if (act.forgotten()) b.v.marked.insert(name);
+        act.set_forgotten(true);
+      }
+      b.tick(Duration(250));
+    }
+    expect(b.s.courses_size() <= kKept, "courses that have ended pile up");
+    expect(b.s.forgotten_size() <= 2, "names of past releases pile up");
+    if (i == kReleases / 2) bytes_early = b.s.ByteSizeLong();
+  }
+  expect(b.s.ByteSizeLong() < bytes_early + 64, "the state of the rollout grows with its history");
+}
+
+// A leader whose program does not know the mark meets a release that is in no list any more.
+void withdrawn_stays_past() {
+  Bench b;
+  b.record("past", R"(,"express":"a trial")");
+  b.tick(Duration(250));
+  auto* courses = b.s.mutable_courses();  // as if it had been forgotten, and its name dropped
+  courses->erase(
+      std::remove_if(courses->begin(), courses->end(), [](auto& c) { return c.release() == "past"; }),
+      courses->end());
+  b.v.acts["release/layout/past"].set_withdrawn("its course has ended and is no longer kept");
+  auto generation = b.s.generation();
+  b.feed(Recorded{b.v.releases.at("release/layout/past")});
+  b.tick(Duration(250));
+  for (auto& c : b.s.courses())
+    if (c.release() == "past") expect(c.phase() == pb::WITHDRAWN, "a past release began anew");
+  expect(b.s.generation() == generation, "a past release was assigned anew");
+}
+
+// Versions come and go; a service remembers its latest forerunners, and all that still have workers.
+void forerunners_are_bounded() {
+  pb::ServiceState s;
+  for (int i = 0; i < 1000; ++i) {
+    s.add_kept(fmt::format("v{}", i));
+    prune_kept(s, {{"v3", 2}, {"v500", 1}, {"v999", 0}});
+  }
+  expect(s.kept_size() == 18, fmt::format("{} forerunners are kept", s.kept_size()));
+  expect(s.kept(0) == "v3" && s.kept(1) == "v500", "a version with workers was dropped");
+  expect(s.kept(17) == "v999", "the latest forerunner was dropped");
+}
+
+// Until its mark is known everywhere a past release is not taken for a new one.
+void unmarked_stays_past() {
+  Bench b;
+  for (int i = 0; i < 70; ++i) {
+    b.record(fmt::format("past{:03}", i), R"(,"express":"a trial of many")");
+    b.tick(Duration(250));
+  }
+  expect(b.s.forgotten_size() > 0, "nothing was forgotten");
+  auto courses = b.s.courses_size();
+  for (auto& [key, release] : b.v.releases) b.feed(Recorded{release});
+  expect(b.s.courses_size() == courses, "a past release began anew");
+}
 }  // namespace
 
 std::vector<Case> rollout_cases() {
@@ -378,6 +447,10 @@
       {"rollout: a bad hour for all stops nothing", bad_hour_for_all},
       {"rollout: a second of a kind waits, supersedes or is withdrawn", one_after_the_other},
       {"rollout: express goes to all at once", express},
+      {"rollout: past releases leave little behind", history_leaves_little},
+      {"rollout: a past release does not begin anew", unmarked_stays_past},
+      {"rollout: a past release is withdrawn for older leaders", withdrawn_stays_past},
+      {"moves: forerunners without workers are bounded", forerunners_are_bounded},
       property("rollout: order and holds under any history", any_history),
       property("shares: relays together never exceed the rate, however late they hear", shares_never_exceed),
       {"moves: fifty bad answers on trial are the end", quarantine},
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -12,6 +12,7 @@
 std::vector<Case> registry_cases();
 std::vector<Case> rollout_cases();
 std::vector<Case> fence_cases();
+std::vector<Case> control_state_cases();
 std::vector<Case> move_cases();
 std::vector<Case> traffic_cases();
 std::vector<Case> checker_cases();
