--- a/test/measure/main.cpp
+++ b/test/measure/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "base/log.hpp"
+#include "catchup.hpp"
 #include "delays.hpp"
 #include "faults.hpp"
 #include "page.hpp"
@@ -17,7 +18,8 @@
 DEFINE_int32(seeds, 5, "how many seeds each figure of whole deployments is drawn from");
 DEFINE_bool(grow, true, "cost of control by fleet size");
 DEFINE_bool(delays, true, "delays and gaps");
-DEFINE_string(part, "", "steady, fault, sockets, tree or page; empty: the figures of whole deployments");
+DEFINE_string(part, "",
+              "steady, fault, sockets, tree, catchup or page; empty: the figures of whole deployments");
 DEFINE_string(run, "sizes", "what the run is for: the first column of its rows");
 DEFINE_string(fault, "zone", "zone, apart, restart or storm");
 DEFINE_int32(seed, 1, "of a hollow run");
@@ -31,6 +33,7 @@
 DEFINE_int32(registers, 0, "written once and left alone");
 DEFINE_double(changes, 0, "registers written anew a second");
 DEFINE_double(purges, 0, "a second");
+DEFINE_int32(history, 100, "changes over the life of the fleet, for catchup");
 DEFINE_int32(layouts, 0, "put in force one after another");
 DEFINE_int32(seconds, 5, "how long is measured, or how long a fault lasts");
 DEFINE_string(way, "region+zone", "of the tree's model: direct, region, zone, region+zone, or fan");
@@ -73,8 +76,17 @@
                      FLAGS_layouts, FLAGS_seconds});
 }
 
+dm::Figures figures() {
+  if (FLAGS_part == "tree") return model();
+  if (FLAGS_part != "catchup") return hollow();
+  dm::CatchupLoad load;
+  load.changes = FLAGS_history;
+  if (FLAGS_registers) load.registers = FLAGS_registers;
+  return dm::catchup(static_cast<uint64_t>(FLAGS_seed), load);
+}
+
 int one() {
-  auto f = FLAGS_part == "tree" ? model() : hollow();
+  auto f = figures();
   dm::Row r{FLAGS_run,
             FLAGS_nodes,
             FLAGS_workers,
@@ -102,7 +114,7 @@
   } else if (FLAGS_part == "page") {
     status = dm::page(FLAGS_csv, FLAGS_page, FLAGS_plot);
   } else if (FLAGS_part == "steady" || FLAGS_part == "fault" || FLAGS_part == "sockets" ||
-             FLAGS_part == "tree") {
+             FLAGS_part == "tree" || FLAGS_part == "catchup") {
     status = one();
   } else {
     std::cerr << "measure: no part is named " << FLAGS_part << "\n";
