--- a/src/rollout/conductor.cpp
+++ b/src/rollout/conductor.cpp
@@ -1,12 +1,14 @@
 // The loop runs on every node that stands for the leadership; the understudy keeps
 // watching too, so that its counters are warm when the read_lease comes to it.
-// Writes are compare-and-set on the version last read and carry the term, so a
-// holder that was frozen past its read_lease can change nothing.
+// Writes are compare-and-set on the version last read and go through the fence, so a
+// leader that was frozen past its lease can change nothing (rollout/fence.hpp). Who takes
+// up the leadership writes its term into each service's state before it acts on it.
 #include "rollout/conductor.hpp"
 
 #include <algorithm>
 
 #include "base/log.hpp"
+#include "rollout/fence.hpp"
 #include "rollout/pacer.hpp"
 #include "rollout/versions.hpp"
 #include "rollout/watch.hpp"
@@ -65,13 +67,15 @@
   ConductorConfig c;
   Rules rules;
   pb::Rollout state;
-  uint64_t version = 0, term = 0;
+  uint64_t version = 0;
+  Fence fence;
   bool loaded = false;
   size_t turn = 0;
   TimePoint last{0}, saved{0}, looked{0};
   std::map<std::string, Count> counts;
   std::map<std::string, std::pair<uint64_t, uint64_t>> probes;
   std::map<std::string, Release> releases;
+  std::map<std::string, TimePoint> marks_seen;  // by entry of Rollout.forgotten: since when its mark is known
   std::map<std::string, std::map<std::string, std::pair<uint64_t, Counts>>> bad;  // source -> service/version
   struct Moment {
     TimePoint at;
@@ -94,8 +98,9 @@
         state_cache(m),
         leadership(d),
         c(std::move(cc)),
-        pacer(p, b, m, d, c.bound),
-        settler(p, b, m, d, c.bound),
+        fence(d),
+        pacer(p, b, m, c.bound),
+        settler(p, b, m, c.bound),
         watch(c.bound) {
     rules.scale = c.scale;
     rules.bound = c.bound;
@@ -174,13 +179,46 @@
       }
     }
     v.releases = releases;
+    see_marks(now, v);
     return v;
   }
 
-  bool save(const pb::Rollout& next) {
-    if (!leadership.held()) return false;
-    auto r = registers.write(kRolloutKey, version, next.SerializeAsString());
-    if (auto* h = std::get_if<consensus::VersionedValue>(&r)) {
+  // A mark that has been known here for a bound was acknowledged before any fresh relay's latest
+  // pull began, so a successor knows it too, whichever state of the rollout it reads.
+  void see_marks(TimePoint now, Sight& v) {
+    std::map<std::string, TimePoint> seen;
+    for (auto& name : state.forgotten()) {
+      auto act = v.acts.find("release/" + name);
+      if (act == v.acts.end() || !act->second.forgotten()) continue;
+      auto before = marks_seen.find(name);
+      auto since = seen[name] = before == marks_seen.end() ? now : before->second;
+      if (now - since > c.bound) v.marked.insert(name);
+    }
+    marks_seen = std::move(seen);
+  }
+
+  // Marks one course that is no longer kept; the next looks go on. Made twice it does no harm.
+  void mark_one(const Sight& v) {
+    for (auto& name : state.forgotten()) {
+      auto act = v.acts.find("release/" + name);
+      if (act != v.acts.end() && act->second.forgotten()) continue;
+      auto key = "act/" + name;
+      auto read = registers.read(key);
+      auto* there = std::get_if<consensus::VersionedValue>(&read);
+      if (!there || !leadership.held()) return;
+      pb::Act marked;
+      marked.ParseFromString(there->data);
+      if (marked.forgotten()) return;  // the next pull tells of it
+      marked.set_forgotten(true);
+      // A leader of an older program does not know the mark; by this it starts nothing anew either.
+      if (marked.withdrawn().empty()) marked.set_withdrawn("its course has ended and is no longer kept");
+      registers.write(key, there->version, marked.SerializeAsString());
+      return;
+    }
+  }
+
+  bool save(pb::Rollout next) {
+    if (auto h = fence.write(registers, kRolloutKey, version, state.term(), next)) {
       version = h->version;
       state = next;
       saved = ps.clock.now();
@@ -288,6 +326,8 @@
         mine.second.Clear();
         mine.second.ParseFromString(h.data);
       }
+      auto in_force = mine.second.term();
+      if (!fence.allows(in_force)) continue;
       auto& v = vs[name];
       v.dt = dt;
       for (auto& [src, x] : statuses)
@@ -297,14 +337,15 @@
       watch.tell(now, name, mine.second, v);
       auto o = step(name, mine.second, v, rules);
       auto [write, urgent] = saving(o.effects);
-      if (write && !urgent && now - service_saved[name] < (o.state.within_ms() ? c.bound / 2 : c.bound)) {
+      // The first write under this term is never put off: it ends what was decided under others.
+      bool takes_up = in_force < fence.term();
+      if (write && !urgent && !takes_up &&
+          now - service_saved[name] < (o.state.within_ms() ? c.bound / 2 : c.bound)) {
         mine.second = o.state;
         continue;
       }
-      if (write) {
-        if (!leadership.held()) return;
-        auto r = registers.write(k, mine.first, o.state.SerializeAsString());
-        auto* held = std::get_if<consensus::VersionedValue>(&r);
+      if (write || takes_up) {
+        auto held = fence.write(registers, k, mine.first, in_force, o.state);
         if (!held) continue;  // the next pull tells what stands
         mine = {held->version, o.state};
         service_saved[name] = now;
@@ -320,6 +361,11 @@
       return;
     }
     bool held = leadership.held();
+    if (fence.begin()) {
+      last = TimePoint(0);
+      loaded = false;
+      settler.idle();
+    }
     Duration dt = held && last != TimePoint(0) ? std::min<Duration>(now - last, c.bound) : Duration(0);
     last = held ? now : TimePoint(0);
     if (!held) {
@@ -330,22 +376,24 @@
       return moves(now, Duration(0));
     }
     if (!loaded && !reload()) return;
-    if (state.term() > leadership.term()) return;
-    if (state.term() < leadership.term() && !feed(TookDuty{leadership.term()})) return;
+    if (!fence.allows(state.term())) return;
+    if (state.term() < fence.term() && !feed(TookDuty{fence.term()})) return;
     if (auto a = state.in_force().find("system"); a != state.in_force().end())
       if (auto f = releases.find(release_key("system", a->second)); f != releases.end())
         rules.system = read_system(f->second.content);
     auto v = look(now, dt);
     for (auto& [k, r] : v.releases) {
+      if (auto act = v.acts.find(k); act != v.acts.end() && act->second.forgotten()) continue;
       bool known = std::any_of(state.courses().begin(), state.courses().end(),
                                [&](auto& x) { return x.kind() == r.kind && x.release() == r.name; });
       if (!known && !feed(Recorded{r})) return;
     }
     if (!feed(v)) return;
     probe();
-    settler.tick(layout_in_force());
+    settler.tick(layout_in_force(), fence);
     moves(now, dt);
-    pacer.tick(now, state, releases);
+    pacer.tick(now, state, releases, fence);
+    mark_one(v);
   }
 
   std::weak_ptr<Impl> weak;
--- a/test/story.hpp
+++ b/test/story.hpp
@@ -32,6 +32,8 @@
 NamedCases limit_stories();
 NamedCases move_stories();
 NamedCases fault_stories();
+NamedCases disk_stories();   // disks that fail for some seconds
+NamedCases fence_stories();  // leaders stopped between reading and writing
 NamedCases mixed_stories();
 NamedCases holder_stories();       // the set forms, grows and heals by itself
 NamedCases control_api_stories();  // what operators are told by relays cut off, at once and again
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -7,9 +7,13 @@
 namespace dunlinwing::test {
 
 std::vector<Case> disk_cases();
+std::vector<Case> disk_fault_cases();
+std::vector<Case> acceptor_cases();
 std::vector<Case> registry_cases();
 std::vector<Case> consensus_trace_cases();
 std::vector<Case> rollout_cases();
+std::vector<Case> fence_cases();
+std::vector<Case> control_state_cases();
 std::vector<Case> move_cases();
 std::vector<Case> traffic_cases();
 std::vector<Case> checker_cases();
