A replica that was away has what it missed written again

Votes stayed right, but its copy was old. Each replica now looks for registers of which a quorum holds a later ballot than itself, and has those that it lacks at two looks in a row written anew.

--- a/src/membership/replica_repair.cpp
+++ b/src/membership/replica_repair.cpp
@@ -158,6 +158,7 @@
   int tolerate;
   Duration bound;
   std::map<std::string, TimePoint> session_seen;  // when each node's session last stood, as seen here
+  std::map<std::string, uint64_t> behind;         // registers that this replica lacked at the last look
   // Since when the same need stands; the first replica by name acts on it at once.
   std::string need;
   TimePoint need_since{0};
@@ -250,14 +251,27 @@
     }
   }
 
+  // What came by a refill is no vote for anybody until it is accepted here; and what was
+  // written while this replica was away is not on its disk until it is written again.
+  void catch_up() {
+    if (acceptor.mute()) return;
+    if (auto copied = acceptor.copied(); !copied.empty()) registers.rewrite(copied);
+    auto missing = state_cache.behind(me);
+    std::vector<std::string> still_missing;  // not just on their way
+    for (auto& [name, round] : missing)
+      if (auto before = behind.find(name); before != behind.end() && before->second == round)
+        still_missing.push_back(name);
+    behind = std::move(missing);
+    if (!still_missing.empty()) registers.rewrite(still_missing);
+  }
+
   void look() {
     if (!state_cache.fresh()) {  // what was not seen is not absence
       session_seen.clear();
       need.clear();
       return;
     }
-    // What came by a refill is no vote for anybody until it is accepted here.
-    if (auto copied = acceptor.copied(); !copied.empty() && !acceptor.mute()) registers.rewrite(copied);
+    catch_up();
     auto now = view();
     if (registers.set().joint())
       finish(now);
@@ -275,8 +289,17 @@
 ReplicaRepair::ReplicaRepair(base::Ports& ports, consensus::RegisterClient& registers,
                              StateCache& state_cache, consensus::Acceptor& acceptor, std::string me,
                              int tolerate, Duration bound)
-    : impl_(std::make_shared<Impl>(Impl{
-          ports, registers, state_cache, acceptor, std::move(me), tolerate, bound, {}, "", TimePoint(0)})) {}
+    : impl_(std::make_shared<Impl>(Impl{ports,
+                                        registers,
+                                        state_cache,
+                                        acceptor,
+                                        std::move(me),
+                                        tolerate,
+                                        bound,
+                                        {},
+                                        {},
+                                        "",
+                                        TimePoint(0)})) {}
 ReplicaRepair::~ReplicaRepair() = default;
 
 void ReplicaRepair::start() {
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -337,6 +337,17 @@
          p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
 }
 
+std::map<std::string, uint64_t> StateCache::behind(const std::string& replica) const {
+  std::map<std::string, uint64_t> names;
+  for (auto& [name, value] : p_->chosen) {
+    auto* best = p_->latest_at_quorum(name);
+    if (!best) continue;
+    auto* own = p_->told_by({replica, ""}, name);
+    if (!own || consensus::lower(own->accepted(), best->accepted())) names[name] = best->accepted().round();
+  }
+  return names;
+}
+
 StateCache::Contact StateCache::contact(const std::string& replica) const {
   auto now = p_->ps.clock.now();
   auto side = p_->sides.find(replica);
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -49,6 +49,9 @@
     Duration since_answer{0}, since_vote{0};
   };
   Contact contact(const std::string& replica) const;
+  // The registers of which a quorum has accepted a later ballot than `replica`, each with the
+  // round of that ballot.
+  std::map<std::string, uint64_t> behind(const std::string& replica) const;
   void hurry();  // the next pull begins at once, or as soon as the one under way has ended
 
  private:
--- a/test/holder_stories.cpp
+++ b/test/holder_stories.cpp
@@ -222,6 +222,32 @@
   };
 }
 
+// A replica that was away while registers were written has them on its disk soon after.
+void catches_up(Scene& s) {
+  s.length = Duration(60000);
+  s.must_meet = {"kill"};
+  s.story = [&s] {
+    if (!begin(s)) return;
+    auto w = writer(s, 100);
+    s.f.sleep(Duration(1000));
+    auto away = fmt::format("h{}", 1 + s.w.below(3));
+    s.f.kill(away);
+    s.f.sleep(Duration(6000));
+    *w.stop = true;
+    s.f.sleep(Duration(1000));
+    s.f.start(away);
+    auto& cache = s.f.at(away).node->state_cache();
+    s.f.sleep(Duration(500));
+    s.want(cache.fresh(), "the restarted replica has no fresh contact");
+    s.figures["behind_at_first"] = cache.behind(away).size();
+    s.want(s.f.until(Duration(4000), [&] { return cache.fresh() && cache.behind(away).empty(); }),
+           fmt::format("{} registers are still not on the disk", cache.behind(away).size()));
+    s.want(w.acked->size() > 10, "hardly anything was acknowledged");
+    s.f.sleep(Duration(2000));
+    all_know(s, *w.acked);
+  };
+}
+
 // Three seeds grow to five; then two disks are lost while all others lose power.
 void grows(Scene& s) {
   s.length = Duration(80000);
@@ -266,6 +292,7 @@
   return {{"forms", SimCase(forms, 0, seeded(1))},
           {"heals", SimCase(heals, 1, seeded(1))},
           {"second_loss", SimCase(second_loss, 2, seeded(1))},
+          {"catches_up", SimCase(catches_up, 0, seeded(1))},
           {"grows", SimCase(grows, 2, seeded(2))}};
 }
 
