Rollouts: try every warm worker of a version, judge thin routes together

Now, once what was saved for warm workers is spent, they are asked in turn, one a request, without regard to load or zone.

Ruled out: steps in the switch (what the tenth and fifty leave is 0.6 s of load, no more answers than the trial gives); choice by load among all workers (takes the fast ones); a least number of answers on rare routes (holds good versions back).

--- a/src/relay/node.cpp
+++ b/src/relay/node.cpp
@@ -238,7 +238,7 @@
       alive.push_back(i);
       t->workers[b.service()].push_back({i, b.service(), b.version(), b.zone(), b.address(),
                                          static_cast<int>(b.capacity()),
-                                         now - w.age + Duration(b.cold_ms())});
+                                         b.cold_ms() ? now - w.age + Duration(b.cold_ms()) : TimePoint(0)});
     }
     if (now - swept >= c.bound / 2) {
       swept = now;
--- a/src/rollout/term.cpp
+++ b/src/rollout/term.cpp
@@ -84,6 +84,8 @@
   } else if (s.switching()) {
     if (!of(v.workers, to)) {
       back("its workers went away in the switch");
+    } else if (auto poor = traffic::refuted(v.seen); !poor.empty()) {
+      back(poor);
     } else if (v.switching >= ending) {
       auto* k = n.mutable_kept();
       k->erase(std::remove(k->begin(), k->end(), to), k->end());
--- a/src/traffic/docket.hpp
+++ b/src/traffic/docket.hpp
@@ -53,5 +53,7 @@
 // What speaks against promotion yet, or for good: too little evidence on a route, more
 // failures or slower answers than of the version in place. Empty: nothing does.
 std::string objection(const Seen& s);
+/// What, seen in the switch, ends it on a route too rare for `worse`. Empty: nothing.
+std::string refuted(const Seen& s);
 
 }  // namespace dunlinwing::traffic
--- a/src/traffic/table.hpp
+++ b/src/traffic/table.hpp
@@ -13,7 +13,7 @@
 struct Worker {
   std::string instance, service, version, zone, address;
   int capacity = 1;
-  TimePoint cold_until{0};  // it has just started and is slow until then
+  TimePoint cold_until{0};  // it has just started and is slow until then; 0: it says it is not
 };
 
 struct Shield {
--- a/src/traffic/trial.cpp
+++ b/src/traffic/trial.cpp
@@ -22,6 +22,16 @@
   return v;
 }
 
+std::vector<Worker> worker_in_turn(const std::vector<Worker>& workers, const std::string& version,
+                                   uint64_t turn) {
+  std::vector<Worker> warm;
+  for (auto& worker : workers)
+    if (worker.version == version && worker.cold_until == TimePoint(0)) warm.push_back(worker);
+  if (warm.empty()) return {};
+  std::sort(warm.begin(), warm.end(), [](auto& a, auto& b) { return a.instance < b.instance; });
+  return {warm[turn % warm.size()]};
+}
+
 std::vector<Worker> Trials::grant(const Table& t, const std::string& service, const std::string& version,
                                   const std::string& route) {
   auto st = t.states.find(service);
@@ -39,7 +49,19 @@
     if (p.spend >= p.earn) p.ahead = repeat_part(kAhead, t.nodes, t.rank);
   }
   if (!grant(service, st->second.trial_number(), version, term ? route : std::string(), p)) return {};
-  return v;
+  if (!term) return v;
+  auto turn = next_turn(service, t.rank);
+  if (!turn) return v;
+  auto one = worker_in_turn(ws->second, version, *turn);
+  return one.empty() ? v : one;
+}
+
+std::optional<uint64_t> Trials::next_turn(const std::string& service, int rank) {
+  std::lock_guard l(m_);
+  auto& share = by_[service];
+  if (!share.burst_over) return {};
+  // Relays of few trial requests each begin at different workers.
+  return share.turn++ + static_cast<uint64_t>(rank);
 }
 
 bool Trials::grant(const std::string& service, uint64_t number, const std::string& version,
@@ -53,6 +75,7 @@
   bool spares = p.spend < p.earn;
   if (spares) s.sparing += p.spend;
   auto& mine = s.by[route];
+  if (!spares && s.earned < kOne) s.burst_over = true;
   if (s.earned < kOne || (spares && s.sparing < kOne)) return false;
   bool least = std::all_of(s.by.begin(), s.by.end(), [&](auto& x) { return mine <= x.second; });
   if (!least && (spares ? s.sparing : s.earned) < 2 * kOne) return false;  // left for a route that had fewer
--- a/src/traffic/trial.hpp
+++ b/src/traffic/trial.hpp
@@ -2,6 +2,7 @@
 // is kept by exact count at each relay, so that it holds over the fleet.
 #pragma once
 #include <mutex>
+#include <optional>
 
 #include "traffic/table.hpp"
 
@@ -12,13 +13,19 @@
 inline constexpr int kTermPercent = 8, kColdPercent = 3;
 inline constexpr int64_t kAhead = 20;
 
-// Of a move with a term only two workers of the new version are asked, the first two by
+// Of a move with a term two workers of the new version are asked first, the first two by
 // name, so that they have something to do. All relays choose alike, from the same statuses.
 std::vector<Worker> trial_workers(const std::vector<Worker>& ws, const std::string& version, bool term);
 
+/// Returns the worker whose turn it is with trial request number `turn`: every warm worker of
+/// the version has its turn, however fast it is and wherever it stands. Empty: all are cold.
+std::vector<Worker> worker_in_turn(const std::vector<Worker>& workers, const std::string& version,
+                                   uint64_t turn);
+
 class Trials {
  public:
   // The workers among which a granted request is placed; none when it is not granted.
+  // Once what had been saved for warm workers is spent, each warm worker is asked in turn.
   std::vector<Worker> grant(const Table& t, const std::string& service, const std::string& version,
                             const std::string& route);
 
@@ -37,8 +44,11 @@
     std::string version;
     int64_t earned = 0, sparing = 0;  // hundredths of a request, not yet spent
     bool ahead = false;
+    bool burst_over = false;  // what was saved for warm workers is spent
+    uint64_t turn = 0;        // of the next worker, once the burst is over
     std::map<std::string, uint64_t> by;
   };
+  std::optional<uint64_t> next_turn(const std::string& service, int rank);  // empty: still in the burst
   std::mutex m_;
   std::map<std::string, Share> by_;
 };
