A property over random schedules of the consensus objects

The traces of the model are single schedules. This plays random ones with the product's Acceptor, RegisterClient and StateCache: compare-and-set writers on two registers, rival and successive changes of the replica set, one lost disk at a time, crashes, restarts, and messages dropped or delayed beyond their round. What any call was told has to fit one linear history: nothing told is lost, no version has two values, and each value follows the one it was written over.

--- /dev/null
+++ b/test/consensus_history.cpp
@@ -0,0 +1,70 @@
+// The checks of a history, each made as soon as a call returns.
+#include "consensus_history.hpp"
+
+#include <fmt/format.h>
+
+namespace dunlinwing::test {
+namespace {
+
+constexpr char kOver = '<';  // between a value's own name and that of the value it was written over
+
+std::string own_name(const std::string& data) { return data.substr(0, data.find(kOver)); }
+std::string previous_name(const std::string& data) {
+  auto over = data.find(kOver);
+  return over == std::string::npos ? "" : data.substr(over + 1);
+}
+
+}  // namespace
+
+uint64_t History::floor(const std::string& register_name) const {
+  auto found = registers_.find(register_name);
+  return found == registers_.end() ? 0 : found->second.floor;
+}
+
+std::string History::successor(const std::string& writer, const consensus::VersionedValue& previous) {
+  return fmt::format("{}#{}{}{}", writer, ++written_, kOver, own_name(previous.data));
+}
+
+void History::observe(TimePoint now, const Observation& observation, const consensus::VersionedValue& value) {
+  auto& observed = registers_[observation.register_name];
+  auto what = fmt::format("{}: {} of {} shows version {}, {}", observation.node, observation.call,
+                          observation.register_name, value.version, value.data);
+  note(now, what);
+  if (value.version < observation.floor)
+    violated(fmt::format("{}, but version {} was told before it began", what, observation.floor));
+  auto [known, first] = observed.values.emplace(value.version, value.data);
+  if (!first && known->second != value.data)
+    violated(fmt::format("{}, but that version was told as {}", what, known->second));
+  check_chain(observed, value.version);
+  check_chain(observed, value.version + 1);
+  observed.floor = std::max(observed.floor, value.version);
+}
+
+// Whether the value of a version names that of the version before, where both were told.
+void History::check_chain(const Register& observed, uint64_t version) {
+  if (version == 0) return;
+  auto value = observed.values.find(version), previous = observed.values.find(version - 1);
+  if (value == observed.values.end()) return;
+  bool told = version == 1 || previous != observed.values.end();
+  auto name = version == 1 ? "" : told ? own_name(previous->second) : "";
+  if (told && previous_name(value->second) != name)
+    violated(fmt::format("version {} is {}, but the version before is {}", version, value->second, name));
+}
+
+void History::note(TimePoint now, const std::string& line) {
+  lines_.push_back(fmt::format("{} {}", now.count(), line));
+}
+
+void History::violated(const std::string& what) {
+  violations_.push_back(what);
+  lines_.push_back("VIOLATED: " + what);
+}
+
+std::string History::report() const {
+  std::string all;
+  for (auto& line : lines_) all += line + "\n";
+  for (auto& what : violations_) all += "violated: " + what + "\n";
+  return all;
+}
+
+}  // namespace dunlinwing::test
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -11,6 +11,7 @@
 std::vector<Case> acceptor_cases();
 std::vector<Case> registry_cases();
 std::vector<Case> consensus_trace_cases();
+std::vector<Case> consensus_property_cases();
 std::vector<Case> rollout_cases();
 std::vector<Case> fence_cases();
 std::vector<Case> control_state_cases();
