--- /dev/null
+++ b/test/bench/days.py
@@ -0,0 +1,102 @@
+"""Own days for the control side: what operators ask for while the core is in trouble.
+A day is (name, seconds, plan, faults, closing); `fleetbench run SITE DAY.toml` plays it."""
+
+
+def t(kind, at, **figures):
+    return dict(at=float(at), kind=kind, **{k: v for k, v in figures.items() if v != ""})
+
+
+def close(kind, **more):
+    return dict(kind=kind, down_s=1.0, **more)
+
+
+WIPE = close("wipe_after_ack", how="aimed")
+POWER = close("power_off_all")
+KILL = close("kill_all")
+CUTS = {"both": "both", "one_way": "one_way", "meet": "meet", "race": "race", "hard": "hard",
+        "leader-one_way": "leader one_way", "leader-race-hard": "leader race hard",
+        "both-race-hard": "both race hard"}
+
+
+def cuts():
+    """a: a cut of twenty seconds under orders, lost acknowledgements and resets."""
+    for n, (name, how) in enumerate(CUTS.items()):
+        yield ("a-cut-" + name, 50.0,
+               [t("config_race", 2, count=40, gap_s=1.0), t("purge", 2.5, count=60, gap_s=0.6)],
+               [t("core_cut", 6, count=1, for_s=20.0, how=how), t("ack_lost", 4, x=0.5, for_s=26.0),
+                t("reset_conns", 10, share=0.3, x=0.5), t("reset_conns", 18, share=0.3, x=0.5)],
+               [WIPE, POWER, KILL][n % 3])
+
+
+def versions():
+    """b: races and versions that were given before."""
+    for name, hows in {"same": ["same_version"], "old": ["old_version"], "both": ["same_version", "old_version"]}.items():
+        bad = [t("bad_config", 3 + 0.35 * i, count=25, gap_s=1.0, how=h) for i, h in enumerate(hows)]
+        for end, closing in {"wipe": WIPE, "power": POWER}.items():
+            yield ("b-%s-%s" % (name, end), 40.0, [t("config_race", 2, count=30, gap_s=1.0)] + bad,
+                   [t("ack_lost", 2.5, x=0.7, for_s=26.0)], closing)
+
+
+def replaced():
+    """c: machines with a disk replaced, disks in trouble, and a second loss."""
+    races = lambda n: t("config_race", 2, count=n, gap_s=1.0)
+    yield ("c-planned-then-loss", 45.0, [races(40), t("replace_core", 3, x=1.0, how="planned")],
+           [t("replace_core", 15, x=1.0)], None)
+    yield ("c-loss-wipe-wipe", 45.0, [races(40)],
+           [t("replace_core", 5, x=1.0), t("after_ack_wipe", 13, for_s=1.0), t("after_ack_wipe", 20, for_s=1.0)], WIPE)
+    yield ("c-planned-loss-wipe", 45.0, [races(40), t("replace_core", 5, x=1.0, how="planned")],
+           [t("replace_core", 12, x=1.0), t("after_ack_wipe", 20, for_s=1.0)], WIPE)
+    yield ("c-turnover-between", 45.0, [races(40), t("replace_core", 3, x=1.0, how="planned")],
+           [t("seed_turnover", 9), t("replace_core", 15, x=1.0), t("seed_turnover", 22)], POWER)
+    yield ("c-turnover-loss-wipe", 45.0, [races(40)],
+           [t("seed_turnover", 3), t("replace_core", 6, x=1.0), t("seed_turnover", 12), t("after_ack_wipe", 18, for_s=1.0)], WIPE)
+    yield ("c-full-kill-wipe", 32.0, [races(26)],
+           [t("disk_full", 3.5, count=1, for_s=3.0), t("node_kill", 9, on="core", count=1, for_s=3.0, how="power leader")], WIPE)
+    yield ("c-full-leader-power", 32.0, [races(26)],
+           [t("disk_full", 3.5, count=1, for_s=3.0, how="leader"),
+            t("node_kill", 5, on="core", count=1, for_s=3.0, how="power leader")], POWER)
+    yield ("c-stall-kill-wipe", 40.0, [races(34)],
+           [t("disk_stall", 4, count=1, for_s=4.0), t("node_kill", 13, on="core", count=1, for_s=3.0, how="power leader"),
+            t("disk_stall", 21, count=1, for_s=6.0, how="leader")], WIPE)
+    yield ("c-slow-loss-wipe", 45.0, [races(40)],
+           [t("disk_slow", 4, count=1, x=30.0, for_s=6.0), t("replace_core", 15, x=1.0),
+            t("disk_slow", 24, count=1, x=60.0, for_s=6.0, how="leader")], WIPE)
+    yield ("c-loss-loss-loss", 60.0, [races(55)],
+           [t("replace_core", at, x=1.0) for at in (5, 17, 29)], WIPE)
+
+
+def many():
+    """d: hundreds of orders with kills, wipes and a cut."""
+    plan = [t("config_race", 1, count=130, gap_s=0.6), t("purge", 1.2, count=750, gap_s=0.104)]
+    faults = [t("node_kill", 8, on="core", count=1, for_s=2.0, how="power leader"),
+              t("after_ack_wipe", 18, for_s=1.5), t("core_cut", 29, count=1, for_s=8.0, how="leader race"),
+              t("after_ack_kill", 45, for_s=2.0), t("after_ack_wipe", 55, for_s=1.5, how="timed"),
+              t("node_kill", 66, on="core", count=1, for_s=2.0, how="leader meet")]
+    yield "d-many-power", 90.0, plan, faults, POWER
+    yield "d-many-wipe", 90.0, plan, faults, WIPE
+    yield ("d-many-herd", 90.0, plan, faults[:2] + [t("herd_kill", 30, on="core", for_s=1.0, how="power"),
+           t("herd_kill", 50, on="core", for_s=1.0, how="taken")], WIPE)
+
+
+def answers():
+    """e: spoilt and lost answers, addresses used again, freezes and cuts."""
+    faults = [t("garble", 3, share=0.6, x=0.04, for_s=20.0, how="extra"), t("answer_lost", 4, share=0.6, x=0.05, for_s=20.0),
+              t("reset_conns", 6, share=0.4, x=0.6), t("replace_with_reuse", 7, share=0.3), t("reset_conns", 11, share=0.4, x=0.6),
+              t("node_freeze", 10, share=0.2, for_s=4.0), t("core_cut", 12, count=1, for_s=8.0, how="both")]
+    yield "e-answers", 36.0, [t("config_race", 2, count=12, gap_s=2.0)], faults, KILL
+    yield ("e-answers-drain", 36.0, [t("scale_in", 5, share=0.13, how="spot"), t("purge", 2, count=30, gap_s=0.8)],
+           faults[:3] + [t("replace_with_reuse", 7, share=0.3, how="drain"), t("replace_with_reuse", 16, share=0.2, how="dark"),
+                         t("node_freeze", 9, on="core", count=1, for_s=4.0, how="leader"),
+                         t("core_cut", 16, count=1, for_s=8.0, how="both")], POWER)
+
+
+def moves(services):
+    """f: a good version to be done within its term, on a calm day."""
+    for service in services:
+        for term in (14.0, 16.0, 20.0):
+            yield "f-good-%s-%d" % (service, term), 32.0, [t("rollout_good", 3, for_s=term, service=service)], [], None
+
+
+def every(services):
+    for part in (cuts(), versions(), replaced(), many(), answers(), moves(services)):
+        yield from part
