--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -31,9 +31,9 @@
 std::atomic<size_t> held_bodies{0};
 
 // A share of what all bodies together may take.
-class VersionedValue {
+class BodyReservation {
  public:
-  ~VersionedValue() { held_bodies -= n_; }
+  ~BodyReservation() { held_bodies -= n_; }
   bool grow_to(size_t n, size_t most) {
     if (n <= n_) return true;
     if (held_bodies.fetch_add(n - n_) + (n - n_) > most) {
@@ -81,7 +81,12 @@
   std::shared_ptr<Line> l;
   Step step = Step::idle;
   TimePoint since{0};
+  Duration idle_limit{0};  // as it was when the client was last told, or could know, of it
   bool slow = false;
+
+  // At rest between requests, and no byte of the next one has come, the system's own buffer
+  // included: a process that lags may not have read it yet.
+  bool at_rest() const { return step == Step::idle && l->still(); }
   std::list<Talk*>::iterator at;
 };
 
@@ -140,7 +145,7 @@
 void HttpServer::close_idle() {
   p_->each_lane([](Lane& l) {
     for (auto* t : l.all)
-      if (t->step == Step::idle && t->l->quiet()) t->l->stop();
+      if (t->at_rest()) t->l->stop();
   });
 }
 
@@ -157,7 +162,7 @@
 bool HttpServer::Impl::evict(Lane& lane) {
   Talk* old = nullptr;
   for (auto* t : lane.all)
-    if (t->step == Step::idle && t->l->quiet() && (!old || t->since < old->since)) old = t;
+    if (t->step == Step::idle && (!old || t->since < old->since) && t->at_rest()) old = t;
   if (old) old->l->stop();
   return old;
 }
@@ -173,7 +178,7 @@
   auto l = lim.load();
   auto t0 = now();
   for (auto* t : lane.all) {
-    auto bound = t->step == Step::idle     ? l->idle
+    auto bound = t->step == Step::idle     ? std::max(l->idle, t->idle_limit)
                  : t->step == Step::head   ? l->read
                  : t->step == Step::body   ? l->body
                  : t->step == Step::write  ? l->write
@@ -181,6 +186,7 @@
                                            : Duration::max();
     bool reads = t->step != Step::write;
     if (t0 - t->since < bound || t->l->stopped() || (reads && !t->l->waits())) continue;  // what came counts
+    if (t->step == Step::idle && !t->at_rest()) continue;
     t->slow = t->step == Step::head || t->step == Step::body;
     t->l->stop();
   }
@@ -265,10 +271,11 @@
   Parser par;
   par.eager(true);
   auto at = lim.load();
+  t.idle_limit = at->idle;
   par.header_limit(static_cast<uint32_t>(std::min<size_t>(at->head_bytes, UINT32_MAX)));
   par.body_limit(at->body_bytes);
   base::Request q;
-  VersionedValue held;
+  BodyReservation held;
   bool headed = false;
   for (;;) {
     while (!par.is_done() && !l.got().empty()) {
@@ -321,7 +328,7 @@
     ~Run() { --n; }
   } run{running};
   auto a = h(q);
-  bool keep = m.keep_alive() && !closing && !last;
+  bool keep = m.keep_alive() && !closing && !last && !crowded;
   if (!answer(t, a, m.method() == http::verb::head, m.version(), keep, *lim.load())) return false;
   if (!keep && !l.got().empty()) linger(t);  // closing with bytes unread would take the answer back
   return keep;
--- a/test/bench/troubles.py
+++ b/test/bench/troubles.py
@@ -8,6 +8,7 @@
 KINDS = {
     "burst": (dict(x=1.8, for_s=4.0), [""], False),
     "retry_abuse": (dict(share=0.2, x=4.0, for_s=5.0), [""], False),
+    "give_up": (dict(share=0.3, for_s=5.0), [""], False),
     "srv_crash": (dict(share=0.15, for_s=4.5), ["", "dark", "gone", "dark gone"], False),
     "srv_slow": (dict(share=0.16, x=5.0, for_s=6.5), ["", "across"], False),
     "srv_flap": (dict(share=0.15, gap_s=1.4, for_s=6.5), [""], False),
@@ -20,20 +21,21 @@
     "scale_in": (dict(share=0.13), ["", "spot"], True),
     "scale_out": (dict(share=0.3, gap_s=2.0), [""], True),
     "answer_lost": (dict(share=0.5, x=0.04, for_s=5.0), ["", "reset"], False),
-    "garble": (dict(share=0.45, x=0.03, for_s=5.5), ["", "extra", "extra late"], False),
+    "garble": (dict(share=0.45, x=0.03, for_s=5.5), ["", "extra", "extra late", "unframed", "early"], False),
     "node_kill": (dict(on="core", count=1, for_s=3.5), ["", "power"] + CORE, False),
     "node_freeze": (dict(on="core", count=1, for_s=4.0), ["", "leader", "race", "leader race hard"], False),
     "node_slow": (dict(share=0.15, x=5.0, for_s=5.0), ["", "leader"], False),
-    "node_cut": (dict(share=0.18, for_s=5.5), ["", "servers", "reset", "refuse"], False),
+    "node_cut": (dict(share=0.18, for_s=5.5), ["", "all", "servers", "reset", "refuse"], False),
     "roll_term": (dict(share=0.45, x=1.0, gap_s=1.3), ["", "busy", "remove"], True),
     "herd_kill": (dict(share=0.6, for_s=2.0), ["", "power", "taken"], False),
-    "after_ack_kill": (dict(for_s=3.0), ["", "kill", "timed", "taken"], False),
-    "after_ack_wipe": (dict(for_s=3.0), ["", "timed", "taken"], False),
+    "after_ack_kill": (dict(for_s=3.0), ["", "kill", "timed", "taken", "taken gone"], False),
+    "after_ack_wipe": (dict(for_s=3.0), ["", "timed", "taken", "oldest"], False),
     "clock_step": (dict(share=0.3, x=2400.0, for_s=6.0), ["back", "ahead"], False),
     "core_cut": (dict(count=1, for_s=5.5),
                  ["", "one_way", "seeds", "both", "reset", "refuse", "leader one_way", "meet", "race",
-                  "leader race drain hard", "both race"], False),
-    "replace_core": (dict(x=1.0), ["", "planned"], False),
+                  "leader race drain hard", "both race", "all", "near", "oldest", "lure", "all lure race hard",
+                  "oldest meet drain"], False),
+    "replace_core": (dict(x=1.0), ["", "planned", "oldest", "oldest planned"], False),
     "seed_turnover": (dict(), [""], False),
     "disk_slow": (dict(count=1, x=30.0, for_s=5.5), ["", "leader"], False),
     "disk_full": (dict(count=1, for_s=4.0), ["", "leader"], False),
@@ -69,6 +71,7 @@
                 out.append(t)
     # the same loss on the whole core and on machines that hold nothing
     out.append(dict(kind="herd_kill", on="core", for_s=2.0, how="power"))
+    out.append(dict(kind="herd_kill", on="core", for_s=2.0, how="taken all"))
     out.append(dict(kind="node_kill", share=0.2, for_s=3.0, how="power"))
     out.append(dict(kind="node_freeze", share=0.15, for_s=4.0))
     out.append(dict(kind="roll_term", on="core", share=1.0, x=1.0, gap_s=2.5))
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -179,6 +179,64 @@
   expect(v.s.open() <= 2, "more connections than allowed");
 }
 
+// The server's thread is busy while a request arrives on another connection and that one is
+// ended for being idle: the request must be answered all the same.
+void unread_request(const std::function<void(Served&)>& end_idle) {
+  std::unique_ptr<Raw> idle;
+  std::unique_ptr<Served> server;
+  wire::HttpHandler handler = [&](base::Request& request) -> base::Response {
+    if (request.target == "/busy") {
+      idle->send(kGet);
+      end_idle(*server);
+    }
+    return echo()(request);
+  };
+  server = std::make_unique<Served>(wire::HttpLimits{}, handler);
+  idle = std::make_unique<Raw>(server->addr);
+  idle->ask(kGet, "GET /a ");
+  Raw busy(server->addr);
+  busy.ask("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n", "GET /busy ");
+  expect(idle->read("GET /a ").starts_with("HTTP/1.1 200"), "a request that had come was cut off");
+}
+
+void closing_spares_what_came() {
+  unread_request([](Served& server) { server.s.close_idle(); });
+}
+
+void shorter_idle_limit_spares_what_rests() {
+  wire::HttpLimits limits;
+  limits.idle = 400ms;
+  Served v(limits, echo());
+  Raw a(v.addr);
+  a.ask(kGet, "GET /a ");
+  wire::RealClock().sleep(100ms);
+  limits.idle = 50ms;  // the client went by the limit of before
+  v.s.limits(limits);
+  wire::RealClock().sleep(200ms);
+  expect(a.ask(kGet, "GET /a ").starts_with("HTTP/1.1 200"), "the limit of before did not hold");
+  wire::RealClock().sleep(300ms);
+  same(a.read(), "", "the new limit holds from the next request on");
+}
+
+// Connections that wait for room make busy ones end with their answer.
+void crowded_answers_are_the_last() {
+  wire::HttpLimits limits;
+  limits.most = 1;
+  std::unique_ptr<Served> server;
+  server = std::make_unique<Served>(limits, [](base::Request& request) -> base::Response {
+    wire::RealClock().sleep(50ms);
+    return echo()(request);
+  });
+  Raw a(server->addr);
+  a.send(kGet);
+  until([&] { return server->s.running() == 1; }, "it runs");
+  Raw b(server->addr);
+  wire::RealClock().sleep(20ms);
+  auto last = a.read();
+  expect(a.ended && last.find("Connection: close") != last.npos, "not the last answer: " + last);
+  b.ask(kGet, "GET /a ");
+}
+
 void unread() {
   wire::HttpLimits l;
   l.write = 200ms;
@@ -248,6 +306,9 @@
           {"server: all bodies together are bounded", budget},
           {"server: winding down ends idle connections and finishes begun ones", ends},
           {"server: beyond its bound the longest idle connection goes", crowded},
+          {"server: a request that has come is not cut off as idle", closing_spares_what_came},
+          {"server: a shorter idle limit spares what rests already", shorter_idle_limit_spares_what_rests},
+          {"server: an answer is the last while others wait for room", crowded_answers_are_the_last},
           {"server: an answer nobody reads is given up", unread},
           {"server: what trails a chunked body is no header", trailers},
           {"server: running out of descriptors passes", no_descriptors},
