--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -55,6 +55,16 @@
   return set;
 }
 
+std::vector<std::string> draw_known(std::vector<Member> known, base::Random& random) {
+  for (size_t i = known.size(); i > 1; --i) std::swap(known[i - 1], known[random.below(i)]);
+  size_t with_disk = 0, without = 0;
+  std::vector<std::string> addresses;
+  for (auto& member : known)
+    if ((member.fact.disk() ? with_disk : without)++ < kAskedOfEach)
+      addresses.push_back(member.fact.http_address());
+  return addresses;
+}
+
 struct Discovery::Impl {
   base::Ports& ps;
   DiscoveryConfig c;
@@ -106,7 +116,8 @@
   void look() {
     auto at = c.seeds;
     for (auto& a : origin) at.push_back(a);
-    for (auto& m : state_cache.statuses().all(ps.clock.now())) at.push_back(m.fact.http_address());
+    for (auto& address : draw_known(state_cache.statuses().all(ps.clock.now()), ps.random))
+      at.push_back(address);
     std::sort(at.begin(), at.end());
     at.erase(std::unique(at.begin(), at.end()), at.end());
     std::erase(at, std::string());
@@ -158,7 +169,8 @@
         looked = now;
         tell();
       }
-      ps.clock.sleep(c.bound);
+      ps.clock.sleep(c.bound / 2 +
+                     Duration(static_cast<int64_t>(ps.random.below(static_cast<uint64_t>(c.bound.count())))));
     }
   }
 
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -26,6 +26,12 @@
 // has a disk, or two that differ go by one name.
 std::optional<pb::ReplicaSet> first_set(const std::vector<Self>& seeds);
 
+// Of the nodes once heard of, so many with a disk and so many others are asked at a time.
+inline constexpr size_t kAskedOfEach = 2;
+// The control addresses to ask, drawn by lot: all nodes of a fleet may seek at the same time,
+// and must not drown each other.
+std::vector<std::string> draw_known(std::vector<Member> known, base::Random& random);
+
 class Discovery {
  public:
   Discovery(base::Ports& ps, DiscoveryConfig c, consensus::RegisterClient& b, StateCache& m,
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -11,6 +11,7 @@
 #include "base/log.hpp"
 #include "consensus/vote.hpp"
 #include "membership/deregistered.hpp"
+#include "membership/pull_schedule.hpp"
 
 namespace dunlinwing::membership {
 namespace {
@@ -44,6 +45,7 @@
   TimePoint said{0};
   std::string said_key;
   std::vector<std::pair<TimePoint, std::shared_ptr<base::Condition>>> waits;
+  PullSchedule schedule;
   std::map<std::string, int> silent;      // asks in a row that a holder did not answer
   bool told = false, asked = false;       // asked: somebody waits for the next pull
   std::shared_ptr<base::Condition> rest;  // where the loop waits between pulls
@@ -56,7 +58,8 @@
         mine(m),
         own(std::move(o)),
         seen(std::move(s)),
-        statuses(c.session()) {
+        statuses(c.session()),
+        schedule(ps.random, c.pull()) {
     first = static_cast<size_t>(ps.random.below(b.replicas().size()));
   }
 
@@ -212,7 +215,8 @@
       }
       return any;
     };
-    if (!ask({first}, c.pull() / 4)) first = (first + 1) % hs.size();
+    // A replica that answers late would only be asked twice.
+    if (!schedule.failing() && !ask({first}, c.pull() / 4)) first = (first + 1) % hs.size();
     std::vector<size_t> rest, later;
     for (size_t k = 0; k < hs.size(); ++k)
       if (auto i = (first + k) % hs.size(); k || heard.empty()) rest.push_back(i);
@@ -294,14 +298,11 @@
       if (!was && p->told) p->began = p->ps.clock.now();
       if (was && !p->told) lg.warn("{}: the read lease has lapsed.", p->c.me);
       if (!was && p->told) lg.info("{}: the read lease stands.", p->c.me);
-      Duration spent = p->ps.clock.now() - from;
-      Duration rest = p->c.pull() - spent;
-      if (!ok) rest = std::min(rest, p->c.pull() / 2);
-      Duration least = p->c.pull() / 10;  // between pulls, whoever is in a hurry
-      p->ps.clock.sleep(least);
-      if (rest > least && !p->asked) {
+      auto wait = p->schedule.after(ok, p->ps.clock.now() - from);
+      p->ps.clock.sleep(wait.least);
+      if (wait.usual > wait.least && !p->asked) {
         p->rest = p->ps.tasks.condition();
-        p->rest->wait(rest - least);
+        p->rest->wait(wait.usual - wait.least);
         p->rest.reset();
       }
     }
--- a/src/relay/main.cpp
+++ b/src/relay/main.cpp
@@ -13,6 +13,7 @@
 #include "platform/face.hpp"
 #include "platform/gate.hpp"
 #include "relay/reread.hpp"
+#include "relay/socket_budget.hpp"
 #include "software/stager.hpp"
 #include "storage/async_disk.hpp"
 #include "storage/snapshot_store.hpp"
@@ -68,6 +69,7 @@
   dw::wire::Pool pool;
   dw::wire::RealClock clock;
   dw::wire::RealChance random;
+  dw::relay::SocketBudget sockets;
   dw::wire::PeerNet net;
   dw::wire::HttpOrigin origin;
   dw::base::Ports ports{clock, random, pool, net, origin};
@@ -85,7 +87,9 @@
   explicit App(dw::relay::Config cc)
       : c(std::move(cc)),
         pool(c.threads),
-        origin(16u << 20, c.sockets > 0 ? static_cast<size_t>(std::max(4, c.sockets / 10)) : 512) {}
+        sockets(dw::relay::share_sockets(c.sockets, !c.data.empty())),
+        net(sockets.peers_asked),
+        origin(16u << 20, sockets.upstream_idle) {}
 
   // Carried requests are traffic: they run on a traffic thread, not on control's.
   dw::pb::Reply answer(const dw::pb::Ask& a) {
@@ -110,18 +114,15 @@
 
   std::optional<std::string> listen() {
     if (auto e = dw::wire::serve_peers(
-            pool, c.node.peer_address, [this](auto& a) { return answer(a); },
-            c.sockets > 0 ? static_cast<size_t>(c.sockets) / 5 : 4096))
+            pool, c.node.peer_address, [this](auto& a) { return answer(a); }, sockets.peers_served))
       return e;
     if (c.callers.empty()) return {};
     dw::wire::HttpLimits lim;
     lim.body_bytes = 8u << 20;
     lim.bodies = c.memory_mb > 0 ? static_cast<size_t>(c.memory_mb * (1 << 20) / 4) : lim.bodies;
-    // Of the sockets a third is for callers, a fifth for peers who ask, a tenth for idle
-    // workers; the rest is for shots and asks under way.
-    if (c.sockets > 0) lim.most = static_cast<size_t>(std::max(3, c.sockets / 16));
+    lim.most = sockets.operators;
     auto calls = lim;
-    if (c.sockets > 0) calls.most = static_cast<size_t>(c.sockets / 3);
+    calls.most = sockets.clients;
     callers = std::make_unique<dw::wire::HttpServer>(pool, "callers", calls,
                                                      [this](auto& q) { return node->serve(q); });
     dw::wire::HttpHandler product = [this](auto& q) { return control->answer(q); };
@@ -131,6 +132,7 @@
     operators = std::make_unique<dw::wire::HttpServer>(pool, "control", lim, told);
     if (auto e = operators->listen(c.control, 0, 1)) return e;
     if (!c.readiness.empty()) {
+      lim.most = sockets.readiness;
       readiness = std::make_unique<dw::wire::HttpServer>(pool, "readiness", lim, told);
       if (auto e = readiness->listen(c.readiness, 0, 1)) return e;
     }
@@ -148,7 +150,7 @@
       lim.head_bytes = static_cast<size_t>(l->head_bytes);
       lim.body_bytes = static_cast<size_t>(l->body_bytes);
       if (c.memory_mb > 0) lim.bodies = static_cast<size_t>(c.memory_mb * (1 << 20) / 4);
-      if (c.sockets > 0) lim.most = static_cast<size_t>(c.sockets / 3);
+      lim.most = sockets.clients;
       lim.read = l->head_time;
       lim.idle = l->idle_time;
       callers->limits(lim);
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -1,4 +1,4 @@
-// Frames, the pool of idle connections, and the server's loop. Each ask has a number,
+// Frames, asks, and the server's loop. Each ask has a number,
 // which its reply repeats; a connection whose ask did not end well is reset, so no reply
 // can meet another's ask and no ask is delivered after it was given up. A silent one is dropped: by the
 // server after a while, by us well before.
@@ -12,6 +12,7 @@
 
 #include "base/log.hpp"
 #include "wire/line.hpp"
+#include "wire/peer_connections.hpp"
 
 namespace dunlinwing::wire {
 namespace asio = boost::asio;
@@ -20,21 +21,12 @@
 namespace {
 constexpr base::Log lg("peer");
 constexpr uint32_t kMostFrame = 32u << 20;
-constexpr size_t kMostIdle = 8;
 constexpr std::chrono::seconds kServerIdle(30);  // without a byte from the peer
-constexpr std::chrono::seconds kKept(20);        // well before the other side drops it
-constexpr std::chrono::seconds kPruneEvery(5);
 constexpr std::chrono::seconds kReplyMoves(5);
 constexpr Duration kDoor(50);  // how soon it is looked again whether there is room
 constexpr size_t kFrameRoom = 64 << 10;
 
 using At = std::chrono::steady_clock::time_point;
-struct Spare {
-  std::shared_ptr<Line> l;
-  At since;
-};
-thread_local std::map<std::string, std::vector<Spare>> idle;
-
 At now() { return std::chrono::steady_clock::now(); }
 
 // Of the asks of this process: no number is used twice, on whichever connection.
@@ -134,43 +126,14 @@
   return a;
 }
 
-namespace {
-void prune(At t) {
-  thread_local At last{};
-  if (t - last < kPruneEvery) return;
-  last = t;
-  for (auto it = idle.begin(); it != idle.end();) {
-    std::erase_if(it->second, [&](Spare& s) {
-      bool bad = t - s.since >= kKept || !s.l->quiet();
-      if (bad) s.l->close();
-      return bad;
-    });
-    it = it->second.empty() ? idle.erase(it) : std::next(it);
-  }
-}
-}  // namespace
-
 std::variant<pb::Reply, base::NetError> PeerNet::ask(const std::string& addr, const pb::Ask& a,
                                                      Duration limit) {
-  auto t = now();
-  prune(t);
-  auto end = t + limit;
-  std::shared_ptr<Line> l;
-  if (auto f = idle.find(addr); f != idle.end()) {
-    for (auto& v = f->second; !l && !v.empty();) {
-      if (t - v.back().since < kKept && v.back().l->still())
-        l = std::move(v.back().l);
-      else
-        v.back().l->close();
-      v.pop_back();
-    }
-    if (f->second.empty()) idle.erase(f);
-  }
-  bool reused = l != nullptr;
-  if (!l) l = Line::to(addr, end).first;
+  auto end = now() + limit;
+  auto& connections = peer_connections();
+  auto [l, reused] = connections.borrow(addr, end, most_);
   if (!l) return base::NetError::unreachable;
   Alarm late;
-  late.set(end, [&l] { l->stop(); });
+  late.set(end, [line = l] { line->stop(); });
   pb::Ask name;
   name.set_number(next_number());
   pb::Reply r;
@@ -181,7 +144,7 @@
   bool others = r.number() && r.number() != name.number();  // 0: an older process, which repeats none
   if (ec || others || !l->got().empty()) {
     bool timed = l->stopped();
-    l->abort();
+    connections.discard(addr, l, most_);
     // A kept connection may have been ended for room just now. Asks may come twice, but for requests carried.
     if (ec && reused && !timed && l->got().empty() && !a.has_carry())
       return ask(addr, a, std::chrono::duration_cast<Duration>(end - now()));
@@ -190,13 +153,7 @@
            : ec == boost::system::errc::bad_message ? base::NetError::garbled
                                                     : base::NetError::broken;
   }
-  l->arm();
-  auto& v = idle[addr];
-  v.push_back({std::move(l), now()});
-  if (v.size() > kMostIdle) {
-    v.front().l->close();
-    v.erase(v.begin());
-  }
+  connections.give_back(addr, std::move(l), most_);
   return r;
 }
 
--- a/src/wire/peer.hpp
+++ b/src/wire/peer.hpp
@@ -8,8 +8,13 @@
 
 class PeerNet final : public base::Net {
  public:
+  // At most `most` connections to other relays are open at once, for each thread that asks.
+  explicit PeerNet(size_t most = 4096) : most_(most) {}
   std::variant<pb::Reply, base::NetError> ask(const std::string& addr, const pb::Ask& a,
                                               Duration limit) override;
+
+ private:
+  size_t most_;
 };
 
 using PeerHandler = std::function<pb::Reply(const pb::Ask&)>;
--- /dev/null
+++ b/src/wire/peer_connections.cpp
@@ -0,0 +1,130 @@
+#include "wire/peer_connections.hpp"
+
+#include <algorithm>
+
+namespace dunlinwing::wire {
+namespace {
+constexpr std::chrono::seconds kKeptIdle(20);  // well before the other side closes it
+constexpr std::chrono::seconds kPruneEvery(5);
+constexpr size_t kMostIdleEach = 8;
+constexpr size_t kLentShare = 3;  // one address may borrow a third of all
+}  // namespace
+
+PeerConnections& peer_connections() {
+  thread_local PeerConnections connections;
+  return connections;
+}
+
+size_t PeerConnections::most_lent(size_t most) { return std::max<size_t>(1, most / kLentShare); }
+
+size_t PeerConnections::idle_count() const {
+  size_t count = 0;
+  for (auto& [address, relay] : relays_) count += relay.idle.size();
+  return count;
+}
+
+std::shared_ptr<Line> PeerConnections::take_idle(Relay& relay) {
+  auto now = Clock::now();
+  while (!relay.idle.empty()) {
+    auto latest = std::move(relay.idle.back());
+    relay.idle.pop_back();
+    if (now - latest.since < kKeptIdle && latest.line->still()) return latest.line;
+    latest.line->close();
+  }
+  return nullptr;
+}
+
+PeerConnections::Relay* PeerConnections::longest_idle() {
+  Relay* oldest = nullptr;
+  for (auto& [address, relay] : relays_)
+    if (!relay.idle.empty() && (!oldest || relay.idle.front().since < oldest->idle.front().since))
+      oldest = &relay;
+  return oldest;
+}
+
+// True when a new connection may be opened; closes those that are idle longest for it.
+bool PeerConnections::make_room(size_t most) {
+  while (open() >= most) {
+    auto* relay = longest_idle();
+    if (!relay) return false;
+    relay->idle.front().line->close();
+    relay->idle.erase(relay->idle.begin());
+  }
+  return true;
+}
+
+PeerConnections::Loan PeerConnections::borrow(const std::string& address, Clock::time_point end,
+                                              size_t most) {
+  prune(Clock::now());
+  for (;;) {
+    auto& relay = relays_[address];
+    if (relay.lent < most_lent(most)) {
+      if (auto line = take_idle(relay)) {
+        ++relay.lent;
+        ++lent_;
+        return {line, true};
+      }
+      if (make_room(most)) break;
+    }
+    auto now = Clock::now();
+    if (now >= end) return {};
+    auto waiter = waiters_.insert(waiters_.end(), {address, make_spot()});
+    waiter->condition->wait(std::chrono::ceil<Duration>(end - now));
+    waiters_.erase(waiter);
+    if (Clock::now() >= end) {
+      wake_next(most);  // this one may have been woken, and does not use it
+      return {};
+    }
+  }
+  ++relays_[address].lent;
+  ++lent_;
+  auto line = Line::to(address, end).first;
+  if (!line) returned(address, most);
+  return {line, false};
+}
+
+void PeerConnections::give_back(const std::string& address, std::shared_ptr<Line> line, size_t most) {
+  line->arm();  // so that its end is noticed
+  auto& idle = relays_[address].idle;
+  idle.push_back({std::move(line), Clock::now()});
+  if (idle.size() > kMostIdleEach) {
+    idle.front().line->close();
+    idle.erase(idle.begin());
+  }
+  returned(address, most);
+}
+
+void PeerConnections::discard(const std::string& address, const std::shared_ptr<Line>& line, size_t most) {
+  line->abort();
+  returned(address, most);
+}
+
+void PeerConnections::returned(const std::string& address, size_t most) {
+  --relays_[address].lent;
+  --lent_;
+  wake_next(most);
+}
+
+void PeerConnections::wake_next(size_t most) {
+  for (auto& waiter : waiters_) {
+    if (waiter.woken || relays_[waiter.address].lent >= most_lent(most)) continue;
+    waiter.woken = true;
+    return waiter.condition->notify();
+  }
+}
+
+void PeerConnections::prune(Clock::time_point now) {
+  if (now - pruned_ < kPruneEvery) return;
+  pruned_ = now;
+  for (auto it = relays_.begin(); it != relays_.end();) {
+    auto& relay = it->second;
+    std::erase_if(relay.idle, [&](Idle& idle) {
+      bool unfit = now - idle.since >= kKeptIdle || !idle.line->quiet();
+      if (unfit) idle.line->close();
+      return unfit;
+    });
+    it = relay.idle.empty() && relay.lent == 0 ? relays_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace dunlinwing::wire
--- /dev/null
+++ b/src/wire/peer_connections.hpp
@@ -0,0 +1,66 @@
+// The connections from one thread of this process to other relays: those that are lent for an
+// ask, and the idle ones that may be used again. Their number is bounded, for a process that
+// runs out of descriptors takes nobody's connections any more. Used by its own thread only.
+#pragma once
+#include <list>
+#include <map>
+#include <vector>
+
+#include "wire/line.hpp"
+
+namespace dunlinwing::wire {
+
+class PeerConnections {
+ public:
+  using Clock = std::chrono::steady_clock;
+
+  struct Loan {
+    std::shared_ptr<Line> line;  // null: none could be had in time
+    bool reused = false;         // it has carried an ask before
+  };
+
+  // Waits until `end` for an idle connection to `address`, or for room for a new one. At most
+  // `most` are open in all, and so many of them lent to one address that a silent relay leaves
+  // room for the others.
+  Loan borrow(const std::string& address, Clock::time_point end, size_t most);
+  // After a whole reply, with nothing left to read.
+  void give_back(const std::string& address, std::shared_ptr<Line> line, size_t most);
+  // Resets it: what was not delivered never will be.
+  void discard(const std::string& address, const std::shared_ptr<Line>& line, size_t most);
+
+  size_t open() const { return lent_ + idle_count(); }
+
+ private:
+  struct Idle {
+    std::shared_ptr<Line> line;
+    Clock::time_point since;
+  };
+  struct Relay {
+    std::vector<Idle> idle;  // the latest used last
+    size_t lent = 0;
+  };
+  struct Waiter {
+    std::string address;
+    std::shared_ptr<base::Condition> condition;
+    bool woken = false;
+  };
+
+  static size_t most_lent(size_t most);
+  std::shared_ptr<Line> take_idle(Relay& relay);
+  Relay* longest_idle();
+  bool make_room(size_t most);
+  void returned(const std::string& address, size_t most);
+  void wake_next(size_t most);
+  void prune(Clock::time_point now);
+  size_t idle_count() const;
+
+  std::map<std::string, Relay> relays_;
+  std::list<Waiter> waiters_;  // the first to come first
+  size_t lent_ = 0;
+  Clock::time_point pruned_{};
+};
+
+// Those of the calling thread.
+PeerConnections& peer_connections();
+
+}  // namespace dunlinwing::wire
--- /dev/null
+++ b/test/contact_unit.cpp
@@ -0,0 +1,102 @@
+// What keeps the control side reachable when a whole fleet has lost its contact at once: few
+// addresses are asked, failing pulls grow seldom, and descriptors suffice for control.
+#include "membership/discovery.hpp"
+#include "membership/pull_schedule.hpp"
+#include "relay/socket_budget.hpp"
+#include "unit.hpp"
+
+namespace dunlinwing::test {
+namespace {
+constexpr Duration kPeriod(250);
+
+class Sequence final : public base::Random {
+ public:
+  uint64_t draw() override { return state_ = state_ * 6364136223846793005u + 1442695040888963407u; }
+
+ private:
+  uint64_t state_ = 1;
+};
+
+membership::Member member(int number, bool disk) {
+  membership::Member member;
+  member.name = fmt::format("n{}", number);
+  member.fact.set_http_address(member.name);
+  member.fact.set_disk(disk);
+  return member;
+}
+
+void few_are_asked() {
+  Sequence random;
+  constexpr int kNodes = 200, kWithDisk = 6;
+  std::vector<membership::Member> known;
+  for (int i = 0; i < kNodes; ++i) known.push_back(member(i, i < kWithDisk));
+  std::set<std::string> asked;
+  for (int look = 0; look < 100; ++look) {
+    auto drawn = membership::draw_known(known, random);
+    expect(drawn.size() == 2 * membership::kAskedOfEach, fmt::format("{} addresses at once", drawn.size()));
+    asked.insert(drawn.begin(), drawn.end());
+  }
+  for (int i = 0; i < kWithDisk; ++i)
+    expect(asked.count(fmt::format("n{}", i)) > 0, "a node with a disk is never asked");
+  expect(asked.size() > 100, "always the same are asked");
+  expect(membership::draw_known({member(1, false)}, random).size() == 1, "one known, one asked");
+}
+
+// Pulls in ten seconds, each of which takes as long as a pull may.
+int pulls_in_ten_seconds(bool good, bool hurried) {
+  Sequence random;
+  membership::PullSchedule schedule(random, kPeriod);
+  int pulls = 0;
+  for (Duration time(0); time < Duration(10000); ++pulls) {
+    auto spent = good ? Duration(10) : Duration(0);
+    auto wait = schedule.after(good, spent);
+    expect(wait.usual >= wait.least, "the usual wait is the longer one");
+    time += spent + (hurried ? wait.least : wait.usual);
+  }
+  return pulls;
+}
+
+void failing_pulls_are_seldom() {
+  same(pulls_in_ten_seconds(true, false), 40, "good pulls in ten seconds");
+  auto failing = pulls_in_ten_seconds(false, false);
+  expect(failing <= 32, fmt::format("{} failing pulls in ten seconds", failing));
+  expect(failing >= 15, fmt::format("only {} failing pulls in ten seconds", failing));
+  auto hurried = pulls_in_ten_seconds(false, true);
+  expect(hurried <= 85, fmt::format("{} failing pulls in ten seconds for those in a hurry", hurried));
+}
+
+void one_good_pull_resets() {
+  Sequence random;
+  membership::PullSchedule schedule(random, kPeriod);
+  for (int i = 0; i < 9; ++i) schedule.after(false, Duration(0));
+  expect(schedule.failing(), "nine failures in a row");
+  same(schedule.after(true, Duration(0)).usual.count(), kPeriod.count(), "the wait after a good pull");
+  expect(!schedule.failing(), "after a good pull");
+  expect(schedule.after(false, Duration(0)).usual <= kPeriod / 2, "a single lost pull is repeated soon");
+}
+
+// All kinds of connections at their bounds at once, and the ones to backend instances, of which
+// each client's request may use one.
+void sockets_suffice() {
+  constexpr size_t kListening = 4;
+  for (int sockets = 40; sockets < 5000; ++sockets)
+    for (bool disk : {false, true}) {
+      auto budget = relay::share_sockets(sockets, disk);
+      auto most = kListening + 2 * budget.clients + budget.upstream_idle + budget.operators +
+                  budget.readiness + budget.peers_served + budget.peers_asked;
+      expect(most <= static_cast<size_t>(sockets), fmt::format("{} of {} sockets", most, sockets));
+      expect(budget.clients * 6 >= static_cast<size_t>(sockets), "clients get a sixth at the least");
+    }
+  auto unbounded = relay::share_sockets(0, true);
+  expect(unbounded.clients == 0 && unbounded.peers_served > 1000, "nothing stated, nothing bounded");
+}
+}  // namespace
+
+std::vector<Case> contact_cases() {
+  return {{"contact: few of the known nodes are asked at a time", few_are_asked},
+          {"contact: failing pulls are seldom, whoever is in a hurry", failing_pulls_are_seldom},
+          {"contact: one good pull ends the waiting", one_good_pull_resets},
+          {"contact: all sockets at their bounds are within the process's", sockets_suffice}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/unit.hpp
+++ b/test/unit.hpp
@@ -15,6 +15,7 @@
 std::vector<Case> rollout_cases();
 std::vector<Case> fence_cases();
 std::vector<Case> control_state_cases();
+std::vector<Case> contact_cases();
 std::vector<Case> move_cases();
 std::vector<Case> traffic_cases();
 std::vector<Case> checker_cases();
--- a/test/wire_peer.cpp
+++ b/test/wire_peer.cpp
@@ -2,6 +2,7 @@
 // turn or late, and when connections are reset under asks that wait.
 #include "scripted_peer.hpp"
 #include "wire/peer.hpp"
+#include "wire/peer_connections.hpp"
 
 namespace dunlinwing::test {
 namespace {
@@ -141,6 +142,40 @@
   same(asked, 1, "times a forwarded request was sent");
 }
 
+// Asks to a silent relay and to one that answers, far more than connections are allowed.
+void bounded_connections() {
+  constexpr size_t kMost = 6;
+  constexpr int kAsks = 40;
+  auto& connections = wire::peer_connections();
+  ScriptedPeer silent([&](int, const pb::Ask&) -> std::string { return ""; });
+  ScriptedPeer prompt([&](int, const pb::Ask& ask) {
+    wire::RealClock().sleep(1ms);
+    return ScriptedPeer::frame(numbered(ask));
+  });
+  wire::PeerNet net(kMost);
+  expect(own(net.ask(prompt.address(), fetch(1), kPlenty), 1),
+         "a first ask, which ends what others left idle");
+  int left = 2 * kAsks, answered = 0;
+  size_t peak = 0;
+  for (int i = 0; i < kAsks; ++i)
+    for (auto* peer : {&silent, &prompt})
+      pool().spawn([&, i, peer] {
+        answered += own(net.ask(peer->address(), fetch(i), peer == &prompt ? kPlenty : kPatience), i);
+        peak = std::max(peak, connections.open());
+        --left;
+      });
+  until(
+      [&] {
+        peak = std::max(peak, connections.open());
+        return left == 0;
+      },
+      "all asks end");
+  same(answered, kAsks, "asks answered by the prompt relay");
+  expect(peak <= kMost, fmt::format("{} connections were open, {} are allowed", peak, kMost));
+  expect(own(net.ask(silent.address(), fetch(1), kPatience), 1) == false, "the silent relay answers nothing");
+  expect(own(net.ask(prompt.address(), fetch(1), kPlenty), 1), "an ask after them");
+}
+
 // The number stands in every ask and comes back in the reply of our own server.
 void served() {
   std::string address;
@@ -168,6 +203,7 @@
           {"peer: a late duplicate meets no other ask", late_duplicate},
           {"peer: connections reset under asks", reset_under_asks},
           {"peer: a forwarded request is sent once", forwarded_once},
+          {"peer: connections are bounded, and a silent relay leaves room", bounded_connections},
           {"peer: each ask has a number of its own", served}};
 }
 
