Pulls are told in bounded replies, and a pull is taken apart into steps

Cause: a reply to a pull had to come whole within an eighth of the bound; a node that lacks everything (after a start, all nodes at once after a loss of power) asks each replica for all registers and statuses, and what came too late was thrown away whole and asked for again. Change: a reply holds so much at the most (64 KiB, and 2 KiB for each known node), tells that there is more, and the next pull, at once, goes on there. Only a whole reply counts for the read lease. An older asker states no bound and is told all at once. ReplicaAnswers (what each replica told, and when) and PullSchedule are modules of their own; one pull is a struct with a function a step.

--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -389,7 +389,7 @@
   return out;
 }
 
-void Acceptor::changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const {
+void Acceptor::changes(uint64_t boot, uint64_t seen, uint64_t most_bytes, pb::PullReply& out) const {
   auto& p = *p_;
   out.set_boot(p.boot);
   out.set_seen(mute() ? 0 : p.count);  // of what is not told yet nothing was seen
@@ -398,8 +398,18 @@
   out.set_adopted_epoch(p.synced_epoch);
   if (mute()) return;
   if (boot != p.boot) seen = 0;
-  for (auto& [k, n] : p.feed)
-    if (n > seen) *out.add_slots() = p.synced.at(k);
+  std::map<uint64_t, const std::string*> later;  // by the number of the change
+  for (auto& [name, number] : p.feed)
+    if (number > seen) later[number] = &name;
+  size_t bytes = 0;
+  for (auto& [number, name] : later) {
+    auto& state = p.synced.at(*name);
+    bytes += state.ByteSizeLong();
+    if (most_bytes && bytes > most_bytes && out.slots_size() > 0) return out.set_more(true);
+    *out.add_slots() = state;
+    out.set_seen(number);
+  }
+  out.set_seen(p.count);
 }
 
 }  // namespace dunlinwing::consensus
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -16,7 +16,9 @@
   void start(const std::optional<pb::First>& first);
   std::optional<pb::First> first() const;  // as told, or as the blank disk remembers
   pb::Reply answer(const pb::Ask& a);      // prepare, accept, peek, dump; parks until synced
-  void changes(uint64_t boot, uint64_t seen, pb::PullReply& out) const;
+  // What was synced after the change numbered `seen` of this start `boot`, the oldest change first
+  // and about `most_bytes` of it (0: all); `seen` and `more` in `out` tell how far it goes.
+  void changes(uint64_t boot, uint64_t seen, uint64_t most_bytes, pb::PullReply& out) const;
   bool mute() const;
   // Makes a newer replica set durable here; asks of lower epochs are rejected from then on.
   bool adopt(const pb::ReplicaSet& s);
--- a/src/membership/pull_schedule.hpp
+++ b/src/membership/pull_schedule.hpp
@@ -9,6 +9,12 @@
 
 namespace dunlinwing::membership {
 
+enum class PullResult {
+  good,     // a quorum told everything
+  partial,  // there is more to ask for at once
+  failed,
+};
+
 class PullSchedule {
  public:
   PullSchedule(base::Random& random, Duration period) : random_(random), period_(period) {}
@@ -18,8 +24,9 @@
     Duration least;  // whoever is in a hurry
     Duration usual;
   };
-  Wait after(bool good, Duration spent) {
-    failures_ = good ? 0 : failures_ + 1;
+  Wait after(PullResult result, Duration spent) {
+    if (result == PullResult::partial) return {hurried(), hurried()};
+    failures_ = result == PullResult::good ? 0 : failures_ + 1;
     if (failures_ == 0) return {hurried(), std::max(hurried(), period_ - spent)};
     if (failures_ <= kQuickRetries)
       return {hurried(), std::max(hurried(), std::min(period_ / 2, period_ - spent))};
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -1,9 +1,11 @@
-// One pull asks one holder first and, with what that one knew, all others at
-// once, so that each piece of statuses comes once and not from everybody. It goes on
-// when all have answered or an eighth of the bound has passed. It is good when a majority of voting holders
-// answered and every register whose latest ballot is not at a majority has
-// been finished by a read. Whatever was acknowledged before such a pull began
-// is then in `chosen`.
+// One pull asks one replica first and, with what that one told, the others at once, so that
+// each status comes once and not from everybody. It goes on when all have answered or an
+// eighth of the bound has passed. It is good when a quorum of voting replicas answered whole
+// and every register whose latest ballot is not at a quorum has been finished by a read.
+// Whatever was acknowledged before such a pull began is then in `chosen`.
+//
+// A reply is bounded in size, and the next pull goes on where it ended: a node that lacks
+// much, as after a start, comes to know it over a thin or busy link too.
 #include "membership/state_cache.hpp"
 
 #include <algorithm>
@@ -12,21 +14,18 @@
 #include "consensus/vote.hpp"
 #include "membership/deregistered.hpp"
 #include "membership/pull_schedule.hpp"
+#include "membership/replica_answers.hpp"
 
 namespace dunlinwing::membership {
 namespace {
 constexpr base::Log lg("membership");
 constexpr size_t kLargeFleet = 32;
+// In one reply: so much at the least, and for each known node more than it says of itself, for
+// what changes between two pulls must always fit.
+constexpr uint64_t kLeastBytesPulled = 64 << 10, kBytesPulledPerNode = 2 << 10;
 }  // namespace
 
 struct StateCache::Impl {
-  struct Side {
-    uint64_t boot = 0, seen = 0;
-    TimePoint answered{0};
-    TimePoint asked{0};  // when the ask began that it last answered
-    TimePoint voted{0};  // when it last answered and was not mute
-    std::map<std::string, pb::RegisterState> slots;
-  };
   base::Ports& ps;
   StateCacheConfig c;
   consensus::RegisterClient& registers;
@@ -34,22 +33,32 @@
   std::function<void(pb::NodeStatus&)> own;
   std::function<void()> seen;
   StatusTable statuses;
-  std::map<std::string, Side> sides;  // by holder
+  ReplicaAnswers answers;
   Chosen chosen;
-  std::map<std::string, pb::Ballot> at;  // the ballot at which `chosen` was settled
-  std::set<std::string> open;
+  std::set<std::string> open;  // registers whose chosen value may have changed
   uint64_t incarnation = 0, count = 0, deregistered = 0;
-  size_t first = 0;  // the holder asked first
+  size_t first = 0;  // the replica asked first
   std::atomic<int64_t> read_lease{0};
   TimePoint began{0};  // when this node's fresh contact with a quorum last began
   TimePoint said{0};
   std::string said_key;
   std::vector<std::pair<TimePoint, std::shared_ptr<base::Condition>>> waits;
   PullSchedule schedule;
-  std::map<std::string, int> silent;      // asks in a row that a holder did not answer
+  std::map<std::string, int> silent;      // asks in a row that a replica did not answer
   bool told = false, asked = false;       // asked: somebody waits for the next pull
   std::shared_ptr<base::Condition> rest;  // where the loop waits between pulls
 
+  // One pull under way.
+  struct Pull {
+    TimePoint start;
+    uint64_t epoch;
+    std::vector<consensus::Replica> replicas;
+    consensus::MemberFlags voting;  // those that answered whole and are not mute
+    std::vector<pb::PullReply> heard;
+    bool more = false;  // some have not told everything yet
+    pb::Ask ask;
+  };
+
   Impl(base::Ports& p, StateCacheConfig cc, consensus::RegisterClient& b, consensus::Acceptor* m,
        std::function<void(pb::NodeStatus&)> o, std::function<void()> s)
       : ps(p),
@@ -59,74 +68,27 @@
         own(std::move(o)),
         seen(std::move(s)),
         statuses(c.session()),
+        answers(c.word_limit()),
         schedule(ps.random, c.pull()) {
     first = static_cast<size_t>(ps.random.below(b.replicas().size()));
   }
 
-  void take(const std::string& who, const pb::PullReply& r, TimePoint now) {
-    auto& s = sides[who];
-    // The holder was restarted: it tells anew what it has accepted, which after a loss may be less.
-    if (s.boot != r.boot()) s.slots.clear();
-    s.boot = r.boot();
-    s.seen = r.seen();
-    s.answered = now;
-    if (!r.mute()) s.voted = now;
-    for (auto& x : r.slots()) {
-      s.slots[x.name()] = x;
-      open.insert(x.name());
-    }
-    for (auto& n : r.statuses())
-      if (n.source() != c.me) statuses.merge(n, now);
-  }
-
-  // What `replica` last told of a register; null: nothing.
-  const pb::RegisterState* told_by(const consensus::Replica& replica, const std::string& name) const {
-    auto side = sides.find(replica.name);
-    if (side == sides.end()) return nullptr;
-    auto state = side->second.slots.find(name);
-    return state == side->second.slots.end() ? nullptr : &state->second;
-  }
-
-  // Whether what a replica last told may still be counted: an older word may come from a
-  // disk that was lost since.
-  bool told_in_time(const consensus::Replica& replica) const {
-    auto side = sides.find(replica.name);
-    return side != sides.end() && ps.clock.now() - side->second.asked <= c.word_limit();
-  }
-
-  // The latest state known for a register, when a quorum has accepted its ballot.
-  const pb::RegisterState* latest_at_quorum(const std::string& name) const {
-    const pb::RegisterState* best = nullptr;
-    for (auto& replica : registers.replicas()) {
-      auto* state = told_by(replica, name);
-      if (state && (!best || consensus::lower(best->accepted(), state->accepted()))) best = state;
-    }
-    if (!best) return nullptr;
-    consensus::MemberFlags has_best;
-    for (auto& replica : registers.replicas()) {
-      auto* state = told_by(replica, name);
-      has_best.push_back(state && !state->copied() && told_in_time(replica) &&
-                         consensus::equal(best->accepted(), state->accepted()));
-    }
-    return registers.set().is_quorum(has_best) ? best : nullptr;
-  }
-
   bool settle_open() {
     for (auto i = open.begin(); i != open.end();) {
-      auto* s = latest_at_quorum(*i);
-      consensus::VersionedValue h;
-      if (s) {
-        h = {s->value().version(), s->value().data()};
+      auto* state = answers.latest_at_quorum(registers.set(), *i, ps.clock.now());
+      consensus::VersionedValue value;
+      if (state) {
+        value = {state->value().version(), state->value().data()};
       } else {
         auto name = *i;
-        auto g = registers.read(name);
-        auto* x = std::get_if<consensus::VersionedValue>(&g);
-        if (!x) return false;
-        h = *x;
+        auto read = registers.read(name);
+        auto* found = std::get_if<consensus::VersionedValue>(&read);
+        if (!found) return false;
+        value = *found;
         i = open.find(name);
       }
-      auto& c0 = chosen[*i];
-      if (h.version > c0.version) c0 = h;
+      auto& known = chosen[*i];
+      if (value.version > known.version) known = value;
       i = open.erase(i);
     }
     return true;
@@ -148,116 +110,158 @@
     return s;
   }
 
-  // The set of holders has changed: what is chosen is settled anew under it.
-  bool reseat() {
+  // The set of replicas has changed: what is chosen is settled anew under it.
+  PullResult reseat() {
     if (mine) mine->adopt(registers.set().message());
-    for (auto& [k, s] : sides)
-      for (auto& [n, x] : s.slots) open.insert(n);
+    for (auto& name : answers.names()) open.insert(name);
     lg.info("{}: the holders are now those of epoch {}.", c.me, registers.set().epoch());
-    return false;
+    return PullResult::failed;
   }
 
-  bool once() {
-    TimePoint start = ps.clock.now();
-    pb::Ask base;
-    auto* p = base.mutable_pull();
-    p->set_node(c.me);
-    if (incarnation) {
-      pb::NodeStatus n;
-      n.set_source(c.me);
-      n.mutable_mark()->set_incarnation(incarnation);
-      own(n);
-      auto key = gist(n);
-      bool due = start - said >= c.bound / 4;
-      if (due || key != said_key) {
-        said = start;
-        said_key = key;
-        n.mutable_mark()->set_count(++count);
-        statuses.merge(n, start);
-        *p->mutable_own() = n;
-      }
-    }
-    auto hs = registers.replicas();
-    auto epoch = registers.set().epoch();
-    if (hs.empty()) return false;  // nobody has named the holders yet
-    first %= hs.size();
+  // What this node says of itself, when it is due or has changed in what matters.
+  void state_own(pb::Pull& pull, TimePoint now) {
+    if (!incarnation) return;
+    pb::NodeStatus status;
+    status.set_source(c.me);
+    status.mutable_mark()->set_incarnation(incarnation);
+    own(status);
+    auto key = gist(status);
+    if (now - said < c.bound / 4 && key == said_key) return;
+    said = now;
+    said_key = key;
+    status.mutable_mark()->set_count(++count);
+    statuses.merge(status, now);
+    *pull.mutable_own() = status;
+  }
+
+  void take(Pull& pull, size_t index, const pb::PullReply& reply, TimePoint asked_at) {
+    auto& replica = pull.replicas[index].name;
+    auto now = ps.clock.now();
+    // One that has not made the present set durable may still vote under the one before.
+    pull.voting[index] = !reply.mute() && !reply.more() && reply.adopted_epoch() >= pull.epoch;
+    pull.more |= reply.more();
+    for (auto& name : answers.take(replica, reply, asked_at, now)) open.insert(name);
+    for (auto& status : reply.statuses())
+      if (status.source() != c.me) statuses.merge(status, now);
+    registers.set().adopt(reply.set());
+    pull.heard.push_back(reply);
+  }
+
+  // Asks those named and takes what they say; false when none answered.
+  bool ask(Pull& pull, const std::vector<size_t>& whom, Duration limit) {
+    std::vector<consensus::Replica> to;
+    for (auto i : whom) to.push_back(pull.replicas[i]);
+    *pull.ask.mutable_pull()->mutable_have() = statuses.marks();
+    auto make = [&](size_t k) {
+      pb::Ask one = pull.ask;
+      answers.state_position(to[k].name, *one.mutable_pull());
+      return one;
+    };
     consensus::Local local;
     if (mine) local = [this](const pb::Ask& a) { return answer(a); };
-    consensus::MemberFlags voting(hs.size());  // those that answered and are not mute
-    auto quorum = [&] { return registers.set().epoch() == epoch && registers.set().is_quorum(voting); };
-    std::vector<pb::PullReply> heard;
-    // Asks those named and takes what they say; false when none answered.
-    auto ask = [&](const std::vector<size_t>& who, Duration limit) {
-      std::vector<consensus::Replica> to;
-      for (auto i : who) to.push_back(hs[i]);
-      *base.mutable_pull()->mutable_have() = statuses.marks();
-      auto make = [&](size_t k) {
-        pb::Ask a = base;
-        a.mutable_pull()->set_boot(sides[hs[who[k]].name].boot);
-        a.mutable_pull()->set_seen(sides[hs[who[k]].name].seen);
-        return a;
-      };
-      TimePoint asked = ps.clock.now();
-      auto rs = consensus::ask_all(
-          ps, to, make, limit, [](auto&) { return false; }, c.me, local);
-      bool any = false;
-      for (size_t k = 0; k < rs.size(); ++k) {
-        auto& quiet = silent[hs[who[k]].name];
-        quiet = rs[k] && rs[k]->has_pull() ? 0 : quiet + 1;
-        if (quiet) continue;
-        any = true;
-        // One that has not made the present set durable may still vote under the one before.
-        voting[who[k]] = !rs[k]->pull().mute() && rs[k]->pull().adopted_epoch() >= epoch;
-        take(hs[who[k]].name, rs[k]->pull(), ps.clock.now());
-        sides[hs[who[k]].name].asked = asked;
-        registers.set().adopt(rs[k]->pull().set());
-        heard.push_back(rs[k]->pull());
-      }
-      return any;
-    };
+    auto asked_at = ps.clock.now();
+    auto replies = consensus::ask_all(
+        ps, to, make, limit, [](auto&) { return false; }, c.me, local);
+    bool any = false;
+    for (size_t k = 0; k < replies.size(); ++k) {
+      bool answered = replies[k] && replies[k]->has_pull();
+      silent[to[k].name] = answered ? 0 : silent[to[k].name] + 1;
+      if (answered) take(pull, whom[k], replies[k]->pull(), asked_at);
+      any |= answered;
+    }
+    return any;
+  }
+
+  bool has_quorum(const Pull& pull) const {
+    return registers.set().epoch() == pull.epoch && registers.set().is_quorum(pull.voting);
+  }
+
+  // Asks one replica alone, and with what it told the others.
+  void ask_replicas(Pull& pull) {
+    auto count = pull.replicas.size();
+    first %= count;
     // A replica that answers late would only be asked twice.
-    if (!schedule.failing() && !ask({first}, c.pull() / 4)) first = (first + 1) % hs.size();
+    if (!schedule.failing() && !ask(pull, {first}, c.pull() / 4)) first = (first + 1) % count;
     std::vector<size_t> rest, later;
-    for (size_t k = 0; k < hs.size(); ++k)
-      if (auto i = (first + k) % hs.size(); k || heard.empty()) rest.push_back(i);
-    // In a large fleet a relay asks no more holders than it needs, as long as those answer.
-    size_t need = registers.sufficient_count() - std::min(registers.sufficient_count(), heard.size());
+    for (size_t k = 0; k < count; ++k)
+      if (k || pull.heard.empty()) rest.push_back((first + k) % count);
+    // In a large fleet a relay asks no more replicas than it needs, as long as those answer.
+    auto sufficient = registers.sufficient_count();
+    size_t need = sufficient - std::min(sufficient, pull.heard.size());
     if (!mine && statuses.size() >= kLargeFleet && rest.size() > need) {
-      std::stable_partition(rest.begin(), rest.end(), [&](size_t i) { return silent[hs[i].name] == 0; });
+      std::stable_partition(rest.begin(), rest.end(),
+                            [&](size_t i) { return silent[pull.replicas[i].name] == 0; });
       later.assign(rest.begin() + static_cast<std::ptrdiff_t>(need), rest.end());
       rest.resize(need);
     }
-    ask(rest, c.pull());
-    if (!later.empty() && !quorum()) ask(later, c.pull());
-    TimePoint now = ps.clock.now();
-    if (registers.set().epoch() != epoch) return reseat();
-    if (!quorum()) return false;
+    ask(pull, rest, c.pull());
+    if (!later.empty() && !has_quorum(pull) && !pull.more) ask(pull, later, c.pull());
+  }
+
+  // Under which incarnation this node was known before; the next pull announces it.
+  void find_incarnation(const Pull& pull) {
+    auto latest = statuses.mark(c.me);
+    for (auto& reply : pull.heard)
+      for (auto& status : reply.statuses())
+        if (status.source() == c.me && (!latest || newer(status.mark(), *latest))) latest = status.mark();
+    incarnation = latest ? latest->incarnation() + 1 : 1;
+  }
+
+  // Whether a newer set of replicas is among what is chosen.
+  bool chosen_set_is_newer(uint64_t epoch) {
+    auto found = chosen.find(consensus::kReplicaSetKey);
+    pb::ReplicaSet set;
+    if (found == chosen.end() || !set.ParseFromString(found->second.data) || set.epoch() <= epoch)
+      return false;
+    registers.set().adopt(set);
+    return true;
+  }
+
+  void follow_deregistered() {
+    auto found = chosen.find(kDeregisteredKey);
+    if (found == chosen.end() || found->second.version == deregistered) return;
+    deregistered = found->second.version;
+    statuses.deregistered(read_deregistered(found->second.data));
+  }
+
+  PullResult once() {
+    Pull pull;
+    pull.start = ps.clock.now();
+    pull.replicas = registers.replicas();
+    pull.epoch = registers.set().epoch();
+    pull.voting.resize(pull.replicas.size());
+    if (pull.replicas.empty()) return PullResult::failed;  // nobody has named the replicas yet
+    pull.ask.mutable_pull()->set_node(c.me);
+    pull.ask.mutable_pull()->set_most_bytes(
+        std::max(kLeastBytesPulled, statuses.size() * kBytesPulledPerNode));
+    state_own(*pull.ask.mutable_pull(), pull.start);
+    ask_replicas(pull);
+    if (registers.set().epoch() != pull.epoch) return reseat();
+    if (!has_quorum(pull)) return pull.more ? PullResult::partial : PullResult::failed;
     if (!incarnation) {
-      auto m = statuses.mark(c.me);
-      for (auto& r : heard)
-        for (auto& x : r.statuses())
-          if (x.source() == c.me && (!m || newer(x.mark(), *m))) m = x.mark();
-      incarnation = m ? m->incarnation() + 1 : 1;
-      return false;  // the next pull announces this node
-    }
-    if (!settle_open()) return false;
-    if (auto f = chosen.find(consensus::kReplicaSetKey); f != chosen.end()) {
-      pb::ReplicaSet set;
-      if (set.ParseFromString(f->second.data) && set.epoch() > epoch) {
-        registers.set().adopt(set);
-        return reseat();
-      }
+      find_incarnation(pull);
+      return PullResult::partial;
     }
-    if (auto f = chosen.find(kDeregisteredKey); f != chosen.end() && f->second.version != deregistered) {
-      deregistered = f->second.version;
-      statuses.deregistered(read_deregistered(f->second.data));
-    }
-    statuses.forget(now);
-    // A pull that itself took longer than the read_lease has proved nothing.
-    read_lease = (start + c.read_lease()).count();
+    if (!settle_open()) return PullResult::failed;
+    if (chosen_set_is_newer(pull.epoch)) return reseat();
+    follow_deregistered();
+    statuses.forget(ps.clock.now());
+    // A pull that itself took longer than the read lease has proved nothing.
+    read_lease = (pull.start + c.read_lease()).count();
     seen();
-    std::erase_if(waits, [&](auto& w) { return w.first <= start ? (w.second->notify(), true) : false; });
-    return true;
+    std::erase_if(waits, [&](auto& w) { return w.first <= pull.start ? (w.second->notify(), true) : false; });
+    return PullResult::good;
+  }
+
+  // What the asker lacks, as far as it takes it in one reply; the rest is asked for next.
+  void add_statuses(const pb::Pull& asked_for, TimePoint now, pb::PullReply& reply) {
+    auto bytes = reply.ByteSizeLong();
+    for (auto& status : statuses.since(asked_for.have(), now)) {
+      bytes += status.ByteSizeLong();
+      if (asked_for.most_bytes() && bytes > asked_for.most_bytes() && reply.statuses_size() > 0)
+        return reply.set_more(true);
+      *reply.add_statuses() = status;
+    }
   }
 
   pb::Reply answer(const pb::Ask& a) {
@@ -267,10 +271,10 @@
     TimePoint now = ps.clock.now();
     if (q.has_own()) statuses.merge(q.own(), now);
     if (mine)
-      mine->changes(q.boot(), q.seen(), *r);
+      mine->changes(q.boot(), q.seen(), q.most_bytes(), *r);
     else
       r->set_mute(true);
-    for (auto& n : statuses.since(q.have(), now)) *r->add_statuses() = n;
+    add_statuses(q, now, *r);
     if (!q.has_own())  // a node that begins again asks under which incarnation it was known
       if (auto m = statuses.mark(q.node())) {
         auto* n = r->add_statuses();
@@ -293,12 +297,12 @@
     for (;;) {
       TimePoint from = p->ps.clock.now();
       p->asked = false;
-      bool ok = p->once();
+      auto result = p->once();
       bool was = std::exchange(p->told, p->ps.clock.now().count() < p->read_lease.load());
       if (!was && p->told) p->began = p->ps.clock.now();
       if (was && !p->told) lg.warn("{}: the read lease has lapsed.", p->c.me);
       if (!was && p->told) lg.info("{}: the read lease stands.", p->c.me);
-      auto wait = p->schedule.after(ok, p->ps.clock.now() - from);
+      auto wait = p->schedule.after(result, p->ps.clock.now() - from);
       p->ps.clock.sleep(wait.least);
       if (wait.usual > wait.least && !p->asked) {
         p->rest = p->ps.tasks.condition();
@@ -309,7 +313,7 @@
   });
 }
 
-bool StateCache::once() { return p_->once(); }
+bool StateCache::once() { return p_->once() == PullResult::good; }
 bool StateCache::fresh() const { return p_->ps.clock.now().count() < p_->read_lease.load(); }
 TimePoint StateCache::read_lease_end() const { return TimePoint(p_->read_lease.load()); }
 const Chosen& StateCache::chosen() const { return p_->chosen; }
@@ -332,29 +336,23 @@
   return out;
 }
 
-bool StateCache::votes(const std::string& holder) const {
-  auto f = p_->sides.find(holder);
-  return f != p_->sides.end() && f->second.voted != TimePoint(0) &&
-         p_->ps.clock.now() - f->second.voted < p_->c.bound / 4 + p_->c.pull() * 2;
+bool StateCache::votes(const std::string& replica) const {
+  return p_->answers.voted_within(replica, p_->ps.clock.now(), p_->c.bound / 4 + p_->c.pull() * 2);
 }
 
 std::map<std::string, uint64_t> StateCache::behind(const std::string& replica) const {
   std::map<std::string, uint64_t> names;
   for (auto& [name, value] : p_->chosen) {
-    auto* best = p_->latest_at_quorum(name);
+    auto* best = p_->answers.latest_at_quorum(p_->registers.set(), name, p_->ps.clock.now());
     if (!best) continue;
-    auto* own = p_->told_by({replica, ""}, name);
+    auto* own = p_->answers.told_by(replica, name);
     if (!own || consensus::lower(own->accepted(), best->accepted())) names[name] = best->accepted().round();
   }
   return names;
 }
 
-StateCache::Contact StateCache::contact(const std::string& replica) const {
-  auto now = p_->ps.clock.now();
-  auto side = p_->sides.find(replica);
-  auto since = [&](TimePoint at) { return now - std::max(at, p_->began); };
-  if (side == p_->sides.end()) return {since(TimePoint(0)), since(TimePoint(0))};
-  return {since(side->second.answered), since(side->second.voted)};
+Contact StateCache::contact(const std::string& replica) const {
+  return p_->answers.contact(replica, p_->ps.clock.now(), p_->began);
 }
 
 void StateCache::hurry() {
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -8,6 +8,7 @@
 
 #include "consensus/acceptor.hpp"
 #include "consensus/register_client.hpp"
+#include "membership/replica_answers.hpp"
 #include "membership/status_table.hpp"
 
 namespace dunlinwing::membership {
@@ -43,11 +44,7 @@
   std::optional<std::vector<std::string>> names(Duration limit);
   // Whether it answered a pull in the last half of the bound, and not as mute.
   bool votes(const std::string& replica) const;
-  // How long ago a replica last answered, and last answered as one that votes. Since this
-  // node began, when it never did.
-  struct Contact {
-    Duration since_answer{0}, since_vote{0};
-  };
+  // Counted from when this node's contact with a quorum began, where it was none since.
   Contact contact(const std::string& replica) const;
   // The registers of which a quorum has accepted a later ballot than `replica`, each with the
   // round of that ballot.
--- a/test/acceptor_unit.cpp
+++ b/test/acceptor_unit.cpp
@@ -101,7 +101,7 @@
     dump.mutable_dump();
     expect(b.acceptor.answer(dump).has_image() == false, "a mute replica told what it holds");
     pb::PullReply pull;
-    b.acceptor.changes(0, 0, pull);
+    b.acceptor.changes(0, 0, 0, pull);
     expect(pull.mute() && !pull.slots_size(), "a mute replica told of changes");
     b.clock.sleep(Duration(3000));
     expect(b.acceptor.mute(), "the replica came back on a disk that still fails");
@@ -113,6 +113,46 @@
   });
 }
 
+// However large the state is, each reply is small, and one after the other tell everything
+// once; what changes meanwhile is told too, and after a restart all is told anew.
+void told_in_small_replies() {
+  constexpr int kRegisters = 200;
+  constexpr uint64_t kMostBytes = 2000;
+  Bench b;
+  auto accept_named = [&](const std::string& name, uint64_t round, uint64_t version) {
+    pb::Ask ask;
+    ask.mutable_accept()->set_name(name);
+    ask.mutable_accept()->mutable_ballot()->set_round(round);
+    ask.mutable_accept()->mutable_ballot()->set_node("p");
+    ask.mutable_accept()->mutable_value()->set_version(version);
+    ask.mutable_accept()->mutable_value()->set_data(std::string(100, 'x'));
+    expect(b.acceptor.answer(ask).vote().yes(), "an accept failed");
+  };
+  b.play([&] {
+    for (int i = 0; i < kRegisters; ++i) accept_named(fmt::format("r{}", i), 1, 1);
+    std::map<std::string, uint64_t> told;
+    uint64_t boot = 0, seen = 0;
+    int replies = 0;
+    for (bool more = true; more; ++replies) {
+      pb::PullReply reply;
+      b.acceptor.changes(boot, seen, kMostBytes, reply);
+      expect(reply.ByteSizeLong() < kMostBytes + 200, "a reply is larger than was asked for");
+      expect(reply.seen() > seen, "a reply tells nothing new");
+      boot = reply.boot();
+      seen = reply.seen();
+      more = reply.more();
+      for (auto& state : reply.slots()) told[state.name()] = state.value().version();
+      if (replies == 3) accept_named("r0", 2, 2);
+    }
+    expect(replies > 10, "all was told at once");
+    same(told.size(), size_t(kRegisters), "registers told");
+    same(told["r0"], uint64_t(2), "what changed meanwhile");
+    pb::PullReply whole;
+    b.acceptor.changes(0, seen, 0, whole);
+    expect(whole.slots_size() == kRegisters && !whole.more(), "without a bound all is told at once");
+  });
+}
+
 // Callers that came while the failing write was under way are told mute, one and all, though what
 // they asked for is on the disk in the end.
 void callers_in_a_failing_write() {
@@ -180,7 +220,8 @@
 }  // namespace
 
 std::vector<Case> acceptor_cases() {
-  return {{"acceptor: a write that failed is answered by nobody", failed_writes_are_not_answered},
+  return {{"acceptor: what is told in small replies is whole", told_in_small_replies},
+          {"acceptor: a write that failed is answered by nobody", failed_writes_are_not_answered},
           {"acceptor: callers in a failing write are told mute", callers_in_a_failing_write},
           {"acceptor: a stalled write is left after a round", stalled_writes_are_left_after_a_round},
           {"acceptor: a start on a failing disk is mute", started_on_a_failing_disk}};
--- a/test/contact_unit.cpp
+++ b/test/contact_unit.cpp
@@ -43,13 +43,15 @@
 }
 
 // Pulls in ten seconds, each of which takes as long as a pull may.
-int pulls_in_ten_seconds(bool good, bool hurried) {
+using membership::PullResult;
+
+int pulls_in_ten_seconds(PullResult result, bool hurried) {
   Sequence random;
   membership::PullSchedule schedule(random, kPeriod);
   int pulls = 0;
   for (Duration time(0); time < Duration(10000); ++pulls) {
-    auto spent = good ? Duration(10) : Duration(0);
-    auto wait = schedule.after(good, spent);
+    auto spent = result == PullResult::good ? Duration(10) : Duration(0);
+    auto wait = schedule.after(result, spent);
     expect(wait.usual >= wait.least, "the usual wait is the longer one");
     time += spent + (hurried ? wait.least : wait.usual);
   }
@@ -57,22 +59,24 @@
 }
 
 void failing_pulls_are_seldom() {
-  same(pulls_in_ten_seconds(true, false), 40, "good pulls in ten seconds");
-  auto failing = pulls_in_ten_seconds(false, false);
+  same(pulls_in_ten_seconds(PullResult::good, false), 40, "good pulls in ten seconds");
+  auto failing = pulls_in_ten_seconds(PullResult::failed, false);
   expect(failing <= 32, fmt::format("{} failing pulls in ten seconds", failing));
   expect(failing >= 15, fmt::format("only {} failing pulls in ten seconds", failing));
-  auto hurried = pulls_in_ten_seconds(false, true);
+  auto hurried = pulls_in_ten_seconds(PullResult::failed, true);
   expect(hurried <= 85, fmt::format("{} failing pulls in ten seconds for those in a hurry", hurried));
 }
 
 void one_good_pull_resets() {
   Sequence random;
   membership::PullSchedule schedule(random, kPeriod);
-  for (int i = 0; i < 9; ++i) schedule.after(false, Duration(0));
+  for (int i = 0; i < 9; ++i) schedule.after(PullResult::failed, Duration(0));
   expect(schedule.failing(), "nine failures in a row");
-  same(schedule.after(true, Duration(0)).usual.count(), kPeriod.count(), "the wait after a good pull");
+  same(schedule.after(PullResult::good, Duration(0)).usual.count(), kPeriod.count(),
+       "the wait after a good pull");
   expect(!schedule.failing(), "after a good pull");
-  expect(schedule.after(false, Duration(0)).usual <= kPeriod / 2, "a single lost pull is repeated soon");
+  expect(schedule.after(PullResult::failed, Duration(0)).usual <= kPeriod / 2,
+         "a single lost pull is repeated soon");
 }
 
 // All kinds of connections at their bounds at once, and the ones to backend instances, of which
