A request read while its connection was being ended as idle is answered

A read that the system completes at once is told of through the event loop's queue; ended for room in between, the connection looks idle, its bytes being neither in the system's buffer nor known to the server, and what was read then is served on a connection that refuses to send. Change: bytes that come in spite of the end are a request like any other, the last of its connection.

--- a/src/wire/http_server.cpp
+++ b/src/wire/http_server.cpp
@@ -277,6 +277,7 @@
   base::Request q;
   BodyReservation held;
   bool headed = false;
+  bool ended_as_idle = false;  // but bytes of a request had been read already
   for (;;) {
     while (!par.is_done() && !l.got().empty()) {
       Ec ec;
@@ -317,6 +318,9 @@
     if (first) {
       t.step = Step::head;
       t.since = now();
+      // They may lie in our own buffer while the reactor has yet to tell that they came.
+      ended_as_idle = l.stopped();
+      l.go_on();
     }
   }
   auto m = par.release();
@@ -328,7 +332,7 @@
     ~Run() { --n; }
   } run{running};
   auto a = h(q);
-  bool keep = m.keep_alive() && !closing && !last && !crowded;
+  bool keep = m.keep_alive() && !closing && !last && !crowded && !ended_as_idle;
   if (!answer(t, a, m.method() == http::verb::head, m.version(), keep, *lim.load())) return false;
   if (!keep && !l.got().empty()) linger(t);  // closing with bytes unread would take the answer back
   return keep;
--- a/test/wire_server.cpp
+++ b/test/wire_server.cpp
@@ -203,6 +203,34 @@
   unread_request([](Served& server) { server.s.close_idle(); });
 }
 
+// Idle connections are ended again and again while requests come on new ones: whatever the
+// handler was given is answered.
+void what_was_read_is_answered() {
+  constexpr int kRequests = 300;
+  int handled = 0, answered = 0;
+  bool done = false, stopped = false;
+  Served server({}, [&](base::Request& request) -> base::Response {
+    ++handled;
+    return echo()(request);
+  });
+  pool().spawn([&] {
+    while (!done) {
+      server.s.close_idle();
+      wire::RealClock().sleep(1ms);
+    }
+    stopped = true;
+  });
+  for (int i = 0; i < kRequests; ++i) {
+    Raw client(server.addr);
+    client.send(kGet);
+    answered += client.read("GET /a ").ends_with("GET /a ");
+  }
+  done = true;
+  until([&] { return stopped; }, "the one who ends them ends");
+  expect(handled > 0, "no request was read");
+  same(answered, handled, "requests answered, of those that were read");
+}
+
 void shorter_idle_limit_spares_what_rests() {
   wire::HttpLimits limits;
   limits.idle = 400ms;
@@ -307,6 +335,7 @@
           {"server: winding down ends idle connections and finishes begun ones", ends},
           {"server: beyond its bound the longest idle connection goes", crowded},
           {"server: a request that has come is not cut off as idle", closing_spares_what_came},
+          {"server: what was read is answered, whoever ends idle connections", what_was_read_is_answered},
           {"server: a shorter idle limit spares what rests already", shorter_idle_limit_spares_what_rests},
           {"server: an answer is the last while others wait for room", crowded_answers_are_the_last},
           {"server: an answer nobody reads is given up", unread},
