--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -11,7 +11,7 @@
 namespace dunlinwing::membership {
 namespace {
 constexpr base::Log lg("membership");
-constexpr int kSilent = 2;  // bounds without fresh statuses after which others are asked
+constexpr int kSilent = 2;  // bounds without a read lease after which others are asked
 constexpr int kTell = 2;    // bounds between two looks at what the seeds know
 }  // namespace
 
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -1,5 +1,5 @@
-// How a relay comes to know the set of holders. One that knows none, or has heard
-// nothing fresh for long, asks its seeds and the relays it once heard of. At the
+// How a relay comes to know the replica set. One that knows none, or has had no read lease
+// for long, asks its seeds and a few of the relays it once heard of. At the
 // first start of the fleet, when all seeds have answered and none knows a set, the
 // first set is those seeds that have a disk; every relay finds the same one.
 #pragma once
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -1,6 +1,6 @@
-// A node's view of the fleet's state: it pulls from the holders what it lacks,
+// A node's view of the fleet's state: it pulls from the replicas what it lacks,
 // settles which register values are chosen, and holds the read lease.
-// The read_lease runs from the start of the last good pull; without it the node
+// The lease runs from the start of the last good pull; without it the node
 // must act on nothing it has here.
 #pragma once
 #include <atomic>
@@ -36,7 +36,7 @@
   TimePoint read_lease_end() const;  // from any thread
   const Chosen& chosen() const;
   StatusTable& statuses();
-  pb::Reply answer(const pb::Ask& pull);  // a holder's side of a pull
+  pb::Reply answer(const pb::Ask& pull);  // a replica's side of a pull
   uint64_t incarnation() const;
   // Parks until a pull that began after this call was good, or time is up.
   bool settle(Duration limit);
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -1,6 +1,6 @@
-// What nodes know of each other: for each source the latest statuses, with its
-// version and its age. ReplicaSetView keep it for those who pull; pullers merge what
-// they get. A node is a member while its statuses is young.
+// What nodes know of each other: for each source its latest status, with its version and
+// its age. Replicas keep it for those who pull; pullers merge what they get. A node is a
+// member while its status is young.
 #pragma once
 #include <set>
 
--- a/src/traffic/upstream_client.cpp
+++ b/src/traffic/upstream_client.cpp
@@ -228,7 +228,7 @@
       break;
     }
     if (!p.fresh()) {
-      if (!left) last = turned_away("this node's statuses is too old");
+      if (!left) last = turned_away("what this node knows is too old");
       break;
     }
     base::AttemptRules rules(limit);
--- a/test/contact_unit.cpp
+++ b/test/contact_unit.cpp
@@ -1,5 +1,6 @@
 // What keeps the control side reachable when a whole fleet has lost its contact at once: few
 // addresses are asked, failing pulls grow seldom, and descriptors suffice for control.
+#include "consensus_harness.hpp"
 #include "membership/discovery.hpp"
 #include "membership/pull_schedule.hpp"
 #include "relay/socket_budget.hpp"
@@ -79,6 +80,35 @@
          "a single lost pull is repeated soon");
 }
 
+// A node that lacks far more than one reply holds: no pull is good before it knows everything.
+void good_pulls_know_everything() {
+  constexpr int kRegisters = 120;
+  constexpr int kMostPulls = 20;
+  ConsensusHarness harness(1);
+  harness.run([&] {
+    harness.first_set({"A", "B", "C"});
+    for (auto* name : {"A", "B", "C"}) harness.add_formed_replica(name);
+    for (auto* name : {"P1", "R"}) {
+      harness.add_client(name);
+      harness.rule({name}, Fate::deliver);
+    }
+    for (int i = 0; i < kRegisters; ++i) {
+      auto write = harness.start<consensus::WriteResult>(
+          "P1", [&] { return harness.client("P1").write(fmt::format("r{}", i), 0, std::string(2000, 'x')); });
+      auto written = harness.result(write, "a write");
+      expect(std::holds_alternative<consensus::VersionedValue>(written), "a register was not written");
+    }
+    int pulls = 0;
+    for (bool good = false; !good; ++pulls) {
+      expect(pulls < kMostPulls, "no pull was good");
+      auto pull = harness.start<bool>("R", [&] { return harness.cache("R").once(); });
+      good = harness.result(pull, "a pull");
+    }
+    expect(pulls > 3, fmt::format("all was told in {} pulls", pulls));
+    same(harness.cache("R").chosen().size(), size_t(kRegisters), "registers known after a good pull");
+  });
+}
+
 // All kinds of connections at their bounds at once, and the ones to backend instances, of which
 // each client's request may use one.
 void sockets_suffice() {
@@ -100,6 +130,7 @@
   return {{"contact: few of the known nodes are asked at a time", few_are_asked},
           {"contact: failing pulls are seldom, whoever is in a hurry", failing_pulls_are_seldom},
           {"contact: one good pull ends the waiting", one_good_pull_resets},
+          {"contact: a pull is good once everything is known", good_pulls_know_everything},
           {"contact: all sockets at their bounds are within the process's", sockets_suffice}};
 }
 
