--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -1,18 +1,9 @@
 // Records of votes that arrive together are synced together. What a pull may
 // see is what has been synced.
-//
-// A disk goes from blank to born to formed, and only a formed one votes. At the
-// first start of a fleet blank turns to born when every holder answers and none has
-// a register. At any other start it does so only when, besides, so many others are
-// born that those that may ever have voted are no majority: then nothing was ever
-// acknowledged. Born turns to formed when every holder is born, or one is formed. A
-// blank disk among formed ones has been lost: it waits one round's limit, so
-// that no round still counts a vote that its old disk gave, and then takes the
-// highest promise and value from a majority of the others. So does a machine that
-// has just been made a holder.
 #include "consensus/acceptor.hpp"
 
 #include "base/log.hpp"
+#include "consensus/refill.hpp"
 #include "consensus/vote.hpp"
 
 namespace dunlinwing::consensus {
@@ -234,80 +225,68 @@
     if (sync(r)) lg.info("{}: this disk is now {}.", me, pb::Stage_Name(s));
   }
 
-  // Whether a majority may ever have voted, seen from a blank disk that hears every other holder.
-  bool may_have_voted(size_t born) const { return set.all().size() - born >= majority_of(set.all().size()); }
+  // What all others hold, waiting for each of them as long as a round may take.
+  RefillSurvey survey() {
+    auto others = this->others();
+    pb::Ask dump;
+    dump.mutable_dump()->set_node(me);
+    auto replies = ask_all(
+        ps, others, [&](size_t) { return dump; }, round, [](auto&) { return false; });
+    RefillSurvey survey;
+    survey.asked = others.size();
+    for (size_t k = 0; k < replies.size(); ++k)
+      if (replies[k] && replies[k]->has_image()) add_reply(survey, others[k], replies[k]->image(), set);
+    return survey;
+  }
 
-  // How many others of the complete list have to tell what they hold before this disk may
-  // vote: so many that every quorum in which its former self may have voted is among them.
-  size_t refill_quorum() const {
-    auto& list = set.complete_list();
-    return majority_of(list.size() - (contains_name(list, me) ? 1 : 0));
+  // Takes all that the others hold, under the present set; false when the disk fails.
+  bool take_survey(RefillSurvey& survey) {
+    if (!adopt(set.message()) || !take(survey.registers)) return false;
+    lg.info("{}: refilled with {} registers from {} holders.", me, survey.registers.size(), survey.formed);
+    set_stage(pb::FORMED);
+    return true;
   }
 
-  // Whether a set after the present one was written at one of those asked. It may be in force
-  // already, and then quorums count that those asked do not know of.
-  bool shows_later_set(const std::map<std::string, pb::RegisterState>& got) const {
-    auto found = got.find(kReplicaSetKey);
-    if (found == got.end()) return false;
-    pb::ReplicaSet later;
-    return later.ParseFromString(found->second.value().data()) && later.epoch() > set.epoch();
+  // Remembers the seeds of the first start before anything else, for a restart amid it.
+  bool remember_first() {
+    pb::Record record;
+    *record.mutable_first() = *first;
+    return sync(record);
   }
 
+  // Until formed, or the disk fails.
   void refill(bool told) {
-    if (told && !first->seeds().empty()) {  // before anything else, so that a restart remembers it
-      pb::Record r;
-      *r.mutable_first() = *first;
-      if (!sync(r)) return;
-    }
+    if (told && !first->seeds().empty() && !remember_first()) return;
     if (stage == pb::BLANK) ps.clock.sleep(round);
     bool doubted = false;
     while (stage != pb::FORMED && !bad) {
-      if (!set.has(me)) {  // no holder yet, or the set is not known
+      if (!set.has(me)) {  // no replica yet, or the set is not known
         ps.clock.sleep(round / 4);
         continue;
       }
-      auto others = this->others();
-      pb::Ask a;
-      a.mutable_dump()->set_node(me);
-      auto rs = ask_all(
-          ps, others, [&](size_t) { return a; }, round, [](auto&) { return false; });
-      size_t heard = 0, born = 0, formed = 0, full = 0, formed_complete = 0;
-      bool newer = false;
-      std::map<std::string, pb::RegisterState> got;
-      for (size_t k = 0; k < rs.size(); ++k) {
-        auto& r = rs[k];
-        if (!r || !r->has_image()) continue;
-        auto& im = r->image();
-        newer |= set.adopt(im.set());
-        ++heard;
-        born += im.stage() != pb::BLANK;
-        formed += im.stage() == pb::FORMED;
-        full += im.slots_size() > 0;
-        if (im.stage() != pb::FORMED) continue;
-        formed_complete += contains(set.complete_list(), others[k]);
-        for (auto& s : im.slots()) got[s.name()] = higher(got[s.name()], s);
-      }
-      bool every = heard == others.size();
-      if (newer || !set.has(me) || shows_later_set(got)) {  // of another set than the one in force
-        ps.clock.sleep(round / 4);
-      } else if (stage == pb::BLANK && formed_complete >= refill_quorum()) {
-        if (!adopt(set.message())) return;
-        if (!take(got)) return;
-        lg.info("{}: refilled with {} registers from {} holders.", me, got.size(), formed);
-        set_stage(pb::FORMED);
-      } else if (stage == pb::BLANK && every && !full && !formed && set.epoch() <= 1 && !set.joint() &&
-                 (first || !may_have_voted(born))) {
-        if (!adopt(set.message())) return;  // a born disk knows its set
-        set_stage(pb::BORN);
-      } else if (stage == pb::BORN && (formed > 0 || (every && born == others.size()))) {
-        set_stage(pb::FORMED);
-      } else {
-        if (stage == pb::BLANK && every && !formed && !std::exchange(doubted, true))
-          lg.warn(
-              "{}: this disk is blank, and the others cannot tell whether anything was ever recorded; it "
-              "stays mute.",
-              me);
-        ps.clock.sleep(round / 4);
+      auto survey = this->survey();
+      switch (next_step(survey, stage, set, me, first.has_value())) {
+        case RefillStep::take:
+          if (!take_survey(survey)) return;
+          break;
+        case RefillStep::become_born:
+          if (!adopt(set.message())) return;  // a born disk knows its set
+          set_stage(pb::BORN);
+          break;
+        case RefillStep::become_formed:
+          set_stage(pb::FORMED);
+          break;
+        case RefillStep::doubtful:
+          if (!std::exchange(doubted, true))
+            lg.warn(
+                "{}: this disk is blank, and the others cannot tell whether anything was ever recorded; it "
+                "stays mute.",
+                me);
+          ps.clock.sleep(round / 4);
+          break;
+        case RefillStep::ask_again:
+          ps.clock.sleep(round / 4);
+          break;
       }
     }
   }
