--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -142,7 +142,10 @@
     pull.more |= reply.more();
     for (auto& name : answers.take(replica, reply, asked_at, now)) open.insert(name);
     for (auto& status : reply.statuses())
-      if (status.source() != c.me) statuses.merge(status, now);
+      if (status.source() == c.me)
+        go_on_above(status.mark());
+      else
+        statuses.merge(status, now);
     registers.set().adopt(reply.set());
     pull.heard.push_back(reply);
   }
@@ -207,6 +210,19 @@
     incarnation = latest ? latest->incarnation() + 1 : 1;
   }
 
+  // Others know a later status of this node than its own: one of its life before, which no replica
+  // remembered when it began anew. They would take nothing that it says before it is above that.
+  void go_on_above(const pb::Mark& known) {
+    pb::Mark own_mark;
+    own_mark.set_incarnation(incarnation);
+    own_mark.set_count(count);
+    if (!incarnation || !newer(known, own_mark)) return;
+    incarnation = known.incarnation() + 1;
+    count = 0;
+    said_key.clear();
+    lg.info("{}: goes on under incarnation {}.", c.me, incarnation);
+  }
+
   // Whether a newer set of replicas is among what is chosen.
   bool chosen_set_is_newer(uint64_t epoch) {
     auto found = chosen.find(consensus::kReplicaSetKey);
@@ -264,24 +280,30 @@
     }
   }
 
+  // A node that begins anew learns under which incarnation it was known, and one that has begun
+  // too low learns that.
+  void tell_mark_of_asker(const pb::Pull& pull, pb::PullReply& reply) {
+    auto known = statuses.mark(pull.node());
+    if (!known || (pull.has_own() && !newer(*known, pull.own().mark()))) return;
+    auto* status = reply.add_statuses();
+    status->set_source(pull.node());
+    *status->mutable_mark() = *known;
+    status->set_age_ms(static_cast<uint64_t>(c.session().count()) * 2);
+  }
+
   pb::Reply answer(const pb::Ask& a) {
     pb::Reply out;
     auto& q = a.pull();
     auto* r = out.mutable_pull();
     TimePoint now = ps.clock.now();
     if (q.has_own()) statuses.merge(q.own(), now);
+    statuses.note(q.have(), now);
     if (mine)
       mine->changes(q.boot(), q.seen(), q.most_bytes(), *r);
     else
       r->set_mute(true);
     add_statuses(q, now, *r);
-    if (!q.has_own())  // a node that begins again asks under which incarnation it was known
-      if (auto m = statuses.mark(q.node())) {
-        auto* n = r->add_statuses();
-        n->set_source(q.node());
-        *n->mutable_mark() = *m;
-        n->set_age_ms(static_cast<uint64_t>(c.session().count()) * 2);
-      }
+    tell_mark_of_asker(q, *r);
     return out;
   }
 };
--- a/src/membership/status_table.cpp
+++ b/src/membership/status_table.cpp
@@ -40,9 +40,20 @@
 }
 
 std::optional<pb::Mark> StatusTable::mark(const std::string& s) const {
-  auto f = by_.find(s);
-  if (f == by_.end()) return {};
-  return f->second.statuses.mark();
+  auto here = by_.find(s);
+  auto noted = noted_.find(s);
+  if (here == by_.end() && noted == noted_.end()) return {};
+  if (noted == noted_.end()) return here->second.statuses.mark();
+  if (here == by_.end()) return noted->second.mark;
+  auto& mark = here->second.statuses.mark();
+  return newer(noted->second.mark, mark) ? noted->second.mark : mark;
+}
+
+void StatusTable::note(const google::protobuf::Map<std::string, pb::Mark>& known_to_asker, TimePoint now) {
+  for (auto& [source, mark] : known_to_asker) {
+    auto known = this->mark(source);
+    if (!known || !newer(*known, mark)) noted_[source] = {mark, now};
+  }
 }
 
 std::vector<Member> StatusTable::all(TimePoint now) const {
@@ -90,6 +101,11 @@
 void StatusTable::forget(TimePoint now) {
   for (auto i = by_.begin(); i != by_.end();)
     i = now - i->second.heard > session_ * 20 ? by_.erase(i) : std::next(i);
+  std::erase_if(noted_, [&](auto& noted) {
+    auto here = by_.find(noted.first);
+    bool known_here = here != by_.end() && !newer(noted.second.mark, here->second.statuses.mark());
+    return known_here || now - noted.second.heard > session_ * 20;
+  });
 }
 
 }  // namespace dunlinwing::membership
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -28,7 +28,9 @@
   std::vector<pb::NodeStatus> since(const google::protobuf::Map<std::string, pb::Mark>& have,
                                     TimePoint now) const;
   google::protobuf::Map<std::string, pb::Mark> marks() const;
+  // The highest version of a source's status that is known, or that an asker said it knows.
   std::optional<pb::Mark> mark(const std::string& source) const;
+  void note(const google::protobuf::Map<std::string, pb::Mark>& known_to_asker, TimePoint now);
   std::vector<Member> members(TimePoint now) const;
   std::vector<Member> all(TimePoint now) const;
   std::map<std::string, WorkerFact> workers(TimePoint now) const;
@@ -44,7 +46,12 @@
   };
   Duration session_;
   std::map<std::string, Entry> by_;
-  std::set<std::string> departed_;  // as recorded: workers whose word to leave was taken
+  struct Noted {
+    pb::Mark mark;
+    TimePoint heard{0};
+  };
+  std::map<std::string, Noted> noted_;  // known to askers, and later than what is known here
+  std::set<std::string> departed_;      // as recorded: workers whose word to leave was taken
 };
 
 bool newer(const pb::Mark& a, const pb::Mark& b);
