Pulls are repeated soon for two seconds; a status version of a life before is gone above

Change: an asker's known versions are noted, and a node that is told of a later one of itself goes on above it; eight quick retries in place of two.

--- a/src/membership/pull_schedule.hpp
+++ b/src/membership/pull_schedule.hpp
@@ -1,7 +1,7 @@
 // When a node pulls next. Good pulls follow each other at a steady period, sooner when
-// somebody waits for one. Pulls that fail are repeated at once at first, for a message may
-// have been lost, and then ever more seldom and at random moments: a fleet whose replicas are
-// overloaded must not ask them the more often the less they answer.
+// somebody waits for one. Pulls that fail are repeated soon at first, for a message may have
+// been lost or the replicas be restarting, and then ever more seldom and at random moments: a fleet whose
+// replicas are overloaded must not ask them the more often the less they answer.
 #pragma once
 #include <algorithm>
 
@@ -40,7 +40,7 @@
   bool failing() const { return failures_ > kQuickRetries; }
 
  private:
-  static constexpr int kQuickRetries = 2;
+  static constexpr int kQuickRetries = 8;   // about two seconds of a core that restarts
   static constexpr int kMostDoublings = 1;  // of the period: a node that can be reached again pulls soon
   static constexpr int kHurriedShare = 10;  // of the period, between two pulls
 
--- a/src/membership/status_table.cpp
+++ b/src/membership/status_table.cpp
@@ -52,7 +52,10 @@
 void StatusTable::note(const google::protobuf::Map<std::string, pb::Mark>& known_to_asker, TimePoint now) {
   for (auto& [source, mark] : known_to_asker) {
     auto known = this->mark(source);
-    if (!known || !newer(*known, mark)) noted_[source] = {mark, now};
+    if (!known || newer(mark, *known))
+      noted_[source] = {mark, now};
+    else if (auto noted = noted_.find(source); noted != noted_.end() && !newer(noted->second.mark, mark))
+      noted->second.heard = now;
   }
 }
 
