--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -11,8 +11,8 @@
 namespace dunlinwing::membership {
 namespace {
 constexpr base::Log lg("membership");
-constexpr int kSilent = 2;  // bounds without a read lease after which others are asked
-constexpr int kTell = 2;    // bounds between two looks at what the seeds know
+constexpr int kSilent = 2;          // bounds without a read lease after which others are asked
+constexpr int kChecksPerBound = 4;  // whether to ask others, or (once a bound) to tell the seeds
 }  // namespace
 
 namespace {
@@ -73,7 +73,7 @@
   consensus::Acceptor* mine;
   std::vector<std::string> origin;   // the seeds of the first start, when this was it
   std::map<std::string, Self> told;  // by those seeds
-  TimePoint good{0}, looked{0};
+  TimePoint good{0}, looked{0}, sought{0};
   std::string said;
 
   Impl(base::Ports& p, DiscoveryConfig cc, consensus::RegisterClient& b, StateCache& m,
@@ -164,13 +164,15 @@
         continue;
       }
       if (now - good >= c.bound * kSilent) {
-        look();
-      } else if (mine && registers.set().epoch() && now - looked >= c.bound * kTell) {
+        if (now - sought >= c.bound) {
+          sought = now;
+          look();
+        }
+      } else if (mine && registers.set().epoch() && now - looked >= c.bound) {
         looked = now;
         tell();
       }
-      ps.clock.sleep(c.bound / 2 +
-                     Duration(static_cast<int64_t>(ps.random.below(static_cast<uint64_t>(c.bound.count())))));
+      ps.clock.sleep(c.bound / kChecksPerBound);
     }
   }
 
