--- a/test/contact_unit.cpp
+++ b/test/contact_unit.cpp
@@ -133,8 +133,8 @@
   expect(!membership::newer(*replica.mark("A"), anew.mark()), "an old mark is kept beside a later status");
 }
 
-// The same with whole nodes: a replica alone in its set restarts without memory; a client of before
-// takes its new status.
+// The same with whole nodes: replicas have noted that others know a later status of R than its own; R
+// is told so by its pulls.
 void own_status_goes_on_above() {
   ConsensusHarness harness(1);
   harness.run([&] {
