A test that fails: a node's status grows with each configuration that was in force

In the unit case a status has 56 bytes after one configuration and 11805 after 300: each adds a counter, and routes that are long gone keep theirs. Each of 88 nodes pulls the statuses of all others four times a second.

--- a/test/unit/main.cpp
+++ b/test/unit/main.cpp
@@ -26,6 +26,7 @@
                      &attempt_decision_cases,
                      &canary_admission_cases,
                      &upstream_client_cases,
+                     &request_handler_cases,
                      &routing_snapshot_cases,
                      &protocol_adapter_cases,
                      &checker_cases,
--- a/test/unit/proxy/upstream_client_test.cpp
+++ b/test/unit/proxy/upstream_client_test.cpp
@@ -2,6 +2,7 @@
 #include "proxy/upstream_client.hpp"
 
 #include "canary/canary_share.hpp"
+#include "support/manual_ports.hpp"
 #include "unit/unit_cases.hpp"
 
 namespace dunlinwing::test {
@@ -9,39 +10,6 @@
 constexpr Duration kBetweenRequests{2};
 constexpr Duration kTimeBudget{1000};
 
-class ManualClock final : public base::Clock {
- public:
-  TimePoint now() override { return now_; }
-  int64_t wall_ms() override { return now_.count(); }
-  void sleep(Duration duration) override { now_ += duration; }
-
- private:
-  TimePoint now_{1000};
-};
-
-class CountingRandom final : public base::Random {
- public:
-  uint64_t draw() override { return ++drawn_; }
-
- private:
-  uint64_t drawn_ = 0;
-};
-
-class NoTasks final : public base::Tasks {
- public:
-  void spawn(std::function<void()> /*task*/) override { throw Failed("a task was spawned"); }
-  std::shared_ptr<base::Condition> condition() override { throw Failed("a request had to wait"); }
-};
-
-class NoPeers final : public base::PeerTransport {
- public:
-  std::variant<pb::PeerResponse, base::PeerError> call(const std::string& /*address*/,
-                                                       const pb::PeerRequest& /*request*/,
-                                                       Duration /*limit*/) override {
-    return base::PeerError::unreachable;
-  }
-};
-
 /// Backend instances that answer at once and tell how many requests they have.
 class LoadedOrigin final : public base::Origin {
  public:
--- a/test/unit/unit_cases.hpp
+++ b/test/unit/unit_cases.hpp
@@ -20,6 +20,7 @@
 std::vector<Case> attempt_decision_cases();
 std::vector<Case> canary_admission_cases();
 std::vector<Case> upstream_client_cases();
+std::vector<Case> request_handler_cases();
 std::vector<Case> routing_snapshot_cases();
 std::vector<Case> protocol_adapter_cases();
 std::vector<Case> checker_cases();
