An idle connection that is ended looks once more for a request; undelivered responses are logged

Cause: check and act fall into different turns of the event loop. Whoever ends an idle connection looks whether a request has come, but the connection's fiber ends it a turn later, on a loaded machine many milliseconds; what came between was cut off. The same stood in the peer server, which also served calls on a connection that was already interrupted, so that their replies could not be sent; and in slow requests that were found overdue while their last bytes lay read in our own buffer. Change: Connection::await_message looks at the system's buffer when its fiber runs, and clears the interrupt of what has come; both servers use it, and end the connection after that message. Evictions at the peer server look at the system's buffer first, and are tried again while no room is found. Sight: a response that was handled and not delivered is counted, and logged with the error and the bytes written.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -24,6 +24,12 @@
   return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// Whether bytes have come on a socket that were not read yet.
+bool has_unread_bytes(int fd) {
+  char byte = 0;
+  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 iovec io_vector(std::string_view bytes) { return {const_cast<char*>(bytes.data()), bytes.size()}; }
 }  // namespace
 
@@ -99,6 +105,15 @@
   return error_;
 }
 
+MessageWait Connection::await_message(size_t room) {
+  const ErrorCode error = read_more(room);
+  if (!error)
+    return std::exchange(interrupted_, false) ? MessageWait::received_as_last : MessageWait::received;
+  if (!interrupted_ || !has_unread_bytes(socket_.native_handle())) return MessageWait::ended;
+  interrupted_ = false;
+  return read_more(room) ? MessageWait::ended : MessageWait::received_as_last;
+}
+
 ErrorCode Connection::write_at_once(std::string_view first, std::string_view second) {
   iovec parts[2] = {io_vector(first), io_vector(second)};
   msghdr message{};
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -15,6 +15,13 @@
 /// Sets a socket to what all of ours are: no delay, and given up when a cut lasts.
 void configure_socket(boost::asio::ip::tcp::socket& socket);
 
+/// How the wait for a message on an idle connection ended.
+enum class MessageWait {
+  received,          ///< bytes of it are buffered
+  received_as_last,  ///< the same, though the connection was interrupted: it is to end after this message
+  ended,             ///< nothing came, and the connection is to end
+};
+
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   using Socket = boost::asio::ip::tcp::socket;
@@ -36,6 +43,11 @@
   /// @return operation_aborted when interrupted
   [[nodiscard]] ErrorCode read_more(size_t room = kReadSize);
 
+  /// Suspends the calling fiber until the first bytes of the next message are buffered. Who interrupts an
+  /// idle connection cannot know what comes until its fiber runs: a message that has come by then is
+  /// received, and the interrupt is cleared.
+  [[nodiscard]] MessageWait await_message(size_t room = kReadSize);
+
   /// Sends both parts as one; suspends the calling fiber unless they go at once.
   /// @param on_progress  called as bytes go, if they do not go at once
   /// @return operation_aborted when interrupted
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -6,12 +6,16 @@
 
 #include <boost/beast/http.hpp>
 
+#include "base/log.hpp"
+
 namespace dunlinwing::net {
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using Parser = http::request_parser<http::string_body>;
 
 namespace {
+constexpr base::Log logger("http");
+constexpr Duration kUndeliveredLogPeriod(1000);  // of lines about responses that could not be written
 constexpr Duration kLinger(1000);                // in which a client that was turned away may go on sending
 constexpr size_t kMostLinger = 1 << 20;          // and how many bytes
 constexpr size_t kBodyRoom = 32 << 10;           // bytes of a body read at once
@@ -137,7 +141,7 @@
   base::Request request;
   BodyReservation reservation;
   bool has_head = false;
-  bool ended_as_idle = false;  ///< but bytes of a request had been read already
+  bool is_last = false;  ///< the connection was to end when its bytes came
 
   explicit IncomingRequest(std::shared_ptr<const HttpLimits> current) : limits(std::move(current)) {
     parser.eager(true);
@@ -250,15 +254,23 @@
 // Waits for bytes; false when the connection is to end.
 bool HttpServerConnection::read_more(IncomingRequest& incoming) {
   const bool awaits_first = connection_->buffered().empty() && !incoming.has_head && state_ == State::idle;
+  if (awaits_first) return await_request(incoming);
   const ErrorCode error = connection_->read_more(incoming.has_head ? kBodyRoom : Connection::kReadSize);
   if (error && overdue_) return refuse(408, "the request did not come in time");
   if (error) return false;
-  if (awaits_first) {
-    enter(State::reading_head);
-    // The bytes may lie in our own buffer while the reactor has yet to tell that they came.
-    incoming.ended_as_idle = connection_->is_interrupted();
-    connection_->clear_interrupt();
-  }
+  // Found overdue while these bytes were being read: what is handled has to be answered.
+  overdue_ = false;
+  incoming.is_last |= connection_->is_interrupted();
+  connection_->clear_interrupt();
+  return true;
+}
+
+// Waits for the first bytes of a request; false when the connection is to end.
+bool HttpServerConnection::await_request(IncomingRequest& incoming) {
+  const MessageWait wait = connection_->await_message();
+  if (wait == MessageWait::ended) return false;
+  incoming.is_last = wait == MessageWait::received_as_last;
+  enter(State::reading_head);
   return true;
 }
 
@@ -273,22 +285,38 @@
     ~Running() { --count; }
   } running(server_.running_requests);
   const base::Response response = server_.handler(incoming.request);
-  const ResponseContext context{message.method() == http::verb::head, message.version(),
-                                message.keep_alive() && !server_.closing && !server_.draining &&
-                                    !server_.crowded && !incoming.ended_as_idle};
+  const ResponseContext context{
+      message.method() == http::verb::head, message.version(),
+      message.keep_alive() && !server_.closing && !server_.draining && !server_.crowded && !incoming.is_last};
   const std::string head = response_head(response, context, *server_.limits.load());
-  if (!write_response(response, head, context.to_head)) return false;
+  if (const ErrorCode error = write_response(response, head, context.to_head)) {
+    report_undelivered(incoming.request, response, error);
+    return false;
+  }
   // Closing with bytes unread would take the response back.
   if (!context.keep_alive && !connection_->buffered().empty()) linger();
   return context.keep_alive;
 }
 
-bool HttpServerConnection::write_response(const base::Response& response, const std::string& head,
-                                          bool without_body) {
+ErrorCode HttpServerConnection::write_response(const base::Response& response, const std::string& head,
+                                               bool without_body) {
   enter(State::writing);
   const bool no_body = without_body || is_without_body(response.status);
-  return !connection_->write(head, no_body ? std::string_view() : response.body,
-                             [this] { state_since_ = steady_now(); });
+  return connection_->write(head, no_body ? std::string_view() : response.body,
+                            [this] { state_since_ = steady_now(); });
+}
+
+// Clients that leave early are many, so the lines are bounded; each response is counted.
+void HttpServerConnection::report_undelivered(const base::Request& request, const base::Response& response,
+                                              ErrorCode error) {
+  const uint64_t count = ++server_.undelivered_responses;
+  const TimePoint now = steady_now();
+  const TimePoint logged = server_.undelivered_logged;
+  if (logged != TimePoint::min() && now - logged < kUndeliveredLogPeriod) return;
+  server_.undelivered_logged = now;
+  logger.warn("A response with status {} to {} {} was not delivered: {}; {} bytes were written, {} so far.",
+              response.status, request.method, request.target, error.message(), connection_->bytes_written(),
+              count);
 }
 
 // Answers what was not understood. The connection ends, but not before the client could read why: always
@@ -298,7 +326,7 @@
       status, {{"Content-Type", "application/json"}}, fmt::format("{{\"defect\":\"{}\"}}\n", error)};
   if (status == 503) response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
   connection_->clear_interrupt();
-  if (write_response(response, response_head(response, {}, *server_.limits.load()), false)) linger();
+  if (!write_response(response, response_head(response, {}, *server_.limits.load()), false)) linger();
   return false;
 }
 
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -23,6 +23,8 @@
   std::atomic<bool> draining{false};  ///< each response is the last on its connection
   std::atomic<bool> crowded{false};   ///< no connection may be opened until one has ended
   std::atomic<int> running_requests{0};
+  std::atomic<uint64_t> undelivered_responses{0};  ///< requests handled whose response could not be written
+  std::atomic<TimePoint> undelivered_logged{TimePoint::min()};  ///< when such a response was last logged
 };
 
 class HttpServerConnection {
@@ -63,8 +65,10 @@
   bool parse_buffered(IncomingRequest& incoming);
   bool accept_head(IncomingRequest& incoming);
   bool read_more(IncomingRequest& incoming);
+  bool await_request(IncomingRequest& incoming);
   bool respond(IncomingRequest& incoming);
-  bool write_response(const base::Response& response, const std::string& head, bool without_body);
+  ErrorCode write_response(const base::Response& response, const std::string& head, bool without_body);
+  void report_undelivered(const base::Request& request, const base::Response& response, ErrorCode error);
   bool refuse(int status, const std::string& error);
   void linger();
   void enter(State state);
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -27,8 +27,7 @@
   void accept_connections(Acceptor& acceptor) {
     room_ = pool_.condition();
     for (;;) {
-      evict_if_full();
-      while (open_ >= max_connections_) room_->wait(kRoomCheck);
+      wait_for_room();
       Connection::Socket socket(pool_.io(0));
       const auto [error] = await<>([&](auto handler) { acceptor.async_accept(socket, std::move(handler)); });
       if (error) {
@@ -48,54 +47,59 @@
   using IdleList = std::list<std::shared_ptr<Connection>>;
 
   void serve(const std::shared_ptr<Connection>& connection) {
-    if (serve_call(*connection, [] {}))
-      while (serve_next_call(connection)) {
-      }
+    bool goes_on = serve_call(*connection);
+    while (goes_on && !is_crowded()) {
+      const MessageWait wait = await_next_call(connection);
+      goes_on = wait != MessageWait::ended && serve_call(*connection) && wait == MessageWait::received;
+    }
     connection->close();
     --open_;
     room_->notify();
   }
 
-  /// A call on a connection that has carried one before: until its first byte comes it may be evicted.
-  bool serve_next_call(const std::shared_ptr<Connection>& connection) {
+  /// Waits for the first bytes of a further call. Until they come the connection may be evicted.
+  MessageWait await_next_call(const std::shared_ptr<Connection>& connection) {
+    if (!connection->buffered().empty()) return MessageWait::received;
+    Timer timeout;
+    interrupt_after(timeout, kIdleTimeout, *connection);
     const auto place = idle_.insert(idle_.end(), connection);
-    bool listed = true;
-    const auto unlist = [&] {
-      // An evicted connection is off the list already.
-      if (std::exchange(listed, false) && !connection->is_interrupted()) idle_.erase(place);
-    };
-    if (!connection->buffered().empty()) unlist();
-    return serve_call(*connection, unlist);
+    const MessageWait wait = connection->await_message();
+    idle_.erase(place);
+    return wait;
   }
 
   /// Reads a call and answers it; false when the connection is to end.
-  /// @param on_bytes  called when bytes have come, and when none come any more
-  bool serve_call(Connection& connection, const std::function<void()>& on_bytes) {
+  bool serve_call(Connection& connection) {
     Timer timeout;
-    const auto limit = [&](std::chrono::seconds time) {
-      timeout.set(std::chrono::steady_clock::now() + time, [&] { connection.interrupt(); });
-    };
-    limit(kIdleTimeout);
+    interrupt_after(timeout, kIdleTimeout, connection);
     pb::PeerRequest request;
-    const auto error = read_frame(connection, request, [&] {
-      on_bytes();
-      limit(kIdleTimeout);
-    });
-    on_bytes();
-    if (error) return false;
+    if (read_frame(connection, request, [&] { interrupt_after(timeout, kIdleTimeout, connection); }))
+      return false;
     timeout.clear();
+    connection.clear_interrupt();  // the call came whole as its time ended: what is handled is answered
     auto response = handler_(request);
     response.set_request_id(request.request_id());
-    limit(kWriteTimeout);
-    return !write_frame(connection, response) && !is_crowded();
+    interrupt_after(timeout, kWriteTimeout, connection);
+    return !write_frame(connection, response);
+  }
+
+  static void interrupt_after(Timer& timer, std::chrono::seconds time, Connection& connection) {
+    timer.set(std::chrono::steady_clock::now() + time, [&connection] { connection.interrupt(); });
   }
 
   bool is_crowded() const { return open_ * 2 > max_connections_; }
 
-  void evict_if_full() {
-    if (open_ < max_connections_ || idle_.empty()) return;
-    idle_.front()->interrupt();
-    idle_.pop_front();
+  void wait_for_room() {
+    while (open_ >= max_connections_) {
+      evict();
+      room_->wait(kRoomCheck);
+    }
+  }
+
+  /// Ends the connection that waits longest for a further call, if one does.
+  void evict() {
+    for (const auto& connection : idle_)
+      if (connection->is_idle_in_system()) return connection->interrupt();
   }
 
   EventLoopPool& pool_;
--- a/test/net/net_cases.hpp
+++ b/test/net/net_cases.hpp
@@ -128,6 +128,7 @@
   }
 };
 
+std::vector<Case> connection_cases();
 std::vector<Case> server_cases();
 std::vector<Case> origin_cases();
 std::vector<Case> answer_cases();
