A node's status no longer grows with the configurations that were in force

Cause: each node told every other node how many requests it had answered under each configuration it ever had, and how attempts ended on each route that ever was: 56 bytes after one change, 11805 after 300. With 88 nodes that pull each other's statuses four times a second the replicas' processors and links are full after some thirty changes; then read leases lapse everywhere, and no change is acknowledged or read back. Change: one entry for all requests (a rollout only looks at what the sum rises by); counts by route are kept for the routes in force, those of others as totals by version. Who adds counters up lets a counter that is no longer reported begin at 0.

--- a/src/canary/canary_statistics.cpp
+++ b/src/canary/canary_statistics.cpp
@@ -204,15 +204,17 @@
     auto& source = sources_[name];
     if (source.incarnation != status.version().incarnation()) source.counters.clear();
     source.incarnation = status.version().incarnation();
+    std::map<CounterKey, OutcomeCounts> latest;
     for (const auto& reported : status.version_counts()) {
       CounterKey key{reported.service(), reported.version(), reported.route()};
       OutcomeCounts counts{reported.good(), reported.bad(), reported.slow(), reported.total_ms()};
       auto increase = difference(counts, source.counters[key]);
-      source.counters[key] = counts;
+      latest[key] = counts;
       auto canary = canaries_.find(key.service);
       if (counters_noted_ && canary != canaries_.end())
         add(states.at(key.service), key, increase, canary->second);
     }
+    source.counters = std::move(latest);  // one that is no longer reported begins at 0 when it comes back
   }
   counters_noted_ = true;
 }
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -1,7 +1,7 @@
 #include "proxy/request_handler.hpp"
 
 #include <algorithm>
-#include <mutex>
+#include <set>
 
 #include "cache/cacheability.hpp"
 
@@ -9,11 +9,6 @@
 namespace {
 constexpr uint64_t kWeightSteps = 1 << 20;  // in which services are drawn by weight
 
-struct ReleaseCounts {
-  uint64_t requests = 0;
-  uint64_t failures = 0;
-};
-
 // A client's request, and what ways that were superseded may have done with it.
 struct ClientRequest {
   const base::Request& request;
@@ -71,8 +66,6 @@
   OutcomeBuilder outcomes;
   CachedRequestHandler cached_requests;
   std::atomic<bool> draining{false};
-  mutable std::mutex mutex;
-  std::map<std::string, ReleaseCounts> release_counts;  // by release; guarded by `mutex`
 
   explicit Impl(NodeContext node_context)
       : node(std::move(node_context)),
@@ -152,18 +145,14 @@
     if (outcome.execution_status == ExecutionStatus::not_executed) ++counters.rejected;
     if (outcome.execution_status == ExecutionStatus::unknown) ++counters.unknown;
     const uint64_t generation = current ? current->generation : 0;
-    if (generation) count_response(current->configuration->name, is_failure(outcome.response.status));
+    if (generation) count_response(is_failure(outcome.response.status));
     node.adapter.finish_response(outcome.response, request.id, generation);
     return std::move(outcome.response);
   }
 
-  void count_response(const std::string& release, bool failure) {
+  void count_response(bool failure) {
     ++counters.requests;
     if (failure) ++counters.failures;
-    const std::lock_guard lock(mutex);
-    auto& counts = release_counts[release];
-    ++counts.requests;
-    counts.failures += failure;
   }
 
   // The forwarded request with its route and service, or why this node does not take it.
@@ -196,14 +185,15 @@
     return context;
   }
 
-  void report_releases(pb::NodeStatus& status) const {
-    const std::lock_guard lock(mutex);
-    for (const auto& [release, counts] : release_counts) {
-      auto* reported = status.add_release_counts();
-      reported->set_release(release);
-      reported->set_requests(counts.requests);
-      reported->set_failures(counts.failures);
-    }
+  // One entry for the whole life of the process: a rollout looks at what the sum over all entries rises by,
+  // and every node tells its status to every other, so nothing in it may grow with what was ever in force.
+  void report_requests(pb::NodeStatus& status) const {
+    if (!counters.requests) return;
+    auto* reported = status.add_release_counts();
+    const auto current = current_snapshot();
+    if (current->configuration) reported->set_release(current->configuration->name);
+    reported->set_requests(counters.requests);
+    reported->set_failures(counters.failures);
   }
 
   void report_versions(pb::NodeStatus& status) const {
@@ -219,6 +209,15 @@
     }
   }
 
+  // Forgets what was counted on routes that are no longer in force.
+  void retain_counts(const RoutingSnapshot& next) {
+    const auto previous = current_snapshot();
+    if (!next.configuration || next.configuration == previous->configuration) return;
+    std::set<std::string> labels;
+    for (const auto& route : next.configuration->routes) labels.insert(route.label());
+    upstream_client.retain_routes(labels);
+  }
+
   void report_canaries(pb::NodeStatus& status) const {
     for (const auto& [service, failures] : upstream_client.canary_failures()) {
       auto* reported = status.add_canary_counts();
@@ -311,6 +310,7 @@
 }
 
 void RequestHandler::set_snapshot(RoutingSnapshotPtr snapshot) {
+  impl_->retain_counts(*snapshot);
   std::atomic_store(&impl_->snapshot, std::move(snapshot));
 }
 RoutingSnapshotPtr RequestHandler::snapshot() const { return impl_->current_snapshot(); }
@@ -323,7 +323,7 @@
 size_t RequestHandler::cache_bytes() const { return impl_->cached_requests.bytes(); }
 
 void RequestHandler::report_status(pb::NodeStatus& status) const {
-  impl_->report_releases(status);
+  impl_->report_requests(status);
   impl_->report_versions(status);
   impl_->report_canaries(status);
   for (const auto& [service, requests] : impl_->upstream_client.rate_demand()) {
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -71,6 +71,7 @@
   std::atomic<int> max_instances{0};
   mutable std::mutex mutex;  // guards the counts below
   std::map<OutcomeKey, VersionOutcomes> counts;
+  std::map<OutcomeKey, VersionOutcomes> retired_counts;   // of routes no longer in force; without their names
   std::map<std::string, uint64_t> rate_demand;            // by service
   std::map<std::string, CanaryFailures> canary_failures;  // by service
 
@@ -348,6 +349,21 @@
   impl_->retry_budget.record_request(service, impl_->node.snapshot()->system.retry_ratio);
 }
 
+VersionOutcomes& VersionOutcomes::operator+=(const VersionOutcomes& other) {
+  good += other.good;
+  bad += other.bad;
+  slow += other.slow;
+  total_ms += other.total_ms;
+  return *this;
+}
+
+std::map<OutcomeKey, VersionOutcomes> UpstreamClient::totals() const {
+  const std::lock_guard lock(impl_->mutex);
+  auto totals = impl_->retired_counts;
+  for (const auto& [key, outcomes] : impl_->counts) totals[{key.service, key.version, {}}] += outcomes;
+  return totals;
+}
+
 std::map<OutcomeKey, VersionOutcomes> UpstreamClient::counts() const {
   const std::lock_guard lock(impl_->mutex);
   return impl_->counts;
@@ -370,6 +386,16 @@
   return impl_->load_balancer.typical_latency(service);
 }
 void UpstreamClient::set_max_instances(int max_instances) { impl_->max_instances = max_instances; }
+void UpstreamClient::retain_routes(const std::set<std::string>& labels) {
+  const std::lock_guard lock(impl_->mutex);
+  std::erase_if(impl_->counts, [&](const auto& entry) {
+    const auto& [key, outcomes] = entry;
+    if (labels.count(key.route)) return false;
+    impl_->retired_counts[{key.service, key.version, {}}] += outcomes;
+    return true;
+  });
+}
+
 void UpstreamClient::retain_instances(const std::vector<std::string>& instances) {
   impl_->load_balancer.retain(instances);
 }
--- a/src/proxy/upstream_client.hpp
+++ b/src/proxy/upstream_client.hpp
@@ -9,6 +9,7 @@
 /// Threads: every function may be called from any fiber; execute() and can_reach() may suspend it. No lock is
 /// held while another is taken, nor while a fiber is suspended.
 #pragma once
+#include <set>
 #include <tuple>
 
 #include "proxy/admission_queue.hpp"
@@ -71,6 +72,8 @@
   uint64_t bad = 0;
   uint64_t slow = 0;      ///< good ones far beyond the service's usual latency
   uint64_t total_ms = 0;  ///< latency of all, in milliseconds
+
+  VersionOutcomes& operator+=(const VersionOutcomes& other);
 };
 
 /// What attempts are counted by.
@@ -103,8 +106,11 @@
   /// Counts a request that was sent for the first time: it earns a part of a retry.
   void record_request(const std::string& service);
 
-  /// How attempts ended, since the start of the process.
+  /// How attempts ended on the routes that are in force, since the start of the process or of the route.
   std::map<OutcomeKey, VersionOutcomes> counts() const;
+  /// How attempts ended, since the start of the process, over all routes that ever were in force; the keys
+  /// name no route.
+  std::map<OutcomeKey, VersionOutcomes> totals() const;
   /// By service.
   std::map<std::string, CanaryFailures> canary_failures() const;
   /// Requests of services with a stated rate, since the start of the process.
@@ -118,6 +124,9 @@
   uint64_t retries() const;
   /// Bounds the instances of one service that this node uses; 0: no bound.
   void set_max_instances(int max_instances);
+  /// Keeps only the totals of how attempts on all other routes ended.
+  /// @param labels  of the routes
+  void retain_routes(const std::set<std::string>& labels);
   /// Forgets the latency and health of all other instances.
   void retain_instances(const std::vector<std::string>& instances);
 
--- a/src/rollout/version_rollout_driver.cpp
+++ b/src/rollout/version_rollout_driver.cpp
@@ -60,28 +60,31 @@
 
 void VersionRolloutDriver::count_answers(TimePoint now, const Statuses& statuses,
                                          Observations& observations) {
-  for (const auto& [source, status] : statuses)
+  for (const auto& [source, status] : statuses) {
+    ReportedByKey latest;
     for (const auto& counts : status.version_counts()) {
-      const auto increase = take_increase(status, counts);
+      const auto increase = take_increase(status, counts, latest);
       if (increase.total() == 0) continue;
       observations[counts.service()].delta[counts.version()] += increase;
       recent_.push_back({now, counts.service(), counts.version(), increase});
     }
+    reported_[source] = std::move(latest);  // what is no longer reported begins at 0 when it comes back
+  }
   std::erase_if(recent_, [&](auto& entry) { return now - entry.at > bound_ * kMinuteBounds; });
 }
 
 // What the source counted since its counters were last seen, or since it started anew.
 VersionTotals VersionRolloutDriver::take_increase(const pb::NodeStatus& status,
-                                                  const pb::VersionCounts& counts) {
-  auto& reported =
-      reported_[status.source()][counts.service() + "/" + counts.version() + "/" + counts.route()];
+                                                  const pb::VersionCounts& counts, ReportedByKey& latest) {
+  const std::string key = counts.service() + "/" + counts.version() + "/" + counts.route();
+  const ReportedTotals& known = reported_[status.source()][key];
   const VersionTotals totals{counts.good(), counts.bad()};
   VersionTotals increase = totals;
-  if (reported.incarnation == status.version().incarnation()) {
-    increase.good -= std::min(increase.good, reported.totals.good);
-    increase.bad -= std::min(increase.bad, reported.totals.bad);
+  if (known.incarnation == status.version().incarnation()) {
+    increase.good -= std::min(increase.good, known.totals.good);
+    increase.bad -= std::min(increase.bad, known.totals.bad);
   }
-  reported = {status.version().incarnation(), totals};
+  latest[key] = {status.version().incarnation(), totals};
   return increase;
 }
 
--- a/src/rollout/version_rollout_driver.hpp
+++ b/src/rollout/version_rollout_driver.hpp
@@ -32,6 +32,8 @@
     uint64_t incarnation = 0;
     VersionTotals totals;
   };
+  /// By service/version/route.
+  using ReportedByKey = std::map<std::string, ReportedTotals>;
   /// Answers that came between two calls.
   struct TimedTotals {
     TimePoint at;
@@ -47,7 +49,8 @@
   };
 
   void count_answers(TimePoint now, const Statuses& statuses, Observations& observations);
-  VersionTotals take_increase(const pb::NodeStatus& status, const pb::VersionCounts& counts);
+  VersionTotals take_increase(const pb::NodeStatus& status, const pb::VersionCounts& counts,
+                              ReportedByKey& latest);
   void sum_recent(TimePoint now, Observations& observations) const;
   void count_instances(TimePoint now, Observations& observations) const;
   void step_service(TimePoint now, const std::string& service, const RolloutRules& rules,
@@ -59,9 +62,8 @@
   membership::Leadership& leadership_;
   const membership::LeadershipFence& fence_;
   Duration bound_;
-  /// By source, and by service/version/route.
-  std::map<std::string, std::map<std::string, ReportedTotals>> reported_;
-  std::vector<TimedTotals> recent_;  ///< of the last minute, the latest last
+  std::map<std::string, ReportedByKey> reported_;  ///< by source: what its latest status reported
+  std::vector<TimedTotals> recent_;                ///< of the last minute, the latest last
   std::map<std::string, ServiceRecord> services_;
   VersionRolloutObserver observer_;
 };
