A process that is asked to end answers what ends before the last sixth of its grace

Test: unit "shutdown: what ends before the last sixth of the grace is answered" (fails with four fifths, by reading: 4.8 s of 6 are less than 5.4).

--- a/test/unit/node/settings_test.cpp
+++ b/test/unit/node/settings_test.cpp
@@ -1,5 +1,6 @@
 // Settings: every error is named by its place.
 #include "node/settings_reloader.hpp"
+#include "node/shutdown_sequence.hpp"
 #include "unit/schema_checks.hpp"
 #include "unit/unit_cases.hpp"
 #include "wire.pb.h"
@@ -26,6 +27,16 @@
       c.ParseFromString(std::string("\xfa\x07\x03new", 6)) && c.body_case() == pb::PeerRequest::BODY_NOT_SET,
       "an unknown ask was taken for a known one");
 }
+
+// What ends before the last sixth of the grace has to be answered; then the process has to be gone in time.
+void shutdown_answers_what_ends_in_time() {
+  for (const Duration grace : {Duration(3000), Duration(6000), Duration(20000)}) {
+    const auto times = node::shutdown_times(grace, Duration(2000));
+    expect(times.give_up >= grace * 5 / 6 + grace / 15, "no time is left to pass a late response on");
+    expect(times.give_up <= grace * 19 / 20, "the process may be killed before it ends");
+    expect(times.stop_serving < grace / 2, "requests are taken that cannot be finished");
+  }
+}
 }  // namespace
 
 std::vector<Case> settings_cases() {
@@ -66,6 +77,8 @@
          a = std::get<node::Settings>(node::parse_settings(t)).node;
          expect(a.initial_boot && a.tolerate == 2, "what is stated");
        }},
+      {"shutdown: what ends before the last sixth of the grace is answered",
+       shutdown_answers_what_ends_in_time},
       {"config: what changed is named by its key",
        [good] {
          auto t = good;
