A soak of real processes: kept connections, and signals, restarts and changes that overlap

Broken is a request that ran and got no answer though its relay was not killed, one that ran twice or in spite of a promise, a configuration older than allowed or than was shown, a change that is not acknowledged or not read back, and a process that outstays its grace or ends by itself.

--- /dev/null
+++ b/test/fleet/soak_fleet.cpp
@@ -0,0 +1,128 @@
+// Processes are started by fork and exec from here; only those started here are ever signalled, by their id.
+#include "fleet/soak_fleet.hpp"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace dunlinwing::test {
+namespace {
+constexpr int kPortsEach = 3;
+constexpr int kDisks = 5;
+constexpr int kSeeds = 3;
+constexpr int kZones = 3;
+constexpr Duration kReapEvery{10};
+constexpr double kMsPerSecond = 1000;
+
+std::string loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
+}  // namespace
+
+SoakFleet::SoakFleet(SoakFleetOptions options) : options_(std::move(options)) {
+  for (int i = 0; i < options_.relays; ++i) {
+    const int port = options_.first_port + i * kPortsEach;
+    SoakRelay relay;
+    relay.name = fmt::format("r{}", i + 1);
+    relay.client_address = loopback(port);
+    relay.control_address = loopback(port + 1);
+    relay.peer_address = loopback(port + 2);
+    relay.zone = static_cast<char>('a' + i % kZones);
+    relay.has_disk = i < kDisks;
+    relays_.push_back(relay);
+  }
+}
+
+void SoakFleet::write_settings(const SoakRelay& relay, bool first_start, int rotation) const {
+  std::string seeds;
+  for (int i = 0; i < kSeeds; ++i)
+    seeds += fmt::format("{}\"{}\"", i ? "," : "",
+                         relays_[static_cast<size_t>((i + rotation) % kSeeds)].control_address);
+  const auto folder = options_.directory + "/" + relay.name;
+  std::filesystem::create_directories(folder);
+  const auto path = folder + "/relay.json";
+  std::ofstream file(path + ".new");
+  file << fmt::format(
+      R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},"seeds":[{}],)"
+      R"("first_start":{},"tolerate":1,"threads":1,"descriptors":{},"memory_mb":160,)"
+      R"("bounds":{{"layout_s":2,"leave_s":2,"purge_s":2,"grace_s":{}}}{}}})",
+      relay.name, relay.zone, relay.client_address, relay.control_address, relay.peer_address, seeds,
+      first_start, options_.descriptors, static_cast<double>(options_.grace.count()) / kMsPerSecond,
+      relay.has_disk ? fmt::format(R"(,"data":"{}/data")", folder) : "");
+  file.close();
+  std::filesystem::rename(path + ".new", path);
+}
+
+void SoakFleet::start_all() {
+  for (auto& relay : relays_) start(relay);
+}
+
+void SoakFleet::start(SoakRelay& relay) {
+  write_settings(relay, relay.life == 0, relay.life);
+  const auto folder = options_.directory + "/" + relay.name;
+  const std::string argument = "--config=" + folder + "/relay.json";
+  const std::string log = folder + "/log";
+  const pid_t process = ::fork();
+  if (process == 0) {
+    const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(file, STDOUT_FILENO);
+    ::dup2(file, STDERR_FILENO);
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execl(options_.relay_program.c_str(), "relay", argument.c_str(), nullptr);
+    ::_exit(127);
+  }
+  relay.process = process;
+  relay.terminating = false;
+  ++relay.life;
+}
+
+bool SoakFleet::reap(SoakRelay& relay) {
+  if (relay.process > 0 && ::waitpid(relay.process, nullptr, WNOHANG) == relay.process) relay.process = -1;
+  return relay.process < 0;
+}
+
+bool SoakFleet::has_crashed(SoakRelay& relay) {
+  return relay.process > 0 && !relay.terminating && reap(relay);
+}
+
+bool SoakFleet::terminate(SoakRelay& relay) {
+  ++out_;
+  disks_out_ += relay.has_disk;
+  relay.terminating = true;
+  relay.terminated_at = clock_.now();
+  ::kill(relay.process, SIGTERM);
+  while (!reap(relay) && clock_.now() < relay.terminated_at + options_.grace) clock_.sleep(kReapEvery);
+  const bool ended = relay.process < 0;
+  if (!ended) {
+    relay.killed_at = clock_.now();
+    ::kill(relay.process, SIGKILL);
+    ::waitpid(relay.process, nullptr, 0);
+    relay.process = -1;
+  }
+  --out_;
+  disks_out_ -= relay.has_disk;
+  return ended;
+}
+
+void SoakFleet::kill(SoakRelay& relay) {
+  relay.terminating = true;
+  relay.killed_at = clock_.now();
+  ::kill(relay.process, SIGKILL);
+  ::waitpid(relay.process, nullptr, 0);
+  relay.process = -1;
+}
+
+void SoakFleet::reload(SoakRelay& relay, int rotation) {
+  write_settings(relay, false, rotation);
+  ::kill(relay.process, SIGHUP);
+}
+
+void SoakFleet::kill_all() {
+  for (auto& relay : relays_)
+    if (relay.process > 0) kill(relay);
+}
+
+}  // namespace dunlinwing::test
--- /dev/null
+++ b/test/fleet/soak_main.cpp
@@ -0,0 +1,170 @@
+// A soak of real processes on this machine: clients that keep their connections, and signals, restarts and
+// changes of the configuration that come in series and overlap, drawn from a seed. Exit code 0: nothing
+// broke.
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+
+#include "fleet/soak_traffic.hpp"
+
+DEFINE_string(relay, "build/relay", "the program under test");
+DEFINE_string(dir, "soak_run", "where settings, data and logs go");
+DEFINE_uint64(seed, 1, "of all that is drawn");
+DEFINE_int32(seconds, 12, "of troubles");
+DEFINE_int32(relays, 9, "processes");
+DEFINE_int32(clients, 120, "that make requests at once");
+DEFINE_int32(port, 26000, "the first of the loopback ports: three a relay, and a few");
+
+namespace dunlinwing::test {
+namespace {
+using namespace std::chrono_literals;
+constexpr Duration kStartTime{40000};  // in which the fleet has to be ready
+constexpr int kBackendPorts = 8;
+
+/// What happens to the relays while clients make requests.
+class Troubles {
+ public:
+  Troubles(net::EventLoopPool& pool, SoakFleet& fleet, SoakTraffic& traffic, uint64_t seed)
+      : pool_(pool), fleet_(fleet), traffic_(traffic), random_(seed) {}
+
+  /// Suspends the calling fiber for as long as troubles last.
+  void run(Duration span) {
+    end_ = clock_.now() + span;
+    for (int i = 0; i < 2; ++i) repeat(900ms, [this] { restart_in_order(); });
+    repeat(1500ms, [this] { kill_and_start(); });
+    repeat(700ms, [this] { reload(); });
+    repeat(1200ms, [this] { change_in_series(); });
+    while (running_ > 0) clock_.sleep(20ms);
+  }
+
+ private:
+  /// Does it again and again, after a random pause.
+  void repeat(Duration longest_pause, std::function<void()> what) {
+    ++running_;
+    pool_.spawn([this, longest_pause, what = std::move(what)] {
+      while (clock_.now() < end_) {
+        clock_.sleep(
+            Duration(static_cast<int64_t>(random_() % static_cast<uint64_t>(longest_pause.count()))));
+        what();
+      }
+      --running_;
+    });
+  }
+
+  /// A relay that runs, and may go: at most one with a disk and a third of all are out at once. Null: none
+  /// may.
+  SoakRelay* choose() {
+    auto& relays = fleet_.relays();
+    auto& relay = relays[random_() % relays.size()];
+    if (relay.process < 0 || relay.terminating) return nullptr;
+    if (relay.has_disk && (fleet_.disks_out() > 0 || clock_.now() < disk_rests_until_)) return nullptr;
+    if (fleet_.out() * 3 >= static_cast<int>(relays.size())) return nullptr;
+    if (relay.has_disk) disk_rests_until_ = clock_.now() + 3s;
+    return &relay;
+  }
+
+  void restart_in_order() {
+    auto* relay = choose();
+    if (!relay) return;
+    if (!fleet_.terminate(*relay)) traffic_.report(relay->name + " outstayed its grace");
+    clock_.sleep(Duration(static_cast<int64_t>(random_() % 300)));
+    fleet_.start(*relay);
+  }
+
+  void kill_and_start() {
+    auto* relay = choose();
+    if (!relay) return;
+    fleet_.kill(*relay);
+    clock_.sleep(Duration(static_cast<int64_t>(random_() % 300)));
+    fleet_.start(*relay);
+  }
+
+  void reload() {
+    auto& relay = fleet_.relays()[random_() % fleet_.relays().size()];
+    if (relay.process > 0 && !relay.terminating) fleet_.reload(relay, static_cast<int>(random_() % 3));
+  }
+
+  void change_in_series() {
+    for (auto left = random_() % 8; left > 0; --left) {
+      if (!traffic_.change_configuration()) traffic_.report("a change was not acknowledged in time");
+      clock_.sleep(Duration(static_cast<int64_t>(random_() % 200)));
+    }
+  }
+
+  net::EventLoopPool& pool_;
+  SoakFleet& fleet_;
+  SoakTraffic& traffic_;
+  std::mt19937_64 random_;
+  net::SystemClock clock_;
+  TimePoint end_{0};
+  TimePoint disk_rests_until_{0};  // a replica has to catch up before the next one goes
+  int running_ = 0;
+};
+
+// Whether all relays that run are ready.
+bool all_ready(net::HttpClient& http, SoakFleet& fleet) {
+  for (const auto& relay : fleet.relays()) {
+    const auto reply = http.send(relay.control_address, {"", "GET", "/readyz", "", {}}, 1000ms);
+    const auto* response = std::get_if<base::Response>(&reply);
+    if (!response || response->status != 200) return false;
+  }
+  return true;
+}
+
+bool await_ready(SoakFleet& fleet) {
+  net::SystemClock clock;
+  net::HttpClient http{1U << 20};
+  for (const auto end = clock.now() + kStartTime; clock.now() < end; clock.sleep(100ms))
+    if (all_ready(http, fleet)) return true;
+  return false;
+}
+
+void soak(net::EventLoopPool& pool, SoakFleet& fleet, SoakTraffic& traffic) {
+  fleet.start_all();
+  traffic.start_backends();
+  if (!traffic.change_configuration()) return traffic.report("the first configuration was not acknowledged");
+  if (!await_ready(fleet)) return traffic.report("not all relays became ready");
+  traffic.start_clients(FLAGS_clients);
+  Troubles(pool, fleet, traffic, FLAGS_seed).run(Duration(FLAGS_seconds * 1000));
+  for (auto& relay : fleet.relays())
+    if (fleet.has_crashed(relay)) traffic.report(relay.name + " ended by itself");
+  if (!await_ready(fleet)) traffic.report("not all relays are ready after the troubles");
+  traffic.stop();
+  traffic.read_back();
+}
+
+int print(const SoakFigures& figures) {
+  for (const auto& what : figures.broken) std::cout << "BROKEN: " << what << "\n";
+  std::cout
+      << fmt::format(
+             "seed {}: {} requests on {} connections, {} answered, {} refused, {} other, {} cut by kills, "
+             "{} cut unread ({} of them late), {} changes, {} broken\n",
+             FLAGS_seed, figures.requests, figures.connections, figures.answered, figures.refused,
+             figures.other, figures.cut_by_kill, figures.cut_unread, figures.late_cuts, figures.changes,
+             figures.broken.size())
+      << std::flush;
+  return figures.broken.empty() && figures.answered > figures.requests / 3 ? 0 : 1;
+}
+}  // namespace
+}  // namespace dunlinwing::test
+
+int main(int argc, char** argv) {
+  using namespace dunlinwing;
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::filesystem::remove_all(FLAGS_dir);
+  std::filesystem::create_directories(FLAGS_dir);
+  net::EventLoopPool pool(1);
+  test::SoakFleet fleet({std::filesystem::absolute(FLAGS_dir).string(),
+                         std::filesystem::absolute(FLAGS_relay).string(), FLAGS_port + test::kBackendPorts,
+                         FLAGS_relays});
+  test::SoakTraffic traffic(pool, fleet, FLAGS_seed, FLAGS_port);
+  pool.run([&] {
+    test::soak(pool, fleet, traffic);
+    fleet.kill_all();
+    net::EventLoopPool::stop(test::print(traffic.figures()));
+  });
+}
--- /dev/null
+++ b/test/fleet/soak_traffic.cpp
@@ -0,0 +1,274 @@
+#include "fleet/soak_traffic.hpp"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace dunlinwing::test {
+namespace {
+using namespace std::chrono_literals;
+
+constexpr int kBackends = 4;
+constexpr Duration kLongestWork{250};
+constexpr Duration kHeartbeatPeriod{800};
+constexpr Duration kPatience{6000};        // of a client; relays give up after the service's two seconds
+constexpr Duration kBound{2000};           // in which every relay acts on a configuration
+constexpr Duration kBoundSlack{250};       // for the clocks of this process
+constexpr Duration kRevertSlack{250};      // after which a relay shows nothing older than it has shown
+constexpr Duration kUnreadSlack{200};      // in which an unread request may be cut
+constexpr Duration kNewConnections{1500};  // for which a relay that was asked to end still gets new ones
+constexpr Duration kLongestPause{120};     // of a client between two requests
+constexpr Duration kOperatorTries{8000};
+constexpr int kRequestsEach = 40;  // on one connection, at most
+
+std::string configuration(uint64_t number) {
+  return fmt::format(
+      R"({{"content":{{"services":{{"app":{{"versions":["1"],"deadline_ms":2000,"waitlist":64,"inflight":32}}}},)"
+      R"("routes":[{{"prefix":"/any/","service":"app","methods":["GET"]}},)"
+      R"({{"prefix":"/once/","service":"app","methods":["POST"]}},)"
+      R"({{"prefix":"/added-{}/","service":"app","methods":["GET"]}}],)"
+      R"("limits":{{"idle_ms":{},"head_ms":3000}}}},"stated":"configuration {}"}})",
+      number, number % 3 ? 15000 : 4000, number);
+}
+
+uint64_t parse_number(const std::string& text) {
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+Duration draw_duration(std::mt19937_64& random, Duration longest) {
+  return Duration(static_cast<int64_t>(random() % static_cast<uint64_t>(longest.count())));
+}
+
+/// The value of a header in the head of a response; empty when it has none.
+std::string header_of(const std::string& head, const std::string& name) {
+  const auto at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return {};
+  const auto begin = at + name.size() + 4;
+  return head.substr(begin, head.find('\r', begin) - begin);
+}
+}  // namespace
+
+SoakTraffic::SoakTraffic(net::EventLoopPool& pool, SoakFleet& fleet, uint64_t seed, int first_port)
+    : pool_(pool), fleet_(fleet), seed_(seed), first_port_(first_port) {}
+
+void SoakTraffic::report(std::string what) { figures_.broken.push_back(std::move(what)); }
+
+// ---- Backend instances ----
+
+void SoakTraffic::start_backends() {
+  for (int i = 0; i < kBackends; ++i) {
+    const auto instance = fmt::format("i{}", i);
+    const auto address = fmt::format("127.0.0.1:{}", first_port_ + i);
+    backends_.push_back(std::make_unique<net::HttpServer>(
+        pool_, "backend", net::HttpLimits{},
+        [this, instance](base::Request& request) { return answer(request, instance); }));
+    if (auto error = backends_.back()->listen(address, 0, 1)) throw std::runtime_error(*error);
+    pool_.spawn([this, instance, address] { send_heartbeats(instance, address); });
+  }
+}
+
+base::Response SoakTraffic::answer(base::Request& request, const std::string& instance) {
+  const auto id = base::header(request.headers, "Caller-Id");
+  base::Headers headers = {{"Dunlinwing-Service", "app"},
+                           {"Dunlinwing-Version", "1"},
+                           {"Dunlinwing-Instance", instance},
+                           {"Dunlinwing-Request", base::header(request.headers, "Dunlinwing-Request")}};
+  if (base::header(request.headers, "Dunlinwing-Instance") != instance) {
+    headers.emplace_back("Dunlinwing-Outcome", "not-run");
+    return {421, headers, ""};
+  }
+  ++runs_[id];
+  clock_.sleep(Duration(std::hash<std::string>()(id) % static_cast<size_t>(kLongestWork.count())));
+  const std::string body = "ran " + id;
+  headers.emplace_back("Content-Digest", "sha-256=:" + base::sha256_base64(body) + ":");
+  return {200, headers, body};
+}
+
+void SoakTraffic::send_heartbeats(const std::string& instance, const std::string& address) {
+  std::mt19937_64 random(seed_ + std::hash<std::string>()(instance));
+  for (uint64_t number = 1;; ++number) {
+    base::Request beat{"", "POST", "/v1/beats", "", {}};
+    beat.body = fmt::format(
+        R"({{"service":"app","version":"1","instance":"{}","zone":"a","address":"{}","capacity":32,)"
+        R"("leaving":false,"number":{},"period_ms":{}}})",
+        instance, address, number, kHeartbeatPeriod.count());
+    for (int tries = 0; tries < 5; ++tries) {
+      const auto* relay = choose_relay(random);
+      if (!relay) break;
+      const auto reply = http_.send(relay->control_address, beat, 1000ms);
+      const auto* response = std::get_if<base::Response>(&reply);
+      if (response && response->status == 200) break;
+    }
+    clock_.sleep(kHeartbeatPeriod);
+  }
+}
+
+// ---- Clients ----
+
+// One that runs, and was not asked to end longer ago than the platform needs to hear of it.
+SoakRelay* SoakTraffic::choose_relay(std::mt19937_64& random) {
+  auto& relays = fleet_.relays();
+  for (size_t tries = 0; tries < 2 * relays.size(); ++tries) {
+    auto& relay = relays[random() % relays.size()];
+    if (relay.process < 0) continue;
+    if (!relay.terminating || clock_.now() - relay.terminated_at < kNewConnections) return &relay;
+  }
+  return nullptr;
+}
+
+void SoakTraffic::start_clients(int count) {
+  for (int i = 0; i < count; ++i) {
+    ++clients_;
+    pool_.spawn([this, i] {
+      run_client(i);
+      --clients_;
+    });
+  }
+}
+
+void SoakTraffic::run_client(int number) {
+  std::mt19937_64 random(seed_ * 1000 + static_cast<uint64_t>(number));
+  for (uint64_t made = 0; !stopping_;) {
+    auto* relay = choose_relay(random);
+    if (!relay) {
+      clock_.sleep(20ms);
+      continue;
+    }
+    const auto connection =
+        net::Connection::connect(relay->client_address, std::chrono::steady_clock::now() + 1s);
+    if (!connection) {
+      clock_.sleep(20ms);
+      continue;
+    }
+    ++figures_.connections;
+    const int life = relay->life;
+    for (int i = 0; i < kRequestsEach && !stopping_; ++i) {
+      const Sent sent{fmt::format("{}-{}", number, made++), relay, life, random() % 4 == 0, clock_.now()};
+      if (!exchange(*connection, sent)) break;
+      connection->start_read();  // so that the other side's end is seen
+      clock_.sleep(draw_duration(random, kLongestPause));
+      if (!connection->is_idle_in_system()) break;
+    }
+    connection->close();
+  }
+}
+
+// One request and its response; false when the connection has ended or is to end.
+bool SoakTraffic::exchange(net::Connection& connection, const Sent& sent) {
+  ++figures_.requests;
+  net::Timer patience;
+  patience.set(std::chrono::steady_clock::now() + kPatience, [&] { connection.interrupt(); });
+  const std::string head = fmt::format("Host: soak\r\nCaller-Id: {}\r\n", sent.id);
+  const std::string request = sent.once ? "POST /once/x HTTP/1.1\r\n" + head + "Content-Length: 2\r\n\r\n{}"
+                                        : "GET /any/x HTTP/1.1\r\n" + head + "\r\n";
+  bool cut = static_cast<bool>(connection.write(request));
+  size_t end = std::string::npos;
+  while (!cut && (end = connection.buffered().find("\r\n\r\n")) == std::string::npos)
+    cut = static_cast<bool>(connection.read_more());
+  const std::string response_head =
+      cut ? std::string() : std::string(connection.buffered().substr(0, end + 2));
+  const size_t whole = end + 4 + parse_number(header_of(response_head, "Content-Length"));
+  while (!cut && connection.buffered().size() < whole) cut = static_cast<bool>(connection.read_more());
+  if (cut) {
+    judge_cut(sent, connection.is_interrupted());
+    return false;
+  }
+  connection.consume(whole);
+  const auto status = static_cast<int>(parse_number(response_head.substr(response_head.find(' ') + 1, 3)));
+  judge_answer(sent, status, parse_number(header_of(response_head, "Dunlinwing-Generation")));
+  return header_of(response_head, "Connection") != "close";
+}
+
+// ---- Judgement ----
+
+uint64_t SoakTraffic::oldest_allowed(TimePoint sent_at) const {
+  const auto after = acknowledged_.upper_bound(sent_at - kBound - kBoundSlack);
+  return after == acknowledged_.begin() ? 0 : std::prev(after)->second;
+}
+
+void SoakTraffic::judge_answer(const Sent& sent, int status, uint64_t generation) {
+  const bool refused = status == 429 || status == 503;
+  ++(status < 400 ? figures_.answered : refused ? figures_.refused : figures_.other);
+  const int runs = runs_[sent.id];
+  if (sent.once && refused && runs > 0)
+    report(fmt::format("{} was refused with {}, and ran", sent.id, status));
+  if (sent.once && runs > 1) report(fmt::format("{} ran {} times", sent.id, runs));
+  if (generation == 0) return;
+  if (const auto oldest = oldest_allowed(sent.at); generation < oldest)
+    report(fmt::format("{} was handled by {} under configuration {}, though {} was acknowledged", sent.id,
+                       sent.relay->name, generation, oldest));
+  auto& shown = shown_[fmt::format("{}/{}", sent.relay->name, sent.life)];
+  if (const auto later = shown.upper_bound(sent.at - kRevertSlack); later != shown.begin())
+    if (const auto before = std::prev(later)->second; generation < before)
+      report(fmt::format("{} showed configuration {} after {}", sent.relay->name, generation, before));
+  auto& latest = shown[clock_.now()];
+  latest = std::max({latest, generation, shown.size() > 1 ? std::prev(shown.end(), 2)->second : 0});
+}
+
+void SoakTraffic::judge_cut(const Sent& sent, bool timed_out) {
+  const TimePoint now = clock_.now();
+  if (timed_out) return report(fmt::format("{} got no answer from {} in time", sent.id, sent.relay->name));
+  if (sent.relay->killed_at >= sent.at - 1s) {
+    ++figures_.cut_by_kill;
+    return;
+  }
+  clock_.sleep(50ms);  // the instance may be about to count it
+  if (runs_[sent.id] > 0)
+    return report(fmt::format("{} ran, and got no answer from {} (life {}, {} ms after it was sent{})",
+                              sent.id, sent.relay->name, sent.life, (now - sent.at).count(),
+                              sent.relay->terminating ? ", asked to end" : ""));
+  ++figures_.cut_unread;
+  figures_.late_cuts += now - sent.at > kUnreadSlack;
+}
+
+void SoakTraffic::stop() {
+  stopping_ = true;
+  while (clients_ > 0) clock_.sleep(20ms);
+}
+
+// ---- Configurations ----
+
+bool SoakTraffic::change_configuration() {
+  const uint64_t number = ++next_number_;
+  std::mt19937_64 random(seed_ * 7 + number);
+  const base::Request change{"", "PUT", fmt::format("/v1/layouts/{}", number), configuration(number), {}};
+  for (const auto end = clock_.now() + kOperatorTries; clock_.now() < end;) {
+    const auto* relay = choose_relay(random);
+    if (!relay) {
+      clock_.sleep(20ms);
+      continue;
+    }
+    const auto reply = http_.send(relay->control_address, change, 1500ms);
+    const auto* response = std::get_if<base::Response>(&reply);
+    if (response && response->status == 200) {
+      highest_acknowledged_ = std::max(highest_acknowledged_, number);
+      acknowledged_[clock_.now()] = highest_acknowledged_;
+      ++figures_.changes;
+      return true;
+    }
+    clock_.sleep(50ms);
+  }
+  return false;
+}
+
+void SoakTraffic::read_back() {
+  for (auto& relay : fleet_.relays()) {
+    const base::Request read{"", "GET", "/v1/layouts/current", "", {}};
+    std::string body;
+    for (const auto end = clock_.now() + kOperatorTries; body.empty() && clock_.now() < end;
+         clock_.sleep(50ms)) {
+      const auto reply = http_.send(relay.control_address, read, 1500ms);
+      const auto* response = std::get_if<base::Response>(&reply);
+      if (response && response->status == 200) body = response->body;
+    }
+    const auto at = body.find("\"number\":");
+    const auto number = at == std::string::npos ? 0 : parse_number(body.substr(at + 9));
+    if (number < highest_acknowledged_)
+      report(fmt::format("{} reads configuration {} back, {} was acknowledged", relay.name, number,
+                         highest_acknowledged_));
+  }
+}
+
+}  // namespace dunlinwing::test
