--- a/src/node/shutdown_sequence.cpp
+++ b/src/node/shutdown_sequence.cpp
@@ -9,8 +9,9 @@
 constexpr Duration kParked(1000);   // period of a fiber that only waits for the end of the process
 }  // namespace
 
-// What still runs in the last sixth of the grace may be cut. What ends before it is answered, which takes a while:
-// its backend instance's response has to come, and to go on to the client over a link that may be full.
+// What still runs in the last sixth of the grace may be cut. What ends before it is answered, which takes a
+// while: its backend instance's response has to come, and to go on to the client over a link that may be
+// full.
 ShutdownTimes shutdown_times(Duration grace, Duration bound) {
   if (grace > Duration(0)) return {grace * 9 / 20, grace * 11 / 12};
   return {bound * 5 / 8, bound * 2};
