--- a/test/unit/proxy/upstream_client_test.cpp
+++ b/test/unit/proxy/upstream_client_test.cpp
@@ -87,7 +87,7 @@
   const int to_canary = node.origin.requests["2"];
   const int sent = to_canary + node.origin.requests["1"];
   expect(refused > kRequests / 2, fmt::format("only {} were refused", refused));
-  expect(to_canary * 10 <= sent + 10 * canary::kInitialCredit,
+  expect(to_canary * 10 <= sent + static_cast<int>(canary::kInitialCredit) * 10,
          fmt::format("the canary got {} of {} requests that were sent", to_canary, sent));
 }
 
