--- a/src/control_api/metrics.cpp
+++ b/src/control_api/metrics.cpp
@@ -84,7 +84,7 @@
 
 OutcomesByVersion sum_over_routes(proxy::UpstreamClient& upstream) {
   OutcomesByVersion sums;
-  for (const auto& [key, outcomes] : upstream.totals()) sums[key.service][key.version] = outcomes;
+  for (const auto& [key, outcomes] : upstream.outcomes().totals()) sums[key.service][key.version] = outcomes;
   return sums;
 }
 
--- /dev/null
+++ b/src/proxy/outcome_counters.hpp
@@ -0,0 +1,73 @@
+/// @file
+/// Counts how the attempts of one node ended, by service, version and route, for the verdicts on canaries and
+/// for the metrics page.
+///
+/// Invariant: what is kept by route is bounded by the routes in force; the rest is folded into totals that
+/// name no route and never fall. Threads: every function may be called from any thread; the one lock is a
+/// leaf.
+#pragma once
+#include <map>
+#include <mutex>
+#include <set>
+#include <tuple>
+
+#include "base/common.hpp"
+
+namespace dunlinwing::proxy {
+
+/// Counts of attempts.
+struct VersionOutcomes {
+  uint64_t good = 0;
+  uint64_t bad = 0;
+  uint64_t slow = 0;      ///< good ones far beyond the service's usual latency
+  uint64_t total_ms = 0;  ///< latency of all, in milliseconds
+
+  VersionOutcomes& operator+=(const VersionOutcomes& other);
+};
+
+/// What attempts are counted by.
+struct OutcomeKey {
+  std::string service;
+  std::string version;
+  std::string route;  ///< by label
+  bool operator<(const OutcomeKey& other) const {
+    return std::tie(service, version, route) < std::tie(other.service, other.version, other.route);
+  }
+};
+
+/// Failures of a canary as this node saw them.
+struct CanaryFailures {
+  uint64_t canary_number = 0;
+  uint64_t failed_attempts = 0;
+};
+
+class OutcomeCounters {
+ public:
+  /// Counts an attempt that its instance may have executed.
+  /// @param slow  a good one far beyond the service's usual latency
+  void record(const OutcomeKey& key, bool good, bool slow, Duration latency);
+
+  /// Counts the same attempt for the canary that the service has; with another number the count starts anew.
+  void record_canary(const std::string& service, uint64_t canary_number, bool good);
+
+  /// On the routes that are in force, since the start of the process or of the route.
+  std::map<OutcomeKey, VersionOutcomes> counts() const;
+
+  /// Since the start of the process, over all routes that ever were in force; the keys name no route.
+  std::map<OutcomeKey, VersionOutcomes> totals() const;
+
+  /// By service.
+  std::map<std::string, CanaryFailures> canary_failures() const;
+
+  /// Keeps only the totals of all other routes.
+  /// @param labels  of the routes in force
+  void retain_routes(const std::set<std::string>& labels);
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<OutcomeKey, VersionOutcomes> counts_;   // guarded by mutex_
+  std::map<OutcomeKey, VersionOutcomes> retired_;  // of routes not in force, without their names; likewise
+  std::map<std::string, CanaryFailures> canary_failures_;  // by service; likewise
+};
+
+}  // namespace dunlinwing::proxy
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -196,8 +196,8 @@
     reported->set_failures(counters.failures);
   }
 
-  void report_versions(pb::NodeStatus& status) const {
-    for (const auto& [key, outcomes_of_version] : upstream_client.counts()) {
+  void report_versions(pb::NodeStatus& status) {
+    for (const auto& [key, outcomes_of_version] : upstream_client.outcomes().counts()) {
       auto* reported = status.add_version_counts();
       reported->set_service(key.service);
       reported->set_version(key.version);
@@ -215,11 +215,11 @@
     if (!next.configuration || next.configuration == previous->configuration) return;
     std::set<std::string> labels;
     for (const auto& route : next.configuration->routes) labels.insert(route.label());
-    upstream_client.retain_routes(labels);
+    upstream_client.outcomes().retain_routes(labels);
   }
 
-  void report_canaries(pb::NodeStatus& status) const {
-    for (const auto& [service, failures] : upstream_client.canary_failures()) {
+  void report_canaries(pb::NodeStatus& status) {
+    for (const auto& [service, failures] : upstream_client.outcomes().canary_failures()) {
       auto* reported = status.add_canary_counts();
       reported->set_service(service);
       reported->set_number(failures.canary_number);
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -69,11 +69,9 @@
   AdmissionQueues admission_queues;
   std::atomic<uint64_t> retries{0};
   std::atomic<int> max_instances{0};
-  mutable std::mutex mutex;  // guards the counts below
-  std::map<OutcomeKey, VersionOutcomes> counts;
-  std::map<OutcomeKey, VersionOutcomes> retired_counts;   // of routes no longer in force; without their names
-  std::map<std::string, uint64_t> rate_demand;            // by service
-  std::map<std::string, CanaryFailures> canary_failures;  // by service
+  OutcomeCounters outcomes;
+  mutable std::mutex mutex;
+  std::map<std::string, uint64_t> rate_demand;  // by service; guarded by mutex
 
   explicit Impl(NodeContext node_context)
       : node(std::move(node_context)),
@@ -164,15 +162,9 @@
     const auto* state = find_state(*snapshot, instance.service);
     const auto usual = load_balancer.typical_latency(instance.service);
     const bool slow = good && usual > Duration(0) && latency > std::max(usual * kSlowMultiple, kMinSlow);
-    const std::lock_guard lock(mutex);
-    auto& outcomes = counts[{instance.service, instance.version, context.route->label()}];
-    (good ? outcomes.good : outcomes.bad)++;
-    outcomes.slow += slow;
-    outcomes.total_ms += static_cast<uint64_t>(latency.count());
-    if (!state || state->canary() != instance.version) return;
-    auto& failures = canary_failures[instance.service];
-    if (failures.canary_number != state->canary_number()) failures = {state->canary_number(), 0};
-    failures.failed_attempts += !good;
+    outcomes.record({instance.service, instance.version, context.route->label()}, good, slow, latency);
+    if (state && state->canary() == instance.version)
+      outcomes.record_canary(instance.service, state->canary_number(), good);
   }
 };
 
@@ -351,30 +343,7 @@
   impl_->retry_budget.record_request(service, impl_->node.snapshot()->system.retry_ratio);
 }
 
-VersionOutcomes& VersionOutcomes::operator+=(const VersionOutcomes& other) {
-  good += other.good;
-  bad += other.bad;
-  slow += other.slow;
-  total_ms += other.total_ms;
-  return *this;
-}
-
-std::map<OutcomeKey, VersionOutcomes> UpstreamClient::totals() const {
-  const std::lock_guard lock(impl_->mutex);
-  auto totals = impl_->retired_counts;
-  for (const auto& [key, outcomes] : impl_->counts) totals[{key.service, key.version, {}}] += outcomes;
-  return totals;
-}
-
-std::map<OutcomeKey, VersionOutcomes> UpstreamClient::counts() const {
-  const std::lock_guard lock(impl_->mutex);
-  return impl_->counts;
-}
-
-std::map<std::string, CanaryFailures> UpstreamClient::canary_failures() const {
-  const std::lock_guard lock(impl_->mutex);
-  return impl_->canary_failures;
-}
+OutcomeCounters& UpstreamClient::outcomes() { return impl_->outcomes; }
 
 std::map<std::string, uint64_t> UpstreamClient::rate_demand() const {
   const std::lock_guard lock(impl_->mutex);
@@ -388,16 +357,6 @@
   return impl_->load_balancer.typical_latency(service);
 }
 void UpstreamClient::set_max_instances(int max_instances) { impl_->max_instances = max_instances; }
-void UpstreamClient::retain_routes(const std::set<std::string>& labels) {
-  const std::lock_guard lock(impl_->mutex);
-  std::erase_if(impl_->counts, [&](const auto& entry) {
-    const auto& [key, outcomes] = entry;
-    if (labels.count(key.route)) return false;
-    impl_->retired_counts[{key.service, key.version, {}}] += outcomes;
-    return true;
-  });
-}
-
 void UpstreamClient::retain_instances(const std::vector<std::string>& instances) {
   impl_->load_balancer.retain(instances);
 }
--- a/src/proxy/upstream_client.hpp
+++ b/src/proxy/upstream_client.hpp
@@ -9,11 +9,9 @@
 /// Threads: every function may be called from any fiber; execute() and can_reach() may suspend it. No lock is
 /// held while another is taken, nor while a fiber is suspended.
 #pragma once
-#include <set>
-#include <tuple>
-
 #include "proxy/admission_queue.hpp"
 #include "proxy/attempt_decision.hpp"
+#include "proxy/outcome_counters.hpp"
 #include "proxy/routing_snapshot.hpp"
 
 namespace dunlinwing::proxy {
@@ -66,32 +64,6 @@
   Duration retry_after{0};  ///< when it makes sense to send a rejected request again
 };
 
-/// Counts of attempts.
-struct VersionOutcomes {
-  uint64_t good = 0;
-  uint64_t bad = 0;
-  uint64_t slow = 0;      ///< good ones far beyond the service's usual latency
-  uint64_t total_ms = 0;  ///< latency of all, in milliseconds
-
-  VersionOutcomes& operator+=(const VersionOutcomes& other);
-};
-
-/// What attempts are counted by.
-struct OutcomeKey {
-  std::string service;
-  std::string version;
-  std::string route;  ///< by label
-  bool operator<(const OutcomeKey& other) const {
-    return std::tie(service, version, route) < std::tie(other.service, other.version, other.route);
-  }
-};
-
-/// Failures of a canary as this node saw them.
-struct CanaryFailures {
-  uint64_t canary_number = 0;
-  uint64_t failed_attempts = 0;
-};
-
 class UpstreamClient {
  public:
   explicit UpstreamClient(NodeContext node);
@@ -106,13 +78,8 @@
   /// Counts a request that was sent for the first time: it earns a part of a retry.
   void record_request(const std::string& service);
 
-  /// How attempts ended on the routes that are in force, since the start of the process or of the route.
-  std::map<OutcomeKey, VersionOutcomes> counts() const;
-  /// How attempts ended, since the start of the process, over all routes that ever were in force; the keys
-  /// name no route.
-  std::map<OutcomeKey, VersionOutcomes> totals() const;
-  /// By service.
-  std::map<std::string, CanaryFailures> canary_failures() const;
+  /// How attempts ended.
+  OutcomeCounters& outcomes();
   /// Requests of services with a stated rate, since the start of the process.
   std::map<std::string, uint64_t> rate_demand() const;
   ServiceLoad load(const std::string& service);
@@ -124,9 +91,6 @@
   uint64_t retries() const;
   /// Bounds the instances of one service that this node uses; 0: no bound.
   void set_max_instances(int max_instances);
-  /// Keeps only the totals of how attempts on all other routes ended.
-  /// @param labels  of the routes
-  void retain_routes(const std::set<std::string>& labels);
   /// Forgets the latency and health of all other instances.
   void retain_instances(const std::vector<std::string>& instances);
 
