A process that has just started is not ended by SIGHUP

The signal that settings have changed came before the process had set its handlers, and its default ends it. Now it is ignored from the first line of main on. Before that only whoever starts the process could: the soak sends none in its first second.

--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -89,6 +89,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  std::signal(SIGHUP, SIG_IGN);  // until the process heeds it: it would end one that has just started
   try {
     return run(argc, argv);
   } catch (const std::exception& error) {
--- a/test/fleet/soak_fleet.cpp
+++ b/test/fleet/soak_fleet.cpp
@@ -17,6 +17,8 @@
 constexpr int kSeeds = 3;
 constexpr int kZones = 3;
 constexpr Duration kReapEvery{10};
+constexpr Duration kUntilMain{
+    1000};  // from fork until the relay's main function has begun, on a loaded machine
 constexpr double kMsPerSecond = 1000;
 
 std::string loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
@@ -76,6 +78,7 @@
   }
   relay.process = process;
   relay.terminating = false;
+  relay.started_at = clock_.now();
   ++relay.life;
 }
 
@@ -116,6 +119,7 @@
 }
 
 void SoakFleet::reload(SoakRelay& relay, int rotation) {
+  if (clock_.now() - relay.started_at < kUntilMain) return;
   write_settings(relay, false, rotation);
   ::kill(relay.process, SIGHUP);
 }
--- a/test/fleet/soak_fleet.hpp
+++ b/test/fleet/soak_fleet.hpp
@@ -31,6 +31,7 @@
   bool has_disk = false;
   pid_t process = -1;        ///< -1: none runs
   int life = 0;              ///< counts the starts
+  TimePoint started_at{0};   ///< when this life began
   bool terminating = false;  ///< SIGTERM was sent to this life
   TimePoint terminated_at{0};
   TimePoint killed_at{0};  ///< when the latest SIGKILL was sent to any life
@@ -48,7 +49,8 @@
   bool terminate(SoakRelay& relay);
   void kill(SoakRelay& relay);
 
-  /// Writes the settings anew with the seeds in another order, and sends SIGHUP.
+  /// Writes the settings anew with the seeds in another order, and sends SIGHUP, which would end a process
+  /// whose main function has not begun; so not in its first second.
   void reload(SoakRelay& relay, int rotation);
   void kill_all();
 
