Outcomes counted in one type, one look at a socket's bytes, no accessor that nobody calls

No change of behaviour. proxy's VersionOutcomes was canary's OutcomeCounts written again, its sum included; the two looks at what has come on a socket peeked each by itself; HttpServer::undelivered_responses() had no caller, the count is in the log line.

--- a/src/control_api/metrics.cpp
+++ b/src/control_api/metrics.cpp
@@ -80,7 +80,7 @@
 }
 
 /// Outcomes by service and version, summed over the routes.
-using OutcomesByVersion = std::map<std::string, std::map<std::string, proxy::VersionOutcomes>>;
+using OutcomesByVersion = std::map<std::string, std::map<std::string, canary::OutcomeCounts>>;
 
 OutcomesByVersion sum_over_routes(proxy::UpstreamClient& upstream) {
   OutcomesByVersion sums;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -18,17 +18,17 @@
 constexpr int kUserTimeoutMs = 5000;
 constexpr size_t kSpareBuffer = 16 << 10;  // a larger buffer is given back once it is empty
 
-// Whether nothing has come on a socket, and it is open.
-bool still_idle(int fd) {
+// Looks at what has come on a socket without reading it: above 0 bytes, 0 the end, below 0 an error.
+ssize_t peek(int fd) {
   char byte = 0;
-  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
+// Whether nothing has come on a socket, and it is open.
+bool still_idle(int fd) { return peek(fd) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK); }
+
 // Whether bytes have come on a socket that were not read yet.
-bool has_unread_bytes(int fd) {
-  char byte = 0;
-  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
+bool has_unread_bytes(int fd) { return peek(fd) > 0; }
 
 iovec io_vector(std::string_view bytes) { return {const_cast<char*>(bytes.data()), bytes.size()}; }
 }  // namespace
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -168,7 +168,6 @@
 
 int HttpServer::running_requests() const { return impl_->state.running_requests; }
 int HttpServer::open_connections() const { return impl_->open_connections; }
-uint64_t HttpServer::undelivered_responses() const { return impl_->state.undelivered_responses; }
 
 void HttpServer::set_limits(HttpLimits limits) {
   impl_->state.limits = std::make_shared<const HttpLimits>(limits);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -54,9 +54,6 @@
   int running_requests() const;
   int open_connections() const;
 
-  /// Requests that were handled and whose response could not be written, since the start.
-  uint64_t undelivered_responses() const;
-
  private:
   struct Impl;
   std::shared_ptr<Impl> impl_;  ///< shared with the fibers of the connections
--- a/src/proxy/outcome_counters.cpp
+++ b/src/proxy/outcome_counters.cpp
@@ -2,14 +2,6 @@
 
 namespace dunlinwing::proxy {
 
-VersionOutcomes& VersionOutcomes::operator+=(const VersionOutcomes& other) {
-  good += other.good;
-  bad += other.bad;
-  slow += other.slow;
-  total_ms += other.total_ms;
-  return *this;
-}
-
 void OutcomeCounters::record(const OutcomeKey& key, bool good, bool slow, Duration latency) {
   const std::lock_guard lock(mutex_);
   auto& outcomes = counts_[key];
@@ -25,12 +17,12 @@
   failures.failed_attempts += !good;
 }
 
-std::map<OutcomeKey, VersionOutcomes> OutcomeCounters::counts() const {
+std::map<OutcomeKey, canary::OutcomeCounts> OutcomeCounters::counts() const {
   const std::lock_guard lock(mutex_);
   return counts_;
 }
 
-std::map<OutcomeKey, VersionOutcomes> OutcomeCounters::totals() const {
+std::map<OutcomeKey, canary::OutcomeCounts> OutcomeCounters::totals() const {
   const std::lock_guard lock(mutex_);
   auto totals = retired_;
   for (const auto& [key, outcomes] : counts_) totals[{key.service, key.version, {}}] += outcomes;
--- a/src/proxy/outcome_counters.hpp
+++ b/src/proxy/outcome_counters.hpp
@@ -3,28 +3,19 @@
 /// for the metrics page.
 ///
 /// Invariant: what is kept by route is bounded by the routes in force; the rest is folded into totals that
-/// name no route and never fall. Threads: every function may be called from any thread; the one lock is a
-/// leaf.
+/// name no route and never fall.
+///
+/// Threads: every function may be called from any thread; the one lock is a leaf.
 #pragma once
 #include <map>
 #include <mutex>
 #include <set>
 #include <tuple>
 
-#include "base/common.hpp"
+#include "canary/canary_statistics.hpp"
 
 namespace dunlinwing::proxy {
 
-/// Counts of attempts.
-struct VersionOutcomes {
-  uint64_t good = 0;
-  uint64_t bad = 0;
-  uint64_t slow = 0;      ///< good ones far beyond the service's usual latency
-  uint64_t total_ms = 0;  ///< latency of all, in milliseconds
-
-  VersionOutcomes& operator+=(const VersionOutcomes& other);
-};
-
 /// What attempts are counted by.
 struct OutcomeKey {
   std::string service;
@@ -51,10 +42,10 @@
   void record_canary(const std::string& service, uint64_t canary_number, bool good);
 
   /// On the routes that are in force, since the start of the process or of the route.
-  std::map<OutcomeKey, VersionOutcomes> counts() const;
+  std::map<OutcomeKey, canary::OutcomeCounts> counts() const;
 
   /// Since the start of the process, over all routes that ever were in force; the keys name no route.
-  std::map<OutcomeKey, VersionOutcomes> totals() const;
+  std::map<OutcomeKey, canary::OutcomeCounts> totals() const;
 
   /// By service.
   std::map<std::string, CanaryFailures> canary_failures() const;
@@ -65,8 +56,9 @@
 
  private:
   mutable std::mutex mutex_;
-  std::map<OutcomeKey, VersionOutcomes> counts_;   // guarded by mutex_
-  std::map<OutcomeKey, VersionOutcomes> retired_;  // of routes not in force, without their names; likewise
+  std::map<OutcomeKey, canary::OutcomeCounts> counts_;  // guarded by mutex_
+  std::map<OutcomeKey, canary::OutcomeCounts>
+      retired_;  // of routes not in force, without their names; likewise
   std::map<std::string, CanaryFailures> canary_failures_;  // by service; likewise
 };
 
