--- a/test/fleet/fleet.cpp
+++ b/test/fleet/fleet.cpp
@@ -2,7 +2,6 @@
 // platform; only processes started here are ever signalled, by their id.
 #include "fleet/fleet.hpp"
 
-#include <fcntl.h>
 #include <signal.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -11,6 +10,7 @@
 #include <fstream>
 
 #include "base/log.hpp"
+#include "fleet/process.hpp"
 
 namespace dunlinwing::test {
 namespace fs = std::filesystem;
@@ -93,20 +93,7 @@
 }
 
 pid_t Fleet::spawn(const std::string& program, const std::vector<std::string>& args, const std::string& log) {
-  auto path = program[0] == '/' ? program : config_.binaries + "/" + program;
-  std::vector<char*> av{const_cast<char*>(path.c_str())};
-  for (auto& a : args) av.push_back(const_cast<char*>(a.c_str()));
-  av.push_back(nullptr);
-  int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  pid_t p = fork();
-  if (p == 0) {
-    dup2(fd, 1);
-    dup2(fd, 2);
-    execv(av[0], av.data());
-    _exit(127);
-  }
-  ::close(fd);
-  return p;
+  return spawn_process(program[0] == '/' ? program : config_.binaries + "/" + program, args, log);
 }
 
 void Fleet::start(const std::string& n) {
--- a/test/fleet/soak_fleet.cpp
+++ b/test/fleet/soak_fleet.cpp
@@ -1,15 +1,15 @@
 // Processes are started by fork and exec from here; only those started here are ever signalled, by their id.
 #include "fleet/soak_fleet.hpp"
 
-#include <fcntl.h>
 #include <fmt/format.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 
+#include "fleet/process.hpp"
+
 namespace dunlinwing::test {
 namespace {
 constexpr int kPortsEach = 3;
@@ -65,18 +65,8 @@
 void SoakFleet::start(SoakRelay& relay) {
   write_settings(relay, relay.life == 0, relay.life);
   const auto folder = options_.directory + "/" + relay.name;
-  const std::string argument = "--config=" + folder + "/relay.json";
-  const std::string log = folder + "/log";
-  const pid_t process = ::fork();
-  if (process == 0) {
-    const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::dup2(file, STDOUT_FILENO);
-    ::dup2(file, STDERR_FILENO);
-    ::close_range(STDERR_FILENO + 1, ~0U, 0);
-    ::execl(options_.relay_program.c_str(), "relay", argument.c_str(), nullptr);
-    ::_exit(127);
-  }
-  relay.process = process;
+  relay.process =
+      spawn_process(options_.relay_program, {"--config", folder + "/relay.json"}, folder + "/log");
   relay.terminating = false;
   relay.started_at = clock_.now();
   ++relay.life;
