--- a/src/base/http.hpp
+++ b/src/base/http.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// HTTP requests and responses as plain data, apart from any connection.
 #pragma once
+#include "base/cancellation.hpp"
 #include "base/common.hpp"
 
 namespace dunlinwing::base {
@@ -21,6 +22,7 @@
   std::string target;  ///< path and query
   std::string body;
   Headers headers;
+  CancellationPtr cancellation;  ///< tells that the client has left
 };
 
 struct Response {
--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -49,14 +49,25 @@
 /// How a call to another relay failed. Only `unreachable` says that nothing was sent.
 enum class PeerError { unreachable, broken, timed_out, malformed };
 
+/// What a call to another relay is bound by.
+struct CallRules {
+  /// A bare limit is a rule.
+  template <class Count, class Period>
+  CallRules(std::chrono::duration<Count, Period> whole_limit, CancellationPtr cancelled_by = nullptr)
+      : timeout(whole_limit), cancellation(std::move(cancelled_by)) {}
+
+  Duration timeout;              ///< in which the whole reply must be here
+  CancellationPtr cancellation;  ///< ends the call, as its time does; null: nothing else ends it
+};
+
 /// Calls to other relays.
 class PeerTransport {
  public:
   virtual ~PeerTransport() = default;
   /// @param address  IP:port
-  /// @param limit    in which the whole reply must be here
   virtual std::variant<pb::PeerResponse, PeerError> call(const std::string& address,
-                                                         const pb::PeerRequest& request, Duration limit) = 0;
+                                                         const pb::PeerRequest& request,
+                                                         const CallRules& rules) = 0;
 };
 
 enum class DiskError { failed };
@@ -96,10 +107,11 @@
   template <class Count, class Period>
   AttemptRules(std::chrono::duration<Count, Period> whole_limit) : timeout(whole_limit) {}
 
-  Duration timeout;             ///< in which the whole response must be here
-  Duration connect_timeout{0};  ///< in which a new connection must stand; 0: `timeout`
-  int max_connections = 0;      ///< connections open to this address at once; 0: no bound
-  bool idempotent = false;      ///< may use a connection that the backend instance may be about to close
+  Duration timeout;              ///< in which the whole response must be here
+  Duration connect_timeout{0};   ///< in which a new connection must stand; 0: `timeout`
+  int max_connections = 0;       ///< connections open to this address at once; 0: no bound
+  CancellationPtr cancellation;  ///< ends the attempt, as its time does; null: nothing else ends it
+  bool idempotent = false;       ///< may use a connection that the backend instance may be about to close
   /// Tells a response to this request from one that belongs to an earlier request on the same
   /// connection. Null: every response is this request's.
   std::function<bool(const Response&)> is_own_response;
@@ -127,6 +139,9 @@
   Origin& origin;
 };
 
+/// Suspends the calling fiber for a while, or until the request it works on is cancelled.
+void sleep(Ports& ports, Duration duration, const CancellationPtr& cancellation);
+
 /// 128 random bits as 32 hexadecimal digits.
 std::string random_token(Random& random);
 
--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -17,6 +17,8 @@
   bool done = false;
   CachedResponsePtr cached;                                  ///< meaningful once done
   std::vector<std::shared_ptr<base::Condition>> conditions;  ///< of those who wait; empty once done
+  const base::CancellationPtr cancellation = std::make_shared<base::Cancellation>();
+  int participants = 0;  ///< who began it or joined and has not left; guarded by the cache's mutex
 };
 
 struct Cache::Impl {
@@ -80,11 +82,22 @@
 Cache::JoinedFetch Cache::join_fetch(const std::string& key) {
   std::lock_guard lock(impl_->mutex);
   auto& fetch = impl_->fetches[key];
-  bool leads = !fetch;
+  const bool leads = !fetch || fetch->participants == 0;
   if (leads) fetch = std::make_shared<Fetch>();
+  ++fetch->participants;
   return {fetch, leads};
 }
 
+void Cache::leave_fetch(const std::shared_ptr<Fetch>& fetch) {
+  {
+    const std::lock_guard lock(impl_->mutex);
+    if (--fetch->participants > 0) return;
+  }
+  fetch->cancellation->cancel();
+}
+
+base::CancellationPtr Cache::cancellation(const std::shared_ptr<Fetch>& fetch) { return fetch->cancellation; }
+
 void Cache::finish_fetch(const std::string& key, const std::shared_ptr<Fetch>& fetch,
                          CachedResponsePtr cached) {
   {
@@ -101,13 +114,18 @@
 
 std::optional<CachedResponsePtr> Cache::await_fetch(const std::shared_ptr<Fetch>& fetch,
                                                     const std::shared_ptr<base::Condition>& condition,
-                                                    Duration limit) {
+                                                    Duration limit,
+                                                    const base::CancellationPtr& cancellation) {
   {
     std::lock_guard lock(fetch->mutex);
     if (fetch->done) return fetch->cached;
     fetch->conditions.push_back(condition);
   }
-  condition->wait(limit);
+  {
+    const base::CancellationSubscription subscription(cancellation, [&] { condition->notify(); });
+    condition->wait(limit);
+  }
+  leave_fetch(fetch);
   std::lock_guard lock(fetch->mutex);
   if (fetch->done) return fetch->cached;
   return {};
--- a/src/cache/cache.hpp
+++ b/src/cache/cache.hpp
@@ -49,19 +49,28 @@
     bool leads = false;  ///< this caller has to fetch and to finish_fetch(); the others await_fetch()
   };
 
-  /// Joins the fetch under way for the key, or begins one.
+  /// Joins the fetch under way for the key, or begins one. One that was cancelled is not joined.
   JoinedFetch join_fetch(const std::string& key);
 
+  /// One who had joined a fetch does not wait for it any more. When that was the last one, the fetch is
+  /// cancelled.
+  void leave_fetch(const std::shared_ptr<Fetch>& fetch);
+
+  /// Tells whoever carries a fetch out that nobody waits for it any more.
+  static base::CancellationPtr cancellation(const std::shared_ptr<Fetch>& fetch);
+
   /// Ends a fetch and wakes all who wait for it.
   /// @param cached  null when what came back may not be shared
   void finish_fetch(const std::string& key, const std::shared_ptr<Fetch>& fetch, CachedResponsePtr cached);
 
-  /// Waits until a fetch has ended.
-  /// @param condition  one of the caller's own; not used again
-  /// @return what finish_fetch() was given, nothing when the time ran out
+  /// Waits until a fetch has ended; who waited has then left it.
+  /// @param condition     one of the caller's own; not used again
+  /// @param cancellation  ends the waiting
+  /// @return what finish_fetch() was given, nothing when the time ran out or the waiting was cancelled
   std::optional<CachedResponsePtr> await_fetch(const std::shared_ptr<Fetch>& fetch,
                                                const std::shared_ptr<base::Condition>& condition,
-                                               Duration limit);
+                                               Duration limit,
+                                               const base::CancellationPtr& cancellation = {});
 
  private:
   struct Impl;
--- a/src/control_api/metrics.cpp
+++ b/src/control_api/metrics.cpp
@@ -53,6 +53,8 @@
   page.counter("cache_hits_total", "Requests answered from the cache.", counters.cache_hits.load());
   page.counter("cache_fills_total", "Fetches for the cache.", counters.cache_fetches.load());
   page.gauge("cache_bytes", "Bytes cached.", handler.cache_bytes());
+  page.counter("abandoned_total", "Requests whose clients left before their response.",
+               counters.abandoned.load());
   page.counter("carried_total", "Fills asked of a shield.", counters.forwarded.load());
   page.counter("repeats_total", "Repeats granted.", handler.upstream_client().retries());
 }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 
 #include "net/address.hpp"
+#include "net/wait_limit.hpp"
 
 namespace dunlinwing::net {
 namespace asio = boost::asio;
@@ -33,8 +34,7 @@
 iovec io_vector(std::string_view bytes) { return {const_cast<char*>(bytes.data()), bytes.size()}; }
 }  // namespace
 
-std::shared_ptr<Connection> Connection::connect(const std::string& address,
-                                                std::chrono::steady_clock::time_point end) {
+std::shared_ptr<Connection> Connection::connect(const std::string& address, const WaitLimit& limit) {
   const auto parts = split_address(address);
   if (!parts) return nullptr;
   auto connection = std::make_shared<Connection>(Socket(EventLoopPool::here()));
@@ -42,8 +42,7 @@
   ErrorCode open_error;
   connection->socket_.open(endpoint.protocol(), open_error);
   if (open_error) return nullptr;
-  Timer timeout;
-  timeout.set(end, [&connection] { connection->interrupt(); });
+  const WaitLimitGuard guard(*connection, limit);
   const auto [error] =
       await<>([&](auto handler) { connection->socket_.async_connect(endpoint, std::move(handler)); });
   if (error || connection->interrupted_) return nullptr;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -12,6 +12,18 @@
 
 namespace dunlinwing::net {
 
+/// Until when an operation on the network may wait.
+struct WaitLimit {
+  /// A bare time is a limit.
+  WaitLimit(std::chrono::steady_clock::time_point time, base::CancellationPtr cancelled_by = nullptr)
+      : end(time), cancellation(std::move(cancelled_by)) {}
+
+  std::chrono::steady_clock::time_point end;
+  base::CancellationPtr cancellation;  ///< of the request that the operation is for; null: only time ends it
+
+  bool is_over() const { return base::is_cancelled(cancellation) || std::chrono::steady_clock::now() >= end; }
+};
+
 /// Sets a socket to what all of ours are: no delay, and given up when a cut lasts.
 void configure_socket(boost::asio::ip::tcp::socket& socket);
 
@@ -31,9 +43,9 @@
 
   /// Opens a connection; suspends the calling fiber.
   /// @param address  IP:port
-  /// @return null when there is none by `end`
+  /// @return null when there is none within the limit
   [[nodiscard]] static std::shared_ptr<Connection> connect(const std::string& address,
-                                                           std::chrono::steady_clock::time_point end);
+                                                           const WaitLimit& limit);
 
   /// What has been read and not consumed.
   std::string_view buffered() const { return {buffer_.data() + begin_, end_ - begin_}; }
@@ -67,6 +79,9 @@
   /// Called when a pending read ends for which no fiber waits; null: nobody is.
   void on_read_done(std::function<void()> callback) { on_read_done_ = std::move(callback); }
 
+  /// Whether the last read found that the other side has ended the connection, or that it has failed.
+  bool has_ended() const { return !reading_ && error_; }
+
   /// Whether a read is pending and nothing came: no byte, no end.
   bool is_idle() const;
 
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -81,31 +81,42 @@
   }
 }
 
-std::unique_ptr<ConnectionPool::Lease> ConnectionPool::acquire(const std::string& address, bool idempotent,
-                                                               int most, TimePoint end) {
-  std::shared_ptr<Connection> connection;
-  for (std::shared_ptr<base::Condition> condition;;) {
+// Takes an idle connection, or reserves room for one that is to be opened; false when neither was to be had
+// within the limit.
+bool ConnectionPool::take_or_reserve(const std::string& address, bool idempotent, int most,
+                                     const WaitLimit& limit, std::shared_ptr<Connection>& connection) {
+  std::shared_ptr<base::Condition> condition;
+  std::optional<base::CancellationSubscription> subscription;
+  for (;;) {
     std::unique_lock lock(mutex_);
-    const auto time = now();
-    prune(time);
+    prune(now());
     auto& backend = backends_[address];
     if (condition) std::erase(backend.waiting, condition);
     connection = take_idle(backend, idempotent);
-    if (connection) break;
+    if (connection) return true;
     if (most > 0 && backend.open >= most && !backend.idle.empty())
       drop(backend, 0);  // unfit for this request, or another thread's
     if (most <= 0 || backend.open < most) {
       ++backend.open;
-      break;
+      return true;
+    }
+    if (limit.is_over()) return false;
+    if (!condition) {
+      condition = make_condition();
+      subscription.emplace(limit.cancellation, [condition] { condition->notify(); });
     }
-    if (time >= end) return nullptr;
-    if (!condition) condition = make_condition();
     backend.waiting.push_back(condition);
     lock.unlock();
-    condition->wait(std::chrono::ceil<Duration>(end - time));
+    condition->wait(std::chrono::ceil<Duration>(limit.end - now()));
   }
+}
+
+std::unique_ptr<ConnectionPool::Lease> ConnectionPool::acquire(const std::string& address, bool idempotent,
+                                                               int most, const WaitLimit& limit) {
+  std::shared_ptr<Connection> connection;
+  if (!take_or_reserve(address, idempotent, most, limit, connection)) return nullptr;
   auto lease = std::make_unique<Lease>(shared_from_this(), address, connection != nullptr);
-  lease->connection = connection ? std::move(connection) : Connection::connect(address, end);
+  lease->connection = connection ? std::move(connection) : Connection::connect(address, limit);
   if (!lease->connection) return nullptr;
   return lease;
 }
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -50,9 +50,9 @@
   /// @param address     IP:port
   /// @param idempotent  a connection will do that the other side may be about to close
   /// @param most        connections open to the address at once; 0: no bound
-  /// @return null when there is none by `end`
+  /// @return null when there is none within the limit
   [[nodiscard]] std::unique_ptr<Lease> acquire(const std::string& address, bool idempotent, int most,
-                                               TimePoint end);
+                                               const WaitLimit& limit);
 
   /// Closes the idle connections.
   void clear();
@@ -74,6 +74,8 @@
     std::deque<std::shared_ptr<base::Condition>> waiting;
   };
 
+  bool take_or_reserve(const std::string& address, bool idempotent, int most, const WaitLimit& limit,
+                       std::shared_ptr<Connection>& connection);
   std::shared_ptr<Connection> take_idle(Backend& backend, bool idempotent);
   void drop(Backend& backend, size_t index);
   void drop_longest_idle();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "net/connection_pool.hpp"
+#include "net/wait_limit.hpp"
 
 namespace dunlinwing::net {
 namespace asio = boost::asio;
@@ -192,26 +193,27 @@
                                                             const base::Request& request,
                                                             const base::AttemptRules& rules) {
   const auto begin = std::chrono::steady_clock::now();
-  const auto end = begin + rules.timeout;
-  const auto connect_end =
-      rules.connect_timeout > Duration(0) ? std::min(end, begin + rules.connect_timeout) : end;
-  const auto lease = pool_->acquire(address, rules.idempotent, rules.max_connections, connect_end);
+  const WaitLimit limit{begin + rules.timeout, rules.cancellation};
+  WaitLimit connect_limit = limit;
+  if (rules.connect_timeout > Duration(0))
+    connect_limit.end = std::min(limit.end, begin + rules.connect_timeout);
+  const auto lease = pool_->acquire(address, rules.idempotent, rules.max_connections, connect_limit);
   if (!lease) return AttemptError::unsent;
   auto& connection = *lease->connection;
-  Timer timeout;
-  timeout.set(end, [&connection] { connection.interrupt(); });
+  WaitLimitGuard guard(connection, limit);
   if (connection.write(request_head(request, address), request.body)) {
     const auto error = connection.bytes_written() > 0 ? AttemptError::unknown : AttemptError::unsent;
+    guard.release();
     lease->abandon();
     return error;
   }
   ResponseMatcher matcher(*lease, request, rules);
   auto response = matcher.read(max_body_bytes_);
+  guard.release();
   if (!response) {
     lease->abandon();
     return AttemptError::unknown;
   }
-  timeout.clear();
   matcher.give_back();
   return std::move(*response);
 }
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kLinger(1000);                // in which a client that was turned away may go on sending
 constexpr size_t kMostLinger = 1 << 20;          // and how many bytes
 constexpr size_t kBodyRoom = 32 << 10;           // bytes of a body read at once
+constexpr size_t kMostPipelined = 16 << 10;      // bytes of further requests read while one is handled
 constexpr const char* kRetryAfterSeconds = "1";  // after which a body that found no room may be sent again
 
 std::atomic<size_t> reserved_body_bytes{0};  // of all requests in this process
@@ -274,6 +275,25 @@
   return true;
 }
 
+base::Response HttpServerConnection::handle(base::Request& request) {
+  request.cancellation = client_left_;
+  watch_client();
+  base::Response response = server_.handler(request);
+  connection_->on_read_done(nullptr);
+  return response;
+}
+
+// Reads on, so that the end of the connection is noticed; more requests may come first.
+void HttpServerConnection::watch_client() {
+  connection_->on_read_done([this] {
+    if (connection_->has_ended())
+      client_left_->cancel();
+    else if (connection_->buffered().size() < kMostPipelined)
+      watch_client();
+  });
+  connection_->start_read();
+}
+
 // Has a request handled and writes the response; false when the connection is to end.
 bool HttpServerConnection::respond(IncomingRequest& incoming) {
   auto message = incoming.parser.release();
@@ -284,13 +304,13 @@
     explicit Running(std::atomic<int>& running) : count(running) { ++count; }
     ~Running() { --count; }
   } running(server_.running_requests);
-  const base::Response response = server_.handler(incoming.request);
+  const base::Response response = handle(incoming.request);
   const ResponseContext context{
       message.method() == http::verb::head, message.version(),
       message.keep_alive() && !server_.closing && !server_.draining && !server_.crowded && !incoming.is_last};
   const std::string head = response_head(response, context, *server_.limits.load());
   if (const ErrorCode error = write_response(response, head, context.to_head)) {
-    report_undelivered(incoming.request, response, error);
+    if (!client_left_->is_cancelled()) report_undelivered(incoming.request, response, error);
     return false;
   }
   // Closing with bytes unread would take the response back.
@@ -306,7 +326,7 @@
                             [this] { state_since_ = steady_now(); });
 }
 
-// Clients that leave early are many, so the lines are bounded; each response is counted.
+// Clients that leave meanwhile are many, so the lines are bounded; each response is counted.
 void HttpServerConnection::report_undelivered(const base::Request& request, const base::Response& response,
                                               ErrorCode error) {
   const uint64_t count = ++server_.undelivered_responses;
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -3,8 +3,9 @@
 /// until the connection is to end.
 ///
 /// Invariants: a request is handled only once it has been read to its end; one whose bytes have been read is
-/// answered. Which request a byte belongs to is never in doubt: what could be framed in two ways (RFC 9112,
-/// sections 3.2 and 6.3) is turned away and the connection ends.
+/// answered. While it is handled the connection is read on, so that the handler learns at once when the
+/// client has left: its end of the stream counts as that. Which request a byte belongs to is never in doubt:
+/// what could be framed in two ways (RFC 9112, sections 3.2 and 6.3) is turned away and the connection ends.
 /// Threads: used by the event loop that its socket belongs to. Time limits are enforced from outside, by
 /// end_if_overdue().
 #pragma once
@@ -67,6 +68,8 @@
   bool read_more(IncomingRequest& incoming);
   bool await_request(IncomingRequest& incoming);
   bool respond(IncomingRequest& incoming);
+  base::Response handle(base::Request& request);
+  void watch_client();
   ErrorCode write_response(const base::Response& response, const std::string& head, bool without_body);
   void report_undelivered(const base::Request& request, const base::Response& response, ErrorCode error);
   bool refuse(int status, const std::string& error);
@@ -76,6 +79,7 @@
 
   std::shared_ptr<Connection> connection_;
   HttpServerState& server_;
+  base::CancellationPtr client_left_ = std::make_shared<base::Cancellation>();  ///< of all its requests
   State state_ = State::idle;
   TimePoint state_since_{0};  ///< of the steady clock; while writing: when bytes last moved
   Duration idle_limit_{0};    ///< as it was when the client was last told, or could know, of it
--- a/src/net/peer_client.cpp
+++ b/src/net/peer_client.cpp
@@ -4,6 +4,7 @@
 
 #include "net/peer_connections.hpp"
 #include "net/peer_frame.hpp"
+#include "net/wait_limit.hpp"
 
 namespace dunlinwing::net {
 namespace {
@@ -23,16 +24,14 @@
   bool answers_other = false;  ///< the response names another call
 };
 
-Exchange exchange(const std::shared_ptr<Connection>& connection, const pb::PeerRequest& request,
-                  SteadyClock::time_point end) {
-  Timer timeout;
-  timeout.set(end, [connection] { connection->interrupt(); });
+Exchange exchange(Connection& connection, const pb::PeerRequest& request, const WaitLimit& limit) {
+  const WaitLimitGuard guard(connection, limit);
   pb::PeerRequest number;
   number.set_request_id(next_request_id());
   Exchange result;
-  result.error = write_frame(*connection, request, &number);
+  result.error = write_frame(connection, request, &number);
   result.sent = !result.error;
-  if (result.sent) result.error = read_frame(*connection, result.response);
+  if (result.sent) result.error = read_frame(connection, result.response);
   // 0: an older process, which repeats none.
   result.answers_other =
       result.response.request_id() != 0 && result.response.request_id() != number.request_id();
@@ -49,12 +48,12 @@
 
 std::variant<pb::PeerResponse, base::PeerError> PeerClient::call(const std::string& address,
                                                                  const pb::PeerRequest& request,
-                                                                 Duration limit) {
-  const auto end = SteadyClock::now() + limit;
+                                                                 const base::CallRules& rules) {
+  const WaitLimit limit{SteadyClock::now() + rules.timeout, rules.cancellation};
   PeerConnections& connections = peer_connections();
-  auto [connection, reused] = connections.borrow(address, end, max_connections_);
+  auto [connection, reused] = connections.borrow(address, limit, max_connections_);
   if (!connection) return base::PeerError::unreachable;
-  auto result = exchange(connection, request, end);
+  auto result = exchange(*connection, request, limit);
   const bool bytes_left = !connection->buffered().empty();
   if (!result.error && !result.answers_other && !bytes_left) {
     connections.give_back(address, std::move(connection), max_connections_);
@@ -65,7 +64,8 @@
   // An idle connection may have been ended for room just now. Calls may come twice, but for forwarded
   // requests.
   if (result.error && reused && !timed_out && !bytes_left && !request.has_forward())
-    return call(address, request, std::chrono::duration_cast<Duration>(end - SteadyClock::now()));
+    return call(address, request,
+                {std::chrono::duration_cast<Duration>(limit.end - SteadyClock::now()), rules.cancellation});
   return error_of(result, timed_out);
 }
 
--- a/src/net/peer_client.hpp
+++ b/src/net/peer_client.hpp
@@ -19,7 +19,7 @@
 
   std::variant<pb::PeerResponse, base::PeerError> call(const std::string& address,
                                                        const pb::PeerRequest& request,
-                                                       Duration limit) override;
+                                                       const base::CallRules& rules) override;
 
  private:
   size_t max_connections_;
--- a/src/net/peer_connections.cpp
+++ b/src/net/peer_connections.cpp
@@ -53,7 +53,20 @@
   return true;
 }
 
-PeerConnections::Lease PeerConnections::borrow(const std::string& address, Clock::time_point end,
+// Waits until a connection may be lent; false when the limit is over.
+bool PeerConnections::await_room(const std::string& address, const WaitLimit& limit, size_t most) {
+  if (limit.is_over()) return false;
+  const auto condition = make_condition();
+  const base::CancellationSubscription subscription(limit.cancellation, [&] { condition->notify(); });
+  const auto waiter = waiters_.insert(waiters_.end(), {address, condition});
+  condition->wait(std::chrono::ceil<Duration>(limit.end - Clock::now()));
+  waiters_.erase(waiter);
+  if (!limit.is_over()) return true;
+  wake_next(most);  // this one may have been woken, and does not use it
+  return false;
+}
+
+PeerConnections::Lease PeerConnections::borrow(const std::string& address, const WaitLimit& limit,
                                                size_t most) {
   prune(Clock::now());
   for (;;) {
@@ -66,19 +79,11 @@
       }
       if (make_room(most)) break;
     }
-    auto now = Clock::now();
-    if (now >= end) return {};
-    auto waiter = waiters_.insert(waiters_.end(), {address, make_condition()});
-    waiter->condition->wait(std::chrono::ceil<Duration>(end - now));
-    waiters_.erase(waiter);
-    if (Clock::now() >= end) {
-      wake_next(most);  // this one may have been woken, and does not use it
-      return {};
-    }
+    if (!await_room(address, limit, most)) return {};
   }
   ++peers_[address].lent;
   ++lent_;
-  auto connection = Connection::connect(address, end);
+  auto connection = Connection::connect(address, limit);
   if (!connection) returned(address, most);
   return {connection, false};
 }
--- a/src/net/peer_connections.hpp
+++ b/src/net/peer_connections.hpp
@@ -22,11 +22,11 @@
     bool reused = false;                     ///< a call went over it before
   };
 
-  /// Waits until `end` for an idle connection, or for room for a new one.
+  /// Waits for an idle connection, or for room for a new one, within the limit.
   /// @param address  IP:port
   /// @param most     connections that are open in all; only a part of them is lent to one address, so that a
   ///                 silent node leaves room for the others
-  Lease borrow(const std::string& address, Clock::time_point end, size_t most);
+  Lease borrow(const std::string& address, const WaitLimit& limit, size_t most);
 
   /// After a complete response, with nothing left to read.
   void give_back(const std::string& address, std::shared_ptr<Connection> connection, size_t most);
@@ -58,6 +58,7 @@
   bool make_room(size_t most);
   void returned(const std::string& address, size_t most);
   void wake_next(size_t most);
+  bool await_room(const std::string& address, const WaitLimit& limit, size_t most);
   void prune(Clock::time_point now);
   size_t idle_count() const;
 
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -77,12 +77,26 @@
       return false;
     timeout.clear();
     connection.clear_interrupt();  // the call came whole as its time ended: what is handled is answered
-    auto response = handler_(request);
+    auto response = handle(connection, request);
     response.set_request_id(request.request_id());
     interrupt_after(timeout, kWriteTimeout, connection);
     return !write_frame(connection, response);
   }
 
+  /// The caller sends nothing more before the response: what its connection brings is its end.
+  pb::PeerResponse handle(Connection& connection, const pb::PeerRequest& request) {
+    const auto caller_left = std::make_shared<base::Cancellation>();
+    if (request.has_forward()) {
+      connection.on_read_done([&connection, caller_left] {
+        if (connection.has_ended()) caller_left->cancel();
+      });
+      connection.start_read();
+    }
+    auto response = handler_(request, caller_left);
+    connection.on_read_done(nullptr);
+    return response;
+  }
+
   static void interrupt_after(Timer& timer, std::chrono::seconds time, Connection& connection) {
     timer.set(std::chrono::steady_clock::now() + time, [&connection] { connection.interrupt(); });
   }
--- a/src/net/peer_server.hpp
+++ b/src/net/peer_server.hpp
@@ -7,8 +7,9 @@
 
 namespace dunlinwing::net {
 
-/// Answers a call; may suspend the calling fiber.
-using PeerHandler = std::function<pb::PeerResponse(const pb::PeerRequest&)>;
+/// Answers a call; may suspend the calling fiber. The cancellation tells that the caller has given it up.
+using PeerHandler =
+    std::function<pb::PeerResponse(const pb::PeerRequest&, const base::CancellationPtr& cancellation)>;
 
 inline constexpr size_t kDefaultMaxPeerConnections = 4096;
 
--- a/src/node/application.cpp
+++ b/src/node/application.cpp
@@ -117,7 +117,9 @@
 
 ListenerHandlers Application::handlers() {
   ListenerHandlers handlers;
-  handlers.peers = [this](const pb::PeerRequest& request) { return handle_peer_request(request); };
+  handlers.peers = [this](const pb::PeerRequest& request, const base::CancellationPtr& cancellation) {
+    return handle_peer_request(request, cancellation);
+  };
   handlers.clients = [this](base::Request& request) { return node_->handle(request); };
   handlers.control = [this](base::Request& request) { return router_->handle(request); };
   if (is_for_platform(settings_))
@@ -127,22 +129,25 @@
   return handlers;
 }
 
-pb::PeerResponse Application::handle_peer_request(const pb::PeerRequest& request) {
+pb::PeerResponse Application::handle_peer_request(const pb::PeerRequest& request,
+                                                  const base::CancellationPtr& cancellation) {
   if (!request.has_forward()) return node_->handle_peer_request(request);
   pb::PeerResponse response;
-  *response.mutable_forward() = pool_.size() == 1 ? node_->handle_forwarded(request.forward())
-                                                  : forward_on_traffic_thread(request.forward());
+  *response.mutable_forward() = pool_.size() == 1
+                                    ? node_->handle_forwarded(request.forward(), cancellation)
+                                    : forward_on_traffic_thread(request.forward(), cancellation);
   return response;
 }
 
 // Forwarded requests are traffic: they run on a traffic thread, not on control's. Suspends the calling fiber.
-pb::ForwardResponse Application::forward_on_traffic_thread(const pb::ForwardRequest& forward) {
+pb::ForwardResponse Application::forward_on_traffic_thread(const pb::ForwardRequest& forward,
+                                                           const base::CancellationPtr& cancellation) {
   const auto condition = pool_.condition();
   const auto response = std::make_shared<pb::ForwardResponse>();
   const auto done = std::make_shared<std::atomic<bool>>(false);
   last_traffic_thread_ = last_traffic_thread_ + 1 < pool_.size() ? last_traffic_thread_ + 1 : 1;
-  pool_.spawn_on(last_traffic_thread_, [this, forward, response, done, condition] {
-    *response = node_->handle_forwarded(forward);
+  pool_.spawn_on(last_traffic_thread_, [this, forward, cancellation, response, done, condition] {
+    *response = node_->handle_forwarded(forward, cancellation);
     *done = true;
     condition->notify();
   });
--- a/src/node/application.hpp
+++ b/src/node/application.hpp
@@ -44,8 +44,10 @@
   software::StagerPorts stager_ports();
   bool too_many_restarting();
   ListenerHandlers handlers();
-  pb::PeerResponse handle_peer_request(const pb::PeerRequest& request);
-  pb::ForwardResponse forward_on_traffic_thread(const pb::ForwardRequest& forward);
+  pb::PeerResponse handle_peer_request(const pb::PeerRequest& request,
+                                       const base::CancellationPtr& cancellation);
+  pb::ForwardResponse forward_on_traffic_thread(const pb::ForwardRequest& forward,
+                                                const base::CancellationPtr& cancellation);
   void follow_client_limits();
   void watch_settings();
   void stop(int status);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -241,8 +241,9 @@
 }
 
 base::Response Node::handle(base::Request& request) { return impl_->request_handler.handle(request); }
-pb::ForwardResponse Node::handle_forwarded(const pb::ForwardRequest& forward) {
-  return impl_->request_handler.handle_forwarded(forward);
+pb::ForwardResponse Node::handle_forwarded(const pb::ForwardRequest& forward,
+                                           const base::CancellationPtr& cancellation) {
+  return impl_->request_handler.handle_forwarded(forward, cancellation);
 }
 
 bool Node::accept_heartbeat(const pb::Heartbeat& heartbeat) {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -47,7 +47,8 @@
   base::Response handle(base::Request& request);
 
   /// Answers a request that another node forwards to this one, as its shield.
-  pb::ForwardResponse handle_forwarded(const pb::ForwardRequest& forward);
+  pb::ForwardResponse handle_forwarded(const pb::ForwardRequest& forward,
+                                       const base::CancellationPtr& cancellation = {});
 
   /// Receives the heartbeat of a backend instance.
   /// @return true once a majority of the replicas has heard of it
--- a/src/proxy/admission_queue.cpp
+++ b/src/proxy/admission_queue.cpp
@@ -12,9 +12,9 @@
 }
 
 AdmissionResult AdmissionQueues::admit(const std::string& service, int max_running, int max_waiting,
-                                       TimePoint start_by) {
+                                       TimePoint start_by, const base::CancellationPtr& cancellation) {
+  if (base::is_cancelled(cancellation)) return AdmissionResult::cancelled;
   std::shared_ptr<Waiter> waiter;
-  Duration remaining;
   {
     const std::lock_guard lock(mutex_);
     auto& queue = queues_[service];
@@ -24,28 +24,29 @@
       return AdmissionResult::admitted;
     }
     if (static_cast<int>(queue.waiters.size()) >= max_waiting) return AdmissionResult::queue_full;
-    remaining = start_by - ports_.clock.now();
+    const Duration remaining = start_by - ports_.clock.now();
     if (remaining <= Duration(0) || queue.drain_ms() > static_cast<double>(remaining.count()))
       return AdmissionResult::too_late;
     waiter = std::make_shared<Waiter>();
     waiter->condition = ports_.tasks.condition();
     queue.waiters.push_back(waiter);
   }
-  return await_admission(service, waiter, start_by, remaining);
+  return await_admission(service, waiter, start_by, cancellation);
 }
 
 AdmissionResult AdmissionQueues::await_admission(const std::string& service,
                                                  const std::shared_ptr<Waiter>& waiter, TimePoint start_by,
-                                                 Duration remaining) {
+                                                 const base::CancellationPtr& cancellation) {
+  const base::CancellationSubscription subscription(cancellation, [&] { waiter->condition->notify(); });
   for (;;) {
-    waiter->condition->wait(remaining);
+    waiter->condition->wait(start_by - ports_.clock.now());
     const std::lock_guard lock(mutex_);
     if (waiter->admitted) return AdmissionResult::admitted;
-    remaining = start_by - ports_.clock.now();
-    if (remaining > Duration(0)) continue;
+    const bool cancelled = base::is_cancelled(cancellation);
+    if (!cancelled && ports_.clock.now() < start_by) continue;
     auto& waiters = queues_[service].waiters;
     waiters.erase(std::remove(waiters.begin(), waiters.end(), waiter), waiters.end());
-    return AdmissionResult::too_late;
+    return cancelled ? AdmissionResult::cancelled : AdmissionResult::too_late;
   }
 }
 
--- a/src/proxy/admission_queue.hpp
+++ b/src/proxy/admission_queue.hpp
@@ -16,7 +16,8 @@
 enum class AdmissionResult {
   admitted,
   queue_full,
-  too_late,  ///< it could not run by its start deadline
+  too_late,   ///< it could not run by its start deadline
+  cancelled,  ///< its client has left
 };
 
 /// How many requests a service has on this node.
@@ -33,8 +34,9 @@
   /// @param max_running  requests of the service that may run at once
   /// @param max_waiting  requests of the service that may wait at once
   /// @param start_by     after which running it makes no more sense
+  /// @param cancellation of the request; ends the waiting
   [[nodiscard]] AdmissionResult admit(const std::string& service, int max_running, int max_waiting,
-                                      TimePoint start_by);
+                                      TimePoint start_by, const base::CancellationPtr& cancellation = {});
 
   /// Ends a request that was admitted, and admits those who wait.
   /// @param latency  how long it ran
@@ -64,7 +66,7 @@
   };
 
   AdmissionResult await_admission(const std::string& service, const std::shared_ptr<Waiter>& waiter,
-                                  TimePoint start_by, Duration remaining);
+                                  TimePoint start_by, const base::CancellationPtr& cancellation);
 
   base::Ports& ports_;
   std::mutex mutex_;
--- a/src/proxy/cached_request_handler.cpp
+++ b/src/proxy/cached_request_handler.cpp
@@ -16,6 +16,9 @@
 // Part of the remaining time that a shield has: the rest is for a fetch of this node's own.
 constexpr int kShieldPart = 2;
 constexpr uint64_t kMinRetrySpreadMs = 100;
+// The status, widely used though in no standard, for a client that closed its connection. Whoever only closed
+// its sending side may still read it.
+constexpr int kClientClosedRequest = 499;
 
 void erase_headers(base::Headers& headers, std::initializer_list<std::string_view> names) {
   std::erase_if(headers, [&](const auto& header) {
@@ -129,6 +132,13 @@
           ExecutionStatus::not_executed};
 }
 
+RequestOutcome OutcomeBuilder::abandoned() const {
+  RequestOutcome outcome{
+      adapter.local_response(kClientClosedRequest, "the client has left", ExecutionStatus::unknown, {})};
+  outcome.abandoned = true;
+  return outcome;
+}
+
 RequestOutcome OutcomeBuilder::unknown(const std::string& reason) const {
   return {adapter.local_response(502, reason, ExecutionStatus::unknown, {}), ExecutionStatus::unknown};
 }
@@ -138,6 +148,8 @@
   if (result.outcome == UpstreamOutcome::responded) {
     adapter.strip_internal_headers(result.response);
     outcome.response = std::move(result.response);
+  } else if (result.outcome == UpstreamOutcome::abandoned) {
+    outcome = abandoned();
   } else if (result.outcome == UpstreamOutcome::unknown) {
     outcome = unknown(result.reason);
   } else {
@@ -202,14 +214,17 @@
   return selected ? selected->address : std::string();
 }
 
+// @param cancellation  of the fetch, for which more than this request may wait
 CachedRequestHandler::FetchResult CachedRequestHandler::fetch(const RequestContext& context,
-                                                              const std::string& key) {
+                                                              const std::string& key,
+                                                              const base::CancellationPtr& cancellation) {
   ++counters_.cache_fetches;
   auto entry = std::make_shared<cache::CachedResponse>();
   entry->service = context.service->name;
   entry->generated_at = node_.ports.clock.now();
   entry->purge_number = purge_number(*node_.snapshot(), context.service->name);
   RequestContext whole = whole_object_request(context);
+  whole.request.cancellation = cancellation;
   if (auto shield = select_shield(*context.snapshot, key); !shield.empty())
     if (auto result = fetch_from_shield(whole, shield, entry)) return std::move(*result);
   return fetch_from_backend(whole, entry);
@@ -222,10 +237,11 @@
   const Duration remaining = context.deadline - node_.ports.clock.now();
   ++counters_.forwarded;
   auto reply = node_.ports.peers.call(shield, forward_request(context, entry->purge_number, remaining),
-                                      remaining / kShieldPart);
+                                      {remaining / kShieldPart, context.request.cancellation});
   const auto* error = std::get_if<base::PeerError>(&reply);
   const bool reached = !error || *error != base::PeerError::unreachable;
   if (reached) upstream_client_.record_request(context.service->name);
+  if (error && context.client_has_left()) return FetchResult{outcomes_.abandoned(), nullptr};
   if (error) back_off_shield(shield);
   const auto* response = std::get_if<pb::PeerResponse>(&reply);
   if (!response || !response->has_forward()) {
@@ -299,7 +315,9 @@
                                                        const std::shared_ptr<cache::Cache::Fetch>& fetch) {
   auto cached =
       cache_.await_fetch(fetch, node_.ports.tasks.condition(),
-                         std::max<Duration>(context.start_deadline() - node_.ports.clock.now(), Duration(0)));
+                         std::max<Duration>(context.start_deadline() - node_.ports.clock.now(), Duration(0)),
+                         context.request.cancellation);
+  if (context.client_has_left()) return outcomes_.abandoned();
   if (!cached || !is_usable(*cached, context, node_.ports.clock.now()))
     return outcomes_.from(upstream_client_.execute(context));
   ++counters_.cache_hits;
@@ -314,10 +332,13 @@
   }
   auto fetch_key = fmt::format("{}|{}|{}", key, context.configuration->name,
                                purge_number(*node_.snapshot(), context.service->name));
-  const auto [fetch_under_way, leads] = cache_.join_fetch(fetch_key);
-  if (!leads) return await_other_fetch(context, fetch_under_way);
+  const auto joined = cache_.join_fetch(fetch_key);
+  const auto& fetch_under_way = joined.fetch;
+  if (!joined.leads) return await_other_fetch(context, fetch_under_way);
   FetchGuard guard(cache_, std::move(fetch_key), fetch_under_way);
-  auto fetched = fetch(context, key);
+  const base::CancellationSubscription leaving(context.request.cancellation,
+                                               [&] { cache_.leave_fetch(fetch_under_way); });
+  auto fetched = fetch(context, key, cache::Cache::cancellation(fetch_under_way));
   if (!fetched.cached) {
     shape_head(fetched.outcome.response, context.request);
     return std::move(fetched.outcome);
--- a/src/proxy/cached_request_handler.hpp
+++ b/src/proxy/cached_request_handler.hpp
@@ -27,6 +27,7 @@
   std::atomic<uint64_t> cache_hits{0};     ///< answered from the cache or by another request's fetch
   std::atomic<uint64_t> cache_fetches{0};  ///< fetches for the cache
   std::atomic<uint64_t> forwarded{0};      ///< of these, sent to a shield
+  std::atomic<uint64_t> abandoned{0};      ///< whose clients left before their response
 };
 
 /// What a request came to under one configuration.
@@ -36,6 +37,7 @@
   /// How far attempts got that did not settle the request; not_sent when one did, by its response.
   ExecutionState execution_state = ExecutionState::not_sent;
   bool superseded = false;  ///< the request is to be routed anew; the response does not count
+  bool abandoned = false;   ///< the client has left; the response is for nobody
   Duration retry_after{0};  ///< when it makes sense to send a rejected request again
 };
 
@@ -51,6 +53,9 @@
   /// @param retry_after  the earliest
   RequestOutcome rejected(int status, const std::string& reason, Duration retry_after = Duration(0)) const;
 
+  /// The client has left. Possibly executed.
+  RequestOutcome abandoned() const;
+
   /// Possibly executed.
   RequestOutcome unknown(const std::string& reason) const;
 
@@ -84,7 +89,8 @@
     RequestOutcome outcome;           // unless there is a cached response
     cache::CachedResponsePtr cached;  // null when the response may not be cached
   };
-  FetchResult fetch(const RequestContext& context, const std::string& key);
+  FetchResult fetch(const RequestContext& context, const std::string& key,
+                    const base::CancellationPtr& cancellation);
   std::optional<FetchResult> fetch_from_shield(RequestContext& context, const std::string& shield,
                                                const std::shared_ptr<cache::CachedResponse>& entry);
   std::optional<FetchResult> accept_forwarded(const RequestContext& context,
--- a/src/proxy/load_balancer.cpp
+++ b/src/proxy/load_balancer.cpp
@@ -207,6 +207,7 @@
   auto& state = impl_->states[instance.instance];
   state.running = std::max(0, state.running - 1);
   state.probing = false;
+  if (report.health == AttemptHealth::unknown) return;
   if (healthy || load) state.progressed_at = now;
   if (load) {
     // The report may or may not count the request that it came with.
--- a/src/proxy/load_balancer.hpp
+++ b/src/proxy/load_balancer.hpp
@@ -29,6 +29,7 @@
   healthy,      ///< it responded as it should, or said that it did not execute the request
   failed,       ///< a failed, invalid or missing response
   unreachable,  ///< no connection: nothing was sent
+  unknown,      ///< the attempt was given up before it could tell
 };
 
 struct AttemptReport {
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -142,6 +142,10 @@
   // @param current  the snapshot that decided it; null: none did
   base::Response conclude(const base::Request& request, RequestOutcome outcome,
                           const RoutingSnapshot* current) {
+    if (outcome.abandoned) {
+      ++counters.abandoned;
+      return std::move(outcome.response);
+    }
     if (outcome.execution_status == ExecutionStatus::not_executed) ++counters.rejected;
     if (outcome.execution_status == ExecutionStatus::unknown) ++counters.unknown;
     const uint64_t generation = current ? current->generation : 0;
@@ -251,6 +255,8 @@
   ClientRequest client{request, arrived, identity.remaining};
   for (;;) {
     const auto current = impl.current_snapshot();
+    if (base::is_cancelled(request.cancellation))
+      return impl.conclude(request, impl.outcomes.abandoned(), current.get());
     if (const char* reason = impl.unready_reason(*current)) {
       const bool possibly_executed = client.execution_state == ExecutionState::possibly_executed;
       return impl.conclude(
@@ -270,11 +276,13 @@
   }
 }
 
-pb::ForwardResponse RequestHandler::handle_forwarded(const pb::ForwardRequest& forward) {
+pb::ForwardResponse RequestHandler::handle_forwarded(const pb::ForwardRequest& forward,
+                                                     const base::CancellationPtr& cancellation) {
   const auto current = impl_->current_snapshot();
   auto routed = impl_->route_forwarded(forward, current);
   if (const auto* reason = std::get_if<const char*>(&routed)) return refuse_forwarded(*reason);
-  const auto& context = std::get<RequestContext>(routed);
+  auto& context = std::get<RequestContext>(routed);
+  context.request.cancellation = cancellation;
   const auto outcome = impl_->cached_requests.handle(context);
   const auto cached = impl_->cached_requests.lookup(context);
   pb::ForwardResponse response;
--- a/src/proxy/request_handler.hpp
+++ b/src/proxy/request_handler.hpp
@@ -24,7 +24,8 @@
   base::Response handle(base::Request& request);
 
   /// Answers a request for an object that another node forwards to this one as its shield.
-  pb::ForwardResponse handle_forwarded(const pb::ForwardRequest& forward);
+  pb::ForwardResponse handle_forwarded(const pb::ForwardRequest& forward,
+                                       const base::CancellationPtr& cancellation = {});
 
   /// The services that have backend instances of which none accepts a connection. No byte is sent.
   /// @param limit  for each connection
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -18,6 +18,10 @@
 constexpr int kSlowMultiple = 4;
 constexpr Duration kMinSlow{20};
 
+// A client that leaves so shortly before the end of its time gave up on the instance: its own time and the
+// attempt's end together.
+constexpr Duration kDeadlineMargin{25};
+
 // Of the connections that an instance accepts, all nodes together use this part: a node may know of fewer
 // nodes than there are.
 constexpr double kConnectionPart = 0.85;
@@ -29,6 +33,12 @@
   return result;
 }
 
+UpstreamResult abandoned() {
+  UpstreamResult result = rejected("its client has left");
+  result.outcome = UpstreamOutcome::abandoned;
+  return result;
+}
+
 const char* failure_reason(AttemptClass attempt) {
   if (attempt == AttemptClass::not_sent) return "no worker could be reached";
   if (is_refused(attempt)) return "a worker said that it did not run it, and no other took it";
@@ -58,6 +68,10 @@
   return route->kind != config::RequestKind::unsafe;
 }
 
+bool RequestContext::may_break_off() const {
+  return is_idempotent() && base::header(request.headers, "Idempotency-Key").empty();
+}
+
 struct UpstreamClient::Impl {
   class Execution;
 
@@ -85,11 +99,13 @@
   std::optional<UpstreamResult> admit(const RequestContext& context) {
     const auto& service = *context.service;
     switch (admission_queues.admit(service.name, service.max_in_flight, service.max_waiting,
-                                   context.start_deadline())) {
+                                   context.start_deadline(), context.request.cancellation)) {
       case AdmissionResult::queue_full:
         return rejected("the waitlist is full", admission_queues.drain_time(service.name));
       case AdmissionResult::too_late:
         return rejected("its deadline cannot be met", admission_queues.drain_time(service.name));
+      case AdmissionResult::cancelled:
+        return abandoned();
       case AdmissionResult::admitted:
         break;
     }
@@ -111,8 +127,8 @@
     return found == snapshot->rate_quotas.end() ? 0 : found->second;
   }
 
-  // Waits until the rate limit lets one more request through. When that would be too late: how long it
-  // would have taken.
+  // Waits until the rate limit lets one more request through, or the client has left. When that would be too
+  // late: how long it would have taken.
   std::optional<Duration> await_rate_limit(const RequestContext& context) {
     const auto& service = context.service->name;
     const Duration target = context.route->latency_target;
@@ -123,7 +139,9 @@
       auto reserved = rate_limiter.reserve(service, rate_quota(service), longest);
       auto* reservation = std::get_if<limits::RateReservation>(&reserved);
       if (!reservation) return std::get<Duration>(reserved);
-      if (reservation->wait > Duration(0)) node.ports.clock.sleep(reservation->wait);
+      if (reservation->wait > Duration(0))
+        base::sleep(node.ports, reservation->wait, context.request.cancellation);
+      if (context.client_has_left()) return {};
       if (rate_limiter.is_valid(*reservation, rate_quota(service))) return {};
     }
   }
@@ -155,13 +173,17 @@
     ++rate_demand[service.name];
   }
 
+  bool is_slow(const std::string& service, Duration latency) const {
+    const auto usual = load_balancer.typical_latency(service);
+    return usual > Duration(0) && latency > std::max(usual * kSlowMultiple, kMinSlow);
+  }
+
   // Counts an attempt that its instance may have executed.
   void count_outcome(const RequestContext& context, const membership::BackendInstance& instance, bool good,
                      Duration latency) {
     auto snapshot = node.snapshot();
     const auto* state = find_state(*snapshot, instance.service);
-    const auto usual = load_balancer.typical_latency(instance.service);
-    const bool slow = good && usual > Duration(0) && latency > std::max(usual * kSlowMultiple, kMinSlow);
+    const bool slow = good && is_slow(instance.service, latency);
     outcomes.record({instance.service, instance.version, context.route->label()}, good, slow, latency);
     if (state && state->canary() == instance.version)
       outcomes.record_canary(instance.service, state->canary_number(), good);
@@ -177,7 +199,7 @@
         retry_state_(context.is_idempotent(), context.route->max_attempts, context.is_retry) {}
 
   UpstreamResult run() {
-    while (retry_state_.may_attempt()) {
+    while (!context_.client_has_left() && retry_state_.may_attempt()) {
       if (!acquire_retry() || !await_rate_limit() || !check_configuration()) break;
       auto selection = select_backend();
       if (!selection) break;
@@ -187,6 +209,7 @@
       if (next == NextStep::respond) return std::move(result_);
       if (next == NextStep::stop) break;
     }
+    if (context_.client_has_left()) result_ = abandoned();
     result_.execution = retry_state_.execution();
     return std::move(result_);
   }
@@ -206,7 +229,7 @@
   bool await_rate_limit() {
     if (context_.service->rate <= 0) return true;
     auto retry_after = client_.await_rate_limit(context_);
-    if (!retry_after) return true;
+    if (!retry_after) return !context_.client_has_left();
     if (retry_state_.nothing_sent()) result_ = rejected("the origin's rate is used up", *retry_after);
     return false;
   }
@@ -255,7 +278,10 @@
     auto reply = client_.node.ports.origin.send(instance.address, request, attempt_rules(request, remaining));
     const Duration latency = now() - sent_at;
     const AttemptClass attempt_class = classify_attempt(reply, client_.node.adapter, instance, request);
-    record(instance, attempt_class, reply, latency);
+    if (was_broken_off(reply, latency, remaining))
+      record_broken_off(instance, attempt_class, latency);
+    else
+      record(instance, attempt_class, reply, latency);
     const NextStep next = retry_state_.decide_next(attempt_class);
     set_result(instance, attempt_class, std::move(reply));
     return next;
@@ -264,6 +290,7 @@
   base::AttemptRules attempt_rules(const base::Request& request, Duration remaining) const {
     const auto& adapter = client_.node.adapter;
     base::AttemptRules rules(remaining);
+    if (context_.may_break_off()) rules.cancellation = context_.request.cancellation;
     rules.connect_timeout = remaining / kConnectPart;
     rules.idempotent = context_.is_idempotent();
     rules.is_own_response = [&adapter, &request](const base::Response& response) {
@@ -279,16 +306,36 @@
     return rules;
   }
 
+  // Whether the attempt ended because the client has left, and not because its time was up.
+  bool was_broken_off(const AttemptReply& reply, Duration latency, Duration remaining) const {
+    return context_.may_break_off() && context_.client_has_left() &&
+           std::holds_alternative<base::AttemptError>(reply) && latency < remaining - kDeadlineMargin;
+  }
+
+  // Counts a request that was sent for the first time: it earns a part of a retry and of a canary's share.
+  void record_sent(AttemptClass attempt_class) {
+    if (attempt_class == AttemptClass::not_sent || retry_state_.next_is_retry()) return;
+    const auto snapshot = client_.node.snapshot();
+    client_.retry_budget.record_request(context_.service->name, snapshot->system.retry_ratio);
+    client_.canary_admission.record_request(*snapshot, context_.service->name);
+  }
+
+  // It tells nothing of the instance, unless it had taken long enough to be a slow one whenever it ended:
+  // clients that lose patience with a slow version must not hide it.
+  void record_broken_off(const membership::BackendInstance& instance, AttemptClass attempt_class,
+                         Duration latency) {
+    record_sent(attempt_class);
+    client_.load_balancer.attempt_finished(instance, {AttemptHealth::unknown, {}, Duration(0)});
+    if (attempt_class != AttemptClass::not_sent && client_.is_slow(instance.service, latency))
+      client_.count_outcome(context_, instance, true, latency);
+  }
+
   // Tells the parts that learn from attempts.
   void record(const membership::BackendInstance& instance, AttemptClass attempt_class,
               const AttemptReply& reply, Duration latency) {
     const bool sent = attempt_class != AttemptClass::not_sent;
     const bool good = attempt_class == AttemptClass::good;
-    if (sent && !retry_state_.next_is_retry()) {
-      const auto snapshot = client_.node.snapshot();
-      client_.retry_budget.record_request(context_.service->name, snapshot->system.retry_ratio);
-      client_.canary_admission.record_request(*snapshot, context_.service->name);
-    }
+    record_sent(attempt_class);
     const auto* response = std::get_if<base::Response>(&reply);
     const bool reports_load = response && attempt_class != AttemptClass::invalid_response;
     client_.load_balancer.attempt_finished(
--- a/src/proxy/upstream_client.hpp
+++ b/src/proxy/upstream_client.hpp
@@ -3,11 +3,11 @@
 /// instance, the attempt, and the checks on its response. Reports truthfully whether the request may have
 /// been executed.
 ///
-/// Invariants: nothing is sent without a valid read lease, under a superseded configuration, or to a version
-/// that may not serve. Only idempotent requests are sent again when an instance may have executed them, and
-/// each retry comes out of the budget. "Not executed" is reported only when no instance can have executed it.
-/// Threads: every function may be called from any fiber; execute() and can_reach() may suspend it. No lock is
-/// held while another is taken, nor while a fiber is suspended.
+/// Invariants: nothing is sent without a valid read lease, under a superseded configuration, to a version
+/// that may not serve, or for a client that has left. Only idempotent requests are sent again when an
+/// instance may have executed them, and each retry comes out of the budget. "Not executed" is reported only
+/// when no instance can have executed it. Threads: every function may be called from any fiber; execute() and
+/// can_reach() may suspend it. No lock is held while another is taken, nor while a fiber is suspended.
 #pragma once
 #include "proxy/admission_queue.hpp"
 #include "proxy/attempt_decision.hpp"
@@ -45,6 +45,10 @@
   TimePoint start_deadline() const { return deadline - time_budget() / 2; }
   /// Whether it may be executed more than once.
   bool is_idempotent() const;
+  /// Whether an attempt may be broken off when the client has left. What may not be sent twice, or is sent
+  /// again under its own key, has to come to an end.
+  bool may_break_off() const;
+  bool client_has_left() const { return base::is_cancelled(request.cancellation); }
 };
 
 enum class UpstreamOutcome {
@@ -52,6 +56,7 @@
   not_executed,  ///< no instance executed it
   unknown,       ///< an instance may have executed it
   superseded,    ///< a newer configuration came into force: the request is to be routed anew under it
+  abandoned,     ///< the client has left: the outcome is for nobody, and an instance may have executed it
 };
 
 struct UpstreamResult {
--- a/src/simulation/ports.cpp
+++ b/src/simulation/ports.cpp
@@ -26,7 +26,8 @@
 std::shared_ptr<base::Condition> Tasks::condition() { return std::make_shared<SimSpot>(world_, process_); }
 
 std::variant<pb::PeerResponse, base::PeerError> Net::call(const std::string& address,
-                                                          const pb::PeerRequest& request, Duration limit) {
+                                                          const pb::PeerRequest& request,
+                                                          const base::CallRules& rules) {
   struct Talk {
     std::optional<pb::PeerResponse> reply;
     bool refused = false;
@@ -80,8 +81,10 @@
     ++world_.faults_met["twice"];
     send();
   }
-  TimePoint end = world_.now() + limit;
-  while (!t->reply && !t->refused && world_.now() < end) world_.wait(process_, end - world_.now(), t->wait);
+  const base::CancellationSubscription subscription(rules.cancellation, [&] { world_.notify(t->wait); });
+  const TimePoint end = world_.now() + rules.timeout;
+  while (!t->reply && !t->refused && !base::is_cancelled(rules.cancellation) && world_.now() < end)
+    world_.wait(process_, end - world_.now(), t->wait);
   if (t->reply) return *t->reply;
   return t->refused ? base::PeerError::unreachable : base::PeerError::timed_out;
 }
--- a/src/simulation/ports.hpp
+++ b/src/simulation/ports.hpp
@@ -54,7 +54,7 @@
       : world_(world), process_(std::move(process)), directory_(d) {}
   std::variant<pb::PeerResponse, base::PeerError> call(const std::string& address,
                                                        const pb::PeerRequest& request,
-                                                       Duration limit) override;
+                                                       const base::CallRules& rules) override;
 
  private:
   World& world_;
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -20,7 +20,7 @@
       : f_(f), me_(me), process_(std::move(process)) {}
   std::variant<pb::PeerResponse, base::PeerError> call(const std::string& address,
                                                        const pb::PeerRequest& request,
-                                                       Duration limit) override {
+                                                       const base::CallRules& rules) override {
     auto t = std::make_shared<Talk>();
     auto to = f_.by.find(address);
     auto& world = f_.world;
@@ -29,7 +29,7 @@
     if (++f_.asks % kSample == 0 && request.has_pull()) look(request.pull());
     if (to != f_.by.end() && !f_.cut(me_, *to->second))
       world.after(way(), [this, t, n = to->second, text = std::move(text)] { arrive(t, *n, text); });
-    TimePoint end = world.now() + limit;
+    TimePoint end = world.now() + rules.timeout;
     while (!t->reply && !t->refused && world.now() < end) world.wait(process_, end - world.now(), t->wait);
     if (!t->reply) return t->refused ? base::PeerError::unreachable : base::PeerError::timed_out;
     pb::PeerResponse response;
--- a/test/measure/sockets.cpp
+++ b/test/measure/sockets.cpp
@@ -28,10 +28,10 @@
  public:
   std::variant<pb::PeerResponse, base::PeerError> call(const std::string& address,
                                                        const pb::PeerRequest& request,
-                                                       Duration limit) override {
+                                                       const base::CallRules& rules) override {
     toll.messages += 2;
     toll.bytes += request.ByteSizeLong() + 8;
-    auto r = net_.call(address, request, limit);
+    auto r = net_.call(address, request, rules);
     if (auto* response = std::get_if<pb::PeerResponse>(&r)) toll.bytes += response->ByteSizeLong();
     return r;
   }
@@ -100,9 +100,10 @@
       r->control = std::make_unique<control_api::Router>(*r->ports, *r->node);
       auto* node = r->node.get();
       if (i < s.replicas)
-        if (auto e = net::serve_peers(pool, config.peer_address, [node](const pb::PeerRequest& request) {
-              return node->handle_peer_request(request);
-            }))
+        if (auto e = net::serve_peers(pool, config.peer_address,
+                                      [node](const pb::PeerRequest& request, const auto&) {
+                                        return node->handle_peer_request(request);
+                                      }))
           return *e;
       all.push_back(std::move(r));
     }
--- a/test/net/client_gone_test.cpp
+++ b/test/net/client_gone_test.cpp
@@ -181,6 +181,37 @@
   wait_a_while();
   expect(!backend.has("a"), "it was sent around the shield");
 }
+/// Serves a relay to others, as their shield.
+std::string serve_as_shield(Relay& relay) {
+  constexpr int kFirstPort = 22500, kPorts = 500;
+  for (int port = kFirstPort + static_cast<int>(::getpid() % kPorts);; ++port) {
+    const std::string address = fmt::format("127.0.0.1:{}", port);
+    const auto handler = [&relay](const pb::PeerRequest& call, const base::CancellationPtr& cancellation) {
+      pb::PeerResponse response;
+      *response.mutable_forward() = relay.forward(call.forward(), cancellation);
+      return response;
+    };
+    if (!net::serve_peers(pool(), address, handler)) return address;
+  }
+}
+
+// The word reaches the shield's own attempt, unless somebody else waits for what it fetches.
+void shield_ends_its_attempt() {
+  static HoldingBackend backend;  // the server of peers lives as long as the process
+  static Relay shield(backend.address());
+  const std::string address = serve_as_shield(shield);
+  Front one("127.0.0.1:1", address);
+  Front other("127.0.0.1:1", address);
+  auto first = one.client("GET", "/kept/x", "first");
+  until([&] { return backend.has("first"); }, "the shield fetches");
+  auto second = other.client("GET", "/kept/x", "second");
+  wait_a_while();
+  first.reset();
+  wait_a_while();
+  expect(!backend.was_abandoned("first"), "a fetch that another relay waits for was ended");
+  second.reset();
+  expect_at_once([&] { return backend.was_abandoned("first"); }, "the end of the shield's attempt");
+}
 }  // namespace
 
 std::vector<Case> client_gone_cases() {
@@ -193,7 +224,8 @@
           {"gone: nothing is sent again", no_retry},
           {"gone: a fetch that others wait for goes on", shared_fetch_goes_on},
           {"gone: a fetch ends with the last who waits for it", fetch_ends_with_the_last},
-          {"gone: nobody waits for a shield", shield_is_left}};
+          {"gone: nobody waits for a shield", shield_is_left},
+          {"gone: a shield ends what nobody waits for", shield_ends_its_attempt}};
 }
 
 }  // namespace dunlinwing::test
--- a/test/net/compatibility_test.cpp
+++ b/test/net/compatibility_test.cpp
@@ -69,7 +69,7 @@
 std::string serve(const std::shared_ptr<Exchange>& exchange) {
   for (int port = 23700 + static_cast<int>(::getpid() % 300);; ++port) {
     auto address = fmt::format("127.0.0.1:{}", port);
-    if (!net::serve_peers(pool(), address, [exchange](const pb::PeerRequest& ask) {
+    if (!net::serve_peers(pool(), address, [exchange](const pb::PeerRequest& ask, const auto&) {
           exchange->asked = serialized(ask);
           return exchange->reply;
         }))
--- a/test/net/node_under_test.hpp
+++ b/test/net/node_under_test.hpp
@@ -21,6 +21,7 @@
         traffic_(ports_, *face_, "relay", "zone", [] { return true; }) {
     auto table = std::make_shared<proxy::RoutingSnapshot>();
     table->configuration = layout();
+    table->configurations[table->configuration->name] = table->configuration;
     table->generation = 1;
     for (const std::string service : {"s", "narrow", "paced"})
       for (const std::string name : {"i-1", "i-2"})
@@ -51,6 +52,9 @@
          "",
          {{"Host", "h.example"}, {"Attempt-Id", id}, {"Time-Remaining", std::to_string(patience_ms)}}});
   }
+  pb::ForwardResponse forward(const pb::ForwardRequest& request, const base::CancellationPtr& cancellation) {
+    return traffic_.handle_forwarded(request, cancellation);
+  }
   int held(const std::string& backend) const { return origin_.connections_to(backend); }
 
  private:
--- a/test/net/peer_test.cpp
+++ b/test/net/peer_test.cpp
@@ -189,7 +189,7 @@
   std::vector<uint64_t> numbers;
   for (int port = 23100 + static_cast<int>(::getpid() % 500);; ++port) {
     address = fmt::format("127.0.0.1:{}", port);
-    if (!net::serve_peers(pool(), address, [&](const pb::PeerRequest& ask) {
+    if (!net::serve_peers(pool(), address, [&](const pb::PeerRequest& ask, const auto&) {
           numbers.push_back(ask.request_id());
           return reply_to(ask);
         }))
--- a/test/support/manual_ports.hpp
+++ b/test/support/manual_ports.hpp
@@ -34,7 +34,7 @@
  public:
   std::variant<pb::PeerResponse, base::PeerError> call(const std::string& /*address*/,
                                                        const pb::PeerRequest& /*request*/,
-                                                       Duration /*limit*/) override {
+                                                       const base::CallRules& /*rules*/) override {
     return base::PeerError::unreachable;
   }
 };
--- a/test/unit/consensus/consensus_harness.cpp
+++ b/test/unit/consensus/consensus_harness.cpp
@@ -80,10 +80,10 @@
       : harness_(harness), name_(std::move(name)), life_(std::move(life)) {}
   std::variant<pb::PeerResponse, base::PeerError> call(const std::string& address,
                                                        const pb::PeerRequest& request,
-                                                       Duration limit) override {
+                                                       const base::CallRules& rules) override {
     auto conversation = std::make_shared<Conversation>();
     harness_.send({name_, address, kind_of(request), request, conversation});
-    TimePoint end = harness_.world().now() + limit;
+    TimePoint end = harness_.world().now() + rules.timeout;
     while (!conversation->over()) {
       auto now = harness_.world().now();
       if (now >= end) return base::PeerError::timed_out;
--- a/test/unit/proxy/upstream_client_test.cpp
+++ b/test/unit/proxy/upstream_client_test.cpp
@@ -20,6 +20,8 @@
                                                         const base::AttemptRules& /*rules*/) override {
     const auto version = base::header(request.headers, "Dunlinwing-Version");
     ++requests[version];
+    if (interrupted)
+      if (const auto error = interrupted()) return *error;
     return base::Response{200,
                           {{"Dunlinwing-Request", request.id},
                            {"Dunlinwing-Service", "app"},
@@ -29,6 +31,8 @@
                           "body"};
   }
 
+  /// Runs in each attempt and may end it, as a client's leaving does; null: the instance answers at once.
+  std::function<std::optional<base::AttemptError>()> interrupted;
   std::map<std::string, int> load;      ///< that each instance tells, by version
   std::map<std::string, int> requests;  ///< that came, by version
 };
@@ -63,13 +67,13 @@
       snapshot->backend_instances["app"].push_back({name, "app", version, "a", "address", kCapacity});
   }
 
-  proxy::UpstreamResult request(const std::string& id) {
+  proxy::UpstreamResult request(const std::string& id, const base::CancellationPtr& cancellation = {}) {
     clock.sleep(kBetweenRequests);
     proxy::RequestContext context;
     context.snapshot = snapshot;
     context.service = &service;
     context.route = &route;
-    context.request = {id, "GET", "/x", "", {}};
+    context.request = {id, "GET", "/x", "", {}, cancellation};
     context.arrived = clock.now();
     context.deadline = clock.now() + kTimeBudget;
     context.entry_node = "n1";
@@ -99,10 +103,81 @@
   expect(to_canary >= kRequests * canary::kDeadlinePercent / 100 - 2,
          fmt::format("the canary got {} of {} requests", to_canary, kRequests));
 }
+/// Has clients leave while their attempts run, each after the same time.
+void leave_after(CanaryNode& node, Duration time, int requests) {
+  for (int i = 0; i < requests; ++i) {
+    const auto cancellation = std::make_shared<base::Cancellation>();
+    node.origin.interrupted = [&]() -> std::optional<base::AttemptError> {
+      node.clock.sleep(time);
+      cancellation->cancel();
+      return base::AttemptError::unknown;
+    };
+    const auto result = node.request(fmt::format("left-{}", i), cancellation);
+    expect(result.outcome == proxy::UpstreamOutcome::abandoned, "it was not abandoned");
+  }
+  node.origin.interrupted = nullptr;
+}
+
+canary::OutcomeCounts all_outcomes(CanaryNode& node) {
+  canary::OutcomeCounts sum;
+  for (const auto& [key, counts] : node.client.outcomes().totals()) sum += counts;
+  return sum;
+}
+
+constexpr Duration kUsual{10};
+constexpr int kRequests = 40;
+
+/// A node whose service answers as usual.
+std::unique_ptr<CanaryNode> accustomed_node() {
+  auto node = std::make_unique<CanaryNode>();
+  node->origin.interrupted = [clock = &node->clock]() -> std::optional<base::AttemptError> {
+    clock->sleep(kUsual);
+    return {};
+  };
+  for (int i = 0; i < kRequests; ++i) node->request(std::to_string(i));
+  node->origin.interrupted = nullptr;
+  return node;
+}
+
+void early_leavers_say_nothing() {
+  const auto node = accustomed_node();
+  leave_after(*node, kUsual, kRequests);
+  const auto counts = all_outcomes(*node);
+  same(counts.total(), uint64_t{kRequests}, "outcomes, of which none is a leaver's");
+  same(counts.failed_or_slow(), uint64_t{0}, "poor ones");
+  same(node->request("after").outcome == proxy::UpstreamOutcome::responded, true, "an instance still serves");
+}
+
+void late_leavers_show_a_slow_version() {
+  const auto node = accustomed_node();
+  leave_after(*node, kUsual * 10, kRequests);
+  same(all_outcomes(*node).slow, uint64_t{kRequests}, "attempts that were slow when their clients left");
+}
+
+void leavers_at_the_deadline_show_a_silent_instance() {
+  const auto node = accustomed_node();
+  leave_after(*node, kTimeBudget - Duration(1), kRequests);
+  same(all_outcomes(*node).bad, uint64_t{kRequests}, "attempts that failed as their time and clients ended");
+}
+
+void leavers_get_nothing_sent() {
+  const auto node = accustomed_node();
+  const int sent = node->origin.requests["1"] + node->origin.requests["2"];
+  const auto cancellation = std::make_shared<base::Cancellation>();
+  cancellation->cancel();
+  const auto result = node->request("gone", cancellation);
+  same(result.outcome == proxy::UpstreamOutcome::abandoned, true, "abandoned");
+  same(node->origin.requests["1"] + node->origin.requests["2"], sent, "requests that were sent");
+}
 }  // namespace
 
 std::vector<Case> upstream_client_cases() {
-  return {{"upstream: a canary's share is that of the requests which were sent",
+  return {{"upstream: a client that has left gets nothing sent", leavers_get_nothing_sent},
+          {"upstream: clients that leave early say nothing of an instance", early_leavers_say_nothing},
+          {"upstream: clients that leave late show a slow version", late_leavers_show_a_slow_version},
+          {"upstream: clients that leave at their deadline show a silent instance",
+           leavers_at_the_deadline_show_a_silent_instance},
+          {"upstream: a canary's share is that of the requests which were sent",
            canary_share_counts_what_was_sent},
           {"upstream: without refusals a canary gets its whole share", canary_share_is_used}};
 }
