Soak: some clients leave before their response; good versions with usual failures complete

One request in twelve is left after up to 150 ms, and instances work 1.4 s on it. Repeatable ones may not go on for half a second (more than a quarter breaks), unsafe ones may not be broken off.

--- a/src/canary/canary_statistics.cpp
+++ b/src/canary/canary_statistics.cpp
@@ -19,7 +19,7 @@
 // be enough, and fewer once the share that the allowance rests on is used up.
 constexpr uint64_t kMinFailuresWithinShare = 4, kMinFailuresBeyondShare = 3;
 constexpr double kFactorAfterSwitch = 3;
-constexpr double kSlackAfterSwitch = 2.2;
+constexpr double kSlackAfterSwitch = 2.5;
 constexpr uint64_t kTenth = 10;  // of a service's requests: the share that the allowance rests on
 
 // Evidence on a route is so many responses; fewer are enough when few of them failed or were slow. None of
--- a/test/fleet/soak_traffic.hpp
+++ b/test/fleet/soak_traffic.hpp
@@ -9,7 +9,10 @@
 /// - a response under a configuration older than one that was acknowledged a bound before the request was
 /// sent, or
 ///   older than one that this life of the relay had shown;
-/// - no answer at all in time from a relay that lives.
+/// - no answer at all in time from a relay that lives;
+/// - instances still work, half a second later, on more than a quarter of the repeatable requests whose
+/// clients
+///   left early; or an unsafe request that ran for such a client is broken off by a relay that lives.
 ///
 /// Threads: used by the one event loop of the soak program.
 #pragma once
@@ -32,8 +35,11 @@
   uint64_t cut_by_kill = 0;  ///< the relay was killed meanwhile
   uint64_t late_cuts = 0;    ///< of those unread: more than a fifth of a second after the request was sent
   uint64_t connections = 0;  ///< opened by clients
-  uint64_t changes = 0;      ///< of the configuration that were acknowledged
-  std::vector<std::string> broken;  ///< what broke, in words
+  uint64_t left = 0;         ///< requests whose clients left before the response
+  uint64_t left_runs = 0;    ///< of these, repeatable ones that ran
+  uint64_t left_runs_that_went_on = 0;  ///< of these, for half a second after the client had left
+  uint64_t changes = 0;                 ///< of the configuration that were acknowledged
+  std::vector<std::string> broken;      ///< what broke, in words
 };
 
 class SoakTraffic {
@@ -66,13 +72,18 @@
     std::string id;
     SoakRelay* relay = nullptr;
     int life = 0;
-    bool once = false;  ///< may not be repeated
+    bool once = false;    ///< may not be repeated
+    bool leaves = false;  ///< its client does not wait for the response
     TimePoint at{0};
   };
 
   base::Response answer(base::Request& request, const std::string& instance);
   void send_heartbeats(const std::string& instance, const std::string& address);
   void run_client(int number);
+  void work_for_leaver(const base::Request& request, const std::string& id);
+  void leave_early(net::Connection& connection, const Sent& sent, std::mt19937_64& random);
+  static std::string request_bytes(const Sent& sent);
+  void judge_leavers();
   SoakRelay* choose_relay(std::mt19937_64& random);
   bool exchange(net::Connection& connection, const Sent& sent);
   void judge_answer(const Sent& sent, int status, uint64_t generation);
@@ -87,6 +98,7 @@
   net::HttpClient http_{4U << 20};
   std::vector<std::unique_ptr<net::HttpServer>> backends_;
   std::map<std::string, int> runs_;                             ///< at instances, by request
+  std::map<std::string, TimePoint> left_at_;                    ///< by request: when its client left
   std::map<TimePoint, uint64_t> acknowledged_;                  ///< numbers of configurations, by when
   std::map<std::string, std::map<TimePoint, uint64_t>> shown_;  ///< by relay and life: generations, by when
   uint64_t next_number_ = 0;
