--- a/src/rollout/rollout_controller.cpp
+++ b/src/rollout/rollout_controller.cpp
@@ -21,7 +21,7 @@
 class RolloutController::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(base::Ports& ports, consensus::RegisterClient& registers, membership::StateCache& state_cache,
-       membership::Leadership& leadership, RolloutControllerConfig config);
+       membership::Leadership& leadership, const RolloutControllerConfig& config);
   void start();
   void tick();
   void pause();
@@ -52,7 +52,7 @@
 
 RolloutController::Impl::Impl(base::Ports& ports, consensus::RegisterClient& registers,
                               membership::StateCache& state_cache, membership::Leadership& leadership,
-                              RolloutControllerConfig config)
+                              const RolloutControllerConfig& config)
     : ports_(ports),
       state_cache_(state_cache),
       leadership_(leadership),
@@ -163,7 +163,7 @@
 
 RolloutController::RolloutController(base::Ports& ports, consensus::RegisterClient& registers,
                                      membership::StateCache& state_cache, membership::Leadership& leadership,
-                                     RolloutControllerConfig config)
+                                     const RolloutControllerConfig& config)
     : impl_(std::make_shared<Impl>(ports, registers, state_cache, leadership, config)) {}
 
 RolloutController::~RolloutController() = default;
--- a/src/rollout/rollout_controller.hpp
+++ b/src/rollout/rollout_controller.hpp
@@ -25,7 +25,7 @@
   /// The references have to outlive the controller and its fiber.
   RolloutController(base::Ports& ports, consensus::RegisterClient& registers,
                     membership::StateCache& state_cache, membership::Leadership& leadership,
-                    RolloutControllerConfig config);
+                    const RolloutControllerConfig& config);
   ~RolloutController();
 
   /// Begins the fiber that ticks; it never ends by itself.
--- a/test/net/client_gone_test.cpp
+++ b/test/net/client_gone_test.cpp
@@ -161,11 +161,11 @@
 }
 
 void shield_is_left() {
-  auto go = pool().condition();
+  auto may_answer = pool().condition();
   int asked = 0, answered = 0;
   ScriptedPeer shield([&](int, const pb::PeerRequest&) {
     ++asked;
-    go->wait(20s);
+    may_answer->wait(20s);
     ++answered;
     return std::string("cut");
   });
@@ -176,7 +176,7 @@
   client.reset();
   expect_at_once([&] { return front.server.s.running_requests() == 0; },
                  "the end of the wait for the shield");
-  go->notify();
+  may_answer->notify();
   until([&] { return answered == 1; }, "the shield ends");
   wait_a_while();
   expect(!backend.has("a"), "it was sent around the shield");
@@ -185,7 +185,7 @@
 std::string serve_as_shield(Relay& relay) {
   constexpr int kFirstPort = 22500, kPorts = 500;
   for (int port = kFirstPort + static_cast<int>(::getpid() % kPorts);; ++port) {
-    const std::string address = fmt::format("127.0.0.1:{}", port);
+    std::string address = fmt::format("127.0.0.1:{}", port);
     const auto handler = [&relay](const pb::PeerRequest& call, const base::CancellationPtr& cancellation) {
       pb::PeerResponse response;
       *response.mutable_forward() = relay.forward(call.forward(), cancellation);
