A canary's share is six percent until there is evidence

With eight, less is left for the switch, and a version that fails under the whole load alone is completed (move_whole_load). Six holds both; the unit properties hold with all three.

--- a/src/canary/canary_share.hpp
+++ b/src/canary/canary_share.hpp
@@ -7,7 +7,7 @@
 
 /// Percent of the requests for a canary with a deadline: half of what is allowed, for most of the rest is
 /// needed while it is switched to.
-inline constexpr int kDeadlinePercent = 5;
+inline constexpr int kDeadlinePercent = 6;
 /// The same while its instances are cold and their responses are little evidence.
 inline constexpr int kColdPercent = 1;
 /// The same once there is evidence enough, or no more than the switch needs is left of the allowance.
