--- a/src/canary/canary_share.hpp
+++ b/src/canary/canary_share.hpp
@@ -5,8 +5,8 @@
 
 namespace dunlinwing::canary {
 
-/// Percent of the requests for a canary with a deadline: half of what is allowed, for most of the rest is
-/// needed while it is switched to.
+/// Percent of the requests for a canary with a deadline: less than is allowed, for much of the rest is needed
+/// while it is switched to.
 inline constexpr int kDeadlinePercent = 6;
 /// The same while its instances are cold and their responses are little evidence.
 inline constexpr int kColdPercent = 1;
