A switch's end asks only whether nodes follow it; less that nothing reads

One key for the life of a process serves both who count a canary's requests. Nothing is allocated for a cancellation where there is none.

--- a/src/canary/canary_analysis.hpp
+++ b/src/canary/canary_analysis.hpp
@@ -5,7 +5,6 @@
 /// last. Does no I/O; used by the thread that runs control only.
 #pragma once
 #include <set>
-#include <tuple>
 
 #include "canary/canary_statistics.hpp"
 
@@ -28,17 +27,9 @@
   const std::set<std::string>& aborted() const { return aborted_; }
 
  private:
-  /// One process that counts: a restart takes nothing away from what was reported before it.
-  struct Counter {
-    std::string source;
-    uint64_t incarnation = 0;
-    bool operator<(const Counter& other) const {
-      return std::tie(source, incarnation) < std::tie(other.source, other.incarnation);
-    }
-  };
   struct Canary {
-    uint64_t number = 0;                        ///< of the service's canaries
-    std::map<Counter, uint64_t> bad_responses;  ///< the most that each counter reported
+    uint64_t number = 0;                                 ///< of the service's canaries
+    std::map<ReportingProcess, uint64_t> bad_responses;  ///< the most that each reported
   };
   /// What all nodes reported of one canary.
   struct Report {
--- a/src/canary/canary_statistics.hpp
+++ b/src/canary/canary_statistics.hpp
@@ -38,6 +38,15 @@
   OutcomeCounts& operator+=(const OutcomeCounts& other);
 };
 
+/// One process that counts: a restart takes nothing away from what was reported before it.
+struct ReportingProcess {
+  std::string source;
+  uint64_t incarnation = 0;
+  bool operator<(const ReportingProcess& other) const {
+    return std::tie(source, incarnation) < std::tie(other.source, other.incarnation);
+  }
+};
+
 /// By the label of the route.
 using ByRoute = std::map<std::string, OutcomeCounts>;
 
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -30,8 +30,8 @@
   for (const auto& [kind, release] : running) text += fmt::format("{}={};", kind, release);
   for (const auto& counts : status.canary_counts())
     text += fmt::format("{}:{}:{}{};", counts.service(), counts.number(), counts.bad(), counts.aborted());
-  for (const auto& progress : status.switches())
-    text += fmt::format("{}:{}:{};", progress.service(), progress.number(), progress.drained());
+  for (const auto& followed : status.switches())
+    text += fmt::format("{}:{};", followed.service(), followed.number());
   for (const auto& heartbeat : status.heartbeats())
     text += fmt::format("{}/{}{};", heartbeat.instance(), heartbeat.leaving() ? 0 : heartbeat.sequence(),
                         heartbeat.leaving());
--- a/src/net/peer_server.cpp
+++ b/src/net/peer_server.cpp
@@ -85,8 +85,9 @@
 
   /// The caller sends nothing more before the response: what its connection brings is its end.
   pb::PeerResponse handle(Connection& connection, const pb::PeerRequest& request) {
-    const auto caller_left = std::make_shared<base::Cancellation>();
+    base::CancellationPtr caller_left;  // calls of control are short, and go on
     if (request.has_forward()) {
+      caller_left = std::make_shared<base::Cancellation>();
       connection.on_read_done([&connection, caller_left] {
         if (connection.has_ended()) caller_left->cancel();
       });
--- a/src/net/peer_server.hpp
+++ b/src/net/peer_server.hpp
@@ -7,7 +7,8 @@
 
 namespace dunlinwing::net {
 
-/// Answers a call; may suspend the calling fiber. The cancellation tells that the caller has given it up.
+/// Answers a call; may suspend the calling fiber. The cancellation tells that the caller has given it
+/// up; null: it does not matter to this call.
 using PeerHandler =
     std::function<pb::PeerResponse(const pb::PeerRequest&, const base::CancellationPtr& cancellation)>;
 
--- a/src/net/wait_limit.cpp
+++ b/src/net/wait_limit.cpp
@@ -4,10 +4,10 @@
 
 namespace dunlinwing::net {
 
-WaitLimitGuard::WaitLimitGuard(Connection& connection, const WaitLimit& limit)
-    : target_(std::make_shared<Target>(Target{&connection})) {
+WaitLimitGuard::WaitLimitGuard(Connection& connection, const WaitLimit& limit) {
   timer_.set(limit.end, [&connection] { connection.interrupt(); });
   if (!limit.cancellation) return;
+  target_ = std::make_shared<Target>(Target{&connection});
   auto interrupt = [target = target_] {
     if (target->connection) target->connection->interrupt();
   };
@@ -20,7 +20,7 @@
 void WaitLimitGuard::release() {
   timer_.clear();
   subscription_.reset();
-  target_->connection = nullptr;
+  if (target_) target_->connection = nullptr;
 }
 
 }  // namespace dunlinwing::net
--- a/src/net/wait_limit.hpp
+++ b/src/net/wait_limit.hpp
@@ -24,7 +24,7 @@
     Connection* connection;  ///< null once released
   };
 
-  std::shared_ptr<Target> target_;
+  std::shared_ptr<Target> target_;  ///< null where nothing can be cancelled
   Timer timer_;
   std::optional<base::CancellationSubscription> subscription_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -182,7 +182,7 @@
       std::string stated;
       for (int check = 0; has_switch(); ++check) {
         std::string present;
-        for (const auto& progress : request_handler.switches()) present += progress.SerializeAsString();
+        for (const auto& followed : request_handler.switches()) present += followed.SerializeAsString();
         if (check % kChecksPerPull == 0 || present != stated) state_cache.pull_soon();
         stated = std::move(present);
         ports.clock.sleep(config.bound / kSwitchChecksPerBound);
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -233,7 +233,7 @@
   }
 
   /// The switches that this node follows.
-  std::vector<pb::SwitchProgress> switches() const;
+  std::vector<pb::FollowedSwitch> switches() const;
 
   void report_canaries(pb::NodeStatus& status) {
     for (const auto& [service, attempts] : upstream_client.outcomes().canary_attempts()) {
@@ -255,15 +255,14 @@
   }
 };
 
-std::vector<pb::SwitchProgress> RequestHandler::Impl::switches() const {
-  std::vector<pb::SwitchProgress> switches;
+std::vector<pb::FollowedSwitch> RequestHandler::Impl::switches() const {
+  std::vector<pb::FollowedSwitch> switches;
   const auto current = current_snapshot();
   for (const auto& [service, state] : current->service_states) {
     if (!state.switching() || !sends_to_canary_alone(*current, service, state)) continue;
-    auto& progress = switches.emplace_back();
-    progress.set_service(service);
-    progress.set_number(state.canary_number());
-    progress.set_drained(upstream_client.in_flight().none_beside(service, state.canary()));
+    auto& followed = switches.emplace_back();
+    followed.set_service(service);
+    followed.set_number(state.canary_number());
   }
   return switches;
 }
@@ -350,7 +349,7 @@
 }
 RoutingSnapshotPtr RequestHandler::snapshot() const { return impl_->current_snapshot(); }
 void RequestHandler::start_draining() { impl_->draining = true; }
-std::vector<pb::SwitchProgress> RequestHandler::switches() const { return impl_->switches(); }
+std::vector<pb::FollowedSwitch> RequestHandler::switches() const { return impl_->switches(); }
 int RequestHandler::running_requests() { return impl_->upstream_client.running_requests(); }
 const RequestCounters& RequestHandler::counters() const { return impl_->counters; }
 UpstreamClient& RequestHandler::upstream_client() { return impl_->upstream_client; }
@@ -362,7 +361,7 @@
   impl_->report_requests(status);
   impl_->report_versions(status);
   impl_->report_canaries(status);
-  for (auto& progress : impl_->switches()) *status.add_switches() = std::move(progress);
+  for (auto& followed : impl_->switches()) *status.add_switches() = std::move(followed);
   for (const auto& [service, requests] : impl_->upstream_client.rate_demand()) {
     auto* reported = status.add_demands();
     reported->set_service(service);
--- a/src/proxy/request_handler.hpp
+++ b/src/proxy/request_handler.hpp
@@ -34,7 +34,7 @@
   /// @param snapshot  not null
   void set_snapshot(RoutingSnapshotPtr snapshot);
   /// The switches to another version that this node follows.
-  std::vector<pb::SwitchProgress> switches() const;
+  std::vector<pb::FollowedSwitch> switches() const;
   RoutingSnapshotPtr snapshot() const;
 
   /// From now on every new request is rejected.
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -1,6 +1,5 @@
 #include "proxy/upstream_client.hpp"
 
-#include <algorithm>
 #include <atomic>
 #include <mutex>
 
@@ -85,7 +84,6 @@
   std::atomic<uint64_t> retries{0};
   std::atomic<int> max_instances{0};
   OutcomeCounters outcomes;
-  AttemptsInFlight in_flight;
   mutable std::mutex mutex;
   std::map<std::string, uint64_t> rate_demand;  // by service; guarded by mutex
 
@@ -169,16 +167,6 @@
                                 subset_size(instances->second.size(), snapshot->nodes, max_instances));
   }
 
-  // By the latest snapshot. Whoever publishes the next one and then finds no attempt under way at a version
-  // that may no longer serve can rely on none beginning there.
-  bool is_eligible(const membership::BackendInstance& instance,
-                   const config::ServiceConfiguration& service) const {
-    const auto snapshot = node.snapshot();
-    const auto versions = eligible_versions(service, find_state(*snapshot, service.name));
-    return versions.canary == instance.version ||
-           std::find(versions.open.begin(), versions.open.end(), instance.version) != versions.open.end();
-  }
-
   void count_demand(const config::ServiceConfiguration& service) {
     if (service.rate <= 0) return;
     const std::lock_guard lock(mutex);
@@ -217,10 +205,7 @@
       if (!selection) break;
       const Duration remaining = context_.deadline - now();
       if (!check_deadline(remaining) || !check_read_lease()) break;
-      const auto& instance = selection->instance;
-      const AttemptsInFlight::Guard in_flight(client_.in_flight, instance.service, instance.version);
-      if (!client_.is_eligible(instance, *context_.service)) continue;  // a newer snapshot has come meanwhile
-      const NextStep next = attempt(instance, remaining);
+      const NextStep next = attempt(selection->instance, remaining);
       if (next == NextStep::respond) return std::move(result_);
       if (next == NextStep::stop) break;
     }
@@ -410,7 +395,6 @@
   impl_->retry_budget.record_request(service, impl_->node.snapshot()->system.retry_ratio);
 }
 
-const AttemptsInFlight& UpstreamClient::in_flight() const { return impl_->in_flight; }
 OutcomeCounters& UpstreamClient::outcomes() { return impl_->outcomes; }
 
 std::map<std::string, uint64_t> UpstreamClient::rate_demand() const {
--- a/src/proxy/upstream_client.hpp
+++ b/src/proxy/upstream_client.hpp
@@ -11,7 +11,6 @@
 #pragma once
 #include "proxy/admission_queue.hpp"
 #include "proxy/attempt_decision.hpp"
-#include "proxy/attempts_in_flight.hpp"
 #include "proxy/outcome_counters.hpp"
 #include "proxy/routing_snapshot.hpp"
 
@@ -88,8 +87,6 @@
   OutcomeCounters& outcomes();
   /// Requests of services with a stated rate, since the start of the process.
   std::map<std::string, uint64_t> rate_demand() const;
-  /// Those under way, by version.
-  const AttemptsInFlight& in_flight() const;
   ServiceLoad load(const std::string& service);
   /// Requests of all services, running or waiting.
   int running_requests();
--- a/src/rollout/version_rollout.hpp
+++ b/src/rollout/version_rollout.hpp
@@ -24,13 +24,6 @@
 };
 using TotalsByVersion = std::map<std::string, VersionTotals>;
 
-/// How far the nodes are with the switch of a service to its canary.
-enum class SwitchStage {
-  begun,     ///< some node may still send to the version in place
-  followed,  ///< all send to the canary alone
-  drained,   ///< nor has any a request under way at another version
-};
-
 /// One service as the leader sees it.
 struct VersionRolloutObservation {
   Duration elapsed{0};           ///< observed under the lease since the previous observation
@@ -48,8 +41,8 @@
   canary::CanarySample sample;
   uint64_t sent_to_canary = 0;     ///< requests, whatever came of them
   double requests_per_second = 0;  ///< of the service, lately
-  /// In a switch: how far all nodes are that have been heard of within a session.
-  SwitchStage stage = SwitchStage::begun;
+  /// All nodes that have been heard of within a session send to the canary alone.
+  bool all_follow_switch = false;
 };
 
 struct VersionRolloutStep {
--- a/src/rollout/version_rollout_deadline.cpp
+++ b/src/rollout/version_rollout_deadline.cpp
@@ -148,12 +148,11 @@
 
 // Whether the old version may be halted. Not before that is due, however soon nothing reaches it: until then
 // the new one can be judged under the whole load, and gone back from. What the old one still answers when it
-// is due is waited for only as long as the allowance bears it.
+// is due is not waited for: that would be taken out of the allowance.
 bool DeadlineStep::switch_has_ended() const {
   if (since_requested() < schedule_.complete_by) return false;
   if (observation_.since_switch >= schedule_.clock_span) return true;
-  return observation_.since_switch >= rules_.bound / kMinSwitchFraction &&
-         observation_.stage >= SwitchStage::followed;
+  return observation_.since_switch >= rules_.bound / kMinSwitchFraction && observation_.all_follow_switch;
 }
 
 void DeadlineStep::complete() {
--- a/src/rollout/version_rollout_observer.cpp
+++ b/src/rollout/version_rollout_observer.cpp
@@ -82,22 +82,21 @@
   return now - Duration(static_cast<int64_t>(state.held_ms())) - bound_ * kUnrecordedBounds;
 }
 
-// Adds up what the nodes sent to the canary, and finds the stage that all of them have reached in a switch.
+// Notes what the nodes sent to the canary, and whether all of them follow a switch to it.
 void VersionRolloutObserver::observe_nodes(const std::string& service, const pb::ServiceState& state,
                                            const std::map<std::string, pb::NodeStatus>& statuses,
                                            ObservedRollout& rollout) {
-  rollout.stage = SwitchStage::drained;
+  rollout.all_follow_switch = true;
   for (const auto& [source, status] : statuses) {
     for (const auto& counts : status.canary_counts()) {
       if (counts.service() != service || counts.number() != state.canary_number()) continue;
       auto& sent = rollout.sent_to_canary[{source, status.version().incarnation()}];
       sent = std::max(sent, counts.sent());
     }
-    auto stage = SwitchStage::begun;
-    for (const auto& progress : status.switches())
-      if (progress.service() == service && progress.number() == state.canary_number())
-        stage = progress.drained() ? SwitchStage::drained : SwitchStage::followed;
-    rollout.stage = std::min(rollout.stage, stage);
+    rollout.all_follow_switch &=
+        std::any_of(status.switches().begin(), status.switches().end(), [&](const auto& followed) {
+          return followed.service() == service && followed.number() == state.canary_number();
+        });
   }
 }
 
@@ -118,7 +117,7 @@
   observation.sample = statistics_.at(service);
   for (const auto& [process, sent] : rollout.sent_to_canary) observation.sent_to_canary += sent;
   // Who has not watched for a session may not have heard of all nodes.
-  if (now - first_update_ >= bound_ * kSessionBounds) observation.stage = rollout.stage;
+  observation.all_follow_switch = rollout.all_follow_switch && now - first_update_ >= bound_ * kSessionBounds;
 }
 
 }  // namespace dunlinwing::rollout
--- a/src/rollout/version_rollout_observer.hpp
+++ b/src/rollout/version_rollout_observer.hpp
@@ -8,8 +8,6 @@
 /// midst of it takes the recorded time, and adds the span of a lease and a bound for what was recorded late.
 /// Threads: the fiber of the rollout controller. Never waits.
 #pragma once
-#include <tuple>
-
 #include "membership/backend_instance.hpp"
 #include "membership/state_cache.hpp"
 #include "rollout/version_rollout.hpp"
@@ -36,22 +34,14 @@
                         VersionRolloutObservation& observation) const;
 
  private:
-  /// One life of a node: a restart takes nothing away from what was reported before it.
-  struct ReportingProcess {
-    std::string source;
-    uint64_t incarnation = 0;
-    bool operator<(const ReportingProcess& other) const {
-      return std::tie(source, incarnation) < std::tie(other.source, other.incarnation);
-    }
-  };
   struct ObservedRollout {
     uint64_t canary_number = 0;
     TimePoint requested{0};   ///< as near as pulls tell
     TimePoint warm_since{0};  ///< all instances that the canary uses; 0: some are not warm
     TimePoint switched{0};    ///< when the switch was first seen; 0: it was not
     InstancesByVersion warm_instances;
-    std::map<ReportingProcess, uint64_t> sent_to_canary;  ///< the most that each reported
-    SwitchStage stage = SwitchStage::begun;
+    std::map<canary::ReportingProcess, uint64_t> sent_to_canary;  ///< the most that each reported
+    bool all_follow_switch = false;
   };
   /// The backend instances of all services that are not gone.
   struct InstanceView {
