--- /dev/null
+++ b/test/scenarios/link_scenarios.cpp
@@ -0,0 +1,176 @@
+#include <set>
+
+#include "scenarios/scenario.hpp"
+
+namespace dunlinwing::test {
+namespace {
+constexpr double kEdgeMbps = 2;
+constexpr double kReplicaMbps = 20;
+constexpr double kShieldMbps = 200;
+constexpr int kSmallObjects = 300;
+constexpr int kLargeObjects = 60;
+constexpr size_t kSmallBytes = 2000;
+constexpr size_t kLargeBytes =
+    30000;                         // of the smallest of the large ones; the largest are four times as long
+constexpr int kLargePercent = 18;  // of the requests
+constexpr int kRequestsPerSecond = 450;  // which take the links of the small relays for the most part
+constexpr int kOriginRate = 200;
+constexpr int kConnections = 60;
+constexpr Duration kMinLatency{60}, kMaxLatency{120};
+
+constexpr Duration kAckTimeout(4000);   // for an order to be acknowledged
+constexpr Duration kCallTimeout(1000);  // after which an operator goes on to another node
+constexpr Duration kWatched(20000);
+constexpr Duration kEnd(8000);   // for what is still under way then
+constexpr double kFloor = 0.95;  // of the requests of each class that have to be served in time
+
+size_t body_bytes(const std::string& target) {
+  if (target.starts_with("/c/large")) return kLargeBytes * (1 + target.back() % 4);
+  return target.starts_with("/c/") ? kSmallBytes : 0;
+}
+
+std::string slow_link_configuration(int number) {
+  auto document = simulated_configuration("\"1\"", 4);
+  const std::string cache = R"("cache":{"lifetime_s":4})";
+  document.insert(document.find(cache),
+                  fmt::format(R"("rate":{},"connections":{},)", kOriginRate, kConnections));
+  document.insert(
+      document.find(R"({"prefix":"/pay")"),
+      fmt::format(R"({{"prefix":"/c/added{}/","service":"content","methods":["GET"]}},)", number));
+  return document;
+}
+
+struct Served {
+  uint64_t asked = 0, served = 0;
+  double share() const { return asked ? static_cast<double>(served) / static_cast<double>(asked) : 0; }
+};
+
+/// What clients and operators saw.
+struct Observed {
+  std::map<std::string, Served> classes;
+  Duration slowest_order{0};
+  std::string slowest_order_text;
+  uint64_t orders = 0;
+  std::set<std::string> lapsed;  ///< nodes whose read lease lapsed
+};
+using ObservedPtr = std::shared_ptr<Observed>;
+
+void ask_for_objects(Scene& scene, const ObservedPtr& observed, Duration duration) {
+  scene.fleet.generate_requests(kRequestsPerSecond, scene.world.now() + duration, [&scene, observed] {
+    auto& world = scene.world;
+    const bool large = world.below(100) < kLargePercent;
+    const auto objects = static_cast<uint64_t>(large ? kLargeObjects : kSmallObjects);
+    const auto object = std::min(world.below(objects), world.below(objects));
+    const std::string name = large ? "large" : "small";
+    ++observed->classes[name].asked;
+    const int status = scene.fleet.call("GET", fmt::format("/c/{}/{}", name, object));
+    observed->classes[name].served += status == 200;
+  });
+}
+
+/// Sends an order as operators do: to one node after the other until one acknowledges it.
+void send_order(Scene& scene, const ObservedPtr& observed, const std::string& target,
+                const std::string& body) {
+  const TimePoint began = scene.world.now();
+  for (int status = 0; status != 200 && status != 202 && scene.world.now() - began < kAckTimeout * 4;) {
+    auto* host = scene.fleet.random_host(false);
+    base::Request request{"", "PUT", target, body, {}};
+    const auto exchange = scene.fleet.exchange(*host, std::move(request), true, kCallTimeout);
+    status = exchange.complete ? exchange.response.status : 0;
+  }
+  const Duration took = scene.world.now() - began;
+  ++observed->orders;
+  if (took <= observed->slowest_order) return;
+  observed->slowest_order = took;
+  observed->slowest_order_text = target;
+}
+
+/// A purge or a configuration every half second.
+void send_orders(Scene& scene, const ObservedPtr& observed, Duration duration) {
+  constexpr Duration kPeriod(500);
+  const TimePoint until = scene.world.now() + duration;
+  scene.fleet.spawn_outside([&scene, observed, until] {
+    for (int i = 0; scene.world.now() < until; ++i, scene.fleet.sleep(kPeriod)) {
+      scene.fleet.spawn_outside([&scene, observed, i] {
+        if (i % 3 == 0)
+          send_order(scene, observed, fmt::format("/v1/layouts/{}", i + 2), slow_link_configuration(i));
+        else
+          send_order(scene, observed, fmt::format("/v1/purges/p{}", i),
+                     fmt::format(R"({{"service":"content","kind":"path","path":"/c/small/{}"}})", i));
+      });
+    }
+  });
+}
+
+void watch_read_leases(Scene& scene, const ObservedPtr& observed, Duration duration) {
+  constexpr Duration kPeriod(20);
+  const TimePoint until = scene.world.now() + duration;
+  scene.fleet.spawn_outside([&scene, observed, until] {
+    for (; scene.world.now() < until; scene.fleet.sleep(kPeriod))
+      for (auto& host : scene.fleet.hosts())
+        if (host->up() && !host->node->state_cache().has_read_lease()) observed->lapsed.insert(host->name);
+  });
+}
+
+bool start(Scene& scene) {
+  constexpr int kOtherRequests = 5;
+  if (!start_traffic(scene, kOtherRequests, slow_link_configuration(0))) return false;
+  scene.fleet.event(fmt::format(R"("t":"rate","service":"content","n":{})", kOriginRate));
+  for (auto& backend : scene.fleet.backends()) {
+    backend->body_bytes = body_bytes;
+    backend->min_latency = kMinLatency;
+    backend->max_latency = kMaxLatency;
+  }
+  return true;
+}
+
+std::string lapsed_text(const Observed& observed) {
+  std::string text;
+  for (const auto& name : observed.lapsed) text += " " + name;
+  return text;
+}
+
+void expect_within_bounds(Scene& scene, const Observed& observed) {
+  scene.figures["slowest_order_ms"] = static_cast<uint64_t>(observed.slowest_order.count());
+  scene.figures["orders"] = observed.orders;
+  scene.figures["lapsed_nodes"] = observed.lapsed.size();
+  for (const auto& [name, served] : observed.classes)
+    scene.figures["served_permille_" + name] = static_cast<uint64_t>(served.share() * 1000);
+  scene.require(observed.slowest_order <= kAckTimeout,
+                fmt::format("{} was acknowledged after {} ms", observed.slowest_order_text,
+                            observed.slowest_order.count()));
+  scene.require(observed.lapsed.empty(), "read leases lapsed at" + lapsed_text(observed));
+  for (const auto& [name, served] : observed.classes)
+    scene.require(served.share() >= kFloor,
+                  fmt::format("{}: {} of {} were served", name, served.served, served.asked));
+}
+
+/// Cold caches and full traffic from the first moment on, with orders all the while.
+void full_links(Scene& scene) {
+  scene.duration = Duration(60000);
+  scene.script = [&scene] {
+    if (!start(scene)) return;
+    const auto observed = std::make_shared<Observed>();
+    watch_read_leases(scene, observed, kWatched);
+    ask_for_objects(scene, observed, kWatched);
+    send_orders(scene, observed, kWatched);
+    scene.fleet.sleep(kWatched + kEnd);
+    expect_within_bounds(scene, *observed);
+  };
+}
+
+void slow_links(simulation::FleetShape& shape) {
+  constexpr int kEdgeNodes = 24;
+  constexpr int kShields = 3;
+  shape.edge_nodes = kEdgeNodes;
+  shape.shield_nodes = kShields;
+  shape.replica_shields = false;
+  shape.edge_mbps = kEdgeMbps;
+  shape.replica_mbps = kReplicaMbps;
+  shape.shield_mbps = kShieldMbps;
+}
+}  // namespace
+
+NamedCases link_scenarios() { return {{"full_links_delay_no_order", {full_links, 0, slow_links}}}; }
+
+}  // namespace dunlinwing::test
