--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -70,6 +70,11 @@
 
 Fleet::~Fleet() = default;
 
+double Fleet::link_mbps(const Host& host) const {
+  if (host.has_disk) return shape_.replica_mbps;
+  return host.shield ? shape_.shield_mbps : shape_.edge_mbps;
+}
+
 Host& Fleet::at(const std::string& n) {
   for (auto& host : hosts_)
     if (host->name == n) return *host;
@@ -95,6 +100,9 @@
   config.peer_address = host.address;
   config.http_address = "http:" + n;
   config.shield = host.shield;
+  config.link_mbps = link_mbps(host);
+  world_.links[n].inbound.set_rate(config.link_mbps);
+  world_.links[n].outbound.set_rate(config.link_mbps);
   config.bound = shape_.bound;
   config.scale = shape_.scale;
   config.initial_boot = shape_.seeded ? !host.started_before && !started_before_ : true;
@@ -243,17 +251,20 @@
   *go = [&world, &shape, v, qp, node, ctl, control, life = host.process, go] {
     if (life->dead) return;
     if (world.frozen(life->host)) return world.after(Duration(50), *go);
-    world.spawn(life, [&world, &shape, v, qp, node, ctl, control] {
+    world.spawn(life, [&world, &shape, v, qp, node, ctl, control, host_name = life->host] {
       v->read = true;
       FleetShape::Handler product = [ctl](base::Request& x) { return ctl->handle(x); };
       v->response = !control          ? node->handle(*qp)
                     : shape.translate ? shape.translate(*qp, product)
                                       : product(*qp);
-      v->done = true;
-      world.notify(v->wait);
+      const size_t bytes = v->response.body.size();
+      world.carry(host_name, "", bytes, Duration(0), [&world, v] {
+        v->done = true;
+        world.notify(v->wait);
+      });
     });
   };
-  world.after(Duration(1), *go);
+  world.carry("", host.name, qp->body.size(), Duration(1), *go);
   auto end = world.now() + most;
   while (!v->done && world.now() < end && !host.process->dead)
     world.wait(out, std::min<Duration>(end - world.now(), Duration(200)), v->wait);
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -20,6 +20,9 @@
   std::string broken_release, broken_aspect;
   int first_backends = 3, second_backends = 3;  // workers of the cached and of the other service
   Duration min_delay{1}, max_delay{3};          // a message's way
+  // Million bits a second of a machine's link, each way; 0: without bounds. Machines with a disk, other
+  // relays, and those that only fetch for others.
+  double replica_mbps = 0, edge_mbps = 0, shield_mbps = 0;
   // A deployment that speaks other words: they go into each relay's settings, stand
   // before its control face, and take the place of the workers below.
   using Handler = std::function<base::Response(base::Request&)>;
@@ -68,7 +71,8 @@
   uint64_t heartbeats = 0;
   // A version that is bad in its own way: how many times slower this request is, 0 when it fails.
   std::function<int(const std::string& target)> slowdown;
-  TimePoint warm_at{0};  // until then it is twice as slow, and says so
+  std::function<size_t(const std::string& target)> body_bytes;  // of its answers, at the least; null: 0
+  TimePoint warm_at{0};                                         // until then it is twice as slow, and says so
   int running = 0;
 };
 
@@ -124,6 +128,7 @@
 
  private:
   friend class SimOrigin;
+  double link_mbps(const Host& host) const;
   void send_heartbeat(SimulatedBackend& backend);
   World& world_;
   FleetShape shape_;
--- a/src/simulation/origin.cpp
+++ b/src/simulation/origin.cpp
@@ -101,8 +101,9 @@
   if (times > 1) took *= times;
   bool bad = static_cast<int>(world.below(100)) < backend->bad_percent || !times,
        wrong = static_cast<int>(world.below(100)) < backend->wrong_percent;
-  auto body =
-      fmt::format(R"({{"target":"{}","echo":"{}","produced":{}}})", request.target, h("Caller-Id"), at);
+  const size_t padding = backend->body_bytes ? backend->body_bytes(request.target) : 0;
+  auto body = fmt::format(R"({{"target":"{}","echo":"{}","produced":{}{}}})", request.target, h("Caller-Id"),
+                          at, padding ? ",\"padding\":\"" + std::string(padding, 'x') + '"' : "");
   auto sum = base::sha256_base64(body);
   world.journal.push_back(fmt::format(
       R"({{"t":"run","id":"{}","method":"{}","target":"{}","in":"{}","out":"{}","service":"{}","version":"{}","instance":"{}","relay":"{}","gen":"{}","at":{},"bad":{}}})",
@@ -135,7 +136,25 @@
   if (wrong) ++world.faults_met["wrong_bytes"];
   if (backend->max_age && request.method == "GET")
     response.headers.emplace_back("Cache-Control", fmt::format("max-age={}", backend->max_age));
+  receive(response.body.size());
   return response;
 }
 
+// The way of an answer over the link of this process.
+void SimOrigin::receive(size_t bytes) {
+  auto& world = fleet_.world_;
+  if (!world.links[process_->host].has_rate()) return;
+  struct Arrival {
+    bool done = false;
+    Wait wait;
+  };
+  auto arrival = std::make_shared<Arrival>();
+  world.carry("", process_->host, bytes, Duration(0), [&world, arrival] {
+    arrival->done = true;
+    world.notify(arrival->wait);
+  });
+  constexpr Duration kLook(60000);
+  while (!arrival->done) world.wait(process_, kLook, arrival->wait);
+}
+
 }  // namespace dunlinwing::simulation
--- a/src/simulation/origin.hpp
+++ b/src/simulation/origin.hpp
@@ -17,6 +17,7 @@
   // Waits until this process has fewer attempts at the address than it may have connections; false when that
   // was not to be had in time.
   bool await_connection(const std::string& address, const base::AttemptRules& rules);
+  void receive(size_t bytes);
   std::variant<base::Response, base::AttemptError> relay(const std::string& name,
                                                          const base::Request& request, Duration limit);
   Fleet& fleet_;
--- a/src/simulation/ports.cpp
+++ b/src/simulation/ports.cpp
@@ -41,7 +41,8 @@
         world_.network.min_delay +
         Duration(world_.below(
             static_cast<uint64_t>((world_.network.max_delay - world_.network.min_delay).count()) + 1));
-    world_.after(d, [this, t, r = std::move(r)] {
+    const size_t bytes = r ? r->ByteSizeLong() : 0;
+    world_.carry(to, from, bytes, d, [this, t, r = std::move(r)] {
       if (t->reply || t->refused) return;
       if (r)
         t->reply = r;
@@ -74,7 +75,7 @@
         back(host, std::move(response));
       });
     };
-    world_.after(d, *arrive);
+    world_.carry(process_->host, host, request.ByteSizeLong(), d, *arrive);
   };
   send();
   if (world_.random(world_.network.duplicate_permille)) {
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -13,6 +13,10 @@
 namespace dunlinwing::simulation {
 namespace bf = boost::fibers;
 
+namespace {
+constexpr size_t kWindowBytes = 64 << 10;  // of one connection, on their way at once
+}
+
 World::World(uint64_t seed) : rng_(seed) {}
 World::~World() = default;
 
@@ -112,6 +116,20 @@
     journal.push_back(fmt::format(R"({{"t":"cut","at":{}}})", now_.count()));
 }
 
+void World::carry(const std::string& from, const std::string& to, size_t bytes, Duration delay,
+                  std::function<void()> arrived) {
+  auto& outbound = links[from].outbound;
+  auto& inbound = links[to].inbound;
+  if (!outbound.has_rate() && !inbound.has_rate()) return after(delay, std::move(arrived));
+  const size_t window = std::min(bytes, kWindowBytes);
+  after(outbound.transfer(now_, window) + delay, [=, this, &inbound, arrived = std::move(arrived)] {
+    after(inbound.transfer(now_, window), [=, this] {
+      if (bytes <= window) return arrived();
+      carry(from, to, bytes - window, delay, arrived);
+    });
+  });
+}
+
 bool World::frozen(const std::string& h) const {
   auto f = frozen_.find(h);
   return f != frozen_.end() && f->second > now_;
--- a/src/simulation/world.hpp
+++ b/src/simulation/world.hpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "base/ports.hpp"
+#include "simulation/link_queue.hpp"
 
 namespace dunlinwing::simulation {
 
@@ -54,6 +55,11 @@
   bool is_partitioned(const std::string& from, const std::string& to) const {
     return cuts_.count({from, to}) > 0;
   }
+  /// Carries a message from one host to another: window by window over the links of both, each window after
+  /// the one before has come. Both names may be those of no host: its link has no rate.
+  void carry(const std::string& from, const std::string& to, size_t bytes, Duration delay,
+             std::function<void()> arrived);
+  std::map<std::string, HostLink> links;  ///< by host
   NetworkConditions network;
   std::map<std::string, uint64_t> faults_met;  // faults that a run in truth met
   uint64_t messages = 0, bytes = 0;            // between hosts, both ways
--- a/test/scenarios/scenario.cpp
+++ b/test/scenarios/scenario.cpp
@@ -152,6 +152,17 @@
   scene.require(ok, "layout " + name + " was not taken");
 }
 
+std::string rejections_by_reason(Scene& scene) {
+  std::map<std::string, uint64_t> sums;
+  for (auto& host : scene.fleet.hosts())
+    if (host->up())
+      for (const auto& [key, count] : host->node->request_handler().rejections().counts())
+        sums[proxy::label(key.reason)] += count;
+  std::string text;
+  for (const auto& [reason, count] : sums) text += fmt::format(" {} {}", reason, count);
+  return text;
+}
+
 const std::map<std::string, SimCase>& sim_cases() {
   static const auto all = [] {
     auto m = machine_scenarios();
@@ -164,6 +175,7 @@
     m.merge(leadership_fence_scenarios());
     m.merge(mixed_scenarios());
     m.merge(fetch_scenarios());
+    m.merge(link_scenarios());
     m.merge(replica_scenarios());
     m.merge(control_api_scenarios());
     return m;
--- a/test/scenarios/scenario.hpp
+++ b/test/scenarios/scenario.hpp
@@ -25,6 +25,9 @@
 bool purge(Scene& scene, const std::string& name, const std::string& kind, const std::string& path);
 const pb::RolloutState* read_rollout_state(Scene& scene, pb::RolloutState& out);
 
+// How many requests were rejected, by reason, since the start of the processes that are up.
+std::string rejections_by_reason(Scene& scene);
+
 using NamedCases = std::map<std::string, SimCase>;
 NamedCases machine_scenarios();  // kills, disks, freezes, splits, clocks
 NamedCases rollout_scenarios();
@@ -36,6 +39,7 @@
 NamedCases leadership_fence_scenarios();  // leaders stopped between reading and writing
 NamedCases mixed_scenarios();
 NamedCases fetch_scenarios();        // one fetch of an object serves many nodes
+NamedCases link_scenarios();         // relays whose links are full
 NamedCases replica_scenarios();      // the set forms, grows and heals by itself
 NamedCases control_api_scenarios();  // what operators are told by relays cut off, at once and again
 
