Why a read lease lapsed, and the stages of each order, in the logs

A lapse says how long ago the last good pull began, how many failed since, how long they took and how many replicas responded. The first replica of a pull is waited for as long as responses take of late, up to a period: asked too soon, all others send what it is sending.

--- a/src/control_api/router.cpp
+++ b/src/control_api/router.cpp
@@ -11,6 +11,7 @@
 #include "control_api/metrics.hpp"
 #include "control_api/node_identity.hpp"
 #include "control_api/numbered_configuration.hpp"
+#include "control_api/order_log.hpp"
 #include "control_api/purge_writer.hpp"
 #include "control_api/purges.hpp"
 #include "control_api/releases.hpp"
@@ -45,7 +46,8 @@
 enum class RouteType {
   local,       ///< of this node alone, at once, whether or not it is in contact with the others
   read,        ///< after contact with a majority; may be a watch
-  write,       ///< within kResponseLimit
+  heartbeat,   ///< likewise a write, of a backend instance
+  write,       ///< of an operator, within kResponseLimit
   long_write,  ///< takes as long as it needs
 };
 
@@ -83,8 +85,8 @@
     {RouteType::write, "PUT", "/v1/moves/*", put_version_rollout},
 
     {RouteType::read, "GET", "/v1/workers", list_instances},
-    {RouteType::write, "POST", "/v1/beats", post_heartbeat},
-    {RouteType::write, "DELETE", "/v1/workers/*", delete_instance},
+    {RouteType::heartbeat, "POST", "/v1/beats", post_heartbeat},
+    {RouteType::heartbeat, "DELETE", "/v1/workers/*", delete_instance},
 
     {RouteType::read, "GET", "/v1/purges", list_purges},
     {RouteType::write, "POST", "/v1/purges", put_purge},
@@ -189,11 +191,20 @@
   auto deadline = impl_->ports.clock.now() + kResponseLimit;
   // The work may outlast this call, so it has a request of its own.
   auto own = std::make_shared<base::Request>(http);
-  return respond_within(impl_->ports, kResponseLimit, [impl = impl_, own, deadline, route] {
+  auto stages = std::make_shared<OrderStages>();
+  stages->order = http.method + " " + http.target;
+  stages->taken = impl_->ports.clock.now();
+  auto response = respond_within(impl_->ports, kResponseLimit, [impl = impl_, own, deadline, route, stages] {
     auto own_request = parse_request(*own);
     own_request.deadline = deadline;
-    return impl->write(own_request, route);
+    auto written = impl->write(own_request, route);
+    stages->written = impl->ports.clock.now();
+    return written;
   });
+  stages->status = response.status;
+  stages->answered = impl_->ports.clock.now();
+  if (route && route->type == RouteType::write) log_order(impl_->context, stages);
+  return response;
 }
 
 }  // namespace dunlinwing::control_api
--- /dev/null
+++ b/src/membership/read_lease_log.cpp
@@ -0,0 +1,38 @@
+#include "membership/read_lease_log.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace dunlinwing::membership {
+namespace {
+constexpr base::Log logger("membership");
+}
+
+void ReadLeaseLog::note(const PullReport& pull) {
+  if (pull.result == PullResult::good) {
+    failed_ = 0;
+    longest_ = Duration(0);
+    return;
+  }
+  ++failed_;
+  longest_ = std::max(longest_, pull.spent);
+  last_ = pull;
+}
+
+bool ReadLeaseLog::follow(bool stands, Duration since_last_good_pull) {
+  if (std::exchange(stands_, stands) == stands) return false;
+  if (stands)
+    logger.info("{}: the read lease stands.", node_name_);
+  else
+    logger.warn(
+        "{}: the read lease has lapsed: the last good pull began {} ms ago; {} pulls were not good since, "
+        "the "
+        "longest took {} ms, and in the last one {} of {} replicas responded, {} of these complete and "
+        "voting{}.",
+        node_name_, since_last_good_pull.count(), failed_, longest_.count(), last_.responded, last_.replicas,
+        last_.voting, last_.unsettled ? "; a register could not be read" : "");
+  return true;
+}
+
+}  // namespace dunlinwing::membership
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -6,6 +6,7 @@
 #include "consensus/vote.hpp"
 #include "membership/deregistered.hpp"
 #include "membership/pull_schedule.hpp"
+#include "membership/read_lease_log.hpp"
 #include "membership/replica_responses.hpp"
 
 namespace dunlinwing::membership {
@@ -16,7 +17,8 @@
 // What a node takes in one response: so much at the least, and for each known node more than its status
 // takes, for what changes between two pulls must always fit.
 constexpr uint64_t kMinResponseBytes = 64 << 10, kResponseBytesPerNode = 2 << 10;
-constexpr int kOwnStatusesPerBound = 4;  // at the least, also when nothing urgent has changed
+constexpr int kFirstResponseMultiple = 3;  // of the usual time, until the others are asked too
+constexpr int kOwnStatusesPerBound = 4;    // at the least, also when nothing urgent has changed
 
 /// What must be passed on at once, as a text to compare; the rest (counters, clocks, ages) may wait.
 std::string urgent_part(const pb::NodeStatus& status) {
@@ -71,6 +73,7 @@
   uint64_t deregistered_version = 0;  ///< of the register of deregistered instances, as last read
   std::map<std::string, int> misses;  ///< by replica: requests in a row without a response
   size_t first_asked = 0;             ///< index of the replica that is asked before the others
+  Duration usual_response{0};         ///< of that replica, of late
 
   uint64_t incarnation = 0;     ///< of this node's statuses; 0: not known yet
   uint64_t status_count = 0;    ///< of the statuses stated under this incarnation
@@ -78,8 +81,8 @@
   std::string own_urgent_part;  ///< of that status
 
   std::atomic<int64_t> read_lease_end{0};  ///< in milliseconds of the clock; read by other threads
-  bool read_lease_logged = false;          ///< whether it stood after the last pull, as logged
-  TimePoint contact_since{0};              ///< when this node's contact with a quorum last began
+  ReadLeaseLog read_lease_log;
+  TimePoint contact_since{0};  ///< when this node's contact with a quorum last began
 
   PullSchedule schedule;
   std::vector<Waiter> waiters;
@@ -97,6 +100,7 @@
         on_good_pull(std::move(on_good_pull)),
         statuses(this->config.session_span()),
         responses(this->config.response_lifetime()),
+        read_lease_log(this->config.node_name),
         schedule(ports.random, this->config.pull_period()) {
     first_asked = static_cast<size_t>(ports.random.below(registers.replicas().size()));
   }
@@ -196,13 +200,23 @@
   /// Whether a pull asks only as many replicas as it needs, as long as those respond.
   bool asks_few() const { return !local_acceptor && statuses.size() >= kLargeFleet; }
 
+  /// Asks one replica alone, for as long as responses take of late: the others, asked too soon, would all
+  /// send what it is sending.
+  bool ask_first(Pull& pull) {
+    const TimePoint began = ports.clock.now();
+    const Duration limit =
+        std::clamp(usual_response * kFirstResponseMultiple, config.pull_period() / 4, config.pull_period());
+    const bool responded = ask(pull, {first_asked}, limit);
+    usual_response = (usual_response * 3 + (ports.clock.now() - began)) / 4;
+    return responded;
+  }
+
   /// Asks one replica alone, and then the others with what it reported.
   void ask_replicas(Pull& pull) {
     auto count = pull.replicas.size();
     first_asked %= count;
     // While pulls fail, all are asked at once: a replica that responds late would only be asked twice.
-    if (!schedule.failing() && !ask(pull, {first_asked}, config.pull_period() / 4))
-      first_asked = (first_asked + 1) % count;
+    if (!schedule.failing() && !ask_first(pull)) first_asked = (first_asked + 1) % count;
     std::vector<size_t> others, spare;
     for (size_t i = 0; i < count; ++i)
       if (i || pull.responses.empty()) others.push_back((first_asked + i) % count);
@@ -273,6 +287,17 @@
   PullResult pull_once() {
     if (registers.replicas().empty()) return PullResult::failed;  // they have not been found yet
     auto pull = begin_pull();
+    PullReport report;
+    report.result = carry_out(pull, report);
+    report.spent = ports.clock.now() - pull.start;
+    report.replicas = pull.replicas.size();
+    report.responded = pull.responses.size();
+    report.voting = static_cast<size_t>(std::count(pull.voting.begin(), pull.voting.end(), true));
+    read_lease_log.note(report);
+    return report.result;
+  }
+
+  PullResult carry_out(Pull& pull, PullReport& report) {
     add_own_status(*pull.request.mutable_pull(), pull.start);
     ask_replicas(pull);
     if (registers.set().epoch() != pull.epoch) return restart_under_new_set();
@@ -281,7 +306,8 @@
       find_incarnation(pull);
       return PullResult::partial;
     }
-    if (!settle()) return PullResult::failed;
+    report.unsettled = !settle();
+    if (report.unsettled) return PullResult::failed;
     if (adopt_chosen_set(pull.epoch)) return restart_under_new_set();
     finish_good_pull(pull);
     return PullResult::good;
@@ -341,13 +367,10 @@
   bool has_read_lease() const { return ports.clock.now().count() < read_lease_end.load(); }
 
   void follow_read_lease() {
-    bool stands = has_read_lease();
-    if (std::exchange(read_lease_logged, stands) == stands) return;
-    if (stands) contact_since = ports.clock.now();
-    if (stands)
-      logger.info("{}: the read lease stands.", config.node_name);
-    else
-      logger.warn("{}: the read lease has lapsed.", config.node_name);
+    const TimePoint now = ports.clock.now();
+    const bool stands = has_read_lease();
+    const TimePoint last_good_pull(read_lease_end - config.read_lease_span().count());
+    if (read_lease_log.follow(stands, now - last_good_pull) && stands) contact_since = now;
   }
 
   void wait_for_next_pull(PullSchedule::Wait wait) {
