--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -14,6 +14,7 @@
 constexpr int kFirstAttemptPart = 8;    // of the time budget must remain for a first attempt: more than 1/8
 constexpr int kConnectPart = 4;         // of the remaining time, for a connection to be made: 1/4
 constexpr double kForwardedPart = 0.5;  // of what a request earns, for each of the two nodes on its way
+constexpr int kNotModified = 304;       // no sample of the latency: nothing was made
 constexpr int kProbes = 2;              // instances tried by can_reach()
 
 // A good response is slow when it takes so many times the usual latency, and so long at least.
@@ -367,7 +368,7 @@
     client_.load_balancer.attempt_finished(
         instance, {health_of(attempt_class),
                    reports_load ? client_.node.adapter.reported_load(*response) : std::nullopt,
-                   good ? latency : Duration(0)});
+                   good && response->status != kNotModified ? latency : Duration(0)});
     if (attempt_class == AttemptClass::wrong_instance) client_.load_balancer.mark_wrong_instance(instance);
     if (sent && !is_refused(attempt_class)) client_.count_outcome(context_, instance, good, latency);
   }
