--- a/test/fleet/soak_fleet.cpp
+++ b/test/fleet/soak_fleet.cpp
@@ -12,6 +12,7 @@
 
 namespace dunlinwing::test {
 namespace {
+constexpr int kLinkMbps = 20;  // so that bodies go part by part, and wait for each other
 constexpr int kPortsEach = 3;
 constexpr int kDisks = 5;
 constexpr int kSeeds = 3;
@@ -50,10 +51,11 @@
   std::ofstream file(path + ".new");
   file << fmt::format(
       R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},"seeds":[{}],)"
-      R"("first_start":{},"tolerate":1,"threads":1,"descriptors":{},"memory_mb":160,)"
+      R"("first_start":{},"tolerate":1,"threads":1,"descriptors":{},"memory_mb":160,"link_mbps":{},)"
       R"("bounds":{{"layout_s":2,"leave_s":2,"purge_s":2,"grace_s":{}}}{}{}}})",
       relay.name, relay.zone, relay.client_address, relay.control_address, relay.peer_address, seeds,
-      first_start, options_.descriptors, static_cast<double>(options_.grace.count()) / kMsPerSecond,
+      first_start, options_.descriptors, kLinkMbps,
+      static_cast<double>(options_.grace.count()) / kMsPerSecond,
       relay.has_disk ? fmt::format(R"(,"data":"{}/data")", folder) : "",
       relay.is_shield ? R"(,"shield":true)" : "");
   file.close();
--- a/test/fleet/soak_traffic.cpp
+++ b/test/fleet/soak_traffic.cpp
@@ -35,6 +35,16 @@
 constexpr Duration kGoneSlack{500};         // after which nothing may work for a client that has left
 constexpr const char* kLeaver = "leaver-";  // the ids of those requests begin so
 
+/// The body of a kept object: its path, when it was made, and bytes that follow from both, enough of them for
+/// several parts on the way from node to node.
+std::string kept_body(const std::string& target, int64_t made_at) {
+  constexpr size_t kLongestPadding = 60000;
+  constexpr int64_t kLetters = 26;
+  const size_t padding = std::hash<std::string>()(target) % kLongestPadding;
+  return fmt::format("{} {} ", target, made_at) +
+         std::string(padding, static_cast<char>('a' + made_at % kLetters));
+}
+
 std::string configuration(uint64_t number) {
   return fmt::format(
       R"({{"content":{{"services":{{"app":{{"versions":["1"],"deadline_ms":2000,"waitlist":64,"inflight":32}},)"
@@ -105,7 +115,7 @@
   std::string body = "ran " + id;
   if (service == "kept") {
     count_fetch();
-    body = fmt::format("{} {}", request.target, clock_.now().count());
+    body = kept_body(request.target, clock_.now().count());
     headers.emplace_back("Cache-Control", fmt::format("max-age={}", kKeptLifetime / 1s));
   }
   headers.emplace_back("Content-Digest", "sha-256=:" + base::sha256_base64(body) + ":");
@@ -302,8 +312,12 @@
   ++figures_.kept;
   const auto space = body.find(' ');
   if (body.substr(0, space) != sent.kept)
-    return report(fmt::format("{} asked {} for {} and got {}", sent.id, sent.relay->name, sent.kept, body));
+    return report(fmt::format("{} asked {} for {} and got {}", sent.id, sent.relay->name, sent.kept,
+                              body.substr(0, space)));
   const TimePoint produced(Duration(static_cast<int64_t>(parse_number(body.substr(space + 1)))));
+  if (body != kept_body(sent.kept, produced.count()))
+    report(fmt::format("{} got {} bytes from {} that are not those of {}", sent.id, body.size(),
+                       sent.relay->name, sent.kept));
   if (sent.at - produced > kKeptLifetime + kBoundSlack)
     report(fmt::format("{} got {} from {}, {} ms old when it was asked for", sent.id, sent.kept,
                        sent.relay->name, (sent.at - produced).count()));
