A confirmed response takes over the confirmation's freshness and does not grow

Each confirmation by an instance added a Via header to the held response, and an Age of the body's first response was subtracted again. Found by reading; the case fails on the code before.

--- a/src/proxy/cached_request_handler.cpp
+++ b/src/proxy/cached_request_handler.cpp
@@ -129,17 +129,16 @@
   auto result = upstream_client_.execute(conditional);
   if (context.is_retry) result.execution = ExecutionState::possibly_executed;  // by the earlier way
   if (result.outcome != UpstreamOutcome::responded) return {outcomes_.from(std::move(result)), nullptr};
-  if (held && confirms(result.response, held->response)) {
-    ++counters_.confirmed;
-    result.response = held->response;
-  }
+  const bool confirmed = held && confirms(result.response, held->response);
+  counters_.confirmed += confirmed;
+  if (confirmed) result.response = refreshed(held->response, result.response);
   auto lifetime = context.route->cache_lifetime > Duration(0)
                       ? cache::configured_lifetime(result.response, context.route->cache_lifetime)
                       : cache::response_lifetime(context.request, result.response);
   entry->generated_at -= cache::age_header(result.response);
   entry->version = result.version;
   entry->tags = node_.adapter.cache_tags(result.response);
-  auto response = outcomes_.from(std::move(result)).response;
+  auto response = confirmed ? std::move(result.response) : outcomes_.from(std::move(result)).response;
   if (!lifetime) return {{std::move(response)}, nullptr};
   entry->response = std::move(response);
   entry->lifetime = *lifetime;
--- a/src/proxy/cached_response_rules.cpp
+++ b/src/proxy/cached_response_rules.cpp
@@ -65,4 +65,16 @@
          base::header(response.headers, "ETag") == strong_tag(held);
 }
 
+// Nothing else is taken over: what names the body's maker stays as it came with the body.
+base::Response refreshed(const base::Response& held, const base::Response& confirmation) {
+  base::Response response = held;
+  for (const char* name : {"Age", "Cache-Control", "Date", "Expires"}) {
+    std::erase_if(response.headers,
+                  [&](const auto& header) { return base::equals_ignore_case(header.name, name); });
+    for (const auto& header : confirmation.headers)
+      if (base::equals_ignore_case(header.name, name)) response.headers.push_back(header);
+  }
+  return response;
+}
+
 }  // namespace dunlinwing::proxy
--- a/src/proxy/cached_response_rules.hpp
+++ b/src/proxy/cached_response_rules.hpp
@@ -40,4 +40,7 @@
 /// Whether the response is the word that the body of the entity tag `held` is the current one.
 bool confirms(const base::Response& response, const base::Response& held);
 
+/// The held response with what its confirmation says of freshness (RFC 9111, section 4.3.4).
+base::Response refreshed(const base::Response& held, const base::Response& confirmation);
+
 }  // namespace dunlinwing::proxy
--- a/test/unit/proxy/transfer_test.cpp
+++ b/test/unit/proxy/transfer_test.cpp
@@ -63,13 +63,24 @@
   expect(!proxy::confirms({200, {{"ETag", "\"v1\""}}, "body"}, held), "a response with a body");
   expect(!proxy::confirms({304, {{"ETag", "W/\"v1\""}}, {}}, weak), "a weak tag promises no bytes");
 }
+void a_confirmation_refreshes_without_growing() {
+  const base::Response held{200, {{"ETag", "\"v1\""}, {"Via", "1.1 a"}, {"Age", "7"}}, "body"};
+  const base::Response confirmation{304, {{"ETag", "\"v1\""}, {"Cache-Control", "max-age=9"}}, {}};
+  const auto once = proxy::refreshed(held, confirmation), twice = proxy::refreshed(once, confirmation);
+  same(twice.headers.size(), once.headers.size(), "headers after a second confirmation");
+  same(base::header(once.headers, "Cache-Control"), std::string("max-age=9"), "what the confirmation says");
+  same(base::header(once.headers, "Age"), std::string(), "an age that was of the body's first response");
+  same(once.body, held.body, "the body");
+}
 }  // namespace
 
 std::vector<Case> transfer_cases() {
   return {{"transfer: parts are of the body that was begun", parts_are_of_the_body_that_was_begun},
           {"transfer: nothing is read of one that is not known", nothing_is_read_of_an_unknown_transfer},
           {"transfer: one that nobody reads ends", idle_transfers_end},
-          {"cache: only the same strong tag confirms a body", only_the_same_strong_tag_confirms}};
+          {"cache: only the same strong tag confirms a body", only_the_same_strong_tag_confirms},
+          {"cache: a confirmation refreshes a response without growing it",
+           a_confirmation_refreshes_without_growing}};
 }
 
 }  // namespace dunlinwing::test
