--- a/src/simulation/origin.cpp
+++ b/src/simulation/origin.cpp
@@ -69,7 +69,9 @@
   };
   if (!await_connection(address, rules)) return base::AttemptError::unsent;
   const ConnectionInUse connection(connections_[address]);
-  sleep(Duration(1));
+  // What has left this process arrives also when it is frozen meanwhile.
+  Wait way;
+  world.wait(fleet_.outside_process_, Duration(1), way);
   auto* backend = find();
   if (!backend) return base::AttemptError::unsent;
   auto h = [&](const char* n) { return base::header(request.headers, n); };
