Registers and orders: rounds, lost ballots and time by phase and stage

Each operation on a register now has a trace (rounds, lost ballots, rounds without a quorum, time in read, prepare, accept and backoff), logged when it lost a ballot or took over 100 ms and summed by type; orders are counted by result and by stage (written, acknowledged, in force). No logic changes.

--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -10,6 +10,8 @@
 
 namespace dunlinwing::consensus {
 namespace {
+constexpr base::Log logger("registers");
+constexpr Duration kSlowOperation{100};        // operations that take longer are logged at level info
 constexpr int kEarlierWriteIds = 8;            // write identifiers of earlier writes in a value
 constexpr int kOperationTimeoutRounds = 5;     // time limit of an operation, in round timeouts
 constexpr int kMaxRoundsWithoutQuorum = 3;     // rounds without a voting quorum before an operation gives up
@@ -120,6 +122,35 @@
   const Duration round_timeout;
   const LocalMember local;
   uint64_t highest_round = 0;  ///< of any ballot used or seen here; the next proposal goes above it
+  TotalsByOperation totals{};
+
+  // ---- Traces ----
+
+  template <class Function>
+  auto timed(Duration& sum, const Function& function) {
+    const TimePoint began = ports.clock.now();
+    auto result = function();
+    sum += ports.clock.now() - began;
+    return result;
+  }
+
+  /// Runs an operation, adds its trace to the totals and logs it.
+  template <class Operation>
+  auto traced(OperationType type, const std::string& name, const Operation& operation) {
+    OperationTrace trace;
+    auto result = operation(trace);
+    totals[static_cast<size_t>(type)].add(trace);
+    log_trace(type, name, trace);
+    return result;
+  }
+
+  void log_trace(OperationType type, const std::string& name, const OperationTrace& trace) const {
+    const bool notable = trace.lost_ballots > 0 || trace.total_time() > kSlowOperation;
+    if (notable)
+      logger.info("{}: {} of {}: {}.", local.node_name, label(type), name, trace.text());
+    else
+      logger.debug("{}: {} of {}: {}.", local.node_name, label(type), name, trace.text());
+  }
 
   // ---- Votes ----
 
@@ -158,10 +189,12 @@
   }
 
   // Randomized exponential backoff between competing proposers.
-  void back_off(int tries) {
+  void back_off(int tries, OperationTrace& trace) {
     const uint64_t first = static_cast<uint64_t>(round_timeout.count()) / kFirstBackOffDivisor;
     const uint64_t longest = first * (uint64_t{1} << std::min(tries, kMaxBackOffDoublings));
-    ports.clock.sleep(Duration(1 + ports.random.below(longest + 1)));
+    const Duration pause(1 + ports.random.below(longest + 1));
+    trace.time(OperationPhase::backoff) += pause;
+    ports.clock.sleep(pause);
   }
 
   // ---- Reads ----
@@ -183,11 +216,13 @@
   }
 
   // The value in force, if the responses of a quorum agree on it without a proposal.
-  std::optional<pb::Value> read_agreed(const std::string& name) {
+  std::optional<pb::Value> read_agreed(const std::string& name, OperationTrace& trace) {
     pb::PeerRequest request;
     request.mutable_read_register()->set_name(name);
-    const auto votes = collect_votes(
-        request, [&](const PeerResponses& responses) { return agreed_state(responses) != nullptr; });
+    const auto votes = timed(trace.time(OperationPhase::read), [&] {
+      return collect_votes(
+          request, [&](const PeerResponses& responses) { return agreed_state(responses) != nullptr; });
+    });
     if (votes.expired) return {};
     if (const auto* state = agreed_state(votes.responses)) return state->value();
     return {};
@@ -220,17 +255,27 @@
   }
 
   // One Paxos round. If the outcome is undecided, the value may still be chosen.
-  ProposalResult propose(const std::string& name, const NextValue& next_value) {
+  ProposalResult propose(const std::string& name, const NextValue& next_value, OperationTrace& trace) {
+    ++trace.rounds;
+    const auto result = run_round(name, next_value, trace);
+    if (result.outcome == ProposalOutcome::undecided) ++trace.lost_ballots;
+    if (result.outcome == ProposalOutcome::no_quorum) ++trace.rounds_without_quorum;
+    return result;
+  }
+
+  ProposalResult run_round(const std::string& name, const NextValue& next_value, OperationTrace& trace) {
     ProposalResult result;
     pb::Ballot ballot;
     ballot.set_round(++highest_round);
     ballot.set_node(local.node_name);
-    const auto promises = request_promises(name, ballot);
+    const auto promises =
+        timed(trace.time(OperationPhase::prepare), [&] { return request_promises(name, ballot); });
     if (set.is_quorum(flags(promises.responses, is_voting))) result.outcome = ProposalOutcome::undecided;
     const auto epoch = set.epoch();
     if (promises.expired || !quorum_granted(promises.responses)) return result;
     result.value = next_value(highest_value(promises.responses));
-    const auto accepts = request_accepts(name, ballot, result.value);
+    const auto accepts = timed(trace.time(OperationPhase::accept),
+                               [&] { return request_accepts(name, ballot, result.value); });
     if (!accepts.expired && set.epoch() == epoch && quorum_granted(accepts.responses))
       result.outcome = ProposalOutcome::chosen;
     return result;
@@ -239,31 +284,41 @@
   // ---- Operations ----
 
   ReadResult read(const std::string& name) {
+    return traced(OperationType::read, name, [&](OperationTrace& trace) { return read(name, trace); });
+  }
+
+  ReadResult read(const std::string& name, OperationTrace& trace) {
     const TimePoint end = ports.clock.now() + round_timeout * kOperationTimeoutRounds;
     for (int i = 0, without_quorum = 0; i == 0 || ports.clock.now() < end; ++i) {
-      if (const auto value = read_agreed(name)) return versioned(*value);
-      const auto result = propose(name, same_value);
+      if (const auto value = read_agreed(name, trace)) return versioned(*value);
+      const auto result = propose(name, same_value, trace);
       if (result.outcome == ProposalOutcome::chosen) return versioned(result.value);
       if (result.outcome == ProposalOutcome::no_quorum && ++without_quorum >= kMaxRoundsWithoutQuorum) break;
-      back_off(i);
+      back_off(i, trace);
     }
     return RegisterError::no_majority;
   }
 
   WriteResult write(const std::string& name, uint64_t expected_version, const std::string& data) {
+    return traced(OperationType::write, name,
+                  [&](OperationTrace& trace) { return write(name, expected_version, data, trace); });
+  }
+
+  WriteResult write(const std::string& name, uint64_t expected_version, const std::string& data,
+                    OperationTrace& trace) {
     CompareAndSet operation(expected_version, data, base::random_token(ports.random));
     const TimePoint end = ports.clock.now() + round_timeout * kOperationTimeoutRounds;
     for (int i = 0, without_quorum = 0; i == 0 || ports.clock.now() < end; ++i) {
       // After an undecided round, read first: another proposer may have completed the write.
       if (i > 0)
-        if (const auto value = read_agreed(name))
+        if (const auto value = read_agreed(name, trace))
           if (auto written = operation.result_for(*value)) return *written;
-      const auto result =
-          propose(name, [&](const pb::Value& current) { return operation.next_value(current); });
+      const auto result = propose(
+          name, [&](const pb::Value& current) { return operation.next_value(current); }, trace);
       if (result.outcome == ProposalOutcome::chosen)
         if (auto written = operation.result_for(result.value)) return *written;
       if (result.outcome == ProposalOutcome::no_quorum && ++without_quorum >= kMaxRoundsWithoutQuorum) break;
-      back_off(i);
+      back_off(i, trace);
     }
     return operation.proposed() ? RegisterError::outcome_unknown : RegisterError::no_majority;
   }
@@ -278,11 +333,13 @@
   };
 
   bool rewrite_register(const std::string& name, const Rewrite& rewrite) {
-    for (int i = 0; i < kMaxRewriteRounds && !rewrite.failed; ++i) {
-      if (propose(name, same_value).outcome == ProposalOutcome::chosen) return true;
-      back_off(i);
-    }
-    return false;
+    return traced(OperationType::rewrite, name, [&](OperationTrace& trace) {
+      for (int i = 0; i < kMaxRewriteRounds && !rewrite.failed; ++i) {
+        if (propose(name, same_value, trace).outcome == ProposalOutcome::chosen) return true;
+        back_off(i, trace);
+      }
+      return false;
+    });
   }
 
   bool rewrite_registers(const std::vector<std::string>& names) {
@@ -343,6 +400,8 @@
 
 RegisterClient::~RegisterClient() = default;
 
+const TotalsByOperation& RegisterClient::totals() const { return impl_->totals; }
+
 size_t RegisterClient::sufficient_count() const { return impl_->set.sufficient_count(); }
 
 const std::vector<Replica>& RegisterClient::replicas() const { return impl_->set.all(); }
--- a/src/consensus/register_client.hpp
+++ b/src/consensus/register_client.hpp
@@ -8,6 +8,7 @@
 /// most five round timeouts.
 #pragma once
 #include "base/ports.hpp"
+#include "consensus/operation_totals.hpp"
 #include "consensus/replica_set.hpp"
 
 namespace dunlinwing::consensus {
@@ -60,6 +61,9 @@
   /// Begins and finishes a change, after finishing one that was already begun.
   ReplicaSetResult change(const std::vector<Replica>& wanted, const RegisterNames& names);
 
+  /// The cost of all completed operations since the start.
+  const TotalsByOperation& totals() const;
+
   /// See ReplicaSetView.
   size_t sufficient_count() const;
   const std::vector<Replica>& replicas() const;
--- a/src/control_api/api_context.hpp
+++ b/src/control_api/api_context.hpp
@@ -9,12 +9,14 @@
 namespace dunlinwing::control_api {
 
 class PurgeWriter;
+struct OperatorWriteTotals;
 
 /// Outlives every request.
 struct ApiContext {
   base::Ports& ports;
   node::Node& node;
   PurgeWriter& purge_writer;
+  OperatorWriteTotals& write_totals;  ///< of the operator requests that this node received
 };
 
 /// Answers one request whose path matched the handler's route (control_api/router.cpp): the path has
--- a/src/control_api/metrics.cpp
+++ b/src/control_api/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "control_api/operator_write_log.hpp"
 #include "control_api/status_page.hpp"
 #include "link/link.hpp"
 
@@ -160,6 +161,52 @@
   }
 }
 
+/// A metric of the operations on registers.
+struct RegisterMetric {
+  const char* name;
+  const char* help;
+  uint64_t (*value)(const consensus::OperationTotals& totals);
+};
+
+constexpr RegisterMetric kRegisterMetrics[] = {
+    {"register_operations_total", "Operations on registers.", [](auto& totals) { return totals.operations; }},
+    {"register_rounds_total", "Proposals for registers.", [](auto& totals) { return totals.sum.rounds; }},
+    {"register_lost_ballots_total", "Proposals that a quorum answered and that were not chosen.",
+     [](auto& totals) { return totals.sum.lost_ballots; }},
+    {"register_rounds_without_quorum_total", "Proposals that no quorum answered.",
+     [](auto& totals) { return totals.sum.rounds_without_quorum; }},
+};
+
+void add_register_operations(MetricsPage& page, const consensus::TotalsByOperation& totals) {
+  for (const auto& metric : kRegisterMetrics) {
+    page.describe(metric.name, MetricType::counter, metric.help);
+    for (const auto type : consensus::kOperationTypes)
+      page.labelled(metric.name, fmt::format(R"(operation="{}")", label(type)),
+                    metric.value(totals[static_cast<size_t>(type)]));
+  }
+  constexpr const char* kTimes = "register_phase_ms_total";
+  page.describe(kTimes, MetricType::counter, "Milliseconds in the phases of operations on registers.");
+  for (const auto type : consensus::kOperationTypes)
+    for (const auto phase : consensus::kOperationPhases)
+      page.labelled(kTimes, fmt::format(R"(operation="{}",phase="{}")", label(type), label(phase)),
+                    totals[static_cast<size_t>(type)].sum.time(phase).count());
+}
+
+void add_operator_writes(MetricsPage& page, const OperatorWriteTotals& totals) {
+  constexpr const char* kRequests = "operator_requests_total";
+  page.describe(kRequests, MetricType::counter, "Write requests of operators by result.");
+  page.labelled(kRequests, R"(result="acknowledged")", totals.acknowledged);
+  page.labelled(kRequests, R"(result="rejected")", totals.rejected);
+  page.labelled(kRequests, R"(result="failed")", totals.failed);
+  page.labelled(kRequests, R"(result="in_force")", totals.in_force);
+  constexpr const char* kTimes = "operator_stage_ms_total";
+  page.describe(kTimes, MetricType::counter,
+                "Milliseconds from the reception of acknowledged write requests to their stages.");
+  page.labelled(kTimes, R"(stage="written")", totals.until_written.count());
+  page.labelled(kTimes, R"(stage="acknowledged")", totals.until_acknowledged.count());
+  page.labelled(kTimes, R"(stage="in_force")", totals.until_in_force.count());
+}
+
 void add_node_gauges(MetricsPage& page, node::Node& node, TimePoint now) {
   auto& state_cache = node.state_cache();
   page.gauge("ready", "1 when the platform may send callers.", node.ready() ? 1 : 0);
@@ -209,12 +256,15 @@
 }
 }  // namespace
 
-std::string metrics_page(node::Node& node, TimePoint now) {
+std::string metrics_page(const ApiContext& context, TimePoint now) {
   MetricsPage page;
+  node::Node& node = context.node;
   auto& handler = node.request_handler();
   add_request_counters(page, handler);
   add_rejections(page, handler);
   add_node_gauges(page, node, now);
+  add_register_operations(page, node.registers().totals());
+  add_operator_writes(page, context.write_totals);
   if (const auto* link = node.link()) add_link(page, *link);
   auto snapshot = handler.snapshot();
   if (snapshot->configuration) {
--- a/src/control_api/operator_write_log.hpp
+++ b/src/control_api/operator_write_log.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// Logs when each write request of an operator reached its stages: received, written at a quorum,
-/// acknowledged, in force on this node.
+/// When each write request of an operator reached its stages: received, written at a quorum, acknowledged, in
+/// force on this node. Each request is logged, and added to the totals that the metrics page shows.
 ///
 /// Threads: called in fibers of the control thread.
 #pragma once
@@ -17,7 +17,19 @@
   int status = 0;          ///< of the response
 };
 
-/// Logs the stages once the change is in force here, or at once when it was not acknowledged.
-void log_operator_write(const ApiContext& context, const std::shared_ptr<const OperatorWriteTimes>& times);
+/// Sums over the operator requests of this node since its start.
+struct OperatorWriteTotals {
+  uint64_t acknowledged = 0;  ///< status 2xx
+  uint64_t rejected = 0;      ///< status 3xx or 4xx
+  uint64_t failed = 0;        ///< any other status, 503 above all
+  uint64_t in_force = 0;      ///< acknowledged and then seen in force on this node
+  // Times from the reception of the acknowledged requests.
+  Duration until_written{0};
+  Duration until_acknowledged{0};
+  Duration until_in_force{0};  ///< of those counted in `in_force`
+};
+
+/// Counts and logs the request: once the change is in force here, or at once when it was not acknowledged.
+void record_operator_write(const ApiContext& context, const std::shared_ptr<const OperatorWriteTimes>& times);
 
 }  // namespace dunlinwing::control_api
--- a/src/control_api/router.cpp
+++ b/src/control_api/router.cpp
@@ -35,9 +35,8 @@
 }
 
 base::Response get_metrics(const ApiContext& context, const ApiRequest&) {
-  return {200,
-          {{"Content-Type", "text/plain; version=0.0.4"}},
-          metrics_page(context.node, context.ports.clock.now())};
+  return {
+      200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_page(context, context.ports.clock.now())};
 }
 
 base::Response no_such_resource() { return error_response(404, "no such resource"); }
@@ -147,13 +146,14 @@
   base::Ports& ports;
   node::Node& node;
   PurgeWriter purge_writer;
+  OperatorWriteTotals write_totals;
   ApiContext context;
 
   Impl(base::Ports& all_ports, node::Node& own_node)
       : ports(all_ports),
         node(own_node),
         purge_writer(all_ports, own_node.registers()),
-        context{all_ports, own_node, purge_writer} {}
+        context{all_ports, own_node, purge_writer, write_totals} {}
 
   /// Answers a read. With `after` in its query it is a watch: it waits until the version exceeds `after`.
   base::Response read(const ApiRequest& request, const Route* route) const {
@@ -204,7 +204,7 @@
       });
   times->status = response.status;
   times->responded = impl_->ports.clock.now();
-  if (route && route->type == RouteType::write) log_operator_write(impl_->context, times);
+  if (route && route->type == RouteType::write) record_operator_write(impl_->context, times);
   return response;
 }
 
