--- a/test/scenarios/link_scenarios.cpp
+++ b/test/scenarios/link_scenarios.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <set>
 
 #include "scenarios/scenario.hpp"
@@ -46,6 +47,8 @@
   Duration slowest_order{0};
   std::string slowest_order_text;
   uint64_t orders = 0;
+  uint64_t refused_calls = 0;    ///< calls of operators that got a 5xx
+  uint64_t silent_calls = 0;     ///< calls of operators without a response in time
   std::set<std::string> lapsed;  ///< nodes whose read lease lapsed
 };
 using ObservedPtr = std::shared_ptr<Observed>;
@@ -75,6 +78,8 @@
     base::Request request{"", "PUT", target, body, {}};
     const auto exchange = scene.fleet.exchange(*host, std::move(request), true, kCallTimeout);
     status = exchange.complete ? exchange.response.status : 0;
+    observed->refused_calls += status / 100 == 5;
+    observed->silent_calls += !exchange.complete;
   }
   const Duration took = scene.world.now() - began;
   ++observed->orders;
@@ -84,11 +89,12 @@
 }
 
 /// Changes an object and purges it immediately.
+/// @param series  part of the purge's name, which is unique together with the number
 void change_object(Scene& scene, const ObservedPtr& observed, const std::shared_ptr<Changes>& changes,
-                   int number) {
+                   const std::string& series, int number) {
   const auto path = fmt::format("/c/{}/{}", number % 2 ? "small" : "large", number % kLargeObjects);
   const int64_t now = (*changes)[path] = scene.world.now().count();
-  send_order(scene, observed, fmt::format("/v1/purges/p{}", number),
+  send_order(scene, observed, fmt::format("/v1/purges/{}{}", series, number),
              fmt::format(R"({{"service":"content","kind":"path","path":"{}"}})", path));
   scene.fleet.event(fmt::format(R"("t":"purged","path":"{}","prefix":false,"asked":{})", path, now));
 }
@@ -104,7 +110,7 @@
         if (i % 3 == 0)
           send_order(scene, observed, fmt::format("/v1/releases/layout/r{}", i), slow_link_configuration(i));
         else
-          change_object(scene, observed, changes, i);
+          change_object(scene, observed, changes, "p", i);
       });
   });
 }
@@ -231,6 +237,50 @@
   };
 }
 
+/// Sends one purge after the other, without waiting for acknowledgements.
+void send_purges(Scene& scene, const ObservedPtr& observed, const std::shared_ptr<Changes>& changes,
+                 Duration period, Duration duration) {
+  const TimePoint until = scene.world.now() + duration;
+  for (int i = 0; scene.world.now() < until; ++i, scene.fleet.sleep(period))
+    scene.fleet.spawn_outside([&scene, observed, changes, period, i] {
+      change_object(scene, observed, changes, fmt::format("each-{}-ms-", period.count()), i);
+    });
+}
+
+/// Under full links, purges come faster and faster at all nodes, and configurations with them.
+void purges_at_many_nodes(Scene& scene) {
+  scene.duration = Duration(60000);
+  scene.script = [&scene] {
+    constexpr Duration kStep(5000);
+    constexpr std::array kPeriods{Duration(100), Duration(40), Duration(20)};
+    const auto changes = std::make_shared<Changes>();
+    if (!start(scene, changes)) return;
+    const auto observed = std::make_shared<Observed>();
+    request_objects(scene, observed, kStep * kPeriods.size());
+    send_orders(scene, observed, changes, kStep * kPeriods.size());
+    for (const Duration period : kPeriods) {
+      const uint64_t before = observed->orders;
+      send_purges(scene, observed, changes, period, kStep);
+      const uint64_t acknowledged = observed->orders - before;
+      const auto due = static_cast<uint64_t>((kStep - kCallTimeout) / period);  // sent early enough
+      scene.figures[fmt::format("acknowledged_each_{}_ms", period.count())] = acknowledged;
+      scene.require(acknowledged >= due, fmt::format("purges {} ms apart: {} of {} were acknowledged in time",
+                                                     period.count(), acknowledged, due));
+    }
+    scene.fleet.sleep(kEnd);
+    scene.figures["slowest_order_ms"] = static_cast<uint64_t>(observed->slowest_order.count());
+    scene.figures["orders"] = observed->orders;
+    scene.figures["refused_calls"] = observed->refused_calls;
+    scene.figures["silent_calls"] = observed->silent_calls;
+    scene.require(observed->slowest_order <= kAckTimeout,
+                  fmt::format("{} was acknowledged after {} ms", observed->slowest_order_text,
+                              observed->slowest_order.count()));
+    scene.require(observed->refused_calls == 0 && observed->silent_calls == 0,
+                  fmt::format("{} calls of operators were refused and {} got no response",
+                              observed->refused_calls, observed->silent_calls));
+  };
+}
+
 void slow_links(simulation::FleetShape& shape) {
   constexpr int kEdgeNodes = 24;
   constexpr int kShields = 3;
@@ -245,7 +295,8 @@
 
 NamedCases link_scenarios() {
   return {{"full_links_delay_no_order", {full_links, 0, slow_links}},
-          {"full_links_fetching_nodes_fail", {fetching_nodes_fail, 0, slow_links}}};
+          {"full_links_fetching_nodes_fail", {fetching_nodes_fail, 0, slow_links}},
+          {"purges_at_many_nodes_do_not_starve_each_other", {purges_at_many_nodes, 0, slow_links}}};
 }
 
 }  // namespace dunlinwing::test
