A reader leaves a half-written register to its writer before it proposes

Callers saw purges refused for seconds. A read now reads again while a quorum answers and the value is half written, for a quarter of a round timeout, and proposes only then. A writer that stopped midway costs the first reader that much more.

--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -21,6 +21,10 @@
 constexpr int kSetAnnouncementDivisor = 4;     // round timeout / this: time limit for announcing a new set
 constexpr uint64_t kFirstBackOffDivisor = 32;  // round timeout / this: longest pause after the first round
 constexpr int kMaxBackOffDoublings = 6;
+// A reader that finds a value half written leaves it to its writer for this part of the round timeout, since
+// a reader's proposal would take the ballot from a writer that is still active.
+constexpr int kWriterPatienceDivisor = 4;
+constexpr int kReadPauseDivisor = 32;  // round timeout / this: average pause before reading again
 
 using Response = std::optional<pb::PeerResponse>;
 
@@ -192,9 +196,12 @@
   void back_off(int tries, OperationTrace& trace) {
     const uint64_t first = static_cast<uint64_t>(round_timeout.count()) / kFirstBackOffDivisor;
     const uint64_t longest = first * (uint64_t{1} << std::min(tries, kMaxBackOffDoublings));
-    const Duration pause(1 + ports.random.below(longest + 1));
-    trace.time(OperationPhase::backoff) += pause;
-    ports.clock.sleep(pause);
+    pause(Duration(1 + ports.random.below(longest + 1)), trace);
+  }
+
+  void pause(Duration duration, OperationTrace& trace) {
+    trace.time(OperationPhase::backoff) += duration;
+    ports.clock.sleep(duration);
   }
 
   // ---- Reads ----
@@ -215,17 +222,41 @@
     return set.is_quorum(flags(responses, has_accepted_best)) ? best : nullptr;
   }
 
-  // The value in force, if the responses of a quorum agree on it without a proposal.
-  std::optional<pb::Value> read_agreed(const std::string& name, OperationTrace& trace) {
+  /// What a read found that made no proposal.
+  struct ReadAttempt {
+    std::optional<pb::Value> value;  ///< the value in force, if a quorum agrees on it
+    /// A quorum responded, and some replicas have accepted a value that may not be chosen yet.
+    bool half_written = false;
+  };
+
+  ReadAttempt read_without_proposal(const std::string& name, OperationTrace& trace) {
+    ReadAttempt attempt;
     pb::PeerRequest request;
     request.mutable_read_register()->set_name(name);
     const auto votes = timed(trace.time(OperationPhase::read), [&] {
       return collect_votes(
           request, [&](const PeerResponses& responses) { return agreed_state(responses) != nullptr; });
     });
-    if (votes.expired) return {};
-    if (const auto* state = agreed_state(votes.responses)) return state->value();
-    return {};
+    if (votes.expired) return attempt;
+    if (const auto* state = agreed_state(votes.responses)) attempt.value = state->value();
+    attempt.half_written = !attempt.value && quorum_granted(votes.responses);
+    return attempt;
+  }
+
+  // Reads again while a value is half written, until its writer had time to complete it.
+  std::optional<pb::Value> read_after_writer(const std::string& name, OperationTrace& trace) {
+    const TimePoint patience_end = ports.clock.now() + round_timeout / kWriterPatienceDivisor;
+    for (;;) {
+      auto attempt = read_without_proposal(name, trace);
+      if (!attempt.half_written || ports.clock.now() >= patience_end) return attempt.value;
+      const auto longest = static_cast<uint64_t>(round_timeout.count()) / kReadPauseDivisor * 2;
+      pause(Duration(1 + ports.random.below(longest)), trace);
+    }
+  }
+
+  // The value in force, if the responses of a quorum agree on it without a proposal.
+  std::optional<pb::Value> read_agreed(const std::string& name, OperationTrace& trace) {
+    return read_without_proposal(name, trace).value;
   }
 
   // ---- Proposals ----
@@ -290,7 +321,7 @@
   ReadResult read(const std::string& name, OperationTrace& trace) {
     const TimePoint end = ports.clock.now() + round_timeout * kOperationTimeoutRounds;
     for (int i = 0, without_quorum = 0; i == 0 || ports.clock.now() < end; ++i) {
-      if (const auto value = read_agreed(name, trace)) return versioned(*value);
+      if (const auto value = read_after_writer(name, trace)) return versioned(*value);
       const auto result = propose(name, same_value, trace);
       if (result.outcome == ProposalOutcome::chosen) return versioned(result.value);
       if (result.outcome == ProposalOutcome::no_quorum && ++without_quorum >= kMaxRoundsWithoutQuorum) break;
