Writes go to one coordinator for each resource, which writes waiting ones together

Callers saw purges get a 503 after 800 ms and come again elsewhere, until none was acknowledged. Cause: each node that took an order was a proposer for its register; a ballot is lost to every higher one, so the more proposed the fewer finished, and an order sent again was one proposer more.

A node now forwards a write to a replica that all nodes choose alike (membership/coordinator_selector); the next one takes over when it is silent, without contact or its status is old. There the updates of one register wait for the one under way and are then written together (consensus/register_updater). Only replicas propose, so a register has at most as many proposers as replicas and one in normal operation, however many nodes take orders and however often these are sent again. Safety rests on the compare-and-set as before. Leaving instances go the same way.

--- a/src/control_api/api_context.hpp
+++ b/src/control_api/api_context.hpp
@@ -8,14 +8,16 @@
 
 namespace dunlinwing::control_api {
 
-class PurgeWriter;
 struct OperatorWriteTotals;
 
+class WriteForwarder;
+
 /// Outlives every request.
 struct ApiContext {
   base::Ports& ports;
   node::Node& node;
-  PurgeWriter& purge_writer;
+  consensus::RegisterUpdater& updater;  ///< of the registers that operators and backend instances change
+  WriteForwarder& forwarder;
   OperatorWriteTotals& write_totals;  ///< of the operator requests that this node received
 };
 
--- a/src/control_api/api_request.cpp
+++ b/src/control_api/api_request.cpp
@@ -68,6 +68,16 @@
   return request;
 }
 
+std::string encode_segment(const std::string& segment) {
+  std::string encoded;
+  for (const char character : segment)
+    if (std::isalnum(static_cast<unsigned char>(character)))
+      encoded += character;
+    else
+      encoded += fmt::format("%{:02X}", static_cast<unsigned char>(character));
+  return encoded;
+}
+
 base::Response json_response(int status, std::string body, std::optional<uint64_t> version) {
   base::Response response{
       status, {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}, std::move(body)};
--- a/src/control_api/api_request.hpp
+++ b/src/control_api/api_request.hpp
@@ -24,6 +24,9 @@
 
 ApiRequest parse_request(const base::Request& http);
 
+/// Encodes a segment of a path, so that parse_request() returns it.
+std::string encode_segment(const std::string& segment);
+
 /// A JSON response.
 /// @param version  of the resource; becomes the ETag
 /// A 503 states in Retry-After when to try again.
--- a/src/control_api/majority_contact.cpp
+++ b/src/control_api/majority_contact.cpp
@@ -23,6 +23,11 @@
   return outcome_unknown();
 }
 
+base::Response update_error(consensus::UpdateError error) {
+  if (error == consensus::UpdateError::outcome_unknown) return outcome_unknown();
+  return error_response(503, kNoMajority);
+}
+
 base::Response respond_within(base::Ports& ports, Duration limit, std::function<base::Response()> work) {
   struct Pending {
     std::shared_ptr<base::Condition> done;
--- a/src/control_api/majority_contact.hpp
+++ b/src/control_api/majority_contact.hpp
@@ -6,7 +6,7 @@
 /// Threads: called in fibers of the control thread; each function but contact_limit() and register_error()
 /// suspends its fiber.
 #pragma once
-#include "consensus/register_client.hpp"
+#include "consensus/register_updater.hpp"
 #include "control_api/api_request.hpp"
 #include "node/node.hpp"
 
@@ -28,6 +28,9 @@
 /// The response to a register operation that failed; always 503.
 base::Response register_error(consensus::RegisterError error);
 
+/// As register_error(), of an update that did not run out of time.
+base::Response update_error(consensus::UpdateError error);
+
 /// Runs the work in a fiber of its own.
 /// @param work  runs to its end even when it exceeds the limit, so it must own what it uses
 /// @return its response, or outcome_unknown() when it exceeds the limit
--- a/src/control_api/numbered_configuration.cpp
+++ b/src/control_api/numbered_configuration.cpp
@@ -16,8 +16,6 @@
 namespace dunlinwing::control_api {
 namespace {
 constexpr base::Log logger("control-api");
-// Higher than for other registers, since every operator of the fleet writes this one.
-constexpr int kMaxAttempts = 16;
 
 /// A number above 0, in decimal digits.
 std::optional<uint64_t> parse_number(const std::string& text) {
@@ -71,7 +69,7 @@
   const auto& requested = std::get<pb::NumberedConfiguration>(parsed);
   RegisterChange change;
   change.key = config::kNumberedConfigurationKey;
-  change.max_attempts = kMaxAttempts;
+  change.may_share_version = true;  // its precondition is the number
   change.decide =
       [&](const consensus::VersionedValue& stored) -> std::variant<RegisterWrite, base::Response> {
     pb::NumberedConfiguration in_force;
--- a/src/control_api/operator_write_log.cpp
+++ b/src/control_api/operator_write_log.cpp
@@ -14,6 +14,10 @@
   return times.status / kHundred == 3 || times.status / kHundred == 4;
 }
 
+std::string executor(const OperatorWriteTimes& times) {
+  return times.forward.coordinator.empty() ? "no coordinator" : times.forward.coordinator;
+}
+
 Duration after_received(const OperatorWriteTimes& times, TimePoint stage) { return stage - times.received; }
 
 void count(OperatorWriteTotals& totals, const OperatorWriteTimes& times) {
@@ -35,8 +39,9 @@
                            const std::shared_ptr<const OperatorWriteTimes>& times) {
   count(context.write_totals, *times);
   if (!is_acknowledged(*times))
-    return logger.warn("{}: operator request {} got status {} after {} ms{}.", context.node.config().name,
-                       times->request, times->status, after_received(*times, times->responded).count(),
+    return logger.warn("{}: operator request {} got status {} from {} in {} calls after {} ms{}.",
+                       context.node.config().name, times->request, times->status, executor(*times),
+                       times->forward.calls, after_received(*times, times->responded).count(),
                        times->written > TimePoint(0) ? "" : "; its write is not complete yet");
   context.ports.tasks.spawn([&context, times] {
     const bool in_force = context.node.state_cache().await_pull(context.node.config().bound);
@@ -46,10 +51,11 @@
       context.write_totals.until_in_force += until_in_force;
     }
     logger.info(
-        "{}: operator request {} was written after {} ms, acknowledged after {} ms and {} after {} ms.",
-        context.node.config().name, times->request, after_received(*times, times->written).count(),
-        after_received(*times, times->responded).count(), in_force ? "in force here" : "not in force here",
-        until_in_force.count());
+        "{}: operator request {} was written by {} in {} calls after {} ms, acknowledged after {} ms and {} "
+        "after {} ms.",
+        context.node.config().name, times->request, executor(*times), times->forward.calls,
+        after_received(*times, times->written).count(), after_received(*times, times->responded).count(),
+        in_force ? "in force here" : "not in force here", until_in_force.count());
   });
 }
 
--- a/src/control_api/operator_write_log.hpp
+++ b/src/control_api/operator_write_log.hpp
@@ -4,13 +4,14 @@
 ///
 /// Threads: called in fibers of the control thread.
 #pragma once
-#include "control_api/api_context.hpp"
+#include "control_api/write_forwarder.hpp"
 
 namespace dunlinwing::control_api {
 
 /// The stages of one operator request; all times are read from this node's clock.
 struct OperatorWriteTimes {
   std::string request;     ///< method and path
+  ForwardTrace forward;    ///< the node that carried it out, and the calls to find it
   TimePoint received{0};   ///< the request was read completely
   TimePoint written{0};    ///< the handler ended, after a quorum where one was needed; 0: not yet
   TimePoint responded{0};  ///< the response was given
--- a/src/control_api/purge_writer.hpp
+++ b/src/control_api/purge_writer.hpp
@@ -1,11 +1,11 @@
 /// @file
-/// Writes purges to the registers of their services. Purges that arrive together are written together, and a
-/// service's set stays bounded because the oldest purges are merged into one of the whole service.
+/// Writes purges to the registers of their services. A service's set stays bounded because the oldest purges
+/// are merged into one of the whole service.
 ///
 /// Invariant: merging makes a purge wider, never narrower, so nothing that was purged becomes valid again.
 /// Threads: used in fibers of the control thread.
 #pragma once
-#include "consensus/register_client.hpp"
+#include "consensus/register_updater.hpp"
 
 namespace dunlinwing::control_api {
 
@@ -21,11 +21,6 @@
 inline constexpr std::string_view kTag = "tag";
 }  // namespace purge_kind
 
-enum class PurgeError {
-  no_majority,      ///< nothing was written
-  outcome_unknown,  ///< it may or may not have been written
-};
-
 struct PurgeResult {
   uint64_t number = 0;    ///< of the purge, in its service's set
   bool existed = false;   ///< a purge of this name existed already; nothing was added
@@ -35,18 +30,10 @@
 /// Adds a purge to the set, removes those that it covers and keeps the set bounded. Pure.
 PurgeResult add_purge(pb::PurgeSet& purges, const pb::Purge& purge);
 
-class PurgeWriter {
- public:
-  /// Both arguments outlive the writer and its fibers.
-  PurgeWriter(base::Ports& ports, consensus::RegisterClient& registers);
-  ~PurgeWriter();
-
-  /// Records a purge; returns once it is written, or has failed.
-  std::variant<PurgeResult, PurgeError> put(const std::string& service, const pb::Purge& purge);
-
- private:
-  struct Impl;
-  std::shared_ptr<Impl> impl_;  ///< shared with the fibers that write
-};
+/// Records a purge; returns once it is written, or has failed.
+/// @param deadline  see RegisterUpdate
+[[nodiscard]] std::variant<PurgeResult, consensus::UpdateError> write_purge(
+    consensus::RegisterUpdater& updater, const std::string& service, const pb::Purge& purge,
+    TimePoint deadline);
 
 }  // namespace dunlinwing::control_api
--- a/src/control_api/purges.cpp
+++ b/src/control_api/purges.cpp
@@ -57,10 +57,6 @@
   return found;
 }
 
-base::Response purge_error(PurgeError error) {
-  return register_error(error == PurgeError::no_majority ? consensus::RegisterError::no_majority
-                                                         : consensus::RegisterError::outcome_unknown);
-}
 }  // namespace
 
 base::Response put_purge(const ApiContext& context, const ApiRequest& request) {
@@ -71,8 +67,8 @@
     if (auto no_majority = await_majority_contact(context.node)) return *no_majority;
     if (auto other = find_other_service(context.node, wanted)) return name_taken(*other);
   }
-  auto written = context.purge_writer.put(wanted.service, wanted.purge);
-  if (auto* error = std::get_if<PurgeError>(&written)) return purge_error(*error);
+  auto written = write_purge(context.updater, wanted.service, wanted.purge, request.deadline);
+  if (auto* error = std::get_if<consensus::UpdateError>(&written)) return update_error(*error);
   const auto& result = std::get<PurgeResult>(written);
   if (result.conflict) return name_taken(wanted.service);
   return json_response(200, fmt::format(R"({{"purge":{},"number":{},"was_known":{}}})",
--- a/src/control_api/register_change.hpp
+++ b/src/control_api/register_change.hpp
@@ -21,8 +21,9 @@
 /// A change of one register.
 struct RegisterChange {
   std::string key;
-  int max_attempts = 8;  ///< compare-and-sets; only the first may begin after the request's deadline
-  /// The text of the 503 when another write came first in every attempt.
+  /// Whether other changes may get the same version: false where clients state preconditions on versions.
+  bool may_share_version = false;
+  /// The text of the 503 when other writes came first until the request's deadline.
   std::string conflict_message = "other writes came first; send it again";
   /// Returns what to write in place of the value, or the response that ends the request without a write.
   /// Called for each attempt.
--- a/src/control_api/releases.cpp
+++ b/src/control_api/releases.cpp
@@ -117,12 +117,20 @@
   return error_response(409, "a release of this name exists and is immutable", stored.version);
 }
 
-/// Writes a valid release to its register, which was never written before.
-base::Response record(node::Node& node, const ApiRequest& request, const ReleaseName& release) {
-  auto written = node.registers().write(release.key(), 0, request.http.body);
-  if (auto* error = std::get_if<consensus::RegisterError>(&written)) return register_error(*error);
-  if (auto* conflict = std::get_if<consensus::VersionConflict>(&written))
-    return already_recorded(request, conflict->current, release);
+/// Writes a valid release to its register, unless it was written before.
+base::Response record(const ApiContext& context, const ApiRequest& request, const ReleaseName& release) {
+  std::optional<base::Response> taken;
+  consensus::RegisterUpdate update;
+  update.deadline = request.deadline;
+  update.apply = [&](const consensus::VersionedValue& stored) -> std::optional<std::string> {
+    taken.reset();
+    if (stored.version == 0) return request.http.body;
+    taken = already_recorded(request, stored, release);
+    return {};
+  };
+  const auto result = context.updater.update(release.key(), update);
+  if (const auto* error = as<consensus::UpdateError>(result)) return update_error(*error);
+  if (taken) return *taken;
   logger.info("Release {} {} was recorded.", release.kind, release.name);
   auto response = json_response(202, recorded_json(release, false), 1);
   response.headers.emplace_back("Location", release.path());
@@ -183,7 +191,7 @@
   if (auto failed = check_precondition(request.http, stored.version)) return *failed;
   if (release.kind == kConfigurationKind)
     if (auto response = check_versions(context.node, std::get<config::Release>(parsed))) return *response;
-  return record(context.node, request, release);
+  return record(context, request, release);
 }
 
 base::Response put_operator_action(const ApiContext& context, const ApiRequest& request) {
--- a/src/control_api/router.cpp
+++ b/src/control_api/router.cpp
@@ -12,13 +12,13 @@
 #include "control_api/node_identity.hpp"
 #include "control_api/numbered_configuration.hpp"
 #include "control_api/operator_write_log.hpp"
-#include "control_api/purge_writer.hpp"
 #include "control_api/purges.hpp"
 #include "control_api/releases.hpp"
 #include "control_api/replicas.hpp"
 #include "control_api/services.hpp"
 #include "control_api/status_page.hpp"
 #include "control_api/version_rollouts.hpp"
+#include "control_api/write_forwarder.hpp"
 
 namespace dunlinwing::control_api {
 namespace {
@@ -45,8 +45,9 @@
 enum class RouteType {
   local,       ///< from this node's state, at once, even without contact with the others
   read,        ///< after contact with a majority; may be a watch
-  heartbeat,   ///< a write of a backend instance, within kResponseLimit
-  write,       ///< a write of an operator, within kResponseLimit
+  heartbeat,   ///< a report of a backend instance, within kResponseLimit
+  departure,   ///< a write of a backend instance, carried out by the coordinator, within kResponseLimit
+  write,       ///< a write of an operator, carried out by the coordinator, within kResponseLimit
   long_write,  ///< a write of an operator, without a time limit here
 };
 
@@ -85,7 +86,7 @@
 
     {RouteType::read, "GET", "/v1/workers", list_instances},
     {RouteType::heartbeat, "POST", "/v1/beats", post_heartbeat},
-    {RouteType::heartbeat, "DELETE", "/v1/workers/*", delete_instance},
+    {RouteType::departure, "DELETE", "/v1/workers/*", delete_instance},
 
     {RouteType::read, "GET", "/v1/purges", list_purges},
     {RouteType::write, "POST", "/v1/purges", put_purge},
@@ -119,6 +120,11 @@
   return pattern.empty();
 }
 
+/// Whether the coordinator of the resource carries out the request.
+bool is_forwarded(const Route& route) {
+  return route.type == RouteType::write || route.type == RouteType::departure;
+}
+
 /// The route of a request, or null.
 const Route* find_route(const ApiRequest& request) {
   for (const auto& route : kRoutes)
@@ -145,15 +151,26 @@
 struct Router::Impl {
   base::Ports& ports;
   node::Node& node;
-  PurgeWriter purge_writer;
   OperatorWriteTotals write_totals;
+  consensus::RegisterUpdater no_updater{nullptr};
+  WriteForwarder forwarder;
   ApiContext context;
+  ApiContext validating_context;  ///< its handlers propose nothing
 
   Impl(base::Ports& all_ports, node::Node& own_node)
       : ports(all_ports),
         node(own_node),
-        purge_writer(all_ports, own_node.registers()),
-        context{all_ports, own_node, purge_writer, write_totals} {}
+        forwarder(
+            all_ports, own_node, [this](const ApiRequest& request) { return execute(context, request); },
+            [this](const ApiRequest& request) { return execute(validating_context, request); }),
+        context{all_ports, own_node, own_node.register_updater(), forwarder, write_totals},
+        validating_context{all_ports, own_node, no_updater, forwarder, write_totals} {}
+
+  /// Carries out a write on this node.
+  static base::Response execute(const ApiContext& context, const ApiRequest& request) {
+    const auto* route = find_route(request);
+    return route ? route->handler(context, request) : no_such_resource();
+  }
 
   /// Answers a read. With `after` in its query it is a watch: it waits until the version exceeds `after`.
   base::Response read(const ApiRequest& request, const Route* route) const {
@@ -170,7 +187,8 @@
     }
   }
 
-  base::Response write(const ApiRequest& request, const Route* route) const {
+  base::Response write(const ApiRequest& request, const Route* route, ForwardTrace& trace) {
+    if (route && is_forwarded(*route)) return forwarder.forward(request, trace);
     if (route) return route->handler(context, request);
     if (request.http.method != "PUT")
       return error_response(405, "resources are read by GET and stated by PUT");
@@ -178,7 +196,10 @@
   }
 };
 
-Router::Router(base::Ports& ports, node::Node& node) : impl_(std::make_shared<Impl>(ports, node)) {}
+Router::Router(base::Ports& ports, node::Node& node) : impl_(std::make_shared<Impl>(ports, node)) {
+  node.set_write_handler(
+      [impl = impl_](const pb::ForwardedWrite& write) { return impl->forwarder.handle(write); });
+}
 Router::~Router() = default;
 
 base::Response Router::handle(base::Request& http) {
@@ -198,7 +219,7 @@
       respond_within(impl_->ports, kResponseLimit, [impl = impl_, http_copy, deadline, route, times] {
         auto request_copy = parse_request(*http_copy);
         request_copy.deadline = deadline;
-        auto written = impl->write(request_copy, route);
+        auto written = impl->write(request_copy, route, times->forward);
         times->written = impl->ports.clock.now();
         return written;
       });
--- /dev/null
+++ b/src/control_api/write_forwarder.cpp
@@ -0,0 +1,117 @@
+#include "control_api/write_forwarder.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace dunlinwing::control_api {
+namespace {
+constexpr base::Log logger("orders");
+constexpr Duration kShortestCall{200};  // to a candidate, so that a slow link is no failure
+constexpr int kUnavailable = 503;
+
+/// The part of the time left that a call may take, so that another candidate can be tried after it.
+Duration call_limit(Duration left) { return std::max(left / 2, std::min(left, kShortestCall)); }
+
+pb::PeerRequest message_of(const ApiRequest& request, Duration limit) {
+  pb::PeerRequest message;
+  auto& write = *message.mutable_write();
+  write.set_method(request.http.method);
+  write.set_target(request.http.target);
+  write.set_body(request.http.body);
+  write.set_remaining_ms(static_cast<uint32_t>(limit.count()));
+  for (const auto& [name, value] : request.http.headers) {
+    auto* header = write.add_headers();
+    header->set_name(name);
+    header->set_value(value);
+  }
+  return message;
+}
+
+template <class Message>
+base::Headers headers_of(const Message& message) {
+  base::Headers headers;
+  for (const auto& header : message.headers()) headers.emplace_back(header.name(), header.value());
+  return headers;
+}
+
+/// All writes of one register have the same collection in their paths (/v1/COLLECTION/...), except those of
+/// services, which two collections change.
+std::string resource_of(const ApiRequest& request) {
+  const auto& collection = request.path[1];
+  return collection == "moves" ? "services" : collection;
+}
+}  // namespace
+
+WriteForwarder::WriteForwarder(base::Ports& ports, node::Node& node, Execute execute, Execute validate)
+    : ports_(ports),
+      node_(node),
+      execute_(std::move(execute)),
+      validate_(std::move(validate)),
+      selector_(node.config().bound) {}
+
+std::vector<consensus::Replica> WriteForwarder::candidates(const ApiRequest& request) const {
+  const TimePoint now = ports_.clock.now();
+  return selector_.candidates(node_.registers().replica_set().current(),
+                              node_.state_cache().statuses().members(now), resource_of(request), now);
+}
+
+base::Response WriteForwarder::forward(const ApiRequest& request, ForwardTrace& trace) {
+  for (const auto& replica : candidates(request)) {
+    if (ports_.clock.now() >= request.deadline) break;
+    trace.coordinator = replica.name;
+    if (replica.name == node_.config().name) {
+      if (!node_.state_cache().has_read_lease()) continue;
+      return execute_(request);
+    }
+    ++trace.calls;
+    auto result = call(replica, request);
+    if (result.unsupported) return execute_(request);
+    if (result.response) return *result.response;
+  }
+  trace.coordinator.clear();
+  return validate_(request);
+}
+
+WriteForwarder::CallResult WriteForwarder::call(const consensus::Replica& replica,
+                                                const ApiRequest& request) {
+  const Duration limit = call_limit(request.deadline - ports_.clock.now());
+  const auto result = ports_.peers.call(replica.address, message_of(request, limit), limit);
+  const auto* message = as<pb::PeerResponse>(result);
+  if (message && !message->has_write()) return {{}, true};
+  if (!message || message->write().unavailable()) {
+    logger.info("{}: {} did not coordinate {} {}.", node_.config().name, replica.name, request.http.method,
+                request.http.target);
+    selector_.record_failure(replica.name, ports_.clock.now());
+    return {};
+  }
+  const auto& write = message->write();
+  if (write.status() == kUnavailable)
+    selector_.record_failure(replica.name, ports_.clock.now());
+  else
+    selector_.record_success(replica.name);
+  return {base::Response{static_cast<int>(write.status()), headers_of(write), write.body()}};
+}
+
+pb::ForwardedWriteResponse WriteForwarder::handle(const pb::ForwardedWrite& forwarded) {
+  pb::ForwardedWriteResponse message;
+  if (!node_.state_cache().has_read_lease()) {
+    message.set_unavailable(true);
+    return message;
+  }
+  const base::Request http{"", forwarded.method(), forwarded.target(), forwarded.body(),
+                           headers_of(forwarded)};
+  auto request = parse_request(http);
+  request.deadline = ports_.clock.now() + Duration(forwarded.remaining_ms());
+  const auto response = execute_(request);
+  message.set_status(static_cast<uint32_t>(response.status));
+  message.set_body(response.body);
+  for (const auto& [name, value] : response.headers) {
+    auto* header = message.add_headers();
+    header->set_name(name);
+    header->set_value(value);
+  }
+  return message;
+}
+
+}  // namespace dunlinwing::control_api
--- a/src/membership/deregistered.cpp
+++ b/src/membership/deregistered.cpp
@@ -7,7 +7,6 @@
 // Maximum number of names in the register. The oldest can be dropped: an instance gets a new name at each
 // start, and the last heartbeats of these are long past.
 constexpr int kMaxInstances = 512;
-constexpr int kMaxAttempts = 16;  // writes, when concurrent writes cause version conflicts
 
 bool contains(const pb::Deregistered& deregistered, const std::string& instance) {
   const auto& instances = deregistered.instances();
@@ -21,23 +20,17 @@
 }
 }  // namespace
 
-bool deregister(consensus::RegisterClient& registers, const std::string& instance) {
-  auto read = registers.read(kDeregisteredKey);
-  auto* found = std::get_if<consensus::VersionedValue>(&read);
-  if (!found) return false;
-  auto current = *found;
-  for (int i = 0; i < kMaxAttempts; ++i) {
+bool deregister(consensus::RegisterUpdater& updater, const std::string& instance, TimePoint deadline) {
+  consensus::RegisterUpdate update;
+  update.deadline = deadline;
+  update.apply = [&](const consensus::VersionedValue& current) -> std::optional<std::string> {
     pb::Deregistered deregistered;
     deregistered.ParseFromString(current.data);
-    if (contains(deregistered, instance)) return true;
+    if (contains(deregistered, instance)) return {};
     append(deregistered, instance);
-    auto result = registers.write(kDeregisteredKey, current.version, deregistered.SerializeAsString());
-    if (std::holds_alternative<consensus::VersionedValue>(result)) return true;
-    auto* conflict = std::get_if<consensus::VersionConflict>(&result);
-    if (!conflict) return false;
-    current = conflict->current;
-  }
-  return false;
+    return deregistered.SerializeAsString();
+  };
+  return as<consensus::VersionedValue>(updater.update(kDeregisteredKey, update)) != nullptr;
 }
 
 std::set<std::string> parse_deregistered(const std::string& data) {
--- a/src/membership/deregistered.hpp
+++ b/src/membership/deregistered.hpp
@@ -4,7 +4,7 @@
 #pragma once
 #include <set>
 
-#include "consensus/register_client.hpp"
+#include "consensus/register_updater.hpp"
 
 namespace dunlinwing::membership {
 
@@ -12,8 +12,10 @@
 inline constexpr const char* kDeregisteredKey = "departed";
 
 /// Records that an instance shuts down. Waits for a quorum of the replicas.
+/// @param deadline  see RegisterUpdate
 /// @return whether it is recorded; false: it may or may not be, and the call may be retried
-[[nodiscard]] bool deregister(consensus::RegisterClient& registers, const std::string& instance);
+[[nodiscard]] bool deregister(consensus::RegisterUpdater& updater, const std::string& instance,
+                              TimePoint deadline);
 
 /// Parses the register's value into the names of the instances.
 std::set<std::string> parse_deregistered(const std::string& data);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -53,6 +53,7 @@
   consensus::ReplicaSetView replica_set;
   std::unique_ptr<consensus::Acceptor> acceptor;  ///< null without a disk
   consensus::RegisterClient registers;
+  consensus::RegisterUpdater register_updater;
   membership::StateCache state_cache;
   membership::Leadership leadership;
   membership::Discovery discovery;
@@ -64,6 +65,7 @@
   HeartbeatTable heartbeats;
   AssignmentLoader assignment_loader;
   software::Artifacts* artifacts = nullptr;
+  WriteHandler handle_write;  ///< null until set_write_handler()
   canary::CanaryAnalysis canary_analysis;
   limits::DemandShareTracker demand_shares;
   RejectionLog rejection_log;
@@ -85,6 +87,7 @@
                   acceptor ? consensus::LocalReplica(
                                  [this](const pb::PeerRequest& request) { return acceptor->handle(request); })
                            : consensus::LocalReplica()),
+        register_updater(ports, registers),
         state_cache(
             ports, {config.name, config.bound}, registers, acceptor.get(),
             [this](pb::NodeStatus& status) { fill_own_status(status); }, [this] { apply_state(); }),
@@ -245,6 +248,13 @@
     return artifacts ? artifacts->handle_peer_request(request) : peer_error("this node keeps no artifacts");
   }
 
+  pb::PeerResponse handle_forwarded_write(const pb::ForwardedWrite& write) const {
+    if (!handle_write) return peer_error("this node carries out no writes yet");
+    pb::PeerResponse response;
+    *response.mutable_write() = handle_write(write);
+    return response;
+  }
+
   pb::PeerResponse handle_consensus_request(const pb::PeerRequest& request) {
     if (acceptor) return acceptor->handle(request);
     if (!request.has_adopt()) return peer_error("this node holds no state");
@@ -286,6 +296,8 @@
       return impl_->read_body(request.read_body());
     case pb::PeerRequest::kHealthCheck:
       return impl_->health_check();
+    case pb::PeerRequest::kWrite:
+      return impl_->handle_forwarded_write(request.write());
     case pb::PeerRequest::kArtifactChunk:
     case pb::PeerRequest::kArtifactRead:
       return impl_->handle_artifact_request(request);
@@ -309,25 +321,20 @@
   return impl_->request_handler.handle_forwarded(forward, cancellation);
 }
 
-bool Node::accept_heartbeat(const pb::Heartbeat& heartbeat) {
+bool Node::accept_heartbeat(const pb::Heartbeat& heartbeat, const Deregister& deregister) {
   if (!impl_->state_cache.has_read_lease() || impl_->leaving) {
     impl_->heartbeats.count(false);
     return false;
   }
   // A heartbeat with the same content was reported to the fleet before, so there is no need to wait again.
   const bool repeated = impl_->heartbeats.record(heartbeat, impl_->ports.clock.now());
-  const bool accepted =
-      (!heartbeat.leaving() || membership::deregister(impl_->registers, heartbeat.instance())) &&
-      (repeated || impl_->state_cache.await_pull(impl_->config.bound / 2));
+  const bool accepted = (!heartbeat.leaving() || deregister(heartbeat.instance())) &&
+                        (repeated || impl_->state_cache.await_pull(impl_->config.bound / 2));
   impl_->heartbeats.count(accepted);
   return accepted;
 }
 
-bool Node::deregister_instance(const std::string& instance) {
-  if (!membership::deregister(impl_->registers, instance)) return false;
-  impl_->state_cache.pull_soon();
-  return true;
-}
+void Node::set_write_handler(WriteHandler handler) { impl_->handle_write = std::move(handler); }
 
 bool Node::ready() const { return impl_->ready(); }
 
@@ -346,6 +353,7 @@
 const NodeConfig& Node::config() const { return impl_->config; }
 membership::StateCache& Node::state_cache() { return impl_->state_cache; }
 consensus::RegisterClient& Node::registers() { return impl_->registers; }
+consensus::RegisterUpdater& Node::register_updater() { return impl_->register_updater; }
 membership::Leadership& Node::leadership() { return impl_->leadership; }
 consensus::Acceptor* Node::acceptor() { return impl_->acceptor.get(); }
 proxy::RequestHandler& Node::request_handler() { return impl_->request_handler; }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -5,6 +5,7 @@
 /// Threads: all control work runs on one thread. Node::handle(), Node::handle_forwarded(), Node::generation()
 /// and Node::ready() may be called from any thread.
 #pragma once
+#include "consensus/register_updater.hpp"
 #include "membership/leadership.hpp"
 #include "proxy/request_handler.hpp"
 #include "rollout/rollout_controller.hpp"
@@ -51,13 +52,19 @@
   pb::ForwardResponse handle_forwarded(const pb::ForwardRequest& forward,
                                        const base::CancellationPtr& cancellation = {});
 
+  /// Records durably that a backend instance shuts down; returns false when that failed.
+  using Deregister = std::function<bool(const std::string& instance)>;
+
   /// Records the heartbeat of a backend instance.
+  /// @param deregister  called when the instance says that it is leaving
   /// @return true once a majority of the replicas has received it
-  bool accept_heartbeat(const pb::Heartbeat& heartbeat);
+  bool accept_heartbeat(const pb::Heartbeat& heartbeat, const Deregister& deregister);
+
+  /// Handles a write that another node has forwarded to this one.
+  using WriteHandler = std::function<pb::ForwardedWriteResponse(const pb::ForwardedWrite&)>;
 
-  /// Records that a backend instance has terminated.
-  /// @return true once the record is durable
-  bool deregister_instance(const std::string& instance);
+  /// Until this is called, forwarded writes fail.
+  void set_write_handler(WriteHandler handler);
 
   /// Whether this node may receive client requests.
   bool ready() const;
@@ -72,6 +79,7 @@
   const NodeConfig& config() const;
   membership::StateCache& state_cache();
   consensus::RegisterClient& registers();
+  consensus::RegisterUpdater& register_updater();
   membership::Leadership& leadership();
   consensus::Acceptor* acceptor();  ///< null without a disk
   proxy::RequestHandler& request_handler();
--- a/test/measure/hollow.cpp
+++ b/test/measure/hollow.cpp
@@ -247,7 +247,9 @@
         heartbeat.set_sequence(k);
         heartbeat.set_period_ms(static_cast<uint32_t>(period.count()));
         world.spawn(n->life(), [this, n, heartbeat] {
-          ++(n->relay().accept_heartbeat(heartbeat) ? heartbeats_accepted : heartbeats_rejected);
+          ++(n->relay().accept_heartbeat(heartbeat, [](const std::string&) { return false; })
+                 ? heartbeats_accepted
+                 : heartbeats_rejected);
         });
       }
     });
--- a/test/measure/stream.cpp
+++ b/test/measure/stream.cpp
@@ -50,7 +50,6 @@
   std::map<std::string, std::vector<Seen>> seen;
   std::map<std::string, uint64_t> version;
   std::map<std::string, bool> busy;
-  std::vector<std::unique_ptr<control_api::PurgeWriter>> purgers;
   Distribution change, purge, change_acknowledged, purge_acknowledged;
   uint64_t asked_changes = 0, asked_purges = 0, failed = 0, named = 0, under_way = 0, folded = 0;
   bool looking = false;
@@ -116,9 +115,6 @@
     auto i = f.world.below(f.nodes.size());
     auto* n = f.nodes[i].get();
     if (!n->up()) return;
-    if (purgers.empty()) purgers.resize(f.nodes.size());
-    if (!purgers[i])
-      purgers[i] = std::make_unique<control_api::PurgeWriter>(n->ports(), n->relay().registers());
     auto service = fmt::format("s{}", f.world.below(kServices));
     pb::Purge purge;
     purge.set_kind("path");
@@ -126,8 +122,9 @@
     purge.set_path(fmt::format("/c/{:012}", f.world.draw() % 1000000000000));
     auto from = f.world.now();
     ++under_way;
-    f.world.spawn(n->life(), [this, i, service, purge, from] {
-      auto r = purgers[i]->put(service, purge);
+    f.world.spawn(n->life(), [this, n, service, purge, from] {
+      constexpr Duration kLimit(800);
+      auto r = control_api::write_purge(n->relay().register_updater(), service, purge, from + kLimit);
       --under_way;
       auto* d = std::get_if<control_api::PurgeResult>(&r);
       if (!d) return void(++failed);
