A pull gets each value once, and votes carry values only where they are used

A pull asks a quorum of replicas, and each sent every changed value whole: a purge set of 10 KB came three times, four times a second, which is half of a link of 2 Mbit/s. The request to the further replicas now names the ballots of the values that the first one sent; who has accepted the same ballot sends the ballot alone. Accept votes and refused promises leave the value out, which proposers never read from them. Older nodes send and get whole values.

--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -157,6 +157,12 @@
     return response;
   }
 
+  // The proposer needs only the ballots of an accept vote, and of a vote that was refused.
+  static pb::PeerResponse without_value(pb::PeerResponse response) {
+    response.mutable_vote()->mutable_register_state()->clear_value();
+    return response;
+  }
+
   // Returns true once the set, or a newer one, is on the disk. Requests with lower epochs are rejected as
   // soon as the set is in memory.
   bool adopt(const pb::ReplicaSet& newer) {
@@ -330,14 +336,17 @@
     return response;
   }
   if (non_voting() || (impl.writer.stalled() && !request.has_read_register())) return non_voting_response();
-  if (request.has_prepare())
-    return impl.answer_vote(prepare(impl.registers[request.prepare().name()], request.prepare()));
+  if (request.has_prepare()) {
+    auto response = impl.answer_vote(prepare(impl.registers[request.prepare().name()], request.prepare()));
+    return response.vote().granted() ? response : Impl::without_value(std::move(response));
+  }
   if (request.has_accept())
-    return impl.answer_vote(accept(impl.registers[request.accept().name()], request.accept()));
+    return Impl::without_value(
+        impl.answer_vote(accept(impl.registers[request.accept().name()], request.accept())));
   return impl.answer_read(request.read_register());
 }
 
-void Acceptor::append_changes(const ChangePosition& seen, uint64_t max_bytes,
+void Acceptor::append_changes(const ChangePosition& seen, const HeldRegisters& held, uint64_t max_bytes,
                               pb::PullResponse& response) const {
   const auto& impl = *impl_;
   response.set_boot_id(impl.boot_id);
@@ -350,9 +359,19 @@
   std::map<uint64_t, const std::string*> names_by_change;
   for (const auto& [name, number] : impl.change_numbers)
     if (number > position) names_by_change[number] = &name;
+  std::map<std::string, const pb::Ballot*> held_ballots;
+  for (const auto& entry : held) held_ballots[entry.name()] = &entry.accepted();
   size_t bytes = 0;
   for (const auto& [number, name] : names_by_change) {
     const auto& state = impl.synced.at(*name);
+    if (const auto found = held_ballots.find(*name);
+        found != held_ballots.end() && !state.refilled() && is_equal(*found->second, state.accepted())) {
+      auto* unchanged = response.add_unchanged();
+      unchanged->set_name(*name);
+      *unchanged->mutable_accepted() = state.accepted();
+      response.set_position(number);
+      continue;
+    }
     bytes += state.ByteSizeLong();
     if (max_bytes && bytes > max_bytes && response.registers_size() > 0) return response.set_more(true);
     *response.add_registers() = state;
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -18,6 +18,8 @@
   uint64_t position = 0;  ///< the last change that the node has received; 0: none
 };
 
+using HeldRegisters = google::protobuf::RepeatedPtrField<pb::HeldRegister>;
+
 class Acceptor {
  public:
   /// @param round_timeout  of one round of votes, from request to response; later votes are not counted
@@ -38,8 +40,10 @@
 
   /// Appends the changes synced after the position to the response, oldest first. `position` and `more` in
   /// the response state how far it reaches. A position from another boot counts as 0.
+  /// @param held       registers that the requester holds: their values are left out at the same ballot
   /// @param max_bytes  approximate limit of the registers' size; 0: no limit
-  void append_changes(const ChangePosition& seen, uint64_t max_bytes, pb::PullResponse& response) const;
+  void append_changes(const ChangePosition& seen, const HeldRegisters& held, uint64_t max_bytes,
+                      pb::PullResponse& response) const;
 
   /// Whether the replica does not vote now: its disk failed, or may not vote yet.
   bool non_voting() const;
--- a/src/membership/replica_responses.cpp
+++ b/src/membership/replica_responses.cpp
@@ -19,6 +19,7 @@
   // After a restart the replica reports everything it has accepted again; that may be less, if it lost its
   // disk.
   if (report.boot_id != response.boot_id()) report.registers.clear();
+  const uint64_t position_before = report.boot_id == response.boot_id() ? report.position : 0;
   report.boot_id = response.boot_id();
   report.position = response.position();
   report.responded_at = now;
@@ -29,9 +30,29 @@
     report.registers[state.name()] = state;
     names.push_back(state.name());
   }
+  for (const auto& held : response.unchanged()) {
+    const auto* known = reported_at(held);
+    if (!known) {
+      report.position = position_before;  // the replica has to report it again, with its value
+      continue;
+    }
+    auto state = *known;
+    state.clear_refilled();  // this replica has accepted it itself
+    report.registers[held.name()] = std::move(state);
+    names.push_back(held.name());
+  }
   return names;
 }
 
+const pb::RegisterState* ReplicaResponses::reported_at(const pb::HeldRegister& held) const {
+  for (const auto& [replica, report] : reports_) {
+    const auto found = report.registers.find(held.name());
+    if (found != report.registers.end() && consensus::is_equal(found->second.accepted(), held.accepted()))
+      return &found->second;
+  }
+  return nullptr;
+}
+
 void ReplicaResponses::set_position(const std::string& replica, pb::PullRequest& pull) const {
   auto* report = find(replica);
   pull.set_boot_id(report ? report->boot_id : 0);
--- a/src/membership/replica_responses.hpp
+++ b/src/membership/replica_responses.hpp
@@ -22,7 +22,8 @@
   ///                  come from a disk that has been lost since
   explicit ReplicaResponses(Duration lifetime) : lifetime_(lifetime) {}
 
-  /// Records the response to a request that was sent at `requested_at`.
+  /// Records the response to a request that was sent at `requested_at`. Values that it leaves out are those
+  /// that other replicas reported.
   /// @return the names of the registers that it reports
   std::vector<std::string> record(const std::string& replica, const pb::PullResponse& response,
                                   TimePoint requested_at, TimePoint now);
@@ -58,6 +59,8 @@
     std::map<std::string, pb::RegisterState> registers;  ///< by name, as reported by this process
   };
 
+  /// The state that some replica reported at this ballot; null: none did.
+  const pb::RegisterState* reported_at(const pb::HeldRegister& held) const;
   const Report* find(const std::string& replica) const;
   bool responded_in_time(const std::string& replica, TimePoint now) const;
 
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -18,6 +18,7 @@
 // changes between two pulls must fit.
 constexpr uint64_t kMinResponseBytes = 64 << 10, kResponseBytesPerNode = 2 << 10;
 constexpr int kFirstResponseMultiple = 3;  // of the usual response time, until the others are queried too
+constexpr size_t kMinHeldBytes = 200;      // smaller values cost less than saying that they are held
 constexpr int kOwnStatusesPerBound = 4;    // minimum, even if nothing urgent has changed
 
 /// The part of a status whose changes are sent at once, as a text to compare; the rest (counters, clocks,
@@ -169,12 +170,26 @@
     pull.responses.push_back(reply);
   }
 
+  /// Lists in the request the larger values that this pull has received already.
+  static void set_held_registers(Pull& pull) {
+    auto& request = *pull.request.mutable_pull();
+    request.clear_held();
+    for (const auto& response : pull.responses)
+      for (const auto& state : response.registers()) {
+        if (state.value().data().size() < kMinHeldBytes) continue;
+        auto* held = request.add_held();
+        held->set_name(state.name());
+        *held->mutable_accepted() = state.accepted();
+      }
+  }
+
   /// Queries the replicas at the given indices and processes their responses; false when none responded.
   bool query(Pull& pull, const std::vector<size_t>& indices, Duration limit) {
     std::vector<consensus::Replica> targets;
     targets.reserve(indices.size());
     for (auto index : indices) targets.push_back(pull.replicas[index]);
     *pull.request.mutable_pull()->mutable_known_versions() = statuses.known_versions();
+    set_held_registers(pull);
     auto make_request = [&](size_t target) {
       pb::PeerRequest request = pull.request;
       responses.set_position(targets[target].name, *request.mutable_pull());
@@ -359,7 +374,8 @@
     if (pull.has_own_status()) statuses.merge(pull.own_status(), now);
     statuses.record_requester_versions(pull.known_versions(), now);
     if (local_acceptor)
-      local_acceptor->append_changes({pull.boot_id(), pull.position()}, pull.max_bytes(), response);
+      local_acceptor->append_changes({pull.boot_id(), pull.position()}, pull.held(), pull.max_bytes(),
+                                     response);
     else
       response.set_non_voting(true);
     add_statuses(pull, now, response);
--- a/test/unit/consensus/acceptor_test.cpp
+++ b/test/unit/consensus/acceptor_test.cpp
@@ -104,7 +104,7 @@
     expect(fixture.acceptor.handle(snapshot_request).has_snapshot() == false,
            "a non-voting replica returned a snapshot");
     pb::PullResponse pull;
-    fixture.acceptor.append_changes({}, 0, pull);
+    fixture.acceptor.append_changes({}, {}, 0, pull);
     expect(pull.non_voting() && !pull.registers_size(), "a non-voting replica reported changes");
     fixture.clock.sleep(Duration(3000));
     expect(fixture.acceptor.non_voting(), "the replica votes again although its disk still fails");
@@ -140,7 +140,7 @@
     int responses = 0;
     for (bool more = true; more; ++responses) {
       pb::PullResponse response;
-      fixture.acceptor.append_changes(seen, kMaxBytes, response);
+      fixture.acceptor.append_changes(seen, {}, kMaxBytes, response);
       expect(response.ByteSizeLong() < kMaxBytes + 200, "a response exceeds the requested size");
       expect(response.position() > seen.position, "a response reports nothing new");
       seen = {response.boot_id(), response.position()};
@@ -152,7 +152,7 @@
     same(reported.size(), size_t(kRegisters), "registers reported");
     same(reported["r0"], uint64_t(2), "version of the register that changed in between");
     pb::PullResponse complete;
-    fixture.acceptor.append_changes({0, seen.position}, 0, complete);
+    fixture.acceptor.append_changes({0, seen.position}, {}, 0, complete);
     expect(complete.registers_size() == kRegisters && !complete.more(),
            "a response without a limit is incomplete");
   });
