A silent replica holds up no pull, and a forwarded write tries two silent replicas at most

A replica that was silent at the last request now gets three times the usual response time in a pull, no longer than before; a write goes on after one silent replica with half of its time, after two not at all, and the operator sends it again.

--- a/src/consensus/quorum_call.cpp
+++ b/src/consensus/quorum_call.cpp
@@ -31,15 +31,16 @@
 }  // namespace
 
 PeerResponses call_replicas(base::Ports& ports, const std::vector<Replica>& replicas,
-                            const RequestFactory& make_request, Duration timeout, const StopCondition& enough,
-                            const LocalMember& local) {
+                            const RequestFactory& make_request, const CallTimeouts& timeouts,
+                            const StopCondition& enough, const LocalMember& local) {
   auto call = std::make_shared<Call>();
   call->responses.resize(replicas.size());
   call->pending = replicas.size();
   call->condition = ports.tasks.condition();
-  const auto end = ports.clock.now() + timeout;
+  const auto end = ports.clock.now() + timeouts.call;
   for (size_t i = 0; i < replicas.size(); ++i) {
     auto request = make_request(i);
+    const Duration timeout = timeouts.request ? timeouts.request(i) : timeouts.call;
     if (local.handle && replicas[i].name == local.node_name)
       send(ports, call, i, [handle = local.handle, request = std::move(request)] { return handle(request); });
     else
--- a/src/consensus/quorum_call.hpp
+++ b/src/consensus/quorum_call.hpp
@@ -30,12 +30,25 @@
 /// Makes the request for the replica at an index.
 using RequestFactory = std::function<pb::PeerRequest(size_t index)>;
 
+/// Returns the timeout of the request to the replica at an index.
+using RequestTimeout = std::function<Duration(size_t index)>;
+
+/// Limits of a call to several replicas.
+struct CallTimeouts {
+  /// Implicit: one timeout may apply to the call as a whole and to each request.
+  template <class Count, class Period>
+  CallTimeouts(std::chrono::duration<Count, Period> whole_call, RequestTimeout of_request = {})
+      : call(whole_call), request(std::move(of_request)) {}
+
+  Duration call;
+  RequestTimeout request;  ///< null: as `call`
+};
+
 /// Sends a request to each replica and waits until `enough` returns true, all requests have completed or
 /// failed, or the timeout is over.
-/// @param timeout  of each request and of the call as a whole
 /// @return the responses received by then
 PeerResponses call_replicas(base::Ports& ports, const std::vector<Replica>& replicas,
-                            const RequestFactory& make_request, Duration timeout, const StopCondition& enough,
-                            const LocalMember& local = {});
+                            const RequestFactory& make_request, const CallTimeouts& timeouts,
+                            const StopCondition& enough, const LocalMember& local = {});
 
 }  // namespace dunlinwing::consensus
--- a/src/control_api/write_forwarder.cpp
+++ b/src/control_api/write_forwarder.cpp
@@ -7,11 +7,13 @@
 namespace dunlinwing::control_api {
 namespace {
 constexpr base::Log logger("orders");
-constexpr Duration kShortestCall{200};  // to a candidate, so that a slow link is no failure
+constexpr int kMaxSilentCalls = 2;  // a third candidate would get too little time
 constexpr int kUnavailable = 503;
 
-/// The part of the time left that a call may take, so that another candidate can be tried after it.
-Duration call_limit(Duration left) { return std::max(left / 2, std::min(left, kShortestCall)); }
+/// The part of the time left that a call may take.
+Duration call_limit(Duration left, int silent_calls) {
+  return silent_calls + 1 < kMaxSilentCalls ? left / 2 : left;
+}
 
 pb::PeerRequest message_of(const ApiRequest& request, Duration limit) {
   pb::PeerRequest message;
@@ -57,25 +59,26 @@
 }
 
 base::Response WriteForwarder::forward(const ApiRequest& request, ForwardTrace& trace) {
+  int silent_calls = 0;
   for (const auto& replica : candidates(request)) {
-    if (ports_.clock.now() >= request.deadline) break;
+    if (silent_calls == kMaxSilentCalls || ports_.clock.now() >= request.deadline) break;
     trace.coordinator = replica.name;
     if (replica.name == node_.config().name) {
       if (!node_.state_cache().has_read_lease()) continue;
       return execute_(request);
     }
     ++trace.calls;
-    auto result = call(replica, request);
+    auto result = call(replica, request, call_limit(request.deadline - ports_.clock.now(), silent_calls));
     if (result.unsupported) return execute_(request);
     if (result.response) return *result.response;
+    silent_calls += result.silent;
   }
   trace.coordinator.clear();
   return validate_(request);
 }
 
-WriteForwarder::CallResult WriteForwarder::call(const consensus::Replica& replica,
-                                                const ApiRequest& request) {
-  const Duration limit = call_limit(request.deadline - ports_.clock.now());
+WriteForwarder::CallResult WriteForwarder::call(const consensus::Replica& replica, const ApiRequest& request,
+                                                Duration limit) {
   const auto result = ports_.peers.call(replica.address, message_of(request, limit), limit);
   const auto* message = as<pb::PeerResponse>(result);
   if (message && !message->has_write()) return {{}, true};
@@ -83,7 +86,8 @@
     logger.info("{}: {} did not coordinate {} {}.", node_.config().name, replica.name, request.http.method,
                 request.http.target);
     selector_.record_failure(replica.name, ports_.clock.now());
-    return {};
+    const auto* error = as<base::PeerError>(result);
+    return {{}, false, error && *error != base::PeerError::unreachable};
   }
   const auto& write = message->write();
   if (write.status() == kUnavailable)
--- a/src/control_api/write_forwarder.hpp
+++ b/src/control_api/write_forwarder.hpp
@@ -38,9 +38,10 @@
   struct CallResult {
     std::optional<base::Response> response;  ///< empty: try the next candidate
     bool unsupported = false;  ///< it runs a version of the program that knows no forwarded writes
+    bool silent = false;       ///< it may have received the write, and did not respond in time
   };
 
-  CallResult call(const consensus::Replica& replica, const ApiRequest& request);
+  CallResult call(const consensus::Replica& replica, const ApiRequest& request, Duration limit);
   std::vector<consensus::Replica> candidates(const ApiRequest& request) const;
 
   base::Ports& ports_;
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -197,9 +197,13 @@
     };
     consensus::LocalReplica local;
     if (local_acceptor) local = [this](const pb::PeerRequest& request) { return answer(request); };
+    // A replica that was silent last time does not hold up the pull.
+    auto timeout_of = [&](size_t target) {
+      return misses[targets[target].name] > 0 ? std::min(limit, prompt_response_limit()) : limit;
+    };
     auto requested_at = ports.clock.now();
-    auto replies = consensus::call_replicas(ports, targets, make_request, limit, [](auto&) { return false; },
-                                            {config.node_name, local});
+    auto replies = consensus::call_replicas(ports, targets, make_request, {limit, timeout_of},
+                                            [](auto&) { return false; }, {config.node_name, local});
     bool any = false;
     for (size_t i = 0; i < replies.size(); ++i) {
       bool responded = replies[i] && replies[i]->has_pull();
@@ -217,13 +221,17 @@
   /// Whether a pull queries only as many replicas as it needs, as long as those respond.
   bool queries_few() const { return !local_acceptor && statuses.size() >= kLargeFleet; }
 
-  /// Queries one replica alone, with a limit derived from recent response times: if queried too soon, the
-  /// others would all send the same data.
+  /// The time within which a replica without trouble responds, derived from recent response times.
+  Duration prompt_response_limit() const {
+    return std::clamp(usual_response * kFirstResponseMultiple, config.pull_period() / 4,
+                      config.pull_period());
+  }
+
+  /// Queries one replica alone, within its usual time: if queried too soon, the others would all send the
+  /// same data.
   bool query_first(Pull& pull) {
     const TimePoint began = ports.clock.now();
-    const Duration limit =
-        std::clamp(usual_response * kFirstResponseMultiple, config.pull_period() / 4, config.pull_period());
-    const bool responded = query(pull, {first_queried}, limit);
+    const bool responded = query(pull, {first_queried}, prompt_response_limit());
     usual_response = (usual_response * 3 + (ports.clock.now() - began)) / 4;
     return responded;
   }
--- a/test/scenarios/link_scenarios.cpp
+++ b/test/scenarios/link_scenarios.cpp
@@ -1,6 +1,7 @@
 #include <array>
 #include <set>
 
+#include "membership/coordinator_selector.hpp"
 #include "scenarios/scenario.hpp"
 
 namespace dunlinwing::test {
@@ -281,6 +282,91 @@
   };
 }
 
+/// The replica that all nodes send purges to, as a node with an up-to-date view sees it.
+std::string purge_coordinator(Scene& scene) {
+  for (auto& host : scene.fleet.hosts()) {
+    if (!host->up() || !host->node->state_cache().has_read_lease()) continue;
+    const TimePoint now = scene.world.now();
+    auto& node = *host->node;
+    const membership::CoordinatorSelector selector(node.config().bound);
+    return selector
+        .candidates(node.registers().replica_set().current(), node.state_cache().statuses().members(now),
+                    "purges", now)
+        .front()
+        .name;
+  }
+  return {};
+}
+
+/// Partitions a replica from the other replicas only, in the given directions.
+void partition_from_replicas(Scene& scene, const std::string& name, bool from_it, bool to_it) {
+  for (auto& host : scene.fleet.hosts()) {
+    if (host->name == name || !host->has_disk) continue;
+    if (from_it) scene.world.partition(name, host->name);
+    if (to_it) scene.world.partition(host->name, name);
+  }
+}
+
+/// While purges and configurations come at all nodes, the coordinator of purges is in turn killed, frozen,
+/// cut off from everyone, cut off from the other replicas, unable to send to or to hear these, given a slow
+/// disk, and restarted after it has missed changes.
+void coordinator_fails(Scene& scene) {
+  scene.duration = Duration(120000);
+  scene.required_faults = {"kill", "freeze", "cut", "slow_disk"};
+  scene.script = [&scene] {
+    constexpr Duration kFault(4000);
+    constexpr Duration kRest(5000);  // until the replica has caught up and coordinates again
+    constexpr Duration kPurgePeriod(40);
+    constexpr Duration kSlowSync(200);
+    const auto changes = std::make_shared<Changes>();
+    if (!start(scene, changes)) return;
+    const auto observed = std::make_shared<Observed>();
+    struct Fault {
+      std::function<void(const std::string&)> begin;
+      std::function<void(const std::string&)> end;
+    };
+    auto& fleet = scene.fleet;
+    auto& world = scene.world;
+    const auto heal = [&world](const std::string&) { world.heal_all(); };
+    const auto nothing = [](const std::string&) {};
+    const std::vector<Fault> faults{
+        {[&](const std::string& name) { fleet.kill(name); },
+         [&](const std::string& name) { fleet.start(name); }},
+        {[&](const std::string& name) { world.freeze(name, world.now() + kFault); }, nothing},
+        {[&](const std::string& name) { fleet.isolate(name); }, heal},
+        {[&](const std::string& name) { partition_from_replicas(scene, name, true, true); }, heal},
+        {[&](const std::string& name) { partition_from_replicas(scene, name, true, false); }, heal},
+        {[&](const std::string& name) { partition_from_replicas(scene, name, false, true); }, heal},
+        {[&](const std::string& name) {
+           fleet.at(name).disk_contents.min_latency = kSlowSync;
+           fleet.at(name).disk_contents.max_latency = kSlowSync;
+         },
+         [&](const std::string& name) {
+           fleet.at(name).disk_contents.min_latency = Duration(0);
+           fleet.at(name).disk_contents.max_latency = Duration(0);
+         }}};
+    const Duration all = (kFault + kRest) * static_cast<int>(faults.size());
+    send_orders(scene, observed, changes, all);
+    fleet.spawn_outside(
+        [&scene, observed, changes, all] { send_purges(scene, observed, changes, kPurgePeriod, all); });
+    for (const auto& fault : faults) {
+      const auto name = purge_coordinator(scene);
+      fault.begin(name);
+      fleet.sleep(kFault);
+      fault.end(name);
+      fleet.sleep(kRest);
+    }
+    fleet.sleep(kEnd);
+    scene.figures["slowest_order_ms"] = static_cast<uint64_t>(observed->slowest_order.count());
+    scene.figures["orders"] = observed->orders;
+    scene.figures["refused_calls"] = observed->refused_calls;
+    scene.figures["silent_calls"] = observed->silent_calls;
+    scene.require(observed->slowest_order <= kAckTimeout,
+                  fmt::format("{} was acknowledged after {} ms", observed->slowest_order_text,
+                              observed->slowest_order.count()));
+  };
+}
+
 void slow_links(simulation::FleetShape& shape) {
   constexpr int kEdgeNodes = 24;
   constexpr int kShields = 3;
@@ -291,12 +377,17 @@
   shape.replica_mbps = kReplicaMbps;
   shape.shield_mbps = kShieldMbps;
 }
+void many_nodes(simulation::FleetShape& shape) {
+  constexpr int kEdgeNodes = 24;
+  shape.edge_nodes = kEdgeNodes;
+}
 }  // namespace
 
 NamedCases link_scenarios() {
   return {{"full_links_delay_no_order", {full_links, 0, slow_links}},
           {"full_links_fetching_nodes_fail", {fetching_nodes_fail, 0, slow_links}},
-          {"purges_at_many_nodes_do_not_starve_each_other", {purges_at_many_nodes, 0, slow_links}}};
+          {"purges_at_many_nodes_do_not_starve_each_other", {purges_at_many_nodes, 0, slow_links}},
+          {"failing_coordinator_delays_no_order", {coordinator_fails, 0, many_nodes}}};
 }
 
 }  // namespace dunlinwing::test
