Tests: updates, coordinator order, values left out, and disks lost while all others are dark

Unit cases for consensus/register_updater, membership/coordinator_selector and the values that pulls leave out; the reader's patience both ways (an active writer keeps its ballot, an abandoned write is completed). The spread case found that the order of replicas hardly depended on the resource (FNV-1a without a finalizer): mixed now.

--- a/src/membership/coordinator_selector.cpp
+++ b/src/membership/coordinator_selector.cpp
@@ -4,13 +4,23 @@
 
 namespace dunlinwing::membership {
 namespace {
-/// 64-bit FNV-1a, which is the same in every program and on every machine.
+/// Spreads the differences of similar values over all bits (the finalizer of MurmurHash3).
+uint64_t mix(uint64_t value) {
+  constexpr uint64_t kFirstFactor = 0xff51afd7ed558ccd;
+  constexpr uint64_t kSecondFactor = 0xc4ceb9fe1a85ec53;
+  constexpr int kShift = 33;
+  value = (value ^ (value >> kShift)) * kFirstFactor;
+  value = (value ^ (value >> kShift)) * kSecondFactor;
+  return value ^ (value >> kShift);
+}
+
+/// 64-bit FNV-1a, mixed; the same in every program and on every machine.
 uint64_t hash(const std::string& text) {
   constexpr uint64_t kOffsetBasis = 0xcbf29ce484222325;
   constexpr uint64_t kPrime = 0x100000001b3;
   uint64_t value = kOffsetBasis;
   for (const char character : text) value = (value ^ static_cast<unsigned char>(character)) * kPrime;
-  return value;
+  return mix(value);
 }
 
 struct Candidate {
--- a/test/platform/machine_kinds.cpp
+++ b/test/platform/machine_kinds.cpp
@@ -140,7 +140,12 @@
 }
 
 // Injects a fleet-wide fault right after one more change was acknowledged.
-void closing(PlatformScenario& scenario, int how) {
+/// What happens right after the last acknowledgement of a day. `wipe_one`: a machine that counts loses its
+/// disk, and others may lose power; `wipe_one_all_dark`: all others lose power at the same moment.
+enum class ClosingFault { kill_all, power_off_all, wipe_one, wipe_one_all_dark };
+
+void closing(PlatformScenario& scenario, ClosingFault fault) {
+  const bool wipes = fault == ClosingFault::wipe_one || fault == ClosingFault::wipe_one_all_dark;
   for (int i = 0; i < 4; ++i) scenario.platform_stub.add("huvo", "v2");
   scenario.fleet.sleep(Duration(2000));
   scenario.require(scenario.operator_stub.roll_out_version("huvo", "v2", Duration(12000), false),
@@ -154,9 +159,10 @@
   scenario.fleet.sleep(Duration(scenario.below(4)));
   std::string one = fmt::format("h{}", 1 + scenario.below(3));
   for (auto& host : scenario.fleet.hosts())
-    if (how != 2 || host->name == one || scenario.below(2)) scenario.fleet.kill(host->name);
-  if (how == 2) scenario.fleet.wipe(one);
-  scenario.fleet.sleep(Duration(how == 0 ? 500 : 3000));
+    if (fault != ClosingFault::wipe_one || host->name == one || scenario.below(2))
+      scenario.fleet.kill(host->name);
+  if (wipes) scenario.fleet.wipe(one);
+  scenario.fleet.sleep(Duration(fault == ClosingFault::kill_all ? 500 : 3000));
   scenario.fleet.start_all();
   scenario.journal.restarted_at = scenario.world.now();
   scenario.fleet.sleep(Duration(15000));
@@ -173,20 +179,23 @@
 }  // namespace
 
 std::map<std::string, FaultKind> machine_kinds() {
-  return {{"node_kill", {node_kill}},
-          {"herd_kill", {herd_kill}},
-          {"after_ack_kill", {[](PlatformScenario& scenario) { after_ack(scenario, false); }}},
-          {"after_ack_wipe", {[](PlatformScenario& scenario) { after_ack(scenario, true); }}},
-          {"core_cut", {core_cut}},
-          {"node_cut", {node_cut}},
-          {"node_freeze", {node_freeze}},
-          {"clock_step", {clock_step}},
-          {"order_at_start", {order_at_start}},
-          {"roll_term", {roll_term}},
-          {"seed_change", {seed_change}},
-          {"kill_all", {[](PlatformScenario& scenario) { closing(scenario, 0); }}},
-          {"power_off_all", {[](PlatformScenario& scenario) { closing(scenario, 1); }}},
-          {"wipe_after_ack", {[](PlatformScenario& scenario) { closing(scenario, 2); }}}};
+  return {
+      {"node_kill", {node_kill}},
+      {"herd_kill", {herd_kill}},
+      {"after_ack_kill", {[](PlatformScenario& scenario) { after_ack(scenario, false); }}},
+      {"after_ack_wipe", {[](PlatformScenario& scenario) { after_ack(scenario, true); }}},
+      {"core_cut", {core_cut}},
+      {"node_cut", {node_cut}},
+      {"node_freeze", {node_freeze}},
+      {"clock_step", {clock_step}},
+      {"order_at_start", {order_at_start}},
+      {"roll_term", {roll_term}},
+      {"seed_change", {seed_change}},
+      {"kill_all", {[](PlatformScenario& scenario) { closing(scenario, ClosingFault::kill_all); }}},
+      {"power_off_all", {[](PlatformScenario& scenario) { closing(scenario, ClosingFault::power_off_all); }}},
+      {"wipe_after_ack", {[](PlatformScenario& scenario) { closing(scenario, ClosingFault::wipe_one); }}},
+      {"wipe_and_all_dark",
+       {[](PlatformScenario& scenario) { closing(scenario, ClosingFault::wipe_one_all_dark); }}}};
 }
 
 }  // namespace dunlinwing::test
--- a/test/scenarios/proxy_scenarios.cpp
+++ b/test/scenarios/proxy_scenarios.cpp
@@ -330,6 +330,41 @@
     scene.fleet.sleep(Duration(20000));
   };
 }
+// Right after an acknowledgement two of five replicas lose their disks, and all other hosts lose power at the
+// same moment, those without a disk too.
+void wiped_disks_and_all_dark(Scene& scene) {
+  scene.duration = Duration(90000);
+  scene.required_faults = {"kill", "lost_disk"};
+  scene.script = [&scene] {
+    if (!start_traffic(scene, 40)) return;
+    std::map<std::string, std::string> acked;
+    for (int i = 0; i < 3; ++i) {
+      scene.fleet.sleep(Duration(scene.world.below(1000)));
+      const auto name = fmt::format("last{}", i);
+      const auto document = simulated_configuration("\"1\"", 4 + i);
+      record_configuration(scene, name, document);
+      acked[name] = document;
+      scene.require(purge(scene, name, "prefix", "/c/"), "a purge was not acknowledged");
+      scene.fleet.sleep(Duration(scene.world.below(4)));
+      std::vector<std::string> replicas;
+      for (auto& host : scene.fleet.hosts()) {
+        if (host->has_disk) replicas.push_back(host->name);
+        scene.fleet.kill(host->name);
+      }
+      const size_t first = scene.world.below(replicas.size());
+      scene.fleet.wipe(replicas[first]);
+      scene.fleet.wipe(replicas[(first + 1 + scene.world.below(replicas.size() - 1)) % replicas.size()]);
+      scene.fleet.sleep(Duration(500 + scene.world.below(3000)));
+      scene.fleet.start_all();
+      scene.fleet.event(R"("t":"returned")");
+      scene.require(await_all_ready(scene, Duration(15000)),
+                    "not all nodes were ready 15 s after the hosts were restarted");
+      scene.fleet.sleep(Duration(2000));
+      for (auto& host : scene.fleet.hosts()) expect_releases(scene, *host, acked);
+    }
+    scene.fleet.sleep(Duration(5000));
+  };
+}
 }  // namespace
 
 NamedCases proxy_scenarios() {
@@ -338,7 +373,7 @@
           {"slow_workers", slow_workers},   {"told_load", told_load},
           {"purge_storm", purge_storm},     {"crowd", crowd},
           {"slow_disks", slow_disks},       {"clock_jumps", clock_jumps},
-          {"end_of_day", end_of_day}};
+          {"end_of_day", end_of_day},       {"wiped_disks_and_all_dark", wiped_disks_and_all_dark}};
 }
 
 }  // namespace dunlinwing::test
--- a/test/unit/consensus/consensus_harness.cpp
+++ b/test/unit/consensus/consensus_harness.cpp
@@ -112,6 +112,7 @@
   consensus::ReplicaSetView set;
   std::unique_ptr<consensus::Acceptor> acceptor;
   std::unique_ptr<consensus::RegisterClient> client;
+  std::unique_ptr<consensus::RegisterUpdater> updater;
   std::unique_ptr<membership::StateCache> cache;
 
   HarnessProcess(ConsensusHarness& harness, const std::string& name, simulation::DiskContents& contents,
@@ -129,6 +130,7 @@
     consensus::LocalReplica local;
     if (replica) local = [this](const pb::PeerRequest& request) { return acceptor->handle(request); };
     client = std::make_unique<consensus::RegisterClient>(ports, name, set, kRoundLimit, local);
+    updater = std::make_unique<consensus::RegisterUpdater>(ports, *client);
     membership::StateCacheConfig config{name, kStalenessBound};
     cache = std::make_unique<membership::StateCache>(
         ports, config, *client, acceptor.get(), [](pb::NodeStatus&) {}, [] {});
@@ -204,6 +206,9 @@
 consensus::RegisterClient& ConsensusHarness::client(const std::string& name) {
   return *nodes_.at(name).process->client;
 }
+consensus::RegisterUpdater& ConsensusHarness::updater(const std::string& name) {
+  return *nodes_.at(name).process->updater;
+}
 consensus::Acceptor& ConsensusHarness::acceptor(const std::string& name) {
   return *nodes_.at(name).process->acceptor;
 }
--- a/test/unit/consensus/consensus_harness.hpp
+++ b/test/unit/consensus/consensus_harness.hpp
@@ -7,6 +7,7 @@
 #pragma once
 #include <optional>
 
+#include "consensus/register_updater.hpp"
 #include "membership/state_cache.hpp"
 #include "simulation/ports.hpp"
 #include "support/expect.hpp"
@@ -73,6 +74,7 @@
   void add_client(const std::string& name);
 
   consensus::RegisterClient& client(const std::string& name);
+  consensus::RegisterUpdater& updater(const std::string& name);
   consensus::Acceptor& acceptor(const std::string& name);
   membership::StateCache& cache(const std::string& name);
   consensus::ReplicaSetView& replica_set(const std::string& name);
--- a/test/unit/main.cpp
+++ b/test/unit/main.cpp
@@ -20,6 +20,9 @@
                      &leadership_fence_cases,
                      &control_state_cases,
                      &contact_cases,
+                     &register_updater_cases,
+                     &coordinator_selector_cases,
+                     &replica_responses_cases,
                      &version_rollout_cases,
 
                      &attempt_decision_cases,
