--- a/test/fleet/soak_main.cpp
+++ b/test/fleet/soak_main.cpp
@@ -38,6 +38,7 @@
     repeat(1500ms, [this] { kill_and_start(); });
     repeat(700ms, [this] { reload(); });
     repeat(1200ms, [this] { change_in_series(); });
+    repeat(1500ms, [this] { purge_together(); });
     while (running_ > 0) clock_.sleep(20ms);
   }
 
@@ -98,6 +99,17 @@
     }
   }
 
+  /// Sends up to 24 purges at once, each to a relay of its own choice.
+  void purge_together() {
+    for (auto left = random_() % 24; left > 0; --left) {
+      ++running_;
+      pool_.spawn([this, number = ++purges_] {
+        if (!traffic_.purge_object(number)) traffic_.report("a purge was not acknowledged in time");
+        --running_;
+      });
+    }
+  }
+
   net::EventLoopPool& pool_;
   SoakFleet& fleet_;
   SoakTraffic& traffic_;
@@ -106,6 +118,7 @@
   TimePoint end_{0};
   TimePoint disk_rests_until_{0};  // a replica needs time to catch up before the next one is stopped
   int running_ = 0;
+  uint64_t purges_ = 0;  // begun so far
 };
 
 // Whether all relays are ready.
@@ -146,11 +159,12 @@
                    "seed {}: {} requests on {} connections, {} answered ({} kept ones by {} fetches), {} "
                    "refused, {} other, {} cut by kills, "
                    "{} cut unread ({} of them late), {} left early ({} of {} runs went on), {} changes, {} "
+                   "purges, {} "
                    "broken\n",
                    FLAGS_seed, figures.requests, figures.connections, figures.answered, figures.cacheable,
                    figures.fetches, figures.refused, figures.other, figures.cut_by_kill, figures.cut_unread,
                    figures.late_cuts, figures.left, figures.left_runs_continued, figures.left_runs,
-                   figures.changes, figures.violations.size())
+                   figures.changes, figures.purges, figures.violations.size())
             << std::flush;
   return figures.violations.empty() && figures.answered > figures.requests / 3 ? 0 : 1;
 }
--- a/test/fleet/soak_traffic.cpp
+++ b/test/fleet/soak_traffic.cpp
@@ -353,29 +353,42 @@
 
 // ---- Configurations ----
 
-bool SoakTraffic::change_configuration() {
-  const uint64_t number = ++next_number_;
-  std::mt19937_64 random(seed_ * 7 + number);
-  const base::Request change{"", "PUT", fmt::format("/v1/layouts/{}", number), configuration(number), {}};
+bool SoakTraffic::send_until_acknowledged(const base::Request& order, std::mt19937_64& random) {
   for (const auto end = clock_.now() + kOperatorTries; clock_.now() < end;) {
     const auto* relay = choose_relay(random);
     if (!relay) {
       clock_.sleep(20ms);
       continue;
     }
-    const auto reply = http_.send(relay->control_address, change, 1500ms);
+    const auto reply = http_.send(relay->control_address, order, 1500ms);
     const auto* response = std::get_if<base::Response>(&reply);
-    if (response && response->status == 200) {
-      highest_acknowledged_ = std::max(highest_acknowledged_, number);
-      acknowledged_[clock_.now()] = highest_acknowledged_;
-      ++figures_.changes;
-      return true;
-    }
+    if (response && response->status == 200) return true;
     clock_.sleep(50ms);
   }
   return false;
 }
 
+bool SoakTraffic::change_configuration() {
+  const uint64_t number = ++next_number_;
+  std::mt19937_64 random(seed_ * 7 + number);
+  const base::Request change{"", "PUT", fmt::format("/v1/layouts/{}", number), configuration(number), {}};
+  if (!send_until_acknowledged(change, random)) return false;
+  highest_acknowledged_ = std::max(highest_acknowledged_, number);
+  acknowledged_[clock_.now()] = highest_acknowledged_;
+  ++figures_.changes;
+  return true;
+}
+
+bool SoakTraffic::purge_object(uint64_t number) {
+  std::mt19937_64 random(seed_ * 11 + number);
+  const auto path = fmt::format("/kept/{}", number % kCacheableObjects);
+  const base::Request purge{
+      "", "POST", "/v1/purges", fmt::format(R"({{"service":"kept","kind":"path","path":"{}"}})", path), {}};
+  if (!send_until_acknowledged(purge, random)) return false;
+  ++figures_.purges;
+  return true;
+}
+
 void SoakTraffic::read_back() {
   for (auto& relay : fleet_.relays()) {
     const base::Request read{"", "GET", "/v1/layouts/current", "", {}};
--- a/test/fleet/soak_traffic.hpp
+++ b/test/fleet/soak_traffic.hpp
@@ -41,6 +41,7 @@
   uint64_t left_runs = 0;               ///< of `left`: idempotent requests that were executed
   uint64_t left_runs_continued = 0;     ///< of `left_runs`: still executing 500 ms after the client left
   uint64_t changes = 0;                 ///< acknowledged configuration changes
+  uint64_t purges = 0;                  ///< acknowledged purges
   std::vector<std::string> violations;  ///< descriptions of the violations
 };
 
@@ -61,6 +62,11 @@
   /// @return whether it was acknowledged within kOperatorTries
   bool change_configuration();
 
+  /// Sends the purge of an object to random relays until one acknowledges it.
+  /// @param number  of the purge, from which the object and the relays are drawn
+  /// @return whether it was acknowledged within kOperatorTries
+  bool purge_object(uint64_t number);
+
   /// Reads the configuration back from every relay and verifies that it is the newest one.
   void read_back();
 
@@ -90,6 +96,7 @@
   static std::string request_bytes(const Sent& sent);
   void verify_abandoned();
   SoakRelay* choose_relay(std::mt19937_64& random);
+  bool send_until_acknowledged(const base::Request& order, std::mt19937_64& random);
   bool exchange(net::Connection& connection, const Sent& sent);
   void verify_response(const Sent& sent, int status, uint64_t generation);
   void verify_cacheable(const Sent& sent, const std::string& body);
--- /dev/null
+++ b/test/scenarios/coordinator_scenarios.cpp
@@ -0,0 +1,132 @@
+/// @file
+/// Orders that many nodes take at once: they do not starve each other, and a failing coordinator delays none.
+#include <array>
+
+#include "membership/coordinator_selector.hpp"
+#include "scenarios/order_load.hpp"
+
+namespace dunlinwing::test {
+namespace {
+/// Under full links, purges come faster and faster at all nodes, and configurations with them.
+void purges_at_many_nodes(Scene& scene) {
+  scene.duration = Duration(60000);
+  scene.script = [&scene] {
+    constexpr Duration kStep(5000);
+    constexpr Duration kConfigurationPeriod(250);
+    constexpr std::array kPeriods{Duration(100), Duration(40), Duration(20)};
+    const auto changes = std::make_shared<Changes>();
+    if (!start_load(scene, changes)) return;
+    const auto observed = std::make_shared<Observed>();
+    request_objects(scene, observed, kStep * kPeriods.size());
+    send_orders(scene, observed, changes, kStep * kPeriods.size());
+    send_numbered_configurations(scene, observed, kConfigurationPeriod, kStep * kPeriods.size());
+    for (const Duration period : kPeriods) {
+      const uint64_t before = observed->orders;
+      send_purges(scene, observed, changes, period, kStep);
+      const uint64_t acknowledged = observed->orders - before;
+      const auto due = static_cast<uint64_t>((kStep - kCallTimeout) / period);  // sent early enough
+      scene.figures[fmt::format("acknowledged_each_{}_ms", period.count())] = acknowledged;
+      scene.require(acknowledged >= due, fmt::format("purges {} ms apart: {} of {} were acknowledged in time",
+                                                     period.count(), acknowledged, due));
+    }
+    scene.fleet.sleep(kEnd);
+    expect_orders_in_time(scene, *observed);
+    scene.require(observed->refused_calls == 0 && observed->silent_calls == 0,
+                  fmt::format("{} calls of operators were refused and {} got no response",
+                              observed->refused_calls, observed->silent_calls));
+  };
+}
+
+/// The replica that all nodes send purges to, as a node with an up-to-date view sees it.
+std::string purge_coordinator(Scene& scene) {
+  for (auto& host : scene.fleet.hosts()) {
+    if (!host->up() || !host->node->state_cache().has_read_lease()) continue;
+    const TimePoint now = scene.world.now();
+    auto& node = *host->node;
+    const membership::CoordinatorSelector selector(node.config().bound);
+    return selector
+        .candidates(node.registers().replica_set().current(), node.state_cache().statuses().members(now),
+                    "purges", now)
+        .front()
+        .name;
+  }
+  return {};
+}
+
+/// Partitions a replica from the other replicas only, in the given directions.
+void partition_from_replicas(Scene& scene, const std::string& name, bool from_it, bool to_it) {
+  for (auto& host : scene.fleet.hosts()) {
+    if (host->name == name || !host->has_disk) continue;
+    if (from_it) scene.world.partition(name, host->name);
+    if (to_it) scene.world.partition(host->name, name);
+  }
+}
+
+/// While purges and configurations come at all nodes, the coordinator of purges is in turn killed, frozen,
+/// cut off from everyone, cut off from the other replicas, unable to send to or to hear these, given a slow
+/// disk, and restarted after it has missed changes.
+void coordinator_fails(Scene& scene) {
+  scene.duration = Duration(120000);
+  scene.required_faults = {"kill", "freeze", "cut", "slow_disk"};
+  scene.script = [&scene] {
+    constexpr Duration kFault(4000);
+    constexpr Duration kRest(5000);  // until the replica has caught up and coordinates again
+    constexpr Duration kPurgePeriod(40);
+    constexpr Duration kConfigurationPeriod(500);
+    constexpr Duration kSlowSync(200);
+    const auto changes = std::make_shared<Changes>();
+    if (!start_load(scene, changes)) return;
+    const auto observed = std::make_shared<Observed>();
+    struct Fault {
+      std::function<void(const std::string&)> begin;
+      std::function<void(const std::string&)> end;
+    };
+    auto& fleet = scene.fleet;
+    auto& world = scene.world;
+    const auto heal = [&world](const std::string&) { world.heal_all(); };
+    const auto nothing = [](const std::string&) {};
+    const std::vector<Fault> faults{
+        {[&](const std::string& name) { fleet.kill(name); },
+         [&](const std::string& name) { fleet.start(name); }},
+        {[&](const std::string& name) { world.freeze(name, world.now() + kFault); }, nothing},
+        {[&](const std::string& name) { fleet.isolate(name); }, heal},
+        {[&](const std::string& name) { partition_from_replicas(scene, name, true, true); }, heal},
+        {[&](const std::string& name) { partition_from_replicas(scene, name, true, false); }, heal},
+        {[&](const std::string& name) { partition_from_replicas(scene, name, false, true); }, heal},
+        {[&](const std::string& name) {
+           fleet.at(name).disk_contents.min_latency = kSlowSync;
+           fleet.at(name).disk_contents.max_latency = kSlowSync;
+         },
+         [&](const std::string& name) {
+           fleet.at(name).disk_contents.min_latency = Duration(0);
+           fleet.at(name).disk_contents.max_latency = Duration(0);
+         }}};
+    const Duration all = (kFault + kRest) * static_cast<int>(faults.size());
+    send_orders(scene, observed, changes, all);
+    send_numbered_configurations(scene, observed, kConfigurationPeriod, all);
+    fleet.spawn_outside(
+        [&scene, observed, changes, all] { send_purges(scene, observed, changes, kPurgePeriod, all); });
+    for (const auto& fault : faults) {
+      const auto name = purge_coordinator(scene);
+      fault.begin(name);
+      fleet.sleep(kFault);
+      fault.end(name);
+      fleet.sleep(kRest);
+    }
+    fleet.sleep(kEnd);
+    expect_orders_in_time(scene, *observed);
+  };
+}
+
+void many_nodes(simulation::FleetShape& shape) {
+  constexpr int kEdgeNodes = 24;
+  shape.edge_nodes = kEdgeNodes;
+}
+}  // namespace
+
+NamedCases coordinator_scenarios() {
+  return {{"purges_at_many_nodes_do_not_starve_each_other", {purges_at_many_nodes, 0, slow_links}},
+          {"failing_coordinator_delays_no_order", {coordinator_fails, 0, many_nodes}}};
+}
+
+}  // namespace dunlinwing::test
--- a/test/scenarios/scenario.cpp
+++ b/test/scenarios/scenario.cpp
@@ -174,6 +174,7 @@
     m.merge(mixed_scenarios());
     m.merge(fetch_scenarios());
     m.merge(link_scenarios());
+    m.merge(coordinator_scenarios());
     m.merge(replica_scenarios());
     m.merge(control_api_scenarios());
     return m;
--- a/test/scenarios/scenario.hpp
+++ b/test/scenarios/scenario.hpp
@@ -39,6 +39,7 @@
 NamedCases leadership_fence_scenarios();  // leaders stopped between a read and its write
 NamedCases mixed_scenarios();
 NamedCases fetch_scenarios();        // nodes share fetches of an object
+NamedCases coordinator_scenarios();  // many orders at once, and failures of the node that writes them
 NamedCases link_scenarios();         // relays whose links are full
 NamedCases replica_scenarios();      // the replica set forms, grows and repairs itself
 NamedCases control_api_scenarios();  // operator requests: to partitioned relays, concurrent, repeated
