--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -288,7 +288,7 @@
   // One Paxos round. If the outcome is undecided, the value may still be chosen.
   ProposalResult propose(const std::string& name, const NextValue& next_value, OperationTrace& trace) {
     ++trace.rounds;
-    const auto result = run_round(name, next_value, trace);
+    auto result = run_round(name, next_value, trace);
     if (result.outcome == ProposalOutcome::undecided) ++trace.lost_ballots;
     if (result.outcome == ProposalOutcome::no_quorum) ++trace.rounds_without_quorum;
     return result;
--- a/src/membership/coordinator_selector.cpp
+++ b/src/membership/coordinator_selector.cpp
@@ -45,11 +45,13 @@
                        [&](const Member& member) { return member.name == name && member.age < recent; });
   };
   std::vector<Candidate> ordered;
+  ordered.reserve(replicas.size());
   for (const auto& replica : replicas)
     ordered.push_back({replica, has_recent_status(replica.name) && !is_suspected(replica.name, now),
                        hash(replica.name + "\n" + resource)});
   std::sort(ordered.begin(), ordered.end(), goes_first);
   std::vector<consensus::Replica> result;
+  result.reserve(ordered.size());
   for (auto& candidate : ordered) result.push_back(std::move(candidate.replica));
   return result;
 }
