Simulation tests: each seed runs in a process of its own

Two seeds of the largest cases took 2.4 to 3.2 GB, one takes 1.3 to 1.7 GB, and up to eight cases run at once on 24 GB.

Each seed now runs in a process of its own and reports its figures through a pipe.

--- a/test/scenarios/main.cpp
+++ b/test/scenarios/main.cpp
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include "base/log.hpp"
-#include "scenarios/sim_cases.hpp"
+#include "scenarios/seed_process.hpp"
 
 DEFINE_string(case_name, "", "only the case of this name, or all whose name contains this");
 DEFINE_uint64(seed, 0, "only this seed; 0: the first --seeds of them");
@@ -35,7 +35,11 @@
                       uint64_t to = FLAGS_seed ? FLAGS_seed : static_cast<uint64_t>(FLAGS_seeds);
                       for (uint64_t s = from; s <= to; ++s) {
                         try {
-                          test::run_sim(f, shape, s, sum, FLAGS_journal);
+                          auto run = [&] {
+                            test::run_sim(f, shape, s, sum, FLAGS_journal);
+                            return sum;
+                          };
+                          sum = FLAGS_seed ? run() : test::run_in_process(run);
                         } catch (const std::exception& e) {
                           throw test::Failed(fmt::format("seed {}: {}", s, e.what()));
                         }
