A read receives one copy of a value at most, not one from each replica

Cause: a pull that meets a half-written register reads it, and each read brought the whole value from all replicas: some 50 KB for the purges, on a link of 250 KB/s, so that the next pulls were late and the relay's read lease lapsed. Change: replicas report their ballots; the value comes from the state that the node holds already, from its own replica, or from one replica that accepted it. Votes and reads move out of RegisterClient (VoteCollector, RegisterReader), as does CompareAndSet. Unit tests: one copy for a node without a replica, none for a replica or a node that holds the value, also when the replica asked has missed the write.

--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -142,6 +142,7 @@
     vote->set_granted(true);
     if (auto found = synced.find(request.name()); found != synced.end())
       *vote->mutable_register_state() = found->second;
+    if (request.without_value()) vote->mutable_register_state()->clear_value();
     return response;
   }
 
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -1,18 +1,18 @@
 // Every change is one Paxos round: prepare, read the highest accepted value, then propose either that value
-// again or its successor. A value carries the identifiers of its write and of the writes before it, so that a
-// writer whose round was interrupted can find out whether another proposer completed it.
+// again or its successor.
 #include "consensus/register_client.hpp"
 
 #include <algorithm>
 
 #include "base/log.hpp"
+#include "consensus/compare_and_set.hpp"
+#include "consensus/register_reader.hpp"
 #include "consensus/vote.hpp"
 
 namespace dunlinwing::consensus {
 namespace {
 constexpr base::Log logger("registers");
 constexpr Duration kSlowOperation{100};        // operations that take longer are logged at level info
-constexpr int kEarlierWriteIds = 8;            // write identifiers of earlier writes in a value
 constexpr int kOperationTimeoutRounds = 5;     // time limit of an operation, in round timeouts
 constexpr int kMaxRoundsWithoutQuorum = 3;     // rounds without a voting quorum before an operation gives up
 constexpr int kMaxRewriteRounds = 10;          // rounds for each register to rewrite
@@ -26,35 +26,6 @@
 constexpr int kWriterPatienceDivisor = 4;
 constexpr int kReadPauseDivisor = 32;  // round timeout / this: average pause before reading again
 
-using Response = std::optional<pb::PeerResponse>;
-
-bool is_granted(const Response& response) {
-  return response && response->has_vote() && response->vote().granted();
-}
-
-bool is_voting(const Response& response) {
-  return response && response->has_vote() && !response->vote().non_voting();
-}
-
-bool may_be_granted(const Response& response) { return !response || is_granted(response); }
-
-template <class Predicate>
-MemberFlags flags(const PeerResponses& responses, Predicate predicate) {
-  MemberFlags members(responses.size());
-  for (size_t i = 0; i < responses.size(); ++i) members[i] = predicate(responses[i]);
-  return members;
-}
-
-VersionedValue versioned(const pb::Value& value) { return {value.version(), value.data()}; }
-
-/// The responses of the members to one request.
-struct Votes {
-  PeerResponses responses;
-  /// More than a round timeout has passed since the request: the votes must not be counted, since one this
-  /// old may come from a disk that has been lost since.
-  bool expired = false;
-};
-
 enum class ProposalOutcome {
   no_quorum,  ///< no quorum of voting replicas responded; nothing was proposed
   undecided,  ///< promises were refused, or the value may or may not have been accepted
@@ -71,52 +42,7 @@
 
 pb::Value same_value(const pb::Value& current) { return current; }
 
-/// One compare-and-set, which may take several rounds.
-class CompareAndSet {
- public:
-  CompareAndSet(uint64_t expected_version, const std::string& data, std::string write_id)
-      : expected_version_(expected_version), data_(data), write_id_(std::move(write_id)) {}
-
-  /// Whether the value may already have been sent to replicas.
-  bool proposed() const { return proposed_; }
-
-  pb::Value next_value(const pb::Value& current) {
-    if (contains_this_write(current) || current.version() != expected_version_) return current;
-    proposed_ = true;
-    pb::Value next;
-    next.set_version(expected_version_ + 1);
-    next.set_data(data_);
-    next.set_write_id(write_id_);
-    if (!current.write_id().empty()) next.add_earlier_write_ids(current.write_id());
-    for (const auto& earlier : current.earlier_write_ids()) {
-      if (next.earlier_write_ids_size() >= kEarlierWriteIds) break;
-      next.add_earlier_write_ids(earlier);
-    }
-    return next;
-  }
-
-  /// The result of this write, given the value in force; nothing while that is still the value to replace.
-  std::optional<WriteResult> result_for(const pb::Value& current) const {
-    if (contains_this_write(current)) return VersionedValue{expected_version_ + 1, data_};
-    if (current.version() == expected_version_) return {};
-    // After this many later writes, the identifiers no longer show whether this write was one of them.
-    if (proposed_ && current.version() > expected_version_ + kEarlierWriteIds)
-      return RegisterError::outcome_unknown;
-    return VersionConflict{versioned(current)};
-  }
-
- private:
-  bool contains_this_write(const pb::Value& value) const {
-    const auto& earlier = value.earlier_write_ids();
-    return value.write_id() == write_id_ ||
-           std::find(earlier.begin(), earlier.end(), write_id_) != earlier.end();
-  }
-
-  const uint64_t expected_version_;
-  const std::string& data_;
-  const std::string write_id_;
-  bool proposed_ = false;
-};
+VersionedValue versioned(const pb::Value& value) { return {value.version(), value.data()}; }
 
 }  // namespace
 
@@ -125,7 +51,7 @@
   ReplicaSetView& set;
   const Duration round_timeout;
   const LocalMember local;
-  uint64_t highest_round = 0;  ///< of any ballot used or seen here; the next proposal goes above it
+  VoteCollector collector{ports, set, round_timeout, local};
   TotalsByOperation totals{};
 
   // ---- Traces ----
@@ -156,42 +82,6 @@
       logger.debug("{}: {} of {}: {}.", local.node_name, label(type), name, trace.text());
   }
 
-  // ---- Votes ----
-
-  // The replica set must not change during a round: responses are counted by the quorum of the set that the
-  // request was sent to, and a response with a newer set voids the round.
-  Votes collect_votes(pb::PeerRequest request, const StopCondition& enough) {
-    const auto epoch = set.epoch();
-    request.set_epoch(epoch);
-    const auto began = ports.clock.now();
-    Votes votes;
-    votes.responses = call_replicas(
-        ports, set.all(), [&](size_t) { return request; }, round_timeout, enough, local);
-    for (const auto& response : votes.responses)
-      if (response && response->has_vote()) set.adopt(response->vote().newer_set());
-    if (set.epoch() != epoch) votes.responses.assign(set.all().size(), std::nullopt);
-    votes.expired = ports.clock.now() - began > round_timeout;
-    return votes;
-  }
-
-  bool quorum_granted(const PeerResponses& responses) const {
-    return set.is_quorum(flags(responses, is_granted));
-  }
-
-  // Voting is over when a quorum has granted, or when too many have refused for any quorum to grant.
-  bool is_settled(const PeerResponses& responses) const {
-    return quorum_granted(responses) || !set.is_quorum(flags(responses, may_be_granted));
-  }
-
-  Votes collect_until_settled(const pb::PeerRequest& request) {
-    auto votes =
-        collect_votes(request, [&](const PeerResponses& responses) { return is_settled(responses); });
-    for (const auto& response : votes.responses)
-      if (response && response->has_vote())
-        highest_round = std::max(highest_round, response->vote().register_state().promised().round());
-    return votes;
-  }
-
   // Randomized exponential backoff between competing proposers.
   void back_off(int tries, OperationTrace& trace) {
     const uint64_t first = static_cast<uint64_t>(round_timeout.count()) / kFirstBackOffDivisor;
@@ -206,57 +96,19 @@
 
   // ---- Reads ----
 
-  // The state that a quorum has accepted at the same ballot, unless a response has a higher ballot.
-  const pb::RegisterState* agreed_state(const PeerResponses& responses) const {
-    const pb::RegisterState* best = nullptr;
-    for (const auto& response : responses)
-      if (is_granted(response) &&
-          (!best || is_lower(best->accepted(), response->vote().register_state().accepted())))
-        best = &response->vote().register_state();
-    if (!best) return nullptr;
-    auto has_accepted_best = [&](const Response& response) {
-      if (!is_granted(response)) return false;
-      const auto& state = response->vote().register_state();
-      return !state.refilled() && is_equal(best->accepted(), state.accepted());
-    };
-    return set.is_quorum(flags(responses, has_accepted_best)) ? best : nullptr;
-  }
-
-  /// What a read found that made no proposal.
-  struct ReadAttempt {
-    std::optional<pb::Value> value;  ///< the value in force, if a quorum agrees on it
-    /// A quorum responded, and some replicas have accepted a value that may not be chosen yet.
-    bool half_written = false;
-  };
-
-  ReadAttempt read_without_proposal(const std::string& name, OperationTrace& trace) {
-    ReadAttempt attempt;
-    pb::PeerRequest request;
-    request.mutable_read_register()->set_name(name);
-    const auto votes = timed(trace.time(OperationPhase::read), [&] {
-      return collect_votes(
-          request, [&](const PeerResponses& responses) { return agreed_state(responses) != nullptr; });
-    });
-    if (votes.expired) return attempt;
-    if (const auto* state = agreed_state(votes.responses)) attempt.value = state->value();
-    attempt.half_written = !attempt.value && quorum_granted(votes.responses);
-    return attempt;
-  }
-
   // Reads again while a value is half written, until its writer had time to complete it.
-  std::optional<pb::Value> read_after_writer(const std::string& name, OperationTrace& trace) {
+  std::optional<pb::Value> read_after_writer(RegisterReader& reader, OperationTrace& trace) {
     const TimePoint patience_end = ports.clock.now() + round_timeout / kWriterPatienceDivisor;
     for (;;) {
-      auto attempt = read_without_proposal(name, trace);
+      auto attempt = read_once(reader, trace);
       if (!attempt.half_written || ports.clock.now() >= patience_end) return attempt.value;
       const auto longest = static_cast<uint64_t>(round_timeout.count()) / kReadPauseDivisor * 2;
       pause(Duration(1 + ports.random.below(longest)), trace);
     }
   }
 
-  // The value in force, if the responses of a quorum agree on it without a proposal.
-  std::optional<pb::Value> read_agreed(const std::string& name, OperationTrace& trace) {
-    return read_without_proposal(name, trace).value;
+  ReadAttempt read_once(RegisterReader& reader, OperationTrace& trace) {
+    return timed(trace.time(OperationPhase::read), [&] { return reader.read(set); });
   }
 
   // ---- Proposals ----
@@ -265,7 +117,7 @@
     pb::PeerRequest request;
     request.mutable_prepare()->set_name(name);
     *request.mutable_prepare()->mutable_ballot() = ballot;
-    return collect_until_settled(request);
+    return collector.collect_until_settled(request);
   }
 
   Votes request_accepts(const std::string& name, const pb::Ballot& ballot, const pb::Value& value) {
@@ -273,16 +125,7 @@
     request.mutable_accept()->set_name(name);
     *request.mutable_accept()->mutable_ballot() = ballot;
     *request.mutable_accept()->mutable_value() = value;
-    return collect_until_settled(request);
-  }
-
-  // The value accepted at the highest ballot among the promises.
-  static pb::Value highest_value(const PeerResponses& promises) {
-    pb::RegisterState highest;
-    for (const auto& response : promises)
-      if (is_granted(response) && is_lower(highest.accepted(), response->vote().register_state().accepted()))
-        highest = response->vote().register_state();
-    return highest.value();
+    return collector.collect_until_settled(request);
   }
 
   // One Paxos round. If the outcome is undecided, the value may still be chosen.
@@ -296,32 +139,31 @@
 
   ProposalResult run_round(const std::string& name, const NextValue& next_value, OperationTrace& trace) {
     ProposalResult result;
-    pb::Ballot ballot;
-    ballot.set_round(++highest_round);
-    ballot.set_node(local.node_name);
+    const auto ballot = collector.next_ballot();
     const auto promises =
         timed(trace.time(OperationPhase::prepare), [&] { return request_promises(name, ballot); });
-    if (set.is_quorum(flags(promises.responses, is_voting))) result.outcome = ProposalOutcome::undecided;
+    if (collector.quorum_voting(promises.responses)) result.outcome = ProposalOutcome::undecided;
     const auto epoch = set.epoch();
-    if (promises.expired || !quorum_granted(promises.responses)) return result;
-    result.value = next_value(highest_value(promises.responses));
+    if (promises.expired || !collector.quorum_granted(promises.responses)) return result;
+    result.value = next_value(highest_granted(promises.responses)->value());
     const auto accepts = timed(trace.time(OperationPhase::accept),
                                [&] { return request_accepts(name, ballot, result.value); });
-    if (!accepts.expired && set.epoch() == epoch && quorum_granted(accepts.responses))
+    if (!accepts.expired && set.epoch() == epoch && collector.quorum_granted(accepts.responses))
       result.outcome = ProposalOutcome::chosen;
     return result;
   }
 
   // ---- Operations ----
 
-  ReadResult read(const std::string& name) {
-    return traced(OperationType::read, name, [&](OperationTrace& trace) { return read(name, trace); });
+  ReadResult read(const std::string& name, const pb::RegisterState& known) {
+    return traced(OperationType::read, name, [&](OperationTrace& trace) { return read(name, known, trace); });
   }
 
-  ReadResult read(const std::string& name, OperationTrace& trace) {
+  ReadResult read(const std::string& name, const pb::RegisterState& known, OperationTrace& trace) {
+    RegisterReader reader(collector, name, known);
     const TimePoint end = ports.clock.now() + round_timeout * kOperationTimeoutRounds;
     for (int i = 0, without_quorum = 0; i == 0 || ports.clock.now() < end; ++i) {
-      if (const auto value = read_after_writer(name, trace)) return versioned(*value);
+      if (const auto value = read_after_writer(reader, trace)) return versioned(*value);
       const auto result = propose(name, same_value, trace);
       if (result.outcome == ProposalOutcome::chosen) return versioned(result.value);
       if (result.outcome == ProposalOutcome::no_quorum && ++without_quorum >= kMaxRoundsWithoutQuorum) break;
@@ -337,12 +179,13 @@
 
   WriteResult write(const std::string& name, uint64_t expected_version, const std::string& data,
                     OperationTrace& trace) {
+    RegisterReader reader(collector, name, {});
     CompareAndSet operation(expected_version, data, base::random_token(ports.random));
     const TimePoint end = ports.clock.now() + round_timeout * kOperationTimeoutRounds;
     for (int i = 0, without_quorum = 0; i == 0 || ports.clock.now() < end; ++i) {
       // After an undecided round, read first: another proposer may have completed the write.
       if (i > 0)
-        if (const auto value = read_agreed(name, trace))
+        if (const auto value = read_once(reader, trace).value)
           if (auto written = operation.result_for(*value)) return *written;
       const auto result = propose(
           name, [&](const pb::Value& current) { return operation.next_value(current); }, trace);
@@ -408,7 +251,7 @@
 
   // Replaces the set of `from_epoch` by `next`, with a quorum of the current set.
   ReplicaSetResult write_set(const pb::ReplicaSet& next, uint64_t from_epoch) {
-    const auto read_result = read(kReplicaSetKey);
+    const auto read_result = read(kReplicaSetKey, {});
     const auto* recorded = as<VersionedValue>(read_result);
     if (!recorded) return ReplicaSetError::no_majority;
     pb::ReplicaSet recorded_set;
@@ -439,7 +282,9 @@
 
 ReplicaSetView& RegisterClient::replica_set() { return impl_->set; }
 
-ReadResult RegisterClient::read(const std::string& name) { return impl_->read(name); }
+ReadResult RegisterClient::read(const std::string& name, const pb::RegisterState& known) {
+  return impl_->read(name, known);
+}
 
 WriteResult RegisterClient::write(const std::string& name, uint64_t expected_version,
                                   const std::string& data) {
--- a/src/consensus/register_client.hpp
+++ b/src/consensus/register_client.hpp
@@ -42,7 +42,8 @@
                  LocalReplica local);
   ~RegisterClient();
 
-  [[nodiscard]] ReadResult read(const std::string& name);
+  /// @param known  a state of the register that this node holds, if any; its value need not be sent again
+  [[nodiscard]] ReadResult read(const std::string& name, const pb::RegisterState& known = {});
   /// Compare-and-set. The result may be ignored where a later write retries.
   /// @param expected_version  the version that the data replaces
   /// @return the value as written, with the version after the expected one; or why it was not written
--- a/src/membership/replica_responses.cpp
+++ b/src/membership/replica_responses.cpp
@@ -79,13 +79,19 @@
   return report && now - report->requested_at <= lifetime_;
 }
 
-const pb::RegisterState* ReplicaResponses::latest_at_quorum(const consensus::ReplicaSetView& set,
-                                                            const std::string& name, TimePoint now) const {
+const pb::RegisterState* ReplicaResponses::latest(const consensus::ReplicaSetView& set,
+                                                  const std::string& name) const {
   const pb::RegisterState* latest = nullptr;
   for (const auto& replica : set.all()) {
     auto* state = reported_by(replica.name, name);
     if (state && (!latest || consensus::is_lower(latest->accepted(), state->accepted()))) latest = state;
   }
+  return latest;
+}
+
+const pb::RegisterState* ReplicaResponses::latest_at_quorum(const consensus::ReplicaSetView& set,
+                                                            const std::string& name, TimePoint now) const {
+  const pb::RegisterState* latest = this->latest(set, name);
   if (!latest) return nullptr;
   consensus::MemberFlags has_latest;
   for (const auto& replica : set.all()) {
--- a/src/membership/replica_responses.hpp
+++ b/src/membership/replica_responses.hpp
@@ -37,6 +37,9 @@
   /// What a replica last reported about a register; null: nothing.
   const pb::RegisterState* reported_by(const std::string& replica, const std::string& name) const;
 
+  /// The state of a register with the highest ballot that any replica of `set` reported; null: none did.
+  const pb::RegisterState* latest(const consensus::ReplicaSetView& set, const std::string& name) const;
+
   /// The latest known state of a register if a quorum of `set` has accepted its ballot and reported so within
   /// the lifetime of responses; else null. A state that a replica copied in a refill does not count as a
   /// vote.
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -111,7 +111,8 @@
   std::optional<consensus::VersionedValue> find_chosen(const std::string& name) {
     if (auto* state = responses.latest_at_quorum(registers.replica_set(), name, ports.clock.now()))
       return consensus::VersionedValue{state->value().version(), state->value().data()};
-    auto read = registers.read(name);
+    const auto* latest = responses.latest(registers.replica_set(), name);
+    auto read = registers.read(name, latest ? *latest : pb::RegisterState());
     auto* found = std::get_if<consensus::VersionedValue>(&read);
     return found ? std::optional(*found) : std::nullopt;
   }
--- a/test/unit/consensus/consensus_harness.cpp
+++ b/test/unit/consensus/consensus_harness.cpp
@@ -283,6 +283,7 @@
 }
 
 void ConsensusHarness::reply(const Message& message, std::optional<pb::PeerResponse> answer) {
+  if (answer && answer->vote().register_state().has_value()) ++nodes_.at(message.from).values_received;
   auto& pending_reply = *message.pending_reply;
   if (pending_reply.over()) return;
   pending_reply.reply = std::move(answer);
--- a/test/unit/consensus/consensus_harness.hpp
+++ b/test/unit/consensus/consensus_harness.hpp
@@ -96,6 +96,8 @@
   // received the reply.
   void deliver(const MessageFilter& filter);
   void await_sent(const MessageFilter& filter);
+  // How many responses with the value of a register the node has received from others.
+  size_t values_received(const std::string& name) const { return nodes_.at(name).values_received; }
   bool held(const MessageFilter& filter) const;
 
   void sleep(Duration span);
@@ -120,6 +122,7 @@
   struct Node {
     bool replica = false;
     bool stalled = false;
+    size_t values_received = 0;
     simulation::DiskContents contents;
     std::unique_ptr<HarnessProcess> process;
   };
--- a/test/unit/unit_cases.hpp
+++ b/test/unit/unit_cases.hpp
@@ -11,6 +11,7 @@
 std::vector<Case> acceptor_cases();
 std::vector<Case> register_cases();
 std::vector<Case> register_updater_cases();
+std::vector<Case> register_reader_cases();
 std::vector<Case> coordinator_selector_cases();
 std::vector<Case> replica_responses_cases();
 std::vector<Case> consensus_trace_cases();
