A proposer receives one copy of the accepted value, not one in each promise

Cause: each granted promise carried the whole accepted value, so that a write of the purges brought some 10 to 50 KB from each replica to its proposer, although the coordinator's own replica nearly always holds that value. Change: promises report ballots; the proposer takes the value from its own replica, from what the operation has read before, or from one replica that accepted it. A round whose replica set changes meanwhile proposes nothing.

--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -339,7 +339,8 @@
   if (non_voting() || (impl.writer.stalled() && !request.has_read_register())) return non_voting_response();
   if (request.has_prepare()) {
     auto response = impl.answer_vote(prepare(impl.registers[request.prepare().name()], request.prepare()));
-    return response.vote().granted() ? response : Impl::without_value(std::move(response));
+    const bool needs_value = response.vote().granted() && !request.prepare().without_value();
+    return needs_value ? response : Impl::without_value(std::move(response));
   }
   if (request.has_accept())
     return Impl::without_value(
--- a/src/consensus/register_client.cpp
+++ b/src/consensus/register_client.cpp
@@ -117,6 +117,7 @@
     pb::PeerRequest request;
     request.mutable_prepare()->set_name(name);
     *request.mutable_prepare()->mutable_ballot() = ballot;
+    request.mutable_prepare()->set_without_value(true);
     return collector.collect_until_settled(request);
   }
 
@@ -129,25 +130,29 @@
   }
 
   // One Paxos round. If the outcome is undecided, the value may still be chosen.
-  ProposalResult propose(const std::string& name, const NextValue& next_value, OperationTrace& trace) {
+  ProposalResult propose(RegisterReader& reader, const NextValue& next_value, OperationTrace& trace) {
     ++trace.rounds;
-    auto result = run_round(name, next_value, trace);
+    auto result = run_round(reader, next_value, trace);
     if (result.outcome == ProposalOutcome::undecided) ++trace.lost_ballots;
     if (result.outcome == ProposalOutcome::no_quorum) ++trace.rounds_without_quorum;
     return result;
   }
 
-  ProposalResult run_round(const std::string& name, const NextValue& next_value, OperationTrace& trace) {
+  ProposalResult run_round(RegisterReader& reader, const NextValue& next_value, OperationTrace& trace) {
     ProposalResult result;
     const auto ballot = collector.next_ballot();
     const auto promises =
-        timed(trace.time(OperationPhase::prepare), [&] { return request_promises(name, ballot); });
+        timed(trace.time(OperationPhase::prepare), [&] { return request_promises(reader.name(), ballot); });
     if (collector.quorum_voting(promises.responses)) result.outcome = ProposalOutcome::undecided;
     const auto epoch = set.epoch();
     if (promises.expired || !collector.quorum_granted(promises.responses)) return result;
-    result.value = next_value(highest_granted(promises.responses)->value());
+    const auto highest = highest_granted(promises.responses)->accepted();
+    const auto current = timed(trace.time(OperationPhase::prepare),
+                               [&] { return reader.value_at(highest, promises.responses); });
+    if (!current || set.epoch() != epoch) return result;
+    result.value = next_value(*current);
     const auto accepts = timed(trace.time(OperationPhase::accept),
-                               [&] { return request_accepts(name, ballot, result.value); });
+                               [&] { return request_accepts(reader.name(), ballot, result.value); });
     if (!accepts.expired && set.epoch() == epoch && collector.quorum_granted(accepts.responses))
       result.outcome = ProposalOutcome::chosen;
     return result;
@@ -164,7 +169,7 @@
     const TimePoint end = ports.clock.now() + round_timeout * kOperationTimeoutRounds;
     for (int i = 0, without_quorum = 0; i == 0 || ports.clock.now() < end; ++i) {
       if (const auto value = read_after_writer(reader, trace)) return versioned(*value);
-      const auto result = propose(name, same_value, trace);
+      const auto result = propose(reader, same_value, trace);
       if (result.outcome == ProposalOutcome::chosen) return versioned(result.value);
       if (result.outcome == ProposalOutcome::no_quorum && ++without_quorum >= kMaxRoundsWithoutQuorum) break;
       back_off(i, trace);
@@ -188,7 +193,7 @@
         if (const auto value = read_once(reader, trace).value)
           if (auto written = operation.result_for(*value)) return *written;
       const auto result = propose(
-          name, [&](const pb::Value& current) { return operation.next_value(current); }, trace);
+          reader, [&](const pb::Value& current) { return operation.next_value(current); }, trace);
       if (result.outcome == ProposalOutcome::chosen)
         if (auto written = operation.result_for(result.value)) return *written;
       if (result.outcome == ProposalOutcome::no_quorum && ++without_quorum >= kMaxRoundsWithoutQuorum) break;
@@ -207,9 +212,10 @@
   };
 
   bool rewrite_register(const std::string& name, const Rewrite& rewrite) {
+    RegisterReader reader(collector, name, {});
     return traced(OperationType::rewrite, name, [&](OperationTrace& trace) {
       for (int i = 0; i < kMaxRewriteRounds && !rewrite.failed; ++i) {
-        if (propose(name, same_value, trace).outcome == ProposalOutcome::chosen) return true;
+        if (propose(reader, same_value, trace).outcome == ProposalOutcome::chosen) return true;
         back_off(i, trace);
       }
       return false;
--- a/src/consensus/register_reader.cpp
+++ b/src/consensus/register_reader.cpp
@@ -28,17 +28,16 @@
   ReadAttempt attempt;
   if (votes.expired) return attempt;
   if (const auto* agreed = agreed_state(set, votes.responses))
-    attempt.value = value_of(*agreed, votes.responses);
+    attempt.value = value_at(agreed->accepted(), votes.responses);
   attempt.half_written = !attempt.value && collector_.quorum_granted(votes.responses);
   return attempt;
 }
 
-std::optional<pb::Value> RegisterReader::value_of(const pb::RegisterState& agreed,
-                                                  const PeerResponses& responses) {
-  if (known_.has_value() && is_equal(known_.accepted(), agreed.accepted())) return known_.value();
-  auto value = collector_.value_at(name_, agreed.accepted(), responses);
+std::optional<pb::Value> RegisterReader::value_at(const pb::Ballot& ballot, const PeerResponses& responses) {
+  if (known_.has_value() && is_equal(known_.accepted(), ballot)) return known_.value();
+  auto value = collector_.value_at(name_, ballot, responses);
   if (value) {
-    *known_.mutable_accepted() = agreed.accepted();
+    *known_.mutable_accepted() = ballot;
     *known_.mutable_value() = *value;
   }
   return value;
--- a/src/consensus/register_reader.hpp
+++ b/src/consensus/register_reader.hpp
@@ -24,9 +24,12 @@
 
   ReadAttempt read(const ReplicaSetView& set);
 
- private:
-  std::optional<pb::Value> value_of(const pb::RegisterState& agreed, const PeerResponses& responses);
+  /// Returns the value that was accepted at the ballot, as VoteCollector::value_at does, unless it is known.
+  std::optional<pb::Value> value_at(const pb::Ballot& ballot, const PeerResponses& responses);
+
+  const std::string& name() const { return name_; }
 
+ private:
   VoteCollector& collector_;
   const std::string name_;
   pb::RegisterState known_;
--- a/test/unit/consensus/register_reader_test.cpp
+++ b/test/unit/consensus/register_reader_test.cpp
@@ -1,4 +1,4 @@
-// Reads without a proposal: how often the value is sent, and from whom it comes.
+// Reads and proposals: how often the value is sent, and from whom it comes.
 #include "consensus/register_reader.hpp"
 
 #include "unit/consensus/consensus_harness.hpp"
@@ -80,6 +80,24 @@
       });
 }
 
+void a_proposer_receives_one_copy_of_the_value() {
+  run_after_a_write([](ConsensusHarness&) {},
+                    [](ConsensusHarness& harness) {
+                      uint64_t version = 1;
+                      for (const std::string node : {"A", "Q"}) {
+                        const size_t before = harness.values_received(node);
+                        auto write = harness.start<consensus::WriteResult>(node, [&harness, node, version] {
+                          return harness.client(node).write("r", version, "next");
+                        });
+                        const auto result = harness.result(write, "a write");
+                        const auto* value = as<VersionedValue>(result);
+                        expect(value && value->version == ++version, "the register was not written");
+                        same(harness.values_received(node) - before, node == "Q" ? 1U : 0U,
+                             "values sent to the proposer " + node);
+                      }
+                    });
+}
+
 // The known state is of an older write, and of a ballot that no quorum accepted.
 void a_known_value_of_another_ballot_is_not_returned() {
   run_after_a_write([](ConsensusHarness&) {},
@@ -96,6 +114,7 @@
 
 std::vector<Case> register_reader_cases() {
   return {{"register: a read receives one copy of the value", a_read_receives_one_copy_of_the_value},
+          {"register: a proposer receives one copy of the value", a_proposer_receives_one_copy_of_the_value},
           {"register: a known value is not sent again", a_known_value_is_not_sent_again},
           {"register: the value comes from a replica that accepted it",
            the_value_comes_from_a_replica_that_accepted_it},
