An order waits while replicas respond but none can coordinate, until its deadline

Change: when all candidates are unavailable and some responded, the node pauses 50 ms, then up to 100 ms, and tries them again. A node that is cut off still refuses soon. A call gets half of the time left only if 200 ms remain for another candidate.

--- a/src/control_api/write_forwarder.cpp
+++ b/src/control_api/write_forwarder.cpp
@@ -8,11 +8,16 @@
 namespace {
 constexpr base::Log logger("orders");
 constexpr int kMaxSilentCalls = 2;  // a third candidate would get too little time
+constexpr Duration kFirstPause{
+    50};  // before all candidates are tried again; doubled each time, up to the next
+constexpr Duration kLongestPause{100};
+constexpr Duration kShortestCall{200};
 constexpr int kUnavailable = 503;
 
-/// The part of the time left that a call may take.
+/// The part of the time left that a call may take: half of it, if the rest is enough for another candidate.
 Duration call_limit(Duration left, int silent_calls) {
-  return silent_calls + 1 < kMaxSilentCalls ? left / 2 : left;
+  const bool leaves_time = silent_calls + 1 < kMaxSilentCalls && left / 2 >= kShortestCall;
+  return leaves_time ? left / 2 : left;
 }
 
 pb::PeerRequest message_of(const ApiRequest& request, Duration limit) {
@@ -59,22 +64,37 @@
 }
 
 base::Response WriteForwarder::forward(const ApiRequest& request, ForwardTrace& trace) {
-  int silent_calls = 0;
+  FailedCalls failed;
+  for (Duration pause = kFirstPause;; pause = std::min(pause * 2, kLongestPause)) {
+    failed.unavailable = 0;
+    if (auto response = try_candidates(request, failed, trace)) return *response;
+    trace.coordinator.clear();
+    auto response = validate_(request);
+    const bool may_retry =
+        response.status == kUnavailable && failed.silent < kMaxSilentCalls && failed.unavailable > 0;
+    if (!may_retry || ports_.clock.now() + pause >= request.deadline) return response;
+    ports_.clock.sleep(pause);
+  }
+}
+
+std::optional<base::Response> WriteForwarder::try_candidates(const ApiRequest& request, FailedCalls& failed,
+                                                             ForwardTrace& trace) {
   for (const auto& replica : candidates(request)) {
-    if (silent_calls == kMaxSilentCalls || ports_.clock.now() >= request.deadline) break;
+    if (failed.silent == kMaxSilentCalls || ports_.clock.now() >= request.deadline) break;
     trace.coordinator = replica.name;
     if (replica.name == node_.config().name) {
-      if (!node_.state_cache().has_read_lease()) continue;
-      return execute_(request);
+      if (node_.state_cache().has_read_lease()) return execute_(request);
+      ++failed.unavailable;
+      continue;
     }
     ++trace.calls;
-    auto result = call(replica, request, call_limit(request.deadline - ports_.clock.now(), silent_calls));
+    auto result = call(replica, request, call_limit(request.deadline - ports_.clock.now(), failed.silent));
     if (result.unsupported) return execute_(request);
-    if (result.response) return *result.response;
-    silent_calls += result.silent;
+    if (result.response) return result.response;
+    failed.silent += result.silent;
+    failed.unavailable += result.unavailable;
   }
-  trace.coordinator.clear();
-  return validate_(request);
+  return {};
 }
 
 WriteForwarder::CallResult WriteForwarder::call(const consensus::Replica& replica, const ApiRequest& request,
@@ -87,7 +107,7 @@
                 request.http.target);
     selector_.record_failure(replica.name, ports_.clock.now());
     const auto* error = as<base::PeerError>(result);
-    return {{}, false, error && *error != base::PeerError::unreachable};
+    return {{}, false, error && *error != base::PeerError::unreachable, message != nullptr};
   }
   const auto& write = message->write();
   if (write.status() == kUnavailable)
--- a/src/control_api/write_forwarder.hpp
+++ b/src/control_api/write_forwarder.hpp
@@ -27,7 +27,8 @@
   /// @param validate  as `execute`, but proposes nothing: responds with a 503 where it would
   WriteForwarder(base::Ports& ports, node::Node& node, Execute execute, Execute validate);
 
-  /// Responds to a write of this node's client.
+  /// Responds to a write of this node's client. While replicas respond but none is available, as when a fleet
+  /// starts, it tries again until the deadline.
   base::Response forward(const ApiRequest& request, ForwardTrace& trace);
 
   /// Responds to a write that another node has forwarded to this one.
@@ -39,8 +40,18 @@
     std::optional<base::Response> response;  ///< empty: try the next candidate
     bool unsupported = false;  ///< it runs a version of the program that knows no forwarded writes
     bool silent = false;       ///< it may have received the write, and did not respond in time
+    bool unavailable = false;  ///< it cannot coordinate now, but may soon
   };
 
+  /// Calls for one write that did not carry it out.
+  struct FailedCalls {
+    int silent = 0;       ///< in all passes over the candidates
+    int unavailable = 0;  ///< in this pass
+  };
+
+  /// Tries the candidates in turn; nothing when none carried the write out.
+  std::optional<base::Response> try_candidates(const ApiRequest& request, FailedCalls& failed,
+                                               ForwardTrace& trace);
   CallResult call(const consensus::Replica& replica, const ApiRequest& request, Duration limit);
   std::vector<consensus::Replica> candidates(const ApiRequest& request) const;
 
--- a/test/scenarios/order_load.cpp
+++ b/test/scenarios/order_load.cpp
@@ -97,6 +97,16 @@
     });
 }
 
+void send_purges_of_everything(Scene& scene, const ObservedPtr& observed, Duration period,
+                               Duration duration) {
+  const TimePoint until = scene.world.now() + duration;
+  for (int i = 0; scene.world.now() < until; ++i, scene.fleet.sleep(period))
+    scene.fleet.spawn_outside([&scene, observed, i] {
+      send_order(scene, observed, fmt::format("/v1/purges/everything-{}", i),
+                 R"({"kind":"prefix","path":"/"})");
+    });
+}
+
 void send_numbered_configurations(Scene& scene, const ObservedPtr& observed, Duration period,
                                   Duration duration) {
   constexpr int kFirstNumber =
--- a/test/scenarios/order_load.hpp
+++ b/test/scenarios/order_load.hpp
@@ -45,6 +45,8 @@
 /// Sends one purge after the other, without waiting for acknowledgements; returns after the duration.
 void send_purges(Scene& scene, const ObservedPtr& observed, const ChangesPtr& changes, Duration period,
                  Duration duration);
+/// The same with purges that need no configuration.
+void send_purges_of_everything(Scene& scene, const ObservedPtr& observed, Duration period, Duration duration);
 /// Sends one numbered configuration after the other, without waiting for acknowledgements.
 void send_numbered_configurations(Scene& scene, const ObservedPtr& observed, Duration period,
                                   Duration duration);
