--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/fiber.hpp>
 
@@ -100,7 +101,11 @@
 void World::kill(const ProcessRunPtr& process) {
   process->dead = true;
   frozen_.erase(process->host);
-  for (auto* w : std::set<Wait*>(process->waits)) resume(w);
+  // In the order in which they began to wait: addresses differ between runs of one seed.
+  std::vector<Wait*> waits(process->waits.begin(), process->waits.end());
+  std::sort(waits.begin(), waits.end(),
+            [](const Wait* left, const Wait* right) { return left->wait_id < right->wait_id; });
+  for (auto* w : waits) resume(w);
 }
 
 void World::freeze(const std::string& h, TimePoint until) {
--- a/test/scenarios/sim_run.cpp
+++ b/test/scenarios/sim_run.cpp
@@ -29,7 +29,9 @@
     if (on.size() != 3) return;
     pb::RolloutState x;
     x.ParseFromString(r.register_state().value().data());
-    for (auto& [n, a] : x.nodes())
+    // Sorted, since the order of a protobuf map differs between runs of one seed.
+    const std::map<std::string, pb::NodeAssignment> assignments(x.nodes().begin(), x.nodes().end());
+    for (auto& [n, a] : assignments)
       if (a.generation() > journalled_generations[n]) {
         journalled_generations[n] = a.generation();
         journal_assignment(n, a.generation());
