--- a/src/consensus/register_client.hpp
+++ b/src/consensus/register_client.hpp
@@ -4,8 +4,8 @@
 ///
 /// Invariants: a version of a register never has two values; a read returns no version older than one that
 /// any call returned before the read began.
-/// Threads: used by the fibers of the control thread only. Every call waits for the network, at
-/// most five round timeouts.
+/// Threads: used by the fibers of the control thread only. Every call waits for the network; it begins no
+/// round after five round timeouts.
 #pragma once
 #include "base/ports.hpp"
 #include "consensus/operation_totals.hpp"
--- a/src/control_api/write_forwarder.hpp
+++ b/src/control_api/write_forwarder.hpp
@@ -3,7 +3,7 @@
 /// carries them out together with those of other nodes. When a coordinator fails, the next replica takes
 /// over.
 ///
-/// Invariants: a node that is not a replica proposes nothing, except while replicas run an older version of
+/// Invariants: a node that is not a replica proposes no change, except while replicas run an older version of
 /// the program; a write is answered by its deadline. Threads: called in fibers of the control thread;
 /// suspends the calling fiber.
 #pragma once
