Nodes return to the replica that they query first, and stay spread over all

A node that found its first replica silent went on to the next one and stayed there, so after some restarts all nodes queried the one replica that had not restarted, and it sent nearly everything to everyone.

Each node now orders the replicas by a hash of its name and theirs, as for coordinators (the selector is renamed), goes on when the first is silent, and comes back once that has a recent status. The own replica, which has nothing new, is queried last. Of replicas without a recent status those that did not fail come first.

--- a/src/control_api/write_forwarder.cpp
+++ b/src/control_api/write_forwarder.cpp
@@ -58,9 +58,8 @@
       selector_(node.config().bound) {}
 
 std::vector<consensus::Replica> WriteForwarder::candidates(const ApiRequest& request) const {
-  const TimePoint now = ports_.clock.now();
-  return selector_.candidates(node_.registers().replica_set().current(),
-                              node_.state_cache().statuses().members(now), resource_of(request), now);
+  return selector_.candidates(node_.registers().replica_set().current(), node_.state_cache().statuses(),
+                              resource_of(request), ports_.clock.now());
 }
 
 base::Response WriteForwarder::forward(const ApiRequest& request, ForwardTrace& trace) {
--- a/src/control_api/write_forwarder.hpp
+++ b/src/control_api/write_forwarder.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Sends writes to the replica that coordinates their resource (membership/coordinator_selector), which
+/// Sends writes to the replica that coordinates their resource (membership/replica_selector), which
 /// carries them out together with those of other nodes. When a coordinator fails, the next replica takes
 /// over.
 ///
@@ -8,7 +8,7 @@
 /// suspends the calling fiber.
 #pragma once
 #include "control_api/api_context.hpp"
-#include "membership/coordinator_selector.hpp"
+#include "membership/replica_selector.hpp"
 
 namespace dunlinwing::control_api {
 
@@ -59,7 +59,7 @@
   node::Node& node_;
   Execute execute_;
   Execute validate_;
-  membership::CoordinatorSelector selector_;
+  membership::ReplicaSelector selector_;
 };
 
 }  // namespace dunlinwing::control_api
--- a/src/membership/coordinator_selector.cpp
+++ b/src/membership/replica_selector.cpp
@@ -1,4 +1,4 @@
-#include "membership/coordinator_selector.hpp"
+#include "membership/replica_selector.hpp"
 
 #include <algorithm>
 
@@ -23,32 +23,34 @@
   return mix(value);
 }
 
+/// Better ones are greater.
+enum class Availability { failed, unknown, able };
+
 struct Candidate {
   consensus::Replica replica;
-  bool is_able = false;
+  Availability availability = Availability::unknown;
   uint64_t rank = 0;
 };
 
 bool goes_first(const Candidate& left, const Candidate& right) {
-  if (left.is_able != right.is_able) return left.is_able;
+  if (left.availability != right.availability) return left.availability > right.availability;
   if (left.rank != right.rank) return left.rank > right.rank;
   return left.replica.name < right.replica.name;
 }
 }  // namespace
 
-std::vector<consensus::Replica> CoordinatorSelector::candidates(
-    const std::vector<consensus::Replica>& replicas, const std::vector<Member>& members,
-    const std::string& resource, TimePoint now) const {
+std::vector<consensus::Replica> ReplicaSelector::candidates(const std::vector<consensus::Replica>& replicas,
+                                                            const StatusTable& statuses,
+                                                            const std::string& key, TimePoint now) const {
   const Duration recent = bound_ * 3 / 4;  // a read lease's span: a status is reported several times in it
-  auto has_recent_status = [&](const std::string& name) {
-    return std::any_of(members.begin(), members.end(),
-                       [&](const Member& member) { return member.name == name && member.age < recent; });
+  auto availability = [&](const std::string& name) {
+    if (has_failed(name, now)) return Availability::failed;
+    return statuses.is_member(name, recent, now) ? Availability::able : Availability::unknown;
   };
   std::vector<Candidate> ordered;
   ordered.reserve(replicas.size());
   for (const auto& replica : replicas)
-    ordered.push_back({replica, has_recent_status(replica.name) && !is_suspected(replica.name, now),
-                       hash(replica.name + "\n" + resource)});
+    ordered.push_back({replica, availability(replica.name), hash(replica.name + "\n" + key)});
   std::sort(ordered.begin(), ordered.end(), goes_first);
   std::vector<consensus::Replica> result;
   result.reserve(ordered.size());
@@ -56,15 +58,15 @@
   return result;
 }
 
-void CoordinatorSelector::record_failure(const std::string& replica, TimePoint now) {
-  suspected_until_[replica] = now + bound_;
+void ReplicaSelector::record_failure(const std::string& replica, TimePoint now) {
+  failed_until_[replica] = now + bound_;
 }
 
-void CoordinatorSelector::record_success(const std::string& replica) { suspected_until_.erase(replica); }
+void ReplicaSelector::record_success(const std::string& replica) { failed_until_.erase(replica); }
 
-bool CoordinatorSelector::is_suspected(const std::string& replica, TimePoint now) const {
-  const auto found = suspected_until_.find(replica);
-  return found != suspected_until_.end() && now < found->second;
+bool ReplicaSelector::has_failed(const std::string& replica, TimePoint now) const {
+  const auto found = failed_until_.find(replica);
+  return found != failed_until_.end() && now < found->second;
 }
 
 }  // namespace dunlinwing::membership
--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -8,6 +8,7 @@
 #include "membership/pull_schedule.hpp"
 #include "membership/read_lease_log.hpp"
 #include "membership/replica_responses.hpp"
+#include "membership/replica_selector.hpp"
 
 namespace dunlinwing::membership {
 namespace {
@@ -75,7 +76,7 @@
   std::set<std::string> unsettled;    ///< registers whose chosen value may have changed
   uint64_t deregistered_version = 0;  ///< of the register of deregistered instances, as last read
   std::map<std::string, int> misses;  ///< by replica: consecutive requests without a response
-  size_t first_queried = 0;           ///< index of the replica that is queried before the others
+  ReplicaSelector first_selector;     ///< of the replica that is queried before the others
   Duration usual_response{0};         ///< smoothed response time of that replica
 
   uint64_t incarnation = 0;     ///< of this node's statuses; 0: not known yet
@@ -103,10 +104,9 @@
         on_good_pull(std::move(on_good_pull)),
         statuses(this->config.session_span()),
         responses(this->config.response_lifetime()),
+        first_selector(this->config.bound),
         read_lease_log(this->config.node_name),
-        schedule(ports.random, this->config.pull_period()) {
-    first_queried = static_cast<size_t>(ports.random.below(registers.replicas().size()));
-  }
+        schedule(ports.random, this->config.pull_period()) {}
 
   /// Finds the chosen value of a register: as a quorum reported it, else by a read; nothing if that fails.
   std::optional<consensus::VersionedValue> find_chosen(const std::string& name) {
@@ -235,24 +235,41 @@
     return found == misses.end() || found->second % kPatientQueryInterval == 0;
   }
 
+  /// The indices of the pull's replicas in the order in which they are queried. Nodes differ in it, since the
+  /// first replica sends nearly everything that is new. This node's own replica, which has nothing new, is
+  /// last.
+  std::vector<size_t> query_order(const Pull& pull) const {
+    std::vector<size_t> order, own;
+    for (const auto& replica :
+         first_selector.candidates(pull.replicas, statuses, config.node_name, pull.start)) {
+      const auto found = std::find(pull.replicas.begin(), pull.replicas.end(), replica);
+      auto& indices = local_acceptor && replica.name == config.node_name ? own : order;
+      indices.push_back(static_cast<size_t>(found - pull.replicas.begin()));
+    }
+    order.insert(order.end(), own.begin(), own.end());
+    return order;
+  }
+
   /// Queries one replica alone, within its usual time: if queried too soon, the others would all send the
   /// same data.
-  bool query_first(Pull& pull) {
+  void query_first(Pull& pull, size_t first) {
     const TimePoint began = ports.clock.now();
-    const bool responded = query(pull, {first_queried}, prompt_response_limit());
-    usual_response = (usual_response * 3 + (ports.clock.now() - began)) / 4;
-    return responded;
+    const bool responded = query(pull, {first}, prompt_response_limit());
+    const TimePoint now = ports.clock.now();
+    usual_response = (usual_response * 3 + (now - began)) / 4;
+    if (responded)
+      first_selector.record_success(pull.replicas[first].name);
+    else
+      first_selector.record_failure(pull.replicas[first].name, now);
   }
 
   /// Queries one replica alone, and then the others for what its response did not contain.
   void query_replicas(Pull& pull) {
-    auto count = pull.replicas.size();
-    first_queried %= count;
+    auto others = query_order(pull);
     // While pulls fail, all are queried at once: a replica that responds late would only be queried twice.
-    if (!schedule.failing() && !query_first(pull)) first_queried = (first_queried + 1) % count;
-    std::vector<size_t> others, spare;
-    for (size_t i = 0; i < count; ++i)
-      if (i || pull.responses.empty()) others.push_back((first_queried + i) % count);
+    if (!schedule.failing()) query_first(pull, others.front());
+    if (!pull.responses.empty()) others.erase(others.begin());
+    std::vector<size_t> spare;
     auto sufficient = registers.sufficient_count();
     size_t needed = sufficient - std::min(sufficient, pull.responses.size());
     if (queries_few() && others.size() > needed) {
--- a/src/membership/state_cache.hpp
+++ b/src/membership/state_cache.hpp
@@ -4,10 +4,11 @@
 /// it the node must not act on any state in this cache.
 ///
 /// A pull queries one replica first, merges its response, and then queries the others concurrently, so that
-/// each status is sent once and not by every replica. It proceeds when all have responded or an eighth of the
-/// bound has passed. It is good when a quorum of voting replicas responded completely and every register
-/// whose latest ballot is not at a quorum has been completed by a read. chosen() then contains every write
-/// that was acknowledged before the pull began.
+/// each status is sent once and not by every replica. Nodes are spread over the replicas in this, and return
+/// to the replica that they queried first before it failed. It proceeds when all have responded or an eighth
+/// of the bound has passed. It is good when a quorum of voting replicas responded completely and every
+/// register whose latest ballot is not at a quorum has been completed by a read. chosen() then contains every
+/// write that was acknowledged before the pull began.
 ///
 /// The size of a response is bounded, and the next pull continues where it ended: a node that lacks much
 /// state, as after a start, receives it even over a slow or busy link.
--- a/src/membership/status_table.cpp
+++ b/src/membership/status_table.cpp
@@ -91,6 +91,12 @@
   return members;
 }
 
+bool StatusTable::is_member(const std::string& source, Duration age, TimePoint now) const {
+  const auto found = entries_.find(source);
+  return found != entries_.end() && now - found->second.reported_at < age &&
+         !found->second.status.node().leaving();
+}
+
 std::map<std::string, pb::NodeStatus> StatusTable::live_statuses(TimePoint now) const {
   std::map<std::string, pb::NodeStatus> statuses;
   for (const auto& [source, entry] : entries_)
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -59,6 +59,9 @@
   /// The nodes whose session is alive and that have not announced their shutdown.
   std::vector<Member> members(TimePoint now) const;
 
+  /// Whether the source's status is younger than `age` and does not announce its shutdown.
+  bool is_member(const std::string& source, Duration age, TimePoint now) const;
+
   /// Every node with a status in this table, however old.
   std::vector<Member> all_nodes(TimePoint now) const;
 
--- a/test/scenarios/coordinator_scenarios.cpp
+++ b/test/scenarios/coordinator_scenarios.cpp
@@ -2,7 +2,7 @@
 /// Orders that many nodes take at once: they do not starve each other, and a failing coordinator delays none.
 #include <array>
 
-#include "membership/coordinator_selector.hpp"
+#include "membership/replica_selector.hpp"
 #include "scenarios/order_load.hpp"
 
 namespace dunlinwing::test {
@@ -51,10 +51,9 @@
     if (!host->up() || !host->node->state_cache().has_read_lease()) continue;
     const TimePoint now = scene.world.now();
     auto& node = *host->node;
-    const membership::CoordinatorSelector selector(node.config().bound);
+    const membership::ReplicaSelector selector(node.config().bound);
     return selector
-        .candidates(node.registers().replica_set().current(), node.state_cache().statuses().members(now),
-                    "purges", now)
+        .candidates(node.registers().replica_set().current(), node.state_cache().statuses(), "purges", now)
         .front()
         .name;
   }
--- a/test/unit/main.cpp
+++ b/test/unit/main.cpp
@@ -22,7 +22,7 @@
                      &contact_cases,
                      &register_updater_cases,
                      &register_reader_cases,
-                     &coordinator_selector_cases,
+                     &replica_selector_cases,
                      &replica_responses_cases,
                      &version_rollout_cases,
 
--- a/test/unit/membership/contact_test.cpp
+++ b/test/unit/membership/contact_test.cpp
@@ -214,6 +214,70 @@
   });
 }
 
+/// Of the pulls in a time, how many each replica was sent before the others.
+using FirstQueries = std::map<std::string, int>;
+
+// A pull sends one request alone, and then one to each of the others at the same time.
+class FirstQueryCounter {
+ public:
+  void record(const Message& message, TimePoint now) {
+    auto& [sent_at, targets] = last_[message.from];
+    if (sent_at != now) targets.clear();
+    sent_at = now;
+    targets.push_back(message.to);
+    if (targets.size() == 1) ++counts_[message.to];
+    if (targets.size() == 2) --counts_[targets.front()];
+  }
+  FirstQueries take() { return std::exchange(counts_, {}); }
+
+ private:
+  std::map<std::string, std::pair<TimePoint, std::vector<std::string>>> last_;  ///< by sender
+  FirstQueries counts_;
+};
+
+// The replica that a node queries first sends it nearly everything that is new.
+void first_queries_are_spread_after_outages() {
+  constexpr int kNodes = 18;
+  constexpr Duration kObserved(4000);
+  const std::vector<std::string> replicas{"A", "B", "C"};
+  ConsensusHarness harness(1);
+  FirstQueryCounter counter;
+  harness.run([&] {
+    harness.first_set(replicas);
+    std::string unreachable;
+    harness.default_delivery([&](const Message& message) {
+      const bool from_node = message.from.starts_with("R");
+      if (from_node && message.kind == MessageKind::pull) counter.record(message, harness.world().now());
+      const bool lost = message.to == unreachable || message.from == unreachable;
+      return Delivery{lost ? Fate::drop : Fate::deliver};
+    });
+    for (const auto& name : replicas) harness.add_voting_replica(name);
+    for (const auto& name : replicas) harness.cache(name).start();
+    for (int i = 0; i < kNodes; ++i) {
+      harness.add_client(fmt::format("R{}", i));
+      harness.cache(fmt::format("R{}", i)).start();
+    }
+    for (const auto& name : replicas) {
+      harness.sleep(kSettled);
+      unreachable = name;
+      harness.sleep(kOutage);
+      unreachable.clear();
+    }
+    harness.sleep(kSettled);
+    counter.take();
+    harness.sleep(kObserved);
+    const auto counts = counter.take();
+    int sum = 0;
+    for (const auto& [name, count] : counts) sum += count;
+    for (const auto& name : replicas) {
+      const auto found = counts.find(name);
+      const int count = found == counts.end() ? 0 : found->second;
+      expect(count * 2 <= sum, fmt::format("{} of {} pulls query {} first", count, sum, name));
+      expect(count * 6 >= sum, fmt::format("only {} of {} pulls query {} first", count, sum, name));
+    }
+  });
+}
+
 // All kinds of connections are at their limits at once, including those to backend instances, of which each
 // client request may use one.
 void sockets_suffice() {
@@ -244,6 +308,8 @@
            distant_replicas_are_heard_after_an_outage},
           {"contact: a distant replica counts as silent only while it is",
            a_distant_replica_counts_as_silent_only_while_it_is},
+          {"contact: no replica is queried first by most nodes after others were unreachable",
+           first_queries_are_spread_after_outages},
           {"contact: all sockets at their limits are within the process's limit", sockets_suffice}};
 }
 
--- a/test/unit/unit_cases.hpp
+++ b/test/unit/unit_cases.hpp
@@ -12,7 +12,7 @@
 std::vector<Case> register_cases();
 std::vector<Case> register_updater_cases();
 std::vector<Case> register_reader_cases();
-std::vector<Case> coordinator_selector_cases();
+std::vector<Case> replica_selector_cases();
 std::vector<Case> replica_responses_cases();
 std::vector<Case> consensus_trace_cases();
 std::vector<Case> consensus_property_cases();
