Link counts do not decrease when acquired bytes are refunded

The log line of a link said of 2500 KB/s: a refund took bytes off a counter that is stated to be monotonic, and the difference since the last line was negative. Refunded bytes are now set off against later ones. The new unit case read 600 after 1000 bytes and a refund of 400, now 1000.

--- a/src/link/pacer.cpp
+++ b/src/link/pacer.cpp
@@ -60,10 +60,17 @@
 }
 
 void Pacer::take_tokens(TrafficClass traffic_class, size_t bytes) {
-  counts_[index(traffic_class)].bytes += bytes;
+  count(traffic_class, bytes);
   if (rate_ > 0) tokens_ -= static_cast<double>(bytes);
 }
 
+void Pacer::count(TrafficClass traffic_class, size_t bytes) {
+  auto& refunded = refunded_[index(traffic_class)];
+  const size_t counted_before = std::min(bytes, refunded);
+  refunded -= counted_before;
+  counts_[index(traffic_class)].bytes += bytes - counted_before;
+}
+
 Duration Pacer::time_until_tokens() const {
   return Duration(1 + static_cast<int64_t>(std::max(0.0, -tokens_) / rate_ * kMsPerSecond));
 }
@@ -123,7 +130,7 @@
 
 void Pacer::refund(TrafficClass traffic_class, size_t bytes) {
   const std::lock_guard lock(mutex_);
-  counts_[index(traffic_class)].bytes -= bytes;
+  refunded_[index(traffic_class)] += bytes;
   if (rate_ > 0) tokens_ = std::min(burst_, tokens_ + static_cast<double>(bytes));
 }
 
--- a/src/link/pacer.hpp
+++ b/src/link/pacer.hpp
@@ -86,6 +86,7 @@
   TimePoint completion(const Transfer& transfer) const;
   void refill(TimePoint now);
   void take_tokens(TrafficClass traffic_class, size_t bytes);
+  void count(TrafficClass traffic_class, size_t bytes);
   Duration time_until_tokens() const;
   void wake_first();
   bool await_turn(Waiters::iterator place, size_t bytes, TimePoint end,
@@ -103,6 +104,7 @@
   TimePoint refilled_at_{0};
   Waiters waiters_;
   TrafficCountsByClass counts_;
+  std::array<size_t, kTrafficClasses> refunded_{};  ///< bytes that were counted and not used, by class
 };
 
 }  // namespace dunlinwing::link
--- a/test/unit/link/pacer_test.cpp
+++ b/test/unit/link/pacer_test.cpp
@@ -100,6 +100,16 @@
   same(after.waiting_bytes, 0U, "waiting bytes");
 }
 
+void refunded_bytes_do_not_decrease_a_count() {
+  Bench bench;
+  const auto fetched = [&] { return bench.pacer.counts()[static_cast<size_t>(link::TrafficClass::fetches)]; };
+  bench.pacer.charge(link::TrafficClass::fetches, 1000);
+  bench.pacer.refund(link::TrafficClass::fetches, 400);
+  same(fetched().bytes, 1000U, "bytes after the refund");
+  bench.pacer.charge(link::TrafficClass::fetches, 500);
+  same(fetched().bytes, 1100U, "bytes after more were used than refunded");
+}
+
 void a_link_of_unknown_rate_paces_nothing() {
   ManualClock clock;
   NoTasks tasks;
@@ -115,6 +125,7 @@
       {"link: control never waits, and bodies slow down for it", control_takes_from_bodies_and_never_waits},
       {"link: a small body is not queued behind large ones", a_small_body_is_not_behind_large_ones},
       {"link: a part that times out takes no tokens", timed_out_part_takes_no_tokens},
+      {"link: refunded bytes do not decrease a count", refunded_bytes_do_not_decrease_a_count},
       {"link: with an unknown rate nothing is paced", a_link_of_unknown_rate_paces_nothing}};
 }
 
