Responses keep a tenth of the link's rate while control exceeds the rest

Control's tokens were a debt without bound, which responses had to wait for: 30 s at that rate are a debt of over a minute.

What does not wait is paid with nine tenths of the rate, and is a debt of two seconds at most; the rest is the bodies'.

--- a/src/link/pacer.cpp
+++ b/src/link/pacer.cpp
@@ -6,6 +6,10 @@
 namespace {
 // Fraction of the link's rate; the rest is for packet headers and traffic that is not counted here.
 constexpr double kUsableShare = 0.9;
+// Fraction of the usable rate that pays for traffic which did not wait; bodies keep the rest.
+constexpr double kUnpacedShare = 0.9;
+// Bodies make room for at most this much of it; what a process sends beyond that waits in the kernel.
+constexpr double kMaxDebtMs = 2000;
 constexpr double kMsPerSecond = 1000;
 // A burst and a part are what the link carries in these times; the minimum size bounds the overhead per part.
 constexpr double kBurstMs = 15;
@@ -54,8 +58,10 @@
 }
 
 void Pacer::refill(TimePoint now) {
-  const double elapsed_ms = static_cast<double>((now - refilled_at_).count());
-  tokens_ = std::min(burst_, tokens_ + in_ms(rate_, elapsed_ms));
+  const double earned = in_ms(rate_, static_cast<double>((now - refilled_at_).count()));
+  const double paid = std::min(debt_, earned * kUnpacedShare);
+  debt_ -= paid;
+  tokens_ = std::min(burst_, tokens_ + earned - paid);
   refilled_at_ = now;
 }
 
@@ -72,7 +78,10 @@
 }
 
 Duration Pacer::time_until_tokens() const {
-  return Duration(1 + static_cast<int64_t>(std::max(0.0, -tokens_) / rate_ * kMsPerSecond));
+  const double lacking = std::max(0.0, -tokens_);
+  const double ms_at_full_rate = (debt_ + lacking) / rate_ * kMsPerSecond;
+  const double ms_beside_debt = lacking / (rate_ * (1 - kUnpacedShare)) * kMsPerSecond;
+  return Duration(1 + static_cast<int64_t>(std::min(ms_at_full_rate, ms_beside_debt)));
 }
 
 void Pacer::wake_first() {
@@ -125,7 +134,10 @@
   const TimePoint now = clock_.now();
   const std::lock_guard lock(mutex_);
   refill(now);
-  take_tokens(traffic_class, bytes);
+  count(traffic_class, bytes);
+  const double from_tokens = std::clamp(tokens_, 0.0, static_cast<double>(bytes));
+  tokens_ -= from_tokens;
+  debt_ = std::min(debt_ + static_cast<double>(bytes) - from_tokens, in_ms(rate_, kMaxDebtMs));
 }
 
 void Pacer::refund(TrafficClass traffic_class, size_t bytes) {
@@ -139,8 +151,8 @@
   const TimePoint now = clock_.now();
   const std::lock_guard lock(mutex_);
   const TimePoint key = completion({TrafficClass::clients, now, bytes});
-  double ahead =
-      static_cast<double>(bytes) - tokens_ - in_ms(rate_, static_cast<double>((now - refilled_at_).count()));
+  double ahead = static_cast<double>(bytes) + debt_ - tokens_ -
+                 in_ms(rate_, static_cast<double>((now - refilled_at_).count()));
   for (auto waiter = waiters_.begin(); waiter != waiters_.end() && waiter->first <= key; ++waiter)
     ahead += static_cast<double>(waiter->second.transfer.remaining);
   return Duration(static_cast<int64_t>(std::max(0.0, ahead) / rate_ * kMsPerSecond));
--- a/src/link/pacer.hpp
+++ b/src/link/pacer.hpp
@@ -4,7 +4,8 @@
 ///
 /// A token bucket with slightly less than the link's rate. Bodies wait for tokens part by part, in the order
 /// of the earliest possible completion; a body ages, so that small ones do not starve it. Control never
-/// waits; the tokens it takes are not available to bodies.
+/// waits; the tokens it takes are not available to bodies, but these keep a tenth of the rate however much
+/// control there is.
 ///
 /// Invariant: bodies never exceed what the rate allows by more than a burst and one part.
 /// Threads: every function may be called from any thread; the one lock is a leaf.
@@ -101,6 +102,7 @@
 
   mutable std::mutex mutex_;  // guards all below
   double tokens_ = 0;         ///< bytes; negative after a part larger than the remaining tokens
+  double debt_ = 0;           ///< bytes that were charged when there were no tokens for them
   TimePoint refilled_at_{0};
   Waiters waiters_;
   TrafficCountsByClass counts_;
--- a/test/unit/link/pacer_test.cpp
+++ b/test/unit/link/pacer_test.cpp
@@ -70,6 +70,44 @@
   same(bench.pacer.counts()[0].waits, 0U, "waits of control");
 }
 
+/// Charges control three times what the link carries, from now on.
+void overload_with_control(Bench& bench) {
+  bench.tasks.meanwhile = [&bench, charged_at = bench.clock.now()]() mutable {
+    const auto elapsed = static_cast<double>((bench.clock.now() - charged_at).count());
+    charged_at = bench.clock.now();
+    bench.pacer.charge(link::TrafficClass::control,
+                       static_cast<size_t>(3 * kBytesPerSecond * elapsed / 1000));
+  };
+}
+
+void bodies_are_sent_while_control_exceeds_the_link() {
+  Bench bench;
+  constexpr size_t kResponse = 2000;
+  constexpr Duration kOverload(60000);
+  overload_with_control(bench);
+  const TimePoint end = bench.clock.now() + kOverload;
+  Duration longest(0);
+  size_t sent = 0;
+  while (bench.clock.now() < end) {
+    longest = std::max(longest, bench.send(kResponse));
+    sent += kResponse;
+  }
+  expect(longest < Duration(3000), fmt::format("a response waited for {} ms", longest.count()));
+  const double share = static_cast<double>(sent) / (kBytesPerSecond * 60);
+  expect(share > 0.05 && share < 0.15, fmt::format("bodies had {} of the link", share));
+}
+
+void bodies_recover_soon_after_control_exceeded_the_link() {
+  Bench bench;
+  constexpr Duration kRecovery(3000);
+  bench.pacer.charge(link::TrafficClass::control, static_cast<size_t>(kBytesPerSecond * 60));
+  bench.clock.sleep(kRecovery);
+  const Duration alone = bench.pacer.uncontended_time(1 << 20);
+  const Duration after = bench.send(1 << 20);
+  expect(after <= alone * 11 / 10,
+         fmt::format("a body took {} ms, of {} ms alone", after.count(), alone.count()));
+}
+
 void a_small_body_is_not_behind_large_ones() {
   Bench bench;
   constexpr size_t kSmall = 2000, kLarge = 700000;
@@ -123,6 +161,10 @@
   return {
       {"link: bodies leave a part of it to control", bodies_leave_a_part_of_the_link},
       {"link: control never waits, and bodies slow down for it", control_takes_from_bodies_and_never_waits},
+      {"link: responses are sent while control exceeds the link's rate",
+       bodies_are_sent_while_control_exceeds_the_link},
+      {"link: bodies recover soon after control exceeded the link's rate",
+       bodies_recover_soon_after_control_exceeded_the_link},
       {"link: a small body is not queued behind large ones", a_small_body_is_not_behind_large_ones},
       {"link: a part that times out takes no tokens", timed_out_part_takes_no_tokens},
       {"link: refunded bytes do not decrease a count", refunded_bytes_do_not_decrease_a_count},
