--- a/test/fleet/fleet_test.cpp
+++ b/test/fleet/fleet_test.cpp
@@ -163,8 +163,10 @@
     // Clients send requests until the rollout is done, which needs their traffic as evidence.
     int round = 1;
     bool done = fleet.wait_until(150s, [&] {
-      if (fleet.client_done(p))
-        p = fleet.start_client(fmt::format("c{}", ++round), 200, 20, static_cast<uint64_t>(round));
+      if (fleet.client_done(p)) {
+        ++round;
+        p = fleet.start_client(fmt::format("c{}", round), 200, 20, static_cast<uint64_t>(round));
+      }
       return fleet.await_configuration_everywhere("second", 1s);
     });
     test::expect(done, "the second configuration does not run on all relays");
