--- a/src/membership/state_cache.cpp
+++ b/src/membership/state_cache.cpp
@@ -5,10 +5,12 @@
 #include "base/log.hpp"
 #include "consensus/vote.hpp"
 #include "membership/deregistered.hpp"
+#include "membership/own_status.hpp"
+#include "membership/pull_responder.hpp"
 #include "membership/pull_schedule.hpp"
+#include "membership/pull_targets.hpp"
 #include "membership/read_lease_log.hpp"
 #include "membership/replica_responses.hpp"
-#include "membership/replica_selector.hpp"
 
 namespace dunlinwing::membership {
 namespace {
@@ -18,31 +20,8 @@
 // Size limit of a response: a minimum, and per known node more than the size of its status, because all
 // changes between two pulls must fit.
 constexpr uint64_t kMinResponseBytes = 64 << 10, kResponseBytesPerNode = 2 << 10;
-constexpr int kFirstResponseMultiple = 3;  // of the usual response time, until the others are queried too
-constexpr int kPatientQueryInterval = 4;   // of the queries of a silent replica, one in this many
-constexpr size_t kMinHeldBytes = 200;      // smaller values cost less than saying that they are held
-constexpr int kOwnStatusesPerBound = 4;    // minimum, even if nothing urgent has changed
-
-/// The part of a status whose changes are sent at once, as a text to compare; the rest (counters, clocks,
-/// ages) may be sent later.
-std::string urgent_part(const pb::NodeStatus& status) {
-  pb::NodeStatus node;
-  *node.mutable_node() = status.node();
-  node.mutable_node()->clear_wall_ms();
-  node.mutable_node()->clear_running();
-  std::string text = node.SerializeAsString();
-  // Sorted by key, because a protobuf map has no defined order.
-  std::map<std::string, std::string> running(status.node().running().begin(), status.node().running().end());
-  for (const auto& [kind, release] : running) text += fmt::format("{}={};", kind, release);
-  for (const auto& counts : status.canary_counts())
-    text += fmt::format("{}:{}:{}{};", counts.service(), counts.number(), counts.bad(), counts.aborted());
-  for (const auto& followed : status.switches())
-    text += fmt::format("{}:{};", followed.service(), followed.number());
-  for (const auto& heartbeat : status.heartbeats())
-    text += fmt::format("{}/{}{};", heartbeat.instance(), heartbeat.leaving() ? 0 : heartbeat.sequence(),
-                        heartbeat.leaving());
-  return text;
-}
+constexpr size_t kMinHeldBytes = 200;    // smaller values cost less than saying that they are held
+constexpr int kOwnStatusesPerBound = 4;  // minimum, even if nothing urgent has changed
 }  // namespace
 
 struct StateCache::Impl {
@@ -67,22 +46,16 @@
   StateCacheConfig config;
   consensus::RegisterClient& registers;
   consensus::Acceptor* local_acceptor;  ///< null: this node has no replica
-  std::function<void(pb::NodeStatus&)> fill_own_status;
   std::function<void()> on_good_pull;
 
   StatusTable statuses;
+  PullResponder responder;
   ReplicaResponses responses;
   ChosenValues chosen;
   std::set<std::string> unsettled;    ///< registers whose chosen value may have changed
   uint64_t deregistered_version = 0;  ///< of the register of deregistered instances, as last read
-  std::map<std::string, int> misses;  ///< by replica: consecutive requests without a response
-  ReplicaSelector first_selector;     ///< of the replica that is queried before the others
-  Duration usual_response{0};         ///< smoothed response time of that replica
-
-  uint64_t incarnation = 0;     ///< of this node's statuses; 0: not known yet
-  uint64_t status_count = 0;    ///< number of statuses sent under this incarnation
-  TimePoint own_status_at{0};   ///< when this node last sent its status
-  std::string own_urgent_part;  ///< of that status
+  PullTargets targets;
+  OwnStatus own_status;
 
   std::atomic<int64_t> read_lease_end{0};  ///< in milliseconds of the clock; read by other threads
   ReadLeaseLog read_lease_log;
@@ -100,11 +73,14 @@
         config(std::move(config)),
         registers(registers),
         local_acceptor(local_acceptor),
-        fill_own_status(std::move(fill_own_status)),
         on_good_pull(std::move(on_good_pull)),
         statuses(this->config.session_span()),
+        responder(statuses, local_acceptor, this->config.session_span()),
         responses(this->config.response_lifetime()),
-        first_selector(this->config.bound),
+        targets(this->config.node_name, local_acceptor != nullptr, this->config.bound,
+                this->config.pull_period()),
+        own_status(this->config.node_name, this->config.bound / kOwnStatusesPerBound,
+                   std::move(fill_own_status)),
         read_lease_log(this->config.node_name),
         schedule(ports.random, this->config.pull_period()) {}
 
@@ -142,18 +118,10 @@
 
   /// Adds this node's status to `pull` if it is due or something urgent has changed.
   void add_own_status(pb::PullRequest& pull, TimePoint now) {
-    if (!incarnation) return;
-    pb::NodeStatus status;
-    status.set_source(config.node_name);
-    status.mutable_version()->set_incarnation(incarnation);
-    fill_own_status(status);
-    auto urgent = urgent_part(status);
-    if (now - own_status_at < config.bound / kOwnStatusesPerBound && urgent == own_urgent_part) return;
-    own_status_at = now;
-    own_urgent_part = urgent;
-    status.mutable_version()->set_count(++status_count);
-    statuses.merge(status, now);
-    *pull.mutable_own_status() = status;
+    const auto status = own_status.next(now);
+    if (!status) return;
+    statuses.merge(*status, now);
+    *pull.mutable_own_status() = *status;
   }
 
   void process_response(Pull& pull, size_t index, const pb::PullResponse& reply, TimePoint requested_at) {
@@ -165,7 +133,7 @@
     for (const auto& name : responses.record(replica, reply, requested_at, now)) unsettled.insert(name);
     for (const auto& status : reply.statuses())
       if (status.source() == config.node_name)
-        raise_incarnation_above(status.version());
+        own_status.raise_above(status.version());
       else
         statuses.merge(status, now);
     registers.replica_set().adopt(reply.replica_set());
@@ -187,28 +155,26 @@
 
   /// Queries the replicas at the given indices and processes their responses; false when none responded.
   bool query(Pull& pull, const std::vector<size_t>& indices, Duration limit) {
-    std::vector<consensus::Replica> targets;
-    targets.reserve(indices.size());
-    for (auto index : indices) targets.push_back(pull.replicas[index]);
+    std::vector<consensus::Replica> queried;
+    queried.reserve(indices.size());
+    for (auto index : indices) queried.push_back(pull.replicas[index]);
     *pull.request.mutable_pull()->mutable_known_versions() = statuses.known_versions();
     set_held_registers(pull);
     auto make_request = [&](size_t target) {
       pb::PeerRequest request = pull.request;
-      responses.set_position(targets[target].name, *request.mutable_pull());
+      responses.set_position(queried[target].name, *request.mutable_pull());
       return request;
     };
     consensus::LocalReplica local;
     if (local_acceptor) local = [this](const pb::PeerRequest& request) { return answer(request); };
-    auto timeout_of = [&](size_t target) {
-      return may_hold_up_pull(targets[target].name) ? limit : std::min(limit, prompt_response_limit());
-    };
+    auto timeout_of = [&](size_t target) { return targets.limit_for(queried[target].name, limit); };
     auto requested_at = ports.clock.now();
-    auto replies = consensus::call_replicas(ports, targets, make_request, {limit, timeout_of},
+    auto replies = consensus::call_replicas(ports, queried, make_request, {limit, timeout_of},
                                             [](auto&) { return false; }, {config.node_name, local});
     bool any = false;
     for (size_t i = 0; i < replies.size(); ++i) {
       bool responded = replies[i] && replies[i]->has_pull();
-      misses[targets[i].name] = responded ? 0 : misses[targets[i].name] + 1;
+      targets.record(queried[i].name, responded);
       if (responded) process_response(pull, indices[i], replies[i]->pull(), requested_at);
       any |= responded;
     }
@@ -222,50 +188,18 @@
   /// Whether a pull queries only as many replicas as it needs, as long as those respond.
   bool queries_few() const { return !local_acceptor && statuses.size() >= kLargeFleet; }
 
-  /// The time within which a replica without trouble responds, derived from recent response times.
-  Duration prompt_response_limit() const {
-    return std::clamp(usual_response * kFirstResponseMultiple, config.pull_period() / 4,
-                      config.pull_period());
-  }
-
-  /// Whether a pull waits for the replica as long as for any: not if it was silent lately, except now and
-  /// then, since a distant replica that responds again may need longer than a prompt response.
-  bool may_hold_up_pull(const std::string& replica) const {
-    const auto found = misses.find(replica);
-    return found == misses.end() || found->second % kPatientQueryInterval == 0;
-  }
-
-  /// The indices of the pull's replicas in the order in which they are queried. Nodes differ in it, since the
-  /// first replica sends nearly everything that is new. This node's own replica, which has nothing new, is
-  /// last.
-  std::vector<size_t> query_order(const Pull& pull) const {
-    std::vector<size_t> order, own;
-    for (const auto& replica :
-         first_selector.candidates(pull.replicas, statuses, config.node_name, pull.start)) {
-      const auto found = std::find(pull.replicas.begin(), pull.replicas.end(), replica);
-      auto& indices = local_acceptor && replica.name == config.node_name ? own : order;
-      indices.push_back(static_cast<size_t>(found - pull.replicas.begin()));
-    }
-    order.insert(order.end(), own.begin(), own.end());
-    return order;
-  }
-
   /// Queries one replica alone, within its usual time: if queried too soon, the others would all send the
   /// same data.
   void query_first(Pull& pull, size_t first) {
     const TimePoint began = ports.clock.now();
-    const bool responded = query(pull, {first}, prompt_response_limit());
+    const bool responded = query(pull, {first}, targets.prompt_response_limit());
     const TimePoint now = ports.clock.now();
-    usual_response = (usual_response * 3 + (now - began)) / 4;
-    if (responded)
-      first_selector.record_success(pull.replicas[first].name);
-    else
-      first_selector.record_failure(pull.replicas[first].name, now);
+    targets.record_first(pull.replicas[first].name, responded, now - began, now);
   }
 
   /// Queries one replica alone, and then the others for what its response did not contain.
   void query_replicas(Pull& pull) {
-    auto others = query_order(pull);
+    auto others = targets.order(pull.replicas, statuses, pull.start);
     // While pulls fail, all are queried at once: a replica that responds late would only be queried twice.
     if (!schedule.failing()) query_first(pull, others.front());
     if (!pull.responses.empty()) others.erase(others.begin());
@@ -273,8 +207,7 @@
     auto sufficient = registers.sufficient_count();
     size_t needed = sufficient - std::min(sufficient, pull.responses.size());
     if (queries_few() && others.size() > needed) {
-      std::stable_partition(others.begin(), others.end(),
-                            [&](size_t index) { return misses[pull.replicas[index].name] == 0; });
+      targets.prefer_responsive(pull.replicas, others);
       spare.assign(others.begin() + static_cast<std::ptrdiff_t>(needed), others.end());
       others.resize(needed);
     }
@@ -289,21 +222,7 @@
       for (const auto& status : reply.statuses())
         if (status.source() == config.node_name && (!latest || is_newer(status.version(), *latest)))
           latest = status.version();
-    incarnation = latest ? latest->incarnation() + 1 : 1;
-  }
-
-  /// Handles other nodes having a later status of this node than its own: one from before its restart that no
-  /// replica had when it started. They would reject its statuses until its incarnation is above that.
-  void raise_incarnation_above(const pb::StatusVersion& known) {
-    pb::StatusVersion own_version;
-    own_version.set_incarnation(incarnation);
-    own_version.set_count(status_count);
-    if (!incarnation || !is_newer(known, own_version)) return;
-    incarnation = known.incarnation() + 1;
-    status_count = 0;
-    own_urgent_part.clear();
-    logger.info("{}: raised its incarnation to {}, above a status from before its restart.", config.node_name,
-                incarnation);
+    own_status.begin_after(latest);
   }
 
   /// Adopts a replica set from the chosen values if it is newer than `epoch`; returns whether it did.
@@ -353,7 +272,7 @@
     query_replicas(pull);
     if (registers.replica_set().epoch() != pull.epoch) return restart_under_new_set();
     if (!has_quorum(pull)) return pull.more ? PullResult::partial : PullResult::failed;
-    if (!incarnation) {
+    if (own_status.incarnation() == 0) {
       find_incarnation(pull);
       return PullResult::partial;
     }
@@ -377,42 +296,9 @@
     });
   }
 
-  /// Adds the statuses that the requester lacks, up to its size limit; it requests the rest in the next pull.
-  void add_statuses(const pb::PullRequest& request, TimePoint now, pb::PullResponse& response) const {
-    auto bytes = response.ByteSizeLong();
-    for (const auto& status : statuses.since(request.known_versions(), now)) {
-      bytes += status.ByteSizeLong();
-      if (request.max_bytes() && bytes > request.max_bytes() && response.statuses_size() > 0)
-        return response.set_more(true);
-      *response.add_statuses() = status;
-    }
-  }
-
-  /// Reports to the requester the latest version of its status that is known here, so that after a restart it
-  /// can choose an incarnation, or raise one that is too low.
-  void add_version_of_requester(const pb::PullRequest& request, pb::PullResponse& response) const {
-    auto known = statuses.known_version(request.node());
-    if (!known || (request.has_own_status() && !is_newer(*known, request.own_status().version()))) return;
-    auto* status = response.add_statuses();
-    status->set_source(request.node());
-    *status->mutable_version() = *known;
-    status->set_age_ms(static_cast<uint64_t>(config.session_span().count()) * 2);  // too old for a session
-  }
-
   pb::PeerResponse answer(const pb::PeerRequest& request) {
     pb::PeerResponse answer;
-    const auto& pull = request.pull();
-    auto& response = *answer.mutable_pull();
-    TimePoint now = ports.clock.now();
-    if (pull.has_own_status()) statuses.merge(pull.own_status(), now);
-    statuses.record_requester_versions(pull.known_versions(), now);
-    if (local_acceptor)
-      local_acceptor->append_changes({pull.boot_id(), pull.position()}, pull.held(), pull.max_bytes(),
-                                     response);
-    else
-      response.set_non_voting(true);
-    add_statuses(pull, now, response);
-    add_version_of_requester(pull, response);
+    *answer.mutable_pull() = responder.respond(request.pull(), ports.clock.now());
     return answer;
   }
 
@@ -466,7 +352,7 @@
 const ChosenValues& StateCache::chosen() const { return impl_->chosen; }
 StatusTable& StateCache::statuses() { return impl_->statuses; }
 pb::PeerResponse StateCache::handle_pull(const pb::PeerRequest& request) { return impl_->answer(request); }
-uint64_t StateCache::incarnation() const { return impl_->incarnation; }
+uint64_t StateCache::incarnation() const { return impl_->own_status.incarnation(); }
 
 bool StateCache::await_pull(Duration limit) {
   auto condition = impl_->ports.tasks.condition();
