The order of a protobuf map no longer decides who follows a release next, nor how quotas are rounded

Nodes of a zone followed a release in the order of a protobuf map, and quotas were summed in it; it differs between runs, in production too.

Now both are sorted. What the failing order showed: a shield that returns from a partition takes its objects back cold, 688 fetches rejected at its quota in ten seconds.

--- a/src/limits/demand_estimator.cpp
+++ b/src/limits/demand_estimator.cpp
@@ -21,6 +21,12 @@
   return 0;
 }
 
+/// By node, in thousandths of a request per second. Sorted, so that sums are rounded alike in every run: the
+/// order of a protobuf map differs between runs.
+std::map<std::string, uint32_t> sorted_quotas(const pb::RateQuotas& quotas) {
+  return {quotas.milli_requests().begin(), quotas.milli_requests().end()};
+}
+
 double total(const DemandByNode& demand) {
   double sum = 0;
   for (const auto& [node, rate] : demand) sum += rate;
@@ -30,7 +36,7 @@
 /// The quotas of the nodes that are not present, in requests per second.
 double quota_of_absent(const pb::RateQuotas& quotas, const DemandByNode& present) {
   double sum = 0;
-  for (const auto& [name, quota] : quotas.milli_requests())
+  for (const auto& [name, quota] : sorted_quotas(quotas))
     if (!present.count(name)) sum += quota * kPerMilliRequest;
   return sum;
 }
@@ -88,14 +94,15 @@
   const double present_rate = static_cast<double>(context.rate) - quota_of_absent(quotas, demand);
   const bool needed = total(demand) * kHeadroom > present_rate;
   const auto max_absence = context.bound * (needed ? kMaxAbsenceBoundsNeeded : kMaxAbsenceBounds);
+  const auto quota_by_node = sorted_quotas(quotas);
   double known_rate = 0, known_quota = 0;  // of the nodes with a quota whose demand is known
-  for (const auto& [name, quota] : quotas.milli_requests())
+  for (const auto& [name, quota] : quota_by_node)
     if (const auto& node = nodes[name]; node.rate) {
       known_rate += *node.rate;
       known_quota += quota;
     }
   double rate_of_quota = known_quota > 0 ? known_rate / known_quota : kPerMilliRequest;
-  for (const auto& [name, quota] : quotas.milli_requests()) {
+  for (const auto& [name, quota] : quota_by_node) {
     auto& node = nodes[name];
     if (node.present_at == TimePoint(0)) node.present_at = context.now;
     bool expected_back = context.now - node.present_at < max_absence;
--- a/src/rollout/release_transitions.cpp
+++ b/src/rollout/release_transitions.cpp
@@ -126,6 +126,9 @@
     zone.unavailable += !running;
     if (present && !running) zone.all_running = false;
   }
+  // The order of a protobuf map differs between runs.
+  std::sort(zone.pending_stateful.begin(), zone.pending_stateful.end());
+  std::sort(zone.pending_stateless.begin(), zone.pending_stateless.end());
   return zone;
 }
 
