--- a/test/unit/link/pacer_test.cpp
+++ b/test/unit/link/pacer_test.cpp
@@ -146,6 +146,8 @@
   same(fetched().bytes, 1000U, "bytes after the refund");
   bench.pacer.charge(link::TrafficClass::fetches, 500);
   same(fetched().bytes, 1100U, "bytes after more were used than refunded");
+  bench.pacer.charge(link::TrafficClass::fetches, 500);
+  same(fetched().bytes, 1600U, "bytes after the refund was set off");
 }
 
 void a_link_of_unknown_rate_paces_nothing() {
