Test: a partitioned node serves nothing that was purged; the mutant of the read lease is noticed

The mutant "read lease expires" was noticed by no case: those that cut a node off send it orders, or requests for objects that nobody purges. Now clients keep requesting an object that the node holds and that was purged elsewhere.

--- a/test/scenarios/control_api_scenarios.cpp
+++ b/test/scenarios/control_api_scenarios.cpp
@@ -185,6 +185,42 @@
   };
 }
 
+/// A node that holds an object is partitioned, and the object is purged elsewhere. Clients keep requesting it
+/// from the node, which never serves it from two seconds after the purge's acknowledgement on.
+void partitioned_node_serves_nothing_purged(Scene& scene) {
+  scene.duration = Duration(60000);
+  scene.required_faults = {"cut"};
+  scene.script = [&scene] {
+    constexpr int kOtherRequests = 5;
+    constexpr int kLifetimeSeconds = 20;
+    constexpr int kRounds = 3;
+    constexpr Duration kPurgeBound(2000);
+    constexpr Duration kPartition(6000);
+    constexpr Duration kRequestPeriod(100);
+    if (!start_traffic(scene, kOtherRequests, simulated_configuration("\"1\"", kLifetimeSeconds))) return;
+    auto& node = scene.fleet.at("e1");
+    for (int round = 0; round < kRounds; ++round) {
+      const auto path = fmt::format("/c/{}", round);
+      scene.require(scene.fleet.wait_until(Duration(3000),
+                                           [&] { return scene.fleet.call("GET", path, "", &node) == 200; }),
+                    "the node does not serve the object");
+      cut(scene, node.name, Cut::both_ways);
+      const auto name = fmt::format("round-{}", round);
+      scene.require(scene.fleet.wait_until(Duration(3000), [&] { return purge(scene, name, "path", path); }),
+                    "no node accepted the purge");
+      const TimePoint purged = scene.world.now();
+      for (; scene.world.now() < purged + kPartition; scene.fleet.sleep(kRequestPeriod)) {
+        const bool is_late = scene.world.now() > purged + kPurgeBound;
+        const int status = scene.fleet.call("GET", path, "", &node);
+        scene.require(!is_late || status != 200, fmt::format("{} was served {} ms after its purge", path,
+                                                             (scene.world.now() - purged).count()));
+      }
+      scene.world.heal_all();
+      scene.fleet.sleep(Duration(3000));
+    }
+  };
+}
+
 /// Two operators concurrently send different content with the same number, to two nodes: exactly one is
 /// acknowledged, and its content is in force; the other gets a conflict, now and later.
 void same_number(Scene& scene) {
@@ -308,7 +344,10 @@
 }  // namespace
 
 NamedCases control_api_scenarios() {
-  NamedCases all{{"same_number", same_number}, {"orders_again", orders_again}, {"moves_again", moves_again}};
+  NamedCases all{{"same_number", same_number},
+                 {"orders_again", orders_again},
+                 {"moves_again", moves_again},
+                 {"partitioned_node_serves_nothing_purged", partitioned_node_serves_nothing_purged}};
   all.merge(cases_of_cuts());
   return all;
 }
