--- a/test/platform/operators_and_clients.hpp
+++ b/test/platform/operators_and_clients.hpp
@@ -44,6 +44,7 @@
   int lost_permille = 0;  // share of acknowledgements that are lost before they reach the operator
 
  private:
+  Duration delivery_limit() const;
   std::pair<int, std::string> call(const std::string& method, const std::string& target,
                                    const std::string& body, Duration most, const std::string& what);
   simulation::Fleet& fleet_;
