--- a/test/bench/troubles.py
+++ b/test/bench/troubles.py
@@ -15,6 +15,7 @@
     "srv_grey": (dict(share=0.15, x=0.45, for_s=6.5),
                  ["errors", "shed", "busy", "hang", "reset", "mute", "slow", "errors one_zone"], False),
     "srv_lying_health": (dict(share=0.15, for_s=6.5), ["errors", "hang", "reset", "bad"], False),
+    "srv_cut": (dict(share=0.2, for_s=6.5), ["", "fronts", "some", "some lossy", "one_way", "reset"], False),
     "idle_race": (dict(share=0.5, x=300.0, for_s=6.5), [""], False),
     "release": (dict(share=0.45, x=1.0, gap_s=1.0), [""], True),
     "replace_with_reuse": (dict(share=0.18), ["", "drain", "dark"], False),
