--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -1,16 +1,17 @@
 // Three configurations that cannot be read in full are sent, one second apart, as the page says: a call
-// without a clear answer is sent again unchanged, to another node. Counts the processes that end by themselves.
+// without a clear answer is sent again unchanged, to another node. Counts the processes that end by
+// themselves.
 #include "standin.hpp"
 
 using namespace standin;
 
 namespace {
-constexpr int kInvalid = 3;          // bad_config: count = 3
-constexpr double kGap = 1.0;         // bad_config: gap_s = 1.0
-constexpr int kTries = 9;            // of each order; a caller without an answer goes on to another node
-constexpr int kLevels = 2000;        // of lists in lists
+constexpr int kInvalid = 3;    // bad_config: count = 3
+constexpr double kGap = 1.0;   // bad_config: gap_s = 1.0
+constexpr int kTries = 9;      // of each order; a caller without an answer goes on to another node
+constexpr int kLevels = 2000;  // of lists in lists
 constexpr double kBefore = 4, kAfter = 6;  // seconds of traffic before and after the orders
-constexpr int kEndsOfFault = 3;      // "processes end by themselves three times in the day"
+constexpr int kEndsOfFault = 3;            // "processes end by themselves three times in the day"
 
 struct Tried {
   std::string id, kind, node;
@@ -24,8 +25,9 @@
   for (int i = 0; !done; ++i, sleep_for(0.1)) {
     const bool pay = i % 2 == 0;
     Tried one{new_id(), pay ? "entry-pay" : "lobby-list", node.name, 0};
-    const auto answer = call(node.front, pay ? "POST" : "GET", pay ? "/pay/1" : "/list/1", pay ? "fee" : "", 2,
-                             {{"Host", "rally.example"}, {"Attempt-Id", one.id}, {"Time-Remaining", "2000"}});
+    const auto answer =
+        call(node.front, pay ? "POST" : "GET", pay ? "/pay/1" : "/list/1", pay ? "fee" : "", 2,
+             {{"Host", "rally.example"}, {"Attempt-Id", one.id}, {"Time-Remaining", "2000"}});
     one.status = answer ? answer->status() : 0;
     record.line("client: ", one.kind, " id ", one.id, " at ", node.name, ": ",
                 answer ? std::to_string(one.status) : std::string("no whole answer"));
@@ -44,7 +46,8 @@
   Platform platform(record);
   const char* zones[] = {"midrand-a", "midrand-b", "isando"};
   for (const char* zone : zones) platform.add(std::string("edge-") + zone + "-1", zone, "relay", true);
-  for (int i = 0; i < 2; ++i) platform.add(std::string("store-") + zones[i] + "-1", zones[i], "shield", false);
+  for (int i = 0; i < 2; ++i)
+    platform.add(std::string("store-") + zones[i] + "-1", zones[i], "shield", false);
   platform.start_all();
 
   static std::vector<std::unique_ptr<Worker>> workers;
--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -124,7 +124,8 @@
 
   bool write(const std::string& bytes, Clock::time_point end) {
     for (size_t sent = 0; sent < bytes.size();) {
-      const ssize_t count = ::send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+      const ssize_t count =
+          ::send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
       if (count > 0)
         sent += static_cast<size_t>(count);
       else if (errno != EAGAIN || !wait(POLLOUT, end))
@@ -365,16 +366,27 @@
         seeds += (seeds.empty() ? "" : ",") + quoted(seed->control);
     const bool store = machine.role == "shield";
     const std::map<std::string, std::string> values = {
-        {"node-name", machine.name}, {"zone", machine.zone},
-        {"listen-addresses.front", machine.front}, {"listen-addresses.control", machine.control},
+        {"node-name", machine.name},
+        {"zone", machine.zone},
+        {"listen-addresses.front", machine.front},
+        {"listen-addresses.control", machine.control},
         {"listen-addresses.readiness", machine.readiness},
-        {"ip-address}}:{{internal-port-range.0", machine.peers}, {"seed-nodes|json", "[" + seeds + "]"},
-        {"initial-boot|json", machine.first_start ? "true" : "false"}, {"fault-tolerance.machines", "1"},
-        {"limits.max-file-descriptors", store ? "8192" : "3000"}, {"limits.memory-mb", store ? "512" : "260"},
-        {"limits.link-mbps", "1000.0"}, {"heartbeat-s", "1.5"}, {"bounds.config-apply-s", "2"},
-        {"bounds.drain-s", "2"}, {"bounds.purge-s", "2"}, {"bounds.grace-s", "6"},
-        {"bounds.retry-budget-ratio", "0.2"}, {"bounds.retry-budget-slack", "64"},
-        {"bounds.exposure-share", "0.1"}, {"bounds.exposure-slack", "50"}};
+        {"ip-address}}:{{internal-port-range.0", machine.peers},
+        {"seed-nodes|json", "[" + seeds + "]"},
+        {"initial-boot|json", machine.first_start ? "true" : "false"},
+        {"fault-tolerance.machines", "1"},
+        {"limits.max-file-descriptors", store ? "8192" : "3000"},
+        {"limits.memory-mb", store ? "512" : "260"},
+        {"limits.link-mbps", "1000.0"},
+        {"heartbeat-s", "1.5"},
+        {"bounds.config-apply-s", "2"},
+        {"bounds.drain-s", "2"},
+        {"bounds.purge-s", "2"},
+        {"bounds.grace-s", "6"},
+        {"bounds.retry-budget-ratio", "0.2"},
+        {"bounds.retry-budget-slack", "64"},
+        {"bounds.exposure-share", "0.1"},
+        {"bounds.exposure-slack", "50"}};
     for (const auto& [name, value] : values) replace(text, "{{" + name + "}}", value);
     return text;
   }
@@ -443,7 +455,8 @@
         slots_(slots),
         work_(work),
         decide_(std::move(decide)),
-        server_([this](const Message& request, Connection& connection) { return serve(request, connection); }) {}
+        server_(
+            [this](const Message& request, Connection& connection) { return serve(request, connection); }) {}
 
   const std::string& id() const { return id_; }
 
@@ -460,15 +473,16 @@
 
  private:
   void beat(int sequence) {
-    const std::string body = "{\"backend\":" + quoted(service_) + ",\"address\":" + quoted(server_.address()) +
-                             ",\"zone\":" + quoted(zone_) + ",\"revision\":\"v1\",\"slots\":" +
-                             std::to_string(slots_) + ",\"state\":\"ready\",\"cold-remaining-s\":0,\"call-seq\":" +
-                             std::to_string(sequence) + "}";
+    const std::string body =
+        "{\"backend\":" + quoted(service_) + ",\"address\":" + quoted(server_.address()) +
+        ",\"zone\":" + quoted(zone_) + ",\"revision\":\"v1\",\"slots\":" + std::to_string(slots_) +
+        ",\"state\":\"ready\",\"cold-remaining-s\":0,\"call-seq\":" + std::to_string(sequence) + "}";
     const auto edges = platform_.edges();
     for (size_t i = 0; i < edges.size(); ++i) {
-      const auto* edge = edges[(static_cast<size_t>(sequence) + i + std::hash<std::string>()(id_)) % edges.size()];
-      const auto answer = call(edge->control, "PUT", "/instances/" + id_, body, 1,
-                               {{"Content-Type", "application/json"}});
+      const auto* edge =
+          edges[(static_cast<size_t>(sequence) + i + std::hash<std::string>()(id_)) % edges.size()];
+      const auto answer =
+          call(edge->control, "PUT", "/instances/" + id_, body, 1, {{"Content-Type", "application/json"}});
       if (answer && answer->status() / 100 == 2) return;
     }
   }
@@ -492,8 +506,8 @@
       return connection.write(answer.text(), in(5));
     }
     ++running_;
-    record_.line("worker ", id_, " of ", service_, ": runs ", request.method(), " ", request.target(), " id ", id,
-                 " Time-Remaining ", request.header("Time-Remaining"));
+    record_.line("worker ", id_, " of ", service_, ": runs ", request.method(), " ", request.target(), " id ",
+                 id, " Time-Remaining ", request.header("Time-Remaining"));
     {
       const std::lock_guard lock(runs_mutex_);
       runs_.push_back({id, id_, service_, request.target()});
@@ -524,8 +538,8 @@
   Server server_;
 };
 
-/// The operator's calls. A call without a clear answer is sent again unchanged, to another node, after a pause
-/// that grows.
+/// The operator's calls. A call without a clear answer is sent again unchanged, to another node, after a
+/// pause that grows.
 class Operator {
  public:
   Operator(Record& record, const Platform& platform) : record_(record), platform_(platform) {}
@@ -541,7 +555,8 @@
       record_.line("operator: PUT /configuration (", name, ", ", body.size(), " bytes) to ", edge->name, ": ",
                    answer ? std::to_string(answer->status()) : std::string("no answer"));
       const int status = answer ? answer->status() : 0;
-      if (status / 100 == 2 || status == 400 || status == 409 || status == 412 || status == 413 || status == 422)
+      if (status / 100 == 2 || status == 400 || status == 409 || status == 412 || status == 413 ||
+          status == 422)
         return status;
       sleep_for(pause);
     }
@@ -558,10 +573,11 @@
                          const std::string& kind, const std::string& service, int attempts,
                          const std::string& more = "", const std::string& timeout = "1.5",
                          const std::string& target = "0.6") {
-  return R"({"entry-kind":"routes","metadata":{"name":)" + quoted(name) + R"(},"specification":{"hostname":)" +
-         quoted(host) + R"(,"path-prefix":)" + quoted(prefix) + R"(,"route-type":)" + quoted(kind) +
-         R"(,"timeout-s":)" + timeout + R"(,"target-latency-s":)" + target + R"(,"priority":1,"backend":)" +
-         quoted(service) + R"(,"max-attempts":)" + std::to_string(attempts) + more + "}}";
+  return R"({"entry-kind":"routes","metadata":{"name":)" + quoted(name) +
+         R"(},"specification":{"hostname":)" + quoted(host) + R"(,"path-prefix":)" + quoted(prefix) +
+         R"(,"route-type":)" + quoted(kind) + R"(,"timeout-s":)" + timeout + R"(,"target-latency-s":)" +
+         target + R"(,"priority":1,"backend":)" + quoted(service) + R"(,"max-attempts":)" +
+         std::to_string(attempts) + more + "}}";
 }
 
 inline std::string backend(const std::string& name) {
