--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -435,7 +435,7 @@
 
 /// One run of a request at a worker.
 struct Run {
-  std::string id, worker, service, target, body;
+  std::string id, worker, service, target;
 };
 
 /// A worker: beats, answers probes, runs requests.
@@ -510,7 +510,7 @@
                  id, " Time-Remaining ", request.header("Time-Remaining"));
     {
       const std::lock_guard lock(runs_mutex_);
-      runs_.push_back({id, id_, service_, request.target(), request.body});
+      runs_.push_back({id, id_, service_, request.target()});
     }
     sleep_for(work_);
     const int left = --running_;
