--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -14,6 +14,8 @@
 
 #include <stdexcept>
 
+#include "base/json_text.hpp"
+
 namespace dunlinwing::base {
 namespace rj = rapidjson;
 
@@ -62,6 +64,7 @@
 }
 
 std::variant<Json, ValidationError> Json::parse(std::string_view text) {
+  if (auto limit = exceeded_json_limit(text)) return ValidationError{"", std::move(*limit)};
   auto document = std::make_shared<rj::Document>();
   document->Parse<rj::kParseIterativeFlag | rj::kParseValidateEncodingFlag>(text.data(), text.size());
   if (document->HasParseError())
--- a/src/base/json.hpp
+++ b/src/base/json.hpp
@@ -19,6 +19,7 @@
   struct Member;
 
   /// A repeated key in an object is an error too.
+  /// A text beyond a limit of base/json_text is one as well.
   static std::variant<Json, ValidationError> parse(std::string_view text);
 
   /// A view of null.
--- a/src/control_api/router.cpp
+++ b/src/control_api/router.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/json_text.hpp"
 #include "control_api/artifact_chunks.hpp"
 #include "control_api/drains.hpp"
 #include "control_api/heartbeats.hpp"
@@ -209,6 +210,8 @@
   if (request.path.size() < 2 || request.path[0] != "v1") return no_such_resource();
   if (http.method == "GET" || http.method == "HEAD") return impl_->read(request, route);
   if (route && route->type == RouteType::long_write) return route->handler(impl_->context, request);
+  // The coordinator parses the body; what no node may parse is refused here, and not sent to it.
+  if (auto limit = base::exceeded_json_limit(http.body)) return validation_errors({{"", std::move(*limit)}});
   auto deadline = impl_->ports.clock.now() + kResponseLimit;
   // The work may outlast this call, so it gets its own copy of the request.
   auto http_copy = std::make_shared<base::Request>(http);
--- /dev/null
+++ b/test/net/input_limits_test.cpp
@@ -0,0 +1,150 @@
+// Bytes from outside decide neither how deep a stack gets nor how much is kept
+// or how long a loop runs (docs/limits.md). Each case runs on a fiber, with the
+// stack that it has in production.
+//
+// Guards against: an operator's order of 2,000 lists in lists ended the process
+// of each node that it was sent to, since the check for repeated keys called
+// itself once a level on a stack of 128 KiB.
+#include <alloca.h>
+
+#include "base/json.hpp"
+#include "base/json_text.hpp"
+#include "config/release.hpp"
+#include "config/routing_configuration.hpp"
+#include "net/net_cases.hpp"
+#include "platform/control_adapter.hpp"
+
+namespace dunlinwing::test {
+namespace {
+constexpr size_t kDeep = 1'000'000;          // levels, far beyond any stack
+constexpr size_t kReservedStack = 64U << 10; // half of a fiber's
+constexpr Duration kAcknowledgeTime{
+    4000}; // in which an operator gets an answer
+constexpr Duration kHeartbeatPeriod{1500};
+
+std::string repeated(std::string_view text, size_t times) {
+  std::string all;
+  all.reserve(text.size() * times);
+  for (size_t i = 0; i < times; ++i)
+    all += text;
+  return all;
+}
+
+std::string nested_arrays(size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+std::string nested_objects(size_t levels) {
+  return repeated("{\"a\":", levels) + "1" + std::string(levels, '}');
+}
+std::string nested_by_turns(size_t levels) {
+  return repeated("[{\"a\":", levels / 2) + "1" + repeated("}]", levels / 2);
+}
+
+/// Documents beyond the limit of levels, whole and cut short.
+std::vector<std::string> deep_documents() {
+  std::vector<std::string> documents;
+  for (const size_t levels : {base::kMaxJsonDepth + 2, size_t{2000}, kDeep}) {
+    documents.push_back(nested_arrays(levels));
+    documents.push_back(nested_objects(levels));
+    documents.push_back(nested_by_turns(levels));
+    documents.push_back(std::string(levels, '['));
+    documents.push_back(repeated("{\"a\":", levels));
+  }
+  return documents;
+}
+
+base::ValidationError error_of(const std::string &text) {
+  auto parsed = base::Json::parse(text);
+  const auto *error = std::get_if<base::ValidationError>(&parsed);
+  expect(error != nullptr,
+         "a document beyond a limit was parsed: " + text.substr(0, 80));
+  return *error;
+}
+
+void deep_documents_are_refused() {
+  for (const auto &document : deep_documents()) {
+    expect(error_of(document).message.find("json-depth") != std::string::npos,
+           "the limit is not named: " + error_of(document).message);
+    error_of("{\"revision\":1,\"resources\":" + document + "}");
+  }
+  expect(error_of("[1" + repeated(",1", base::kMaxJsonValues) + "]")
+                 .message.find("json-values") != std::string::npos,
+         "the limit on values is not named");
+}
+
+/// The document is read, copied, checked against every schema and written.
+void use(const std::string &text) {
+  auto parsed = base::Json::parse(text);
+  const auto *json = std::get_if<base::Json>(&parsed);
+  const auto *error = std::get_if<base::ValidationError>(&parsed);
+  expect(json != nullptr, "a document at the limits was refused: " +
+                              (error ? error->message : ""));
+  for (const auto &member : json->members())
+    expect(!member.value.text().empty(), "no text");
+  same(json->text().size(), text.size(), "the written text");
+  config::parse_routing_configuration("c", text);
+  for (const char *kind : {"layout", "system", "software"})
+    config::parse_release(kind, "r", "{\"content\":" + text + "}");
+}
+
+// Leaves half of the fiber's stack to the document, as callers have frames of
+// their own.
+void deepest_document_fits_half_a_stack() {
+  auto *reserved = static_cast<volatile char *>(alloca(kReservedStack));
+  for (size_t at = 0; at < kReservedStack; at += 1024)
+    reserved[at] = 1;
+  const size_t depth = base::kMaxJsonDepth - 1; // a release adds one level
+  for (const auto &document : {nested_arrays(depth), nested_objects(depth),
+                               nested_by_turns(depth - 1)})
+    use(document);
+  use("{\"services\":" + nested_objects(depth - 1) +
+      ",\"routes\":" + nested_arrays(depth - 1) + "}");
+  expect(reserved[0] == 1, "the stack was overwritten");
+}
+
+void orders_beyond_a_limit_change_nothing() {
+  int taken = 0;
+  TestServer server({}, [&](base::Request &request) {
+    return platform::handle(request, kHeartbeatPeriod,
+                            [&](base::Request & /*call*/) {
+                              ++taken;
+                              return base::Response{200, {}, "{}"};
+                            });
+  });
+  RawClient client(
+      server.address); // one connection for all: it goes on after each
+  const std::vector<std::string> calls = {"PUT /configuration", "POST /purge",
+                                          "POST /rollouts",
+                                          "PUT /instances/i-1"};
+  for (const auto &call : calls)
+    for (const auto &document :
+         {nested_arrays(2000), nested_objects(2000), std::string(2000, '[')}) {
+      const std::string body =
+          "{\"revision\":2,\"resources\":" + document + "}";
+      client.send(
+          fmt::format("{} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{}",
+                      call, body.size(), body));
+      const auto answer = client.read("json-depth)\"}");
+      expect(answer.starts_with("HTTP/1.1 400"),
+             call + " was answered " + answer);
+    }
+  same(taken, 0, "orders that were taken");
+  client.exchange("POST /purge HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                  "11\r\n\r\n{\"tag\":\"t\"}",
+                  "HTTP/1.1 200");
+  same(taken, 1, "orders taken after those that were refused");
+}
+
+} // namespace
+
+std::vector<Case> input_limit_cases() {
+  return {{"limits: deep JSON documents are refused, and the limit is named",
+           deep_documents_are_refused},
+          {"limits: the deepest JSON document fits half of a fiber's stack",
+           deepest_document_fits_half_a_stack},
+          {"limits: orders beyond a limit change nothing, and the connection "
+           "goes on",
+           orders_beyond_a_limit_change_nothing}};
+}
+
+} // namespace dunlinwing::test
--- a/test/net/main.cpp
+++ b/test/net/main.cpp
@@ -147,7 +147,7 @@
     for (auto& more :
          {test::connection_cases(), test::server_cases(), test::origin_cases(), test::answer_cases(),
           test::client_byte_cases(), test::peer_cases(), test::compatibility_wire_cases(),
-          test::forward_cases(), test::soak_cases(), test::client_gone_cases()})
+          test::forward_cases(), test::soak_cases(), test::client_gone_cases(), test::input_limit_cases()})
       all.insert(all.end(), more.begin(), more.end());
     net::EventLoopPool::stop(test::run_all(all, only));
   });
--- a/test/net/net_cases.hpp
+++ b/test/net/net_cases.hpp
@@ -138,5 +138,6 @@
 std::vector<Case> forward_cases();
 std::vector<Case> soak_cases();
 std::vector<Case> client_gone_cases();
+std::vector<Case> input_limit_cases();
 
 }  // namespace dunlinwing::test
