Checking a document takes no longer and no more than its length

What callers saw: an invalid configuration of 2 MB held up a node's control thread for minutes, or took gigabytes; its read lease lapsed meanwhile. Found by going through the readers.

Causes, each with a row of the test: RapidJSON compares every item of an array with all before it where they must be unique, before it counts them; Json::members() looked each member up by name; the services were looked for in all routes and splits, one by one; pointers of errors were built for every value, so that a key of a megabyte was copied for each of the values below it; errors had no number, and each repeated its pointer.

Errors of the schema and of references are still reported together.

Test: wire "limits: no document holds up its node".

--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -12,6 +12,7 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "base/json_text.hpp"
@@ -25,8 +26,46 @@
 };
 
 namespace {
-std::string pointer_below(const std::string& pointer, std::string_view key) {
-  return fmt::format("{}/{}", pointer, key);
+constexpr size_t kMaxPointerBytes = 512;  // of the pointer in an error: a key may be as long as the document
+
+/// The way from the root of a document to one of its values, by the steps on the traversal's stack. A pointer
+/// is formatted only for a value with an error, since keys may be long.
+struct Path {
+  const Path* parent = nullptr;  ///< null: the root
+  std::string_view key;          ///< of a member; null data: an element of an array
+  rj::SizeType index = 0;        ///< of an element
+
+  std::string pointer() const {
+    std::string text;
+    append_to(text);
+    return text;
+  }
+
+ private:
+  void append_to(std::string& text) const {
+    if (!parent) return;
+    parent->append_to(text);
+    if (text.size() > kMaxPointerBytes) return;
+    text += '/';
+    if (!key.data())
+      text += std::to_string(index);
+    else if (key.size() <= kMaxPointerBytes)
+      text += key;
+    else
+      text.append(utf8_prefix(key, kMaxPointerBytes)).append("...");
+  }
+
+  static std::string_view utf8_prefix(std::string_view text, size_t bytes) {
+    constexpr unsigned char kContinuationMask = 0xC0;
+    constexpr unsigned char kContinuation = 0x80;
+    while (bytes > 0 && (static_cast<unsigned char>(text[bytes]) & kContinuationMask) == kContinuation)
+      --bytes;
+    return text.substr(0, bytes);
+  }
+};
+
+std::string_view name_of(const rj::Value::Member& member) {
+  return {member.name.GetString(), member.name.GetStringLength()};
 }
 
 std::string to_text(const rj::Value& value) {
@@ -36,20 +75,27 @@
   return buffer.GetString();
 }
 
+/// A key that an object has twice; empty data: none.
+std::string_view repeated_key(const rj::Value& object) {
+  std::vector<std::string_view> keys;
+  keys.reserve(object.MemberCount());
+  for (const auto& member : object.GetObject()) keys.push_back(name_of(member));
+  std::sort(keys.begin(), keys.end());
+  const auto found = std::adjacent_find(keys.begin(), keys.end());
+  return found == keys.end() ? std::string_view() : *found;
+}
+
 /// RapidJSON keeps the last of two members with the same name; a repeated key in an operator's document is
-/// reported as an error instead.
-std::optional<ValidationError> find_repeated_key(const rj::Value& value, const std::string& pointer) {
+/// reported as an error instead. Recurses as deep as the document, which kMaxJsonDepth bounds.
+std::optional<ValidationError> find_repeated_key(const rj::Value& value, const Path& path) {
   if (value.IsObject()) {
-    std::map<std::string, int> counts;
-    for (const auto& member : value.GetObject()) {
-      std::string key = member.name.GetString();
-      auto place = pointer_below(pointer, key);
-      if (++counts[key] > 1) return ValidationError{place, "the key stands twice"};
-      if (auto error = find_repeated_key(member.value, place)) return error;
-    }
+    if (const auto key = repeated_key(value); key.data())
+      return ValidationError{Path{&path, key}.pointer(), "the key stands twice"};
+    for (const auto& member : value.GetObject())
+      if (auto error = find_repeated_key(member.value, {&path, name_of(member)})) return error;
   } else if (value.IsArray()) {
     for (rj::SizeType i = 0; i < value.Size(); ++i)
-      if (auto error = find_repeated_key(value[i], fmt::format("{}/{}", pointer, i))) return error;
+      if (auto error = find_repeated_key(value[i], {&path, {}, i})) return error;
   }
   return {};
 }
@@ -70,7 +116,7 @@
   if (document->HasParseError())
     return ValidationError{"", fmt::format("not JSON at byte {}: {}", document->GetErrorOffset(),
                                            rj::GetParseError_En(document->GetParseError()))};
-  if (auto error = find_repeated_key(*document, "")) return *error;
+  if (auto error = find_repeated_key(*document, Path{})) return *error;
   return Json(std::make_shared<const Impl>(Impl{document, document.get()}));
 }
 
@@ -86,7 +132,8 @@
   if (!impl_->value->IsObject()) return all;
   all.reserve(impl_->value->MemberCount());
   for (const auto& member : impl_->value->GetObject())
-    all.push_back({member.name.GetString(), at(member.name.GetString())});
+    all.push_back({std::string(name_of(member)),
+                   Json(std::make_shared<const Impl>(Impl{impl_->document, &member.value}))});
   return all;
 }
 
@@ -132,6 +179,7 @@
   std::map<std::string, std::unique_ptr<SchemaLevel>> properties;
   std::unique_ptr<SchemaLevel> other_properties;  ///< null: `closed` decides
   std::unique_ptr<SchemaLevel> items;             ///< null: any items are valid
+  rj::SizeType max_size = ~rj::SizeType{0};       ///< of an array's items or an object's properties
   bool closed = false;                            ///< properties that the schema does not name are errors
   std::vector<std::string> required;
 };
@@ -167,6 +215,8 @@
   if (schema.HasMember("required"))
     for (const auto& name : schema["required"].GetArray()) level->required.emplace_back(name.GetString());
   level->text->RemoveMember("required");
+  for (const char* keyword : {"maxItems", "maxProperties"})
+    if (schema.HasMember(keyword)) level->max_size = schema[keyword].GetUint();
   level->compiled = std::make_unique<rj::SchemaDocument>(*level->text);
   return level;
 }
@@ -175,36 +225,54 @@
 struct Validation {
   std::vector<ValidationError> errors;
 
-  void check(const rj::Value& value, const SchemaLevel& level, const std::string& pointer) {
-    check_level(value, level, pointer);
-    if (value.IsObject()) check_object(value, level, pointer);
-    if (value.IsArray() && level.items)
-      for (rj::SizeType i = 0; i < value.Size(); ++i)
-        check(value[i], *level.items, fmt::format("{}/{}", pointer, i));
+  void check(const rj::Value& value, const SchemaLevel& level, const Path& path) {
+    if (is_full()) return;
+    // RapidJSON compares each item with all before it where they must be unique, so their number is checked
+    // first.
+    if (size_of(value) > level.max_size)
+      return add(path, fmt::format("has more than {} entries", level.max_size), true);
+    check_level(value, level, path);
+    if (value.IsObject()) check_object(value, level, path);
+    if (value.IsArray() && level.items) check_items(value, *level.items, path);
   }
 
  private:
-  void check_level(const rj::Value& value, const SchemaLevel& level, const std::string& pointer) {
+  bool is_full() const { return errors.size() >= kMaxValidationErrors; }
+
+  void add(const Path& path, std::string message, bool too_large = false) {
+    if (!is_full()) errors.push_back({path.pointer(), std::move(message), too_large});
+  }
+
+  static rj::SizeType size_of(const rj::Value& value) {
+    if (value.IsArray()) return value.Size();
+    return value.IsObject() ? value.MemberCount() : 0;
+  }
+
+  void check_level(const rj::Value& value, const SchemaLevel& level, const Path& path) {
     rj::SchemaValidator validator(*level.compiled);
     if (value.Accept(validator)) return;
     const auto* invalid = validator.GetInvalidSchemaKeyword();
     std::string keyword = invalid ? invalid : "schema";
     auto limit = level.text->HasMember(keyword) ? to_text((*level.text)[keyword]) : "";
-    errors.push_back({pointer, fmt::format("breaks {} {}", keyword, limit)});
+    add(path, fmt::format("breaks {} {}", keyword, limit), keyword == "maxLength");
+  }
+
+  void check_items(const rj::Value& array, const SchemaLevel& level, const Path& path) {
+    for (rj::SizeType i = 0; i < array.Size() && !is_full(); ++i) check(array[i], level, {&path, {}, i});
   }
 
-  void check_object(const rj::Value& object, const SchemaLevel& level, const std::string& pointer) {
+  void check_object(const rj::Value& object, const SchemaLevel& level, const Path& path) {
     for (const auto& name : level.required)
-      if (!object.HasMember(name)) errors.push_back({pointer_below(pointer, name), "is missing"});
+      if (!object.HasMember(name)) add({&path, name}, "is missing");
     for (const auto& member : object.GetObject()) {
-      std::string key = member.name.GetString();
-      auto place = pointer_below(pointer, key);
-      if (auto found = level.properties.find(key); found != level.properties.end())
+      if (is_full()) return;
+      const Path place{&path, name_of(member)};
+      if (auto found = level.properties.find(std::string(place.key)); found != level.properties.end())
         check(member.value, *found->second, place);
       else if (level.other_properties)
         check(member.value, *level.other_properties, place);
       else if (level.closed)
-        errors.push_back({place, "is not a known key"});
+        add(place, "is not a known key");
     }
   }
 };
@@ -223,7 +291,7 @@
 
 std::vector<ValidationError> Schema::check(const Json& document) const {
   Validation validation;
-  validation.check(*document.impl_->value, *impl_->root, "");
+  validation.check(*document.impl_->value, *impl_->root, Path{});
   return std::move(validation.errors);
 }
 
--- a/src/base/json.hpp
+++ b/src/base/json.hpp
@@ -6,10 +6,14 @@
 
 namespace dunlinwing::base {
 
+/// Errors that are reported of one document; further ones are left out.
+inline constexpr size_t kMaxValidationErrors = 64;
+
 /// One error in a document.
 struct ValidationError {
-  std::string pointer;  ///< JSON pointer to the invalid value; empty: the whole document
-  std::string message;  ///< human-readable
+  std::string pointer;     ///< JSON pointer to the invalid value; empty: the whole document
+  std::string message;     ///< human-readable
+  bool too_large = false;  ///< more entries or longer than a schema allows: not to be looked at any further
 };
 
 /// A read-only view of a parsed document or of a part of it. Reading an absent value or one of another
@@ -18,8 +22,7 @@
  public:
   struct Member;
 
-  /// A repeated key in an object is an error too.
-  /// A text beyond a limit of base/json_text is one as well.
+  /// A repeated key in an object is an error too, and so is a text beyond a limit of base/json_text.
   static std::variant<Json, ValidationError> parse(std::string_view text);
 
   /// A view of null.
@@ -55,7 +58,8 @@
   Json value;
 };
 
-/// A JSON schema (draft 4, without references). It reports every error in a document.
+/// A JSON schema (draft 4, without references). It reports every error in a document, up to
+/// kMaxValidationErrors, and nothing below an array or object with too many entries.
 class Schema {
  public:
   /// @param text  the schema; one that is not JSON is a programming error and throws std::logic_error
--- a/src/config/routing_configuration.cpp
+++ b/src/config/routing_configuration.cpp
@@ -46,7 +46,7 @@
         "priority":{"type":"integer","minimum":0,"maximum":1000},
         "shots":{"type":"integer","minimum":1,"maximum":1000},
         "keep_ms":{"type":"number","minimum":0,"maximum":31536000000},
-        "methods":{"type":"array","minItems":1,"uniqueItems":true,
+        "methods":{"type":"array","minItems":1,"maxItems":7,"uniqueItems":true,
                    "items":{"type":"string","enum":["GET","HEAD","POST","PUT","PATCH","DELETE","OPTIONS"]}}}}},
     "limits":{"type":"object","additionalProperties":false,"properties":{
       "body_bytes":{"type":"integer","minimum":0,"maximum":1073741824},
@@ -132,6 +132,7 @@
   }
 
   RoutingConfigurationResult parse() {
+    if (may_be_too_large()) return errors_;
     read_services();
     read_routes();
     check_services_are_routed();
@@ -141,7 +142,16 @@
   }
 
  private:
-  void add_error(const std::string& pointer, const char* message) { errors_.push_back({pointer, message}); }
+  void add_error(const std::string& pointer, const char* message) {
+    if (errors_.size() < base::kMaxValidationErrors) errors_.push_back({pointer, message});
+  }
+
+  /// The checks across services and routes take for granted that there are not too many, nor with long names.
+  /// After as many errors as are reported, the rest of the document was not checked.
+  bool may_be_too_large() const {
+    return errors_.size() >= base::kMaxValidationErrors ||
+           ranges::any_of(errors_, [](const auto& error) { return error.too_large; });
+  }
 
   void read_services() {
     for (const auto& [name, value] : json_.at("services").members()) {
@@ -175,16 +185,12 @@
         add_error(pointer + "prefix", "an earlier route has this prefix and method");
   }
 
-  bool is_routed(const std::string& service) const {
-    return ranges::any_of(configuration_.routes, [&](const auto& route) {
-      return ranges::any_of(route.weighted_services,
-                            [&](const auto& part) { return part.service == service; });
-    });
-  }
-
   void check_services_are_routed() {
+    std::set<std::string_view> routed;
+    for (const auto& route : configuration_.routes)
+      for (const auto& part : route.weighted_services) routed.insert(part.service);
     for (const auto& [name, service] : configuration_.services)
-      if (!service.versions.empty() && !is_routed(name))
+      if (!service.versions.empty() && !routed.count(name))
         add_error("/services/" + name, "no route leads to it");
   }
 
--- a/test/net/input_limits_test.cpp
+++ b/test/net/input_limits_test.cpp
@@ -135,6 +135,59 @@
   same(taken, 1, "orders taken after those that were refused");
 }
 
+// Documents on which a loop took the square of their length, or whose errors
+// took a multiple of it.
+std::vector<std::pair<std::string, std::string>> slow_documents() {
+  constexpr size_t kMany = 300'000;
+  std::string numbers = "0";
+  std::string members = "\"k0\":1";
+  for (size_t i = 1; i < kMany; ++i) {
+    numbers += fmt::format(",{}", i);
+    members += fmt::format(",\"k{}\":1", i);
+  }
+  const std::string long_key(1U << 20, 'k');
+  return {
+      {"different methods",
+       "{\"services\":{},\"routes\":[{\"prefix\":\"/\",\"methods\":[" +
+           numbers + "]}]}"},
+      {"different versions",
+       "{\"services\":{\"s\":{\"versions\":[" + numbers + "]}},\"routes\":[]}"},
+      {"services", "{\"services\":{" + members + "},\"routes\":[]}"},
+      {"unknown keys", "{" + members + "}"},
+      {"unknown keys below a long one",
+       "{\"services\":{\"" + long_key + "\":{" + members + "}},\"routes\":[]}"},
+      {"values below a long key", "{\"" + long_key + "\":[" + numbers + "]}"},
+      {"a long host with different methods",
+       "{\"services\":{},\"routes\":[{\"prefix\":\"/\",\"host\":\"" + long_key +
+           "\",\"methods\":[" + numbers + "]}]}"},
+      {"different methods behind many errors",
+       "{\"services\":{},\"routes\":[" +
+           repeated("{\"x\":1},", base::kMaxValidationErrors) +
+           "{\"prefix\":\"/\",\"methods\":[" + numbers + "]}]}"},
+      {"routes", "{\"services\":{\"s\":{\"versions\":[\"1\"]}},\"routes\":[" +
+                     repeated("{\"prefix\":\"/\"},", 100'000) + "{}]}"}};
+}
+
+void long_documents_take_no_longer_than_an_order_may() {
+  net::SystemClock clock;
+  for (const auto &[name, document] : slow_documents()) {
+    const auto began = clock.now();
+    auto result = config::parse_routing_configuration("c", document);
+    const auto *errors =
+        std::get_if<std::vector<base::ValidationError>>(&result);
+    expect(errors && !errors->empty(), name + ": the document is valid");
+    expect(errors->size() <= base::kMaxValidationErrors,
+           fmt::format("{}: {} errors", name, errors->size()));
+    size_t bytes = 0;
+    for (const auto &error : *errors)
+      bytes += error.pointer.size() + error.message.size();
+    expect(bytes <= 128U << 10,
+           fmt::format("{}: {} bytes of errors", name, bytes));
+    expect(clock.now() - began < kAcknowledgeTime,
+           fmt::format("{}: {} ms", name, (clock.now() - began).count()));
+  }
+}
+
 } // namespace
 
 std::vector<Case> input_limit_cases() {
@@ -144,7 +197,9 @@
            deepest_document_fits_half_a_stack},
           {"limits: orders beyond a limit change nothing, and the connection "
            "goes on",
-           orders_beyond_a_limit_change_nothing}};
+           orders_beyond_a_limit_change_nothing},
+          {"limits: no document holds up its node",
+           long_documents_take_no_longer_than_an_order_may}};
 }
 
 } // namespace dunlinwing::test
