A chunk's line and the trailers are bounded like a head

What callers saw: nothing, until a relay was ended for its memory: a client (or a backend instance) that begins a chunk's line or a trailer and never ends it was read and kept without end. Found by going through the readers of bytes from outside.

Cause: Beast keeps the bytes of a chunk's line and of the trailers until they are whole; its header limit holds for the head alone, its body limit counts the data of chunks alone, and the reservation of memory counts the body.

Fix: while nothing can be parsed, at most head_bytes are kept of a request (431 that names it, and the connection ends), and 64 KiB, as of a head, of a backend's response (the attempt has none).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -135,7 +135,11 @@
         if (!parser_.is_done() && parser_.need_eof()) return false;
         copy_head(parser_.get(), received_);  // before any trailer
       }
-      if (error && connection_.buffered().size() == bytes.size() && !read_more()) return false;
+      if (!error || connection_.buffered().size() != bytes.size()) continue;
+      // The parser keeps a chunk's line and the trailers until they are whole; the body limit doesn't count
+      // them.
+      if (has_head_ && bytes.size() > kMaxHeadBytes) return false;
+      if (!read_more()) return false;
     }
     return true;
   }
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -225,7 +225,7 @@
     ErrorCode error;
     connection_->consume(parser.put(asio::buffer(bytes.data(), bytes.size()), error));
     if (error == http::error::need_more) {
-      if (connection_->buffered().size() == bytes.size()) break;
+      if (connection_->buffered().size() == bytes.size()) return may_wait_for_line(incoming);
     } else if (error) {
       return refuse(status_of(error), error.message());
     }
@@ -234,6 +234,13 @@
   return true;
 }
 
+// The parser keeps a chunk's line and the trailers until they are whole, and the body limit does not count
+// them; false when they are too long.
+bool HttpServerConnection::may_wait_for_line(const IncomingRequest& incoming) {
+  if (!incoming.has_head || connection_->buffered().size() <= incoming.limits->head_bytes) return true;
+  return refuse(431, "a chunk's line or the trailers exceed the limit of a head (head_bytes)");
+}
+
 // Checks a head that has just been read; false when the connection must end.
 bool HttpServerConnection::accept_head(IncomingRequest& incoming) {
   Parser& parser = incoming.parser;
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -65,6 +65,7 @@
   bool serve_request();
   bool read_request(IncomingRequest& incoming);
   bool parse_buffered(IncomingRequest& incoming);
+  bool may_wait_for_line(const IncomingRequest& incoming);
   bool accept_head(IncomingRequest& incoming);
   bool read_more(IncomingRequest& incoming);
   bool await_request(IncomingRequest& incoming);
