A message whose end is ambiguous is refused, and what follows isn't read

Fix: net/message_framing names what is accepted: one Content-Length that is a number, or, in HTTP/1.1, `chunked` alone. All else gets 400 (501 for `gzip, chunked`, RFC 9112, 6.1) with Connection: close. Folded lines are refused, as Beast joins them. The same rules hold for responses of backend instances: the attempt has no response, the connection isn't used again.

Tests: wire "framing:", 46 forms over real sockets with a second request behind each, whole and in pieces of one byte, and the same forms as responses.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "net/connection_pool.hpp"
+#include "net/message_framing.hpp"
 #include "net/wait_limit.hpp"
 
 namespace dunlinwing::net {
@@ -127,10 +128,14 @@
       parser_.eager(has_head_);
       ErrorCode error;
       const auto bytes = connection_.buffered();
-      connection_.consume(parser_.put(asio::buffer(bytes.data(), bytes.size()), error));
+      const size_t parsed = parser_.put(asio::buffer(bytes.data(), bytes.size()), error);
       if (error && error != http::error::need_more) return false;
-      if (!has_head_ && parser_.is_header_done()) {
+      const bool has_whole_head = !has_head_ && parser_.is_header_done();
+      if (has_whole_head && has_folded_line(bytes.substr(0, parsed))) return false;
+      connection_.consume(parsed);
+      if (has_whole_head) {
         has_head_ = true;
+        if (find_framing_error(parser_.get(), parser_.get().version())) return false;
         // A body that runs until the connection closes cannot be distinguished from a truncated one.
         if (!parser_.is_done() && parser_.need_eof()) return false;
         copy_head(parser_.get(), received_);  // before any trailer
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include "base/log.hpp"
+#include "net/message_framing.hpp"
 
 namespace dunlinwing::net {
 namespace asio = boost::asio;
@@ -48,17 +49,15 @@
   size_t bytes_ = 0;
 };
 
-/// Reason to reject a head: ambiguous body length, missing or repeated Host, or a target that is not a path.
+/// Reason to reject a head: an ambiguous or unknown framing, missing or repeated Host, or a target that is
+/// not a path.
 template <class Head>
-std::optional<std::string> framing_error(const Head& head) {
-  const auto lengths = head.count(http::field::content_length);
-  const auto encodings = head.count(http::field::transfer_encoding);
-  if (lengths > 1) return "more than one Content-Length";
-  if (lengths > 0 && encodings > 0) return "both Content-Length and Transfer-Encoding";
-  if (encodings > 0 && head.version() < 11) return "Transfer-Encoding before HTTP/1.1";
-  if (head.version() >= 11 && head.count(http::field::host) != 1) return "exactly one Host is needed";
+std::optional<FramingError> head_error(const Head& head) {
+  if (auto error = find_framing_error(head, head.version())) return error;
+  if (head.version() >= 11 && head.count(http::field::host) != 1)
+    return FramingError{400, "exactly one Host is needed"};
   if (head.target().empty() || (head.target()[0] != '/' && head.target() != "*"))
-    return "the target must be a path";
+    return FramingError{400, "the target must be a path"};
   return {};
 }
 
@@ -223,13 +222,17 @@
     const auto bytes = connection_->buffered();
     if (!incoming.has_head) parser.eager(false);
     ErrorCode error;
-    connection_->consume(parser.put(asio::buffer(bytes.data(), bytes.size()), error));
+    const size_t parsed = parser.put(asio::buffer(bytes.data(), bytes.size()), error);
+    const bool has_whole_head = !incoming.has_head && parser.is_header_done();
+    if (has_whole_head && has_folded_line(bytes.substr(0, parsed)))
+      return refuse(400, "a line of the head is folded");
+    connection_->consume(parsed);
     if (error == http::error::need_more) {
       if (connection_->buffered().size() == bytes.size()) return may_wait_for_line(incoming);
     } else if (error) {
       return refuse(status_of(error), error.message());
     }
-    if (!incoming.has_head && parser.is_header_done() && !accept_head(incoming)) return false;
+    if (has_whole_head && !accept_head(incoming)) return false;
   }
   return true;
 }
@@ -248,7 +251,7 @@
   incoming.has_head = true;
   parser.eager(true);
   enter(State::reading_body);
-  if (const auto error = framing_error(head)) return refuse(400, *error);
+  if (const auto error = head_error(head)) return refuse(error->status, error->reason);
   const auto length = parser.content_length();
   if (length && *length > incoming.limits->body_bytes) return refuse(413, "body limit exceeded");
   if (length && !incoming.reservation.grow_to(*length, incoming.limits->all_bodies_bytes))
--- a/test/net/net_cases.hpp
+++ b/test/net/net_cases.hpp
@@ -139,5 +139,6 @@
 std::vector<Case> soak_cases();
 std::vector<Case> client_gone_cases();
 std::vector<Case> input_limit_cases();
+std::vector<Case> message_framing_cases();
 
 }  // namespace dunlinwing::test
