A refusal reaches clients that send up to 16 MiB more

What callers saw: an order of 8 MiB and a byte got a reset connection instead of the 413, and was sent again, to other nodes.

Cause: after a refusal at most 1 MiB more was read before the close; a close with unread bytes resets the connection, and the response is lost with it. Fix: 16 MiB, still within one second; what is read is dropped at once.

--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -18,7 +18,7 @@
 constexpr base::Log logger("http");
 constexpr Duration kUndeliveredLogPeriod(1000);  // between log lines about undelivered responses
 constexpr Duration kLingerTime(1000);            // how long bytes are read and dropped before a close
-constexpr size_t kMaxLingerBytes = 1 << 20;      // and how many bytes of them
+constexpr size_t kMaxLingerBytes = 16U << 20;    // and how many bytes of them
 constexpr size_t kBodyReadSize = 32 << 10;       // bytes of a body read at once
 constexpr size_t kMaxPipelinedBytes = 16 << 10;  // bytes of further requests read while one is handled
 constexpr const char* kRetryAfterSeconds = "1";  // for requests rejected because of the limit on all bodies
