Invalid system options in a settings file no longer end the process

Cause: the settings' parser read the system options although their check had reported errors, and std::stoi threw on a fiber. Fix: options with errors aren't read. Test: unit "config: invalid system options are reported, whatever they hold"; before it failed with "stoi".

--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -126,8 +126,9 @@
 
   void read_system_options() {
     if (!json_.has("system")) return;
-    for (const auto& error : config::check_system_options(json_.at("system")))
-      errors_.push_back({"/system" + error.pointer, error.message});
+    const auto invalid = config::check_system_options(json_.at("system"));
+    for (const auto& error : invalid) errors_.push_back({"/system" + error.pointer, error.message});
+    if (!invalid.empty()) return;  // parsing takes for granted that they conform to the schema
     settings_.node.system = config::parse_system_options(json_.at("system"), settings_.node.system);
   }
 
--- a/test/unit/node/settings_test.cpp
+++ b/test/unit/node/settings_test.cpp
@@ -58,6 +58,17 @@
               std::string("/name;/zone;/listen/peers;/listen/peer;/bound_ms;/listen/callers;/holders;"),
               "error pointers");
        }},
+      // Guards against: hours that are no numbers threw, which ended a running process that was sent SIGHUP.
+      {"config: invalid system options are reported, whatever they hold",
+       [good] {
+         for (const char* hours : {R"({"from":"ab:cd","to":"ef:gh"})", R"({"from":"     ","to":"     "})",
+                                   R"({"from":["00:00"],"to":{}})", "[[[[]]]]", "7"}) {
+           auto text = good;
+           text.insert(1, fmt::format(R"("system":{{"quiet_hours":{}}},)", hours));
+           expect(error_pointers_of_settings(text).starts_with("/system/quiet_hours"),
+                  fmt::format("{}: {}", hours, error_pointers_of_settings(text)));
+         }
+       }},
       {"config: a duplicate key is an error",
        [] {
          same(error_pointers_of_settings(R"({"name":"a","name":"b"})"), std::string("/name;"),
