Headers and tags count as bytes of the cache, and tags are searched by halves

Found by going through the readers of bytes from outside. The cache counted 512 bytes for the headers and tags of each response, of which a backend instance may send 64 KiB: a cache of 65 MiB could take gigabytes. And a purge by tag was compared with each tag of a response, of which there may be 32,000, for each request that the response serves.

Fix: the text of headers and tags and 64 bytes for each count; tags are sorted when the response comes. Test: unit "cache: headers and tags count as bytes of the cache"; before it failed.

--- a/src/cache/cache.cpp
+++ b/src/cache/cache.cpp
@@ -8,10 +8,20 @@
 
 namespace dunlinwing::cache {
 namespace {
-/// Estimated size of an entry in addition to its key and body: headers and bookkeeping.
+/// Estimated size of an entry's bookkeeping, and of each of its headers and tags beside their text.
 constexpr size_t kEntryOverheadBytes = 512;
+constexpr size_t kTextOverheadBytes = 64;
 /// The number of lifetimes for which a response is kept: after the first one it can still be revalidated.
 constexpr int kRetainedLifetimes = 2;
+
+/// Memory that an entry takes. A backend instance decides how many headers and tags there are, and how long.
+size_t size_of(const std::string& key, const CachedResponse& cached) {
+  size_t bytes = kEntryOverheadBytes + 2 * key.size() + cached.response.body.size();
+  for (const auto& header : cached.response.headers)
+    bytes += header.name.size() + header.value.size() + kTextOverheadBytes;
+  for (const auto& tag : cached.tags) bytes += tag.size() + kTextOverheadBytes;
+  return bytes;
+}
 }  // namespace
 
 struct Cache::Fetch {
@@ -56,7 +66,7 @@
 }
 
 void Cache::put(const std::string& key, CachedResponsePtr cached, size_t max_bytes) {
-  size_t added = cached->response.body.size() + key.size() + kEntryOverheadBytes;
+  const size_t added = size_of(key, *cached);
   std::lock_guard lock(impl_->mutex);
   if (auto found = impl_->entries.find(key); found != impl_->entries.end()) impl_->erase(found);
   if (added > max_bytes) return;
--- a/src/cache/cache.hpp
+++ b/src/cache/cache.hpp
@@ -14,7 +14,7 @@
   base::Response response;
   std::string service;            ///< the service that sent it
   std::string version;            ///< the version of the backend instance that sent it
-  std::vector<std::string> tags;  ///< by which it can be purged
+  std::vector<std::string> tags;  ///< by which it can be purged, in ascending order
   TimePoint generated_at{0};      ///< the time just before the fetch, minus the response's Age
   Duration lifetime{0};
   uint64_t purge_number = 0;  ///< the purge number known when the fetch began
--- a/src/proxy/cached_request_handler.cpp
+++ b/src/proxy/cached_request_handler.cpp
@@ -138,7 +138,7 @@
                       : cache::response_lifetime(context.request, result.response);
   entry->generated_at -= cache::age_header(result.response);
   entry->version = result.version;
-  entry->tags = node_.adapter.cache_tags(result.response);
+  entry->tags = sorted_tags(node_.adapter, result.response);
   auto response =
       confirmed ? std::move(result.response) : outcomes_.from_upstream(std::move(result)).response;
   if (!lifetime) return {{std::move(response)}, nullptr};
--- a/src/proxy/cached_response_rules.cpp
+++ b/src/proxy/cached_response_rules.cpp
@@ -16,6 +16,12 @@
 }
 }  // namespace
 
+std::vector<std::string> sorted_tags(const ProtocolAdapter& adapter, const base::Response& response) {
+  auto tags = adapter.cache_tags(response);
+  std::sort(tags.begin(), tags.end());
+  return tags;
+}
+
 bool CachedResponseRules::is_quarantined(const cache::CachedResponse& cached,
                                          const RequestContext& context) const {
   const auto snapshot = node_.snapshot();
--- a/src/proxy/cached_response_rules.hpp
+++ b/src/proxy/cached_response_rules.hpp
@@ -37,6 +37,9 @@
   NodeContext node_;
 };
 
+/// The tags by which the response may be purged, in ascending order. A backend instance may send thousands.
+std::vector<std::string> sorted_tags(const ProtocolAdapter& adapter, const base::Response& response);
+
 /// Whether the response confirms that `stored` is current: a 304 with the same strong entity tag.
 bool revalidates(const base::Response& response, const base::Response& stored);
 
--- a/src/proxy/routing_snapshot.cpp
+++ b/src/proxy/routing_snapshot.cpp
@@ -38,7 +38,8 @@
   if (!purge.host().empty() && !base::equals_ignore_case(purge.host(), response.host)) return false;
   if (purge.kind() == "prefix") return path.substr(0, purge.path().size()) == purge.path();
   if (purge.kind() == "path") return path == purge.path() || response.target == purge.path();
-  return purge.kind() == "tag" && response.tags && contains(*response.tags, purge.path());
+  return purge.kind() == "tag" && response.tags &&
+         std::binary_search(response.tags->begin(), response.tags->end(), purge.path());
 }
 
 bool matches_any(const pb::PurgeSet& purges, const PurgeTarget& response, uint64_t since) {
--- a/src/proxy/routing_snapshot.hpp
+++ b/src/proxy/routing_snapshot.hpp
@@ -88,9 +88,9 @@
 /// The properties of a response that purges match. Keeps references to them.
 struct PurgeTarget {
   std::string_view service;
-  std::string_view host;    ///< empty when the route accepts any host
-  std::string_view target;  ///< path and query
-  const std::vector<std::string>* tags = nullptr;
+  std::string_view host;                           ///< empty when the route accepts any host
+  std::string_view target;                         ///< path and query
+  const std::vector<std::string>* tags = nullptr;  ///< in ascending order; null: none
 };
 
 /// Whether a purge later than `since` (a result of purge_number()) matches the response.
--- a/src/proxy/shield_client.cpp
+++ b/src/proxy/shield_client.cpp
@@ -199,7 +199,7 @@
     entry->purge_number = min_purge_number(entry->purge_number, forwarded.purge_number());
     entry->version = forwarded.version();
     if (entry->response.status == kNotModified && !restore_held(forwarded, *entry)) return {};
-    entry->tags = client_.node_.adapter.cache_tags(entry->response);
+    entry->tags = sorted_tags(client_.node_.adapter, entry->response);
     if (forwarded.cacheable()) {
       if (!client_.rules_.is_usable(entry, context_, now())) return {};
       return FetchResult{{}, entry};
--- a/test/unit/main.cpp
+++ b/test/unit/main.cpp
@@ -40,6 +40,7 @@
                      &limits_cases,
                      &pacer_cases,
                      &transfer_cases,
+                     &cache_cases,
                      &canary_cases,
                      &snapshot_builder_cases,
                      &assignment_loader_cases,
--- a/test/unit/unit_cases.hpp
+++ b/test/unit/unit_cases.hpp
@@ -35,6 +35,7 @@
 std::vector<Case> limits_cases();
 std::vector<Case> pacer_cases();
 std::vector<Case> transfer_cases();
+std::vector<Case> cache_cases();
 std::vector<Case> canary_cases();
 std::vector<Case> snapshot_builder_cases();
 std::vector<Case> assignment_loader_cases();
