Soak: invalid orders of every form, and settings that are none

Beside restarts, kills, reloads, changes and purges, up to six invalid orders at once are sent to the own API in series, each to another relay until it is refused: beyond the limits (docs/limits.md), cut short, not JSON, not of the schema, contradicting themselves. A running relay is sent SIGHUP up to three times in a row with a settings file that is none. Reported are orders that are taken or get no clear answer (4xx) in eight seconds, and now each process that ends otherwise than by the signal it was sent; before, one that had ended by itself when its SIGTERM came wasn't seen.

--- a/test/fleet/soak_fleet.cpp
+++ b/test/fleet/soak_fleet.cpp
@@ -21,6 +21,13 @@
 constexpr Duration kUntilMain{1000};  // upper bound from fork to the start of main on a loaded machine
 constexpr double kMsPerSecond = 1000;
 
+void replace_file(const std::string& path, const std::string& text) {
+  std::ofstream file(path + ".new");
+  file << text;
+  file.close();
+  std::filesystem::rename(path + ".new", path);
+}
+
 std::string loopback(int port) { return fmt::format("127.0.0.1:{}", port); }
 }  // namespace
 
@@ -39,6 +46,10 @@
   }
 }
 
+std::string SoakFleet::settings_path(const SoakRelay& relay) const {
+  return options_.directory + "/" + relay.name + "/relay.json";
+}
+
 void SoakFleet::write_settings(const SoakRelay& relay, bool first_start, int rotation) const {
   std::string seeds;
   for (int i = 0; i < kSeeds; ++i)
@@ -46,9 +57,7 @@
                          relays_[static_cast<size_t>((i + rotation) % kSeeds)].control_address);
   const auto folder = options_.directory + "/" + relay.name;
   std::filesystem::create_directories(folder);
-  const auto path = folder + "/relay.json";
-  std::ofstream file(path + ".new");
-  file << fmt::format(
+  const auto settings = fmt::format(
       R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},"seeds":[{}],)"
       R"("first_start":{},"tolerate":1,"threads":1,"descriptors":{},"memory_mb":160,"link_mbps":{},)"
       R"("bounds":{{"layout_s":2,"leave_s":2,"purge_s":2,"grace_s":{}}}{}{}}})",
@@ -57,8 +66,7 @@
       static_cast<double>(options_.grace.count()) / kMsPerSecond,
       relay.has_disk ? fmt::format(R"(,"data":"{}/data")", folder) : "",
       relay.is_shield ? R"(,"shield":true)" : "");
-  file.close();
-  std::filesystem::rename(path + ".new", path);
+  replace_file(settings_path(relay), settings);
 }
 
 void SoakFleet::start_all() {
@@ -75,13 +83,30 @@
   ++relay.start_count;
 }
 
+// A process ends by SIGKILL, or in order after SIGTERM; before its main function has begun, SIGTERM ends it.
+void SoakFleet::record_end(SoakRelay& relay, int wait_status) {
+  relay.process = -1;
+  const bool was_killed = WIFSIGNALED(wait_status) && WTERMSIG(wait_status) == SIGKILL;
+  const bool ended_in_order =
+      relay.terminating && (WIFSIGNALED(wait_status) ? WTERMSIG(wait_status) == SIGTERM : true);
+  if (was_killed || ended_in_order) return;
+  unexpected_ends_.push_back(WIFSIGNALED(wait_status)
+                                 ? fmt::format("{} (start {}) ended by signal {}", relay.name,
+                                               relay.start_count, WTERMSIG(wait_status))
+                                 : fmt::format("{} (start {}) ended by itself with status {}", relay.name,
+                                               relay.start_count, WEXITSTATUS(wait_status)));
+}
+
 bool SoakFleet::reap(SoakRelay& relay) {
-  if (relay.process > 0 && ::waitpid(relay.process, nullptr, WNOHANG) == relay.process) relay.process = -1;
+  int status = 0;
+  if (relay.process > 0 && ::waitpid(relay.process, &status, WNOHANG) == relay.process)
+    record_end(relay, status);
   return relay.process < 0;
 }
 
-bool SoakFleet::has_crashed(SoakRelay& relay) {
-  return relay.process > 0 && !relay.terminating && reap(relay);
+void SoakFleet::restart_ended() {
+  for (auto& relay : relays_)
+    if (relay.process > 0 && !relay.terminating && reap(relay)) start(relay);
 }
 
 bool SoakFleet::terminate(SoakRelay& relay) {
@@ -93,10 +118,7 @@
   while (!reap(relay) && clock_.now() < relay.terminated_at + options_.grace) clock_.sleep(kReapEvery);
   const bool ended = relay.process < 0;
   if (!ended) {
-    relay.killed_at = clock_.now();
-    ::kill(relay.process, SIGKILL);
-    ::waitpid(relay.process, nullptr, 0);
-    relay.process = -1;
+    kill(relay);
   }
   --terminating_count_;
   terminating_replicas_ -= relay.has_disk;
@@ -107,8 +129,9 @@
   relay.terminating = true;
   relay.killed_at = clock_.now();
   ::kill(relay.process, SIGKILL);
-  ::waitpid(relay.process, nullptr, 0);
-  relay.process = -1;
+  int status = 0;
+  ::waitpid(relay.process, &status, 0);
+  record_end(relay, status);
 }
 
 void SoakFleet::reload(SoakRelay& relay, int rotation) {
@@ -117,6 +140,12 @@
   ::kill(relay.process, SIGHUP);
 }
 
+void SoakFleet::reload_invalid(SoakRelay& relay, const std::string& settings) {
+  if (clock_.now() - relay.started_at < kUntilMain) return;
+  replace_file(settings_path(relay), settings);
+  ::kill(relay.process, SIGHUP);
+}
+
 void SoakFleet::kill_all() {
   for (auto& relay : relays_)
     if (relay.process > 0) kill(relay);
--- a/test/fleet/soak_fleet.hpp
+++ b/test/fleet/soak_fleet.hpp
@@ -55,21 +55,30 @@
   /// Rewrites the settings with the seeds in another order, and sends SIGHUP. Does nothing in the first
   /// second of a process: before its main function has begun, SIGHUP would end it.
   void reload(SoakRelay& relay, int rotation);
+
+  /// The same with a settings file of this text, which has to change nothing.
+  void reload_invalid(SoakRelay& relay, const std::string& settings);
   void kill_all();
 
-  /// Reaps the process if it has ended. @return whether it ended without a signal to end
-  bool has_crashed(SoakRelay& relay);
+  /// Starts each relay again whose process has ended by itself, as a supervisor does.
+  void restart_ended();
+
+  /// Processes that ended by themselves, or otherwise than by the signal that was sent to them.
+  const std::vector<std::string>& unexpected_ends() const { return unexpected_ends_; }
 
   std::vector<SoakRelay>& relays() { return relays_; }
   int terminating_count() const { return terminating_count_; }        ///< relays that are terminating
   int terminating_replicas() const { return terminating_replicas_; }  ///< the replicas among these
 
  private:
+  std::string settings_path(const SoakRelay& relay) const;
   void write_settings(const SoakRelay& relay, bool first_start, int rotation) const;
   bool reap(SoakRelay& relay);
+  void record_end(SoakRelay& relay, int wait_status);
 
   SoakFleetOptions options_;
   std::vector<SoakRelay> relays_;
+  std::vector<std::string> unexpected_ends_;
   net::SystemClock clock_;
   int terminating_count_ = 0;
   int terminating_replicas_ = 0;
--- a/test/fleet/soak_main.cpp
+++ b/test/fleet/soak_main.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <iostream>
 
+#include "fleet/invalid_orders.hpp"
 #include "fleet/soak_traffic.hpp"
 
 DEFINE_string(relay, "build/relay", "path of the relay under test");
@@ -39,6 +40,8 @@
     repeat(700ms, [this] { reload(); });
     repeat(1200ms, [this] { change_in_series(); });
     repeat(1500ms, [this] { purge_together(); });
+    repeat(800ms, [this] { send_invalid_orders(); });
+    repeat(200ms, [this] { fleet_.restart_ended(); });
     while (running_ > 0) clock_.sleep(20ms);
   }
 
@@ -86,9 +89,26 @@
     fleet_.start(*relay);
   }
 
+  /// Sends SIGHUP up to four times to a relay, with settings that are valid or not; the last ones are valid.
   void reload() {
     auto& relay = fleet_.relays()[random_() % fleet_.relays().size()];
-    if (relay.process > 0 && !relay.terminating) fleet_.reload(relay, static_cast<int>(random_() % 3));
+    for (auto left = random_() % 4;; --left) {
+      if (relay.process < 0 || relay.terminating) return;
+      if (left == 0) return fleet_.reload(relay, static_cast<int>(random_() % 3));
+      fleet_.reload_invalid(relay, draw_invalid_settings(random_));
+      clock_.sleep(Duration(static_cast<int64_t>(random_() % 150)));
+    }
+  }
+
+  /// Sends up to six invalid orders at once, each to a relay of its own choice until it is refused.
+  void send_invalid_orders() {
+    for (auto left = random_() % 6; left > 0; --left) {
+      ++running_;
+      pool_.spawn([this, number = ++invalid_orders_] {
+        traffic_.send_invalid_order(number);
+        --running_;
+      });
+    }
   }
 
   void change_in_series() {
@@ -118,7 +138,8 @@
   TimePoint end_{0};
   TimePoint disk_rests_until_{0};  // a replica needs time to catch up before the next one is stopped
   int running_ = 0;
-  uint64_t purges_ = 0;  // begun so far
+  uint64_t purges_ = 0;          // begun so far
+  uint64_t invalid_orders_ = 0;  // begun so far
 };
 
 // Whether all relays are ready.
@@ -146,26 +167,26 @@
   if (!await_ready(fleet)) return traffic.report("not all relays became ready");
   traffic.start_clients(FLAGS_clients);
   FaultInjector(pool, fleet, traffic, FLAGS_seed).run(Duration(FLAGS_seconds * 1000));
-  for (auto& relay : fleet.relays())
-    if (fleet.has_crashed(relay)) traffic.report(relay.name + " ended without a signal");
+  fleet.restart_ended();
   if (!await_ready(fleet)) traffic.report("not all relays are ready after the faults");
   traffic.stop();
   traffic.read_back();
+  fleet.restart_ended();
+  for (const auto& end : fleet.unexpected_ends()) traffic.report(end);
 }
 
 int print(const SoakFigures& figures) {
   for (const auto& what : figures.violations) std::cout << "BROKEN: " << what << "\n";
   std::cout << fmt::format(
-                   "seed {}: {} requests on {} connections, {} answered ({} kept ones by {} fetches), {} "
-                   "refused, {} other, {} cut by kills, "
-                   "{} cut unread ({} of them late), {} left early ({} of {} runs went on), {} changes, {} "
-                   "purges, {} "
-                   "broken\n",
-                   FLAGS_seed, figures.requests, figures.connections, figures.answered, figures.cacheable,
-                   figures.fetches, figures.refused, figures.other, figures.cut_by_kill, figures.cut_unread,
-                   figures.late_cuts, figures.left, figures.left_runs_continued, figures.left_runs,
-                   figures.changes, figures.purges, figures.violations.size())
-            << std::flush;
+      "seed {}: {} requests on {} connections, {} answered ({} kept ones by {} fetches), {} refused, {} "
+      "other, "
+      "{} cut by kills, {} cut unread ({} of them late), {} left early ({} of {} runs went on), {} changes, "
+      "{} purges, {} invalid orders refused, {} broken\n",
+      FLAGS_seed, figures.requests, figures.connections, figures.answered, figures.cacheable, figures.fetches,
+      figures.refused, figures.other, figures.cut_by_kill, figures.cut_unread, figures.late_cuts,
+      figures.left, figures.left_runs_continued, figures.left_runs, figures.changes, figures.purges,
+      figures.invalid_orders, figures.violations.size());
+  std::cout.flush();
   return figures.violations.empty() && figures.answered > figures.requests / 3 ? 0 : 1;
 }
 }  // namespace
--- a/test/fleet/soak_traffic.cpp
+++ b/test/fleet/soak_traffic.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "fleet/invalid_orders.hpp"
+
 namespace dunlinwing::test {
 namespace {
 using namespace std::chrono_literals;
@@ -27,7 +29,8 @@
 constexpr Duration kNewConnections{1500};  // for which clients still connect after SIGTERM
 constexpr Duration kLongestPause{120};     // between two requests of a client
 constexpr Duration kOperatorTries{8000};
-constexpr int kRequestsEach = 40;  // maximum on one connection
+constexpr uint64_t kInvalidNumbers = uint64_t{1} << 32;  // above the numbers of all valid configurations
+constexpr int kRequestsEach = 40;                        // maximum on one connection
 constexpr int kOneInSoManyLeaves = 12;
 constexpr Duration kLongestStay{150};      // before a client leaves early
 constexpr Duration kWorkForLeavers{1400};  // far longer than kLongestStay
@@ -353,7 +356,9 @@
 
 // ---- Configurations ----
 
-bool SoakTraffic::send_until_acknowledged(const base::Request& order, std::mt19937_64& random) {
+// The status of the first answer that counts as one; 0: none in time.
+int SoakTraffic::send_until_answered(const base::Request& order, std::mt19937_64& random,
+                                     const std::function<bool(int)>& is_answer) {
   for (const auto end = clock_.now() + kOperatorTries; clock_.now() < end;) {
     const auto* relay = choose_relay(random);
     if (!relay) {
@@ -362,10 +367,23 @@
     }
     const auto reply = http_.send(relay->control_address, order, 1500ms);
     const auto* response = std::get_if<base::Response>(&reply);
-    if (response && response->status == 200) return true;
+    if (response && is_answer(response->status)) return response->status;
     clock_.sleep(50ms);
   }
-  return false;
+  return 0;
+}
+
+bool SoakTraffic::send_until_acknowledged(const base::Request& order, std::mt19937_64& random) {
+  return send_until_answered(order, random, [](int status) { return status == 200; }) == 200;
+}
+
+void SoakTraffic::send_invalid_order(uint64_t number) {
+  std::mt19937_64 random(seed_ * 13 + number);
+  const auto order = draw_invalid_order(random, kInvalidNumbers + number);
+  const int status = send_until_answered(order.request, random,
+                                         [](int answer) { return answer / 100 != 5 && answer != 429; });
+  if (status / 100 != 4) return report(fmt::format("an invalid order ({}) got {}", order.form, status));
+  ++figures_.invalid_orders;
 }
 
 bool SoakTraffic::change_configuration() {
--- a/test/fleet/soak_traffic.hpp
+++ b/test/fleet/soak_traffic.hpp
@@ -9,6 +9,7 @@
 /// - a response under a configuration older than one that was acknowledged the propagation bound before the
 ///   request was sent, or older than one that the same relay process had used before;
 /// - a running relay does not respond in time;
+/// - an invalid order is taken, or has no clear answer (4xx) in time;
 /// - half a second after their clients left early, instances still execute more than a quarter of the
 ///   idempotent requests; or a running relay cancels a non-idempotent request of such a client during
 ///   execution.
@@ -42,6 +43,7 @@
   uint64_t left_runs_continued = 0;     ///< of `left_runs`: still executing 500 ms after the client left
   uint64_t changes = 0;                 ///< acknowledged configuration changes
   uint64_t purges = 0;                  ///< acknowledged purges
+  uint64_t invalid_orders = 0;          ///< invalid orders that got a clear answer
   std::vector<std::string> violations;  ///< descriptions of the violations
 };
 
@@ -67,6 +69,10 @@
   /// @return whether it was acknowledged within kOperatorTries
   bool purge_object(uint64_t number);
 
+  /// Sends an invalid order to random relays until one refuses it.
+  /// @param number  of the order, from which its form and the relays are drawn
+  void send_invalid_order(uint64_t number);
+
   /// Reads the configuration back from every relay and verifies that it is the newest one.
   void read_back();
 
@@ -97,6 +103,8 @@
   void verify_abandoned();
   SoakRelay* choose_relay(std::mt19937_64& random);
   bool send_until_acknowledged(const base::Request& order, std::mt19937_64& random);
+  int send_until_answered(const base::Request& order, std::mt19937_64& random,
+                          const std::function<bool(int)>& is_answer);
   bool exchange(net::Connection& connection, const Sent& sent);
   void verify_response(const Sent& sent, int status, uint64_t generation);
   void verify_cacheable(const Sent& sent, const std::string& body);
