Routes whose hosts differ in upper and lower case alone are the same route

What callers saw: a configuration with two such routes and one prefix was acknowledged, and the second route was never served: hosts of requests match without regard to case. Now it is invalid like any repeated prefix (docs/configuration.md).

Test: unit "layout: hosts that differ in upper and lower case alone are the same host".

--- a/src/base/text.cpp
+++ b/src/base/text.cpp
@@ -15,6 +15,13 @@
                     [](char one, char other) { return lower(one) == lower(other); });
 }
 
+std::string lower_case(std::string_view text) {
+  std::string lowered(text);
+  std::transform(lowered.begin(), lowered.end(), lowered.begin(),
+                 [](char letter) { return static_cast<char>(lower(letter)); });
+  return lowered;
+}
+
 std::vector<std::string> split_list(std::string_view text, char separator) {
   std::vector<std::string> out;
   for (size_t begin = 0; begin <= text.size();) {
--- a/src/config/routing_configuration.cpp
+++ b/src/config/routing_configuration.cpp
@@ -181,7 +181,7 @@
         add_error(pointer + "service", "names no service of this layout");
     auto methods = route.methods.empty() ? std::vector<std::string>{"*"} : route.methods;
     for (const auto& method : methods)
-      if (!seen_routes_.insert(route.host + " " + route.prefix + " " + method).second)
+      if (!seen_routes_.insert(base::lower_case(route.host) + " " + route.prefix + " " + method).second)
         add_error(pointer + "prefix", "an earlier route has this prefix and method");
   }
 
--- a/src/proxy/cached_request_handler.cpp
+++ b/src/proxy/cached_request_handler.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cctype>
 
 #include "cache/cacheability.hpp"
 
@@ -55,9 +54,7 @@
 // The parts cannot contain the line break that separates them. The host is part of the key even if the route
 // accepts any host: objects of different hosts are distinct.
 std::string cache_key(const RequestContext& context) {
-  auto host = base::header(context.request.headers, "Host");
-  std::transform(host.begin(), host.end(), host.begin(),
-                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  const auto host = base::lower_case(base::header(context.request.headers, "Host"));
   return context.service->name + "\n" + host + "\n" + context.request.target;
 }
 
--- a/test/unit/config/config_test.cpp
+++ b/test/unit/config/config_test.cpp
@@ -30,6 +30,19 @@
                           "/content/routes/2/service;/content/services/b;"),
               "error pointers");
        }},
+      {"layout: hosts that differ in upper and lower case alone are the same host",
+       [] {
+         const auto document = [](const char* host) {
+           return fmt::format(
+               R"({{"content":{{"services":{{"a":{{"versions":["1"]}}}},"routes":[
+               {{"host":"shop.example","prefix":"/","service":"a"}},{{"host":"{}","prefix":"/","service":"a"}}]}}}})",
+               host);
+         };
+         same(error_pointers_of_release("layout", document("SHOP.example")),
+              std::string("/content/routes/1/prefix;"), "error pointers");
+         same(error_pointers_of_release("layout", document("other.example")), std::string("valid"),
+              "error pointers");
+       }},
       {"release: a hold time may be raised above the minimum, not lowered",
        [] {
          auto document = [](int one) {
