A leader that began during a rollout learns from other nodes when it was requested

Cause: a leader whose process began during the rollout knew the recorded time only, which may be three bounds behind, and added those for the deadline's sake. The switch, planned as late as the allowance demands, then began up to six seconds too early.

Fix: every node keeps when it saw the request, also those that are no candidates, and reports it with its status (NodeStatus.rollout_ages); a new leader takes the earliest. Until reports have come, for a bound at most, the recorded time alone counts, which is short: it delays a switch. Without any report the longest time is assumed as before, so that the deadline holds. Statuses carry their age.

--- a/src/membership/status_table.cpp
+++ b/src/membership/status_table.cpp
@@ -100,7 +100,10 @@
 std::map<std::string, pb::NodeStatus> StatusTable::live_statuses(TimePoint now) const {
   std::map<std::string, pb::NodeStatus> statuses;
   for (const auto& [source, entry] : entries_)
-    if (now - entry.reported_at < session_) statuses[source] = entry.status;
+    if (now - entry.reported_at < session_) {
+      statuses[source] = entry.status;
+      statuses[source].set_age_ms(static_cast<uint64_t>((now - entry.reported_at).count()));
+    }
   return statuses;
 }
 
--- a/src/membership/status_table.hpp
+++ b/src/membership/status_table.hpp
@@ -68,7 +68,8 @@
   /// Every backend instance reported by any status in this table, by name.
   std::map<std::string, BackendInstanceStatus> backend_instances(TimePoint now) const;
 
-  /// The statuses younger than a session, by source, including those of nodes that announced their shutdown.
+  /// The statuses younger than a session, by source, with their ages, including those of nodes that announced
+  /// their shutdown.
   std::map<std::string, pb::NodeStatus> live_statuses(TimePoint now) const;
 
   /// Replaces the set of instances whose announced shutdown is recorded.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,7 @@
 #include "node/link_log.hpp"
 #include "node/rejection_log.hpp"
 #include "node/snapshot_builder.hpp"
+#include "rollout/version_request_times.hpp"
 
 namespace dunlinwing::node {
 namespace {
@@ -59,6 +60,7 @@
   membership::Discovery discovery;
   std::unique_ptr<membership::ReplicaRepair> replica_repair;  ///< null without a disk
   rollout::RolloutController rollout_controller;
+  rollout::VersionRequestTimes version_request_times;
   proxy::RequestHandler request_handler;
   std::atomic<bool> leaving{false};  ///< the process is about to end
   std::atomic<bool> drained{false};  ///< by operators; clients are directed to other nodes
@@ -118,6 +120,7 @@
     describe_node(*status.mutable_node());
     heartbeats.report(ports.clock.now(), status);
     request_handler.report_status(status);
+    version_request_times.report(ports.clock.now(), status);
   }
 
   void describe_node(pb::NodeInfo& info) {
@@ -173,6 +176,7 @@
     builder.add_register_values(chosen);
     builder.add_shields(state_cache.statuses().members(now));
     evict_expired_responses(now);
+    version_request_times.update(state_cache.last_good_pull(), builder.service_states());
     const auto statuses = state_cache.statuses().live_statuses(now);
     demand_shares.observe(statuses, now);
     builder.set_demand_shares(demand_shares.usable());
--- a/src/rollout/version_rollout_observer.cpp
+++ b/src/rollout/version_rollout_observer.cpp
@@ -26,21 +26,21 @@
   std::map<std::string, pb::ServiceState> states;
   std::set<std::string> warm;  // services whose canary has warm instances
   const auto prefix = service_key("");
-  for (const auto& [key, value] : chosen) {
-    if (!key.starts_with(prefix)) continue;
-    const auto service = key.substr(prefix.size());
-    auto& state = states[service];
-    state.ParseFromString(value.data);
-    if (state.canary().empty() || !state.deadline_ms()) {
+  for (const auto& [key, value] : chosen)
+    if (key.starts_with(prefix)) states[key.substr(prefix.size())].ParseFromString(value.data);
+  request_times_.update(pulled_at, states);
+  for (const auto& [service, state] : states) {
+    if (!has_deadline_rollout(state)) {
       rollouts_.erase(service);
       continue;
     }
-    observe(now, pulled_at, service, state, view);
-    observe_nodes(service, state, statuses, rollouts_[service]);
-    if (is_warm(now, rollouts_[service])) warm.insert(service);
+    observe(now, service, state, view);
+    auto& rollout = rollouts_[service];
+    estimate_request_time(now, service, state, statuses, rollout);
+    observe_nodes(service, state, statuses, rollout);
+    if (is_warm(now, rollout)) warm.insert(service);
   }
   statistics_.update(states, statuses, warm);
-  pulled_at_ = pulled_at;
 }
 
 VersionRolloutObserver::InstanceView VersionRolloutObserver::view_instances(
@@ -59,13 +59,13 @@
   return view;
 }
 
-void VersionRolloutObserver::observe(TimePoint now, TimePoint pulled_at, const std::string& service,
-                                     const pb::ServiceState& state, InstanceView& view) {
+void VersionRolloutObserver::observe(TimePoint now, const std::string& service, const pb::ServiceState& state,
+                                     InstanceView& view) {
   auto& rollout = rollouts_[service];
   if (rollout.canary_number != state.canary_number()) {
     rollout = ObservedRollout{};
     rollout.canary_number = state.canary_number();
-    rollout.requested_at = request_time(now, pulled_at, state);
+    rollout.first_observed_at = now;
   }
   const auto used = canary::canary_instances(view.by_service[service], state.canary(), true);
   const bool any_cold = std::any_of(used.begin(), used.end(),
@@ -75,11 +75,19 @@
   rollout.warm_instances = view.warm_by_service[service];
 }
 
-TimePoint VersionRolloutObserver::request_time(TimePoint now, TimePoint pulled_at,
-                                               const pb::ServiceState& state) const {
-  // The previous pull did not return the rollout yet, the current one does.
-  if (pulled_at_ != TimePoint(0)) return pulled_at_ + (pulled_at - pulled_at_) / 2;
-  return now - Duration(static_cast<int64_t>(state.held_ms())) - bound_ * kUnrecordedBounds;
+void VersionRolloutObserver::estimate_request_time(TimePoint now, const std::string& service,
+                                                   const pb::ServiceState& state,
+                                                   const std::map<std::string, pb::NodeStatus>& statuses,
+                                                   ObservedRollout& rollout) const {
+  if (rollout.knows_request) return;
+  auto at = request_times_.requested_at(service, state.canary_number());
+  if (!at) at = reported_request_time(statuses, service, state.canary_number(), now);
+  if (rollout.requested_at == TimePoint(0))
+    rollout.requested_at = now - Duration(static_cast<int64_t>(state.held_ms()));
+  const bool waits = !at && now - rollout.first_observed_at < bound_;
+  if (waits) return;
+  rollout.knows_request = true;
+  rollout.requested_at = at ? *at : rollout.requested_at - bound_ * kUnrecordedBounds;
 }
 
 // Records how many requests the nodes sent to the canary, and whether all of them follow a switch to it.
--- a/src/rollout/version_rollout_observer.hpp
+++ b/src/rollout/version_rollout_observer.hpp
@@ -3,13 +3,15 @@
 /// can continue them when it becomes leader: when each was requested, since when the canary's backend
 /// instances have been warm, and their responses.
 ///
-/// Unknown facts count against a rollout, except for the time of its request, which is assumed to be half-way
-/// between the pull that first returned it and the previous pull. A node that starts observing during a
-/// rollout uses the recorded time, plus a lease duration and a bound for what was recorded late.
-/// Threads: the fiber of the rollout controller. Never waits.
+/// Unknown facts count against a rollout, except for the time of its request (rollout/version_request_times).
+/// A node that starts observing during a rollout takes it from the other nodes' statuses. Until they have
+/// come it uses the recorded time alone, which is too short: a switch that begins too early exceeds the
+/// allowance. If none has come in a bound, it adds a lease duration and a bound for what was recorded late,
+/// so that the deadline holds. Threads: the fiber of the rollout controller. Never waits.
 #pragma once
 #include "membership/backend_instance.hpp"
 #include "membership/state_cache.hpp"
+#include "rollout/version_request_times.hpp"
 #include "rollout/version_rollout.hpp"
 
 namespace dunlinwing::rollout {
@@ -36,7 +38,9 @@
  private:
   struct ObservedRollout {
     uint64_t canary_number = 0;
-    TimePoint requested_at{0};        ///< estimated from the times of pulls
+    TimePoint requested_at{0};
+    bool knows_request = false;  ///< `requested_at` is no longer corrected
+    TimePoint first_observed_at{0};
     TimePoint warm_since{0};          ///< when all instances that the canary uses were warm; 0: some are not
     TimePoint switch_observed_at{0};  ///< when the switch was first observed; 0: not yet
     InstanceCountsByVersion warm_instances;
@@ -52,15 +56,16 @@
 
   static InstanceView view_instances(
       const std::map<std::string, membership::BackendInstanceStatus>& instances);
-  void observe(TimePoint now, TimePoint pulled_at, const std::string& service, const pb::ServiceState& state,
-               InstanceView& view);
+  void observe(TimePoint now, const std::string& service, const pb::ServiceState& state, InstanceView& view);
+  void estimate_request_time(TimePoint now, const std::string& service, const pb::ServiceState& state,
+                             const std::map<std::string, pb::NodeStatus>& statuses,
+                             ObservedRollout& rollout) const;
   static void observe_nodes(const std::string& service, const pb::ServiceState& state,
                             const std::map<std::string, pb::NodeStatus>& statuses, ObservedRollout& rollout);
-  TimePoint request_time(TimePoint now, TimePoint pulled_at, const pb::ServiceState& state) const;
   bool is_warm(TimePoint now, const ObservedRollout& rollout) const;
 
   Duration bound_;
-  TimePoint pulled_at_{0};                           ///< of the last update; 0: none yet
+  VersionRequestTimes request_times_;
   TimePoint first_update_{0};                        ///< 0: none yet
   std::map<std::string, ObservedRollout> rollouts_;  ///< by service: running rollouts
   canary::CanaryStatistics statistics_;
--- a/test/unit/main.cpp
+++ b/test/unit/main.cpp
@@ -25,6 +25,7 @@
                      &replica_selector_cases,
                      &replica_responses_cases,
                      &version_rollout_cases,
+                     &version_request_time_cases,
 
                      &attempt_decision_cases,
                      &canary_admission_cases,
--- a/test/unit/unit_cases.hpp
+++ b/test/unit/unit_cases.hpp
@@ -21,6 +21,7 @@
 std::vector<Case> control_state_cases();
 std::vector<Case> contact_cases();
 std::vector<Case> version_rollout_cases();
+std::vector<Case> version_request_time_cases();
 std::vector<Case> attempt_decision_cases();
 std::vector<Case> canary_admission_cases();
 std::vector<Case> upstream_client_cases();
