A request has one account of attempts, through shields, own fetches and configurations

Cause: each shield, then the entry node's own fetch, and each request routed anew after a change of the configuration, counted from zero.

Fix: the entry node holds an AttemptAccount. A shield is told what is left (attempts_left) and reports what it used (attempts); one that is lost, or knows no outcome and no number, may have used all. From three on, one is kept back for that. A process that sends no number has one left. A refusal by all instances that a shield tried is now passed on as one, not as an unknown outcome.

Tests: wire "forward: a request has one account of attempts over all its paths", "a shield uses the attempts that are left", "a refusal by all instances is passed on as one".

--- a/src/proxy/forwarded_request_handler.cpp
+++ b/src/proxy/forwarded_request_handler.cpp
@@ -20,12 +20,14 @@
 }
 
 void set_outcome(pb::ForwardResponse& response, const RequestOutcome& outcome) {
-  const bool possibly_sent = outcome.execution_state != ExecutionState::not_sent;
+  // Sent, but refused by all instances that got it, it was not executed either.
+  const bool possibly_executed = outcome.execution_state == ExecutionState::possibly_executed;
   response.set_status(static_cast<uint32_t>(outcome.response.status));
-  response.set_not_executed(outcome.reported_execution == ReportedExecution::not_executed && !possibly_sent);
+  response.set_not_executed(outcome.reported_execution == ReportedExecution::not_executed &&
+                            !possibly_executed);
   response.set_rejected(response.not_executed() && !outcome.superseded);
   response.set_retry_after_ms(static_cast<uint64_t>(outcome.retry_after.count()));
-  response.set_outcome_unknown(outcome.reported_execution == ReportedExecution::unknown || possibly_sent);
+  response.set_outcome_unknown(outcome.reported_execution == ReportedExecution::unknown || possibly_executed);
   for (const auto& [name, value] : outcome.response.headers) {
     auto* header = response.add_headers();
     header->set_name(name);
@@ -90,6 +92,8 @@
   if (!context.route || !context.route->sends_to(forward.service()))
     return "the configuration has no such route";
   context.host = context.route->host;
+  const int granted = std::max(1, static_cast<int>(std::min<uint32_t>(forward.attempts_left(), INT32_MAX)));
+  context.attempts->sent = std::max(0, context.route->max_attempts - granted);
   return context;
 }
 
@@ -106,9 +110,11 @@
   auto& context = std::get<RequestContext>(routed);
   context.request.cancellation = cancellation;
   if (!context.is_retry) upstream_client_.record_forwarded(context.service->name);
+  const int sent_before = context.attempts->sent;
   const auto outcome = cached_requests_.handle(context);
   count_rejection(outcome, context);
   pb::ForwardResponse response;
+  response.set_attempts(static_cast<uint32_t>(context.attempts->sent - sent_before));
   set_outcome(response, outcome);
   if (rules_.is_usable(outcome.cached, context, now())) {
     set_cached(response, *outcome.cached);
--- a/src/proxy/rejection.cpp
+++ b/src/proxy/rejection.cpp
@@ -30,6 +30,7 @@
     {"unreachable", "no instance could be reached"},
     {"declined", "an instance said that it did not run it, and no other took it"},
     {"no_response", "no complete response came"},
+    {"attempts_spent", "as many backend instances as allowed had it"},
     {"invalid_response", "the response was not the instance's own complete one"},
     {"fetch_rejected", "the origin has no room for what it asks"},
     {"shield_rejected", "the origin has no room for it"},
--- a/src/proxy/rejection.hpp
+++ b/src/proxy/rejection.hpp
@@ -35,6 +35,7 @@
   unreachable,            ///< no instance could be reached
   declined,               ///< an instance reported that it did not execute it, and no other accepted it
   no_response,            ///< no complete response was received
+  attempts_spent,         ///< it was sent to as many backend instances as the route allows
   invalid_response,       ///< the response was incomplete or not of the addressed instance
   fetch_rejected,         ///< another request's fetch of the same object was rejected
   shield_rejected,        ///< an origin shield rejected it on behalf of the origin
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -16,6 +16,7 @@
   TimePoint arrived{0};
   std::optional<Duration> remaining;  // how long the client will wait, if the request states it
   ExecutionState execution_state = ExecutionState::not_sent;
+  std::shared_ptr<AttemptAccount> attempts = std::make_shared<AttemptAccount>();
 };
 
 // Whether a response counts as a failure of the release in force.
@@ -115,7 +116,8 @@
                           .deadline = client.arrived + timeout,
                           .entry_node = node.node_name,
                           .generation = current->generation,
-                          .is_retry = client.execution_state != ExecutionState::not_sent};
+                          .is_retry = client.execution_state != ExecutionState::not_sent,
+                          .attempts = client.attempts};
   }
 
   RequestOutcome dispatch(const RequestContext& context) {
--- a/src/proxy/shield_client.cpp
+++ b/src/proxy/shield_client.cpp
@@ -14,6 +14,8 @@
 // The part of the timeout that is sent to the shield as the remaining time: the shield must report the
 // outcome before this node stops waiting.
 constexpr double kForwardedTimeFraction = 0.9;
+// From so many attempts on, one is kept for the case that the shield is lost with all that it was given.
+constexpr int kAttemptsWithReserve = 3;
 // The link capacity reserved for a response without its body: its head, or a 304.
 constexpr size_t kHeadBytes = 1 << 10;
 constexpr int kOk = 200;
@@ -27,6 +29,18 @@
   return std::min(longest, std::max(target * kShieldTargetMultiple, kMinShieldTimeout));
 }
 
+int attempts_for_shield(const RequestContext& context) {
+  const int left = context.attempts_left();
+  return left >= kAttemptsWithReserve ? left - 1 : left;
+}
+
+// The attempts that a shield has used. One that doesn't know the outcome may have used all, and so may a
+// process that does not report them.
+int used_attempts(const pb::ForwardResponse& response, int granted) {
+  if (response.outcome_unknown() && response.attempts() == 0) return granted;
+  return static_cast<int>(std::min(response.attempts(), static_cast<uint32_t>(granted)));
+}
+
 pb::PeerRequest forward_request(const RequestContext& context, uint64_t known_purge_number,
                                 Duration remaining) {
   pb::PeerRequest request;
@@ -40,6 +54,7 @@
   forward->set_entry_node(context.entry_node);
   forward->set_generation(context.generation);
   forward->set_is_retry(context.is_retry);
+  forward->set_attempts_left(static_cast<uint32_t>(attempts_for_shield(context)));
   for (const auto& [name, value] : context.request.headers) {
     auto* header = forward->add_headers();
     header->set_name(name);
@@ -82,7 +97,7 @@
     if (response->rejected())
       return rejected(RejectionReason::shield_rejected,
                       Duration(static_cast<int64_t>(response->retry_after_ms())));
-    context_.is_retry |= !response->not_executed();
+    context_.is_retry |= !response->not_executed() || response->attempts() > 0;
     return {};
   }
 
@@ -127,6 +142,7 @@
       condition->set_value(base::header(stored_->response.headers, "ETag"));
     }
     ++client_.counters_.forwarded;
+    const int granted = attempts_for_shield(context_);
     auto reply =
         client_.node_.ports.peers.call(shield_.address, request, {limit, context_.request.cancellation});
     const auto* error = std::get_if<base::PeerError>(&reply);
@@ -134,8 +150,13 @@
     if (reached && !context_.is_retry) client_.upstream_client_.record_forwarded(context_.service->name);
     record_call(error, sent_at);
     auto* response = std::get_if<pb::PeerResponse>(&reply);
-    if (response && response->has_forward()) return std::move(*response->mutable_forward());
-    context_.is_retry |= reached;
+    if (response && response->has_forward()) {
+      context_.attempts->sent += used_attempts(response->forward(), granted);
+      return std::move(*response->mutable_forward());
+    }
+    if (!reached) return {};
+    context_.is_retry = true;
+    context_.attempts->sent += granted;
     return {};
   }
 
@@ -249,7 +270,7 @@
 std::optional<FetchResult> ShieldClient::fetch(RequestContext& context, const std::string& key,
                                                const cache::CachedResponsePtr& stored) {
   std::vector<std::string> tried;
-  while (tried.size() < kMaxShields) {
+  while (tried.size() < kMaxShields && context.attempts_left() > 0) {
     const auto shield = shields_.select(*node_.snapshot(), key, tried);
     if (!shield) return {};
     if (auto result = Fetch(*this, context, *shield, stored).run()) return result;
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -217,7 +217,9 @@
   Execution(Impl& client, const RequestContext& context)
       : client_(client),
         context_(context),
-        retry_state_(context.is_idempotent(), context.route->max_attempts, context.is_retry) {}
+        retry_state_(context.is_idempotent(), context.attempts_left(), context.is_retry) {
+    if (!retry_state_.may_attempt()) result_ = rejected(RejectionReason::attempts_spent);
+  }
 
   UpstreamResult run() {
     while (!context_.client_has_disconnected() && retry_state_.may_attempt()) {
@@ -304,6 +306,7 @@
     else
       record(instance, attempt_class, reply, latency);
     const NextStep next = retry_state_.decide_next(attempt_class);
+    context_.attempts->sent += attempt_class != AttemptClass::not_sent;
     set_result(instance, attempt_class, std::move(reply));
     return next;
   }
--- a/src/proxy/upstream_client.hpp
+++ b/src/proxy/upstream_client.hpp
@@ -28,6 +28,15 @@
   std::function<RoutingSnapshotPtr()> snapshot;  ///< the latest; never null
 };
 
+/// The backend instances to which a client's request was sent, over all its paths: by this node, by shields
+/// for it, and under an earlier configuration. Held by the entry node; a shield gets what is left and reports
+/// what it used.
+///
+/// Used only by the fiber that handles the request.
+struct AttemptAccount {
+  int sent = 0;
+};
+
 /// A request with the decisions made when the node received it.
 struct RequestContext {
   RoutingSnapshotPtr snapshot;
@@ -43,10 +52,13 @@
   bool is_retry = false;         ///< already sent on another path: the first attempt uses the retry budget
   bool counts_as_demand = true;  ///< counts for the service's demand, which determines this node's limits
   bool is_forwarded = false;     ///< forwarded by another node: this node fetches without another shield
+  std::shared_ptr<AttemptAccount> attempts = std::make_shared<AttemptAccount>();  ///< never null
 
   Duration time_budget() const { return deadline - arrived; }
   /// The latest start of the first attempt, so that clients are rejected early rather than late.
   TimePoint start_deadline() const { return deadline - time_budget() / 2; }
+  /// The number of backend instances to which the request may still be sent.
+  int attempts_left() const { return std::max(0, route->max_attempts - attempts->sent); }
   /// Whether the request may be executed more than once.
   bool is_idempotent() const;
   /// Whether an attempt may be cancelled when the client disconnects. A request that is not idempotent, or
--- a/test/net/forward_test.cpp
+++ b/test/net/forward_test.cpp
@@ -91,12 +91,111 @@
   clock.sleep(Duration(120));
   same(relay.get("/brief/x", "third").body, good_body("third"), "a cached response after its lifetime");
 }
+
+// A backend that reads each request and closes the connection without a response.
+ScriptedBackend::Script cut_all() {
+  return [](int, int, const std::string&) { return std::string("cut"); };
+}
+
+constexpr int kAllowedAttempts = 2;  // of the route /kept/ (node_under_test.hpp)
+
+struct ShieldReply {
+  std::string name;
+  std::function<std::string(const pb::PeerRequest&)> reply;
+  int left;  ///< attempts that the entry node may make itself
+};
+
+// A request of a route that allows two attempts is sent to two backend instances at most, over all its paths.
+//
+// Guards against: each shield, and then the entry node, counted the attempts anew, so that one try of a
+// request ran on up to three times as many instances as allowed.
+void one_account_of_attempts() {
+  const auto unknown_after = [](uint32_t attempts) {
+    return [attempts](const pb::PeerRequest& request) {
+      return forwarded(request, [attempts](pb::ForwardResponse& response) {
+        response.set_outcome_unknown(true);
+        response.set_attempts(attempts);
+      });
+    };
+  };
+  const auto ends_with = [](std::string end) { return [end](const pb::PeerRequest&) { return end; }; };
+  const std::vector<ShieldReply> replies = {
+      {"it used one attempt", unknown_after(1), 1},
+      {"it used both", unknown_after(2), 0},
+      {"it used more than it was given", unknown_after(9), 0},
+      {"it does not say how many", unknown_after(0), 0},
+      {"its connection ended", ends_with("cut"), 0},
+      {"its connection was reset", ends_with("reset"), 0},
+      {"it was not ready",
+       [](const pb::PeerRequest& request) {
+         return forwarded(request, [](pb::ForwardResponse& response) { response.set_not_executed(true); });
+       },
+       kAllowedAttempts},
+  };
+  for (const auto& shield_reply : replies) {
+    uint32_t granted = 0;
+    ScriptedPeer shield([&](int, const pb::PeerRequest& request) {
+      granted = request.forward().attempts_left();
+      return shield_reply.reply(request);
+    });
+    ScriptedBackend backend(cut_all());
+    Relay relay(backend.addr(), shield.address());
+    same(relay.get("/kept/x", "a").status, 502, shield_reply.name + ": the status");
+    same(granted, uint32_t(kAllowedAttempts), shield_reply.name + ": the attempts that the shield was given");
+    same(backend.served, shield_reply.left, shield_reply.name + ": attempts of the entry node");
+  }
+  ScriptedBackend backend(cut_all());
+  Relay relay(backend.addr(), unused_address());
+  relay.get("/kept/x", "a");
+  same(backend.served, kAllowedAttempts, "attempts of the entry node when the shield is unreachable");
+}
+
+pb::ForwardRequest forward_request(uint32_t attempts_left) {
+  pb::ForwardRequest request;
+  request.set_configuration("l");
+  request.set_service("s");
+  request.set_target("/kept/x");
+  request.set_remaining_ms(kPlentyMs);
+  request.set_attempts_left(attempts_left);
+  return request;
+}
+
+// A process of an earlier version sends no number: then one is left.
+void shield_uses_what_is_left() {
+  for (const auto& [left, used] : std::map<uint32_t, int>{{0, 1}, {1, 1}, {2, 2}, {9, 2}, {UINT32_MAX, 2}}) {
+    ScriptedBackend backend(cut_all());
+    Relay relay(backend.addr());
+    const auto response = relay.forward(forward_request(left), nullptr);
+    same(backend.served, used, fmt::format("attempts of a shield that was given {}", left));
+    same(response.attempts(), static_cast<uint32_t>(used),
+         fmt::format("the attempts it reports of {}", left));
+    expect(response.outcome_unknown() && !response.not_executed(), "the outcome is reported as known");
+  }
+}
+
+// Every instance said that it did not run the request: so does the shield, and nothing is sent again.
+void refused_by_all_instances() {
+  ScriptedBackend backend([](int, int, const std::string& head) {
+    const auto at = head.find("Attempt-Id: ") + 12;
+    const auto id = head.substr(at, head.find('\r', at) - at);
+    return "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\nAttempt-Id: " + id + "\r\n\r\n";
+  });
+  Relay relay(backend.addr());
+  const auto response = relay.forward(forward_request(kAllowedAttempts), nullptr);
+  same(backend.served, kAllowedAttempts, "attempts");
+  expect(response.not_executed() && response.rejected() && !response.outcome_unknown(),
+         "a refusal by all instances is reported as an unknown outcome");
+}
+
 }  // namespace
 
 std::vector<Case> forward_cases() {
   return {{"forward: what a lost shield may have executed is not reported as not executed", lost_shield},
           {"forward: a shield's decline is passed on", declined_by_shield},
           {"forward: what a shield hands on is checked for freshness again", judged_again},
+          {"forward: a request has one account of attempts over all its paths", one_account_of_attempts},
+          {"forward: a shield uses the attempts that are left", shield_uses_what_is_left},
+          {"forward: a refusal by all instances is passed on as one", refused_by_all_instances},
           {"forward: a kept answer ends with its lifetime", lifetime}};
 }
 
