Octets that are not UTF-8 pass between nodes

Cause: Header.value is a `string`, whose parser refuses them; so were the id and target of a forwarded request.

Test: wire "forward: octets that are not UTF-8 are passed on".

--- a/test/net/forward_test.cpp
+++ b/test/net/forward_test.cpp
@@ -187,6 +187,30 @@
          "a refusal by all instances is reported as an unknown outcome");
 }
 
+// A header's value may hold octets that are not UTF-8.
+//
+// Guards against: the shield's response was dropped for them, and the request ran again elsewhere.
+void octets_beyond_ascii() {
+  const std::string octets = "caf\xe9 \xff\xfe";
+  int asked = 0;
+  ScriptedPeer shield([&](int, const pb::PeerRequest& request) {
+    ++asked;
+    expect(request.forward().target() == "/kept/\xe9", "the target was changed");
+    return forwarded(request, [&](pb::ForwardResponse& response) {
+      fill_response(response, 0);
+      auto* header = response.add_headers();
+      header->set_name("X-Name");
+      header->set_value(octets);
+    });
+  });
+  ScriptedBackend backend(cut_all());
+  Relay relay(backend.addr(), shield.address());
+  const auto answer = relay.get("/kept/\xe9", "a");
+  same(answer.status, 200, "the status");
+  expect(base::header(answer.headers, "X-Name") == octets, "the value was changed");
+  same(asked, 1, "calls to the shield");
+  same(backend.served, 0, "requests that ran again");
+}
 }  // namespace
 
 std::vector<Case> forward_cases() {
@@ -196,6 +220,7 @@
           {"forward: a request has one account of attempts over all its paths", one_account_of_attempts},
           {"forward: a shield uses the attempts that are left", shield_uses_what_is_left},
           {"forward: a refusal by all instances is passed on as one", refused_by_all_instances},
+          {"forward: octets that are not UTF-8 are passed on", octets_beyond_ascii},
           {"forward: a kept answer ends with its lifetime", lifetime}};
 }
 
