Refusals name their place and every attempt, in the log

Each 429 or 503 for a request that may run once is now one line at level info (others: debug), with the reason and, for each attempt, instance, address, new or used connection, bytes written, response and latency; a 408 or 503 of the server itself, before any handler, is a line too. At most 100 lines a second each; what is left out is counted.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -26,8 +26,10 @@
   return false;
 }
 
+bool is_logged(LogLevel level) { return level >= lowest_level.load(); }
+
 void log_line(LogLevel level, std::string_view part, const std::string& text) {
-  if (level < lowest_level.load()) return;
+  if (!is_logged(level)) return;
   timespec now{};
   clock_gettime(CLOCK_REALTIME, &now);
   tm date{};
--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -17,6 +17,9 @@
 /// @return whether the name is known; if not, `level` is unchanged
 bool parse_log_level(std::string_view name, LogLevel& level);
 
+/// Whether lines of this level are written.
+bool is_logged(LogLevel level);
+
 /// Writes one line: the time (UTC), the level, the part's name and the text.
 void log_line(LogLevel level, std::string_view part, const std::string& text);
 
@@ -43,6 +46,8 @@
     log_line(LogLevel::error, part_, fmt::format(format, std::forward<Arguments>(arguments)...));
   }
 
+  const char* part() const { return part_; }
+
  private:
   const char* part_;
 };
--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -106,6 +106,12 @@
 /// reported that it did not execute the request; or the outcome is unknown.
 enum class AttemptError { not_sent, not_executed, unknown };
 
+/// What happened on the connection during an attempt, for tracing.
+struct AttemptTrace {
+  bool connection_reused = false;  ///< an earlier request was answered on the connection
+  size_t bytes_written = 0;        ///< of the request, accepted by the kernel
+};
+
 /// Limits and options of an attempt.
 struct AttemptRules {
   /// Implicit: a duration alone is a valid rule.
@@ -125,6 +131,7 @@
   /// Recognizes a response that is assigned to this request though it names no request: it is not
   /// conclusive while another response may still arrive. Null: every response names its request.
   std::function<bool(const Response&)> lacks_request_id;
+  AttemptTrace* trace = nullptr;  ///< set during the attempt; may be null
 };
 
 /// Requests to backend instances.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -239,11 +239,16 @@
                                     rules.on_connection_wait);
   if (!lease) return AttemptError::not_sent;
   auto& connection = *lease->connection;
+  base::AttemptTrace unused;
+  base::AttemptTrace& trace = rules.trace ? *rules.trace : unused;
+  trace.connection_reused = lease->reused;
   WaitLimitGuard guard(connection, limit);
   const std::string head = request_head(request, address);
   link_.count_sent(head.size() + request.body.size());
-  if (connection.write(head, request.body)) {
-    const auto error = connection.bytes_written() > 0 ? AttemptError::unknown : AttemptError::not_sent;
+  const ErrorCode write_error = connection.write(head, request.body);
+  trace.bytes_written = connection.bytes_written();
+  if (write_error) {
+    const auto error = trace.bytes_written > 0 ? AttemptError::unknown : AttemptError::not_sent;
     guard.release();
     lease->discard();
     return error;
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -383,11 +383,22 @@
   base::Response response{
       status, {{"Content-Type", "application/json"}}, fmt::format("{{\"defect\":\"{}\"}}\n", error)};
   if (status == 503) response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  if (status == 408 || status == 503) log_refusal(status, error);
   connection_->clear_interrupt();
   if (!write_response(response, response_head(response, {}, *server_.limits.load()), false)) linger();
   return false;
 }
 
+// The request may be unknown, as its head may be incomplete; the client's address identifies the connection.
+void HttpServerConnection::log_refusal(int status, const std::string& error) {
+  if (!base::is_logged(base::LogLevel::info) || !server_.refusal_lines.acquire(steady_now())) return;
+  ErrorCode ignored;
+  const auto client = connection_->socket().remote_endpoint(ignored);
+  logger.info("A request from {}:{} was refused with {} before it was handled: {} ({} refusals not logged).",
+              client.address().to_string(), client.port(), status, error,
+              server_.refusal_lines.take_suppressed());
+}
+
 void HttpServerConnection::linger() {
   enter(State::lingering);
   connection_->shutdown_send();
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -11,6 +11,7 @@
 #pragma once
 #include <atomic>
 
+#include "base/log_limiter.hpp"
 #include "net/connection.hpp"
 #include "net/http_server.hpp"
 
@@ -27,6 +28,7 @@
   std::atomic<int> running_requests{0};
   std::atomic<uint64_t> undelivered_responses{0};  ///< requests handled whose response could not be written
   std::atomic<TimePoint> undelivered_logged{TimePoint::min()};  ///< when such a response was last logged
+  base::LogLimiter refusal_lines{100};
 };
 
 class HttpServerConnection {
@@ -77,6 +79,7 @@
   bool await_link(size_t bytes, TimePoint since, size_t remaining);
   void report_undelivered(const base::Request& request, const base::Response& response, ErrorCode error);
   bool refuse(int status, const std::string& error);
+  void log_refusal(int status, const std::string& error);
   void linger();
   void enter(State state);
   Duration time_limit(const HttpLimits& limits) const;
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -5,6 +5,7 @@
 
 #include "cache/cacheability.hpp"
 #include "proxy/forwarded_request_handler.hpp"
+#include "proxy/refusal_log.hpp"
 
 namespace dunlinwing::proxy {
 namespace {
@@ -47,6 +48,7 @@
   UpstreamClient upstream_client;
   RequestCounters counters;
   RejectionCounters rejections;
+  RefusalLog refusals;
   OutcomeBuilder outcomes;
   CachedRequestHandler cached_requests;
   std::atomic<bool> draining{false};
@@ -55,6 +57,7 @@
   explicit Impl(NodeContext node_context)
       : node(std::move(node_context)),
         upstream_client(node),
+        refusals(node.node_name, node.ports.clock),
         outcomes{node.ports, node.adapter},
         cached_requests(node, upstream_client, counters),
         forwarded_requests(node, upstream_client, cached_requests, rejections, draining) {}
@@ -147,6 +150,17 @@
     rejections.record({outcome.reason, context.service->name, context.route->label()});
   }
 
+  // @param context  null: the request was not routed
+  void log_refusal(const ClientRequest& client, const RequestOutcome& outcome,
+                   const RequestContext* context) {
+    const int status = outcome.response.status;
+    if (outcome.reported_execution != ReportedExecution::not_executed || (status != 503 && status != 429))
+      return;
+    refusals.record({client.request, *client.attempts, status, outcome.reason,
+                     context ? context->is_idempotent() : is_safe_method(client.request.method),
+                     now() - client.arrived});
+  }
+
   void count_response(bool failure) {
     ++counters.requests;
     if (failure) ++counters.failures;
@@ -242,9 +256,9 @@
       return impl.conclude(request, impl.outcomes.abandoned(), current.get());
     if (const auto reason = impl.unready_reason(*current); reason != RejectionReason::none) {
       const bool possibly_executed = client.execution_state == ExecutionState::possibly_executed;
-      return impl.conclude(
-          request, possibly_executed ? impl.outcomes.unknown(reason) : impl.outcomes.rejected(503, reason),
-          nullptr);
+      auto outcome = possibly_executed ? impl.outcomes.unknown(reason) : impl.outcomes.rejected(503, reason);
+      impl.log_refusal(client, outcome, nullptr);
+      return impl.conclude(request, std::move(outcome), nullptr);
     }
     auto routed = impl.route_request(client, current);
     auto* context = std::get_if<RequestContext>(&routed);
@@ -256,6 +270,7 @@
         outcome.reported_execution == ReportedExecution::not_executed)
       outcome = impl.outcomes.unknown(RejectionReason::earlier_attempt);
     if (context) impl.count_rejection(outcome, *context);
+    impl.log_refusal(client, outcome, context);
     return impl.conclude(request, std::move(outcome), current.get());
   }
 }
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -15,6 +15,7 @@
 constexpr int kConnectDivisor = 4;       // the connect timeout is 1/4 of the remaining time
 constexpr double kForwardedCreditShare = 0.5;  // share of a request's retry credit for each of the two nodes
 constexpr int kNotModified = 304;              // not a latency sample: no content was generated
+constexpr size_t kMaxAttemptRecords = 32;      // of one request
 constexpr int kProbes = 2;                     // instances tried by can_reach()
 
 // A good response is slow if its latency exceeds both this multiple of the mean latency and this minimum.
@@ -51,16 +52,16 @@
                                                               : AttemptHealth::failed;
 }
 
-bool is_safe_method(const std::string& method) {
-  return method == "GET" || method == "HEAD" || method == "OPTIONS";
-}
-
 const pb::ServiceState* find_state(const RoutingSnapshot& snapshot, const std::string& service) {
   auto found = snapshot.service_states.find(service);
   return found == snapshot.service_states.end() ? nullptr : &found->second;
 }
 }  // namespace
 
+bool is_safe_method(const std::string& method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
 bool RequestContext::is_idempotent() const {
   if (route->kind == config::RequestKind::by_method)
     return is_safe_method(request.method) && service->retry_idempotent;
@@ -298,7 +299,10 @@
                                          {instance, context_.entry_node, context_.generation, remaining});
     client_.load_balancer.attempt_started(instance);
     const TimePoint sent_at = now();
-    auto reply = client_.node.ports.origin.send(instance.address, request, attempt_rules(request, remaining));
+    base::AttemptTrace trace;
+    auto rules = attempt_rules(request, remaining);
+    rules.trace = &trace;
+    auto reply = client_.node.ports.origin.send(instance.address, request, rules);
     const Duration latency = now() - sent_at;
     const AttemptClass attempt_class = classify_attempt(reply, client_.node.adapter, instance, request);
     if (was_cancelled(reply, latency, remaining))
@@ -306,7 +310,7 @@
     else
       record(instance, attempt_class, reply, latency);
     const NextStep next = retry_state_.decide_next(attempt_class);
-    context_.attempts->sent += attempt_class != AttemptClass::not_sent;
+    account({instance.instance, instance.address, trace, attempt_class, 0, false, latency}, reply);
     set_result(instance, attempt_class, std::move(reply));
     return next;
   }
@@ -376,6 +380,16 @@
     if (sent && !is_refused(attempt_class)) client_.count_outcome(context_, instance, good, latency);
   }
 
+  void account(AttemptRecord record, const AttemptReply& reply) {
+    if (const auto* response = std::get_if<base::Response>(&reply)) {
+      record.status = response->status;
+      record.names_request = !client_.node.adapter.lacks_request_id(*response);
+    }
+    context_.attempts->sent += record.result != AttemptClass::not_sent;
+    if (context_.attempts->records.size() < kMaxAttemptRecords)
+      context_.attempts->records.push_back(std::move(record));
+  }
+
   void set_result(const membership::BackendInstance& instance, AttemptClass attempt_class,
                   AttemptReply reply) {
     if (attempt_class == AttemptClass::good || attempt_class == AttemptClass::failed) {
--- a/src/proxy/upstream_client.hpp
+++ b/src/proxy/upstream_client.hpp
@@ -11,7 +11,7 @@
 #pragma once
 #include "limits/limit_counters.hpp"
 #include "proxy/admission_queue.hpp"
-#include "proxy/attempt_decision.hpp"
+#include "proxy/attempt_account.hpp"
 #include "proxy/outcome_counters.hpp"
 #include "proxy/rejection.hpp"
 #include "proxy/routing_snapshot.hpp"
@@ -28,14 +28,8 @@
   std::function<RoutingSnapshotPtr()> snapshot;  ///< the latest; never null
 };
 
-/// The backend instances to which a client's request was sent, over all its paths: by this node, by shields
-/// for it, and under an earlier configuration. Held by the entry node; a shield gets what is left and reports
-/// what it used.
-///
-/// Used only by the fiber that handles the request.
-struct AttemptAccount {
-  int sent = 0;
-};
+/// Whether HTTP defines the method as safe.
+bool is_safe_method(const std::string& method);
 
 /// A request with the decisions made when the node received it.
 struct RequestContext {
