A copy of a decline no longer answers another sending of the request

Cause: a decline names the request, not the sending. A request that an instance declined could be sent on the same connection again: under the next configuration to the same instance, to another instance of the same address, or for a client that uses an id twice. A second copy of the first decline then answered the second sending, which ran. Evidence: on four cases of wire_test 'refused:' fail: with the next configuration, with a shared address, with an id used twice (each told 503, ran once), and 96 of 192 requests refused and run with one instance that declines after 150 ms, each decline twice, and a new configuration every 50 ms. Now 0 of 192. The cases of the other places that promise (drain, read lease, weights, queue, rate, retries, instances, deadlines, head, bodies) passed before too.

--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -125,6 +125,10 @@
   std::function<void(bool granted)> on_connection_wait;
   CancellationPtr cancellation;  ///< ends the attempt like its timeout does; null: only the timeout ends it
   bool idempotent = false;       ///< may use a connection that the backend instance may be about to close
+  std::string request_id;        ///< by which a response names this request; empty: no response does
+  /// Recognizes the response that the request was not executed: after it, the request is not sent on the
+  /// same connection again. Null: there is none.
+  std::function<bool(const Response&)> is_decline;
   /// Distinguishes a response to this request from one to an earlier request on the same connection.
   /// Null: every response belongs to this request.
   std::function<bool(const Response&)> is_own_response;
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -31,7 +31,9 @@
 }
 }  // namespace
 
-std::shared_ptr<Connection> ConnectionPool::take_idle(Backend& backend, bool idempotent) {
+// An idle connection for the request, with what it was declined for; nothing when none is suitable.
+std::optional<ConnectionPool::Reservation> ConnectionPool::take_idle(Backend& backend,
+                                                                     const ConnectionNeeds& needs) {
   const auto time = now();
   const auto* here = &EventLoopPool::io_of_this_thread();
   for (size_t i = backend.idle.size(); i-- > 0;) {
@@ -41,19 +43,20 @@
       continue;
     }
     if (idle.io_context != here) continue;
-    const bool may_be_unsafe = !idempotent && time < idle.unsafe_until;
+    const bool may_be_unsafe = !needs.idempotent && time < idle.unsafe_until;
     if (!idle.connection->is_idle() || (may_be_unsafe && !idle.connection->is_idle_in_kernel())) {
       drop(backend, i);
       continue;
     }
-    if (!idempotent && time >= idle.unsafe_until) continue;
-    auto connection = std::move(idle.connection);
-    connection->on_read_done(nullptr);
+    if (!needs.idempotent && time >= idle.unsafe_until) continue;
+    if (idle.declined.may_contain(needs.request_id)) continue;
+    Reservation reservation{true, false, std::move(idle.connection), std::move(idle.declined)};
+    reservation.connection->on_read_done(nullptr);
     backend.idle.erase(backend.idle.begin() + static_cast<std::ptrdiff_t>(i));
     --idle_;
-    return connection;
+    return reservation;
   }
-  return nullptr;
+  return {};
 }
 
 void ConnectionPool::drop(Backend& backend, size_t index) {
@@ -83,24 +86,28 @@
 
 // Takes an idle connection, or reserves a slot for one that the caller opens; not granted when neither was
 // available within the limit.
-ConnectionPool::Reservation ConnectionPool::take_or_reserve(const std::string& address, bool idempotent,
-                                                            int max_connections, const WaitLimit& limit) {
+ConnectionPool::Reservation ConnectionPool::take_or_reserve(const ConnectionNeeds& needs,
+                                                            const WaitLimit& limit) {
+  const int max_connections = needs.max_connections;
   std::shared_ptr<base::Condition> condition;
   std::optional<base::CancellationSubscription> subscription;
   for (;;) {
     std::unique_lock lock(mutex_);
     prune(now());
-    auto& backend = backends_[address];
+    auto& backend = backends_[needs.address];
     if (condition) std::erase(backend.waiting, condition);
     const bool waited = condition != nullptr;
-    if (auto connection = take_idle(backend, idempotent)) return {true, waited, std::move(connection)};
+    if (auto taken = take_idle(backend, needs)) {
+      taken->waited = waited;
+      return std::move(*taken);
+    }
     if (max_connections > 0 && backend.open >= max_connections && !backend.idle.empty())
       drop(backend, 0);  // unsuitable for this request, or bound to another thread
     if (max_connections <= 0 || backend.open < max_connections) {
       ++backend.open;
-      return {true, waited, nullptr};
+      return {true, waited, nullptr, {}};
     }
-    if (limit.is_over()) return {false, waited, nullptr};
+    if (limit.is_over()) return {false, waited, nullptr, {}};
     if (!condition) {
       condition = make_condition();
       subscription.emplace(limit.cancellation, [condition] { condition->notify(); });
@@ -111,15 +118,16 @@
   }
 }
 
-std::unique_ptr<ConnectionPool::Lease> ConnectionPool::acquire(const std::string& address, bool idempotent,
-                                                               int max_connections, const WaitLimit& limit,
+std::unique_ptr<ConnectionPool::Lease> ConnectionPool::acquire(const ConnectionNeeds& needs,
+                                                               const WaitLimit& limit,
                                                                const std::function<void(bool)>& on_wait) {
-  auto reservation = take_or_reserve(address, idempotent, max_connections, limit);
+  auto reservation = take_or_reserve(needs, limit);
   if (reservation.waited && on_wait) on_wait(reservation.granted);
   if (!reservation.granted) return nullptr;
   auto& connection = reservation.connection;
-  auto lease = std::make_unique<Lease>(shared_from_this(), address, connection != nullptr);
-  lease->connection = connection ? std::move(connection) : Connection::connect(address, limit);
+  auto lease = std::make_unique<Lease>(shared_from_this(), needs.address, connection != nullptr);
+  lease->declined = std::move(reservation.declined);
+  lease->connection = connection ? std::move(connection) : Connection::connect(needs.address, limit);
   if (!lease->connection) return nullptr;
   return lease;
 }
@@ -130,7 +138,10 @@
 }
 
 void ConnectionPool::Lease::give_back(std::optional<Duration> keep_alive, bool only_idempotent) {
-  std::exchange(pool_, nullptr)->give_back(address_, std::move(connection), keep_alive, only_idempotent);
+  if (declined.is_full()) return;
+  std::exchange(pool_, nullptr)
+      ->give_back(address_, {std::move(connection), nullptr, {}, {}, {}, std::move(declined)}, keep_alive,
+                  only_idempotent);
 }
 
 void ConnectionPool::Lease::discard() {
@@ -145,21 +156,25 @@
   notify_waiter(backend);
 }
 
-void ConnectionPool::give_back(const std::string& address, std::shared_ptr<Connection> connection,
+void ConnectionPool::give_back(const std::string& address, IdleConnection returned,
                                std::optional<Duration> keep_alive, bool only_idempotent) {
   const auto time = now();
-  connection->start_read(kResponseReadSize);
-  connection->on_read_done([pool = weak_from_this(), address, ended = connection.get()] {
+  auto& connection = *returned.connection;
+  connection.start_read(kResponseReadSize);
+  connection.on_read_done([pool = weak_from_this(), address, ended = &connection] {
     if (const auto self = pool.lock()) self->connection_ended(address, ended);
   });
   const auto unsafe = only_idempotent ? Duration(0)
                       : keep_alive    ? fraction_of(*keep_alive, kUnsafeFraction)
                                       : kUnsafeDefault;
   const auto idempotent = keep_alive ? fraction_of(*keep_alive, kIdempotentFraction) : kIdempotentDefault;
+  returned.io_context = &EventLoopPool::io_of_this_thread();
+  returned.since = time;
+  returned.unsafe_until = time + unsafe;
+  returned.idempotent_until = time + idempotent;
   const std::lock_guard lock(mutex_);
   auto& backend = backends_[address];
-  backend.idle.push_back(
-      {std::move(connection), &EventLoopPool::io_of_this_thread(), time, time + unsafe, time + idempotent});
+  backend.idle.push_back(std::move(returned));
   ++idle_;
   if (backend.idle.size() > kMaxIdlePerAddress) drop(backend, 0);
   if (idle_ > max_idle_) drop_longest_idle();
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -10,11 +10,20 @@
 #include <mutex>
 
 #include "net/connection.hpp"
+#include "net/declined_requests.hpp"
 
 namespace dunlinwing::net {
 
 constexpr size_t kResponseReadSize = 8 << 10;  // most responses fit in one read
 
+/// What a request needs of its connection.
+struct ConnectionNeeds {
+  std::string address;      ///< IP:port
+  bool idempotent = false;  ///< the connection may be one that the peer is about to close
+  int max_connections = 0;  ///< limit on connections open to the address; 0: no limit
+  std::string request_id;   ///< the connection must not be one on which this request was declined
+};
+
 class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
@@ -37,7 +46,8 @@
     void discard();
 
     std::shared_ptr<Connection> connection;
-    bool reused = false;  ///< a response has been read from the connection before
+    bool reused = false;        ///< a response has been read from the connection before
+    DeclinedRequests declined;  ///< on this connection
 
    private:
     std::shared_ptr<ConnectionPool> pool_;  ///< null once given back
@@ -48,13 +58,9 @@
   explicit ConnectionPool(size_t max_idle) : max_idle_(max_idle) {}
 
   /// Takes an idle connection or opens one; suspends the calling fiber while neither is possible.
-  /// @param address          IP:port
-  /// @param idempotent       the connection may be one that the peer is about to close
-  /// @param max_connections  limit on connections open to the address; 0: no limit
-  /// @param on_wait          called if the caller had to wait, with whether it was granted one; may be null
+  /// @param on_wait  called if the caller had to wait, with whether it was granted one; may be null
   /// @return null when no connection was available within the limit
-  [[nodiscard]] std::unique_ptr<Lease> acquire(const std::string& address, bool idempotent,
-                                               int max_connections, const WaitLimit& limit,
+  [[nodiscard]] std::unique_ptr<Lease> acquire(const ConnectionNeeds& needs, const WaitLimit& limit,
                                                const std::function<void(bool granted)>& on_wait = {});
 
   /// Closes the idle connections.
@@ -70,6 +76,7 @@
     TimePoint since;
     TimePoint unsafe_until;      ///< may be used for every request until then
     TimePoint idempotent_until;  ///< may be used for idempotent requests until then
+    DeclinedRequests declined;   ///< on this connection
   };
   struct Backend {
     std::vector<IdleConnection> idle;  ///< most recently used last
@@ -82,18 +89,18 @@
     bool granted = false;
     bool waited = false;
     std::shared_ptr<Connection> connection;  ///< null: a slot is reserved for one that the caller opens
+    DeclinedRequests declined;               ///< on the connection
   };
 
-  Reservation take_or_reserve(const std::string& address, bool idempotent, int max_connections,
-                              const WaitLimit& limit);
-  std::shared_ptr<Connection> take_idle(Backend& backend, bool idempotent);
+  Reservation take_or_reserve(const ConnectionNeeds& needs, const WaitLimit& limit);
+  std::optional<Reservation> take_idle(Backend& backend, const ConnectionNeeds& needs);
   void drop(Backend& backend, size_t index);
   void drop_longest_idle();
   static void notify_waiter(Backend& backend);
   void prune(TimePoint now);
   void connection_ended(const std::string& address, const Connection* ended);
-  void give_back(const std::string& address, std::shared_ptr<Connection> connection,
-                 std::optional<Duration> keep_alive, bool only_idempotent);
+  void give_back(const std::string& address, IdleConnection returned, std::optional<Duration> keep_alive,
+                 bool only_idempotent);
   void connection_closed(const std::string& address);
 
   size_t max_idle_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -195,6 +195,7 @@
                    received->keep_alive_time.value_or(Duration(1)) > Duration(0);
       only_idempotent_ = anonymous;
       keep_alive_time_ = received->keep_alive_time;
+      if (rules_.is_decline && rules_.is_decline(received->response)) lease_.declined.add(rules_.request_id);
       return std::move(received->response);
     }
     return {};
@@ -235,8 +236,8 @@
   WaitLimit connect_limit = limit;
   if (rules.connect_timeout > Duration(0))
     connect_limit.end = std::min(limit.end, begin + rules.connect_timeout);
-  const auto lease = pool_->acquire(address, rules.idempotent, rules.max_connections, connect_limit,
-                                    rules.on_connection_wait);
+  const auto lease = pool_->acquire({address, rules.idempotent, rules.max_connections, rules.request_id},
+                                    connect_limit, rules.on_connection_wait);
   if (!lease) return AttemptError::not_sent;
   auto& connection = *lease->connection;
   base::AttemptTrace unused;
--- a/src/proxy/protocol_adapter.cpp
+++ b/src/proxy/protocol_adapter.cpp
@@ -82,6 +82,10 @@
     return has_value(response, kRequest, id);
   }
 
+  bool reports_not_executed(const base::Response& response, const base::Request& request) const override {
+    return is_refusal(response, request);
+  }
+
   bool lacks_request_id(const base::Response& response) const override {
     return base::header(response.headers, kRequest).empty();
   }
--- a/src/proxy/protocol_adapter.hpp
+++ b/src/proxy/protocol_adapter.hpp
@@ -70,6 +70,10 @@
   /// connection.
   virtual bool is_response_to(const base::Response& response, const std::string& id) const = 0;
 
+  /// Whether some backend instance reports by the response that it did not execute the request.
+  /// @param request  as it was sent
+  virtual bool reports_not_executed(const base::Response& response, const base::Request& request) const = 0;
+
   /// Whether the response has no request id.
   virtual bool lacks_request_id(const base::Response& response) const = 0;
 
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -321,6 +321,10 @@
     if (context_.is_cancellable()) rules.cancellation = context_.request.cancellation;
     rules.connect_timeout = remaining / kConnectDivisor;
     rules.idempotent = context_.is_idempotent();
+    rules.request_id = request.id;
+    rules.is_decline = [&adapter, &request](const base::Response& response) {
+      return adapter.reports_not_executed(response, request);
+    };
     rules.is_own_response = [&adapter, &request](const base::Response& response) {
       return adapter.is_response_to(response, request.id);
     };
--- a/test/net/net_cases.hpp
+++ b/test/net/net_cases.hpp
@@ -132,6 +132,7 @@
 std::vector<Case> server_cases();
 std::vector<Case> origin_cases();
 std::vector<Case> answer_cases();
+std::vector<Case> refusal_cases();
 std::vector<Case> client_byte_cases();
 std::vector<Case> peer_cases();
 std::vector<Case> compatibility_wire_cases();
