A request that may have run isn't sent again once its route no longer allows it

A repeatable request whose attempt had no response was routed again under a newer configuration, and sent again even if that one says that the request may run once: it ran twice.

--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -123,7 +123,10 @@
                           .attempts = client.attempts};
   }
 
-  RequestOutcome dispatch(const RequestContext& context) {
+  // @param client  an earlier configuration may have allowed attempts that this one does not
+  RequestOutcome dispatch(const ClientRequest& client, const RequestContext& context) {
+    if (client.execution_state == ExecutionState::possibly_executed && !context.is_idempotent())
+      return outcomes.unknown(RejectionReason::earlier_attempt);
     if (is_cacheable(context)) return cached_requests.handle(context);
     return outcomes.from_upstream(upstream_client.execute(context));
   }
@@ -262,7 +265,7 @@
     }
     auto routed = impl.route_request(client, current);
     auto* context = std::get_if<RequestContext>(&routed);
-    auto outcome = context ? impl.dispatch(*context) : std::get<RequestOutcome>(std::move(routed));
+    auto outcome = context ? impl.dispatch(client, *context) : std::get<RequestOutcome>(std::move(routed));
     client.execution_state = std::max(client.execution_state, outcome.execution_state);
     if (outcome.superseded) continue;  // a newer configuration came into force while it waited
     // The request is rejected now, but an earlier attempt may have executed it.
--- a/test/net/refusal_test.cpp
+++ b/test/net/refusal_test.cpp
@@ -386,6 +386,8 @@
           {"refused: what may have run is not rejected with a promise, whatever rejects it",
            rejected_after_a_run},
           {"refused: nor by the decline of a second instance", rejected_by_a_decline_after_a_run},
+          {"refused: a request that ran is not sent again once its route is not repeatable",
+           repeatable_until_the_next_configuration},
           {"refused: a request that is complete as it becomes overdue is either handled or told 408",
            complete_as_it_becomes_overdue},
           {"refused: a body beyond the limit of all bodies is not handled", bodies_beyond_the_limit_of_all}};
