Soak: instances in every trouble the protocol allows, and what was refused is verified at the end

The soak's instances never got into trouble, so no decline was ever read there. A third service has instances over raw TCP that decline late, twice, or for another instance, cut, garble, lose and repeat responses, reset and close before and after a request was read, and are restarted under another name at the same address.

--- a/test/fleet/soak_fleet.cpp
+++ b/test/fleet/soak_fleet.cpp
@@ -69,6 +69,14 @@
   replace_file(settings_path(relay), settings);
 }
 
+std::string SoakFleet::log_line_with(const SoakRelay& relay, const std::string& text) const {
+  std::ifstream log(options_.directory + "/" + relay.name + "/log");
+  std::string found;
+  for (std::string line; std::getline(log, line);)
+    if (line.find(text) != std::string::npos) found = line;
+  return found;
+}
+
 void SoakFleet::start_all() {
   for (auto& relay : relays_) start(relay);
 }
--- a/test/fleet/soak_fleet.hpp
+++ b/test/fleet/soak_fleet.hpp
@@ -66,6 +66,9 @@
   /// Processes that ended by themselves, or otherwise than by the signal that was sent to them.
   const std::vector<std::string>& unexpected_ends() const { return unexpected_ends_; }
 
+  /// The last line with this text in the relay's log; empty when there is none.
+  std::string log_line_with(const SoakRelay& relay, const std::string& text) const;
+
   std::vector<SoakRelay>& relays() { return relays_; }
   int terminating_count() const { return terminating_count_; }        ///< relays that are terminating
   int terminating_replicas() const { return terminating_replicas_; }  ///< the replicas among these
--- a/test/fleet/soak_main.cpp
+++ b/test/fleet/soak_main.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -18,6 +19,8 @@
 DEFINE_int32(relays, 9, "relay processes");
 DEFINE_int32(shields, 0, "relays among these that are dedicated shields, which fetch for the others");
 DEFINE_int32(clients, 120, "concurrent clients");
+DEFINE_int32(troubled_percent, 25, "requests to the service whose instances are in trouble");
+DEFINE_int32(change_pause_ms, 200, "longest pause between two configurations of a series");
 DEFINE_int32(port, 26000, "the first of the loopback ports: eight for backends, then three per relay");
 
 namespace dunlinwing::test {
@@ -39,6 +42,7 @@
     repeat(1500ms, [this] { kill_and_start(); });
     repeat(700ms, [this] { reload(); });
     repeat(1200ms, [this] { change_in_series(); });
+    repeat(2000ms, [this] { traffic_.restart_instance(random_()); });
     repeat(1500ms, [this] { purge_together(); });
     repeat(800ms, [this] { send_invalid_orders(); });
     repeat(200ms, [this] { fleet_.restart_ended(); });
@@ -112,10 +116,11 @@
   }
 
   void change_in_series() {
-    for (auto left = random_() % 8; left > 0; --left) {
+    const auto longest_pause = static_cast<uint64_t>(FLAGS_change_pause_ms);
+    for (auto left = random_() % std::max<uint64_t>(8, 2000 / longest_pause); left > 0; --left) {
       if (!traffic_.change_configuration())
         traffic_.report("a configuration change was not acknowledged in time");
-      clock_.sleep(Duration(static_cast<int64_t>(random_() % 200)));
+      clock_.sleep(Duration(static_cast<int64_t>(random_() % longest_pause)));
     }
   }
 
@@ -181,11 +186,12 @@
       "seed {}: {} requests on {} connections, {} answered ({} kept ones by {} fetches), {} refused, {} "
       "other, "
       "{} cut by kills, {} cut unread ({} of them late), {} left early ({} of {} runs went on), {} changes, "
-      "{} purges, {} invalid orders refused, {} broken\n",
+      "{} purges, {} invalid orders refused, {} troubles of instances, {} requests that run once refused, {} "
+      "broken\n",
       FLAGS_seed, figures.requests, figures.connections, figures.answered, figures.cacheable, figures.fetches,
       figures.refused, figures.other, figures.cut_by_kill, figures.cut_unread, figures.late_cuts,
       figures.left, figures.left_runs_continued, figures.left_runs, figures.changes, figures.purges,
-      figures.invalid_orders, figures.violations.size());
+      figures.invalid_orders, figures.troubles, figures.declined_once, figures.violations.size());
   std::cout.flush();
   return figures.violations.empty() && figures.answered > figures.requests / 3 ? 0 : 1;
 }
@@ -202,7 +208,8 @@
   test::SoakFleet fleet({std::filesystem::absolute(FLAGS_dir).string(),
                          std::filesystem::absolute(FLAGS_relay).string(), FLAGS_port + test::kBackendPorts,
                          FLAGS_relays, FLAGS_shields});
-  test::SoakTraffic traffic(pool, fleet, FLAGS_seed, FLAGS_port);
+  test::SoakTraffic traffic(pool, fleet, FLAGS_seed, FLAGS_port,
+                            static_cast<unsigned>(std::clamp(FLAGS_troubled_percent, 0, 100)));
   pool.run([&] {
     test::soak(pool, fleet, traffic);
     fleet.kill_all();
--- a/test/fleet/soak_traffic.cpp
+++ b/test/fleet/soak_traffic.cpp
@@ -13,6 +13,7 @@
 
 constexpr int kBackends = 4;
 constexpr int kCacheableBackends = 2;  // of the service with cacheable responses
+constexpr int kTroubledBackends = 2;   // of the service whose instances are in trouble
 constexpr int kCacheableRate = 60;     // rate limit of this service, in requests per second
 constexpr int kCacheableObjects = 25;
 constexpr Duration kCacheableLifetime{1000};
@@ -51,10 +52,13 @@
 std::string configuration(uint64_t number) {
   return fmt::format(
       R"({{"content":{{"services":{{"app":{{"versions":["1"],"deadline_ms":2000,"waitlist":64,"inflight":32}},)"
-      R"("kept":{{"versions":["1"],"deadline_ms":2000,"rate":{},"connections":120,"cache":{{"lifetime_s":1}}}}}},)"
+      R"("kept":{{"versions":["1"],"deadline_ms":2000,"rate":{},"connections":120,"cache":{{"lifetime_s":1}}}},)"
+      R"("troubled":{{"versions":["1"],"deadline_ms":2000}}}},)"
       R"("routes":[{{"prefix":"/any/","service":"app","methods":["GET"]}},)"
       R"({{"prefix":"/kept/","service":"kept","methods":["GET"]}},)"
       R"({{"prefix":"/once/","service":"app","methods":["POST"]}},)"
+      R"({{"prefix":"/troubled-any/","service":"troubled","methods":["GET"]}},)"
+      R"({{"prefix":"/troubled-once/","service":"troubled","methods":["POST"]}},)"
       R"({{"prefix":"/added-{}/","service":"app","methods":["GET"]}}],)"
       R"("limits":{{"idle_ms":{},"head_ms":3000}}}},"stated":"configuration {}"}})",
       kCacheableRate, number, number % 3 ? 15000 : 4000, number);
@@ -79,8 +83,9 @@
 }
 }  // namespace
 
-SoakTraffic::SoakTraffic(net::EventLoopPool& pool, SoakFleet& fleet, uint64_t seed, int first_port)
-    : pool_(pool), fleet_(fleet), seed_(seed), first_port_(first_port) {}
+SoakTraffic::SoakTraffic(net::EventLoopPool& pool, SoakFleet& fleet, uint64_t seed, int first_port,
+                         unsigned troubled_percent)
+    : pool_(pool), fleet_(fleet), seed_(seed), first_port_(first_port), troubled_percent_(troubled_percent) {}
 
 void SoakTraffic::report(std::string what) { figures_.violations.push_back(std::move(what)); }
 
@@ -95,10 +100,32 @@
         pool_, "backend", net::HttpLimits{},
         [this, service, instance](base::Request& request) { return answer(request, service, instance); }));
     if (auto error = backends_.back()->listen(address, 0, 1)) throw std::runtime_error(*error);
-    pool_.spawn([this, service, instance, address] { send_heartbeats(service, instance, address); });
+    pool_.spawn([this, service, instance, address] {
+      send_heartbeats(
+          service, [instance] { return instance; }, address);
+    });
+  }
+  start_troubled_backends();
+}
+
+void SoakTraffic::start_troubled_backends() {
+  for (int i = 0; i < kTroubledBackends; ++i) {
+    const auto address = fmt::format("127.0.0.1:{}", first_port_ + kBackends + kCacheableBackends + i);
+    auto& backend = *troubled_backends_.emplace_back(std::make_unique<TroubledBackend>(
+        pool_, "troubled", fmt::format("t{}", i), seed_ * 100 + static_cast<uint64_t>(i),
+        [this](const std::string& target) { ++executions_[target.substr(target.rfind('/') + 1)]; }));
+    backend.listen(address);
+    pool_.spawn([this, &backend, address] {
+      send_heartbeats(
+          "troubled", [&backend] { return backend.instance(); }, address);
+    });
   }
 }
 
+void SoakTraffic::restart_instance(uint64_t number) {
+  troubled_backends_[number % troubled_backends_.size()]->restart();
+}
+
 base::Response SoakTraffic::answer(base::Request& request, const std::string& service,
                                    const std::string& instance) {
   const auto id = base::header(request.headers, "Caller-Id");
@@ -167,15 +194,15 @@
                        fetched_at_.size()));
 }
 
-void SoakTraffic::send_heartbeats(const std::string& service, const std::string& instance,
+void SoakTraffic::send_heartbeats(const std::string& service, const std::function<std::string()>& instance,
                                   const std::string& address) {
-  std::mt19937_64 random(seed_ + std::hash<std::string>()(instance));
+  std::mt19937_64 random(seed_ + std::hash<std::string>()(address));
   for (uint64_t number = 1;; ++number) {
     base::Request beat{"", "POST", "/v1/beats", "", {}};
     beat.body = fmt::format(
         R"({{"service":"{}","version":"1","instance":"{}","zone":"a","address":"{}","capacity":32,)"
         R"("leaving":false,"number":{},"period_ms":{}}})",
-        service, instance, address, number, kHeartbeatPeriod.count());
+        service, instance(), address, number, kHeartbeatPeriod.count());
     for (int tries = 0; tries < 5; ++tries) {
       const auto* relay = choose_relay(random);
       if (!relay) break;
@@ -235,7 +262,9 @@
         leave_early(*connection, sent, random);
         break;
       }
-      if (!sent.non_idempotent && random() % 2 == 0)
+      sent.troubled = random() % 100 < troubled_percent_;
+      if (sent.troubled) sent.non_idempotent = random() % 2 == 0;
+      if (!sent.troubled && !sent.non_idempotent && random() % 2 == 0)
         sent.cacheable_path =
             fmt::format("/kept/{}", std::min(random() % kCacheableObjects, random() % kCacheableObjects));
       if (!exchange(*connection, sent)) break;
@@ -249,6 +278,9 @@
 
 std::string SoakTraffic::request_bytes(const Sent& sent) {
   const std::string head = fmt::format("Host: soak\r\nCaller-Id: {}\r\n", sent.id);
+  if (sent.troubled && sent.non_idempotent)
+    return "POST /troubled-once/" + sent.id + " HTTP/1.1\r\n" + head + "Content-Length: 2\r\n\r\n{}";
+  if (sent.troubled) return "GET /troubled-any/" + sent.id + " HTTP/1.1\r\n" + head + "\r\n";
   return sent.non_idempotent ? "POST /once/x HTTP/1.1\r\n" + head + "Content-Length: 2\r\n\r\n{}"
                              : "GET " + (sent.cacheable_path.empty() ? "/any/x" : sent.cacheable_path) +
                                    " HTTP/1.1\r\n" + head + "\r\n";
@@ -296,11 +328,10 @@
 }
 
 void SoakTraffic::verify_response(const Sent& sent, int status, uint64_t generation) {
-  const bool refused = status == 429 || status == 503;
+  const bool refused = status == 408 || status == 421 || status == 429 || status == 503;
   ++(status < 400 ? figures_.answered : refused ? figures_.refused : figures_.other);
   const int runs = executions_[sent.id];
-  if (sent.non_idempotent && refused && runs > 0)
-    report(fmt::format("{} was rejected with {}, but was executed", sent.id, status));
+  if (sent.non_idempotent && refused) refused_once_.push_back(sent);
   if (sent.non_idempotent && runs > 1) report(fmt::format("{} was executed {} times", sent.id, runs));
   if (generation == 0) return;
   if (const auto oldest = oldest_allowed(sent.at); generation < oldest)
@@ -352,6 +383,17 @@
   while (clients_ > 0) clock_.sleep(20ms);
   clock_.sleep(kWorkForLeavers + kGoneSlack);
   verify_abandoned();
+  verify_refused();
+  for (const auto& backend : troubled_backends_) figures_.troubles += backend->troubles();
+}
+
+// What was refused must not have been executed by the end of the run either.
+void SoakTraffic::verify_refused() {
+  figures_.declined_once = refused_once_.size();
+  for (const auto& sent : refused_once_)
+    if (executions_[sent.id] > 0)
+      report(fmt::format("{} was refused with a promise, but was executed: {}", sent.id,
+                         fleet_.log_line_with(*sent.relay, "/" + sent.id + "\"")));
 }
 
 // ---- Configurations ----
--- a/test/fleet/soak_traffic.hpp
+++ b/test/fleet/soak_traffic.hpp
@@ -22,6 +22,7 @@
 #include <set>
 
 #include "fleet/soak_fleet.hpp"
+#include "fleet/troubled_backend.hpp"
 #include "net/connection.hpp"
 #include "net/http.hpp"
 
@@ -44,12 +45,16 @@
   uint64_t changes = 0;                 ///< acknowledged configuration changes
   uint64_t purges = 0;                  ///< acknowledged purges
   uint64_t invalid_orders = 0;          ///< invalid orders that got a clear answer
+  uint64_t troubles = 0;                ///< requests that met a trouble at a backend instance
+  uint64_t declined_once = 0;           ///< non-idempotent requests that were refused with a promise
   std::vector<std::string> violations;  ///< descriptions of the violations
 };
 
 class SoakTraffic {
  public:
-  SoakTraffic(net::EventLoopPool& pool, SoakFleet& fleet, uint64_t seed, int first_port);
+  /// @param troubled_percent  of the requests go to the service whose instances are in trouble
+  SoakTraffic(net::EventLoopPool& pool, SoakFleet& fleet, uint64_t seed, int first_port,
+              unsigned troubled_percent);
 
   /// Starts backend instances, which serve requests and send heartbeats until the process ends.
   void start_backends();
@@ -60,6 +65,9 @@
   /// Ends each client after its current request; suspends the calling fiber until all have ended.
   void stop();
 
+  /// Ends the connections of a troubled instance, which continues under another name at its address.
+  void restart_instance(uint64_t number);
+
   /// Sends the next configuration to random relays until one acknowledges it.
   /// @return whether it was acknowledged within kOperatorTries
   bool change_configuration();
@@ -90,17 +98,21 @@
     bool leaves = false;          ///< its client does not wait for the response
     TimePoint at{0};
     std::string
-        cacheable_path;  ///< path of the requested cacheable object; empty: the request is not cacheable
+        cacheable_path;     ///< path of the requested cacheable object; empty: the request is not cacheable
+    bool troubled = false;  ///< for the service whose instances are in trouble
   };
 
   base::Response answer(base::Request& request, const std::string& service, const std::string& instance);
   void count_fetch();
-  void send_heartbeats(const std::string& service, const std::string& instance, const std::string& address);
+  void start_troubled_backends();
+  void send_heartbeats(const std::string& service, const std::function<std::string()>& instance,
+                       const std::string& address);
   void run_client(int number);
   void execute_abandoned(const base::Request& request, const std::string& id);
   void leave_early(net::Connection& connection, const Sent& sent, std::mt19937_64& random);
   static std::string request_bytes(const Sent& sent);
   void verify_abandoned();
+  void verify_refused();
   SoakRelay* choose_relay(std::mt19937_64& random);
   bool send_until_acknowledged(const base::Request& order, std::mt19937_64& random);
   int send_until_answered(const base::Request& order, std::mt19937_64& random,
@@ -115,10 +127,13 @@
   SoakFleet& fleet_;
   uint64_t seed_;
   int first_port_;
+  unsigned troubled_percent_;
   net::SystemClock clock_;
   net::HttpClient http_{4U << 20};
   std::vector<std::unique_ptr<net::HttpServer>> backends_;
+  std::vector<std::unique_ptr<TroubledBackend>> troubled_backends_;
   std::map<std::string, int> executions_;       ///< executions at instances, by request
+  std::vector<Sent> refused_once_;              ///< non-idempotent requests that were refused with a promise
   std::deque<TimePoint> fetched_at_;            ///< fetches within the last kRateWindow
   std::map<std::string, TimePoint> left_at_;    ///< time when the client left, by request
   std::map<TimePoint, uint64_t> acknowledged_;  ///< highest configuration number, by time of acknowledgement
