A decline without an id counts only as the first response on a new connection

Cause: a decline without the request's id counted on a used connection too, unless another had come there before. Change: on a used connection such a decline is no response (502, or a retry where that is allowed), and a connection on which one came ends; so the pool's mark for repeatable requests alone goes. Evidence: 'refused: a nameless decline on a used connection is no proof' failed before (told 503, ran once). A test was made stricter: extra responses now include a nameless decline behind the response, which had been left out as one that instances don't send; a nameless first response on a new connection is its request's own, and stays left out.

--- a/src/base/ports.hpp
+++ b/src/base/ports.hpp
@@ -133,7 +133,7 @@
   /// Null: every response belongs to this request.
   std::function<bool(const Response&)> is_own_response;
   /// Recognizes a response that is assigned to this request though it names no request: it is not
-  /// conclusive while another response may still arrive. Null: every response names its request.
+  /// conclusive on a connection that has carried another request. Null: every response names its request.
   std::function<bool(const Response&)> lacks_request_id;
   AttemptTrace* trace = nullptr;  ///< set during the attempt; may be null
 };
--- a/src/net/connection_pool.cpp
+++ b/src/net/connection_pool.cpp
@@ -137,11 +137,10 @@
   if (pool_) pool_->connection_closed(address_);
 }
 
-void ConnectionPool::Lease::give_back(std::optional<Duration> keep_alive, bool only_idempotent) {
+void ConnectionPool::Lease::give_back(std::optional<Duration> keep_alive) {
   if (declined.is_full()) return;
   std::exchange(pool_, nullptr)
-      ->give_back(address_, {std::move(connection), nullptr, {}, {}, {}, std::move(declined)}, keep_alive,
-                  only_idempotent);
+      ->give_back(address_, {std::move(connection), nullptr, {}, {}, {}, std::move(declined)}, keep_alive);
 }
 
 void ConnectionPool::Lease::discard() {
@@ -157,16 +156,14 @@
 }
 
 void ConnectionPool::give_back(const std::string& address, IdleConnection returned,
-                               std::optional<Duration> keep_alive, bool only_idempotent) {
+                               std::optional<Duration> keep_alive) {
   const auto time = now();
   auto& connection = *returned.connection;
   connection.start_read(kResponseReadSize);
   connection.on_read_done([pool = weak_from_this(), address, ended = &connection] {
     if (const auto self = pool.lock()) self->connection_ended(address, ended);
   });
-  const auto unsafe = only_idempotent ? Duration(0)
-                      : keep_alive    ? fraction_of(*keep_alive, kUnsafeFraction)
-                                      : kUnsafeDefault;
+  const auto unsafe = keep_alive ? fraction_of(*keep_alive, kUnsafeFraction) : kUnsafeDefault;
   const auto idempotent = keep_alive ? fraction_of(*keep_alive, kIdempotentFraction) : kIdempotentDefault;
   returned.io_context = &EventLoopPool::io_of_this_thread();
   returned.since = time;
--- a/src/net/connection_pool.hpp
+++ b/src/net/connection_pool.hpp
@@ -38,9 +38,8 @@
     ~Lease();
 
     /// Returns the connection to the pool.
-    /// @param keep_alive       the peer's Keep-Alive time; nullopt: it stated none
-    /// @param only_idempotent  the connection is no longer used for requests that must not run twice
-    void give_back(std::optional<Duration> keep_alive, bool only_idempotent = false);
+    /// @param keep_alive  the peer's Keep-Alive time; nullopt: it stated none
+    void give_back(std::optional<Duration> keep_alive);
 
     /// Resets the connection, so that undelivered bytes are never delivered.
     void discard();
@@ -99,8 +98,7 @@
   static void notify_waiter(Backend& backend);
   void prune(TimePoint now);
   void connection_ended(const std::string& address, const Connection* ended);
-  void give_back(const std::string& address, IdleConnection returned, std::optional<Duration> keep_alive,
-                 bool only_idempotent);
+  void give_back(const std::string& address, IdleConnection returned, std::optional<Duration> keep_alive);
   void connection_closed(const std::string& address);
 
   size_t max_idle_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -187,13 +187,11 @@
         continue;
       }
       const bool anonymous = rules_.lacks_request_id && rules_.lacks_request_id(received->response);
-      // A response that names no request may belong to any request if it came after another response was
-      // skipped, or before the request was sent completely.
-      if (anonymous && lease_.reused && (skipped > 0 || early)) return {};
-      const bool is_only_response = !skipped && !early && connection.buffered().empty();
+      // A response that names no request may belong to any request that the connection has carried.
+      if (anonymous && lease_.reused) return {};
+      const bool is_only_response = !anonymous && !skipped && !early && connection.buffered().empty();
       may_reuse_ = is_only_response && received->keep_alive &&
                    received->keep_alive_time.value_or(Duration(1)) > Duration(0);
-      only_idempotent_ = anonymous;
       keep_alive_time_ = received->keep_alive_time;
       if (rules_.is_decline && rules_.is_decline(received->response)) lease_.declined.add(rules_.request_id);
       return std::move(received->response);
@@ -203,7 +201,7 @@
 
   /// Returns the connection to the pool after a response was read, if it may be reused.
   void give_back() {
-    if (may_reuse_) lease_.give_back(keep_alive_time_, only_idempotent_);
+    if (may_reuse_) lease_.give_back(keep_alive_time_);
   }
 
  private:
@@ -211,7 +209,6 @@
   const base::AttemptRules& rules_;
   bool is_head_request_;
   bool may_reuse_ = false;
-  bool only_idempotent_ = false;
   std::optional<Duration> keep_alive_time_;
 };
 }  // namespace
--- a/test/net/backend_responses_test.cpp
+++ b/test/net/backend_responses_test.cpp
@@ -143,8 +143,8 @@
           plan.chunked = chunked;
           bool own = extra == named(200, "victim"), bare = extra == bare_decline;
           for (auto place : {&Plan::before, &Plan::together, &Plan::later}) {
-            // Would count as the request's own response: backend instances name their extra responses.
-            if (place != &Plan::together && bare) continue;
+            // The first response on a connection is the request's own, also without an id.
+            if (place == &Plan::before && bare && !kept) continue;
             if (place == &Plan::before && own) continue;
             auto with = plan;
             with.*place = extra;
--- a/test/net/refusal_test.cpp
+++ b/test/net/refusal_test.cpp
@@ -382,6 +382,7 @@
            duplicate_decline_of_another_client},
           {"refused: slow declines sent twice under a changing configuration answer no other attempt",
            slow_declines_sent_twice_under_changing_configuration},
+          {"refused: a nameless decline on a used connection is no proof", late_nameless_decline},
           {"refused: an incomplete decline is no proof", incomplete_declines},
           {"refused: what may have run is not rejected with a promise, whatever rejects it",
            rejected_after_a_run},
