--- a/test/net/refusal_test.cpp
+++ b/test/net/refusal_test.cpp
@@ -1,5 +1,6 @@
 // 408, 421, 429 and 503 promise that a request has not run and never will. Each case makes the proof of one
 // such promise false, over real sockets: the request ran or runs, so the client must be told something else.
+#include <cstdio>
 #include <map>
 
 #include "net/node_under_test.hpp"
@@ -192,6 +193,50 @@
   check_promise(status, runs["victim"], "a nameless decline on a used connection");
 }
 
+// What the process writes to standard error while the object exists.
+class CapturedLog {
+ public:
+  CapturedLog() : saved_(::dup(STDERR_FILENO)), file_(std::tmpfile()) {
+    ::dup2(::fileno(file_), STDERR_FILENO);
+  }
+  ~CapturedLog() {
+    ::dup2(saved_, STDERR_FILENO);
+    ::close(saved_);
+    std::fclose(file_);
+  }
+  CapturedLog(const CapturedLog&) = delete;
+  CapturedLog& operator=(const CapturedLog&) = delete;
+
+  std::string text() const {
+    const int file = ::fileno(file_);
+    std::string text(static_cast<size_t>(::lseek(file, 0, SEEK_END)), '\0');
+    text.resize(static_cast<size_t>(::pread(file, text.data(), text.size(), 0)));
+    return text;
+  }
+
+ private:
+  int saved_;
+  std::FILE* file_;
+};
+
+// A refusal after two declines: the line has the place, and each attempt.
+void refusals_are_logged() {
+  ScriptedBackend backend([&](int, int, const std::string& head) { return decline(id_of(head)); });
+  Relay relay(backend.addr());
+  std::string log;
+  {
+    const CapturedLog captured;
+    same(relay.post("first", false, kPlentyMs).status, 503, "the status after both instances declined");
+    log = captured.text();
+  }
+  const auto address = backend.addr();
+  for (const auto& part :
+       {std::string("refused \"first\" (POST \"/once/x\") with 503"), std::string(", declined; "),
+        "i-1 at " + address + ", ", "i-2 at " + address + ", ", std::string("new connection, "),
+        std::string(" bytes written, declined (503)")})
+    expect(log.find(part) != std::string::npos, fmt::format("'{}' is not in the log: {}", part, log));
+}
+
 // Responses that resemble a decline, and are none.
 void incomplete_declines() {
   const std::vector<std::pair<std::string, std::string>> forms = {
@@ -374,7 +419,8 @@
 }  // namespace
 
 std::vector<Case> refusal_cases() {
-  return {{"refused: a copy of a decline does not answer the attempt under the next configuration",
+  return {{"refused: a refusal is logged with its place and every attempt", refusals_are_logged},
+          {"refused: a copy of a decline does not answer the attempt under the next configuration",
            duplicate_decline_and_new_configuration},
           {"refused: a copy of a decline does not answer the attempt at another instance of the address",
            duplicate_decline_at_shared_address},
--- a/test/unit/main.cpp
+++ b/test/unit/main.cpp
@@ -10,7 +10,8 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   using namespace dunlinwing::test;
   std::vector<Case> all;
-  for (auto* part : {&disk_cases,
+  for (auto* part : {&log_limiter_cases,
+                     &disk_cases,
                      &disk_fault_cases,
                      &acceptor_cases,
                      &register_cases,
--- a/test/unit/unit_cases.hpp
+++ b/test/unit/unit_cases.hpp
@@ -6,6 +6,7 @@
 
 namespace dunlinwing::test {
 
+std::vector<Case> log_limiter_cases();
 std::vector<Case> disk_cases();
 std::vector<Case> disk_fault_cases();
 std::vector<Case> acceptor_cases();
