--- a/test/fleet/process.cpp
+++ b/test/fleet/process.cpp
@@ -1,8 +1,11 @@
 #include "fleet/process.hpp"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <unistd.h>
 
+#include <csignal>
+
 namespace dunlinwing::test {
 namespace {
 constexpr int kCannotExecute = 127;
@@ -15,6 +18,7 @@
   argument_list.push_back(nullptr);
   const pid_t process = ::fork();
   if (process != 0) return process;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that is ended leaves no process behind
   const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::dup2(file, STDOUT_FILENO);
   ::dup2(file, STDERR_FILENO);
--- a/test/fleet/process.hpp
+++ b/test/fleet/process.hpp
@@ -11,7 +11,7 @@
 /// @param program    path of the program
 /// @param arguments  without the program's name
 /// @param log        file to which standard output and standard error are appended
-/// @return the ID of the child process, which inherits no other descriptors
+/// @return the ID of the child process, which inherits no other descriptors and ends with the calling thread
 pid_t spawn_process(const std::string& program, const std::vector<std::string>& arguments,
                     const std::string& log);
 
