Pipelined requests beyond 16 KiB are not read, whichever of them is handled

Seen: clients that pipeline small requests and read no response made a relay of 64 MB hold 113 MB (200 clients; hostile_pipelines). Cause: each handled request began a read of 2 KiB or more before it looked at what was buffered, and took some 40 bytes of it, so the buffer of a connection grew without end (one of 70 MB in the process's map). The bound was looked at only from the second read on. Now it is looked at before each.

--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -294,12 +294,14 @@
   return response;
 }
 
-// Keeps reading, so that the end of the connection is noticed; pipelined requests may arrive before it.
+// Keeps reading, so that the end of the connection is noticed; pipelined requests may arrive before it. Beyond
+// kMaxPipelinedBytes nothing more is read, whichever of them is handled.
 void HttpServerConnection::watch_client() {
+  if (connection_->buffered().size() >= kMaxPipelinedBytes) return;
   connection_->on_read_done([this] {
     if (connection_->has_ended())
       client_disconnected_->cancel();
-    else if (connection_->buffered().size() < kMaxPipelinedBytes)
+    else
       watch_client();
   });
   connection_->start_read();
