A slow route refuses neither the other routes of its service nor itself for good

Cause: the expected execution was the mean of the instance over all routes, and a refused request is no sample, so a mean beyond what a client waits never came down. Change: the execution is the mean of the route (proxy/route_latency), scaled by what the instance is slower than its service; after a second without a sample one request a second is let through, and its response replaces the estimate.

--- a/src/proxy/load_balancer.cpp
+++ b/src/proxy/load_balancer.cpp
@@ -217,12 +217,18 @@
   }
   if (!healthy) return impl_->count_failure(state, report.health, now);
   state.failures = state.connect_failures = state.ejections = 0;
-  const bool had_waiting = load && load->waiting > 0;
-  if (report.latency <= Duration(0) || had_waiting || instance.cold_until > now) return;
+  if (!is_latency_sample(instance, report, now)) return;
   update_mean(state.latency_ms, report.latency);
   update_mean(impl_->latencies_ms[instance.service], report.latency);
 }
 
+bool LoadBalancer::is_latency_sample(const BackendInstance& instance, const AttemptReport& report,
+                                     TimePoint now) {
+  const bool had_waiting = report.load && report.load->waiting > 0;
+  return report.health == AttemptHealth::healthy && report.latency > Duration(0) && !had_waiting &&
+         instance.cold_until <= now;
+}
+
 void LoadBalancer::mark_wrong_instance(const BackendInstance& instance) {
   const std::lock_guard lock(impl_->mutex);
   auto& state = impl_->states[instance.instance];
--- a/src/proxy/load_balancer.hpp
+++ b/src/proxy/load_balancer.hpp
@@ -66,6 +66,10 @@
   /// Ejects an instance for the longest period because another instance responds at its address.
   void mark_wrong_instance(const membership::BackendInstance& instance);
 
+  /// Whether the latency of this report would be a sample of how long requests take.
+  static bool is_latency_sample(const membership::BackendInstance& instance, const AttemptReport& report,
+                                TimePoint now);
+
   /// Removes the state of all other instances without a running attempt.
   void retain(const std::vector<std::string>& instances);
 
--- a/src/proxy/request_handler.cpp
+++ b/src/proxy/request_handler.cpp
@@ -199,7 +199,7 @@
     if (!next.configuration || next.configuration == previous->configuration) return;
     std::set<std::string> labels;
     for (const auto& route : next.configuration->routes) labels.insert(route.label());
-    upstream_client.outcomes().retain_routes(labels);
+    upstream_client.retain_routes(labels);
     rejections.retain_routes(labels);
     std::set<std::string> services;
     for (const auto& [name, service] : next.configuration->services) services.insert(name);
--- a/src/proxy/upstream_client.cpp
+++ b/src/proxy/upstream_client.cpp
@@ -8,6 +8,7 @@
 #include "limits/retry_budget.hpp"
 #include "proxy/canary_admission.hpp"
 #include "proxy/load_balancer.hpp"
+#include "proxy/route_latency.hpp"
 
 namespace dunlinwing::proxy {
 namespace {
@@ -77,6 +78,7 @@
 
   NodeContext node;
   LoadBalancer load_balancer;
+  RouteLatency route_latency;
   CanaryAdmission canary_admission;
   limits::RetryBudget retry_budget;
   limits::RateLimiter rate_limiter;
@@ -269,7 +271,8 @@
     auto selection = client_.select_backend(context_, tried_, true);
     if (!selection) return {};
     if (retry_state_.is_first_attempt()) {
-      const ExpectedLatency expected{selection->expected, selection->queueing};
+      const Duration execution = expected_execution(*selection);
+      const ExpectedLatency expected{selection->queueing + execution, selection->queueing};
       if (auto retry_after = overload_retry_after(*context_.route, expected, context_.deadline - now())) {
         result_ = rejected(RejectionReason::latency_target_missed, *retry_after);
         return {};
@@ -279,6 +282,16 @@
     return selection;
   }
 
+  // What the request takes once it runs; 0 when no estimate has a say.
+  Duration expected_execution(const BackendSelection& selection) {
+    const auto& service = context_.service->name;
+    const Duration at_instance = selection.expected - selection.queueing;
+    return client_.route_latency
+        .estimate(service, context_.route->label(), at_instance,
+                  client_.load_balancer.typical_latency(service), now())
+        .value_or(Duration(0));
+  }
+
   bool check_deadline(Duration remaining) {
     const Duration needed =
         retry_state_.nothing_sent() ? context_.time_budget() / kFirstAttemptDivisor : Duration(0);
@@ -376,10 +389,12 @@
     record_sent(instance, attempt_class);
     const auto* response = std::get_if<base::Response>(&reply);
     const bool reports_load = response && attempt_class != AttemptClass::invalid_response;
-    client_.load_balancer.attempt_finished(
-        instance, {health_of(attempt_class),
-                   reports_load ? client_.node.adapter.reported_load(*response) : std::nullopt,
-                   good && response->status != kNotModified ? latency : Duration(0)});
+    const AttemptReport report{health_of(attempt_class),
+                               reports_load ? client_.node.adapter.reported_load(*response) : std::nullopt,
+                               good && response->status != kNotModified ? latency : Duration(0)};
+    client_.load_balancer.attempt_finished(instance, report);
+    if (LoadBalancer::is_latency_sample(instance, report, now()))
+      client_.route_latency.record(context_.service->name, context_.route->label(), latency, now());
     if (attempt_class == AttemptClass::wrong_instance) client_.load_balancer.mark_wrong_instance(instance);
     if (sent && !is_refused(attempt_class)) client_.count_outcome(context_, instance, good, latency);
   }
@@ -446,6 +461,11 @@
   return impl_->demand;
 }
 
+void UpstreamClient::retain_routes(const std::set<std::string>& labels) {
+  impl_->outcomes.retain_routes(labels);
+  impl_->route_latency.retain_routes(labels);
+}
+
 void UpstreamClient::retain_services(const std::set<std::string>& services) {
   const std::lock_guard lock(impl_->mutex);
   std::erase_if(impl_->demand, [&](const auto& entry) { return !services.count(entry.first); });
--- a/src/proxy/upstream_client.hpp
+++ b/src/proxy/upstream_client.hpp
@@ -105,6 +105,9 @@
   OutcomeCounters& outcomes();
   /// The number of requests by service since the process started.
   std::map<std::string, uint64_t> demand() const;
+  /// Removes the counts and estimates of all other routes.
+  /// @param labels  of the routes in force
+  void retain_routes(const std::set<std::string>& labels);
   /// Removes the demand of all other services.
   void retain_services(const std::set<std::string>& services);
   ServiceLoad load(const std::string& service);
--- a/test/unit/main.cpp
+++ b/test/unit/main.cpp
@@ -34,6 +34,7 @@
                      &upstream_client_cases,
                      &request_handler_cases,
                      &rejection_cases,
+                     &route_latency_cases,
                      &routing_snapshot_cases,
                      &shield_selector_cases,
                      &protocol_adapter_cases,
--- a/test/unit/proxy/upstream_client_test.cpp
+++ b/test/unit/proxy/upstream_client_test.cpp
@@ -174,6 +174,49 @@
   same(result.outcome == proxy::UpstreamOutcome::abandoned, true, "abandoned");
   same(node->origin.requests["1"] + node->origin.requests["2"], sent, "requests that were sent");
 }
+
+/// Runs requests one after the other, of a route whose responses take the given time.
+/// @return how many got a response
+int run_route(CanaryNode& node, const std::string& route, Duration latency_target, Duration latency,
+              int requests) {
+  node.route.name = route;
+  node.route.latency_target = latency_target;
+  node.origin.interrupted = [&node, latency]() -> std::optional<base::AttemptError> {
+    node.clock.sleep(latency);
+    return {};
+  };
+  int responded = 0;
+  for (int i = 0; i < requests; ++i)
+    responded += node.request(std::to_string(i)).outcome == proxy::UpstreamOutcome::responded;
+  return responded;
+}
+
+constexpr Duration kNoTarget{0};
+constexpr Duration kTarget{100};
+constexpr Duration kSlowResponse{10000};  // beyond the time budget
+constexpr Duration kFastResponse{10};
+constexpr int kCrowd = 40;
+
+// A service whose slow route raised its latency is refused neither on its other routes nor for good. Nothing
+// else runs there.
+void slow_route_does_not_refuse_others() {
+  CanaryNode node;
+  same(run_route(node, "slow", kNoTarget, kSlowResponse, kCrowd), kCrowd, "responses of the slow route");
+  same(run_route(node, "fast", kTarget, kFastResponse, kCrowd), kCrowd,
+       "responses of a route never sent to before");
+  same(run_route(node, "slow", kNoTarget, kSlowResponse, kCrowd), kCrowd, "responses of the slow route");
+  same(run_route(node, "fast", kTarget, kFastResponse, kCrowd), kCrowd,
+       "responses of a route known to be fast");
+}
+
+void slow_route_is_tried_again() {
+  CanaryNode node;
+  same(run_route(node, "slow", kNoTarget, kSlowResponse, kCrowd), kCrowd, "responses of the slow route");
+  expect(run_route(node, "slow", kTarget, kFastResponse, kCrowd) == 0, "a fresh estimate had no say");
+  node.clock.sleep(Duration(2000));
+  same(run_route(node, "slow", kTarget, kFastResponse, kCrowd), kCrowd,
+       "responses once the estimate is stale");
+}
 }  // namespace
 
 std::vector<Case> upstream_client_cases() {
@@ -186,7 +229,10 @@
        disconnections_at_the_deadline_count_as_failures},
       {"upstream: a canary's share is computed from the requests that were sent",
        canary_share_counts_what_was_sent},
-      {"upstream: without rejections a canary receives its full share", canary_share_is_used}};
+      {"upstream: without rejections a canary receives its full share", canary_share_is_used},
+      {"upstream: a slow route does not refuse the other routes of its service",
+       slow_route_does_not_refuse_others},
+      {"upstream: a route that was slow is tried again", slow_route_is_tried_again}};
 }
 
 }  // namespace dunlinwing::test
--- a/test/unit/unit_cases.hpp
+++ b/test/unit/unit_cases.hpp
@@ -29,6 +29,7 @@
 std::vector<Case> upstream_client_cases();
 std::vector<Case> request_handler_cases();
 std::vector<Case> rejection_cases();
+std::vector<Case> route_latency_cases();
 std::vector<Case> routing_snapshot_cases();
 std::vector<Case> shield_selector_cases();
 std::vector<Case> protocol_adapter_cases();
