--- a/test/fleet/process.cpp
+++ b/test/fleet/process.cpp
@@ -5,11 +5,13 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
 
 namespace dunlinwing::test {
 namespace {
 constexpr int kCannotExecute = 127;
-}
+constexpr size_t kBytesPerKilobyte = 1024;
+}  // namespace
 
 pid_t spawn_process(const std::string& program, const std::vector<std::string>& arguments,
                     const std::string& log) {
@@ -27,4 +29,11 @@
   ::_exit(kCannotExecute);
 }
 
+size_t peak_memory_bytes(pid_t process) {
+  std::ifstream status("/proc/" + std::to_string(process) + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.starts_with("VmHWM:")) return std::stoul(line.substr(line.find(':') + 1)) * kBytesPerKilobyte;
+  return 0;
+}
+
 }  // namespace dunlinwing::test
--- a/test/fleet/process.hpp
+++ b/test/fleet/process.hpp
@@ -15,4 +15,7 @@
 pid_t spawn_process(const std::string& program, const std::vector<std::string>& arguments,
                     const std::string& log);
 
+/// The largest resident memory of a process so far, in bytes, as the kernel counted it; 0 when it has ended.
+size_t peak_memory_bytes(pid_t process);
+
 }  // namespace dunlinwing::test
--- a/test/fleet/soak_fleet.cpp
+++ b/test/fleet/soak_fleet.cpp
@@ -20,6 +20,7 @@
 constexpr Duration kReapEvery{10};
 constexpr Duration kUntilMain{1000};  // upper bound from fork to the start of main on a loaded machine
 constexpr double kMsPerSecond = 1000;
+constexpr size_t kBytesPerMegabyte = 1 << 20;
 
 void replace_file(const std::string& path, const std::string& text) {
   std::ofstream file(path + ".new");
@@ -59,10 +60,10 @@
   std::filesystem::create_directories(folder);
   const auto settings = fmt::format(
       R"({{"name":"{}","zone":"{}","listen":{{"callers":"{}","control":"{}","peers":"{}"}},"seeds":[{}],)"
-      R"("first_start":{},"tolerate":1,"threads":1,"descriptors":{},"memory_mb":160,"link_mbps":{},)"
+      R"("first_start":{},"tolerate":1,"threads":1,"descriptors":{},"memory_mb":{},"link_mbps":{},)"
       R"("bounds":{{"layout_s":2,"leave_s":2,"purge_s":2,"grace_s":{}}}{}{}}})",
       relay.name, relay.zone, relay.client_address, relay.control_address, relay.peer_address, seeds,
-      first_start, options_.descriptors, kLinkMbps,
+      first_start, options_.descriptors, options_.memory_mb, kLinkMbps,
       static_cast<double>(options_.grace.count()) / kMsPerSecond,
       relay.has_disk ? fmt::format(R"(,"data":"{}/data")", folder) : "",
       relay.is_shield ? R"(,"shield":true)" : "");
@@ -105,6 +106,19 @@
                                                relay.start_count, WEXITSTATUS(wait_status)));
 }
 
+void SoakFleet::check_memory(const SoakRelay& relay) {
+  if (relay.process <= 0) return;
+  const size_t peak = peak_memory_bytes(relay.process);
+  peak_memory_ = std::max(peak_memory_, peak);
+  if (peak > static_cast<size_t>(options_.memory_mb) * kBytesPerMegabyte)
+    unexpected_ends_.push_back(
+        fmt::format("{} (start {}) took {} bytes of memory", relay.name, relay.start_count, peak));
+}
+
+void SoakFleet::check_memory() {
+  for (const auto& relay : relays_) check_memory(relay);
+}
+
 bool SoakFleet::reap(SoakRelay& relay) {
   int status = 0;
   if (relay.process > 0 && ::waitpid(relay.process, &status, WNOHANG) == relay.process)
@@ -122,6 +136,7 @@
   terminating_replicas_ += relay.has_disk;
   relay.terminating = true;
   relay.terminated_at = clock_.now();
+  check_memory(relay);
   ::kill(relay.process, SIGTERM);
   while (!reap(relay) && clock_.now() < relay.terminated_at + options_.grace) clock_.sleep(kReapEvery);
   const bool ended = relay.process < 0;
@@ -134,6 +149,7 @@
 }
 
 void SoakFleet::kill(SoakRelay& relay) {
+  check_memory(relay);
   relay.terminating = true;
   relay.killed_at = clock_.now();
   ::kill(relay.process, SIGKILL);
--- a/test/fleet/soak_fleet.hpp
+++ b/test/fleet/soak_fleet.hpp
@@ -18,7 +18,8 @@
   std::string relay_program;  ///< path of the built relay
   int first_port = 26000;     ///< first of the loopback ports, three for each relay
   int relays = 9;
-  int shields = 0;        ///< the last ones of these are dedicated shields, which fetch for the others
+  int shields = 0;  ///< the last ones of these are dedicated shields, which fetch for the others
+  int memory_mb = 160;
   int descriptors = 250;  ///< few, so that relays constantly close client connections to free descriptors
   Duration grace{6000};   ///< time from SIGTERM to SIGKILL
 };
@@ -63,7 +64,12 @@
   /// Starts each relay again whose process has ended by itself, as a supervisor does.
   void restart_ended();
 
-  /// Processes that ended by themselves, or otherwise than by the signal that was sent to them.
+  /// Compares the peak memory of each running process with its limit, as is done before each signal that ends
+  /// one.
+  void check_memory();
+
+  /// Processes that ended by themselves, or otherwise than by the signal that was sent to them, or took more
+  /// memory than they have.
   const std::vector<std::string>& unexpected_ends() const { return unexpected_ends_; }
 
   /// The last line with this text in the relay's log; empty when there is none.
@@ -72,12 +78,16 @@
   std::vector<SoakRelay>& relays() { return relays_; }
   int terminating_count() const { return terminating_count_; }        ///< relays that are terminating
   int terminating_replicas() const { return terminating_replicas_; }  ///< the replicas among these
+  size_t peak_memory() const {
+    return peak_memory_;
+  }  ///< bytes, the largest of all processes that were checked
 
  private:
   std::string settings_path(const SoakRelay& relay) const;
   void write_settings(const SoakRelay& relay, bool first_start, int rotation) const;
   bool reap(SoakRelay& relay);
   void record_end(SoakRelay& relay, int wait_status);
+  void check_memory(const SoakRelay& relay);
 
   SoakFleetOptions options_;
   std::vector<SoakRelay> relays_;
@@ -85,6 +95,7 @@
   net::SystemClock clock_;
   int terminating_count_ = 0;
   int terminating_replicas_ = 0;
+  size_t peak_memory_ = 0;
 };
 
 }  // namespace dunlinwing::test
--- a/test/fleet/soak_main.cpp
+++ b/test/fleet/soak_main.cpp
@@ -19,6 +19,7 @@
 DEFINE_int32(relays, 9, "relay processes");
 DEFINE_int32(shields, 0, "relays among these that are dedicated shields, which fetch for the others");
 DEFINE_int32(clients, 120, "concurrent clients");
+DEFINE_int32(hostile_clients, 0, "clients that don't behave, beside the others");
 DEFINE_int32(troubled_percent, 25, "requests to the service whose instances are in trouble");
 DEFINE_int32(change_pause_ms, 200, "longest pause between two configurations of a series");
 DEFINE_int32(port, 26000, "the first of the loopback ports: eight for backends, then three per relay");
@@ -28,6 +29,7 @@
 using namespace std::chrono_literals;
 constexpr Duration kStartTime{40000};  // limit until all relays are ready
 constexpr int kBackendPorts = 8;
+constexpr double kBytesPerMegabyte = 1 << 20;
 
 /// Injects faults into the relays and changes the configuration while clients send requests.
 class FaultInjector {
@@ -171,27 +173,30 @@
   if (!traffic.change_configuration()) return traffic.report("the first configuration was not acknowledged");
   if (!await_ready(fleet)) return traffic.report("not all relays became ready");
   traffic.start_clients(FLAGS_clients);
+  traffic.start_hostile_clients(FLAGS_hostile_clients);
   FaultInjector(pool, fleet, traffic, FLAGS_seed).run(Duration(FLAGS_seconds * 1000));
   fleet.restart_ended();
   if (!await_ready(fleet)) traffic.report("not all relays are ready after the faults");
   traffic.stop();
   traffic.read_back();
   fleet.restart_ended();
+  fleet.check_memory();
   for (const auto& end : fleet.unexpected_ends()) traffic.report(end);
 }
 
-int print(const SoakFigures& figures) {
+int print(const SoakFigures& figures, const SoakFleet& fleet) {
   for (const auto& what : figures.violations) std::cout << "BROKEN: " << what << "\n";
   std::cout << fmt::format(
       "seed {}: {} requests on {} connections, {} answered ({} kept ones by {} fetches), {} refused, {} "
       "other, "
       "{} cut by kills, {} cut unread ({} of them late), {} left early ({} of {} runs went on), {} changes, "
-      "{} purges, {} invalid orders refused, {} troubles of instances, {} requests that run once refused, {} "
-      "broken\n",
+      "{} purges, {} invalid orders refused, {} troubles of instances, {} requests that run once refused, "
+      "{} hostile connections, {:.1f} MB at the most, {} broken\n",
       FLAGS_seed, figures.requests, figures.connections, figures.answered, figures.cacheable, figures.fetches,
       figures.refused, figures.other, figures.cut_by_kill, figures.cut_unread, figures.late_cuts,
       figures.left, figures.left_runs_continued, figures.left_runs, figures.changes, figures.purges,
-      figures.invalid_orders, figures.troubles, figures.declined_once, figures.violations.size());
+      figures.invalid_orders, figures.troubles, figures.declined_once, figures.hostile_connections,
+      static_cast<double>(fleet.peak_memory()) / kBytesPerMegabyte, figures.violations.size());
   std::cout.flush();
   return figures.violations.empty() && figures.answered > figures.requests / 3 ? 0 : 1;
 }
@@ -213,6 +218,6 @@
   pool.run([&] {
     test::soak(pool, fleet, traffic);
     fleet.kill_all();
-    net::EventLoopPool::stop(test::print(traffic.figures()));
+    net::EventLoopPool::stop(test::print(traffic.figures(), fleet));
   });
 }
--- a/test/fleet/soak_traffic.cpp
+++ b/test/fleet/soak_traffic.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 
 #include "fleet/invalid_orders.hpp"
+#include "hostile/scripts.hpp"
 
 namespace dunlinwing::test {
 namespace {
@@ -36,8 +37,11 @@
 constexpr Duration kLongestStay{150};      // before a client leaves early
 constexpr Duration kWorkForLeavers{1400};  // far longer than kLongestStay
 constexpr Duration kWorkStep{20};
-constexpr Duration kGoneSlack{500};         // after which no instance may work for a client that has left
-constexpr const char* kLeaver = "leaver-";  // prefix of the IDs of requests whose clients leave early
+constexpr Duration kGoneSlack{500};  // after which no instance may work for a client that has left
+constexpr uint64_t kHostileSeed = 500;
+constexpr uint64_t kOneInSoManyAtControl = 6;  // hostile connections
+constexpr Duration kHostileTime{2500};         // of one hostile connection
+constexpr const char* kLeaver = "leaver-";     // prefix of the IDs of requests whose clients leave early
 
 /// The body of a cacheable object: its path, its creation time, and padding derived from both, long enough
 /// that nodes transfer it in several parts.
@@ -237,6 +241,31 @@
   }
 }
 
+void SoakTraffic::start_hostile_clients(int count) {
+  for (int i = 0; i < count; ++i) {
+    ++clients_;
+    pool_.spawn([this, i] {
+      run_hostile_client(i);
+      --clients_;
+    });
+  }
+}
+
+void SoakTraffic::run_hostile_client(int number) {
+  std::mt19937_64 random(seed_ * 1000 + kHostileSeed + static_cast<uint64_t>(number));
+  while (!stopping_) {
+    clock_.sleep(20ms);
+    const auto* relay = choose_relay(random);
+    if (!relay) continue;
+    const auto& address = random() % kOneInSoManyAtControl ? relay->client_address : relay->control_address;
+    const auto connection = net::Connection::connect(address, std::chrono::steady_clock::now() + 1s);
+    if (!connection) continue;
+    ++figures_.hostile_connections;
+    misbehave(*connection, "/any/hostile", random, kHostileTime);
+    connection->reset();
+  }
+}
+
 void SoakTraffic::run_client(int number) {
   std::mt19937_64 random(seed_ * 1000 + static_cast<uint64_t>(number));
   for (uint64_t made = 0; !stopping_;) {
--- a/test/fleet/soak_traffic.hpp
+++ b/test/fleet/soak_traffic.hpp
@@ -46,6 +46,7 @@
   uint64_t purges = 0;                  ///< acknowledged purges
   uint64_t invalid_orders = 0;          ///< invalid orders that got a clear answer
   uint64_t troubles = 0;                ///< requests that met a trouble at a backend instance
+  uint64_t hostile_connections = 0;     ///< opened by clients that don't behave
   uint64_t declined_once = 0;           ///< non-idempotent requests that were refused with a promise
   std::vector<std::string> violations;  ///< descriptions of the violations
 };
@@ -62,6 +63,9 @@
   /// Starts clients, each of which sends requests until stop().
   void start_clients(int count);
 
+  /// Starts clients that don't behave, until stop(). Their requests are not verified.
+  void start_hostile_clients(int count);
+
   /// Ends each client after its current request; suspends the calling fiber until all have ended.
   void stop();
 
@@ -108,6 +112,7 @@
   void send_heartbeats(const std::string& service, const std::function<std::string()>& instance,
                        const std::string& address);
   void run_client(int number);
+  void run_hostile_client(int number);
   void execute_abandoned(const base::Request& request, const std::string& id);
   void leave_early(net::Connection& connection, const Sent& sent, std::mt19937_64& random);
   static std::string request_bytes(const Sent& sent);
--- a/test/hostile/main.cpp
+++ b/test/hostile/main.cpp
@@ -12,6 +12,7 @@
 
 #include "hostile/crowd.hpp"
 #include "hostile/relay_process.hpp"
+#include "hostile/scripts.hpp"
 #include "support/expect.hpp"
 
 DEFINE_string(relay, "build/relay", "path of the relay under test");
@@ -30,12 +31,7 @@
 constexpr Duration kOrdinaryTime{60000};  // in which an ordinary caller, who tries again, has an answer
 constexpr Duration kOrdinaryTry{5000};
 constexpr Duration kHeartbeatPeriod{800};
-constexpr Duration kHoldersPause{300};  // between two bytes of one that holds a connection
-constexpr size_t kHeadBytes = 16000;    // below `head_bytes`
-constexpr size_t kBodyBytes = 1000000;  // below `body_bytes`
 constexpr size_t kLargeResponse = 4 << 20;
-constexpr size_t kEndlessBytes = 64 << 20;  // what a client sends that never ends by itself
-constexpr size_t kPieceBytes = 64 << 10;
 constexpr size_t kBytesPerMegabyte = 1 << 20;
 
 const char* const kConfiguration =
@@ -201,54 +197,6 @@
   size_t memory_before_ = 0;
 };
 
-// ---- What the clients send ----
-
-std::string repeated(std::string_view text, size_t bytes) {
-  std::string all;
-  while (all.size() + text.size() <= bytes) all += text;
-  return all;
-}
-
-/// A head just below the limit, in fields of the smallest size.
-std::string head_of_tiny_fields(const std::string& method, const std::string& target,
-                                const std::string& more) {
-  std::string head = fmt::format("{} {} HTTP/1.1\r\nHost: h\r\n{}", method, target, more);
-  head += repeated("a:\r\n", kHeadBytes - head.size() - 2);
-  return head + "\r\n";
-}
-
-std::string chunked_head(const std::string& target) {
-  return fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", target);
-}
-
-std::string get(const std::string& target) {
-  return fmt::format("GET {} HTTP/1.1\r\nHost: h\r\n\r\n", target);
-}
-
-/// Sends the piece again and again, without an end of its own.
-void send_without_end(net::Connection& connection, const std::string& piece) {
-  for (size_t sent = 0; sent < kEndlessBytes; sent += piece.size())
-    if (connection.write(piece)) return;
-}
-
-/// Sends the text and never reads.
-void send_and_hold(net::Connection& connection, std::string_view text) {
-  net::SystemClock clock;
-  if (connection.write(text)) return;
-  for (const auto end = clock.now() + kCrowdTime; clock.now() < end && !connection.is_interrupted();)
-    clock.sleep(50ms);
-}
-
-/// Reads one byte at a time, with a pause after each.
-void read_slowly(net::Connection& connection, std::string_view text) {
-  net::SystemClock clock;
-  if (connection.write(text)) return;
-  while (!connection.read_more(1)) {
-    connection.consume(connection.buffered().size());
-    clock.sleep(kHoldersPause);
-  }
-}
-
 // ---- The cases ----
 
 struct Case {
@@ -269,7 +217,8 @@
       {"heads_to_the_cache",
        [](Trial& trial) {
          trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int number) {
-           send_and_hold(connection, head_of_tiny_fields("GET", fmt::format("/kept/{}", number), ""));
+           send_and_hold(connection, head_of_tiny_fields("GET", fmt::format("/kept/{}", number), ""),
+                         kCrowdTime);
          });
        }},
       {"unfinished_heads",
@@ -277,7 +226,7 @@
          trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
            auto head = head_of_tiny_fields("GET", "/slow/x", "");
            head.resize(head.size() - 2);
-           send_and_hold(connection, head);
+           send_and_hold(connection, head, kCrowdTime);
          });
        }},
       {"heads_byte_by_byte",
@@ -288,8 +237,9 @@
        }},
       {"silent_connections",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().client_address(), kHolders,
-                            [](net::Connection& connection, int) { send_and_hold(connection, "G"); });
+         trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
+           send_and_hold(connection, "G", kCrowdTime);
+         });
        }},
       {"pipelines",
        [](Trial& trial) {
@@ -318,7 +268,8 @@
       {"unfinished_chunks",
        [](Trial& trial) {
          trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
-           send_and_hold(connection, chunked_head("/slow/x") + "80000\r\n" + std::string(400000, 'c'));
+           send_and_hold(connection, chunked_head("/slow/x") + "80000\r\n" + std::string(400000, 'c'),
+                         kCrowdTime);
          });
        }},
       {"endless_chunk_lines",
@@ -355,19 +306,20 @@
   return {
       {"unread_responses",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients,
-                    [](net::Connection& connection, int) { send_and_hold(connection, get("/large/x")); });
+         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int) {
+           send_and_hold(connection, get("/large/x"), kCrowdTime);
+         });
        }},
       {"unread_cached_responses",
        [](Trial& trial) {
          trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int number) {
-           send_and_hold(connection, get(fmt::format("/kept/{}", number % 3)));
+           send_and_hold(connection, get(fmt::format("/kept/{}", number % 3)), kCrowdTime);
          });
        }},
       {"unread_fetches",
        [](Trial& trial) {
          trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int number) {
-           send_and_hold(connection, get(fmt::format("/kept/{}", number)));
+           send_and_hold(connection, get(fmt::format("/kept/{}", number)), kCrowdTime);
          });
        }},
       {"responses_byte_by_byte",
@@ -393,13 +345,14 @@
            constexpr size_t kOrderBytes = 8'000'000;
            const auto head = fmt::format(
                "PUT /v1/layouts/2 HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", kOrderBytes);
-           if (!connection.write(head)) send_and_hold(connection, std::string(kOrderBytes - 1, '['));
+           if (!connection.write(head))
+             send_and_hold(connection, std::string(kOrderBytes - 1, '['), kCrowdTime);
          });
        }},
       {"unread_control_responses",
        [](Trial& trial) {
          trial.play_holders(trial.relay().control_address(), kClients, [](net::Connection& connection, int) {
-           send_and_hold(connection, repeated(get("/metrics"), kPieceBytes));
+           send_and_hold(connection, repeated(get("/metrics"), kPieceBytes), kCrowdTime);
          });
        }},
   };
--- a/test/hostile/relay_process.cpp
+++ b/test/hostile/relay_process.cpp
@@ -17,7 +17,6 @@
 constexpr Duration kStartTime{60000};  // until the process is ready
 constexpr Duration kCallTime{2000};
 constexpr Duration kPause{50};
-constexpr size_t kBytesPerKilobyte = 1024;
 constexpr int kOk = 200;
 
 bool succeeds(net::HttpClient& http, const std::string& address, const base::Request& request) {
@@ -74,12 +73,7 @@
   return result == 0 && info.si_pid == 0;
 }
 
-size_t RelayProcess::peak_memory_bytes() const {
-  std::ifstream status(fmt::format("/proc/{}/status", process_));
-  for (std::string line; std::getline(status, line);)
-    if (line.starts_with("VmHWM:")) return std::stoul(line.substr(line.find(':') + 1)) * kBytesPerKilobyte;
-  return 0;
-}
+size_t RelayProcess::peak_memory_bytes() const { return test::peak_memory_bytes(process_); }
 
 size_t RelayProcess::open_descriptors() const {
   std::error_code ignored;
