--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -8,6 +8,8 @@
 
 #include "base/log.hpp"
 #include "net/message_framing.hpp"
+#include "net/request_memory.hpp"
+#include "net/response_head.hpp"
 
 namespace dunlinwing::net {
 namespace asio = boost::asio;
@@ -21,50 +23,9 @@
 constexpr size_t kMaxLingerBytes = 16U << 20;    // and how many bytes of them
 constexpr size_t kBodyReadSize = 32 << 10;       // bytes of a body read at once
 
-// A client is slow in a state that it has been in for kMinSlowTime, if it has sent or read less than
-// kMinBytesPerSecond, or nothing for kMaxPause.
-constexpr Duration kMinSlowTime(500);
-constexpr Duration kMaxPause(2000);
-constexpr double kMinBytesPerSecond = 4 << 10;
-constexpr double kMsPerSecond = 1000;
-
-// The memory of a request: the parser and the copies that the proxy makes hold each field of its head.
-constexpr size_t kFieldBytes = 320;
-constexpr size_t kTrailerBytes = 96;         // the parser alone holds trailers
-constexpr size_t kMinFieldBytes = 4;         // of the text of a field: name, colon and line break
-constexpr size_t kHeadCopies = 5;            // of the text
-constexpr size_t kHandlingBytes = 48 << 10;  // buffers and bookkeeping, at the backend instance's side too
-constexpr size_t kMaxSmallBody = 64 << 10;   // bytes; a longer body is a bulk use of memory
-constexpr size_t kMaxSmallHead = 32 << 10;   // memory beyond which a head is a bulk use
 constexpr size_t kMaxPipelinedBytes = 16 << 10;  // bytes of further requests read while one is handled
 constexpr const char* kRetryAfterSeconds = "1";  // for requests rejected because of the limit on all bodies
 
-std::atomic<size_t> reserved_body_bytes{0};  // of all requests in this process
-
-/// A request's reservation from the limit on all request bodies together.
-class BodyReservation {
- public:
-  BodyReservation() = default;
-  BodyReservation(const BodyReservation&) = delete;
-  BodyReservation& operator=(const BodyReservation&) = delete;
-  ~BodyReservation() { reserved_body_bytes -= bytes_; }
-
-  /// @return false when the total would exceed `most`; the reservation is then unchanged
-  [[nodiscard]] bool grow_to(size_t bytes, size_t most) {
-    if (bytes <= bytes_) return true;
-    const size_t added = bytes - bytes_;
-    if (reserved_body_bytes.fetch_add(added) + added > most) {
-      reserved_body_bytes -= added;
-      return false;
-    }
-    bytes_ = bytes;
-    return true;
-  }
-
- private:
-  size_t bytes_ = 0;
-};
-
 /// Reason to reject a head: an ambiguous or unknown framing, missing or repeated Host, or a target that is
 /// not a path.
 template <class Head>
@@ -87,13 +48,6 @@
     request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
 }
 
-/// Whether a header concerns the connection or the framing: the server generates these itself.
-bool is_connection_header(std::string_view name) {
-  for (const char* own : {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"})
-    if (base::equals_ignore_case(name, own)) return true;
-  return false;
-}
-
 // A short text takes no memory of its own, but has a capacity.
 size_t memory_of(const std::string& text) { return text.empty() ? 0 : text.capacity(); }
 
@@ -102,52 +56,6 @@
   if (parse_error == http::error::header_limit) return 431;
   return 400;
 }
-
-bool has_no_body(int status) { return status == 204 || status == 304 || status / 100 == 1; }
-
-/// Properties of a request that its response depends on.
-struct ResponseContext {
-  bool is_head_request = false;  ///< the request's method is HEAD
-  unsigned version = 11;         ///< of HTTP, 10 or 11
-  bool keep_alive = false;
-};
-
-void append_header(std::string& head, std::string_view name, std::string_view value) {
-  head.append(name).append(": ").append(value).append("\r\n");
-}
-
-void append_content_length(std::string& head, const base::Response& response, bool is_head_request) {
-  const bool without_body = has_no_body(response.status);
-  const auto stated = is_head_request || response.status == 304
-                          ? base::header(response.headers, "Content-Length")
-                          : std::string();
-  if (!stated.empty())
-    append_header(head, "Content-Length", stated);
-  else if (!without_body && !(is_head_request && response.body.empty()))  // HEAD: length unknown
-    append_header(head, "Content-Length", fmt::format_int(response.body.size()).c_str());
-}
-
-std::string response_head(const base::Response& response, const ResponseContext& context,
-                          const HttpLimits& limits) {
-  constexpr size_t kOwnHeaders = 128;  // bytes
-  size_t bytes = kOwnHeaders;
-  for (const auto& [name, value] : response.headers) bytes += name.size() + value.size() + 4;
-  std::string head;
-  head.reserve(bytes);
-  const auto reason = http::obsolete_reason(static_cast<http::status>(response.status));
-  fmt::format_to(std::back_inserter(head), "HTTP/1.1 {} {}\r\n", response.status,
-                 std::string_view(reason.data(), reason.size()));
-  for (const auto& [name, value] : response.headers)
-    if (!is_connection_header(name)) append_header(head, name, value);
-  append_content_length(head, response, context.is_head_request);
-  if (!context.keep_alive)
-    append_header(head, "Connection", "close");
-  else if (context.version < 11)
-    append_header(head, "Connection", "keep-alive");
-  if (context.keep_alive && limits.advertise_idle && limits.idle_timeout >= Duration(1000))
-    append_header(head, "Keep-Alive", fmt::format("timeout={}", limits.idle_timeout.count() / 1000));
-  return head += "\r\n";
-}
 }  // namespace
 
 TimePoint steady_now() {
@@ -159,17 +67,14 @@
   std::shared_ptr<const HttpLimits> limits;  ///< those in force when the wait for it began
   Parser parser;
   base::Request request;
-  base::MemoryReservation head_memory;
-  BodyReservation reservation;
-  base::MemoryReservation body_memory;
-  size_t head_lines = 0;  ///< parsed so far, as head_bytes
-  size_t head_bytes = 0;
+  RequestMemory memory;
   bool has_head = false;
   bool has_last_chunk = false;  ///< only trailers may follow
   bool is_last = false;         ///< the connection was already due to end when its bytes were received
   std::function<void(uint64_t, std::string_view, ErrorCode&)> on_chunk;  ///< the parser refers to it
 
-  explicit IncomingRequest(std::shared_ptr<const HttpLimits> current) : limits(std::move(current)) {
+  IncomingRequest(std::shared_ptr<const HttpLimits> current, HttpServerState& server)
+      : limits(std::move(current)), memory(server.memory, server.small_use()) {
     on_chunk = [this](uint64_t size, std::string_view /*extensions*/, ErrorCode& /*error*/) {
       has_last_chunk |= size == 0;
     };
@@ -178,6 +83,12 @@
     parser.header_limit(static_cast<uint32_t>(std::min<size_t>(limits->head_bytes, UINT32_MAX)));
     parser.body_limit(limits->body_bytes);
   }
+
+  // How many trailers there are is not known; the parser keeps them until the request is complete.
+  bool reserve_head() {
+    return memory.reserve_head(has_last_chunk && !parser.is_done() ? limits->head_bytes : 0);
+  }
+  bool reserve_body(size_t bytes) { return memory.reserve_body(bytes, limits->all_bodies_bytes); }
 };
 
 HttpServerConnection::HttpServerConnection(Connection::Socket socket, HttpServerState& server,
@@ -188,13 +99,8 @@
 
 void HttpServerConnection::enter(State state) {
   state_ = state;
-  state_since_ = entered_at_ = progress_at_ = steady_now();
-  state_bytes_ = 0;
-}
-
-void HttpServerConnection::record_progress(size_t bytes) {
-  progress_at_ = steady_now();
-  state_bytes_ += bytes;
+  state_since_ = steady_now();
+  progress_.begin(state_since_);
 }
 
 bool HttpServerConnection::is_evictable() const {
@@ -202,18 +108,12 @@
   return state_ == State::lingering || (state_ == State::idle && connection_->is_idle_in_kernel());
 }
 
-double HttpServerConnection::bytes_per_second(TimePoint now) const {
-  const auto elapsed = std::max(now - entered_at_, Duration(1));
-  return static_cast<double>(state_bytes_) / static_cast<double>(elapsed.count()) * kMsPerSecond;
-}
-
 bool HttpServerConnection::is_slow(TimePoint now) const {
   const bool is_reading = state_ == State::reading_head || state_ == State::reading_body;
   const bool is_writing = state_ == State::writing && !awaits_link_;
   if (!(is_reading || is_writing) || connection_->is_interrupted()) return false;
   if (is_reading && !connection_->is_reading()) return false;  // bytes have been received
-  if (now - progress_at_ >= kMaxPause) return true;
-  return now - entered_at_ >= kMinSlowTime && bytes_per_second(now) < kMinBytesPerSecond;
+  return progress_.is_slow(now);
 }
 
 void HttpServerConnection::end_as_slow() {
@@ -258,8 +158,7 @@
 // Serves one request; false when the connection must end.
 bool HttpServerConnection::serve_request() {
   enter(connection_->buffered().empty() ? State::idle : State::reading_head);
-  IncomingRequest incoming(server_.limits.load());
-  incoming.head_memory = {server_.memory, server_.small_use()};
+  IncomingRequest incoming(server_.limits.load(), server_);
   idle_limit_ = incoming.limits->idle_timeout;
   return read_request(incoming) && respond(incoming);
 }
@@ -267,7 +166,7 @@
 bool HttpServerConnection::read_request(IncomingRequest& incoming) {
   for (;;) {
     if (!parse_buffered(incoming)) return false;
-    if (incoming.has_head && !reserve_body(incoming, memory_of(incoming.parser.get().body())))
+    if (incoming.has_head && !incoming.reserve_body(memory_of(incoming.parser.get().body())))
       return refuse(503, "too many bodies at once");
     if (incoming.parser.is_done()) return true;
     if (!read_more(incoming)) return false;
@@ -285,9 +184,9 @@
     const bool has_whole_head = !incoming.has_head && parser.is_header_done();
     if (has_whole_head && has_folded_line(bytes.substr(0, parsed)))
       return refuse(400, "a line of the head is folded");
-    if (!incoming.has_head) count_head(incoming, bytes.substr(0, parsed));
+    if (!incoming.has_head) incoming.memory.count_head(bytes.substr(0, parsed));
     connection_->consume(parsed);
-    if (!reserve_head(incoming)) return refuse(503, "too many requests at once");
+    if (!incoming.reserve_head()) return refuse(503, "too many requests at once");
     if (error == http::error::need_more) {
       if (connection_->buffered().size() == bytes.size()) return may_wait_for_line(incoming);
     } else if (error) {
@@ -305,32 +204,6 @@
   return refuse(431, "a chunk's line or the trailers exceed the limit of a head (head_bytes)");
 }
 
-void HttpServerConnection::count_head(IncomingRequest& incoming, std::string_view parsed) {
-  incoming.head_lines += static_cast<size_t>(std::count(parsed.begin(), parsed.end(), '\n'));
-  incoming.head_bytes += parsed.size();
-}
-
-// Reserves the memory of the request without its body, as far as it has been parsed.
-bool HttpServerConnection::reserve_head(IncomingRequest& incoming) {
-  size_t bytes = incoming.head_lines * kFieldBytes + incoming.head_bytes * kHeadCopies;
-  // How many trailers there are is not known; the parser keeps them until the request is complete.
-  if (incoming.has_last_chunk && !incoming.parser.is_done())
-    bytes += incoming.limits->head_bytes / kMinFieldBytes * kTrailerBytes;
-  if (bytes > kMaxSmallHead && incoming.head_memory.bytes() <= kHandlingBytes + kMaxSmallHead)
-    incoming.head_memory = {server_.memory, base::MemoryUse::bulk};
-  return incoming.head_memory.grow_to(kHandlingBytes + bytes);
-}
-
-// Reserves the memory of the body and of the buffer that it is read with.
-bool HttpServerConnection::reserve_body(IncomingRequest& incoming, size_t bytes) {
-  if (bytes == 0) return true;
-  if (!incoming.reservation.grow_to(bytes, incoming.limits->all_bodies_bytes)) return false;
-  if (incoming.body_memory.bytes() == 0)
-    incoming.body_memory = {server_.memory,
-                            bytes > kMaxSmallBody ? base::MemoryUse::bulk : server_.small_use()};
-  return incoming.body_memory.grow_to(bytes + kBodyReadSize);
-}
-
 // Checks a head that has just been read; false when the connection must end.
 bool HttpServerConnection::accept_head(IncomingRequest& incoming) {
   Parser& parser = incoming.parser;
@@ -341,7 +214,7 @@
   if (const auto error = head_error(head)) return refuse(error->status, error->reason);
   const auto length = parser.content_length();
   if (length && *length > incoming.limits->body_bytes) return refuse(413, "body limit exceeded");
-  if (length && !reserve_body(incoming, *length)) return refuse(503, "too many bodies at once");
+  if (length && !incoming.reserve_body(*length)) return refuse(503, "too many bodies at once");
   copy_head(head, incoming.request);  // before any trailer
   const bool expects_continue =
       !parser.is_done() && head.version() >= 11 &&
@@ -355,11 +228,11 @@
   if (awaits_first) return await_request(incoming);
   const size_t buffered = connection_->buffered().size();
   const ErrorCode error = connection_->read_more(incoming.has_head ? kBodyReadSize : Connection::kReadSize);
-  record_progress(connection_->buffered().size() - buffered);
+  progress_.record(connection_->buffered().size() - buffered, steady_now());
   if (error && overdue_) return refuse(408, "the request did not come in time");
   if (error) return false;
   // The request became overdue while these bytes were being read; since it is handled, it must be answered.
-  overdue_ = false;
+  overdue_ = gives_way_ = false;
   incoming.is_last |= connection_->is_interrupted();
   connection_->clear_interrupt();
   return true;
@@ -398,8 +271,8 @@
 // Moves the body to the request and frees the parser's copy of the head, before the request may wait.
 HttpServerConnection::RequestLine HttpServerConnection::take_body(IncomingRequest& incoming) {
   auto message = incoming.parser.release();
-  incoming.body_memory.shrink_to(memory_of(message.body()));
-  incoming.request.body = base::Body(std::move(message.body()), std::move(incoming.body_memory));
+  auto memory = incoming.memory.take_body(memory_of(message.body()));
+  incoming.request.body = base::Body(std::move(message.body()), std::move(memory));
   return {message.method() == http::verb::head, message.version(), message.keep_alive()};
 }
 
@@ -444,14 +317,15 @@
     const bool granted = await_link(head.size() + part.size(), since, head.size() + body.size());
     awaits_link_ = false;
     if (!granted) return make_error_code(boost::system::errc::timed_out);
-    state_since_ = progress_at_ = steady_now();
     size_t written = 0;
-    const auto on_progress = [&] {
-      record_progress(connection_->bytes_written() - std::exchange(written, connection_->bytes_written()));
-      state_since_ = progress_at_;
+    const auto on_progress = [&](size_t total) {
+      state_since_ = steady_now();
+      progress_.record(total - std::exchange(written, total), state_since_);
     };
-    if (const auto error = connection_->write(head, part, on_progress)) return error;
-    record_progress(head.size() + part.size() - written);
+    on_progress(0);
+    if (const auto error = connection_->write(head, part, [&] { on_progress(connection_->bytes_written()); }))
+      return error;
+    on_progress(head.size() + part.size());
     body.remove_prefix(part.size());
     head = {};
   } while (!body.empty());
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -12,6 +12,7 @@
 #include <atomic>
 
 #include "base/log_limiter.hpp"
+#include "net/client_progress.hpp"
 #include "net/connection.hpp"
 #include "net/http_server.hpp"
 
@@ -70,7 +71,7 @@
   /// favour of others when connections or memory are short.
   bool is_slow(TimePoint now) const;
   /// The client's rate in the current state.
-  double bytes_per_second(TimePoint now) const;
+  double bytes_per_second(TimePoint now) const { return progress_.bytes_per_second(now); }
   /// Ends the connection; a request that was not read whole is refused with 408.
   void end_as_slow();
 
@@ -94,9 +95,6 @@
   bool parse_buffered(IncomingRequest& incoming);
   bool may_wait_for_line(const IncomingRequest& incoming);
   bool accept_head(IncomingRequest& incoming);
-  static void count_head(IncomingRequest& incoming, std::string_view parsed);
-  bool reserve_head(IncomingRequest& incoming);
-  bool reserve_body(IncomingRequest& incoming, size_t bytes);
   RequestLine take_body(IncomingRequest& incoming);
   bool read_more(IncomingRequest& incoming);
   bool await_request(IncomingRequest& incoming);
@@ -111,7 +109,6 @@
   void log_refusal(int status, const std::string& error);
   void linger();
   void enter(State state);
-  void record_progress(size_t bytes);
   Duration time_limit(const HttpLimits& limits) const;
 
   std::shared_ptr<Connection> connection_;
@@ -121,9 +118,7 @@
   base::CancellationPtr client_disconnected_ = std::make_shared<base::Cancellation>();
   State state_ = State::idle;
   TimePoint state_since_{0};  ///< steady clock; while writing: time of the last progress
-  TimePoint entered_at_{0};   ///< steady clock: when the current state began
-  TimePoint progress_at_{0};  ///< steady clock: when bytes were last received or sent in the current state
-  size_t state_bytes_ = 0;    ///< received or sent in the current state
+  ClientProgress progress_;   ///< in the current state
   bool awaits_link_ = false;  ///< the response waits for the link, not for the client
   Duration idle_limit_{0};  ///< idle timeout that the client may rely on: the one when its current wait began
   bool gives_way_ = false;  ///< ended in favour of others: it does not linger
--- a/test/hostile/main.cpp
+++ b/test/hostile/main.cpp
@@ -18,14 +18,15 @@
 DEFINE_string(relay, "build/relay", "path of the relay under test");
 DEFINE_string(dir, "hostile_run", "folder for settings, data and the log");
 DEFINE_string(case_name, "", "the case to run");
+DEFINE_int32(clients, 200, "clients of the crowd; twice as many where they hold connections");
+DEFINE_int32(memory_mb, 64, "memory of the relay, in MiB");
+DEFINE_int32(descriptors, 1200, "descriptors of the relay");
 DEFINE_int32(port, 27000, "the first of four loopback ports: three of the relay and one of the backend");
 
 namespace dunlinwing::test {
 namespace {
 using namespace std::chrono_literals;
 
-constexpr int kClients = 200;
-constexpr int kHolders = 400;             // more than the relay takes connections
 constexpr Duration kCrowdTime{8000};      // how long a crowd goes on at the most
 constexpr Duration kSlowWork{3000};       // of a request to /slow/
 constexpr Duration kOrdinaryTime{60000};  // in which an ordinary caller, who tries again, has an answer
@@ -103,7 +104,8 @@
   explicit Trial(net::EventLoopPool& pool)
       : pool_(pool),
         relay_({std::filesystem::absolute(FLAGS_relay).string(),
-                std::filesystem::absolute(FLAGS_dir).string(), FLAGS_port}) {}
+                std::filesystem::absolute(FLAGS_dir).string(), FLAGS_port, FLAGS_memory_mb,
+                FLAGS_descriptors}) {}
 
   void start(Backend*& backend) {
     relay_.start(kConfiguration);
@@ -205,7 +207,7 @@
 };
 
 void play_script(Trial& trial, const std::string& text) {
-  trial.play(trial.relay().client_address(), kClients, [text](net::Connection& connection, int) {
+  trial.play(trial.relay().client_address(), FLAGS_clients, [text](net::Connection& connection, int) {
     if (!connection.write(text)) read_to_end(connection);
   });
 }
@@ -216,34 +218,37 @@
        [](Trial& trial) { play_script(trial, head_of_tiny_fields("GET", "/slow/x", "")); }},
       {"heads_to_the_cache",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int number) {
-           send_and_hold(connection, head_of_tiny_fields("GET", fmt::format("/kept/{}", number), ""),
-                         kCrowdTime);
-         });
+         trial.play(
+             trial.relay().client_address(), FLAGS_clients, [](net::Connection& connection, int number) {
+               send_and_hold(connection, head_of_tiny_fields("GET", fmt::format("/kept/{}", number), ""),
+                             kCrowdTime);
+             });
        }},
       {"unfinished_heads",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
-           auto head = head_of_tiny_fields("GET", "/slow/x", "");
-           head.resize(head.size() - 2);
-           send_and_hold(connection, head, kCrowdTime);
-         });
+         trial.play_holders(trial.relay().client_address(), 2 * FLAGS_clients,
+                            [](net::Connection& connection, int) {
+                              auto head = head_of_tiny_fields("GET", "/slow/x", "");
+                              head.resize(head.size() - 2);
+                              send_and_hold(connection, head, kCrowdTime);
+                            });
        }},
       {"heads_byte_by_byte",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
-           send_slowly(connection, head_of_tiny_fields("GET", "/slow/x", ""), kHoldersPause);
-         });
+         trial.play_holders(
+             trial.relay().client_address(), 2 * FLAGS_clients, [](net::Connection& connection, int) {
+               send_slowly(connection, head_of_tiny_fields("GET", "/slow/x", ""), kHoldersPause);
+             });
        }},
       {"silent_connections",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
-           send_and_hold(connection, "G", kCrowdTime);
-         });
+         trial.play_holders(
+             trial.relay().client_address(), 2 * FLAGS_clients,
+             [](net::Connection& connection, int) { send_and_hold(connection, "G", kCrowdTime); });
        }},
       {"pipelines",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int) {
+         trial.play(trial.relay().client_address(), FLAGS_clients, [](net::Connection& connection, int) {
            if (connection.write(get("/slow/x"))) return;
            send_without_end(connection, repeated(get("/plain/x"), kPieceBytes));
          });
@@ -260,28 +265,29 @@
        }},
       {"tiny_chunks",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int) {
+         trial.play(trial.relay().client_address(), FLAGS_clients, [](net::Connection& connection, int) {
            if (connection.write(chunked_head("/slow/x"))) return;
            send_without_end(connection, repeated("1\r\nc\r\n", kPieceBytes));
          });
        }},
       {"unfinished_chunks",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
-           send_and_hold(connection, chunked_head("/slow/x") + "80000\r\n" + std::string(400000, 'c'),
-                         kCrowdTime);
-         });
+         trial.play_holders(
+             trial.relay().client_address(), 2 * FLAGS_clients, [](net::Connection& connection, int) {
+               send_and_hold(connection, chunked_head("/slow/x") + "80000\r\n" + std::string(400000, 'c'),
+                             kCrowdTime);
+             });
        }},
       {"endless_chunk_lines",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int) {
+         trial.play(trial.relay().client_address(), FLAGS_clients, [](net::Connection& connection, int) {
            if (connection.write(chunked_head("/slow/x") + "1;")) return;
            send_without_end(connection, std::string(kPieceBytes, 'e'));
          });
        }},
       {"endless_trailers",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int) {
+         trial.play(trial.relay().client_address(), FLAGS_clients, [](net::Connection& connection, int) {
            if (connection.write(chunked_head("/slow/x") + "1\r\nc\r\n0\r\n")) return;
            send_without_end(connection, repeated("t:\r\n", kPieceBytes));
          });
@@ -293,11 +299,13 @@
        }},
       {"bodies_byte_by_byte",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
-           const auto head =
-               fmt::format("POST /slow/x HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", kBodyBytes);
-           if (!connection.write(head)) send_slowly(connection, std::string(kBodyBytes, 'b'), kHoldersPause);
-         });
+         trial.play_holders(
+             trial.relay().client_address(), 2 * FLAGS_clients, [](net::Connection& connection, int) {
+               const auto head =
+                   fmt::format("POST /slow/x HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", kBodyBytes);
+               if (!connection.write(head))
+                 send_slowly(connection, std::string(kBodyBytes, 'b'), kHoldersPause);
+             });
        }},
   };
 }
@@ -306,27 +314,29 @@
   return {
       {"unread_responses",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int) {
+         trial.play(trial.relay().client_address(), FLAGS_clients, [](net::Connection& connection, int) {
            send_and_hold(connection, get("/large/x"), kCrowdTime);
          });
        }},
       {"unread_cached_responses",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int number) {
-           send_and_hold(connection, get(fmt::format("/kept/{}", number % 3)), kCrowdTime);
-         });
+         trial.play(trial.relay().client_address(), FLAGS_clients,
+                    [](net::Connection& connection, int number) {
+                      send_and_hold(connection, get(fmt::format("/kept/{}", number % 3)), kCrowdTime);
+                    });
        }},
       {"unread_fetches",
        [](Trial& trial) {
-         trial.play(trial.relay().client_address(), kClients, [](net::Connection& connection, int number) {
-           send_and_hold(connection, get(fmt::format("/kept/{}", number)), kCrowdTime);
-         });
+         trial.play(trial.relay().client_address(), FLAGS_clients,
+                    [](net::Connection& connection, int number) {
+                      send_and_hold(connection, get(fmt::format("/kept/{}", number)), kCrowdTime);
+                    });
        }},
       {"responses_byte_by_byte",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().client_address(), kHolders, [](net::Connection& connection, int) {
-           read_slowly(connection, get("/large/x"));
-         });
+         trial.play_holders(
+             trial.relay().client_address(), 2 * FLAGS_clients,
+             [](net::Connection& connection, int) { read_slowly(connection, get("/large/x")); });
        }},
   };
 }
@@ -335,25 +345,28 @@
   return {
       {"control_heads_byte_by_byte",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().control_address(), kHolders, [](net::Connection& connection, int) {
-           send_slowly(connection, head_of_tiny_fields("GET", "/v1/nodes", ""), kHoldersPause);
-         });
+         trial.play_holders(
+             trial.relay().control_address(), 2 * FLAGS_clients, [](net::Connection& connection, int) {
+               send_slowly(connection, head_of_tiny_fields("GET", "/v1/nodes", ""), kHoldersPause);
+             });
        }},
       {"control_bodies",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().control_address(), kClients, [](net::Connection& connection, int) {
-           constexpr size_t kOrderBytes = 8'000'000;
-           const auto head = fmt::format(
-               "PUT /v1/layouts/2 HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", kOrderBytes);
-           if (!connection.write(head))
-             send_and_hold(connection, std::string(kOrderBytes - 1, '['), kCrowdTime);
-         });
+         trial.play_holders(
+             trial.relay().control_address(), FLAGS_clients, [](net::Connection& connection, int) {
+               constexpr size_t kOrderBytes = 8'000'000;
+               const auto head = fmt::format(
+                   "PUT /v1/layouts/2 HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", kOrderBytes);
+               if (!connection.write(head))
+                 send_and_hold(connection, std::string(kOrderBytes - 1, '['), kCrowdTime);
+             });
        }},
       {"unread_control_responses",
        [](Trial& trial) {
-         trial.play_holders(trial.relay().control_address(), kClients, [](net::Connection& connection, int) {
-           send_and_hold(connection, repeated(get("/metrics"), kPieceBytes), kCrowdTime);
-         });
+         trial.play_holders(trial.relay().control_address(), FLAGS_clients,
+                            [](net::Connection& connection, int) {
+                              send_and_hold(connection, repeated(get("/metrics"), kPieceBytes), kCrowdTime);
+                            });
        }},
   };
 }
