What the system holds for a peer that does not read is bounded

Seen: 200 clients that don't read 4 MiB made the system hold 25,529 pages of TCP buffers (100 MB) for a relay of 64 MB; 3,700 of them (trial, beside a soak) used up the machine's TCP memory, and the system reset 37 connections of other processes. Cause: a write hands over as much as the send buffer takes, which grows to 4 MB. TCP_NOTSENT_LOWAT leaves 64 KiB that are not yet on their way; what is on its way is as before.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -17,6 +17,8 @@
 namespace {
 // TCP_USER_TIMEOUT: a connection whose peer acknowledges nothing, as in a partition, fails after this.
 constexpr int kUserTimeoutMs = 5000;
+// TCP_NOTSENT_LOWAT: what the system holds for a peer that does not read, beyond what is on its way.
+constexpr int kMaxUnsentBytes = 64 << 10;
 constexpr size_t kSpareBuffer = 16 << 10;  // a larger buffer is freed once it is empty
 
 // Peeks at a socket's receive buffer: > 0 when bytes are there, 0 at the end of the stream, < 0 on an error.
@@ -55,6 +57,8 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   const int timeout_ms = kUserTimeoutMs;
   ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+  const int unsent_bytes = kMaxUnsentBytes;
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_bytes, sizeof unsent_bytes);
 }
 
 void Connection::make_room(size_t room) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -24,7 +24,7 @@
   bool is_over() const { return base::is_cancelled(cancellation) || std::chrono::steady_clock::now() >= end; }
 };
 
-/// Sets the options of every socket of this process: TCP_NODELAY and TCP_USER_TIMEOUT.
+/// Sets the options of every socket of this process: TCP_NODELAY, TCP_USER_TIMEOUT and TCP_NOTSENT_LOWAT.
 void configure_socket(boost::asio::ip::tcp::socket& socket);
 
 /// How the wait for a message on an idle connection ended.
