A document at the control address reserves what parsing it takes

Cause: a JSON text of 6 MB takes some 37 MB while it is parsed (48 of 64 MB resident after one order), beyond the account. New case control_documents: 200 clients that send such orders without a pause.

--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -168,11 +168,18 @@
     if (!parse_buffered(incoming)) return false;
     if (incoming.has_head && !incoming.reserve_body(memory_of(incoming.parser.get().body())))
       return refuse(503, "too many bodies at once");
-    if (incoming.parser.is_done()) return true;
+    if (incoming.parser.is_done())
+      return reserve_document(incoming, incoming.parser.get().body().size()) ||
+             refuse(503, "too many documents at once");
     if (!read_more(incoming)) return false;
   }
 }
 
+// Calls to the control address are documents, which the handler parses.
+bool HttpServerConnection::reserve_document(IncomingRequest& incoming, size_t bytes) {
+  return server_.link.traffic_class != link::TrafficClass::control || incoming.memory.reserve_document(bytes);
+}
+
 // Parses the buffered bytes; false when the connection must end.
 bool HttpServerConnection::parse_buffered(IncomingRequest& incoming) {
   Parser& parser = incoming.parser;
@@ -215,6 +222,7 @@
   const auto length = parser.content_length();
   if (length && *length > incoming.limits->body_bytes) return refuse(413, "body limit exceeded");
   if (length && !incoming.reserve_body(*length)) return refuse(503, "too many bodies at once");
+  if (length && !reserve_document(incoming, *length)) return refuse(503, "too many documents at once");
   copy_head(head, incoming.request);  // before any trailer
   const bool expects_continue =
       !parser.is_done() && head.version() >= 11 &&
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -92,6 +92,7 @@
 
   bool serve_request();
   bool read_request(IncomingRequest& incoming);
+  bool reserve_document(IncomingRequest& incoming, size_t bytes);
   bool parse_buffered(IncomingRequest& incoming);
   bool may_wait_for_line(const IncomingRequest& incoming);
   bool accept_head(IncomingRequest& incoming);
--- a/src/net/request_memory.cpp
+++ b/src/net/request_memory.cpp
@@ -11,14 +11,21 @@
 constexpr size_t kMinFieldBytes = 4;           // of a field's text: name, colon and line break
 constexpr size_t kHandlingBytes = 48 << 10;    // buffers and bookkeeping, at the backend instance's side too
 constexpr size_t kBodyBufferBytes = 32 << 10;  // in which a body is read
+constexpr size_t kDocumentFactor = 6;   // what a JSON document takes of its text's size when it is parsed
+constexpr size_t kDocumentDivisor = 2;  // a document needs no more than this part of the bulk uses' limit
 constexpr size_t kMaxSmallHead = kHandlingBytes + (32 << 10);
 constexpr size_t kMaxSmallBody = kBodyBufferBytes + (64 << 10);
+constexpr size_t kMaxSmallDocument = kDocumentFactor * (64 << 10);
 
 std::atomic<size_t> all_bodies{0};  // bytes, of all requests in this process
 }  // namespace
 
 RequestMemory::RequestMemory(base::MemoryAccount& account, base::MemoryUse small_use)
-    : account_(account), small_use_(small_use), head_(account, small_use), body_(account, small_use) {}
+    : account_(account),
+      small_use_(small_use),
+      head_(account, small_use),
+      body_(account, small_use),
+      document_(account, small_use) {}
 
 RequestMemory::~RequestMemory() { all_bodies -= of_all_bodies_; }
 
@@ -38,6 +45,11 @@
   return reserve_of_all(bytes, of_all) && grow(body_, kBodyBufferBytes + bytes, kMaxSmallBody);
 }
 
+bool RequestMemory::reserve_document(size_t body_bytes) {
+  const size_t most = account_.limit(base::MemoryUse::bulk) / kDocumentDivisor;
+  return grow(document_, std::min(body_bytes * kDocumentFactor, most), kMaxSmallDocument);
+}
+
 base::MemoryReservation RequestMemory::take_body(size_t bytes) {
   body_.shrink_to(bytes);
   return std::move(body_);
--- a/src/net/request_memory.hpp
+++ b/src/net/request_memory.hpp
@@ -31,6 +31,9 @@
   /// @param of_all  limit on the bodies of all requests of this process together
   [[nodiscard]] bool reserve_body(size_t bytes, size_t of_all);
 
+  /// Reserves what a document takes that is parsed from a body, on top of the body.
+  [[nodiscard]] bool reserve_document(size_t body_bytes);
+
   /// Hands over the reservation of a body that has been read, reduced to its size.
   base::MemoryReservation take_body(size_t bytes);
 
@@ -42,6 +45,7 @@
   const base::MemoryUse small_use_;
   base::MemoryReservation head_;
   base::MemoryReservation body_;
+  base::MemoryReservation document_;
   size_t of_all_bodies_ = 0;  ///< this request's part of the limit on all bodies
   size_t head_lines_ = 0;
   size_t head_bytes_ = 0;
--- a/test/fleet/soak_traffic.cpp
+++ b/test/fleet/soak_traffic.cpp
@@ -261,7 +261,8 @@
     const auto connection = net::Connection::connect(address, std::chrono::steady_clock::now() + 1s);
     if (!connection) continue;
     ++figures_.hostile_connections;
-    misbehave(*connection, "/any/hostile", random, kHostileTime);
+    const auto target = random() % 2 ? "/any/hostile" : fmt::format("/kept/{}", random() % kCacheableObjects);
+    misbehave(*connection, target, random, kHostileTime);
     connection->reset();
   }
 }
--- a/test/hostile/main.cpp
+++ b/test/hostile/main.cpp
@@ -33,6 +33,8 @@
 constexpr Duration kOrdinaryTry{5000};
 constexpr Duration kHeartbeatPeriod{800};
 constexpr size_t kLargeResponse = 4 << 20;
+constexpr size_t kOrderBytes = 8'000'000;     // below the limit of a call to a control address
+constexpr size_t kDocumentBytes = 6'000'000;  // with small values, just below the bound of json-values
 constexpr size_t kBytesPerMegabyte = 1 << 20;
 
 const char* const kConfiguration =
@@ -354,13 +356,24 @@
        [](Trial& trial) {
          trial.play_holders(
              trial.relay().control_address(), FLAGS_clients, [](net::Connection& connection, int) {
-               constexpr size_t kOrderBytes = 8'000'000;
                const auto head = fmt::format(
                    "PUT /v1/layouts/2 HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", kOrderBytes);
                if (!connection.write(head))
                  send_and_hold(connection, std::string(kOrderBytes - 1, '['), kCrowdTime);
              });
        }},
+      {"control_documents",
+       [](Trial& trial) {
+         const auto document =
+             "{\"content\":{\"services\":{},\"routes\":[" + repeated("12345,", kDocumentBytes) + "1]}}";
+         const auto order =
+             fmt::format("PUT /v1/layouts/2 HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{}",
+                         document.size(), document);
+         trial.play_holders(trial.relay().control_address(), FLAGS_clients,
+                            [&order](net::Connection& connection, int) {
+                              if (!connection.write(order)) read_to_end(connection);
+                            });
+       }},
       {"unread_control_responses",
        [](Trial& trial) {
          trial.play_holders(trial.relay().control_address(), FLAGS_clients,
